--- /dev/null
+++ b/cranberrywall/__init__.py
@@ -0,0 +1,3 @@
+"""Route requests to targets within prepaid token budgets."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/cranberrywall/budgets/__init__.py
@@ -0,0 +1,6 @@
+"""Keep prepaid budgets: the ledger on control hosts, allotments on entry hosts."""
+
+from cranberrywall.budgets._interfaces import Allotments, Reservation, ReserveRequest
+from cranberrywall.budgets.messages import LEDGER_CODEC
+
+__all__ = ["LEDGER_CODEC", "Allotments", "Reservation", "ReserveRequest"]
--- /dev/null
+++ b/cranberrywall/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Answer callers over HTTP: chat completions, plain services and addresses."""
--- /dev/null
+++ b/cranberrywall/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Start each program from the command line."""
--- /dev/null
+++ b/cranberrywall/configuration/_document.py
@@ -0,0 +1,120 @@
+"""Define the shape of the configuration document; every section is keyed by name."""
+
+from typing import Annotated, Literal, NotRequired, TypedDict
+
+from msgspec import Meta
+
+Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+Address = Annotated[str, Meta(pattern=r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$")]
+Positive = Annotated[int, Meta(ge=1)]
+Seconds = Annotated[float, Meta(gt=0)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+
+
+class Key(TypedDict):
+    """Hold one bearer key of a workspace, as its SHA-256 in hex; never the key itself."""
+
+    sha256: Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
+
+
+class Reach(TypedDict):
+    """List the models and services that a workspace may call."""
+
+    models: list[Name]
+    services: list[Name]
+
+
+class Workspace(TypedDict):
+    """Describe one workspace.
+
+    ``priority`` is the class used where a request names none; ``priorities`` are those it
+    may name. ``concurrent`` bounds requests in progress on each entry host.
+    """
+
+    keys: dict[Name, Key]
+    budget: Name
+    reach: Reach
+    priority: Name
+    priorities: list[Name]
+    policy: Name
+    concurrent: Positive
+
+
+class Budget(TypedDict):
+    """Describe one prepaid budget; its money is in the ledger, not here."""
+
+    unit: Literal["tokens", "answers"]
+
+
+class Priority(TypedDict):
+    """Describe a class; a lower ``rank`` goes first.
+
+    ``deadline_s`` is the time within which its requests must be answered, in seconds.
+    """
+
+    rank: Annotated[int, Meta(ge=0, le=9)]
+    deadline_s: Seconds
+
+
+class Model(TypedDict):
+    """Describe a model served by engines; ``output_limit`` is tokens per answer at most."""
+
+    version: Name
+    output_limit: Positive
+    context_limit: Positive
+    copies: NotRequired[Positive]
+
+
+class Service(TypedDict):
+    """Describe a plain service.
+
+    ``not_repeatable`` lists ``METHOD /path`` prefixes that may run at most once. ``cost``
+    is what an answer costs in the budget's unit.
+    """
+
+    not_repeatable: list[str]
+    cost: Positive
+
+
+class Place(TypedDict):
+    """Describe a place: its region."""
+
+    region: Name
+
+
+class Host(TypedDict):
+    """Describe a host of the fleet; ``links`` and ``http`` are its addresses."""
+
+    place: Name
+    roles: list[Literal["entry", "control", "console"]]
+    links: Address
+    http: NotRequired[Address]
+    disk: bool
+
+
+class Policy(TypedDict):
+    """Weigh overspend's margin against false refusals for the workspaces that name it.
+
+    ``held_back`` is the share of a budget that the ledger keeps for shortages.
+    ``isolated`` says what a host does with a settled charge when it reaches neither the
+    ledger nor two peers and has no disk: ``refuse`` new work or ``spend`` what it holds.
+    ``input_margin`` multiplies the estimate of input tokens (at least 1).
+    """
+
+    held_back: Share
+    isolated: Literal["refuse", "spend"]
+    input_margin: Annotated[float, Meta(ge=1)]
+
+
+class Document(TypedDict):
+    """Hold the whole configuration."""
+
+    workspaces: dict[Name, Workspace]
+    budgets: dict[Name, Budget]
+    priorities: dict[Name, Priority]
+    models: dict[Name, Model]
+    services: dict[Name, Service]
+    places: dict[Name, Place]
+    hosts: dict[Name, Host]
+    policies: dict[Name, Policy]
+    ledger_groups: Annotated[int, Meta(ge=1, le=64)]
--- /dev/null
+++ b/cranberrywall/console/__init__.py
@@ -0,0 +1,1 @@
+"""Serve the operators' forms."""
--- /dev/null
+++ b/cranberrywall/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Assemble the entry program."""
--- /dev/null
+++ b/cranberrywall/links/_interfaces.py
@@ -0,0 +1,58 @@
+"""Define what the other packages use of the streams between processes."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, Generic, NamedTuple, Protocol, TypeVar
+
+from result import Result
+
+from cranberrywall.errors import Refusal
+
+RequestT = TypeVar("RequestT")
+ReplyT = TypeVar("ReplyT")
+
+
+class Method(Generic[RequestT, ReplyT]):
+    """Name one call between processes, with the types of its request and its reply."""
+
+    def __init__(self, name: str, request_type: type[RequestT], reply_type: type[ReplyT]) -> None:
+        self.name = name
+        self.request_type = request_type
+        self.reply_type = reply_type
+
+
+class Peer(NamedTuple):
+    """Identify the authenticated process at the other end: host, place, incarnation."""
+
+    host: str
+    place: str
+    incarnation: int
+
+
+Handler = Callable[[RequestT, Peer], Awaitable[Result[ReplyT, Refusal]]]
+
+
+class Caller(Protocol):
+    """Call other processes."""
+
+    async def call(
+        self,
+        address: str,
+        method: Method[RequestT, ReplyT],
+        request: RequestT,
+        timeout: float,
+    ) -> Result[ReplyT, Refusal]:
+        """Send ``request`` to the process that listens at ``address``.
+
+        ``timeout`` is in seconds and travels with the call, so that the peer drops work
+        that nobody waits for. ``Err`` is ``UNREACHABLE`` when nothing was sent,
+        ``TIMEOUT`` when the peer may have acted, or the peer's own refusal.
+        """
+        ...
+
+
+class Server(Protocol):
+    """Answer calls from other processes."""
+
+    def register(self, method: Method[Any, Any], handler: Handler[Any, Any]) -> None:
+        """Answer ``method`` by ``handler``; a second handler for a name is an error."""
+        ...
--- /dev/null
+++ b/cranberrywall/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Log events, export metrics and dump state."""
--- /dev/null
+++ b/cranberrywall/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Run requests: identity, registry, intents, attempts and streams."""
--- /dev/null
+++ b/cranberrywall/settings/_settings.py
@@ -0,0 +1,52 @@
+"""Define the shape of a process's settings file."""
+
+from typing import Annotated, Literal, NotRequired, TypedDict
+
+from msgspec import Meta
+
+Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+Address = Annotated[str, Meta(pattern=r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$")]
+
+
+class Listen(TypedDict):
+    """Give the addresses to bind: streams, callers' and targets' HTTP, and operators' HTTP.
+
+    ``admin`` serves ``/metrics``, ``/state``, ``/healthz`` and ``/readyz``.
+    """
+
+    links: NotRequired[Address]
+    http: NotRequired[Address]
+    admin: Address
+
+
+class Remote(TypedDict):
+    """Name another process and its ``links`` address."""
+
+    host: Name
+    links: Address
+
+
+class Log(TypedDict):
+    """Choose what is logged, to standard error."""
+
+    level: Literal["DEBUG", "INFO", "WARNING", "ERROR"]
+
+
+class Settings(TypedDict):
+    """Hold one process's settings.
+
+    ``data`` is the one data folder, absent on a host without a disk. ``fleet_key`` is the
+    path of the file that holds the fleet's shared key. ``controls`` are the control
+    hosts, ``peers`` the entry hosts to join by.
+    """
+
+    process: Literal["entry", "control", "console"]
+    host: Name
+    place: Name
+    listen: Listen
+    controls: list[Remote]
+    peers: NotRequired[list[Remote]]
+    data: NotRequired[str]
+    fleet_key: str
+    ledger_groups: NotRequired[Annotated[int, Meta(ge=1, le=64)]]
+    log: NotRequired[Log]
--- /dev/null
+++ b/cranberrywall/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Know the targets: announcements, health, load and cached prefixes."""
--- /dev/null
+++ b/measurements/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the system, one module a measurement."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the engines and services that the system routes to."""
