--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -0,0 +1,6 @@
+"""Placeholder that runs the command given; the ground branch replaces it."""
+
+import subprocess
+import sys
+
+sys.exit(subprocess.call(sys.argv[1:]))
