--- /dev/null
+++ b/cranberrywall/budgets/_client.py
@@ -0,0 +1,184 @@
+"""Call ledger groups with typed messages, by the budget that they keep."""
+
+from typing import Any, TypeVar
+
+from result import Err, Ok, Result
+
+from cranberrywall.budgets import messages
+from cranberrywall.budgets.messages import LEDGER_CODEC
+from cranberrywall.control import ControlClient, ledger_group, ledger_groups
+from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.links import MalformedMessageError
+
+ResultT = TypeVar("ResultT")
+
+
+class LedgerClient:
+    """Send commands and queries to the group that keeps a budget.
+
+    ``timeout`` is in seconds. ``Err`` is the ledger's own refusal, or ``UNREACHABLE``,
+    ``NOT_CURRENT`` or ``TIMEOUT`` from the way there; after ``TIMEOUT`` the command may
+    have been applied and is safe to send again unchanged.
+    """
+
+    def __init__(self, control: ControlClient, groups: int) -> None:
+        self._control = control
+        self._groups = groups
+
+    def group(self, budget: str) -> str:
+        """Return the name of the group that keeps ``budget``."""
+        return ledger_group(budget, self._groups)
+
+    def groups(self) -> tuple[str, ...]:
+        """Return the names of all ledger groups."""
+        return ledger_groups(self._groups)
+
+    async def credit(
+        self, command: messages.Credit, timeout: float
+    ) -> Result[messages.Accepted, Refusal]:
+        """Add prepaid money to a budget."""
+        return await self._propose(command.budget, command, messages.Accepted, timeout)
+
+    async def draw(
+        self, command: messages.Draw, timeout: float
+    ) -> Result[messages.DrawResult, Refusal]:
+        """Draw from what is free."""
+        return await self._propose(command.budget, command, messages.DrawResult, timeout)
+
+    async def give_back(
+        self, command: messages.Return, timeout: float
+    ) -> Result[messages.Accepted, Refusal]:
+        """Return a part of an allotment."""
+        return await self._propose(command.budget, command, messages.Accepted, timeout)
+
+    async def charge(
+        self, command: messages.ChargeBatch, timeout: float
+    ) -> Result[messages.ChargeBatchResult, Refusal]:
+        """Charge a batch whose budgets are all kept by one group."""
+        budget = command.charges[0].budget
+        return await self._propose(budget, command, messages.ChargeBatchResult, timeout)
+
+    async def transfer(
+        self, command: messages.Transfer, timeout: float
+    ) -> Result[messages.TransferResult, Refusal]:
+        """Report a transfer between two holders."""
+        return await self._propose(command.budget, command, messages.TransferResult, timeout)
+
+    async def recall(
+        self, command: messages.Recall, timeout: float
+    ) -> Result[messages.RecallResult, Refusal]:
+        """Ask other holders to return what they do not need."""
+        return await self._propose(command.budget, command, messages.RecallResult, timeout)
+
+    async def record_intent(
+        self, command: messages.RecordIntent, timeout: float
+    ) -> Result[messages.IntentResult, Refusal]:
+        """Record the intent to send a request that may not be repeated."""
+        return await self._propose(command.budget, command, messages.IntentResult, timeout)
+
+    async def record_outcome(
+        self, command: messages.RecordOutcome, timeout: float
+    ) -> Result[messages.IntentResult, Refusal]:
+        """Record what became of such a request; gives what is known after it."""
+        return await self._propose(command.budget, command, messages.IntentResult, timeout)
+
+    async def intent(
+        self, query: messages.IntentQuery, timeout: float
+    ) -> Result[messages.IntentResult, Refusal]:
+        """Ask what is known of such a request."""
+        return await self._query(self.group(query.budget), query, messages.IntentResult, timeout)
+
+    async def budget(
+        self, query: messages.BudgetQuery, timeout: float
+    ) -> Result[messages.BudgetResult, Refusal]:
+        """Read one budget's sums and holders."""
+        return await self._query(self.group(query.budget), query, messages.BudgetResult, timeout)
+
+    async def register(
+        self, group: str, command: messages.RegisterHolder, timeout: float
+    ) -> Result[messages.RegisterResult, Refusal]:
+        """Announce a holder to one group; send it to each of ``groups()``."""
+        return await self._propose_to(group, command, messages.RegisterResult, timeout)
+
+    async def confirm_dead(
+        self, group: str, command: messages.ConfirmDead, timeout: float
+    ) -> Result[messages.ConfirmDeadResult, Refusal]:
+        """Confirm to one group that an incarnation can no longer spend."""
+        return await self._propose_to(group, command, messages.ConfirmDeadResult, timeout)
+
+    async def close_period(
+        self, group: str, command: messages.ClosePeriod, timeout: float
+    ) -> Result[messages.ClosePeriodResult, Refusal]:
+        """Close a period in one group; send it to each of ``groups()``."""
+        return await self._propose_to(group, command, messages.ClosePeriodResult, timeout)
+
+    async def resolve(
+        self, group: str, command: messages.ResolveDoubt, timeout: float
+    ) -> Result[messages.Accepted, Refusal]:
+        """Decide an amount in doubt."""
+        return await self._propose_to(group, command, messages.Accepted, timeout)
+
+    async def recalls(
+        self, group: str, query: messages.RecallsQuery, timeout: float
+    ) -> Result[messages.RecallsResult, Refusal]:
+        """Ask one group which of a holder's allotments were recalled."""
+        return await self._query(group, query, messages.RecallsResult, timeout)
+
+    async def report(
+        self, group: str, query: messages.ReportQuery, timeout: float
+    ) -> Result[messages.ReportResult, Refusal]:
+        """Read a page of one group's report."""
+        return await self._query(group, query, messages.ReportResult, timeout)
+
+    async def periods(self, group: str, timeout: float) -> Result[messages.PeriodsResult, Refusal]:
+        """List one group's closed periods."""
+        query = messages.PeriodsQuery()
+        return await self._query(group, query, messages.PeriodsResult, timeout)
+
+    async def exceptions(
+        self, group: str, query: messages.ExceptionsQuery, timeout: float
+    ) -> Result[messages.ExceptionsResult, Refusal]:
+        """Read a page of one group's duplicates, late charges and amounts in doubt."""
+        return await self._query(group, query, messages.ExceptionsResult, timeout)
+
+    async def spend(
+        self, group: str, query: messages.SpendQuery, timeout: float
+    ) -> Result[messages.SpendResult, Refusal]:
+        """Read one group's spend by day."""
+        return await self._query(group, query, messages.SpendResult, timeout)
+
+    async def _propose(
+        self, budget: str, command: Any, result_type: type[ResultT], timeout: float
+    ) -> Result[ResultT, Refusal]:
+        return await self._propose_to(self.group(budget), command, result_type, timeout)
+
+    async def _propose_to(
+        self, group: str, command: Any, result_type: type[ResultT], timeout: float
+    ) -> Result[ResultT, Refusal]:
+        reply = await self._control.propose(group, LEDGER_CODEC.encode(command), timeout)
+        return reply.and_then(lambda data: _decoded(data, result_type))
+
+    async def _query(
+        self, group: str, query: Any, result_type: type[ResultT], timeout: float
+    ) -> Result[ResultT, Refusal]:
+        reply = await self._control.query(group, LEDGER_CODEC.encode(query), timeout)
+        return reply.and_then(lambda data: _decoded(data, result_type))
+
+
+def make_ledger_client(control: ControlClient, groups: int) -> LedgerClient:
+    """Return a client for ledgers that are placed on ``groups`` groups."""
+    return LedgerClient(control, groups)
+
+
+def _decoded(data: bytes, result_type: type[ResultT]) -> Result[ResultT, Refusal]:
+    try:
+        message = LEDGER_CODEC.decode(data)
+    except MalformedMessageError as error:
+        return Err(Refusal(ErrorKind.MALFORMED, f"the ledger's answer is not readable: {error}"))
+    if isinstance(message, messages.Rejected):
+        kind = ErrorKind(message.kind)
+        return Err(Refusal(kind, message.message, message.field, message.remedy))
+    if not isinstance(message, result_type):
+        name = type(message).__name__
+        return Err(Refusal(ErrorKind.MALFORMED, f"the ledger answered with {name}"))
+    return Ok(message)
--- a/cranberrywall/control/__init__.py
+++ b/cranberrywall/control/__init__.py
@@ -1,6 +1,7 @@
 """Assemble the control program, and call it from the other programs."""
 
 from cranberrywall.control._client import ControlClient
+from cranberrywall.control._placement import ledger_group, ledger_groups
 from cranberrywall.control.messages import (
     PROPOSE,
     QUERY,
@@ -18,4 +19,6 @@
     "ProposeRequest",
     "QueryReply",
     "QueryRequest",
+    "ledger_group",
+    "ledger_groups",
 ]
