--- /dev/null
+++ b/cranberrywall/links/_counters.py
@@ -0,0 +1,51 @@
+"""Count what passes on the streams and what is dropped, by reason."""
+
+from collections import Counter
+from enum import StrEnum
+
+
+class DropReason(StrEnum):
+    """Close the list of reasons for which a frame or a connection is dropped."""
+
+    TRUNCATED = "truncated"
+    TOO_LARGE = "too_large"
+    BAD_VERSION = "bad_version"
+    UNKNOWN_FRAME = "unknown_frame"
+    MALFORMED_FRAME = "malformed_frame"
+    UNKNOWN_METHOD = "unknown_method"
+    MALFORMED_REQUEST = "malformed_request"
+    MALFORMED_REPLY = "malformed_reply"
+    REPEATED_CALL = "repeated_call"
+    LATE_REPLY = "late_reply"
+    EXPIRED_CALL = "expired_call"
+    TOO_MANY_CALLS = "too_many_calls"
+    TOO_MANY_STRANGERS = "too_many_strangers"
+    HANDSHAKE_TIMEOUT = "handshake_timeout"
+    WRONG_PROOF = "wrong_proof"
+    SLOW_PEER = "slow_peer"
+    SILENT_PEER = "silent_peer"
+
+
+class LinkCounters:
+    """Hold one process's counts; the caller and the server of a process may share them."""
+
+    def __init__(self) -> None:
+        self.dropped_by_reason: Counter[DropReason] = Counter()
+        self.frames_in = 0
+        self.frames_out = 0
+        self.bytes_in = 0
+        self.bytes_out = 0
+
+    def drop(self, reason: DropReason) -> None:
+        """Count one dropped frame or connection."""
+        self.dropped_by_reason[reason] += 1
+
+    def state(self) -> dict[str, object]:
+        """Return the counts for the state dump."""
+        return {
+            "frames_in": self.frames_in,
+            "frames_out": self.frames_out,
+            "bytes_in": self.bytes_in,
+            "bytes_out": self.bytes_out,
+            "dropped": {str(reason): count for reason, count in self.dropped_by_reason.items()},
+        }
--- /dev/null
+++ b/cranberrywall/links/_frames.py
@@ -0,0 +1,133 @@
+"""Cut streams into frames.
+
+A frame is its length (4 bytes, big-endian, of all that follows), the version (1 byte), the
+frame's kind (1 byte) and a msgpack array.
+"""
+
+import asyncio
+import struct
+from enum import IntEnum
+from typing import Any, NamedTuple
+
+import msgspec
+
+from cranberrywall.links._counters import DropReason, LinkCounters
+from cranberrywall.runtime import Reader
+
+VERSION = 1
+
+_HEADER = struct.Struct(">IBB")
+_LENGTH = struct.Struct(">I")
+_KIND_AND_VERSION_BYTES = 2
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder_by_type: dict[type, msgspec.msgpack.Decoder[Any]] = {}
+
+
+class FrameKind(IntEnum):
+    """Close the list of frames."""
+
+    HELLO = 1
+    CHALLENGE = 2
+    PROOF = 3
+    WELCOME = 4
+    CALL = 10
+    REPLY = 11
+    REFUSAL = 12
+    CANCEL = 13
+    PING = 14
+    PONG = 15
+
+
+class CallFrame(NamedTuple):
+    """Ask for one call; ``timeout`` is in seconds from the arrival."""
+
+    number: int
+    method: str
+    timeout: float
+    request: msgspec.Raw
+
+
+class ReplyFrame(NamedTuple):
+    """Answer call ``number``."""
+
+    number: int
+    reply: msgspec.Raw
+
+
+class RefusalFrame(NamedTuple):
+    """Refuse call ``number``."""
+
+    number: int
+    kind: str
+    message: str
+    field: str
+    remedy: str
+    retry_after: float | None
+
+
+class CancelFrame(NamedTuple):
+    """Say that nobody waits for call ``number`` any more."""
+
+    number: int
+
+
+class BadFrameError(Exception):
+    """Report a frame after which the stream cannot be trusted."""
+
+    def __init__(self, reason: DropReason) -> None:
+        super().__init__(str(reason))
+        self.reason = reason
+
+
+def encode_frame(kind: FrameKind, body: Any = ()) -> bytes:
+    """Return the frame's bytes; ``body`` is a tuple of what msgpack can carry."""
+    frame = bytearray(_HEADER.size)
+    _encoder.encode_into(body, frame, _HEADER.size)
+    _HEADER.pack_into(frame, 0, len(frame) - _LENGTH.size, VERSION, kind)
+    return bytes(frame)
+
+
+async def read_frame(
+    reader: Reader, most_bytes: int, counters: LinkCounters
+) -> tuple[int, memoryview] | None:
+    """Return the next frame's kind and body, or ``None`` where the stream ends between frames.
+
+    Raise ``BadFrameError`` for one that is cut off, too large or of another version.
+    """
+    try:
+        head = await reader.readexactly(_LENGTH.size)
+    except asyncio.IncompleteReadError as error:
+        if error.partial:
+            raise BadFrameError(DropReason.TRUNCATED) from error
+        return None
+    (length,) = _LENGTH.unpack(head)
+    if length > most_bytes:
+        raise BadFrameError(DropReason.TOO_LARGE)
+    if length < _KIND_AND_VERSION_BYTES:
+        raise BadFrameError(DropReason.MALFORMED_FRAME)
+    try:
+        data = await reader.readexactly(length)
+    except asyncio.IncompleteReadError as error:
+        raise BadFrameError(DropReason.TRUNCATED) from error
+    if data[0] != VERSION:
+        raise BadFrameError(DropReason.BAD_VERSION)
+    counters.frames_in += 1
+    counters.bytes_in += length + _LENGTH.size
+    return data[1], memoryview(data)[_KIND_AND_VERSION_BYTES:]
+
+
+def decoder_for(message_type: type) -> msgspec.msgpack.Decoder[Any]:
+    """Return the decoder of a message type."""
+    decoder = _decoder_by_type.get(message_type)
+    if decoder is None:
+        decoder = _decoder_by_type[message_type] = msgspec.msgpack.Decoder(message_type)
+    return decoder
+
+
+def decode_body(message_type: type, body: Any) -> Any:
+    """Return the frame's typed body, or raise ``BadFrameError``."""
+    try:
+        return decoder_for(message_type).decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise BadFrameError(DropReason.MALFORMED_FRAME) from error
--- a/cranberrywall/links/_interfaces.py
+++ b/cranberrywall/links/_interfaces.py
@@ -56,3 +56,36 @@
     def register(self, method: Method[Any, Any], handler: Handler[Any, Any]) -> None:
         """Answer ``method`` by ``handler``; a second handler for a name is an error."""
         ...
+
+
+class LinkServer(Server, Protocol):
+    """Listen for the system's other processes."""
+
+    @property
+    def address(self) -> str:
+        """Return ``host:port`` as bound once started."""
+        ...
+
+    async def start(self) -> None:
+        """Listen, or raise ``OSError``; handlers may be registered before and after."""
+        ...
+
+    async def close(self) -> None:
+        """Stop listening and close all connections; calls in progress are cancelled."""
+        ...
+
+    def state(self) -> dict[str, object]:
+        """Return peers and counts for the state dump."""
+        ...
+
+
+class LinkCaller(Caller, Protocol):
+    """Own the connections to the processes called."""
+
+    async def close(self) -> None:
+        """Close all connections; calls in progress get their refusal."""
+        ...
+
+    def state(self) -> dict[str, object]:
+        """Return peers and counts for the state dump."""
+        ...
--- /dev/null
+++ b/cranberrywall/links/_outlet.py
@@ -0,0 +1,317 @@
+"""Keep the connection to one peer, and the calls that wait on it."""
+
+import asyncio
+from collections import deque
+from functools import partial
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+
+from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.links._counters import DropReason, LinkCounters
+from cranberrywall.links._frames import (
+    BadFrameError,
+    FrameKind,
+    RefusalFrame,
+    ReplyFrame,
+    decode_body,
+    decoder_for,
+    encode_frame,
+    read_frame,
+)
+from cranberrywall.links._handshake import Handshake
+from cranberrywall.links._interfaces import Method, Peer, ReplyT, RequestT
+from cranberrywall.links._limits import Limits
+from cranberrywall.links._outgoing import Outbound, Outgoing
+from cranberrywall.links._race import run_until_first
+from cranberrywall.runtime import Clock, Network, Random, Reader, Timers, Writer
+
+
+class _Pending:
+    """Hold one call that waits for its answer."""
+
+    __slots__ = ("answer", "outbound")
+
+    def __init__(self, answer: asyncio.Future[Result[Any, Refusal]], outbound: Outbound) -> None:
+        self.answer = answer
+        self.outbound = outbound
+
+
+class Outlet:
+    """Call one address; the connection is made on demand and remade after a loss."""
+
+    def __init__(
+        self,
+        address: str,
+        network: Network,
+        clock: Clock,
+        random: Random,
+        timers: Timers,
+        handshake: Handshake,
+        counters: LinkCounters,
+        limits: Limits,
+    ) -> None:
+        self._address = address
+        self._network = network
+        self._clock = clock
+        self._random = random
+        self._timers = timers
+        self._handshake = handshake
+        self._counters = counters
+        self._limits = limits
+        self._task: asyncio.Task[None] | None = None
+        self._peer: Peer | None = None
+        self._outgoing: Outgoing | None = None
+        self._pending_by_number: dict[int, _Pending] = {}
+        self._waiters: deque[asyncio.Future[Refusal | None]] = deque()
+        self._number = 0
+        self._failures = 0
+        self._dial_not_before = float("-inf")
+        self._last_error = ""
+        self._heard = 0
+        self._asked = asyncio.Event()
+
+    @property
+    def is_idle(self) -> bool:
+        """Say whether there is neither a connection nor an attempt at one."""
+        return self._task is None
+
+    def state(self) -> dict[str, object]:
+        """Return this peer's state for the dump."""
+        return {
+            "host": "" if self._peer is None else self._peer.host,
+            "connected": self._outgoing is not None,
+            "calls": len(self._pending_by_number),
+            "waiting": len(self._waiters),
+            "queued_bytes": 0 if self._outgoing is None else self._outgoing.queued_bytes,
+            "failures": self._failures,
+            "last_error": self._last_error,
+        }
+
+    async def call(
+        self, method: Method[RequestT, ReplyT], request: RequestT, deadline: float
+    ) -> Result[ReplyT, Refusal]:
+        """Send one call and wait for its answer until ``deadline``."""
+        if self._waiters or not self._has_room():
+            refusal = await self._wait_for_room(deadline)
+            if refusal is not None:
+                return Err(refusal)
+        assert self._outgoing is not None
+        self._number += 1
+        number = self._number
+        timeout = max(0.0, deadline - self._clock.now())
+        frame = encode_frame(FrameKind.CALL, (number, method.name, timeout, request))
+        if len(frame) > self._limits.frame_bytes:
+            message = f"{method.name} takes {len(frame)} bytes of {self._limits.frame_bytes}"
+            return Err(Refusal(ErrorKind.TOO_LARGE, message))
+        result = await self._exchange(number, Outbound(frame), deadline)
+        if isinstance(result, Err):
+            return result
+        return self._decode(method, result.ok_value)
+
+    async def close(self) -> None:
+        """Close the connection; calls in progress get their refusal."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def _has_room(self) -> bool:
+        return (
+            self._outgoing is not None
+            and len(self._pending_by_number) < self._limits.calls
+            and self._outgoing.queued_bytes <= self._limits.queued_bytes
+        )
+
+    async def _wait_for_room(self, deadline: float) -> Refusal | None:
+        """Return ``None`` once the call may go, or the refusal where it may not in time."""
+        refusal = self._connect_on_demand()
+        if refusal is not None:
+            return refusal
+        loop = asyncio.get_running_loop()
+        while True:
+            waiter: asyncio.Future[Refusal | None] = loop.create_future()
+            self._waiters.append(waiter)
+            timer = self._timers.call_at(deadline, partial(self._give_up_waiting, waiter))
+            try:
+                refusal = await waiter
+            finally:
+                timer.cancel()
+                if waiter.cancelled():
+                    self._admit_waiters()
+            if refusal is not None or self._has_room():
+                return refusal
+
+    def _connect_on_demand(self) -> Refusal | None:
+        if self._task is not None:
+            return None
+        wait = self._dial_not_before - self._clock.now()
+        if wait > 0:
+            return Refusal(ErrorKind.UNREACHABLE, self._last_error, retry_after=wait)
+        self._task = asyncio.get_running_loop().create_task(self._run())
+        return None
+
+    def _give_up_waiting(self, waiter: asyncio.Future[Refusal | None]) -> None:
+        if waiter.done():
+            return
+        reason = "is not connected" if self._outgoing is None else "is slow to take calls"
+        waiter.set_result(Refusal(ErrorKind.UNREACHABLE, f"{self._address} {reason}"))
+
+    def _admit_waiters(self) -> None:
+        room = self._limits.calls - len(self._pending_by_number)
+        while self._waiters and room > 0 and self._has_room():
+            waiter = self._waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                room -= 1
+
+    async def _exchange(
+        self, number: int, outbound: Outbound, deadline: float
+    ) -> Result[msgspec.Raw, Refusal]:
+        assert self._outgoing is not None
+        outgoing = self._outgoing
+        pending = _Pending(asyncio.get_running_loop().create_future(), outbound)
+        self._pending_by_number[number] = pending
+        outgoing.add(outbound)
+        self._asked.set()
+        timer = self._timers.call_at(deadline, partial(self._expire, pending))
+        try:
+            return await pending.answer
+        except asyncio.CancelledError:
+            if outbound.sent:
+                outgoing.add(Outbound(encode_frame(FrameKind.CANCEL, (number,))))
+            raise
+        finally:
+            timer.cancel()
+            outgoing.withdraw(outbound)
+            self._pending_by_number.pop(number, None)
+            self._admit_waiters()
+
+    def _expire(self, pending: _Pending) -> None:
+        if pending.answer.done():
+            return
+        if pending.outbound.sent:
+            refusal = Refusal(ErrorKind.TIMEOUT, f"{self._address} did not answer in time")
+        else:
+            refusal = Refusal(ErrorKind.UNREACHABLE, f"{self._address} is slow to take calls")
+        pending.answer.set_result(Err(refusal))
+
+    def _decode(
+        self, method: Method[RequestT, ReplyT], reply: msgspec.Raw
+    ) -> Result[ReplyT, Refusal]:
+        try:
+            return Ok(decoder_for(method.reply_type).decode(reply))
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            self._counters.drop(DropReason.MALFORMED_REPLY)
+            return Err(Refusal(ErrorKind.INTERNAL, f"the reply to {method.name}: {error}"))
+
+    async def _run(self) -> None:
+        """Connect, and serve the connection until it ends."""
+        writer: Writer | None = None
+        try:
+            reader, writer = await self._network.dial(self._address, self._limits.dial_timeout)
+            async with self._timers.limit(self._limits.handshake_timeout):
+                self._peer = await self._handshake.as_client(reader, writer)
+            await self._serve(reader, writer)
+            self._last_error = f"{self._address} closed the connection"
+        except BadFrameError as error:
+            self._counters.drop(error.reason)
+            self._last_error = f"{self._address}: {error.reason}"
+        except OSError as error:
+            self._last_error = f"{self._address}: {str(error) or type(error).__name__}"
+        finally:
+            if writer is not None:
+                writer.close()
+            self._end()
+
+    async def _serve(self, reader: Reader, writer: Writer) -> None:
+        self._outgoing = Outgoing(writer, self._counters)
+        self._asked.clear()
+        self._admit_waiters()
+        await run_until_first(
+            self._read(reader), self._write(self._outgoing), self._watch(self._outgoing)
+        )
+
+    async def _write(self, outgoing: Outgoing) -> None:
+        try:
+            await outgoing.run(self._timers, self._limits.write_timeout, self._admit_waiters)
+        except TimeoutError as error:
+            raise BadFrameError(DropReason.SLOW_PEER) from error
+
+    async def _read(self, reader: Reader) -> None:
+        while True:
+            frame = await read_frame(reader, self._limits.frame_bytes, self._counters)
+            if frame is None:
+                return
+            # A peer that answers is well; only then is the next loss not a failure in a row.
+            self._failures = 0
+            self._heard += 1
+            self._take(*frame)
+
+    def _take(self, kind: int, body: memoryview) -> None:
+        if kind == FrameKind.REPLY:
+            reply = decode_body(ReplyFrame, body)
+            self._settle(reply.number, Ok(reply.reply))
+        elif kind == FrameKind.REFUSAL:
+            refusal: RefusalFrame = decode_body(RefusalFrame, body)
+            self._settle(refusal.number, Err(_refusal_from(refusal)))
+        elif kind != FrameKind.PONG:
+            raise BadFrameError(DropReason.UNKNOWN_FRAME)
+
+    def _settle(self, number: int, result: Result[msgspec.Raw, Refusal]) -> None:
+        pending = self._pending_by_number.get(number)
+        if pending is None or pending.answer.done():
+            self._counters.drop(DropReason.LATE_REPLY)
+            return
+        pending.answer.set_result(result)
+
+    async def _watch(self, outgoing: Outgoing) -> None:
+        """End a connection on which calls go out and nothing comes back.
+
+        A cut that drops packets leaves the connection open for minutes, and after the cut
+        is mended its retransmissions come late; a new connection works at once.
+        """
+        while True:
+            await self._asked.wait()
+            self._asked.clear()
+            heard = self._heard
+            await self._clock.sleep(self._limits.ping_after)
+            if self._heard != heard:
+                continue
+            outgoing.add(Outbound(encode_frame(FrameKind.PING)))
+            await self._clock.sleep(self._limits.silence)
+            if self._heard == heard:
+                raise BadFrameError(DropReason.SILENT_PEER)
+
+    def _end(self) -> None:
+        """Refuse what waits on the connection, and choose when to dial again."""
+        self._outgoing = None
+        self._task = None
+        self._failures += 1
+        longest = min(
+            self._limits.backoff_most,
+            self._limits.backoff_first * 2.0 ** min(self._failures - 1, 16),
+        )
+        # Jitter keeps all hosts from dialling a host that came back at one moment.
+        backoff = longest * self._random.uniform(0.5, 1.0)
+        self._dial_not_before = self._clock.now() + backoff
+        for pending in list(self._pending_by_number.values()):
+            if not pending.answer.done():
+                pending.answer.set_result(Err(self._lost(pending)))
+        waiters, self._waiters = self._waiters, deque()
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(Refusal(ErrorKind.UNREACHABLE, self._last_error))
+
+    def _lost(self, pending: _Pending) -> Refusal:
+        kind = ErrorKind.TIMEOUT if pending.outbound.sent else ErrorKind.UNREACHABLE
+        return Refusal(kind, self._last_error)
+
+
+def _refusal_from(frame: RefusalFrame) -> Refusal:
+    try:
+        kind = ErrorKind(frame.kind)
+    except ValueError:
+        # A newer peer may know kinds that this one does not.
+        kind = ErrorKind.INTERNAL
+    return Refusal(kind, frame.message, frame.field, frame.remedy, frame.retry_after)
--- a/cranberrywall/runtime/__init__.py
+++ b/cranberrywall/runtime/__init__.py
@@ -1,5 +1,6 @@
 """Reach time, network, files and chance only through interfaces that tests replace."""
 
+from cranberrywall.runtime._clock import make_clock
 from cranberrywall.runtime._interfaces import (
     AppendFile,
     Clock,
@@ -12,6 +13,10 @@
     Storage,
     Writer,
 )
+from cranberrywall.runtime._network import make_network, split_address
+from cranberrywall.runtime._runtime import make_random, make_runtime
+from cranberrywall.runtime._storage import make_storage
+from cranberrywall.runtime._timers import Timer, Timers
 
 __all__ = [
     "AppendFile",
@@ -23,5 +28,13 @@
     "Reader",
     "Runtime",
     "Storage",
+    "Timer",
+    "Timers",
     "Writer",
+    "make_clock",
+    "make_network",
+    "make_random",
+    "make_runtime",
+    "make_storage",
+    "split_address",
 ]
--- /dev/null
+++ b/cranberrywall/runtime/_clock.py
@@ -0,0 +1,22 @@
+"""Read the machine's clocks."""
+
+import asyncio
+import time
+
+from cranberrywall.runtime._interfaces import Clock
+
+
+def make_clock() -> Clock:
+    """Return the machine's clock."""
+    return _SystemClock()
+
+
+class _SystemClock:
+    def now(self) -> float:
+        return time.monotonic()
+
+    def wall(self) -> float:
+        return time.time()
+
+    async def sleep(self, seconds: float) -> None:
+        await asyncio.sleep(seconds)
--- /dev/null
+++ b/cranberrywall/runtime/_network.py
@@ -0,0 +1,93 @@
+"""Dial and listen over TCP."""
+
+import asyncio
+import socket
+
+from cranberrywall.runtime._interfaces import Listener, Network, OnConnect, Reader, Writer
+
+_KEEPALIVE_IDLE_S = 30
+_KEEPALIVE_INTERVAL_S = 10
+_KEEPALIVE_PROBES = 3
+_FLUSH_ON_CLOSE_S = 1.0
+
+
+def make_network() -> Network:
+    """Return the network of this machine."""
+    return _TcpNetwork()
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``host:port``.
+
+    >>> split_address("127.0.0.1:80")
+    ('127.0.0.1', 80)
+    """
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class _TcpNetwork:
+    async def dial(self, address: str, timeout: float) -> tuple[Reader, Writer]:
+        host, port = split_address(address)
+        async with asyncio.timeout(timeout):
+            reader, writer = await asyncio.open_connection(host, port)
+        return reader, _TcpWriter(writer)
+
+    async def listen(self, address: str, on_connect: OnConnect) -> Listener:
+        host, port = split_address(address)
+
+        async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            tcp_writer = _TcpWriter(writer)
+            try:
+                await on_connect(reader, tcp_writer)
+            except asyncio.CancelledError:
+                # The listener's owner ends its connections so; asyncio's own callback would
+                # report the cancelled task as a fault.
+                pass
+            finally:
+                tcp_writer.close()
+
+        return _TcpListener(await asyncio.start_server(accept, host, port))
+
+
+class _TcpWriter:
+    def __init__(self, writer: asyncio.StreamWriter) -> None:
+        _set_options(writer)
+        self._writer = writer
+        self.write = writer.write
+        self.drain = writer.drain
+
+    def close(self) -> None:
+        if self._writer.is_closing():
+            return
+        self._writer.close()
+        # A close waits until the peer has taken what is queued, which a peer that
+        # stopped reading never does; the connection is then aborted.
+        loop = asyncio.get_running_loop()
+        loop.call_later(_FLUSH_ON_CLOSE_S, self._writer.transport.abort)
+
+
+class _TcpListener:
+    def __init__(self, server: asyncio.Server) -> None:
+        self._server = server
+        host, port = server.sockets[0].getsockname()[:2]
+        self._address = f"{host}:{port}"
+
+    @property
+    def address(self) -> str:
+        return self._address
+
+    async def close(self) -> None:
+        self._server.close()
+
+
+def _set_options(writer: asyncio.StreamWriter) -> None:
+    connection = writer.get_extra_info("socket")
+    # Without TCP_NODELAY a small frame waits for the acknowledgement of the last one.
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    # A peer that vanishes without a word would hold its connection here for ever;
+    # keepalive ends it within about a minute.
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
--- /dev/null
+++ b/cranberrywall/runtime/_storage.py
@@ -0,0 +1,115 @@
+"""Keep files under one data folder."""
+
+import asyncio
+import os
+from collections.abc import Callable, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import TypeVar
+
+from cranberrywall.runtime._interfaces import AppendFile, Storage
+
+T = TypeVar("T")
+
+_BESIDE_SUFFIX = ".beside"
+
+
+def make_storage(folder: str) -> Storage:
+    """Return the files under ``folder``, which must exist; raise ``OSError`` if not."""
+    root = Path(folder)
+    if not root.is_dir():
+        raise NotADirectoryError(f"{folder} is not a folder")
+    return _FileStorage(root)
+
+
+class _FileStorage:
+    def __init__(self, root: Path) -> None:
+        self._root = root
+        # One thread keeps the order of the calls.
+        self._thread = ThreadPoolExecutor(max_workers=1, thread_name_prefix="storage")
+
+    def names(self, folder: str) -> Sequence[str]:
+        path = self._path(folder)
+        if not path.is_dir():
+            return []
+        files = (entry for entry in path.iterdir() if entry.is_file())
+        return sorted(file.name for file in files if not file.name.endswith(_BESIDE_SUFFIX))
+
+    def read(self, name: str) -> bytes | None:
+        try:
+            return self._path(name).read_bytes()
+        except FileNotFoundError:
+            return None
+
+    def replace(self, name: str, data: bytes) -> None:
+        path = self._path(name)
+        self._make_folders(path.parent)
+        beside = path.with_name(path.name + _BESIDE_SUFFIX)
+        with open(beside, "wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(beside, path)
+        _sync_folder(path.parent)
+
+    def remove(self, name: str) -> None:
+        path = self._path(name)
+        try:
+            path.unlink()
+        except FileNotFoundError:
+            return
+        _sync_folder(path.parent)
+
+    def truncate(self, name: str, size: int) -> None:
+        with open(self._path(name), "r+b") as file:
+            file.truncate(size)
+            os.fsync(file.fileno())
+
+    def open_append(self, name: str) -> AppendFile:
+        path = self._path(name)
+        self._make_folders(path.parent)
+        is_new = not path.exists()
+        descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o640)
+        if is_new:
+            _sync_folder(path.parent)
+        return _File(descriptor)
+
+    async def run_blocking(self, work: Callable[[], T]) -> T:
+        return await asyncio.get_running_loop().run_in_executor(self._thread, work)
+
+    def _path(self, name: str) -> Path:
+        path = self._root / name
+        if ".." in path.parts or not path.is_relative_to(self._root):
+            raise ValueError(f"{name} is outside the data folder")
+        return path
+
+    def _make_folders(self, folder: Path) -> None:
+        if folder.is_dir():
+            return
+        self._make_folders(folder.parent)
+        folder.mkdir(exist_ok=True)
+        _sync_folder(folder.parent)
+
+
+class _File:
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+
+    def append(self, data: bytes) -> None:
+        rest = memoryview(data)
+        while rest:
+            rest = rest[os.write(self._descriptor, rest) :]
+
+    def sync(self) -> None:
+        os.fdatasync(self._descriptor)
+
+    def close(self) -> None:
+        os.close(self._descriptor)
+
+
+def _sync_folder(folder: Path) -> None:
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- /dev/null
+++ b/cranberrywall/runtime/_timers.py
@@ -0,0 +1,127 @@
+"""Wait with a limit, by the runtime's clock.
+
+``asyncio.timeout`` goes by the event loop's own clock, which a test or a bench that
+replaces ``Clock`` does not move.
+"""
+
+import asyncio
+import heapq
+import itertools
+from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
+
+from cranberrywall.runtime._interfaces import Clock
+
+_COMPACT_ABOVE = 256
+
+
+class Timer:
+    """Hold one callback until its time; ``cancel`` drops it."""
+
+    __slots__ = ("_owner", "callback")
+
+    def __init__(self, owner: "Timers", callback: Callable[[], object]) -> None:
+        self._owner = owner
+        self.callback: Callable[[], object] | None = callback
+
+    def cancel(self) -> None:
+        """Drop the callback; a second call and one after it ran do nothing."""
+        if self.callback is not None:
+            self.callback = None
+            self._owner.note_cancelled()
+
+
+class Timers:
+    """Call many callbacks at their times from one task, which runs only while some wait."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._heap: list[tuple[float, int, Timer]] = []
+        self._numbers = itertools.count()
+        self._cancelled = 0
+        self._task: asyncio.Task[None] | None = None
+        self._sleeping_until = 0.0
+
+    def call_at(self, when: float, callback: Callable[[], object]) -> Timer:
+        """Call ``callback`` once the clock shows ``when``, in monotonic seconds."""
+        timer = Timer(self, callback)
+        heapq.heappush(self._heap, (when, next(self._numbers), timer))
+        if self._task is None or when < self._sleeping_until:
+            self._restart()
+        return timer
+
+    def limit(self, seconds: float) -> AbstractAsyncContextManager[None]:
+        """Raise ``TimeoutError`` in an ``async with`` block that lasts over ``seconds``."""
+        return _Limit(self, self._clock.now() + seconds)
+
+    def note_cancelled(self) -> None:
+        """Count a cancelled timer, and forget such timers once they are most of all."""
+        self._cancelled += 1
+        if self._cancelled > _COMPACT_ABOVE and self._cancelled * 2 > len(self._heap):
+            self._heap = [entry for entry in self._heap if entry[2].callback is not None]
+            heapq.heapify(self._heap)
+            self._cancelled = 0
+
+    def close(self) -> None:
+        """Drop all timers."""
+        self._heap.clear()
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+
+    def _restart(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+        self._sleeping_until = self._heap[0][0]
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def _run(self) -> None:
+        while self._heap:
+            self._sleeping_until = self._heap[0][0]
+            wait = self._sleeping_until - self._clock.now()
+            if wait > 0:
+                await self._clock.sleep(wait)
+            self._run_due(self._clock.now())
+        self._task = None
+
+    def _run_due(self, now: float) -> None:
+        # A callback may add a timer; the sleep ahead is chosen after all have run.
+        self._sleeping_until = float("-inf")
+        while self._heap and self._heap[0][0] <= now:
+            timer = heapq.heappop(self._heap)[2]
+            if timer.callback is None:
+                self._cancelled = max(0, self._cancelled - 1)
+                continue
+            callback, timer.callback = timer.callback, None
+            callback()
+
+
+class _Limit:
+    """Cancel the block after a time, and turn that cancellation into ``TimeoutError``."""
+
+    def __init__(self, timers: Timers, when: float) -> None:
+        self._timers = timers
+        self._when = when
+        self._expired = False
+
+    async def __aenter__(self) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._task = task
+        self._cancelling = task.cancelling()
+        self._timer = self._timers.call_at(self._when, self._expire)
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: object
+    ) -> None:
+        self._timer.cancel()
+        if not self._expired:
+            return
+        # A cancellation from elsewhere at the same moment must not be swallowed: then
+        # more cancellations are counted than at the start of the block.
+        if self._task.uncancel() <= self._cancelling and kind is asyncio.CancelledError:
+            raise TimeoutError from error
+
+    def _expire(self) -> None:
+        self._expired = True
+        self._task.cancel()
