--- a/tests/fakes/__init__.py
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for time, network and files, which fail on request."""
--- /dev/null
+++ b/tests/fakes/network.py
@@ -0,0 +1,299 @@
+"""A network in memory that fails on request.
+
+Hosts are IP numbers. What is sent over a cut is held and arrives when the cut is mended, as
+TCP's retransmissions do; a dial over a cut times out.
+"""
+
+import asyncio
+from collections import deque
+from typing import NamedTuple
+
+from cranberrywall.runtime import (
+    Clock,
+    Listener,
+    Network,
+    OnConnect,
+    Random,
+    Reader,
+    Timers,
+    Writer,
+)
+
+_BUFFER_BYTES = 64 * 1024
+_RETRANSMIT_S = 0.2
+
+
+class Rule(NamedTuple):
+    """Say how one direction between two hosts behaves; times in seconds, others are odds.
+
+    ``jitter`` is added at random to each chunk's ``delay``: chunks of one connection keep
+    their order, those of different connections do not. A lost chunk comes a
+    retransmission later.
+    """
+
+    delay: float = 0.0
+    jitter: float = 0.0
+    loss: float = 0.0
+    duplicates: float = 0.0
+    is_cut: bool = False
+
+
+class FakeFabric:
+    """Join the hosts' networks, and break what is between them."""
+
+    def __init__(self, clock: Clock, random: Random, rule: Rule | None = None) -> None:
+        self.clock = clock
+        self.random = random
+        self.timers = Timers(clock)
+        self.default_rule = rule or Rule()
+        self.bytes_by_host: dict[str, int] = {}
+        self._rule_by_pair: dict[tuple[str, str], Rule] = {}
+        self._listener_by_address: dict[str, _FakeListener] = {}
+        self._pipes: list[_Pipe] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._next_port = 40000
+
+    def network(self, host: str) -> Network:
+        """Return the network as ``host``, an IP number, has it."""
+        return _FakeNetwork(self, host)
+
+    def rule(self, source: str, sink: str) -> Rule:
+        """Return what holds for bytes from ``source`` to ``sink``."""
+        return self._rule_by_pair.get((source, sink), self.default_rule)
+
+    def set_rule(self, source: str, sink: str, rule: Rule) -> None:
+        """Set what holds for bytes from ``source`` to ``sink``, also on open connections."""
+        self._rule_by_pair[source, sink] = rule
+        for pipe in self._pipes:
+            pipe.release_held()
+
+    def cut_one_way(self, source: str, sink: str) -> None:
+        """Hold all bytes from ``source`` to ``sink``."""
+        self.set_rule(source, sink, self.rule(source, sink)._replace(is_cut=True))
+
+    def cut(self, first: str, second: str) -> None:
+        """Hold all bytes between two hosts."""
+        self.cut_one_way(first, second)
+        self.cut_one_way(second, first)
+
+    def mend(self, first: str, second: str) -> None:
+        """End a cut in both directions; what was held arrives."""
+        for source, sink in ((first, second), (second, first)):
+            self.set_rule(source, sink, self.rule(source, sink)._replace(is_cut=False))
+
+    def halve(self, source: str, sink: str) -> None:
+        """Lose for good what open connections carry from ``source`` to ``sink``."""
+        for pipe in self._between(source, sink):
+            pipe.is_lost = True
+
+    def drop(self, first: str, second: str) -> None:
+        """Reset all open connections between two hosts."""
+        for pipe in self._between(first, second) + self._between(second, first):
+            pipe.reset()
+
+    def crash(self, host: str) -> None:
+        """Reset all connections of a host, and close its listeners."""
+        for address in [name for name in self._listener_by_address if _host(name) == host]:
+            del self._listener_by_address[address]
+        for pipe in list(self._pipes):
+            if host in (pipe.source, pipe.sink):
+                pipe.reset()
+
+    def _between(self, source: str, sink: str) -> "list[_Pipe]":
+        return [pipe for pipe in self._pipes if (pipe.source, pipe.sink) == (source, sink)]
+
+    async def connect(self, source: str, address: str, timeout: float) -> tuple[Reader, Writer]:
+        """Dial ``address`` from ``source``."""
+        sink = _host(address)
+        there, back = self.rule(source, sink), self.rule(sink, source)
+        if there.is_cut or back.is_cut:
+            await self.clock.sleep(timeout)
+            raise TimeoutError(f"{address} does not answer")
+        if there.delay + back.delay > 0:
+            await self.clock.sleep(there.delay + back.delay)
+        listener = self._listener_by_address.get(address)
+        if listener is None:
+            raise ConnectionRefusedError(f"nobody listens at {address}")
+        outward, inward = _Pipe(self, source, sink), _Pipe(self, sink, source)
+        outward.back, inward.back = inward, outward
+        self._pipes += [outward, inward]
+        self._start(listener.on_connect(outward, _FakeWriter(inward)))
+        return inward, _FakeWriter(outward)
+
+    def _start(self, work: object) -> None:
+        task: asyncio.Task[None] = asyncio.ensure_future(work)  # type: ignore[call-overload] # any awaitable
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def bind(self, host: str, address: str, on_connect: OnConnect) -> "Listener":
+        """Listen at ``address``."""
+        port = int(address.rpartition(":")[2])
+        if port == 0:
+            self._next_port += 1
+            port = self._next_port
+        bound = f"{host}:{port}"
+        if bound in self._listener_by_address:
+            raise OSError(f"{bound} is in use")
+        listener = _FakeListener(self, bound, on_connect)
+        self._listener_by_address[bound] = listener
+        return listener
+
+    def unbind(self, address: str) -> None:
+        """Stop listening at ``address``."""
+        self._listener_by_address.pop(address, None)
+
+    def forget(self, pipe: "_Pipe") -> None:
+        """Drop a pipe that is at its end."""
+        if pipe in self._pipes:
+            self._pipes.remove(pipe)
+
+
+def _host(address: str) -> str:
+    return address.rpartition(":")[0]
+
+
+class _FakeNetwork:
+    def __init__(self, fabric: FakeFabric, host: str) -> None:
+        self._fabric = fabric
+        self._host = host
+
+    async def dial(self, address: str, timeout: float) -> tuple[Reader, Writer]:
+        return await self._fabric.connect(self._host, address, timeout)
+
+    async def listen(self, address: str, on_connect: OnConnect) -> Listener:
+        return self._fabric.bind(self._host, address, on_connect)
+
+
+class _FakeListener:
+    def __init__(self, fabric: FakeFabric, address: str, on_connect: OnConnect) -> None:
+        self._fabric = fabric
+        self.address = address
+        self.on_connect = on_connect
+
+    async def close(self) -> None:
+        self._fabric.unbind(self.address)
+
+
+class _Pipe:
+    """Carry one direction of one connection; it is the reader at its sink."""
+
+    def __init__(self, fabric: FakeFabric, source: str, sink: str) -> None:
+        self.source = source
+        self.sink = sink
+        self.is_lost = False
+        self.is_closed = False
+        self.back = self
+        self._fabric = fabric
+        self._held: deque[bytes | None] = deque()
+        self._under_way = 0
+        self._last_arrival = 0.0
+        self._buffer = bytearray()
+        self._is_at_end = False
+        self._fails_reader = False
+        self._fails_writer = False
+        self._changed = asyncio.Event()
+
+    def send(self, data: bytes | None) -> None:
+        """Carry ``data``, or the end of the stream where it is ``None``."""
+        if self.is_lost or self.is_closed:
+            return
+        self.is_closed = data is None
+        if data is not None:
+            self._under_way += len(data)
+            count = self._fabric.bytes_by_host.get(self.source, 0)
+            self._fabric.bytes_by_host[self.source] = count + len(data)
+        self._held.append(data)
+        self.release_held()
+
+    def release_held(self) -> None:
+        """Send on what is held, unless the direction is cut."""
+        rule = self._fabric.rule(self.source, self.sink)
+        while self._held and not rule.is_cut:
+            data = self._held.popleft()
+            self._schedule(data, rule)
+            if data and rule.duplicates and self._fabric.random.random() < rule.duplicates:
+                self._under_way += len(data)
+                self._schedule(data, rule)
+
+    def _schedule(self, data: bytes | None, rule: Rule) -> None:
+        delay = rule.delay
+        if rule.jitter:
+            delay += self._fabric.random.uniform(0.0, rule.jitter)
+        if rule.loss and self._fabric.random.random() < rule.loss:
+            delay += _RETRANSMIT_S
+        now = self._fabric.clock.now()
+        self._last_arrival = max(self._last_arrival, now + delay)
+        if self._last_arrival <= now:
+            self._arrive(data)
+        else:
+            self._fabric.timers.call_at(self._last_arrival, lambda: self._arrive(data))
+
+    def _arrive(self, data: bytes | None) -> None:
+        if self.is_lost:
+            return
+        if data is None:
+            self._is_at_end = True
+            self.back.refuse_writes()
+            self._fabric.forget(self)
+        else:
+            self._buffer += data
+        self._changed.set()
+
+    def reset(self) -> None:
+        """End the connection for both ends at once."""
+        self.is_closed = True
+        self._fails_writer = True
+        self.abandon()
+
+    def abandon(self) -> None:
+        """Close the sink: what is sent goes nowhere, which the source learns later."""
+        self.is_lost = True
+        self._fails_reader = True
+        self._fabric.forget(self)
+        self._changed.set()
+
+    def refuse_writes(self) -> None:
+        """Tell the source that the sink is closed."""
+        self._fails_writer = True
+        self._changed.set()
+
+    async def readexactly(self, count: int) -> bytes:
+        while len(self._buffer) < count:
+            if self._fails_reader:
+                raise ConnectionResetError("the connection was reset")
+            if self._is_at_end:
+                partial = bytes(self._buffer)
+                self._buffer.clear()
+                raise asyncio.IncompleteReadError(partial, count)
+            await self._wait()
+        data = bytes(self._buffer[:count])
+        del self._buffer[:count]
+        self._under_way -= count
+        self._changed.set()
+        return data
+
+    async def drained(self) -> None:
+        """Wait until the sink has read most of what was sent."""
+        while not self._fails_writer and self._under_way > _BUFFER_BYTES:
+            await self._wait()
+        if self._fails_writer:
+            raise ConnectionResetError("the connection was reset")
+
+    async def _wait(self) -> None:
+        self._changed.clear()
+        await self._changed.wait()
+
+
+class _FakeWriter:
+    def __init__(self, pipe: _Pipe) -> None:
+        self._pipe = pipe
+
+    def write(self, data: bytes) -> None:
+        self._pipe.send(bytes(data))
+
+    async def drain(self) -> None:
+        await self._pipe.drained()
+
+    def close(self) -> None:
+        self._pipe.send(None)
+        self._pipe.back.abandon()
