--- /dev/null
+++ b/cranberrywall/replication/_group.py
@@ -0,0 +1,203 @@
+"""Assemble one member of a group."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+from result import Err, Ok, Result
+
+from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.links import Caller, Handler, Peer, Server
+from cranberrywall.replication._applier import Applier
+from cranberrywall.replication._core import Core, Role
+from cranberrywall.replication._election import Elections
+from cranberrywall.replication._files import Opened
+from cranberrywall.replication._following import Following
+from cranberrywall.replication._formation import Formation
+from cranberrywall.replication._interfaces import Replica, StateMachine
+from cranberrywall.replication._leadership import Leadership
+from cranberrywall.replication._log import Log
+from cranberrywall.replication._rosters import EMPTY_ROSTER
+from cranberrywall.replication._settings import GroupSettings
+from cranberrywall.replication.messages import EntryKind, make_methods
+from cranberrywall.runtime import Runtime
+
+_DISK_BITS = 128
+
+
+def make_group(
+    name: str,
+    address_by_host: Mapping[str, str],
+    this_host: str,
+    state_machine: StateMachine,
+    runtime: Runtime,
+    caller: Caller,
+    server: Server,
+    settings: GroupSettings | None = None,
+) -> Replica:
+    """Return this host's member of group ``name``; ``start`` opens its files.
+
+    ``address_by_host`` are the hosts that form the group when none of them has any of it
+    yet. Later its members are those in its log. Raise ``ValueError`` for a host without a
+    disk.
+    """
+    if runtime.storage is None:
+        raise ValueError(f"{this_host} has no data folder, which a member of a group needs")
+    core = Core(
+        name,
+        this_host,
+        settings or GroupSettings(),
+        make_methods(name),
+        caller,
+        runtime.clock,
+        runtime.random,
+        runtime.storage,
+    )
+    return _Group(core, state_machine, address_by_host, server)
+
+
+class _Group:
+    def __init__(
+        self,
+        core: Core,
+        state_machine: StateMachine,
+        address_by_host: Mapping[str, str],
+        server: Server,
+    ) -> None:
+        self._core = core
+        self._server = server
+        self._applier = Applier(core, state_machine)
+        self._applier.on_applied = self._applied
+        self._applier.on_turn = self._applied_turn
+        self._elections = Elections(core, self._lead)
+        self._following = Following(core, self._applier)
+        self._formation = Formation(core, address_by_host)
+        self._leadership: Leadership | None = None
+        core.on_step_down = self._stop_leading
+
+    @property
+    def name(self) -> str:
+        return self._core.group
+
+    @property
+    def is_leader(self) -> bool:
+        return self._core.role is Role.LEADER
+
+    async def start(self) -> Result[None, Refusal]:
+        core = self._core
+        fresh_disk = f"{core.random.getrandbits(_DISK_BITS):032x}"
+        read = await core.write(lambda: core.files.open(fresh_disk))
+        opened = read.and_then(lambda found: found)
+        if isinstance(opened, Err):
+            core.fail(opened.err_value)
+            return Err(opened.err_value)
+        self._load(opened.ok_value)
+        core.put_off_campaign(core.clock.now())
+        if len(core.log.roster.members) == 1:
+            core.campaign_at = core.clock.now()
+        self._register()
+        core.spawn(self._applier.run())
+        core.spawn(self._tick_always())
+        return Ok(None)
+
+    async def stop(self) -> None:
+        self._core.step_down("this host stops")
+        await self._core.stop()
+
+    async def propose(self, command: bytes, timeout: float) -> Result[bytes, Refusal]:
+        leadership = self._leadership
+        if leadership is None:
+            return Err(self._not_leading())
+        if len(command) > self._core.settings.command_bytes:
+            limit = self._core.settings.command_bytes
+            return Err(Refusal(ErrorKind.TOO_LARGE, f"a command has at most {limit} bytes"))
+        deadline = self._core.clock.now() + timeout
+        return await leadership.propose(EntryKind.COMMAND, command, deadline)
+
+    async def query(self, query: bytes, timeout: float) -> Result[bytes, Refusal]:
+        leadership = self._leadership
+        if leadership is None:
+            return Err(self._not_leading())
+        return await leadership.read(query, self._core.clock.now() + timeout)
+
+    def _load(self, opened: Opened) -> None:
+        core = self._core
+        core.vote = opened.vote
+        snapshot = opened.snapshot
+        if snapshot is not None:
+            core.log = Log(snapshot.last_index, snapshot.last_term, snapshot.roster)
+            core.commit_index = snapshot.last_index
+            self._applier.restore(snapshot.last_index, opened.snapshot_data)
+        else:
+            core.log = Log(0, 0, EMPTY_ROSTER)
+        for frame in opened.frames:
+            skipped = max(0, core.log.base_index + 1 - frame.first_index)
+            core.log.append(frame.first_index + skipped, frame.entries[skipped:])
+        core.durable_index = core.log.last_index
+        if opened.torn_bytes:
+            core.event("torn_tail_cut", bytes=opened.torn_bytes)
+        core.event("group_opened", last_index=core.log.last_index, base=core.log.base_index)
+
+    def _register(self) -> None:
+        methods = self._core.methods
+        self._server.register(methods.vote, self._whole(self._elections.answer))
+        self._server.register(methods.append, self._whole(self._following.append))
+        self._server.register(methods.install, self._whole(self._following.install))
+        self._server.register(methods.identify, self._whole(self._formation.answer))
+
+    def _whole(
+        self, answer: Callable[[Any, Peer], Awaitable[Result[Any, Refusal]]]
+    ) -> Handler[Any, Any]:
+        """Run ``answer`` to its end even where the call is given up.
+
+        A vote or an append that is cancelled between its write and the change in memory
+        would leave the two in disagreement.
+        """
+
+        async def handle(request: Any, peer: Peer) -> Result[Any, Refusal]:
+            async def run() -> Result[Any, Refusal]:
+                return await answer(request, peer)
+
+            return await asyncio.shield(self._core.spawn(run()))
+
+        return handle
+
+    async def _tick_always(self) -> None:
+        core = self._core
+        while True:
+            await core.clock.sleep(core.settings.tick_s)
+            now = core.clock.now()
+            if self._leadership is not None:
+                self._leadership.tick(now)
+            self._elections.tick(now)
+            self._formation.tick(now)
+
+    async def _lead(self) -> None:
+        core = self._core
+        core.role = Role.LEADER
+        core.leader = core.host
+        self._leadership = Leadership(core, self._applier.query, core.clock.now())
+        self._leadership.applied_index = self._applier.applied_index
+        self._leadership.start()
+
+    def _stop_leading(self, reason: str) -> None:
+        leadership, self._leadership = self._leadership, None
+        if leadership is not None:
+            leadership.end(reason)
+
+    def _applied(self, index: int, result: Result[bytes, Refusal]) -> None:
+        if self._leadership is not None:
+            self._leadership.applied(index, result)
+
+    def _applied_turn(self) -> None:
+        if self._leadership is not None:
+            self._leadership.applied_all()
+
+    def _not_leading(self) -> Refusal:
+        core = self._core
+        if core.failure is not None:
+            return core.failure
+        if core.leader and core.hears_leader(core.clock.now()):
+            return Refusal(ErrorKind.NOT_LEADER, core.leader_address())
+        remedy = "ask another control host"
+        return Refusal(ErrorKind.NOT_CURRENT, "this host hears no leader", remedy=remedy)
--- a/cranberrywall/replication/_interfaces.py
+++ b/cranberrywall/replication/_interfaces.py
@@ -57,3 +57,15 @@
     async def query(self, query: bytes, timeout: float) -> Result[bytes, Refusal]:
         """Answer a linearizable read from the leader, by read-index."""
         ...
+
+
+class Replica(Group, Protocol):
+    """Run this host's member of a group."""
+
+    async def start(self) -> Result[None, Refusal]:
+        """Open the files and take part; ``Err`` is ``CORRUPT`` or ``STORAGE_FAILED``."""
+        ...
+
+    async def stop(self) -> None:
+        """Take part no more, and close the files."""
+        ...
--- /dev/null
+++ b/cranberrywall/replication/_peer.py
@@ -0,0 +1,187 @@
+"""Send the log to one follower or learner, in one task for each."""
+
+import asyncio
+from typing import Protocol
+
+from result import Err
+
+from cranberrywall.replication._core import Core
+from cranberrywall.replication.messages import (
+    AppendReply,
+    AppendRequest,
+    InstallRequest,
+    Member,
+    Outcome,
+)
+
+
+class Leader(Protocol):
+    """Hear from a peer's task what its peer has."""
+
+    @property
+    def is_active(self) -> bool:
+        """Say whether this member still leads the term."""
+        ...
+
+    @property
+    def round(self) -> int:
+        """Return the newest round of heartbeats that reads wait for."""
+        ...
+
+    def progressed(self) -> None:
+        """Act on a peer's progress."""
+        ...
+
+
+class PeerLink:
+    """Know what one peer has, and send it the rest.
+
+    ``acked_at`` is when the newest answered message was sent: the peer followed this
+    leader then. ``acked_round`` is the newest round that it confirmed.
+    """
+
+    def __init__(self, core: Core, leader: Leader, member: Member, now: float) -> None:
+        self.member = member
+        self.match_index = 0
+        self.acked_round = 0
+        self.acked_at = now
+        self.sent_at = float("-inf")
+        self.answers = False
+        self.found_disk = ""
+        self.installing = False
+        self._core = core
+        self._leader = leader
+        self._next_index = core.log.last_index + 1
+        self._work = asyncio.Event()
+        self._closed = False
+
+    def wake(self) -> None:
+        """Send what there is, or a heartbeat."""
+        self._work.set()
+
+    def close(self) -> None:
+        """End the task once its present call is over: the member left the roster."""
+        self._closed = True
+        self._work.set()
+
+    def tick(self, now: float) -> None:
+        """Send a heartbeat where one is due."""
+        if now - self.sent_at >= self._core.settings.heartbeat_s:
+            self.wake()
+
+    async def run(self) -> None:
+        """Send until the leadership is over or the member has left."""
+        while True:
+            await self._work.wait()
+            self._work.clear()
+            if self._closed or not self._leader.is_active:
+                return
+            self.sent_at = self._core.clock.now()
+            if self._next_index <= self._core.log.base_index:
+                await self._install()
+            else:
+                await self._append()
+
+    async def _append(self) -> None:
+        core = self._core
+        sent_at, sent_round = self.sent_at, self._leader.round
+        previous = self._next_index - 1
+        previous_term = core.log.term_at(previous)
+        assert previous_term is not None
+        entries = core.log.batch(self._next_index, core.settings.batch_bytes)
+        request = AppendRequest(
+            core.header(self.member.disk), previous, previous_term, entries, core.commit_index
+        )
+        timeout = core.settings.election_s
+        reply = await core.caller.call(self.member.address, core.methods.append, request, timeout)
+        if not self._leader.is_active:
+            return
+        if isinstance(reply, Err):
+            self.answers = False
+            return
+        if not await self._followed(reply.ok_value):
+            return
+        self._confirmed(sent_at, sent_round)
+        self._note(reply.ok_value)
+        if self._next_index <= core.log.last_index or self._leader.round > sent_round:
+            self.wake()
+
+    def _note(self, reply: AppendReply) -> None:
+        if reply.outcome is Outcome.DONE:
+            self.match_index = max(self.match_index, reply.position)
+            self._next_index = self.match_index + 1
+        else:
+            self._next_index = max(self.match_index + 1, min(reply.position, self._next_index - 1))
+            self.wake()
+        self._leader.progressed()
+
+    async def _install(self) -> None:
+        """Send the snapshot in parts, each after the answer to the one before."""
+        core = self._core
+        data = await core.write(core.files.read_snapshot)
+        info = core.files.snapshot
+        if isinstance(data, Err) or data.ok_value is None or info is None:
+            return
+        core.event(
+            "snapshot_transfer", peer=self.member.host, index=info.last_index, bytes=info.size
+        )
+        self.installing = True
+        offset = 0
+        while self._leader.is_active and not self._closed:
+            part = data.ok_value[offset : offset + core.settings.chunk_bytes]
+            request = InstallRequest(core.header(self.member.disk), info, offset, part)
+            self.sent_at = core.clock.now()
+            sent_at, sent_round = self.sent_at, self._leader.round
+            timeout = 2 * core.settings.election_s
+            reply = await core.caller.call(
+                self.member.address, core.methods.install, request, timeout
+            )
+            if isinstance(reply, Err):
+                self.answers = False
+                break
+            if not await self._followed(reply.ok_value):
+                break
+            self._confirmed(sent_at, sent_round)
+            offset = reply.ok_value.offset
+            if offset >= info.size:
+                self.match_index = max(self.match_index, info.last_index)
+                self._next_index = self.match_index + 1
+                self._leader.progressed()
+                self.wake()
+                break
+        self.installing = False
+
+    async def _followed(self, reply: "Reply") -> bool:
+        """Say whether the peer followed this leader; act on it where it did not."""
+        self.answers = True
+        if reply.outcome is Outcome.OTHER_DISK:
+            self.found_disk = reply.disk
+            return False
+        self.found_disk = ""
+        if reply.outcome is Outcome.STALE:
+            await self._core.adopt_term(reply.term)
+            return False
+        return True
+
+    def _confirmed(self, sent_at: float, sent_round: int) -> None:
+        self.acked_at = max(self.acked_at, sent_at)
+        self.acked_round = max(self.acked_round, sent_round)
+
+
+class Reply(Protocol):
+    """Match the replies to both sorts of message."""
+
+    @property
+    def term(self) -> int:
+        """Return the peer's term."""
+        ...
+
+    @property
+    def outcome(self) -> Outcome:
+        """Return what the peer did."""
+        ...
+
+    @property
+    def disk(self) -> str:
+        """Return the peer's disk."""
+        ...
--- /dev/null
+++ b/cranberrywall/replication/_settings.py
@@ -0,0 +1,35 @@
+"""Name the times and sizes of a group.
+
+Every host of a group uses the same values. ``election_s`` must be several times
+``heartbeat_s``, or a late heartbeat costs an election.
+"""
+
+from typing import NamedTuple
+
+KIBIBYTE = 1024
+MEBIBYTE = 1024 * KIBIBYTE
+
+
+class GroupSettings(NamedTuple):
+    """Hold a group's times, in seconds, and its sizes.
+
+    A follower that hears no leader for ``election_s`` to twice that campaigns, and a
+    leader that hears no majority for ``election_s`` steps down. ``batch_bytes`` bounds
+    one append, ``chunk_bytes`` one part of a snapshot. A snapshot is due once the log
+    since the last one is larger than ``snapshot_bytes`` and than that snapshot. The
+    newest ``retained_entries`` stay in the log behind a snapshot, so that a follower
+    that is a little late needs no transfer. A learner that lacks at most
+    ``promotion_lag`` entries becomes a voter.
+    """
+
+    heartbeat_s: float = 0.1
+    election_s: float = 1.0
+    tick_s: float = 0.05
+    batch_bytes: int = 512 * KIBIBYTE
+    chunk_bytes: int = 256 * KIBIBYTE
+    command_bytes: int = 8 * MEBIBYTE
+    queued_commands: int = 20_000
+    segment_bytes: int = 1 * MEBIBYTE
+    snapshot_bytes: int = 256 * KIBIBYTE
+    retained_entries: int = 500
+    promotion_lag: int = 50
