--- a/cranberrywall/budgets/__init__.py
+++ b/cranberrywall/budgets/__init__.py
@@ -2,13 +2,17 @@
 
 from cranberrywall.budgets._client import LedgerClient, make_ledger_client
 from cranberrywall.budgets._interfaces import Allotments, Reservation, ReserveRequest
+from cranberrywall.budgets._ledger_ids import IdLimits
+from cranberrywall.budgets._ledger_machine import make_ledger_machine
 from cranberrywall.budgets.messages import LEDGER_CODEC
 
 __all__ = [
     "LEDGER_CODEC",
     "Allotments",
+    "IdLimits",
     "LedgerClient",
     "Reservation",
     "ReserveRequest",
     "make_ledger_client",
+    "make_ledger_machine",
 ]
--- a/cranberrywall/budgets/_client.py
+++ b/cranberrywall/budgets/_client.py
@@ -130,9 +130,26 @@
         """Read a page of one group's report."""
         return await self._query(group, query, messages.ReportResult, timeout)
 
-    async def periods(self, group: str, timeout: float) -> Result[messages.PeriodsResult, Refusal]:
-        """List one group's closed periods."""
-        query = messages.PeriodsQuery()
+    async def plan_periods(
+        self, group: str, command: messages.PlanPeriods, timeout: float
+    ) -> Result[messages.Accepted, Refusal]:
+        """Plan the periods to come in one group; send it to each of ``groups()``."""
+        return await self._propose_to(group, command, messages.Accepted, timeout)
+
+    async def credits(
+        self, query: messages.CreditsQuery, timeout: float
+    ) -> Result[messages.CreditsResult, Refusal]:
+        """List a budget's top-ups."""
+        return await self._query(self.group(query.budget), query, messages.CreditsResult, timeout)
+
+    async def holders(self, group: str, timeout: float) -> Result[messages.HoldersResult, Refusal]:
+        """Read each holder's sums in one group."""
+        return await self._query(group, messages.HoldersQuery(), messages.HoldersResult, timeout)
+
+    async def periods(
+        self, group: str, query: messages.PeriodsQuery, timeout: float
+    ) -> Result[messages.PeriodsResult, Refusal]:
+        """List one group's closed periods and the open one."""
         return await self._query(group, query, messages.PeriodsResult, timeout)
 
     async def exceptions(
--- /dev/null
+++ b/cranberrywall/budgets/_closing_calendar.py
@@ -0,0 +1,131 @@
+"""Tell which period a reservation belongs to.
+
+A period is named by its end, ``through``, in seconds since the epoch. Planned ends come
+first; after the last of them periods are calendar months in UTC.
+"""
+
+from bisect import bisect_right
+from collections.abc import Sequence
+from datetime import UTC, datetime
+from typing import Any
+
+from cranberrywall.budgets.messages import PlannedPeriod, Rejected
+from cranberrywall.errors import ErrorKind
+
+MAX_TIME = 4_102_444_800.0
+"""The latest time that a command may name: the start of the year 2100."""
+
+_JUST_BEFORE_S = 0.001
+
+
+class Calendar:
+    """Hold the ends of the periods to come, and which of them have charges."""
+
+    def __init__(self) -> None:
+        self.closed_through = 0.0
+        self._planned: list[PlannedPeriod] = []
+        self._latest = 0.0
+        self._booked: set[float] = set()
+
+    def period_of(self, time: float) -> PlannedPeriod:
+        """Return the period of a time; the first open one where that is closed."""
+        return _period_of(max(time, self.closed_through), self._planned)
+
+    def book(self, reserved_at: float) -> float:
+        """Return the end of the period that a charge is booked to, and note its use."""
+        through = self.period_of(reserved_at).through
+        self._latest = max(self._latest, reserved_at)
+        self._booked.add(through)
+        return through
+
+    def check_plan(self, periods: tuple[PlannedPeriod, ...]) -> Rejected | None:
+        """Refuse a plan that is out of order, or that would move booked charges."""
+        ends = [planned.through for planned in periods]
+        ordered = sorted(set(ends)) == ends and all(0 < end < MAX_TIME for end in ends)
+        if not ordered or len({planned.period for planned in periods}) < len(periods):
+            remedy = "give each period once, with rising ends in seconds since the epoch"
+            return Rejected(ErrorKind.BAD_REQUEST, "the ends do not rise", "periods", remedy)
+        if ends and ends[0] <= self.closed_through:
+            remedy = "start the plan with the first open period"
+            return Rejected(ErrorKind.PERIOD_CLOSED, "a period is closed", "periods", remedy)
+        if any(not self._is_end(end, self._planned) for end in ends if end <= self._latest):
+            remedy = "give ends after the last reservation, besides those of the present plan"
+            return Rejected(ErrorKind.CONFLICT, "it would split booked charges", "periods", remedy)
+        kept = (end for end in self._booked if end <= self._latest)
+        if any(not self._is_end(end, list(periods)) for end in kept):
+            remedy = "keep the ends that charges are booked by"
+            return Rejected(ErrorKind.CONFLICT, "it would join booked charges", "periods", remedy)
+        return None
+
+    def _is_end(self, end: float, planned: Sequence[PlannedPeriod]) -> bool:
+        before = max(end - _JUST_BEFORE_S, self.closed_through)
+        return _period_of(before, planned).through == end
+
+    def plan(self, periods: tuple[PlannedPeriod, ...]) -> tuple[float, float] | None:
+        """Take a checked plan; return the old and new end of a period that changed."""
+        old = self._open_booked()
+        self._planned = list(periods)
+        return self._rebook(old, self.period_of(self._latest).through)
+
+    def check_closing(self, through: float) -> Rejected | None:
+        """Refuse an end that would split booked charges or leave an earlier period open."""
+        if not 0 < through < MAX_TIME:
+            remedy = "give seconds since the epoch"
+            return Rejected(ErrorKind.BAD_REQUEST, "not a time", "through", remedy)
+        earlier = sorted(end for end in self._booked if end < through)
+        if earlier:
+            name = self._name_of(earlier[0])
+            remedy = f"close {name} first"
+            return Rejected(ErrorKind.CONFLICT, f"{name} is open", "through", remedy)
+        planned = self.period_of(through - _JUST_BEFORE_S)
+        if planned.through != through and self._latest >= through:
+            message = f"charges after it are booked to {planned.period}"
+            remedy = f"close that period: it ends at {planned.through:.0f}"
+            return Rejected(ErrorKind.CONFLICT, message, "through", remedy)
+        return None
+
+    def close(self, through: float) -> tuple[float, float] | None:
+        """Take a checked closing; return the old and new end of the period, if it moved."""
+        moved = None
+        if self._latest < through:
+            moved = self._rebook(self._open_booked(), through)
+        self.closed_through = through
+        self._planned = [planned for planned in self._planned if planned.through > through]
+        self._booked = {end for end in self._booked if end > through}
+        return moved
+
+    def _open_booked(self) -> float | None:
+        """Return the end after the last reservation, where a charge is booked by it."""
+        return max((end for end in self._booked if end > self._latest), default=None)
+
+    def _rebook(self, old: float | None, new: float) -> tuple[float, float] | None:
+        if old is None or old == new:
+            return None
+        self._booked.remove(old)
+        self._booked.add(new)
+        return old, new
+
+    def _name_of(self, through: float) -> str:
+        return self.period_of(through - _JUST_BEFORE_S).period
+
+    def dump(self) -> list[Any]:
+        """Return the state, for a snapshot."""
+        return [self.closed_through, self._latest, sorted(self._booked), self._planned]
+
+    def load(self, plain: list[Any]) -> None:
+        """Replace the state by one that ``dump`` gave."""
+        self.closed_through, self._latest, booked, planned = plain
+        self._booked = set(booked)
+        self._planned = [PlannedPeriod(*one) for one in planned]
+
+
+def _period_of(time: float, planned: Sequence[PlannedPeriod]) -> PlannedPeriod:
+    index = bisect_right([period.through for period in planned], time)
+    return planned[index] if index < len(planned) else _month_of(time)
+
+
+def _month_of(time: float) -> PlannedPeriod:
+    start = datetime.fromtimestamp(time, UTC)
+    year, month = divmod(start.year * 12 + start.month, 12)
+    end = datetime(year, month + 1, 1, tzinfo=UTC)
+    return PlannedPeriod(f"{start.year:04}-{start.month:02}", end.timestamp())
--- /dev/null
+++ b/cranberrywall/budgets/_ledger_holding.py
@@ -0,0 +1,304 @@
+"""Move money between what is free and its holders: draws, returns, transfers, recalls.
+
+A holder that was succeeded, or that an operator confirmed dead, gets nothing new. What it
+holds comes back only with evidence, see ``RegisterHolder`` and ``ConfirmDead``.
+"""
+
+from cranberrywall.budgets._ledger_accounts import Account, Allotment
+from cranberrywall.budgets._ledger_charges import check_two_persons, holder_text
+from cranberrywall.budgets._ledger_exceptions import Entry
+from cranberrywall.budgets._ledger_numbers import MAX_AHEAD, NumberSet
+from cranberrywall.budgets._ledger_state import LedgerState
+from cranberrywall.budgets.messages import (
+    Accepted,
+    ConfirmDead,
+    ConfirmDeadResult,
+    Draw,
+    DrawResult,
+    ExceptionKind,
+    HeldAmount,
+    Holder,
+    Recall,
+    RecalledAmount,
+    RecallResult,
+    RecallsQuery,
+    RecallsResult,
+    RegisterHolder,
+    RegisterResult,
+    Rejected,
+    Return,
+    Transfer,
+    TransferResult,
+)
+from cranberrywall.errors import ErrorKind
+
+ACTIVE_WITHIN_S = 60.0
+"""A holder that was heard within this time before a recall counts as busy."""
+
+
+def draw(state: LedgerState, command: Draw) -> DrawResult | Rejected:
+    """Grant what is free, up to the amount asked for."""
+    account = state.account_by_budget.get(command.budget)
+    if account is None:
+        return no_budget(command.budget)
+    refusal = _check_draw(state, command)
+    if refusal is not None:
+        return refusal
+    state.holders.note(command.holder)
+    allotment = account.allotment(state.holders.one(command.holder))
+    if command.number < allotment.draw_number:
+        message = f"draw {allotment.draw_number} was answered after it"
+        return Rejected(ErrorKind.CONFLICT, message, "number", "draw with the next number")
+    if command.number > allotment.draw_number:
+        allotment.draw_number = command.number
+        allotment.granted = account.grant(allotment, command.amount, command.minimum)
+        allotment.active_at = max(allotment.active_at, command.at)
+    return _draw_result(account, allotment)
+
+
+def _check_draw(state: LedgerState, command: Draw) -> Rejected | None:
+    if not 0 <= command.minimum <= command.amount or command.amount < 1 or command.number < 1:
+        remedy = "ask for at least 1, and for no more than the amount as minimum"
+        return Rejected(ErrorKind.BAD_REQUEST, "not a possible draw", "amount", remedy)
+    if not state.holders.is_current(command.holder):
+        return _superseded(command.holder)
+    return None
+
+
+def _draw_result(account: Account, allotment: Allotment) -> DrawResult:
+    holders = sum(1 for one in account.allotment_by_holder.values() if one.outstanding)
+    return DrawResult(
+        granted=allotment.granted,
+        free=account.free,
+        outstanding=account.outstanding,
+        credited=account.credited,
+        charged=account.charged,
+        holders=holders,
+    )
+
+
+def give_back(state: LedgerState, command: Return) -> Accepted | Rejected:
+    """Free a part of an allotment; all of it has come back where the holder was released."""
+    account = state.account_by_budget.get(command.budget)
+    if account is None:
+        return no_budget(command.budget)
+    allotment = account.allotment_by_holder.get(command.holder)
+    if allotment is None or command.number <= allotment.return_number:
+        return Accepted()
+    if not 0 <= command.amount <= allotment.outstanding:
+        message = f"the ledger knows of {allotment.outstanding} outstanding"
+        remedy = "return no more than is held, after transfers are reported"
+        return Rejected(ErrorKind.CONFLICT, message, "amount", remedy)
+    allotment.return_number = command.number
+    allotment.active_at = max(allotment.active_at, command.at)
+    account.give_back(allotment, command.amount)
+    return Accepted()
+
+
+def transfer(state: LedgerState, command: Transfer) -> TransferResult | Rejected:
+    """Move an amount between two holders, once, whoever reports it."""
+    account = state.account_by_budget.get(command.budget)
+    if account is None:
+        return no_budget(command.budget)
+    if command.amount < 1 or command.giver_number < 1 or command.taker_number < 0:
+        remedy = "give an amount and numbers from 1"
+        return Rejected(ErrorKind.BAD_REQUEST, "not a possible transfer", "amount", remedy)
+    return _Transferring(state, account, command).apply()
+
+
+class _Transferring:
+    """Apply one report of a transfer."""
+
+    def __init__(self, state: LedgerState, account: Account, command: Transfer) -> None:
+        self._account = account
+        self._command = command
+        self._giver = account.allotment_by_holder.get(command.giver)
+        self._taker = account.allotment_by_holder.get(command.taker)
+        if self._taker is None and state.holders.is_current(command.taker):
+            state.holders.note(command.taker)
+            self._taker = account.allotment(state.holders.one(command.taker))
+        self._key = (state.holders.one(command.giver), command.giver_number)
+
+    def apply(self) -> TransferResult | Rejected:
+        """Return what was moved, now or at the first report."""
+        moved = self._moved_before()
+        if moved is None and self._is_too_far_ahead():
+            remedy = "report the transfers with the lowest numbers first"
+            return Rejected(ErrorKind.CONFLICT, "too many are missing", "giver_number", remedy)
+        if moved is None:
+            moved = self._account.move(self._giver, self._taker, self._command.amount)
+        self._note(moved)
+        return TransferResult(moved)
+
+    def _is_too_far_ahead(self) -> bool:
+        numbers = self._giver.given_numbers if self._giver else None
+        return numbers is not None and self._command.giver_number > numbers.through + MAX_AHEAD
+
+    def _moved_before(self) -> int | None:
+        command, giver, taker = self._command, self._giver, self._taker
+        if taker is not None and command.taker_number in (taker.taken_numbers or ()):
+            short = taker.short_by_number or {}
+            return short.get(command.taker_number, command.amount)
+        if taker is not None and self._key in (taker.reported_by_giver or ()):
+            return (taker.reported_by_giver or {})[self._key]
+        if giver is not None and command.giver_number in (giver.given_numbers or ()):
+            return command.amount
+        return None
+
+    def _note(self, moved: int) -> None:
+        command = self._command
+        if self._giver is not None:
+            self._giver.given_numbers = self._giver.given_numbers or NumberSet()
+            self._giver.given_numbers.add(command.giver_number)
+            self._giver.active_at = max(self._giver.active_at, command.at)
+        if self._taker is not None:
+            self._note_taker(self._taker, moved)
+
+    def _note_taker(self, taker: Allotment, moved: int) -> None:
+        command = self._command
+        taker.active_at = max(taker.active_at, command.at)
+        if not command.taker_number:
+            # The taker's own report may come after the giver was released and its numbers
+            # were dropped: the key keeps that report from moving the amount again.
+            taker.reported_by_giver = taker.reported_by_giver or {}
+            taker.reported_by_giver[self._key] = moved
+            return
+        taker.taken_numbers = taker.taken_numbers or NumberSet()
+        taker.taken_numbers.add(command.taker_number)
+        if taker.reported_by_giver:
+            taker.reported_by_giver.pop(self._key, None)
+        if moved < command.amount:
+            taker.short_by_number = taker.short_by_number or {}
+            taker.short_by_number[command.taker_number] = moved
+
+
+def recall(state: LedgerState, command: Recall) -> RecallResult | Rejected:
+    """Ask idle holders first, and of those the ones that hold most."""
+    account = state.account_by_budget.get(command.budget)
+    if account is None:
+        return no_budget(command.budget)
+    others = [
+        (holder, allotment)
+        for holder, allotment in account.allotment_by_holder.items()
+        if holder != command.asker and allotment.outstanding and state.holders.is_current(holder)
+    ]
+    busy_after = command.at - ACTIVE_WITHIN_S
+    others.sort(key=lambda one: (one[1].active_at > busy_after, -one[1].outstanding, one[0]))
+    return RecallResult(tuple(_ask(others, command.amount)))
+
+
+def _ask(others: list[tuple[Holder, Allotment]], amount: int) -> list[HeldAmount]:
+    asked = []
+    for holder, allotment in others:
+        if amount <= 0:
+            break
+        allotment.recalled = min(amount, allotment.outstanding)
+        amount -= allotment.recalled
+        asked.append(HeldAmount(holder, allotment.recalled, allotment.active_at))
+    return asked
+
+
+def recalls(state: LedgerState, query: RecallsQuery) -> RecallsResult:
+    """List the amounts that a holder was asked to return and has not returned."""
+    recalled = []
+    for budget, account in state.account_by_budget.items():
+        allotment = account.allotment_by_holder.get(query.holder)
+        if allotment is not None and allotment.recalled and allotment.outstanding:
+            amount = min(allotment.recalled, allotment.outstanding)
+            recalled.append(RecalledAmount(budget, amount))
+    return RecallsResult(tuple(recalled))
+
+
+def register(state: LedgerState, command: RegisterHolder) -> RegisterResult | Rejected:
+    """Note an incarnation; free what older ones held once all they left is delivered."""
+    if not state.holders.is_current(command.holder):
+        return _superseded(command.holder)
+    state.holders.note(command.holder)
+    host, incarnation = command.holder
+    record = state.holders.record_by_host[host]
+    if command.delivered and not record.delivered:
+        released = sum(_release(state, one) for one in _older(state, host, incarnation))
+        record = record._replace(delivered=True, released=released)
+        state.holders.update(host, record)
+    held = 0
+    for older in _older(state, host, incarnation):
+        held += _outstanding(state, older)
+    return RegisterResult(record.released, held)
+
+
+def confirm_dead(state: LedgerState, command: ConfirmDead) -> ConfirmDeadResult | Rejected:
+    """Free what an incarnation held, on the word of two persons."""
+    refusal = check_two_persons(command.operator, command.approver)
+    if refusal is not None:
+        return refusal
+    holder = command.holder
+    state.holders.note(holder)
+    record = state.holders.record_by_host[holder.host]
+    if record.confirmed == holder.incarnation:
+        return ConfirmDeadResult(record.confirmed_released)
+    released = _release_confirmed(state, command)
+    dead = record.dead or record.incarnation == holder.incarnation
+    state.holders.update(
+        holder.host,
+        record._replace(dead=dead, confirmed=holder.incarnation, confirmed_released=released),
+    )
+    return ConfirmDeadResult(released)
+
+
+def _release_confirmed(state: LedgerState, command: ConfirmDead) -> int:
+    note = f"confirmed dead by {command.operator}, approved by {command.approver}"
+    total = 0
+    for budget, account in state.account_by_budget.items():
+        released = account.release(command.holder)
+        if not released:
+            continue
+        total += released
+        state.exceptions.record(
+            Entry(
+                number=0,
+                kind=ExceptionKind.DEAD_HOLDER,
+                fingerprint=0,
+                budget=budget,
+                workspace=account.workspace,
+                request_id="",
+                holder=command.holder,
+                amount=released,
+                held=0,
+                reserved_at=command.at,
+                at=command.at,
+                state="released",
+                note=note,
+            )
+        )
+    return total
+
+
+def _older(state: LedgerState, host: str, incarnation: int) -> set[Holder]:
+    return {
+        holder
+        for account in state.account_by_budget.values()
+        for holder in account.allotment_by_holder
+        if holder.host == host and holder.incarnation < incarnation
+    }
+
+
+def _release(state: LedgerState, holder: Holder) -> int:
+    return sum(account.release(holder) for account in state.account_by_budget.values())
+
+
+def _outstanding(state: LedgerState, holder: Holder) -> int:
+    allotments = (
+        account.allotment_by_holder.get(holder) for account in state.account_by_budget.values()
+    )
+    return sum(allotment.outstanding for allotment in allotments if allotment)
+
+
+def no_budget(budget: str) -> Rejected:
+    """Refuse a command for a budget that was never credited."""
+    remedy = "credit it with: cranberrywallctl top-up"
+    return Rejected(ErrorKind.NOT_FOUND, f"no budget {budget} in the ledger", "budget", remedy)
+
+
+def _superseded(holder: Holder) -> Rejected:
+    message = f"{holder_text(holder)} was succeeded or confirmed dead"
+    return Rejected(ErrorKind.CONFLICT, message, "holder", "start the host anew")
--- /dev/null
+++ b/cranberrywall/budgets/_ledger_state.py
@@ -0,0 +1,75 @@
+"""Bundle the parts of a ledger group's state."""
+
+from typing import Any
+
+import msgspec
+
+from cranberrywall.budgets._closing_calendar import Calendar
+from cranberrywall.budgets._closing_records import Closings
+from cranberrywall.budgets._closing_spend import SpendByDay
+from cranberrywall.budgets._ledger_accounts import Account, load_account
+from cranberrywall.budgets._ledger_credits import Credits
+from cranberrywall.budgets._ledger_exceptions import Exceptions
+from cranberrywall.budgets._ledger_holders import Holders
+from cranberrywall.budgets._ledger_ids import ChargeIds, IdLimits
+from cranberrywall.budgets._ledger_intents import Intents
+
+_VERSION = 1
+
+
+class LedgerState:
+    """Hold every part; each dumps and loads itself for the snapshot."""
+
+    def __init__(self, limits: IdLimits) -> None:
+        self.account_by_budget: dict[str, Account] = {}
+        self.holders = Holders()
+        self.ids = ChargeIds(limits)
+        self.credits = Credits()
+        self.exceptions = Exceptions()
+        self.intents = Intents(self.holders.is_current)
+        self.calendar = Calendar()
+        self.closings = Closings()
+        self.spend = SpendByDay()
+        self._sorted_budgets: list[str] = []
+
+    def sorted_budgets(self) -> list[str]:
+        """Return the budgets' names in order; the list is kept until one is added."""
+        if len(self._sorted_budgets) != len(self.account_by_budget):
+            self._sorted_budgets = sorted(self.account_by_budget)
+        return self._sorted_budgets
+
+    def rebook(self, moved: tuple[float, float] | None) -> None:
+        """Change the end of an open period in every account, where it moved."""
+        if moved is None:
+            return
+        for account in self.account_by_budget.values():
+            account.rebook(*moved)
+
+    def _parts(self) -> list[Any]:
+        return [
+            self.holders,
+            self.ids,
+            self.credits,
+            self.exceptions,
+            self.intents,
+            self.calendar,
+            self.closings,
+            self.spend,
+        ]
+
+    def dump(self) -> bytes:
+        """Return the whole state as bytes."""
+        parts = [part.dump() for part in self._parts()]
+        accounts = [[name, account.dump()] for name, account in self.account_by_budget.items()]
+        return msgspec.msgpack.encode([_VERSION, parts, accounts])
+
+    def load(self, data: bytes) -> None:
+        """Replace the whole state by one that ``dump`` gave; raise ``ValueError`` on another."""
+        version, parts, accounts = msgspec.msgpack.decode(data)
+        if version != _VERSION:
+            raise ValueError(f"a ledger snapshot of version {version} is not readable")
+        for part, plain in zip(self._parts(), parts, strict=True):
+            part.load(plain)
+        self.account_by_budget = {
+            name: load_account(plain, self.holders.one) for name, plain in accounts
+        }
--- a/cranberrywall/budgets/messages.py
+++ b/cranberrywall/budgets/messages.py
@@ -286,12 +286,31 @@
     answer: bytes
 
 
+class PlannedPeriod(NamedTuple):
+    """Name a period that ends before ``through``."""
+
+    period: str
+    through: float
+
+
+class PlanPeriods(NamedTuple):
+    """Replace the plan of the periods to come, oldest first; each group gets the same.
+
+    Without a plan, and after its last period, periods are calendar months in UTC, named
+    ``2026-11``. An end that a charge was already booked by cannot change.
+    """
+
+    periods: tuple[PlannedPeriod, ...]
+    operator: str
+    at: float
+
+
 class ClosePeriod(NamedTuple):
     """Close the period that ends before ``through``; each group gets the same command.
 
-    A charge belongs to the period in which its reservation was made. ``period`` is a
-    name such as ``2026-11``. Closing the same period again with the same ``through``
-    gives the first answer.
+    A charge belongs to the period in which its reservation was made. ``through`` is the
+    period's planned end, or any time after the last reservation that was charged. Closing
+    the same period again with the same ``through`` gives the first answer.
     """
 
     period: str
@@ -416,7 +435,12 @@
 
 
 class PeriodsQuery(NamedTuple):
-    """Ask for the closed periods that the group keeps."""
+    """Ask for the closed periods that the group keeps, and for the one that is open.
+
+    ``now`` (seconds since the epoch) chooses the open period.
+    """
+
+    now: float
 
 
 class ClosedPeriod(NamedTuple):
@@ -430,9 +454,10 @@
 
 
 class PeriodsResult(NamedTuple):
-    """List the closed periods, oldest first."""
+    """List the closed periods, oldest first, and the first one that is still open."""
 
     periods: tuple[ClosedPeriod, ...]
+    open_period: PlannedPeriod
 
 
 class ExceptionKind(StrEnum):
@@ -442,7 +467,8 @@
     after the period of its reservation was closed, and booked to the open one.
     ``forgotten_id``: so late that the ledger cannot tell whether its id was billed; set
     aside. ``unfunded``: it came after its holder's remainder came back and was spent
-    elsewhere; billing it would overspend; set aside. ``dead_holder``: an older
+    elsewhere; billing it would overspend; set aside. ``number_reused``: its holder gave
+    its number to another request before; set aside. ``dead_holder``: an older
     incarnation's allotment that waits for evidence. ``silent_holder``: an amount held by
     an incarnation that has not been heard for long.
     """
@@ -451,6 +477,7 @@
     LATE_PERIOD = "late_period"
     FORGOTTEN_ID = "forgotten_id"
     UNFUNDED = "unfunded"
+    NUMBER_REUSED = "number_reused"
     DEAD_HOLDER = "dead_holder"
     SILENT_HOLDER = "silent_holder"
 
@@ -481,7 +508,9 @@
     """Ask for duplicates, late charges and amounts in doubt, oldest first.
 
     ``open_only`` leaves out what needs no decision. ``now`` (seconds since the epoch)
-    decides which holders count as silent. ``after`` and ``limit`` page as in a report.
+    decides which holders count as silent. ``after`` and ``limit`` page as in a report;
+    holders are on the first page. ``period`` names a closed period, whose list is as it
+    was at the closing; empty gives the present list.
     """
 
     budget: str
@@ -489,6 +518,7 @@
     now: float
     after: int
     limit: int
+    period: str = ""
 
 
 class ExceptionsResult(NamedTuple):
@@ -502,6 +532,42 @@
     unnamed: int
 
 
+class CreditsQuery(NamedTuple):
+    """Ask for the top-ups of a budget that the ledger still keeps by name."""
+
+    budget: str
+
+
+class CreditsResult(NamedTuple):
+    """List a budget's top-ups, oldest first."""
+
+    credits: tuple[Credit, ...]
+
+
+class HoldersQuery(NamedTuple):
+    """Ask for each holder's sums over the group's budgets."""
+
+
+class HolderSum(NamedTuple):
+    """Give what one incarnation has outstanding over all budgets of the group.
+
+    ``current`` is false for an incarnation that was succeeded. ``active_at`` is the last
+    time that it was heard.
+    """
+
+    holder: Holder
+    current: bool
+    outstanding: int
+    budgets: int
+    active_at: float
+
+
+class HoldersResult(NamedTuple):
+    """List the holders."""
+
+    holders: tuple[HolderSum, ...]
+
+
 class SpendQuery(NamedTuple):
     """Ask for the spend by day of one workspace, or of all where it is empty."""
 
@@ -559,6 +625,7 @@
         RecordOutcome,
         IntentQuery,
         IntentResult,
+        PlanPeriods,
         ClosePeriod,
         ClosePeriodResult,
         ResolveDoubt,
@@ -570,6 +637,10 @@
         PeriodsResult,
         ExceptionsQuery,
         ExceptionsResult,
+        CreditsQuery,
+        CreditsResult,
+        HoldersQuery,
+        HoldersResult,
         SpendQuery,
         SpendResult,
         Accepted,
