--- a/cranberrywall/settings/__init__.py
+++ b/cranberrywall/settings/__init__.py
@@ -1,5 +1,38 @@
 """Read and check the one settings file of a process."""
 
-from cranberrywall.settings._settings import Listen, Log, Remote, Settings
+from cranberrywall.settings._defaults import DEFAULTS, with_defaults
+from cranberrywall.settings._keys import FleetKeys, load_fleet_keys, make_keys_file
+from cranberrywall.settings._load import load_settings
+from cranberrywall.settings._options import load_or_exit, settings_options
+from cranberrywall.settings._problem import Problem
+from cranberrywall.settings._settings import (
+    Callers,
+    Listen,
+    Log,
+    MembershipTimes,
+    Remote,
+    Settings,
+    Streams,
+)
+from cranberrywall.settings._units import seconds, size_in_bytes
 
-__all__ = ["Listen", "Log", "Remote", "Settings"]
+__all__ = [
+    "DEFAULTS",
+    "Callers",
+    "FleetKeys",
+    "Listen",
+    "Log",
+    "MembershipTimes",
+    "Problem",
+    "Remote",
+    "Settings",
+    "Streams",
+    "load_fleet_keys",
+    "load_or_exit",
+    "load_settings",
+    "make_keys_file",
+    "seconds",
+    "settings_options",
+    "size_in_bytes",
+    "with_defaults",
+]
--- a/cranberrywall/settings/_settings.py
+++ b/cranberrywall/settings/_settings.py
@@ -4,8 +4,13 @@
 
 from msgspec import Meta
 
+from cranberrywall.settings._units import DURATION_PATTERN, SIZE_PATTERN
+
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
 Address = Annotated[str, Meta(pattern=r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$")]
+Duration = Annotated[str, Meta(pattern=DURATION_PATTERN)]
+Size = Annotated[str, Meta(pattern=SIZE_PATTERN)]
+Count = Annotated[int, Meta(ge=1, le=1_000_000)]
 
 
 class Listen(TypedDict):
@@ -32,12 +37,39 @@
     level: Literal["DEBUG", "INFO", "WARNING", "ERROR"]
 
 
+class Streams(TypedDict):
+    """Bound the streams between processes, for each connection."""
+
+    frame: NotRequired[Size]
+    queued: NotRequired[Size]
+    calls: NotRequired[Count]
+    dial_timeout: NotRequired[Duration]
+    handshake_timeout: NotRequired[Duration]
+    write_timeout: NotRequired[Duration]
+
+
+class MembershipTimes(TypedDict):
+    """Pace the heartbeats between entry hosts."""
+
+    period: NotRequired[Duration]
+    probe_timeout: NotRequired[Duration]
+    suspicion: NotRequired[Duration]
+
+
+class Callers(TypedDict):
+    """Say what callers may send and how long they keep addresses."""
+
+    body: NotRequired[Size]
+    address_ttl: NotRequired[Duration]
+
+
 class Settings(TypedDict):
     """Hold one process's settings.
 
     ``data`` is the one data folder, absent on a host without a disk. ``fleet_key`` is the
     path of the file that holds the fleet's shared key. ``controls`` are the control
-    hosts, ``peers`` the entry hosts to join by.
+    hosts, ``peers`` the entry hosts to join by. What may be left out has its value in
+    ``DEFAULTS``.
     """
 
     process: Literal["entry", "control", "console"]
@@ -50,3 +82,6 @@
     fleet_key: str
     ledger_groups: NotRequired[Annotated[int, Meta(ge=1, le=64)]]
     log: NotRequired[Log]
+    streams: NotRequired[Streams]
+    membership: NotRequired[MembershipTimes]
+    callers: NotRequired[Callers]
