Keep the configuration by revision, with checks, history and first answers

The configuration group's state machine commits edits by section: a change based on an older revision of its section is refused with what changed since and by whom, a resent change gets its first answer, a rollback is a new revision. The document is checked by numbered checks that name the field and the remedy. Hosts hold what is in force and only move forward; those with a disk remember it.

--- a/cranberrywall/configuration/__init__.py
+++ b/cranberrywall/configuration/__init__.py
@@ -1,5 +1,6 @@
 """Keep the one validated document that is the configuration in force."""
 
+from cranberrywall.configuration._client import ChangeRefusal, ConfigurationClient
 from cranberrywall.configuration._document import (
     Budget,
     Document,
@@ -13,19 +14,56 @@
     Service,
     Workspace,
 )
-from cranberrywall.configuration._interfaces import Configuration
+from cranberrywall.configuration._edits import (
+    SECTIONS,
+    Edit,
+    apply_edits,
+    edits_between,
+    empty_document,
+)
+from cranberrywall.configuration._host import Applied, HostConfiguration, make_host_configuration
+from cranberrywall.configuration._in_force import ledger_group_name, make_fixed_configuration
+from cranberrywall.configuration._interfaces import Configuration, NamedWorkspace
+from cranberrywall.configuration._machine import (
+    ConfigurationMachine,
+    make_configuration_machine,
+)
+from cranberrywall.configuration._shape import Problem
+from cranberrywall.configuration._yaml import dump_document, load_document
+from cranberrywall.configuration.checks import check_document
+from cranberrywall.configuration.messages import CONFIGURATION_CODEC
 
 __all__ = [
+    "CONFIGURATION_CODEC",
+    "SECTIONS",
+    "Applied",
     "Budget",
+    "ChangeRefusal",
     "Configuration",
+    "ConfigurationClient",
+    "ConfigurationMachine",
     "Document",
+    "Edit",
     "Host",
+    "HostConfiguration",
     "Key",
     "Model",
+    "NamedWorkspace",
     "Place",
     "Policy",
     "Priority",
+    "Problem",
     "Reach",
     "Service",
     "Workspace",
+    "apply_edits",
+    "check_document",
+    "dump_document",
+    "edits_between",
+    "empty_document",
+    "ledger_group_name",
+    "load_document",
+    "make_configuration_machine",
+    "make_fixed_configuration",
+    "make_host_configuration",
 ]
--- /dev/null
+++ b/cranberrywall/configuration/_edits.py
@@ -0,0 +1,88 @@
+"""Describe, apply and undo differences between documents, entry by entry."""
+
+from collections.abc import Iterable, Mapping
+from typing import Any, NamedTuple, cast, get_type_hints
+
+from cranberrywall.configuration._document import Document
+
+SECTIONS: tuple[str, ...] = tuple(get_type_hints(Document))
+"""The top-level keys of the document."""
+
+SCALAR_SECTIONS: frozenset[str] = frozenset({"ledger_groups"})
+"""Sections that hold one value; an edit of one has an empty name."""
+
+
+class Edit(NamedTuple):
+    """Put ``value`` in place of one entry of a section; ``None`` removes the entry."""
+
+    section: str
+    name: str
+    value: Any
+
+
+def empty_document() -> Document:
+    """Return the document in force before the first change.
+
+    >>> empty_document()["ledger_groups"]
+    1
+    """
+    document: dict[str, Any] = {section: {} for section in SECTIONS}
+    document["ledger_groups"] = 1
+    return cast(Document, document)
+
+
+def apply_edits(document: Document, edits: Iterable[Edit]) -> Document:
+    """Return a new document with ``edits`` applied; the given one stays as it is.
+
+    Sections without an edit are shared between the two, so the cost follows the change.
+    """
+    sections: dict[str, Any] = dict(document)
+    copied: set[str] = set()
+    for edit in edits:
+        if edit.section in SCALAR_SECTIONS:
+            sections[edit.section] = edit.value
+            continue
+        if edit.section not in copied:
+            sections[edit.section] = dict(sections[edit.section])
+            copied.add(edit.section)
+        if edit.value is None:
+            sections[edit.section].pop(edit.name, None)
+        else:
+            sections[edit.section][edit.name] = edit.value
+    return cast(Document, sections)
+
+
+def edits_between(before: Mapping[str, Any], after: Mapping[str, Any]) -> tuple[Edit, ...]:
+    """Return the edits that lead from ``before`` to ``after``, in the sections' order."""
+    edits: list[Edit] = []
+    for section in SECTIONS:
+        if section in SCALAR_SECTIONS:
+            if before[section] != after[section]:
+                edits.append(Edit(section, "", after[section]))
+            continue
+        edits.extend(_entry_edits(section, before[section], after[section]))
+    return tuple(edits)
+
+
+def inverse_of(document: Document, edits: Iterable[Edit]) -> tuple[Edit, ...]:
+    """Return the edits that lead back to ``document`` once ``edits`` were applied to it."""
+    sections = cast(dict[str, Any], document)
+    inverse: list[Edit] = []
+    for edit in edits:
+        if edit.section in SCALAR_SECTIONS:
+            inverse.append(Edit(edit.section, "", sections[edit.section]))
+        else:
+            old = sections[edit.section].get(edit.name)
+            inverse.append(Edit(edit.section, edit.name, old))
+    return tuple(inverse)
+
+
+def _entry_edits(
+    section: str, before: Mapping[str, Any], after: Mapping[str, Any]
+) -> Iterable[Edit]:
+    for name in before:
+        if name not in after:
+            yield Edit(section, name, None)
+    for name, value in after.items():
+        if name not in before or before[name] != value:
+            yield Edit(section, name, value)
--- /dev/null
+++ b/cranberrywall/configuration/messages.py
@@ -0,0 +1,182 @@
+"""Define the commands, queries and results of the configuration group, and the spread's calls.
+
+Times are seconds since the Unix epoch, given by the proposer. Every command is
+idempotent by its ``change_id``.
+"""
+
+from typing import Any, NamedTuple
+
+from cranberrywall.configuration._edits import Edit
+from cranberrywall.configuration._shape import Problem
+from cranberrywall.links import MessageCodec, Method
+
+
+class Change(NamedTuple):
+    """Commit ``edits``, once per ``change_id``.
+
+    ``based_on`` is the revision that the operator saw. The change is refused where one of
+    its sections was changed by a later revision than that.
+    """
+
+    edits: tuple[Edit, ...]
+    based_on: int
+    change_id: str
+    operator: str
+    at: float
+
+
+class RollBack(NamedTuple):
+    """Commit, as a new revision, the document as it was at revision ``to``.
+
+    It is a command of its own, since edits computed by a client would differ from one
+    sending to the next. Refused where a section that it would change was changed after
+    ``based_on``.
+    """
+
+    to: int
+    based_on: int
+    change_id: str
+    operator: str
+    at: float
+
+
+class Revision(NamedTuple):
+    """Describe one committed revision: who, when, which change and which sections."""
+
+    number: int
+    operator: str
+    at: float
+    change_id: str
+    sections: tuple[str, ...]
+
+
+class Delta(NamedTuple):
+    """Lead from revision ``revision.number - 1`` to ``revision.number``.
+
+    ``chain`` is a running hash over all deltas up to this one, so that a host whose
+    document came about in another way finds out before it applies the delta.
+    """
+
+    revision: Revision
+    edits: tuple[Edit, ...]
+    chain: int
+
+
+class Changed(NamedTuple):
+    """Answer a change that is committed as ``revision``."""
+
+    revision: Revision
+
+
+class ChangeRefused(NamedTuple):
+    """Answer a change that was refused and changed nothing; ``kind`` is an ``ErrorKind``.
+
+    ``since`` lists, for a conflict, what changed in the change's sections after
+    ``based_on``, with by whom; ``problems`` lists, for a bad document, what is wrong.
+    """
+
+    kind: str
+    message: str
+    revision: int
+    since: tuple[Delta, ...] = ()
+    problems: tuple[Problem, ...] = ()
+
+
+class GetDocument(NamedTuple):
+    """Ask for the document as of ``revision``; 0 is the one in force."""
+
+    revision: int = 0
+
+
+class DocumentAt(NamedTuple):
+    """Carry a document with its revision and the chain's hash."""
+
+    revision: int
+    document: dict[str, Any]
+    chain: int
+
+
+class GetDeltas(NamedTuple):
+    """Ask for the deltas after ``since``, at most ``limit`` of them."""
+
+    since: int
+    limit: int
+
+
+class Deltas(NamedTuple):
+    """Carry consecutive deltas; ``revision`` is the newest one that there is."""
+
+    revision: int
+    deltas: tuple[Delta, ...]
+
+
+class GetHistory(NamedTuple):
+    """Ask for ``limit`` revisions up to ``before`` (0: the newest), newest first."""
+
+    before: int
+    limit: int
+
+
+class History(NamedTuple):
+    """List revisions, newest first, and the oldest one that can still be asked for."""
+
+    revisions: tuple[Revision, ...]
+    oldest: int
+
+
+class NotKept(NamedTuple):
+    """Say that the revision asked for is older than what is kept, or does not exist."""
+
+    revision: int
+    oldest: int
+
+
+class Notice(NamedTuple):
+    """Tell another process which revision the sender has."""
+
+    revision: int
+
+
+class NoticeReply(NamedTuple):
+    """Tell which revision the receiver has, and the highest it has heard of."""
+
+    revision: int
+    heard: int
+
+
+class Fetch(NamedTuple):
+    """Ask a process for what leads from revision ``since`` to its own."""
+
+    since: int
+
+
+class FetchReply(NamedTuple):
+    """Carry ``deltas`` after the revision asked for, or a whole ``snapshot`` in their place.
+
+    ``heard`` is the highest revision that the sender has heard of.
+    """
+
+    revision: int
+    heard: int
+    deltas: tuple[Delta, ...]
+    snapshot: DocumentAt | None
+
+
+NOTICE = Method("configuration.notice", Notice, NoticeReply)
+FETCH = Method("configuration.fetch", Fetch, FetchReply)
+
+CONFIGURATION_CODEC = MessageCodec(
+    [
+        Change,
+        Changed,
+        ChangeRefused,
+        Deltas,
+        DocumentAt,
+        GetDeltas,
+        GetDocument,
+        GetHistory,
+        History,
+        NotKept,
+        RollBack,
+    ]
+)
