Spread revisions from control through neighbours to every entry host

Control hosts notify a few entry hosts of a new revision; each passes the number on to a few neighbours, and whoever lacks it fetches the deltas once.

--- a/cranberrywall/configuration/__init__.py
+++ b/cranberrywall/configuration/__init__.py
@@ -21,6 +21,8 @@
     edits_between,
     empty_document,
 )
+from cranberrywall.configuration._feed import Feed, make_control_feed
+from cranberrywall.configuration._follower import Follower, SpreadTimes, make_follower
 from cranberrywall.configuration._host import Applied, HostConfiguration, make_host_configuration
 from cranberrywall.configuration._in_force import ledger_group_name, make_fixed_configuration
 from cranberrywall.configuration._interfaces import Configuration, NamedWorkspace
@@ -28,6 +30,8 @@
     ConfigurationMachine,
     make_configuration_machine,
 )
+from cranberrywall.configuration._neighbours import Peers, SpreadHost
+from cranberrywall.configuration._peers import make_document_peers
 from cranberrywall.configuration._shape import Problem
 from cranberrywall.configuration._yaml import dump_document, load_document
 from cranberrywall.configuration.checks import check_document
@@ -44,17 +48,22 @@
     "ConfigurationMachine",
     "Document",
     "Edit",
+    "Feed",
+    "Follower",
     "Host",
     "HostConfiguration",
     "Key",
     "Model",
     "NamedWorkspace",
+    "Peers",
     "Place",
     "Policy",
     "Priority",
     "Problem",
     "Reach",
     "Service",
+    "SpreadHost",
+    "SpreadTimes",
     "Workspace",
     "apply_edits",
     "check_document",
@@ -64,6 +73,9 @@
     "ledger_group_name",
     "load_document",
     "make_configuration_machine",
+    "make_control_feed",
+    "make_document_peers",
     "make_fixed_configuration",
+    "make_follower",
     "make_host_configuration",
 ]
--- /dev/null
+++ b/cranberrywall/configuration/_follower.py
@@ -0,0 +1,212 @@
+"""Keep an entry host's configuration up to date, and find the newest before it serves."""
+
+import asyncio
+from collections.abc import Sequence
+from typing import Any, NamedTuple
+
+from loguru import logger
+from result import Err
+
+from cranberrywall.configuration._feed import Feed, Heard
+from cranberrywall.configuration._host import Applied, HostConfiguration
+from cranberrywall.configuration._neighbours import Peers, SpreadHost
+from cranberrywall.configuration.messages import FETCH, Fetch, FetchReply
+from cranberrywall.links import Caller, Server
+from cranberrywall.runtime import Clock, Random
+
+FETCH_TIMEOUT_S = 5.0
+JOIN_RETRY_S = 0.25
+PEERS_ASKED = 8
+
+
+class SpreadTimes(NamedTuple):
+    """Pace the spread, in seconds.
+
+    Every ``heartbeat`` a host exchanges revisions with one neighbour. Control is asked
+    every ``control_poll``, or, in a large fleet, so rarely that all hosts together ask
+    ``CONTROL_POLLS_PER_S`` times a second. ``patience`` is how long a host that reaches
+    no majority waits at its start before it takes the highest revision it can get.
+    """
+
+    heartbeat: float = 1.0
+    control_poll: float = 5.0
+    patience: float = 10.0
+
+
+CONTROL_POLLS_PER_S = 4.0
+
+
+def make_follower(
+    me: SpreadHost,
+    configuration: HostConfiguration,
+    peers: Peers,
+    controls: Sequence[str],
+    caller: Caller,
+    clock: Clock,
+    random: Random,
+    times: SpreadTimes | None = None,
+) -> "Follower":
+    """Return the spread's part on an entry host; ``controls`` are ``links`` addresses."""
+    return Follower(
+        me, configuration, peers, controls, caller, clock, random, times or SpreadTimes()
+    )
+
+
+class Follower:
+    """Fetch each newer revision that is heard of, and pass it on."""
+
+    def __init__(
+        self,
+        me: SpreadHost,
+        configuration: HostConfiguration,
+        peers: Peers,
+        controls: Sequence[str],
+        caller: Caller,
+        clock: Clock,
+        random: Random,
+        times: SpreadTimes,
+    ) -> None:
+        self._configuration = configuration
+        self._peers = peers
+        self._me = me
+        self._controls = tuple(controls)
+        self._caller = caller
+        self._clock = clock
+        self._random = random
+        self._times = times
+        self._claim_by_links: dict[str, int] = {}
+        self._behind = asyncio.Event()
+        self._turn = 0
+        self._feed = Feed(me, configuration, peers, caller, False, self._on_heard)
+
+    def register(self, server: Server) -> None:
+        """Answer the spread's calls at ``server``."""
+        self._feed.register(server)
+
+    def hear(self, revision: int, links: str) -> None:
+        """Take in a revision number that travelled with a heartbeat."""
+        self._feed.note(Heard(revision, links))
+
+    async def join(self) -> int:
+        """Find the newest configuration, and return its revision once it may be served.
+
+        A host whose disk remembers one may serve at once. Any other asks the control hosts
+        and peers and takes the highest: what it had in force before a restart, some of
+        them have heard of. Call it once, before ``run``.
+        """
+        recalled = await self._configuration.recall()
+        if isinstance(recalled, Err):
+            logger.error("event=configuration_not_recalled error={}", recalled.err_value)
+        if self._configuration.remembers and self._configuration.revision > 0:
+            return self._configuration.revision
+        started_at = self._clock.now()
+        while not await self._has_newest(self._clock.now() - started_at):
+            await self._clock.sleep(JOIN_RETRY_S)
+        return self._configuration.revision
+
+    async def run(self) -> None:
+        """Follow the configuration and pass it on, until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._feed.run())
+            tasks.create_task(self._fetch_on_demand())
+            tasks.create_task(self._exchange_with_neighbours())
+            tasks.create_task(self._poll_control())
+
+    def state(self) -> dict[str, Any]:
+        """Return what a state dump shows."""
+        return {
+            "revision": self._configuration.revision,
+            "heard": self._feed.heard,
+            "remembers": self._configuration.remembers,
+            "neighbours": [host.host for host in self._feed.neighbours()],
+        }
+
+    async def _has_newest(self, waited: float) -> bool:
+        peers = [host.links for host in self._feed.neighbours()][:PEERS_ASKED]
+        asked = [*self._controls, *peers]
+        answers = await asyncio.gather(*(self._feed.notify(links) for links in asked))
+        from_controls = sum(answers[: len(self._controls)])
+        from_peers = sum(answers[len(self._controls) :])
+        await self._catch_up()
+        if self._configuration.revision == 0 or self._configuration.revision < self._feed.heard:
+            return False
+        # One answer alone may come from a host that is cut off and behind: taking it
+        # would put an older revision in force than this host had before its restart.
+        if _is_majority(from_controls, self._controls) or _is_majority(from_peers, peers):
+            return True
+        if waited < self._times.patience or from_controls + from_peers == 0:
+            return False
+        logger.warning(
+            "event=configuration_from_few revision={} controls={} peers={}",
+            self._configuration.revision,
+            from_controls,
+            from_peers,
+        )
+        return True
+
+    def _on_heard(self, heard: Heard) -> None:
+        if heard.revision > self._configuration.revision:
+            self._claim_by_links[heard.links] = heard.revision
+            self._behind.set()
+
+    async def _fetch_on_demand(self) -> None:
+        while True:
+            await self._behind.wait()
+            self._behind.clear()
+            await self._catch_up()
+
+    async def _catch_up(self) -> None:
+        """Fetch from those who claim to have more, newest first, until none does."""
+        whole = False
+        while True:
+            links = self._best_claim()
+            if links is None:
+                return
+            fetch = Fetch(self._configuration.revision, whole)
+            result = await self._caller.call(links, FETCH, fetch, FETCH_TIMEOUT_S)
+            if isinstance(result, Err):
+                self._claim_by_links.pop(links, None)
+                continue
+            applied = await self._apply(result.ok_value)
+            whole = applied in (Applied.GAP, Applied.DIVERGED)
+            if applied is Applied.OLD or (whole and fetch.whole):
+                self._claim_by_links.pop(links, None)
+
+    async def _apply(self, reply: FetchReply) -> Applied:
+        self._feed.heard = max(self._feed.heard, reply.heard)
+        if reply.snapshot is not None:
+            return await self._configuration.apply_snapshot(reply.snapshot)
+        applied = await self._configuration.apply_deltas(reply.deltas)
+        if applied is Applied.DIVERGED:
+            logger.error("event=configuration_diverged revision={}", self._configuration.revision)
+        return applied
+
+    def _best_claim(self) -> str | None:
+        revision = self._configuration.revision
+        self._claim_by_links = {
+            links: claim for links, claim in self._claim_by_links.items() if claim > revision
+        }
+        if not self._claim_by_links:
+            return None
+        return max(self._claim_by_links, key=lambda links: self._claim_by_links[links])
+
+    async def _exchange_with_neighbours(self) -> None:
+        while True:
+            await self._clock.sleep(self._times.heartbeat * self._random.uniform(0.75, 1.25))
+            neighbours = self._feed.neighbours()
+            if neighbours:
+                self._turn += 1
+                await self._feed.notify(neighbours[self._turn % len(neighbours)].links)
+
+    async def _poll_control(self) -> None:
+        # Neighbours carry nearly every revision. This is for a host whose neighbours are
+        # all cut off from control while it is not.
+        while self._controls:
+            hosts = len(self._peers.alive())
+            period = max(self._times.control_poll, hosts / CONTROL_POLLS_PER_S)
+            await self._clock.sleep(period * self._random.uniform(0.75, 1.25))
+            await self._feed.notify(self._controls[self._random.randrange(0, len(self._controls))])
+
+
+def _is_majority(count: int, asked: Sequence[str]) -> bool:
+    return count * 2 > len(asked)
--- a/cranberrywall/configuration/messages.py
+++ b/cranberrywall/configuration/messages.py
@@ -132,9 +132,10 @@
 
 
 class Notice(NamedTuple):
-    """Tell another process which revision the sender has."""
+    """Tell another process which revision the sender has; ``links`` is where to fetch it."""
 
     revision: int
+    links: str
 
 
 class NoticeReply(NamedTuple):
@@ -145,9 +146,13 @@
 
 
 class Fetch(NamedTuple):
-    """Ask a process for what leads from revision ``since`` to its own."""
+    """Ask a process for what leads from revision ``since`` to its own.
+
+    ``whole`` asks for a snapshot even where deltas are kept.
+    """
 
     since: int
+    whole: bool = False
 
 
 class FetchReply(NamedTuple):
