--- a/cranberrywall/control/__init__.py
+++ b/cranberrywall/control/__init__.py
@@ -1,7 +1,8 @@
 """Assemble the control program, and call it from the other programs."""
 
-from cranberrywall.control._client import ControlClient
+from cranberrywall.control._client import ControlClient, make_control_client
 from cranberrywall.control._placement import ledger_group, ledger_groups
+from cranberrywall.control._program import ControlHost, make_control_host
 from cranberrywall.control.messages import (
     PROPOSE,
     QUERY,
@@ -15,10 +16,13 @@
     "PROPOSE",
     "QUERY",
     "ControlClient",
+    "ControlHost",
     "ProposeReply",
     "ProposeRequest",
     "QueryReply",
     "QueryRequest",
     "ledger_group",
     "ledger_groups",
+    "make_control_client",
+    "make_control_host",
 ]
--- /dev/null
+++ b/cranberrywall/control/_program.py
@@ -0,0 +1,128 @@
+"""Run a control host's replicated groups and answer calls to them.
+
+The program knows nothing of what its groups keep: their state machines are given to it.
+"""
+
+from collections.abc import Mapping
+from typing import Any
+
+from loguru import logger
+from result import Err, Ok, Result
+
+from cranberrywall.control.messages import (
+    PROPOSE,
+    QUERY,
+    ProposeReply,
+    ProposeRequest,
+    QueryReply,
+    QueryRequest,
+)
+from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.links import LinkCaller, LinkServer, Peer, Server
+from cranberrywall.replication import GroupSettings, Replica, StateMachine, make_group
+from cranberrywall.runtime import Runtime
+
+PROPOSE_S = 10.0
+"""How long a command may take to commit, in seconds; callers give up earlier."""
+
+
+class GroupServer:
+    """Answer ``PROPOSE`` and ``QUERY`` for the groups that this host is a member of."""
+
+    def __init__(self, group_by_name: Mapping[str, Replica]) -> None:
+        self.group_by_name = group_by_name
+
+    def register(self, server: Server) -> None:
+        """Answer the calls at ``server``."""
+        server.register(PROPOSE, self._propose)
+        server.register(QUERY, self._query)
+
+    async def _propose(self, request: ProposeRequest, peer: Peer) -> Result[ProposeReply, Refusal]:
+        group = self._group(request.group)
+        if isinstance(group, Err):
+            return Err(group.err_value)
+        reply = await group.ok_value.propose(request.command, PROPOSE_S)
+        return reply.map(ProposeReply)
+
+    async def _query(self, request: QueryRequest, peer: Peer) -> Result[QueryReply, Refusal]:
+        group = self._group(request.group)
+        if isinstance(group, Err):
+            return Err(group.err_value)
+        reply = await group.ok_value.query(request.query, PROPOSE_S)
+        return reply.map(QueryReply)
+
+    def _group(self, name: str) -> Result[Replica, Refusal]:
+        group = self.group_by_name.get(name)
+        if group is not None:
+            return Ok(group)
+        remedy = "give every process the same `ledger_groups` as the control hosts"
+        return Err(Refusal(ErrorKind.NOT_FOUND, f"no group {name} here", "group", remedy))
+
+
+class ControlHost:
+    """Hold one control host's groups and its streams to other processes."""
+
+    def __init__(
+        self,
+        group_by_name: Mapping[str, Replica],
+        server: LinkServer,
+        caller: LinkCaller,
+    ) -> None:
+        self.group_by_name = group_by_name
+        self.server = server
+        self.caller = caller
+        self._failures: dict[str, Refusal] = {}
+
+    async def start(self) -> None:
+        """Open the groups' files, then listen; raise ``OSError`` where that fails.
+
+        A group that cannot open its files takes no part, and the others do: ``failures``
+        names it.
+        """
+        for name, group in self.group_by_name.items():
+            started = await group.start()
+            if isinstance(started, Err):
+                self._failures[name] = started.err_value
+                logger.error("event=group_not_started group={} {}", name, started.err_value)
+        await self.server.start()
+
+    async def stop(self) -> None:
+        """Leave the groups and close the streams."""
+        for group in self.group_by_name.values():
+            await group.stop()
+        await self.server.close()
+        await self.caller.close()
+
+    def failures(self) -> dict[str, Refusal]:
+        """Return why groups could not start, by group."""
+        return dict(self._failures)
+
+    def state(self) -> dict[str, Any]:
+        """Return the groups and the streams, for the state dump."""
+        groups = {
+            name: {"leader": group.is_leader, "failure": str(self._failures.get(name, ""))}
+            for name, group in self.group_by_name.items()
+        }
+        return {"groups": groups, "server": self.server.state(), "caller": self.caller.state()}
+
+
+def make_control_host(
+    host: str,
+    address_by_host: Mapping[str, str],
+    machine_by_group: Mapping[str, StateMachine],
+    runtime: Runtime,
+    caller: LinkCaller,
+    server: LinkServer,
+    settings: GroupSettings | None = None,
+) -> ControlHost:
+    """Return a control host that is a member of one group for each state machine.
+
+    ``address_by_host`` are the control hosts' stream addresses. Raise ``ValueError`` for a
+    host without a disk.
+    """
+    group_by_name = {
+        name: make_group(name, address_by_host, host, machine, runtime, caller, server, settings)
+        for name, machine in machine_by_group.items()
+    }
+    GroupServer(group_by_name).register(server)
+    return ControlHost(group_by_name, server, caller)
