Define the meeting point of requests and routing

The life of a request needs a place at a target and reports how the attempt ended; the router needs what to weigh. Demand, Slot, Outcome and Router say this once for both parts.

--- /dev/null
+++ b/cranberrywall/routing/_interfaces.py
@@ -0,0 +1,95 @@
+"""Define where the life of a request meets the choice of a target.
+
+Times are monotonic seconds. A demand is admitted once per attempt: a retry is a new demand
+whose ``exclude`` names the targets that were tried.
+"""
+
+from enum import StrEnum
+from typing import NamedTuple, Protocol
+
+from result import Result
+
+from cranberrywall.errors import Refusal
+
+
+class Demand(NamedTuple):
+    """Describe one attempt that needs a place at a target.
+
+    ``kind`` is ``"engine"`` or ``"service"`` and ``name`` the model or the service.
+    ``version`` and ``adapter`` are empty where any will do. ``rank`` is the priority, 0 is
+    served first. ``bound_tokens`` is the most that the attempt can cost. ``prefix_hashes``
+    is the chain of the prompt's block hashes, longest prefix last. ``exclude`` names the
+    targets already tried for this request; ``retry`` is true for each attempt but the
+    first, and draws on the retry budget.
+    """
+
+    workspace: str
+    kind: str
+    name: str
+    version: str
+    adapter: str
+    rank: int
+    deadline: float
+    bound_tokens: int
+    prefix_hashes: tuple[bytes, ...] = ()
+    exclude: frozenset[str] = frozenset()
+    retry: bool = False
+
+
+class OutcomeKind(StrEnum):
+    """Say how an attempt ended at the target."""
+
+    ANSWERED = "answered"
+    FAILED_BEFORE = "failed_before"
+    FAILED_AFTER = "failed_after"
+    CANCELLED = "cancelled"
+
+
+class Outcome(NamedTuple):
+    """Report how an attempt ended; the router learns the target's health from it.
+
+    ``FAILED_BEFORE`` means that no byte of the request was sent. ``first_token_s`` is the
+    time from the slot's grant to the first token, ``None`` where there was none.
+    ``tokens`` counts generated tokens.
+    """
+
+    kind: OutcomeKind
+    first_token_s: float | None = None
+    tokens: int = 0
+
+
+class Slot(Protocol):
+    """Hold one place at a target until ``finish``, which is called exactly once."""
+
+    @property
+    def target_id(self) -> str:
+        """Return the target's id."""
+        ...
+
+    @property
+    def url(self) -> str:
+        """Return the target's base URL, without a slash at the end."""
+        ...
+
+    @property
+    def version(self) -> str:
+        """Return the model version to ask for; empty where the target named none."""
+        ...
+
+    def finish(self, outcome: Outcome, now: float) -> None:
+        """Free the place and report the outcome; a second call does nothing."""
+        ...
+
+
+class Router(Protocol):
+    """Choose targets and hand out places at them."""
+
+    async def acquire(self, demand: Demand, now: float) -> Result[Slot, Refusal]:
+        """Wait in the bounded priority queue until a target has a place, or refuse.
+
+        It refuses at once where the demand cannot be served before its deadline
+        (``OVERLOADED`` with a time to come back, ``TOO_MANY_REQUESTS`` for a workspace
+        over its number, ``NO_TARGET``) and with ``DEADLINE_PASSED`` at the deadline. When
+        the waiting task is cancelled its place in the queue is freed.
+        """
+        ...
