Take announcements from targets and route to the least busy one

A thin path: announcements over HTTP, ordered by the target's own incarnation and counter (leaving is final within an incarnation), and a router with a bounded queue by rank that grants the place with the least share of its capacity in use.

--- a/cranberrywall/routing/__init__.py
+++ b/cranberrywall/routing/__init__.py
@@ -1,5 +1,14 @@
-"""Choose a target for each attempt and hand out places at it."""
+"""Choose a target for each request, and queue what must wait."""
 
 from cranberrywall.routing._interfaces import Demand, Outcome, OutcomeKind, Router, Slot
+from cranberrywall.routing._router import TargetRouter, make_router
 
-__all__ = ["Demand", "Outcome", "OutcomeKind", "Router", "Slot"]
+__all__ = [
+    "Demand",
+    "Outcome",
+    "OutcomeKind",
+    "Router",
+    "Slot",
+    "TargetRouter",
+    "make_router",
+]
--- a/cranberrywall/targets/__init__.py
+++ b/cranberrywall/targets/__init__.py
@@ -1,1 +1,29 @@
 """Know the targets: announcements, health, load and cached prefixes."""
+
+from cranberrywall.targets._http import ANNOUNCE_PATH, make_announce_routes
+from cranberrywall.targets._targets import (
+    TTL_S,
+    Change,
+    Group,
+    Target,
+    Targets,
+    make_targets,
+)
+from cranberrywall.targets.checks import read_announcement
+from cranberrywall.targets.messages import TARGETS_CODEC, Announcement, CacheEvent, Load
+
+__all__ = [
+    "ANNOUNCE_PATH",
+    "TARGETS_CODEC",
+    "TTL_S",
+    "Announcement",
+    "CacheEvent",
+    "Change",
+    "Group",
+    "Load",
+    "Target",
+    "Targets",
+    "make_announce_routes",
+    "make_targets",
+    "read_announcement",
+]
--- /dev/null
+++ b/cranberrywall/targets/_targets.py
@@ -0,0 +1,169 @@
+"""Keep the targets that announced themselves, ordered by each target's own counters."""
+
+import heapq
+from collections.abc import Callable, Sequence
+from enum import StrEnum
+from typing import NamedTuple
+
+from cranberrywall.targets.messages import Announcement
+
+TTL_S = 6.0
+"""An announcement holds this long, in seconds; targets renew every 2 s."""
+
+TOMBSTONE_S = 3600.0
+"""What is known of a target that left or expired is kept this long, in seconds."""
+
+MAX_KNOWN = 100_000
+"""Targets and tombstones that are kept at most."""
+
+
+class Change(StrEnum):
+    """Say what an announcement changed."""
+
+    JOINED = "joined"
+    CHANGED = "changed"
+    RENEWED = "renewed"
+    LEFT = "left"
+    STALE = "stale"
+    FULL = "full"
+
+
+class Target(NamedTuple):
+    """Hold a target that is announced and not leaving."""
+
+    announcement: Announcement
+    renewed_at: float
+
+
+class Group(NamedTuple):
+    """Name the targets that serve the same model or service."""
+
+    kind: str
+    name: str
+
+
+class _Order(NamedTuple):
+    """Order announcements of one target.
+
+    Leaving is final within an incarnation: it goes before every other message of that
+    incarnation, also those with a higher counter.
+    """
+
+    incarnation: int
+    leaving: bool
+    counter: int
+
+
+Listener = Callable[[Announcement, Change, float], None]
+
+
+def make_targets() -> "Targets":
+    """Return a collection that knows no target yet."""
+    return Targets()
+
+
+class Targets:
+    """Hold the announced targets; ``by_id`` and ``by_group`` are for reading only.
+
+    Times are monotonic seconds of this host.
+    """
+
+    def __init__(self) -> None:
+        self.by_id: dict[str, Target] = {}
+        self.by_group: dict[Group, dict[str, Target]] = {}
+        self._order_by_id: dict[str, _Order] = {}
+        self._heard_at_by_id: dict[str, float] = {}
+        self._expiries: list[tuple[float, str]] = []
+        self._listeners: list[Listener] = []
+
+    def subscribe(self, listener: Listener) -> None:
+        """Call ``listener`` for each announcement that is not stale, and each expiry."""
+        self._listeners.append(listener)
+
+    def apply(self, announcement: Announcement, now: float) -> Change:
+        """Take in an announcement, at first hand or passed on by another host."""
+        order = _Order(announcement.incarnation, announcement.leaving, announcement.counter)
+        known = self._order_by_id.get(announcement.target)
+        # A late message of a target that left, restarted or renewed since must not bring
+        # the older state back: work would go to an address that nobody serves. The order
+        # outlives the target by TOMBSTONE_S, so the message is recognised after it left.
+        if known is not None and order <= known:
+            return Change.STALE
+        if known is None and len(self._order_by_id) >= MAX_KNOWN:
+            return Change.FULL
+        self._order_by_id[announcement.target] = order
+        self._schedule(announcement.target, now)
+        if announcement.leaving:
+            self._remove(announcement.target)
+            return self._tell(announcement, Change.LEFT, now)
+        return self._tell(announcement, self._put(announcement, now), now)
+
+    def expire(self, now: float) -> Sequence[str]:
+        """Remove the targets that did not renew, and tombstones past their time."""
+        gone = []
+        while self._expiries and self._expiries[0][0] <= now:
+            _, target_id = heapq.heappop(self._expiries)
+            heard_at = self._heard_at_by_id.get(target_id, now)
+            target = self.by_id.get(target_id)
+            if target is not None and now >= heard_at + TTL_S:
+                self._remove(target_id)
+                self._tell(target.announcement, Change.LEFT, now)
+                gone.append(target_id)
+            self._schedule_next(target_id, heard_at, now)
+        return gone
+
+    def _put(self, announcement: Announcement, now: float) -> Change:
+        before = self.by_id.get(announcement.target)
+        if before is not None and _group(before.announcement) != _group(announcement):
+            self._remove(announcement.target)
+        target = Target(announcement._replace(cache_events=()), now)
+        self.by_id[announcement.target] = target
+        self.by_group.setdefault(_group(announcement), {})[announcement.target] = target
+        if before is None:
+            return Change.JOINED
+        return Change.RENEWED if _same(before.announcement, announcement) else Change.CHANGED
+
+    def _remove(self, target_id: str) -> None:
+        target = self.by_id.pop(target_id, None)
+        if target is None:
+            return
+        group = _group(target.announcement)
+        members = self.by_group[group]
+        del members[target_id]
+        if not members:
+            del self.by_group[group]
+
+    def _tell(self, announcement: Announcement, change: Change, now: float) -> Change:
+        for listener in self._listeners:
+            listener(announcement, change, now)
+        return change
+
+    def _schedule(self, target_id: str, now: float) -> None:
+        # One entry a target is in the heap: a renewal moves only ``heard_at``, and the
+        # entry is pushed again when it comes up.
+        if target_id not in self._heard_at_by_id:
+            heapq.heappush(self._expiries, (now + TTL_S, target_id))
+        self._heard_at_by_id[target_id] = now
+
+    def _schedule_next(self, target_id: str, heard_at: float, now: float) -> None:
+        if target_id in self.by_id:
+            heapq.heappush(self._expiries, (heard_at + TTL_S, target_id))
+        elif now < heard_at + TOMBSTONE_S:
+            # A target that is heard again meanwhile expires by this entry too late, so
+            # tombstones come up as often as targets.
+            heapq.heappush(self._expiries, (now + TTL_S, target_id))
+        else:
+            del self._order_by_id[target_id]
+            del self._heard_at_by_id[target_id]
+
+
+def _group(announcement: Announcement) -> Group:
+    return Group(announcement.kind, announcement.name)
+
+
+def _same(before: Announcement, after: Announcement) -> bool:
+    return _identity(before) == _identity(after)
+
+
+def _identity(announcement: Announcement) -> Announcement:
+    return announcement._replace(counter=0, load=None, cache_events=())
--- /dev/null
+++ b/tests/routing/test_router.py
@@ -0,0 +1,109 @@
+"""Check how demands are granted, made to wait and refused."""
+
+import asyncio
+import random
+from typing import Any
+
+from cranberrywall.errors import ErrorKind
+from cranberrywall.routing import Demand, Outcome, OutcomeKind, TargetRouter, make_router
+from cranberrywall.targets import Targets, make_targets
+from tests.routing.clocks import ManualClock
+from tests.routing.configurations import FixedConfiguration
+from tests.targets.announcements import announce
+
+ANSWERED = Outcome(OutcomeKind.ANSWERED, 0.1, 10)
+
+
+def demand(**fields: Any) -> Demand:
+    values: dict[str, Any] = {
+        "workspace": "desk",
+        "kind": "engine",
+        "name": "asistent",
+        "version": "",
+        "adapter": "",
+        "rank": 5,
+        "deadline": 100.0,
+        "bound_tokens": 100,
+    }
+    return Demand(**{**values, **fields})
+
+
+def make(*announcements: Any) -> tuple[TargetRouter, Targets, ManualClock]:
+    targets = make_targets()
+    clock = ManualClock()
+    for announcement in announcements:
+        targets.apply(announcement, 0.0)
+    router = make_router(targets, FixedConfiguration(), clock, random.Random(1))
+    return router, targets, clock
+
+
+async def settle() -> None:
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+async def test_load_spreads_over_the_targets():
+    router, _, _ = make(announce("a"), announce("b"))
+    slots = [(await router.acquire(demand(), 0.0)).unwrap() for _ in range(4)]
+    assert sorted(slot.target_id for slot in slots) == ["a", "a", "b", "b"]
+
+
+async def test_a_waiter_gets_the_place_that_becomes_free_and_the_first_rank_goes_first():
+    router, _, _ = make(announce("a", capacity=1))
+    slot = (await router.acquire(demand(), 0.0)).unwrap()
+    letter = asyncio.create_task(router.acquire(demand(rank=9), 0.0))
+    await settle()
+    status = asyncio.create_task(router.acquire(demand(rank=0), 0.0))
+    await settle()
+    slot.finish(ANSWERED, 1.0)
+    slot.finish(ANSWERED, 1.0)
+    await settle()
+    assert status.done() and not letter.done()
+    status.result().unwrap().finish(ANSWERED, 2.0)
+    await settle()
+    assert letter.result().is_ok()
+
+
+async def test_a_cancelled_waiter_frees_its_place_also_when_it_was_just_granted():
+    """An engine seems busy for ever after clerks closed their windows.
+
+    The caller goes away in the same moment as its place is granted. Cause: the slot was
+    given to a task that is being cancelled and never finishes it.
+    """
+    router, _, _ = make(announce("a", capacity=1))
+    slot = (await router.acquire(demand(), 0.0)).unwrap()
+    first = asyncio.create_task(router.acquire(demand(), 0.0))
+    second = asyncio.create_task(router.acquire(demand(), 0.0))
+    await settle()
+    second.cancel()
+    await settle()
+    slot.finish(ANSWERED, 1.0)
+    first.cancel()
+    await settle()
+    assert first.cancelled()
+    assert (await router.acquire(demand(), 1.0)).is_ok()
+
+
+async def test_a_waiter_is_refused_at_its_deadline():
+    router, _, clock = make(announce("a", capacity=1))
+    await router.acquire(demand(), 0.0)
+    waiter = asyncio.create_task(router.acquire(demand(deadline=3.0), 0.0))
+    await settle()
+    clock.time = 3.0
+    answer = await waiter
+    assert answer.unwrap_err().kind is ErrorKind.DEADLINE_PASSED
+
+
+async def test_reach_version_and_adapter_are_respected():
+    router, _, _ = make(announce("a", versions=("v1",), adapters=("tone",)))
+    assert (await router.acquire(demand(version="v1", adapter="tone"), 0.0)).is_ok()
+    kinds = [
+        (await router.acquire(wrong, 0.0)).unwrap_err().kind
+        for wrong in (
+            demand(version="v2"),
+            demand(adapter="other"),
+            demand(name="unknown"),
+            demand(workspace="stranger"),
+        )
+    ]
+    assert kinds == [ErrorKind.NO_TARGET] * 2 + [ErrorKind.FORBIDDEN] * 2
