Stand in for engines and services, with faults and counts

The demo, the tests and the measurements need targets whose own counts can be compared with the bills. Each fault is drawn from the seed, the request id and its count, so the order of arrival does not matter.

--- /dev/null
+++ b/standins/_common.py
@@ -0,0 +1,72 @@
+"""Read and answer what engines and services have in common."""
+
+import asyncio
+
+from aiohttp import web
+
+from standins._counts import Counts
+from standins._faults import FaultChange, Faults
+
+ATTEMPT_HEADER = "X-Attempt-Id"
+REQUEST_HEADER = "X-Request-Id"
+UNNAMED_REQUEST = "unnamed"
+
+
+class FaultSwitch:
+    """Hold the faults in force, changed by ``PUT /faults``."""
+
+    def __init__(self, faults: Faults) -> None:
+        self.faults = faults
+
+    def change(self, change: FaultChange) -> None:
+        """Change the named faults; raise ``TypeError`` for an unknown one."""
+        self.faults = Faults(**{**self.faults._asdict(), **change})
+
+
+def add_common_routes(app: web.Application, counts: Counts, switch: FaultSwitch) -> None:
+    """Serve ``GET /counts``, ``GET /faults`` and ``PUT /faults``."""
+
+    async def get_counts(request: web.Request) -> web.Response:
+        return web.json_response({"requests": counts.by_request, "refused": counts.refused})
+
+    async def get_faults(request: web.Request) -> web.Response:
+        return web.json_response(switch.faults._asdict())
+
+    async def put_faults(request: web.Request) -> web.Response:
+        try:
+            switch.change(await request.json())
+        except (TypeError, ValueError) as error:
+            return fail(400, f"not a change of faults: {error}")
+        return web.json_response(switch.faults._asdict())
+
+    app.router.add_get("/counts", get_counts)
+    app.router.add_get("/faults", get_faults)
+    app.router.add_put("/faults", put_faults)
+
+
+def fail(status: int, message: str) -> web.Response:
+    """Answer an error in the shape of the chat completions interface."""
+    return web.json_response({"error": {"message": message, "code": status}}, status=status)
+
+
+def abort(request: web.Request) -> None:
+    """Cut the connection without an end, as a lost host would."""
+    transport = request.transport
+    if isinstance(transport, asyncio.Transport):
+        transport.abort()
+
+
+def is_open(request: web.Request) -> bool:
+    """Say whether the caller's connection still stands."""
+    return request.transport is not None and not request.transport.is_closing()
+
+
+def identity(request: web.Request) -> tuple[str, str]:
+    """Return the request id and the attempt id that the headers name."""
+    request_id = request.headers.get(REQUEST_HEADER, UNNAMED_REQUEST)
+    return request_id, request.headers.get(ATTEMPT_HEADER, f"{request_id}/0")
+
+
+def crossed_id(attempt_id: str) -> str:
+    """Return an attempt id that this request did not send."""
+    return f"{attempt_id}-crossed"
--- /dev/null
+++ b/standins/_faults.py
@@ -0,0 +1,63 @@
+"""Switch faults on, and draw for each request which of them it meets."""
+
+import random
+from typing import NamedTuple, TypedDict
+
+import xxhash
+
+
+class Faults(NamedTuple):
+    """Hold the faults of one stand-in.
+
+    ``slow`` multiplies the time of the work. The others are shares of requests, 0 to 1:
+    ``cut`` ends the connection in mid answer; ``crossed`` gives another request's answer;
+    ``late`` holds the answer back for ``late_s`` seconds; ``wrong_usage`` reports too much
+    usage; ``refuses`` answers 503 without running; ``dies`` ends the stand-in in mid answer.
+    """
+
+    slow: float = 1.0
+    cut: float = 0.0
+    crossed: float = 0.0
+    late: float = 0.0
+    late_s: float = 1.0
+    wrong_usage: float = 0.0
+    refuses: float = 0.0
+    dies: float = 0.0
+
+
+class FaultChange(TypedDict, total=False):
+    """Name the faults to change; the others stay as they are."""
+
+    slow: float
+    cut: float
+    crossed: float
+    late: float
+    late_s: float
+    wrong_usage: float
+    refuses: float
+    dies: float
+
+
+class Draw(NamedTuple):
+    """Say which faults one execution meets."""
+
+    cut: bool
+    crossed: bool
+    late: bool
+    wrong_usage: bool
+    refuses: bool
+    dies: bool
+
+
+def draw_faults(faults: Faults, seed: int, request_id: str, execution: int) -> Draw:
+    """Draw from the seed, the request and its count here, so that order does not matter."""
+    digest = xxhash.xxh64_intdigest(f"{request_id}#{execution}".encode(), seed=seed)
+    generator = random.Random(digest)
+    return Draw(
+        cut=generator.random() < faults.cut,
+        crossed=generator.random() < faults.crossed,
+        late=generator.random() < faults.late,
+        wrong_usage=generator.random() < faults.wrong_usage,
+        refuses=generator.random() < faults.refuses,
+        dies=generator.random() < faults.dies,
+    )
