--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -4,7 +4,13 @@
 do, announce themselves, keep counts that a proof compares with, and fail on request.
 """
 
-from standins._answers import answer_text, answer_words, count_prompt_tokens, service_answer
+from standins._answers import (
+    answer_text,
+    answer_words,
+    check_answer,
+    count_prompt_tokens,
+    service_answer,
+)
 from standins._engine import Engine, EngineOptions, make_engine
 from standins._faults import Faults
 from standins._prefixes import block_hashes
@@ -21,6 +27,7 @@
     "answer_text",
     "answer_words",
     "block_hashes",
+    "check_answer",
     "count_prompt_tokens",
     "make_engine",
     "make_service",
--- a/standins/_answers.py
+++ b/standins/_answers.py
@@ -4,6 +4,7 @@
 checked word for word, and an answer that was begun elsewhere can be continued.
 """
 
+import json
 import math
 from collections.abc import Sequence
 from typing import NotRequired, TypedDict
@@ -14,6 +15,7 @@
 TOKENS_PER_MESSAGE = 4
 SHORTEST_ANSWER_WORDS = 8
 LONGEST_ANSWER_WORDS = 48
+SERVICES_PATH = "/v1/services/"
 
 _WORDS = tuple("""
     the your our term deposit renewal rate bay lease notice matures ends from with before
@@ -99,3 +101,24 @@
     if len(messages) < 2 or messages[-1]["role"] != "assistant":
         return 0
     return len(message_text(messages[-1]).split())
+
+
+def check_answer(method: str, path: str, body: bytes, text: str) -> bool:
+    """Say whether ``text`` is the whole answer to a call as a caller sent it.
+
+    A call to a service has a path such as ``/v1/services/NAME/deposits/17``; the answer
+    of a service is its JSON document.
+    """
+    if path.startswith(SERVICES_PATH):
+        _, _, inner = path.removeprefix(SERVICES_PATH).partition("/")
+        return _answer_of(text) == service_answer(method, f"/{inner}", body)
+    document = json.loads(body)
+    return text == answer_text(document["messages"], document["max_tokens"])
+
+
+def _answer_of(text: str) -> str:
+    try:
+        document = json.loads(text)
+    except ValueError:
+        return ""
+    return str(document.get("answer", ""))
