--- a/cranberrywall/control/_program.py
+++ b/cranberrywall/control/_program.py
@@ -6,7 +6,6 @@
 from collections.abc import Mapping
 from typing import Any
 
-from loguru import logger
 from result import Err, Ok, Result
 
 from cranberrywall.control.messages import (
@@ -19,6 +18,7 @@
 )
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import LinkCaller, LinkServer, Peer, Server
+from cranberrywall.observability import log_event
 from cranberrywall.replication import GroupSettings, Replica, StateMachine, make_group
 from cranberrywall.runtime import Runtime
 
@@ -72,30 +72,43 @@
         self.server = server
         self.caller = caller
         self._failures: dict[str, Refusal] = {}
+        self._is_started = False
 
     async def start(self) -> None:
         """Open the groups' files, then listen; raise ``OSError`` where that fails.
 
-        A group that cannot open its files takes no part, and the others do: ``failures``
-        names it.
+        A group that cannot open its files takes no part, and the others do:
+        ``check_started`` names it.
         """
         for name, group in self.group_by_name.items():
             started = await group.start()
             if isinstance(started, Err):
                 self._failures[name] = started.err_value
-                logger.error("event=group_not_started group={} {}", name, started.err_value)
+                log_event("ERROR", "group_not_started", group=name, refusal=started.err_value)
         await self.server.start()
+        self._is_started = True
 
     async def stop(self) -> None:
         """Leave the groups and close the streams."""
+        self._is_started = False
         for group in self.group_by_name.values():
             await group.stop()
         await self.server.close()
         await self.caller.close()
 
-    def failures(self) -> dict[str, Refusal]:
-        """Return why groups could not start, by group."""
-        return dict(self._failures)
+    def led(self) -> list[str]:
+        """Return the groups that this host leads."""
+        return [name for name, group in self.group_by_name.items() if group.is_leader]
+
+    def check_started(self) -> str | None:
+        """Return why a group could not open its files, or ``None``."""
+        if not self._failures:
+            return None
+        return "; ".join(f"{name}: {refusal}" for name, refusal in self._failures.items())
+
+    def check_ready(self) -> str | None:
+        """Return why this host does not answer calls yet, or ``None``."""
+        return None if self._is_started else "the groups are being opened"
 
     def state(self) -> dict[str, Any]:
         """Return the groups and the streams, for the state dump."""
