--- a/cranberrywall/budgets/_ledger_accounts.py
+++ b/cranberrywall/budgets/_ledger_accounts.py
@@ -165,10 +165,10 @@
 
         ``None`` stands for a holder whose remainder has come back. Return what was moved.
         """
-        from_giver = min(amount, giver.outstanding) if giver else 0
         if giver:
-            self._move(giver, -from_giver)
-        moved = min(amount, from_giver + self.free)
+            self._move(giver, -min(amount, giver.outstanding))
+        # What the giver had is free by now.
+        moved = min(amount, self.free)
         if taker:
             self._move(taker, moved)
         return moved
--- a/cranberrywall/budgets/_ledger_holding.py
+++ b/cranberrywall/budgets/_ledger_holding.py
@@ -136,7 +136,8 @@
 
     def _moved_before(self) -> int | None:
         command, giver, taker = self._command, self._giver, self._taker
-        if taker is not None and command.taker_number in (taker.taken_numbers or ()):
+        taken = taker.taken_numbers if taker is not None else None
+        if taker is not None and command.taker_number in (taken or ()):
             short = taker.short_by_number or {}
             return short.get(command.taker_number, command.amount)
         if taker is not None and self._key in (taker.reported_by_giver or ()):
--- a/cranberrywall/budgets/_ledger_numbers.py
+++ b/cranberrywall/budgets/_ledger_numbers.py
@@ -23,8 +23,8 @@
         self._above: set[int] | None = set(above) or None
 
     def __contains__(self, number: int) -> bool:
-        """Say whether ``number`` has arrived."""
-        return number <= self.through or (self._above is not None and number in self._above)
+        """Say whether ``number`` has arrived; numbers below 1 never do."""
+        return 0 < number <= self.through or (self._above is not None and number in self._above)
 
     def add(self, number: int) -> bool:
         """Note that ``number`` arrived; return false where it had arrived before.
--- /dev/null
+++ b/tests/budgets/test_ledger_failures.py
@@ -0,0 +1,344 @@
+"""Messages that are late, doubled, crossed or from the dead must not bill wrongly."""
+
+import pytest
+
+from cranberrywall.budgets import IdLimits
+from cranberrywall.budgets.messages import (
+    Accepted,
+    ChargeOutcome,
+    ConfirmDead,
+    ConfirmDeadResult,
+    Credit,
+    ExceptionKind,
+    ExceptionRow,
+    ExceptionsQuery,
+    RegisterHolder,
+    RegisterResult,
+    ResolveDoubt,
+    Return,
+    Transfer,
+    TransferResult,
+)
+from cranberrywall.errors import ErrorKind
+from tests.budgets.ledgers import A1, A2, B1, C1, NOW, Ledger
+
+
+def funded(amount: int = 100, limits: IdLimits | None = None) -> Ledger:
+    ledger = Ledger(limits)
+    ledger.credit(amount)
+    return ledger
+
+
+def named(ledger: Ledger, now: float = NOW) -> list[ExceptionRow]:
+    rows: tuple[ExceptionRow, ...] = ledger.ask(ExceptionsQuery("", False, now, 0, 100)).rows
+    assert all(row.reason and row.remedy for row in rows)
+    return list(rows)
+
+
+def test_a_charge_resent_through_another_host_is_billed_once():
+    """Host A settles a request and loses the ledger's answer; its two mirrors keep a copy.
+
+    A dies, and both mirrors deliver the charge of A's incarnation. The caller sees one
+    answer, and must find one bill.
+    """
+    ledger = funded()
+    ledger.draw(A1, 1, 50)
+    for _ in range(3):
+        assert ledger.charge(A1, "r1", 1, 20) is ChargeOutcome.BILLED
+        ledger.restart()
+    assert ledger.sums().charged == 20
+    assert named(ledger) == []
+
+
+def test_two_hosts_that_charge_one_id_bill_it_once():
+    """A caller's request runs at host A, and its retry at host B, which could not know.
+
+    Both settle. The second charge to arrive is recorded by name and not billed, and its
+    amount stays with the host that sent it, also when that charge is sent again.
+    """
+    ledger = funded()
+    ledger.draw(A1, 1, 50)
+    ledger.draw(B1, 1, 50)
+    assert ledger.charge(A1, "r1", 1, 20) is ChargeOutcome.BILLED
+    for _ in range(3):
+        assert ledger.charge(B1, "r1", 1, 30) is ChargeOutcome.DUPLICATE
+        ledger.restart()
+    assert (ledger.sums().charged, ledger.sums().outstanding) == (20, 80)
+    (row,) = named(ledger)
+    assert (row.kind, row.holder, row.amount) == (ExceptionKind.DUPLICATE, B1, 30)
+
+
+def test_late_charges_of_an_old_incarnation_are_billed_from_what_it_held():
+    """Host A dies with charges in its journal, and starts again.
+
+    Its new incarnation draws at once, before the old charges are delivered. The old
+    remainder must wait for them: freed too early, others would spend what A had spent.
+    """
+    ledger = funded()
+    ledger.draw(A1, 1, 60)
+    assert ledger.apply(RegisterHolder(A2, False, NOW)) == RegisterResult(0, 60)
+    assert ledger.draw(A2, 1, 100).granted == 40
+    (row,) = named(ledger)
+    assert (row.kind, row.amount) == (ExceptionKind.DEAD_HOLDER, 60)
+    assert ledger.charge(A1, "r1", 1, 25) is ChargeOutcome.BILLED
+    for _ in range(2):
+        assert ledger.apply(RegisterHolder(A2, True, NOW)) == RegisterResult(35, 0)
+        ledger.restart()
+    assert (ledger.sums().charged, ledger.sums().free) == (25, 35)
+    assert named(ledger) == []
+
+
+def test_an_old_incarnation_gets_nothing_new():
+    """A draw of host A is held up in the network while A dies and starts again.
+
+    It arrives late: granted, the amount would belong to a process that has ended.
+    """
+    ledger = funded()
+    ledger.draw(A1, 1, 10)
+    ledger.apply(RegisterHolder(A2, True, NOW))
+    assert ledger.draw(A1, 2, 10).kind == ErrorKind.CONFLICT
+    assert ledger.apply(RegisterHolder(A1, True, NOW)).kind == ErrorKind.CONFLICT
+    assert ledger.apply(Return("desk", A1, 1, 10, NOW)) == Accepted()
+    assert ledger.sums().free == 100
+
+
+def test_a_charge_that_comes_after_its_money_was_freed_is_billed_only_while_money_is_free():
+    """Two persons confirm that host A is dead, and it was only cut off.
+
+    Its remainder is freed and partly drawn by B. A's charges arrive after all. What is
+    free still covers the first; the second would overspend, so it is set aside by name
+    and can be billed after a top-up, once.
+    """
+    ledger = funded()
+    ledger.draw(A1, 1, 60)
+    for _ in range(2):
+        confirm = ConfirmDead(A1, "ann", "bob", NOW)
+        assert ledger.apply(confirm) == ConfirmDeadResult(60)
+        ledger.restart()
+    assert ledger.draw(B1, 1, 70).granted == 70
+    assert ledger.charge(A1, "r1", 1, 20) is ChargeOutcome.BILLED
+    for _ in range(2):
+        assert ledger.charge(A1, "r2", 2, 30) is ChargeOutcome.IN_DOUBT
+        ledger.restart()
+    assert (ledger.sums().charged, ledger.sums().in_doubt, ledger.sums().free) == (20, 10, 0)
+    row = named(ledger)[-1]
+    assert (row.kind, row.amount, row.held) == (ExceptionKind.UNFUNDED, 30, 10)
+    resolve = ResolveDoubt(row.number, True, "ann", "bob", NOW)
+    assert ledger.apply(resolve).kind == ErrorKind.BUDGET_EXHAUSTED
+    ledger.credit(50, "c2")
+    for _ in range(2):
+        assert ledger.apply(resolve) == Accepted()
+    assert (ledger.sums().charged, ledger.sums().in_doubt, ledger.sums().free) == (50, 0, 30)
+    assert ledger.apply(resolve._replace(bill=False)).kind == ErrorKind.CONFLICT
+
+
+@pytest.mark.parametrize(("operator", "approver"), [("ann", "ann"), ("ann", ""), ("", "bob")])
+def test_one_person_alone_cannot_confirm_a_death(operator: str, approver: str):
+    ledger = funded()
+    ledger.draw(A1, 1, 60)
+    refused = ledger.apply(ConfirmDead(A1, operator, approver, NOW))
+    assert (refused.kind, refused.field) == (ErrorKind.FORBIDDEN, "approver")
+    assert ledger.sums().outstanding == 60
+
+
+def test_a_confirmed_death_does_not_touch_the_next_incarnation():
+    ledger = funded()
+    ledger.draw(A1, 1, 10)
+    ledger.apply(ConfirmDead(A1, "ann", "bob", NOW))
+    assert ledger.draw(A1, 2, 10).kind == ErrorKind.CONFLICT
+    assert ledger.draw(A2, 1, 10).granted == 10
+    assert ledger.apply(ConfirmDead(A1, "ann", "bob", NOW)) == ConfirmDeadResult(10)
+    assert ledger.sums().outstanding == 10
+
+
+def test_a_top_up_that_is_resent_is_credited_once():
+    """An operator tops up during a partition and loses the answer, then resends for hours.
+
+    The ledger's host restarts between the two. Credited twice, the budget would be spent
+    beyond what was paid.
+    """
+    ledger = Ledger()
+    for _ in range(5):
+        assert ledger.credit(100) == Accepted()
+        ledger.restart()
+    assert ledger.sums().credited == 100
+
+
+def test_a_budget_of_exactly_one_request_is_spent_by_one_holder():
+    """Two hosts ask for the last 7 tokens at the same time, each for one request of 7.
+
+    One gets them and the other is told that nothing is free: never a part of 7 each,
+    which would serve nobody.
+    """
+    ledger = funded(7)
+    assert ledger.draw(A1, 1, 7, minimum=7).granted == 7
+    refused = ledger.draw(B1, 1, 7, minimum=7)
+    assert (refused.granted, refused.free, refused.outstanding) == (0, 0, 7)
+    assert ledger.charge(A1, "r1", 1, 7) is ChargeOutcome.BILLED
+    assert ledger.draw(A1, 2, 1).granted == 0
+    assert ledger.sums().charged == 7
+
+
+def transfer(taker_number: int, amount: int = 20, giver_number: int = 1) -> Transfer:
+    return Transfer("desk", B1, giver_number, A1, taker_number, amount, NOW)
+
+
+@pytest.mark.parametrize("reports", [(0, 1), (1, 0), (0,), (1,), (0, 0, 1, 1)])
+def test_a_transfer_moves_once_whoever_reports_it(reports: tuple[int, ...]):
+    """B gives 20 to A. Either may die before its report, and both may report twice.
+
+    Moved twice, A's later charges would be taken from B's own money.
+    """
+    ledger = funded()
+    ledger.draw(B1, 1, 50)
+    for taker_number in reports:
+        assert ledger.apply(transfer(taker_number)) == TransferResult(20)
+        ledger.restart()
+    held = {one.holder: one.outstanding for one in ledger.sums().held}
+    assert held == {A1: 20, B1: 30}
+
+
+def test_transfers_with_numbers_of_both_sides_are_told_apart():
+    """B gives A twice; A reports the first, and B the second, before A has heard of it.
+
+    B's report names no number of A. Taken for A's first, the second gift would be lost.
+    """
+    ledger = funded()
+    ledger.draw(B1, 1, 50)
+    ledger.apply(transfer(1, amount=20, giver_number=1))
+    assert ledger.apply(transfer(0, amount=7, giver_number=2)) == TransferResult(7)
+    assert {one.holder: one.outstanding for one in ledger.sums().held} == {A1: 27, B1: 23}
+
+
+def test_a_transfer_of_more_than_the_giver_has_takes_no_more_than_is_free():
+    ledger = funded(50)
+    ledger.draw(B1, 1, 10)
+    ledger.draw(C1, 1, 30)
+    assert ledger.apply(transfer(1, amount=25)) == TransferResult(20)
+    assert ledger.sums().free == 0
+
+
+def test_a_transfer_of_a_giver_that_died_is_taken_from_what_it_left():
+    """B gives 20 to A and dies before any report; its successor has not delivered yet.
+
+    A reports: the money is B's, still held for it, so A's charge of it is covered.
+    """
+    ledger = funded(50)
+    ledger.draw(B1, 1, 50)
+    ledger.apply(RegisterHolder(B1._replace(incarnation=2), False, NOW))
+    assert ledger.apply(transfer(1)) == TransferResult(20)
+    ledger.apply(RegisterHolder(B1._replace(incarnation=2), True, NOW))
+    assert ledger.charge(A1, "r1", 1, 20) is ChargeOutcome.BILLED
+    assert (ledger.sums().charged, ledger.sums().free) == (20, 30)
+
+
+def test_a_transfer_that_comes_after_its_money_was_spent_tells_the_taker_the_shortfall():
+    """B gives 20 to A across a cut, and operators confirm B dead before A can report.
+
+    B's whole remainder was freed and C drew most of it. A's late report gets what is
+    free, and A must drop the rest: the ledger never grants what it does not have.
+    """
+    ledger = funded(50)
+    ledger.draw(B1, 1, 50)
+    ledger.apply(ConfirmDead(B1, "ann", "bob", NOW))
+    ledger.draw(C1, 1, 45)
+    for _ in range(3):
+        assert ledger.apply(transfer(1)) == TransferResult(5)
+        ledger.restart()
+    assert ledger.sums().outstanding == 50
+
+
+def test_a_transfer_reported_by_the_giver_is_not_moved_again_after_the_giver_was_released():
+    """B reports its gift and dies, its remainder comes back, then A reports as well.
+
+    B's numbers went with its allotment; A's side still knows the transfer.
+    """
+    ledger = funded(50)
+    ledger.draw(B1, 1, 50)
+    ledger.apply(transfer(0))
+    ledger.apply(ConfirmDead(B1, "ann", "bob", NOW))
+    ledger.restart()
+    assert ledger.apply(transfer(1)) == TransferResult(20)
+    assert (ledger.sums().outstanding, ledger.sums().free) == (20, 30)
+
+
+def test_what_a_dead_taker_was_given_comes_back_with_its_remainder():
+    """B gives 20 to A, which dies before it reports; B reports, and A's successor starts."""
+    ledger = funded(50)
+    ledger.draw(B1, 1, 50)
+    ledger.apply(transfer(0))
+    assert ledger.apply(RegisterHolder(A2, True, NOW)) == RegisterResult(20, 0)
+    assert ledger.apply(transfer(0)) == TransferResult(20)
+    assert (ledger.sums().outstanding, ledger.sums().free) == (30, 20)
+
+
+SMALL = IdLimits(per_segment=4, segments=2)
+
+
+def bill(ledger: Ledger, numbers: range) -> None:
+    for number in numbers:
+        at = NOW + number
+        outcome = ledger.charge(A1, f"r{number}", number, 1, reserved_at=at)
+        assert outcome is ChargeOutcome.BILLED
+
+
+def test_an_id_is_found_in_the_newest_ids_and_in_every_kept_segment():
+    ledger = funded(100, SMALL)
+    ledger.draw(A1, 1, 50)
+    ledger.draw(B1, 1, 50)
+    bill(ledger, range(1, 11))
+    ledger.restart()
+    for number in range(1, 11):
+        at = NOW + number
+        assert ledger.charge(A1, f"r{number}", number, 1, at) is ChargeOutcome.BILLED
+        outcome = ledger.charge(B1, f"r{number}", number, 1, at)
+        assert outcome is ChargeOutcome.DUPLICATE
+    assert ledger.sums().charged == 10
+
+
+def test_a_charge_older_than_the_kept_ids_is_never_billed_twice():
+    """The ledger keeps a bounded number of ids, and a host is cut off for longer than that.
+
+    It comes back with a charge whose id may have been billed through another host. Its
+    own resent charge is known by its number; any other is set aside for two persons.
+    """
+    ledger = funded(100, SMALL)
+    ledger.draw(A1, 1, 50)
+    ledger.draw(B1, 1, 50)
+    bill(ledger, range(1, 14))
+    assert ledger.charge(A1, "r1", 1, 1, NOW + 1) is ChargeOutcome.BILLED
+    assert ledger.sums().charged == 13
+    assert ledger.charge(B1, "r1", 1, 5, NOW + 1) is ChargeOutcome.IN_DOUBT
+    assert (ledger.sums().charged, ledger.sums().in_doubt) == (13, 5)
+    (row,) = named(ledger)
+    assert (row.kind, row.state) == (ExceptionKind.FORGOTTEN_ID, "open")
+    for _ in range(2):
+        release = ResolveDoubt(row.number, False, "ann", "bob", NOW)
+        assert ledger.apply(release) == Accepted()
+        ledger.restart()
+    assert (ledger.sums().charged, ledger.sums().in_doubt, ledger.sums().free) == (13, 0, 5)
+
+
+def test_a_number_that_was_used_for_another_request_is_set_aside():
+    ledger = funded()
+    ledger.draw(A1, 1, 50)
+    assert ledger.charge(A1, "r1", 1, 10) is ChargeOutcome.BILLED
+    assert ledger.charge(A1, "r2", 1, 10) is ChargeOutcome.IN_DOUBT
+    assert named(ledger)[0].kind is ExceptionKind.NUMBER_REUSED
+
+
+def test_a_charge_of_an_unknown_budget_or_an_impossible_amount_is_refused():
+    ledger = funded()
+    ledger.draw(A1, 1, 50)
+    assert ledger.charge(A1, "r1", 1, -1) is ChargeOutcome.REFUSED
+    assert ledger.charge(A1, "r1", 1, 1, reserved_at=1e300) is ChargeOutcome.REFUSED
+    ledger.apply(Credit("other", "clerks", "tokens", 1, "c9", "ann", NOW))
+    assert ledger.sums().charged == 0
+
+
+def test_a_holder_that_is_silent_for_long_is_named_with_what_it_holds():
+    ledger = funded()
+    ledger.draw(A1, 1, 50)
+    assert named(ledger, NOW + 60.0) == []
+    (row,) = named(ledger, NOW + 7_200.0)
+    assert (row.kind, row.holder, row.amount) == (ExceptionKind.SILENT_HOLDER, A1, 50)
