--- /dev/null
+++ b/tests/ci/test_known_red.py
@@ -0,0 +1,103 @@
+"""Check that CI passes over the listed failures, and over nothing else."""
+
+import importlib.util
+import os
+import subprocess
+import sys
+from pathlib import Path
+from types import ModuleType
+
+import pytest
+
+SCRIPT = Path(__file__).parents[2] / ".ci" / "known_red.py"
+
+RED = "test_it.py::test_red"
+TESTS = """
+import pytest
+
+@pytest.fixture
+def broken():
+    raise RuntimeError
+
+def test_green(): pass
+def test_red(): assert False
+def test_error(broken): pass
+@pytest.mark.skip
+def test_skipped(): pass
+"""
+
+
+def _load() -> ModuleType:
+    spec = importlib.util.spec_from_file_location("known_red", SCRIPT)
+    assert spec is not None and spec.loader is not None
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module
+
+
+known_red = _load()
+
+
+def run_ci(folder: Path, listed: str, *selection: str, tests: str = TESTS) -> tuple[int, str]:
+    (folder / "test_it.py").write_text(tests)
+    (folder / "KNOWN-RED.txt").write_text(listed)
+    command = [sys.executable, str(SCRIPT), sys.executable, "-m", "pytest", "-q", *selection]
+    environment = {**os.environ, "PYTEST_DISABLE_PLUGIN_AUTOLOAD": "1"}
+    outcome = subprocess.run(command, cwd=folder, env=environment, capture_output=True, text=True)
+    return outcome.returncode, outcome.stdout
+
+
+def test_a_listed_failure_passes_and_is_printed(tmp_path: Path):
+    listed = f"{RED} | the clock jumps | issue 7\n"
+    code, output = run_ci(tmp_path, listed, "-k", "green or red")
+    assert f"known red: {RED}: the clock jumps (issue 7)" in output
+    assert "CI fails" not in output
+    assert code == 0
+
+
+def test_an_unlisted_failure_and_an_error_in_a_fixture_fail(tmp_path: Path):
+    code, output = run_ci(tmp_path, "")
+    assert code == 1
+    assert f"CI fails: {RED} failed" in output
+    assert "CI fails: test_it.py::test_error failed" in output
+
+
+def test_a_file_that_does_not_import_fails_though_its_tests_are_listed(tmp_path: Path):
+    code, output = run_ci(tmp_path, f"{RED} | gone | issue 7\n", tests="import nothing_such")
+    assert code == 1
+    assert "did not run to their end" in output
+
+
+@pytest.mark.parametrize(
+    ("test", "outcome"),
+    [("test_green", "passed"), ("test_skipped", "skipped"), ("test_gone", "not run")],
+)
+def test_a_listed_test_that_does_not_fail_fails(tmp_path: Path, test: str, outcome: str):
+    listed = f"test_it.py::{test} | cause | issue 7\n"
+    code, output = run_ci(tmp_path, listed, "-k", "green or skipped")
+    assert code == 1
+    assert f"CI fails: test_it.py::{test} is listed in KNOWN-RED.txt but was {outcome}" in output
+
+
+def test_a_fourth_line_fails():
+    lines = [f"test_it.py::test_{number} | cause | issue 7" for number in range(4)]
+    assert known_red.read_list("\n".join(lines[:3]))[1] == []
+    assert "more than 3 lines" in known_red.read_list("\n".join(lines))[1][0]
+
+
+@pytest.mark.parametrize(
+    "line", [RED, f"{RED} | cause", f"{RED} |  | issue 7", "a | b | c | d", ""]
+)
+def test_a_line_without_cause_or_issue_fails(line: str):
+    assert known_red.read_list(line + "\n")[1]
+
+
+def test_a_test_listed_twice_fails():
+    line = f"{RED} | cause | issue 7\n"
+    assert "twice" in known_red.read_list(line * 2)[1][0]
+
+
+def test_a_command_that_fails_without_a_failed_test_fails():
+    notes = known_red.Notes({RED: "passed"}, 0)
+    assert known_red.judge([], notes, 2) == ["the command failed with 2, though no test did"]
+    assert known_red.judge([], known_red.Notes({}, None), 127)
