--- a/cranberrywall/links/__init__.py
+++ b/cranberrywall/links/__init__.py
@@ -12,7 +12,7 @@
     Peer,
     Server,
 )
-from cranberrywall.links._limits import Limits
+from cranberrywall.links._limits import Limits, limits_of
 from cranberrywall.links._server import make_link_server
 
 __all__ = [
@@ -28,6 +28,7 @@
     "Method",
     "Peer",
     "Server",
+    "limits_of",
     "make_caller",
     "make_link_server",
 ]
--- a/cranberrywall/links/_caller.py
+++ b/cranberrywall/links/_caller.py
@@ -59,7 +59,6 @@
     async def close(self) -> None:
         for outlet in list(self._outlet_by_address.values()):
             await outlet.close()
-        self._outlet_by_address.clear()
         self._timers.close()
 
     def state(self) -> dict[str, Any]:
--- a/cranberrywall/links/_counters.py
+++ b/cranberrywall/links/_counters.py
@@ -3,6 +3,8 @@
 from collections import Counter
 from enum import StrEnum
 
+from cranberrywall.observability import Metrics
+
 
 class DropReason(StrEnum):
     """Close the list of reasons for which a frame or a connection is dropped."""
@@ -40,6 +42,27 @@
         """Count one dropped frame or connection."""
         self.dropped_by_reason[reason] += 1
 
+    def export(self, metrics: Metrics) -> None:
+        """Let ``metrics`` show the counts."""
+        metrics.counters_of(
+            "links_dropped",
+            "Frames and connections dropped on the streams between processes.",
+            "reason",
+            lambda: {str(reason): self.dropped_by_reason[reason] for reason in DropReason},
+        )
+        metrics.counters_of(
+            "links_frames",
+            "Frames on the streams between processes.",
+            "direction",
+            lambda: {"in": self.frames_in, "out": self.frames_out},
+        )
+        metrics.counters_of(
+            "links_bytes",
+            "Bytes on the streams between processes.",
+            "direction",
+            lambda: {"in": self.bytes_in, "out": self.bytes_out},
+        )
+
     def state(self) -> dict[str, object]:
         """Return the counts for the state dump."""
         return {
--- a/cranberrywall/links/_frames.py
+++ b/cranberrywall/links/_frames.py
@@ -7,7 +7,7 @@
 import asyncio
 import struct
 from enum import IntEnum
-from typing import Any, NamedTuple
+from typing import Annotated, Any, NamedTuple
 
 import msgspec
 
@@ -19,6 +19,7 @@
 _HEADER = struct.Struct(">IBB")
 _LENGTH = struct.Struct(">I")
 _KIND_AND_VERSION_BYTES = 2
+_LONGEST_TIMEOUT_S = 86_400.0
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder_by_type: dict[type, msgspec.msgpack.Decoder[Any]] = {}
@@ -39,12 +40,16 @@
     PONG = 15
 
 
+# The bounds keep out what is no number, which would upset the order of the timers.
+Timeout = Annotated[float, msgspec.Meta(ge=0, le=_LONGEST_TIMEOUT_S)]
+
+
 class CallFrame(NamedTuple):
     """Ask for one call; ``timeout`` is in seconds from the arrival."""
 
     number: int
     method: str
-    timeout: float
+    timeout: Timeout
     request: msgspec.Raw
 
 
@@ -117,17 +122,20 @@
     return data[1], memoryview(data)[_KIND_AND_VERSION_BYTES:]
 
 
-def decoder_for(message_type: type) -> msgspec.msgpack.Decoder[Any]:
-    """Return the decoder of a message type."""
+def decode(message_type: type, data: Any) -> Any:
+    """Return the typed message, or raise ``ValueError`` for bytes that are not one."""
     decoder = _decoder_by_type.get(message_type)
     if decoder is None:
         decoder = _decoder_by_type[message_type] = msgspec.msgpack.Decoder(message_type)
-    return decoder
+    try:
+        return decoder.decode(data)
+    except RecursionError as error:
+        raise ValueError("nested too deep") from error
 
 
 def decode_body(message_type: type, body: Any) -> Any:
     """Return the frame's typed body, or raise ``BadFrameError``."""
     try:
-        return decoder_for(message_type).decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return decode(message_type, body)
+    except ValueError as error:
         raise BadFrameError(DropReason.MALFORMED_FRAME) from error
--- a/cranberrywall/links/_interfaces.py
+++ b/cranberrywall/links/_interfaces.py
@@ -12,12 +12,24 @@
 
 
 class Method(Generic[RequestT, ReplyT]):
-    """Name one call between processes, with the types of its request and its reply."""
+    """Name one call between processes, with the types of its request and its reply.
 
-    def __init__(self, name: str, request_type: type[RequestT], reply_type: type[ReplyT]) -> None:
+    A handler runs to its end, because one that is stopped between two steps can leave a file
+    and the memory at odds. Where ``is_cancellable`` it is cancelled instead once nobody waits
+    for it: at the call's deadline, when the caller gives up, and when the connection ends.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        request_type: type[RequestT],
+        reply_type: type[ReplyT],
+        is_cancellable: bool = False,
+    ) -> None:
         self.name = name
         self.request_type = request_type
         self.reply_type = reply_type
+        self.is_cancellable = is_cancellable
 
 
 class Peer(NamedTuple):
@@ -43,9 +55,10 @@
     ) -> Result[ReplyT, Refusal]:
         """Send ``request`` to the process that listens at ``address``.
 
-        ``timeout`` is in seconds and travels with the call, so that the peer drops work
-        that nobody waits for. ``Err`` is ``UNREACHABLE`` when nothing was sent,
-        ``TIMEOUT`` when the peer may have acted, or the peer's own refusal.
+        ``timeout`` is in seconds and travels with the call, so that the peer sends no answer
+        that nobody waits for, and stops a cancellable method. ``Err`` is ``UNREACHABLE``
+        when nothing was sent, ``TIMEOUT`` when the peer may have acted, or the peer's own
+        refusal.
         """
         ...
 
@@ -74,7 +87,7 @@
         """Stop listening and close all connections; calls in progress are cancelled."""
         ...
 
-    def state(self) -> dict[str, object]:
+    def state(self) -> dict[str, Any]:
         """Return peers and counts for the state dump."""
         ...
 
@@ -86,6 +99,6 @@
         """Close all connections; calls in progress get their refusal."""
         ...
 
-    def state(self) -> dict[str, object]:
+    def state(self) -> dict[str, Any]:
         """Return peers and counts for the state dump."""
         ...
--- a/cranberrywall/links/_limits.py
+++ b/cranberrywall/links/_limits.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from cranberrywall.settings import Settings, seconds, size_in_bytes
+
 
 class Limits(NamedTuple):
     """Hold the bounds of each connection; sizes in bytes, times in seconds.
@@ -24,3 +26,16 @@
     silence: float = 2.0
     backoff_first: float = 0.05
     backoff_most: float = 1.0
+
+
+def limits_of(settings: Settings) -> Limits:
+    """Return the limits of a process's settings, as ``load_settings`` gave them."""
+    streams = settings["streams"]
+    return Limits(
+        frame_bytes=size_in_bytes(streams["frame"]),
+        queued_bytes=size_in_bytes(streams["queued"]),
+        calls=streams["calls"],
+        dial_timeout=seconds(streams["dial_timeout"]),
+        handshake_timeout=seconds(streams["handshake_timeout"]),
+        write_timeout=seconds(streams["write_timeout"]),
+    )
--- a/cranberrywall/links/_outlet.py
+++ b/cranberrywall/links/_outlet.py
@@ -1,7 +1,7 @@
 """Keep the connection to one peer, and the calls that wait on it."""
 
 import asyncio
-from collections import deque
+import itertools
 from functools import partial
 from typing import Any
 
@@ -15,8 +15,8 @@
     FrameKind,
     RefusalFrame,
     ReplyFrame,
+    decode,
     decode_body,
-    decoder_for,
     encode_frame,
     read_frame,
 )
@@ -25,6 +25,7 @@
 from cranberrywall.links._limits import Limits
 from cranberrywall.links._outgoing import Outbound, Outgoing
 from cranberrywall.links._race import run_until_first
+from cranberrywall.observability import EventLimiter
 from cranberrywall.runtime import Clock, Network, Random, Reader, Timers, Writer
 
 
@@ -60,15 +61,18 @@
         self._handshake = handshake
         self._counters = counters
         self._limits = limits
+        self._drops = EventLimiter(clock.now)
         self._task: asyncio.Task[None] | None = None
         self._peer: Peer | None = None
         self._outgoing: Outgoing | None = None
         self._pending_by_number: dict[int, _Pending] = {}
-        self._waiters: deque[asyncio.Future[Refusal | None]] = deque()
+        # A dict keeps the order of arrival and lets a waiter that gave up be taken out.
+        self._waiters: dict[asyncio.Future[Refusal | None], None] = {}
         self._number = 0
         self._failures = 0
         self._dial_not_before = float("-inf")
         self._last_error = ""
+        self._is_closed = False
         self._heard = 0
         self._asked = asyncio.Event()
 
@@ -112,6 +116,8 @@
 
     async def close(self) -> None:
         """Close the connection; calls in progress get their refusal."""
+        self._is_closed = True
+        self._last_error = "this process is closing"
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
@@ -128,21 +134,28 @@
         refusal = self._connect_on_demand()
         if refusal is not None:
             return refusal
-        loop = asyncio.get_running_loop()
         while True:
-            waiter: asyncio.Future[Refusal | None] = loop.create_future()
-            self._waiters.append(waiter)
-            timer = self._timers.call_at(deadline, partial(self._give_up_waiting, waiter))
-            try:
-                refusal = await waiter
-            finally:
-                timer.cancel()
-                if waiter.cancelled():
-                    self._admit_waiters()
+            refusal = await self._wait_once(deadline)
             if refusal is not None or self._has_room():
                 return refusal
 
+    async def _wait_once(self, deadline: float) -> Refusal | None:
+        waiter: asyncio.Future[Refusal | None] = asyncio.get_running_loop().create_future()
+        self._waiters[waiter] = None
+        timer = self._timers.call_at(deadline, partial(self._give_up_waiting, waiter))
+        try:
+            return await waiter
+        except asyncio.CancelledError:
+            # The room that this one was given goes to the next.
+            self._admit_waiters()
+            raise
+        finally:
+            timer.cancel()
+            self._waiters.pop(waiter, None)
+
     def _connect_on_demand(self) -> Refusal | None:
+        if self._is_closed:
+            return Refusal(ErrorKind.UNREACHABLE, self._last_error)
         if self._task is not None:
             return None
         wait = self._dial_not_before - self._clock.now()
@@ -158,12 +171,13 @@
         waiter.set_result(Refusal(ErrorKind.UNREACHABLE, f"{self._address} {reason}"))
 
     def _admit_waiters(self) -> None:
+        if not self._waiters or not self._has_room():
+            return
         room = self._limits.calls - len(self._pending_by_number)
-        while self._waiters and room > 0 and self._has_room():
-            waiter = self._waiters.popleft()
+        for waiter in list(itertools.islice(self._waiters, room)):
+            del self._waiters[waiter]
             if not waiter.done():
                 waiter.set_result(None)
-                room -= 1
 
     async def _exchange(
         self, number: int, outbound: Outbound, deadline: float
@@ -200,8 +214,8 @@
         self, method: Method[RequestT, ReplyT], reply: msgspec.Raw
     ) -> Result[ReplyT, Refusal]:
         try:
-            return Ok(decoder_for(method.reply_type).decode(reply))
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            return Ok(decode(method.reply_type, reply))
+        except ValueError as error:
             self._counters.drop(DropReason.MALFORMED_REPLY)
             return Err(Refusal(ErrorKind.INTERNAL, f"the reply to {method.name}: {error}"))
 
@@ -216,6 +230,7 @@
             self._last_error = f"{self._address} closed the connection"
         except BadFrameError as error:
             self._counters.drop(error.reason)
+            self._drops.log("WARNING", "connection_dropped", error.reason, peer=self._address)
             self._last_error = f"{self._address}: {error.reason}"
         except OSError as error:
             self._last_error = f"{self._address}: {str(error) or type(error).__name__}"
@@ -298,7 +313,7 @@
         for pending in list(self._pending_by_number.values()):
             if not pending.answer.done():
                 pending.answer.set_result(Err(self._lost(pending)))
-        waiters, self._waiters = self._waiters, deque()
+        waiters, self._waiters = self._waiters, {}
         for waiter in waiters:
             if not waiter.done():
                 waiter.set_result(Refusal(ErrorKind.UNREACHABLE, self._last_error))
--- a/cranberrywall/observability/_log.py
+++ b/cranberrywall/observability/_log.py
@@ -52,7 +52,7 @@
     """Write one event; ``fields`` are its key=value pairs, ``error`` an exception to name."""
     if error is not None:
         fields.update(_describe(error))
-    logger.bind(event=event, fields=fields).log(level, "")
+    logger.bind(event=event, fields=fields).log(level, event)
 
 
 @contextmanager
@@ -90,7 +90,7 @@
     }
     if "request" in extra:
         pairs["request"] = extra["request"]
-    if record["message"]:
+    if record["message"] != pairs["event"]:
         pairs["message"] = record["message"]
     pairs.update(extra.get("fields", {}))
     if record["exception"] is not None and record["exception"].value is not None:
--- a/cranberrywall/observability/_metrics.py
+++ b/cranberrywall/observability/_metrics.py
@@ -1,6 +1,6 @@
 """Count and measure, with a bounded number of labels."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Generic, TypeVar
 
 from prometheus_client import (
@@ -14,6 +14,8 @@
     generate_latest,
 )
 from prometheus_client.metrics import MetricWrapperBase
+from prometheus_client.metrics_core import CounterMetricFamily, Metric
+from prometheus_client.registry import Collector
 
 OTHER = "other"
 SECONDS_BUCKETS = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60)
@@ -54,6 +56,22 @@
         return series
 
 
+class _CountsCollector(Collector):
+    def __init__(
+        self, name: str, help_text: str, label: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        self._name = name
+        self._help_text = help_text
+        self._label = label
+        self._read = read
+
+    def collect(self) -> Iterable[Metric]:
+        family = CounterMetricFamily(self._name, self._help_text, labels=[self._label])
+        for value, count in self._read().items():
+            family.add_metric([value], count)
+        return [family]
+
+
 class Metrics:
     """Make one process's metrics; every name gets the prefix ``cranberrywall_``."""
 
@@ -95,6 +113,15 @@
         gauge = Gauge(_PREFIX + name, help_text, registry=self._registry)
         gauge.set_function(read)
 
+    def counters_of(
+        self, name: str, help_text: str, label: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        """Export the counts that ``read`` gives at each collection, by their value of ``label``.
+
+        It suits counts of a hot path, kept as plain ints; the values must be a closed list.
+        """
+        self._registry.register(_CountsCollector(_PREFIX + name, help_text, label, read))
+
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return generate_latest(self._registry)
--- /dev/null
+++ b/tests/runtime/test_real.py
@@ -0,0 +1,156 @@
+"""Check the real clock, network and files, on the event loop that the programs use."""
+
+import asyncio
+import os
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+import uvloop
+
+from cranberrywall.runtime import Network, Reader, Writer, make_network, make_random, make_runtime
+
+
+def on_uvloop(test: Callable[[Network], Awaitable[None]]) -> None:
+    async def main() -> None:
+        await test(make_network())
+
+    uvloop.run(main())
+
+
+async def _echo(reader: Reader, writer: Writer) -> None:
+    writer.write(await reader.readexactly(4))
+    await writer.drain()
+
+
+def test_bytes_go_there_and_back_and_the_end_is_seen():
+    async def test(network: Network):
+        listener = await network.listen("127.0.0.1:0", _echo)
+        reader, writer = await network.dial(listener.address, 1.0)
+        writer.write(b"ping")
+        assert await reader.readexactly(4) == b"ping"
+        with pytest.raises(asyncio.IncompleteReadError):
+            await reader.readexactly(1)
+        writer.close()
+        writer.close()
+        await listener.close()
+        with pytest.raises(OSError):
+            await network.dial(listener.address, 1.0)
+
+    on_uvloop(test)
+
+
+def test_a_closed_connection_ends_though_its_peer_does_not_read():
+    """A peer stops reading with megabytes on the way, and the connection is closed here.
+
+    A close that waits for the peer to take them would keep the connection for ever.
+    """
+
+    async def test(network: Network):
+        ended = asyncio.Event()
+
+        async def on_connect(reader: Reader, writer: Writer) -> None:
+            writer.write(bytes(32_000_000))
+            writer.close()
+            with suppress(ConnectionError):
+                await writer.drain()
+            ended.set()
+
+        listener = await network.listen("127.0.0.1:0", on_connect)
+        reader, writer = await network.dial(listener.address, 1.0)
+        await asyncio.wait_for(ended.wait(), 10)
+        writer.close()
+        await listener.close()
+
+    on_uvloop(test)
+
+
+def test_files_are_kept_listed_cut_and_removed(tmp_path: Path):
+    storage = make_runtime(str(tmp_path)).storage
+    assert storage is not None
+    assert storage.read("a/vote") is None
+    assert list(storage.names("a")) == []
+    storage.replace("a/vote", b"one")
+    storage.replace("a/vote", b"two")
+    file = storage.open_append("a/log")
+    file.append(b"12345")
+    file.sync()
+    file.close()
+    again = storage.open_append("a/log")
+    again.append(b"6")
+    assert storage.read("a/log") == b"123456"
+    storage.truncate("a/log", 3)
+    again.append(b"7")
+    again.close()
+    assert storage.read("a/log") == b"1237"
+    (tmp_path / "a" / "vote.beside").write_bytes(b"left over from a crash")
+    assert list(storage.names("a")) == ["log", "vote"]
+    storage.remove("a/vote")
+    storage.remove("a/vote")
+    assert list(storage.names("a")) == ["log"]
+
+
+def test_a_failed_replace_keeps_the_old_file(tmp_path: Path, monkeypatch: pytest.MonkeyPatch):
+    storage = make_runtime(str(tmp_path)).storage
+    assert storage is not None
+    storage.replace("vote", b"old")
+
+    def fail(descriptor: int) -> None:
+        raise OSError("the disk is gone")
+
+    monkeypatch.setattr(os, "fsync", fail)
+    with pytest.raises(OSError):
+        storage.replace("vote", b"new")
+    assert storage.read("vote") == b"old"
+
+
+def test_replace_syncs_the_file_before_the_rename_and_the_folder_after(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+):
+    """A crash right after a rename shows an empty file where the content was not synced."""
+    steps: list[str] = []
+    fsync, replace = os.fsync, os.replace
+
+    def note_sync(descriptor: int) -> None:
+        kind = "folder" if os.path.isdir(f"/proc/self/fd/{descriptor}") else "file"
+        steps.append(f"sync {kind}")
+        fsync(descriptor)
+
+    def note_rename(source: Path, target: Path) -> None:
+        steps.append("rename")
+        replace(source, target)
+
+    monkeypatch.setattr(os, "fsync", note_sync)
+    monkeypatch.setattr(os, "replace", note_rename)
+    storage = make_runtime(str(tmp_path)).storage
+    assert storage is not None
+    storage.replace("vote", b"x")
+    assert steps == ["sync file", "rename", "sync folder"]
+
+
+@pytest.mark.parametrize("name", ["../vote", "a/../../vote", "/etc/vote"])
+def test_no_name_leads_out_of_the_data_folder(tmp_path: Path, name: str):
+    storage = make_runtime(str(tmp_path)).storage
+    assert storage is not None
+    with pytest.raises(ValueError, match="outside"):
+        storage.read(name)
+
+
+def test_a_missing_data_folder_is_an_error(tmp_path: Path):
+    with pytest.raises(NotADirectoryError):
+        make_runtime(str(tmp_path / "nowhere"))
+
+
+async def test_blocking_work_keeps_its_order(tmp_path: Path):
+    storage = make_runtime(str(tmp_path)).storage
+    assert storage is not None
+    done: list[int] = []
+    works = [storage.run_blocking(lambda n=n: done.append(n)) for n in range(50)]  # type: ignore[misc]  # mypy cannot infer a lambda with a default
+    await asyncio.gather(*works)
+    assert done == list(range(50))
+
+
+def test_a_seed_gives_the_same_numbers_again():
+    assert make_random(7).getrandbits(64) == make_random(7).getrandbits(64)
+    assert make_random().getrandbits(64) != make_random().getrandbits(64)
