--- a/cranberrywall/replication/_peer.py
+++ b/cranberrywall/replication/_peer.py
@@ -52,6 +52,9 @@
         self._core = core
         self._leader = leader
         self._next_index = core.log.last_index + 1
+        self._in_progress = 0
+        self._attempt = 0
+        self._agreed = False
         self._work = asyncio.Event()
         self._closed = False
 
@@ -76,45 +79,75 @@
             self._work.clear()
             if self._closed or not self._leader.is_active:
                 return
-            self.sent_at = self._core.clock.now()
             if self._next_index <= self._core.log.base_index:
                 await self._install()
             else:
-                await self._append()
+                self._send_appends()
+
+    def _send_appends(self) -> None:
+        """Send what there is, or one heartbeat, without waiting for the answers.
+
+        Until the peer has once agreed on where its log ends, one append is in progress
+        at a time: those behind it would be refused with it.
+        """
+        most = self._core.settings.appends_in_progress if self._agreed else 1
+        is_first = True
+        while self._in_progress < most:
+            if not is_first and self._next_index > self._core.log.last_index:
+                return
+            is_first = False
+            self.sent_at = self._core.clock.now()
+            self._in_progress += 1
+            self._core.spawn(self._append(self._next_append(), self._attempt))
 
-    async def _append(self) -> None:
+    def _next_append(self) -> AppendRequest:
         core = self._core
-        sent_at, sent_round = self.sent_at, self._leader.round
         previous = self._next_index - 1
         previous_term = core.log.term_at(previous)
         assert previous_term is not None
         entries = core.log.batch(self._next_index, core.settings.batch_bytes)
-        request = AppendRequest(
+        self._next_index += len(entries)
+        return AppendRequest(
             core.header(self.member.disk), previous, previous_term, entries, core.commit_index
         )
+
+    async def _append(self, request: AppendRequest, attempt: int) -> None:
+        core = self._core
+        sent_at, sent_round = self.sent_at, self._leader.round
         timeout = core.settings.election_s
         reply = await core.caller.call(self.member.address, core.methods.append, request, timeout)
+        self._in_progress -= 1
         if not self._leader.is_active:
             return
         if isinstance(reply, Err):
             self.answers = False
+            self._start_over(attempt, self.match_index + 1)
             return
         if not await self._followed(reply.ok_value):
+            self._start_over(attempt, self.match_index + 1)
             return
         self._confirmed(sent_at, sent_round)
-        self._note(reply.ok_value)
+        self._note(reply.ok_value, attempt)
         if self._next_index <= core.log.last_index or self._leader.round > sent_round:
             self.wake()
 
-    def _note(self, reply: AppendReply) -> None:
+    def _note(self, reply: AppendReply, attempt: int) -> None:
         if reply.outcome is Outcome.DONE:
+            self._agreed = True
             self.match_index = max(self.match_index, reply.position)
-            self._next_index = self.match_index + 1
+            self._next_index = max(self._next_index, self.match_index + 1)
         else:
-            self._next_index = max(self.match_index + 1, min(reply.position, self._next_index - 1))
+            self._start_over(attempt, min(reply.position, self._next_index - 1))
             self.wake()
         self._leader.progressed()
 
+    def _start_over(self, attempt: int, next_index: int) -> None:
+        """Send again from ``next_index``; the appends that are in progress count no more."""
+        if attempt == self._attempt:
+            self._attempt += 1
+            self._agreed = False
+            self._next_index = max(self.match_index + 1, next_index)
+
     async def _install(self) -> None:
         """Send the snapshot in parts, each after the answer to the one before."""
         core = self._core
--- a/cranberrywall/replication/_settings.py
+++ b/cranberrywall/replication/_settings.py
@@ -15,7 +15,8 @@
 
     A follower that hears no leader for ``election_s`` to twice that campaigns, and a
     leader that hears no majority for ``election_s`` steps down. ``batch_bytes`` bounds
-    one append, ``chunk_bytes`` one part of a snapshot. A snapshot is due once the log
+    one append, ``chunk_bytes`` one part of a snapshot; ``appends_in_progress`` are sent to
+    a follower before it has answered the first of them. A snapshot is due once the log
     since the last one is larger than ``snapshot_bytes`` and than that snapshot. The
     newest ``retained_entries`` stay in the log behind a snapshot, so that a follower
     that is a little late needs no transfer. A learner that lacks at most
@@ -28,6 +29,7 @@
     batch_bytes: int = 512 * KIBIBYTE
     chunk_bytes: int = 256 * KIBIBYTE
     command_bytes: int = 8 * MEBIBYTE
+    appends_in_progress: int = 8
     queued_commands: int = 20_000
     segment_bytes: int = 1 * MEBIBYTE
     snapshot_bytes: int = 256 * KIBIBYTE
