--- a/cranberrywall/replication/__init__.py
+++ b/cranberrywall/replication/__init__.py
@@ -1,7 +1,17 @@
 """Keep state on several disk hosts by replicated logs."""
 
 from cranberrywall.replication._group import make_group
-from cranberrywall.replication._interfaces import Group, Replica, StateMachine
+from cranberrywall.replication._interfaces import Group, GroupState, Replica, StateMachine
 from cranberrywall.replication._settings import GroupSettings
+from cranberrywall.replication.checks import MemberView, Step
 
-__all__ = ["Group", "GroupSettings", "Replica", "StateMachine", "make_group"]
+__all__ = [
+    "Group",
+    "GroupSettings",
+    "GroupState",
+    "MemberView",
+    "Replica",
+    "StateMachine",
+    "Step",
+    "make_group",
+]
--- a/cranberrywall/replication/_formation.py
+++ b/cranberrywall/replication/_formation.py
@@ -47,7 +47,7 @@
         if self._core.failure is not None:
             return Err(self._core.failure)
         agrees = request.hosts == self._hosts
-        return Ok(IdentifyReply(self._core.vote.disk, self.is_free and agrees))
+        return Ok(IdentifyReply(self._core.vote.disk, self._core.lineage, self.is_free and agrees))
 
     def tick(self, now: float) -> None:
         """Try to form the group, where it is this host's turn."""
--- a/cranberrywall/replication/_group.py
+++ b/cranberrywall/replication/_group.py
@@ -1,7 +1,7 @@
 """Assemble one member of a group."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Any
 
 from result import Err, Ok, Result
@@ -9,16 +9,18 @@
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller, Handler, Peer, Server
 from cranberrywall.replication._applier import Applier
+from cranberrywall.replication._changes import MemberChanges
 from cranberrywall.replication._core import Core, Role
 from cranberrywall.replication._election import Elections
 from cranberrywall.replication._files import Opened
 from cranberrywall.replication._following import Following
 from cranberrywall.replication._formation import Formation
-from cranberrywall.replication._interfaces import Replica, StateMachine
+from cranberrywall.replication._interfaces import GroupState, Replica, StateMachine
 from cranberrywall.replication._leadership import Leadership
 from cranberrywall.replication._log import Log
-from cranberrywall.replication._rosters import EMPTY_ROSTER
+from cranberrywall.replication._rosters import EMPTY_ROSTER, describe
 from cranberrywall.replication._settings import GroupSettings
+from cranberrywall.replication.checks import MemberView, Step, list_steps
 from cranberrywall.replication.messages import EntryKind, make_methods
 from cranberrywall.runtime import Runtime
 
@@ -72,6 +74,7 @@
         self._elections = Elections(core, self._lead)
         self._following = Following(core, self._applier)
         self._formation = Formation(core, address_by_host)
+        self._changes = MemberChanges(core)
         self._leadership: Leadership | None = None
         core.on_step_down = self._stop_leading
 
@@ -120,6 +123,56 @@
             return Err(self._not_leading())
         return await leadership.read(query, self._core.clock.now() + timeout)
 
+    def members(self) -> Result[Sequence[MemberView], Refusal]:
+        if self._leadership is None:
+            return Err(self._not_leading())
+        return Ok(self._changes.view(self._leadership, self._core.clock.now()))
+
+    def steps(self) -> Result[Sequence[Step], Refusal]:
+        return self.members().map(list_steps)
+
+    async def add(self, host: str, address: str, timeout: float) -> Result[None, Refusal]:
+        if self._leadership is None:
+            return Err(self._not_leading())
+        deadline = self._core.clock.now() + timeout
+        return await self._changes.add(self._leadership, host, address, deadline)
+
+    async def remove(
+        self, host: str, timeout: float, forced: bool = False
+    ) -> Result[None, Refusal]:
+        if self._leadership is None:
+            return Err(self._not_leading())
+        deadline = self._core.clock.now() + timeout
+        return await self._changes.remove(self._leadership, host, deadline, forced)
+
+    async def replace(
+        self, old: str, new: str, address: str, timeout: float, forced: bool = False
+    ) -> Result[None, Refusal]:
+        if self._leadership is None:
+            return Err(self._not_leading())
+        deadline = self._core.clock.now() + timeout
+        return await self._changes.replace(self._leadership, old, new, address, deadline, forced)
+
+    def state(self) -> GroupState:
+        core = self._core
+        snapshot = core.files.snapshot
+        return GroupState(
+            group=core.group,
+            host=core.host,
+            role=str(core.role),
+            term=core.term,
+            leader=core.leader,
+            disk=core.vote.disk,
+            lineage=core.lineage,
+            last_index=core.log.last_index,
+            commit_index=core.commit_index,
+            applied_index=self._applier.applied_index,
+            snapshot_index=snapshot.last_index if snapshot else 0,
+            roster=[describe(member) for member in core.log.roster.members],
+            members=[view._asdict() for view in self.members().unwrap_or([])],
+            failure=str(core.failure or ""),
+        )
+
     def _load(self, opened: Opened) -> None:
         core = self._core
         core.vote = opened.vote
@@ -169,6 +222,8 @@
             now = core.clock.now()
             if self._leadership is not None:
                 self._leadership.tick(now)
+            if self._leadership is not None:
+                self._changes.tick(self._leadership, now)
             self._elections.tick(now)
             self._formation.tick(now)
 
--- a/cranberrywall/replication/_interfaces.py
+++ b/cranberrywall/replication/_interfaces.py
@@ -1,10 +1,35 @@
 """Define what a replicated group gives and what it keeps."""
 
-from typing import Protocol
+from collections.abc import Sequence
+from typing import Protocol, TypedDict
 
 from result import Result
 
 from cranberrywall.errors import Refusal
+from cranberrywall.replication.checks import MemberView, Step
+
+
+class GroupState(TypedDict):
+    """Show one member for the state dump.
+
+    Indexes count entries of the log from 1; ``failure`` is empty while the member works.
+    ``members`` is the leader's view of all members, and empty elsewhere.
+    """
+
+    group: str
+    host: str
+    role: str
+    term: int
+    leader: str
+    disk: str
+    lineage: str
+    last_index: int
+    commit_index: int
+    applied_index: int
+    snapshot_index: int
+    roster: list[str]
+    members: list[dict[str, object]]
+    failure: str
 
 
 class StateMachine(Protocol):
@@ -69,3 +94,31 @@
     async def stop(self) -> None:
         """Take part no more, and close the files."""
         ...
+
+    def members(self) -> Result[Sequence[MemberView], Refusal]:
+        """Return the members as the leader sees them; ``Err`` on any other host."""
+        ...
+
+    def steps(self) -> Result[Sequence[Step], Refusal]:
+        """Say which changes of the members are safe now; ``Err`` but on the leader."""
+        ...
+
+    async def add(self, host: str, address: str, timeout: float) -> Result[None, Refusal]:
+        """Add a host, which becomes a voter by itself once it has caught up."""
+        ...
+
+    async def remove(
+        self, host: str, timeout: float, forced: bool = False
+    ) -> Result[None, Refusal]:
+        """Remove a host; ``Err`` is ``UNSAFE_STEP`` for an unsafe step that is not forced."""
+        ...
+
+    async def replace(
+        self, old: str, new: str, address: str, timeout: float, forced: bool = False
+    ) -> Result[None, Refusal]:
+        """Add ``new``; once it is a voter, ``old`` is removed."""
+        ...
+
+    def state(self) -> GroupState:
+        """Return this member's state for the state dump."""
+        ...
--- a/cranberrywall/replication/_peer.py
+++ b/cranberrywall/replication/_peer.py
@@ -46,18 +46,22 @@
         self.acked_round = 0
         self.acked_at = now
         self.sent_at = float("-inf")
-        self.answers = False
         self.found_disk = ""
         self.installing = False
         self._core = core
         self._leader = leader
         self._next_index = core.log.last_index + 1
         self._in_progress = 0
+        self._has_followed = False
         self._attempt = 0
         self._agreed = False
         self._work = asyncio.Event()
         self._closed = False
 
+    def answers_at(self, now: float) -> bool:
+        """Say whether the peer followed within the last election timeout."""
+        return self._has_followed and now - self.acked_at <= self._core.settings.election_s
+
     def wake(self) -> None:
         """Send what there is, or a heartbeat."""
         self._work.set()
@@ -120,7 +124,6 @@
         if not self._leader.is_active:
             return
         if isinstance(reply, Err):
-            self.answers = False
             self._start_over(attempt, self.match_index + 1)
             return
         if not await self._followed(reply.ok_value):
@@ -170,7 +173,6 @@
                 self.member.address, core.methods.install, request, timeout
             )
             if isinstance(reply, Err):
-                self.answers = False
                 break
             if not await self._followed(reply.ok_value):
                 break
@@ -186,7 +188,6 @@
 
     async def _followed(self, reply: "Reply") -> bool:
         """Say whether the peer followed this leader; act on it where it did not."""
-        self.answers = True
         if reply.outcome is Outcome.OTHER_DISK:
             self.found_disk = reply.disk
             return False
@@ -197,6 +198,7 @@
         return True
 
     def _confirmed(self, sent_at: float, sent_round: int) -> None:
+        self._has_followed = True
         self.acked_at = max(self.acked_at, sent_at)
         self.acked_round = max(self.acked_round, sent_round)
 
--- a/cranberrywall/replication/_rosters.py
+++ b/cranberrywall/replication/_rosters.py
@@ -25,6 +25,15 @@
     return next((member for member in roster.members if member.host == host), None)
 
 
+def describe(member: Member) -> str:
+    """Return a member as one word for logs.
+
+    >>> describe(Member("a", "10.0.0.1:7000", "", voter=True))
+    'a@10.0.0.1:7000/voter'
+    """
+    return f"{member.host}@{member.address}/{'voter' if member.voter else 'learner'}"
+
+
 def voters(roster: Roster) -> list[Member]:
     """Return the members that count in a majority."""
     return [member for member in roster.members if member.voter]
--- a/cranberrywall/replication/messages.py
+++ b/cranberrywall/replication/messages.py
@@ -153,9 +153,10 @@
 
 
 class IdentifyReply(NamedTuple):
-    """Give a host's disk, and whether it is free to join a new group of those hosts."""
+    """Give a host's disk and lineage, and whether it is free to join a new group of those hosts."""
 
     disk: str
+    lineage: str
     free: bool
 
 
