Do not let a clock that went back hold elections and heartbeats up

A follower whose monotonic clock went back by an hour believed for that hour that it had just heard a leader, and refused its vote. Ages below 0 no longer count.

--- a/cranberrywall/replication/_core.py
+++ b/cranberrywall/replication/_core.py
@@ -108,14 +108,16 @@
 
     def hears_leader(self, now: float) -> bool:
         """Say whether a leader was heard so lately that no election is due."""
-        return self.role is Role.LEADER or now - self.heard_at < self.settings.election_s
+        # A clock that went back shows a negative age. It must not hold elections back until
+        # it has caught up, so only an age from 0 on counts.
+        return self.role is Role.LEADER or 0 <= now - self.heard_at < self.settings.election_s
 
     def note_leader(self, host: str, now: float) -> None:
         """Remember that ``host`` leads the present term, heard at ``now``."""
         if self.leader != host:
             self.event("leader_known", leader=host)
         self.leader = host
-        self.heard_at = max(self.heard_at, now)
+        self.heard_at = now
         self.put_off_campaign(now)
 
     def put_off_campaign(self, now: float) -> None:
--- a/cranberrywall/replication/_election.py
+++ b/cranberrywall/replication/_election.py
@@ -23,6 +23,9 @@
     def tick(self, now: float) -> None:
         """Start a campaign where one is due."""
         core = self._core
+        if core.campaign_at - now > 2 * core.settings.election_s:
+            # The clock went back: the time chosen would be too far ahead.
+            core.put_off_campaign(now)
         if core.failure or core.role is Role.LEADER or now < core.campaign_at:
             return
         if core.member is None or not core.member.voter:
--- a/cranberrywall/replication/_leadership.py
+++ b/cranberrywall/replication/_leadership.py
@@ -109,7 +109,7 @@
             peer.tick(now)
         self._expire(now)
         heard_at = self._majority_of(now, lambda peer: peer.acked_at)
-        if now - heard_at > self._core.settings.election_s:
+        if abs(now - heard_at) > self._core.settings.election_s:
             # A leader cut off from the majority cannot know of a newer one. It must not
             # answer reads from what may be an old state, and its clients must move on.
             self._core.step_down("no majority answers")
--- a/cranberrywall/replication/_peer.py
+++ b/cranberrywall/replication/_peer.py
@@ -60,7 +60,7 @@
 
     def answers_at(self, now: float) -> bool:
         """Say whether the peer followed within the last election timeout."""
-        return self._has_followed and now - self.acked_at <= self._core.settings.election_s
+        return self._has_followed and abs(now - self.acked_at) <= self._core.settings.election_s
 
     def wake(self) -> None:
         """Send what there is, or a heartbeat."""
@@ -73,7 +73,7 @@
 
     def tick(self, now: float) -> None:
         """Send a heartbeat where one is due."""
-        if now - self.sent_at >= self._core.settings.heartbeat_s:
+        if not 0 <= now - self.sent_at < self._core.settings.heartbeat_s:
             self.wake()
 
     async def run(self) -> None:
@@ -199,7 +199,7 @@
 
     def _confirmed(self, sent_at: float, sent_round: int) -> None:
         self._has_followed = True
-        self.acked_at = max(self.acked_at, sent_at)
+        self.acked_at = sent_at
         self.acked_round = max(self.acked_round, sent_round)
 
 
--- a/tests/replication/test_failures.py
+++ b/tests/replication/test_failures.py
@@ -228,8 +228,8 @@
 def test_a_monotonic_clock_that_jumps_costs_an_election_at_most(jump: float, place: int):
     """The monotonic clock of the leader, or of a follower, jumps an hour either way.
 
-    No time decides what is committed or read, so words can be written all along, and the
-    host with the odd clock has them too.
+    Then the leader loses power. A host whose clock went back must not believe for an hour
+    that it has just heard a leader: the two hosts left elect, and words can be written.
     """
 
     async def test(fleet: Fleet) -> None:
@@ -240,6 +240,9 @@
         await fleet.clock.sleep(5.0)
         await fleet.write("after")
         await fleet.until(lambda: odd.machine.words == ["before", "after"])
+        odd.clock.jump += jump
+        await (await fleet.leader()).kill()
+        await fleet.write("later")
 
     run_fleet(test)
 
