--- a/cranberrywall/budgets/__init__.py
+++ b/cranberrywall/budgets/__init__.py
@@ -1,14 +1,30 @@
 """Keep prepaid budgets: the ledger on control hosts, allotments on entry hosts."""
 
+from cranberrywall.budgets._allotments import make_allotments
 from cranberrywall.budgets._client import LedgerClient, make_ledger_client
-from cranberrywall.budgets._interfaces import Allotments, Reservation, ReserveRequest
+from cranberrywall.budgets._interfaces import (
+    Allotments,
+    HostAllotments,
+    PeerHost,
+    Peers,
+    Policies,
+    Reservation,
+    ReserveRequest,
+    SpendPolicy,
+)
 from cranberrywall.budgets.messages import LEDGER_CODEC
 
 __all__ = [
     "LEDGER_CODEC",
     "Allotments",
+    "HostAllotments",
     "LedgerClient",
+    "PeerHost",
+    "Peers",
+    "Policies",
     "Reservation",
     "ReserveRequest",
+    "SpendPolicy",
+    "make_allotments",
     "make_ledger_client",
 ]
--- /dev/null
+++ b/cranberrywall/budgets/_allotment.py
@@ -0,0 +1,177 @@
+"""Hold one budget's money on one host.
+
+Only the event loop's thread touches an allotment, and no method here waits: each step
+is whole before the next begins, so there is one writer and no lock.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+from cranberrywall.budgets._charges import ChargeQueue
+from cranberrywall.budgets._demand import Demand
+from cranberrywall.budgets._interfaces import SpendPolicy
+from cranberrywall.budgets._sizing import LedgerView
+from cranberrywall.budgets.messages import Draw, Return
+
+
+class Scarce(Protocol):
+    """Wait in line for an allotment that is short."""
+
+    def serve(self) -> None:
+        """Hold money for those in line whom the allotment covers now."""
+        ...
+
+
+class Numbers(NamedTuple):
+    """Hold the next number of each kind of step that a holder takes for a budget."""
+
+    charge: int = 1
+    draw: int = 1
+    give_back: int = 1
+    give: int = 1
+    take: int = 1
+    accept: int = 1
+
+
+class Allotment:
+    """Account for what this host holds of a budget.
+
+    ``spendable`` may be reserved, ``reserved`` is held by requests in progress and
+    ``charging`` is settled but not yet committed; the ledger books all three to us.
+    """
+
+    __slots__ = (
+        "budget",
+        "charging",
+        "demand",
+        "low",
+        "next_accept",
+        "next_charge",
+        "next_draw",
+        "next_give",
+        "next_return",
+        "next_take",
+        "on_low",
+        "pending_draw",
+        "pending_return",
+        "policy",
+        "queue",
+        "reserved",
+        "scarce",
+        "settled_since_review",
+        "spendable",
+        "total_demand",
+        "used_at",
+        "used_since_view",
+        "view",
+        "workspace",
+    )
+
+    def __init__(
+        self, budget: str, workspace: str, policy: SpendPolicy, queue: ChargeQueue, now: float
+    ) -> None:
+        self.budget = budget
+        self.workspace = workspace
+        self.policy = policy
+        self.queue = queue
+        self.spendable = 0
+        self.reserved = 0
+        self.charging = 0
+        self.low = 0
+        self.next_draw = 1
+        self.next_return = 1
+        self.next_charge = 1
+        self.next_give = 1
+        self.next_take = 1
+        self.next_accept = 1
+        self.pending_draw: Draw | None = None
+        self.pending_return: Return | None = None
+        self.view: LedgerView | None = None
+        self.demand = Demand(now)
+        self.total_demand = Demand(now)
+        self.settled_since_review = 0
+        self.scarce: Scarce | None = None
+        self.used_at = now
+        self.used_since_view = False
+        self.on_low: Callable[[], None] | None = None
+
+    def numbers(self) -> Numbers:
+        """Return the next numbers, to go on from later."""
+        return Numbers(
+            self.next_charge,
+            self.next_draw,
+            self.next_return,
+            self.next_give,
+            self.next_take,
+            self.next_accept,
+        )
+
+    def number_from(self, numbers: Numbers) -> None:
+        """Go on from the numbers of an earlier allotment of this holder and budget."""
+        self.next_charge = numbers.charge
+        self.next_draw = numbers.draw
+        self.next_return = numbers.give_back
+        self.next_give = numbers.give
+        self.next_take = numbers.take
+        self.next_accept = numbers.accept
+
+    @property
+    def booked(self) -> int:
+        """Return what the ledger books to this host, as far as this host knows."""
+        return self.spendable + self.reserved + self.charging
+
+    def try_hold(self, amount: int) -> bool:
+        """Move ``amount`` from spendable to reserved where it is covered."""
+        if amount > self.spendable:
+            return False
+        self.spendable -= amount
+        self.reserved += amount
+        if self.spendable < self.low and self.on_low is not None:
+            self.on_low()
+        return True
+
+    def free(self, amount: int) -> None:
+        """Move ``amount`` from reserved back to spendable."""
+        self.reserved -= amount
+        self.spendable += amount
+        if self.scarce is not None:
+            self.scarce.serve()
+
+    def settle(self, bound: int, actual: int) -> int:
+        """Move a reservation of ``bound`` to charging and return the charge's number."""
+        self.reserved -= bound
+        self.charging += actual
+        self.settled_since_review += actual
+        self.used_since_view = True
+        number = self.next_charge
+        self.next_charge += 1
+        if actual < bound:
+            self.spendable += bound - actual
+            if self.scarce is not None:
+                self.scarce.serve()
+        return number
+
+    def committed(self, amount: int) -> None:
+        """Forget a charge that the ledger has billed."""
+        self.charging -= amount
+
+    def granted(self, amount: int) -> None:
+        """Add what the ledger or a peer gave."""
+        self.spendable += amount
+
+    def take(self, amount: int) -> int:
+        """Remove up to ``amount`` of what is spendable and return what was removed."""
+        taken = min(amount, self.spendable)
+        self.spendable -= taken
+        return taken
+
+    def drop(self, amount: int) -> None:
+        """Remove money that the ledger does not book to us; what is spendable may go below 0."""
+        self.spendable -= amount
+
+    def heard(self, view: LedgerView) -> None:
+        """Note the ledger's sums, and what all hosts spent since the last ones."""
+        last = self.view
+        if last is not None and view.charged >= last.charged:
+            self.total_demand.add(view.charged - last.charged, view.at)
+        self.view = view
--- /dev/null
+++ b/cranberrywall/budgets/_charges.py
@@ -0,0 +1,311 @@
+"""Commit charges in batches, and keep them safe while the ledger is out of reach."""
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any, NamedTuple, Protocol
+
+from loguru import logger
+from result import Err, Ok, Result
+
+from cranberrywall.budgets._client import LedgerClient
+from cranberrywall.budgets._interfaces import SpendPolicy
+from cranberrywall.budgets.messages import (
+    MAX_CHARGES_IN_BATCH,
+    Charge,
+    ChargeBatch,
+    ChargeBatchResult,
+    ChargeOutcome,
+    Holder,
+    RecallsQuery,
+    Transfer,
+)
+from cranberrywall.errors import Refusal
+from cranberrywall.runtime import Clock
+
+# Batches of one group start at least this far apart; charges in between share one.
+BATCH_GAP_S = 0.02
+COMMIT_TIMEOUT_S = 1.0
+RETRY_FIRST_S = 0.25
+RETRY_MOST_S = 5.0
+
+
+class Kept(NamedTuple):
+    """Hold what must reach the ledger some day: transfers first, then charges."""
+
+    holder: Holder
+    transfers: tuple[Transfer, ...]
+    charges: tuple[Charge, ...]
+
+
+class Keeper(Protocol):
+    """Make charges and transfers durable without the ledger."""
+
+    async def keep(self, kept: Kept) -> Result[None, Refusal]:
+        """Return once ``kept`` survives the loss of this process."""
+        ...
+
+    async def keep_transfer(self, holder: Holder, transfer: Transfer) -> Result[None, Refusal]:
+        """Return once the giver may tell the taker of a transfer."""
+        ...
+
+    def committed(self, kept: Kept) -> None:
+        """Note that the ledger has ``kept``: nobody need keep it any longer."""
+        ...
+
+
+class Charged(Protocol):
+    """Hold the money that charges are made against."""
+
+    def committed(self, amount: int) -> None:
+        """Forget a charge that the ledger has billed."""
+        ...
+
+    def granted(self, amount: int) -> None:
+        """Add money that may be spent."""
+        ...
+
+    def drop(self, amount: int) -> None:
+        """Remove money that the ledger does not book to this host."""
+        ...
+
+
+class _Pending(NamedTuple):
+    charge: Charge
+    allotment: Charged
+    done: "asyncio.Future[Result[None, Refusal]]"
+
+
+class ChargeQueue:
+    """Commit one holder's charges at one ledger group; at most one batch is under way.
+
+    ``in_reach`` says whether the ledger answered last; ``durable`` whether a charge can
+    be made durable at all. ``on_reach`` is called with the new state at each change.
+    """
+
+    def __init__(
+        self, group: str, holder: Holder, ledger: LedgerClient, keeper: Keeper, clock: Clock
+    ) -> None:
+        self.group = group
+        self.holder = holder
+        self.in_reach = True
+        self.durable = True
+        self.on_reach: Callable[[bool], Awaitable[None]] | None = None
+        self._ledger = ledger
+        self._keeper = keeper
+        self._clock = clock
+        self._waiting: deque[_Pending] = deque()
+        self._under_way: list[_Pending] = []
+        self._kept: deque[_Pending] = deque()
+        self._transfers: deque[tuple[Transfer, Charged | None]] = deque()
+        self._to_commit = asyncio.Event()
+        self._to_keep = asyncio.Event()
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._retry_s = RETRY_FIRST_S
+
+    def accepts(self, policy: SpendPolicy) -> bool:
+        """Say whether a new request may be admitted: its charge would last."""
+        return self.durable or policy.isolated == "spend"
+
+    @property
+    def uncommitted(self) -> int:
+        """Return the number of charges and transfers that the ledger has not confirmed."""
+        charges = len(self._waiting) + len(self._under_way) + len(self._kept)
+        return charges + len(self._transfers)
+
+    def start(self) -> None:
+        """Begin to commit."""
+        self._tasks = [
+            asyncio.create_task(self._commit_loop()),
+            asyncio.create_task(self._keep_loop()),
+        ]
+
+    async def stop(self) -> None:
+        """End at once; what is not committed stays where it is kept."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks = []
+
+    async def add(self, charge: Charge, allotment: Charged) -> Result[None, Refusal]:
+        """Queue a charge and return once it is durable."""
+        done: asyncio.Future[Result[None, Refusal]] = asyncio.get_running_loop().create_future()
+        self._waiting.append(_Pending(charge, allotment, done))
+        if len(self._waiting) == 1:
+            self._work_came()
+            if not self.in_reach:
+                self._to_keep.set()
+        return await done
+
+    def report(self, transfer: Transfer, taken_by: Charged | None) -> None:
+        """Queue the report of a transfer, before every charge that is not committed yet.
+
+        ``taken_by`` is the allotment that took it; the giver's report has none.
+        """
+        self._transfers.append((transfer, taken_by))
+        self._work_came()
+
+    def adopt(self, charge: Charge, allotment: Charged) -> None:
+        """Queue a charge that is already kept, as after a restart."""
+        done: asyncio.Future[Result[None, Refusal]] = asyncio.get_running_loop().create_future()
+        done.set_result(Ok(None))
+        self._kept.append(_Pending(charge, allotment, done))
+        self._work_came()
+
+    def uncommitted_of(self, allotment: Charged) -> list[Charge]:
+        """Return one budget's charges that the ledger has not confirmed."""
+        every = (*self._kept, *self._under_way, *self._waiting)
+        return [pending.charge for pending in every if pending.allotment is allotment]
+
+    async def lost(self, refusal: Refusal) -> None:
+        """Note that the ledger is out of reach: charges are kept here from now on."""
+        if not self.in_reach:
+            return
+        self.in_reach = False
+        logger.warning("event=ledger_out_of_reach group={} kind={}", self.group, refusal.kind)
+        if self.on_reach is not None:
+            await self.on_reach(False)
+        self._work_came()
+        if self._waiting:
+            self._to_keep.set()
+
+    async def drained(self) -> None:
+        """Return once every charge and transfer is committed."""
+        await self._idle.wait()
+
+    def _work_came(self) -> None:
+        self._idle.clear()
+        self._to_commit.set()
+
+    async def _commit_loop(self) -> None:
+        while True:
+            await self._to_commit.wait()
+            started_at = self._clock.now()
+            if self.in_reach:
+                await self._commit_next()
+            else:
+                await self._probe()
+            if self.uncommitted == 0 and self.in_reach:
+                self._to_commit.clear()
+                self._idle.set()
+            pause = BATCH_GAP_S - (self._clock.now() - started_at)
+            if pause > 0.0:
+                await self._clock.sleep(pause)
+
+    async def _commit_next(self) -> None:
+        source = self._kept or self._waiting
+        self._under_way = _take_first(source)
+        answer = await self._commit(self._under_way)
+        batch, self._under_way = self._under_way, []
+        if isinstance(answer, Err):
+            source.extendleft(reversed(batch))
+            await self.lost(answer.err_value)
+            return
+        self._finish(batch, answer.ok_value)
+
+    async def _probe(self) -> None:
+        """Try the ledger again with what is kept, ever more rarely."""
+        await self._clock.sleep(self._retry_s)
+        self._retry_s = min(RETRY_MOST_S, self._retry_s * 2.0)
+        self._under_way = _take_first(self._kept)
+        if self._under_way:
+            answer = await self._commit(self._under_way)
+        else:
+            answer = await self._ask_anything()
+        batch, self._under_way = self._under_way, []
+        if isinstance(answer, Err):
+            self._kept.extendleft(reversed(batch))
+            return
+        # The listener first: a journal must drop its checkpoint before it forgets charges
+        # that are committed, or a restart would count their money as still held.
+        if self.on_reach is not None:
+            await self.on_reach(True)
+        logger.info("event=ledger_in_reach group={} kept={}", self.group, len(self._kept))
+        self.in_reach = True
+        self.durable = True
+        self._retry_s = RETRY_FIRST_S
+        if batch:
+            self._finish(batch, answer.ok_value)
+
+    async def _ask_anything(self) -> Result[Any, Refusal]:
+        reported = await self._report_transfers()
+        if isinstance(reported, Err):
+            return reported
+        return await self._ledger.recalls(self.group, RecallsQuery(self.holder), COMMIT_TIMEOUT_S)
+
+    async def _commit(self, batch: Sequence[_Pending]) -> Result[Any, Refusal]:
+        # A charge against transferred money is set aside as unfunded while the ledger
+        # does not know of the transfer, so reports go first.
+        reported = await self._report_transfers()
+        if isinstance(reported, Err):
+            return reported
+        if not batch:
+            return Ok(ChargeBatchResult(()))
+        charges = tuple(pending.charge for pending in batch)
+        command = ChargeBatch(self.holder, charges, self._clock.wall())
+        return await self._ledger.charge(command, COMMIT_TIMEOUT_S)
+
+    async def _report_transfers(self) -> Result[None, Refusal]:
+        while self._transfers:
+            transfer, taken_by = self._transfers[0]
+            answer = await self._ledger.transfer(transfer, COMMIT_TIMEOUT_S)
+            if isinstance(answer, Err):
+                return answer
+            self._transfers.popleft()
+            missing = transfer.amount - answer.ok_value.moved
+            if taken_by is not None and missing > 0:
+                # The giver's remainder had come back and was spent elsewhere.
+                taken_by.drop(missing)
+            self._keeper.committed(Kept(self.holder, (transfer,), ()))
+        return Ok(None)
+
+    def _finish(self, batch: Sequence[_Pending], answer: ChargeBatchResult) -> None:
+        if not batch:
+            return
+        for pending, outcome in zip(batch, answer.outcomes, strict=True):
+            pending.allotment.committed(pending.charge.amount)
+            if outcome is not ChargeOutcome.BILLED:
+                _note(pending, outcome)
+            if not pending.done.done():
+                pending.done.set_result(Ok(None))
+        charges = tuple(pending.charge for pending in batch)
+        self._keeper.committed(Kept(self.holder, (), charges))
+
+    async def _keep_loop(self) -> None:
+        while True:
+            await self._to_keep.wait()
+            self._to_keep.clear()
+            while self._waiting and not self.in_reach:
+                await self._keep_waiting()
+
+    async def _keep_waiting(self) -> None:
+        """Make what waits durable here, and hold it until the ledger takes it."""
+        batch = list(self._waiting)
+        self._waiting.clear()
+        charges = tuple(pending.charge for pending in batch)
+        self._kept.extend(batch)
+        answer = await self._keeper.keep(Kept(self.holder, (), charges))
+        self.durable = isinstance(answer, Ok)
+        for pending in batch:
+            if not pending.done.done():
+                pending.done.set_result(answer)
+
+
+def _take_first(source: deque[_Pending]) -> list[_Pending]:
+    return [source.popleft() for _ in range(min(MAX_CHARGES_IN_BATCH, len(source)))]
+
+
+def _note(pending: _Pending, outcome: ChargeOutcome) -> None:
+    charge = pending.charge
+    if outcome is ChargeOutcome.DUPLICATE:
+        # The ledger left the amount in our allotment: it can be spent again.
+        pending.allotment.granted(charge.amount)
+    logger.warning(
+        "event=charge_not_billed outcome={} budget={} request={} amount={}",
+        outcome,
+        charge.budget,
+        charge.request_id,
+        charge.amount,
+    )
--- a/cranberrywall/budgets/_interfaces.py
+++ b/cranberrywall/budgets/_interfaces.py
@@ -1,6 +1,7 @@
-"""Define what requests use of budgets on an entry host."""
+"""Define what requests use of budgets on an entry host, and what budgets use of others."""
 
-from typing import NamedTuple, Protocol
+from collections.abc import Sequence
+from typing import Literal, NamedTuple, Protocol
 
 from result import Result
 
@@ -52,3 +53,72 @@
         ``BUDGET_UNREACHABLE`` where it could not be asked.
         """
         ...
+
+
+class HostAllotments(Allotments, Protocol):
+    """Hold one host's allotments through one run of its process."""
+
+    def try_reserve(self, request: ReserveRequest, now: float) -> Reservation | None:
+        """Hold ``request.bound`` where this host's allotment covers it, without waiting.
+
+        ``None`` says only that ``reserve`` must be awaited; it is not a refusal.
+        """
+        ...
+
+    async def start(self) -> None:
+        """Recover what an earlier run on this host left, and begin to work."""
+        ...
+
+    async def stop(self) -> None:
+        """End this host's tasks; what it holds stays booked to it at the ledger."""
+        ...
+
+    async def hand_back(self) -> Result[None, Refusal]:
+        """Commit every charge and return what this host holds, for a graceful exit."""
+        ...
+
+
+class SpendPolicy(NamedTuple):
+    """Weigh overspend's margin against false refusals for one workspace.
+
+    ``held_back`` is the share of what is left that stays at the ledger. ``isolated``
+    says what a host does that can make no charge durable: ``refuse`` or ``spend``.
+    """
+
+    held_back: float = 0.1
+    isolated: Literal["refuse", "spend"] = "refuse"
+
+
+class Policies(Protocol):
+    """Look up the policy in force."""
+
+    def spend_policy(self, workspace: str) -> SpendPolicy:
+        """Return the workspace's policy; the default one where it names none."""
+        ...
+
+
+class PeerHost(Protocol):
+    """Describe another entry host; ``hosts.HostView`` satisfies it."""
+
+    @property
+    def host(self) -> str:
+        """Return the host's name."""
+        ...
+
+    @property
+    def place(self) -> str:
+        """Return the host's place."""
+        ...
+
+    @property
+    def links(self) -> str:
+        """Return the address of its streams."""
+        ...
+
+
+class Peers(Protocol):
+    """Know the entry hosts in reach; ``hosts.Membership`` satisfies it."""
+
+    def alive(self) -> Sequence[PeerHost]:
+        """Return the hosts that are alive; this one may be among them."""
+        ...
--- /dev/null
+++ b/cranberrywall/budgets/_ledger_steps.py
@@ -0,0 +1,114 @@
+"""Draw from a budget's ledger, and return to it, one numbered step at a time."""
+
+from result import Err, Ok, Result
+
+from cranberrywall.budgets._allotment import Allotment
+from cranberrywall.budgets._client import LedgerClient
+from cranberrywall.budgets._sizing import LedgerView
+from cranberrywall.budgets.messages import Draw, DrawResult, Holder, Return
+from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.runtime import Clock
+
+STEP_TIMEOUT_S = 1.0
+# After these a command may yet be applied. Every other kind is the ledger's own answer.
+UNCERTAIN = frozenset(
+    {
+        ErrorKind.UNREACHABLE,
+        ErrorKind.TIMEOUT,
+        ErrorKind.NOT_CURRENT,
+        ErrorKind.NOT_LEADER,
+        ErrorKind.STORAGE_FAILED,
+        ErrorKind.NOT_READY,
+        ErrorKind.OVERLOADED,
+    }
+)
+
+
+def out_of_reach(refusal: Refusal) -> bool:
+    """Say whether the ledger could not be asked, or its answer was lost."""
+    return refusal.kind in UNCERTAIN
+
+
+class LedgerSteps:
+    """Take the numbered steps of one holder.
+
+    A step whose answer was lost may have been applied. It is sent again, unchanged and
+    under its number, before any other one: the ledger then gives its first answer, so
+    that money is neither drawn twice nor forgotten.
+    """
+
+    def __init__(self, holder: Holder, ledger: LedgerClient, clock: Clock) -> None:
+        self._holder = holder
+        self._ledger = ledger
+        self._clock = clock
+        self.sent = 0
+
+    async def draw(
+        self, allotment: Allotment, amount: int, minimum: int
+    ) -> Result[DrawResult, Refusal]:
+        """Draw ``amount``, or at least ``minimum``; the grant is added to the allotment."""
+        if allotment.pending_draw is not None:
+            resent = await self._send_draw(allotment, allotment.pending_draw)
+            if isinstance(resent, Err):
+                return resent
+        draw = Draw(
+            allotment.budget,
+            self._holder,
+            allotment.next_draw,
+            max(1, amount, minimum),
+            max(1, minimum),
+            self._clock.wall(),
+        )
+        return await self._send_draw(allotment, draw)
+
+    async def _send_draw(self, allotment: Allotment, draw: Draw) -> Result[DrawResult, Refusal]:
+        allotment.pending_draw = draw
+        self.sent += 1
+        answer = await self._ledger.draw(draw, STEP_TIMEOUT_S)
+        if isinstance(answer, Err):
+            if not out_of_reach(answer.err_value):
+                allotment.pending_draw = None
+            return answer
+        result = answer.ok_value
+        allotment.pending_draw = None
+        allotment.next_draw = draw.number + 1
+        allotment.granted(result.granted)
+        allotment.heard(
+            LedgerView(
+                result.free,
+                result.outstanding,
+                result.credited,
+                result.charged,
+                self._clock.now(),
+            )
+        )
+        return answer
+
+    async def give_back(self, allotment: Allotment, amount: int) -> Result[int, Refusal]:
+        """Return up to ``amount`` of what is spendable; gives what was returned."""
+        if allotment.pending_return is not None:
+            resent = await self._send_return(allotment, allotment.pending_return)
+            if isinstance(resent, Err):
+                return Err(resent.err_value)
+        taken = allotment.take(amount)
+        if taken == 0:
+            return Ok(0)
+        step = Return(
+            allotment.budget, self._holder, allotment.next_return, taken, self._clock.wall()
+        )
+        sent = await self._send_return(allotment, step)
+        return sent.map(lambda _: taken)
+
+    async def _send_return(self, allotment: Allotment, step: Return) -> Result[None, Refusal]:
+        # The amount has left the allotment before the step is sent: were it still
+        # spendable, a return whose answer is lost would be spent here and elsewhere.
+        allotment.pending_return = step
+        self.sent += 1
+        answer = await self._ledger.give_back(step, STEP_TIMEOUT_S)
+        if isinstance(answer, Err):
+            if not out_of_reach(answer.err_value):
+                allotment.pending_return = None
+            return Err(answer.err_value)
+        allotment.pending_return = None
+        allotment.next_return = step.number + 1
+        return Ok(None)
--- /dev/null
+++ b/cranberrywall/budgets/_peer_messages.py
@@ -0,0 +1,80 @@
+"""Define the calls between entry hosts about money.
+
+Amounts are whole tokens or answered requests.
+"""
+
+from typing import NamedTuple
+
+from cranberrywall.budgets.messages import Charge, Holder, Transfer
+from cranberrywall.links import Method
+
+
+class TakeRequest(NamedTuple):
+    """Ask a peer for money of ``budget``: ``amount``, or at least ``minimum``.
+
+    ``number`` starts at 1 and rises with each request of this taker for the budget; a
+    repeated number gets the first answer.
+    """
+
+    budget: str
+    workspace: str
+    taker: Holder
+    number: int
+    amount: int
+    minimum: int
+
+
+class TakeReply(NamedTuple):
+    """Give a transfer, or none, with what the giver still holds after it.
+
+    ``booked`` is all that the ledger books to the giver; the part of it that is neither
+    spendable nor given may come free later.
+    """
+
+    giver: Holder
+    transfer: Transfer | None
+    spendable: int
+    booked: int
+
+
+class KeepRequest(NamedTuple):
+    """Ask a peer to hold transfers and charges of ``holder`` until the ledger has them."""
+
+    holder: Holder
+    transfers: tuple[Transfer, ...]
+    charges: tuple[Charge, ...]
+
+
+class KeepReply(NamedTuple):
+    """Say that the peer holds them."""
+
+
+class ForgetRequest(NamedTuple):
+    """Tell a peer that the ledger has these: their numbers by budget."""
+
+    holder: Holder
+    transfers: tuple[tuple[str, int], ...]
+    charges: tuple[tuple[str, int], ...]
+
+
+class ForgetReply(NamedTuple):
+    """Say that the peer dropped them."""
+
+
+class DeliverRequest(NamedTuple):
+    """Ask a peer to commit what it holds for incarnations of ``host`` before this one."""
+
+    host: str
+    incarnation: int
+
+
+class DeliverReply(NamedTuple):
+    """Say how many entries the peer still holds after it tried."""
+
+    remaining: int
+
+
+TAKE = Method("budgets.take", TakeRequest, TakeReply)
+KEEP = Method("budgets.keep", KeepRequest, KeepReply)
+FORGET = Method("budgets.forget", ForgetRequest, ForgetReply)
+DELIVER = Method("budgets.deliver", DeliverRequest, DeliverReply)
--- /dev/null
+++ b/cranberrywall/budgets/_reservation.py
@@ -0,0 +1,67 @@
+"""Hold one request's money until it is settled or released."""
+
+from loguru import logger
+from result import Err, Ok, Result
+
+from cranberrywall.budgets._allotment import Allotment
+from cranberrywall.budgets._interfaces import ReserveRequest
+from cranberrywall.budgets.messages import Charge
+from cranberrywall.errors import Refusal
+
+
+class HeldReservation:
+    """Hold money of one allotment; it counts as spent until ``settle`` or ``release``."""
+
+    __slots__ = ("_allotment", "_open", "_request", "_reserved_at", "bound")
+
+    def __init__(
+        self,
+        allotment: Allotment,
+        request: ReserveRequest,
+        reserved_at: float,
+    ) -> None:
+        self.bound = request.bound
+        self._allotment = allotment
+        self._request = request
+        self._reserved_at = reserved_at
+        self._open = True
+
+    async def settle(self, actual: int, now: float) -> Result[None, Refusal]:
+        """Charge ``actual``, capped at the bound, and return once that is durable."""
+        if not self._open:
+            return Ok(None)
+        self._open = False
+        request = self._request
+        amount = actual
+        if actual > self.bound:
+            # The target ran past the limit it was given. The caller's budget must not
+            # pay for that: the invariant covers only what was reserved.
+            amount = self.bound
+            logger.warning(
+                "event=bound_exceeded budget={} request={} bound={} actual={}",
+                request.budget,
+                request.request_id,
+                self.bound,
+                actual,
+            )
+        number = self._allotment.settle(self.bound, amount)
+        charge = Charge(
+            request.budget,
+            request.workspace,
+            request.request_id,
+            number,
+            amount,
+            self._reserved_at,
+        )
+        settled = await self._allotment.queue.add(charge, self._allotment)
+        if isinstance(settled, Err) and self._allotment.policy.isolated == "spend":
+            # The policy takes the risk that this host is lost before it is in reach again.
+            return Ok(None)
+        return settled
+
+    def release(self, now: float) -> None:
+        """Free the whole amount; a second call does nothing."""
+        if not self._open:
+            return
+        self._open = False
+        self._allotment.free(self.bound)
--- /dev/null
+++ b/cranberrywall/budgets/_review.py
@@ -0,0 +1,107 @@
+"""Look over a host's allotments now and then: draw ahead, return what is not needed."""
+
+import asyncio
+
+from loguru import logger
+from result import Err
+
+from cranberrywall.budgets._allotment import Allotment
+from cranberrywall.budgets._interfaces import Peers
+from cranberrywall.budgets._ledger_steps import LedgerSteps, out_of_reach
+from cranberrywall.budgets._sizing import HIGH_BAND, LOW_BAND, Rates, target
+from cranberrywall.runtime import Clock
+
+REVIEW_INTERVAL_S = 5.0
+# The ledger's sums are asked for again after this time, where the budget was used.
+VIEW_AGE_S = 60.0
+# A fast path that runs low asks at most this often.
+DRAW_AHEAD_GAP_S = 0.5
+
+
+class Reviewer:
+    """Keep each allotment near its target while the ledger is in reach."""
+
+    def __init__(
+        self,
+        steps: LedgerSteps,
+        peers: Peers,
+        clock: Clock,
+    ) -> None:
+        self._steps = steps
+        self._peers = peers
+        self._clock = clock
+        self._drawing: dict[str, asyncio.Task[None]] = {}
+        self._next_draw_at: dict[str, float] = {}
+
+    def wanted(self, allotment: Allotment) -> int:
+        """Return how much more this host should hold; not negative."""
+        return max(0, self.target(allotment) - allotment.booked)
+
+    def target(self, allotment: Allotment) -> int:
+        """Return what this host should hold, open reservations included."""
+        view = allotment.view
+        if view is None:
+            return 0
+        now = self._clock.now()
+        total = allotment.total_demand.rate()
+        left = max(0.0, view.left - total * (now - view.at))
+        rates = Rates(allotment.demand.rate(), total, max(1, len(self._peers.alive())))
+        return target(left, rates, allotment.policy.held_back)
+
+    def draw_ahead(self, allotment: Allotment) -> None:
+        """Begin a draw in the background, unless one was begun a moment ago."""
+        now = self._clock.now()
+        budget = allotment.budget
+        if budget in self._drawing or now < self._next_draw_at.get(budget, 0.0):
+            return
+        self._next_draw_at[budget] = now + DRAW_AHEAD_GAP_S
+        task = asyncio.create_task(self._draw(allotment))
+        self._drawing[budget] = task
+        task.add_done_callback(lambda _: self._drawing.pop(budget, None))
+
+    async def review(self, allotment: Allotment) -> None:
+        """Bring one allotment near its target."""
+        now = self._clock.now()
+        allotment.demand.add(allotment.settled_since_review, now)
+        allotment.settled_since_review = 0
+        if not allotment.queue.in_reach or allotment.scarce is not None:
+            return
+        view = allotment.view
+        used = allotment.used_since_view
+        if view is None or (used and now - view.at >= VIEW_AGE_S):
+            self.draw_ahead(allotment)
+            return
+        aim = self.target(allotment)
+        if allotment.booked < LOW_BAND * aim and view.free > 0:
+            self.draw_ahead(allotment)
+        elif allotment.booked > HIGH_BAND * aim:
+            await self._give_back(allotment, allotment.booked - aim)
+
+    def stop(self) -> None:
+        """End the draws that are under way; each is repeated by its number later."""
+        for task in list(self._drawing.values()):
+            task.cancel()
+
+    async def _draw(self, allotment: Allotment) -> None:
+        if allotment.scarce is not None:
+            return
+        queue = allotment.queue
+        if not queue.in_reach:
+            return
+        answer = await self._steps.draw(allotment, self.wanted(allotment), 1)
+        if isinstance(answer, Err):
+            if out_of_reach(answer.err_value):
+                await queue.lost(answer.err_value)
+            return
+        allotment.used_since_view = False
+        allotment.low = allotment.spendable // 4
+        if answer.ok_value.free == 0:
+            # Nothing more can be drawn: running low is for the search to handle.
+            allotment.low = 0
+
+    async def _give_back(self, allotment: Allotment, amount: int) -> None:
+        answer = await self._steps.give_back(allotment, amount)
+        if isinstance(answer, Err):
+            logger.info(
+                "event=return_failed budget={} kind={}", allotment.budget, answer.err_value.kind
+            )
--- /dev/null
+++ b/cranberrywall/budgets/_scarcity.py
@@ -0,0 +1,287 @@
+"""Find money for requests that an allotment does not cover, and refuse truly.
+
+In order: draw at the ledger; take from other hosts what they do not need; wait for an
+open reservation whose release would cover the request; refuse, naming whether the
+ledger said that the money is gone, or could not be asked.
+"""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from loguru import logger
+from result import Err, Ok, Result
+
+from cranberrywall.budgets._allotment import Allotment
+from cranberrywall.budgets._client import LedgerClient
+from cranberrywall.budgets._interfaces import PeerHost, Peers, ReserveRequest
+from cranberrywall.budgets._ledger_steps import STEP_TIMEOUT_S, LedgerSteps, out_of_reach
+from cranberrywall.budgets._reservation import HeldReservation
+from cranberrywall.budgets._transfers import Taker, nearest_first
+from cranberrywall.budgets.messages import BudgetQuery, Holder
+from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.runtime import Clock
+
+# The most hosts that one round asks while the ledger cannot name those that hold money.
+PEERS_ASKED = 16
+# Rounds that found nothing follow each other at these pauses, in seconds, ever longer:
+# an exhausted budget under load costs the ledger little, and each refusal stays fresh.
+PAUSE_FIRST_S = 0.02
+PAUSE_MOST_S = 0.5
+
+Reserved = Result[HeldReservation, Refusal]
+
+
+class Tools(NamedTuple):
+    """Bundle what a search for money uses; one for each host."""
+
+    holder: Holder
+    place: str
+    ledger: LedgerClient
+    steps: LedgerSteps
+    taker: Taker
+    peers: Peers
+    clock: Clock
+    wanted: Callable[[Allotment], int]
+
+
+class _Waiter:
+    """Stand in line with one request; ``refusal`` is the answer if nothing comes of it."""
+
+    __slots__ = ("answer", "refusal", "request")
+
+    def __init__(self, request: ReserveRequest) -> None:
+        self.request = request
+        self.answer: asyncio.Future[Reserved] = asyncio.get_running_loop().create_future()
+        self.refusal = Refusal(ErrorKind.BUDGET_UNREACHABLE, "the ledger was not asked in time")
+
+
+class _Found(NamedTuple):
+    """Say what a round learnt: the ledger's free sum, and what unreached holders hold.
+
+    ``free`` is ``None`` where the ledger could not be asked.
+    """
+
+    free: int | None
+    unreached: int
+
+
+class Shortage:
+    """Serve the requests in line for one allotment, in rounds of one task."""
+
+    def __init__(self, allotment: Allotment, tools: Tools) -> None:
+        self._allotment = allotment
+        self._tools = tools
+        self._waiters: list[_Waiter] = []
+        self._task: asyncio.Task[None] | None = None
+        self._pause_s = 0.0
+        self._next_round_at = 0.0
+
+    async def reserve(self, request: ReserveRequest, now: float) -> Reserved:
+        """Wait in line until served, refused, or past the deadline."""
+        waiter = _Waiter(request)
+        self._waiters.append(waiter)
+        self._start()
+        try:
+            async with asyncio.timeout(max(0.0, request.deadline - now)):
+                return await waiter.answer
+        except TimeoutError:
+            if waiter.answer.done() and not waiter.answer.cancelled():
+                return waiter.answer.result()
+            return Err(waiter.refusal)
+        except asyncio.CancelledError:
+            self._abandon(waiter, self._tools.clock.now())
+            raise
+        finally:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+
+    def serve(self) -> None:
+        """Hold money for those in line whom the allotment covers now.
+
+        A small request may pass a larger one that waits: holding it back would refuse
+        one more and help nobody.
+        """
+        left: list[_Waiter] = []
+        for waiter in self._waiters:
+            if waiter.answer.done():
+                continue
+            if self._allotment.try_hold(waiter.request.bound):
+                waiter.answer.set_result(Ok(self._reservation(waiter.request)))
+            else:
+                left.append(waiter)
+        self._waiters = left
+
+    def stop(self) -> None:
+        """End the search."""
+        if self._task is not None:
+            self._task.cancel()
+
+    @staticmethod
+    def _abandon(waiter: _Waiter, now: float) -> None:
+        # The caller went away in the moment in which it was served: its money would stay
+        # reserved for ever.
+        if waiter.answer.done() and not waiter.answer.cancelled():
+            served = waiter.answer.result()
+            if isinstance(served, Ok):
+                served.ok_value.release(now)
+
+    def _reservation(self, request: ReserveRequest) -> HeldReservation:
+        wall = self._tools.clock.wall()
+        return HeldReservation(self._allotment, request, wall)
+
+    def _start(self) -> None:
+        if self._task is None or self._task.done():
+            self._allotment.scarce = self
+            self._task = asyncio.create_task(self._run())
+
+    async def _run(self) -> None:
+        try:
+            while self._waiters:
+                await self._pause()
+                await self._round()
+        finally:
+            self._allotment.scarce = None
+
+    async def _round(self) -> None:
+        present = list(self._waiters)
+        found = await self._search()
+        self.serve()
+        self._decide(present, found)
+        served = all(_was_served(waiter) for waiter in present)
+        longer = min(PAUSE_MOST_S, max(PAUSE_FIRST_S, self._pause_s * 2.0))
+        self._pause_s = 0.0 if served else longer
+        self._next_round_at = self._tools.clock.now() + self._pause_s
+
+    async def _pause(self) -> None:
+        wait = self._next_round_at - self._tools.clock.now()
+        if wait > 0.0:
+            await self._tools.clock.sleep(wait)
+
+    async def _search(self) -> _Found:
+        is_first = self._allotment.view is None
+        free = await self._draw()
+        self.serve()
+        if is_first and free:
+            # Only the first answer tells how much there is to hold a share of.
+            await self._draw_share()
+        if not self._waiters:
+            return _Found(free, 0)
+        if free is None:
+            await self._take_from(self._neighbours())
+            return _Found(None, 0)
+        return await self._take_from_holders(free)
+
+    async def _draw(self) -> int | None:
+        """Draw for those in line; gives what is still free, ``None`` out of reach."""
+        allotment = self._allotment
+        total = sum(waiter.request.bound for waiter in self._waiters)
+        amount = max(total - allotment.spendable, self._tools.wanted(allotment))
+        answer = await self._tools.steps.draw(allotment, amount, self._shortfall())
+        if isinstance(answer, Ok):
+            return answer.ok_value.free
+        refusal = answer.err_value
+        if out_of_reach(refusal):
+            await self._allotment.queue.lost(refusal)
+            return None
+        logger.info("event=draw_refused budget={} kind={}", allotment.budget, refusal.kind)
+        return 0
+
+    async def _draw_share(self) -> None:
+        wanted = self._tools.wanted(self._allotment)
+        if wanted > 0:
+            await self._tools.steps.draw(self._allotment, wanted, 1)
+            self.serve()
+
+    def _shortfall(self) -> int:
+        """Return the least amount that would serve one more of those in line."""
+        if not self._waiters:
+            return 0
+        least = min(waiter.request.bound for waiter in self._waiters)
+        return max(1, least - self._allotment.spendable)
+
+    def _neighbours(self) -> Sequence[PeerHost]:
+        tools = self._tools
+        return nearest_first(tools.peers.alive(), tools.place, tools.holder.host)[:PEERS_ASKED]
+
+    async def _take_from_holders(self, free: int) -> _Found:
+        """Take from the holders that the ledger names, the largest first."""
+        tools = self._tools
+        query = BudgetQuery(self._allotment.budget)
+        answer = await tools.ledger.budget(query, STEP_TIMEOUT_S)
+        if isinstance(answer, Err):
+            if out_of_reach(answer.err_value):
+                return _Found(None, 0)
+            return _Found(free, 0)
+        peer_by_host = {peer.host: peer for peer in tools.peers.alive()}
+        unreached = 0
+        free = answer.ok_value.free
+        others = [held for held in answer.ok_value.held if held.holder != tools.holder]
+        if 0 < free < self._shortfall() <= free + sum(held.outstanding for held in others):
+            await self._tools.steps.draw(self._allotment, free, 1)
+            free = 0
+        for held in sorted(others, key=lambda held: -held.outstanding):
+            if not self._waiters:
+                break
+            peer = peer_by_host.get(held.holder.host)
+            if peer is None or not await self._take(peer, held.holder):
+                unreached += held.outstanding
+        return _Found(free, unreached)
+
+    async def _take_from(self, peers: Sequence[PeerHost]) -> None:
+        for peer in peers:
+            if not self._waiters:
+                return
+            await self._take(peer, None)
+
+    async def _take(self, peer: PeerHost, expected: Holder | None) -> bool:
+        """Take from one peer; false where the expected holder did not answer."""
+        allotment = self._allotment
+        minimum = self._shortfall()
+        amount = max(minimum, self._tools.wanted(allotment))
+        reply = await self._tools.taker.take(peer, allotment, amount, minimum)
+        self.serve()
+        if reply is None:
+            return False
+        return expected is None or reply.giver == expected
+
+    def _decide(self, present: Sequence[_Waiter], found: _Found) -> None:
+        """Refuse those of this round whom no open reservation could still cover."""
+        hope = self._allotment.spendable + self._allotment.reserved
+        for waiter in present:
+            if waiter.answer.done():
+                continue
+            waiter.refusal = _refusal(waiter.request, found)
+            if waiter.request.bound <= hope:
+                hope -= waiter.request.bound
+                continue
+            waiter.answer.set_result(Err(waiter.refusal))
+        self._waiters = [waiter for waiter in self._waiters if not waiter.answer.done()]
+
+
+def _was_served(waiter: _Waiter) -> bool:
+    answer = waiter.answer
+    return answer.done() and not answer.cancelled() and isinstance(answer.result(), Ok)
+
+
+def _refusal(request: ReserveRequest, found: _Found) -> Refusal:
+    if found.free is None:
+        return Refusal(
+            ErrorKind.BUDGET_UNREACHABLE,
+            "this host's part is spent and the ledger is out of reach",
+            "budget",
+            "send it again, or to a host of another place",
+        )
+    if found.free + found.unreached >= request.bound:
+        return Refusal(
+            ErrorKind.BUDGET_UNREACHABLE,
+            f"{found.unreached} are left, on hosts that are out of reach",
+            "budget",
+            "send it again later",
+        )
+    return Refusal(
+        ErrorKind.BUDGET_EXHAUSTED,
+        f"less than {request.bound} are left of the budget",
+        "budget",
+        "top up the budget, or ask for a shorter answer",
+    )
--- /dev/null
+++ b/cranberrywall/budgets/_transfers.py
@@ -0,0 +1,167 @@
+"""Move money between hosts without the ledger.
+
+The giver deducts and makes the transfer durable before it answers; the taker adds the
+money when the answer comes. A loss at any step can strand the amount, and never double
+it: at each moment at most one of the two can spend it.
+"""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from loguru import logger
+from result import Err, Ok, Result
+
+from cranberrywall.budgets._allotment import Allotment
+from cranberrywall.budgets._charges import Keeper, Kept
+from cranberrywall.budgets._interfaces import PeerHost
+from cranberrywall.budgets._peer_messages import TAKE, TakeReply, TakeRequest
+from cranberrywall.budgets.messages import Holder, Transfer
+from cranberrywall.errors import Refusal
+from cranberrywall.links import Caller
+from cranberrywall.runtime import Clock
+
+TAKE_TIMEOUT_S = 0.5
+# A giver answers a repeated request from these; a taker repeats only its last one.
+ANSWERS_KEPT = 1024
+
+
+class _Asked(NamedTuple):
+    taker: Holder
+    budget: str
+    number: int
+
+
+class _Line(NamedTuple):
+    host: str
+    budget: str
+
+
+class Giver:
+    """Answer peers that are short of money."""
+
+    def __init__(self, holder: Holder, keeper: Keeper, clock: Clock) -> None:
+        self._holder = holder
+        self._keeper = keeper
+        self._clock = clock
+        self._transfer_by_asked: OrderedDict[_Asked, Transfer | None] = OrderedDict()
+        self.given = 0
+
+    async def give(self, request: TakeRequest, allotment: Allotment) -> Result[TakeReply, Refusal]:
+        """Give up to half of what is spendable, or the minimum where that is more."""
+        asked = _Asked(request.taker, request.budget, request.number)
+        if asked in self._transfer_by_asked:
+            return Ok(self._reply(allotment, self._transfer_by_asked[asked]))
+        amount = allotment.take(_gift(allotment.spendable, request))
+        if amount == 0:
+            return Ok(self._reply(allotment, None))
+        transfer = Transfer(
+            request.budget,
+            self._holder,
+            allotment.next_give,
+            request.taker,
+            0,
+            amount,
+            self._clock.wall(),
+        )
+        allotment.next_give += 1
+        # The transfer is on its way to the ledger, and remembered, whatever comes of the
+        # rest: from here on the money is the taker's.
+        self._remember(asked, transfer)
+        allotment.queue.report(transfer, None)
+        kept = await self._keeper.keep_transfer(self._holder, transfer)
+        if isinstance(kept, Err):
+            return Err(kept.err_value)
+        self.given += 1
+        logger.info(
+            "event=transfer_given budget={} to={} amount={}",
+            request.budget,
+            request.taker.host,
+            amount,
+        )
+        return Ok(self._reply(allotment, transfer))
+
+    def _reply(self, allotment: Allotment, transfer: Transfer | None) -> TakeReply:
+        return TakeReply(self._holder, transfer, allotment.spendable, allotment.booked)
+
+    def _remember(self, asked: _Asked, transfer: Transfer) -> None:
+        self._transfer_by_asked[asked] = transfer
+        if len(self._transfer_by_asked) > ANSWERS_KEPT:
+            self._transfer_by_asked.popitem(last=False)
+
+
+def _gift(spendable: int, request: TakeRequest) -> int:
+    """Return what to give.
+
+    >>> _gift(100, TakeRequest("b", "w", Holder("a", 1), 1, amount=30, minimum=10))
+    30
+    >>> _gift(100, TakeRequest("b", "w", Holder("a", 1), 1, amount=90, minimum=10))
+    50
+    >>> _gift(12, TakeRequest("b", "w", Holder("a", 1), 1, amount=90, minimum=10))
+    10
+    >>> _gift(8, TakeRequest("b", "w", Holder("a", 1), 1, amount=90, minimum=10))
+    8
+    """
+    wanted = min(request.amount, spendable // 2)
+    return min(spendable, max(wanted, request.minimum))
+
+
+class Taker:
+    """Ask peers for money."""
+
+    def __init__(self, holder: Holder, caller: Caller, keeper: Keeper, clock: Clock) -> None:
+        self._holder = holder
+        self._caller = caller
+        self._keeper = keeper
+        self._clock = clock
+        self._unanswered: dict[_Line, TakeRequest] = {}
+        self.sent = 0
+
+    async def take(
+        self, peer: PeerHost, allotment: Allotment, amount: int, minimum: int
+    ) -> TakeReply | None:
+        """Ask one peer; what it gives is added. ``None`` where it did not answer."""
+        number = allotment.next_take
+        allotment.next_take += 1
+        request = TakeRequest(
+            allotment.budget, allotment.workspace, self._holder, number, amount, minimum
+        )
+        key = _Line(peer.host, allotment.budget)
+        unanswered = self._unanswered.pop(key, None)
+        if unanswered is not None:
+            await self._ask(peer, key, unanswered, allotment)
+        return await self._ask(peer, key, request, allotment)
+
+    async def _ask(
+        self,
+        peer: PeerHost,
+        key: _Line,
+        request: TakeRequest,
+        allotment: Allotment,
+    ) -> TakeReply | None:
+        self.sent += 1
+        answer = await self._caller.call(peer.links, TAKE, request, TAKE_TIMEOUT_S)
+        if isinstance(answer, Err):
+            # The peer may have given. The same request, sent again, gets what it gave.
+            self._unanswered.setdefault(key, request)
+            return None
+        reply = answer.ok_value
+        if reply.transfer is not None:
+            await self._accept(reply.transfer, allotment)
+        return reply
+
+    async def _accept(self, given: Transfer, allotment: Allotment) -> None:
+        transfer = given._replace(taker_number=allotment.next_accept)
+        allotment.next_accept += 1
+        # The report is queued before the money can be spent, so that it reaches the
+        # ledger, or the keeper, before any charge against it.
+        allotment.queue.report(transfer, allotment)
+        if not allotment.queue.in_reach:
+            await self._keeper.keep(Kept(self._holder, (transfer,), ()))
+        allotment.granted(transfer.amount)
+
+
+def nearest_first(peers: Sequence[PeerHost], place: str, host: str) -> list[PeerHost]:
+    """Return the other hosts, those of our own place first."""
+    others = [peer for peer in peers if peer.host != host]
+    return sorted(others, key=lambda peer: (peer.place != place, peer.host))
--- /dev/null
+++ b/tests/fakes/money.py
@@ -0,0 +1,234 @@
+"""Entry hosts that spend, a ledger group, and the cuts between them, in virtual time.
+
+A host and the ledger are *nodes*; two nodes reach each other while they are on the same
+side. A call over a cut times out; a reply whose way is cut by then is lost.
+"""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple
+
+from result import Err, Ok, Result
+
+from cranberrywall.budgets import HostAllotments, SpendPolicy, make_allotments, make_ledger_client
+from cranberrywall.budgets.messages import LEDGER_CODEC, Credit, Holder
+from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.links import Peer
+from cranberrywall.replication import StateMachine
+from cranberrywall.runtime import Clock, Random, Runtime, Storage
+
+LEDGER = "ledger"
+GROUP = "ledger-0"
+
+
+class FakeHostView(NamedTuple):
+    """Describe a host to its peers."""
+
+    host: str
+    place: str
+    links: str
+
+
+class MoneyNet:
+    """Carry calls between nodes; ``side_by_node`` cuts, ``lose_reply`` loses single replies.
+
+    ``lose_reply`` and ``lose_request`` are asked with the caller, the node called and the
+    request.
+    """
+
+    def __init__(self, machine: StateMachine, clock: Clock, delay_s: float = 0.0015) -> None:
+        self.machine = machine
+        self.clock = clock
+        self.delay_s = delay_s
+        self.side_by_node: dict[str, int] = {}
+        self.handlers: dict[str, dict[str, Callable[..., Any]]] = {}
+        self.lose_request: Callable[[str, str, Any], bool] = lambda *_: False
+        self.lose_reply: Callable[[str, str, Any], bool] = lambda *_: False
+        self.calls = 0
+        self.ledger_calls = 0
+
+    def reaches(self, source: str, sink: str) -> bool:
+        """Say whether two nodes are on the same side."""
+        return self.side_by_node.get(source, 0) == self.side_by_node.get(sink, 0)
+
+    def cut(self, side_by_node: Mapping[str, int]) -> None:
+        """Put nodes on sides; those not named are on side 0."""
+        self.side_by_node = dict(side_by_node)
+
+    def mend(self) -> None:
+        """End every cut."""
+        self.side_by_node = {}
+
+    async def call_node(
+        self,
+        source: str,
+        sink: str,
+        request: Any,
+        timeout: float,
+        answer: Callable[[], Any],
+    ) -> Result[Any, Refusal]:
+        """Deliver one call and its reply, or time out."""
+        self.calls += 1
+        started_at = self.clock.now()
+        await self.clock.sleep(self.delay_s)
+        if not self.reaches(source, sink) or self.lose_request(source, sink, request):
+            return await self._timed_out(started_at, timeout)
+        reply = answer()
+        if asyncio.iscoroutine(reply):
+            reply = await reply
+        await self.clock.sleep(self.delay_s)
+        if not self.reaches(source, sink) or self.lose_reply(source, sink, request):
+            return await self._timed_out(started_at, timeout)
+        return reply  # type: ignore[no-any-return] # a handler's own Result
+
+    async def _timed_out(self, started_at: float, timeout: float) -> Result[Any, Refusal]:
+        await self.clock.sleep(max(0.0, started_at + timeout - self.clock.now()))
+        return Err(Refusal(ErrorKind.TIMEOUT, "no answer"))
+
+
+class FakeControl:
+    """Reach the ledger group from one host."""
+
+    def __init__(self, net: MoneyNet, host: str) -> None:
+        self._net = net
+        self._host = host
+
+    async def propose(self, group: str, command: bytes, timeout: float) -> Result[bytes, Refusal]:
+        """Apply a command at once where the ledger is in reach."""
+        self._net.ledger_calls += 1
+        return await self._net.call_node(
+            self._host, LEDGER, command, timeout, lambda: Ok(self._net.machine.apply(command))
+        )
+
+    async def query(self, group: str, query: bytes, timeout: float) -> Result[bytes, Refusal]:
+        """Read where the ledger is in reach."""
+        self._net.ledger_calls += 1
+        return await self._net.call_node(
+            self._host, LEDGER, query, timeout, lambda: Ok(self._net.machine.query(query))
+        )
+
+
+class FakeLinks:
+    """Call other hosts, whose names are their addresses, and answer them."""
+
+    def __init__(self, net: MoneyNet, host: str, place: str, incarnation: int) -> None:
+        self._net = net
+        self._peer = Peer(host, place, incarnation)
+        net.handlers[host] = {}
+
+    async def call(
+        self, address: str, method: Any, request: Any, timeout: float
+    ) -> Result[Any, Refusal]:
+        """Call the handler that the host at ``address`` registered."""
+
+        def answer() -> Any:
+            handler = self._net.handlers.get(address, {}).get(method.name)
+            if handler is None:
+                return Err(Refusal(ErrorKind.UNREACHABLE, "nobody listens"))
+            return handler(request, self._peer)
+
+        return await self._net.call_node(self._peer.host, address, request, timeout, answer)
+
+    def register(self, method: Any, handler: Any) -> None:
+        """Answer ``method``."""
+        self._net.handlers[self._peer.host][method.name] = handler
+
+
+class FakePolicies:
+    """Give every workspace the same policy."""
+
+    def __init__(self, policy: SpendPolicy) -> None:
+        self.policy = policy
+
+    def spend_policy(self, workspace: str) -> SpendPolicy:
+        """Return the one policy."""
+        return self.policy
+
+
+class MoneyHost:
+    """Run one incarnation after another of one entry host."""
+
+    def __init__(self, fleet: "MoneyFleet", name: str, place: str, storage: Storage | None) -> None:
+        self.name = name
+        self.place = place
+        self.storage = storage
+        self.incarnation = 0
+        self.is_up = False
+        self._fleet = fleet
+        self.allotments: HostAllotments
+
+    async def start(self) -> None:
+        """Start a new incarnation."""
+        fleet = self._fleet
+        self.incarnation += 1
+        self.is_up = True
+        links = FakeLinks(fleet.net, self.name, self.place, self.incarnation)
+        self.allotments = make_allotments(
+            Holder(self.name, self.incarnation),
+            self.place,
+            make_ledger_client(FakeControl(fleet.net, self.name), 1),
+            self,
+            FakePolicies(fleet.policy),
+            links,
+            links,
+            Runtime(fleet.clock, fleet.no_network, fleet.random, self.storage),
+        )
+        await self.allotments.start()
+
+    async def kill(self) -> None:
+        """End the process at once: nothing is handed back, nothing more is written."""
+        self.is_up = False
+        self._fleet.net.handlers[self.name] = {}
+        await self.allotments.stop()
+
+    def alive(self) -> list[FakeHostView]:
+        """Return the hosts in reach, this one included."""
+        fleet = self._fleet
+        return [
+            FakeHostView(host.name, host.place, host.name)
+            for host in fleet.host_by_name.values()
+            if host.is_up and fleet.net.reaches(self.name, host.name)
+        ]
+
+
+class MoneyFleet:
+    """Hold the hosts of some places and one ledger group."""
+
+    def __init__(
+        self,
+        places: Mapping[str, str],
+        machine: StateMachine,
+        clock: Clock,
+        random: Random,
+        policy: SpendPolicy | None = None,
+        storages: Mapping[str, Storage] | None = None,
+    ) -> None:
+        self.clock = clock
+        self.random = random
+        self.policy = policy or SpendPolicy()
+        self.net = MoneyNet(machine, clock)
+        self.no_network: Any = None
+        self._credits = 0
+        self.host_by_name = {
+            name: MoneyHost(self, name, place, (storages or {}).get(name))
+            for name, place in places.items()
+        }
+
+    async def start(self) -> None:
+        """Start every host."""
+        for host in self.host_by_name.values():
+            await host.start()
+
+    async def stop(self) -> None:
+        """Stop every host that is up."""
+        for host in self.host_by_name.values():
+            if host.is_up:
+                await host.kill()
+
+    def credit(self, budget: str, amount: int, workspace: str = "clerks") -> None:
+        """Commit a top-up at the ledger."""
+        self._credits += 1
+        command = Credit(
+            budget, workspace, "tokens", amount, f"c{self._credits}", "op", self.clock.wall()
+        )
+        self.net.machine.apply(LEDGER_CODEC.encode(command))
