--- a/cranberrywall/budgets/__init__.py
+++ b/cranberrywall/budgets/__init__.py
@@ -12,12 +12,15 @@
     ReserveRequest,
     SpendPolicy,
 )
+from cranberrywall.budgets._ledger_ids import IdLimits
+from cranberrywall.budgets._ledger_machine import make_ledger_machine
 from cranberrywall.budgets.messages import LEDGER_CODEC
 
 __all__ = [
     "LEDGER_CODEC",
     "Allotments",
     "HostAllotments",
+    "IdLimits",
     "LedgerClient",
     "PeerHost",
     "Peers",
@@ -27,4 +30,5 @@
     "SpendPolicy",
     "make_allotments",
     "make_ledger_client",
+    "make_ledger_machine",
 ]
