Keep charges on disk or at two peers while the ledger is out of reach

A host with a disk writes a checkpoint of what it holds as the ledger falls out of reach, and each charge and transfer after it, synced. A restart without the ledger goes on under the old incarnation; in reach it hands its money over to the new one by a transfer and registers it. A host without a disk keeps at two peers, and its successor's remainder comes back only once every entry host has delivered what it kept of it.

--- a/cranberrywall/budgets/_allotment.py
+++ b/cranberrywall/budgets/_allotment.py
@@ -29,7 +29,6 @@
     draw: int = 1
     give_back: int = 1
     give: int = 1
-    take: int = 1
     accept: int = 1
 
 
@@ -50,7 +49,6 @@
         "next_draw",
         "next_give",
         "next_return",
-        "next_take",
         "on_low",
         "pending_draw",
         "pending_return",
@@ -82,7 +80,6 @@
         self.next_return = 1
         self.next_charge = 1
         self.next_give = 1
-        self.next_take = 1
         self.next_accept = 1
         self.pending_draw: Draw | None = None
         self.pending_return: Return | None = None
@@ -102,7 +99,6 @@
             self.next_draw,
             self.next_return,
             self.next_give,
-            self.next_take,
             self.next_accept,
         )
 
@@ -112,7 +108,6 @@
         self.next_draw = numbers.draw
         self.next_return = numbers.give_back
         self.next_give = numbers.give
-        self.next_take = numbers.take
         self.next_accept = numbers.accept
 
     @property
@@ -143,14 +138,19 @@
         self.charging += actual
         self.settled_since_review += actual
         self.used_since_view = True
-        number = self.next_charge
-        self.next_charge += 1
+        number = self.take_charge_number()
         if actual < bound:
             self.spendable += bound - actual
             if self.scarce is not None:
                 self.scarce.serve()
         return number
 
+    def take_charge_number(self) -> int:
+        """Return the next charge's number, and count it as used."""
+        number = self.next_charge
+        self.next_charge += 1
+        return number
+
     def committed(self, amount: int) -> None:
         """Forget a charge that the ledger has billed."""
         self.charging -= amount
--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -1,12 +1,14 @@
 """Spend prepaid budgets on an entry host from the amounts that it holds."""
 
 import asyncio
+from collections.abc import Callable, Sequence
 from functools import partial
 
+from loguru import logger
 from result import Err, Ok, Result
 
 from cranberrywall.budgets._allotment import Allotment, Numbers
-from cranberrywall.budgets._charges import ChargeQueue, Keeper
+from cranberrywall.budgets._charges import ChargeQueue, Kept
 from cranberrywall.budgets._client import LedgerClient
 from cranberrywall.budgets._interfaces import (
     HostAllotments,
@@ -15,14 +17,27 @@
     Reservation,
     ReserveRequest,
 )
-from cranberrywall.budgets._keepers import MemoryKeeper
+from cranberrywall.budgets._journal import Journal, Recovered
 from cranberrywall.budgets._ledger_steps import LedgerSteps
-from cranberrywall.budgets._peer_messages import TAKE, TakeReply, TakeRequest
+from cranberrywall.budgets._mirror import Mirror, deliver_at_peers
+from cranberrywall.budgets._mirror_store import MirrorStore
+from cranberrywall.budgets._peer_messages import (
+    DELIVER,
+    FORGET,
+    KEEP,
+    TAKE,
+    DeliverReply,
+    DeliverRequest,
+    TakeReply,
+    TakeRequest,
+)
+from cranberrywall.budgets._recovery import checkpoint_of, hand_over, resume
+from cranberrywall.budgets._registration import Registration, of_group
 from cranberrywall.budgets._reservation import HeldReservation
 from cranberrywall.budgets._review import REVIEW_INTERVAL_S, Reviewer
 from cranberrywall.budgets._scarcity import Shortage, Tools
 from cranberrywall.budgets._transfers import Giver, Taker
-from cranberrywall.budgets.messages import Holder
+from cranberrywall.budgets.messages import Holder, Transfer
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller, Peer, Server
 from cranberrywall.runtime import Runtime
@@ -30,28 +45,35 @@
 # An allotment that was not used for this long is returned and forgotten.
 FORGET_AFTER_S = 24 * 3600.0
 
+_ISOLATED = Refusal(
+    ErrorKind.BUDGET_UNREACHABLE,
+    "this host reaches neither the ledger nor two peers, and has no disk that works",
+    "budget",
+    "send it to another host",
+)
+
 
 def make_allotments(
     holder: Holder,
     place: str,
     ledger: LedgerClient,
     peers: Peers,
+    entry_hosts: Callable[[], Sequence[str]],
     policies: Policies,
     caller: Caller,
     server: Server,
     runtime: Runtime,
 ) -> HostAllotments:
-    """Return the allotments of this run of this host; ``start`` them before use."""
-    keeper = MemoryKeeper()
-    return _HostAllotments(holder, place, ledger, peers, policies, caller, server, keeper, runtime)
+    """Return the allotments of this run of this host; ``start`` them before use.
 
-
-_ISOLATED = Refusal(
-    ErrorKind.BUDGET_UNREACHABLE,
-    "this host reaches neither the ledger nor two peers, and has no disk",
-    "budget",
-    "send it to another host",
-)
+    ``entry_hosts`` names every entry host of the configuration in force: a host without a
+    disk asks each of them what it keeps of its earlier runs.
+    """
+    storage = runtime.storage
+    keeper = Journal(storage) if storage else Mirror(holder.host, place, peers, caller)
+    return _HostAllotments(
+        holder, place, ledger, peers, entry_hosts, policies, caller, server, keeper, runtime
+    )
 
 
 class _HostAllotments:
@@ -61,40 +83,50 @@
         place: str,
         ledger: LedgerClient,
         peers: Peers,
+        entry_hosts: Callable[[], Sequence[str]],
         policies: Policies,
         caller: Caller,
         server: Server,
-        keeper: Keeper,
+        keeper: Journal | Mirror,
         runtime: Runtime,
     ) -> None:
         self._holder = holder
         self._ledger = ledger
+        self._peers = peers
+        self._entry_hosts = entry_hosts
         self._policies = policies
+        self._caller = caller
         self._keeper = keeper
         self._clock = runtime.clock
         self._by_budget: dict[str, Allotment] = {}
         self._numbers_by_budget: dict[str, Numbers] = {}
         self._shortage_by_budget: dict[str, Shortage] = {}
-        self._queue_by_group = {
-            group: ChargeQueue(group, holder, ledger, keeper, self._clock)
-            for group in ledger.groups()
-        }
-        self._steps = LedgerSteps(holder, ledger, self._clock)
-        self._giver = Giver(holder, keeper, self._clock)
-        self._taker = Taker(holder, caller, keeper, self._clock)
+        self._queue_by_group = {group: self._make_queue(group) for group in ledger.groups()}
+        self._steps = LedgerSteps(ledger, self._clock)
+        self._store = MirrorStore(ledger, self._clock)
+        self._giver = Giver(keeper, self._clock)
         self._reviewer = Reviewer(self._steps, peers, self._clock)
         self._tools = Tools(
-            holder,
+            holder.host,
             place,
             ledger,
             self._steps,
-            self._taker,
+            Taker(caller, keeper, self._store.is_ended, runtime.random),
             peers,
             self._clock,
             self._reviewer.wanted,
         )
         self._tasks: list[asyncio.Task[None]] = []
         server.register(TAKE, self._give)
+        server.register(KEEP, self._store.keep)
+        server.register(FORGET, self._store.forget)
+        server.register(DELIVER, self._deliver)
+
+    def _make_queue(self, group: str) -> ChargeQueue:
+        queue = ChargeQueue(group, self._holder, self._ledger, self._keeper, self._clock)
+        queue.on_reach = partial(self._reach_changed, queue)
+        queue.on_succeed = partial(self._hand_over, queue)
+        return queue
 
     def try_reserve(self, request: ReserveRequest, now: float) -> Reservation | None:
         allotment = self._by_budget.get(request.budget)
@@ -106,23 +138,40 @@
         return HeldReservation(allotment, request, self._clock.wall())
 
     async def reserve(self, request: ReserveRequest, now: float) -> Result[Reservation, Refusal]:
+        reservation = self.try_reserve(request, now)
+        if reservation is not None:
+            return Ok(reservation)
         if request.bound < 1:
             return Err(
                 Refusal(ErrorKind.BAD_REQUEST, "must be positive", "bound", "give at least 1")
             )
-        allotment = self._allotment(request.budget, request.workspace, now)
+        allotment = self._allotment(request.budget, request.workspace)
         if not allotment.queue.accepts(allotment.policy):
             return Err(_ISOLATED)
-        reservation = self.try_reserve(request, now)
-        if reservation is not None:
-            return Ok(reservation)
-        shortage = self._shortage(allotment)
-        return await shortage.reserve(request, now)
+        allotment.used_at = now
+        return await self._shortage(allotment).reserve(request, now)
 
-    async def start(self) -> None:
+    async def start(self) -> Result[None, Refusal]:
+        recovered = Recovered((), ())
+        if isinstance(self._keeper, Journal):
+            opened = await self._keeper.open()
+            if isinstance(opened, Err):
+                return Err(opened.err_value)
+            recovered = opened.ok_value
+        self._resume(recovered)
+        registration = Registration(
+            self._ledger, self._keeper, self._delivered_elsewhere, self._clock
+        )
         for queue in self._queue_by_group.values():
             queue.start()
-        self._tasks = [asyncio.create_task(self._review_loop())]
+            left = [of_group(kept, queue.group, self._ledger) for kept in recovered.kept]
+            left = [kept for kept in left if kept.holder != queue.holder]
+            register = registration.register(
+                queue.group, self._holder, left, partial(_is_succeeded, queue)
+            )
+            self._tasks.append(asyncio.create_task(register))
+        self._tasks.append(asyncio.create_task(self._review_loop()))
+        return Ok(None)
 
     async def stop(self) -> None:
         for task in self._tasks:
@@ -143,12 +192,12 @@
                 return Err(returned.err_value)
         return Ok(None)
 
-    def _allotment(self, budget: str, workspace: str, now: float) -> Allotment:
+    def _allotment(self, budget: str, workspace: str) -> Allotment:
         allotment = self._by_budget.get(budget)
         if allotment is None:
             policy = self._policies.spend_policy(workspace)
             queue = self._queue_by_group[self._ledger.group(budget)]
-            allotment = Allotment(budget, workspace, policy, queue, now)
+            allotment = Allotment(budget, workspace, policy, queue, self._clock.now())
             allotment.number_from(self._numbers_by_budget.pop(budget, Numbers()))
             allotment.on_low = partial(self._reviewer.draw_ahead, allotment)
             self._by_budget[budget] = allotment
@@ -161,6 +210,44 @@
             self._shortage_by_budget[allotment.budget] = shortage
         return shortage
 
+    def _resume(self, recovered: Recovered) -> None:
+        """Go on as the holder of each checkpoint; the others' remains are delivered."""
+        for checkpoint in recovered.checkpoints:
+            queue = self._queue_by_group.get(checkpoint.group)
+            if queue is None:
+                continue
+            mine = [kept for kept in recovered.kept if kept.holder == checkpoint.holder]
+            kept = mine[0] if mine else Kept(checkpoint.holder, (), ())
+            resume(checkpoint, of_group(kept, queue.group, self._ledger), queue, self._allotment)
+            queue.successor = self._holder
+            logger.info(
+                "event=resumed_from_journal group={} incarnation={} budgets={}",
+                checkpoint.group,
+                checkpoint.holder.incarnation,
+                len(checkpoint.rows),
+            )
+
+    def _hand_over(self, queue: ChargeQueue) -> list[Transfer]:
+        return hand_over(list(self._by_budget.values()), queue, self._clock.wall())
+
+    async def _reach_changed(self, queue: ChargeQueue, in_reach: bool) -> None:
+        if not isinstance(self._keeper, Journal):
+            return
+        if in_reach:
+            await self._keeper.in_reach(queue.group)
+            return
+        checkpoint = checkpoint_of(queue, list(self._by_budget.values()))
+        await self._keeper.out_of_reach(checkpoint, queue.unreported)
+
+    async def _delivered_elsewhere(self) -> bool:
+        if isinstance(self._keeper, Journal):
+            # The journal holds all that earlier runs on this disk left.
+            return True
+        host, incarnation = self._holder
+        return await deliver_at_peers(
+            host, incarnation, self._entry_hosts(), self._peers, self._caller
+        )
+
     async def _give(self, request: TakeRequest, peer: Peer) -> Result[TakeReply, Refusal]:
         if peer.host != request.taker.host:
             return Err(Refusal(ErrorKind.FORBIDDEN, "names another host", "taker"))
@@ -169,10 +256,23 @@
             return Ok(TakeReply(self._holder, None, 0, 0))
         return await self._giver.give(request, allotment)
 
+    async def _deliver(self, request: DeliverRequest, peer: Peer) -> Result[DeliverReply, Refusal]:
+        answer = await self._store.deliver(request, peer)
+        if isinstance(answer, Err):
+            return answer
+        unreported = [
+            transfer
+            for queue in self._queue_by_group.values()
+            for transfer in queue.unreported
+            if self._store.is_ended(transfer.giver) and transfer.giver.host == request.host
+        ]
+        return Ok(DeliverReply(answer.ok_value.remaining + len(unreported)))
+
     async def _review_loop(self) -> None:
         while True:
             await self._clock.sleep(REVIEW_INTERVAL_S)
             now = self._clock.now()
+            await self._store.help(now)
             for allotment in list(self._by_budget.values()):
                 await self._reviewer.review(allotment)
                 if allotment.booked == 0 and now - allotment.used_at >= FORGET_AFTER_S:
@@ -184,3 +284,7 @@
         self._numbers_by_budget[allotment.budget] = allotment.numbers()
         del self._by_budget[allotment.budget]
         self._shortage_by_budget.pop(allotment.budget, None)
+
+
+def _is_succeeded(queue: ChargeQueue) -> bool:
+    return queue.successor is None
--- a/cranberrywall/budgets/_charges.py
+++ b/cranberrywall/budgets/_charges.py
@@ -49,7 +49,7 @@
         """Return once the giver may tell the taker of a transfer."""
         ...
 
-    def committed(self, kept: Kept) -> None:
+    async def committed(self, kept: Kept) -> None:
         """Note that the ledger has ``kept``: nobody need keep it any longer."""
         ...
 
@@ -69,11 +69,20 @@
         """Remove money that the ledger does not book to this host."""
         ...
 
+    def take_charge_number(self) -> int:
+        """Return the next charge's number, and count it as used."""
+        ...
+
 
 class _Pending(NamedTuple):
     charge: Charge
     allotment: Charged
-    done: "asyncio.Future[Result[None, Refusal]]"
+    done: "asyncio.Future[Result[None, Refusal]] | None"
+
+    def answer(self, result: Result[None, Refusal]) -> None:
+        """Answer the request that waits, unless it went away or was answered before."""
+        if self.done is not None and not self.done.done():
+            self.done.set_result(result)
 
 
 class ChargeQueue:
@@ -91,6 +100,8 @@
         self.in_reach = True
         self.durable = True
         self.on_reach: Callable[[bool], Awaitable[None]] | None = None
+        self.successor: Holder | None = None
+        self.on_succeed: Callable[[], Sequence[Transfer]] | None = None
         self._ledger = ledger
         self._keeper = keeper
         self._clock = clock
@@ -147,18 +158,21 @@
         self._transfers.append((transfer, taken_by))
         self._work_came()
 
+    @property
+    def unreported(self) -> tuple[Transfer, ...]:
+        """Return the transfers that the ledger has not confirmed."""
+        return tuple(transfer for transfer, _ in self._transfers)
+
+    def start_out_of_reach(self) -> None:
+        """Begin without the ledger, as after a restart that goes on from a checkpoint."""
+        self.in_reach = False
+        self._work_came()
+
     def adopt(self, charge: Charge, allotment: Charged) -> None:
         """Queue a charge that is already kept, as after a restart."""
-        done: asyncio.Future[Result[None, Refusal]] = asyncio.get_running_loop().create_future()
-        done.set_result(Ok(None))
-        self._kept.append(_Pending(charge, allotment, done))
+        self._kept.append(_Pending(charge, allotment, None))
         self._work_came()
 
-    def uncommitted_of(self, allotment: Charged) -> list[Charge]:
-        """Return one budget's charges that the ledger has not confirmed."""
-        every = (*self._kept, *self._under_way, *self._waiting)
-        return [pending.charge for pending in every if pending.allotment is allotment]
-
     async def lost(self, refusal: Refusal) -> None:
         """Note that the ledger is out of reach: charges are kept here from now on."""
         if not self.in_reach:
@@ -187,6 +201,8 @@
                 await self._commit_next()
             else:
                 await self._probe()
+            if self.successor is not None and self.in_reach and not self._kept:
+                self._succeed()
             if self.uncommitted == 0 and self.in_reach:
                 self._to_commit.clear()
                 self._idle.set()
@@ -203,7 +219,26 @@
             source.extendleft(reversed(batch))
             await self.lost(answer.err_value)
             return
-        self._finish(batch, answer.ok_value)
+        await self._finish(batch, answer.ok_value)
+
+    def _succeed(self) -> None:
+        """Go on as the successor: all that was spent as the old holder is committed.
+
+        One step without a wait, so that no charge is numbered in between. Charges that
+        wait were never sent, and take the successor's numbers.
+        """
+        assert self.successor is not None
+        if self.on_succeed is not None:
+            transfers = self.on_succeed()
+            self._transfers.extend((transfer, None) for transfer in transfers)
+        self._waiting = deque(
+            pending._replace(
+                charge=pending.charge._replace(number=pending.allotment.take_charge_number())
+            )
+            for pending in self._waiting
+        )
+        self.holder = self.successor
+        self.successor = None
 
     async def _probe(self) -> None:
         """Try the ledger again with what is kept, ever more rarely."""
@@ -227,7 +262,7 @@
         self.durable = True
         self._retry_s = RETRY_FIRST_S
         if batch:
-            self._finish(batch, answer.ok_value)
+            await self._finish(batch, answer.ok_value)
 
     async def _ask_anything(self) -> Result[Any, Refusal]:
         reported = await self._report_transfers()
@@ -258,20 +293,19 @@
             if taken_by is not None and missing > 0:
                 # The giver's remainder had come back and was spent elsewhere.
                 taken_by.drop(missing)
-            self._keeper.committed(Kept(self.holder, (transfer,), ()))
+            await self._keeper.committed(Kept(self.holder, (transfer,), ()))
         return Ok(None)
 
-    def _finish(self, batch: Sequence[_Pending], answer: ChargeBatchResult) -> None:
+    async def _finish(self, batch: Sequence[_Pending], answer: ChargeBatchResult) -> None:
         if not batch:
             return
         for pending, outcome in zip(batch, answer.outcomes, strict=True):
             pending.allotment.committed(pending.charge.amount)
             if outcome is not ChargeOutcome.BILLED:
                 _note(pending, outcome)
-            if not pending.done.done():
-                pending.done.set_result(Ok(None))
+            pending.answer(Ok(None))
         charges = tuple(pending.charge for pending in batch)
-        self._keeper.committed(Kept(self.holder, (), charges))
+        await self._keeper.committed(Kept(self.holder, (), charges))
 
     async def _keep_loop(self) -> None:
         while True:
@@ -289,8 +323,7 @@
         answer = await self._keeper.keep(Kept(self.holder, (), charges))
         self.durable = isinstance(answer, Ok)
         for pending in batch:
-            if not pending.done.done():
-                pending.done.set_result(answer)
+            pending.answer(answer)
 
 
 def _take_first(source: deque[_Pending]) -> list[_Pending]:
--- a/cranberrywall/budgets/_interfaces.py
+++ b/cranberrywall/budgets/_interfaces.py
@@ -65,8 +65,11 @@
         """
         ...
 
-    async def start(self) -> None:
-        """Recover what an earlier run on this host left, and begin to work."""
+    async def start(self) -> Result[None, Refusal]:
+        """Recover what an earlier run on this host left, and begin to work.
+
+        ``Err`` is ``CORRUPT`` where the journal is damaged: the host must not serve.
+        """
         ...
 
     async def stop(self) -> None:
--- /dev/null
+++ b/cranberrywall/budgets/_journal.py
@@ -0,0 +1,268 @@
+"""Keep charges and transfers on this host's disk while the ledger does not have them.
+
+While the ledger is out of reach the journal also holds a checkpoint of what the host
+held at that moment. A restart then goes on under the old incarnation's numbers: the
+checkpoint less what was spent since. In reach nothing but transfers is written.
+"""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from loguru import logger
+from result import Err, Ok, Result
+
+from cranberrywall.budgets._allotment import Numbers
+from cranberrywall.budgets._charges import Kept
+from cranberrywall.budgets.messages import Charge, Holder, Transfer
+from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.links import MalformedMessageError, MessageCodec
+from cranberrywall.replication import encode_frame, scan_frames
+from cranberrywall.runtime import AppendFile, Storage
+
+FILE = "budgets/journal"
+# The file is written anew where it has this size and most of it is no longer needed.
+COMPACT_BYTES = 1 << 20
+
+
+class HeldRow(NamedTuple):
+    """Describe one budget in a checkpoint: what the host may spend or has not committed."""
+
+    budget: str
+    workspace: str
+    held: int
+    numbers: Numbers
+
+
+class Checkpoint(NamedTuple):
+    """Hold what ``holder`` held at one ledger group when it fell out of reach."""
+
+    group: str
+    holder: Holder
+    rows: tuple[HeldRow, ...]
+
+
+class InReach(NamedTuple):
+    """End the group's checkpoint: what the host holds now is not in the journal."""
+
+    group: str
+
+
+class Committed(NamedTuple):
+    """Name what the ledger has: transfers by giver and number, charges by number."""
+
+    holder: Holder
+    transfers: tuple[tuple[str, Holder, int], ...]
+    charges: tuple[tuple[str, int], ...]
+
+
+class Recovered(NamedTuple):
+    """Hold what earlier runs left: allotments to go on with, and what to deliver."""
+
+    checkpoints: tuple[Checkpoint, ...]
+    kept: tuple[Kept, ...]
+
+
+class _Batch(NamedTuple):
+    """Hold the records of one write: all of them last, or none."""
+
+    records: tuple[bytes, ...]
+
+
+_Record = Kept | Committed | Checkpoint | InReach
+_CODEC = MessageCodec([Kept, Committed, Checkpoint, InReach, _Batch])
+
+
+class _ChargeKey(NamedTuple):
+    holder: Holder
+    budget: str
+    number: int
+
+
+class _TransferKey(NamedTuple):
+    giver: Holder
+    budget: str
+    number: int
+
+
+def _transfer_key(transfer: Transfer) -> _TransferKey:
+    return _TransferKey(transfer.giver, transfer.budget, transfer.giver_number)
+
+
+class _Live:
+    """Hold what the records so far leave to be done."""
+
+    def __init__(self) -> None:
+        self.charge_by_key: dict[_ChargeKey, Charge] = {}
+        self.transfer_by_key: dict[_TransferKey, Transfer] = {}
+        self.reporter_by_key: dict[_TransferKey, Holder] = {}
+        self.checkpoint_by_group: dict[str, Checkpoint] = {}
+
+    def apply(self, record: _Record) -> None:
+        match record:
+            case Kept():
+                self._keep(record)
+            case Committed():
+                self._commit(record)
+            case Checkpoint():
+                self.checkpoint_by_group[record.group] = record
+            case InReach():
+                self.checkpoint_by_group.pop(record.group, None)
+
+    def _keep(self, kept: Kept) -> None:
+        for charge in kept.charges:
+            key = _ChargeKey(kept.holder, charge.budget, charge.number)
+            self.charge_by_key[key] = charge
+        for transfer in kept.transfers:
+            self.transfer_by_key[_transfer_key(transfer)] = transfer
+            self.reporter_by_key[_transfer_key(transfer)] = kept.holder
+            self._move(kept.holder, transfer)
+
+    def _move(self, holder: Holder, transfer: Transfer) -> None:
+        """Change the checkpoints by a transfer that was made after them."""
+        change = transfer.amount if transfer.taker == holder else -transfer.amount
+        for group, checkpoint in list(self.checkpoint_by_group.items()):
+            rows = tuple(
+                row._replace(held=row.held + change) if row.budget == transfer.budget else row
+                for row in checkpoint.rows
+            )
+            if checkpoint.holder == holder:
+                self.checkpoint_by_group[group] = checkpoint._replace(rows=rows)
+
+    def _commit(self, record: Committed) -> None:
+        for budget, number in record.charges:
+            self.charge_by_key.pop(_ChargeKey(record.holder, budget, number), None)
+        for budget, giver, number in record.transfers:
+            self.transfer_by_key.pop(_TransferKey(giver, budget, number), None)
+            self.reporter_by_key.pop(_TransferKey(giver, budget, number), None)
+
+    def kept(self) -> list[Kept]:
+        """Return what is to be delivered, by holder, in the order of the numbers."""
+        holders = {key.holder for key in self.charge_by_key} | set(self.reporter_by_key.values())
+        return [
+            Kept(holder, self._transfers_of(holder), self._charges_of(holder))
+            for holder in sorted(holders)
+        ]
+
+    def _transfers_of(self, holder: Holder) -> tuple[Transfer, ...]:
+        keys = [key for key, reporter in self.reporter_by_key.items() if reporter == holder]
+        return tuple(self.transfer_by_key[key] for key in keys)
+
+    def _charges_of(self, holder: Holder) -> tuple[Charge, ...]:
+        keys = sorted(key for key in self.charge_by_key if key.holder == holder)
+        return tuple(self.charge_by_key[key] for key in keys)
+
+
+class Journal:
+    """Append records and sync each before the call returns."""
+
+    def __init__(self, storage: Storage) -> None:
+        self._storage = storage
+        self._live = _Live()
+        self._file: AppendFile | None = None
+        self._size = 0
+        self._writing = 0
+
+    async def open(self) -> Result[Recovered, Refusal]:
+        """Read what earlier runs left, and open the file for more."""
+        return await self._storage.run_blocking(self._open)
+
+    def _open(self) -> Result[Recovered, Refusal]:
+        data = self._storage.read(FILE) or b""
+        scan = scan_frames(data)
+        if isinstance(scan, Err):
+            return Err(_damaged(scan.err_value))
+        payloads, sound_size = scan.ok_value
+        try:
+            for payload in payloads:
+                self._apply([_CODEC.decode(one) for one in _CODEC.decode(payload).records])
+        except MalformedMessageError as error:
+            return Err(Refusal(ErrorKind.CORRUPT, f"{FILE}: {error}"))
+        if sound_size < len(data):
+            # A crash tore the last record; nobody was told that it was kept.
+            self._storage.truncate(FILE, sound_size)
+        self._file = self._storage.open_append(FILE)
+        self._size = sound_size
+        checkpoints = tuple(self._live.checkpoint_by_group.values())
+        return Ok(Recovered(checkpoints, tuple(self._live.kept())))
+
+    async def keep(self, kept: Kept) -> Result[None, Refusal]:
+        """Return once ``kept`` is synced."""
+        return await self._write([kept])
+
+    async def keep_transfer(self, holder: Holder, transfer: Transfer) -> Result[None, Refusal]:
+        """Return once the transfer is synced."""
+        return await self._write([Kept(holder, (transfer,), ())])
+
+    async def committed(self, kept: Kept) -> None:
+        """Note what the ledger has, where the journal may hold it."""
+        live = self._live
+        if not (live.charge_by_key or live.transfer_by_key or self._writing):
+            return
+        charges = tuple((charge.budget, charge.number) for charge in kept.charges)
+        transfers = tuple((one.budget, one.giver, one.giver_number) for one in kept.transfers)
+        await self._write([Committed(kept.holder, transfers, charges)])
+
+    async def out_of_reach(
+        self, checkpoint: Checkpoint, unreported: tuple[Transfer, ...]
+    ) -> Result[None, Refusal]:
+        """Note what this host holds, and the transfers to it that the ledger has not heard of.
+
+        The transfers go first: what they brought is in the checkpoint already.
+        """
+        return await self._write([Kept(checkpoint.holder, unreported, ()), checkpoint])
+
+    async def in_reach(self, group: str) -> Result[None, Refusal]:
+        """Drop the checkpoint: the ledger is in reach and steps are no longer written."""
+        return await self._write([InReach(group)])
+
+    async def _write(self, records: Sequence[_Record]) -> Result[None, Refusal]:
+        self._writing += 1
+        try:
+            return await self._storage.run_blocking(lambda: self._append(records))
+        finally:
+            self._writing -= 1
+
+    def _append(self, records: Sequence[_Record]) -> Result[None, Refusal]:
+        if self._file is None:
+            return Err(Refusal(ErrorKind.STORAGE_FAILED, f"{FILE} is not open"))
+        data = encode_frame(_CODEC.encode(_Batch(tuple(map(_CODEC.encode, records)))))
+        try:
+            self._file.append(data)
+            self._file.sync()
+            self._size += len(data)
+            self._apply(records)
+            if self._size > COMPACT_BYTES:
+                self._compact()
+        except OSError as error:
+            # What a failed sync wrote may or may not be there, and nothing after it can be
+            # trusted to last: the file takes no more in this run.
+            self._file = None
+            logger.error("event=journal_failed error={}", error)
+            return Err(Refusal(ErrorKind.STORAGE_FAILED, f"{FILE}: {error}"))
+        return Ok(None)
+
+    def _apply(self, records: Sequence[_Record]) -> None:
+        for record in records:
+            self._live.apply(record)
+
+    def _compact(self) -> None:
+        """Write what is still needed to a new file: kept first, as checkpoints follow it."""
+        assert self._file is not None
+        records: list[_Record] = [*self._live.kept(), *self._live.checkpoint_by_group.values()]
+        batch = _Batch(tuple(map(_CODEC.encode, records)))
+        image = encode_frame(_CODEC.encode(batch))
+        if 2 * len(image) > self._size:
+            return
+        self._file.close()
+        self._storage.replace(FILE, image)
+        self._file = self._storage.open_append(FILE)
+        self._size = len(image)
+
+
+def _damaged(offset: int) -> Refusal:
+    return Refusal(
+        ErrorKind.CORRUPT,
+        f"{FILE} is damaged at byte {offset}, before records that were synced",
+        "data",
+        "keep a copy of the file, confirm the host dead and start it with an empty folder",
+    )
--- a/cranberrywall/budgets/_ledger_steps.py
+++ b/cranberrywall/budgets/_ledger_steps.py
@@ -5,7 +5,7 @@
 from cranberrywall.budgets._allotment import Allotment
 from cranberrywall.budgets._client import LedgerClient
 from cranberrywall.budgets._sizing import LedgerView
-from cranberrywall.budgets.messages import Draw, DrawResult, Holder, Return
+from cranberrywall.budgets.messages import Draw, DrawResult, Return
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.runtime import Clock
 
@@ -30,15 +30,14 @@
 
 
 class LedgerSteps:
-    """Take the numbered steps of one holder.
+    """Take the numbered steps of this host's holders.
 
     A step whose answer was lost may have been applied. It is sent again, unchanged and
     under its number, before any other one: the ledger then gives its first answer, so
     that money is neither drawn twice nor forgotten.
     """
 
-    def __init__(self, holder: Holder, ledger: LedgerClient, clock: Clock) -> None:
-        self._holder = holder
+    def __init__(self, ledger: LedgerClient, clock: Clock) -> None:
         self._ledger = ledger
         self._clock = clock
         self.sent = 0
@@ -53,7 +52,7 @@
                 return resent
         draw = Draw(
             allotment.budget,
-            self._holder,
+            allotment.queue.holder,
             allotment.next_draw,
             max(1, amount, minimum),
             max(1, minimum),
@@ -94,7 +93,11 @@
         if taken == 0:
             return Ok(0)
         step = Return(
-            allotment.budget, self._holder, allotment.next_return, taken, self._clock.wall()
+            allotment.budget,
+            allotment.queue.holder,
+            allotment.next_return,
+            taken,
+            self._clock.wall(),
         )
         sent = await self._send_return(allotment, step)
         return sent.map(lambda _: taken)
@@ -107,7 +110,9 @@
         answer = await self._ledger.give_back(step, STEP_TIMEOUT_S)
         if isinstance(answer, Err):
             if not out_of_reach(answer.err_value):
+                # The ledger refused it and changed nothing: the money is still held here.
                 allotment.pending_return = None
+                allotment.granted(step.amount)
             return Err(answer.err_value)
         allotment.pending_return = None
         allotment.next_return = step.number + 1
--- /dev/null
+++ b/cranberrywall/budgets/_mirror.py
@@ -0,0 +1,124 @@
+"""Keep the charges of a host without a disk at two of its peers.
+
+The ledger is out of reach while a mirror is used. The peers commit what they hold once
+they reach the ledger; the ledger bills each charge once, whoever sends it.
+"""
+
+import asyncio
+from collections.abc import Sequence
+
+from loguru import logger
+from result import Err, Ok, Result
+
+from cranberrywall.budgets._charges import Kept
+from cranberrywall.budgets._interfaces import PeerHost, Peers
+from cranberrywall.budgets._peer_messages import (
+    DELIVER,
+    FORGET,
+    KEEP,
+    DeliverRequest,
+    ForgetRequest,
+    KeepRequest,
+)
+from cranberrywall.budgets.messages import Holder, Transfer
+from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.links import Caller
+
+COPIES = 2
+CALL_TIMEOUT_S = 0.5
+
+_ALONE = Refusal(
+    ErrorKind.UNREACHABLE,
+    f"fewer than {COPIES} peers answer: the charge is held in this host's memory only",
+)
+
+
+class Mirror:
+    """Keep at two peers, in two places where both sides of a cut allow it."""
+
+    def __init__(self, host: str, place: str, peers: Peers, caller: Caller) -> None:
+        self._host = host
+        self._place = place
+        self._peers = peers
+        self._caller = caller
+        self._mirrored = 0
+        self._links_of_mirrors: set[str] = set()
+
+    async def keep(self, kept: Kept) -> Result[None, Refusal]:
+        """Return once two peers hold ``kept``."""
+        request = KeepRequest(kept.holder, kept.transfers, kept.charges)
+        candidates = self._candidates()
+        copies = 0
+        while candidates and copies < COPIES:
+            asked, candidates = candidates[: COPIES - copies], candidates[COPIES - copies :]
+            answers = await asyncio.gather(*(self._keep_at(peer, request) for peer in asked))
+            copies += sum(answers)
+        if copies < COPIES:
+            return Err(_ALONE)
+        self._mirrored += len(kept.charges) + len(kept.transfers)
+        return Ok(None)
+
+    async def keep_transfer(self, holder: Holder, transfer: Transfer) -> Result[None, Refusal]:
+        """Let the taker have it: its copy of the transfer is the second one.
+
+        A giver without a disk that is lost before either reports leaves the transfer with
+        the taker alone. Its remainder comes back only once every other host has delivered
+        what it knows of the giver, so the amount is not given out a second time.
+        """
+        return Ok(None)
+
+    async def committed(self, kept: Kept) -> None:
+        """Tell the peers what the ledger has, where any of them may hold it."""
+        if not self._mirrored:
+            return
+        count = len(kept.charges) + len(kept.transfers)
+        self._mirrored = max(0, self._mirrored - count)
+        request = ForgetRequest(
+            kept.holder,
+            tuple((one.budget, one.giver, one.giver_number) for one in kept.transfers),
+            tuple((one.budget, one.number) for one in kept.charges),
+        )
+        # A peer that does not hear this commits the charges itself, for nothing.
+        await asyncio.gather(
+            *(
+                self._caller.call(links, FORGET, request, CALL_TIMEOUT_S)
+                for links in sorted(self._links_of_mirrors)
+            )
+        )
+
+    async def _keep_at(self, peer: PeerHost, request: KeepRequest) -> bool:
+        answer = await self._caller.call(peer.links, KEEP, request, CALL_TIMEOUT_S)
+        if isinstance(answer, Err):
+            return False
+        self._links_of_mirrors.add(peer.links)
+        return True
+
+    def _candidates(self) -> list[PeerHost]:
+        """Return the peers, one of another place first: a place may be lost as a whole."""
+        others = [peer for peer in self._peers.alive() if peer.host != self._host]
+        far = [peer for peer in others if peer.place != self._place]
+        near = [peer for peer in others if peer.place == self._place]
+        return [*far[:1], *near[:1], *far[1:], *near[1:]]
+
+
+async def deliver_at_peers(
+    host: str, incarnation: int, entry_hosts: Sequence[str], peers: Peers, caller: Caller
+) -> bool:
+    """Have every entry host commit what it holds of ``host``'s older incarnations.
+
+    Return true only where each of them answered that nothing is left. A host that does
+    not answer may hold a copy that nobody else has.
+    """
+    peer_by_host = {peer.host: peer for peer in peers.alive()}
+    request = DeliverRequest(host, incarnation)
+    for name in entry_hosts:
+        if name == host:
+            continue
+        peer = peer_by_host.get(name)
+        if peer is None:
+            logger.info("event=remainder_waits host={} for={}", host, name)
+            return False
+        answer = await caller.call(peer.links, DELIVER, request, 4 * CALL_TIMEOUT_S)
+        if isinstance(answer, Err) or answer.ok_value.remaining > 0:
+            return False
+    return True
--- a/cranberrywall/budgets/_peer_messages.py
+++ b/cranberrywall/budgets/_peer_messages.py
@@ -12,8 +12,8 @@
 class TakeRequest(NamedTuple):
     """Ask a peer for money of ``budget``: ``amount``, or at least ``minimum``.
 
-    ``number`` starts at 1 and rises with each request of this taker for the budget; a
-    repeated number gets the first answer.
+    ``number`` is drawn at random and names the request: a repeated one gets the first
+    answer.
     """
 
     budget: str
@@ -50,10 +50,10 @@
 
 
 class ForgetRequest(NamedTuple):
-    """Tell a peer that the ledger has these: their numbers by budget."""
+    """Tell a peer that the ledger has these: transfers by giver, all by budget and number."""
 
     holder: Holder
-    transfers: tuple[tuple[str, int], ...]
+    transfers: tuple[tuple[str, Holder, int], ...]
     charges: tuple[tuple[str, int], ...]
 
 
--- /dev/null
+++ b/cranberrywall/budgets/_registration.py
@@ -0,0 +1,88 @@
+"""Deliver what earlier runs of this host left, then let their remainder come back."""
+
+from collections.abc import Awaitable, Callable, Sequence
+
+from loguru import logger
+from result import Err, Ok, Result
+
+from cranberrywall.budgets._charges import Keeper, Kept
+from cranberrywall.budgets._client import LedgerClient
+from cranberrywall.budgets.messages import (
+    MAX_CHARGES_IN_BATCH,
+    ChargeBatch,
+    Holder,
+    RegisterHolder,
+)
+from cranberrywall.errors import Refusal
+from cranberrywall.runtime import Clock
+
+STEP_TIMEOUT_S = 1.0
+RETRY_FIRST_S = 0.5
+RETRY_MOST_S = 10.0
+
+
+class Registration:
+    """Register one holder at the ledger groups, with evidence that older ones are done."""
+
+    def __init__(
+        self,
+        ledger: LedgerClient,
+        keeper: Keeper,
+        delivered_elsewhere: Callable[[], Awaitable[bool]],
+        clock: Clock,
+    ) -> None:
+        self._ledger = ledger
+        self._keeper = keeper
+        self._delivered_elsewhere = delivered_elsewhere
+        self._clock = clock
+
+    async def register(
+        self, group: str, holder: Holder, left: Sequence[Kept], is_ready: Callable[[], bool]
+    ) -> None:
+        """Repeat until the group has all that was left, and released the older holders.
+
+        ``is_ready`` says whether this run has stopped spending as an older holder.
+        """
+        pause_s = RETRY_FIRST_S
+        while not await self._try(group, holder, left, is_ready):
+            await self._clock.sleep(pause_s)
+            pause_s = min(RETRY_MOST_S, pause_s * 2.0)
+
+    async def _try(
+        self, group: str, holder: Holder, left: Sequence[Kept], is_ready: Callable[[], bool]
+    ) -> bool:
+        for kept in left:
+            if isinstance(await self._deliver(kept), Err):
+                return False
+        if not is_ready() or not await self._delivered_elsewhere():
+            return False
+        command = RegisterHolder(holder, True, self._clock.wall())
+        answer = await self._ledger.register(group, command, STEP_TIMEOUT_S)
+        if isinstance(answer, Err):
+            logger.info("event=register_failed group={} kind={}", group, answer.err_value.kind)
+            return False
+        logger.info("event=registered group={} released={}", group, answer.ok_value.released)
+        return True
+
+    async def _deliver(self, kept: Kept) -> Result[None, Refusal]:
+        for transfer in kept.transfers:
+            moved = await self._ledger.transfer(transfer, STEP_TIMEOUT_S)
+            if isinstance(moved, Err):
+                return Err(moved.err_value)
+        for start in range(0, len(kept.charges), MAX_CHARGES_IN_BATCH):
+            some = kept.charges[start : start + MAX_CHARGES_IN_BATCH]
+            batch = ChargeBatch(kept.holder, some, self._clock.wall())
+            billed = await self._ledger.charge(batch, STEP_TIMEOUT_S)
+            if isinstance(billed, Err):
+                return Err(billed.err_value)
+        await self._keeper.committed(kept)
+        return Ok(None)
+
+
+def of_group(kept: Kept, group: str, ledger: LedgerClient) -> Kept:
+    """Return the part of ``kept`` whose budgets are kept by ``group``."""
+    return Kept(
+        kept.holder,
+        tuple(one for one in kept.transfers if ledger.group(one.budget) == group),
+        tuple(one for one in kept.charges if ledger.group(one.budget) == group),
+    )
--- a/cranberrywall/budgets/_scarcity.py
+++ b/cranberrywall/budgets/_scarcity.py
@@ -35,7 +35,7 @@
 class Tools(NamedTuple):
     """Bundle what a search for money uses; one for each host."""
 
-    holder: Holder
+    host: str
     place: str
     ledger: LedgerClient
     steps: LedgerSteps
@@ -185,7 +185,9 @@
             await self._allotment.queue.lost(refusal)
             return None
         logger.info("event=draw_refused budget={} kind={}", allotment.budget, refusal.kind)
-        return 0
+        # A budget that was never credited has nothing. Any other refusal says nothing of
+        # the money, as where this holder was succeeded while it was cut off.
+        return 0 if refusal.kind is ErrorKind.NOT_FOUND else None
 
     async def _draw_share(self) -> None:
         wanted = self._tools.wanted(self._allotment)
@@ -202,7 +204,7 @@
 
     def _neighbours(self) -> Sequence[PeerHost]:
         tools = self._tools
-        return nearest_first(tools.peers.alive(), tools.place, tools.holder.host)[:PEERS_ASKED]
+        return nearest_first(tools.peers.alive(), tools.place, tools.host)[:PEERS_ASKED]
 
     async def _take_from_holders(self, free: int) -> _Found:
         """Take from the holders that the ledger names, the largest first."""
@@ -216,7 +218,9 @@
         peer_by_host = {peer.host: peer for peer in tools.peers.alive()}
         unreached = 0
         free = answer.ok_value.free
-        others = [held for held in answer.ok_value.held if held.holder != tools.holder]
+        others = [
+            held for held in answer.ok_value.held if held.holder != self._allotment.queue.holder
+        ]
         if 0 < free < self._shortfall() <= free + sum(held.outstanding for held in others):
             await self._tools.steps.draw(self._allotment, free, 1)
             free = 0
--- a/cranberrywall/budgets/_transfers.py
+++ b/cranberrywall/budgets/_transfers.py
@@ -6,7 +6,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from loguru import logger
@@ -17,9 +17,9 @@
 from cranberrywall.budgets._interfaces import PeerHost
 from cranberrywall.budgets._peer_messages import TAKE, TakeReply, TakeRequest
 from cranberrywall.budgets.messages import Holder, Transfer
-from cranberrywall.errors import Refusal
+from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller
-from cranberrywall.runtime import Clock
+from cranberrywall.runtime import Clock, Random
 
 TAKE_TIMEOUT_S = 0.5
 # A giver answers a repeated request from these; a taker repeats only its last one.
@@ -40,49 +40,56 @@
 class Giver:
     """Answer peers that are short of money."""
 
-    def __init__(self, holder: Holder, keeper: Keeper, clock: Clock) -> None:
-        self._holder = holder
+    def __init__(self, keeper: Keeper, clock: Clock) -> None:
         self._keeper = keeper
         self._clock = clock
-        self._transfer_by_asked: OrderedDict[_Asked, Transfer | None] = OrderedDict()
+        self._transfer_by_asked: OrderedDict[_Asked, Transfer] = OrderedDict()
+        self._being_kept: set[_Asked] = set()
         self.given = 0
 
     async def give(self, request: TakeRequest, allotment: Allotment) -> Result[TakeReply, Refusal]:
         """Give up to half of what is spendable, or the minimum where that is more."""
         asked = _Asked(request.taker, request.budget, request.number)
+        if asked in self._being_kept:
+            return Err(Refusal(ErrorKind.NOT_READY, "the transfer is being made durable"))
         if asked in self._transfer_by_asked:
-            return Ok(self._reply(allotment, self._transfer_by_asked[asked]))
+            return Ok(_reply(allotment, self._transfer_by_asked[asked]))
         amount = allotment.take(_gift(allotment.spendable, request))
         if amount == 0:
-            return Ok(self._reply(allotment, None))
+            return Ok(_reply(allotment, None))
+        return await self._transfer(asked, amount, allotment)
+
+    async def _transfer(
+        self, asked: _Asked, amount: int, allotment: Allotment
+    ) -> Result[TakeReply, Refusal]:
+        """Make a transfer durable and give it; ``amount`` has left the allotment."""
         transfer = Transfer(
-            request.budget,
-            self._holder,
+            asked.budget,
+            allotment.queue.holder,
             allotment.next_give,
-            request.taker,
+            asked.taker,
             0,
             amount,
             self._clock.wall(),
         )
         allotment.next_give += 1
-        # The transfer is on its way to the ledger, and remembered, whatever comes of the
-        # rest: from here on the money is the taker's.
-        self._remember(asked, transfer)
+        # Whatever comes of the rest, the money is no longer ours: a write that failed may
+        # still be found by a restart, which would then report the transfer.
         allotment.queue.report(transfer, None)
-        kept = await self._keeper.keep_transfer(self._holder, transfer)
+        self._being_kept.add(asked)
+        kept = await self._keeper.keep_transfer(transfer.giver, transfer)
+        self._being_kept.discard(asked)
         if isinstance(kept, Err):
             return Err(kept.err_value)
+        self._remember(asked, transfer)
         self.given += 1
         logger.info(
             "event=transfer_given budget={} to={} amount={}",
-            request.budget,
-            request.taker.host,
+            asked.budget,
+            asked.taker.host,
             amount,
         )
-        return Ok(self._reply(allotment, transfer))
-
-    def _reply(self, allotment: Allotment, transfer: Transfer | None) -> TakeReply:
-        return TakeReply(self._holder, transfer, allotment.spendable, allotment.booked)
+        return Ok(_reply(allotment, transfer))
 
     def _remember(self, asked: _Asked, transfer: Transfer) -> None:
         self._transfer_by_asked[asked] = transfer
@@ -90,6 +97,10 @@
             self._transfer_by_asked.popitem(last=False)
 
 
+def _reply(allotment: Allotment, transfer: Transfer | None) -> TakeReply:
+    return TakeReply(allotment.queue.holder, transfer, allotment.spendable, allotment.booked)
+
+
 def _gift(spendable: int, request: TakeRequest) -> int:
     """Return what to give.
 
@@ -109,11 +120,17 @@
 class Taker:
     """Ask peers for money."""
 
-    def __init__(self, holder: Holder, caller: Caller, keeper: Keeper, clock: Clock) -> None:
-        self._holder = holder
+    def __init__(
+        self,
+        caller: Caller,
+        keeper: Keeper,
+        is_ended: Callable[[Holder], bool],
+        random: Random,
+    ) -> None:
         self._caller = caller
         self._keeper = keeper
-        self._clock = clock
+        self._is_ended = is_ended
+        self._random = random
         self._unanswered: dict[_Line, TakeRequest] = {}
         self.sent = 0
 
@@ -121,10 +138,12 @@
         self, peer: PeerHost, allotment: Allotment, amount: int, minimum: int
     ) -> TakeReply | None:
         """Ask one peer; what it gives is added. ``None`` where it did not answer."""
-        number = allotment.next_take
-        allotment.next_take += 1
+        holder = allotment.queue.holder
+        # Chance, not a counter: after a restart a counter would name an earlier request,
+        # whose transfer the peer would give again.
+        number = self._random.getrandbits(63)
         request = TakeRequest(
-            allotment.budget, allotment.workspace, self._holder, number, amount, minimum
+            allotment.budget, allotment.workspace, holder, number, amount, minimum
         )
         key = _Line(peer.host, allotment.budget)
         unanswered = self._unanswered.pop(key, None)
@@ -151,13 +170,17 @@
         return reply
 
     async def _accept(self, given: Transfer, allotment: Allotment) -> None:
+        if self._is_ended(given.giver):
+            # A late answer: this host has told the giver's successor that nothing of the
+            # giver is left here, and its remainder may have come back with this amount.
+            return
         transfer = given._replace(taker_number=allotment.next_accept)
         allotment.next_accept += 1
         # The report is queued before the money can be spent, so that it reaches the
         # ledger, or the keeper, before any charge against it.
         allotment.queue.report(transfer, allotment)
         if not allotment.queue.in_reach:
-            await self._keeper.keep(Kept(self._holder, (transfer,), ()))
+            await self._keeper.keep(Kept(allotment.queue.holder, (transfer,), ()))
         allotment.granted(transfer.amount)
 
 
--- a/tests/fakes/money.py
+++ b/tests/fakes/money.py
@@ -168,12 +168,14 @@
             self.place,
             make_ledger_client(FakeControl(fleet.net, self.name), 1),
             self,
+            lambda: list(fleet.host_by_name),
             FakePolicies(fleet.policy),
             links,
             links,
             Runtime(fleet.clock, fleet.no_network, fleet.random, self.storage),
         )
-        await self.allotments.start()
+        started = await self.allotments.start()
+        assert isinstance(started, Ok), started
 
     async def kill(self) -> None:
         """End the process at once: nothing is handed back, nothing more is written."""
