--- /dev/null
+++ b/cranberrywall/console/_app.py
@@ -0,0 +1,47 @@
+"""Lay out the console's paths."""
+
+from typing import NamedTuple
+
+from aiohttp import web
+
+from cranberrywall.console._accounts import Role
+from cranberrywall.console._budgets import BudgetPages
+from cranberrywall.console._changes import ChangePages
+from cranberrywall.console._fleet import FleetPages
+from cranberrywall.console._login import LoginPages
+from cranberrywall.console._pages import STATIC
+from cranberrywall.console._visits import Guard
+
+MOST_FORM_BYTES = 256 * 1024
+
+
+class PageSets(NamedTuple):
+    """Hold the handlers of each part."""
+
+    login: LoginPages
+    fleet: FleetPages
+    changes: ChangePages
+    budgets: BudgetPages
+
+
+def make_app(guard: Guard, pages: PageSets) -> web.Application:
+    """Return the console's application."""
+    app = web.Application(client_max_size=MOST_FORM_BYTES)
+    router = app.router
+    router.add_static("/static", STATIC)
+    router.add_get("/login", guard.open_to_all(pages.login.show))
+    router.add_post("/login", guard.open_to_all(pages.login.log_in))
+    router.add_post("/logout", guard.only(Role.READER, pages.login.log_out))
+    reader, operator = Role.READER, Role.OPERATOR
+    router.add_get("/", guard.only(reader, pages.fleet.show_home))
+    router.add_get("/revisions", guard.only(reader, pages.fleet.show_history))
+    router.add_get(r"/revisions/{number:\d+}", guard.only(reader, pages.fleet.show_revision))
+    router.add_get("/audit", guard.only(reader, pages.fleet.show_audit))
+    router.add_get("/budgets", guard.only(reader, pages.budgets.show_all))
+    router.add_get("/budgets/{name}", guard.only(reader, pages.budgets.show))
+    router.add_post("/budgets/{name}", guard.only(operator, pages.budgets.top_up))
+    router.add_get("/sections/{section}", guard.only(reader, pages.changes.show_section))
+    router.add_get("/add/{section}", guard.only(operator, pages.changes.show_add))
+    router.add_get("/change/{section}/{name}", guard.only(operator, pages.changes.show_change))
+    router.add_post("/submit/{section}", guard.only(operator, pages.changes.submit))
+    return app
--- /dev/null
+++ b/cranberrywall/console/_fleet.py
@@ -0,0 +1,140 @@
+"""Show the fleet's state, and where a revision is in force."""
+
+import asyncio
+from typing import Any, NamedTuple
+
+from aiohttp import web
+from result import Err, Ok
+
+from cranberrywall.budgets import make_ledger_client
+from cranberrywall.budgets.messages import PeriodsQuery
+from cranberrywall.configuration import ConfigurationClient
+from cranberrywall.configuration.messages import FETCH, DocumentAt, Fetch
+from cranberrywall.console._audit import Audit
+from cranberrywall.console._pages import Pages
+from cranberrywall.console._visits import Visit
+from cranberrywall.control import ControlClient
+from cranberrywall.links import Caller
+from cranberrywall.runtime import Clock
+
+ASK_TIMEOUT_S = 1.0
+GROUP_TIMEOUT_S = 2.0
+SHOWN_REVISIONS = 50
+
+# A host sends what follows the revision that it is asked from. Asked from one that does
+# not exist yet, it sends its own number and nothing else.
+BEYOND_ALL_REVISIONS = 2**53
+
+
+class HostRow(NamedTuple):
+    """Describe one host as the page shows it; ``revision`` is ``None`` where it is silent."""
+
+    name: str
+    place: str
+    roles: str
+    links: str
+    revision: int | None
+    problem: str
+
+
+class GroupRow(NamedTuple):
+    """Describe one replicated group: whether it answers, or why not."""
+
+    name: str
+    problem: str
+
+
+class FleetPages:
+    """Serve the pages that are only read."""
+
+    def __init__(
+        self,
+        control: ControlClient,
+        configuration: ConfigurationClient,
+        caller: Caller,
+        audit: Audit,
+        pages: Pages,
+        clock: Clock,
+    ) -> None:
+        self._control = control
+        self._configuration = configuration
+        self._caller = caller
+        self._audit = audit
+        self._pages = pages
+        self._clock = clock
+
+    async def show_home(self, visit: Visit) -> web.StreamResponse:
+        """Show hosts, groups and the newest revisions at one sight."""
+        result = await self._configuration.document()
+        if isinstance(result, Err):
+            return self._pages.refusal(visit.session, result.err_value)
+        seen: DocumentAt = result.ok_value
+        hosts, groups, history = await asyncio.gather(
+            self._hosts(seen), self._groups(seen), self._configuration.history(limit=10)
+        )
+        return self._pages.page(
+            visit.session,
+            "home.html",
+            revision=seen.revision,
+            document=seen.document,
+            hosts=hosts,
+            groups=groups,
+            revisions=history.ok_value.revisions if isinstance(history, Ok) else (),
+        )
+
+    async def show_history(self, visit: Visit) -> web.StreamResponse:
+        """List the newest revisions."""
+        history = await self._configuration.history(limit=SHOWN_REVISIONS)
+        if isinstance(history, Err):
+            return self._pages.refusal(visit.session, history.err_value)
+        revisions = history.ok_value.revisions
+        return self._pages.page(visit.session, "history.html", revisions=revisions)
+
+    async def show_revision(self, visit: Visit) -> web.StreamResponse:
+        """Say who committed a revision, and on which hosts it is in force."""
+        number = int(visit.part("number"))
+        result = await self._configuration.document()
+        history = await self._configuration.history(before=number, limit=1)
+        for answer in (result, history):
+            if isinstance(answer, Err):
+                return self._pages.refusal(visit.session, answer.err_value)
+        seen = result.unwrap()
+        hosts = [host for host in await self._hosts(seen) if "entry" in host.roles]
+        in_force = [h for h in hosts if h.revision is not None and h.revision >= number]
+        return self._pages.page(
+            visit.session,
+            "revision.html",
+            number=number,
+            revision=next(iter(history.unwrap().revisions), None),
+            hosts=hosts,
+            in_force=len(in_force),
+        )
+
+    async def show_audit(self, visit: Visit) -> web.StreamResponse:
+        """Show the newest entries of the audit trail."""
+        return self._pages.page(visit.session, "audit.html", entries=self._audit.newest())
+
+    async def _hosts(self, seen: DocumentAt) -> list[HostRow]:
+        hosts = sorted(seen.document["hosts"].items())
+        return list(await asyncio.gather(*(self._ask(name, host) for name, host in hosts)))
+
+    async def _ask(self, name: str, host: dict[str, Any]) -> HostRow:
+        fetch = Fetch(BEYOND_ALL_REVISIONS)
+        result = await self._caller.call(host["links"], FETCH, fetch, ASK_TIMEOUT_S)
+        revision = result.ok_value.revision if isinstance(result, Ok) else None
+        problem = str(result.err_value.kind) if isinstance(result, Err) else ""
+        roles = ", ".join(host["roles"])
+        return HostRow(name, host["place"], roles, host["links"], revision, problem)
+
+    async def _groups(self, seen: DocumentAt) -> list[GroupRow]:
+        ledger = make_ledger_client(self._control, seen.document["ledger_groups"])
+        names = ledger.groups()
+        query = PeriodsQuery(self._clock.wall())
+        answers = await asyncio.gather(
+            *(ledger.periods(name, query, GROUP_TIMEOUT_S) for name in names)
+        )
+        rows = [GroupRow("configuration", "")]
+        for name, answer in zip(names, answers, strict=True):
+            problem = str(answer.err_value) if isinstance(answer, Err) else ""
+            rows.append(GroupRow(name, problem))
+        return rows
--- /dev/null
+++ b/cranberrywall/console/_program.py
@@ -0,0 +1,81 @@
+"""Assemble the console from its parts."""
+
+from typing import NamedTuple
+
+from aiohttp import web
+
+from cranberrywall.configuration import ConfigurationClient
+from cranberrywall.console._accounts import make_accounts
+from cranberrywall.console._app import PageSets, make_app
+from cranberrywall.console._audit import make_audit
+from cranberrywall.console._budgets import BudgetPages
+from cranberrywall.console._changes import ChangePages
+from cranberrywall.console._fleet import FleetPages
+from cranberrywall.console._login import LoginPages
+from cranberrywall.console._pages import Pages
+from cranberrywall.console._sessions import Sessions
+from cranberrywall.console._visits import Guard
+from cranberrywall.control import ControlClient
+from cranberrywall.links import Caller
+from cranberrywall.runtime import Clock, Storage, split_address
+
+CHANGE_TIMEOUT_S = 5.0
+SHUTDOWN_S = 2.0
+
+
+class Parts(NamedTuple):
+    """Hold what the console works with."""
+
+    control: ControlClient
+    caller: Caller
+    clock: Clock
+    storage: Storage
+    title: str = "cranberrywall"
+
+
+def make_application(parts: Parts) -> web.Application:
+    """Return the console's HTTP application."""
+    pages = Pages(parts.title)
+    sessions = Sessions()
+    audit = make_audit(parts.storage)
+    configuration = ConfigurationClient(parts.control, CHANGE_TIMEOUT_S)
+    accounts = make_accounts(parts.storage)
+    sets = PageSets(
+        LoginPages(accounts, sessions, audit, pages, parts.clock, parts.storage),
+        FleetPages(parts.control, configuration, parts.caller, audit, pages, parts.clock),
+        ChangePages(configuration, audit, pages, parts.clock),
+        BudgetPages(parts.control, configuration, audit, pages, parts.clock),
+    )
+    return make_app(Guard(sessions, pages, parts.clock), sets)
+
+
+class ConsoleProgram:
+    """Run the console on one address."""
+
+    def __init__(self, parts: Parts, address: str) -> None:
+        self._address = address
+        self._runner = web.AppRunner(
+            make_application(parts), access_log=None, shutdown_timeout=SHUTDOWN_S
+        )
+
+    @property
+    def address(self) -> str:
+        """Return ``host:port`` as bound once started."""
+        return self._address
+
+    async def start(self) -> None:
+        """Listen, or raise ``OSError``."""
+        host, port = split_address(self._address)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, port).start()
+        bound_host, bound_port = self._runner.addresses[0][:2]
+        self._address = f"{bound_host}:{bound_port}"
+
+    async def close(self) -> None:
+        """Stop listening."""
+        await self._runner.cleanup()
+
+
+def make_console_program(parts: Parts, address: str) -> ConsoleProgram:
+    """Return a console that will listen at ``address`` once started."""
+    return ConsoleProgram(parts, address)
