--- a/cranberrywall/console/__init__.py
+++ b/cranberrywall/console/__init__.py
@@ -1,13 +1,14 @@
 """Serve the operators' forms."""
 
 from cranberrywall.console._accounts import Account, Accounts, Role, make_accounts
-from cranberrywall.console._program import ConsoleProgram, make_console_program
+from cranberrywall.console._server import ConsoleParts, ConsoleServer, make_console_server
 
 __all__ = [
     "Account",
     "Accounts",
-    "ConsoleProgram",
+    "ConsoleParts",
+    "ConsoleServer",
     "Role",
     "make_accounts",
-    "make_console_program",
+    "make_console_server",
 ]
--- a/cranberrywall/console/_program.py
+++ b/cranberrywall/console/_server.py
@@ -23,7 +23,7 @@
 SHUTDOWN_S = 2.0
 
 
-class Parts(NamedTuple):
+class ConsoleParts(NamedTuple):
     """Hold what the console works with."""
 
     control: ControlClient
@@ -33,7 +33,7 @@
     title: str = "cranberrywall"
 
 
-def make_application(parts: Parts) -> web.Application:
+def make_application(parts: ConsoleParts) -> web.Application:
     """Return the console's HTTP application."""
     pages = Pages(parts.title)
     sessions = Sessions()
@@ -46,13 +46,13 @@
         ChangePages(configuration, audit, pages, parts.clock),
         BudgetPages(parts.control, configuration, audit, pages, parts.clock),
     )
-    return make_app(Guard(sessions, pages, parts.clock), sets)
+    return make_app(Guard(sessions, accounts, pages, parts.clock, parts.storage), sets)
 
 
-class ConsoleProgram:
-    """Run the console on one address."""
+class ConsoleServer:
+    """Serve the console on one address."""
 
-    def __init__(self, parts: Parts, address: str) -> None:
+    def __init__(self, parts: ConsoleParts, address: str) -> None:
         self._address = address
         self._runner = web.AppRunner(
             make_application(parts), access_log=None, shutdown_timeout=SHUTDOWN_S
@@ -76,6 +76,6 @@
         await self._runner.cleanup()
 
 
-def make_console_program(parts: Parts, address: str) -> ConsoleProgram:
+def make_console_server(parts: ConsoleParts, address: str) -> ConsoleServer:
     """Return a console that will listen at ``address`` once started."""
-    return ConsoleProgram(parts, address)
+    return ConsoleServer(parts, address)
--- a/cranberrywall/console/_visits.py
+++ b/cranberrywall/console/_visits.py
@@ -6,10 +6,10 @@
 from aiohttp import web
 from multidict import MultiDict, MultiDictProxy
 
-from cranberrywall.console._accounts import Role
+from cranberrywall.console._accounts import Accounts, Role
 from cranberrywall.console._pages import Pages, go_to
 from cranberrywall.console._sessions import Session, Sessions, is_own_form
-from cranberrywall.runtime import Clock
+from cranberrywall.runtime import Clock, Storage
 
 COOKIE = "console"
 CSRF_FIELD = "csrf"
@@ -38,10 +38,19 @@
 class Guard:
     """Wrap the console's handlers."""
 
-    def __init__(self, sessions: Sessions, pages: Pages, clock: Clock) -> None:
+    def __init__(
+        self,
+        sessions: Sessions,
+        accounts: Accounts,
+        pages: Pages,
+        clock: Clock,
+        storage: Storage,
+    ) -> None:
         self._sessions = sessions
+        self._accounts = accounts
         self._pages = pages
         self._clock = clock
+        self._storage = storage
 
     def open_to_all(
         self, handler: Handler
@@ -63,7 +72,7 @@
 
         async def handle(request: web.Request) -> web.StreamResponse:
             session = self._session(request)
-            if session is None or not session.is_logged_in:
+            if session is None or not await self._still_stands(session):
                 return go_to(LOGIN_PATH)
             if not session.role.includes(role):
                 message = f"This needs the role {role}; {session.name} is a {session.role}."
@@ -86,6 +95,13 @@
             set_cookie(response, session.token)
         return response
 
+    async def _still_stands(self, session: Session) -> bool:
+        # An account may have been taken away, or given another role, since the log-in:
+        # its sessions must not outlive that.
+        by_name = await self._storage.run_blocking(self._accounts.by_name)
+        account = by_name.get(session.name)
+        return account is not None and account.role is session.role
+
     def _session(self, request: web.Request) -> Session | None:
         return self._sessions.find(request.cookies.get(COOKIE, ""), self._clock.now())
 
--- a/cranberrywall/settings/_load.py
+++ b/cranberrywall/settings/_load.py
@@ -88,8 +88,8 @@
         if name not in document["listen"]:
             message = f"is missing, and the {process} process needs it"
             yield Problem("S014", f"listen.{name}", message, f"add `{name}: IP:PORT`")
-    if process == "control" and "data" not in document:
-        message = "is missing, and the control process keeps its state in files"
+    if process in ("control", "console") and "data" not in document:
+        message = f"is missing, and the {process} process keeps its state in files"
         yield Problem("S014", "data", message, "add `data: FOLDER`")
     if not document["controls"]:
         message = "is empty, and every process needs the control hosts"
--- a/tests/console/conftest.py
+++ b/tests/console/conftest.py
@@ -9,8 +9,7 @@
 
 from cranberrywall.budgets import make_ledger_machine
 from cranberrywall.configuration import ConfigurationClient, make_configuration_machine
-from cranberrywall.console import Role, make_accounts, make_console_program
-from cranberrywall.console._program import Parts
+from cranberrywall.console import ConsoleParts, Role, make_accounts, make_console_server
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.runtime import make_clock
 from tests.configuration.documents import make_document, whole_document_edits
@@ -56,8 +55,8 @@
     edits = whole_document_edits(make_document())
     await configuration.change(edits, 0, "first", "setup", 0.0)
     caller: Any = SilentCaller()
-    parts = Parts(control, caller, make_clock(), storage)
-    program = make_console_program(parts, "127.0.0.1:0")
+    parts = ConsoleParts(control, caller, make_clock(), storage)
+    program = make_console_server(parts, "127.0.0.1:0")
     await program.start()
     sessions = []
 
