--- a/cranberrywall/replication/_peer.py
+++ b/cranberrywall/replication/_peer.py
@@ -46,15 +46,22 @@
         self.acked_round = 0
         self.acked_at = now
         self.sent_at = float("-inf")
-        self.answers = False
         self.found_disk = ""
         self.installing = False
         self._core = core
         self._leader = leader
         self._next_index = core.log.last_index + 1
+        self._in_progress = 0
+        self._has_followed = False
+        self._attempt = 0
+        self._agreed = False
         self._work = asyncio.Event()
         self._closed = False
 
+    def answers_at(self, now: float) -> bool:
+        """Say whether the peer followed within the last election timeout."""
+        return self._has_followed and abs(now - self.acked_at) <= self._core.settings.election_s
+
     def wake(self) -> None:
         """Send what there is, or a heartbeat."""
         self._work.set()
@@ -66,7 +73,7 @@
 
     def tick(self, now: float) -> None:
         """Send a heartbeat where one is due."""
-        if now - self.sent_at >= self._core.settings.heartbeat_s:
+        if not 0 <= now - self.sent_at < self._core.settings.heartbeat_s:
             self.wake()
 
     async def run(self) -> None:
@@ -76,45 +83,74 @@
             self._work.clear()
             if self._closed or not self._leader.is_active:
                 return
-            self.sent_at = self._core.clock.now()
             if self._next_index <= self._core.log.base_index:
                 await self._install()
             else:
-                await self._append()
+                self._send_appends()
+
+    def _send_appends(self) -> None:
+        """Send what there is, or one heartbeat, without waiting for the answers.
+
+        Until the peer has once agreed on where its log ends, one append is in progress
+        at a time: those behind it would be refused with it.
+        """
+        most = self._core.settings.appends_in_progress if self._agreed else 1
+        is_first = True
+        while self._in_progress < most:
+            if not is_first and self._next_index > self._core.log.last_index:
+                return
+            is_first = False
+            self.sent_at = self._core.clock.now()
+            self._in_progress += 1
+            self._core.spawn(self._append(self._next_append(), self._attempt))
 
-    async def _append(self) -> None:
+    def _next_append(self) -> AppendRequest:
         core = self._core
-        sent_at, sent_round = self.sent_at, self._leader.round
         previous = self._next_index - 1
         previous_term = core.log.term_at(previous)
         assert previous_term is not None
         entries = core.log.batch(self._next_index, core.settings.batch_bytes)
-        request = AppendRequest(
+        self._next_index += len(entries)
+        return AppendRequest(
             core.header(self.member.disk), previous, previous_term, entries, core.commit_index
         )
+
+    async def _append(self, request: AppendRequest, attempt: int) -> None:
+        core = self._core
+        sent_at, sent_round = self.sent_at, self._leader.round
         timeout = core.settings.election_s
         reply = await core.caller.call(self.member.address, core.methods.append, request, timeout)
+        self._in_progress -= 1
         if not self._leader.is_active:
             return
         if isinstance(reply, Err):
-            self.answers = False
+            self._start_over(attempt, self.match_index + 1)
             return
         if not await self._followed(reply.ok_value):
+            self._start_over(attempt, self.match_index + 1)
             return
         self._confirmed(sent_at, sent_round)
-        self._note(reply.ok_value)
+        self._note(reply.ok_value, attempt)
         if self._next_index <= core.log.last_index or self._leader.round > sent_round:
             self.wake()
 
-    def _note(self, reply: AppendReply) -> None:
+    def _note(self, reply: AppendReply, attempt: int) -> None:
         if reply.outcome is Outcome.DONE:
+            self._agreed = True
             self.match_index = max(self.match_index, reply.position)
-            self._next_index = self.match_index + 1
+            self._next_index = max(self._next_index, self.match_index + 1)
         else:
-            self._next_index = max(self.match_index + 1, min(reply.position, self._next_index - 1))
+            self._start_over(attempt, min(reply.position, self._next_index - 1))
             self.wake()
         self._leader.progressed()
 
+    def _start_over(self, attempt: int, next_index: int) -> None:
+        """Send again from ``next_index``; the appends that are in progress count no more."""
+        if attempt == self._attempt:
+            self._attempt += 1
+            self._agreed = False
+            self._next_index = max(self.match_index + 1, next_index)
+
     async def _install(self) -> None:
         """Send the snapshot in parts, each after the answer to the one before."""
         core = self._core
@@ -137,7 +173,6 @@
                 self.member.address, core.methods.install, request, timeout
             )
             if isinstance(reply, Err):
-                self.answers = False
                 break
             if not await self._followed(reply.ok_value):
                 break
@@ -153,7 +188,6 @@
 
     async def _followed(self, reply: "Reply") -> bool:
         """Say whether the peer followed this leader; act on it where it did not."""
-        self.answers = True
         if reply.outcome is Outcome.OTHER_DISK:
             self.found_disk = reply.disk
             return False
@@ -164,7 +198,8 @@
         return True
 
     def _confirmed(self, sent_at: float, sent_round: int) -> None:
-        self.acked_at = max(self.acked_at, sent_at)
+        self._has_followed = True
+        self.acked_at = sent_at
         self.acked_round = max(self.acked_round, sent_round)
 
 
