--- a/cranberrywall/budgets/_closing.py
+++ b/cranberrywall/budgets/_closing.py
@@ -166,8 +166,8 @@
 
 
 def periods(state: LedgerState, query: PeriodsQuery) -> PeriodsResult:
-    """Return the closed periods and the open one."""
-    return PeriodsResult(state.closings.all(), state.calendar.period_of(query.now))
+    """Return the closed periods and the open ones."""
+    return PeriodsResult(state.closings.all(), state.calendar.open_periods(query.now))
 
 
 def exceptions(state: LedgerState, query: ExceptionsQuery) -> ExceptionsResult | Rejected:
--- a/cranberrywall/budgets/_closing_calendar.py
+++ b/cranberrywall/budgets/_closing_calendar.py
@@ -31,6 +31,11 @@
         """Return the period of a time; the first open one where that is closed."""
         return _period_of(max(time, self.closed_through), self._planned)
 
+    def open_periods(self, now: float) -> tuple[PlannedPeriod, ...]:
+        """Return the periods that charges were booked to, and the one of ``now``."""
+        ends = {*self._booked, self.period_of(now).through}
+        return tuple(self.period_of(end - _JUST_BEFORE_S) for end in sorted(ends))
+
     def book(self, reserved_at: float) -> float:
         """Return the end of the period that a charge is booked to, and note its use."""
         through = self.period_of(reserved_at).through
--- a/cranberrywall/budgets/messages.py
+++ b/cranberrywall/budgets/messages.py
@@ -435,9 +435,10 @@
 
 
 class PeriodsQuery(NamedTuple):
-    """Ask for the closed periods that the group keeps, and for the one that is open.
+    """Ask for the closed periods that the group keeps, and for those that are open.
 
-    ``now`` (seconds since the epoch) chooses the open period.
+    The open ones are those that charges were booked to, and the one of ``now`` (seconds
+    since the epoch).
     """
 
     now: float
@@ -454,10 +455,10 @@
 
 
 class PeriodsResult(NamedTuple):
-    """List the closed periods, oldest first, and the first one that is still open."""
+    """List the closed periods and the open ones, each oldest first."""
 
     periods: tuple[ClosedPeriod, ...]
-    open_period: PlannedPeriod
+    open_periods: tuple[PlannedPeriod, ...]
 
 
 class ExceptionKind(StrEnum):
--- a/cranberrywall/control/__init__.py
+++ b/cranberrywall/control/__init__.py
@@ -1,11 +1,13 @@
 """Assemble the control program, and call it from the other programs."""
 
-from cranberrywall.control._client import ControlClient, make_control_client
+from cranberrywall.control._client import ControlClient, MembersClient, make_control_client
 from cranberrywall.control._placement import ledger_group, ledger_groups
 from cranberrywall.control._program import ControlHost, make_control_host
 from cranberrywall.control.messages import (
     PROPOSE,
     QUERY,
+    ChangeMemberRequest,
+    MembersReply,
     ProposeReply,
     ProposeRequest,
     QueryReply,
@@ -15,8 +17,11 @@
 __all__ = [
     "PROPOSE",
     "QUERY",
+    "ChangeMemberRequest",
     "ControlClient",
     "ControlHost",
+    "MembersClient",
+    "MembersReply",
     "ProposeReply",
     "ProposeRequest",
     "QueryReply",
--- a/cranberrywall/control/_client.py
+++ b/cranberrywall/control/_client.py
@@ -5,7 +5,18 @@
 
 from result import Err, Ok, Result
 
-from cranberrywall.control.messages import PROPOSE, QUERY, ProposeRequest, QueryRequest
+from cranberrywall.control.messages import (
+    CHANGE_MEMBER,
+    MEMBERS,
+    PROPOSE,
+    QUERY,
+    ChangeMemberReply,
+    ChangeMemberRequest,
+    MembersReply,
+    MembersRequest,
+    ProposeRequest,
+    QueryRequest,
+)
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller, Method
 from cranberrywall.runtime import Clock, Random, make_random
@@ -51,9 +62,23 @@
         ...
 
 
+class MembersClient(ControlClient, Protocol):
+    """Change the members of groups as well."""
+
+    async def members(self, group: str, timeout: float) -> Result[MembersReply, Refusal]:
+        """Return a group's members, and which changes of them are safe now."""
+        ...
+
+    async def change_member(
+        self, request: ChangeMemberRequest, timeout: float
+    ) -> Result[ChangeMemberReply, Refusal]:
+        """Add, remove or replace a member; ``Err`` is ``UNSAFE_STEP`` where it is unsafe."""
+        ...
+
+
 def make_control_client(
     caller: Caller, clock: Clock, controls: Sequence[str], random: Random | None = None
-) -> ControlClient:
+) -> MembersClient:
     """Return a client of the control hosts at the addresses ``controls``.
 
     Raise ``ValueError`` where there are none.
@@ -82,6 +107,14 @@
         reply = await self._follow(group, QUERY, QueryRequest(group, query), timeout)
         return reply.map(lambda message: message.result)
 
+    async def members(self, group: str, timeout: float) -> Result[MembersReply, Refusal]:
+        return await self._follow(group, MEMBERS, MembersRequest(group), timeout)
+
+    async def change_member(
+        self, request: ChangeMemberRequest, timeout: float
+    ) -> Result[ChangeMemberReply, Refusal]:
+        return await self._follow(request.group, CHANGE_MEMBER, request, timeout)
+
     async def _follow(
         self, group: str, method: Method[RequestT, ReplyT], request: RequestT, timeout: float
     ) -> Result[ReplyT, Refusal]:
--- a/cranberrywall/control/_program.py
+++ b/cranberrywall/control/_program.py
@@ -9,8 +9,14 @@
 from result import Err, Ok, Result
 
 from cranberrywall.control.messages import (
+    CHANGE_MEMBER,
+    MEMBERS,
     PROPOSE,
     QUERY,
+    ChangeMemberReply,
+    ChangeMemberRequest,
+    MembersReply,
+    MembersRequest,
     ProposeReply,
     ProposeRequest,
     QueryReply,
@@ -27,7 +33,7 @@
 
 
 class GroupServer:
-    """Answer ``PROPOSE`` and ``QUERY`` for the groups that this host is a member of."""
+    """Answer calls for the groups that this host is a member of."""
 
     def __init__(self, group_by_name: Mapping[str, Replica]) -> None:
         self.group_by_name = group_by_name
@@ -36,6 +42,8 @@
         """Answer the calls at ``server``."""
         server.register(PROPOSE, self._propose)
         server.register(QUERY, self._query)
+        server.register(MEMBERS, self._members)
+        server.register(CHANGE_MEMBER, self._change_member)
 
     async def _propose(self, request: ProposeRequest, peer: Peer) -> Result[ProposeReply, Refusal]:
         group = self._group(request.group)
@@ -51,6 +59,34 @@
         reply = await group.ok_value.query(request.query, PROPOSE_S)
         return reply.map(QueryReply)
 
+    async def _members(self, request: MembersRequest, peer: Peer) -> Result[MembersReply, Refusal]:
+        group = self._group(request.group)
+        if isinstance(group, Err):
+            return Err(group.err_value)
+        members, steps = group.ok_value.members(), group.ok_value.steps()
+        if isinstance(members, Err):
+            return Err(members.err_value)
+        return steps.map(lambda listed: MembersReply(tuple(members.ok_value), tuple(listed)))
+
+    async def _change_member(
+        self, request: ChangeMemberRequest, peer: Peer
+    ) -> Result[ChangeMemberReply, Refusal]:
+        group = self._group(request.group)
+        if isinstance(group, Err):
+            return Err(group.err_value)
+        log_event(
+            "INFO",
+            "member_change_asked",
+            by=peer.host,
+            group=request.group,
+            action=request.action,
+            member=request.host,
+            new_member=request.new_host,
+            forced=request.forced,
+        )
+        changed = await _change(group.ok_value, request)
+        return changed.map(lambda _: ChangeMemberReply())
+
     def _group(self, name: str) -> Result[Replica, Refusal]:
         group = self.group_by_name.get(name)
         if group is not None:
@@ -59,6 +95,16 @@
         return Err(Refusal(ErrorKind.NOT_FOUND, f"no group {name} here", "group", remedy))
 
 
+async def _change(group: Replica, request: ChangeMemberRequest) -> Result[None, Refusal]:
+    if request.action == "add":
+        return await group.add(request.host, request.address, PROPOSE_S)
+    if request.action == "remove":
+        return await group.remove(request.host, PROPOSE_S, request.forced)
+    return await group.replace(
+        request.host, request.new_host, request.address, PROPOSE_S, request.forced
+    )
+
+
 class ControlHost:
     """Hold one control host's groups and its streams to other processes."""
 
@@ -108,14 +154,14 @@
 
     def check_ready(self) -> str | None:
         """Return why this host does not answer calls yet, or ``None``."""
-        return None if self._is_started else "the groups are being opened"
+        if not self._is_started:
+            return "the groups are being opened"
+        lost = [name for name, group in self.group_by_name.items() if not group.state()["leader"]]
+        return f"no leader is known of {', '.join(lost)}" if lost else None
 
     def state(self) -> dict[str, Any]:
         """Return the groups and the streams, for the state dump."""
-        groups = {
-            name: {"leader": group.is_leader, "failure": str(self._failures.get(name, ""))}
-            for name, group in self.group_by_name.items()
-        }
+        groups = {name: group.state() for name, group in self.group_by_name.items()}
         return {"groups": groups, "server": self.server.state(), "caller": self.caller.state()}
 
 
--- a/cranberrywall/control/messages.py
+++ b/cranberrywall/control/messages.py
@@ -1,8 +1,9 @@
 """Define the calls that control hosts answer."""
 
-from typing import NamedTuple
+from typing import Literal, NamedTuple
 
 from cranberrywall.links import Method
+from cranberrywall.replication import MemberView, Step
 
 
 class ProposeRequest(NamedTuple):
@@ -31,5 +32,39 @@
     result: bytes
 
 
+class MembersRequest(NamedTuple):
+    """Ask the leader of ``group`` for its members, and which changes of them are safe."""
+
+    group: str
+
+
+class MembersReply(NamedTuple):
+    """Carry the members as the leader sees them, and the steps that could be taken."""
+
+    members: tuple[MemberView, ...]
+    steps: tuple[Step, ...]
+
+
+class ChangeMemberRequest(NamedTuple):
+    """Ask the leader of ``group`` to add, remove or replace ``host``.
+
+    ``new_host`` takes its place in a replacement; ``address`` is the stream address of
+    the host that comes. ``forced`` allows an unsafe removal or replacement.
+    """
+
+    group: str
+    action: Literal["add", "remove", "replace"]
+    host: str
+    new_host: str
+    address: str
+    forced: bool
+
+
+class ChangeMemberReply(NamedTuple):
+    """Say that the change was committed; a new host catches up after it."""
+
+
 PROPOSE = Method("control.propose", ProposeRequest, ProposeReply)
 QUERY = Method("control.query", QueryRequest, QueryReply)
+MEMBERS = Method("control.members", MembersRequest, MembersReply)
+CHANGE_MEMBER = Method("control.change_member", ChangeMemberRequest, ChangeMemberReply)
--- a/tests/budgets/test_closing.py
+++ b/tests/budgets/test_closing.py
@@ -141,7 +141,8 @@
         assert ledger.apply(plan) == Accepted()
         ledger.restart()
     ledger.charge(A1, "r2", 2, 5, end + 60)
-    assert ledger.ask(PeriodsQuery(end - 1)).open_period.period == "november"
+    open_periods = ledger.ask(PeriodsQuery(end + DAY)).open_periods
+    assert [one.period for one in open_periods] == ["november", "dec"]
     assert isinstance(close(ledger, "november", end), ClosePeriodResult)
     assert report(ledger, "november").rows[0].charged == 10
     assert report(ledger).rows[0].charged == 5
