--- /dev/null
+++ b/cranberrywall/commands/ctl/__main__.py
@@ -0,0 +1,5 @@
+"""Run ``cranberrywallctl`` without its installed script."""
+
+from cranberrywall.commands.ctl import main
+
+main()
--- /dev/null
+++ b/cranberrywall/commands/ctl/_reports.py
@@ -0,0 +1,156 @@
+"""Join the groups' reports, and check that their sums add up."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from cranberrywall.budgets import LedgerClient
+from cranberrywall.budgets.messages import (
+    ExceptionRow,
+    ExceptionsQuery,
+    ReportQuery,
+    ReportResult,
+    ReportRow,
+)
+from cranberrywall.commands.ctl._ledgers import from_each_group
+from cranberrywall.errors import Refusal
+
+_PAGE_ROWS = 1_000
+
+
+class GroupException(NamedTuple):
+    """Name an exception by its group; ``id`` is what ``budgets resolve`` takes."""
+
+    id: str
+    row: ExceptionRow
+
+
+class WorkspaceSum(NamedTuple):
+    """Sum what a workspace was charged over all budgets of one unit."""
+
+    workspace: str
+    unit: str
+    charged: int
+    requests: int
+
+
+class FleetReport(NamedTuple):
+    """Hold the whole fleet's report; ``faults`` are sums that do not add up.
+
+    ``unnamed`` counts duplicates beyond those that are named.
+    """
+
+    period: str
+    through: float
+    closed_at: float
+    operator: str
+    digest_by_group: dict[str, str]
+    rows: tuple[ReportRow, ...]
+    workspaces: tuple[WorkspaceSum, ...]
+    exceptions: tuple[GroupException, ...]
+    unnamed: int
+    faults: tuple[str, ...]
+
+
+async def gather_report(
+    ledger: LedgerClient, period: str, workspace: str, now: float, timeout: float
+) -> Result[FleetReport, Refusal]:
+    """Return the report of a closed period, or of the open one where ``period`` is empty."""
+    pages = await from_each_group(
+        ledger, lambda group: _read_rows(ledger, group, period, workspace, timeout)
+    )
+    if isinstance(pages, Err):
+        return Err(pages.err_value)
+    named = await gather_exceptions(ledger, ExceptionsQuery("", False, now, 0, 0, period), timeout)
+    if isinstance(named, Err):
+        return Err(named.err_value)
+    exceptions, unnamed = named.ok_value
+    results = pages.ok_value
+    first = next(iter(results.values()))
+    rows = sorted(row for result in results.values() for row in result.rows)
+    return Ok(
+        FleetReport(
+            period=first.period,
+            through=first.through,
+            closed_at=first.closed_at,
+            operator=first.operator,
+            digest_by_group={group: result.digest for group, result in results.items()},
+            rows=tuple(rows),
+            workspaces=sum_by_workspace(rows, workspace),
+            exceptions=tuple(_of_workspace(exceptions, workspace)),
+            unnamed=unnamed,
+            faults=tuple(fault for row in rows for fault in check_row(row)),
+        )
+    )
+
+
+async def _read_rows(
+    ledger: LedgerClient, group: str, period: str, workspace: str, timeout: float
+) -> Result[ReportResult, Refusal]:
+    rows: list[ReportRow] = []
+    after = ""
+    while True:
+        query = ReportQuery(period, workspace, after, _PAGE_ROWS)
+        page = await ledger.report(group, query, timeout)
+        if isinstance(page, Err):
+            return page
+        rows.extend(page.ok_value.rows)
+        after = page.ok_value.next_after
+        if not after:
+            return Ok(page.ok_value._replace(rows=tuple(rows)))
+
+
+async def gather_exceptions(
+    ledger: LedgerClient, query: ExceptionsQuery, timeout: float
+) -> Result[tuple[list[GroupException], int], Refusal]:
+    """Return every group's exceptions, and how many more duplicates were only counted."""
+    found: list[GroupException] = []
+    unnamed = 0
+    for group in ledger.groups():
+        after = 0
+        while True:
+            asked = query._replace(after=after, limit=_PAGE_ROWS)
+            page = await ledger.exceptions(group, asked, timeout)
+            if isinstance(page, Err):
+                return Err(page.err_value)
+            found.extend(
+                GroupException(f"{group}/{row.number}" if row.number else "-", row)
+                for row in page.ok_value.rows
+            )
+            after = page.ok_value.next_after
+            if not after:
+                unnamed += page.ok_value.unnamed
+                break
+    return Ok((found, unnamed))
+
+
+def _of_workspace(exceptions: Iterable[GroupException], workspace: str) -> Iterable[GroupException]:
+    return (one for one in exceptions if workspace in ("", one.row.workspace))
+
+
+def sum_by_workspace(rows: Iterable[ReportRow], workspace: str) -> tuple[WorkspaceSum, ...]:
+    """Return what each workspace was charged; one workspace's where it is named."""
+    sums: dict[tuple[str, str], tuple[int, int]] = {}
+    for row in rows:
+        for entry in row.by_workspace:
+            if workspace in ("", entry.workspace):
+                key = (entry.workspace, row.unit)
+                charged, requests = sums.get(key, (0, 0))
+                sums[key] = (charged + entry.amount, requests + entry.requests)
+    return tuple(WorkspaceSum(*key, *sums[key]) for key in sorted(sums))
+
+
+def check_row(row: ReportRow) -> list[str]:
+    """Return what does not add up in a row; the ledger's own checks are not trusted."""
+    faults = []
+    charged = row.charged_before + row.charged + row.charged_after
+    parts = charged + row.outstanding + row.in_doubt + row.free
+    if parts != row.credited:
+        faults.append(f"{row.budget}: credited {row.credited} but its parts sum to {parts}")
+    by_workspace = sum(entry.amount for entry in row.by_workspace)
+    if by_workspace != row.charged:
+        faults.append(f"{row.budget}: charged {row.charged} but workspaces sum to {by_workspace}")
+    if min(row.free, row.outstanding, row.in_doubt, row.charged) < 0:
+        faults.append(f"{row.budget}: a sum is negative")
+    return faults
