Document error kinds, settings, log events and metrics, and test the pages

The page of the error kinds is rendered from the table; the others are checked against the settings, their defaults and checks, the reasons for drops and the events in the code.

--- a/cranberrywall/errors/__init__.py
+++ b/cranberrywall/errors/__init__.py
@@ -1,7 +1,8 @@
 """Name every way in which the system declines or fails, once."""
 
 from cranberrywall.errors._kinds import ErrorKind, Ran
+from cranberrywall.errors._reference import render_reference
 from cranberrywall.errors._refusal import Refusal
 from cranberrywall.errors._table import TABLE, Answer, answer_for
 
-__all__ = ["TABLE", "Answer", "ErrorKind", "Ran", "Refusal", "answer_for"]
+__all__ = ["TABLE", "Answer", "ErrorKind", "Ran", "Refusal", "answer_for", "render_reference"]
--- a/tests/links/test_strangers.py
+++ b/tests/links/test_strangers.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import msgpack
 import msgspec
 import pytest
 from hypothesis import given, settings
@@ -57,6 +58,13 @@
 ]  # fmt: skip
 
 
+def test_frames_are_plain_msgpack():
+    frame = encode_frame(FrameKind.CALL, (7, "m", 1.5, Work("a")))
+    assert struct.unpack(">I", frame[:4]) == (len(frame) - 4,)
+    assert frame[4:6] == bytes([VERSION, FrameKind.CALL])
+    assert msgpack.unpackb(frame[6:]) == [7, "m", 1.5, ["a", 0.0, 0]]
+
+
 async def authenticate(pair: Pair) -> tuple[Reader, Writer]:
     reader, writer = await pair.fabric.network(OTHER_IP).dial(ADDRESS, 1.0)
     identity = Peer("odd", "kranj", 1)
