--- a/cranberrywall/configuration/__init__.py
+++ b/cranberrywall/configuration/__init__.py
@@ -12,6 +12,7 @@
     Priority,
     Reach,
     Service,
+    WeightStore,
     Workspace,
 )
 from cranberrywall.configuration._edits import (
@@ -64,6 +65,7 @@
     "Service",
     "SpreadHost",
     "SpreadTimes",
+    "WeightStore",
     "Workspace",
     "apply_edits",
     "check_document",
--- a/cranberrywall/configuration/_document.py
+++ b/cranberrywall/configuration/_document.py
@@ -57,12 +57,17 @@
 
 
 class Model(TypedDict):
-    """Describe a model served by engines; ``output_limit`` is tokens per answer at most."""
+    """Describe a model served by engines; ``output_limit`` is tokens per answer at most.
+
+    ``version`` is the one that engines are ordered to load, on at least ``copies`` of them
+    (1 where it is absent), each with ``adapters``.
+    """
 
     version: Name
     output_limit: Positive
     context_limit: Positive
     copies: NotRequired[Positive]
+    adapters: NotRequired[list[Name]]
 
 
 class Service(TypedDict):
@@ -106,6 +111,15 @@
     input_margin: Annotated[float, Meta(ge=1)]
 
 
+class WeightStore(TypedDict):
+    """Bound the loads of model weights that may be in progress at once.
+
+    It is the store's rate over what one engine draws from it while it loads.
+    """
+
+    concurrent_loads: Positive
+
+
 class Document(TypedDict):
     """Hold the whole configuration."""
 
@@ -118,3 +132,4 @@
     hosts: dict[Name, Host]
     policies: dict[Name, Policy]
     ledger_groups: Annotated[int, Meta(ge=1, le=64)]
+    weight_store: NotRequired[WeightStore]
--- a/cranberrywall/configuration/_edits.py
+++ b/cranberrywall/configuration/_edits.py
@@ -8,7 +8,7 @@
 SECTIONS: tuple[str, ...] = tuple(get_type_hints(Document))
 """The top-level keys of the document."""
 
-SCALAR_SECTIONS: frozenset[str] = frozenset({"ledger_groups"})
+SINGLE_SECTIONS: frozenset[str] = frozenset({"ledger_groups", "weight_store"})
 """Sections that hold one value; an edit of one has an empty name."""
 
 
@@ -26,7 +26,9 @@
     >>> empty_document()["ledger_groups"]
     1
     """
-    document: dict[str, Any] = {section: {} for section in SECTIONS}
+    document: dict[str, Any] = {
+        section: {} for section in SECTIONS if section not in SINGLE_SECTIONS
+    }
     document["ledger_groups"] = 1
     return cast(Document, document)
 
@@ -39,16 +41,13 @@
     sections: dict[str, Any] = dict(document)
     copied: set[str] = set()
     for edit in edits:
-        if edit.section in SCALAR_SECTIONS:
-            sections[edit.section] = edit.value
+        if edit.section in SINGLE_SECTIONS:
+            _put(sections, edit.section, edit.value)
             continue
         if edit.section not in copied:
             sections[edit.section] = dict(sections[edit.section])
             copied.add(edit.section)
-        if edit.value is None:
-            sections[edit.section].pop(edit.name, None)
-        else:
-            sections[edit.section][edit.name] = edit.value
+        _put(sections[edit.section], edit.name, edit.value)
     return cast(Document, sections)
 
 
@@ -56,9 +55,9 @@
     """Return the edits that lead from ``before`` to ``after``, in the sections' order."""
     edits: list[Edit] = []
     for section in SECTIONS:
-        if section in SCALAR_SECTIONS:
-            if before[section] != after[section]:
-                edits.append(Edit(section, "", after[section]))
+        if section in SINGLE_SECTIONS:
+            if before.get(section) != after.get(section):
+                edits.append(Edit(section, "", after.get(section)))
             continue
         edits.extend(_entry_edits(section, before[section], after[section]))
     return tuple(edits)
@@ -69,14 +68,21 @@
     sections = cast(dict[str, Any], document)
     inverse: list[Edit] = []
     for edit in edits:
-        if edit.section in SCALAR_SECTIONS:
-            inverse.append(Edit(edit.section, "", sections[edit.section]))
+        if edit.section in SINGLE_SECTIONS:
+            inverse.append(Edit(edit.section, "", sections.get(edit.section)))
         else:
             old = sections[edit.section].get(edit.name)
             inverse.append(Edit(edit.section, edit.name, old))
     return tuple(inverse)
 
 
+def _put(entries: dict[str, Any], name: str, value: Any) -> None:
+    if value is None:
+        entries.pop(name, None)
+    else:
+        entries[name] = value
+
+
 def _entry_edits(
     section: str, before: Mapping[str, Any], after: Mapping[str, Any]
 ) -> Iterable[Edit]:
--- a/cranberrywall/configuration/_shape.py
+++ b/cranberrywall/configuration/_shape.py
@@ -64,7 +64,7 @@
 
 
 def _without_annotation(shape: Any) -> Any:
-    """Strip ``NotRequired`` and, around containers, ``Annotated``."""
+    """Strip ``Annotated`` around a container."""
     if get_origin(shape) is Annotated and get_origin(get_args(shape)[0]) is not None:
         return get_args(shape)[0]
     return shape
@@ -83,10 +83,11 @@
             yield Problem(MISSING_KEY, join_path(path, key), "is missing", f"add `{key}:`")
     for key, hint in type_by_key.items():
         if key in value:
-            yield from shape_problems(value[key], _required(hint), join_path(path, key))
+            yield from shape_problems(value[key], without_marker(hint), join_path(path, key))
 
 
-def _required(hint: Any) -> Any:
+def without_marker(hint: Any) -> Any:
+    """Return the type within ``NotRequired``."""
     origin = get_origin(hint)
     if origin is not None and getattr(origin, "_name", "") == "NotRequired":
         return get_args(hint)[0]
--- a/cranberrywall/configuration/checks.py
+++ b/cranberrywall/configuration/checks.py
@@ -10,13 +10,14 @@
 from typing import Any, cast, get_type_hints
 
 from cranberrywall.configuration._document import Document, Host
-from cranberrywall.configuration._edits import SCALAR_SECTIONS, SECTIONS, Edit
+from cranberrywall.configuration._edits import SECTIONS, SINGLE_SECTIONS, Edit
 from cranberrywall.configuration._shape import (
     UNKNOWN_KEY,
     Problem,
     closest_name,
     join_path,
     shape_problems,
+    without_marker,
 )
 
 DANGLING_NAME = "C010"
@@ -35,6 +36,7 @@
 UNIT_CHANGED = "C031"
 
 _TYPE_BY_SECTION = get_type_hints(Document, include_extras=True)
+_REQUIRED = Document.__required_keys__
 _HTTP_METHODS = ("GET", "POST", "PUT", "PATCH", "DELETE")
 
 
@@ -79,8 +81,10 @@
         guess = closest_name(edit.section, list(SECTIONS))
         remedy = f"did you mean `{guess}`?" if guess else f"use one of {', '.join(SECTIONS)}"
         yield Problem(UNKNOWN_KEY, edit.section, "is not a section", remedy)
-    elif edit.section in SCALAR_SECTIONS:
-        yield from shape_problems(edit.value, _TYPE_BY_SECTION[edit.section], edit.section)
+    elif edit.section in SINGLE_SECTIONS:
+        if edit.value is not None or edit.section in _REQUIRED:
+            section_type = without_marker(_TYPE_BY_SECTION[edit.section])
+            yield from shape_problems(edit.value, section_type, edit.section)
     elif edit.value is not None:
         entry = {edit.name: edit.value}
         yield from shape_problems(entry, _TYPE_BY_SECTION[edit.section], edit.section)
@@ -127,6 +131,8 @@
         yield from _repeated(workspace["reach"]["services"], f"{path}.reach.services")
     for name, host in document["hosts"].items():
         yield from _repeated(host["roles"], f"hosts.{name}.roles")
+    for name, model in document["models"].items():
+        yield from _repeated(model.get("adapters", ()), f"models.{name}.adapters")
 
 
 def _repeated(items: Iterable[str], path: str) -> Iterator[Problem]:
--- a/tests/configuration/test_machine.py
+++ b/tests/configuration/test_machine.py
@@ -133,6 +133,20 @@
     assert before[0].revision == 400
 
 
+async def test_the_weight_store_may_be_set_changed_and_removed(
+    client: ConfigurationClient,
+) -> None:
+    async def put(value: Any, based_on: int) -> Any:
+        edits = (Edit("weight_store", "", value),)
+        return await client.change(edits, based_on, f"w{based_on}", "ana", 2.0)
+
+    assert isinstance(await put({"concurrent_loads": 2}, 1), Ok)
+    assert isinstance(await put(None, 2), Ok)
+    assert "weight_store" not in (await client.document()).unwrap().document
+    assert "weight_store" in (await client.document(2)).unwrap().document
+    assert (await put({"concurrent_loads": 0}, 3)).unwrap_err().problems[0].code == "C006"
+
+
 async def test_history_says_who_when_and_what(client: ConfigurationClient) -> None:
     await client.change(place_edit("kranj"), 1, "a", "bor", 5.0)
     newest = (await client.history(limit=1)).unwrap().revisions[0]
