--- a/cranberrywall/console/_changes.py
+++ b/cranberrywall/console/_changes.py
@@ -206,14 +206,14 @@
             await self._note(visit, draft, f"revision {revision}")
             return go_to(f"/revisions/{revision}")
         await self._note(visit, draft, str(result.err_value.refusal))
-        return self._not_changed(visit, draft, form, edit, result.err_value)
+        return self._not_changed(visit, draft, form, seen, result.err_value)
 
     def _not_changed(
         self,
         visit: Visit,
         draft: Draft,
         form: EntryForm,
-        edit: Edit,
+        seen: DocumentAt,
         refused: ChangeRefusal,
     ) -> web.StreamResponse:
         if refused.refusal.kind in ANSWER_LOST_KINDS:
@@ -223,7 +223,7 @@
                 visit.session, "lost.html", 503, draft=draft, refusal=refused.refusal
             )
         if refused.refusal.kind is ErrorKind.CONFLICT and refused.since:
-            return self._clash(visit, draft, edit, refused.since)
+            return self._clash(visit, draft, form, seen, refused.since)
         problems = list(refused.problems) or [
             Problem("", refused.refusal.field, refused.refusal.message, refused.refusal.remedy)
         ]
@@ -231,30 +231,39 @@
         return self._show_form(visit, fresh, form, problems)
 
     def _clash(
-        self, visit: Visit, draft: Draft, edit: Edit, since: tuple[Delta, ...]
+        self,
+        visit: Visit,
+        draft: Draft,
+        form: EntryForm,
+        seen: DocumentAt,
+        since: tuple[Delta, ...],
     ) -> web.StreamResponse:
         # The refusal belongs to the old change id, and the old revision would clash again:
         # what goes on is what was typed, based on the newest revision.
         newest = since[-1].revision.number
         fresh = draft._replace(revision=newest, change_id=_new_change_id())
+        entries = seen.document[draft.section]
         theirs = [
             {
                 "revision": delta.revision,
-                "edit": theirs,
-                "same": (theirs.section, theirs.name) == (draft.section, draft.name),
-                "text": entry_yaml(theirs.section, theirs.name, theirs.value),
+                "same": theirs.name == draft.name,
+                "lines": difference(
+                    draft.section, theirs.name, entries.get(theirs.name), theirs.value
+                ),
             }
             for delta in since
             for theirs in delta.edits
             if theirs.section == draft.section
         ]
+        mine = _edit(draft, form, seen).value
         return self._pages.page(
             visit.session,
             "clash.html",
             409,
             draft=fresh,
+            based_on=draft.revision,
             theirs=theirs,
-            mine=entry_yaml(edit.section, edit.name, edit.value),
+            mine=difference(draft.section, draft.name, entries.get(draft.name), mine),
         )
 
     async def _note(self, visit: Visit, draft: Draft, outcome: str) -> None:
--- a/cranberrywall/console/_fleet.py
+++ b/cranberrywall/console/_fleet.py
@@ -27,12 +27,16 @@
 
 
 class HostRow(NamedTuple):
-    """Describe one host as the page shows it; ``revision`` is ``None`` where it is silent."""
+    """Describe one host as the page shows it; ``revision`` is ``None`` where it is silent.
+
+    Hosts that are consoles only have no configuration in force and are not asked.
+    """
 
     name: str
     place: str
     roles: str
     links: str
+    is_asked: bool
     revision: int | None
     problem: str
 
@@ -119,12 +123,14 @@
         return list(await asyncio.gather(*(self._ask(name, host) for name, host in hosts)))
 
     async def _ask(self, name: str, host: dict[str, Any]) -> HostRow:
+        roles = ", ".join(host["roles"])
+        if roles == "console":
+            return HostRow(name, host["place"], roles, host["links"], False, None, "")
         fetch = Fetch(BEYOND_ALL_REVISIONS)
         result = await self._caller.call(host["links"], FETCH, fetch, ASK_TIMEOUT_S)
         revision = result.ok_value.revision if isinstance(result, Ok) else None
         problem = str(result.err_value.kind) if isinstance(result, Err) else ""
-        roles = ", ".join(host["roles"])
-        return HostRow(name, host["place"], roles, host["links"], revision, problem)
+        return HostRow(name, host["place"], roles, host["links"], True, revision, problem)
 
     async def _groups(self, seen: DocumentAt) -> list[GroupRow]:
         ledger = make_ledger_client(self._control, seen.document["ledger_groups"])
