--- a/cranberrywall/budgets/__init__.py
+++ b/cranberrywall/budgets/__init__.py
@@ -1,7 +1,17 @@
 """Keep prepaid budgets: the ledger on control hosts, allotments on entry hosts."""
 
+from cranberrywall.budgets._allotments import make_allotments
 from cranberrywall.budgets._client import LedgerClient, make_ledger_client
-from cranberrywall.budgets._interfaces import Allotments, Reservation, ReserveRequest
+from cranberrywall.budgets._interfaces import (
+    Allotments,
+    HostAllotments,
+    PeerHost,
+    Peers,
+    Policies,
+    Reservation,
+    ReserveRequest,
+    SpendPolicy,
+)
 from cranberrywall.budgets._ledger_ids import IdLimits
 from cranberrywall.budgets._ledger_machine import make_ledger_machine
 from cranberrywall.budgets.messages import LEDGER_CODEC
@@ -9,10 +19,16 @@
 __all__ = [
     "LEDGER_CODEC",
     "Allotments",
+    "HostAllotments",
     "IdLimits",
     "LedgerClient",
+    "PeerHost",
+    "Peers",
+    "Policies",
     "Reservation",
     "ReserveRequest",
+    "SpendPolicy",
+    "make_allotments",
     "make_ledger_client",
     "make_ledger_machine",
 ]
