Decide dead hosts and amounts in doubt by two persons, and show the closing report

One person asks and says how they know, another approves; until then no money moves. The report says whether every budget adds up, and draws what was charged.

--- a/cranberrywall/console/_app.py
+++ b/cranberrywall/console/_app.py
@@ -7,9 +7,11 @@
 from cranberrywall.console._accounts import Role
 from cranberrywall.console._budgets import BudgetPages
 from cranberrywall.console._changes import ChangePages
+from cranberrywall.console._decisions import DecisionPages
 from cranberrywall.console._fleet import FleetPages
 from cranberrywall.console._login import LoginPages
 from cranberrywall.console._pages import STATIC
+from cranberrywall.console._report import ReportPages
 from cranberrywall.console._visits import Guard
 
 MOST_FORM_BYTES = 256 * 1024
@@ -22,6 +24,8 @@
     fleet: FleetPages
     changes: ChangePages
     budgets: BudgetPages
+    decisions: DecisionPages
+    report: ReportPages
 
 
 def make_app(guard: Guard, pages: PageSets) -> web.Application:
@@ -44,4 +48,10 @@
     router.add_get("/add/{section}", guard.only(operator, pages.changes.show_add))
     router.add_get("/change/{section}/{name}", guard.only(operator, pages.changes.show_change))
     router.add_post("/submit/{section}", guard.only(operator, pages.changes.submit))
+    router.add_get("/decisions", guard.only(reader, pages.decisions.show))
+    router.add_post("/decisions", guard.only(operator, pages.decisions.ask))
+    router.add_post("/decisions/withdraw", guard.only(operator, pages.decisions.withdraw))
+    router.add_post("/decisions/approve", guard.only(Role.APPROVER, pages.decisions.approve))
+    router.add_get("/report", guard.only(reader, pages.report.show))
+    router.add_get("/report.svg", guard.only(reader, pages.report.plot))
     return app
--- a/cranberrywall/console/_pages.py
+++ b/cranberrywall/console/_pages.py
@@ -47,7 +47,10 @@
     ) -> web.Response:
         """Return a page for a session."""
         text = self._environment.get_template(template).render(
-            session=session, may_change=session.role.includes(Role.OPERATOR), **values
+            session=session,
+            may_change=session.role.includes(Role.OPERATOR),
+            may_approve=session.role.includes(Role.APPROVER),
+            **values,
         )
         return web.Response(
             text=text, status=status, content_type="text/html", headers=SECURITY_HEADERS
--- a/cranberrywall/console/_server.py
+++ b/cranberrywall/console/_server.py
@@ -10,9 +10,12 @@
 from cranberrywall.console._audit import make_audit
 from cranberrywall.console._budgets import BudgetPages
 from cranberrywall.console._changes import ChangePages
+from cranberrywall.console._decisions import DecisionPages
 from cranberrywall.console._fleet import FleetPages
 from cranberrywall.console._login import LoginPages
 from cranberrywall.console._pages import Pages
+from cranberrywall.console._pending import PendingRequests
+from cranberrywall.console._report import ReportPages
 from cranberrywall.console._sessions import Sessions
 from cranberrywall.console._visits import Guard
 from cranberrywall.control import ControlClient
@@ -45,6 +48,15 @@
         FleetPages(parts.control, configuration, parts.caller, audit, pages, parts.clock),
         ChangePages(configuration, audit, pages, parts.clock),
         BudgetPages(parts.control, configuration, audit, pages, parts.clock),
+        DecisionPages(
+            parts.control,
+            configuration,
+            PendingRequests(parts.storage),
+            audit,
+            pages,
+            parts.clock,
+        ),
+        ReportPages(parts.control, configuration, pages, parts.clock, parts.storage),
     )
     return make_app(Guard(sessions, accounts, pages, parts.clock, parts.storage), sets)
 
