Choose by the shortest estimated wait

Candidates are two drawn by chance, the probable holders of the prompt's prefix, and two by a hash of the prompt's beginning; the wait is predicted from blocks to compute, requests in flight and place distance.

--- /dev/null
+++ b/cranberrywall/routing/_choice.py
@@ -0,0 +1,129 @@
+"""Choose the target with the shortest estimated wait from a few candidates."""
+
+from collections.abc import Sequence
+from heapq import nlargest
+from typing import NamedTuple
+
+from cranberrywall.routing._candidates import Candidate
+from cranberrywall.routing._interfaces import Demand
+from cranberrywall.routing._waits import WaitModel, Work
+from cranberrywall.runtime import Random
+from cranberrywall.targets import PrefixIndex, Usual
+
+CHOICES = 2
+"""Candidates that are drawn by chance; holders of the prompt's prefix come on top."""
+
+MAX_DRAWS = 6
+"""Draws before all candidates are looked at in turn."""
+
+HOMES = 2
+"""Candidates by a hash of the prompt's beginning: the same ones on every host."""
+
+HOME_BLOCKS = 4
+"""A prompt's beginning is this many blocks."""
+
+
+class Chosen(NamedTuple):
+    """Hold a choice with what was predicted for it."""
+
+    candidate: Candidate
+    work: Work
+    predicted_s: float
+    missed_blocks: int
+
+
+class Choice:
+    """Choose among candidates; one for each model or service."""
+
+    def __init__(self, random: Random, waits: WaitModel, prefixes: PrefixIndex) -> None:
+        self._random = random
+        self._waits = waits
+        self._prefixes = prefixes
+
+    def choose(
+        self,
+        demand: Demand,
+        candidates: Sequence[Candidate],
+        candidate_by_id: dict[str, Candidate],
+        usual: Usual,
+        now: float,
+    ) -> Chosen | None:
+        """Return the best of two by chance and the prefix holders, or ``None``."""
+        matches = self._prefixes.matches(demand.prefix_hashes, now)
+        drawn = self._draw(demand, candidates, usual, now)
+        preferred = [candidate_by_id[known] for known in matches if known in candidate_by_id]
+        preferred += _homes(demand, candidates)
+        for candidate in preferred:
+            if candidate not in drawn:
+                busy = candidate.busy(usual, now)
+                if _fits(demand, candidate, busy):
+                    drawn[candidate] = busy
+        return self._best(demand, drawn, matches, now)
+
+    def _draw(
+        self, demand: Demand, candidates: Sequence[Candidate], usual: Usual, now: float
+    ) -> dict[Candidate, float]:
+        drawn: dict[Candidate, float] = {}
+        size = len(candidates)
+        if size > CHOICES:
+            for _ in range(MAX_DRAWS):
+                candidate = candidates[self._random.randrange(0, size)]
+                busy = candidate.busy(usual, now)
+                if _fits(demand, candidate, busy):
+                    drawn[candidate] = busy
+                    if len(drawn) == CHOICES:
+                        return drawn
+        # Few candidates have room, or there are few: chance would miss them.
+        for candidate in candidates:
+            busy = candidate.busy(usual, now)
+            if _fits(demand, candidate, busy):
+                drawn[candidate] = busy
+        return drawn
+
+    def _best(
+        self,
+        demand: Demand,
+        drawn: dict[Candidate, float],
+        matches: dict[str, int],
+        now: float,
+    ) -> Chosen | None:
+        best: Chosen | None = None
+        best_cost = (0.0, 0.0)
+        blocks = len(demand.prefix_hashes)
+        for candidate, busy in drawn.items():
+            missed = blocks - matches.get(candidate.target_id, 0)
+            work = candidate.work(missed, busy)
+            predicted = self._waits.predict(work)
+            wait = candidate.distance_s + candidate.slowness(now) * predicted
+            cost = (wait, self._random.random())
+            if best is None or cost < best_cost:
+                best = Chosen(candidate, work, predicted, missed)
+                best_cost = cost
+        return best
+
+
+def _fits(demand: Demand, candidate: Candidate, busy: float) -> bool:
+    if candidate.target_id in demand.exclude or not candidate.has_room(busy):
+        return False
+    return candidate.serves(demand.version, demand.adapter)
+
+
+def _homes(demand: Demand, candidates: Sequence[Candidate]) -> list[Candidate]:
+    """Return where every host looks first for a prompt that begins like this one.
+
+    Without it each host would warm a cache of its own for a popular beginning, and the
+    targets' caches would hold the same blocks many times.
+    """
+    if not demand.prefix_hashes:
+        return []
+    start = demand.prefix_hashes[:HOME_BLOCKS][-1]
+    key = int.from_bytes(start, "big")
+    return nlargest(HOMES, candidates, key=lambda candidate: _mix(candidate.seed ^ key))
+
+
+def _mix(number: int) -> int:
+    return number * _GOLDEN & _MASK
+
+
+_GOLDEN = 0x9E3779B97F4A7C15
+_MASK = 2**64 - 1
--- a/cranberrywall/routing/_interfaces.py
+++ b/cranberrywall/routing/_interfaces.py
@@ -76,6 +76,10 @@
         """Return the model version to ask for; empty where the target named none."""
         ...
 
+    def first_token(self, now: float) -> None:
+        """Note that the target began to answer; a target that stays silent is avoided."""
+        ...
+
     def finish(self, outcome: Outcome, now: float) -> None:
         """Free the place and report the outcome; a second call does nothing."""
         ...
--- a/cranberrywall/routing/_pool.py
+++ b/cranberrywall/routing/_pool.py
@@ -1,15 +1,23 @@
 """Serve the demands for one model or service from its targets."""
 
 import asyncio
+from collections.abc import Sequence
+from statistics import fmean
 
 from result import Err, Ok
 
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.routing._candidates import Candidate
-from cranberrywall.routing._interfaces import Demand, Outcome
+from cranberrywall.routing._choice import Choice, Chosen
+from cranberrywall.routing._distances import Distances
+from cranberrywall.routing._interfaces import Demand, Outcome, OutcomeKind
 from cranberrywall.routing._queue import Answer, Waiter, WaitingQueue
-from cranberrywall.runtime import Random
-from cranberrywall.targets import Announcement
+from cranberrywall.routing._waits import WaitModel
+from cranberrywall.runtime import Clock, Random
+from cranberrywall.targets import Announcement, PrefixIndex, Usual
+
+USUAL_EVERY_S = 0.5
+"""The mean of what other hosts have at targets is computed this often, in seconds."""
 
 MAX_WAITING = 1024
 """Demands that wait for one model or service on one host at most."""
@@ -21,30 +29,58 @@
 class Pool:
     """Hold the targets of one group as this host uses them, and the demands that wait."""
 
-    def __init__(self, random: Random) -> None:
+    def __init__(self, clock: Clock, random: Random, distances: Distances) -> None:
         self.candidate_by_id: dict[str, Candidate] = {}
         self.queue = WaitingQueue(MAX_WAITING)
-        self._random = random
-
-    def put(self, announcement: Announcement) -> None:
-        """Add a target or take in its renewal."""
+        self.prefixes = PrefixIndex()
+        self.waits = WaitModel()
+        self._clock = clock
+        self._distances = distances
+        self._choice = Choice(random, self.waits, self.prefixes)
+        self._candidates: list[Candidate] = []
+        self._usual = Usual(0.0, 0.0, self.waits.hold_s)
+        self._usual_until = 0.0
+
+    def put(self, announcement: Announcement, now: float) -> None:
+        """Take in the renewal of a target; one outside this host's subset is left out."""
         candidate = self.candidate_by_id.get(announcement.target)
         if candidate is None:
-            self.candidate_by_id[announcement.target] = Candidate(announcement)
-        else:
-            candidate.announcement = announcement
+            return
+        candidate.announcement = announcement._replace(cache_events=())
+        if announcement.load is not None:
+            candidate.load.report(announcement.load, self._clock.wall(), now)
+        self.prefixes.put(announcement.target, announcement.incarnation)
+        self.prefixes.apply(announcement.target, announcement.cache_events, now)
 
     def remove(self, target_id: str) -> None:
         """Choose the target no more; its requests in progress go on."""
-        self.candidate_by_id.pop(target_id, None)
+        if self.candidate_by_id.pop(target_id, None) is not None:
+            self._candidates = list(self.candidate_by_id.values())
+            self.prefixes.remove(target_id)
+
+    def choose_from(self, announcements: Sequence[Announcement], now: float) -> None:
+        """Use these targets, and keep what is known of those that were in use before."""
+        subset = {announcement.target for announcement in announcements}
+        for target_id in self.candidate_by_id.keys() - subset:
+            self.remove(target_id)
+        for announcement in announcements:
+            if announcement.target not in self.candidate_by_id:
+                distance_s = self._distances.seconds_to(announcement.place)
+                self.candidate_by_id[announcement.target] = Candidate(announcement, distance_s)
+                self.put(announcement, now)
+        self._candidates = list(self.candidate_by_id.values())
 
     def try_grant(self, demand: Demand, now: float) -> "PoolSlot | None":
         """Return a place for ``demand`` at a target that has one free."""
-        candidate = self._choose(demand)
-        if candidate is None:
+        chosen = self._choice.choose(
+            demand, self._candidates, self.candidate_by_id, self._usual_now(now), now
+        )
+        if chosen is None:
             return None
-        candidate.in_flight += 1
-        return PoolSlot(self, candidate, demand)
+        chosen.candidate.load.start(now)
+        chosen.candidate.pending_blocks += chosen.missed_blocks
+        self.prefixes.use(chosen.candidate.target_id, demand.prefix_hashes, now)
+        return PoolSlot(self, chosen, demand, now)
 
     def enqueue(self, demand: Demand, now: float) -> Waiter:
         """Let ``demand`` wait for a place."""
@@ -72,9 +108,18 @@
                 self.queue.discard(waiter)
                 waiter.answer(Err(_DEADLINE_PASSED))
 
-    def finish(self, candidate: Candidate, now: float) -> None:
-        """Free a place and serve who waits for it."""
-        candidate.in_flight -= 1
+    def begin(self, chosen: Chosen) -> None:
+        """Note that a target began to answer."""
+        chosen.candidate.pending_blocks -= chosen.missed_blocks
+
+    def finish(self, chosen: Chosen, outcome: Outcome, since: float, now: float) -> None:
+        """Free a place, learn from the outcome, and serve who waits for the place."""
+        candidate = chosen.candidate
+        candidate.load.end(now)
+        if outcome.kind is OutcomeKind.ANSWERED:
+            self.waits.learn_hold(now - since)
+            if outcome.first_token_s is not None:
+                self._learn(chosen, outcome.first_token_s, now)
         self.dispatch(now)
 
     def serves(self, demand: Demand) -> bool:
@@ -84,29 +129,35 @@
             for candidate in self.candidate_by_id.values()
         )
 
-    def _choose(self, demand: Demand) -> Candidate | None:
-        best = None
-        best_share = (1.0, 1.0)
-        for candidate in self.candidate_by_id.values():
-            if not candidate.has_room or candidate.target_id in demand.exclude:
-                continue
-            if not candidate.serves(demand.version, demand.adapter):
-                continue
-            share = candidate.in_flight / candidate.announcement.capacity
-            key = (share, self._random.random())
-            if best is None or key < best_share:
-                best, best_share = candidate, key
-        return best
+    def _learn(self, chosen: Chosen, seconds: float, now: float) -> None:
+        candidate = chosen.candidate
+        # Slow targets must not make the model predict that all are slow.
+        self.waits.learn(chosen.work, seconds / candidate.slowness(now))
+        candidate.observe(chosen.predicted_s, seconds, now)
+
+    def _usual_now(self, now: float) -> Usual:
+        if now >= self._usual_until:
+            self._usual_until = now + USUAL_EVERY_S
+            loads = [candidate.load for candidate in self._candidates]
+            reported = [load.last_others for load in loads if load.last_others is not None]
+            self._usual = Usual(
+                own=fmean([load.own_mean(now) for load in loads] or [0.0]),
+                others=fmean(reported or [0.0]),
+                hold_s=self.waits.hold_s,
+            )
+        return self._usual
 
 
 class PoolSlot:
     """Hold one place at a target."""
 
-    def __init__(self, pool: Pool, candidate: Candidate, demand: Demand) -> None:
+    def __init__(self, pool: Pool, chosen: Chosen, demand: Demand, now: float) -> None:
         self._pool = pool
-        self._candidate = candidate
-        self._announcement = candidate.announcement
+        self._chosen = chosen
+        self._announcement = chosen.candidate.announcement
         self._version = demand.version
+        self._since = now
+        self._silent = True
         self._open = True
 
     @property
@@ -126,11 +177,18 @@
             return self._version
         return self._announcement.versions[0]
 
+    def first_token(self, now: float) -> None:
+        """Note that the target began to answer; a second call does nothing."""
+        if self._silent:
+            self._silent = False
+            self._pool.begin(self._chosen)
+
     def finish(self, outcome: Outcome, now: float) -> None:
         """Free the place; a second call does nothing."""
         if self._open:
             self._open = False
-            self._pool.finish(self._candidate, now)
+            self.first_token(now)
+            self._pool.finish(self._chosen, outcome, self._since, now)
 
 
 _DEADLINE_PASSED = Refusal(
--- a/cranberrywall/routing/_router.py
+++ b/cranberrywall/routing/_router.py
@@ -6,9 +6,11 @@
 
 from cranberrywall.configuration import Configuration
 from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.routing._distances import Distances
 from cranberrywall.routing._interfaces import Demand, Outcome, OutcomeKind, Slot
 from cranberrywall.routing._pool import Pool
 from cranberrywall.routing._queue import Answer, Waiter
+from cranberrywall.routing._subset import subset_of
 from cranberrywall.runtime import Clock, Random
 from cranberrywall.targets import Announcement, Change, Group, Targets
 
@@ -21,25 +23,36 @@
     configuration: Configuration,
     clock: Clock,
     random: Random,
+    host: str,
+    place: str,
 ) -> "TargetRouter":
-    """Return a router over ``targets``; it follows their changes by itself."""
-    return TargetRouter(targets, configuration, clock, random)
+    """Return the router of ``host`` in ``place``; it follows the changes of ``targets``."""
+    return TargetRouter(targets, configuration, clock, random, host, place)
 
 
 class TargetRouter:
     """Choose targets and hand out places at them; one for each entry host."""
 
     def __init__(
-        self, targets: Targets, configuration: Configuration, clock: Clock, random: Random
+        self,
+        targets: Targets,
+        configuration: Configuration,
+        clock: Clock,
+        random: Random,
+        host: str,
+        place: str,
     ) -> None:
+        self._targets = targets
+        self._host = host
         self._configuration = configuration
         self._clock = clock
         self._random = random
+        self._distances = Distances(configuration, place)
         self._pool_by_group: dict[Group, Pool] = {}
         self._in_progress_by_workspace: dict[str, int] = {}
         self._ticker: asyncio.Task[None] | None = None
-        for target in targets.by_id.values():
-            self._pool(target.announcement).put(target.announcement)
+        for group in targets.by_group:
+            self._choose_subset(group, clock.now())
         targets.subscribe(self._on_change)
 
     async def acquire(self, demand: Demand, now: float) -> Result[Slot, Refusal]:
@@ -111,15 +124,20 @@
             self.tick(self._clock.now())
 
     def _on_change(self, announcement: Announcement, change: Change, now: float) -> None:
-        pool = self._pool(announcement)
-        if change is Change.LEFT:
-            pool.remove(announcement.target)
-            return
-        pool.put(announcement)
+        group = Group(announcement.kind, announcement.name)
+        if change is not Change.RENEWED:
+            self._choose_subset(group, now)
+        pool = self._pool(group)
+        pool.put(announcement, now)
         pool.dispatch(now)
 
-    def _pool(self, announcement: Announcement) -> Pool:
-        group = Group(announcement.kind, announcement.name)
+    def _choose_subset(self, group: Group, now: float) -> None:
+        members = self._targets.by_group.get(group, {})
+        announcements = [target.announcement for target in members.values()]
+        subset = subset_of(self._host, announcements, self._distances.seconds_to)
+        self._pool(group).choose_from(subset, now)
+
+    def _pool(self, group: Group) -> Pool:
         if group not in self._pool_by_group:
-            self._pool_by_group[group] = Pool(self._random)
+            self._pool_by_group[group] = Pool(self._clock, self._random, self._distances)
         return self._pool_by_group[group]
--- a/cranberrywall/targets/__init__.py
+++ b/cranberrywall/targets/__init__.py
@@ -1,6 +1,8 @@
 """Know the targets: announcements, health, load and cached prefixes."""
 
 from cranberrywall.targets._http import ANNOUNCE_PATH, make_announce_routes
+from cranberrywall.targets._load import LoadEstimate, Usual
+from cranberrywall.targets._prefixes import PrefixIndex
 from cranberrywall.targets._targets import (
     TTL_S,
     Change,
@@ -21,8 +23,11 @@
     "Change",
     "Group",
     "Load",
+    "LoadEstimate",
+    "PrefixIndex",
     "Target",
     "Targets",
+    "Usual",
     "make_announce_routes",
     "make_targets",
     "read_announcement",
