Store a service's answer with plain header names

A confirmation's answer could not be kept at the ledger: the HTTP library's header names are a subtype of str, and msgpack refused them (TypeError: Encoding objects of type multidict._multidict.istr is unsupported). The caller saw 'internal' with X-Ran unknown, and the resend 'running' for ever. Joining fault in requests, found by the demo's confirmation that is sent twice; it now gets the stored answer.

--- a/cranberrywall/requests/_service_client.py
+++ b/cranberrywall/requests/_service_client.py
@@ -135,7 +135,8 @@
 
 def _headers_to_return(response: aiohttp.ClientResponse) -> tuple[tuple[str, str], ...]:
     return tuple(
-        (name, value)
+        # The library's names are a subtype of str that msgpack does not take.
+        (str(name), value)
         for name, value in response.headers.items()
         if name.lower() not in _DROPPED_HEADERS
     )
