Run the entry program, thin, so that the whole path runs

It joins configuration, allotments, targets, routing and callers. Membership is the configuration's entry hosts, and announcements go to each of them at once: both are to be replaced by the hosts package. Additive: Metrics.registry, for the requests' own metrics.

--- /dev/null
+++ b/cranberrywall/commands/entry.py
@@ -0,0 +1,44 @@
+"""Run an entry host: callers, targets and spending."""
+
+import aiomisc
+import click
+import uvloop
+
+from cranberrywall.commands._entry_program import EntryProgram, make_entry_program
+from cranberrywall.observability import configure_log, dump_state_on_signal
+from cranberrywall.runtime import make_runtime
+from cranberrywall.settings import Settings, settings_options
+
+
+class _EntryService(aiomisc.Service):
+    """Start and stop the entry program with the process."""
+
+    def __init__(self, settings: Settings) -> None:
+        super().__init__()
+        self._settings = settings
+        self._program: EntryProgram | None = None
+
+    async def start(self) -> None:
+        """Start the program, and dump its state on SIGUSR1."""
+        self._program = make_entry_program(self._settings, make_runtime(self._settings.get("data")))
+        await self._program.start()
+        dump_state_on_signal(self._program.state)
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stop the program."""
+        if self._program is not None:
+            await self._program.stop()
+
+
+@click.command()
+@settings_options("entry")
+def main(settings: Settings) -> None:
+    """Run an entry host until SIGTERM or SIGINT."""
+    configure_log("entry", settings["host"], settings["place"], settings["log"]["level"])
+    service = _EntryService(settings)
+    with aiomisc.entrypoint(service, log_config=False, loop_factory=uvloop.new_event_loop) as loop:
+        loop.run_forever()
+
+
+if __name__ == "__main__":
+    main()
--- a/cranberrywall/entry/__init__.py
+++ b/cranberrywall/entry/__init__.py
@@ -1,5 +1,13 @@
 """Assemble the entry program."""
 
+from cranberrywall.entry._announcements import AnnouncementSpread
+from cranberrywall.entry._configured import ConfiguredHosts, ConfiguredPolicies
 from cranberrywall.entry._stack import CallerStack, make_caller_stack
 
-__all__ = ["CallerStack", "make_caller_stack"]
+__all__ = [
+    "AnnouncementSpread",
+    "CallerStack",
+    "ConfiguredHosts",
+    "ConfiguredPolicies",
+    "make_caller_stack",
+]
--- a/cranberrywall/observability/_metrics.py
+++ b/cranberrywall/observability/_metrics.py
@@ -80,6 +80,11 @@
         ProcessCollector(registry=self._registry)
         PlatformCollector(registry=self._registry)
 
+    @property
+    def registry(self) -> CollectorRegistry:
+        """Return the registry, for packages that bring metrics of their own."""
+        return self._registry
+
     def counter(
         self, name: str, help_text: str, labels: Sequence[str] = (), most: int = _MOST_LABEL_SETS
     ) -> Family[Counter]:
