Demonstrate the whole path, and start the programs as separate processes

The sums come from the ledger's report and the stand-ins' counts; each disagreement is named and a test causes each.

--- /dev/null
+++ b/measurements/_processes.py
@@ -0,0 +1,78 @@
+"""Run a fleet's programs as processes of their own, and end them as hosts end."""
+
+import asyncio
+import signal
+import sys
+from asyncio.subprocess import Process
+from collections.abc import Sequence
+from pathlib import Path
+
+from cranberrywall.demo import FleetFiles, wait_until_ready
+
+READY_S = 30.0
+STOP_S = 30.0
+ROOT = Path(__file__).parents[1]
+
+
+class FleetProcesses:
+    """Hold the processes of one fleet by host name; their logs are in the fleet's folder."""
+
+    def __init__(self, files: FleetFiles) -> None:
+        self._files = files
+        self._process_by_host: dict[str, Process] = {}
+
+    async def start(self, hosts: Sequence[str]) -> None:
+        """Start hosts at once and wait until each is ready."""
+        await asyncio.gather(*(self._start(host) for host in hosts))
+        await asyncio.gather(*(self.wait_ready(host) for host in hosts))
+
+    async def end(self, host: str, number: signal.Signals) -> int:
+        """Send a signal to one host's process and return its exit status once it ended."""
+        process = self._process_by_host.pop(host)
+        process.send_signal(number)
+        async with asyncio.timeout(STOP_S):
+            return await process.wait()
+
+    async def end_all(self) -> dict[str, int]:
+        """End every process by SIGTERM, entry hosts first; return their exit statuses."""
+        statuses: dict[str, int] = {}
+        order = {"entry": 0, "console": 1, "control": 2}
+        hosts = list(self._process_by_host)
+        hosts.sort(key=lambda host: order[self._files.by_host[host].role])
+        for host in hosts:
+            try:
+                statuses[host] = await self.end(host, signal.SIGTERM)
+            except ProcessLookupError:
+                statuses[host] = -1
+        return statuses
+
+    async def wait_ready(self, host: str) -> None:
+        """Wait until the host says that it is ready; raise with its log where it ended."""
+        waiting = asyncio.create_task(wait_until_ready([self._files.by_host[host]], READY_S))
+        ending = asyncio.create_task(self._process_by_host[host].wait())
+        await asyncio.wait((waiting, ending), return_when=asyncio.FIRST_COMPLETED)
+        ending.cancel()
+        if not waiting.done():
+            waiting.cancel()
+            raise RuntimeError(f"{host} ended: {self.log(host)}")
+        await waiting
+
+    def log(self, host: str) -> str:
+        """Return what a host logged."""
+        return self._log_path(host).read_text("utf-8", errors="replace")
+
+    async def _start(self, host: str) -> None:
+        described = self._files.by_host[host]
+        with self._log_path(host).open("ab") as log:
+            self._process_by_host[host] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                f"cranberrywall.commands.{described.role}",
+                "--settings",
+                str(described.path),
+                stderr=log,
+                cwd=ROOT,
+            )
+
+    def _log_path(self, host: str) -> Path:
+        return self._files.folder / f"{host}.log"
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -4,6 +4,7 @@
 do, announce themselves, keep counts that a proof compares with, and fail on request.
 """
 
+from standins._announcer import AnnounceOptions
 from standins._answers import (
     answer_text,
     answer_words,
@@ -18,6 +19,7 @@
 from standins._serving import Serving, serve
 
 __all__ = [
+    "AnnounceOptions",
     "Engine",
     "EngineOptions",
     "Faults",
--- /dev/null
+++ b/tests/commands/test_demo.py
@@ -0,0 +1,20 @@
+"""Check that the demo serves both users' requests and that its three sides agree."""
+
+import re
+
+from click.testing import CliRunner
+
+from cranberrywall.commands.demo import main
+
+
+def test_the_demo_agrees_with_its_bills_and_its_targets() -> None:
+    result = CliRunner().invoke(main, ["--once"])
+    lines = result.output.strip().splitlines()
+    assert result.exit_code == 0, result.output
+    sums = {name: int(value) for name, value in re.findall(r"(\w+)=(\d+)", lines[-1])}
+    assert len(lines) == sums["requests"] + 1
+    assert sums["requests"] == sums["answered"] + sums["refused"]
+    assert sums["answered"] == sums["billed"] + sums["duplicates"]
+    assert sums["refused"] == 2
+    assert sums["duplicates"] == 1
+    assert sums["overspend"] == 0
