Let entry hosts know who is alive

Each host probes a bounded number of neighbours, directly and then through others; suspicion can be refuted; delegates link places; news is pushed from host to host within a budget of bytes, and a comparison by digests finds what was missed. A place whose delegates all fell silent is suspect as a whole; a flapping host is kept out until it stands.

--- /dev/null
+++ b/cranberrywall/hosts/_spread.py
@@ -0,0 +1,185 @@
+"""Pass items on, within a budget of bytes."""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterable, Sequence
+from typing import Any
+
+from cranberrywall.hosts._pace import Pace
+from cranberrywall.hosts._table import Table
+from cranberrywall.hosts.messages import PUSH, Item, PushRequest, Urgency
+from cranberrywall.links import Caller
+from cranberrywall.runtime import Clock
+
+_SENDS = 4
+"""How often an item goes out with a probe: passed on four times by each host that gets it,
+news misses about one host in fifty, and the digests find those."""
+_ITEM_OVERHEAD_BYTES = 24
+_PUSH_TIMEOUT_S = 2.0
+_PUSH_ITEMS = 500
+
+Receiver = Callable[[Item], None]
+
+
+class Contact:
+    """Name a host to which items go."""
+
+    __slots__ = ("host", "links", "place")
+
+    def __init__(self, host: str, place: str, links: str) -> None:
+        self.host = host
+        self.place = place
+        self.links = links
+
+
+class Spreading:
+    """Publish items and pass on those of others; it implements ``Spread``."""
+
+    def __init__(
+        self,
+        table: Table,
+        caller: Caller,
+        clock: Clock,
+        pace: Pace,
+        contacts: Callable[[], Sequence[Contact]],
+    ) -> None:
+        self._table = table
+        self._caller = caller
+        self._clock = clock
+        self._pace = pace
+        self._contacts = contacts
+        self._receiver_by_topic: dict[str, Receiver] = {}
+        # Urgent items go before normal ones, and those before volatile ones.
+        self._sends_by_urgency: dict[Urgency, dict[tuple[str, str], int]] = {
+            urgency: {} for urgency in sorted(Urgency, reverse=True)
+        }
+        self._urgent: dict[tuple[str, str], Item] = {}
+        self._push_credit = pace.push_burst_bytes
+        self._push_credit_at = clock.now()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._push_waits = False
+        self.pushed_bytes = 0
+        self.delayed_pushes = 0
+
+    def subscribe(self, topic: str, receive: Receiver) -> None:
+        """Call ``receive`` with each item of ``topic`` that is news, own ones included."""
+        if topic in self._receiver_by_topic:
+            raise ValueError(f"the topic {topic} has a receiver already")
+        self._receiver_by_topic[topic] = receive
+
+    def publish(self, item: Item) -> None:
+        """Spread an item; one that is not newer than what is known is dropped."""
+        self.absorb([item])
+
+    def items(self, topic: str) -> Sequence[Item]:
+        """Return the newest items of a topic, without those that are gone."""
+        return self._table.of_topic(topic)
+
+    def absorb(self, items: Iterable[Item]) -> None:
+        """Take in items from a peer, and queue the news among them for others."""
+        now = self._clock.now()
+        for item in items:
+            if not self._table.put(item, now):
+                continue
+            key = (item.topic, item.key)
+            sends_by_key = self._sends_by_urgency[item.urgency]
+            sends_by_key.pop(key, None)
+            sends_by_key[key] = _SENDS
+            if item.urgency is Urgency.URGENT:
+                self._urgent[key] = item
+                self._push_soon()
+            receive = self._receiver_by_topic.get(item.topic)
+            if receive is not None:
+                receive(item)
+
+    def take(self, place: str) -> tuple[Item, ...]:
+        """Return what goes with a message to a host in ``place``: urgent, then newest first."""
+        taken: list[Item] = []
+        room = self._pace.piggyback_bytes
+        for sends_by_key in self._sends_by_urgency.values():
+            room -= self._take_from(sends_by_key, place, room, taken)
+        return tuple(taken)
+
+    def _take_from(
+        self, sends_by_key: dict[tuple[str, str], int], place: str, room: int, taken: list[Item]
+    ) -> int:
+        spent: list[tuple[str, str]] = []
+        used = 0
+        for key, sends in reversed(sends_by_key.items()):
+            item = self._table.get(*key)
+            if item is None:
+                spent.append(key)
+                continue
+            if item.place not in ("", place):
+                continue
+            if used + size_of(item) > room:
+                break
+            used += size_of(item)
+            taken.append(item)
+            sends_by_key[key] = sends - 1
+            if sends == 1:
+                spent.append(key)
+        for key in spent:
+            del sends_by_key[key]
+        return used
+
+    def repeat(self, topic: str, key: str) -> None:
+        """Let an item go out once more with the next messages."""
+        item = self._table.get(topic, key)
+        if item is not None:
+            sends_by_key = self._sends_by_urgency[item.urgency]
+            sends_by_key[topic, key] = max(1, sends_by_key.pop((topic, key), 0))
+
+    async def push_to(self, contact: Contact, items: Sequence[Item]) -> None:
+        """Send items to one host at once, some hundred a message."""
+        for start in range(0, len(items), _PUSH_ITEMS):
+            batch = tuple(items[start : start + _PUSH_ITEMS])
+            await self._caller.call(contact.links, PUSH, PushRequest(batch), _PUSH_TIMEOUT_S)
+
+    def close(self) -> None:
+        """Stop pushing."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _push_soon(self) -> None:
+        if self._push_waits:
+            return
+        self._push_waits = True
+        self._start(self._push_after_delay())
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _push_after_delay(self) -> None:
+        # News often comes in twos and threes: the delay lets them share a message.
+        await self._clock.sleep(self._pace.push_delay)
+        self._push_waits = False
+        urgent, self._urgent = list(self._urgent.values()), {}
+        now = self._clock.now()
+        for contact in self._contacts():
+            items = [item for item in urgent if item.place in ("", contact.place)]
+            cost = sum(map(size_of, items))
+            if not items:
+                continue
+            if not self._may_push(cost, now):
+                # Without the bound, a host that flaps quickly would make all others push
+                # without end. What is not pushed still goes out with the probes.
+                self.delayed_pushes += 1
+                continue
+            self.pushed_bytes += cost
+            self._start(self.push_to(contact, items))
+
+    def _may_push(self, cost: int, now: float) -> bool:
+        earned = max(0.0, now - self._push_credit_at) * self._pace.push_bytes_per_s
+        self._push_credit = min(self._pace.push_burst_bytes, self._push_credit + earned)
+        self._push_credit_at = now
+        if cost > self._push_credit:
+            return False
+        self._push_credit -= cost
+        return True
+
+
+def size_of(item: Item) -> int:
+    """Return about how many bytes an item takes in a message."""
+    return len(item.topic) + len(item.key) + len(item.payload) + _ITEM_OVERHEAD_BYTES
--- /dev/null
+++ b/tests/hosts/test_membership.py
@@ -0,0 +1,365 @@
+"""Cause the failures that membership must bear, and see what the hosts believe."""
+
+import asyncio
+
+import pytest
+
+from cranberrywall.hosts import HostState, Item, Pace, Urgency
+from tests.fakes.network import Rule
+from tests.hosts.fleet import Fleet, Host, in_fleet
+
+ALIVE, SUSPECT, LEAVING, DEAD = HostState
+TODAY = {"ljubljana-a": 2, "ljubljana-b": 2, "kranj": 2, "domzale": 1}
+
+
+def but(fleet: Fleet, *names: str) -> list[Host]:
+    return [host for host in fleet if host.name not in names]
+
+
+def test_a_crashed_host_is_soon_suspect_then_dead_and_alive_after_its_restart():
+    async def test(fleet: Fleet):
+        victim = fleet["kranj-2"]
+        await fleet.crash(victim)
+        await fleet.clock.sleep(1.5)
+        assert fleet.states_of("kranj-2", but(fleet, "kranj-2")) == {SUSPECT}
+        await fleet.clock.sleep(2.5)
+        assert fleet.states_of("kranj-2", but(fleet, "kranj-2")) == {DEAD}
+        await fleet.start(victim)
+        await fleet.clock.sleep(1.0)
+        assert fleet.all_alive()
+        view = fleet["domzale-1"].membership.by_host("kranj-2")
+        assert view is not None and view.incarnation == 2
+
+    in_fleet(TODAY, test)
+
+
+def test_a_leaving_host_is_left_out_at_once_and_goes_on_answering():
+    async def test(fleet: Fleet):
+        leaver = fleet["kranj-1"]
+        leaver.membership.leave()
+        await fleet.clock.sleep(0.1)
+        assert fleet.states_of("kranj-1", fleet) == {LEAVING}
+        for host in fleet:
+            assert "kranj-1" not in {view.host for view in host.membership.alive()}
+        await fleet.clock.sleep(10)
+        assert fleet.states_of("kranj-1", fleet) == {LEAVING}
+        await fleet.crash(leaver)
+        await fleet.clock.sleep(1.5)
+        assert fleet.states_of("kranj-1", but(fleet, "kranj-1")) == {DEAD}
+
+    in_fleet(TODAY, test)
+
+
+def test_late_messages_never_revive_a_host():
+    """A host leaves and is gone; messages from before, delayed on the way, come after.
+
+    A caller would be sent to a host that does not exist. Every one of the old messages
+    must count for nothing, and a new start must count.
+    """
+
+    async def test(fleet: Fleet):
+        leaver = fleet["kranj-1"]
+        witness = fleet["domzale-1"].membership.spread
+        old = [item for item in witness.items("host") if item.key == "kranj-1"]
+        leaver.membership.leave()
+        await fleet.clock.sleep(0.1)
+        left = [item for item in witness.items("host") if item.key == "kranj-1"]
+        await fleet.crash(leaver)
+        await fleet.clock.sleep(5)
+        for item in old + left:
+            raised = item._replace(version=(item.version[0], 0, item.version[2] + 9, 0))
+            for late in (item, raised):
+                witness.publish(late)
+        await fleet.clock.sleep(5)
+        assert fleet.states_of("kranj-1", but(fleet, "kranj-1")) == {DEAD}
+        await fleet.start(leaver)
+        await fleet.clock.sleep(1)
+        assert fleet.all_alive()
+
+    in_fleet(TODAY, test)
+
+
+def test_a_wrong_suspicion_is_refuted_before_it_kills():
+    async def test(fleet: Fleet):
+        [said] = [
+            item for item in fleet["kranj-1"].membership.spread.items("host")
+            if item.key == "domzale-1"
+        ]  # fmt: skip
+        for verdict in (1, 2):
+            judged = said._replace(version=(*said.version[:3], verdict))
+            fleet["kranj-1"].membership.spread.publish(judged)
+            await fleet.clock.sleep(1)
+            assert fleet.all_alive()
+
+    in_fleet(TODAY, test)
+
+
+@pytest.mark.parametrize("direction", ["from", "to"])
+def test_a_cut_in_one_direction_between_two_hosts_suspects_nobody(direction: str):
+    """Packets from one host to another vanish, while both reach all others.
+
+    Each probe between the two fails. They must be found alive through the others, or two
+    well hosts would lose their callers.
+    """
+
+    async def test(fleet: Fleet):
+        one, other = fleet["kranj-1"], fleet["kranj-2"]
+        if direction == "to":
+            one, other = other, one
+        fleet.fabric.cut_one_way(one.ip, other.ip)
+        for _ in range(60):
+            await fleet.clock.sleep(0.5)
+            assert fleet.all_alive()
+        assert one.membership.state()["failed_probes"] > 10
+
+    in_fleet(TODAY, test)
+
+
+def test_a_host_that_hears_nobody_is_out_and_back_when_it_hears_again():
+    """A host sends and receives nothing for a minute; its process runs on all the time."""
+
+    async def test(fleet: Fleet):
+        alone, others = fleet["kranj-1"], but(fleet, "kranj-1")
+        fleet.cut([alone], others)
+        await fleet.clock.sleep(60)
+        assert fleet.states_of("kranj-1", others) == {DEAD}
+        assert {view.host for view in alone.membership.alive()} == {"kranj-1"}
+        fleet.mend([alone], others)
+        await fleet.clock.sleep(8)
+        assert fleet.all_alive()
+        assert alone.incarnation == 1
+
+    in_fleet(TODAY, test)
+
+
+def test_a_place_cut_off_is_suspect_as_a_whole_and_back_at_once():
+    """A data centre of twelve hosts loses its way to the others for a minute.
+
+    Its three delegates stop answering. Callers elsewhere must not be sent to any of its
+    hosts, though nobody probes the other nine; none is declared dead, so that after the
+    cut all are back within seconds, without twelve hosts refuting their deaths.
+    """
+
+    async def test(fleet: Fleet):
+        inside, outside = fleet.of_place("dehiwala"), fleet.outside("dehiwala")
+        fleet.cut(inside, outside)
+        await fleet.clock.sleep(3)
+        for host in outside:
+            assert host.membership.state()["cut_places"] == ["dehiwala"]
+            assert {view.place for view in host.membership.alive()} == {"town-hall", "kolonnawa"}
+        await fleet.clock.sleep(60)
+        for name in (host.name for host in inside):
+            assert fleet.states_of(name, outside) == {SUSPECT}
+            assert fleet.states_of(name, inside) == {ALIVE}
+        fleet.mend(inside, outside)
+        await fleet.clock.sleep(5)
+        assert fleet.all_alive()
+
+    in_fleet({"town-hall": 3, "dehiwala": 12, "kolonnawa": 3}, test)
+
+
+def test_all_delegates_of_a_place_lost_at_once_are_replaced():
+    """The rack with the three hosts that speak for a place loses its power.
+
+    For a moment the place looks cut off; its other hosts must speak up for it.
+    """
+
+    async def test(fleet: Fleet):
+        place = fleet.of_place("dehiwala")
+        lost = [host for host in place if host.membership.state()["is_delegate"]]
+        assert len(lost) == 3
+        for host in lost:
+            await fleet.crash(host)
+        await fleet.clock.sleep(8)
+        left = [host for host in fleet if host not in lost]
+        for host in lost:
+            assert fleet.states_of(host.name, left) == {DEAD}
+        for host in left:
+            assert fleet.states_of(host.name, left) == {ALIVE}
+
+    in_fleet({"town-hall": 3, "dehiwala": 12, "kolonnawa": 3}, test)
+
+
+def test_a_place_that_breaks_in_two_comes_together():
+    async def test(fleet: Fleet):
+        hosts = list(fleet)
+        some, others = hosts[:8], hosts[8:]
+        fleet.cut(some, others)
+        await fleet.clock.sleep(60)
+        for host in others:
+            assert fleet.states_of(host.name, some) == {DEAD}
+        fleet.mend(some, others)
+        await fleet.clock.sleep(20)
+        assert fleet.all_alive()
+
+    in_fleet({"kranj": 16}, test)
+
+
+def test_a_flapping_host_is_kept_out_until_it_stands():
+    """A host crashes and comes back every eight seconds.
+
+    Callers sent to it each time would lose their calls each time. After a few falls it is
+    left out though it answers, and taken back once it has stood for a while; the others'
+    views of each other do not change, and the traffic stays bounded.
+    """
+
+    async def test(fleet: Fleet):
+        flapper, others = fleet["kranj-2"], but(fleet, "kranj-2")
+        for _ in range(4):
+            await fleet.crash(flapper)
+            await fleet.clock.sleep(4)
+            await fleet.start(flapper)
+            await fleet.clock.sleep(4)
+            for host in others:
+                assert fleet.states_of(host.name, others) == {ALIVE}
+        assert fleet.states_of("kranj-2", others) == {SUSPECT}
+        sent = sum(fleet.fabric.bytes_by_host.values())
+        assert sent < 7 * 40 * 4_000
+        await fleet.clock.sleep(60)
+        assert fleet.all_alive()
+
+    in_fleet(TODAY, test)
+
+
+def test_lost_packets_alone_suspect_hardly_anybody():
+    async def test(fleet: Fleet):
+        for _ in range(60):
+            await fleet.clock.sleep(1)
+        falls = sum(host.membership.state()["suspicions"] for host in fleet)
+        assert falls <= 1
+        assert fleet.all_alive()
+
+    in_fleet({"town-hall": 10, "kolonnawa": 10}, test, Rule(delay=0.002, jitter=0.004, loss=0.05))
+
+
+def test_a_process_that_stood_still_blames_nobody():
+    """A process is stopped for a minute and goes on: all its timers have run out at once.
+
+    The answers that came meanwhile are not read yet, and so all others look dead to it.
+    """
+
+    async def test(fleet: Fleet):
+        frozen = fleet["kranj-1"]
+        clock = _StoppableClock(fleet)
+        frozen.membership._clock = clock  # type: ignore[attr-defined]  # the private part stands still
+        frozen.membership._prober._clock = clock  # type: ignore[attr-defined]  # as above
+        frozen.membership._spreading._clock = clock  # type: ignore[attr-defined]  # as above
+        [said] = [item for item in frozen.membership.spread.items("host") if item.key == "kranj-2"]
+        frozen.membership.spread.publish(said._replace(version=(*said.version[:3], 1)))
+        clock.skip(60.0)
+        await fleet.clock.sleep(1)
+        assert fleet.all_alive()
+        assert frozen.membership.state()["suspicions"] == 0
+
+    in_fleet(TODAY, test)
+
+
+class _StoppableClock:
+    def __init__(self, fleet: Fleet) -> None:
+        self._clock = fleet.clock
+        self._skipped = 0.0
+
+    def now(self) -> float:
+        return self._clock.now() + self._skipped
+
+    def wall(self) -> float:
+        return self._clock.wall() + self._skipped
+
+    async def sleep(self, seconds: float) -> None:
+        await self._clock.sleep(seconds)
+
+    def skip(self, seconds: float) -> None:
+        self._skipped += seconds
+
+
+def test_a_second_process_under_a_name_is_noticed():
+    async def test(fleet: Fleet):
+        first = fleet["kranj-1"].membership
+        [said] = [item for item in first.spread.items("host") if item.key == "kranj-1"]
+        fleet["kranj-2"].membership.spread.publish(said._replace(version=(99, 0, 1, 0)))
+        await fleet.clock.sleep(1)
+        assert first.is_superseded
+        assert not fleet["kranj-2"].membership.is_superseded
+
+    in_fleet(TODAY, test)
+
+
+def test_items_reach_all_hosts_of_their_place_and_no_others():
+    async def test(fleet: Fleet):
+        item = Item("target", "engine-1", (1, 0, 5), b"here", "town-hall", Urgency.NORMAL)
+        everywhere = Item("target", "engine-2", (1, 1, 6), b"gone", urgency=Urgency.URGENT)
+        source = fleet["town-hall-1"].membership.spread
+        source.publish(item)
+        source.publish(everywhere)
+        await fleet.clock.sleep(0.2)
+        for host in fleet:
+            assert everywhere in host.membership.spread.items("target")
+        await fleet.clock.sleep(15)
+        for host in fleet:
+            held = item in host.membership.spread.items("target")
+            assert held == (host.place == "town-hall")
+
+    in_fleet({"town-hall": 20, "kolonnawa": 20}, test)
+
+
+def test_hosts_know_the_loads_of_their_place_and_the_mean_of_others():
+    async def test(fleet: Fleet):
+        for host in fleet:
+            host.membership.set_load(0.8 if host.name == "kranj-1" else 0.4)
+        await fleet.clock.sleep(25)
+
+        def load(name: str, seen_by: str) -> float:
+            view = fleet[seen_by].membership.by_host(name)
+            assert view is not None
+            return view.load
+
+        assert load("kranj-1", "kranj-2") == pytest.approx(0.8, abs=0.01)
+        assert load("kranj-2", "kranj-1") == pytest.approx(0.4, abs=0.01)
+        assert load("kranj-1", "domzale-1") == pytest.approx(0.6, abs=0.01)
+
+    in_fleet(TODAY, test)
+
+
+def test_pushing_is_bounded_and_what_is_held_back_still_comes():
+    """Two thousand targets leave at once. The hosts may not use up the lines to say so."""
+
+    async def test(fleet: Fleet):
+        source = fleet["kranj-1"].membership
+        for number in range(2000):
+            source.spread.publish(
+                Item("target", f"engine-{number}", (1, 1), bytes(60), urgency=Urgency.URGENT)
+            )
+        await fleet.clock.sleep(2)
+        assert source.state()["delayed_pushes"] > 0
+        assert source.state()["pushed_bytes"] <= 40_000 + 2.1 * 16_000
+        await fleet.clock.sleep(30)
+        for host in fleet:
+            assert len(host.membership.spread.items("target")) == 2000
+
+    in_fleet(TODAY, test, pace=Pace(push_burst_bytes=40_000))
+
+
+def test_hosts_that_start_together_find_together():
+    async def test(fleet: Fleet):
+        for host in list(fleet):
+            await fleet.crash(host)
+        await fleet.clock.sleep(10)
+        await asyncio.gather(*(fleet.start(host) for host in fleet))
+        await fleet.clock.sleep(5)
+        assert fleet.all_alive()
+
+    in_fleet({"town-hall": 10, "kolonnawa": 10}, test)
+
+
+def test_what_is_gone_is_forgotten():
+    async def test(fleet: Fleet):
+        await fleet.crash(fleet["kranj-2"])
+        source = fleet["kranj-1"].membership
+        source.spread.publish(Item("target", "engine-1", (1,), b""))
+        await fleet.clock.sleep(10)
+        before = source.state()["items"]
+        await fleet.clock.sleep(40)
+        assert fleet.states_of("kranj-2", but(fleet, "kranj-2")) == {None}
+        assert source.state()["items"] == before - 3
+
+    in_fleet(TODAY, test, pace=Pace(forget_after=30.0))
