Order engines from one master: committed numbers, evidence, permits and a plan

An order is committed with a rising number before it is sent, once. To an engine that checks numbers a successor sends a higher one; to any other it sends nothing until there is evidence about its predecessor's order, and says why. Loads hold a permit each. The plan follows demand and version, leaves what is in place and never takes the last copy.

--- /dev/null
+++ b/cranberrywall/orders/_controller.py
@@ -0,0 +1,228 @@
+"""Give orders to engines while this host leads the configuration group."""
+
+from collections.abc import Callable, Sequence
+from typing import Any, NamedTuple
+
+from loguru import logger
+from result import Err, Ok
+
+from cranberrywall.configuration import Document
+from cranberrywall.links import Server
+from cranberrywall.orders._engines import Engines, EngineView, has_effect, without_removed
+from cranberrywall.orders._evidence import EvidenceFinder, Finding
+from cranberrywall.orders._machine import draws_on_store
+from cranberrywall.orders._outbox import Outbox
+from cranberrywall.orders._plan import Step, make_plan
+from cranberrywall.orders._settling import Settling
+from cranberrywall.orders.messages import (
+    ORDERS_CODEC,
+    Action,
+    Close,
+    Evidence,
+    GetOrders,
+    Issue,
+    Issued,
+    NotIssued,
+    OpenOrder,
+    OrdersView,
+    Removed,
+    Retain,
+)
+from cranberrywall.replication import Group
+from cranberrywall.runtime import Clock
+
+DEFAULT_CONCURRENT_LOADS = 2
+PROPOSE_TIMEOUT_S = 5.0
+
+
+class OrderTimes(NamedTuple):
+    """Pace the controller, in seconds.
+
+    ``load_limit`` is longer than any load takes; ``retain_after`` is longer than an
+    announcement is late.
+    """
+
+    period: float = 1.0
+    load_limit: float = 1800.0
+    retain_after: float = 60.0
+
+
+class OrderController:
+    """Decide, commit, send and close orders; idle on a host that does not lead."""
+
+    def __init__(
+        self,
+        group: Group,
+        engines: Engines,
+        document: Callable[[], Document],
+        outbox: Outbox,
+        finder: EvidenceFinder,
+        clock: Clock,
+        times: OrderTimes,
+    ) -> None:
+        self._group = group
+        self._engines = engines
+        self._document = document
+        self._outbox = outbox
+        self._finder = finder
+        self._clock = clock
+        self._times = times
+        self._count = 0
+        self._settling = Settling(times.retain_after)
+        self._kept_since: dict[Removed, float] = {}
+        self.waiting: list[str] = []
+
+    def register(self, server: Server) -> None:
+        """Answer successors' questions at ``server``."""
+        self._outbox.register(server)
+
+    async def run(self) -> None:
+        """Act in each period while this host leads, until cancelled."""
+        while True:
+            if self._group.is_leader:
+                await self.act(self._clock.now())
+            else:
+                self.waiting = []
+            await self._clock.sleep(self._times.period)
+
+    async def close(self) -> None:
+        """Abort what is being sent."""
+        await self._outbox.close()
+
+    def state(self) -> dict[str, Any]:
+        """Return what a state dump shows: above all, why something waits."""
+        return {"leads": self._group.is_leader, "waiting": list(self.waiting)}
+
+    async def act(self, now: float) -> None:
+        """Close what is finished, then take the next steps of the plan."""
+        view = await self._read()
+        if view is None:
+            return
+        announced = {engine.target: engine for engine in self._engines.engines(now)}
+        findings = await self._finder.find(view.open_orders, announced, now)
+        waiting = [_explain(finding) for finding in findings if finding.evidence is None]
+        for finding in findings:
+            if finding.evidence is not None:
+                await self._close(finding.order, finding.evidence)
+        await self._retain_kept(view, announced, now)
+        await self._fence(findings, announced)
+        waiting += await self._take_steps(announced, now)
+        self._note(waiting)
+
+    async def _read(self) -> OrdersView | None:
+        # A linearizable read: a leader that was deposed without knowing it gets none, and
+        # decides nothing on state that its successor has changed.
+        result = await self._group.query(ORDERS_CODEC.encode(GetOrders()), PROPOSE_TIMEOUT_S)
+        if isinstance(result, Err):
+            return None
+        view = ORDERS_CODEC.decode(result.ok_value)
+        return view if isinstance(view, OrdersView) else None
+
+    async def _take_steps(self, announced: dict[str, EngineView], now: float) -> list[str]:
+        view = await self._read()
+        if view is None:
+            return []
+        usable = without_removed(announced.values(), view.removed)
+        demand = self._engines.demand(now)
+        pending = [*view.open_orders, *self._settling.find(view.closed_orders, announced, now)]
+        plan = make_plan(self._document(), usable, demand, pending)
+        waiting = list(plan.waiting)
+        for step in plan.steps:
+            # What the engine already announces could later pass for this order's effect.
+            if not has_effect(announced[step.target], step.action):
+                waiting += await self._order(step, announced[step.target])
+        return waiting
+
+    async def _order(self, step: Step, engine: EngineView) -> Sequence[str]:
+        """Commit one order, then send it; return why not, where it has to wait."""
+        self._count += 1
+        issuer = self._outbox.issuer
+        order_id = f"{issuer.host}/{issuer.incarnation}/{self._count}"
+        command = Issue(
+            order_id,
+            issuer,
+            engine.target,
+            engine.incarnation,
+            engine.counter,
+            engine.checks_fencing,
+            step.action,
+            self._concurrent_loads(),
+            self._clock.wall(),
+        )
+        result = await self._group.propose(ORDERS_CODEC.encode(command), PROPOSE_TIMEOUT_S)
+        answer = ORDERS_CODEC.decode(result.ok_value) if isinstance(result, Ok) else None
+        if not isinstance(answer, Issued) or not self._group.is_leader:
+            # The order may be committed all the same. It is barred here, so that this
+            # process can vouch for it that it never goes out.
+            self._outbox.fate(order_id)
+            return [f"{engine.target}: {answer.reason}"] if isinstance(answer, NotIssued) else []
+        self._outbox.start(order_id, engine.url, answer.number, step.action, self._times.load_limit)
+        logger.info(
+            "event=order number={} target={} kind={} model={} version={}",
+            answer.number,
+            engine.target,
+            step.action.kind,
+            step.action.model,
+            step.action.version,
+        )
+        return []
+
+    def _concurrent_loads(self) -> int:
+        store = self._document().get("weight_store")
+        return store["concurrent_loads"] if store else DEFAULT_CONCURRENT_LOADS
+
+    async def _close(self, order: OpenOrder, evidence: Evidence) -> None:
+        host = self._outbox.issuer.host
+        command = Close(order.number, evidence, host, self._clock.wall())
+        await self._group.propose(ORDERS_CODEC.encode(command), PROPOSE_TIMEOUT_S)
+
+    async def _fence(self, findings: Sequence[Finding], announced: dict[str, EngineView]) -> None:
+        """Bar a predecessor's order from an engine that checks numbers.
+
+        Nothing says whether it was sent. A higher number makes the engine refuse it from
+        now on: a load is ordered anew, and keeps its permit; for anything else, which may
+        be unwanted by now, an order goes out that changes nothing.
+        """
+        for finding in findings:
+            order, engine = finding.order, announced.get(finding.order.target)
+            is_foreign = order.issuer != self._outbox.issuer
+            if finding.evidence is not None or not is_foreign or engine is None:
+                continue
+            if order.checks_fencing and engine.checks_fencing:
+                unchanged = Action("role", order.action.model, name=engine.role)
+                action = order.action if draws_on_store(order.action) else unchanged
+                await self._order(Step(engine.target, action), engine)
+
+    async def _retain_kept(
+        self, view: OrdersView, announced: dict[str, EngineView], now: float
+    ) -> None:
+        """Count a copy again that an order did not remove after all."""
+        open_targets = {order.target for order in view.open_orders}
+        kept_since: dict[Removed, float] = {}
+        for copy in view.removed:
+            engine = announced.get(copy.target)
+            if engine is None or copy.target in open_targets:
+                continue
+            if engine.incarnation != copy.incarnation:
+                continue
+            if (copy.model, copy.version) in engine.copies:
+                kept_since[copy] = self._kept_since.get(copy, now)
+        self._kept_since = kept_since
+        for copy, since in kept_since.items():
+            if now - since >= self._times.retain_after:
+                command = Retain(copy, self._clock.wall())
+                await self._group.propose(ORDERS_CODEC.encode(command), PROPOSE_TIMEOUT_S)
+
+    def _note(self, waiting: list[str]) -> None:
+        for reason in waiting:
+            if reason not in self.waiting:
+                logger.info("event=order_waits reason={!r}", reason)
+        self.waiting = waiting
+
+
+def _explain(finding: Finding) -> str:
+    order = finding.order
+    return (
+        f"{order.target}: order {order.number} ({order.action.kind} {order.action.model})"
+        f" is open: {finding.reason}"
+    )
--- /dev/null
+++ b/cranberrywall/orders/_engines.py
@@ -0,0 +1,90 @@
+"""Describe the engines and the demand as the leader of the configuration group knows them."""
+
+from collections.abc import Iterable, Mapping, Sequence
+from typing import NamedTuple, Protocol
+
+from cranberrywall.orders.messages import Action, OpenOrder, Removed
+
+
+class Copy(NamedTuple):
+    """Name a version of a model that an engine has loaded."""
+
+    model: str
+    version: str
+
+
+class EngineView(NamedTuple):
+    """Describe one engine by its latest announcement.
+
+    ``counter`` orders the announcements of one ``incarnation``. ``slots`` is how many
+    copies it can hold, ``capacity`` how many requests it serves at once.
+    """
+
+    target: str
+    incarnation: int
+    counter: int
+    place: str
+    url: str
+    checks_fencing: bool
+    copies: frozenset[Copy]
+    adapters: frozenset[str]
+    role: str
+    slots: int
+    capacity: int
+    leaving: bool
+
+
+class Engines(Protocol):
+    """Know the engines and what is asked of the models."""
+
+    def engines(self, now: float) -> Sequence[EngineView]:
+        """Return the engines that announce themselves."""
+        ...
+
+    def demand(self, now: float) -> Mapping[str, float]:
+        """Return by model how many requests run or wait."""
+        ...
+
+
+def without_removed(
+    engines: Iterable[EngineView], removed: Iterable[Removed]
+) -> tuple[EngineView, ...]:
+    """Return the engines less the copies that committed orders may have removed.
+
+    An announcement is older than the order that it does not show yet. Counting a copy
+    that is already ordered away would let the next order take the last one.
+    """
+    gone: dict[tuple[str, int], set[Copy]] = {}
+    for copy in removed:
+        key = (copy.target, copy.incarnation)
+        gone.setdefault(key, set()).add(Copy(copy.model, copy.version))
+    return tuple(
+        engine._replace(
+            copies=engine.copies - gone.get((engine.target, engine.incarnation), frozenset())
+        )
+        for engine in engines
+    )
+
+
+def shows_effect(engine: EngineView, order: OpenOrder) -> bool:
+    """Say whether the engine's announcement shows that ``order`` was carried out.
+
+    Only an announcement after the one by which the order was decided counts, and only of
+    the same run: in that one the effect was not there, and no other order was open since.
+    That it showed what came of the order before it, ``Settling`` sees to.
+    """
+    if engine.incarnation != order.incarnation or engine.counter <= order.counter:
+        return False
+    return has_effect(engine, order.action)
+
+
+def has_effect(engine: EngineView, action: Action) -> bool:
+    """Say whether ``engine`` already is as ``action`` would make it."""
+    copy = Copy(action.model, action.version)
+    if action.kind == "load":
+        return copy in engine.copies
+    if action.kind == "unload":
+        return copy not in engine.copies
+    if action.kind == "adapter":
+        return action.name in engine.adapters
+    return engine.role == action.name
--- /dev/null
+++ b/cranberrywall/orders/_sender.py
@@ -0,0 +1,85 @@
+"""Send orders to engines over HTTP, each committed number at most once."""
+
+import socket
+import struct
+from typing import Any, Protocol
+
+import aiohttp
+
+from cranberrywall.orders.messages import Action, Fate
+
+DIAL_TIMEOUT_S = 3.0
+_NO_LINGER = struct.pack("ii", 1, 0)
+
+
+class OrderSender(Protocol):
+    """Carry one order to an engine and wait until it is done."""
+
+    async def send(self, url: str, number: int, action: Action, timeout: float) -> Fate:
+        """Send once, and return what became of it.
+
+        ``NEVER_SENT`` only where no byte left; ``UNKNOWN`` where no answer came within
+        ``timeout`` seconds or the connection broke. Nothing is sent after the return.
+        """
+        ...
+
+    async def close(self) -> None:
+        """Drop all connections."""
+        ...
+
+
+def make_http_sender() -> OrderSender:
+    """Return a sender over aiohttp; call it within a running event loop."""
+    return _HttpSender()
+
+
+def order_body(number: int, action: Action) -> dict[str, Any]:
+    """Return the JSON that an engine gets.
+
+    >>> order_body(7, Action("role", "m", name="prefill"))
+    {'number': 7, 'order': 'role', 'model': 'm', 'role': 'prefill'}
+    """
+    body: dict[str, Any] = {"number": number, "order": action.kind, "model": action.model}
+    if action.version:
+        body["version"] = action.version
+    if action.kind in ("adapter", "role"):
+        body[action.kind] = action.name
+    return body
+
+
+class _HttpSender:
+    def __init__(self) -> None:
+        connector = aiohttp.TCPConnector(force_close=True, socket_factory=_make_socket)
+        self._session = aiohttp.ClientSession(connector=connector)
+
+    async def send(self, url: str, number: int, action: Action, timeout: float) -> Fate:
+        limits = aiohttp.ClientTimeout(total=timeout, sock_connect=DIAL_TIMEOUT_S)
+        body = order_body(number, action)
+        try:
+            async with self._session.post(
+                f"{url}/v1/orders", json=body, timeout=limits, allow_redirects=False
+            ) as response:
+                return _fate_of(response.status)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            return Fate.NEVER_SENT
+        except (TimeoutError, aiohttp.ClientError):
+            return Fate.UNKNOWN
+
+    async def close(self) -> None:
+        await self._session.close()
+
+
+def _make_socket(address: Any) -> socket.socket:
+    # The kernel goes on sending what a closed socket, or one of a killed process, still
+    # holds. An order could so arrive long after its sender was known to be gone. Without
+    # linger, the kernel drops it.
+    family, kind, protocol = address[:3]
+    made = socket.socket(family, kind, protocol)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    return made
+
+
+def _fate_of(status: int) -> Fate:
+    if status == 409:
+        return Fate.REFUSED
+    return Fate.DONE if 200 <= status < 300 else Fate.FAILED
--- /dev/null
+++ b/tests/orders/test_controller.py
@@ -0,0 +1,222 @@
+"""Check that engines obey one master, however late an old leader's order arrives."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from functools import wraps
+from typing import Any
+
+import pytest
+
+from cranberrywall.orders import Copy, Evidence, OrdersClient
+from tests.fakes.clock import run_virtual
+from tests.fakes.groups import FakeControlClient, FakeGroup
+from tests.orders.world import World
+
+OLD, NEW = Copy("letters", "v1"), Copy("letters", "v2")
+
+
+def in_virtual_time(test: Callable[..., Coroutine[Any, Any, None]]) -> Callable[..., None]:
+    @wraps(test)
+    def run(**arguments: Any) -> None:
+        run_virtual(test(**arguments))
+
+    return run
+
+
+def make_world(checks_fencing: bool, engines: int = 2, slots: int = 2) -> World:
+    world = World()
+    world.add_model("letters", "v1", copies=engines)
+    for number in range(engines):
+        world.add_engine(f"engine-{number}", [OLD], checks_fencing, slots)
+    return world
+
+
+async def until(world: World, reached: Callable[[], bool], limit: float) -> bool:
+    end = world.clock.now() + limit
+    while not reached():
+        if world.clock.now() >= end:
+            return False
+        await world.clock.sleep(0.1)
+    return True
+
+
+def evidence(world: World) -> list[Evidence]:
+    return [closed.evidence for closed in world.machine.orders.view().closed_orders]
+
+
+@pytest.mark.parametrize("checks_fencing", [True, False])
+@in_virtual_time
+async def test_a_new_version_goes_everywhere_and_the_old_one_goes(checks_fencing: bool) -> None:
+    world = make_world(checks_fencing, engines=3)
+    world.start()
+    world.elect("control-0")
+    await world.clock.sleep(5.0)
+    assert world.machine.orders.view().last_number == 0, "it moves what is in place"
+    world.add_model("letters", "v2", copies=3)
+    done = await until(world, lambda: all(e.copies == {NEW} for e in world.engines), 200.0)
+    assert done
+    assert world.store.exceeded == 0
+    await world.stop()
+
+
+@in_virtual_time
+async def test_an_old_order_after_its_successors_at_an_engine_that_checks() -> None:
+    """A leader commits a load, and is cut off before the order leaves its host.
+
+    A new leader orders the engine something else. Then the old order arrives. The engine
+    has seen a higher number and refuses it.
+    """
+    world = make_world(checks_fencing=True, engines=1)
+    world.start()
+    old = world.elect("control-0")
+    await world.clock.sleep(3.0)
+    old.sender.stall = 300.0
+    world.add_model("letters", "v2")
+    assert await until(world, lambda: world.machine.orders.view().last_number == 1, 10.0)
+    old.is_reachable = False
+    world.elect("control-1")
+    assert await until(world, lambda: NEW in world.engines[0].copies, 250.0)
+    await world.clock.sleep(400.0)
+    assert world.engines[0].old_after_new() == 0
+    assert world.engines[0].copies == {NEW}
+    await world.stop()
+
+
+@in_virtual_time
+async def test_an_old_order_to_an_engine_that_does_not_check_holds_the_successor_back() -> None:
+    """The same, at an engine that obeys whatever arrives.
+
+    The old leader cannot be asked, so its order may be sent at any time. The successor
+    sends nothing to that engine and says why; it goes on once the effect is announced.
+    """
+    world = make_world(checks_fencing=False, engines=1)
+    world.start()
+    old = world.elect("control-0")
+    await world.clock.sleep(3.0)
+    old.sender.stall = 300.0
+    world.add_model("letters", "v2")
+    assert await until(world, lambda: world.machine.orders.view().last_number == 1, 10.0)
+    old.is_reachable = False
+    new = world.elect("control-1")
+    await world.clock.sleep(250.0)
+    assert world.engines[0].arrivals == []
+    assert "control-0, which committed it, does not answer" in new.controller.waiting[0]
+    assert await until(world, lambda: world.engines[0].copies == {NEW}, 200.0)
+    assert world.engines[0].old_after_new() == 0
+    assert evidence(world)[0] is Evidence.SEEN
+    await world.stop()
+
+
+@in_virtual_time
+async def test_a_predecessor_that_answers_lets_its_unsent_order_go() -> None:
+    """A leader is deposed while its order's commit is under way, and can be asked.
+
+    It bars the order and says so, and the successor goes on at once.
+    """
+    world = make_world(checks_fencing=False, engines=1)
+    world.start()
+    old = world.elect("control-0")
+    await world.clock.sleep(3.0)
+    old.sender.stall = 0.0
+    world.add_model("letters", "v2")
+    propose = old.member.propose
+
+    async def propose_and_lose_the_lead(command: bytes, timeout: float) -> Any:
+        answer = await propose(command, timeout)
+        old.member.is_leader = False
+        return answer
+
+    old.member.propose = propose_and_lose_the_lead  # type: ignore[method-assign] # a fault
+    assert await until(world, lambda: world.machine.orders.view().last_number == 1, 10.0)
+    world.elect("control-1")
+    assert await until(world, lambda: world.engines[0].copies == {NEW}, 100.0)
+    assert evidence(world)[0] is Evidence.UNSENT
+    assert {arrival.term for arrival in world.engines[0].arrivals} == {2}
+    await world.stop()
+
+
+@pytest.mark.parametrize("comes_back", [True, False])
+@in_virtual_time
+async def test_a_restarted_predecessor_and_an_operators_word_are_evidence(
+    comes_back: bool,
+) -> None:
+    """The old leader's host dies with unloads in hand, once to come back and once not.
+
+    A later run on its host proves that the earlier one is gone. Where none comes, an
+    operator has to say so.
+    """
+    world = make_world(checks_fencing=False, engines=3, slots=1)
+    world.start()
+    old = world.elect("control-0")
+    await world.clock.sleep(3.0)
+    old.sender.stall = 1e6
+    world.add_model("letters", "v2", copies=3)
+    assert await until(world, lambda: world.machine.orders.view().last_number == 1, 10.0)
+    await old.kill()
+    old.is_reachable = False
+    world.elect("control-1")
+    await world.clock.sleep(30.0)
+    assert len(world.machine.orders.view().open_orders) == 1
+    if comes_back:
+        world.start_process("control-0", 2)
+    else:
+        group = FakeGroup("configuration", lambda: world.machine)
+        client = OrdersClient(FakeControlClient({"configuration": group}), 1.0)
+        assert (await client.confirm_dead(old.issuer, "ana", 1.0)).unwrap() == 1
+    assert await until(world, lambda: all(e.copies == {NEW} for e in world.engines), 400.0)
+    expected = Evidence.RESTARTED if comes_back else Evidence.CONFIRMED
+    assert evidence(world)[0] is expected
+    await world.stop()
+
+
+@in_virtual_time
+async def test_a_late_unload_never_leads_to_the_last_copy() -> None:
+    """A leader committed an unload and vanished; nobody knows whether it will arrive.
+
+    The successor must count that copy as gone. Else it unloads the other one, the old
+    order arrives, and nothing serves the model.
+    """
+    world = make_world(checks_fencing=False, engines=3, slots=1)
+    world.start()
+    old = world.elect("control-0")
+    await world.clock.sleep(3.0)
+    old.sender.stall = 500.0
+    world.add_model("letters", "v2", copies=3)
+    assert await until(world, lambda: world.machine.orders.view().last_number == 1, 10.0)
+    old.is_reachable = False
+    world.elect("control-1")
+    for _ in range(1000):
+        await world.clock.sleep(1.0)
+        assert any(engine.copies for engine in world.engines)
+    assert sum(engine.last_copies_lost for engine in world.engines) == 0
+    assert all(engine.copies == {NEW} for engine in world.engines)
+    await world.stop()
+
+
+@in_virtual_time
+async def test_loads_are_paced_over_a_change_of_leaders() -> None:
+    world = make_world(checks_fencing=False, engines=8)
+    world.start()
+    world.elect("control-0")
+    await world.clock.sleep(3.0)
+    world.add_model("letters", "v2", copies=8)
+    for host in ("control-1", "control-2", "control-0"):
+        await world.clock.sleep(15.0)
+        world.elect(host)
+        assert world.store.running <= 2
+    assert await until(world, lambda: all(e.copies == {NEW} for e in world.engines), 400.0)
+    assert world.store.exceeded == 0
+    await world.stop()
+
+
+@in_virtual_time
+async def test_a_model_that_cannot_move_without_loss_waits_and_says_so() -> None:
+    world = make_world(checks_fencing=True, engines=1, slots=1)
+    world.start()
+    leader = world.elect("control-0")
+    world.add_model("letters", "v2")
+    await world.clock.sleep(60.0)
+    assert world.engines[0].copies == {OLD}
+    assert "no engine has room" in leader.controller.waiting[0]
+    assert asyncio.all_tasks()
+    await world.stop()
