--- a/cranberrywall/budgets/_client.py
+++ b/cranberrywall/budgets/_client.py
@@ -112,6 +112,12 @@
         """Close a period in one group; send it to each of ``groups()``."""
         return await self._propose_to(group, command, messages.ClosePeriodResult, timeout)
 
+    async def check_closing(
+        self, group: str, command: messages.ClosePeriod, timeout: float
+    ) -> Result[messages.ClosePeriodResult, Refusal]:
+        """Ask whether one group could close a period; ask all before closing in any."""
+        return await self._query(group, command, messages.ClosePeriodResult, timeout)
+
     async def resolve(
         self, group: str, command: messages.ResolveDoubt, timeout: float
     ) -> Result[messages.Accepted, Refusal]:
--- a/cranberrywall/budgets/_closing.py
+++ b/cranberrywall/budgets/_closing.py
@@ -45,6 +45,14 @@
 
 def close_period(state: LedgerState, command: ClosePeriod) -> ClosePeriodResult | Rejected:
     """Write the period's rows down and begin the next one."""
+    answer = check_closing(state, command)
+    if isinstance(answer, Rejected) or answer.digest:
+        return answer
+    return ClosePeriodResult(_close(state, command).digest)
+
+
+def check_closing(state: LedgerState, command: ClosePeriod) -> ClosePeriodResult | Rejected:
+    """Return what closing would answer; the digest is empty where it would close."""
     known = state.closings.find(command.period)
     if known is not None:
         return _closed_before(known, command)
@@ -52,9 +60,7 @@
         remedy = "list the periods with: cranberrywallctl report --periods"
         return Rejected(ErrorKind.PERIOD_CLOSED, "a later end is closed", "through", remedy)
     refusal = _check_command(command) or state.calendar.check_closing(command.through)
-    if refusal is not None:
-        return refusal
-    return ClosePeriodResult(_close(state, command).digest)
+    return refusal or ClosePeriodResult("")
 
 
 def _closed_before(known: ClosedPeriod, command: ClosePeriod) -> ClosePeriodResult | Rejected:
--- a/cranberrywall/budgets/_ledger_charges.py
+++ b/cranberrywall/budgets/_ledger_charges.py
@@ -146,6 +146,8 @@
     if refusal is not None:
         return refusal
     wanted = "billed" if command.bill else "released"
+    if entry.state == "recorded":
+        return Rejected(ErrorKind.CONFLICT, "it needs no decision", "number")
     if entry.state != "open":
         same = entry.state == wanted
         message = f"it was {entry.state} before"
--- a/cranberrywall/budgets/_ledger_machine.py
+++ b/cranberrywall/budgets/_ledger_machine.py
@@ -53,6 +53,7 @@
             messages.HoldersQuery: _holders,
             messages.RecallsQuery: holding.recalls,
             messages.IntentQuery: lambda state, query: state.intents.find(query),
+            messages.ClosePeriod: closing.check_closing,
             messages.ReportQuery: closing.report,
             messages.PeriodsQuery: closing.periods,
             messages.ExceptionsQuery: closing.exceptions,
--- a/cranberrywall/budgets/messages.py
+++ b/cranberrywall/budgets/messages.py
@@ -311,6 +311,10 @@
     A charge belongs to the period in which its reservation was made. ``through`` is the
     period's planned end, or any time after the last reservation that was charged. Closing
     the same period again with the same ``through`` gives the first answer.
+
+    Asked as a query it changes nothing: the answer's digest is empty where the period
+    could be closed. All groups are asked so before the first one is told to close, or one
+    could close with an end that another must refuse.
     """
 
     period: str
--- a/cranberrywall/commands/ctl/close.py
+++ b/cranberrywall/commands/ctl/close.py
@@ -7,7 +7,7 @@
 
 from cranberrywall.budgets import LedgerClient
 from cranberrywall.budgets.messages import ClosePeriod, HolderSum, PeriodsQuery, PeriodsResult
-from cranberrywall.commands.ctl._ledgers import from_each_group
+from cranberrywall.commands.ctl._ledgers import from_each_group, to_each_group
 from cranberrywall.commands.ctl._output import format_time, print_json
 from cranberrywall.commands.ctl._session import Ctl, Session, pass_ctl
 from cranberrywall.errors import ErrorKind, Refusal
@@ -84,7 +84,14 @@
     holders = await from_each_group(ledger, lambda group: ledger.holders(group, session.timeout))
     if isinstance(holders, Err):
         return Err(holders.err_value)
-    closed = await from_each_group(
+    allowed = await from_each_group(
+        ledger, lambda group: ledger.check_closing(group, closing, session.timeout)
+    )
+    if isinstance(allowed, Err):
+        refusal = allowed.err_value
+        message = f"nothing was closed: {refusal.message}"
+        return Err(refusal._replace(message=message))
+    closed = await to_each_group(
         ledger, lambda group: ledger.close_period(group, closing, session.timeout)
     )
     if isinstance(closed, Err):
--- a/cranberrywall/commands/ctl/confirm_dead.py
+++ b/cranberrywall/commands/ctl/confirm_dead.py
@@ -4,7 +4,7 @@
 from result import Err, Ok, Result
 
 from cranberrywall.budgets.messages import ConfirmDead, Holder
-from cranberrywall.commands.ctl._ledgers import from_each_group
+from cranberrywall.commands.ctl._ledgers import to_each_group
 from cranberrywall.commands.ctl._output import print_answer
 from cranberrywall.commands.ctl._session import Ctl, Session, pass_ctl
 from cranberrywall.errors import Refusal
@@ -35,7 +35,7 @@
             return Err(found.err_value)
         ledger, operator = found.ok_value, session.options.operator
         confirm = ConfirmDead(Holder(host, incarnation), operator, approver, session.clock.wall())
-        confirmed = await from_each_group(
+        confirmed = await to_each_group(
             ledger, lambda group: ledger.confirm_dead(group, confirm, session.timeout)
         )
         if isinstance(confirmed, Err):
--- a/cranberrywall/commands/ctl/plan.py
+++ b/cranberrywall/commands/ctl/plan.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from cranberrywall.budgets.messages import PlannedPeriod, PlanPeriods
-from cranberrywall.commands.ctl._ledgers import from_each_group
+from cranberrywall.commands.ctl._ledgers import to_each_group
 from cranberrywall.commands.ctl._output import format_time, print_json, print_table
 from cranberrywall.commands.ctl._session import Ctl, Session, pass_ctl
 from cranberrywall.errors import Refusal
@@ -37,7 +37,7 @@
         if isinstance(ledger, Err):
             return Err(ledger.err_value)
         client = ledger.ok_value
-        planned = await from_each_group(
+        planned = await to_each_group(
             client, lambda group: client.plan_periods(group, planning, session.timeout)
         )
         if isinstance(planned, Err):
--- a/cranberrywall/commands/ctl/report.py
+++ b/cranberrywall/commands/ctl/report.py
@@ -136,7 +136,7 @@
         closed = f"closed {format_time(report.closed_at)} by {report.operator}"
         click.echo(f"period {report.period}, through {format_time(report.through)}, {closed}")
     else:
-        click.echo("open period")
+        click.echo("open: what came since the last closing")
     print_table([header.replace("_", " ") for header in _BUDGET_HEADERS], _budget_rows(report))
     click.echo()
     print_table(_WORKSPACE_HEADERS, report.workspaces)
--- a/tests/commands/test_ctl_money.py
+++ b/tests/commands/test_ctl_money.py
@@ -99,6 +99,22 @@
     assert fleet.run("close", "1999-01").exit_code == Exit.REFUSED
 
 
+def test_no_group_closes_with_an_end_that_another_must_refuse(fleet: CtlFleet):
+    """One group has charges of two open months, the other has none.
+
+    An operator closes with an end of their own. The quiet group could take it, and the
+    other must not split what it has booked: neither may close.
+    """
+    spend(fleet, "r1", 1, 30)
+    fleet.clock.step(40 * 86_400.0)
+    spend(fleet, "r2", 2, 30)
+    refused = fleet.run("close", "half", "--through", "2026-10-20T00:00:00+00:00")
+    assert refused.exit_code == Exit.CONFLICT
+    assert "nothing was closed" in refused.stderr
+    periods = fleet.run_json("report", "--periods")
+    assert [answer["periods"] for answer in periods.values()] == [[], []]
+
+
 def test_a_host_that_was_not_heard_since_the_end_is_named_at_the_closing(fleet: CtlFleet):
     fleet.apply(DESK, Draw(DESK, ENTRY, 1, 100, 1, fleet.clock.wall()))
     fleet.clock.step(60.0)
