--- a/cranberrywall/budgets/_closing.py
+++ b/cranberrywall/budgets/_closing.py
@@ -104,11 +104,13 @@
     """Return a budget's row for the open period that ends at ``through``."""
     by_workspace = _join(account.charges_through(through))
     charged = sum(entry.amount for entry in by_workspace)
+    credits = account.credits_through(through)
     return ReportRow(
         budget=budget,
         unit=account.unit,
         credited=account.credited,
-        credits=account.credited - account.credited_before,
+        credits=credits,
+        credits_after=account.credited - account.credited_before - credits,
         charged_before=account.charged_before,
         charged=charged,
         charged_after=account.charged - account.charged_before - charged,
--- a/cranberrywall/budgets/_ledger_accounts.py
+++ b/cranberrywall/budgets/_ledger_accounts.py
@@ -16,13 +16,14 @@
     """Report sums that cannot be true; the group must stop instead of overspending."""
 
 
-class PeriodCharge(NamedTuple):
-    """Sum what one workspace was charged in one period, named by its end."""
+class PeriodSum(NamedTuple):
+    """Sum what one workspace was charged and credited in one period, named by its end."""
 
     through: float
     workspace: str
-    amount: int
+    charged: int
     requests: int
+    credited: int
 
 
 class Allotment:
@@ -112,7 +113,7 @@
         "credited_before",
         "held",
         "outstanding",
-        "period_charges",
+        "period_sums",
         "unit",
         "workspace",
     )
@@ -125,11 +126,10 @@
         self.charged = 0
         self.outstanding = 0
         self.held = 0
-        # The two sums as the last closing left them: charges booked to closed periods,
-        # and credits that had come in by then.
+        # What was booked to closed periods; the open ones have their sums in the list.
         self.charged_before = 0
         self.credited_before = 0
-        self.period_charges: list[PeriodCharge] = []
+        self.period_sums: list[PeriodSum] = []
         self.allotment_by_holder: dict[Holder, Allotment] = {}
 
     @property
@@ -208,35 +208,49 @@
         self._check()
         return allotment.outstanding
 
-    def book(self, through: float, workspace: str, amount: int) -> None:
+    def book_charge(self, through: float, workspace: str, amount: int) -> None:
         """Add one request's charge to its period's sums."""
-        for index, entry in enumerate(self.period_charges):
-            if entry.through == through and entry.workspace == workspace:
-                sums = (entry.amount + amount, entry.requests + 1)
-                self.period_charges[index] = PeriodCharge(through, workspace, *sums)
+        self._book(PeriodSum(through, workspace, amount, 1, 0))
+
+    def book_credit(self, through: float, workspace: str, amount: int) -> None:
+        """Add a top-up to its period's sums."""
+        self._book(PeriodSum(through, workspace, 0, 0, amount))
+
+    def _book(self, more: PeriodSum) -> None:
+        for index, entry in enumerate(self.period_sums):
+            if entry[:2] == more[:2]:
+                self.period_sums[index] = entry._replace(
+                    charged=entry.charged + more.charged,
+                    requests=entry.requests + more.requests,
+                    credited=entry.credited + more.credited,
+                )
                 return
-        self.period_charges.append(PeriodCharge(through, sys.intern(workspace), amount, 1))
+        self.period_sums.append(more._replace(workspace=sys.intern(more.workspace)))
 
     def rebook(self, old: float, new: float) -> None:
         """Change the end of a period that is open."""
-        self.period_charges = [
+        self.period_sums = [
             entry._replace(through=new) if entry.through == old else entry
-            for entry in self.period_charges
+            for entry in self.period_sums
         ]
 
     def charges_through(self, through: float) -> tuple[WorkspaceCharge, ...]:
         """Return the sums booked to periods that end by ``through``, by workspace."""
         return tuple(
-            WorkspaceCharge(entry.workspace, entry.amount, entry.requests)
-            for entry in sorted(self.period_charges)
-            if entry.through <= through
+            WorkspaceCharge(entry.workspace, entry.charged, entry.requests)
+            for entry in sorted(self.period_sums)
+            if entry.through <= through and entry.requests
         )
 
+    def credits_through(self, through: float) -> int:
+        """Return the top-ups booked to open periods that end by ``through``."""
+        return sum(entry.credited for entry in self.period_sums if entry.through <= through)
+
     def close(self, through: float) -> None:
         """Forget the sums of a period that was closed; only their total stays."""
         self.charged_before += sum(entry.amount for entry in self.charges_through(through))
-        self.credited_before = self.credited
-        self.period_charges = [entry for entry in self.period_charges if entry.through > through]
+        self.credited_before += self.credits_through(through)
+        self.period_sums = [entry for entry in self.period_sums if entry.through > through]
 
     def _take(self, allotment: Allotment | None, amount: int) -> None:
         if allotment:
@@ -259,11 +273,13 @@
     def check_whole(self) -> None:
         """Add up every allotment and every period; raise where a sum is wrong."""
         allotments = sum(one.outstanding for one in self.allotment_by_holder.values())
-        periods = self.charged_before + sum(entry.amount for entry in self.period_charges)
-        if allotments != self.outstanding or periods != self.charged:
+        charged = self.charged_before + sum(entry.charged for entry in self.period_sums)
+        credited = self.credited_before + sum(entry.credited for entry in self.period_sums)
+        if (allotments, charged, credited) != (self.outstanding, self.charged, self.credited):
             raise LedgerInvariantError(
-                f"outstanding={self.outstanding} but allotments sum to {allotments}; "
-                f"charged={self.charged} but periods sum to {periods}"
+                f"outstanding={self.outstanding} charged={self.charged} "
+                f"credited={self.credited} but their parts sum to {allotments}, {charged} "
+                f"and {credited}"
             )
         self._check()
 
@@ -278,7 +294,7 @@
             self.held,
             self.charged_before,
             self.credited_before,
-            self.period_charges,
+            self.period_sums,
             [[*holder, one.dump()] for holder, one in self.allotment_by_holder.items()],
         ]
 
@@ -288,7 +304,7 @@
     account = Account(plain[0], plain[1])
     account.credited, account.charged, account.outstanding, account.held = plain[2:6]
     account.charged_before, account.credited_before = plain[6:8]
-    account.period_charges = [PeriodCharge(*entry) for entry in plain[8]]
+    account.period_sums = [PeriodSum(*entry) for entry in plain[8]]
     for host, incarnation, allotment in plain[9]:
         holder = one(Holder(host, incarnation))
         account.allotment_by_holder[holder] = load_allotment(allotment)
--- a/cranberrywall/budgets/_ledger_charges.py
+++ b/cranberrywall/budgets/_ledger_charges.py
@@ -132,7 +132,7 @@
     state: LedgerState, account: Account, workspace: str, amount: int, reserved_at: float
 ) -> None:
     """Add a billed request to its period and its day."""
-    account.book(state.calendar.book(reserved_at), workspace, amount)
+    account.book_charge(state.calendar.book(reserved_at), workspace, amount)
     state.spend.add(workspace, account.unit, amount, reserved_at)
 
 
--- a/cranberrywall/budgets/_ledger_machine.py
+++ b/cranberrywall/budgets/_ledger_machine.py
@@ -104,6 +104,8 @@
         name = sys.intern(command.budget)
         account = state.account_by_budget[name] = Account(command.workspace, command.unit)
     account.credit(command.amount)
+    through = state.calendar.book(command.at)
+    account.book_credit(through, command.workspace, command.amount)
     state.credits.add(command)
     return messages.Accepted()
 
--- a/cranberrywall/budgets/messages.py
+++ b/cranberrywall/budgets/messages.py
@@ -399,7 +399,8 @@
     ``credited = charged_before + charged + charged_after + outstanding + in_doubt + free``,
     where ``charged`` is the period's own, ``charged_before`` that of all earlier periods
     and ``charged_after`` what was already charged for reservations after its end.
-    ``credits`` is the part of ``credited`` that came in this period.
+    ``credits`` and ``credits_after`` are the parts of ``credited`` that came in this
+    period, and after it.
     """
 
     budget: str
@@ -413,6 +414,7 @@
     in_doubt: int
     free: int
     by_workspace: tuple["WorkspaceCharge", ...]
+    credits_after: int = 0
 
 
 class WorkspaceCharge(NamedTuple):
--- a/cranberrywall/commands/ctl/_main.py
+++ b/cranberrywall/commands/ctl/_main.py
@@ -77,7 +77,7 @@
       0  done
       1  refused: the fleet's answer is no, and it names the reason
       2  wrong usage, file or value
-      3  no control host could be reached, or none is current; nothing was done
+      3  no current control host was reached; nothing was done
       4  outcome unknown: send the same again, with the same change id
       5  conflict: another change came first
       6  a report's sums do not add up
--- a/cranberrywall/commands/ctl/report.py
+++ b/cranberrywall/commands/ctl/report.py
@@ -22,6 +22,7 @@
     "unit",
     "credited",
     "credits",
+    "credits_after",
     "charged_before",
     "charged",
     "charged_after",
@@ -165,7 +166,7 @@
 
 
 def _budget_rows(report: FleetReport) -> list[Sequence[object]]:
-    return [row[: len(_BUDGET_HEADERS)] for row in report.rows]
+    return [[getattr(row, header) for header in _BUDGET_HEADERS] for row in report.rows]
 
 
 def _write_csv(folder: Path, report: FleetReport) -> None:
--- a/tests/budgets/test_closing.py
+++ b/tests/budgets/test_closing.py
@@ -58,6 +58,7 @@
     closed = close(ledger, "2026-11", NOVEMBER_END)
     assert isinstance(closed, ClosePeriodResult)
     ledger.credit(50, "c2", at=NOVEMBER_END + DAY)
+    ledger.restart()
     november = report(ledger, "2026-11")
     assert november.digest == closed.digest
     assert november.rows == (
@@ -79,6 +80,16 @@
     assert (december.credits, december.charged_before, december.charged) == (50, 10, 5)
 
 
+def test_a_top_up_belongs_to_the_period_of_its_time():
+    """The council pays for December on its second day, and November is closed after it."""
+    ledger = spent_in_november()
+    ledger.credit(50, "c2", at=NOVEMBER_END + DAY)
+    close(ledger, "2026-11", NOVEMBER_END)
+    (november,) = report(ledger, "2026-11").rows
+    assert (november.credited, november.credits, november.credits_after) == (150, 100, 50)
+    assert report(ledger).rows[0].credits == 50
+
+
 def test_a_charge_that_comes_after_the_closing_is_billed_in_the_open_period():
     """A host is cut off over the month's end, with a request reserved on its last day.
 
--- a/tests/commands/test_ctl_money.py
+++ b/tests/commands/test_ctl_money.py
@@ -117,12 +117,12 @@
 
 def test_a_host_that_was_not_heard_since_the_end_is_named_at_the_closing(fleet: CtlFleet):
     fleet.apply(DESK, Draw(DESK, ENTRY, 1, 100, 1, fleet.clock.wall()))
-    fleet.clock.step(60.0)
-    closed = fleet.run("close", "short", "--through", "2026-12-01T05:30:00+05:30")
+    end = ("--through", "2026-10-01T05:30:00+05:30")
+    closed = fleet.run("close", "2026-09", *end)
     assert closed.exit_code == Exit.WRONG_INPUT
     assert "not over" in closed.stderr
-    fleet.clock.step(366 * 86_400.0)
-    closed = fleet.run("close", "year", "--through", "2026-12-01T05:30:00+05:30")
+    fleet.clock.step(30 * 86_400.0)
+    closed = fleet.run("close", "2026-09", *end)
     assert closed.exit_code == Exit.DONE, closed.output
     assert "entry-1 (incarnation 5) holds 100" in closed.stdout
 
