--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -134,7 +134,14 @@
 
     async def _serve(self) -> None:
         runtime = self._runtime
-        router = make_router(self._targets, self._configuration, runtime.clock, runtime.random)
+        router = make_router(
+            self._targets,
+            self._configuration,
+            runtime.clock,
+            runtime.random,
+            self._me.host,
+            self._me.place,
+        )
         callers = self._settings["callers"]
         stack = make_caller_stack(
             self._me.host,
--- a/tests/requests/fleet.py
+++ b/tests/requests/fleet.py
@@ -125,7 +125,9 @@
     async def entry(self, host: str = "entry-1", **limits: Any) -> Entry:
         random_numbers = random.Random(len(self.entries) + 1)
         targets = make_targets()
-        router = make_router(targets, self.configuration, self.clock, random_numbers)
+        router = make_router(
+            targets, self.configuration, self.clock, random_numbers, host, "town-hall"
+        )
         for announcement in self.announcements:
             targets.apply(announcement, self.clock.now())
         allotments = MemoryAllotments(self.ledger)
