--- a/cranberrywall/orders/_plan.py
+++ b/cranberrywall/orders/_plan.py
@@ -84,14 +84,24 @@
         self._need_by_model = {name: self._need(name) for name in self._models}
 
     def plan(self) -> Plan:
-        for need in sorted(self._need_by_model.values(), key=_urgency):
-            for _ in range(need.wanted - need.present):
-                if not self._add_copy(need):
-                    break
+        self._add_copies()
         self._replace_versions()
         self._add_adapters()
         return Plan(tuple(self._steps), tuple(self._waiting))
 
+    def _add_copies(self) -> None:
+        """Add one copy at a time to the model that needs it most by then."""
+        short = {
+            name: need for name, need in self._need_by_model.items() if need.present < need.wanted
+        }
+        while short:
+            need = min(short.values(), key=_urgency)
+            more = need._replace(present=need.present + 1)
+            if self._add_copy(need) and more.present < more.wanted:
+                short[need.name] = more
+            else:
+                del short[need.name]
+
     def _need(self, name: str) -> Need:
         model = self._models[name]
         copy = Copy(name, model["version"])
