--- /dev/null
+++ b/cranberrywall/routing/_admission.py
@@ -0,0 +1,64 @@
+"""Foresee how long a demand would wait, and refuse at once what would wait too long."""
+
+from math import exp
+
+from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.routing._interfaces import Demand
+from cranberrywall.runtime import Random
+
+SHARE_FADE_S = 10.0
+"""Places given to each rank are remembered with this time constant, in seconds."""
+
+SHORTEST_RETRY_S = 0.5
+LONGEST_RETRY_S = 60.0
+
+ALWAYS_LEFT = 0.05
+"""Share of places that the last rank is taken to get at least."""
+
+
+class Admission:
+    """Predict waits from how fast places become free and who gets them."""
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+        self._grants_by_rank: dict[int, float] = {}
+        self._faded_at = 0.0
+
+    def granted(self, rank: int, now: float) -> None:
+        """Note that a demand of ``rank`` got a place."""
+        self._fade(now)
+        self._grants_by_rank[rank] = self._grants_by_rank.get(rank, 0.0) + 1.0
+
+    def expected_wait(self, rank: int, ahead: int, places_per_s: float, now: float) -> float:
+        """Return the seconds until ``ahead`` waiters and one of ``rank`` have places.
+
+        Those of better ranks that come later go first too; they are expected to take as
+        many places as lately.
+        """
+        self._fade(now)
+        total = sum(self._grants_by_rank.values())
+        better = sum(count for known, count in self._grants_by_rank.items() if known < rank)
+        left = max(ALWAYS_LEFT, 1.0 - better / total) if total else 1.0
+        return (ahead + 1) / max(places_per_s * left, 1e-3)
+
+    def too_late(self, demand: Demand, wait_s: float, now: float) -> Refusal | None:
+        """Return a refusal where ``demand`` would get its place after its deadline."""
+        spare_s = demand.deadline - now - wait_s
+        if spare_s >= 0:
+            return None
+        message = f"a place is expected in {wait_s:.1f} s, after the deadline"
+        return Refusal(ErrorKind.OVERLOADED, message, retry_after=self.retry_after(-spare_s))
+
+    def retry_after(self, seconds: float) -> float:
+        """Return when to come back: spread, so that those refused don't return together."""
+        wait_s = max(SHORTEST_RETRY_S, seconds) * self._random.uniform(1.0, 1.5)
+        return min(LONGEST_RETRY_S, wait_s)
+
+    def _fade(self, now: float) -> None:
+        elapsed = now - self._faded_at
+        if elapsed < 1.0:
+            return
+        self._faded_at = now
+        share = exp(-elapsed / SHARE_FADE_S)
+        for rank in self._grants_by_rank:
+            self._grants_by_rank[rank] *= share
--- a/cranberrywall/routing/_candidates.py
+++ b/cranberrywall/routing/_candidates.py
@@ -1,11 +1,13 @@
 """Hold what this host knows of each target that it may choose."""
 
-from math import exp, log1p
+from math import ceil, exp, log1p
 
 import xxhash
 
+from cranberrywall.routing._limits import ConcurrencyLimit
+from cranberrywall.routing._retries import RetryBudget
 from cranberrywall.routing._waits import Work
-from cranberrywall.targets import Announcement, LoadEstimate, Usual
+from cranberrywall.targets import Announcement, Health, Load, LoadEstimate, Usual
 
 SLOWNESS_LEARNING = 0.1
 """Weight of one observation in a target's slowness, 0 to 1."""
@@ -18,15 +20,28 @@
 SPREAD_SHARE = 0.1
 """How far the estimate of a target's work is off, as a share of its capacity."""
 
+FAILURE_COST = 20.0
+"""A target that fails each request seems this many times as long, plus one."""
 
-class Candidate:
-    """Estimate one target's work and speed from reports and this host's own requests."""
 
-    def __init__(self, announcement: Announcement, distance_s: float) -> None:
+class Candidate:
+    """Estimate one run of a target from reports and this host's own requests."""
+
+    def __init__(
+        self,
+        announcement: Announcement,
+        distance_s: float,
+        hosts: int,
+        now: float,
+        slow_start: bool,
+    ) -> None:
         self.announcement = announcement
         self.distance_s = distance_s
         self.seed = xxhash.xxh64_intdigest(announcement.target.encode())
         self.load = LoadEstimate()
+        self.limit = ConcurrencyLimit(announcement.capacity, hosts)
+        self.health = Health(now, slow_start)
+        self.retries = RetryBudget(now)
         self.pending_blocks = 0
         self._slowness = 1.0
         self._slowness_at = 0.0
@@ -36,6 +51,11 @@
         """Return the target's id."""
         return self.announcement.target
 
+    def renew(self, announcement: Announcement) -> None:
+        """Take in a later announcement of the same run."""
+        self.announcement = announcement
+        self.limit.resize(announcement.capacity)
+
     def serves(self, version: str, adapter: str) -> bool:
         """Say whether the target has the version and the adapter; empty asks for none."""
         if version and version not in self.announcement.versions:
@@ -46,10 +66,27 @@
         """Return the estimated requests in flight there, of all hosts."""
         return self.load.in_flight + self.load.others(usual, now)
 
-    def has_room(self, busy: float) -> bool:
-        """Say whether one more request may go to the target."""
-        capacity = self.announcement.capacity
-        return self.load.in_flight < capacity and (busy < capacity or not self.load.in_flight)
+    def report(self, load: Load, reserved: int, hosts: int, wall: float, now: float) -> None:
+        """Take in a load report; ``reserved`` places are to be kept free.
+
+        ``hosts`` is how many hosts are taken to share the target.
+        """
+        own = self.load.report(load, wall, now)
+        if own is not None:
+            self.limit.report(load, self.announcement.capacity - reserved, own, hosts)
+
+    def share_limit(self, now: float) -> float:
+        """Return how many requests this host may have there; fractions add up in a pool."""
+        health = self.health
+        if health.is_ejected(now) or health.is_silent(now):
+            return 0.0
+        if health.is_on_trial(now):
+            return 1.0
+        return self.limit.value * health.share_of_capacity(now)
+
+    def has_room(self, extra: int, now: float) -> bool:
+        """Say whether one more request may go to the target; ``extra`` go over the limit."""
+        return self.load.in_flight < ceil(self.share_limit(now)) + extra
 
     def work(self, missed_blocks: int, busy: float) -> Work:
         """Return what is ahead of a request that must compute ``missed_blocks``."""
@@ -60,6 +97,11 @@
             _expected_excess(busy + 1 - capacity, capacity) / capacity,
         )
 
+    def weigh(self, predicted_s: float, now: float) -> float:
+        """Return the cost of choosing the target, in seconds, from the predicted wait."""
+        failing = 1.0 + FAILURE_COST * self.health.failure_share
+        return self.distance_s + self.slowness(now) * predicted_s * failing
+
     def slowness(self, now: float) -> float:
         """Return by how much the target is slower than predicted; 1 is as predicted."""
         age = max(0.0, now - self._slowness_at)
--- a/cranberrywall/routing/_choice.py
+++ b/cranberrywall/routing/_choice.py
@@ -43,41 +43,39 @@
     def choose(
         self,
         demand: Demand,
+        extra: int,
         candidates: Sequence[Candidate],
         candidate_by_id: dict[str, Candidate],
         usual: Usual,
         now: float,
     ) -> Chosen | None:
-        """Return the best of two by chance and the prefix holders, or ``None``."""
+        """Return the best of two by chance and the prefix holders, or ``None``.
+
+        ``extra`` requests may go over the limit at a target.
+        """
+        fits = _Fit(demand, extra, usual, now)
         matches = self._prefixes.matches(demand.prefix_hashes, now)
-        drawn = self._draw(demand, candidates, usual, now)
+        drawn = self._draw(candidates, fits)
+        if not drawn:
+            return None
         preferred = [candidate_by_id[known] for known in matches if known in candidate_by_id]
         preferred += _homes(demand, candidates)
         for candidate in preferred:
             if candidate not in drawn:
-                busy = candidate.busy(usual, now)
-                if _fits(demand, candidate, busy):
-                    drawn[candidate] = busy
+                fits.add(candidate, drawn)
         return self._best(demand, drawn, matches, now)
 
-    def _draw(
-        self, demand: Demand, candidates: Sequence[Candidate], usual: Usual, now: float
-    ) -> dict[Candidate, float]:
+    def _draw(self, candidates: Sequence[Candidate], fits: "_Fit") -> dict[Candidate, float]:
         drawn: dict[Candidate, float] = {}
         size = len(candidates)
         if size > CHOICES:
             for _ in range(MAX_DRAWS):
-                candidate = candidates[self._random.randrange(0, size)]
-                busy = candidate.busy(usual, now)
-                if _fits(demand, candidate, busy):
-                    drawn[candidate] = busy
-                    if len(drawn) == CHOICES:
-                        return drawn
+                fits.add(candidates[self._random.randrange(0, size)], drawn)
+                if len(drawn) == CHOICES:
+                    return drawn
         # Few candidates have room, or there are few: chance would miss them.
         for candidate in candidates:
-            busy = candidate.busy(usual, now)
-            if _fits(demand, candidate, busy):
-                drawn[candidate] = busy
+            fits.add(candidate, drawn)
         return drawn
 
     def _best(
@@ -94,18 +92,34 @@
             missed = blocks - matches.get(candidate.target_id, 0)
             work = candidate.work(missed, busy)
             predicted = self._waits.predict(work)
-            wait = candidate.distance_s + candidate.slowness(now) * predicted
-            cost = (wait, self._random.random())
+            cost = (candidate.weigh(predicted, now), self._random.random())
             if best is None or cost < best_cost:
                 best = Chosen(candidate, work, predicted, missed)
                 best_cost = cost
         return best
 
 
-def _fits(demand: Demand, candidate: Candidate, busy: float) -> bool:
-    if candidate.target_id in demand.exclude or not candidate.has_room(busy):
-        return False
-    return candidate.serves(demand.version, demand.adapter)
+class _Fit:
+    """Say which candidates may take one demand, and how busy they are."""
+
+    def __init__(self, demand: Demand, extra: int, usual: Usual, now: float) -> None:
+        self._demand = demand
+        self._extra = extra
+        self._usual = usual
+        self._now = now
+
+    def add(self, candidate: Candidate, drawn: dict[Candidate, float]) -> None:
+        """Put ``candidate`` into ``drawn``, with how busy it is, where it may be chosen."""
+        demand = self._demand
+        if candidate.target_id in demand.exclude:
+            return
+        if not candidate.serves(demand.version, demand.adapter):
+            return
+        if not candidate.has_room(self._extra, self._now):
+            return
+        if demand.retry and not candidate.retries.allows(self._now):
+            return
+        drawn[candidate] = candidate.busy(self._usual, self._now)
 
 
 def _homes(demand: Demand, candidates: Sequence[Candidate]) -> list[Candidate]:
--- /dev/null
+++ b/cranberrywall/routing/_dispatcher.py
@@ -0,0 +1,135 @@
+"""Admit the demands for one model or service: grant, let wait, or refuse."""
+
+import asyncio
+from collections.abc import Callable
+
+from result import Err, Ok
+
+from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.routing._admission import Admission
+from cranberrywall.routing._interfaces import Demand, Outcome, OutcomeKind
+from cranberrywall.routing._pool import Pool, PoolSlot
+from cranberrywall.routing._queue import Answer, Waiter, WaitingQueue
+from cranberrywall.runtime import Clock, Random
+
+MAX_WAITING = 1024
+"""Demands that wait for one model or service on one host at most."""
+
+MAX_SCANNED = 32
+"""Waiters that are tried in vain at most when a place becomes free."""
+
+FirstRank = Callable[[], int]
+
+
+class Dispatcher:
+    """Give a pool's places to demands in the order of the queue.
+
+    ``first_rank`` returns the rank that goes before all others, or -1 where there is but
+    one rank.
+    """
+
+    def __init__(self, pool: Pool, clock: Clock, random: Random, first_rank: FirstRank) -> None:
+        self.pool = pool
+        self.queue = WaitingQueue(MAX_WAITING)
+        self._clock = clock
+        self._first_rank = first_rank
+        self._admission = Admission(random)
+
+    def admit(self, demand: Demand, on_end: Callable[[float], None], now: float) -> "Answer | None":
+        """Answer ``demand`` at once, or return ``None`` where it may wait."""
+        if demand.retry and not self.pool.retries.allows(now):
+            wait_s = self._admission.retry_after(self.pool.retries.seconds_to_next(now))
+            return Err(_RETRIES_SPENT._replace(retry_after=wait_s))
+        ahead = self.queue.count_ahead(demand.rank)
+        if not ahead:
+            slot = self._grant(demand, on_end, now)
+            if slot is not None:
+                return Ok(slot)
+        return self._refuse(demand, ahead, now)
+
+    def wait(self, demand: Demand, on_end: Callable[[float], None], now: float) -> Waiter:
+        """Put ``demand`` into the queue."""
+        future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        waiter = Waiter(demand, future, on_end, now)
+        self.queue.add(waiter)
+        return waiter
+
+    def dispatch(self, now: float) -> None:
+        """Give free places to waiters, the first in order first."""
+        while len(self.queue) and self._dispatch_one(now):
+            pass
+
+    def expire(self, now: float) -> None:
+        """Refuse the waiters whose deadline has passed."""
+        for waiter in self.queue.pop_expired(now):
+            waiter.answer(Err(_DEADLINE_PASSED))
+
+    def give_back(self, waiter: Waiter, now: float) -> None:
+        """Free what a cancelled waiter has: its place in the queue, or its slot."""
+        self.queue.discard(waiter)
+        # The place may have been granted just before the task was cancelled; nobody else
+        # would finish that slot, and the target would seem busy for ever.
+        if waiter.future.done() and not waiter.future.cancelled():
+            answer = waiter.future.result()
+            if isinstance(answer, Ok):
+                answer.ok_value.finish(Outcome(OutcomeKind.CANCELLED), now)
+
+    def _dispatch_one(self, now: float) -> bool:
+        failed: set[tuple[str, str, bool]] = set()
+        scanned = 0
+        for waiter in self.queue.in_order(now):
+            demand = waiter.demand
+            wants = (demand.version, demand.adapter, demand.rank == self._first_rank())
+            # What found no target a moment ago finds none for the next one either; only
+            # demands that exclude targets differ.
+            if wants in failed:
+                continue
+            slot = self._grant(demand, waiter.on_end, now)
+            if slot is not None:
+                self.queue.granted(waiter, now)
+                waiter.answer(Ok(slot))
+                return True
+            scanned += 1
+            if scanned >= MAX_SCANNED:
+                return False
+            if not demand.exclude:
+                failed.add(wants)
+        return False
+
+    def _grant(
+        self, demand: Demand, on_end: Callable[[float], None], now: float
+    ) -> PoolSlot | None:
+        is_first = demand.rank == self._first_rank()
+        slot = self.pool.try_grant(demand, is_first, on_end, now)
+        if slot is not None:
+            self._admission.granted(demand.rank, now)
+        return slot
+
+    def _refuse(self, demand: Demand, ahead: int, now: float) -> "Answer | None":
+        wait_s = self._admission.expected_wait(demand.rank, ahead, self._places_per_s(), now)
+        refusal = self._admission.too_late(demand, wait_s, now)
+        if refusal is not None:
+            return Err(refusal)
+        if self.queue.is_full:
+            loser = self.queue.last_below(demand.rank)
+            full = _QUEUE_FULL._replace(retry_after=self._admission.retry_after(wait_s / 2))
+            if loser is None:
+                return Err(full)
+            self.queue.discard(loser)
+            loser.answer(Err(full))
+        return None
+
+    def _places_per_s(self) -> float:
+        # By Little's law places become free at the rate of requests in flight by their
+        # time in flight; with none in flight a place is free or about to be.
+        in_flight = max(self.pool.in_flight(), len(self.pool.candidates))
+        return in_flight / self.pool.waits.hold_s
+
+
+_DEADLINE_PASSED = Refusal(
+    ErrorKind.DEADLINE_PASSED, "no target had a place before the request's deadline"
+)
+_QUEUE_FULL = Refusal(ErrorKind.OVERLOADED, "the queue for this model or service is full")
+_RETRIES_SPENT = Refusal(
+    ErrorKind.OVERLOADED, "too many requests fail at the targets to try this one again now"
+)
--- /dev/null
+++ b/cranberrywall/routing/_limits.py
@@ -0,0 +1,101 @@
+"""Bound this host's requests in flight at a target by what the target is seen to bear."""
+
+from cranberrywall.targets import Load
+
+LEAST = 0.1
+"""The smallest limit; fractions add up over the targets of a pool."""
+
+SMOOTHING = 0.5
+"""Part of the way that a limit goes with each report."""
+
+EVENING = 0.1
+"""Weight of equal shares in what a report of a full target asks for."""
+
+MOST_GROWTH = 1.5
+GROWTH = 0.1
+"""A limit in use grows by at most this factor and this constant where there is room."""
+
+USED_SHARE = 0.5
+"""A limit of which less than this share is in use neither grows nor causes a queue."""
+
+START_SHARES = 2.0
+"""A limit starts at this many equal shares of the capacity."""
+
+FAILURE_DECREASE = 0.7
+CONGESTION_DECREASE = 0.85
+
+CONGESTED_RATIO = 3.0
+"""A first token that takes this many times as long as the best lately shows a queue."""
+
+CONGESTED_S = 1.0
+"""Seconds that a first token must be late before it shows a queue."""
+
+BEST_FORGETS = 1.01
+"""The best seen is forgotten by this factor with each observation."""
+
+
+class ConcurrencyLimit:
+    """Follow this host's share of a target's capacity.
+
+    Hosts share a target without asking each other. A report counts what all of them had
+    there; each takes what it had itself at that time, scaled by what was wanted over what
+    was reported. Together that makes what was wanted, in one step and however late the
+    report is. A part goes to equal shares, so that the limits even out.
+
+    A limit and not the reported load bounds a host: the load of some seconds ago would make
+    all hosts fill and empty a target together. First tokens that come late, and failures,
+    shrink the limit too, since a target may report nothing, or untruly.
+    """
+
+    def __init__(self, capacity: int, hosts: int) -> None:
+        self._capacity = capacity
+        self._best = 1.0
+        self._shrunk_until = 0.0
+        self.value = 0.0
+        self._set(START_SHARES * capacity / hosts)
+
+    def resize(self, capacity: int) -> None:
+        """Take in a changed capacity."""
+        if capacity != self._capacity:
+            self.value *= capacity / self._capacity
+            self._capacity = capacity
+
+    def report(self, load: Load, wanted: float, own: int, hosts: int) -> None:
+        """Take in a report of a target that should have ``wanted`` requests.
+
+        ``own`` were this host's at the time of the report.
+        """
+        total = max(1.0, float(load.running + load.waiting))
+        if total > wanted:
+            share = (1.0 - EVENING) * own * wanted / total + EVENING * wanted / hosts
+            self._approach(min(self.value, share))
+        elif own >= self.value * USED_SHARE:
+            self._approach(self.value * min(MOST_GROWTH, wanted / total) + GROWTH)
+
+    def _approach(self, value: float) -> None:
+        self._set(self.value + SMOOTHING * (value - self.value))
+
+    def answered(self, predicted_s: float, seconds: float, in_flight: int) -> bool:
+        """Take in a time to first token; return whether it shows a queue.
+
+        ``predicted_s`` is without any queue.
+        """
+        ratio = seconds / max(predicted_s, 1e-6)
+        self._best = min(ratio, self._best * BEST_FORGETS)
+        late_s = seconds - predicted_s * self._best
+        if ratio <= CONGESTED_RATIO * self._best or late_s <= CONGESTED_S:
+            if in_flight + 1 >= self.value:
+                self._set(self.value + GROWTH / max(1.0, self.value))
+            return False
+        # A queue that others made is no reason to bound what this host doesn't use.
+        return in_flight + 1 >= self.value * USED_SHARE
+
+    def shrink(self, hold_s: float, now: float, failed: bool = False) -> None:
+        """Shrink, once for all that was sent before the last time took effect."""
+        if now < self._shrunk_until:
+            return
+        self._shrunk_until = now + hold_s
+        self._set(self.value * (FAILURE_DECREASE if failed else CONGESTION_DECREASE))
+
+    def _set(self, value: float) -> None:
+        self.value = min(float(self._capacity), max(LEAST, value))
--- a/cranberrywall/routing/_pool.py
+++ b/cranberrywall/routing/_pool.py
@@ -1,17 +1,13 @@
-"""Serve the demands for one model or service from its targets."""
+"""Hold the targets of one model or service as this host uses them, and learn from use."""
 
-import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from statistics import fmean
 
-from result import Err, Ok
-
-from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.routing._candidates import Candidate
 from cranberrywall.routing._choice import Choice, Chosen
 from cranberrywall.routing._distances import Distances
 from cranberrywall.routing._interfaces import Demand, Outcome, OutcomeKind
-from cranberrywall.routing._queue import Answer, Waiter, WaitingQueue
+from cranberrywall.routing._retries import RetryBudget
 from cranberrywall.routing._waits import WaitModel
 from cranberrywall.runtime import Clock, Random
 from cranberrywall.targets import Announcement, PrefixIndex, Usual
@@ -19,126 +15,218 @@
 USUAL_EVERY_S = 0.5
 """The mean of what other hosts have at targets is computed this often, in seconds."""
 
-MAX_WAITING = 1024
-"""Demands that wait for one model or service on one host at most."""
+MOST_EJECTED = 0.5
+"""Share of the targets that may be ejected: with fewer left, failures prove little."""
+
+KNOWN_AFTER_S = 10.0
+"""A target that joins later than this after the host's own start starts slowly, in seconds."""
+
+RESERVED_SHARE = 0.08
+"""Share of each target's places kept free for the first rank while it has traffic."""
+
+MIN_RESERVING_CAPACITY = 4
+"""A target with fewer places keeps none free for the first rank."""
+
+FIRST_RANK_EXTRA = 1
+"""Requests of the first rank that may go over this host's limit at a target."""
 
-MAX_SCANNED = 32
-"""Waiters that are tried at most when a place becomes free."""
+RESERVED_FOR_S = 60.0
+"""Places are kept free this long after a demand of the first rank, in seconds."""
 
 
 class Pool:
-    """Hold the targets of one group as this host uses them, and the demands that wait."""
+    """Grant places at the targets of one group."""
 
-    def __init__(self, clock: Clock, random: Random, distances: Distances) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        random: Random,
+        distances: Distances,
+        count_hosts: Callable[[], int],
+        now: float,
+    ) -> None:
         self.candidate_by_id: dict[str, Candidate] = {}
-        self.queue = WaitingQueue(MAX_WAITING)
+        self.candidates: list[Candidate] = []
         self.prefixes = PrefixIndex()
         self.waits = WaitModel()
+        self.retries = RetryBudget(now)
         self._clock = clock
+        self._random = random
         self._distances = distances
+        self._count_hosts = count_hosts
+        self._used_share = 1.0
+        self._started_at = now
         self._choice = Choice(random, self.waits, self.prefixes)
-        self._candidates: list[Candidate] = []
         self._usual = Usual(0.0, 0.0, self.waits.hold_s)
         self._usual_until = 0.0
+        self._first_rank_until = 0.0
+        self.hears_first_tokens = False
 
     def put(self, announcement: Announcement, now: float) -> None:
         """Take in the renewal of a target; one outside this host's subset is left out."""
         candidate = self.candidate_by_id.get(announcement.target)
         if candidate is None:
             return
-        candidate.announcement = announcement._replace(cache_events=())
+        candidate.renew(announcement._replace(cache_events=()))
         if announcement.load is not None:
-            candidate.load.report(announcement.load, self._clock.wall(), now)
-        self.prefixes.put(announcement.target, announcement.incarnation)
+            reserved = self._reserved(announcement.capacity, now)
+            wall = self._clock.wall()
+            candidate.report(announcement.load, reserved, self._sharers(), wall, now)
         self.prefixes.apply(announcement.target, announcement.cache_events, now)
 
     def remove(self, target_id: str) -> None:
         """Choose the target no more; its requests in progress go on."""
         if self.candidate_by_id.pop(target_id, None) is not None:
-            self._candidates = list(self.candidate_by_id.values())
+            self.candidates = list(self.candidate_by_id.values())
             self.prefixes.remove(target_id)
 
-    def choose_from(self, announcements: Sequence[Announcement], now: float) -> None:
-        """Use these targets, and keep what is known of those that were in use before."""
+    def choose_from(self, announcements: Sequence[Announcement], known: int, now: float) -> None:
+        """Use these of ``known`` targets, and keep what is known of those in use before."""
+        self._used_share = len(announcements) / max(1, known)
         subset = {announcement.target for announcement in announcements}
         for target_id in self.candidate_by_id.keys() - subset:
             self.remove(target_id)
         for announcement in announcements:
-            if announcement.target not in self.candidate_by_id:
-                distance_s = self._distances.seconds_to(announcement.place)
-                self.candidate_by_id[announcement.target] = Candidate(announcement, distance_s)
-                self.put(announcement, now)
-        self._candidates = list(self.candidate_by_id.values())
-
-    def try_grant(self, demand: Demand, now: float) -> "PoolSlot | None":
-        """Return a place for ``demand`` at a target that has one free."""
+            if not self._knows(announcement):
+                self._add(announcement, now)
+        self.candidates = list(self.candidate_by_id.values())
+
+    def serves(self, demand: Demand) -> bool:
+        """Say whether a target of the pool has what ``demand`` asks for."""
+        return any(
+            candidate.serves(demand.version, demand.adapter) for candidate in self.candidates
+        )
+
+    def in_flight(self) -> int:
+        """Return this host's requests at all targets of the pool."""
+        return sum(candidate.load.in_flight for candidate in self.candidates)
+
+    def try_grant(
+        self, demand: Demand, is_first_rank: bool, on_end: "OnEnd", now: float
+    ) -> "PoolSlot | None":
+        """Return a place for ``demand`` at a target that has room."""
+        if is_first_rank:
+            self._first_rank_until = now + RESERVED_FOR_S
+        elif self.in_flight() >= self._limit(now):
+            return None
+        extra = FIRST_RANK_EXTRA if is_first_rank else 0
         chosen = self._choice.choose(
-            demand, self._candidates, self.candidate_by_id, self._usual_now(now), now
+            demand, extra, self.candidates, self.candidate_by_id, self._usual_now(now), now
         )
         if chosen is None:
             return None
-        chosen.candidate.load.start(now)
-        chosen.candidate.pending_blocks += chosen.missed_blocks
-        self.prefixes.use(chosen.candidate.target_id, demand.prefix_hashes, now)
-        return PoolSlot(self, chosen, demand, now)
-
-    def enqueue(self, demand: Demand, now: float) -> Waiter:
-        """Let ``demand`` wait for a place."""
-        future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
-        waiter = Waiter(demand, future, now)
-        self.queue.add(waiter)
-        return waiter
-
-    def dispatch(self, now: float) -> None:
-        """Give free places to waiters, the first in order first."""
-        scanned = 0
-        for waiter in self.queue.in_order():
-            slot = self.try_grant(waiter.demand, now)
-            scanned += slot is None
-            if slot is not None:
-                self.queue.discard(waiter)
-                waiter.answer(Ok(slot))
-            if scanned >= MAX_SCANNED:
-                return
-
-    def expire(self, now: float) -> None:
-        """Refuse the waiters whose deadline has passed."""
-        for waiter in self.queue.in_order():
-            if waiter.demand.deadline <= now:
-                self.queue.discard(waiter)
-                waiter.answer(Err(_DEADLINE_PASSED))
-
-    def begin(self, chosen: Chosen) -> None:
+        self._start(chosen, demand, now)
+        return PoolSlot(self, chosen, demand, on_end, now)
+
+    def hear(self, chosen: Chosen, owed: bool, now: float) -> None:
         """Note that a target began to answer."""
-        chosen.candidate.pending_blocks -= chosen.missed_blocks
+        self.hears_first_tokens = True
+        if owed:
+            chosen.candidate.health.heard(now)
+            chosen.candidate.pending_blocks -= chosen.missed_blocks
 
-    def finish(self, chosen: Chosen, outcome: Outcome, since: float, now: float) -> None:
-        """Free a place, learn from the outcome, and serve who waits for the place."""
+    def finish(
+        self, chosen: Chosen, outcome: Outcome, owed: bool, since: float, now: float
+    ) -> None:
+        """Free a place and learn from the outcome; ``owed`` says that none began before."""
         candidate = chosen.candidate
         candidate.load.end(now)
-        if outcome.kind is OutcomeKind.ANSWERED:
-            self.waits.learn_hold(now - since)
-            if outcome.first_token_s is not None:
-                self._learn(chosen, outcome.first_token_s, now)
-        self.dispatch(now)
+        answered = outcome.kind is OutcomeKind.ANSWERED
+        if owed:
+            candidate.pending_blocks -= chosen.missed_blocks
+            if answered:
+                candidate.health.heard(now)
+            else:
+                candidate.health.gave_up()
+        if answered:
+            candidate.health.answered(now)
+            self._learn(chosen, outcome, since, now)
+        elif outcome.kind is not OutcomeKind.CANCELLED:
+            self._fail(candidate, now)
 
-    def serves(self, demand: Demand) -> bool:
-        """Say whether a target of the pool has what ``demand`` asks for."""
-        return any(
-            candidate.serves(demand.version, demand.adapter)
-            for candidate in self.candidate_by_id.values()
+    def probed(self, target_id: str, well: bool, now: float) -> None:
+        """Take in what a probe of an ejected target showed."""
+        candidate = self.candidate_by_id.get(target_id)
+        if candidate is not None:
+            candidate.health.probed(well, now)
+
+    def doubtful(self, now: float) -> list[Announcement]:
+        """Return the targets that are worth a probe: ejected or silent ones."""
+        return [
+            candidate.announcement
+            for candidate in self.candidates
+            if candidate.health.is_ejected(now) or candidate.health.is_silent(now)
+        ]
+
+    def _limit(self, now: float) -> float:
+        # The limits at single targets are rounded up, so that each may have a request; the
+        # fractions count here, or many hosts with little each would overload the targets.
+        return max(1.0, sum(candidate.share_limit(now) for candidate in self.candidates))
+
+    def _reserved(self, capacity: int, now: float) -> int:
+        # A small target has no place to spare for a rank that may not come.
+        if now >= self._first_rank_until or capacity < MIN_RESERVING_CAPACITY:
+            return 0
+        return max(1, round(capacity * RESERVED_SHARE))
+
+    def _sharers(self) -> int:
+        return max(1, round(self._count_hosts() * self._used_share))
+
+    def _knows(self, announcement: Announcement) -> bool:
+        known = self.candidate_by_id.get(announcement.target)
+        return known is not None and known.announcement.incarnation == announcement.incarnation
+
+    def _add(self, announcement: Announcement, now: float) -> None:
+        # A restarted target is another one as far as health, load and cache go; requests
+        # in progress at the earlier run are counted at the earlier candidate.
+        candidate = Candidate(
+            announcement,
+            self._distances.seconds_to(announcement.place),
+            self._sharers(),
+            now,
+            slow_start=now - self._started_at > KNOWN_AFTER_S,
         )
+        self.candidate_by_id[announcement.target] = candidate
+        self.prefixes.put(announcement.target, announcement.incarnation)
+        self.put(announcement, now)
 
-    def _learn(self, chosen: Chosen, seconds: float, now: float) -> None:
+    def _start(self, chosen: Chosen, demand: Demand, now: float) -> None:
         candidate = chosen.candidate
+        candidate.load.start(now)
+        budgets = (self.retries, candidate.retries)
+        for budget in budgets:
+            if demand.retry:
+                budget.spend(now)
+            else:
+                budget.first_attempt(now)
+        if self.hears_first_tokens:
+            candidate.pending_blocks += chosen.missed_blocks
+            candidate.health.sent(now)
+        self.prefixes.use(candidate.target_id, demand.prefix_hashes, now)
+
+    def _learn(self, chosen: Chosen, outcome: Outcome, since: float, now: float) -> None:
+        candidate = chosen.candidate
+        self.waits.learn_hold(now - since)
+        seconds = outcome.first_token_s
+        if seconds is None:
+            return
+        unqueued_s = self.waits.predict(chosen.work._replace(excess_share=0.0))
+        if candidate.limit.answered(unqueued_s, seconds, candidate.load.in_flight):
+            candidate.limit.shrink(self.waits.hold_s, now)
         # Slow targets must not make the model predict that all are slow.
         self.waits.learn(chosen.work, seconds / candidate.slowness(now))
         candidate.observe(chosen.predicted_s, seconds, now)
 
+    def _fail(self, candidate: Candidate, now: float) -> None:
+        candidate.limit.shrink(self.waits.hold_s, now, failed=True)
+        ejected = sum(known.health.is_ejected(now) for known in self.candidates)
+        may_eject = ejected + 1 <= MOST_EJECTED * len(self.candidates)
+        candidate.health.failed(now, may_eject, self._random)
+
     def _usual_now(self, now: float) -> Usual:
         if now >= self._usual_until:
             self._usual_until = now + USUAL_EVERY_S
-            loads = [candidate.load for candidate in self._candidates]
+            loads = [candidate.load for candidate in self.candidates]
             reported = [load.last_others for load in loads if load.last_others is not None]
             self._usual = Usual(
                 own=fmean([load.own_mean(now) for load in loads] or [0.0]),
@@ -148,16 +236,25 @@
         return self._usual
 
 
+OnEnd = Callable[[float], None]
+
+
 class PoolSlot:
     """Hold one place at a target."""
 
-    def __init__(self, pool: Pool, chosen: Chosen, demand: Demand, now: float) -> None:
+    def __init__(
+        self, pool: Pool, chosen: Chosen, demand: Demand, on_end: OnEnd, now: float
+    ) -> None:
         self._pool = pool
         self._chosen = chosen
         self._announcement = chosen.candidate.announcement
         self._version = demand.version
+        self._on_end = on_end
         self._since = now
-        self._silent = True
+        # Where requests don't tell of first tokens nothing is owed: a long answer would
+        # else look like silence.
+        self._owed = pool.hears_first_tokens
+        self._heard = False
         self._open = True
 
     @property
@@ -179,18 +276,14 @@
 
     def first_token(self, now: float) -> None:
         """Note that the target began to answer; a second call does nothing."""
-        if self._silent:
-            self._silent = False
-            self._pool.begin(self._chosen)
+        if self._open and not self._heard:
+            self._heard = True
+            self._pool.hear(self._chosen, self._owed, now)
+            self._owed = False
 
     def finish(self, outcome: Outcome, now: float) -> None:
         """Free the place; a second call does nothing."""
         if self._open:
             self._open = False
-            self.first_token(now)
-            self._pool.finish(self._chosen, outcome, self._since, now)
-
-
-_DEADLINE_PASSED = Refusal(
-    ErrorKind.DEADLINE_PASSED, "no target had a place before the request's deadline"
-)
+            self._pool.finish(self._chosen, outcome, self._owed, self._since, now)
+            self._on_end(now)
--- a/cranberrywall/routing/_queue.py
+++ b/cranberrywall/routing/_queue.py
@@ -1,7 +1,9 @@
-"""Order the demands that wait for a place, by priority and then by age."""
+"""Order the demands that wait for a place: by rank, by age within it, and by deadline."""
 
 import asyncio
-from collections.abc import Iterator
+import heapq
+from collections.abc import Callable, Iterator
+from itertools import count, islice
 
 from result import Result
 
@@ -10,14 +12,33 @@
 
 Answer = Result[Slot, Refusal]
 
+AGED_SHARE = 0.5
+"""A waiter is aged when less than this share of its time is left."""
+
+AGED_EVERY = 4
+"""While others wait, one place in this many goes to an aged waiter first."""
+
+MAX_SCANNED = 32
+"""Waiters of a rank that are looked at most when a place becomes free."""
 
-class Waiter:
-    """Hold one demand that waits, and the future that its task awaits."""
 
-    def __init__(self, demand: Demand, future: asyncio.Future[Answer], since: float) -> None:
+class Waiter:
+    """Hold one demand that waits, and the future that its task awaits.
+
+    ``on_end`` is for the slot that it may get.
+    """
+
+    def __init__(
+        self,
+        demand: Demand,
+        future: asyncio.Future[Answer],
+        on_end: Callable[[float], None],
+        since: float,
+    ) -> None:
         self.demand = demand
         self.future = future
-        self.since = since
+        self.on_end = on_end
+        self.aged_at = demand.deadline - AGED_SHARE * (demand.deadline - since)
 
     def answer(self, answer: Answer) -> None:
         """Wake the waiting task, unless it was cancelled meanwhile."""
@@ -30,28 +51,81 @@
 
     def __init__(self, bound: int) -> None:
         self._bound = bound
-        self._waiters_by_rank: dict[int, dict[int, Waiter]] = {}
+        self._lane_by_rank: dict[int, dict[Waiter, None]] = {}
+        self._by_deadline: list[tuple[float, int, Waiter]] = []
+        self._numbers = count()
         self._size = 0
+        self._grants_since_aged = 0
 
     def __len__(self) -> int:
         return self._size
 
     @property
     def is_full(self) -> bool:
-        """Say whether another waiter must be refused."""
+        """Say whether a waiter must go before another comes."""
         return self._size >= self._bound
 
     def add(self, waiter: Waiter) -> None:
         """Put a waiter behind those of its rank."""
-        self._waiters_by_rank.setdefault(waiter.demand.rank, {})[id(waiter)] = waiter
+        self._lane_by_rank.setdefault(waiter.demand.rank, {})[waiter] = None
+        heapq.heappush(self._by_deadline, (waiter.demand.deadline, next(self._numbers), waiter))
         self._size += 1
 
     def discard(self, waiter: Waiter) -> None:
         """Take a waiter out; one that is not in the queue is no error."""
-        if self._waiters_by_rank.get(waiter.demand.rank, {}).pop(id(waiter), None):
-            self._size -= 1
-
-    def in_order(self) -> Iterator[Waiter]:
-        """Return the waiters, the next one to serve first; the queue may change meanwhile."""
-        for rank in sorted(self._waiters_by_rank):
-            yield from list(self._waiters_by_rank[rank].values())
+        lane = self._lane_by_rank.get(waiter.demand.rank, {})
+        if waiter not in lane:
+            return
+        del lane[waiter]
+        self._size -= 1
+        if not lane:
+            del self._lane_by_rank[waiter.demand.rank]
+        # Those that left stay in the heap until they come up; a queue whose callers give
+        # up quickly would grow without bound.
+        if len(self._by_deadline) > 2 * self._size + MAX_SCANNED:
+            self._by_deadline = [entry for entry in self._by_deadline if self._holds(entry[2])]
+            heapq.heapify(self._by_deadline)
+
+    def granted(self, waiter: Waiter, now: float) -> None:
+        """Take out a waiter that got a place."""
+        self._grants_since_aged = 0 if waiter.aged_at <= now else self._grants_since_aged + 1
+        self.discard(waiter)
+
+    def count_ahead(self, rank: int) -> int:
+        """Return how many waiters go before a new one of ``rank``."""
+        return sum(len(lane) for known, lane in self._lane_by_rank.items() if known <= rank)
+
+    def last_below(self, rank: int) -> Waiter | None:
+        """Return the waiter to give up for one of ``rank``: the newest of the last rank."""
+        last = max(self._lane_by_rank, default=rank)
+        return next(reversed(self._lane_by_rank[last])) if last > rank else None
+
+    def pop_expired(self, now: float) -> Iterator[Waiter]:
+        """Take out the waiters whose deadline has passed, and return them."""
+        while self._by_deadline and self._by_deadline[0][0] <= now:
+            waiter = heapq.heappop(self._by_deadline)[2]
+            if self._holds(waiter):
+                self.discard(waiter)
+                yield waiter
+
+    def in_order(self, now: float) -> Iterator[Waiter]:
+        """Return some waiters, the next one to serve first; the queue may change meanwhile.
+
+        Ranks go strictly, but for one place in ``AGED_EVERY``: without it the last rank
+        would wait for as long as the others keep the targets busy, past its deadline.
+        """
+        if self._grants_since_aged >= AGED_EVERY - 1:
+            yield from self._aged(now)
+        for rank in sorted(self._lane_by_rank):
+            yield from list(islice(self._lane_by_rank.get(rank, {}), MAX_SCANNED))
+
+    def _aged(self, now: float) -> list[Waiter]:
+        while self._by_deadline and not self._holds(self._by_deadline[0][2]):
+            heapq.heappop(self._by_deadline)
+        if not self._by_deadline:
+            return []
+        first = self._by_deadline[0][2]
+        return [first] if first.aged_at <= now else []
+
+    def _holds(self, waiter: Waiter) -> bool:
+        return waiter in self._lane_by_rank.get(waiter.demand.rank, {})
--- /dev/null
+++ b/cranberrywall/routing/_retries.py
@@ -0,0 +1,45 @@
+"""Bound retries to a share of first attempts, so that an outage breeds no storm."""
+
+RETRY_SHARE = 0.1
+"""Retries that each first attempt pays for."""
+
+MOST_SAVED = 20.0
+"""Retries that can be saved up."""
+
+EVERY_S = 5.0
+"""One retry is allowed this often in any case, in seconds, so that little traffic can retry."""
+
+
+class RetryBudget:
+    """Save a part of a retry with each first attempt, and spend one with each retry."""
+
+    def __init__(self, now: float) -> None:
+        self._saved = MOST_SAVED / 2
+        self._updated_at = now
+
+    def first_attempt(self, now: float) -> None:
+        """Pay in for one first attempt."""
+        self._refill(now)
+        self._saved = min(MOST_SAVED, self._saved + RETRY_SHARE)
+
+    def allows(self, now: float) -> bool:
+        """Say whether a retry may be made."""
+        self._refill(now)
+        return self._saved >= 1.0
+
+    def spend(self, now: float) -> None:
+        """Spend one retry."""
+        self._refill(now)
+        self._saved = max(0.0, self._saved - 1.0)
+
+    def seconds_to_next(self, now: float) -> float:
+        """Return the seconds until a retry is allowed without any first attempt."""
+        self._refill(now)
+        return max(0.0, 1.0 - self._saved) * EVERY_S
+
+    def _refill(self, now: float) -> None:
+        # Only a slow trickle: what is saved while nothing runs must not pay for a storm.
+        elapsed = max(0.0, now - self._updated_at)
+        self._updated_at = max(now, self._updated_at)
+        if self._saved < 1.0:
+            self._saved = min(1.0, self._saved + elapsed / EVERY_S)
--- a/cranberrywall/routing/_router.py
+++ b/cranberrywall/routing/_router.py
@@ -1,13 +1,16 @@
 """Admit demands: grant a place at once, let them wait, or refuse."""
 
 import asyncio
+from collections.abc import Callable
+from functools import partial
 
-from result import Err, Ok, Result
+from result import Err, Result
 
-from cranberrywall.configuration import Configuration
+from cranberrywall.configuration import Configuration, Workspace
 from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.routing._dispatcher import Dispatcher
 from cranberrywall.routing._distances import Distances
-from cranberrywall.routing._interfaces import Demand, Outcome, OutcomeKind, Slot
+from cranberrywall.routing._interfaces import Demand, Slot
 from cranberrywall.routing._pool import Pool
 from cranberrywall.routing._queue import Answer, Waiter
 from cranberrywall.routing._subset import subset_of
@@ -17,17 +20,23 @@
 TICK_S = 0.05
 """Deadlines in the queues are looked at this often, in seconds, while anything waits."""
 
+NO_FIRST_RANK = -1
+
 
 def make_router(
     targets: Targets,
     configuration: Configuration,
     clock: Clock,
     random: Random,
-    host: str,
-    place: str,
+    host: str = "",
+    place: str = "",
+    count_hosts: Callable[[], int] = lambda: 1,
 ) -> "TargetRouter":
-    """Return the router of ``host`` in ``place``; it follows the changes of ``targets``."""
-    return TargetRouter(targets, configuration, clock, random, host, place)
+    """Return the router of ``host`` in ``place``; it follows the changes of ``targets``.
+
+    ``count_hosts`` returns how many entry hosts are alive: they share the targets.
+    """
+    return TargetRouter(targets, configuration, clock, random, host, place, count_hosts)
 
 
 class TargetRouter:
@@ -41,15 +50,19 @@
         random: Random,
         host: str,
         place: str,
+        count_hosts: Callable[[], int],
     ) -> None:
+        self._count_hosts = count_hosts
         self._targets = targets
         self._host = host
         self._configuration = configuration
         self._clock = clock
         self._random = random
         self._distances = Distances(configuration, place)
-        self._pool_by_group: dict[Group, Pool] = {}
+        self._dispatcher_by_group: dict[Group, Dispatcher] = {}
         self._in_progress_by_workspace: dict[str, int] = {}
+        self._ranks_revision = -1
+        self._known_first_rank = NO_FIRST_RANK
         self._ticker: asyncio.Task[None] | None = None
         for group in targets.by_group:
             self._choose_subset(group, clock.now())
@@ -60,84 +73,138 @@
         refusal = self._check(demand, now)
         if refusal is not None:
             return Err(refusal)
-        pool = self._pool_by_group[Group(demand.kind, demand.name)]
-        if not len(pool.queue):
-            slot = pool.try_grant(demand, now)
-            if slot is not None:
-                return Ok(slot)
-        if pool.queue.is_full:
-            return Err(Refusal(ErrorKind.OVERLOADED, "the queue for this model or service is full"))
-        return await self._wait(pool, pool.enqueue(demand, now))
+        dispatcher = self._dispatcher_by_group[Group(demand.kind, demand.name)]
+        on_end = partial(self._end, dispatcher, demand.workspace)
+        answer = dispatcher.admit(demand, on_end, now)
+        if answer is None:
+            self._count(demand.workspace, 1)
+            return await self._wait(dispatcher, dispatcher.wait(demand, on_end, now))
+        if answer.is_ok():
+            self._count(demand.workspace, 1)
+        return answer
 
     def tick(self, now: float) -> None:
         """Refuse waiters past their deadline and serve those who can be served."""
-        for pool in self._pool_by_group.values():
-            pool.expire(now)
-            pool.dispatch(now)
+        for dispatcher in self._dispatcher_by_group.values():
+            dispatcher.expire(now)
+            dispatcher.dispatch(now)
+
+    def doubtful(self, now: float) -> list[Announcement]:
+        """Return the targets that are worth a probe."""
+        dispatchers = self._dispatcher_by_group.values()
+        return [found for dispatcher in dispatchers for found in dispatcher.pool.doubtful(now)]
+
+    def probed(self, announcement: Announcement, well: bool, now: float) -> None:
+        """Take in what a probe of a target showed."""
+        self._dispatcher(_group(announcement)).pool.probed(announcement.target, well, now)
 
-    async def _wait(self, pool: Pool, waiter: Waiter) -> Answer:
+    async def _wait(self, dispatcher: Dispatcher, waiter: Waiter) -> Answer:
         self._start_ticker()
         try:
-            return await waiter.future
+            answer = await waiter.future
         except asyncio.CancelledError:
-            self._give_back(pool, waiter)
+            refused = not _granted(waiter)
+            dispatcher.give_back(waiter, self._clock.now())
+            if refused:
+                self._count(waiter.demand.workspace, -1)
             raise
+        if answer.is_err():
+            self._count(waiter.demand.workspace, -1)
+        return answer
 
-    def _give_back(self, pool: Pool, waiter: Waiter) -> None:
-        pool.queue.discard(waiter)
-        # The place may have been granted just before the task was cancelled; nobody else
-        # would finish that slot, and the target would seem busy for ever.
-        if waiter.future.done() and not waiter.future.cancelled():
-            answer = waiter.future.result()
-            if answer.is_ok():
-                answer.unwrap().finish(Outcome(OutcomeKind.CANCELLED), self._clock.now())
+    def _end(self, dispatcher: Dispatcher, workspace: str, now: float) -> None:
+        self._count(workspace, -1)
+        dispatcher.dispatch(now)
+
+    def _count(self, workspace: str, change: int) -> None:
+        count = self._in_progress_by_workspace.get(workspace, 0) + change
+        if count:
+            self._in_progress_by_workspace[workspace] = count
+        else:
+            del self._in_progress_by_workspace[workspace]
 
     def _check(self, demand: Demand, now: float) -> Refusal | None:
         if demand.deadline <= now:
             return Refusal(ErrorKind.DEADLINE_PASSED, "the deadline had passed on arrival")
-        if not self._reaches(demand):
+        workspace = self._configuration.document["workspaces"].get(demand.workspace)
+        if workspace is None or not _reaches(workspace, demand):
             return Refusal(
                 ErrorKind.FORBIDDEN,
                 f"workspace {demand.workspace} may not call {demand.name}",
                 "model" if demand.kind == "engine" else "service",
                 "call one within the workspace's reach, or have the reach widened",
             )
-        pool = self._pool_by_group.get(Group(demand.kind, demand.name))
-        if pool is None or not pool.serves(demand):
+        if self._in_progress_by_workspace.get(demand.workspace, 0) >= workspace["concurrent"]:
+            return Refusal(
+                ErrorKind.TOO_MANY_REQUESTS,
+                f"workspace {demand.workspace} has {workspace['concurrent']} requests in progress",
+            )
+        dispatcher = self._dispatcher_by_group.get(Group(demand.kind, demand.name))
+        if dispatcher is None or not dispatcher.pool.serves(demand):
             return Refusal(ErrorKind.NO_TARGET, f"no target serves {demand.name} now")
         return None
 
-    def _reaches(self, demand: Demand) -> bool:
-        workspace = self._configuration.document["workspaces"].get(demand.workspace)
-        if workspace is None:
-            return False
-        reach = workspace["reach"]
-        return demand.name in reach["models" if demand.kind == "engine" else "services"]
+    def _first_rank(self) -> int:
+        revision = self._configuration.revision
+        if revision != self._ranks_revision:
+            priorities = self._configuration.document.get("priorities", {})
+            ranks = {priority["rank"] for priority in priorities.values()}
+            self._known_first_rank = min(ranks) if len(ranks) > 1 else NO_FIRST_RANK
+            self._ranks_revision = revision
+        return self._known_first_rank
 
     def _start_ticker(self) -> None:
         if self._ticker is None or self._ticker.done():
             self._ticker = asyncio.create_task(self._tick_while_waiting())
 
     async def _tick_while_waiting(self) -> None:
-        while any(len(pool.queue) for pool in self._pool_by_group.values()):
+        while any(len(known.queue) for known in self._dispatcher_by_group.values()):
             await self._clock.sleep(TICK_S)
             self.tick(self._clock.now())
 
     def _on_change(self, announcement: Announcement, change: Change, now: float) -> None:
-        group = Group(announcement.kind, announcement.name)
+        group = _group(announcement)
+        if change is Change.LEFT:
+            # A target may have left from a group other than the one that it named last.
+            for dispatcher in self._dispatcher_by_group.values():
+                dispatcher.pool.remove(announcement.target)
         if change is not Change.RENEWED:
             self._choose_subset(group, now)
-        pool = self._pool(group)
-        pool.put(announcement, now)
-        pool.dispatch(now)
+        dispatcher = self._dispatcher(group)
+        if change is not Change.LEFT:
+            dispatcher.pool.put(announcement, now)
+        dispatcher.dispatch(now)
 
     def _choose_subset(self, group: Group, now: float) -> None:
         members = self._targets.by_group.get(group, {})
         announcements = [target.announcement for target in members.values()]
         subset = subset_of(self._host, announcements, self._distances.seconds_to)
-        self._pool(group).choose_from(subset, now)
+        self._dispatcher(group).pool.choose_from(subset, len(announcements), now)
+
+    def _dispatcher(self, group: Group) -> Dispatcher:
+        if group not in self._dispatcher_by_group:
+            pool = Pool(
+                self._clock,
+                self._random,
+                self._distances,
+                self._count_hosts,
+                self._clock.now(),
+            )
+            self._dispatcher_by_group[group] = Dispatcher(
+                pool, self._clock, self._random, self._first_rank
+            )
+        return self._dispatcher_by_group[group]
+
+
+def _group(announcement: Announcement) -> Group:
+    return Group(announcement.kind, announcement.name)
+
+
+def _granted(waiter: Waiter) -> bool:
+    future = waiter.future
+    return future.done() and not future.cancelled() and future.result().is_ok()
+
 
-    def _pool(self, group: Group) -> Pool:
-        if group not in self._pool_by_group:
-            self._pool_by_group[group] = Pool(self._clock, self._random, self._distances)
-        return self._pool_by_group[group]
+def _reaches(workspace: Workspace, demand: Demand) -> bool:
+    reach = workspace["reach"]
+    return demand.name in reach["models" if demand.kind == "engine" else "services"]
--- a/cranberrywall/targets/__init__.py
+++ b/cranberrywall/targets/__init__.py
@@ -1,5 +1,6 @@
 """Know the targets: announcements, health, load and cached prefixes."""
 
+from cranberrywall.targets._health import Health
 from cranberrywall.targets._http import ANNOUNCE_PATH, make_announce_routes
 from cranberrywall.targets._load import LoadEstimate, Usual
 from cranberrywall.targets._prefixes import PrefixIndex
@@ -22,6 +23,7 @@
     "CacheEvent",
     "Change",
     "Group",
+    "Health",
     "Load",
     "LoadEstimate",
     "PrefixIndex",
--- a/cranberrywall/targets/_load.py
+++ b/cranberrywall/targets/_load.py
@@ -60,11 +60,15 @@
         self.in_flight -= 1
         self._remember(now)
 
-    def report(self, load: Load, wall: float, now: float) -> None:
-        """Take in a report; ``wall`` is this host's wall time at ``now``."""
+    def report(self, load: Load, wall: float, now: float) -> int | None:
+        """Take in a report and return this host's own requests at its time.
+
+        ``None`` is for a report that is older than another. ``wall`` is this host's wall
+        time at ``now``.
+        """
         # Reports come by several ways and may overtake each other.
         if self._reported_at is not None and load.at <= self._newest_at:
-            return
+            return None
         self._newest_at = load.at
         # The age is by two clocks, and either may be wrong; a wild one must not make
         # the report count for ever, or not at all.
@@ -72,6 +76,7 @@
         own = self._own_at(now - age)
         self._others = float(max(0, load.running + load.waiting - own))
         self._reported_at = now - age
+        return own
 
     def others(self, usual: Usual, now: float) -> float:
         """Return the estimated requests of other hosts at the target.
--- a/measurements/_engine_model.py
+++ b/measurements/_engine_model.py
@@ -132,6 +132,8 @@
             self.prompt_blocks += len(work.prefix)
             # One block more is always computed: the tail that no block covers.
             self._prefilling.append(_Prefill(work, len(work.prefix) - cached + 1))
+        # An engine that honours priorities computes the prompts of the first rank first.
+        self._prefilling.sort(key=lambda prefill: prefill.work.rank)
 
     def _take_chunk(self) -> int:
         chunk = CHUNK_BLOCKS
--- a/measurements/_fleet_model.py
+++ b/measurements/_fleet_model.py
@@ -7,8 +7,10 @@
 from typing import NamedTuple, cast
 
 import numpy as np
+from result import Err, Ok, Result
 
 from cranberrywall.configuration import Configuration, Document, Workspace
+from cranberrywall.errors import Refusal
 from cranberrywall.routing import Demand, Outcome, OutcomeKind, Router, Slot
 from cranberrywall.targets import Announcement, Targets, make_targets
 from measurements._engine_model import EngineModel, EngineOptions, Work
@@ -29,6 +31,7 @@
     host: str
     place: str
     number: int
+    hosts: int
     targets: Targets
     configuration: Configuration
     clock: VirtualClock
@@ -118,6 +121,7 @@
                 f"entry-{number}",
                 options.places[number % len(options.places)],
                 number,
+                options.hosts,
                 make_targets(),
                 configuration,
                 self.clock,
@@ -134,7 +138,7 @@
 
     async def run(self, requests: Sequence[Request], warm_up_s: float) -> Figures:
         """Send the requests at their times and return the figures after ``warm_up_s``."""
-        renewal = asyncio.create_task(self._renew())
+        renewal = asyncio.create_task(self.renew())
         tasks = []
         for request in requests:
             await asyncio.sleep(request.at - self.clock.now())
@@ -145,7 +149,9 @@
         renewal.cancel()
         return self._figures()
 
-    async def serve(self, router: Router, request: Request, deadline: float) -> float | None:
+    async def serve(
+        self, router: Router, request: Request, deadline: float
+    ) -> Result[float, Refusal]:
         """Run one request; return the seconds from its start to its first token."""
         start = self.clock.now()
         demand = Demand(
@@ -154,8 +160,8 @@
         answer = await router.acquire(demand, start)
         if answer.is_err():
             self.refused[answer.unwrap_err().kind] += 1
-            return None
-        return await self._run_at(answer.unwrap(), request) - start
+            return Err(answer.unwrap_err())
+        return Ok(await self._run_at(answer.unwrap(), request) - start)
 
     async def _run_at(self, slot: Slot, request: Request) -> float:
         granted_at = self.clock.now()
@@ -179,9 +185,9 @@
 
     async def _one(self, request: Request, measured: bool) -> None:
         router = self.routers[self.random.randrange(len(self.routers))]
-        seconds = await self.serve(router, request, request.at + DEADLINE_S)
-        if measured and seconds is not None:
-            self.first_token_s_by_rank.setdefault(request.rank, []).append(seconds)
+        served = await self.serve(router, request, request.at + DEADLINE_S)
+        if measured and served.is_ok():
+            self.first_token_s_by_rank.setdefault(request.rank, []).append(served.unwrap())
 
     def _start_measuring(self) -> None:
         self._measuring = True
@@ -216,7 +222,8 @@
         for host in self.hosts:
             host.targets.apply(announcement, now)
 
-    async def _renew(self) -> None:
+    async def renew(self) -> None:
+        """Deliver the engines' announcements to the hosts, late, until cancelled."""
         loop = asyncio.get_running_loop()
         engines = list(self.engine_by_id.values())
         while True:
--- a/measurements/routing.py
+++ b/measurements/routing.py
@@ -71,16 +71,26 @@
 )
 
 
-def _routed(host: HostModel) -> Router:
+def make_routed(host: HostModel) -> Router:
+    """Return the real router of a host."""
     source = random.Random(host.number)
-    return make_router(host.targets, host.configuration, host.clock, source, host.host, host.place)
+    return make_router(
+        host.targets,
+        host.configuration,
+        host.clock,
+        source,
+        host.host,
+        host.place,
+        lambda: host.hosts,
+    )
 
 
 def _random(host: HostModel) -> Router:
     return NaiveRouter(host.targets, choose_random(host.number))
 
 
-def _round_robin(host: HostModel) -> Router:
+def make_round_robin(host: HostModel) -> Router:
+    """Return a router that takes each target in turn."""
     return NaiveRouter(host.targets, choose_round_robin(host.number * 3))
 
 
@@ -94,7 +104,7 @@
 
 BASELINES: dict[str, MakeRouter] = {
     "random": _random,
-    "round_robin": _round_robin,
+    "round_robin": make_round_robin,
     "least_loaded": _least_loaded,
     "pure_prefix": _pure_prefix,
 }
@@ -115,7 +125,7 @@
 
 def measure(deployment: Deployment, slow: bool) -> dict[str, Figure]:
     """Return the figures of one deployment: the router's, and each baseline's p95."""
-    routed = run(deployment, slow, _routed)
+    routed = run(deployment, slow, make_routed)
     baselines = {
         name: run(deployment, slow, make).first_token_ms(95) for name, make in BASELINES.items()
     }
