--- a/cranberrywall/commands/_control_program.py
+++ b/cranberrywall/commands/_control_program.py
@@ -1,6 +1,7 @@
 """Assemble the control program: its groups, what they keep, the spread, operators' HTTP."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from result import Err
@@ -102,7 +103,9 @@
     feed = _make_feed(settings, machine, caller)
     feed.register(server)
     state = _make_state(settings, host, machine)
-    admin = _make_admin(settings, keys, host, counters, state)
+    admin = _make_admin(
+        settings, keys, host, counters, state, lambda: check_placement(settings, machine)
+    )
     return ControlProgram(host, feed, admin, state)
 
 
@@ -118,6 +121,21 @@
     )
 
 
+def check_placement(settings: Settings, machine: ConfigurationMachine) -> str | None:
+    """Return why budgets would be looked for in the wrong groups, or ``None``.
+
+    Placement follows the number of groups. Were this host to run another number than the
+    configuration says, money would be credited in one group and drawn from another.
+    """
+    newest = machine.document_at()
+    if newest is None or not newest.revision:
+        return None
+    wanted, run = newest.document["ledger_groups"], settings["ledger_groups"]
+    if wanted == run:
+        return None
+    return f"the configuration has {wanted} ledger groups, and the settings {run}"
+
+
 def _load_keys(settings: Settings) -> FleetKeys:
     keys = load_fleet_keys(settings["fleet_key"])
     if isinstance(keys, Err):
@@ -177,6 +195,7 @@
     host: ControlHost,
     counters: LinkCounters,
     state: StateRegistry,
+    check_placement: Callable[[], str | None],
 ) -> AdminServer:
     metrics = make_metrics()
     metrics.gauge_of("groups_led", "Groups that this host leads.", lambda: len(host.led()))
@@ -185,5 +204,6 @@
     health = HealthChecks()
     health.add_health("groups", host.check_started)
     health.add_readiness("groups", host.check_ready)
+    health.add_readiness("ledger_groups", check_placement)
     address = settings["listen"]["admin"]
     return make_admin_server(address, metrics, state, health, keys.admin)
