--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -1,6 +1,7 @@
 """Assemble the entry program: configuration, money, targets, callers, operators' HTTP."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
@@ -24,7 +25,7 @@
     ConfiguredPolicies,
     make_caller_stack,
 )
-from cranberrywall.hosts import HostState, HostView
+from cranberrywall.hosts import HostState, HostView, register_drain
 from cranberrywall.links import (
     LinkCaller,
     LinkCounters,
@@ -79,6 +80,8 @@
         )
         self._follower.register(self._server)
         self._spread.register(self._server)
+        self.on_drain: Callable[[], None] = lambda: None
+        register_drain(self._server, self._me.incarnation, lambda: self.on_drain())
         self._metrics = make_metrics()
         self.state = StateRegistry()
         self._health = HealthChecks()
--- a/cranberrywall/commands/ctl/_session.py
+++ b/cranberrywall/commands/ctl/_session.py
@@ -17,7 +17,7 @@
 from cranberrywall.configuration import ConfigurationClient, Document
 from cranberrywall.control import MembersClient, make_control_client
 from cranberrywall.errors import ErrorKind, Refusal
-from cranberrywall.links import Peer, make_caller
+from cranberrywall.links import Caller, Peer, make_caller
 from cranberrywall.runtime import Clock, make_clock, make_network, make_random
 from cranberrywall.settings import load_fleet_keys
 
@@ -35,8 +35,11 @@
 class Session:
     """Hold the clients of one command."""
 
-    def __init__(self, control: MembersClient, clock: Clock, options: Options) -> None:
+    def __init__(
+        self, control: MembersClient, caller: Caller, clock: Clock, options: Options
+    ) -> None:
         self.control = control
+        self.caller = caller
         self.clock = clock
         self.options = options
         self.configuration = ConfigurationClient(control, options.timeout)
@@ -117,7 +120,7 @@
     caller = make_caller(make_network(), clock, random, keys.ok_value.fleet, me)
     try:
         control = make_control_client(caller, clock, options.controls, random)
-        yield Session(control, clock, options)
+        yield Session(control, caller, clock, options)
     finally:
         await caller.close()
 
--- a/cranberrywall/commands/entry.py
+++ b/cranberrywall/commands/entry.py
@@ -1,5 +1,8 @@
 """Run an entry host: callers, targets and spending."""
 
+import signal
+from functools import partial
+
 import aiomisc
 import click
 import uvloop
@@ -21,6 +24,8 @@
     async def start(self) -> None:
         """Start the program, and dump its state on SIGUSR1."""
         self._program = make_entry_program(self._settings, make_runtime(self._settings.get("data")))
+        # An operator's drain ends the process by the way that SIGTERM does.
+        self._program.on_drain = partial(signal.raise_signal, signal.SIGTERM)
         await self._program.start()
         dump_state_on_signal(self._program.state)
 
--- a/tests/commands/fleets.py
+++ b/tests/commands/fleets.py
@@ -1,7 +1,7 @@
 """Run ``cranberrywallctl`` against state machines in memory."""
 
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import Any
 
@@ -15,6 +15,8 @@
 from cranberrywall.configuration import make_configuration_machine
 from cranberrywall.control import ChangeMemberRequest, MembersReply, ledger_group
 from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.hosts import register_drain
+from cranberrywall.links import Peer
 from cranberrywall.replication import MemberView, Step
 from tests.fakes.clock import ManualClock
 from tests.fakes.groups import FakeControlClient, FakeGroup
@@ -41,6 +43,33 @@
         return Ok(None)
 
 
+class FakeCaller:
+    """Drain hosts by the methods that they registered; others do not answer."""
+
+    def __init__(self) -> None:
+        self.handler_by_address: dict[str, Any] = {}
+
+    async def call(self, address: str, method: Any, request: Any, timeout: float):
+        handler = self.handler_by_address.get(address)
+        if handler is None:
+            return Err(Refusal(ErrorKind.UNREACHABLE, "nobody listens"))
+        return await handler(request, Peer("cranberrywallctl", "operator", 1))
+
+    def listen(self, address: str, incarnation: int, drain: Callable[[], None]) -> None:
+        register_drain(FakeServer(self, address), incarnation, drain)
+
+
+class FakeServer:
+    """Register one method at an address."""
+
+    def __init__(self, caller: FakeCaller, address: str) -> None:
+        self._caller = caller
+        self._address = address
+
+    def register(self, method: Any, handler: Any) -> None:
+        self._caller.handler_by_address[self._address] = handler
+
+
 class CtlFleet:
     """Hold the groups of a fleet whose configuration is an example's."""
 
@@ -51,10 +80,11 @@
             name = f"ledger-{number}"
             self.groups[name] = FakeGroup(name, make_ledger_machine)
         self.control = FakeMembersClient(self.groups)
+        self.caller = FakeCaller()
 
     @asynccontextmanager
     async def connect(self, options: Options) -> AsyncIterator[Session]:
-        yield Session(self.control, self.clock, options)
+        yield Session(self.control, self.caller, self.clock, options)
 
     def run(self, *arguments: str, operator: str = "ann") -> Result:
         runner = CliRunner()
