--- a/cranberrywall/commands/ctl/_plots.py
+++ b/cranberrywall/commands/ctl/_plots.py
@@ -28,19 +28,21 @@
 
 
 def _draw(chart: "matplotlib.axes.Axes", unit: str, days: Sequence[DaySpend]) -> None:
+    chart.set_title(f"Spend by day (UTC), in {unit}")
+    if not days:
+        return
     amount_by_series = _series(days)
-    numbers = sorted({day.day for day in days})
+    # Days without spend are drawn as well: the axis is time.
+    numbers = range(min(day.day for day in days), max(day.day for day in days) + 1)
     labels = [datetime.fromtimestamp(day * _DAY_S, UTC).strftime("%m-%d") for day in numbers]
     base = [0] * len(numbers)
     for name, amount_by_day in amount_by_series.items():
         amounts = [amount_by_day.get(day, 0) for day in numbers]
         chart.bar(labels, amounts, bottom=base, label=name)
         base = [below + amount for below, amount in zip(base, amounts, strict=True)]
-    chart.set_title(f"Spend by day (UTC), in {unit}")
     chart.set_ylabel(unit)
     chart.tick_params(axis="x", rotation=60)
-    if amount_by_series:
-        chart.legend(fontsize="small")
+    chart.legend(fontsize="small")
 
 
 def _series(days: Sequence[DaySpend]) -> dict[str, dict[int, int]]:
--- a/cranberrywall/commands/ctl/report.py
+++ b/cranberrywall/commands/ctl/report.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from cranberrywall.budgets import LedgerClient
-from cranberrywall.budgets.messages import PeriodsQuery, SpendQuery
+from cranberrywall.budgets.messages import ClosedPeriod, PeriodsQuery, SpendQuery
 from cranberrywall.commands.ctl._exits import Exit
 from cranberrywall.commands.ctl._ledgers import from_each_group
 from cranberrywall.commands.ctl._output import format_time, print_json, print_table
@@ -17,6 +17,8 @@
 from cranberrywall.commands.ctl._session import Ctl, Session, pass_ctl
 from cranberrywall.errors import Refusal
 
+_DAY_S = 86_400
+
 _BUDGET_HEADERS = (
     "budget",
     "unit",
@@ -73,7 +75,7 @@
         if isinstance(report, Err):
             return Err(report.err_value)
         if plot:
-            drawn = await _plot(session, found.ok_value, workspace, plot)
+            drawn = await _plot(session, found.ok_value, period, workspace, plot)
             if isinstance(drawn, Err):
                 return drawn
         _print(session, report.ok_value, folder)
@@ -105,8 +107,14 @@
 
 
 async def _plot(
-    session: Session, ledger: LedgerClient, workspace: str, path: str
+    session: Session, ledger: LedgerClient, period: str, workspace: str, path: str
 ) -> Result[None, Refusal]:
+    listed = await ledger.periods(
+        ledger.groups()[0], PeriodsQuery(session.clock.wall()), session.timeout
+    )
+    if isinstance(listed, Err):
+        return Err(listed.err_value)
+    start, end = _span(listed.ok_value.periods, period)
     answers = await from_each_group(
         ledger, lambda group: ledger.spend(group, SpendQuery(workspace), session.timeout)
     )
@@ -115,10 +123,26 @@
     # Loading the drawing library takes longer than most commands do.
     from cranberrywall.commands.ctl._plots import write_spend_plot
 
-    write_spend_plot(path, [day for answer in answers.ok_value.values() for day in answer.days])
+    days = [
+        day
+        for answer in answers.ok_value.values()
+        for day in answer.days
+        if start < (day.day + 1) * _DAY_S and day.day * _DAY_S < end
+    ]
+    write_spend_plot(path, days)
     return Ok(None)
 
 
+def _span(closed: Sequence[ClosedPeriod], period: str) -> tuple[float, float]:
+    """Return the start and the end of a closed period, or of what is open."""
+    start = 0.0
+    for one in closed:
+        if one.period == period:
+            return start, one.through
+        start = one.through
+    return start, float("inf")
+
+
 def _print(session: Session, report: FleetReport, folder: str | None) -> None:
     if folder:
         _write_csv(Path(folder), report)
