Answer recalls without a walk over all budgets, and name silent holders by the host's own silence

Each entry host asks for its recalls again and again; at 1,700 hosts and 10,600 budgets a group that walk would have been most of a core. A holder was named silent for one idle budget after an hour, so each morning would have begun with a list.

--- a/cranberrywall/budgets/_closing.py
+++ b/cranberrywall/budgets/_closing.py
@@ -14,6 +14,7 @@
     ExceptionRow,
     ExceptionsQuery,
     ExceptionsResult,
+    Holder,
     PeriodsQuery,
     PeriodsResult,
     PlanPeriods,
@@ -28,8 +29,11 @@
 MAX_ROWS = 1_000
 """The most rows on a page of a report or of a list of exceptions."""
 
-SILENT_AFTER_S = 3_600.0
-"""A holder that has not been heard for this long is named with what it holds."""
+SILENT_AFTER_S = 86_400.0
+"""A holder that sent nothing for this long is named with what it holds.
+
+It is longer than an office is closed at night, or each morning would begin with a list.
+"""
 
 _END_OF_TIME = float("inf")
 
@@ -210,6 +214,7 @@
 
 def _waiting_rows(state: LedgerState, now: float) -> list[ExceptionRow]:
     rows = []
+    active_at_by_holder = _last_activity(state)
     for budget in state.sorted_budgets():
         account = state.account_by_budget[budget]
         for holder, allotment in account.allotment_by_holder.items():
@@ -218,13 +223,22 @@
             kind = ExceptionKind.SILENT_HOLDER
             if not state.holders.is_current(holder):
                 kind = ExceptionKind.DEAD_HOLDER
-            elif now - allotment.active_at < SILENT_AFTER_S:
+            elif now - active_at_by_holder[holder] < SILENT_AFTER_S:
                 continue
-            amount, at = allotment.outstanding, allotment.active_at
+            amount, at = allotment.outstanding, active_at_by_holder[holder]
             rows.append(waiting_row(kind, budget, account.workspace, holder, amount, at))
     return rows
 
 
+def _last_activity(state: LedgerState) -> dict[Holder, float]:
+    active_at_by_holder: dict[Holder, float] = {}
+    for account in state.account_by_budget.values():
+        for holder, allotment in account.allotment_by_holder.items():
+            known = active_at_by_holder.get(holder, 0.0)
+            active_at_by_holder[holder] = max(known, allotment.active_at)
+    return active_at_by_holder
+
+
 def _no_period(period: str) -> Rejected:
     remedy = "list the periods with: cranberrywallctl report --periods"
     return Rejected(ErrorKind.NOT_FOUND, f"{period} is not closed, or no longer kept", "", remedy)
--- a/cranberrywall/budgets/_ledger_holding.py
+++ b/cranberrywall/budgets/_ledger_holding.py
@@ -92,6 +92,8 @@
     allotment.return_number = command.number
     allotment.active_at = max(allotment.active_at, command.at)
     account.give_back(allotment, command.amount)
+    if not allotment.recalled:
+        state.end_recall(command.budget, command.holder)
     return Accepted()
 
 
@@ -185,7 +187,10 @@
     ]
     busy_after = command.at - ACTIVE_WITHIN_S
     others.sort(key=lambda one: (one[1].active_at > busy_after, -one[1].outstanding, one[0]))
-    return RecallResult(tuple(_ask(others, command.amount)))
+    asked = _ask(others, command.amount)
+    for one in asked:
+        state.note_recall(command.budget, one.holder)
+    return RecallResult(tuple(asked))
 
 
 def _ask(others: list[tuple[Holder, Allotment]], amount: int) -> list[HeldAmount]:
@@ -202,8 +207,8 @@
 def recalls(state: LedgerState, query: RecallsQuery) -> RecallsResult:
     """List the amounts that a holder was asked to return and has not returned."""
     recalled = []
-    for budget, account in state.account_by_budget.items():
-        allotment = account.allotment_by_holder.get(query.holder)
+    for budget in state.recalled_budgets(query.holder):
+        allotment = state.account_by_budget[budget].allotment_by_holder.get(query.holder)
         if allotment is not None and allotment.recalled and allotment.outstanding:
             amount = min(allotment.recalled, allotment.outstanding)
             recalled.append(RecalledAmount(budget, amount))
@@ -247,6 +252,7 @@
 
 
 def _release_confirmed(state: LedgerState, command: ConfirmDead) -> int:
+    state.forget_holder(command.holder)
     note = f"confirmed dead by {command.operator}, approved by {command.approver}"
     total = 0
     for budget, account in state.account_by_budget.items():
@@ -284,6 +290,7 @@
 
 
 def _release(state: LedgerState, holder: Holder) -> int:
+    state.forget_holder(holder)
     return sum(account.release(holder) for account in state.account_by_budget.values())
 
 
--- a/cranberrywall/budgets/_ledger_state.py
+++ b/cranberrywall/budgets/_ledger_state.py
@@ -17,6 +17,7 @@
 from cranberrywall.budgets._ledger_holders import Holders
 from cranberrywall.budgets._ledger_ids import ChargeIds, IdLimits
 from cranberrywall.budgets._ledger_intents import Intents
+from cranberrywall.budgets.messages import Holder
 
 _VERSION = 1
 
@@ -35,6 +36,28 @@
         self.closings = Closings()
         self.spend = SpendByDay()
         self._sorted_budgets: list[str] = []
+        # Every holder asks again and again what was recalled, so that must not cost a
+        # walk over all budgets. It follows from the accounts and is in no snapshot.
+        self._recalled_by_holder: dict[Holder, set[str]] = {}
+
+    def note_recall(self, budget: str, holder: Holder) -> None:
+        """Note that a holder was asked to return a part of its allotment."""
+        self._recalled_by_holder.setdefault(holder, set()).add(budget)
+
+    def recalled_budgets(self, holder: Holder) -> list[str]:
+        """Return the budgets of which a holder was asked to return a part, in order."""
+        return sorted(self._recalled_by_holder.get(holder, ()))
+
+    def end_recall(self, budget: str, holder: Holder) -> None:
+        """Note that a holder has returned what it was asked for."""
+        budgets = self._recalled_by_holder.get(holder, set())
+        budgets.discard(budget)
+        if not budgets:
+            self._recalled_by_holder.pop(holder, None)
+
+    def forget_holder(self, holder: Holder) -> None:
+        """Note that a holder was released."""
+        self._recalled_by_holder.pop(holder, None)
 
     def sorted_budgets(self) -> list[str]:
         """Return the budgets' names in order; the list is kept until one is added."""
@@ -79,6 +102,10 @@
             self.account_by_budget = {
                 sys.intern(name): load_account(plain, self.holders.one) for name, plain in accounts
             }
+            for budget, account in self.account_by_budget.items():
+                for holder, allotment in account.allotment_by_holder.items():
+                    if allotment.recalled:
+                        self.note_recall(budget, holder)
 
 
 @contextmanager
--- a/tests/budgets/test_closing.py
+++ b/tests/budgets/test_closing.py
@@ -182,6 +182,17 @@
     assert report(ledger, "2026-11").rows[0].in_doubt == 50
 
 
+def test_a_duplicate_that_is_resent_after_the_closing_is_not_named_again():
+    ledger = spent_in_november()
+    ledger.draw(B1, 1, 50)
+    assert ledger.charge(B1, "r1", 1, 10, IN_NOVEMBER) is ChargeOutcome.DUPLICATE
+    close(ledger, "2026-11", NOVEMBER_END)
+    ledger.restart()
+    assert ledger.charge(B1, "r1", 1, 10, IN_NOVEMBER) is ChargeOutcome.DUPLICATE
+    rows = ledger.ask(ExceptionsQuery("", False, 0.0, 0, 10)).rows
+    assert [row for row in rows if row.number] == []
+
+
 def test_a_report_comes_in_pages_and_by_workspace():
     ledger = Ledger()
     for number in range(25):
--- a/tests/budgets/test_ledger.py
+++ b/tests/budgets/test_ledger.py
@@ -79,6 +79,7 @@
     assert ledger.charge(C1, "r", 1, 1, at=later) is ChargeOutcome.BILLED
     asked = ledger.apply(Recall("desk", A1, 25, later)).asked
     assert [(one.holder, one.outstanding) for one in asked] == [(B1, 20), (C1, 5)]
+    ledger.restart()
     ledger.apply(Return("desk", B1, 1, 20, later))
     assert ledger.ask(RecallsQuery(B1)).recalled == ()
     assert [one.amount for one in ledger.ask(RecallsQuery(C1)).recalled] == [5]
