--- a/tests/commands/reference.py
+++ b/tests/commands/reference.py
@@ -31,7 +31,7 @@
 | 0 | done | |
 | 1 | refused: the fleet's answer is no, and it names the reason | follow the remedy |
 | 2 | wrong usage, file or value | correct what is named |
-| 3 | no control host was reached, or none is current; nothing was done | try again; see `groups show` |
+| 3 | no control host was reached or current; nothing was done | try again; see `groups show` |
 | 4 | outcome unknown | send the same again, with the same change id |
 | 5 | conflict: another change came first | look at what changed, decide anew |
 | 6 | a report's sums do not add up | keep the report, and stop: this must not happen |
