--- a/cranberrywall/hosts/_membership.py
+++ b/cranberrywall/hosts/_membership.py
@@ -163,6 +163,7 @@
             "is_delegate": self._roster.is_delegate(),
             "cut_places": sorted(self._roster.cut_places()),
             "is_superseded": self.is_superseded,
+            "changes": dict(self._roster.transitions),
             "items": len(self._table),
             "probes": self._prober.probes,
             "failed_probes": self._prober.failures,
--- a/tests/hosts/fleet.py
+++ b/tests/hosts/fleet.py
@@ -51,6 +51,7 @@
         return self.host_by_name[name]
 
     async def start_all(self) -> None:
+        """Start all hosts, one after another."""
         for host in self.host_by_name.values():
             await self.start(host)
 
--- a/tests/hosts/test_membership.py
+++ b/tests/hosts/test_membership.py
@@ -1,6 +1,7 @@
 """Cause the failures that membership must bear, and see what the hosts believe."""
 
 import asyncio
+from typing import Any
 
 import pytest
 
@@ -235,23 +236,32 @@
 def test_a_process_that_stood_still_blames_nobody():
     """A process is stopped for a minute and goes on: all its timers have run out at once.
 
-    The answers that came meanwhile are not read yet, and so all others look dead to it.
+    The answers and refutations that came meanwhile are not read yet, and so all others look
+    dead to it; by what it would say, they would lose their callers.
     """
 
     async def test(fleet: Fleet):
-        frozen = fleet["kranj-1"]
+        frozen, others = fleet["kranj-1"], but(fleet, "kranj-1")
         clock = _StoppableClock(fleet)
-        frozen.membership._clock = clock  # type: ignore[attr-defined]  # the private part stands still
-        frozen.membership._prober._clock = clock  # type: ignore[attr-defined]  # as above
-        frozen.membership._spreading._clock = clock  # type: ignore[attr-defined]  # as above
+        membership: Any = frozen.membership
+        for part in (membership, membership._prober, membership._spreading):
+            part._clock = clock
+        # What a stopped process does not read is held by the cut.
+        fleet.cut([frozen], others)
         [said] = [item for item in frozen.membership.spread.items("host") if item.key == "kranj-2"]
         frozen.membership.spread.publish(said._replace(version=(*said.version[:3], 1)))
+        await fleet.clock.sleep(0.3)
         clock.skip(60.0)
-        await fleet.clock.sleep(1)
+        await fleet.clock.sleep(0.6)
+        fleet.mend([frozen], others)
+        await fleet.clock.sleep(5)
+        state = frozen.membership.state()
+        assert state["failed_probes"] > 0
+        assert state["suspicions"] == 0
+        assert "dead" not in state["changes"]
         assert fleet.all_alive()
-        assert frozen.membership.state()["suspicions"] == 0
 
-    in_fleet(TODAY, test)
+    in_fleet(TODAY, test, pace=Pace(period=0.1))
 
 
 class _StoppableClock:
@@ -363,3 +373,52 @@
         assert source.state()["items"] == before - 3
 
     in_fleet(TODAY, test, pace=Pace(forget_after=30.0))
+
+
+def test_parts_that_never_met_find_together_by_their_seeds():
+    """The fleet is started while two places cannot reach each other."""
+
+    async def test(fleet: Fleet):
+        for host in list(fleet):
+            await fleet.crash(host)
+        inside, outside = fleet.of_place("kranj"), fleet.outside("kranj")
+        fleet.cut(inside, outside)
+        await asyncio.gather(*(fleet.start(host, incarnation=9) for host in fleet))
+        await fleet.clock.sleep(10)
+        assert fleet.states_of("domzale-1", inside) == {None}
+        fleet.mend(inside, outside)
+        await fleet.clock.sleep(20)
+        assert fleet.all_alive()
+
+    in_fleet(TODAY, test)
+
+
+def test_another_host_at_a_dead_hosts_address_does_not_answer_for_it():
+    """A host is taken away and its address given to a new one, which answers all probes."""
+
+    async def test(fleet: Fleet):
+        await fleet.crash(fleet["kranj-2"])
+        heir = Host("heir", "kranj", fleet["kranj-2"].ip)
+        del fleet.host_by_name["kranj-2"]
+        fleet.host_by_name["heir"] = heir
+        await fleet.start(heir)
+        await fleet.clock.sleep(6)
+        assert fleet.states_of("kranj-2", but(fleet, "heir")) == {DEAD}
+        assert fleet.states_of("heir", fleet) == {ALIVE}
+
+    in_fleet(TODAY, test)
+
+
+def test_a_host_restarted_in_good_order_is_not_taken_for_flapping():
+    async def test(fleet: Fleet):
+        host = fleet["kranj-2"]
+        for _ in range(5):
+            host.membership.leave()
+            await fleet.clock.sleep(1)
+            await fleet.crash(host)
+            await fleet.clock.sleep(2)
+            await fleet.start(host)
+            await fleet.clock.sleep(1)
+            assert fleet.all_alive()
+
+    in_fleet(TODAY, test)
--- /dev/null
+++ b/tests/hosts/test_parts.py
@@ -0,0 +1,102 @@
+"""Check the parts of membership that stand alone: versions, table, ring."""
+
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cranberrywall.hosts._entries import ALIVE, DEAD, SUSPECT, HostVersion
+from cranberrywall.hosts._ring import DELEGATES, delegates, neighbours
+from cranberrywall.hosts._table import BUCKETS, Table
+from cranberrywall.hosts.messages import Item, Urgency
+
+IN_RISING_ORDER = [
+    HostVersion(incarnation=1, leaving=0, number=1, verdict=ALIVE),
+    HostVersion(incarnation=1, leaving=0, number=1, verdict=SUSPECT),
+    HostVersion(incarnation=1, leaving=0, number=1, verdict=DEAD),
+    HostVersion(incarnation=1, leaving=0, number=2, verdict=ALIVE),
+    HostVersion(incarnation=1, leaving=1, number=1, verdict=ALIVE),
+    HostVersion(incarnation=1, leaving=1, number=1, verdict=DEAD),
+    HostVersion(incarnation=2, leaving=0, number=1, verdict=ALIVE),
+]
+
+
+def test_refuting_overtakes_death_leaving_overtakes_both_and_a_new_start_all():
+    assert sorted(IN_RISING_ORDER) == IN_RISING_ORDER
+
+
+def make_item(key: str, version: int, place: str = "") -> Item:
+    return Item("target", key, (version,), b"x", place)
+
+
+ITEMS = st.builds(
+    make_item, st.sampled_from("abcdef"), st.integers(0, 5), st.sampled_from(["", "kranj"])
+)
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(st.lists(ITEMS, max_size=20), st.randoms(use_true_random=False))
+def test_the_table_ends_alike_in_whatever_order_and_number_items_come(
+    items: list[Item], random: Random
+):
+    """A naive version takes the highest version of each key from the whole list."""
+    by_key = {item.key: item for item in items}
+    items = [item._replace(place=by_key[item.key].place) for item in items]
+    shuffled = [*items, *items[::2]]
+    random.shuffle(shuffled)
+    one, other = Table("kranj"), Table("kranj")
+    for item in items:
+        one.put(item, 0.0)
+    for item in shuffled:
+        other.put(item, 0.0)
+    naive = {key: max(item.version for item in items if item.key == key) for key in by_key}
+    assert {item.key: item.version for item in one.of_topic("target")} == naive
+    assert one.digests() == other.digests()
+    assert (one.fleet_digest, one.place_digest) == (other.fleet_digest, other.place_digest)
+
+
+def test_the_table_keeps_out_other_places_items():
+    table = Table("kranj")
+    assert not table.put(make_item("a", 1, "domzale"), 0.0)
+    assert len(table) == 0
+
+
+def test_differing_buckets_name_what_a_peer_lacks():
+    here, there = Table("kranj"), Table("kranj")
+    for number in range(50):
+        here.put(make_item(f"k{number}", 1), 0.0)
+        there.put(make_item(f"k{number}", 1), 0.0)
+    here.put(make_item("k7", 2), 0.0)
+    here.put(make_item("near", 1, "kranj"), 0.0)
+    here.put(Item("load", "k8", (1,), b"x", urgency=Urgency.VOLATILE), 0.0)
+    buckets = here.differing(*there.digests(), is_near=True)
+    assert len(buckets) == 2
+    assert {"k7", "near"} <= {item.key for item in here.in_buckets(buckets, "kranj")}
+    assert len(here.differing(*there.digests(), is_near=False)) == 1
+    assert here.differing((), (), is_near=True) == []
+    assert len(here.digests()[0]) == BUCKETS
+
+
+@pytest.mark.parametrize("size", [1, 2, 5, 12, 13, 50, 400, 1700])
+def test_neighbours_are_mutual_few_and_reach_all_in_few_steps(size: int):
+    hosts = [f"host-{number}" for number in range(size)]
+    by_host = {host: set(neighbours(host, hosts)) for host in hosts[:400]}
+    assert max(len(others) for others in by_host.values()) <= 21
+    if size <= 400:
+        for host, others in by_host.items():
+            assert host not in others
+            assert all(host in by_host[other] for other in others)
+        reached, steps = {hosts[0]}, 0
+        while len(reached) < size:
+            reached |= {other for host in reached for other in by_host[host]}
+            steps += 1
+        assert steps <= 5
+
+
+def test_delegates_stay_when_other_hosts_come_and_go():
+    hosts = [f"host-{number}" for number in range(100)]
+    chosen = delegates(hosts)
+    assert len(chosen) == DELEGATES
+    others = [host for host in hosts if host not in chosen]
+    assert delegates([*chosen, *others[:50]]) == chosen
