--- a/tests/orders/world.py
+++ b/tests/orders/world.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Coroutine, Mapping, Sequence
 from typing import Any, NamedTuple
 
 from result import Err, Ok, Result
@@ -159,10 +159,7 @@
         await self._world.clock.sleep(0.01 + self.stall)
         engine = next(engine for engine in self._world.engines if engine.name == url)
         # The engine goes on with an order whose sender is gone.
-        work = asyncio.ensure_future(engine.take(term, number, action))
-        self._world.tasks.add(work)
-        work.add_done_callback(self._world.tasks.discard)
-        return await asyncio.shield(work)
+        return await asyncio.shield(self._world.run_beside(engine.take(term, number, action)))
 
     async def close(self) -> None:
         return
@@ -305,6 +302,12 @@
             return Err(Refusal(ErrorKind.TIMEOUT))
         return await process.handlers[method.name](request, Peer("", "", 1))
 
+    def run_beside(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
     async def stop(self) -> None:
         self.announcing.cancel()
         for process in self.process_by_host.values():
