--- a/cranberrywall/budgets/messages.py
+++ b/cranberrywall/budgets/messages.py
@@ -311,6 +311,10 @@
     A charge belongs to the period in which its reservation was made. ``through`` is the
     period's planned end, or any time after the last reservation that was charged. Closing
     the same period again with the same ``through`` gives the first answer.
+
+    Asked as a query it changes nothing: the answer's digest is empty where the period
+    could be closed. All groups are asked so before the first one is told to close, or one
+    could close with an end that another must refuse.
     """
 
     period: str
@@ -435,9 +439,10 @@
 
 
 class PeriodsQuery(NamedTuple):
-    """Ask for the closed periods that the group keeps, and for the one that is open.
+    """Ask for the closed periods that the group keeps, and for those that are open.
 
-    ``now`` (seconds since the epoch) chooses the open period.
+    The open ones are those that charges were booked to, and the one of ``now`` (seconds
+    since the epoch).
     """
 
     now: float
@@ -454,10 +459,10 @@
 
 
 class PeriodsResult(NamedTuple):
-    """List the closed periods, oldest first, and the first one that is still open."""
+    """List the closed periods and the open ones, each oldest first."""
 
     periods: tuple[ClosedPeriod, ...]
-    open_period: PlannedPeriod
+    open_periods: tuple[PlannedPeriod, ...]
 
 
 class ExceptionKind(StrEnum):
--- a/cranberrywall/targets/__init__.py
+++ b/cranberrywall/targets/__init__.py
@@ -1,6 +1,9 @@
 """Know the targets: announcements, health, load and cached prefixes."""
 
+from cranberrywall.targets._health import Health
 from cranberrywall.targets._http import ANNOUNCE_PATH, make_announce_routes
+from cranberrywall.targets._load import LoadEstimate, Usual
+from cranberrywall.targets._prefixes import PrefixIndex
 from cranberrywall.targets._targets import (
     TTL_S,
     Change,
@@ -20,9 +23,13 @@
     "CacheEvent",
     "Change",
     "Group",
+    "Health",
     "Load",
+    "LoadEstimate",
+    "PrefixIndex",
     "Target",
     "Targets",
+    "Usual",
     "make_announce_routes",
     "make_targets",
     "read_announcement",
