--- a/cranberrywall/configuration/_follower.py
+++ b/cranberrywall/configuration/_follower.py
@@ -4,7 +4,6 @@
 from collections.abc import Sequence
 from typing import Any, NamedTuple
 
-from loguru import logger
 from result import Err
 
 from cranberrywall.configuration._feed import Feed, Heard
@@ -12,6 +11,7 @@
 from cranberrywall.configuration._neighbours import Peers, SpreadHost
 from cranberrywall.configuration.messages import FETCH, Fetch, FetchReply
 from cranberrywall.links import Caller, Server
+from cranberrywall.observability import log_event
 from cranberrywall.runtime import Clock, Random
 
 FETCH_TIMEOUT_S = 5.0
@@ -96,7 +96,7 @@
         """
         recalled = await self._configuration.recall()
         if isinstance(recalled, Err):
-            logger.error("event=configuration_not_recalled error={}", recalled.err_value)
+            log_event("ERROR", "configuration_not_recalled", refusal=recalled.err_value)
         if self._configuration.remembers and self._configuration.revision > 0:
             return self._configuration.revision
         started_at = self._clock.now()
@@ -136,11 +136,12 @@
             return True
         if waited < self._times.patience or from_controls + from_peers == 0:
             return False
-        logger.warning(
-            "event=configuration_from_few revision={} controls={} peers={}",
-            self._configuration.revision,
-            from_controls,
-            from_peers,
+        log_event(
+            "WARNING",
+            "configuration_from_few",
+            revision=self._configuration.revision,
+            controls=from_controls,
+            peers=from_peers,
         )
         return True
 
@@ -178,7 +179,7 @@
             return await self._configuration.apply_snapshot(reply.snapshot)
         applied = await self._configuration.apply_deltas(reply.deltas)
         if applied is Applied.DIVERGED:
-            logger.error("event=configuration_diverged revision={}", self._configuration.revision)
+            log_event("ERROR", "configuration_diverged", revision=self._configuration.revision)
         return applied
 
     def _best_claim(self) -> str | None:
--- a/cranberrywall/configuration/_host.py
+++ b/cranberrywall/configuration/_host.py
@@ -6,7 +6,6 @@
 from enum import StrEnum
 from typing import Any, cast
 
-from loguru import logger
 from result import Err, Ok, Result
 
 from cranberrywall.configuration._document import Document
@@ -23,6 +22,7 @@
 from cranberrywall.configuration._memory import Memory
 from cranberrywall.configuration.messages import Delta, DocumentAt
 from cranberrywall.errors import Refusal
+from cranberrywall.observability import log_event
 from cranberrywall.runtime import Storage
 
 WINDOW_LIMIT = 256
@@ -144,5 +144,5 @@
         # A full disk must not keep a revoked key valid here, so the revision still comes
         # in force; the host says that it could come back with an older one.
         if isinstance(remembered, Err):
-            logger.error("event=configuration_not_remembered error={}", remembered.err_value)
+            log_event("ERROR", "configuration_not_remembered", refusal=remembered.err_value)
         self.remembers = isinstance(remembered, Ok)
--- a/cranberrywall/orders/__init__.py
+++ b/cranberrywall/orders/__init__.py
@@ -7,6 +7,7 @@
 from cranberrywall.orders._group_machine import GroupMachine, make_group_machine
 from cranberrywall.orders._machine import OrdersMachine, make_orders_machine
 from cranberrywall.orders._plan import Plan, Step, make_plan
+from cranberrywall.orders._reports import EngineReporter, EngineReports
 from cranberrywall.orders._sender import OrderSender, make_http_sender
 from cranberrywall.orders.messages import (
     ORDERS_CODEC,
@@ -21,6 +22,8 @@
     "ORDERS_CODEC",
     "Action",
     "Copy",
+    "EngineReporter",
+    "EngineReports",
     "EngineView",
     "Engines",
     "Evidence",
--- a/cranberrywall/orders/_controller.py
+++ b/cranberrywall/orders/_controller.py
@@ -3,14 +3,13 @@
 from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
-from loguru import logger
 from result import Err, Ok
 
 from cranberrywall.configuration import Document
 from cranberrywall.links import Server
-from cranberrywall.orders._engines import Engines, EngineView, has_effect, without_removed
+from cranberrywall.observability import log_event
+from cranberrywall.orders._engines import Copy, Engines, EngineView, has_effect, without_removed
 from cranberrywall.orders._evidence import EvidenceFinder, Finding
-from cranberrywall.orders._machine import draws_on_store
 from cranberrywall.orders._outbox import Outbox
 from cranberrywall.orders._plan import Step, make_plan
 from cranberrywall.orders._settling import Settling
@@ -157,13 +156,14 @@
             self._outbox.fate(order_id)
             return [f"{engine.target}: {answer.reason}"] if isinstance(answer, NotIssued) else []
         self._outbox.start(order_id, engine.url, answer.number, step.action, self._times.load_limit)
-        logger.info(
-            "event=order number={} target={} kind={} model={} version={}",
-            answer.number,
-            engine.target,
-            step.action.kind,
-            step.action.model,
-            step.action.version,
+        log_event(
+            "INFO",
+            "order_sent",
+            number=answer.number,
+            target=engine.target,
+            kind=step.action.kind,
+            model=step.action.model,
+            version=step.action.version,
         )
         return []
 
@@ -180,8 +180,8 @@
         """Bar a predecessor's order from an engine that checks numbers.
 
         Nothing says whether it was sent. A higher number makes the engine refuse it from
-        now on: a load is ordered anew, and keeps its permit; for anything else, which may
-        be unwanted by now, an order goes out that changes nothing.
+        now on: a load is ordered anew, and keeps its permit; against an unload, which may
+        be unwanted by now, goes a load of what the engine already has.
         """
         for finding in findings:
             order, engine = finding.order, announced.get(finding.order.target)
@@ -189,9 +189,7 @@
             if finding.evidence is not None or not is_foreign or engine is None:
                 continue
             if order.checks_fencing and engine.checks_fencing:
-                unchanged = Action("role", order.action.model, name=engine.role)
-                action = order.action if draws_on_store(order.action) else unchanged
-                await self._order(Step(engine.target, action), engine)
+                await self._order(Step(engine.target, _barring(order, engine)), engine)
 
     async def _retain_kept(
         self, view: OrdersView, announced: dict[str, EngineView], now: float
@@ -216,10 +214,18 @@
     def _note(self, waiting: list[str]) -> None:
         for reason in waiting:
             if reason not in self.waiting:
-                logger.info("event=order_waits reason={!r}", reason)
+                log_event("INFO", "order_waits", reason=reason)
         self.waiting = waiting
 
 
+def _barring(order: OpenOrder, engine: EngineView) -> Action:
+    if order.action.kind != "unload":
+        return order.action
+    unloaded = Copy(order.action.model, order.action.version)
+    kept = sorted(engine.copies - {unloaded}) or [unloaded]
+    return Action("load", *kept[0])
+
+
 def _explain(finding: Finding) -> str:
     order = finding.order
     return (
--- a/cranberrywall/orders/_engines.py
+++ b/cranberrywall/orders/_engines.py
@@ -16,8 +16,9 @@
 class EngineView(NamedTuple):
     """Describe one engine by its latest announcement.
 
-    ``counter`` orders the announcements of one ``incarnation``. ``slots`` is how many
-    copies it can hold, ``capacity`` how many requests it serves at once.
+    ``counter`` orders the announcements of one ``incarnation``. ``models`` are those that
+    it can load, ``slots`` is how many copies it can hold, ``capacity`` how many requests it
+    serves at once.
     """
 
     target: str
@@ -28,7 +29,7 @@
     checks_fencing: bool
     copies: frozenset[Copy]
     adapters: frozenset[str]
-    role: str
+    models: frozenset[str]
     slots: int
     capacity: int
     leaving: bool
@@ -85,6 +86,4 @@
         return copy in engine.copies
     if action.kind == "unload":
         return copy not in engine.copies
-    if action.kind == "adapter":
-        return action.name in engine.adapters
-    return engine.role == action.name
+    return action.adapter in engine.adapters
--- a/cranberrywall/orders/_plan.py
+++ b/cranberrywall/orders/_plan.py
@@ -126,7 +126,11 @@
 
     def _add_copy(self, need: Need) -> bool:
         """Add a step towards one more copy; return whether one more may be tried."""
-        candidates = [engine for engine in self._free_engines() if need.copy not in engine.copies]
+        candidates = [
+            engine
+            for engine in self._free_engines()
+            if need.name in engine.models and need.copy not in engine.copies
+        ]
         with_room = [engine for engine in candidates if len(engine.copies) < engine.slots]
         if with_room:
             engine = min(with_room, key=lambda engine: self._preference(engine, need))
--- a/cranberrywall/orders/_sender.py
+++ b/cranberrywall/orders/_sender.py
@@ -36,14 +36,17 @@
 def order_body(number: int, action: Action) -> dict[str, Any]:
     """Return the JSON that an engine gets.
 
-    >>> order_body(7, Action("role", "m", name="prefill"))
-    {'number': 7, 'order': 'role', 'model': 'm', 'role': 'prefill'}
+    >>> order_body(7, Action("load", "letters", "v2"))
+    {'number': 7, 'order': 'load', 'model': 'letters', 'version': 'v2'}
     """
-    body: dict[str, Any] = {"number": number, "order": action.kind, "model": action.model}
-    if action.version:
-        body["version"] = action.version
-    if action.kind in ("adapter", "role"):
-        body[action.kind] = action.name
+    body: dict[str, Any] = {
+        "number": number,
+        "order": action.kind,
+        "model": action.model,
+        "version": action.version,
+    }
+    if action.adapter:
+        body["adapter"] = action.adapter
     return body
 
 
--- a/cranberrywall/orders/_settling.py
+++ b/cranberrywall/orders/_settling.py
@@ -10,7 +10,7 @@
 from cranberrywall.orders._engines import EngineView, has_effect
 from cranberrywall.orders.messages import ClosedOrder, Evidence, OpenOrder
 
-_WITHOUT_EFFECT = frozenset({Evidence.UNSENT, Evidence.FAILED, Evidence.REFUSED})
+_WITHOUT_EFFECT = frozenset({Evidence.UNSENT, Evidence.REFUSED})
 _WITH_EFFECT = frozenset({Evidence.DONE, Evidence.SEEN})
 
 
@@ -19,7 +19,7 @@
 
     An announcement that shows the order's effect is later. Where the effect is unknown or
     never shows, one is taken as later after ``longest_lag`` seconds, counted from when
-    this host first saw the order closed.
+    this host first saw the order closed. An engine that failed an order rests as long.
     """
 
     def __init__(self, longest_lag: float) -> None:
--- a/cranberrywall/orders/messages.py
+++ b/cranberrywall/orders/messages.py
@@ -9,7 +9,7 @@
 
 from cranberrywall.links import MessageCodec, Method
 
-ActionKind = Literal["load", "unload", "adapter", "role"]
+ActionKind = Literal["load", "unload", "adapter"]
 
 
 class Issuer(NamedTuple):
@@ -20,12 +20,12 @@
 
 
 class Action(NamedTuple):
-    """Say what an engine is to do; ``name`` is the adapter or the role, where there is one."""
+    """Say what an engine is to do; ``adapter`` is empty unless the kind is ``adapter``."""
 
     kind: ActionKind
     model: str
-    version: str = ""
-    name: str = ""
+    version: str
+    adapter: str = ""
 
 
 class Evidence(StrEnum):
--- a/tests/orders/test_machine.py
+++ b/tests/orders/test_machine.py
@@ -86,7 +86,7 @@
     machine = make_group_machine()
     copy = Copy("letters", "v1")
     engine = EngineView(
-        "engine-0", 1, 9, "p", "u", False, frozenset({copy}), frozenset(), "both", 1, 4, False
+        "engine-0", 1, 9, "p", "u", False, frozenset({copy}), frozenset(), frozenset(), 1, 4, False
     )
 
     def counted() -> bool:
--- a/tests/orders/test_plan.py
+++ b/tests/orders/test_plan.py
@@ -11,8 +11,8 @@
 
 def make_engine(name: str, *copies: Copy, slots: int = 2, **changes: Any) -> EngineView:
     view = EngineView(
-        name, 1, 1, f"place-{name[-1]}", name, True, frozenset(copies), frozenset(), "", slots, 4,
-        False,
+        name, 1, 1, f"place-{name[-1]}", name, True, frozenset(copies), frozenset(),
+        frozenset("abc"), slots, 4, False,
     )  # fmt: skip
     return view._replace(**changes)
 
@@ -69,6 +69,12 @@
     assert plan.steps == (Step("e1", Action("adapter", "a", "v1", "y")),)
 
 
+def test_an_engine_is_only_given_models_that_it_can_load() -> None:
+    engines = [make_engine("e1", models=frozenset("b")), make_engine("e2", B)]
+    plan = make_plan(document_with(a={}, b={}), engines, {}, ())
+    assert plan.steps == (Step("e2", Action("load", "a", "v1")),)
+
+
 copies = st.sets(
     st.builds(Copy, st.sampled_from(["a", "b", "c"]), st.sampled_from(["v0", "v1"])), max_size=2
 )
--- a/tests/orders/world.py
+++ b/tests/orders/world.py
@@ -59,7 +59,6 @@
         self.name = name
         self.copies = set(copies)
         self.adapters: set[str] = set()
-        self.role = "both"
         self.checks_fencing = checks_fencing
         self.slots = slots
         self.incarnation = 1
@@ -88,7 +87,7 @@
             self.checks_fencing,
             frozenset(self.copies),
             frozenset(self.adapters),
-            self.role,
+            frozenset(self._world.document["models"]),
             self.slots,
             4,
             False,
@@ -107,10 +106,8 @@
         copy = Copy(action.model, action.version)
         if action.kind in ("load", "adapter"):
             await self._load(action, copy)
-        elif action.kind == "unload":
-            self._unload(copy)
         else:
-            self.role = action.name
+            self._unload(copy)
         return Fate.DONE
 
     async def _load(self, action: Action, copy: Copy) -> None:
@@ -123,7 +120,7 @@
             finally:
                 self._world.store.end()
         if action.kind == "adapter":
-            self.adapters.add(action.name)
+            self.adapters.add(action.adapter)
         else:
             self.copies.add(copy)
 
