Test whole answers when engines cut, cross, double, fall silent or die

Ten failures, each with its story. The one with a dead engine showed a fault: the retry waited in the queue for an engine not tried yet until the class's deadline, hours for a letter.

--- a/cranberrywall/requests/_attempts.py
+++ b/cranberrywall/requests/_attempts.py
@@ -10,7 +10,7 @@
 
 import aiohttp
 from loguru import logger
-from result import Err
+from result import Err, Ok, Result
 
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.requests._background import Background
@@ -112,9 +112,7 @@
         for number in range(1, MAX_ATTEMPTS + 1):
             if last is not None:
                 await self._back_off(number)
-            now = self._clock.now()
-            wanted = demand._replace(exclude=tried, retry=last is not None)
-            acquired = await self._router.acquire(wanted, now)
+            acquired = await self._acquire(run, demand, tried)
             if isinstance(acquired, Err):
                 return AttemptEnd(_refusal(run, last, acquired.err_value))
             slot = acquired.ok_value
@@ -127,6 +125,21 @@
             tried |= {slot.target_id}
         return AttemptEnd(_refusal(run, last, None))
 
+    async def _acquire(
+        self, run: Run, demand: Demand, tried: frozenset[str]
+    ) -> Result[Slot, Refusal]:
+        now = self._clock.now()
+        if not tried:
+            return await self._router.acquire(demand, now)
+        soon = min(demand.deadline, now + self._limits.elsewhere_s)
+        elsewhere = demand._replace(exclude=tried, deadline=soon, retry=True)
+        acquired = await self._router.acquire(elsewhere, now)
+        if isinstance(acquired, Ok) or run.frames:
+            # A caller in mid answer is not kept waiting in a queue once more.
+            return acquired
+        again = demand._replace(retry=True)
+        return await self._router.acquire(again, self._clock.now())
+
     async def _attempt(
         self, run: Run, request: AttemptRequest, slot: Slot, number: int, body: bytes
     ) -> Fault | None:
--- a/cranberrywall/requests/_engine.py
+++ b/cranberrywall/requests/_engine.py
@@ -60,6 +60,7 @@
     connect_s: float = 1.0
     first_chunk_s: float = 15.0
     between_chunks_s: float = 10.0
+    elsewhere_s: float = 2.0
 
 
 class EngineCall(NamedTuple):
--- a/tests/requests/fleet.py
+++ b/tests/requests/fleet.py
@@ -25,7 +25,7 @@
 OTHER_KEY = "other-key"
 MODEL = "drafting-llm"
 SERVICE = "ledger-api"
-FAST = EngineLimits(connect_s=1.0, first_chunk_s=2.0, between_chunks_s=1.0)
+FAST = EngineLimits(connect_s=1.0, first_chunk_s=2.0, between_chunks_s=1.0, elsewhere_s=0.1)
 
 
 def document() -> Any:
--- /dev/null
+++ b/tests/requests/scripted.py
@@ -0,0 +1,82 @@
+"""Engines and services that answer just as a test says."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from aiohttp import web
+
+Play = Callable[["ScriptedEngine", web.Request, web.StreamResponse, str], Awaitable[None]]
+
+
+class ScriptedEngine:
+    """Answer each completion by ``play`` and each resume by ``replay``."""
+
+    def __init__(self, play: Play, replay: Play | None = None) -> None:
+        self._play = play
+        self._replay = replay
+        self.calls: list[dict[str, Any]] = []
+        self.cancelled: list[str] = []
+        self.released = asyncio.Event()
+        self.app = web.Application()
+        self.app.router.add_post("/v1/chat/completions", self._complete)
+        self.app.router.add_get("/v1/attempts/{attempt:.+}", self._resume)
+        self.app.router.add_delete("/v1/attempts/{attempt:.+}", self._cancel)
+
+    async def _complete(self, request: web.Request) -> web.StreamResponse:
+        self.calls.append(await request.json())
+        return await self._answer(request, request.headers["X-Attempt-Id"], self._play)
+
+    async def _resume(self, request: web.Request) -> web.StreamResponse:
+        if self._replay is None:
+            return web.Response(status=404)
+        return await self._answer(request, request.match_info["attempt"], self._replay)
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        self.cancelled.append(request.match_info["attempt"])
+        return web.json_response({})
+
+    async def _answer(self, request: web.Request, attempt: str, play: Play) -> web.StreamResponse:
+        response = web.StreamResponse(
+            headers={"Content-Type": "text/event-stream", "X-Attempt-Id": attempt}
+        )
+        await response.prepare(request)
+        await play(self, request, response, attempt)
+        return response
+
+
+def chunk(attempt: str, index: int, text: str = "", usage: int = 0) -> bytes:
+    value: dict[str, Any] = {
+        "id": attempt,
+        "index": index,
+        "choices": [{"index": 0, "delta": {"content": text}}],
+    }
+    if usage:
+        value["usage"] = {"prompt_tokens": 3, "completion_tokens": usage}
+    return b"data: " + json.dumps(value).encode() + b"\n\n"
+
+
+def script(*steps: Any) -> Play:
+    """Return a play of steps: ``(index, text)``, ``bytes``, ``"cut"``, ``"wait"``, ``"end"``."""
+
+    async def play(
+        engine: ScriptedEngine, request: web.Request, response: web.StreamResponse, attempt: str
+    ) -> None:
+        count = 0
+        for step in steps:
+            if step == "cut":
+                assert request.transport is not None
+                request.transport.abort()
+                return
+            if step == "wait":
+                await engine.released.wait()
+            elif step == "end":
+                await response.write(chunk(attempt, count, usage=count) + b"data: [DONE]\n\n")
+            elif isinstance(step, bytes):
+                await response.write(step)
+            else:
+                count = step[0] + 1
+                await response.write(chunk(attempt, step[0], step[1]))
+
+    return play
--- /dev/null
+++ b/tests/requests/test_attempts.py
@@ -0,0 +1,179 @@
+"""Check that callers get whole answers of their own when targets fail in mid answer."""
+
+import asyncio
+from typing import Any
+
+from standins import Faults, answer_words
+from tests.requests.fleet import FAST, Fleet, chat, frames, headers, text_of
+from tests.requests.scripted import ScriptedEngine, chunk, script
+
+
+def whole_text(body: dict[str, Any]) -> str:
+    return " ".join(answer_words(body["messages"]))
+
+
+async def test_a_cut_stream_is_resumed_at_its_engine() -> None:
+    """The connection to the engine ends after four chunks, and the engine goes on.
+
+    The caller sees one whole stream: the router asks the engine for the attempt's rest.
+    """
+    async with Fleet() as fleet:
+        engine = await fleet.engine(faults=Faults(cut=1.0))
+        entry = await fleet.entry()
+        body = chat(stream=True)
+        _, _, data = await fleet.post(entry, body, request_id="r-1")
+        events = frames(data)
+        assert events[-1] == b"[DONE]"
+        assert text_of(events) == whole_text(body)
+        assert [event["index"] for event in events[:-1]] == list(range(len(events) - 1))
+        assert engine.counts.by_request["r-1"]["executions"] == 1
+
+
+async def test_an_engine_that_dies_is_replaced_where_the_answer_agrees() -> None:
+    """The engine dies in mid answer. Another engine runs the request again.
+
+    Its answer begins with what the caller already has, so the caller gets the rest of it,
+    and the answer is billed once.
+    """
+    async with Fleet() as fleet:
+        await fleet.engine("engine-1", faults=Faults(dies=1.0))
+        entry = await fleet.entry()
+        await fleet.engine("engine-2")
+        entry_2 = await fleet.entry("entry-2")
+        body = chat(stream=True)
+        # The router may choose either engine: with entry-1, only the one that dies.
+        status, _, data = await fleet.post(entry, body, request_id="r-0")
+        assert (status, frames(data)[-1]["error"]["code"]) == (200, "answer_cut")
+        _, _, data = await fleet.post(entry_2, body, request_id="r-1")
+        assert text_of(frames(data)) == whole_text(body)
+        assert list(fleet.ledger.billed_by_request) == [("desk", "r-1")]
+
+
+async def test_another_answer_is_never_joined_to_a_begun_one() -> None:
+    """An engine dies after two chunks; the next engine words its answer otherwise.
+
+    A caller would get the beginning of one answer and the end of another. It gets an
+    explicit error and no end mark instead, and is not charged.
+    """
+    async with Fleet() as fleet:
+        begun = ScriptedEngine(script((0, "Dear"), (1, " pensioner"), "cut"))
+        other = ScriptedEngine(script((0, "Dear"), (1, " ratepayer"), (2, "."), "end"))
+        await fleet.target(begun.app)
+        entry = await fleet.entry()
+        await fleet.target(other.app)
+        entry_2 = await fleet.entry("entry-2")
+        for host in (entry, entry_2):
+            _, _, data = await fleet.post(host, chat(stream=True))
+            events = frames(data)
+            if begun.calls:
+                assert events[-1]["error"]["code"] == "answer_cut"
+                assert text_of(events[:-1]) == "Dear pensioner"
+                begun.calls.clear()
+                assert not fleet.ledger.billed_by_request
+
+
+async def test_chunks_of_another_attempt_and_doubled_ones_are_dropped() -> None:
+    """An engine mixes up its streams and repeats itself: a clerk would read another's text."""
+    foreign = chunk("r-9/1/0000000000000000", 1, " SECRET")
+    async with Fleet() as fleet:
+        engine = ScriptedEngine(script((0, "own"), foreign, (0, "own"), (1, " text"), "end"))
+        await fleet.target(engine.app)
+        entry = await fleet.entry()
+        _, _, data = await fleet.post(entry, chat(stream=True), request_id="r-1")
+        assert text_of(frames(data)) == "own text"
+        dropped = entry.stack.parts.metrics.dropped_chunks
+        assert dropped.labels("crossed")._value.get() == 1
+        assert dropped.labels("doubled")._value.get() == 1
+
+
+async def test_a_reply_with_another_attempts_head_is_not_delivered() -> None:
+    """An engine answers with the reply to another caller's request.
+
+    The reply is dropped and counted, and another engine answers.
+    """
+    async with Fleet() as fleet:
+        await fleet.engine("engine-1", faults=Faults(crossed=1.0))
+        await fleet.engine("engine-2")
+        entry = await fleet.entry()
+        body = chat("Which bay is ours?")
+        for number in range(6):
+            status, _, data = await fleet.post(entry, body, request_id=f"r-{number}")
+            assert status == 200
+            assert whole_text(body).encode() in data
+        assert entry.stack.parts.metrics.dropped_chunks.labels("crossed")._value.get() > 0
+
+
+async def test_a_missing_chunk_is_fetched_before_the_next_is_delivered() -> None:
+    """A chunk is lost on the way: the caller would get an answer with a hole."""
+    async with Fleet() as fleet:
+        engine = ScriptedEngine(
+            script((0, "a"), (2, "c"), "end"),
+            replay=script((1, "b"), (2, "c"), "end"),
+        )
+        await fleet.target(engine.app)
+        entry = await fleet.entry()
+        _, _, data = await fleet.post(entry, chat(stream=True))
+        assert text_of(frames(data)) == "abc"
+
+
+async def test_an_end_without_the_end_mark_is_not_an_answer() -> None:
+    """An engine closes the stream politely but early, and knows no more of the attempt."""
+    async with Fleet() as fleet:
+        engine = ScriptedEngine(script((0, "half")))
+        await fleet.target(engine.app)
+        entry = await fleet.entry()
+        _, _, data = await fleet.post(entry, chat(stream=True))
+        assert b"[DONE]" not in data
+        assert frames(data)[-1]["error"]["code"] == "answer_cut"
+        status, head, data = await fleet.post(entry, chat())
+        assert (status, head["X-Ran"]) == (502, "yes")
+        assert b"half" not in data
+        assert (entry.allotments.held, fleet.ledger.billed_by_request) == (0, {})
+
+
+async def test_an_engine_that_accepts_and_says_nothing_is_left() -> None:
+    """An engine takes the call and never answers: the caller would wait for its deadline."""
+    async with Fleet() as fleet:
+        silent = ScriptedEngine(script("wait"))
+        await fleet.target(silent.app)
+        entry = await fleet.entry(engine_limits=FAST._replace(first_chunk_s=0.05))
+        status, head, _ = await fleet.post(entry, chat())
+        assert (status, head["X-Ran"]) == (502, "yes")
+        await entry.stack.finish()
+        assert silent.cancelled
+        silent.released.set()
+
+
+async def test_nothing_listening_is_not_run() -> None:
+    """The target's host is down: no byte was sent, and the refusal says so."""
+    async with Fleet() as fleet:
+        await fleet.engine()
+        await fleet._standins[0].close()
+        entry = await fleet.entry()
+        status, head, data = await fleet.post(entry, chat())
+        assert (status, head["X-Ran"]) == (503, "no")
+        assert head["Retry-After"]
+
+
+async def test_a_caller_that_leaves_frees_its_place_and_pays_for_what_was_made() -> None:
+    """A caller closes its connection in mid answer.
+
+    The engine is told to stop, the place is free for the next caller, and the tokens that
+    were generated are charged.
+    """
+    async with Fleet() as fleet:
+        engine = ScriptedEngine(script((0, "a"), (1, "b"), "wait"))
+        await fleet.target(engine.app)
+        entry = await fleet.entry()
+        url = f"{entry.url}/v1/chat/completions"
+        answer = await fleet.session.post(url, json=chat(stream=True), headers=headers())
+        await answer.content.readany()
+        answer.close()
+        while entry.stack.running:
+            await asyncio.sleep(0.005)
+        await entry.stack.finish()
+        assert len(engine.cancelled) == 1
+        assert entry.allotments.held == 0
+        (charged,) = fleet.ledger.billed_by_request.values()
+        assert 2 <= charged < 40
+        engine.released.set()
