Drain an entry host on SIGTERM, and join the membership

The entry program took every configured host as alive and stopped listening on SIGTERM at once, so callers that kept its address were refused. It now takes part in the membership, leaves it first, and serves until address_ttl has passed and nothing has arrived for a second; answers ask callers to close.

--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -24,7 +24,7 @@
     ConfiguredPolicies,
     make_caller_stack,
 )
-from cranberrywall.hosts import HostState, HostView
+from cranberrywall.hosts import HostState, HostView, LiveMembership, make_membership, pace_of
 from cranberrywall.links import (
     LinkCaller,
     LinkCounters,
@@ -54,6 +54,16 @@
 
 SHUTDOWN_S = 1.0
 
+TTL_MARGIN_S = 0.5
+"""How much longer than they were told callers may keep addresses, for answers on the way."""
+
+QUIET_S = 1.0
+"""A draining host without an arrival for so long is no longer used by any caller."""
+
+LOAD_EVERY_S = 1.0
+BUSY_REQUESTS = 1000
+"""Requests in progress at which a host says that it is fully loaded."""
+
 
 class EntryProgram:
     """Hold one entry process."""
@@ -71,11 +81,12 @@
         self._ledger = make_ledger_client(control, settings["ledger_groups"])
         self._configuration = make_host_configuration(runtime.storage)
         self._hosts = ConfiguredHosts(self._view(), self._configuration, self._peers())
+        self._membership = self._make_membership()
         self._follower = self._make_follower(controls)
         self._allotments = self._make_allotments()
         self._targets = make_targets()
         self._spread = AnnouncementSpread(
-            self._me.host, self._targets, self._hosts, self._caller, runtime.clock
+            self._me.host, self._targets, self._membership, self._caller, runtime.clock
         )
         self._follower.register(self._server)
         self._spread.register(self._server)
@@ -86,6 +97,7 @@
         self._stack: CallerStack | None = None
         self._runner: web.AppRunner | None = None
         self._failure = ""
+        self._is_draining = False
         self._tasks: list[asyncio.Task[None]] = []
         self._register_state()
 
@@ -101,9 +113,26 @@
         self._tasks.append(asyncio.create_task(self._become_ready()))
         log_event("INFO", "entry_started", admin=self.admin_address)
 
+    async def drain(self) -> None:
+        """Go on serving until no caller can hold an answer that names this host.
+
+        From now on no answer names it, and none that was given is older than its time to
+        live when this returns. So no request is refused or cut because the host leaves.
+        """
+        self._membership.leave()
+        if self._stack is None or self._is_draining:
+            return
+        self._is_draining = True
+        self._stack.start_draining()
+        clock = self._runtime.clock
+        log_event("INFO", "entry_draining", running=self._stack.running)
+        await clock.sleep(seconds(self._settings["callers"]["address_ttl"]) + TTL_MARGIN_S)
+        while self._stack.quiet_for(clock.now()) < QUIET_S:
+            await clock.sleep(QUIET_S - self._stack.quiet_for(clock.now()))
+
     async def stop(self) -> None:
         """Finish the requests in progress, hand the money back and close everything."""
-        self._hosts.leave()
+        self._membership.leave()
         if self._runner is not None and self._stack is not None:
             for site in list(self._runner.sites):
                 await site.stop()
@@ -115,12 +144,14 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._membership.close()
         await self._admin.close()
         await self._server.close()
         await self._caller.close()
         log_event("INFO", "entry_stopped")
 
     async def _become_ready(self) -> None:
+        await self._membership.start()
         revision = await self._follower.join()
         self._tasks.append(asyncio.create_task(self._follower.run()))
         self._tasks.append(asyncio.create_task(self._spread.expire()))
@@ -141,6 +172,7 @@
             runtime.random,
             self._me.host,
             self._me.place,
+            lambda: max(1, len(self._membership.alive())),
         )
         callers = self._settings["callers"]
         stack = make_caller_stack(
@@ -148,7 +180,7 @@
             self._me.place,
             self._me.incarnation,
             self._configuration,
-            self._hosts,
+            self._membership,
             self._allotments,
             self._ledger,
             router,
@@ -165,12 +197,21 @@
                 self._targets, self._keys.target, runtime.clock, self._spread.publish
             )
         )
-        runner = web.AppRunner(stack.app, access_log=None, shutdown_timeout=SHUTDOWN_S)
+        # A handler whose caller has gone is cancelled, which frees its place in the queue.
+        runner = web.AppRunner(
+            stack.app, access_log=None, shutdown_timeout=SHUTDOWN_S, handler_cancellation=True
+        )
         await runner.setup()
         host, port = split_address(self._settings["listen"]["http"])
         await web.TCPSite(runner, host, port).start()
         self._stack = stack
         self._runner = runner
+        self._tasks.append(asyncio.create_task(self._report_load(stack)))
+
+    async def _report_load(self, stack: CallerStack) -> None:
+        while True:
+            self._membership.set_load(min(1.0, stack.running / BUSY_REQUESTS))
+            await self._runtime.clock.sleep(LOAD_EVERY_S)
 
     def _make_server(self) -> LinkServer:
         return make_link_server(
@@ -212,6 +253,20 @@
             for peer in self._settings["peers"]
         ]
 
+    def _make_membership(self) -> LiveMembership:
+        listen = self._settings["listen"]
+        return make_membership(
+            self._me,
+            listen["links"],
+            listen["http"],
+            [peer["links"] for peer in self._settings["peers"]],
+            self._server,
+            self._caller,
+            self._runtime.clock,
+            self._runtime.random,
+            pace_of(self._settings),
+        )
+
     def _make_follower(self, controls: list[str]) -> Follower:
         me = SpreadHost(self._me.host, self._me.place, self._settings["listen"]["links"])
         return make_follower(
@@ -229,7 +284,7 @@
             Holder(self._me.host, self._me.incarnation),
             self._me.place,
             self._ledger,
-            self._hosts,
+            self._membership,
             self._hosts.entry_hosts,
             ConfiguredPolicies(self._configuration),
             self._caller,
@@ -249,14 +304,22 @@
         )
 
     def _check_serving(self) -> str | None:
-        return None if self._runner is not None else "there is no configuration yet"
+        if self._runner is None:
+            return "there is no configuration yet"
+        return "this host is draining" if self._is_draining else None
 
     def _register_state(self) -> None:
         self.state.register("host", lambda: {"host": self._me.host, "place": self._me.place})
         self.state.register("configuration", self._follower.state)
+        self.state.register("membership", self._membership.state)
+        self.state.register("requests", self._requests_state)
         self.state.register("targets", self._targets_state)
         self.state.register("links", self._caller.state)
 
+    def _requests_state(self) -> dict[str, Any]:
+        running = self._stack.running if self._stack is not None else 0
+        return {"running": running, "is_draining": self._is_draining}
+
     def _targets_state(self) -> dict[str, Any]:
         return {
             name: target.announcement.name for name, target in sorted(self._targets.by_id.items())
--- a/cranberrywall/commands/entry.py
+++ b/cranberrywall/commands/entry.py
@@ -9,6 +9,9 @@
 from cranberrywall.runtime import make_runtime
 from cranberrywall.settings import Settings, settings_options
 
+LONGEST_DRAIN_S = 3600.0
+"""The last stream must end within this; a graceful shutdown cuts none before."""
+
 
 class _EntryService(aiomisc.Service):
     """Start and stop the entry program with the process."""
@@ -25,8 +28,9 @@
         dump_state_on_signal(self._program.state)
 
     async def stop(self, exception: Exception | None = None) -> None:
-        """Stop the program."""
+        """Drain and stop the program."""
         if self._program is not None:
+            await self._program.drain()
             await self._program.stop()
 
 
@@ -36,7 +40,13 @@
     """Run an entry host until SIGTERM or SIGINT."""
     configure_log("entry", settings["host"], settings["place"], settings["log"]["level"])
     service = _EntryService(settings)
-    with aiomisc.entrypoint(service, log_config=False, loop_factory=uvloop.new_event_loop) as loop:
+    entrypoint = aiomisc.entrypoint(
+        service,
+        log_config=False,
+        loop_factory=uvloop.new_event_loop,
+        shutdown_timeout=LONGEST_DRAIN_S,
+    )
+    with entrypoint as loop:
         loop.run_forever()
 
 
--- a/cranberrywall/entry/_stack.py
+++ b/cranberrywall/entry/_stack.py
@@ -2,6 +2,7 @@
 
 import aiohttp
 from aiohttp import web
+from aiohttp.typedefs import Handler, Middleware
 from prometheus_client import CollectorRegistry
 
 from cranberrywall.budgets import Allotments
@@ -31,6 +32,7 @@
 from cranberrywall.routing import Router
 from cranberrywall.runtime import Clock, Random
 
+CALLERS_PREFIXES = ("/v1/chat/", "/v1/services/")
 _SERVICE_ANSWER_S = 60.0
 _KEPT_CONNECTIONS = 0
 """No limit on connections: the router bounds the calls in progress at each target."""
@@ -48,7 +50,11 @@
         self._sessions = sessions
         self._background = background
         self.parts = parts
-        self.app = web.Application(middlewares=[make_error_middleware(parts)])
+        self._is_draining = False
+        self._last_arrival_at = float("-inf")
+        middlewares = [self._make_watch(), make_error_middleware(parts)]
+        self.app = web.Application(middlewares=middlewares)
+        self.app.on_response_prepare.append(self._close_connection)
         self.app.add_routes(make_caller_routes(parts))
 
     @property
@@ -56,12 +62,35 @@
         """Return how many requests are in progress."""
         return self.parts.chats.running + self.parts.services.running
 
+    def start_draining(self) -> None:
+        """Ask callers, with each answer, to close their connection after it."""
+        self._is_draining = True
+
+    def quiet_for(self, now: float) -> float:
+        """Return for how long no request has arrived, in seconds."""
+        return now - self._last_arrival_at
+
     async def finish(self) -> None:
         """Return once no request is in progress and what they left is recorded."""
         await self.parts.chats.wait_idle()
         await self.parts.services.wait_idle()
         await self._background.wait_empty()
 
+    def _make_watch(self) -> Middleware:
+        @web.middleware
+        async def watch(request: web.Request, handler: Handler) -> web.StreamResponse:
+            if request.path.startswith(CALLERS_PREFIXES):
+                self._last_arrival_at = self.parts.clock.now()
+            return await handler(request)
+
+        return watch
+
+    async def _close_connection(self, request: web.Request, response: web.StreamResponse) -> None:
+        # A connection that stays open could bring a request at the very moment at
+        # which this host closes it.
+        if self._is_draining:
+            response.force_close()
+
     async def close(self) -> None:
         """Close the connections to targets."""
         for session in self._sessions:
