Send the header that ends connections while draining

The library writes the Connection header before it asks this host, so forcing the close alone did not tell the caller. tests/callers: 3 passed; one of them failed before this commit.

--- a/cranberrywall/entry/_stack.py
+++ b/cranberrywall/entry/_stack.py
@@ -90,6 +90,7 @@
         # which this host closes it.
         if self._is_draining:
             response.force_close()
+            response.headers["Connection"] = "close"
 
     async def close(self) -> None:
         """Close the connections to targets."""
