--- a/tests/fakes/intents.py
+++ b/tests/fakes/intents.py
@@ -48,3 +48,25 @@
             known = known._replace(state=command.state, answer=command.answer)
             self.by_key[key] = known
         return Ok(known)
+
+
+class HostIntents:
+    """Reach the intents from one host until it dies."""
+
+    def __init__(self, shared: MemoryIntents) -> None:
+        self._shared = shared
+        self.dead = False
+
+    async def record_intent(
+        self, command: RecordIntent, timeout: float
+    ) -> Result[IntentResult, Refusal]:
+        if self.dead:
+            return Err(Refusal(ErrorKind.TIMEOUT, "this host is dead"))
+        return await self._shared.record_intent(command, timeout)
+
+    async def record_outcome(
+        self, command: RecordOutcome, timeout: float
+    ) -> Result[IntentResult, Refusal]:
+        if self.dead:
+            return Err(Refusal(ErrorKind.TIMEOUT, "this host is dead"))
+        return await self._shared.record_outcome(command, timeout)
--- a/tests/requests/fleet.py
+++ b/tests/requests/fleet.py
@@ -10,6 +10,7 @@
 
 from cranberrywall.configuration import make_fixed_configuration
 from cranberrywall.entry import CallerStack, make_caller_stack
+from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.requests import EngineLimits
 from cranberrywall.routing import make_router
 from cranberrywall.runtime import make_clock
@@ -17,7 +18,7 @@
 from standins import EngineOptions, ServiceOptions, make_engine, make_service, serve
 from tests.configuration.documents import make_document
 from tests.fakes.allotments import MemoryAllotments, MemoryLedger
-from tests.fakes.intents import MemoryIntents
+from tests.fakes.intents import HostIntents, MemoryIntents
 from tests.fakes.membership import FixedMembership
 from tests.targets.announcements import announce
 
@@ -69,10 +70,13 @@
         self.stack = stack
         self.url = url
         self.allotments: MemoryAllotments
+        self.intents: HostIntents
         self._runner = runner
 
     async def kill(self) -> None:
         """End as a killed process does: connections end in mid answer, nothing is wound up."""
+        self.intents.dead = True
+        self.allotments.settle_refusal = Refusal(ErrorKind.UNREACHABLE, "this host is dead")
         await self.stack.abort()
         await self._runner.cleanup()
 
@@ -131,6 +135,7 @@
         for announcement in self.announcements:
             targets.apply(announcement, self.clock.now())
         allotments = MemoryAllotments(self.ledger)
+        intents = HostIntents(self.intents)
         stack = make_caller_stack(
             host=host,
             place="town-hall",
@@ -138,7 +143,7 @@
             configuration=self.configuration,
             membership=self.membership,
             allotments=allotments,
-            intents=self.intents,
+            intents=intents,
             router=router,
             clock=self.clock,
             random=random_numbers,
@@ -153,6 +158,7 @@
         self.membership.add(host, http=url.removeprefix("http://"))
         entry = Entry(host, stack, runner, url)
         entry.allotments = allotments
+        entry.intents = intents
         self.entries.append(entry)
         return entry
 
--- /dev/null
+++ b/tests/requests/test_at_most_once.py
@@ -0,0 +1,203 @@
+"""Check that a call declared not repeatable runs at most once, and that refusals are true."""
+
+import asyncio
+import json
+from typing import Any
+
+from aiohttp import web
+
+from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.hosts import HostState
+from standins import Faults
+from tests.requests.fleet import Fleet, document, headers
+
+CONFIRM = "/renewals/17/confirm"
+
+
+def code(data: bytes) -> Any:
+    return json.loads(data)["error"]["code"]
+
+
+def executions(service: Any, request_id: str) -> int:
+    count = service.counts.by_request.get(request_id)
+    return count["executions"] if count else 0
+
+
+class SlowService:
+    """Run a call when told, and answer it when told."""
+
+    def __init__(self) -> None:
+        self.arrived = asyncio.Event()
+        self.may_answer = asyncio.Event()
+        self.runs = 0
+        self.app = web.Application()
+        self.app.router.add_route("*", "/{path:.*}", self._run)
+
+    async def _run(self, request: web.Request) -> web.Response:
+        self.runs += 1
+        self.arrived.set()
+        await self.may_answer.wait()
+        attempt = request.headers["X-Attempt-Id"]
+        return web.Response(text="confirmed", headers={"X-Attempt-Id": attempt})
+
+
+async def test_a_second_arrival_elsewhere_gets_the_stored_answer() -> None:
+    async with Fleet() as fleet:
+        service = await fleet.service()
+        first, second = await fleet.entry("entry-1"), await fleet.entry("entry-2")
+        _, _, answer = await fleet.call(first, CONFIRM, data=b"yes", request_id="c-1")
+        await first.stack.finish()
+        status, head, again = await fleet.call(second, CONFIRM, data=b"yes", request_id="c-1")
+        assert (status, head["X-Ran"], again) == (200, "yes", answer)
+        status, _, data = await fleet.call(second, CONFIRM, data=b"no", request_id="c-1")
+        assert (status, code(data)) == (409, "conflict")
+        assert executions(service, "c-1") == 1
+        assert fleet.ledger.billed_by_request == {("desk", "c-1"): 1}
+
+
+async def test_a_lost_reply_is_unknown_and_never_run_again() -> None:
+    """A renewal is confirmed and the service's reply is lost on the way.
+
+    A second run would confirm twice. The caller hears that the outcome is unknown, here
+    and at another host.
+    """
+    async with Fleet() as fleet:
+        service = await fleet.service(faults=Faults(cut=1.0))
+        first, second = await fleet.entry("entry-1"), await fleet.entry("entry-2")
+        status, head, data = await fleet.call(first, CONFIRM, request_id="c-1")
+        assert (status, head["X-Ran"], code(data)) == (502, "unknown", "outcome_unknown")
+        await first.stack.finish()
+        for entry in (first, second):
+            _, head, data = await fleet.call(entry, CONFIRM, request_id="c-1")
+            assert (head["X-Ran"], code(data)) == ("unknown", "outcome_unknown")
+        assert executions(service, "c-1") == 1
+        assert (first.allotments.held, second.allotments.held) == (0, 0)
+
+
+async def test_a_repeatable_call_whose_reply_is_lost_is_tried_elsewhere() -> None:
+    async with Fleet() as fleet:
+        bad = await fleet.service("api-1", faults=Faults(cut=1.0))
+        good = await fleet.service("api-2")
+        entry = await fleet.entry()
+        for number in range(6):
+            status, _, _ = await fleet.call(entry, "/rates", "GET", request_id=f"g-{number}")
+            assert status == 200
+        assert sum(executions(good, f"g-{number}") for number in range(6)) == 6
+        assert any(executions(bad, f"g-{number}") for number in range(6))
+
+
+async def test_one_id_at_two_hosts_at_once_runs_once() -> None:
+    """A desk agent presses twice, and the two calls go to two hosts.
+
+    One host wins at the ledger; the other says that the call runs. Later both answer it.
+    """
+    async with Fleet() as fleet:
+        service = SlowService()
+        await fleet.target(service.app, kind="service")
+        first, second = await fleet.entry("entry-1"), await fleet.entry("entry-2")
+        running = asyncio.create_task(fleet.call(first, CONFIRM, request_id="c-1"))
+        await service.arrived.wait()
+        status, head, data = await fleet.call(second, CONFIRM, request_id="c-1")
+        assert (status, head["X-Ran"], code(data)) == (409, "yes", "running")
+        service.may_answer.set()
+        assert (await running)[2] == b"confirmed"
+        await first.stack.finish()
+        assert (await fleet.call(second, CONFIRM, request_id="c-1"))[2] == b"confirmed"
+        assert service.runs == 1
+
+
+async def test_a_host_that_dies_after_sending_leaves_the_outcome_unknown() -> None:
+    """The host dies while the service works. The caller retries at another host.
+
+    While the first is believed alive the call may run; once it is dead nobody can tell.
+    """
+    async with Fleet() as fleet:
+        service = SlowService()
+        await fleet.target(service.app, kind="service")
+        first, second = await fleet.entry("entry-1"), await fleet.entry("entry-2")
+        lost = asyncio.create_task(fleet.call(first, CONFIRM, request_id="c-1"))
+        await service.arrived.wait()
+        await first.kill()
+        await asyncio.gather(lost, return_exceptions=True)
+        assert code((await fleet.call(second, CONFIRM, request_id="c-1"))[2]) == "running"
+        fleet.membership.mark("entry-1", HostState.DEAD)
+        assert code((await fleet.call(second, CONFIRM, request_id="c-1"))[2]) == "outcome_unknown"
+        service.may_answer.set()
+        assert service.runs == 1
+
+
+async def test_without_a_majority_nothing_is_sent() -> None:
+    """The host cannot reach the ledger: it sends nothing, and says so.
+
+    The record of the intent may still have been committed. It is withdrawn, so that the
+    caller's retry runs.
+    """
+    async with Fleet() as fleet:
+        service = await fleet.service()
+        entry = await fleet.entry()
+        fleet.intents.reachable = False
+        status, head, data = await fleet.call(entry, CONFIRM, request_id="c-1")
+        assert (status, head["X-Ran"], code(data)) == (503, "no", "not_run")
+        fleet.intents.reachable, fleet.intents.loses_reply = True, True
+        assert code((await fleet.call(entry, CONFIRM, request_id="c-2"))[2]) == "not_run"
+        assert service.counts.by_request == {}
+        fleet.intents.loses_reply = False
+        status = 0
+        while status != 200:
+            status, _, _ = await fleet.call(entry, CONFIRM, request_id="c-2")
+        assert executions(service, "c-2") == 1
+
+
+async def test_a_call_that_was_not_sent_may_be_sent_again() -> None:
+    """No target of the service is there: the refusal is true, and the retry runs."""
+    async with Fleet() as fleet:
+        entry = await fleet.entry()
+        sent = headers(request_id="c-1") | {"X-Deadline-S": "0.1"}
+        url = f"{entry.url}/v1/services/ledger-api{CONFIRM}"
+        async with fleet.session.post(url, headers=sent) as answer:
+            assert answer.headers["X-Ran"] == "no"
+        await entry.stack.finish()
+        service = await fleet.service()
+        second = await fleet.entry("entry-2")
+        assert (await fleet.call(second, CONFIRM, request_id="c-1"))[0] == 200
+        assert executions(service, "c-1") == 1
+
+
+async def test_a_caller_that_leaves_does_not_lose_the_answer() -> None:
+    """The caller's deadline passes while the service works; its retry gets the answer."""
+    async with Fleet() as fleet:
+        service = SlowService()
+        await fleet.target(service.app, kind="service")
+        entry = await fleet.entry()
+        sent = headers(request_id="c-1") | {"X-Deadline-S": "0.2"}
+        url = f"{entry.url}/v1/services/ledger-api{CONFIRM}"
+        async with fleet.session.post(url, headers=sent) as answer:
+            assert (answer.status, answer.headers["X-Ran"]) == (409, "yes")
+        service.may_answer.set()
+        assert (await fleet.call(entry, CONFIRM, request_id="c-1"))[2] == b"confirmed"
+        assert service.runs == 1
+
+
+async def test_another_spelling_of_the_path_is_guarded_too() -> None:
+    """A path is spelled so that it matches no declared prefix, but the service knows it."""
+    async with Fleet() as fleet:
+        service = await fleet.service(faults=Faults(cut=1.0))
+        entry = await fleet.entry()
+        assert document()["services"]["ledger-api"]["not_repeatable"] == ["POST /renewals"]
+        for number, path in enumerate(("//renewals/1", "/%72enewals/1", "/Renewals/1")):
+            _, _, data = await fleet.call(entry, path, request_id=f"p-{number}")
+            assert code(data) == "outcome_unknown"
+            assert executions(service, f"p-{number}") == 1
+        status, _, data = await fleet.call(entry, "/rates/..%2frenewals/1", request_id="p-9")
+        assert (status, json.loads(data)["error"]["field"]) == (400, "path")
+
+
+async def test_a_settle_that_fails_never_says_not_run() -> None:
+    """The call ran and its charge cannot be made durable."""
+    async with Fleet() as fleet:
+        await fleet.service()
+        entry = await fleet.entry()
+        entry.allotments.settle_refusal = Refusal(ErrorKind.BUDGET_UNREACHABLE)
+        for path in (CONFIRM, "/rates"):
+            _, head, _ = await fleet.call(entry, path, request_id=path)
+            assert head["X-Ran"] in ("unknown", "yes")
