Join retries of a named request to its one run, also when its host dies

Two registry hosts, chosen by rendezvous hash, know which host owns the run of a named chat completion and where its attempt is. A retry elsewhere follows the owner's frames; where the owner is lost, one host takes the run over at the engine. The first registry host alone decides, so that two hosts that claim at once cannot both be granted. tests/requests and tests/callers: 30 passed.

--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -22,6 +22,7 @@
     CallerStack,
     ConfiguredHosts,
     ConfiguredPolicies,
+    StackLinks,
     make_caller_stack,
 )
 from cranberrywall.hosts import HostState, HostView, LiveMembership, make_membership, pace_of
@@ -186,7 +187,8 @@
             router,
             runtime.clock,
             runtime.random,
-            registry=self._metrics.registry,
+            metrics_registry=self._metrics.registry,
+            links=StackLinks(self._settings["listen"]["links"], self._caller, self._server),
             caller_limits=CallerLimits(
                 bodies=BodyLimits(most_bytes=size_in_bytes(callers["body"])),
                 ttl_s=seconds(callers["address_ttl"]),
--- a/cranberrywall/entry/__init__.py
+++ b/cranberrywall/entry/__init__.py
@@ -2,12 +2,13 @@
 
 from cranberrywall.entry._announcements import AnnouncementSpread
 from cranberrywall.entry._configured import ConfiguredHosts, ConfiguredPolicies
-from cranberrywall.entry._stack import CallerStack, make_caller_stack
+from cranberrywall.entry._stack import CallerStack, StackLinks, make_caller_stack
 
 __all__ = [
     "AnnouncementSpread",
     "CallerStack",
     "ConfiguredHosts",
     "ConfiguredPolicies",
+    "StackLinks",
     "make_caller_stack",
 ]
--- a/cranberrywall/entry/_stack.py
+++ b/cranberrywall/entry/_stack.py
@@ -1,5 +1,7 @@
 """Put together the parts that serve callers on one entry host."""
 
+from typing import NamedTuple
+
 import aiohttp
 from aiohttp import web
 from aiohttp.typedefs import Handler, Middleware
@@ -15,13 +17,18 @@
 )
 from cranberrywall.configuration import Configuration
 from cranberrywall.hosts import Membership
+from cranberrywall.links import Caller, Server
 from cranberrywall.requests import (
     Attempts,
     Background,
+    ChatRunner,
     ChatRuns,
     EngineLimits,
     IntentLedger,
     Intents,
+    Leader,
+    Owner,
+    Registry,
     RequestMetrics,
     RunLimits,
     ServiceCalls,
@@ -38,6 +45,14 @@
 """No limit on connections: the router bounds the calls in progress at each target."""
 
 
+class StackLinks(NamedTuple):
+    """Hold this host's streams to the other entry hosts; ``address`` is its own."""
+
+    address: str
+    caller: Caller
+    server: Server
+
+
 class CallerStack:
     """Serve callers: the application and what runs behind it."""
 
@@ -116,20 +131,39 @@
     router: Router,
     clock: Clock,
     random: Random,
-    registry: CollectorRegistry | None = None,
+    metrics_registry: CollectorRegistry | None = None,
+    links: StackLinks | None = None,
     caller_limits: CallerLimits | None = None,
     engine_limits: EngineLimits | None = None,
     run_limits: RunLimits | None = None,
     service_limits: ServiceLimits | None = None,
 ) -> CallerStack:
-    """Return the stack of one entry host; call it in a running event loop."""
-    metrics = RequestMetrics(registry or CollectorRegistry())
+    """Return the stack of one entry host; call it in a running event loop.
+
+    Without ``links`` the host stands alone: a retry at another one runs again.
+    """
+    metrics = RequestMetrics(metrics_registry or CollectorRegistry())
     background = Background()
     session = _make_session(reuse=True)
     once_session = _make_session(reuse=False)
     engine_limits = engine_limits or EngineLimits()
     attempts = Attempts(router, session, clock, random, metrics, engine_limits, background)
-    chats = ChatRuns(allotments, attempts, clock, metrics, run_limits or RunLimits(), background)
+    registry = None
+    if links is not None:
+        own = Owner(host, incarnation, links.address)
+        registry = Registry(own, membership, links.caller, clock, background)
+    chats = ChatRuns(
+        ChatRunner(allotments, attempts, clock, metrics, background),
+        registry,
+        links.caller if links is not None else None,
+        clock,
+        metrics,
+        run_limits or RunLimits(),
+        background,
+    )
+    if links is not None and registry is not None:
+        registry.register(links.server)
+        Leader(chats.find, clock).register(links.server)
     runner = ServiceRunner(
         allotments,
         router,
--- a/cranberrywall/requests/__init__.py
+++ b/cranberrywall/requests/__init__.py
@@ -3,17 +3,21 @@
 from cranberrywall.requests._attempts import Attempts
 from cranberrywall.requests._background import Background
 from cranberrywall.requests._chat import ChatBody, bound_chat, parse_chat_body
-from cranberrywall.requests._chat_runs import ChatRequest, ChatRuns, RunLimits
+from cranberrywall.requests._chat_runner import ChatRequest, ChatRunner
+from cranberrywall.requests._chat_runs import ChatRuns, RunLimits
 from cranberrywall.requests._engine import EngineLimits
+from cranberrywall.requests._following import Leader
 from cranberrywall.requests._frames import DONE_FRAME, assemble
 from cranberrywall.requests._identity import RequestName, fingerprint, name_request
 from cranberrywall.requests._intents import IntentLedger, Intents
 from cranberrywall.requests._metrics import RequestMetrics
+from cranberrywall.requests._registry import Registry
 from cranberrywall.requests._run import Run, RunState
 from cranberrywall.requests._service_calls import ServiceCalls, ServiceLimits
 from cranberrywall.requests._service_client import ServiceAnswer, ServiceClient
 from cranberrywall.requests._service_path import is_repeatable, plain_path
 from cranberrywall.requests._service_runner import ServiceRequest, ServiceRunner
+from cranberrywall.requests.messages import Owner
 
 __all__ = [
     "DONE_FRAME",
@@ -21,10 +25,13 @@
     "Background",
     "ChatBody",
     "ChatRequest",
+    "ChatRunner",
     "ChatRuns",
     "EngineLimits",
     "IntentLedger",
     "Intents",
+    "Leader",
+    "Registry",
     "RequestMetrics",
     "RequestName",
     "Run",
@@ -36,6 +43,7 @@
     "ServiceLimits",
     "ServiceRequest",
     "ServiceRunner",
+    "Owner",
     "assemble",
     "bound_chat",
     "fingerprint",
--- a/cranberrywall/requests/_attempts.py
+++ b/cranberrywall/requests/_attempts.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 import aiohttp
@@ -25,13 +26,17 @@
 from cranberrywall.requests._frames import Chunk, EndMark, delta_of, frame_for_caller
 from cranberrywall.requests._identity import RequestName, make_attempt_id
 from cranberrywall.requests._metrics import RequestMetrics
+from cranberrywall.requests._registry import NOTHING_ATTEMPTED
 from cranberrywall.requests._run import Run
+from cranberrywall.requests.messages import Attempted
 from cranberrywall.routing import Demand, Outcome, OutcomeKind, Router, Slot
 from cranberrywall.runtime import Clock, Random
 
 MAX_ATTEMPTS = 4
 MAX_RESUMES = 3
 BACKOFF_S = 0.05
+OnAttempt = Callable[[Attempted], None]
+
 _SPARE_CHUNKS = 8
 """Chunks beyond the token limit that an engine may send: role, finish and usage."""
 
@@ -93,20 +98,39 @@
         self._background = background
 
     async def serve(
-        self, run: Run, request: AttemptRequest, demand: Demand, body: bytes
+        self,
+        run: Run,
+        request: AttemptRequest,
+        demand: Demand,
+        body: bytes,
+        begun: Attempted,
+        on_attempt: OnAttempt,
     ) -> AttemptEnd:
-        """Append the whole answer to ``run``, or say why there is none."""
+        """Append the whole answer to ``run``, or say why there is none.
+
+        ``begun`` is an attempt that a host which was lost began, to be resumed first.
+        ``on_attempt`` is called with each new attempt just before it is sent.
+        """
+        served = self._serve(run, request, demand, body, begun, on_attempt)
         if request.end_by is None:
-            return await self._serve(run, request, demand, body)
+            return await served
         try:
             async with asyncio.timeout(request.end_by - self._clock.now()):
-                return await self._serve(run, request, demand, body)
+                return await served
         except TimeoutError:
             return AttemptEnd(_late(run))
 
     async def _serve(
-        self, run: Run, request: AttemptRequest, demand: Demand, body: bytes
+        self,
+        run: Run,
+        request: AttemptRequest,
+        demand: Demand,
+        body: bytes,
+        begun: Attempted,
+        on_attempt: OnAttempt,
     ) -> AttemptEnd:
+        if begun != NOTHING_ATTEMPTED and await self._take_over(run, request, begun):
+            return AttemptEnd(None)
         tried: frozenset[str] = frozenset()
         last: Fault | None = None
         for number in range(1, MAX_ATTEMPTS + 1):
@@ -116,7 +140,7 @@
             if isinstance(acquired, Err):
                 return AttemptEnd(_refusal(run, last, acquired.err_value))
             slot = acquired.ok_value
-            last = await self._attempt(run, request, slot, number, body)
+            last = await self._attempt(run, request, slot, number, body, on_attempt)
             if last is None:
                 return AttemptEnd(None)
             self._note_fault(run, slot, last)
@@ -140,8 +164,37 @@
         again = demand._replace(retry=True)
         return await self._router.acquire(again, self._clock.now())
 
+    async def _take_over(self, run: Run, request: AttemptRequest, begun: Attempted) -> bool:
+        """Go on with an attempt of a lost host; the engine has it in progress or ended."""
+        run.sent = True
+        name = request.name.request_id
+        call = EngineCall(begun.url, begun.attempt_id, name, request.rank, "", b"")
+        stream = EngineStream(self._session, call, self._limits, self._metrics)
+        stream.start_at(len(run.frames))
+        reader = _AttemptReader(run, request, stream, self._clock)
+        try:
+            fault = await stream.resume()
+            if fault is None:
+                fault = await self._read_with_resumes(reader, stream, None)
+        except BaseException:
+            self._background.spawn(cancel_attempt(self._session, call))
+            raise
+        finally:
+            stream.close()
+        if fault is None:
+            self._metrics.resumed.labels("after_lost_host").inc()
+            return True
+        self._metrics.faults.labels(str(fault.kind)).inc()
+        return False
+
     async def _attempt(
-        self, run: Run, request: AttemptRequest, slot: Slot, number: int, body: bytes
+        self,
+        run: Run,
+        request: AttemptRequest,
+        slot: Slot,
+        number: int,
+        body: bytes,
+        on_attempt: OnAttempt,
     ) -> Fault | None:
         granted_at = self._clock.now()
         call = EngineCall(
@@ -157,10 +210,11 @@
         )
         reader = _AttemptReader(run, request, stream, self._clock)
         sent_before, run.sent = run.sent, True
+        on_attempt(Attempted(call.url, call.attempt_id))
         fault: Fault | None = Fault(FaultKind.CUT, "cancelled")
         cancelled = True
         try:
-            fault = await self._read_with_resumes(reader, stream)
+            fault = await self._read_with_resumes(reader, stream, await stream.open())
             cancelled = False
         finally:
             # Also a cancelled task comes through here: it frees its place and stops
@@ -175,11 +229,9 @@
         return fault
 
     async def _read_with_resumes(
-        self, reader: "_AttemptReader", stream: EngineStream
+        self, reader: "_AttemptReader", stream: EngineStream, opened: Fault | None
     ) -> Fault | None:
-        fault = await stream.open()
-        if fault is None:
-            fault = await reader.read()
+        fault = await reader.read() if opened is None else opened
         resumes = 0
         while fault is not None and _resumable(fault, stream) and resumes < MAX_RESUMES:
             resumes += 1
--- a/cranberrywall/requests/_chat_runs.py
+++ b/cranberrywall/requests/_chat_runs.py
@@ -1,53 +1,23 @@
-"""Run chat completions: reserve, find a place, call, stream, settle."""
+"""Keep the runs of chat completions: start them, let retries join, end them."""
 
 import asyncio
 from typing import NamedTuple
 
-import msgspec
 from loguru import logger
 from result import Err, Ok, Result
 
-from cranberrywall.budgets import Allotments, Reservation, ReserveRequest
 from cranberrywall.errors import ErrorKind, Refusal
-from cranberrywall.requests._attempts import AttemptEnd, Attempts
+from cranberrywall.links import Caller
 from cranberrywall.requests._background import Background
-from cranberrywall.requests._chat import Bound, ChatBody
-from cranberrywall.requests._identity import RequestName
+from cranberrywall.requests._chat_runner import ChatRequest, ChatRunner
+from cranberrywall.requests._following import follow
 from cranberrywall.requests._intents import other_request
 from cranberrywall.requests._metrics import RequestMetrics
-from cranberrywall.requests._prefixes import prefix_hashes
+from cranberrywall.requests._registry import NOTHING_ATTEMPTED, Registry
 from cranberrywall.requests._run import Run, RunState
-from cranberrywall.requests._usage import total_tokens
-from cranberrywall.routing import Demand
+from cranberrywall.requests.messages import Attempted, RunKey
 from cranberrywall.runtime import Clock
 
-TOKENS = "tokens"
-
-
-class ChatRequest(NamedTuple):
-    """Describe one admitted chat completion.
-
-    ``start_by`` is when the first chunk must have come; ``end_by`` ends the whole answer,
-    ``None`` where the caller set no time. Both are monotonic seconds. ``unit`` is the
-    budget's.
-    """
-
-    name: RequestName
-    fingerprint: str
-    body: ChatBody
-    bound: Bound
-    budget: str
-    unit: str
-    version: str
-    rank: int
-    start_by: float
-    end_by: float | None
-
-    @property
-    def output_limit(self) -> int:
-        """Return the most tokens that the engine may generate."""
-        return self.bound.output_tokens
-
 
 class RunLimits(NamedTuple):
     """Limit what is kept of runs; seconds.
@@ -66,15 +36,18 @@
 
     def __init__(
         self,
-        allotments: Allotments,
-        attempts: Attempts,
+        runner: ChatRunner,
+        registry: Registry | None,
+        caller: Caller | None,
         clock: Clock,
         metrics: RequestMetrics,
         limits: RunLimits,
         background: Background,
     ) -> None:
-        self._allotments = allotments
-        self._attempts = attempts
+        """``registry`` and ``caller`` are ``None`` for a host that stands alone."""
+        self._runner = runner
+        self._registry = registry
+        self._caller = caller
         self._clock = clock
         self._metrics = metrics
         self._limits = limits
@@ -130,7 +103,11 @@
         return Ok(run)
 
     async def _cancel_unless_joined(self, run: Run) -> None:
-        await self._clock.sleep(self._limits.linger_s)
+        left_at = self._clock.now()
+        until = left_at + self._limits.linger_s
+        while self._clock.now() < until and run.state is RunState.RUNNING:
+            await self._clock.sleep(until - self._clock.now())
+            until = max(until, run.followed_until)
         if run.listeners == 0:
             self._cancel(run)
 
@@ -142,7 +119,10 @@
     async def _drive(self, run: Run, request: ChatRequest) -> None:
         self._metrics.running.inc()
         try:
-            await self._reserve_and_serve(run, request)
+            if self._registry is not None and run.name.named_by_caller:
+                await self._run_or_follow(run, request, self._registry)
+            else:
+                await self._runner.run(run, request, NOTHING_ATTEMPTED, _ignore)
         except asyncio.CancelledError:
             run.fail(Refusal(ErrorKind.CANCELLED, "the caller left"), self._clock.now())
         except Exception as error:
@@ -152,65 +132,43 @@
             self._task_by_run.pop(run, None)
             self._metrics.running.dec()
 
-    async def _reserve_and_serve(self, run: Run, request: ChatRequest) -> None:
-        now = self._clock.now()
-        reserved = await self._allotments.reserve(_reserve_request(request), now)
-        if isinstance(reserved, Err):
-            run.fail(reserved.err_value, self._clock.now())
-            return
-        reservation = reserved.ok_value
-        try:
-            end = await self._attempts.serve(run, request, _demand(request), engine_body(request))
-        except BaseException:
-            # A cancelled caller pays for what was generated; nothing else does.
-            self._background.spawn(self._settle_cancelled(reservation, run, request))
-            raise
-        await self._end(run, request, reservation, end)
-
-    async def _end(
-        self, run: Run, request: ChatRequest, reservation: Reservation, end: AttemptEnd
+    async def _run_or_follow(self, run: Run, request: ChatRequest, registry: Registry) -> None:
+        key = RunKey(*request.name.key)
+        claimed = await registry.claim(key, request.fingerprint)
+        while claimed.owner != registry.own:
+            if claimed.fingerprint != request.fingerprint:
+                run.fail(other_request(), self._clock.now())
+                return
+            if await self._follow(run, key, claimed.owner.links):
+                return
+            # The owner is lost, or the registration is stale. Of several hosts that
+            # find this out, the registry lets one take the run over.
+            claimed = await registry.claim(key, request.fingerprint, claimed.owner)
+        await self._run_as_owner(run, request, registry, claimed.attempted)
+
+    async def _follow(self, run: Run, key: RunKey, links: str) -> bool:
+        assert self._caller is not None
+        run.is_followed = True
+        self._metrics.joined.labels("elsewhere").inc()
+        followed = await follow(run, key, links, self._caller, self._clock)
+        run.is_followed = False
+        return followed
+
+    async def _run_as_owner(
+        self, run: Run, request: ChatRequest, registry: Registry, begun: Attempted
     ) -> None:
-        if end.refusal is not None:
-            reservation.release(self._clock.now())
-            run.fail(end.refusal, self._clock.now())
-            return
-        # The charge is durable before the last frame goes out, so that a whole answer
-        # is billed also where this host dies right after it.
-        settled = await asyncio.shield(self._settle(reservation, self._cost(run, request)))
-        if isinstance(settled, Err):
-            logger.error(
-                "event=settle_failed request={} cause={}",
-                run.name.request_id,
-                settled.err_value.kind,
+        key = RunKey(*request.name.key)
+        try:
+            await self._runner.run(
+                run, request, begun, lambda attempted: registry.note(key, attempted)
             )
-            refusal = Refusal(ErrorKind.ANSWER_CUT, "the charge could not be recorded")
-            run.fail(refusal, self._clock.now())
-            return
-        run.answer(self._clock.now())
-        self._metrics.answered.labels("chat").inc()
-
-    async def _settle(self, reservation: Reservation, cost: int) -> Result[None, Refusal]:
-        if cost > reservation.bound:
-            self._metrics.over_bound.inc()
-            cost = reservation.bound
-        return await reservation.settle(cost, self._clock.now())
-
-    def _cost(self, run: Run, request: ChatRequest) -> int:
-        if request.unit != TOKENS:
-            return 1
-        if run.usage is None:
-            return request.bound.input_tokens + len(run.frames)
-        return total_tokens(run.usage)
+        finally:
+            if run.state is not RunState.ANSWERED:
+                registry.note(key, NOTHING_ATTEMPTED, failed=True)
 
-    async def _settle_cancelled(
-        self, reservation: Reservation, run: Run, request: ChatRequest
-    ) -> None:
-        if not run.frames:
-            reservation.release(self._clock.now())
-            return
-        settled = await self._settle(reservation, self._cost(run, request))
-        if isinstance(settled, Err):
-            logger.error("event=settle_failed request={}", run.name.request_id)
+    def find(self, key: RunKey) -> Run | None:
+        """Return the run of a named request at this host."""
+        return self._run_by_key.get((key.workspace, key.request_id))
 
     def _forget_old(self, now: float) -> None:
         for key, run in list(self._run_by_key.items()):
@@ -222,38 +180,5 @@
             del self._run_by_key[key]
 
 
-def engine_body(request: ChatRequest) -> bytes:
-    """Return the body for the engine: always streamed, and limited to the bound.
-
-    A stream can be checked, resumed and cancelled at any chunk, also for a caller who asked
-    for one answer.
-    """
-    values = {
-        **request.body.passed,
-        "stream": True,
-        "stream_options": {"include_usage": True},
-        "max_tokens": request.bound.output_tokens,
-    }
-    if request.body.adapter:
-        values["adapter"] = request.body.adapter
-    return msgspec.json.encode(values)
-
-
-def _reserve_request(request: ChatRequest) -> ReserveRequest:
-    bound = request.bound.total if request.unit == TOKENS else 1
-    name = request.name
-    return ReserveRequest(name.workspace, request.budget, name.request_id, bound, request.start_by)
-
-
-def _demand(request: ChatRequest) -> Demand:
-    return Demand(
-        workspace=request.name.workspace,
-        kind="engine",
-        name=request.body.model,
-        version=request.version,
-        adapter=request.body.adapter,
-        rank=request.rank,
-        deadline=request.start_by,
-        bound_tokens=request.bound.total,
-        prefix_hashes=prefix_hashes(request.body.texts),
-    )
+def _ignore(attempted: Attempted) -> None:
+    """Tell nobody: the request has no name by which a retry could find its run."""
--- a/cranberrywall/requests/_run.py
+++ b/cranberrywall/requests/_run.py
@@ -25,7 +25,8 @@
 
     ``frames`` holds each chunk as an event for callers. Those up to ``released`` may go to
     them: the last one waits until the charge is durable. ``sent`` is true once a byte may
-    have gone to a target.
+    have gone to a target. ``is_followed`` is true where another host owns the run, and
+    ``followed_until`` is when followers at other hosts will have asked again.
     """
 
     def __init__(self, name: RequestName, fingerprint: str, started_at: float) -> None:
@@ -40,6 +41,8 @@
         self.released = 0
         self.listeners = 0
         self.sent = False
+        self.is_followed = False
+        self.followed_until = float("-inf")
         self._waiters: set[asyncio.Future[None]] = set()
 
     def append(self, frame: bytes, usage: Usage | None) -> None:
@@ -77,6 +80,14 @@
             finally:
                 self._waiters.discard(waiter)
 
+    async def wait_beyond_for(self, count: int, seconds: float) -> None:
+        """Wait as ``wait_beyond`` does, and for ``seconds`` at most."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self.wait_beyond(count)
+        except TimeoutError:
+            return
+
     async def wait_ended(self) -> None:
         """Return once the run has ended."""
         while self.state is RunState.RUNNING:
--- a/tests/requests/fleet.py
+++ b/tests/requests/fleet.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from cranberrywall.configuration import make_fixed_configuration
-from cranberrywall.entry import CallerStack, make_caller_stack
+from cranberrywall.entry import CallerStack, StackLinks, make_caller_stack
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.requests import EngineLimits
 from cranberrywall.routing import make_router
@@ -19,6 +19,7 @@
 from tests.configuration.documents import make_document
 from tests.fakes.allotments import MemoryAllotments, MemoryLedger
 from tests.fakes.intents import HostIntents, MemoryIntents
+from tests.fakes.links import Switchboard
 from tests.fakes.membership import FixedMembership
 from tests.targets.announcements import announce
 
@@ -71,11 +72,13 @@
         self.url = url
         self.allotments: MemoryAllotments
         self.intents: HostIntents
+        self.switchboard: Switchboard
         self._runner = runner
 
     async def kill(self) -> None:
         """End as a killed process does: connections end in mid answer, nothing is wound up."""
         self.intents.dead = True
+        self.switchboard.down.add(self.host)
         self.allotments.settle_refusal = Refusal(ErrorKind.UNREACHABLE, "this host is dead")
         await self.stack.abort()
         await self._runner.cleanup()
@@ -89,6 +92,7 @@
         self.ledger = MemoryLedger()
         self.intents = MemoryIntents()
         self.membership = FixedMembership()
+        self.switchboard = Switchboard()
         self.configuration = make_fixed_configuration(document())
         self.announcements: list[Any] = []
         self.entries: list[Entry] = []
@@ -136,6 +140,7 @@
             targets.apply(announcement, self.clock.now())
         allotments = MemoryAllotments(self.ledger)
         intents = HostIntents(self.intents)
+        links = StackLinks(host, self.switchboard.caller(host), self.switchboard.server(host))
         stack = make_caller_stack(
             host=host,
             place="town-hall",
@@ -147,6 +152,7 @@
             router=router,
             clock=self.clock,
             random=random_numbers,
+            links=links,
             **{"engine_limits": FAST, **limits},
         )
         runner = web.AppRunner(
@@ -155,8 +161,9 @@
         await runner.setup()
         await web.TCPSite(runner, "127.0.0.1", 0).start()
         url = f"http://127.0.0.1:{runner.addresses[0][1]}"
-        self.membership.add(host, http=url.removeprefix("http://"))
+        self.membership.add(host, http=url.removeprefix("http://"), links=host)
         entry = Entry(host, stack, runner, url)
+        entry.switchboard = self.switchboard
         entry.allotments = allotments
         entry.intents = intents
         self.entries.append(entry)
