--- a/tests/callers/test_limits.py
+++ b/tests/callers/test_limits.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import socket
+from collections.abc import AsyncIterator
 from typing import Any
 
 import pytest
@@ -89,7 +90,7 @@
 async def test_a_body_that_is_too_large_is_refused(fleet: Fleet) -> None:
     url = f"{fleet.entries[0].url}/v1/chat/completions"
 
-    async def chunks():
+    async def chunks() -> AsyncIterator[bytes]:
         for _ in range(40):
             yield b" " * 50_000
 
@@ -107,7 +108,7 @@
 async def test_a_body_that_trickles_in_is_given_up(fleet: Fleet) -> None:
     """A caller sends a byte now and then, to hold connections for ever."""
 
-    async def trickle():
+    async def trickle() -> AsyncIterator[bytes]:
         yield b"{"
         await asyncio.sleep(5)
 
