Measure a fleet's real processes while they are killed and stopped under load

3 control and 7 entry processes, load at 40 requests a second, SIGKILL or SIGTERM of 8 processes one after another, each started again.

--- a/cranberrywall/load/_report.py
+++ b/cranberrywall/load/_report.py
@@ -16,7 +16,7 @@
 SIGNIFICANT_DIGITS = 3
 US_PER_S = 1_000_000
 US_PER_MS = 1_000
-TABLE_WIDTH = 120
+TABLE_WIDTH = 160
 
 CSV_COLUMNS = tuple("""
     number at_s mix workspace idempotency_key outcome code tries first_token_ms between_ms
@@ -94,11 +94,11 @@
 
 
 def _format_table(report: Report) -> str:
-    table = Table(title=None)
+    table = Table(caption="Times are in milliseconds, of answered requests.")
     for column in ("mix", "sent", *OutcomeKind, "retries"):
-        table.add_column(column, justify="left" if column == "mix" else "right")
-    for column in ("first p50", "p95 ms", "between p95", "total p95", "p99 ms"):
-        table.add_column(column, justify="right")
+        table.add_column(column, justify="left" if column == "mix" else "right", no_wrap=True)
+    for column in ("first p50", "first p95", "between p95", "total p95", "total p99"):
+        table.add_column(column, justify="right", no_wrap=True)
     for name, mix in [*report.mixes.items(), ("all", report.all)]:
         table.add_row(name, *_cells(mix))
     buffer = io.StringIO()
--- /dev/null
+++ b/measurements/processes.py
@@ -0,0 +1,182 @@
+"""Kill and restart a fleet's real processes under load, one after another.
+
+3 control and 7 entry hosts run as processes of their own on loopback addresses. Load comes
+from the load tool; the targets are stand-ins in this process. One process after another gets
+SIGKILL or SIGTERM and is started again. The last line compares what callers saw with the
+ledger's bills and the targets' counts:
+
+- ``answered``: requests that got their whole, own answer, checked word for word
+- ``refused``: requests whose last word was that they did not run
+- ``unknown``: not repeatable requests whose outcome the system says it does not know
+- ``lost``: no whole answer and no true refusal, a wrong answer, or an answer without a bill
+- ``double``: not repeatable requests that ran twice, or bills beyond the requests that ran
+- ``overspend``: what was charged or held above what was credited
+"""
+
+import asyncio
+import signal
+import tempfile
+from collections import Counter
+from collections.abc import Sequence
+from pathlib import Path
+from typing import NamedTuple
+
+import click
+import uvloop
+
+from cranberrywall.demo import (
+    SAVINGS_BOARD,
+    FleetFiles,
+    FleetSize,
+    Targets,
+    Totals,
+    make_fleet_client,
+    read_deployment,
+    start_targets,
+    wait_for_targets,
+    write_fleet,
+)
+from cranberrywall.demo._deployments import EXAMPLES
+from cranberrywall.demo._targets import Ran
+from cranberrywall.load import (
+    Outcome,
+    OutcomeKind,
+    PlannedRequest,
+    Profile,
+    make_plan,
+    make_report,
+    read_profile,
+    run_load,
+)
+from cranberrywall.runtime import make_clock, make_random
+from measurements._figures import report_figures
+from measurements._processes import FleetProcesses
+from standins import check_answer
+
+CREDIT = 10_000_000
+PATIENCE_S = 30.0
+PAUSE_S = 1.5
+RESTART_S = 1.5
+LOAD_AFTER_LAST_S = 2.0
+NOT_REPEATABLE = "renewal-confirmations"
+NET = 9
+SIZE = FleetSize(controls=3, entries=7, consoles=0)
+
+
+class Step(NamedTuple):
+    """End one host's process by a signal, then start it again."""
+
+    host: str
+    signal: signal.Signals
+
+
+STEPS = (
+    Step("entry-1", signal.SIGKILL),
+    Step("entry-2", signal.SIGTERM),
+    Step("control-1", signal.SIGKILL),
+    Step("entry-3", signal.SIGKILL),
+    Step("control-2", signal.SIGTERM),
+    Step("entry-7", signal.SIGTERM),
+    Step("control-3", signal.SIGKILL),
+    Step("entry-6", signal.SIGKILL),
+)
+
+
+@click.command()
+@click.option("--rate", default=40.0, help="Requests a second.")
+@click.option("--seed", default=1, help="Seed of the load.")
+def main(rate: float, seed: int) -> None:
+    """Measure what callers, bills and targets say while processes end."""
+    with tempfile.TemporaryDirectory(prefix="processes-") as folder:
+        uvloop.run(_measure(Path(folder), rate, seed))
+
+
+async def _measure(folder: Path, rate: float, seed: int) -> None:
+    deployment = read_deployment(SAVINGS_BOARD)
+    files = write_fleet(folder / "fleet", deployment, SIZE, NET)
+    processes = FleetProcesses(files)
+    client = make_fleet_client(files)
+    targets = Targets([], [])
+    try:
+        await processes.start([host.name for host in files.of_role("control")])
+        await client.commit(files.document, PATIENCE_S)
+        credits = dict.fromkeys(files.document["budgets"], CREDIT)
+        await client.credit(files.document, credits, PATIENCE_S)
+        await processes.start([host.name for host in files.of_role("entry")])
+        targets = await start_targets(deployment, files)
+        await wait_for_targets(files, len(targets.standins), PATIENCE_S)
+        outcomes = await _load_while_ending(files, processes, rate, seed)
+        totals = await client.totals(PATIENCE_S)
+        _report(outcomes, targets.ran_by_request(), totals)
+    finally:
+        await targets.close()
+        await client.close()
+        await processes.end_all()
+
+
+async def _load_while_ending(
+    files: FleetFiles, processes: FleetProcesses, rate: float, seed: int
+) -> list[Outcome]:
+    plan_s = len(STEPS) * (2 * PAUSE_S + RESTART_S) + LOAD_AFTER_LAST_S
+    profile = _profile(files, rate, seed, plan_s)
+    plan = make_plan(profile, f"processes-{seed}")
+    load = asyncio.create_task(
+        run_load(profile, plan, make_clock(), make_random(seed), _check_planned)
+    )
+    ending = asyncio.create_task(_end_in_turn(processes))
+    await ending
+    return await load
+
+
+async def _end_in_turn(processes: FleetProcesses) -> None:
+    for step in STEPS:
+        await asyncio.sleep(PAUSE_S)
+        status = await processes.end(step.host, step.signal)
+        print(f"{step.signal.name} {step.host}: exit status {status}")
+        await asyncio.sleep(PAUSE_S)
+        await processes.start([step.host])
+
+
+def _profile(files: FleetFiles, rate: float, seed: int, duration_s: float) -> Profile:
+    text = (EXAMPLES / SAVINGS_BOARD.folder / "load.yaml").read_text("utf-8")
+    profile = read_profile(text).unwrap()
+    profile["seed"] = seed
+    profile["duration_s"] = duration_s
+    profile["arrivals"]["rate"] = rate
+    profile["entries"] = files.entry_urls()
+    profile["retries"] = {"most": 60, "wait_s": 0.2, "longest_wait_s": 6.0}
+    return profile
+
+
+def _check_planned(planned: PlannedRequest, text: str) -> bool:
+    return check_answer(planned.method, planned.path, planned.body, text)
+
+
+def _report(outcomes: Sequence[Outcome], ran_by_request: dict[str, Ran], totals: Totals) -> None:
+    print(make_report(outcomes).table(), end="")
+    kinds = Counter(outcome.kind for outcome in outcomes)
+    answered = {o.planned.idempotency_key for o in outcomes if o.kind is OutcomeKind.ANSWERED}
+    unbilled = max(0, len(answered) - totals.billed_requests)
+    figures = {
+        "requests": len(outcomes),
+        "answered": kinds[OutcomeKind.ANSWERED],
+        "refused": kinds[OutcomeKind.REFUSED],
+        "unknown": kinds[OutcomeKind.UNKNOWN],
+        "lost": kinds[OutcomeKind.LOST] + kinds[OutcomeKind.WRONG] + unbilled,
+        "double": _ran_twice(outcomes, ran_by_request) + _billed_beyond(ran_by_request, totals),
+        "overspend": totals.overspend,
+    }
+    report_figures("processes", figures)
+
+
+def _ran_twice(outcomes: Sequence[Outcome], ran_by_request: dict[str, Ran]) -> int:
+    once = {o.planned.idempotency_key for o in outcomes if o.planned.mix == NOT_REPEATABLE}
+    return sum(max(0, ran_by_request[key].executions - 1) for key in once & ran_by_request.keys())
+
+
+def _billed_beyond(ran_by_request: dict[str, Ran], totals: Totals) -> int:
+    return max(0, totals.billed_requests - len(ran_by_request))
+
+
+if __name__ == "__main__":
+    main()
