Show targets and each host's own state in the console

A new call, hosts.dump, gives a process's state over the authenticated streams; the entry and control programs answer it (additive, in hosts, observability and commands). The fleet's page lists the targets that a few entry hosts know.

--- a/cranberrywall/commands/_control_program.py
+++ b/cranberrywall/commands/_control_program.py
@@ -15,6 +15,7 @@
     make_document_peers,
 )
 from cranberrywall.control import ControlHost, ledger_groups, make_control_host
+from cranberrywall.hosts import register_dump
 from cranberrywall.links import (
     Limits,
     LinkCaller,
@@ -102,6 +103,7 @@
     feed = _make_feed(settings, machine, caller)
     feed.register(server)
     state = _make_state(settings, host, machine)
+    register_dump(server, state.dump_section_json)
     admin = _make_admin(settings, keys, host, counters, state)
     return ControlProgram(host, feed, admin, state)
 
--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -24,7 +24,7 @@
     ConfiguredPolicies,
     make_caller_stack,
 )
-from cranberrywall.hosts import HostState, HostView
+from cranberrywall.hosts import HostState, HostView, register_dump
 from cranberrywall.links import (
     LinkCaller,
     LinkCounters,
@@ -50,7 +50,7 @@
     seconds,
     size_in_bytes,
 )
-from cranberrywall.targets import make_announce_routes, make_targets
+from cranberrywall.targets import Announcement, make_announce_routes, make_targets
 
 SHUTDOWN_S = 1.0
 
@@ -88,6 +88,7 @@
         self._failure = ""
         self._tasks: list[asyncio.Task[None]] = []
         self._register_state()
+        register_dump(self._server, self.state.dump_section_json)
 
     @property
     def admin_address(self) -> str:
@@ -259,10 +260,25 @@
 
     def _targets_state(self) -> dict[str, Any]:
         return {
-            name: target.announcement.name for name, target in sorted(self._targets.by_id.items())
+            name: _describe_target(target.announcement)
+            for name, target in sorted(self._targets.by_id.items())
         }
 
 
+def _describe_target(announcement: Announcement) -> dict[str, Any]:
+    load = announcement.load
+    return {
+        "kind": announcement.kind,
+        "name": announcement.name,
+        "place": announcement.place,
+        "url": announcement.url,
+        "versions": announcement.versions,
+        "capacity": announcement.capacity,
+        "running": load.running if load else None,
+        "waiting": load.waiting if load else None,
+    }
+
+
 def make_entry_program(settings: Settings, runtime: Runtime) -> EntryProgram:
     """Return the entry program of checked settings.
 
--- a/cranberrywall/console/_app.py
+++ b/cranberrywall/console/_app.py
@@ -40,6 +40,7 @@
     router.add_get("/", guard.only(reader, pages.fleet.show_home))
     router.add_get("/revisions", guard.only(reader, pages.fleet.show_history))
     router.add_get(r"/revisions/{number:\d+}", guard.only(reader, pages.fleet.show_revision))
+    router.add_get("/hosts/{name}", guard.only(reader, pages.fleet.show_host))
     router.add_get("/audit", guard.only(reader, pages.fleet.show_audit))
     router.add_get("/budgets", guard.only(reader, pages.budgets.show_all))
     router.add_get("/budgets/{name}", guard.only(reader, pages.budgets.show))
--- a/cranberrywall/console/_fleet.py
+++ b/cranberrywall/console/_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Any, NamedTuple
 
+import msgspec
 from aiohttp import web
 from result import Err, Ok
 
@@ -14,12 +15,14 @@
 from cranberrywall.console._pages import Pages
 from cranberrywall.console._visits import Visit
 from cranberrywall.control import ControlClient
+from cranberrywall.hosts import DUMP, DumpRequest
 from cranberrywall.links import Caller
 from cranberrywall.runtime import Clock
 
 ASK_TIMEOUT_S = 1.0
 GROUP_TIMEOUT_S = 2.0
 SHOWN_REVISIONS = 50
+HOSTS_ASKED_FOR_TARGETS = 3
 
 # A host sends what follows the revision that it is asked from. Asked from one that does
 # not exist yet, it sends its own number and nothing else.
@@ -48,6 +51,17 @@
     problem: str
 
 
+class TargetRow(NamedTuple):
+    """Describe one target as some entry host knows it."""
+
+    name: str
+    kind: str
+    serves: str
+    place: str
+    versions: str
+    load: str
+
+
 class FleetPages:
     """Serve the pages that are only read."""
 
@@ -73,8 +87,11 @@
         if isinstance(result, Err):
             return self._pages.refusal(visit.session, result.err_value)
         seen: DocumentAt = result.ok_value
-        hosts, groups, history = await asyncio.gather(
-            self._hosts(seen), self._groups(seen), self._configuration.history(limit=10)
+        hosts, groups, targets, history = await asyncio.gather(
+            self._hosts(seen),
+            self._groups(seen),
+            self._targets(seen),
+            self._configuration.history(limit=10),
         )
         return self._pages.page(
             visit.session,
@@ -83,9 +100,26 @@
             document=seen.document,
             hosts=hosts,
             groups=groups,
+            targets=targets,
             revisions=history.ok_value.revisions if isinstance(history, Ok) else (),
         )
 
+    async def show_host(self, visit: Visit) -> web.StreamResponse:
+        """Show the state of one host's process, as it gives it itself."""
+        result = await self._configuration.document()
+        if isinstance(result, Err):
+            return self._pages.refusal(visit.session, result.err_value)
+        name = visit.part("name")
+        host = result.ok_value.document["hosts"].get(name)
+        if host is None:
+            message = f"There is no host {name}."
+            return self._pages.message(visit.session, "Not found", message, status=404)
+        dumped = await self._caller.call(host["links"], DUMP, DumpRequest(""), ASK_TIMEOUT_S)
+        if isinstance(dumped, Err):
+            return self._pages.refusal(visit.session, dumped.err_value)
+        state = msgspec.json.format(dumped.ok_value.state, indent=2).decode()
+        return self._pages.page(visit.session, "host.html", name=name, host=host, state=state)
+
     async def show_history(self, visit: Visit) -> web.StreamResponse:
         """List the newest revisions."""
         history = await self._configuration.history(limit=SHOWN_REVISIONS)
@@ -132,6 +166,22 @@
         problem = str(result.err_value.kind) if isinstance(result, Err) else ""
         return HostRow(name, host["place"], roles, host["links"], True, revision, problem)
 
+    async def _targets(self, seen: DocumentAt) -> list[TargetRow]:
+        """Return the targets that a few entry hosts know; each should know all of them."""
+        entries = [h["links"] for h in seen.document["hosts"].values() if "entry" in h["roles"]]
+        request = DumpRequest("targets")
+        answers = await asyncio.gather(
+            *(
+                self._caller.call(links, DUMP, request, ASK_TIMEOUT_S)
+                for links in entries[:HOSTS_ASKED_FOR_TARGETS]
+            )
+        )
+        known: dict[str, Any] = {}
+        for answer in answers:
+            if isinstance(answer, Ok):
+                known |= msgspec.json.decode(answer.ok_value.state) or {}
+        return [_target_row(name, target) for name, target in sorted(known.items())]
+
     async def _groups(self, seen: DocumentAt) -> list[GroupRow]:
         ledger = make_ledger_client(self._control, seen.document["ledger_groups"])
         names = ledger.groups()
@@ -144,3 +194,16 @@
             problem = str(answer.err_value) if isinstance(answer, Err) else ""
             rows.append(GroupRow(name, problem))
         return rows
+
+
+def _target_row(name: str, target: dict[str, Any]) -> TargetRow:
+    running, waiting = target.get("running"), target.get("waiting")
+    load = "not reported" if running is None else f"{running} running, {waiting} waiting"
+    return TargetRow(
+        name=name,
+        kind=target["kind"],
+        serves=target["name"],
+        place=target["place"],
+        versions=", ".join(target["versions"]),
+        load=f"{load} of {target['capacity']}",
+    )
--- a/cranberrywall/hosts/__init__.py
+++ b/cranberrywall/hosts/__init__.py
@@ -1,5 +1,6 @@
 """Know the fleet's hosts, who is alive, and which addresses callers should use."""
 
+from cranberrywall.hosts._dump import DUMP, DumpReply, DumpRequest, register_dump
 from cranberrywall.hosts._interfaces import (
     HostState,
     HostView,
@@ -13,6 +14,9 @@
 from cranberrywall.hosts.messages import Item, Urgency
 
 __all__ = [
+    "DUMP",
+    "DumpReply",
+    "DumpRequest",
     "HostState",
     "HostView",
     "Item",
@@ -24,4 +28,5 @@
     "make_membership",
     "make_static_membership",
     "pace_of",
+    "register_dump",
 ]
--- a/cranberrywall/observability/_state.py
+++ b/cranberrywall/observability/_state.py
@@ -34,6 +34,13 @@
         """Return the dump as one line of JSON."""
         return msgspec.json.encode(self.dump())
 
+    def dump_section_json(self, section: str) -> bytes:
+        """Return one section as JSON, ``null`` for an unknown one; all where it is empty."""
+        if not section:
+            return self.dump_json()
+        provider = self._provider_by_section.get(section)
+        return msgspec.json.encode(None if provider is None else self._ask(provider))
+
     def _ask(self, provider: Provider) -> Any:
         # One part at fault must not hide the others: the dump is wanted when things fail.
         try:
--- a/tests/console/conftest.py
+++ b/tests/console/conftest.py
@@ -44,9 +44,14 @@
     return ConfigurationClient(control, timeout=1.0)
 
 
+@pytest.fixture
+def caller() -> Any:
+    return SilentCaller()
+
+
 @pytest.fixture
 async def browse(
-    control: FakeControlClient, configuration: ConfigurationClient
+    control: FakeControlClient, configuration: ConfigurationClient, caller: Any
 ) -> AsyncIterator[OpenBrowser]:
     storage = FakeStorage()
     accounts = make_accounts(storage)
@@ -54,7 +59,6 @@
         accounts.put(name, role, PASSWORD)
     edits = whole_document_edits(make_document())
     await configuration.change(edits, 0, "first", "setup", 0.0)
-    caller: Any = SilentCaller()
     parts = ConsoleParts(control, caller, make_clock(), storage)
     program = make_console_server(parts, "127.0.0.1:0")
     await program.start()
--- /dev/null
+++ b/tests/console/test_fleet.py
@@ -0,0 +1,54 @@
+"""Check what the fleet's pages show of hosts, groups and targets."""
+
+import json
+from typing import Any
+
+from result import Err, Ok
+
+from cranberrywall.configuration.messages import FETCH, FetchReply
+from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.hosts import DUMP, DumpReply
+
+TARGET = {
+    "kind": "engine",
+    "name": "drafting-llm",
+    "place": "town-hall",
+    "url": "http://127.0.0.1:1",
+    "versions": ["v1"],
+    "capacity": 8,
+    "running": 3,
+    "waiting": 0,
+}
+
+
+async def answer(address: str, method: Any, request: Any, timeout: float) -> Any:
+    if method is FETCH:
+        return Ok(FetchReply(1, 1, (), None))
+    if method is DUMP:
+        state = {"engine-1": TARGET} if request.section else {"targets": {"engine-1": TARGET}}
+        return Ok(DumpReply(json.dumps(state).encode()))
+    return Err(Refusal(ErrorKind.NOT_FOUND))
+
+
+async def test_hosts_groups_and_targets_are_shown(browse, caller, control) -> None:
+    browser = await browse("rhea")
+    await browser.get("/")
+    assert "no answer: unreachable" in browser.text
+    assert "No target has announced itself" in browser.text
+    caller.call = answer
+    control.group_by_name["ledger-1"].reachable = False
+    await browser.get("/")
+    assert "3 running, 0 waiting of 8" in browser.text
+    assert "unreachable: the group is cut off" in browser.text
+    assert "2 / 3" in browser.text
+    assert "engine-1" in await browser.get("/hosts/entry-1")
+    await browser.get("/hosts/nobody")
+    assert browser.status == 404
+
+
+async def test_a_fleet_without_a_leader_is_said_so(browse, control) -> None:
+    browser = await browse("rhea")
+    control.group_by_name["configuration"].reachable = False
+    await browser.get("/")
+    assert browser.status == 503
+    assert "the group is cut off" in browser.text
