--- a/cranberrywall/console/_report.py
+++ b/cranberrywall/console/_report.py
@@ -8,7 +8,14 @@
 from result import Err, Ok, Result
 
 from cranberrywall.budgets import LedgerClient, make_ledger_client
-from cranberrywall.budgets.messages import PeriodsQuery, ReportQuery, ReportResult, ReportRow
+from cranberrywall.budgets.messages import (
+    ExceptionRow,
+    ExceptionsQuery,
+    PeriodsQuery,
+    ReportQuery,
+    ReportResult,
+    ReportRow,
+)
 from cranberrywall.configuration import ConfigurationClient
 from cranberrywall.console._pages import SECURITY_HEADERS, Pages
 from cranberrywall.console._visits import Visit
@@ -57,6 +64,7 @@
             rows=rows.ok_value,
             wrong=[row.budget for row in rows.ok_value if not adds_up(row)],
             sums=_sums_by_unit(rows.ok_value),
+            exceptions=await self._exceptions(ledger.ok_value, period),
         )
 
     async def plot(self, visit: Visit) -> web.StreamResponse:
@@ -93,6 +101,15 @@
                     break
         return Ok(sorted(rows))
 
+    async def _exceptions(self, ledger: LedgerClient, period: str) -> list[ExceptionRow]:
+        query = ExceptionsQuery("", False, self._clock.wall(), 0, PAGE, period)
+        rows: list[ExceptionRow] = []
+        for group in ledger.groups():
+            result = await ledger.exceptions(group, query, TIMEOUT_S)
+            if isinstance(result, Ok):
+                rows.extend(result.ok_value.rows)
+        return sorted(rows, key=lambda row: row.at)
+
     async def _closed_periods(self, ledger: LedgerClient) -> list[str]:
         query = PeriodsQuery(self._clock.wall())
         result = await ledger.periods(ledger.groups()[0], query, TIMEOUT_S)
--- a/tests/console/test_decisions.py
+++ b/tests/console/test_decisions.py
@@ -75,6 +75,7 @@
     await browser.get("/report")
     assert "Every budget adds up" in browser.text
     assert ">500<" in browser.text.replace(" ", "")
+    assert "silent holder" in browser.text
     assert "<svg" in await browser.get("/report.svg")
 
 
