--- a/cranberrywall/demo/_targets.py
+++ b/cranberrywall/demo/_targets.py
@@ -18,6 +18,8 @@
     serve,
 )
 
+SERVICE_WORK_S = 0.005
+
 
 class Ran(NamedTuple):
     """Hold what ran for one request id, over all targets."""
@@ -60,8 +62,13 @@
             await serving.close()
 
 
-async def start_targets(deployment: Deployment, files: FleetFiles) -> Targets:
-    """Start today's numbers of engines and services, spread over the places."""
+async def start_targets(
+    deployment: Deployment, files: FleetFiles, work_s: float = SERVICE_WORK_S
+) -> Targets:
+    """Start today's numbers of engines and services, spread over the places.
+
+    ``work_s`` is how long a service works on a call, in seconds.
+    """
     places = itertools.cycle(deployment.document["places"])
     standins: list[Engine | Service] = []
     for number in range(1, deployment.name.engines + 1):
@@ -78,6 +85,7 @@
             target=f"{deployment.service}-{number}",
             service=deployment.service,
             place=next(places),
+            work_s=work_s,
             seed=number,
         )
         standins.append(make_service(service))
--- a/measurements/processes.py
+++ b/measurements/processes.py
@@ -60,6 +60,9 @@
 LOAD_AFTER_LAST_S = 2.0
 NOT_REPEATABLE = "renewal-confirmations"
 NET = 9
+
+# A service works so long on a call that each end of a process meets calls in progress.
+WORK_S = 0.1
 SIZE = FleetSize(controls=3, entries=7, consoles=0)
 
 
@@ -83,7 +86,7 @@
 
 
 @click.command()
-@click.option("--rate", default=40.0, help="Requests a second.")
+@click.option("--rate", default=80.0, help="Requests a second.")
 @click.option("--seed", default=1, help="Seed of the load.")
 def main(rate: float, seed: int) -> None:
     """Measure what callers, bills and targets say while processes end."""
@@ -103,7 +106,7 @@
         credits = dict.fromkeys(files.document["budgets"], CREDIT)
         await client.credit(files.document, credits, PATIENCE_S)
         await processes.start([host.name for host in files.of_role("entry")])
-        targets = await start_targets(deployment, files)
+        targets = await start_targets(deployment, files, WORK_S)
         await wait_for_targets(files, len(targets.standins), PATIENCE_S)
         outcomes = await _load_while_ending(files, processes, rate, seed)
         totals = await client.totals(PATIENCE_S)
