--- a/cranberrywall/hosts/__init__.py
+++ b/cranberrywall/hosts/__init__.py
@@ -1,6 +1,7 @@
 """Know the fleet's hosts, who is alive, and which addresses callers should use."""
 
 from cranberrywall.hosts._drain import DRAIN, DrainReply, DrainRequest, register_drain
+from cranberrywall.hosts._dump import DUMP, DumpReply, DumpRequest, register_dump
 from cranberrywall.hosts._interfaces import (
     HostState,
     HostView,
@@ -17,6 +18,9 @@
     "DRAIN",
     "DrainReply",
     "DrainRequest",
+    "DUMP",
+    "DumpReply",
+    "DumpRequest",
     "HostState",
     "HostView",
     "Item",
@@ -29,4 +33,5 @@
     "make_static_membership",
     "pace_of",
     "register_drain",
+    "register_dump",
 ]
