--- a/tests/fakes/money.py
+++ b/tests/fakes/money.py
@@ -11,7 +11,13 @@
 from result import Err, Ok, Result
 
 from cranberrywall.budgets import HostAllotments, SpendPolicy, make_allotments, make_ledger_client
-from cranberrywall.budgets.messages import LEDGER_CODEC, Credit, Holder
+from cranberrywall.budgets.messages import (
+    LEDGER_CODEC,
+    BudgetQuery,
+    BudgetResult,
+    Credit,
+    Holder,
+)
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Peer
 from cranberrywall.replication import StateMachine
@@ -234,3 +240,9 @@
             budget, workspace, "tokens", amount, f"c{self._credits}", "op", self.clock.wall()
         )
         self.net.machine.apply(LEDGER_CODEC.encode(command))
+
+    def sums(self, budget: str) -> BudgetResult:
+        """Read the ledger's sums."""
+        reply = self.net.machine.query(LEDGER_CODEC.encode(BudgetQuery(budget)))
+        result: BudgetResult = LEDGER_CODEC.decode(reply)
+        return result
--- a/tests/naive/ledger.py
+++ b/tests/naive/ledger.py
@@ -1,142 +1,155 @@
-"""A ledger group as simple as can be: dictionaries, no retention, no closing."""
+"""One budget's ledger that keeps every message for ever and adds everything up anew."""
 
+from collections import defaultdict
 from typing import Any
 
-from cranberrywall.budgets import messages as m
+from cranberrywall.budgets.messages import (
+    ChargeOutcome,
+    ConfirmDead,
+    Draw,
+    Holder,
+    RegisterHolder,
+    Return,
+    Transfer,
+)
+
+Move = tuple[str, Holder | None, int]
 
 
 class NaiveLedger:
-    """Apply the commands that entry hosts send; check the invariant after each."""
+    """Decide from the list of all moves; ``None`` as holder stands for what is free."""
 
     def __init__(self) -> None:
-        self.credited: dict[str, int] = {}
-        self.held: dict[str, dict[m.Holder, int]] = {}
-        self.charges: dict[str, dict[tuple[str, str], int]] = {}
-        self.charge_by_number: dict[tuple[m.Holder, str, int], m.ChargeOutcome] = {}
-        self.answer_by_step: dict[tuple[Any, ...], Any] = {}
-        self.incarnation: dict[str, int] = {}
-        self.applied: dict[str, int] = {}
-
-    def charged(self, budget: str) -> int:
-        return sum(self.charges.get(budget, {}).values())
-
-    def outstanding(self, budget: str) -> int:
-        return sum(self.held.get(budget, {}).values())
-
-    def free(self, budget: str) -> int:
-        return self.credited.get(budget, 0) - self.charged(budget) - self.outstanding(budget)
-
-    def apply(self, command: bytes) -> bytes:
-        message = m.LEDGER_CODEC.decode(command)
-        name = type(message).__name__
-        self.applied[name] = self.applied.get(name, 0) + 1
-        result = getattr(self, f"_{name.lower()}")(message)
-        for budget in self.credited:
-            assert self.free(budget) >= 0, f"{budget} is overspent by {message}"
-        return m.LEDGER_CODEC.encode(result)
-
-    def query(self, query: bytes) -> bytes:
-        message = m.LEDGER_CODEC.decode(query)
-        if isinstance(message, m.RecallsQuery):
-            return m.LEDGER_CODEC.encode(m.RecallsResult(()))
-        budget = message.budget
-        held = tuple(
-            m.HeldAmount(holder, amount, 0.0)
-            for holder, amount in self.held.get(budget, {}).items()
-            if amount > 0
-        )
-        sums = (self.credited.get(budget, 0), self.charged(budget), self.outstanding(budget), 0)
-        result = m.BudgetResult(budget, "tokens", *sums, self.free(budget), held)
-        return m.LEDGER_CODEC.encode(result)
-
-    def snapshot(self) -> bytes:
-        raise NotImplementedError
-
-    def restore(self, snapshot: bytes) -> None:
-        raise NotImplementedError
-
-    def _credit(self, credit: m.Credit) -> Any:
-        key = ("credit", credit.change_id)
-        if key not in self.answer_by_step:
-            self.answer_by_step[key] = m.Accepted()
-            self.credited[credit.budget] = self.credited.get(credit.budget, 0) + credit.amount
-            self.held.setdefault(credit.budget, {})
-            self.charges.setdefault(credit.budget, {})
-        return m.Accepted()
-
-    def _draw(self, draw: m.Draw) -> Any:
-        if draw.budget not in self.credited:
-            return m.Rejected("not_found", "no such budget", "budget")
-        if self._is_old(draw.holder):
-            return m.Rejected("conflict", "a later incarnation is registered", "holder")
-        key = ("draw", draw.budget, draw.holder, draw.number)
-        if key not in self.answer_by_step:
-            granted = min(draw.amount, self.free(draw.budget))
-            granted = granted if granted >= draw.minimum else 0
-            held = self.held[draw.budget]
-            held[draw.holder] = held.get(draw.holder, 0) + granted
-            self.answer_by_step[key] = m.DrawResult(
-                granted,
-                self.free(draw.budget),
-                self.outstanding(draw.budget),
-                self.credited[draw.budget],
-                self.charged(draw.budget),
-                len(held),
-            )
-        return self.answer_by_step[key]
-
-    def _return(self, step: m.Return) -> Any:
-        key = ("return", step.budget, step.holder, step.number)
-        if key not in self.answer_by_step:
-            self.answer_by_step[key] = m.Accepted()
-            self.held[step.budget][step.holder] -= step.amount
-            assert self.held[step.budget][step.holder] >= 0
-        return m.Accepted()
-
-    def _chargebatch(self, batch: m.ChargeBatch) -> Any:
-        return m.ChargeBatchResult(
-            tuple(self._charge(batch.holder, charge) for charge in batch.charges)
-        )
-
-    def _charge(self, holder: m.Holder, charge: m.Charge) -> m.ChargeOutcome:
-        key = (holder, charge.budget, charge.number)
-        if key not in self.charge_by_number:
-            self.charge_by_number[key] = self._first(holder, charge)
-        return self.charge_by_number[key]
-
-    def _first(self, holder: m.Holder, charge: m.Charge) -> m.ChargeOutcome:
-        billed = self.charges[charge.budget]
-        if (charge.workspace, charge.request_id) in billed:
-            return m.ChargeOutcome.DUPLICATE
-        held = self.held[charge.budget]
-        from_holder = min(charge.amount, held.get(holder, 0))
-        if charge.amount > from_holder + self.free(charge.budget):
-            return m.ChargeOutcome.IN_DOUBT
-        held[holder] = held.get(holder, 0) - from_holder
-        billed[charge.workspace, charge.request_id] = charge.amount
-        return m.ChargeOutcome.BILLED
-
-    def _transfer(self, transfer: m.Transfer) -> Any:
-        key = ("transfer", transfer.budget, transfer.giver, transfer.giver_number)
-        if key not in self.answer_by_step:
-            held = self.held[transfer.budget]
-            from_giver = min(transfer.amount, held.get(transfer.giver, 0))
-            held[transfer.giver] = held.get(transfer.giver, 0) - from_giver
-            moved = min(transfer.amount, from_giver + self.free(transfer.budget))
-            if not self._is_old(transfer.taker):
-                held[transfer.taker] = held.get(transfer.taker, 0) + moved
-            self.answer_by_step[key] = m.TransferResult(moved)
-        return self.answer_by_step[key]
-
-    def _registerholder(self, register: m.RegisterHolder) -> Any:
-        host, incarnation = register.holder
-        self.incarnation[host] = max(incarnation, self.incarnation.get(host, 0))
-        released = 0
-        for held in self.held.values():
-            for holder in [one for one in held if one.host == host]:
-                if holder.incarnation < incarnation and register.delivered:
-                    released += held.pop(holder)
-        return m.RegisterResult(released, 0)
-
-    def _is_old(self, holder: m.Holder) -> bool:
-        return holder.incarnation < self.incarnation.get(holder.host, 0)
+        self.moves: list[Move] = []
+        self.credit_by_change: dict[str, int] = {}
+        self.answers: dict[Any, Any] = {}
+        self.billed: dict[str, tuple[Holder, int, int]] = {}
+        self.doubts: dict[tuple[Holder, int], int] = {}
+        self.latest: dict[str, int] = defaultdict(lambda: -1)
+        self.dead: set[Holder] = set()
+        self.holders: set[Holder] = set()
+
+    def held_by(self, holder: Holder) -> int:
+        return sum(amount for _, who, amount in self.moves if who == holder)
+
+    @property
+    def credited(self) -> int:
+        return sum(self.credit_by_change.values())
+
+    @property
+    def charged(self) -> int:
+        return sum(amount for _, _, amount in self.billed.values())
+
+    @property
+    def outstanding(self) -> int:
+        return sum(amount for _, _, amount in self.moves)
+
+    @property
+    def in_doubt(self) -> int:
+        return sum(self.doubts.values())
+
+    @property
+    def free(self) -> int:
+        return self.credited - self.charged - self.outstanding - self.in_doubt
+
+    def may_draw(self, holder: Holder) -> bool:
+        return holder.incarnation >= self.latest[holder.host] and holder not in self.dead
+
+    def note(self, holder: Holder) -> None:
+        self.latest[holder.host] = max(self.latest[holder.host], holder.incarnation)
+
+    def credit(self, change_id: str, amount: int) -> None:
+        self.credit_by_change.setdefault(change_id, amount)
+
+    def draw(self, command: Draw) -> int | None:
+        """Return what is granted, or ``None`` where the draw is rejected."""
+        holder = command.holder
+        if not self.may_draw(holder):
+            return None
+        self.note(holder)
+        self.holders.add(holder)
+        answered = [key for key in self.answers if key[:2] == ("draw", holder)]
+        if any(key[2] > command.number for key in answered):
+            return None
+        key = ("draw", holder, command.number)
+        if key not in self.answers:
+            granted = min(command.amount, self.free)
+            self.answers[key] = granted if granted >= max(1, command.minimum) else 0
+            self.moves.append(("draw", holder, self.answers[key]))
+        granted_before: int = self.answers[key]
+        return granted_before
+
+    def give_back(self, command: Return) -> bool:
+        """Return whether the command is accepted."""
+        holder = command.holder
+        numbers = [key[2] for key in self.answers if key[:2] == ("return", holder)]
+        if holder not in self.holders or command.number <= max(numbers, default=0):
+            return True
+        if command.amount > self.held_by(holder):
+            return False
+        self.answers["return", holder, command.number] = True
+        self.moves.append(("return", holder, -command.amount))
+        return True
+
+    def charge(self, holder: Holder, request: str, number: int, amount: int) -> ChargeOutcome:
+        self.note(holder)
+        if (holder, number, request) in self.answers:
+            outcome: ChargeOutcome = self.answers[holder, number, request]
+            return outcome
+        outcome = self._first_charge(holder, request, number, amount)
+        self.answers[holder, number, request] = outcome
+        return outcome
+
+    def _first_charge(
+        self, holder: Holder, request: str, number: int, amount: int
+    ) -> ChargeOutcome:
+        taken = min(amount, max(0, self.held_by(holder)))
+        if request in self.answers:
+            return ChargeOutcome.DUPLICATE
+        self.answers[request] = holder
+        if amount > taken + self.free:
+            self.doubts[holder, number] = taken + self.free
+            self.moves.append(("doubt", holder, -taken))
+            return ChargeOutcome.IN_DOUBT
+        self.billed[request] = (holder, number, amount)
+        self.moves.append(("charge", holder, -taken))
+        return ChargeOutcome.BILLED
+
+    def register(self, command: RegisterHolder) -> bool:
+        """Return whether the command is accepted."""
+        if not self.may_draw(command.holder):
+            return False
+        self.note(command.holder)
+        if command.delivered:
+            for holder in list(self.holders):
+                older = holder.incarnation < command.holder.incarnation
+                if holder.host == command.holder.host and older:
+                    self._release(holder)
+        return True
+
+    def confirm_dead(self, command: ConfirmDead) -> None:
+        self.note(command.holder)
+        if command.holder not in self.dead:
+            self.dead.add(command.holder)
+            self._release(command.holder)
+
+    def _release(self, holder: Holder) -> None:
+        self.moves.append(("release", holder, -self.held_by(holder)))
+        self.holders.discard(holder)
+
+    def transfer(self, command: Transfer) -> int:
+        """Return what was moved."""
+        key = ("transfer", command.giver, command.giver_number)
+        if key in self.answers:
+            moved_before: int = self.answers[key]
+            return moved_before
+        from_giver = min(command.amount, max(0, self.held_by(command.giver)))
+        moved = min(command.amount, from_giver + self.free)
+        self.moves.append(("give", command.giver, -from_giver))
+        if self.may_draw(command.taker):
+            self.note(command.taker)
+            self.holders.add(command.taker)
+        if command.taker in self.holders:
+            self.moves.append(("take", command.taker, moved))
+        self.answers[key] = moved
+        return moved
