--- a/cranberrywall/budgets/_allotment.py
+++ b/cranberrywall/budgets/_allotment.py
@@ -161,7 +161,7 @@
 
     def take(self, amount: int) -> int:
         """Remove up to ``amount`` of what is spendable and return what was removed."""
-        taken = min(amount, self.spendable)
+        taken = max(0, min(amount, self.spendable))
         self.spendable -= taken
         return taken
 
--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -47,7 +47,7 @@
 
 _ISOLATED = Refusal(
     ErrorKind.BUDGET_UNREACHABLE,
-    "this host reaches neither the ledger nor two peers, and has no disk that works",
+    "this host has no disk that works, and reaches neither the ledger nor peers to keep charges",
     "budget",
     "send it to another host",
 )
@@ -103,7 +103,9 @@
         self._shortage_by_budget: dict[str, Shortage] = {}
         self._queue_by_group = {group: self._make_queue(group) for group in ledger.groups()}
         self._steps = LedgerSteps(ledger, self._clock)
-        self._store = MirrorStore(ledger, self._clock)
+        self._store = MirrorStore(
+            ledger, keeper if isinstance(keeper, Journal) else None, self._clock
+        )
         self._giver = Giver(keeper, self._clock)
         self._reviewer = Reviewer(self._steps, peers, self._clock)
         self._tools = Tools(
@@ -165,7 +167,7 @@
         for queue in self._queue_by_group.values():
             queue.start()
             left = [of_group(kept, queue.group, self._ledger) for kept in recovered.kept]
-            left = [kept for kept in left if kept.holder != queue.holder]
+            left = [one for one in left if one.holder != queue.holder and self._is_mine(one)]
             register = registration.register(
                 queue.group, self._holder, left, partial(_is_succeeded, queue)
             )
@@ -212,6 +214,9 @@
 
     def _resume(self, recovered: Recovered) -> None:
         """Go on as the holder of each checkpoint; the others' remains are delivered."""
+        for kept in recovered.kept:
+            if not self._is_mine(kept):
+                self._store.adopt(kept)
         for checkpoint in recovered.checkpoints:
             queue = self._queue_by_group.get(checkpoint.group)
             if queue is None:
@@ -227,7 +232,10 @@
                 len(checkpoint.rows),
             )
 
-    def _hand_over(self, queue: ChargeQueue) -> list[Transfer]:
+    def _is_mine(self, kept: Kept) -> bool:
+        return kept.holder.host == self._holder.host
+
+    def _hand_over(self, queue: ChargeQueue) -> list[tuple[Transfer, Allotment]]:
         return hand_over(list(self._by_budget.values()), queue, self._clock.wall())
 
     async def _reach_changed(self, queue: ChargeQueue, in_reach: bool) -> None:
@@ -243,6 +251,9 @@
         if isinstance(self._keeper, Journal):
             # The journal holds all that earlier runs on this disk left.
             return True
+        if self._policies.spends_alone():
+            # An earlier run may have spent alone, and taken what it knew of that with it.
+            return False
         host, incarnation = self._holder
         return await deliver_at_peers(
             host, incarnation, self._entry_hosts(), self._peers, self._caller
@@ -287,4 +298,5 @@
 
 
 def _is_succeeded(queue: ChargeQueue) -> bool:
-    return queue.successor is None
+    """Say whether the ledger knows that all an older holder held is this run's now."""
+    return queue.successor is None and not queue.unreported
--- a/cranberrywall/budgets/_charges.py
+++ b/cranberrywall/budgets/_charges.py
@@ -20,7 +20,7 @@
     RecallsQuery,
     Transfer,
 )
-from cranberrywall.errors import Refusal
+from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.runtime import Clock
 
 # Batches of one group start at least this far apart; charges in between share one.
@@ -30,6 +30,25 @@
 RETRY_MOST_S = 5.0
 
 
+# After these a command may yet be applied. Every other kind is the ledger's own answer.
+UNCERTAIN = frozenset(
+    {
+        ErrorKind.UNREACHABLE,
+        ErrorKind.TIMEOUT,
+        ErrorKind.NOT_CURRENT,
+        ErrorKind.NOT_LEADER,
+        ErrorKind.STORAGE_FAILED,
+        ErrorKind.NOT_READY,
+        ErrorKind.OVERLOADED,
+    }
+)
+
+
+def out_of_reach(refusal: Refusal) -> bool:
+    """Say whether the ledger could not be asked, or its answer was lost."""
+    return refusal.kind in UNCERTAIN
+
+
 class Kept(NamedTuple):
     """Hold what must reach the ledger some day: transfers first, then charges."""
 
@@ -101,7 +120,7 @@
         self.durable = True
         self.on_reach: Callable[[bool], Awaitable[None]] | None = None
         self.successor: Holder | None = None
-        self.on_succeed: Callable[[], Sequence[Transfer]] | None = None
+        self.on_succeed: Callable[[], Sequence[tuple[Transfer, Charged]]] | None = None
         self._ledger = ledger
         self._keeper = keeper
         self._clock = clock
@@ -201,7 +220,7 @@
                 await self._commit_next()
             else:
                 await self._probe()
-            if self.successor is not None and self.in_reach and not self._kept:
+            if self.successor is not None and self._can_succeed():
                 self._succeed()
             if self.uncommitted == 0 and self.in_reach:
                 self._to_commit.clear()
@@ -221,6 +240,9 @@
             return
         await self._finish(batch, answer.ok_value)
 
+    def _can_succeed(self) -> bool:
+        return self.in_reach and not self._kept and not self._transfers
+
     def _succeed(self) -> None:
         """Go on as the successor: all that was spent as the old holder is committed.
 
@@ -229,8 +251,7 @@
         """
         assert self.successor is not None
         if self.on_succeed is not None:
-            transfers = self.on_succeed()
-            self._transfers.extend((transfer, None) for transfer in transfers)
+            self._transfers.extend(self.on_succeed())
         self._waiting = deque(
             pending._replace(
                 charge=pending.charge._replace(number=pending.allotment.take_charge_number())
@@ -286,10 +307,15 @@
         while self._transfers:
             transfer, taken_by = self._transfers[0]
             answer = await self._ledger.transfer(transfer, COMMIT_TIMEOUT_S)
-            if isinstance(answer, Err):
+            if isinstance(answer, Err) and out_of_reach(answer.err_value):
                 return answer
             self._transfers.popleft()
-            missing = transfer.amount - answer.ok_value.moved
+            moved = 0
+            if isinstance(answer, Ok):
+                moved = answer.ok_value.moved
+            else:
+                logger.error("event=transfer_refused reason={}", answer.err_value)
+            missing = transfer.amount - moved
             if taken_by is not None and missing > 0:
                 # The giver's remainder had come back and was spent elsewhere.
                 taken_by.drop(missing)
--- a/cranberrywall/budgets/_interfaces.py
+++ b/cranberrywall/budgets/_interfaces.py
@@ -99,6 +99,10 @@
         """Return the workspace's policy; the default one where it names none."""
         ...
 
+    def spends_alone(self) -> bool:
+        """Say whether any workspace's policy lets a host spend that is alone."""
+        ...
+
 
 class PeerHost(Protocol):
     """Describe another entry host; ``hosts.HostView`` satisfies it."""
--- a/cranberrywall/budgets/_journal.py
+++ b/cranberrywall/budgets/_journal.py
@@ -79,13 +79,20 @@
 
 
 class _TransferKey(NamedTuple):
+    """Name a transfer and the host that has to report it.
+
+    Both ends report, and a giver with a disk may also keep the report of a taker that has
+    none: the two entries are dropped at different times.
+    """
+
+    reporter: str
     giver: Holder
     budget: str
     number: int
 
 
-def _transfer_key(transfer: Transfer) -> _TransferKey:
-    return _TransferKey(transfer.giver, transfer.budget, transfer.giver_number)
+def _transfer_key(holder: Holder, transfer: Transfer) -> _TransferKey:
+    return _TransferKey(holder.host, transfer.giver, transfer.budget, transfer.giver_number)
 
 
 class _Live:
@@ -113,8 +120,9 @@
             key = _ChargeKey(kept.holder, charge.budget, charge.number)
             self.charge_by_key[key] = charge
         for transfer in kept.transfers:
-            self.transfer_by_key[_transfer_key(transfer)] = transfer
-            self.reporter_by_key[_transfer_key(transfer)] = kept.holder
+            key = _transfer_key(kept.holder, transfer)
+            self.transfer_by_key[key] = transfer
+            self.reporter_by_key[key] = kept.holder
             self._move(kept.holder, transfer)
 
     def _move(self, holder: Holder, transfer: Transfer) -> None:
@@ -132,8 +140,9 @@
         for budget, number in record.charges:
             self.charge_by_key.pop(_ChargeKey(record.holder, budget, number), None)
         for budget, giver, number in record.transfers:
-            self.transfer_by_key.pop(_TransferKey(giver, budget, number), None)
-            self.reporter_by_key.pop(_TransferKey(giver, budget, number), None)
+            key = _TransferKey(record.holder.host, giver, budget, number)
+            self.transfer_by_key.pop(key, None)
+            self.reporter_by_key.pop(key, None)
 
     def kept(self) -> list[Kept]:
         """Return what is to be delivered, by holder, in the order of the numbers."""
--- a/cranberrywall/budgets/_ledger_steps.py
+++ b/cranberrywall/budgets/_ledger_steps.py
@@ -3,30 +3,14 @@
 from result import Err, Ok, Result
 
 from cranberrywall.budgets._allotment import Allotment
+from cranberrywall.budgets._charges import out_of_reach
 from cranberrywall.budgets._client import LedgerClient
 from cranberrywall.budgets._sizing import LedgerView
 from cranberrywall.budgets.messages import Draw, DrawResult, Return
-from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.errors import Refusal
 from cranberrywall.runtime import Clock
 
 STEP_TIMEOUT_S = 1.0
-# After these a command may yet be applied. Every other kind is the ledger's own answer.
-UNCERTAIN = frozenset(
-    {
-        ErrorKind.UNREACHABLE,
-        ErrorKind.TIMEOUT,
-        ErrorKind.NOT_CURRENT,
-        ErrorKind.NOT_LEADER,
-        ErrorKind.STORAGE_FAILED,
-        ErrorKind.NOT_READY,
-        ErrorKind.OVERLOADED,
-    }
-)
-
-
-def out_of_reach(refusal: Refusal) -> bool:
-    """Say whether the ledger could not be asked, or its answer was lost."""
-    return refusal.kind in UNCERTAIN
 
 
 class LedgerSteps:
--- a/cranberrywall/budgets/_mirror.py
+++ b/cranberrywall/budgets/_mirror.py
@@ -1,4 +1,4 @@
-"""Keep the charges of a host without a disk at two of its peers.
+"""Keep the charges of a host without a disk at two of its peers, or on one peer's disk.
 
 The ledger is out of reach while a mirror is used. The peers commit what they hold once
 they reach the ledger; the ledger bills each charge once, whoever sends it.
@@ -24,12 +24,13 @@
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller
 
+# Copies in the memory of two peers last through the loss of one; one on a disk does too.
 COPIES = 2
 CALL_TIMEOUT_S = 0.5
 
 _ALONE = Refusal(
     ErrorKind.UNREACHABLE,
-    f"fewer than {COPIES} peers answer: the charge is held in this host's memory only",
+    f"no peer with a disk and fewer than {COPIES} others answer: the charge is in memory only",
 )
 
 
@@ -45,7 +46,7 @@
         self._links_of_mirrors: set[str] = set()
 
     async def keep(self, kept: Kept) -> Result[None, Refusal]:
-        """Return once two peers hold ``kept``."""
+        """Return once two peers hold ``kept``, or one has it on its disk."""
         request = KeepRequest(kept.holder, kept.transfers, kept.charges)
         candidates = self._candidates()
         copies = 0
@@ -86,12 +87,13 @@
             )
         )
 
-    async def _keep_at(self, peer: PeerHost, request: KeepRequest) -> bool:
+    async def _keep_at(self, peer: PeerHost, request: KeepRequest) -> int:
+        """Return how many copies this peer's answer is worth."""
         answer = await self._caller.call(peer.links, KEEP, request, CALL_TIMEOUT_S)
         if isinstance(answer, Err):
-            return False
+            return 0
         self._links_of_mirrors.add(peer.links)
-        return True
+        return COPIES if answer.ok_value.on_disk else 1
 
     def _candidates(self) -> list[PeerHost]:
         """Return the peers, one of another place first: a place may be lost as a whole."""
--- a/cranberrywall/budgets/_mirror_store.py
+++ b/cranberrywall/budgets/_mirror_store.py
@@ -5,7 +5,9 @@
 from loguru import logger
 from result import Err, Ok, Result
 
+from cranberrywall.budgets._charges import Kept
 from cranberrywall.budgets._client import LedgerClient
+from cranberrywall.budgets._journal import Journal
 from cranberrywall.budgets._peer_messages import (
     DeliverReply,
     DeliverRequest,
@@ -51,8 +53,9 @@
 class MirrorStore:
     """Answer the keep, forget and deliver calls of peers."""
 
-    def __init__(self, ledger: LedgerClient, clock: Clock) -> None:
+    def __init__(self, ledger: LedgerClient, journal: Journal | None, clock: Clock) -> None:
         self._ledger = ledger
+        self._journal = journal
         self._clock = clock
         self._copies_by_holder: dict[Holder, _Copies] = {}
         self._fence_by_host: dict[str, _Fence] = {}
@@ -70,25 +73,38 @@
             # A late call of an ended incarnation: its successor was told that nothing is
             # left, and its remainder may have come back.
             return Err(Refusal(ErrorKind.CONFLICT, "a later incarnation is known", "holder"))
-        copies = self._copies_by_holder.get(request.holder)
+        kept = Kept(request.holder, request.transfers, request.charges)
+        self.adopt(kept)
+        if self._journal is None:
+            return Ok(KeepReply(on_disk=False))
+        written = await self._journal.keep(kept)
+        return Ok(KeepReply(on_disk=isinstance(written, Ok)))
+
+    def adopt(self, kept: Kept) -> None:
+        """Hold copies, as a peer asks or as the journal of an earlier run has them."""
+        copies = self._copies_by_holder.get(kept.holder)
         if copies is None:
-            copies = self._copies_by_holder[request.holder] = _Copies(self._clock.now())
-        for charge in request.charges:
+            copies = self._copies_by_holder[kept.holder] = _Copies(self._clock.now())
+        for charge in kept.charges:
             copies.charge_by_key[charge.budget, charge.number] = charge
-        for transfer in request.transfers:
+        for transfer in kept.transfers:
             key = (transfer.budget, transfer.giver, transfer.giver_number)
             copies.transfer_by_key[key] = transfer
-        return Ok(KeepReply())
 
     async def forget(self, request: ForgetRequest, peer: Peer) -> Result[ForgetReply, Refusal]:
         """Drop copies of what the ledger has."""
         copies = self._copies_by_holder.get(request.holder)
         if copies is not None and peer.host == request.holder.host:
-            for charge in request.charges:
-                copies.charge_by_key.pop(charge, None)
-            for transfer in request.transfers:
-                copies.transfer_by_key.pop(transfer, None)
+            charges = [copies.charge_by_key.pop(key, None) for key in request.charges]
+            transfers = [copies.transfer_by_key.pop(key, None) for key in request.transfers]
             self._drop_empty(request.holder)
+            await self._note_committed(
+                Kept(
+                    request.holder,
+                    tuple(one for one in transfers if one is not None),
+                    tuple(one for one in charges if one is not None),
+                )
+            )
         return Ok(ForgetReply())
 
     async def deliver(self, request: DeliverRequest, peer: Peer) -> Result[DeliverReply, Refusal]:
@@ -119,6 +135,7 @@
             if isinstance(moved, Err):
                 return len(copies)
             copies.transfer_by_key.pop(key, None)
+            await self._note_committed(Kept(holder, (transfer,), ()))
         for group in self._ledger.groups():
             await self._commit_charges(holder, copies, group)
         left = len(copies)
@@ -136,8 +153,13 @@
                 return
             for key in some:
                 copies.charge_by_key.pop(key, None)
+            await self._note_committed(Kept(holder, (), charges))
             logger.info("event=copies_committed host={} charges={}", holder.host, len(some))
 
+    async def _note_committed(self, kept: Kept) -> None:
+        if self._journal is not None and (kept.charges or kept.transfers):
+            await self._journal.committed(kept)
+
     def _drop_empty(self, holder: Holder) -> None:
         copies = self._copies_by_holder.get(holder)
         if copies is not None and len(copies) == 0:
--- a/cranberrywall/budgets/_peer_messages.py
+++ b/cranberrywall/budgets/_peer_messages.py
@@ -46,7 +46,9 @@
 
 
 class KeepReply(NamedTuple):
-    """Say that the peer holds them."""
+    """Say that the peer holds them; ``on_disk`` that they are synced to its disk."""
+
+    on_disk: bool
 
 
 class ForgetRequest(NamedTuple):
--- a/cranberrywall/budgets/_recovery.py
+++ b/cranberrywall/budgets/_recovery.py
@@ -71,7 +71,9 @@
     )
 
 
-def hand_over(allotments: Sequence[Allotment], queue: ChargeQueue, at: float) -> list[Transfer]:
+def hand_over(
+    allotments: Sequence[Allotment], queue: ChargeQueue, at: float
+) -> list[tuple[Transfer, Allotment]]:
     """Move what is held as the queue's holder to its successor, and number anew.
 
     A draw or return whose answer is lost is given up: what it moved is the old holder's
@@ -86,17 +88,17 @@
         allotment.number_from(Numbers())
         allotment.pending_draw = None
         allotment.pending_return = None
-        if allotment.booked > 0:
-            transfers.append(
-                Transfer(
-                    allotment.budget,
-                    queue.holder,
-                    numbers.give,
-                    queue.successor,
-                    allotment.next_accept,
-                    allotment.booked,
-                    at,
-                )
-            )
-            allotment.next_accept += 1
+        if allotment.booked <= 0:
+            continue
+        transfer = Transfer(
+            allotment.budget,
+            queue.holder,
+            numbers.give,
+            queue.successor,
+            allotment.next_accept,
+            allotment.booked,
+            at,
+        )
+        allotment.next_accept += 1
+        transfers.append((transfer, allotment))
     return transfers
--- a/cranberrywall/budgets/_review.py
+++ b/cranberrywall/budgets/_review.py
@@ -6,8 +6,9 @@
 from result import Err
 
 from cranberrywall.budgets._allotment import Allotment
+from cranberrywall.budgets._charges import out_of_reach
 from cranberrywall.budgets._interfaces import Peers
-from cranberrywall.budgets._ledger_steps import LedgerSteps, out_of_reach
+from cranberrywall.budgets._ledger_steps import LedgerSteps
 from cranberrywall.budgets._sizing import HIGH_BAND, LOW_BAND, Rates, target
 from cranberrywall.runtime import Clock
 
--- a/cranberrywall/budgets/_scarcity.py
+++ b/cranberrywall/budgets/_scarcity.py
@@ -13,9 +13,10 @@
 from result import Err, Ok, Result
 
 from cranberrywall.budgets._allotment import Allotment
+from cranberrywall.budgets._charges import out_of_reach
 from cranberrywall.budgets._client import LedgerClient
 from cranberrywall.budgets._interfaces import PeerHost, Peers, ReserveRequest
-from cranberrywall.budgets._ledger_steps import STEP_TIMEOUT_S, LedgerSteps, out_of_reach
+from cranberrywall.budgets._ledger_steps import STEP_TIMEOUT_S, LedgerSteps
 from cranberrywall.budgets._reservation import HeldReservation
 from cranberrywall.budgets._transfers import Taker, nearest_first
 from cranberrywall.budgets.messages import BudgetQuery, Holder
--- a/measurements/_budget_runs.py
+++ b/measurements/_budget_runs.py
@@ -10,6 +10,7 @@
 import random
 from collections import defaultdict
 from collections.abc import Callable, Mapping
+from functools import partial
 from typing import NamedTuple
 
 from result import Err
@@ -32,6 +33,7 @@
     false_refusals: int
     overspend: int
     unbilled: int
+    lost_with_host: int
     calls: int
 
 
@@ -46,6 +48,7 @@
         self.false_refusals = 0
         self.false_by_budget: dict[str, int] = defaultdict(int)
         self.overspend: dict[str, int] = defaultdict(int)
+        self.lost_with_host = 0
 
     def refuse(self, request: Request) -> None:
         """Count a refusal, and whether it was false."""
@@ -63,10 +66,23 @@
         over = self.settled[budget] - self.credited[budget]
         self.overspend[budget] = max(self.overspend[budget], over)
 
+    def lose(self, request: Request) -> None:
+        """Count an answer that was not whole: its charge was lost with its host."""
+        self.settled[request.budget] -= request.actual
+        self.lost_with_host += 1
+
     def outcome(self, requests: int, unbilled: int, calls: int) -> Outcome:
         """Return the sums."""
         overspend = sum(max(0, over) for over in self.overspend.values())
-        return Outcome(requests, self.refusals, self.false_refusals, overspend, unbilled, calls)
+        return Outcome(
+            requests,
+            self.refusals,
+            self.false_refusals,
+            overspend,
+            unbilled,
+            self.lost_with_host,
+            calls,
+        )
 
 
 def host_of(request: Request, deployment: Deployment, is_up: Callable[[str], bool]) -> str | None:
@@ -108,11 +124,11 @@
             self._at(top_up.at, self._credit(top_up))
         for cut in trace.cuts:
             with_ledger = everybody - away_hosts(cut, trace.deployment)
-            self._at(cut.at, lambda now, side=with_ledger: self._scheme.cut(side, now))
-            self._at(cut.ends_at, lambda now: self._scheme.cut(everybody, now))
+            self._at(cut.at, partial(self._scheme.cut, with_ledger))
+            self._at(cut.ends_at, partial(self._scheme.cut, everybody))
         for death in trace.deaths:
             self._at(death.at, self._die(death))
-            self._at(death.back_at, lambda now, host=death.host: self._down.discard(host))
+            self._at(death.back_at, partial(self._come_back, death.host))
         for request in trace.requests:
             self._at(request.at, self._arrive(request))
         while self._queue:
@@ -123,6 +139,9 @@
     def _at(self, when: float, action: Callable[[float], None]) -> None:
         heapq.heappush(self._queue, (when, next(self._order), action))
 
+    def _come_back(self, host: str, now: float) -> None:
+        self._down.discard(host)
+
     def _credit(self, top_up: TopUp) -> Callable[[float], None]:
         def credit(now: float) -> None:
             self._true.credited[top_up.budget] += top_up.amount
@@ -192,7 +211,7 @@
             storages,
         )
         self._tasks_by_host: dict[str, set[asyncio.Task[None]]] = defaultdict(set)
-        self._settled_by_budget: dict[str, int] = defaultdict(int)
+        self._in_memory: dict[str, list[Request]] = defaultdict(list)
 
     async def run(self) -> Outcome:
         trace = self._trace
@@ -200,14 +219,14 @@
         events: list[tuple[float, int, Callable[[], None]]] = []
         order = itertools.count()
         for top_up in trace.top_ups:
-            events.append((top_up.at, next(order), lambda one=top_up: self._credit(one)))
+            events.append((top_up.at, next(order), partial(self._credit, top_up)))
         for cut in trace.cuts:
-            events.append((cut.at, next(order), lambda one=cut: self._cut(one)))
+            events.append((cut.at, next(order), partial(self._cut, cut)))
             events.append((cut.ends_at, next(order), self._fleet.net.mend))
         for death in trace.deaths:
-            events.append((death.at, next(order), lambda one=death: self._die(one)))
+            events.append((death.at, next(order), partial(self._die, death)))
         for request in trace.requests:
-            events.append((request.at, next(order), lambda one=request: self._arrive(one)))
+            events.append((request.at, next(order), partial(self._arrive, request)))
         for at, _, action in sorted(events):
             wait = at - self._clock.now()
             if wait > 0.0:
@@ -239,8 +258,16 @@
         host.is_up = False
         for task in list(self._tasks_by_host.pop(death.host, ())):
             task.cancel()
+        self._lose_what_is_in_memory(death.host)
         asyncio.ensure_future(self._restart(death))
 
+    def _lose_what_is_in_memory(self, host: str) -> None:
+        net = self._fleet.net
+        if net.reaches(host, LEDGER):
+            self._in_memory.pop(host, None)
+        for request in self._in_memory.pop(host, ()):
+            self._true.lose(request)
+
     async def _restart(self, death: Death) -> None:
         host = self._fleet.host_by_name[death.host]
         await host.kill()
@@ -269,15 +296,16 @@
             return
         self._true.held[request.budget] += request.bound
         try:
-            await self._run_request(answer.ok_value, request)
+            await self._run_request(host, answer.ok_value, request)
         except asyncio.CancelledError:
             self._true.held[request.budget] -= request.bound
             raise
 
-    async def _run_request(self, reservation: Reservation, request: Request) -> None:
+    async def _run_request(self, host: str, reservation: Reservation, request: Request) -> None:
         await self._clock.sleep(request.takes_s)
         settled = await reservation.settle(request.actual, self._clock.now())
-        if isinstance(settled, Err):
-            # It ran, and was not made durable: it counts as spent all the same.
-            pass
         self._true.settle(request)
+        if isinstance(settled, Err):
+            # The caller is told that the answer is not whole. It is billed if the host
+            # lives to reach the ledger.
+            self._in_memory[host].append(request)
--- a/measurements/budget_partition.py
+++ b/measurements/budget_partition.py
@@ -1,6 +1,5 @@
 """Measure false refusals and overspend through partitions, against simpler schemes."""
 
-import sys
 import time
 
 from loguru import logger
@@ -44,6 +43,7 @@
             "user": deployment.name,
             "overspend": ours.overspend,
             "unbilled": ours.unbilled,
+            "lost_with_host": ours.lost_with_host,
             "requests": ours.requests,
             "refusals": ours.refusals,
             "false_refusals": ours.false_refusals,
@@ -73,4 +73,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
--- a/tests/fakes/money.py
+++ b/tests/fakes/money.py
@@ -150,6 +150,10 @@
         """Return the one policy."""
         return self.policy
 
+    def spends_alone(self) -> bool:
+        """Say whether the one policy lets a host spend that is alone."""
+        return self.policy.isolated == "spend"
+
 
 class MoneyHost:
     """Run one incarnation after another of one entry host."""
