--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -11,6 +11,7 @@
 from cranberrywall.budgets._charges import ChargeQueue, Kept
 from cranberrywall.budgets._client import LedgerClient
 from cranberrywall.budgets._interfaces import (
+    EntryHost,
     HostAllotments,
     Peers,
     Policies,
@@ -19,7 +20,7 @@
 )
 from cranberrywall.budgets._journal import Journal, Recovered
 from cranberrywall.budgets._ledger_steps import LedgerSteps
-from cranberrywall.budgets._mirror import Mirror, deliver_at_peers
+from cranberrywall.budgets._mirror import Mirror, deliver_at_mirrors, mirrors_of
 from cranberrywall.budgets._mirror_store import MirrorStore
 from cranberrywall.budgets._peer_messages import (
     DELIVER,
@@ -58,7 +59,7 @@
     place: str,
     ledger: LedgerClient,
     peers: Peers,
-    entry_hosts: Callable[[], Sequence[str]],
+    entry_hosts: Callable[[], Sequence[EntryHost]],
     policies: Policies,
     caller: Caller,
     server: Server,
@@ -66,11 +67,11 @@
 ) -> HostAllotments:
     """Return the allotments of this run of this host; ``start`` them before use.
 
-    ``entry_hosts`` names every entry host of the configuration in force: a host without a
-    disk asks each of them what it keeps of its earlier runs.
+    ``entry_hosts`` lists the entry hosts of the configuration in force: a host without a
+    disk keeps charges at some of them, and asks those what they keep of its earlier runs.
     """
     storage = runtime.storage
-    keeper = Journal(storage) if storage else Mirror(holder.host, place, peers, caller)
+    keeper = Journal(storage) if storage else Mirror(holder.host, entry_hosts, peers, caller)
     return _HostAllotments(
         holder, place, ledger, peers, entry_hosts, policies, caller, server, keeper, runtime
     )
@@ -83,7 +84,7 @@
         place: str,
         ledger: LedgerClient,
         peers: Peers,
-        entry_hosts: Callable[[], Sequence[str]],
+        entry_hosts: Callable[[], Sequence[EntryHost]],
         policies: Policies,
         caller: Caller,
         server: Server,
@@ -255,9 +256,8 @@
             # An earlier run may have spent alone, and taken what it knew of that with it.
             return False
         host, incarnation = self._holder
-        return await deliver_at_peers(
-            host, incarnation, self._entry_hosts(), self._peers, self._caller
-        )
+        mirrors = mirrors_of(host, self._entry_hosts())
+        return await deliver_at_mirrors(host, incarnation, mirrors, self._peers, self._caller)
 
     async def _give(self, request: TakeRequest, peer: Peer) -> Result[TakeReply, Refusal]:
         if peer.host != request.taker.host:
--- a/cranberrywall/budgets/_interfaces.py
+++ b/cranberrywall/budgets/_interfaces.py
@@ -123,6 +123,14 @@
         ...
 
 
+class EntryHost(NamedTuple):
+    """Describe an entry host of the configuration in force."""
+
+    host: str
+    place: str
+    disk: bool
+
+
 class Peers(Protocol):
     """Know the entry hosts in reach; ``hosts.Membership`` satisfies it."""
 
--- a/cranberrywall/budgets/_journal.py
+++ b/cranberrywall/budgets/_journal.py
@@ -120,9 +120,9 @@
             key = _ChargeKey(kept.holder, charge.budget, charge.number)
             self.charge_by_key[key] = charge
         for transfer in kept.transfers:
-            key = _transfer_key(kept.holder, transfer)
-            self.transfer_by_key[key] = transfer
-            self.reporter_by_key[key] = kept.holder
+            to_report = _transfer_key(kept.holder, transfer)
+            self.transfer_by_key[to_report] = transfer
+            self.reporter_by_key[to_report] = kept.holder
             self._move(kept.holder, transfer)
 
     def _move(self, holder: Holder, transfer: Transfer) -> None:
@@ -140,9 +140,9 @@
         for budget, number in record.charges:
             self.charge_by_key.pop(_ChargeKey(record.holder, budget, number), None)
         for budget, giver, number in record.transfers:
-            key = _TransferKey(record.holder.host, giver, budget, number)
-            self.transfer_by_key.pop(key, None)
-            self.reporter_by_key.pop(key, None)
+            reported = _TransferKey(record.holder.host, giver, budget, number)
+            self.transfer_by_key.pop(reported, None)
+            self.reporter_by_key.pop(reported, None)
 
     def kept(self) -> list[Kept]:
         """Return what is to be delivered, by holder, in the order of the numbers."""
--- a/tests/fakes/money.py
+++ b/tests/fakes/money.py
@@ -10,7 +10,13 @@
 
 from result import Err, Ok, Result
 
-from cranberrywall.budgets import HostAllotments, SpendPolicy, make_allotments, make_ledger_client
+from cranberrywall.budgets import (
+    EntryHost,
+    HostAllotments,
+    SpendPolicy,
+    make_allotments,
+    make_ledger_client,
+)
 from cranberrywall.budgets.messages import (
     LEDGER_CODEC,
     BudgetQuery,
@@ -178,7 +184,7 @@
             self.place,
             make_ledger_client(FakeControl(fleet.net, self.name), 1),
             self,
-            lambda: list(fleet.host_by_name),
+            fleet.entry_hosts,
             FakePolicies(fleet.policy),
             links,
             links,
@@ -231,6 +237,13 @@
         for host in self.host_by_name.values():
             await host.start()
 
+    def entry_hosts(self) -> list[EntryHost]:
+        """Return the hosts as the configuration has them."""
+        return [
+            EntryHost(host.name, host.place, host.storage is not None)
+            for host in self.host_by_name.values()
+        ]
+
     async def stop(self) -> None:
         """Stop every host that is up."""
         for host in self.host_by_name.values():
