--- a/cranberrywall/budgets/_charges.py
+++ b/cranberrywall/budgets/_charges.py
@@ -231,8 +231,10 @@
 
     async def _commit_next(self) -> None:
         source = self._kept or self._waiting
-        self._under_way = _take_first(source)
-        answer = await self._commit(self._under_way)
+        answer: Result[Any, Refusal] = await self._report_transfers()
+        if isinstance(answer, Ok):
+            self._under_way = self._take_funded(source)
+            answer = await self._commit(self._under_way)
         batch, self._under_way = self._under_way, []
         if isinstance(answer, Err):
             source.extendleft(reversed(batch))
@@ -265,11 +267,10 @@
         """Try the ledger again with what is kept, ever more rarely."""
         await self._clock.sleep(self._retry_s)
         self._retry_s = min(RETRY_MOST_S, self._retry_s * 2.0)
-        self._under_way = _take_first(self._kept)
-        if self._under_way:
-            answer = await self._commit(self._under_way)
-        else:
-            answer = await self._ask_anything()
+        answer: Result[Any, Refusal] = await self._report_transfers()
+        if isinstance(answer, Ok):
+            self._under_way = self._take_funded(self._kept)
+            answer = await self._commit_or_ask(self._under_way)
         batch, self._under_way = self._under_way, []
         if isinstance(answer, Err):
             self._kept.extendleft(reversed(batch))
@@ -285,18 +286,12 @@
         if batch:
             await self._finish(batch, answer.ok_value)
 
-    async def _ask_anything(self) -> Result[Any, Refusal]:
-        reported = await self._report_transfers()
-        if isinstance(reported, Err):
-            return reported
+    async def _commit_or_ask(self, batch: Sequence[_Pending]) -> Result[Any, Refusal]:
+        if batch:
+            return await self._commit(batch)
         return await self._ledger.recalls(self.group, RecallsQuery(self.holder), COMMIT_TIMEOUT_S)
 
     async def _commit(self, batch: Sequence[_Pending]) -> Result[Any, Refusal]:
-        # A charge against transferred money is set aside as unfunded while the ledger
-        # does not know of the transfer, so reports go first.
-        reported = await self._report_transfers()
-        if isinstance(reported, Err):
-            return reported
         if not batch:
             return Ok(ChargeBatchResult(()))
         charges = tuple(pending.charge for pending in batch)
@@ -304,24 +299,43 @@
         return await self._ledger.charge(command, COMMIT_TIMEOUT_S)
 
     async def _report_transfers(self) -> Result[None, Refusal]:
-        while self._transfers:
+        """Report each transfer once; those whose money is not reported yet stay in line."""
+        for _ in range(len(self._transfers)):
             transfer, taken_by = self._transfers[0]
             answer = await self._ledger.transfer(transfer, COMMIT_TIMEOUT_S)
-            if isinstance(answer, Err) and out_of_reach(answer.err_value):
-                return answer
+            if isinstance(answer, Err):
+                refusal = answer.err_value
+                if refusal.kind is ErrorKind.NOT_READY:
+                    self._transfers.rotate(-1)
+                    continue
+                if out_of_reach(refusal):
+                    return answer
+                logger.error("event=transfer_refused reason={}", refusal)
             self._transfers.popleft()
-            moved = 0
-            if isinstance(answer, Ok):
-                moved = answer.ok_value.moved
-            else:
-                logger.error("event=transfer_refused reason={}", answer.err_value)
-            missing = transfer.amount - moved
-            if taken_by is not None and missing > 0:
+            moved = answer.ok_value.moved if isinstance(answer, Ok) else 0
+            if taken_by is not None and moved < transfer.amount:
                 # The giver's remainder had come back and was spent elsewhere.
-                taken_by.drop(missing)
+                taken_by.drop(transfer.amount - moved)
             await self._keeper.committed(Kept(self.holder, (transfer,), ()))
         return Ok(None)
 
+    def _take_funded(self, source: deque[_Pending]) -> list[_Pending]:
+        """Take the first charges that the ledger will find covered.
+
+        Money that was given to this host pays for them: while a report of it waits for
+        that of its giver's own money, charges of the budget wait too.
+        """
+        waiting = {transfer.budget for transfer, taken_by in self._transfers if taken_by}
+        if not waiting:
+            return [source.popleft() for _ in range(min(MAX_CHARGES_IN_BATCH, len(source)))]
+        taken: list[_Pending] = []
+        left: deque[_Pending] = deque()
+        while source and len(taken) < MAX_CHARGES_IN_BATCH:
+            pending = source.popleft()
+            (left if pending.charge.budget in waiting else taken).append(pending)
+        source.extendleft(reversed(left))
+        return taken
+
     async def _finish(self, batch: Sequence[_Pending], answer: ChargeBatchResult) -> None:
         if not batch:
             return
@@ -352,10 +366,6 @@
             pending.answer(answer)
 
 
-def _take_first(source: deque[_Pending]) -> list[_Pending]:
-    return [source.popleft() for _ in range(min(MAX_CHARGES_IN_BATCH, len(source)))]
-
-
 def _note(pending: _Pending, outcome: ChargeOutcome) -> None:
     charge = pending.charge
     if outcome is ChargeOutcome.DUPLICATE:
--- a/cranberrywall/budgets/_ledger_holding.py
+++ b/cranberrywall/budgets/_ledger_holding.py
@@ -110,13 +110,11 @@
     """Apply one report of a transfer."""
 
     def __init__(self, state: LedgerState, account: Account, command: Transfer) -> None:
+        self._state = state
         self._account = account
         self._command = command
         self._giver = account.allotment_by_holder.get(command.giver)
         self._taker = account.allotment_by_holder.get(command.taker)
-        if self._taker is None and state.holders.is_current(command.taker):
-            state.holders.note(command.taker)
-            self._taker = account.allotment(state.holders.one(command.taker))
         self._key = (state.holders.one(command.giver), command.giver_number)
 
     def apply(self) -> TransferResult | Rejected:
@@ -125,11 +123,32 @@
         if moved is None and self._is_too_far_ahead():
             remedy = "report the transfers with the lowest numbers first"
             return Rejected(ErrorKind.CONFLICT, "too many are missing", "giver_number", remedy)
+        if moved is None and self._is_ahead_of_its_money():
+            remedy = "report it again after the transfer that funded it"
+            return Rejected(ErrorKind.NOT_READY, "the giver lacks it yet", "giver", remedy)
+        self._find_taker()
         if moved is None:
             moved = self._account.move(self._giver, self._taker, self._command.amount)
         self._note(moved)
         return TransferResult(moved)
 
+    def _find_taker(self) -> None:
+        state, taker = self._state, self._command.taker
+        if self._taker is None and state.holders.is_current(taker):
+            state.holders.note(taker)
+            self._taker = self._account.allotment(state.holders.one(taker))
+
+    def _is_ahead_of_its_money(self) -> bool:
+        """Say whether the giver gave what it had been given, and that is not reported yet.
+
+        Hosts on the far side of a cut pass money on, and report in any order once it is
+        mended. Were the later transfer applied first, the taker would be told to drop
+        money that is truly there, and its charges would be set aside as unfunded.
+        """
+        if self._giver is None:
+            return self._state.holders.is_current(self._command.giver)
+        return self._giver.outstanding < self._command.amount
+
     def _is_too_far_ahead(self) -> bool:
         numbers = self._giver.given_numbers if self._giver else None
         return numbers is not None and self._command.giver_number > numbers.through + MAX_AHEAD
--- a/cranberrywall/budgets/_mirror_store.py
+++ b/cranberrywall/budgets/_mirror_store.py
@@ -133,11 +133,14 @@
         for key, transfer in list(copies.transfer_by_key.items()):
             moved = await self._ledger.transfer(transfer, COMMIT_TIMEOUT_S)
             if isinstance(moved, Err):
+                if moved.err_value.kind is ErrorKind.NOT_READY:
+                    continue
                 return len(copies)
             copies.transfer_by_key.pop(key, None)
             await self._note_committed(Kept(holder, (transfer,), ()))
-        for group in self._ledger.groups():
-            await self._commit_charges(holder, copies, group)
+        if not copies.transfer_by_key:
+            for group in self._ledger.groups():
+                await self._commit_charges(holder, copies, group)
         left = len(copies)
         self._drop_empty(holder)
         return left
--- a/cranberrywall/budgets/_registration.py
+++ b/cranberrywall/budgets/_registration.py
@@ -5,15 +5,16 @@
 from loguru import logger
 from result import Err, Ok, Result
 
-from cranberrywall.budgets._charges import Keeper, Kept
+from cranberrywall.budgets._charges import Keeper, Kept, out_of_reach
 from cranberrywall.budgets._client import LedgerClient
 from cranberrywall.budgets.messages import (
     MAX_CHARGES_IN_BATCH,
     ChargeBatch,
     Holder,
     RegisterHolder,
+    Transfer,
 )
-from cranberrywall.errors import Refusal
+from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.runtime import Clock
 
 STEP_TIMEOUT_S = 1.0
@@ -65,10 +66,9 @@
         return True
 
     async def _deliver(self, kept: Kept) -> Result[None, Refusal]:
-        for transfer in kept.transfers:
-            moved = await self._ledger.transfer(transfer, STEP_TIMEOUT_S)
-            if isinstance(moved, Err):
-                return Err(moved.err_value)
+        left = await self._report(kept.transfers)
+        if left:
+            return Err(Refusal(ErrorKind.NOT_READY, f"{len(left)} transfers are not reported"))
         for start in range(0, len(kept.charges), MAX_CHARGES_IN_BATCH):
             some = kept.charges[start : start + MAX_CHARGES_IN_BATCH]
             batch = ChargeBatch(kept.holder, some, self._clock.wall())
@@ -78,6 +78,15 @@
         await self._keeper.committed(kept)
         return Ok(None)
 
+    async def _report(self, transfers: Sequence[Transfer]) -> list[Transfer]:
+        """Report transfers; return those that have to be reported again."""
+        left = []
+        for transfer in transfers:
+            answer = await self._ledger.transfer(transfer, STEP_TIMEOUT_S)
+            if isinstance(answer, Err) and out_of_reach(answer.err_value):
+                left.append(transfer)
+        return left
+
 
 def of_group(kept: Kept, group: str, ledger: LedgerClient) -> Kept:
     """Return the part of ``kept`` whose budgets are kept by ``group``."""
--- a/cranberrywall/budgets/messages.py
+++ b/cranberrywall/budgets/messages.py
@@ -200,7 +200,8 @@
     The giver deducts and syncs first, under its ``giver_number`` (from 1, rising by one
     for each budget). The taker adds the amount under its own ``taker_number`` and reports
     before it charges against it; the giver reports with ``taker_number`` 0. Once either
-    number is known, a second report changes nothing.
+    number is known, a second report changes nothing. A report that comes before the one
+    of the transfer that funded it is refused as ``NOT_READY``: send it again later.
     """
 
     budget: str
