--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -114,7 +114,7 @@
             place,
             ledger,
             self._steps,
-            Taker(caller, keeper, self._store.is_ended, runtime.random),
+            Taker(caller, keeper, self._store.is_ended, self._clock, runtime.random),
             peers,
             self._clock,
             self._reviewer.wanted,
@@ -256,7 +256,11 @@
             # An earlier run may have spent alone, and taken what it knew of that with it.
             return False
         host, incarnation = self._holder
-        mirrors = mirrors_of(host, self._entry_hosts())
+        entry_hosts = self._entry_hosts()
+        if host not in [one.host for one in entry_hosts]:
+            # Without the configuration nobody can say which hosts kept what.
+            return False
+        mirrors = mirrors_of(host, entry_hosts)
         return await deliver_at_mirrors(host, incarnation, mirrors, self._peers, self._caller)
 
     async def _give(self, request: TakeRequest, peer: Peer) -> Result[TakeReply, Refusal]:
--- a/cranberrywall/budgets/_transfers.py
+++ b/cranberrywall/budgets/_transfers.py
@@ -22,6 +22,7 @@
 from cranberrywall.runtime import Clock, Random
 
 TAKE_TIMEOUT_S = 0.5
+PEER_REST_S = 5.0
 # A giver answers a repeated request from these; a taker repeats only its last one.
 ANSWERS_KEPT = 1024
 
@@ -125,19 +126,28 @@
         caller: Caller,
         keeper: Keeper,
         is_ended: Callable[[Holder], bool],
+        clock: Clock,
         random: Random,
     ) -> None:
         self._caller = caller
         self._keeper = keeper
         self._is_ended = is_ended
+        self._clock = clock
         self._random = random
+        self._rests_until: dict[str, float] = {}
         self._unanswered: dict[_Line, TakeRequest] = {}
         self.sent = 0
 
     async def take(
         self, peer: PeerHost, allotment: Allotment, amount: int, minimum: int
     ) -> TakeReply | None:
-        """Ask one peer; what it gives is added. ``None`` where it did not answer."""
+        """Ask one peer; what it gives is added. ``None`` where it did not answer.
+
+        A peer that did not answer is left alone for a while: over a cut each call would
+        cost a request most of its time.
+        """
+        if self._clock.now() < self._rests_until.get(peer.host, 0.0):
+            return None
         holder = allotment.queue.holder
         # Chance, not a counter: after a restart a counter would name an earlier request,
         # whose transfer the peer would give again.
@@ -163,6 +173,7 @@
         if isinstance(answer, Err):
             # The peer may have given. The same request, sent again, gets what it gave.
             self._unanswered.setdefault(key, request)
+            self._rests_until[peer.host] = self._clock.now() + PEER_REST_S
             return None
         reply = answer.ok_value
         if reply.transfer is not None:
--- a/cranberrywall/entry/_configured.py
+++ b/cranberrywall/entry/_configured.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from cranberrywall.budgets import SpendPolicy
+from cranberrywall.budgets import EntryHost, SpendPolicy
 from cranberrywall.configuration import Configuration
 from cranberrywall.hosts import HostState, HostView
 
@@ -35,9 +35,14 @@
         """Return what is known of one host."""
         return next((view for view in self.alive() if view.host == host), None)
 
-    def entry_hosts(self) -> Sequence[str]:
-        """Return the names of all entry hosts of the configuration."""
-        return [view.host for view in self._others()]
+    def entry_hosts(self) -> Sequence[EntryHost]:
+        """Return all entry hosts of the configuration; none before there is one."""
+        hosts = self._configuration.document["hosts"]
+        return [
+            EntryHost(name, host["place"], host["disk"])
+            for name, host in hosts.items()
+            if "entry" in host["roles"]
+        ]
 
     def _others(self) -> Sequence[HostView]:
         hosts = self._configuration.document["hosts"]
@@ -71,3 +76,8 @@
         if policy is None:
             return SpendPolicy()
         return SpendPolicy(policy["held_back"], policy["isolated"])
+
+    def spends_alone(self) -> bool:
+        """Say whether any workspace's policy lets a host spend that is alone."""
+        policies = self._configuration.document["policies"]
+        return any(policy["isolated"] == "spend" for policy in policies.values())
