--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -11,6 +11,7 @@
 from cranberrywall.budgets._charges import ChargeQueue, Kept
 from cranberrywall.budgets._client import LedgerClient
 from cranberrywall.budgets._interfaces import (
+    EntryHost,
     HostAllotments,
     Peers,
     Policies,
@@ -19,7 +20,7 @@
 )
 from cranberrywall.budgets._journal import Journal, Recovered
 from cranberrywall.budgets._ledger_steps import LedgerSteps
-from cranberrywall.budgets._mirror import Mirror, deliver_at_peers
+from cranberrywall.budgets._mirror import Mirror, deliver_at_mirrors, mirrors_of
 from cranberrywall.budgets._mirror_store import MirrorStore
 from cranberrywall.budgets._peer_messages import (
     DELIVER,
@@ -47,7 +48,7 @@
 
 _ISOLATED = Refusal(
     ErrorKind.BUDGET_UNREACHABLE,
-    "this host reaches neither the ledger nor two peers, and has no disk that works",
+    "this host has no disk that works, and reaches neither the ledger nor peers to keep charges",
     "budget",
     "send it to another host",
 )
@@ -58,7 +59,7 @@
     place: str,
     ledger: LedgerClient,
     peers: Peers,
-    entry_hosts: Callable[[], Sequence[str]],
+    entry_hosts: Callable[[], Sequence[EntryHost]],
     policies: Policies,
     caller: Caller,
     server: Server,
@@ -66,11 +67,11 @@
 ) -> HostAllotments:
     """Return the allotments of this run of this host; ``start`` them before use.
 
-    ``entry_hosts`` names every entry host of the configuration in force: a host without a
-    disk asks each of them what it keeps of its earlier runs.
+    ``entry_hosts`` lists the entry hosts of the configuration in force: a host without a
+    disk keeps charges at some of them, and asks those what they keep of its earlier runs.
     """
     storage = runtime.storage
-    keeper = Journal(storage) if storage else Mirror(holder.host, place, peers, caller)
+    keeper = Journal(storage) if storage else Mirror(holder.host, entry_hosts, peers, caller)
     return _HostAllotments(
         holder, place, ledger, peers, entry_hosts, policies, caller, server, keeper, runtime
     )
@@ -83,7 +84,7 @@
         place: str,
         ledger: LedgerClient,
         peers: Peers,
-        entry_hosts: Callable[[], Sequence[str]],
+        entry_hosts: Callable[[], Sequence[EntryHost]],
         policies: Policies,
         caller: Caller,
         server: Server,
@@ -103,7 +104,9 @@
         self._shortage_by_budget: dict[str, Shortage] = {}
         self._queue_by_group = {group: self._make_queue(group) for group in ledger.groups()}
         self._steps = LedgerSteps(ledger, self._clock)
-        self._store = MirrorStore(ledger, self._clock)
+        self._store = MirrorStore(
+            ledger, keeper if isinstance(keeper, Journal) else None, self._clock
+        )
         self._giver = Giver(keeper, self._clock)
         self._reviewer = Reviewer(self._steps, peers, self._clock)
         self._tools = Tools(
@@ -111,7 +114,7 @@
             place,
             ledger,
             self._steps,
-            Taker(caller, keeper, self._store.is_ended, runtime.random),
+            Taker(caller, keeper, self._store.is_ended, self._clock, runtime.random),
             peers,
             self._clock,
             self._reviewer.wanted,
@@ -165,7 +168,7 @@
         for queue in self._queue_by_group.values():
             queue.start()
             left = [of_group(kept, queue.group, self._ledger) for kept in recovered.kept]
-            left = [kept for kept in left if kept.holder != queue.holder]
+            left = [one for one in left if one.holder != queue.holder and self._is_mine(one)]
             register = registration.register(
                 queue.group, self._holder, left, partial(_is_succeeded, queue)
             )
@@ -212,6 +215,9 @@
 
     def _resume(self, recovered: Recovered) -> None:
         """Go on as the holder of each checkpoint; the others' remains are delivered."""
+        for kept in recovered.kept:
+            if not self._is_mine(kept):
+                self._store.adopt(kept)
         for checkpoint in recovered.checkpoints:
             queue = self._queue_by_group.get(checkpoint.group)
             if queue is None:
@@ -227,7 +233,10 @@
                 len(checkpoint.rows),
             )
 
-    def _hand_over(self, queue: ChargeQueue) -> list[Transfer]:
+    def _is_mine(self, kept: Kept) -> bool:
+        return kept.holder.host == self._holder.host
+
+    def _hand_over(self, queue: ChargeQueue) -> list[tuple[Transfer, Allotment]]:
         return hand_over(list(self._by_budget.values()), queue, self._clock.wall())
 
     async def _reach_changed(self, queue: ChargeQueue, in_reach: bool) -> None:
@@ -243,10 +252,16 @@
         if isinstance(self._keeper, Journal):
             # The journal holds all that earlier runs on this disk left.
             return True
+        if self._policies.spends_alone():
+            # An earlier run may have spent alone, and taken what it knew of that with it.
+            return False
         host, incarnation = self._holder
-        return await deliver_at_peers(
-            host, incarnation, self._entry_hosts(), self._peers, self._caller
-        )
+        entry_hosts = self._entry_hosts()
+        if host not in [one.host for one in entry_hosts]:
+            # Without the configuration nobody can say which hosts kept what.
+            return False
+        mirrors = mirrors_of(host, entry_hosts)
+        return await deliver_at_mirrors(host, incarnation, mirrors, self._peers, self._caller)
 
     async def _give(self, request: TakeRequest, peer: Peer) -> Result[TakeReply, Refusal]:
         if peer.host != request.taker.host:
@@ -287,4 +302,5 @@
 
 
 def _is_succeeded(queue: ChargeQueue) -> bool:
-    return queue.successor is None
+    """Say whether the ledger knows that all an older holder held is this run's now."""
+    return queue.successor is None and not queue.unreported
