--- a/cranberrywall/budgets/__init__.py
+++ b/cranberrywall/budgets/__init__.py
@@ -4,6 +4,7 @@
 from cranberrywall.budgets._client import LedgerClient, make_ledger_client
 from cranberrywall.budgets._interfaces import (
     Allotments,
+    EntryHost,
     HostAllotments,
     PeerHost,
     Peers,
@@ -19,6 +20,7 @@
 __all__ = [
     "LEDGER_CODEC",
     "Allotments",
+    "EntryHost",
     "HostAllotments",
     "IdLimits",
     "LedgerClient",
--- a/tests/orders/world.py
+++ b/tests/orders/world.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Coroutine, Mapping, Sequence
 from typing import Any, NamedTuple
 
 from result import Err, Ok, Result
@@ -59,7 +59,6 @@
         self.name = name
         self.copies = set(copies)
         self.adapters: set[str] = set()
-        self.role = "both"
         self.checks_fencing = checks_fencing
         self.slots = slots
         self.incarnation = 1
@@ -88,7 +87,7 @@
             self.checks_fencing,
             frozenset(self.copies),
             frozenset(self.adapters),
-            self.role,
+            frozenset(self._world.document["models"]),
             self.slots,
             4,
             False,
@@ -107,10 +106,8 @@
         copy = Copy(action.model, action.version)
         if action.kind in ("load", "adapter"):
             await self._load(action, copy)
-        elif action.kind == "unload":
-            self._unload(copy)
         else:
-            self.role = action.name
+            self._unload(copy)
         return Fate.DONE
 
     async def _load(self, action: Action, copy: Copy) -> None:
@@ -123,7 +120,7 @@
             finally:
                 self._world.store.end()
         if action.kind == "adapter":
-            self.adapters.add(action.name)
+            self.adapters.add(action.adapter)
         else:
             self.copies.add(copy)
 
@@ -159,10 +156,7 @@
         await self._world.clock.sleep(0.01 + self.stall)
         engine = next(engine for engine in self._world.engines if engine.name == url)
         # The engine goes on with an order whose sender is gone.
-        work = asyncio.ensure_future(engine.take(term, number, action))
-        self._world.tasks.add(work)
-        work.add_done_callback(self._world.tasks.discard)
-        return await asyncio.shield(work)
+        return await asyncio.shield(self._world.run_beside(engine.take(term, number, action)))
 
     async def close(self) -> None:
         return
@@ -305,6 +299,12 @@
             return Err(Refusal(ErrorKind.TIMEOUT))
         return await process.handlers[method.name](request, Peer("", "", 1))
 
+    def run_beside(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
     async def stop(self) -> None:
         self.announcing.cancel()
         for process in self.process_by_host.values():
