--- a/cranberrywall/budgets/__init__.py
+++ b/cranberrywall/budgets/__init__.py
@@ -14,7 +14,7 @@
     SpendPolicy,
 )
 from cranberrywall.budgets._ledger_ids import IdLimits
-from cranberrywall.budgets._ledger_machine import make_ledger_machine
+from cranberrywall.budgets._ledger_machine import LedgerMachine, LedgerSummary, make_ledger_machine
 from cranberrywall.budgets.messages import LEDGER_CODEC
 
 __all__ = [
@@ -24,6 +24,8 @@
     "HostAllotments",
     "IdLimits",
     "LedgerClient",
+    "LedgerMachine",
+    "LedgerSummary",
     "PeerHost",
     "Peers",
     "Policies",
--- a/cranberrywall/budgets/_ledger_exceptions.py
+++ b/cranberrywall/budgets/_ledger_exceptions.py
@@ -118,6 +118,10 @@
         self._duplicates = 0
         self.unnamed = 0
 
+    def count_open(self) -> int:
+        """Return how many entries wait for a decision."""
+        return sum(1 for entry in self.entry_by_number.values() if entry.state == _OPEN)
+
     def rows(self) -> list[ExceptionRow]:
         """Return every entry with its reason and its way out, oldest first."""
         return [_row(entry) for entry in self.entry_by_number.values()]
--- a/cranberrywall/budgets/_ledger_intents.py
+++ b/cranberrywall/budgets/_ledger_intents.py
@@ -49,6 +49,10 @@
         self._intent_by_request: dict[tuple[str, str], _Intent] = {}
         self._answer_bytes = 0
 
+    def __len__(self) -> int:
+        """Return the number of intents that are kept."""
+        return len(self._intent_by_request)
+
     def record(self, command: RecordIntent) -> IntentResult | Rejected:
         """Let the first attempt start; tell any other what is known."""
         request = (command.workspace, command.request_id)
--- a/cranberrywall/budgets/_ledger_machine.py
+++ b/cranberrywall/budgets/_ledger_machine.py
@@ -2,7 +2,7 @@
 
 import sys
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple, Protocol
 
 from cranberrywall.budgets import _closing as closing
 from cranberrywall.budgets import _ledger_charges as charges
@@ -23,7 +23,31 @@
 UNITS = ("tokens", "answers")
 
 
-def make_ledger_machine(limits: IdLimits | None = None) -> StateMachine:
+class LedgerSummary(NamedTuple):
+    """Count what one ledger group keeps on this host, for the state dump and the metrics.
+
+    ``id_floor`` is the latest reservation among the ids that were forgotten, in seconds
+    since the epoch; 0 where none was.
+    """
+
+    budgets: int
+    hosts: int
+    ids: int
+    id_floor: float
+    intents: int
+    open_doubts: int
+    closed_through: float
+
+
+class LedgerMachine(StateMachine, Protocol):
+    """Replicate a ledger, and say how much it keeps on this host."""
+
+    def summary(self) -> LedgerSummary:
+        """Return counts of this host's copy, which may lag behind the leader's."""
+        ...
+
+
+def make_ledger_machine(limits: IdLimits | None = None) -> LedgerMachine:
     """Return an empty ledger; ``limits`` bounds the memory for request ids."""
     return _LedgerMachine(limits or IdLimits())
 
@@ -81,6 +105,19 @@
             return LEDGER_CODEC.encode(Rejected(ErrorKind.MALFORMED, f"{name} is not taken here"))
         return LEDGER_CODEC.encode(handle(self._state, message))
 
+    def summary(self) -> LedgerSummary:
+        """Return counts of this copy."""
+        state = self._state
+        return LedgerSummary(
+            budgets=len(state.account_by_budget),
+            hosts=len(state.holders.record_by_host),
+            ids=len(state.ids),
+            id_floor=state.ids.floor,
+            intents=len(state.intents),
+            open_doubts=state.exceptions.count_open(),
+            closed_through=state.calendar.closed_through,
+        )
+
     def snapshot(self) -> bytes:
         """Return the whole state."""
         return self._state.dump()
--- a/cranberrywall/commands/_control_program.py
+++ b/cranberrywall/commands/_control_program.py
@@ -1,12 +1,12 @@
 """Assemble the control program: its groups, what they keep, the spread, operators' HTTP."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from result import Err
 
-from cranberrywall.budgets import make_ledger_machine
+from cranberrywall.budgets import LedgerMachine, LedgerSummary, make_ledger_machine
 from cranberrywall.configuration import (
     ConfigurationMachine,
     Feed,
@@ -29,6 +29,7 @@
 from cranberrywall.observability import (
     AdminServer,
     HealthChecks,
+    Metrics,
     StateRegistry,
     log_event,
     make_admin_server,
@@ -100,14 +101,18 @@
         runtime.network, runtime.clock, runtime.random, keys.fleet, me, counters, limits
     )
     machine = make_configuration_machine()
-    host = _make_host(settings, runtime, machine, caller, server)
+    ledger_by_group = {
+        group: make_ledger_machine() for group in ledger_groups(settings["ledger_groups"])
+    }
+    machine_by_group = {CONFIGURATION_GROUP: machine, **ledger_by_group}
+    host = _make_host(settings, runtime, machine_by_group, caller, server)
     feed = _make_feed(settings, machine, caller)
     feed.register(server)
-    state = _make_state(settings, host, machine)
+    state = _make_state(settings, host, machine, ledger_by_group)
     register_dump(server, state.dump_section_json)
-    admin = _make_admin(
-        settings, keys, host, counters, state, lambda: check_placement(settings, machine)
-    )
+    metrics = _make_metrics(host, counters, ledger_by_group)
+    health = _make_health(host, lambda: check_placement(settings, machine))
+    admin = make_admin_server(settings["listen"]["admin"], metrics, state, health, keys.admin)
     return ControlProgram(host, feed, admin, state)
 
 
@@ -158,13 +163,10 @@
 def _make_host(
     settings: Settings,
     runtime: Runtime,
-    configuration: ConfigurationMachine,
+    machine_by_group: Mapping[str, StateMachine],
     caller: LinkCaller,
     server: LinkServer,
 ) -> ControlHost:
-    machine_by_group: dict[str, StateMachine] = {CONFIGURATION_GROUP: configuration}
-    for group in ledger_groups(settings["ledger_groups"]):
-        machine_by_group[group] = make_ledger_machine()
     address_by_host = {remote["host"]: remote["links"] for remote in settings["controls"]}
     return make_control_host(
         settings["host"], address_by_host, machine_by_group, runtime, caller, server
@@ -182,30 +184,50 @@
 
 
 def _make_state(
-    settings: Settings, host: ControlHost, machine: ConfigurationMachine
+    settings: Settings,
+    host: ControlHost,
+    machine: ConfigurationMachine,
+    ledger_by_group: Mapping[str, LedgerMachine],
 ) -> StateRegistry:
     state = StateRegistry()
     state.register("host", lambda: {"host": settings["host"], "place": settings["place"]})
     state.register("control", host.state)
     state.register("configuration", lambda: {"revision": machine.revision})
+    state.register("ledgers", lambda: _summaries(ledger_by_group))
     return state
 
 
-def _make_admin(
-    settings: Settings,
-    keys: FleetKeys,
-    host: ControlHost,
-    counters: LinkCounters,
-    state: StateRegistry,
-    check_placement: Callable[[], str | None],
-) -> AdminServer:
+def _summaries(ledger_by_group: Mapping[str, LedgerMachine]) -> dict[str, LedgerSummary]:
+    return {group: machine.summary() for group, machine in ledger_by_group.items()}
+
+
+def _make_metrics(
+    host: ControlHost, counters: LinkCounters, ledger_by_group: Mapping[str, LedgerMachine]
+) -> Metrics:
     metrics = make_metrics()
     metrics.gauge_of("groups_led", "Groups that this host leads.", lambda: len(host.led()))
-    metrics.gauge_of("link_bytes_out", "Bytes sent to other processes.", lambda: counters.bytes_out)
-    metrics.gauge_of("link_bytes_in", "Bytes got from others.", lambda: counters.bytes_in)
+    counters.export(metrics)
+
+    def total(read: Callable[[LedgerSummary], int]) -> Callable[[], float]:
+        return lambda: sum(read(one) for one in _summaries(ledger_by_group).values())
+
+    metrics.gauge_of(
+        "ledger_budgets", "Budgets in this host's ledgers.", total(lambda one: one.budgets)
+    )
+    metrics.gauge_of(
+        "ledger_ids", "Request ids kept in this host's ledgers.", total(lambda one: one.ids)
+    )
+    metrics.gauge_of(
+        "ledger_open_doubts",
+        "Amounts in doubt that wait for a decision.",
+        total(lambda one: one.open_doubts),
+    )
+    return metrics
+
+
+def _make_health(host: ControlHost, check_placement: Callable[[], str | None]) -> HealthChecks:
     health = HealthChecks()
     health.add_health("groups", host.check_started)
     health.add_readiness("groups", host.check_ready)
     health.add_readiness("ledger_groups", check_placement)
-    address = settings["listen"]["admin"]
-    return make_admin_server(address, metrics, state, health, keys.admin)
+    return health
--- a/cranberrywall/commands/ctl/_main.py
+++ b/cranberrywall/commands/ctl/_main.py
@@ -20,6 +20,7 @@
     plan,
     report,
     state,
+    targets,
     top_up,
 )
 from cranberrywall.commands.ctl._session import (
@@ -118,6 +119,7 @@
     plan,
     report,
     state,
+    targets,
     top_up,
 ):
     main.add_command(module.command)
--- a/cranberrywall/commands/ctl/hosts.py
+++ b/cranberrywall/commands/ctl/hosts.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from cranberrywall.budgets.messages import Holder, HoldersResult, HolderSum
+from cranberrywall.commands.ctl._dumps import ask_states
 from cranberrywall.commands.ctl._ledgers import from_each_group
 from cranberrywall.commands.ctl._output import format_time, print_json, print_table
 from cranberrywall.commands.ctl._session import Ctl, Session, pass_ctl
@@ -19,6 +20,8 @@
 
     ``incarnation`` is 0 where they know none. ``is_current`` is false for one that was
     succeeded or confirmed dead. ``outstanding`` counts tokens and answers together.
+    ``revision`` is the configuration in force there: -1 where the host was not asked, or
+    did not answer.
     """
 
     host: str
@@ -30,11 +33,13 @@
     budgets: int
     outstanding: int
     active_at: float
+    revision: int = -1
 
 
 @click.command("hosts")
+@click.option("--live", is_flag=True, help="Ask each host which revision is in force there.")
 @pass_ctl
-def command(ctl: Ctl) -> None:
+def command(ctl: Ctl, live: bool) -> None:
     """List hosts with their places, incarnations and the amounts that they hold."""
 
     async def work(session: Session) -> Result[None, Refusal]:
@@ -51,15 +56,28 @@
         if isinstance(answers, Err):
             return Err(answers.err_value)
         rows = list_hosts(document.ok_value, join_holders(answers.ok_value.values()))
+        if live:
+            rows = await _with_revisions(session, rows)
         if ctl.options.is_json:
             print_json({"hosts": rows})
         else:
-            _print(rows)
+            _print(rows, live)
         return Ok(None)
 
     ctl.run(work)
 
 
+async def _with_revisions(session: Session, rows: list[HostRow]) -> list[HostRow]:
+    links = {row.host: row.links for row in rows if row.roles and row.roles != ("console",)}
+    answers = await ask_states(session, links, "configuration")
+    revision_by_host = {
+        host: answer.ok_value["revision"]
+        for host, answer in answers.items()
+        if isinstance(answer, Ok) and answer.ok_value
+    }
+    return [row._replace(revision=revision_by_host.get(row.host, -1)) for row in rows]
+
+
 def join_holders(answers: Iterable[HoldersResult]) -> dict[Holder, HolderSum]:
     """Return each holder's sums over all groups."""
     joined: dict[Holder, HolderSum] = {}
@@ -105,7 +123,7 @@
     return rows
 
 
-def _print(rows: Sequence[HostRow]) -> None:
+def _print(rows: Sequence[HostRow], live: bool) -> None:
     headers = ["host", "place", "roles", "links", "incarnation", "budgets", "holds", "last heard"]
     lines = [
         [
@@ -120,6 +138,10 @@
         ]
         for row in rows
     ]
+    if live:
+        headers.append("revision")
+        for line, row in zip(lines, rows, strict=True):
+            line.append("-" if row.revision < 0 else str(row.revision))
     print_table(headers, lines)
 
 
--- /dev/null
+++ b/cranberrywall/commands/ctl/targets.py
@@ -0,0 +1,104 @@
+"""List the targets that entry hosts know."""
+
+from typing import Any, NamedTuple
+
+import click
+from result import Err, Ok, Result
+
+from cranberrywall.commands.ctl._dumps import ask_states, first_refusal
+from cranberrywall.commands.ctl._output import print_json, print_table
+from cranberrywall.commands.ctl._session import Ctl, Session, pass_ctl
+from cranberrywall.errors import ErrorKind, Refusal
+
+
+class TargetRow(NamedTuple):
+    """Describe a target; ``known_by`` counts the entry hosts that know it."""
+
+    target: str
+    kind: str
+    serves: str
+    place: str
+    versions: tuple[str, ...]
+    url: str
+    running: int | None
+    waiting: int | None
+    capacity: int
+    known_by: int
+
+
+@click.command("targets")
+@pass_ctl
+def command(ctl: Ctl) -> None:
+    """List the targets, their load, and how many of the entry hosts know each.
+
+    A target that left, or that some hosts do not hear, is known by fewer than all.
+    """
+
+    async def work(session: Session) -> Result[None, Refusal]:
+        document = await session.document()
+        if isinstance(document, Err):
+            return Err(document.err_value)
+        hosts = document.ok_value["hosts"].items()
+        links = {name: host["links"] for name, host in hosts if "entry" in host["roles"]}
+        answers = await ask_states(session, links, "targets")
+        refusal = first_refusal(answers.values())
+        if refusal is not None:
+            message = f"no entry host answers: {refusal.message}"
+            return Err(Refusal(ErrorKind.UNREACHABLE, message, "", "start one"))
+        heard = [answer.ok_value or {} for answer in answers.values() if isinstance(answer, Ok)]
+        rows = join_targets(heard)
+        if ctl.options.is_json:
+            print_json({"hosts_asked": len(links), "hosts_answered": len(heard), "targets": rows})
+        else:
+            _print(rows, len(heard))
+        return Ok(None)
+
+    ctl.run(work)
+
+
+def join_targets(heard: list[dict[str, Any]]) -> list[TargetRow]:
+    """Return a row for each target, as the last host that knows it describes it."""
+    known_by: dict[str, int] = {}
+    described: dict[str, Any] = {}
+    for targets in heard:
+        for name, target in targets.items():
+            known_by[name] = known_by.get(name, 0) + 1
+            described[name] = target
+    return [
+        TargetRow(
+            target=name,
+            kind=one["kind"],
+            serves=one["name"],
+            place=one["place"],
+            versions=tuple(one["versions"]),
+            url=one["url"],
+            running=one["running"],
+            waiting=one["waiting"],
+            capacity=one["capacity"],
+            known_by=known_by[name],
+        )
+        for name, one in sorted(described.items())
+    ]
+
+
+def _print(rows: list[TargetRow], hosts: int) -> None:
+    headers = ["target", "kind", "serves", "place", "versions", "load", "known by"]
+    lines = [
+        [
+            row.target,
+            row.kind,
+            row.serves,
+            row.place,
+            ", ".join(row.versions),
+            _load(row),
+            f"{row.known_by} of {hosts}",
+        ]
+        for row in rows
+    ]
+    print_table(headers, lines)
+
+
+def _load(row: TargetRow) -> str:
+    if row.running is None:
+        return f"not reported, capacity {row.capacity}"
+    return f"{row.running} running, {row.waiting} waiting of {row.capacity}"
--- a/tests/commands/fleets.py
+++ b/tests/commands/fleets.py
@@ -44,13 +44,13 @@
 
 
 class FakeCaller:
-    """Drain hosts by the methods that they registered; others do not answer."""
+    """Call the methods that hosts registered by address; other hosts do not answer."""
 
     def __init__(self) -> None:
-        self.handler_by_address: dict[str, Any] = {}
+        self.handler_by_address: dict[tuple[str, str], Any] = {}
 
     async def call(self, address: str, method: Any, request: Any, timeout: float):
-        handler = self.handler_by_address.get(address)
+        handler = self.handler_by_address.get((address, method.name))
         if handler is None:
             return Err(Refusal(ErrorKind.UNREACHABLE, "nobody listens"))
         return await handler(request, Peer("cranberrywallctl", "operator", 1))
@@ -67,7 +67,7 @@
         self._address = address
 
     def register(self, method: Any, handler: Any) -> None:
-        self._caller.handler_by_address[self._address] = handler
+        self._caller.handler_by_address[self._address, method.name] = handler
 
 
 class CtlFleet:
