--- a/cranberrywall/commands/ctl/_session.py
+++ b/cranberrywall/commands/ctl/_session.py
@@ -18,6 +18,7 @@
 from cranberrywall.control import MembersClient, make_control_client
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller, Peer, make_caller
+from cranberrywall.observability import configure_log
 from cranberrywall.runtime import Clock, make_clock, make_network, make_random
 from cranberrywall.settings import load_fleet_keys
 
@@ -115,6 +116,8 @@
     keys = load_fleet_keys(options.key)
     if isinstance(keys, Err):
         _exit_wrong("; ".join(str(problem) for problem in keys.err_value))
+    # What the streams log is for processes that go on; here the refusal says it.
+    configure_log("cranberrywallctl", "operator", "-", "ERROR")
     clock, random = make_clock(), make_random()
     me = Peer("cranberrywallctl", "operator", int(clock.wall() * 1000))
     caller = make_caller(make_network(), clock, random, keys.ok_value.fleet, me)
