--- a/cranberrywall/budgets/_closing.py
+++ b/cranberrywall/budgets/_closing.py
@@ -186,9 +186,7 @@
     """Return a page of the present exceptions, or of a closed period's."""
     unnamed = state.exceptions.unnamed
     if not query.period:
-        rows = state.exceptions.rows()
-        if not query.after:
-            rows = [*_waiting_rows(state, query.now), *rows]
+        rows = [*_waiting_rows(state, query.now), *state.exceptions.rows()]
     elif state.closings.find(query.period) is None:
         return _no_period(query.period)
     else:
@@ -204,12 +202,9 @@
         for row in rows
         if query.budget in ("", row.budget) and (row.state == "open" or not query.open_only)
     ]
-    waiting = [row for row in wanted if not row.number and not query.after]
-    numbered = [row for row in wanted if row.number > query.after]
-    limit = max(1, min(query.limit, MAX_ROWS))
-    page = numbered[:limit]
-    next_after = page[-1].number if len(numbered) > limit else 0
-    return ExceptionsResult((*waiting[:MAX_ROWS], *page), next_after, unnamed)
+    end = query.after + max(1, min(query.limit, MAX_ROWS))
+    next_after = end if end < len(wanted) else 0
+    return ExceptionsResult(tuple(wanted[query.after : end]), next_after, unnamed)
 
 
 def _waiting_rows(state: LedgerState, now: float) -> list[ExceptionRow]:
--- a/cranberrywall/budgets/_messages_exceptions.py
+++ b/cranberrywall/budgets/_messages_exceptions.py
@@ -54,9 +54,9 @@
     """Ask for duplicates, late charges and amounts in doubt, oldest first.
 
     ``open_only`` leaves out what needs no decision. ``now`` (seconds since the epoch)
-    decides which holders count as silent. ``after`` and ``limit`` page as in a report;
-    holders are on the first page. ``period`` names a closed period, whose list is as it
-    was at the closing; empty gives the present list.
+    decides which holders count as silent. ``after`` is the last page's ``next_after``, 0
+    at first, and ``limit`` bounds the rows on a page. ``period`` names a closed period,
+    whose list is as it was at the closing; empty gives the present list.
     """
 
     budget: str
--- a/tests/budgets/test_closing.py
+++ b/tests/budgets/test_closing.py
@@ -7,11 +7,13 @@
     ChargeOutcome,
     ClosePeriod,
     ClosePeriodResult,
+    Draw,
     ExceptionKind,
     ExceptionsQuery,
     PeriodsQuery,
     PlannedPeriod,
     PlanPeriods,
+    RegisterHolder,
     Rejected,
     ReportQuery,
     ReportResult,
@@ -210,6 +212,26 @@
         close(ledger, "2026-11", NOVEMBER_END)
 
 
+def test_no_exception_is_left_out_between_pages():
+    """A host that held a part of every budget dies, and an operator lists the doubts."""
+    ledger = Ledger()
+    for number in range(25):
+        budget = f"b{number:02}"
+        ledger.credit(10, f"c{number}", budget=budget, at=IN_NOVEMBER)
+        ledger.apply(Draw(budget, A1, 1, 5, 1, IN_NOVEMBER))
+    ledger.apply(RegisterHolder(A1._replace(incarnation=2), False, IN_NOVEMBER))
+    named: list[str] = []
+    after = 0
+    while True:
+        page = ledger.ask(ExceptionsQuery("", True, IN_NOVEMBER, after, 10))
+        assert len(page.rows) <= 10
+        named += [row.budget for row in page.rows]
+        after = page.next_after
+        if not after:
+            break
+    assert named == [f"b{number:02}" for number in range(25)]
+
+
 def test_a_top_up_from_before_the_closing_before_last_is_not_credited_again():
     ledger = spent_in_november()
     close(ledger, "2026-11", NOVEMBER_END)
