--- a/cranberrywall/commands/ctl/_output.py
+++ b/cranberrywall/commands/ctl/_output.py
@@ -1,5 +1,6 @@
 """Print answers as tables for people or as JSON for programs."""
 
+import sys
 from collections.abc import Sequence
 from datetime import UTC, datetime
 from typing import Any
@@ -60,6 +61,12 @@
     return datetime.fromtimestamp(at, UTC).strftime("%Y-%m-%d %H:%M:%SZ")
 
 
+def show_progress(text: str) -> None:
+    """Say on a terminal how far long work has come; say nothing to programs."""
+    if sys.stderr.isatty():
+        click.echo(text, err=True)
+
+
 def print_answer(is_json: bool, value: Any, text: str) -> None:
     """Print ``value`` as JSON, or ``text`` for people."""
     if is_json:
--- a/cranberrywall/commands/ctl/_reports.py
+++ b/cranberrywall/commands/ctl/_reports.py
@@ -14,6 +14,7 @@
     ReportRow,
 )
 from cranberrywall.commands.ctl._ledgers import from_each_group
+from cranberrywall.commands.ctl._output import show_progress
 from cranberrywall.errors import Refusal
 
 _PAGE_ROWS = 1_000
@@ -99,6 +100,7 @@
         after = page.ok_value.next_after
         if not after:
             return Ok(page.ok_value._replace(rows=tuple(rows)))
+        show_progress(f"{group}: {len(rows)} budgets read ...")
 
 
 async def gather_exceptions(
--- a/cranberrywall/commands/ctl/drain.py
+++ b/cranberrywall/commands/ctl/drain.py
@@ -3,7 +3,7 @@
 import click
 from result import Err, Ok, Result
 
-from cranberrywall.commands.ctl._output import print_answer
+from cranberrywall.commands.ctl._output import print_answer, show_progress
 from cranberrywall.commands.ctl._session import Ctl, Session, pass_ctl
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.hosts import DRAIN, DrainRequest
@@ -72,7 +72,7 @@
 ) -> Result[None, Refusal]:
     end = session.clock.now() + wait
     while session.clock.now() < end:
-        click.echo("waiting for its requests to finish ...", err=True)
+        show_progress("waiting for its requests to finish ...")
         await session.clock.sleep(_LOOK_EVERY_S)
         answer = await session.caller.call(address, DRAIN, request, session.timeout)
         if isinstance(answer, Err) and answer.err_value.kind in _ENDED:
--- a/tests/commands/reference.py
+++ b/tests/commands/reference.py
@@ -26,6 +26,10 @@
 on standard output; errors go to standard error, and with `--json` also to standard output as
 `{"error": {"kind", "message", "field", "remedy"}}`.
 
+Bash completes subcommands and options after
+`eval "$(_CRANBERRYWALLCTL_COMPLETE=bash_source cranberrywallctl)"` (`zsh_source` and
+`fish_source` for the other shells).
+
 | exit code | means | what to do |
 |---|---|---|
 | 0 | done | |
