Place budgets on groups by one function

configuration and control each had the hash; a change of one would have sent credits and draws to different groups. The edit in configuration is one import and one line.

--- a/cranberrywall/configuration/_in_force.py
+++ b/cranberrywall/configuration/_in_force.py
@@ -4,11 +4,10 @@
 import hmac
 from typing import NamedTuple
 
-import xxhash
-
 from cranberrywall.configuration._document import Document
 from cranberrywall.configuration._edits import empty_document
 from cranberrywall.configuration._interfaces import Configuration, NamedWorkspace
+from cranberrywall.control import ledger_group
 
 
 class KeyOwner(NamedTuple):
@@ -66,7 +65,7 @@
     >>> ledger_group_name("desk", 1)
     'ledger-0'
     """
-    return f"ledger-{xxhash.xxh64(budget.encode()).intdigest() % ledger_groups}"
+    return ledger_group(budget, ledger_groups)
 
 
 def make_fixed_configuration(document: Document, revision: int = 1) -> Configuration:
