Merge small segments of request ids, so that a charge searches few of them

Merged segments are dropped as a whole, so up to 589,824 ids more are kept than the bound that is promised.

--- a/cranberrywall/budgets/_ledger_ids.py
+++ b/cranberrywall/budgets/_ledger_ids.py
@@ -1,7 +1,8 @@
 """Remember which request ids were charged, and by which charge.
 
 The newest ids are in a dictionary. Each time it is full, it becomes a sorted segment of
-16 bytes an id. Once there are too many segments the oldest is forgotten, and the latest
+16 bytes an id, and small segments are merged into a larger one, since each is searched for
+every charge. Once enough others are kept the oldest segment is forgotten, and the latest
 reservation in it becomes the floor: a charge whose reservation is not after the floor and
 whose id is unknown may have been billed before, so the ledger must not bill it.
 
@@ -19,10 +20,15 @@
 
 
 class IdLimits(NamedTuple):
-    """Bound the memory for ids: ids in a segment, and segments kept."""
+    """Bound the memory for ids.
+
+    A segment has ``per_segment`` ids, and ``merged`` of them become one. The newest
+    ``kept`` ids are kept at least, and besides them the rest of one merged segment.
+    """
 
     per_segment: int = 65_536
-    segments: int = 32
+    merged: int = 8
+    kept: int = 2_097_152
 
 
 class _Segment(NamedTuple):
@@ -91,9 +97,21 @@
         self._segments.append(self._make_segment())
         self._charge_by_id = {}
         self._latest = 0.0
-        while len(self._segments) > self._limits.segments:
+        self._merge_small()
+        while len(self) - len(self._segments[0].ids) >= self._limits.kept:
             self.floor = max(self.floor, self._segments.pop(0).latest)
 
+    def _merge_small(self) -> None:
+        small = self._segments[-self._limits.merged :]
+        is_large = any(len(one.ids) >= 2 * self._limits.per_segment for one in small)
+        if len(small) < self._limits.merged or is_large:
+            return
+        ids = numpy.concatenate([one.ids for one in small])
+        charges = numpy.concatenate([one.charges for one in small])
+        order = numpy.argsort(ids, kind="stable")
+        latest = max(one.latest for one in small)
+        self._segments[-self._limits.merged :] = [_Segment(ids[order], charges[order], latest)]
+
     def _make_segment(self) -> _Segment:
         count = len(self._charge_by_id)
         ids = numpy.fromiter(self._charge_by_id.keys(), numpy.uint64, count)
--- a/measurements/ledger_size.py
+++ b/measurements/ledger_size.py
@@ -11,7 +11,7 @@
 from itertools import islice
 from typing import NamedTuple
 
-from cranberrywall.budgets import make_ledger_machine
+from cranberrywall.budgets import IdLimits, make_ledger_machine
 from cranberrywall.budgets.messages import (
     LEDGER_CODEC,
     Charge,
@@ -31,6 +31,10 @@
 DRAWS = 20_000
 IDS = 100_000
 CHARGES_IN_BATCH = 100
+SINGLE_CHARGES = 5_000
+FEW_IDS = IdLimits(per_segment=2_048, merged=8, kept=65_536)
+"""As many segments as by default, with a 32nd of the ids, so that they are full at once."""
+
 AT = 1_793_000_000.0
 SNAPSHOT = "ledger.snapshot"
 
@@ -90,14 +94,31 @@
 
 
 def measure_charges(clock: Clock) -> dict[str, Figure]:
-    """Return the rate of charges in batches, and what one kept request id costs."""
+    """Return the rate of charges, and what one kept request id costs.
+
+    ``single_charges_per_s`` is that of batches of one, with as many segments of ids to
+    search as a ledger of long standing has.
+    """
     machine = make_ledger_machine()
     fill(machine, 1_000, 1)
-    batches = [LEDGER_CODEC.encode(batch) for batch in _batches(1_000, IDS)]
+    batches = [LEDGER_CODEC.encode(batch) for batch in _batches(1_000, IDS, CHARGES_IN_BATCH)]
     charging_s = timed(clock, lambda: apply_all(machine, batches))
     charged = memory_of(lambda fresh: _fill_and_charge(fresh, batches))
     empty = memory_of(lambda fresh: fill(fresh, 1_000, 1))
-    return {"charges_per_s": IDS / charging_s, "memory_per_id_bytes": (charged - empty) / IDS}
+    return {
+        "charges_per_s": IDS / charging_s,
+        "single_charges_per_s": _single_charges_per_s(clock),
+        "memory_per_id_bytes": (charged - empty) / IDS,
+    }
+
+
+def _single_charges_per_s(clock: Clock) -> float:
+    machine = make_ledger_machine(FEW_IDS)
+    fill(machine, 1_000, 1)
+    apply_all(machine, (LEDGER_CODEC.encode(batch) for batch in _batches(1_000, IDS, 100)))
+    more = islice(_batches(1_000, IDS + SINGLE_CHARGES, 1), IDS, None)
+    commands = [LEDGER_CODEC.encode(batch) for batch in more]
+    return SINGLE_CHARGES / timed(clock, lambda: apply_all(machine, commands))
 
 
 def _fill_and_charge(machine: StateMachine, batches: Iterable[bytes]) -> None:
@@ -157,7 +178,7 @@
         number += 1
 
 
-def _batches(budgets: int, count: int) -> Iterator[ChargeBatch]:
+def _batches(budgets: int, count: int, size: int) -> Iterator[ChargeBatch]:
     holder = Holder("entry-0", 1_793_000_000_000)
     charges = (
         Charge(
@@ -170,7 +191,7 @@
         )
         for number in range(count)
     )
-    while batch := tuple(islice(charges, CHARGES_IN_BATCH)):
+    while batch := tuple(islice(charges, size)):
         yield ChargeBatch(holder, batch, AT)
 
 
--- a/tests/budgets/test_ledger_failures.py
+++ b/tests/budgets/test_ledger_failures.py
@@ -282,7 +282,7 @@
     assert (ledger.sums().outstanding, ledger.sums().free) == (30, 20)
 
 
-SMALL = IdLimits(per_segment=4, segments=2)
+SMALL = IdLimits(per_segment=4, merged=8, kept=8)
 
 
 def bill(ledger: Ledger, numbers: range) -> None:
