--- a/cranberrywall/commands/_control_program.py
+++ b/cranberrywall/commands/_control_program.py
@@ -36,7 +36,7 @@
     make_metrics,
 )
 from cranberrywall.replication import StateMachine
-from cranberrywall.runtime import Runtime
+from cranberrywall.runtime import Clock, Runtime
 from cranberrywall.settings import (
     FleetKeys,
     Settings,
@@ -108,7 +108,7 @@
     host = _make_host(settings, runtime, machine_by_group, caller, server)
     feed = _make_feed(settings, machine, caller)
     feed.register(server)
-    state = _make_state(settings, host, machine, ledger_by_group)
+    state = _make_state(settings, runtime.clock, host, machine, ledger_by_group)
     register_dump(server, state.dump_section_json)
     metrics = _make_metrics(host, counters, ledger_by_group)
     health = _make_health(host, lambda: check_placement(settings, machine))
@@ -185,12 +185,14 @@
 
 def _make_state(
     settings: Settings,
+    clock: Clock,
     host: ControlHost,
     machine: ConfigurationMachine,
     ledger_by_group: Mapping[str, LedgerMachine],
 ) -> StateRegistry:
     state = StateRegistry()
-    state.register("host", lambda: {"host": settings["host"], "place": settings["place"]})
+    about = {"host": settings["host"], "place": settings["place"]}
+    state.register("host", lambda: {**about, "wall": clock.wall()})
     state.register("control", host.state)
     state.register("configuration", lambda: {"revision": machine.revision})
     state.register("ledgers", lambda: _summaries(ledger_by_group))
--- a/cranberrywall/commands/ctl/close.py
+++ b/cranberrywall/commands/ctl/close.py
@@ -7,11 +7,15 @@
 
 from cranberrywall.budgets import LedgerClient
 from cranberrywall.budgets.messages import ClosePeriod, HolderSum, PeriodsQuery, PeriodsResult
+from cranberrywall.commands.ctl._dumps import ask_states
 from cranberrywall.commands.ctl._ledgers import from_each_group, to_each_group
 from cranberrywall.commands.ctl._output import format_time, print_json
 from cranberrywall.commands.ctl._session import Ctl, Session, pass_ctl
 from cranberrywall.errors import ErrorKind, Refusal
 
+MOST_CLOCK_ERROR_S = 60.0
+"""How far this machine's clock may be from a control host's, in seconds."""
+
 
 @click.command("close")
 @click.argument("period")
@@ -34,6 +38,9 @@
         if isinstance(found, Err):
             return Err(found.err_value)
         ledger = found.ok_value
+        refusal = await _check_clock(session)
+        if refusal is not None:
+            return Err(refusal)
         end = Ok(given) if given else await _planned_end(session, ledger, period)
         if isinstance(end, Err):
             return Err(end.err_value)
@@ -55,6 +62,30 @@
     return time.timestamp()
 
 
+async def _check_clock(session: Session) -> Refusal | None:
+    """Refuse to close by a clock that disagrees with those of the control hosts.
+
+    A closing cannot be undone, and the ledger takes the time of it from this machine. With a
+    clock that is a month ahead, the present month would be closed at its beginning.
+    """
+    document = await session.document()
+    if isinstance(document, Err):
+        return document.err_value
+    hosts = document.ok_value["hosts"].items()
+    links = {name: host["links"] for name, host in hosts if "control" in host["roles"]}
+    asked_at = session.clock.wall()
+    answers = await ask_states(session, links, "host")
+    for host, answer in answers.items():
+        if isinstance(answer, Err) or not answer.ok_value:
+            continue
+        ahead = asked_at - answer.ok_value["wall"]
+        if abs(ahead) > MOST_CLOCK_ERROR_S:
+            message = f"this machine's clock is {ahead:.0f} s ahead of {host}'s"
+            remedy = "set the clock of the one that is wrong"
+            return Refusal(ErrorKind.UNSAFE_STEP, message, "", remedy)
+    return None
+
+
 async def _planned_end(
     session: Session, ledger: LedgerClient, period: str
 ) -> Result[float, Refusal]:
--- a/tests/commands/fleets.py
+++ b/tests/commands/fleets.py
@@ -5,6 +5,7 @@
 from contextlib import asynccontextmanager
 from typing import Any
 
+import msgspec
 from click.testing import CliRunner, Result
 from result import Err, Ok
 
@@ -15,7 +16,7 @@
 from cranberrywall.configuration import make_configuration_machine
 from cranberrywall.control import ChangeMemberRequest, MembersReply, ledger_group
 from cranberrywall.errors import ErrorKind, Refusal
-from cranberrywall.hosts import register_drain
+from cranberrywall.hosts import DUMP, DumpReply, DumpRequest, register_drain
 from cranberrywall.links import Peer
 from cranberrywall.replication import MemberView, Step
 from tests.fakes.clock import ManualClock
@@ -102,6 +103,16 @@
         return LEDGER_CODEC.decode(group.machine.apply(LEDGER_CODEC.encode(command)))
 
 
+def serve_dump(fleet: CtlFleet, address: str, state: dict[str, object]) -> None:
+    """Let a host answer with ``state``, by section."""
+
+    async def answer(request: DumpRequest, peer: object):
+        dumped = state.get(request.section) if request.section else state
+        return Ok(DumpReply(msgspec.json.encode(dumped)))
+
+    fleet.caller.handler_by_address[address, DUMP.name] = answer
+
+
 def configured_fleet() -> CtlFleet:
     """Return a fleet with the savings board's configuration."""
     fleet = CtlFleet()
--- a/tests/commands/test_ctl_hosts.py
+++ b/tests/commands/test_ctl_hosts.py
@@ -1,11 +1,7 @@
 """Ask the fleet's hosts from the command line."""
 
-import msgspec
-from result import Ok
-
 from cranberrywall.commands.ctl._exits import Exit
-from cranberrywall.hosts import DUMP, DumpReply, DumpRequest
-from tests.commands.fleets import CtlFleet, configured_fleet
+from tests.commands.fleets import configured_fleet, serve_dump
 
 ENTRY_1, ENTRY_2 = "127.0.0.21:17301", "127.0.0.22:17302"
 TARGET = {
@@ -20,14 +16,6 @@
 }
 
 
-def serve_dump(fleet: CtlFleet, address: str, state: dict[str, object]) -> None:
-    async def answer(request: DumpRequest, peer: object):
-        dumped = state.get(request.section) if request.section else state
-        return Ok(DumpReply(msgspec.json.encode(dumped)))
-
-    fleet.caller.handler_by_address[address, DUMP.name] = answer
-
-
 def test_a_target_that_a_host_does_not_know_is_seen():
     fleet = configured_fleet()
     serve_dump(fleet, ENTRY_1, {"targets": {"engine-1": TARGET, "engine-2": TARGET}})
--- a/tests/commands/test_ctl_money.py
+++ b/tests/commands/test_ctl_money.py
@@ -8,7 +8,7 @@
 from cranberrywall.budgets.messages import Charge, ChargeBatch, Draw, Holder, ReportRow
 from cranberrywall.commands.ctl._exits import Exit
 from cranberrywall.commands.ctl._reports import check_row
-from tests.commands.fleets import CtlFleet, configured_fleet
+from tests.commands.fleets import CtlFleet, configured_fleet, serve_dump
 
 DESK, LETTERS = "renewal-desk", "maturity-letters"
 ENTRY = Holder("entry-1", 5)
@@ -99,6 +99,21 @@
     assert fleet.run("close", "1999-01").exit_code == Exit.REFUSED
 
 
+@pytest.mark.parametrize(("error", "code"), [(31 * 86_400.0, Exit.REFUSED), (5.0, Exit.DONE)])
+def test_a_month_is_not_closed_by_a_clock_that_is_wrong(fleet: CtlFleet, error: float, code: Exit):
+    """The operator's machine is a month ahead, and the present month looks as if over.
+
+    A closing cannot be undone: all of the month's later charges would be late.
+    """
+    end = fleet.run_json("report", "--periods")["ledger-0"]["open_periods"][0]
+    fleet.clock.step(end["through"] - fleet.clock.wall() + 60.0)
+    wall = fleet.clock.wall() - error
+    serve_dump(fleet, "127.0.0.11:17101", {"host": {"wall": wall}})
+    result = fleet.run("close", end["period"])
+    assert result.exit_code == code
+    assert ("ahead of control-1" in result.stderr) == (code is Exit.REFUSED)
+
+
 def test_no_group_closes_with_an_end_that_another_must_refuse(fleet: CtlFleet):
     """One group has charges of two open months, the other has none.
 
