Refuse a plan whose months would split charges that are booked together

A second differential test compares closings with sums over every amount that ever came. It found that a plan over a month's end could be taken back: the closing of the month then missed charges of its own.

--- a/cranberrywall/budgets/_closing_calendar.py
+++ b/cranberrywall/budgets/_closing_calendar.py
@@ -5,7 +5,7 @@
 """
 
 from bisect import bisect_right
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from datetime import UTC, datetime
 from typing import Any
 
@@ -53,7 +53,7 @@
         if ends and ends[0] <= self.closed_through:
             remedy = "start the plan with the first open period"
             return Rejected(ErrorKind.PERIOD_CLOSED, "a period is closed", "periods", remedy)
-        if any(not self._is_end(end, self._planned) for end in ends if end <= self._latest):
+        if any(not self._is_end(end, self._planned) for end in self._past_ends(periods)):
             remedy = "give ends after the last reservation, besides those of the present plan"
             return Rejected(ErrorKind.CONFLICT, "it would split booked charges", "periods", remedy)
         kept = (end for end in self._booked if end <= self._latest)
@@ -62,6 +62,17 @@
             return Rejected(ErrorKind.CONFLICT, "it would join booked charges", "periods", remedy)
         return None
 
+    def _past_ends(self, planned: Sequence[PlannedPeriod]) -> Iterator[float]:
+        """Yield the ends that a plan gives up to the last reservation, months included.
+
+        A plan that is shorter than the present one splits charges by the months in UTC
+        that take the place of what it leaves out.
+        """
+        time = self.closed_through
+        while (end := _period_of(time, planned).through) <= self._latest:
+            yield end
+            time = end
+
     def _is_end(self, end: float, planned: Sequence[PlannedPeriod]) -> bool:
         before = max(end - _JUST_BEFORE_S, self.closed_through)
         return _period_of(before, planned).through == end
--- a/tests/budgets/test_closing.py
+++ b/tests/budgets/test_closing.py
@@ -170,6 +170,23 @@
     assert report(ledger).rows[0].charged == 15
 
 
+def test_a_plan_that_is_taken_back_must_not_split_charges_by_the_months():
+    """A period was planned over a month's end, and has charges on both sides of it.
+
+    Without the plan the month's end would lie between them, and one sum holds both.
+    """
+    ledger = Ledger()
+    ledger.credit(100, at=IN_NOVEMBER)
+    ledger.draw(A1, 1, 50)
+    plan = PlanPeriods((PlannedPeriod("long", NOVEMBER_END + 9 * DAY),), "ann", 0)
+    assert ledger.apply(plan) == Accepted()
+    ledger.charge(A1, "r1", 1, 10, IN_NOVEMBER)
+    ledger.charge(A1, "r2", 2, 5, NOVEMBER_END + 1)
+    assert ledger.apply(plan._replace(periods=())).kind == ErrorKind.CONFLICT
+    assert isinstance(close(ledger, "long", NOVEMBER_END + 9 * DAY), ClosePeriodResult)
+    assert report(ledger, "long").rows[0].charged == 15
+
+
 def test_the_exceptions_of_a_period_are_closed_with_it_and_open_ones_go_on():
     ledger = spent_in_november()
     ledger.draw(B1, 1, 50)
