--- a/cranberrywall/budgets/_ledger_charges.py
+++ b/cranberrywall/budgets/_ledger_charges.py
@@ -132,7 +132,7 @@
     state: LedgerState, account: Account, workspace: str, amount: int, reserved_at: float
 ) -> None:
     """Add a billed request to its period and its day."""
-    account.book(state.calendar.book(reserved_at), workspace, amount)
+    account.book_charge(state.calendar.book(reserved_at), workspace, amount)
     state.spend.add(workspace, account.unit, amount, reserved_at)
 
 
@@ -146,6 +146,8 @@
     if refusal is not None:
         return refusal
     wanted = "billed" if command.bill else "released"
+    if entry.state == "recorded":
+        return Rejected(ErrorKind.CONFLICT, "it needs no decision", "number")
     if entry.state != "open":
         same = entry.state == wanted
         message = f"it was {entry.state} before"
--- a/cranberrywall/budgets/messages.py
+++ b/cranberrywall/budgets/messages.py
@@ -200,7 +200,8 @@
     The giver deducts and syncs first, under its ``giver_number`` (from 1, rising by one
     for each budget). The taker adds the amount under its own ``taker_number`` and reports
     before it charges against it; the giver reports with ``taker_number`` 0. Once either
-    number is known, a second report changes nothing.
+    number is known, a second report changes nothing. A report that comes before the one
+    of the transfer that funded it is refused as ``NOT_READY``: send it again later.
     """
 
     budget: str
@@ -311,6 +312,10 @@
     A charge belongs to the period in which its reservation was made. ``through`` is the
     period's planned end, or any time after the last reservation that was charged. Closing
     the same period again with the same ``through`` gives the first answer.
+
+    Asked as a query it changes nothing: the answer's digest is empty where the period
+    could be closed. All groups are asked so before the first one is told to close, or one
+    could close with an end that another must refuse.
     """
 
     period: str
@@ -395,7 +400,8 @@
     ``credited = charged_before + charged + charged_after + outstanding + in_doubt + free``,
     where ``charged`` is the period's own, ``charged_before`` that of all earlier periods
     and ``charged_after`` what was already charged for reservations after its end.
-    ``credits`` is the part of ``credited`` that came in this period.
+    ``credits`` and ``credits_after`` are the parts of ``credited`` that came in this
+    period, and after it.
     """
 
     budget: str
@@ -409,6 +415,7 @@
     in_doubt: int
     free: int
     by_workspace: tuple["WorkspaceCharge", ...]
+    credits_after: int = 0
 
 
 class WorkspaceCharge(NamedTuple):
@@ -435,9 +442,10 @@
 
 
 class PeriodsQuery(NamedTuple):
-    """Ask for the closed periods that the group keeps, and for the one that is open.
+    """Ask for the closed periods that the group keeps, and for those that are open.
 
-    ``now`` (seconds since the epoch) chooses the open period.
+    The open ones are those that charges were booked to, and the one of ``now`` (seconds
+    since the epoch).
     """
 
     now: float
@@ -454,10 +462,10 @@
 
 
 class PeriodsResult(NamedTuple):
-    """List the closed periods, oldest first, and the first one that is still open."""
+    """List the closed periods and the open ones, each oldest first."""
 
     periods: tuple[ClosedPeriod, ...]
-    open_period: PlannedPeriod
+    open_periods: tuple[PlannedPeriod, ...]
 
 
 class ExceptionKind(StrEnum):
--- a/cranberrywall/replication/__init__.py
+++ b/cranberrywall/replication/__init__.py
@@ -1,5 +1,6 @@
 """Keep state on several disk hosts by replicated logs."""
 
+from cranberrywall.replication._frames import Scan, encode_frame, scan_frames
 from cranberrywall.replication._group import make_group
 from cranberrywall.replication._interfaces import Group, GroupState, Replica, StateMachine
 from cranberrywall.replication._settings import GroupSettings
@@ -11,7 +12,10 @@
     "GroupState",
     "MemberView",
     "Replica",
+    "Scan",
     "StateMachine",
     "Step",
+    "encode_frame",
     "make_group",
+    "scan_frames",
 ]
