Close idle connections, join by a few seeds, and push news to those without it

Each host compared with every seed at its start and kept the connections: with 1,700 hosts that name the same seeds, each of these would hold 1,700. A host now joins by three at most, a connection unused for 120 s is closed until the next call, neighbours are kept on sorted rings rather than worked out anew with each change, and news is not pushed back to hosts that sent it.

--- a/cranberrywall/hosts/_membership.py
+++ b/cranberrywall/hosts/_membership.py
@@ -20,7 +20,7 @@
 from cranberrywall.hosts._interfaces import HostState, HostView, LiveMembership, Spread
 from cranberrywall.hosts._pace import Pace
 from cranberrywall.hosts._prober import Prober
-from cranberrywall.hosts._ring import delegates
+from cranberrywall.hosts._ring import Ring
 from cranberrywall.hosts._roster import Roster
 from cranberrywall.hosts._spread import Contact, Spreading
 from cranberrywall.hosts._sync import Syncing
@@ -45,6 +45,7 @@
 _VIEWS_KEPT_S = 0.2
 _LONGEST_ASK_S = 5.0
 _JITTER = 0.1
+_JOIN_BY = 3
 
 
 def make_membership(
@@ -147,7 +148,19 @@
         self._start(self._probe_in_turn())
         self._start(self._keep_house())
         self._start(self._rejoin())
-        await asyncio.gather(*(self._syncing.sync_with(seed) for seed in self._seeds))
+        await self._join()
+
+    async def _join(self) -> None:
+        """Compare with a few seeds; where none answers, with the rest.
+
+        Only a few, for every host of a large fleet names the same seeds.
+        """
+        seeds = list(self._seeds)
+        while seeds:
+            some = [seeds.pop(self._random.randrange(0, len(seeds))) for _ in seeds[:_JOIN_BY]]
+            answered = await asyncio.gather(*map(self._syncing.sync_with, some))
+            if any(answered):
+                return
 
     async def close(self) -> None:
         self._spreading.close()
@@ -233,7 +246,7 @@
     def _publish_place_load(self) -> None:
         """Tell other places the mean load of this one, where it falls to this host."""
         here = [view for view in self.alive() if view.place == self._place]
-        if self._host not in delegates([view.host for view in here])[:1]:
+        if self._host not in Ring(view.host for view in here).delegates()[:1]:
             return
         mean = sum(view.load for view in here) / len(here)
         held = self._table.get(PLACE_LOAD_TOPIC, self._place)
@@ -252,20 +265,20 @@
 
     def _on_host(self, item: Item) -> None:
         now = self._clock.now()
-        before = self.by_host(item.key)
+        before = self._roster.entry(item.key)
         was_superseded = self._roster.is_superseded
         answer = self._roster.take(item, now)
         self._alive = None
         if answer is not None:
             self._spreading.publish(answer.item())
-        after = self.by_host(item.key)
+        after = self._roster.entry(item.key)
         if after is not None and (before is None or before.state is not after.state):
             log_event("INFO", "host_changed", changed=after.host, state=after.state)
         if self._roster.is_superseded and not was_superseded:
             log_event("ERROR", "host_superseded", incarnation=item.version[0])
 
     async def _answer_probe(self, request: ProbeRequest, peer: Peer) -> Result[ProbeReply, Refusal]:
-        self._spreading.absorb(request.items)
+        self._spreading.absorb(request.items, peer.host)
         items = self._spreading.take(peer.place)
         reply = ProbeReply(self._host, items, self._table.fleet_digest, self._table.place_digest)
         return Ok(reply)
@@ -277,7 +290,7 @@
         return Ok(AskReply(reply is not None))
 
     async def _answer_push(self, request: PushRequest, peer: Peer) -> Result[PushReply, Refusal]:
-        self._spreading.absorb(request.items)
+        self._spreading.absorb(request.items, peer.host)
         return Ok(PushReply())
 
     def _jittered(self, seconds: float) -> float:
--- a/cranberrywall/hosts/_prober.py
+++ b/cranberrywall/hosts/_prober.py
@@ -81,7 +81,7 @@
         result = await self._caller.call(links, PROBE, request, timeout)
         if not isinstance(result, Ok) or result.ok_value.host != host:
             return None
-        self._spreading.absorb(result.ok_value.items)
+        self._spreading.absorb(result.ok_value.items, host)
         return result.ok_value
 
     async def _probe(self, entry: Entry) -> None:
--- a/cranberrywall/hosts/_spread.py
+++ b/cranberrywall/hosts/_spread.py
@@ -31,6 +31,20 @@
         self.links = links
 
 
+class _Pending:
+    """Hold an item that is to be pushed, and the hosts that have it already."""
+
+    __slots__ = ("item", "known_by")
+
+    def __init__(self, item: Item, known_by: set[str]) -> None:
+        self.item = item
+        self.known_by = known_by
+
+    def is_for(self, contact: Contact) -> bool:
+        """Say whether the contact should get the item."""
+        return self.item.place in ("", contact.place) and contact.host not in self.known_by
+
+
 class Spreading:
     """Publish items and pass on those of others; it implements ``Spread``."""
 
@@ -52,7 +66,7 @@
         self._sends_by_urgency: dict[Urgency, dict[tuple[str, str], int]] = {
             urgency: {} for urgency in sorted(Urgency, reverse=True)
         }
-        self._urgent: dict[tuple[str, str], Item] = {}
+        self._urgent: dict[tuple[str, str], _Pending] = {}
         self._push_credit = pace.push_burst_bytes
         self._push_credit_at = clock.now()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -74,18 +88,21 @@
         """Return the newest items of a topic, without those that are gone."""
         return self._table.of_topic(topic)
 
-    def absorb(self, items: Iterable[Item]) -> None:
-        """Take in items from a peer, and queue the news among them for others."""
+    def absorb(self, items: Iterable[Item], source: str = "") -> None:
+        """Take in items from the host ``source``, and queue the news among them for others."""
         now = self._clock.now()
         for item in items:
+            key = (item.topic, item.key)
             if not self._table.put(item, now):
+                pending = self._urgent.get(key)
+                if pending is not None and pending.item.version == item.version:
+                    pending.known_by.add(source)
                 continue
-            key = (item.topic, item.key)
             sends_by_key = self._sends_by_urgency[item.urgency]
             sends_by_key.pop(key, None)
             sends_by_key[key] = _SENDS
             if item.urgency is Urgency.URGENT:
-                self._urgent[key] = item
+                self._urgent[key] = _Pending(item, {source})
                 self._push_soon()
             receive = self._receiver_by_topic.get(item.topic)
             if receive is not None:
@@ -151,7 +168,7 @@
         urgent, self._urgent = list(self._urgent.values()), {}
         now = self._clock.now()
         for contact in self._contacts():
-            items = [item for item in urgent if item.place in ("", contact.place)]
+            items = [pending.item for pending in urgent if pending.is_for(contact)]
             cost = sum(map(size_of, items))
             if not items:
                 continue
--- a/cranberrywall/hosts/_sync.py
+++ b/cranberrywall/hosts/_sync.py
@@ -67,7 +67,7 @@
         self.syncs += 1
         reply = result.ok_value
         self._differs_since.pop(reply.host, None)
-        self._spreading.absorb(reply.items)
+        self._spreading.absorb(reply.items, reply.host)
         newer = self._newer_than(reply)
         if newer:
             await self._spreading.push_to(Contact(reply.host, reply.place, links), newer)
--- a/cranberrywall/links/_limits.py
+++ b/cranberrywall/links/_limits.py
@@ -11,7 +11,8 @@
     ``queued_bytes`` and ``calls`` bound one connection's outgoing bytes and calls in
     progress. ``ping_after`` is the silence after which a caller asks whether the peer is
     there, and ``silence`` how long it waits for any frame before it gives the connection
-    up. ``strangers`` bounds the connections that have not proved themselves yet.
+    up. A connection without calls for ``idle_after`` is closed until the next call.
+    ``strangers`` bounds the connections that have not proved themselves yet.
     """
 
     frame_bytes: int = 16 * 1024 * 1024
@@ -24,6 +25,7 @@
     write_timeout: float = 10.0
     ping_after: float = 1.0
     silence: float = 2.0
+    idle_after: float = 120.0
     backoff_first: float = 0.05
     backoff_most: float = 1.0
 
--- a/cranberrywall/links/_outlet.py
+++ b/cranberrywall/links/_outlet.py
@@ -29,6 +29,10 @@
 from cranberrywall.runtime import Clock, Network, Random, Reader, Timers, Writer
 
 
+class _IdleError(Exception):
+    """Report that a connection was not used for long."""
+
+
 class _Pending:
     """Hold one call that waits for its answer."""
 
@@ -81,7 +85,7 @@
         """Say whether there is neither a connection nor an attempt at one."""
         return self._task is None
 
-    def state(self) -> dict[str, object]:
+    def state(self) -> dict[str, Any]:
         """Return this peer's state for the dump."""
         return {
             "host": "" if self._peer is None else self._peer.host,
@@ -222,12 +226,15 @@
     async def _run(self) -> None:
         """Connect, and serve the connection until it ends."""
         writer: Writer | None = None
+        is_idle = False
         try:
             reader, writer = await self._network.dial(self._address, self._limits.dial_timeout)
             async with self._timers.limit(self._limits.handshake_timeout):
                 self._peer = await self._handshake.as_client(reader, writer)
             await self._serve(reader, writer)
             self._last_error = f"{self._address} closed the connection"
+        except _IdleError:
+            is_idle = True
         except BadFrameError as error:
             self._counters.drop(error.reason)
             self._drops.log("WARNING", "connection_dropped", error.reason, peer=self._address)
@@ -237,7 +244,10 @@
         finally:
             if writer is not None:
                 writer.close()
-            self._end()
+            if is_idle:
+                self._end_idle()
+            else:
+                self._end()
 
     async def _serve(self, reader: Reader, writer: Writer) -> None:
         self._outgoing = Outgoing(writer, self._counters)
@@ -287,8 +297,7 @@
         is mended its retransmissions come late; a new connection works at once.
         """
         while True:
-            await self._asked.wait()
-            self._asked.clear()
+            await self._wait_until_asked()
             heard = self._heard
             await self._clock.sleep(self._limits.ping_after)
             if self._heard != heard:
@@ -298,10 +307,44 @@
             if self._heard == heard:
                 raise BadFrameError(DropReason.SILENT_PEER)
 
+    async def _wait_until_asked(self) -> None:
+        """Wait for the next call, or raise ``_IdleError`` after a long time without any.
+
+        Hosts talk now and then with many that they seldom talk with again, as when they
+        join; without the limit, those connections would add up to one with every host.
+        """
+        while True:
+            try:
+                async with self._timers.limit(self._limits.idle_after):
+                    await self._asked.wait()
+                self._asked.clear()
+                return
+            except TimeoutError:
+                if not self._pending_by_number:
+                    # From here on, calls wait for the next connection.
+                    self._outgoing = None
+                    raise _IdleError from None
+
     def _end(self) -> None:
         """Refuse what waits on the connection, and choose when to dial again."""
         self._outgoing = None
         self._task = None
+        self._back_off()
+        for pending in list(self._pending_by_number.values()):
+            if not pending.answer.done():
+                pending.answer.set_result(Err(self._lost(pending)))
+        waiters, self._waiters = self._waiters, {}
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(Refusal(ErrorKind.UNREACHABLE, self._last_error))
+
+    def _end_idle(self) -> None:
+        """End a connection that nobody used, and make a new one where calls came meanwhile."""
+        self._task = None
+        if self._waiters:
+            self._connect_on_demand()
+
+    def _back_off(self) -> None:
         self._failures += 1
         longest = min(
             self._limits.backoff_most,
@@ -310,13 +353,6 @@
         # Jitter keeps all hosts from dialling a host that came back at one moment.
         backoff = longest * self._random.uniform(0.5, 1.0)
         self._dial_not_before = self._clock.now() + backoff
-        for pending in list(self._pending_by_number.values()):
-            if not pending.answer.done():
-                pending.answer.set_result(Err(self._lost(pending)))
-        waiters, self._waiters = self._waiters, {}
-        for waiter in waiters:
-            if not waiter.done():
-                waiter.set_result(Refusal(ErrorKind.UNREACHABLE, self._last_error))
 
     def _lost(self, pending: _Pending) -> Refusal:
         kind = ErrorKind.TIMEOUT if pending.outbound.sent else ErrorKind.UNREACHABLE
--- a/cranberrywall/links/_served.py
+++ b/cranberrywall/links/_served.py
@@ -93,7 +93,7 @@
         self._highest_number = 0
         self._is_open = True
 
-    def state(self) -> dict[str, object]:
+    def state(self) -> dict[str, Any]:
         """Return this connection's state for the dump."""
         return {
             "host": self._peer.host,
--- a/tests/fakes/network.py
+++ b/tests/fakes/network.py
@@ -48,6 +48,7 @@
         self.default_rule = rule or Rule()
         self.bytes_by_host: dict[str, int] = {}
         self._rule_by_pair: dict[tuple[str, str], Rule] = {}
+        self._silent: set[str] = set()
         self._listener_by_address: dict[str, _FakeListener] = {}
         self._pipes: list[_Pipe] = []
         self._tasks: set[asyncio.Task[None]] = set()
@@ -59,7 +60,10 @@
 
     def rule(self, source: str, sink: str) -> Rule:
         """Return what holds for bytes from ``source`` to ``sink``."""
-        return self._rule_by_pair.get((source, sink), self.default_rule)
+        rule = self._rule_by_pair.get((source, sink), self.default_rule)
+        if self._silent and (source in self._silent or sink in self._silent):
+            return rule._replace(is_cut=True)
+        return rule
 
     def set_rule(self, source: str, sink: str, rule: Rule) -> None:
         """Set what holds for bytes from ``source`` to ``sink``, also on open connections."""
@@ -81,6 +85,10 @@
         for source, sink in ((first, second), (second, first)):
             self.set_rule(source, sink, self.rule(source, sink)._replace(is_cut=False))
 
+    def silence(self, host: str) -> None:
+        """Cut a host off from all others, as when it loses its power."""
+        self._silent.add(host)
+
     def halve(self, source: str, sink: str) -> None:
         """Lose for good what open connections carry from ``source`` to ``sink``."""
         for pipe in self._between(source, sink):
--- a/tests/hosts/fleet.py
+++ b/tests/hosts/fleet.py
@@ -1,5 +1,6 @@
 """Run the membership of a small fleet over a network in memory, in virtual time."""
 
+import asyncio
 import random
 from collections.abc import Awaitable, Callable, Iterable, Iterator
 
@@ -51,9 +52,8 @@
         return self.host_by_name[name]
 
     async def start_all(self) -> None:
-        """Start all hosts, one after another."""
-        for host in self.host_by_name.values():
-            await self.start(host)
+        """Start all hosts at once."""
+        await asyncio.gather(*map(self.start, self.host_by_name.values()))
 
     async def start(self, host: Host, incarnation: int | None = None) -> None:
         host.incarnation = incarnation or host.incarnation + 1
--- a/tests/hosts/test_parts.py
+++ b/tests/hosts/test_parts.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from cranberrywall.hosts._entries import ALIVE, DEAD, SUSPECT, HostVersion
-from cranberrywall.hosts._ring import DELEGATES, delegates, neighbours
+from cranberrywall.hosts._ring import DELEGATES, Ring
 from cranberrywall.hosts._table import BUCKETS, Table
 from cranberrywall.hosts.messages import Item, Urgency
 
@@ -81,7 +81,8 @@
 @pytest.mark.parametrize("size", [1, 2, 5, 12, 13, 50, 400, 1700])
 def test_neighbours_are_mutual_few_and_reach_all_in_few_steps(size: int):
     hosts = [f"host-{number}" for number in range(size)]
-    by_host = {host: set(neighbours(host, hosts)) for host in hosts[:400]}
+    ring = Ring(hosts)
+    by_host = {host: set(ring.neighbours(host)) for host in hosts[:400]}
     assert max(len(others) for others in by_host.values()) <= 21
     if size <= 400:
         for host, others in by_host.items():
@@ -96,7 +97,15 @@
 
 def test_delegates_stay_when_other_hosts_come_and_go():
     hosts = [f"host-{number}" for number in range(100)]
-    chosen = delegates(hosts)
+    ring = Ring(hosts)
+    chosen = ring.delegates()
     assert len(chosen) == DELEGATES
     others = [host for host in hosts if host not in chosen]
-    assert delegates([*chosen, *others[:50]]) == chosen
+    for host in others[:50]:
+        ring.remove(host)
+        ring.remove(host)
+    ring.add(chosen[0])
+    assert ring.delegates() == chosen
+    assert len(ring) == 50
+    ring.remove(chosen[0])
+    assert ring.delegates()[:2] == chosen[1:]
--- a/tests/links/test_failures.py
+++ b/tests/links/test_failures.py
@@ -195,3 +195,37 @@
         assert kind_of(await pair.work(Work("b"))) is ErrorKind.UNREACHABLE
 
     in_pair(test)
+
+
+def test_an_idle_connection_is_closed_and_made_again_without_a_failed_call():
+    """A host joins by another and does not call it again for long.
+
+    With 1,700 hosts that join by the same few, each of these would keep 1,700 connections.
+    """
+
+    async def test(pair: Pair):
+        assert isinstance(await pair.work(Work("a", 300.0), 400.0), Ok)
+        assert pair.caller.state()["peers"][ADDRESS]["connected"]
+        await pair.clock.sleep(pair.limits.idle_after * 2)
+        assert not pair.caller.state()["peers"][ADDRESS]["connected"]
+        assert pair.server.state()["peers"] == []
+        assert isinstance(await pair.work(Work("b")), Ok)
+
+    in_pair(test, rule=Rule(delay=0.001))
+
+
+def test_calls_at_the_very_moment_of_an_idle_end_go_through():
+    async def test(pair: Pair):
+        await pair.work(Work("a"))
+        results = []
+
+        async def call_at(moment: float) -> None:
+            await pair.clock.sleep(moment)
+            results.append(await pair.work(Work("b")))
+
+        limit = pair.limits.idle_after
+        moments = [limit - 0.0002 + step * 0.0001 for step in range(6)]
+        await asyncio.gather(*(call_at(moment) for moment in moments))
+        assert [type(result) for result in results] == [Ok] * len(moments)
+
+    in_pair(test, rule=Rule(delay=0.00005))
