--- a/cranberrywall/replication/_applier.py
+++ b/cranberrywall/replication/_applier.py
@@ -77,6 +77,8 @@
         least = max(core.settings.snapshot_bytes, saved.size if saved else 0)
         if self._saving or core.failure or core.files.bytes_since_snapshot <= least:
             return
+        if saved and saved.last_index >= self.applied_index:
+            return
         self._saving = True
         core.spawn(self._save())
 
--- a/cranberrywall/replication/_files.py
+++ b/cranberrywall/replication/_files.py
@@ -57,7 +57,7 @@
 
 
 class _Segment(NamedTuple):
-    """Hold the newest index that a segment ever held, and its size in bytes."""
+    """Hold the newest index that counts in a segment, and its size in bytes."""
 
     newest_index: int
     size: int
@@ -119,9 +119,9 @@
         frame = encode_frame(_encoder.encode(Frame(first_index, tuple(entries))))
         self._file.append(frame)
         self._file.sync()
-        newest, size = self._by_number[self._current]
-        last = first_index + len(entries) - 1
-        self._by_number[self._current] = _Segment(max(newest, last), size + len(frame))
+        size = self._by_number[self._current].size + len(frame)
+        self._note_frame(self._current, first_index, len(entries))
+        self._by_number[self._current] = self._by_number[self._current]._replace(size=size)
         self.bytes_since_snapshot += len(frame)
 
     def rotate(self) -> None:
@@ -253,15 +253,23 @@
             raise CorruptError(f"{name} is damaged at byte {sound_size}, and is not the last")
         if torn_bytes:
             self._storage.truncate(name, sound_size)
-        newest = 0
+        self._by_number[number] = _Segment(0, sound_size)
         for payload in payloads:
             frame = _frame_decoder.decode(payload)
             frames.append(frame)
-            newest = max(newest, frame.first_index + len(frame.entries) - 1)
-        self._by_number[number] = _Segment(newest, sound_size)
+            self._note_frame(number, frame.first_index, len(frame.entries))
         self.bytes_since_snapshot += sound_size
         return torn_bytes
 
+    def _note_frame(self, number: int, first_index: int, count: int) -> None:
+        # Entries from the first index on no longer count in any older segment, so they
+        # must not keep that segment from being removed.
+        for other, segment in self._by_number.items():
+            if segment.newest_index >= first_index:
+                self._by_number[other] = segment._replace(newest_index=first_index - 1)
+        last = first_index + count - 1
+        self._by_number[number] = self._by_number[number]._replace(newest_index=last)
+
     def _remove_leftovers(self) -> None:
         for number in self._segment_numbers():
             if number < self._manifest.first_segment:
--- a/tests/replication/test_files.py
+++ b/tests/replication/test_files.py
@@ -161,3 +161,23 @@
     (name,) = [name for name in storage.names("groups/g") if name.startswith("snapshot")]
     storage.flip(f"groups/g/{name}", 1)
     assert GroupFiles(storage, "g").open("other").unwrap_err().kind is ErrorKind.CORRUPT
+
+
+def test_segments_go_as_soon_as_a_snapshot_covers_what_counts_in_them():
+    storage = FakeStorage()
+    files = GroupFiles(storage, "g")
+    files.open(DISK)
+    files.append(1, entries(1, "a", "b", "c", "d", "e"))
+    files.append(2, entries(2, "B"))
+    files.rotate()
+    files.append(3, entries(2, "C"))
+    behind = files.segment_bytes
+    taken = snapshot(2, 2, b"a B")
+    for step in files.write_snapshot(taken, b"a B"):
+        step()
+    files.commit_snapshot(taken, forget_log=False)
+    assert [name for name in storage.names("groups/g") if "log-" in name] == ["log-00000002"]
+    assert files.bytes_since_snapshot == behind
+    again = GroupFiles(storage, "g")
+    again.open(DISK)
+    assert again.bytes_since_snapshot == behind
--- a/tests/replication/test_groups.py
+++ b/tests/replication/test_groups.py
@@ -49,9 +49,8 @@
 def test_the_log_stays_short_behind_snapshots_also_under_load():
     async def test(fleet: Fleet) -> None:
         leader = await fleet.leader()
-        for first in range(0, 2000, 100):
-            words = [b"%d" % (number % 20) for number in range(first, first + 100)]
-            await asyncio.gather(*(leader.group.propose(word, 9.0) for word in words))
+        words = [b"%d" % (number % 20) for number in range(2000)]
+        await asyncio.gather(*(leader.group.propose(word, 9.0) for word in words))
         await fleet.clock.sleep(1.0)
         for host in fleet.up:
             folder = "groups/ledger-0"
@@ -60,4 +59,4 @@
             assert size <= SMALL.snapshot_bytes
             assert len(names) == 1
 
-    run_fleet(test)
+    run_fleet(test, settings=SMALL._replace(batch_bytes=200))
