--- a/cranberrywall/replication/_files.py
+++ b/cranberrywall/replication/_files.py
@@ -14,6 +14,7 @@
 
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.replication._frames import encode_frame, scan_frames
+from cranberrywall.replication._log import Log
 from cranberrywall.replication._settings import MEBIBYTE
 from cranberrywall.replication.messages import Entry, SnapshotInfo
 from cranberrywall.runtime import AppendFile, Storage
@@ -52,7 +53,7 @@
     vote: Vote
     snapshot: SnapshotInfo | None
     snapshot_data: bytes
-    frames: list[Frame]
+    log: Log
     torn_bytes: int
 
 
@@ -205,8 +206,9 @@
         self._remove_leftovers()
         snapshot_data = self._checked_snapshot()
         frames, torn_bytes = self._read_segments()
+        log = self._make_log(frames)
         self._open_segment(self._current)
-        return Opened(vote, self._manifest.snapshot, snapshot_data, frames, torn_bytes)
+        return Opened(vote, self._manifest.snapshot, snapshot_data, log, torn_bytes)
 
     def _create(self, disk: str) -> Opened:
         # The vote file is written last: without it the folder was never in use, so
@@ -219,7 +221,7 @@
         self._save_manifest(Manifest(None, 1))
         vote = Vote(disk, "", 0, "")
         self.save_vote(vote)
-        return Opened(vote, None, b"", [], 0)
+        return Opened(vote, None, b"", Log(), 0)
 
     def _checked_snapshot(self) -> bytes:
         if self._manifest.snapshot is None:
@@ -230,6 +232,19 @@
             raise CorruptError(f"{name} is missing or damaged")
         return data
 
+    def _make_log(self, frames: Sequence[Frame]) -> Log:
+        info = self._manifest.snapshot
+        log = Log(info.last_index, info.last_term, info.roster) if info else Log()
+        for frame in frames:
+            if frame.first_index > log.last_index + 1:
+                raise CorruptError(
+                    f"{self._folder} lacks the entries {log.last_index + 1} to "
+                    f"{frame.first_index - 1}"
+                )
+            skipped = max(0, log.base_index + 1 - frame.first_index)
+            log.append(frame.first_index + skipped, frame.entries[skipped:])
+        return log
+
     def _read_segments(self) -> tuple[list[Frame], int]:
         numbers = self._segment_numbers()
         first = self._manifest.first_segment
--- a/cranberrywall/replication/_group.py
+++ b/cranberrywall/replication/_group.py
@@ -17,14 +17,14 @@
 from cranberrywall.replication._formation import Formation
 from cranberrywall.replication._interfaces import GroupState, Replica, StateMachine
 from cranberrywall.replication._leadership import Leadership
-from cranberrywall.replication._log import Log
-from cranberrywall.replication._rosters import EMPTY_ROSTER, describe
+from cranberrywall.replication._rosters import describe
 from cranberrywall.replication._settings import GroupSettings
 from cranberrywall.replication.checks import MemberView, Step, list_steps
 from cranberrywall.replication.messages import EntryKind, make_methods
 from cranberrywall.runtime import Runtime
 
-_DISK_BITS = 128
+_DISK_BITS = 64
+_MICROSECONDS = 1_000_000
 
 
 def make_group(
@@ -88,13 +88,12 @@
 
     async def start(self) -> Result[None, Refusal]:
         core = self._core
-        fresh_disk = f"{core.random.getrandbits(_DISK_BITS):032x}"
-        read = await core.write(lambda: core.files.open(fresh_disk))
-        opened = read.and_then(lambda found: found)
-        if isinstance(opened, Err):
-            core.fail(opened.err_value)
-            return Err(opened.err_value)
-        self._load(opened.ok_value)
+        disk = self._draw_disk()
+        read = await core.write(lambda: core.files.open(disk))
+        loaded = read.and_then(lambda opened: opened.and_then(self._load))
+        if isinstance(loaded, Err):
+            core.fail(loaded.err_value)
+            return loaded
         core.put_off_campaign(core.clock.now())
         if len(core.log.roster.members) == 1:
             core.campaign_at = core.clock.now()
@@ -174,23 +173,30 @@
             failure=str(core.failure or ""),
         )
 
-    def _load(self, opened: Opened) -> None:
+    def _draw_disk(self) -> str:
+        # Random numbers may be seeded, and would then give an emptied disk the identity
+        # that it had before; the time of its start does not come again.
+        core = self._core
+        started = int(core.clock.wall() * _MICROSECONDS)
+        return f"{core.host}-{started:x}-{core.random.getrandbits(_DISK_BITS):016x}"
+
+    def _load(self, opened: Opened) -> Result[None, Refusal]:
         core = self._core
         core.vote = opened.vote
-        snapshot = opened.snapshot
-        if snapshot is not None:
-            core.log = Log(snapshot.last_index, snapshot.last_term, snapshot.roster)
-            core.commit_index = snapshot.last_index
-            self._applier.restore(snapshot.last_index, opened.snapshot_data)
-        else:
-            core.log = Log(0, 0, EMPTY_ROSTER)
-        for frame in opened.frames:
-            skipped = max(0, core.log.base_index + 1 - frame.first_index)
-            core.log.append(frame.first_index + skipped, frame.entries[skipped:])
+        core.log = opened.log
+        if opened.snapshot is not None:
+            core.commit_index = opened.snapshot.last_index
+            try:
+                self._applier.restore(opened.snapshot.last_index, opened.snapshot_data)
+            except ValueError as error:
+                message = f"the snapshot cannot be read: {error}"
+                remedy = "run the version that wrote it, or empty the group's folder"
+                return Err(Refusal(ErrorKind.CORRUPT, message, "data", remedy))
         core.durable_index = core.log.last_index
         if opened.torn_bytes:
             core.event("torn_tail_cut", bytes=opened.torn_bytes)
         core.event("group_opened", last_index=core.log.last_index, base=core.log.base_index)
+        return Ok(None)
 
     def _register(self) -> None:
         methods = self._core.methods
--- a/tests/replication/test_files.py
+++ b/tests/replication/test_files.py
@@ -10,7 +10,6 @@
 
 from cranberrywall.errors import ErrorKind
 from cranberrywall.replication._files import GroupFiles, Opened, Vote
-from cranberrywall.replication._log import Log
 from cranberrywall.replication._rosters import EMPTY_ROSTER
 from cranberrywall.replication.messages import Entry, EntryKind, SnapshotInfo
 from tests.fakes.storage import CrashError, FakeStorage
@@ -35,11 +34,7 @@
 
 
 def contents(opened: Opened) -> Contents:
-    base = opened.snapshot.last_index if opened.snapshot else 0
-    log = Log(base, opened.snapshot.last_term if opened.snapshot else 0)
-    for frame in opened.frames:
-        skipped = max(0, base + 1 - frame.first_index)
-        log.append(frame.first_index + skipped, frame.entries[skipped:])
+    log, base = opened.log, opened.log.base_index
     words = tuple(log.entry(index).data for index in range(base + 1, log.last_index + 1))
     return Contents(opened.vote.term, base, words)
 
@@ -106,7 +101,7 @@
         opened = files.open("other")
         assert isinstance(opened, Ok), (operation, storage.log[-1], opened)
         assert contents(opened.ok_value) in (before, after), (operation, storage.log[-1])
-        files.append(after.base + 10, entries(9, "later"))
+        files.append(opened.ok_value.log.last_index + 1, entries(9, "later"))
         reopened = GroupFiles(storage, "g").open("other")
         assert isinstance(reopened, Ok), (operation, storage.log[-1], reopened)
 
@@ -151,11 +146,19 @@
     assert GroupFiles(storage, "g").open("other").unwrap_err().kind is ErrorKind.CORRUPT
 
 
-def test_a_missing_segment_or_snapshot_is_refused():
+def test_a_missing_segment_frame_or_snapshot_is_refused():
     """Somebody removes a file by hand; an emptier log must not be taken for the whole."""
     storage = written()
     storage.remove("groups/g/log-00000001")
     assert GroupFiles(storage, "g").open("other").unwrap_err().kind is ErrorKind.CORRUPT
+    storage = written()
+    sealed = storage.read("groups/g/log-00000001") or b""
+    second = sealed.index(b"cwl1", 1), sealed.rindex(b"cwl1")
+    storage.truncate("groups/g/log-00000001", second[0])
+    storage.open_append("groups/g/log-00000001").append(sealed[second[1] :])
+    opened = GroupFiles(storage, "g").open("other")
+    assert opened.unwrap_err().kind is ErrorKind.CORRUPT
+    assert "lacks the entries 2 to 2" in opened.unwrap_err().message
     storage = FakeStorage()
     run_until_crash(storage)
     (name,) = [name for name in storage.names("groups/g") if name.startswith("snapshot")]
