--- a/cranberrywall/hosts/__init__.py
+++ b/cranberrywall/hosts/__init__.py
@@ -1,5 +1,37 @@
 """Know the fleet's hosts, who is alive, and which addresses callers should use."""
 
-from cranberrywall.hosts._interfaces import HostState, HostView, Membership
+from cranberrywall.hosts._drain import DRAIN, DrainReply, DrainRequest, register_drain
+from cranberrywall.hosts._dump import DUMP, DumpReply, DumpRequest, register_dump
+from cranberrywall.hosts._interfaces import (
+    HostState,
+    HostView,
+    LiveMembership,
+    Membership,
+    Spread,
+)
+from cranberrywall.hosts._membership import make_membership
+from cranberrywall.hosts._pace import Pace, pace_of
+from cranberrywall.hosts._static import make_static_membership
+from cranberrywall.hosts.messages import Item, Urgency
 
-__all__ = ["HostState", "HostView", "Membership"]
+__all__ = [
+    "DRAIN",
+    "DrainReply",
+    "DrainRequest",
+    "DUMP",
+    "DumpReply",
+    "DumpRequest",
+    "HostState",
+    "HostView",
+    "Item",
+    "LiveMembership",
+    "Membership",
+    "Pace",
+    "Spread",
+    "Urgency",
+    "make_membership",
+    "make_static_membership",
+    "pace_of",
+    "register_drain",
+    "register_dump",
+]
