--- a/cranberrywall/replication/_applier.py
+++ b/cranberrywall/replication/_applier.py
@@ -68,7 +68,7 @@
         except ValueError as error:
             # Bytes that are no command are committed like any others. Raising here would
             # stop every replica at the same entry, and again after each restart.
-            self._core.event("command_malformed", error=type(error).__name__)
+            self._core.event("command_malformed", "WARNING", reason=type(error).__name__)
             return Err(Refusal(ErrorKind.MALFORMED, str(error), "command"))
 
     def _save_if_due(self) -> None:
--- a/cranberrywall/replication/_core.py
+++ b/cranberrywall/replication/_core.py
@@ -10,11 +10,11 @@
 from enum import StrEnum
 from typing import Any, TypeVar
 
-from loguru import logger
 from result import Err, Ok, Result
 
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller
+from cranberrywall.observability import log_event
 from cranberrywall.replication._files import GroupFiles, Vote
 from cranberrywall.replication._log import Log
 from cranberrywall.replication._rosters import find_member
@@ -184,7 +184,7 @@
     def step_down(self, reason: str) -> None:
         """Become a follower."""
         if self.role is Role.LEADER:
-            self.event("step_down", reason=reason)
+            self.event("step_down", "WARNING", reason=reason)
             self.leader = ""
         was_leader = self.role is Role.LEADER
         self.role = Role.FOLLOWER
@@ -197,7 +197,7 @@
         if self.failure is not None:
             return
         self.failure = refusal
-        logger.error("event=group_failed group={} host={} {}", self.group, self.host, refusal)
+        self.event("group_failed", "ERROR", refusal=refusal)
         self.step_down(str(refusal))
 
     def commit(self, index: int) -> None:
@@ -221,12 +221,9 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         await self._storage.run_blocking(self.files.close)
 
-    def event(self, name: str, **fields: object) -> None:
+    def event(self, name: str, level: str = "INFO", **fields: Any) -> None:
         """Log one event of this member."""
-        text = " ".join(f"{key}={value!s}" for key, value in fields.items())
-        logger.info(
-            "event={} group={} host={} term={} {}", name, self.group, self.host, self.term, text
-        )
+        log_event(level, name, host=self.host, group=self.group, term=self.term, **fields)
 
     def _failed(self) -> Refusal:
         assert self.failure is not None
@@ -240,5 +237,5 @@
         if error is not None:
             # A fault in our own code: its state cannot be trusted, and a member that
             # goes on half alive would keep its followers from electing another.
-            logger.opt(exception=error).error("event=task_failed group={}", self.group)
+            log_event("ERROR", "group_task_failed", error, host=self.host, group=self.group)
             self.fail(Refusal(ErrorKind.INTERNAL, f"{type(error).__name__}: {error}"))
--- a/cranberrywall/replication/_following.py
+++ b/cranberrywall/replication/_following.py
@@ -153,7 +153,7 @@
         self._received.clear()
         self._incoming = None
         if not matches(info, data):
-            core.event("snapshot_damaged", index=info.last_index)
+            core.event("snapshot_damaged", "WARNING", index=info.last_index)
             return Ok(0)
         for step in core.files.write_snapshot(info, data):
             written = await core.write(step)
--- a/cranberrywall/replication/_group.py
+++ b/cranberrywall/replication/_group.py
@@ -194,7 +194,7 @@
                 return Err(Refusal(ErrorKind.CORRUPT, message, "data", remedy))
         core.durable_index = core.log.last_index
         if opened.torn_bytes:
-            core.event("torn_tail_cut", bytes=opened.torn_bytes)
+            core.event("torn_tail_cut", "WARNING", bytes=opened.torn_bytes)
         core.event("group_opened", last_index=core.log.last_index, base=core.log.base_index)
         return Ok(None)
 
--- a/measurements/recovery.py
+++ b/measurements/recovery.py
@@ -239,12 +239,13 @@
     """Count terms that two hosts won, from the log lines of the groups."""
 
     def __init__(self) -> None:
-        self.hosts_by_term: dict[str, set[str]] = defaultdict(set)
+        self.hosts_by_term: dict[int, set[str]] = defaultdict(set)
 
     def take(self, message: "Message") -> None:
         """Take one line of the log."""
-        fields = dict(part.split("=", 1) for part in str(message).split() if "=" in part)
-        if fields.get("event") == "election_won":
+        extra = message.record["extra"]
+        if extra.get("event") == "election_won":
+            fields = extra["fields"]
             self.hosts_by_term[fields["term"]].add(fields["host"])
 
     @property
