Let the last control host be rescued, by an operator and with a new lineage

A majority that is lost for good stops a group for ever. cranberrywallctl rescue lets a voter that is left go on alone, where every other member is named as lost; hosts that come back after all belong to the old lineage and are refused.

--- a/cranberrywall/commands/ctl/_main.py
+++ b/cranberrywall/commands/ctl/_main.py
@@ -19,6 +19,7 @@
     make_keys,
     plan,
     report,
+    rescue,
     state,
     top_up,
 )
@@ -117,6 +118,7 @@
     make_keys,
     plan,
     report,
+    rescue,
     state,
     top_up,
 ):
--- a/cranberrywall/replication/__init__.py
+++ b/cranberrywall/replication/__init__.py
@@ -3,6 +3,7 @@
 from cranberrywall.replication._frames import Scan, encode_frame, scan_frames
 from cranberrywall.replication._group import make_group
 from cranberrywall.replication._interfaces import Group, GroupState, Replica, StateMachine
+from cranberrywall.replication._rescue import Rescue, rescue_group
 from cranberrywall.replication._settings import GroupSettings
 from cranberrywall.replication.checks import MemberView, Step
 
@@ -12,10 +13,12 @@
     "GroupState",
     "MemberView",
     "Replica",
+    "Rescue",
     "Scan",
     "StateMachine",
     "Step",
     "encode_frame",
     "make_group",
+    "rescue_group",
     "scan_frames",
 ]
--- a/cranberrywall/replication/_core.py
+++ b/cranberrywall/replication/_core.py
@@ -78,7 +78,9 @@
     @property
     def lineage(self) -> str:
         """Return the group's lineage; empty on a host that never was a member."""
-        return self.log.roster.lineage or self.vote.lineage
+        # A snapshot from before a rescue still names the old lineage, so the one that was
+        # saved with the vote goes first.
+        return self.vote.lineage or self.log.roster.lineage
 
     @property
     def member(self) -> Member | None:
--- a/cranberrywall/replication/_files.py
+++ b/cranberrywall/replication/_files.py
@@ -103,8 +103,18 @@
         An empty folder is given the identity ``fresh_disk``. ``Err`` is ``CORRUPT``
         where a file is damaged or missing, or ``STORAGE_FAILED``.
         """
+        return self._read(lambda: self._open(fresh_disk))
+
+    def open_existing(self) -> Result[Opened, Refusal]:
+        """Read everything as ``open`` does, but refuse a folder that was never in use."""
+        if self._storage.read(self._name("vote")) is None:
+            message = f"{self._folder} holds no member of the group"
+            return Err(Refusal(ErrorKind.NOT_FOUND, message, "data", "give another data folder"))
+        return self._read(lambda: self._open(""))
+
+    def _read(self, work: Callable[[], Opened]) -> Result[Opened, Refusal]:
         try:
-            return Ok(self._open(fresh_disk))
+            return Ok(work())
         except CorruptError as error:
             return Err(Refusal(ErrorKind.CORRUPT, str(error), "data", _RESTORE_REMEDY))
         except OSError as error:
--- a/tests/replication/test_members.py
+++ b/tests/replication/test_members.py
@@ -1,8 +1,11 @@
 """Change the members of a group, and lose disks while it changes."""
 
+import random
+
 from result import Err, Ok
 
 from cranberrywall.errors import ErrorKind
+from cranberrywall.replication import rescue_group
 from tests.fakes.network import Rule
 from tests.replication.fleet import Fleet, FleetHost, run_fleet
 
@@ -171,3 +174,43 @@
         assert await fleet.read() == [*WORDS, "between"]
 
     run_fleet(test)
+
+
+def test_the_last_host_is_rescued_and_a_lost_one_cannot_come_back_with_its_old_log():
+    """Two of three control hosts burn, and an operator lets the third go on alone.
+
+    It answers with all that it had. One of the lost disks turns up after all: its host
+    must not vote or lead with the old members, or two groups would spend the same budgets.
+    """
+
+    async def test(fleet: Fleet) -> None:
+        await fleet.write(*WORDS)
+        await fleet.until(lambda: all(host.machine.words == WORDS for host in fleet.up))
+        left, burnt, found = fleet.up
+        for host in (left, burnt, found):
+            await host.kill()
+        storage = left.storage
+
+        def rescue(group: str, lost: str) -> ErrorKind | None:
+            result = rescue_group(group, "a", left.address, lost, storage, random.Random(1))
+            return result.err_value.kind if isinstance(result, Err) else None
+
+        assert rescue("ledger-0", "b") is ErrorKind.UNSAFE_STEP
+        assert rescue("ledger-0", "bc") is None
+        assert rescue("ledger-0", "bc") is None
+        assert rescue("ledger-1", "bc") is ErrorKind.NOT_FOUND
+        assert isinstance(await left.start(), Ok)
+        await fleet.write("alone")
+        assert isinstance(await found.start(), Ok)
+        await fleet.clock.sleep(30.0)
+        assert fleet.leaders() == [left]
+        refused = await left.group.add("c", found.address, 5.0)
+        assert isinstance(refused, Err) and refused.err_value.kind is ErrorKind.CONFLICT
+        for host in (burnt, found):
+            await host.wipe()
+            await fleet.until(lambda: len(voters(fleet)) == len(left.group.state()["roster"]))
+            assert isinstance(await left.group.add(host.name, host.address, 5.0), Ok)
+        await fleet.until(lambda: voters(fleet) == {"a", "b", "c"})
+        await fleet.until(lambda: found.machine.words == [*WORDS, "alone"])
+
+    run_fleet(test)
