--- a/measurements/recovery.py
+++ b/measurements/recovery.py
@@ -39,6 +39,7 @@
 _READ_SHARE = 0.3
 _PAUSE_S = 2.5
 _CLOCK_JUMP_S = 600.0
+_CHANGE_S = 2.0
 _RESTARTS = 15
 _FILL_CONCURRENT = 200
 _FILL_TIMEOUT_S = 30.0
@@ -132,7 +133,7 @@
         """Cause faults until told to stop, then wait until all are over."""
         random = self._fleet.random
         faults = [self._kill, self._kill, self._cut, self._cut_one_way, self._slow]
-        faults += [self._stand_still, self._fail_sync, self._jump, self._wipe]
+        faults += [self._stand_still, self._fail_sync, self._jump, self._wipe, self._leave]
         while not until():
             await self._fleet.clock.sleep(random.uniform(0.1, 1.5))
             fault = random.choice(faults)
@@ -224,6 +225,26 @@
                 return True
         return False
 
+    async def _leave(self, host: FleetHost) -> bool:
+        """Remove a host from the group, which may be the leader, and add it again later."""
+        for leader in self._fleet.leaders():
+            await leader.group.remove(host.name, _CHANGE_S)
+        await self._wait()
+        # A removal that timed out may be committed later, so the members decide.
+        while not await self._is_member(host):
+            for leader in self._fleet.leaders():
+                await leader.group.add(host.name, host.address, _CHANGE_S)
+            await self._fleet.clock.sleep(0.2)
+        return True
+
+    async def _is_member(self, host: FleetHost) -> bool:
+        """Return what a leader says that is confirmed by a read."""
+        for leader in self._fleet.leaders():
+            if isinstance(await leader.group.query(b"", _CHANGE_S), Ok):
+                members = leader.group.members().unwrap_or([])
+                return any(member.host == host.name for member in members)
+        return False
+
     def _mend(self, host: FleetHost) -> None:
         for other in self._fleet.by_name.values():
             if other is not host:
