--- a/cranberrywall/replication/_settings.py
+++ b/cranberrywall/replication/_settings.py
@@ -23,9 +23,9 @@
     ``promotion_lag`` entries becomes a voter.
     """
 
-    heartbeat_s: float = 0.1
+    heartbeat_s: float = 0.25
     election_s: float = 1.0
-    tick_s: float = 0.05
+    tick_s: float = 0.1
     batch_bytes: int = 512 * KIBIBYTE
     chunk_bytes: int = 256 * KIBIBYTE
     command_bytes: int = 8 * MEBIBYTE
