--- a/cranberrywall/replication/_applier.py
+++ b/cranberrywall/replication/_applier.py
@@ -68,7 +68,7 @@
         except ValueError as error:
             # Bytes that are no command are committed like any others. Raising here would
             # stop every replica at the same entry, and again after each restart.
-            self._core.event("command_malformed", error=type(error).__name__)
+            self._core.event("command_malformed", "WARNING", reason=type(error).__name__)
             return Err(Refusal(ErrorKind.MALFORMED, str(error), "command"))
 
     def _save_if_due(self) -> None:
@@ -77,6 +77,8 @@
         least = max(core.settings.snapshot_bytes, saved.size if saved else 0)
         if self._saving or core.failure or core.files.bytes_since_snapshot <= least:
             return
+        if saved and saved.last_index >= self.applied_index:
+            return
         self._saving = True
         core.spawn(self._save())
 
