Wire orders into the control and entry programs, and close two holes in their evidence

Causes: an order decided for one run of an engine can reach its next run, so a restart of the engine proves nothing; and an order whose number was committed, but never reached the engine, does not bar the one before it. Now a restart is no evidence, an order is superseded only once the engine has answered a later one, and what the issuer itself says goes before what is announced.

--- a/cranberrywall/commands/_control_program.py
+++ b/cranberrywall/commands/_control_program.py
@@ -1,16 +1,17 @@
 """Assemble the control program: its groups, what they keep, the spread, operators' HTTP."""
 
 import asyncio
-from typing import Any
+from typing import cast
 
 from result import Err
 
 from cranberrywall.budgets import make_ledger_machine
 from cranberrywall.configuration import (
     ConfigurationMachine,
+    Document,
     Feed,
     SpreadHost,
-    make_configuration_machine,
+    empty_document,
     make_control_feed,
     make_document_peers,
 )
@@ -32,6 +33,15 @@
     make_admin_server,
     make_metrics,
 )
+from cranberrywall.orders import (
+    EngineReports,
+    GroupMachine,
+    Issuer,
+    OrderController,
+    make_group_machine,
+    make_http_sender,
+    make_order_controller,
+)
 from cranberrywall.replication import StateMachine
 from cranberrywall.runtime import Runtime
 from cranberrywall.settings import (
@@ -49,10 +59,18 @@
 class ControlProgram:
     """Hold one control process."""
 
-    def __init__(self, host: ControlHost, feed: Feed, admin: AdminServer, state: StateRegistry):
+    def __init__(
+        self,
+        host: ControlHost,
+        feed: Feed,
+        orders: OrderController,
+        admin: AdminServer,
+        state: StateRegistry,
+    ) -> None:
         self.state = state
         self._host = host
         self._feed = feed
+        self._orders = orders
         self._admin = admin
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -70,6 +88,7 @@
         """Open the files and listen; raise ``OSError`` where an address is taken."""
         await self._host.start()
         self._tasks.append(asyncio.create_task(self._feed.run()))
+        self._tasks.append(asyncio.create_task(self._orders.run()))
         await self._admin.start()
         log_event("INFO", "control_started", links=self.links_address, admin=self.admin_address)
 
@@ -78,6 +97,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._orders.close()
         await self._admin.close()
         await self._host.stop()
         log_event("INFO", "control_stopped")
@@ -97,13 +117,14 @@
     caller = make_caller(
         runtime.network, runtime.clock, runtime.random, keys.fleet, me, counters, limits
     )
-    machine = make_configuration_machine()
+    machine = make_group_machine()
     host = _make_host(settings, runtime, machine, caller, server)
-    feed = _make_feed(settings, machine, caller)
+    feed = _make_feed(settings, machine.configuration, caller)
     feed.register(server)
-    state = _make_state(settings, host, machine)
+    orders = _make_orders(settings, runtime, me, machine, host)
+    state = _make_state(settings, host, machine, orders)
     admin = _make_admin(settings, keys, host, counters, state)
-    return ControlProgram(host, feed, admin, state)
+    return ControlProgram(host, feed, orders, admin, state)
 
 
 def link_limits(streams: Streams) -> Limits:
@@ -138,7 +159,7 @@
 def _make_host(
     settings: Settings,
     runtime: Runtime,
-    configuration: ConfigurationMachine,
+    configuration: GroupMachine,
     caller: LinkCaller,
     server: LinkServer,
 ) -> ControlHost:
@@ -154,20 +175,42 @@
 def _make_feed(settings: Settings, machine: ConfigurationMachine, caller: LinkCaller) -> Feed:
     me = SpreadHost(settings["host"], settings["place"], settings["listen"]["links"])
 
-    def document() -> Any:
-        newest = machine.document_at()
-        return newest.document if newest else {"hosts": {}}
-
-    return make_control_feed(me, machine, make_document_peers(document), caller)
+    peers = make_document_peers(lambda: _document_of(machine))
+    return make_control_feed(me, machine, peers, caller)
+
+
+def _document_of(machine: ConfigurationMachine) -> Document:
+    newest = machine.document_at()
+    return cast(Document, newest.document) if newest else empty_document()
+
+
+def _make_orders(
+    settings: Settings, runtime: Runtime, me: Peer, machine: GroupMachine, host: ControlHost
+) -> OrderController:
+    reports = EngineReports(runtime.clock)
+    reports.register(host.server)
+    orders = make_order_controller(
+        host.group_by_name[CONFIGURATION_GROUP],
+        Issuer(me.host, me.incarnation),
+        reports,
+        lambda: _document_of(machine.configuration),
+        make_http_sender(),
+        host.caller,
+        {remote["host"]: remote["links"] for remote in settings["controls"]},
+        runtime.clock,
+    )
+    orders.register(host.server)
+    return orders
 
 
 def _make_state(
-    settings: Settings, host: ControlHost, machine: ConfigurationMachine
+    settings: Settings, host: ControlHost, machine: GroupMachine, orders: OrderController
 ) -> StateRegistry:
     state = StateRegistry()
     state.register("host", lambda: {"host": settings["host"], "place": settings["place"]})
     state.register("control", host.state)
-    state.register("configuration", lambda: {"revision": machine.revision})
+    state.register("configuration", lambda: {"revision": machine.configuration.revision})
+    state.register("orders", orders.state)
     return state
 
 
--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -41,6 +41,7 @@
     make_admin_server,
     make_metrics,
 )
+from cranberrywall.orders import EngineReporter
 from cranberrywall.routing import make_router
 from cranberrywall.runtime import Runtime, split_address
 from cranberrywall.settings import (
@@ -50,7 +51,7 @@
     seconds,
     size_in_bytes,
 )
-from cranberrywall.targets import make_announce_routes, make_targets
+from cranberrywall.targets import Announcement, make_announce_routes, make_targets
 
 SHUTDOWN_S = 1.0
 
@@ -77,6 +78,7 @@
         self._spread = AnnouncementSpread(
             self._me.host, self._targets, self._hosts, self._caller, runtime.clock
         )
+        self._reporter = EngineReporter(self._caller, runtime.clock, controls)
         self._follower.register(self._server)
         self._spread.register(self._server)
         self._metrics = make_metrics()
@@ -124,6 +126,7 @@
         revision = await self._follower.join()
         self._tasks.append(asyncio.create_task(self._follower.run()))
         self._tasks.append(asyncio.create_task(self._spread.expire()))
+        self._tasks.append(asyncio.create_task(self._reporter.run()))
         started = await self._allotments.start()
         if isinstance(started, Err):
             self._failure = str(started.err_value)
@@ -161,9 +164,7 @@
             ),
         )
         stack.app.add_routes(
-            make_announce_routes(
-                self._targets, self._keys.target, runtime.clock, self._spread.publish
-            )
+            make_announce_routes(self._targets, self._keys.target, runtime.clock, self._publish)
         )
         runner = web.AppRunner(stack.app, access_log=None, shutdown_timeout=SHUTDOWN_S)
         await runner.setup()
@@ -172,6 +173,10 @@
         self._stack = stack
         self._runner = runner
 
+    def _publish(self, announcement: Announcement) -> None:
+        self._spread.publish(announcement)
+        self._reporter.note(announcement)
+
     def _make_server(self) -> LinkServer:
         return make_link_server(
             self._runtime.network,
--- a/cranberrywall/orders/_controller.py
+++ b/cranberrywall/orders/_controller.py
@@ -201,8 +201,6 @@
             engine = announced.get(copy.target)
             if engine is None or copy.target in open_targets:
                 continue
-            if engine.incarnation != copy.incarnation:
-                continue
             if (copy.model, copy.version) in engine.copies:
                 kept_since[copy] = self._kept_since.get(copy, now)
         self._kept_since = kept_since
--- a/cranberrywall/orders/_engines.py
+++ b/cranberrywall/orders/_engines.py
@@ -53,16 +53,14 @@
     """Return the engines less the copies that committed orders may have removed.
 
     An announcement is older than the order that it does not show yet. Counting a copy
-    that is already ordered away would let the next order take the last one.
+    that is already ordered away would let the next order take the last one. It does not
+    count in a later run of the engine either, which the order may reach as well.
     """
-    gone: dict[tuple[str, int], set[Copy]] = {}
+    gone: dict[str, set[Copy]] = {}
     for copy in removed:
-        key = (copy.target, copy.incarnation)
-        gone.setdefault(key, set()).add(Copy(copy.model, copy.version))
+        gone.setdefault(copy.target, set()).add(Copy(copy.model, copy.version))
     return tuple(
-        engine._replace(
-            copies=engine.copies - gone.get((engine.target, engine.incarnation), frozenset())
-        )
+        engine._replace(copies=engine.copies - gone.get(engine.target, frozenset()))
         for engine in engines
     )
 
@@ -72,7 +70,8 @@
 
     Only an announcement after the one by which the order was decided counts, and only of
     the same run: in that one the effect was not there, and no other order was open since.
-    That it showed what came of the order before it, ``Settling`` sees to.
+    That it showed what came of the order before it, ``Settling`` sees to. It does not
+    hold for an order that was committed while another to the engine was open.
     """
     if engine.incarnation != order.incarnation or engine.counter <= order.counter:
         return False
--- a/cranberrywall/orders/_evidence.py
+++ b/cranberrywall/orders/_evidence.py
@@ -5,6 +5,7 @@
 sends what it had in hand whenever it goes on.
 """
 
+from collections import Counter
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
@@ -61,7 +62,19 @@
             for order_id, since in self._unsendable_since.items()
             if order_id in open_ids
         }
-        return [self._judge(order, engines.get(order.target), answers, now) for order in orders]
+        open_by_target = Counter(order.target for order in orders)
+        return [
+            self._judge(
+                order,
+                answers,
+                order.alone
+                and open_by_target[order.target] == 1
+                and order.target in engines
+                and shows_effect(engines[order.target], order),
+                now,
+            )
+            for order in orders
+        ]
 
     async def _ask_predecessors(
         self, orders: Sequence[OpenOrder]
@@ -92,46 +105,44 @@
     def _judge(
         self,
         order: OpenOrder,
-        engine: EngineView | None,
         answers: Mapping[str, StoppedSending | str],
+        is_seen: bool,
         now: float,
     ) -> Finding:
-        if engine is not None and shows_effect(engine, order):
-            return Finding(order, Evidence.SEEN)
+        """Prefer what the issuer itself says; what is announced decides where it cannot."""
         if order.issuer == self._outbox.issuer:
-            return self._judge_fate(order, engine, self._outbox.fate(order.order_id), now)
+            return self._judge_fate(order, self._outbox.fate(order.order_id), is_seen, now)
         answer = answers[order.issuer.host]
         if isinstance(answer, str):
-            return Finding(order, None, answer)
+            return Finding(order, Evidence.SEEN if is_seen else None, answer)
         if answer.issuer.incarnation > order.issuer.incarnation:
-            return self._unsendable(order, engine, Evidence.RESTARTED, now)
+            return self._unsendable(order, Evidence.RESTARTED, is_seen, now)
         fate_by_id = {fate.order_id: fate.fate for fate in answer.fates}
         if answer.issuer != order.issuer or order.order_id not in fate_by_id:
             return Finding(order, None, f"{order.issuer.host} answers for another run")
-        return self._judge_fate(order, engine, fate_by_id[order.order_id], now)
+        return self._judge_fate(order, fate_by_id[order.order_id], is_seen, now)
 
-    def _judge_fate(
-        self, order: OpenOrder, engine: EngineView | None, fate: Fate, now: float
-    ) -> Finding:
+    def _judge_fate(self, order: OpenOrder, fate: Fate, is_seen: bool, now: float) -> Finding:
         if fate in _EVIDENCE_BY_FATE:
             return Finding(order, _EVIDENCE_BY_FATE[fate])
         if fate is Fate.SENDING:
             return Finding(order, None, f"{order.issuer.host} waits for the engine's answer")
-        return self._unsendable(order, engine, Evidence.STOPPED, now)
+        return self._unsendable(order, Evidence.STOPPED, is_seen, now)
 
     def _unsendable(
-        self, order: OpenOrder, engine: EngineView | None, evidence: Evidence, now: float
+        self, order: OpenOrder, evidence: Evidence, is_seen: bool, now: float
     ) -> Finding:
         """Judge an order that cannot be sent any more, but may have arrived.
 
-        The engine may still fetch weights for it, so a load keeps its permit until the
-        engine has started anew or the time is over in which any load is done.
+        The engine, or a later run of it, may still fetch weights for it, so a load keeps
+        its permit until the time is over in which any load is done.
         """
+        if is_seen:
+            return Finding(order, Evidence.SEEN)
         if not draws_on_store(order.action):
             return Finding(order, evidence)
         since = self._unsendable_since.setdefault(order.order_id, now)
-        started_anew = engine is not None and engine.incarnation > order.incarnation
-        if started_anew or now - since >= self._load_limit:
+        if now - since >= self._load_limit:
             return Finding(order, evidence)
         return Finding(order, None, "the engine may still fetch the weights for it")
 
--- a/cranberrywall/orders/_machine.py
+++ b/cranberrywall/orders/_machine.py
@@ -114,8 +114,9 @@
     def _blocking(self, command: Issue) -> tuple[OpenOrder, ...]:
         """Return the open orders to the same engine that it could not tell from this one.
 
-        An engine that checks refuses an open order of another issuer once it has seen a
-        higher number. One that does not check would carry it out whenever it arrives.
+        An engine that checks refuses an open order of another issuer once this one, with
+        its higher number, has reached it. One that does not check would carry it out
+        whenever it arrives.
         """
         return tuple(
             order
@@ -125,18 +126,15 @@
         )
 
     def _loads_elsewhere(self, target: str) -> tuple[OpenOrder, ...]:
-        """Return the open loads of other engines; one of this engine is taken over."""
-        return tuple(
-            order
+        """Return an open load of each other engine; an engine fetches one thing at a time."""
+        load_by_target = {
+            order.target: order
             for order in self._open_by_number.values()
             if draws_on_store(order.action) and order.target != target
-        )
+        }
+        return tuple(load_by_target.values())
 
     def _commit(self, command: Issue) -> Issued:
-        for order in list(self._open_by_number.values()):
-            if order.target == command.target:
-                issuer = f"{command.issuer.host}/{command.issuer.incarnation}"
-                self._finish(ClosedOrder(order, Evidence.SUPERSEDED, issuer, command.at))
         self._last_number += 1
         order = OpenOrder(
             self._last_number,
@@ -147,6 +145,7 @@
             command.counter,
             command.checks_fencing,
             command.action,
+            not any(order.target == command.target for order in self._open_by_number.values()),
             command.at,
         )
         self._open_by_number[order.number] = order
@@ -157,28 +156,34 @@
     def _close(self, command: Close) -> Closed:
         order = self._open_by_number.get(command.number)
         if order is not None:
+            if command.evidence in _ANSWERED:
+                self._close_fenced(order, command)
             self._finish(ClosedOrder(order, command.evidence, command.closed_by, command.at))
         return Closed()
 
+    def _close_fenced(self, answered: OpenOrder, command: Close) -> None:
+        """Close the earlier orders to an engine that has seen a higher number.
+
+        That the number is committed does not do: the order that carries it may never
+        reach the engine, which would then obey the earlier one.
+        """
+        for order in list(self._open_by_number.values()):
+            is_earlier = order.target == answered.target and order.number < answered.number
+            if is_earlier and order.checks_fencing and answered.checks_fencing:
+                closed = ClosedOrder(order, Evidence.SUPERSEDED, command.closed_by, command.at)
+                self._finish(closed)
+
     def _finish(self, closed: ClosedOrder) -> None:
         order = closed.order
         del self._open_by_number[order.number]
         self._closed.append(closed)
-        self._forget_earlier_runs(order)
         loaded = order.action.kind == "load" and closed.evidence in _CARRIED_OUT
         kept = order.action.kind == "unload" and closed.evidence in _NOT_CARRIED_OUT
         if loaded or kept:
             self._removed.pop(_copy_of(order), None)
 
-    def _forget_earlier_runs(self, order: OpenOrder) -> None:
-        # A later run of an engine starts with what it announces itself.
-        self._removed = {
-            copy: None
-            for copy in self._removed
-            if copy.target != order.target or copy.incarnation >= order.incarnation
-        }
-
 
+_ANSWERED = frozenset({Evidence.DONE, Evidence.FAILED, Evidence.REFUSED})
 _CARRIED_OUT = frozenset({Evidence.DONE, Evidence.SEEN})
 _NOT_CARRIED_OUT = frozenset({Evidence.FAILED, Evidence.REFUSED, Evidence.UNSENT})
 
@@ -193,7 +198,7 @@
 
 
 def _copy_of(order: OpenOrder) -> Removed:
-    return Removed(order.target, order.incarnation, order.action.model, order.action.version)
+    return Removed(order.target, order.action.model, order.action.version)
 
 
 def _why_blocked(blocking: tuple[OpenOrder, ...]) -> str:
--- a/cranberrywall/orders/_plan.py
+++ b/cranberrywall/orders/_plan.py
@@ -58,9 +58,10 @@
 ) -> Plan:
     """Return the steps that lead nearer to what the document and the demand ask for.
 
-    ``engines`` are without the copies that committed orders may have removed. ``pending``
-    are the orders whose outcome the announcements do not show yet; their engines get no
-    step, so that each step is decided on what it will find.
+    ``engines`` are without the copies that committed orders may have removed: an unload
+    that is under way, or was committed by a predecessor and arrives late, is counted as
+    carried out. ``pending`` are the orders whose outcome the announcements do not show
+    yet; their engines get no step, so that each step is decided on what it will find.
     """
     return _Planner(document, engines, demand, pending).plan()
 
@@ -170,15 +171,11 @@
         return owner.present > owner.most and owner.name != need.name
 
     def _may_unload(self, engine: EngineView, copy: Copy) -> bool:
-        """Say whether enough copies that serve the model stay on other engines.
-
-        Engines with a pending order do not count: an unload that is under way, or was
-        committed by a predecessor and arrives late, may take theirs.
-        """
+        """Say whether enough copies that serve the model stay, on any engine."""
         others = sum(
             any(held.model == copy.model for held in other.copies)
             for other in self._engines
-            if other.target != engine.target and other.target not in self._busy
+            if other.target != engine.target
         )
         same_engine = any(held.model == copy.model and held != copy for held in engine.copies)
         return others + same_engine >= self._kept(copy.model)
@@ -194,20 +191,12 @@
         for engine in self._free_engines():
             for copy in sorted(engine.copies):
                 need = self._need_by_model.get(copy.model)
-                is_replaced = need is not None and copy != need.copy
-                if is_replaced and self._is_served_by_new(engine, need):
+                if need is not None and copy != need.copy and self._holders(need) >= need.wanted:
                     self._unload(engine, copy)
                     break
 
-    def _is_served_by_new(self, engine: EngineView, need: Need | None) -> bool:
-        if need is None:
-            return False
-        new = [
-            other
-            for other in self._engines
-            if need.copy in other.copies and other.target not in self._busy
-        ]
-        return len(new) >= need.wanted
+    def _holders(self, need: Need) -> int:
+        return sum(need.copy in engine.copies for engine in self._engines)
 
     def _add_adapters(self) -> None:
         for engine in self._free_engines():
@@ -222,6 +211,12 @@
         return [engine for engine in self._engines if engine.target not in self._busy]
 
     def _unload(self, engine: EngineView, copy: Copy) -> None:
+        # From here on the copy does not count, so that the next step leaves enough too.
+        left = engine._replace(copies=engine.copies - {copy})
+        self._engines = [left if one is engine else one for one in self._engines]
+        owner = self._need_by_model.get(copy.model)
+        if owner is not None and owner.copy == copy:
+            self._need_by_model[copy.model] = owner._replace(present=owner.present - 1)
         self._take(engine, Action("unload", *copy))
 
     def _take(self, engine: EngineView, action: Action) -> None:
--- a/cranberrywall/orders/_reports.py
+++ b/cranberrywall/orders/_reports.py
@@ -51,7 +51,7 @@
         caller: Caller,
         clock: Clock,
         controls: Sequence[str],
-        waiting: Callable[[], Mapping[str, float]],
+        waiting: Callable[[], Mapping[str, float]] = dict,
     ) -> None:
         self._caller = caller
         self._clock = clock
--- a/cranberrywall/orders/_sender.py
+++ b/cranberrywall/orders/_sender.py
@@ -29,7 +29,7 @@
 
 
 def make_http_sender() -> OrderSender:
-    """Return a sender over aiohttp; call it within a running event loop."""
+    """Return a sender over aiohttp, which opens its session with the first order."""
     return _HttpSender()
 
 
@@ -52,14 +52,13 @@
 
 class _HttpSender:
     def __init__(self) -> None:
-        connector = aiohttp.TCPConnector(force_close=True, socket_factory=_make_socket)
-        self._session = aiohttp.ClientSession(connector=connector)
+        self._session: aiohttp.ClientSession | None = None
 
     async def send(self, url: str, number: int, action: Action, timeout: float) -> Fate:
         limits = aiohttp.ClientTimeout(total=timeout, sock_connect=DIAL_TIMEOUT_S)
         body = order_body(number, action)
         try:
-            async with self._session.post(
+            async with self._open_session().post(
                 f"{url}/v1/orders", json=body, timeout=limits, allow_redirects=False
             ) as response:
                 return _fate_of(response.status)
@@ -69,7 +68,14 @@
             return Fate.UNKNOWN
 
     async def close(self) -> None:
-        await self._session.close()
+        if self._session is not None:
+            await self._session.close()
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            connector = aiohttp.TCPConnector(force_close=True, socket_factory=_make_socket)
+            self._session = aiohttp.ClientSession(connector=connector)
+        return self._session
 
 
 def _make_socket(address: Any) -> socket.socket:
--- a/cranberrywall/orders/_settling.py
+++ b/cranberrywall/orders/_settling.py
@@ -17,9 +17,11 @@
 class Settling:
     """Follow each engine's last closed order until an announcement is surely later.
 
-    An announcement that shows the order's effect is later. Where the effect is unknown or
-    never shows, one is taken as later after ``longest_lag`` seconds, counted from when
-    this host first saw the order closed. An engine that failed an order rests as long.
+    An announcement that shows the order's effect is later. One of a later run of the
+    engine need not be: an order that was on its way may reach that run too. Where the
+    effect is unknown or never shows, one is taken as later after ``longest_lag`` seconds,
+    counted from when this host first saw the order closed. An engine that failed an order
+    rests as long.
     """
 
     def __init__(self, longest_lag: float) -> None:
@@ -43,10 +45,10 @@
 
     def _is_settled(self, closed: ClosedOrder, engine: EngineView, now: float) -> bool:
         order = closed.order
-        if closed.evidence in _WITHOUT_EFFECT or engine.incarnation > order.incarnation:
+        if closed.evidence in _WITHOUT_EFFECT:
             return True
         if now - self._seen_at_by_number[order.number] >= self._longest_lag:
             return True
-        if closed.evidence not in _WITH_EFFECT or engine.counter <= order.counter:
-            return False
-        return has_effect(engine, order.action)
+        decided_on = (order.incarnation, order.counter)
+        is_later = (engine.incarnation, engine.counter) > decided_on
+        return closed.evidence in _WITH_EFFECT and is_later and has_effect(engine, order.action)
--- a/cranberrywall/orders/messages.py
+++ b/cranberrywall/orders/messages.py
@@ -36,7 +36,7 @@
     it and will not. ``STOPPED``: that process has ended its sending without an answer.
     ``RESTARTED``: a later run of the issuer's process answers in its place.
     ``CONFIRMED``: an operator says that the issuer's host is dead. ``SUPERSEDED``: the
-    engine checks numbers, and a higher one was issued to it.
+    engine checks numbers, and has answered an order with a higher one.
     """
 
     DONE = "done"
@@ -69,7 +69,10 @@
 
 
 class OpenOrder(NamedTuple):
-    """Describe an order that may still be sent or be under way."""
+    """Describe an order that may still be sent or be under way.
+
+    ``alone`` is true where no other order to the engine was open when it was committed.
+    """
 
     number: int
     order_id: str
@@ -79,6 +82,7 @@
     counter: int
     checks_fencing: bool
     action: Action
+    alone: bool
     at: float
 
 
@@ -122,10 +126,9 @@
 
 
 class Removed(NamedTuple):
-    """Name a copy that an order removed or may have removed from one run of an engine."""
+    """Name a copy that an order removed from an engine, or may have removed, or may yet."""
 
     target: str
-    incarnation: int
     model: str
     version: str
 
--- a/tests/orders/test_machine.py
+++ b/tests/orders/test_machine.py
@@ -55,9 +55,27 @@
     issue(machine, OLD, "a", checks_fencing=True)
     assert isinstance(issue(machine, OLD, "b", checks_fencing=True), NotIssued)
     assert issue(machine, NEW, "c", checks_fencing=True) == Issued(2)
+
+
+def test_an_order_is_superseded_only_once_the_engine_has_answered_a_later_one() -> None:
+    """A successor's order with a higher number is committed, but never reaches the engine.
+
+    The predecessor's may still be obeyed, so it stays open, and a load keeps its permit.
+    """
+    machine = make_group_machine()
+    issue(machine, OLD, "a", checks_fencing=True)
+    issue(machine, NEW, "b", checks_fencing=True)
+    close(machine, 2, Evidence.UNSENT)
+    assert [order.number for order in machine.orders.view().open_orders] == [1]
+    issue(machine, NEW, "c", checks_fencing=True)
+    close(machine, 3, Evidence.DONE)
     view = machine.orders.view()
-    assert [order.number for order in view.open_orders] == [2]
-    assert [closed.evidence for closed in view.closed_orders] == [Evidence.SUPERSEDED]
+    assert view.open_orders == ()
+    assert [(one.order.number, one.evidence) for one in view.closed_orders] == [
+        (2, Evidence.UNSENT),
+        (1, Evidence.SUPERSEDED),
+        (3, Evidence.DONE),
+    ]
 
 
 def test_an_engine_that_stopped_checking_is_treated_as_one_that_never_did() -> None:
--- /dev/null
+++ b/tests/orders/test_reports.py
@@ -0,0 +1,63 @@
+"""Check what control hosts learn of engines and demand through entry hosts."""
+
+import asyncio
+from typing import Any
+
+from cranberrywall.links import Peer
+from cranberrywall.orders import Copy, EngineReporter, EngineReports
+from cranberrywall.orders._reports import REPORT, REPORT_EVERY_S, REPORT_TTL_S, Report
+from cranberrywall.targets import Announcement, CacheEvent, Load
+from tests.fakes.clock import ManualClock
+
+
+def make_announcement(counter: int, **changes: Any) -> Announcement:
+    announcement = Announcement(
+        "engine-1", 1, counter, "engine", "letters", "kranj", "http://1.2.3.4:5", 8, ("v1",),
+        load=Load(3, 2, 0.0),
+    )  # fmt: skip
+    return announcement._replace(**changes)
+
+
+class ControlSide:
+    """Pass calls to the reports of one control host."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        self.reports = EngineReports(clock)
+        self.requests: list[Report] = []
+        self.reports.register(self)
+
+    def register(self, method: Any, handler: Any) -> None:
+        self.handler = handler
+
+    async def call(self, address: str, method: Any, request: Any, timeout: float) -> Any:
+        self.requests.append(request)
+        assert method is REPORT
+        return await self.handler(request, Peer("entry-1", "", 1))
+
+
+async def test_engines_and_demand_reach_control_and_expire() -> None:
+    clock = ManualClock()
+    control = ControlSide(clock)
+    reporter = EngineReporter(control, clock, ["control-1"], lambda: {"letters": 4.0})
+    task = asyncio.create_task(reporter.run())
+    reporter.note(make_announcement(1, cache_events=(CacheEvent(1, "add", b"12345678"),)))
+    reporter.note(make_announcement(2, kind="service", target="service-1"))
+    await clock.advance(REPORT_EVERY_S)
+    assert control.requests[0].announcements == (make_announcement(1),)
+    (engine,) = control.reports.engines(clock.now())
+    assert (set(engine.copies), set(engine.models)) == ({Copy("letters", "v1")}, {"letters"})
+    assert control.reports.demand(clock.now()) == {"letters": 9.0}
+    task.cancel()
+    await clock.advance(REPORT_TTL_S + 1.0)
+    assert control.reports.engines(clock.now()) == []
+    assert control.reports.demand(clock.now()) == {}
+
+
+async def test_an_older_announcement_through_another_host_is_not_taken() -> None:
+    clock = ManualClock()
+    control = ControlSide(clock)
+    for counter, versions in ((5, ("v2",)), (4, ("v1",))):
+        report = Report((make_announcement(counter, versions=versions),), {})
+        await control.call("", REPORT, report, 1.0)
+    (engine,) = control.reports.engines(clock.now())
+    assert (engine.counter, set(engine.copies)) == (5, {Copy("letters", "v2")})
