--- a/cranberrywall/budgets/_mirror.py
+++ b/cranberrywall/budgets/_mirror.py
@@ -1,17 +1,17 @@
-"""Keep the charges of a host without a disk at two of its peers.
+"""Keep the charges of a host without a disk at two of its peers, or on one peer's disk.
 
-The ledger is out of reach while a mirror is used. The peers commit what they hold once
-they reach the ledger; the ledger bills each charge once, whoever sends it.
+Charges are kept so while the ledger is out of reach, transfers at any time. The peers
+commit what they hold once they reach the ledger; it bills each charge once, whoever sends it.
 """
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from loguru import logger
 from result import Err, Ok, Result
 
 from cranberrywall.budgets._charges import Kept
-from cranberrywall.budgets._interfaces import PeerHost, Peers
+from cranberrywall.budgets._interfaces import EntryHost, PeerHost, Peers
 from cranberrywall.budgets._peer_messages import (
     DELIVER,
     FORGET,
@@ -24,28 +24,35 @@
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller
 
+# Copies in the memory of two peers last through the loss of one; one on a disk does too.
 COPIES = 2
 CALL_TIMEOUT_S = 0.5
 
 _ALONE = Refusal(
     ErrorKind.UNREACHABLE,
-    f"fewer than {COPIES} peers answer: the charge is held in this host's memory only",
+    f"no peer with a disk and fewer than {COPIES} others answer: the charge is in memory only",
 )
 
 
 class Mirror:
-    """Keep at two peers, in two places where both sides of a cut allow it."""
-
-    def __init__(self, host: str, place: str, peers: Peers, caller: Caller) -> None:
+    """Keep at the mirrors of a host, as ``mirrors_of`` names them."""
+
+    def __init__(
+        self,
+        host: str,
+        entry_hosts: Callable[[], Sequence[EntryHost]],
+        peers: Peers,
+        caller: Caller,
+    ) -> None:
         self._host = host
-        self._place = place
+        self._entry_hosts = entry_hosts
         self._peers = peers
         self._caller = caller
         self._mirrored = 0
         self._links_of_mirrors: set[str] = set()
 
     async def keep(self, kept: Kept) -> Result[None, Refusal]:
-        """Return once two peers hold ``kept``."""
+        """Return once two peers hold ``kept``, or one has it on its disk."""
         request = KeepRequest(kept.holder, kept.transfers, kept.charges)
         candidates = self._candidates()
         copies = 0
@@ -59,13 +66,8 @@
         return Ok(None)
 
     async def keep_transfer(self, holder: Holder, transfer: Transfer) -> Result[None, Refusal]:
-        """Let the taker have it: its copy of the transfer is the second one.
-
-        A giver without a disk that is lost before either reports leaves the transfer with
-        the taker alone. Its remainder comes back only once every other host has delivered
-        what it knows of the giver, so the amount is not given out a second time.
-        """
-        return Ok(None)
+        """Return once the mirrors hold the transfer, as they hold charges."""
+        return await self.keep(Kept(holder, (transfer,), ()))
 
     async def committed(self, kept: Kept) -> None:
         """Tell the peers what the ledger has, where any of them may hold it."""
@@ -86,34 +88,54 @@
             )
         )
 
-    async def _keep_at(self, peer: PeerHost, request: KeepRequest) -> bool:
+    async def _keep_at(self, peer: PeerHost, request: KeepRequest) -> int:
+        """Return how many copies this peer's answer is worth."""
         answer = await self._caller.call(peer.links, KEEP, request, CALL_TIMEOUT_S)
         if isinstance(answer, Err):
-            return False
+            return 0
         self._links_of_mirrors.add(peer.links)
-        return True
+        return COPIES if answer.ok_value.on_disk else 1
 
     def _candidates(self) -> list[PeerHost]:
-        """Return the peers, one of another place first: a place may be lost as a whole."""
-        others = [peer for peer in self._peers.alive() if peer.host != self._host]
-        far = [peer for peer in others if peer.place != self._place]
-        near = [peer for peer in others if peer.place == self._place]
-        return [*far[:1], *near[:1], *far[1:], *near[1:]]
+        """Return the mirrors in reach, those with a disk first."""
+        peer_by_host = {peer.host: peer for peer in self._peers.alive()}
+        mirrors = mirrors_of(self._host, self._entry_hosts())
+        return [peer_by_host[name] for name in mirrors if name in peer_by_host]
+
+
+def mirrors_of(host: str, entry_hosts: Sequence[EntryHost]) -> list[str]:
+    """Return the hosts that may keep charges of ``host``, those with a disk first.
+
+    They are those of its own place, where one of them has a disk or there are two: they
+    stay in reach through most cuts, and a successor need ask nobody else whether its
+    remainder may come back. Else they are all hosts.
+
+    >>> hosts = [EntryHost("a", "p", False), EntryHost("b", "q", False), EntryHost("c", "p", True)]
+    >>> mirrors_of("a", hosts), mirrors_of("b", hosts)
+    (['c'], ['c', 'a'])
+    """
+    others = sorted((one for one in entry_hosts if one.host != host), key=_disk_first)
+    place = {one.host: one.place for one in entry_hosts}.get(host)
+    near = [one for one in others if one.place == place]
+    is_enough = len(near) >= COPIES or any(one.disk for one in near)
+    return [one.host for one in (near if is_enough else others)]
+
+
+def _disk_first(entry_host: EntryHost) -> tuple[bool, str]:
+    return (not entry_host.disk, entry_host.host)
 
 
-async def deliver_at_peers(
-    host: str, incarnation: int, entry_hosts: Sequence[str], peers: Peers, caller: Caller
+async def deliver_at_mirrors(
+    host: str, incarnation: int, mirrors: Sequence[str], peers: Peers, caller: Caller
 ) -> bool:
-    """Have every entry host commit what it holds of ``host``'s older incarnations.
+    """Have every mirror commit what it holds of ``host``'s older incarnations.
 
     Return true only where each of them answered that nothing is left. A host that does
     not answer may hold a copy that nobody else has.
     """
     peer_by_host = {peer.host: peer for peer in peers.alive()}
     request = DeliverRequest(host, incarnation)
-    for name in entry_hosts:
-        if name == host:
-            continue
+    for name in mirrors:
         peer = peer_by_host.get(name)
         if peer is None:
             logger.info("event=remainder_waits host={} for={}", host, name)
--- a/cranberrywall/budgets/messages.py
+++ b/cranberrywall/budgets/messages.py
@@ -200,7 +200,8 @@
     The giver deducts and syncs first, under its ``giver_number`` (from 1, rising by one
     for each budget). The taker adds the amount under its own ``taker_number`` and reports
     before it charges against it; the giver reports with ``taker_number`` 0. Once either
-    number is known, a second report changes nothing.
+    number is known, a second report changes nothing. A report that comes before the one
+    of the transfer that funded it is refused as ``NOT_READY``: send it again later.
     """
 
     budget: str
@@ -399,7 +400,8 @@
     ``credited = charged_before + charged + charged_after + outstanding + in_doubt + free``,
     where ``charged`` is the period's own, ``charged_before`` that of all earlier periods
     and ``charged_after`` what was already charged for reservations after its end.
-    ``credits`` is the part of ``credited`` that came in this period.
+    ``credits`` and ``credits_after`` are the parts of ``credited`` that came in this
+    period, and after it.
     """
 
     budget: str
@@ -413,6 +415,7 @@
     in_doubt: int
     free: int
     by_workspace: tuple["WorkspaceCharge", ...]
+    credits_after: int = 0
 
 
 class WorkspaceCharge(NamedTuple):
--- a/tests/fakes/money.py
+++ b/tests/fakes/money.py
@@ -10,8 +10,20 @@
 
 from result import Err, Ok, Result
 
-from cranberrywall.budgets import HostAllotments, SpendPolicy, make_allotments, make_ledger_client
-from cranberrywall.budgets.messages import LEDGER_CODEC, Credit, Holder
+from cranberrywall.budgets import (
+    EntryHost,
+    HostAllotments,
+    SpendPolicy,
+    make_allotments,
+    make_ledger_client,
+)
+from cranberrywall.budgets.messages import (
+    LEDGER_CODEC,
+    BudgetQuery,
+    BudgetResult,
+    Credit,
+    Holder,
+)
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Peer
 from cranberrywall.replication import StateMachine
@@ -144,6 +156,10 @@
         """Return the one policy."""
         return self.policy
 
+    def spends_alone(self) -> bool:
+        """Say whether the one policy lets a host spend that is alone."""
+        return self.policy.isolated == "spend"
+
 
 class MoneyHost:
     """Run one incarnation after another of one entry host."""
@@ -168,7 +184,7 @@
             self.place,
             make_ledger_client(FakeControl(fleet.net, self.name), 1),
             self,
-            lambda: list(fleet.host_by_name),
+            fleet.entry_hosts,
             FakePolicies(fleet.policy),
             links,
             links,
@@ -221,6 +237,13 @@
         for host in self.host_by_name.values():
             await host.start()
 
+    def entry_hosts(self) -> list[EntryHost]:
+        """Return the hosts as the configuration has them."""
+        return [
+            EntryHost(host.name, host.place, host.storage is not None)
+            for host in self.host_by_name.values()
+        ]
+
     async def stop(self) -> None:
         """Stop every host that is up."""
         for host in self.host_by_name.values():
@@ -234,3 +257,9 @@
             budget, workspace, "tokens", amount, f"c{self._credits}", "op", self.clock.wall()
         )
         self.net.machine.apply(LEDGER_CODEC.encode(command))
+
+    def sums(self, budget: str) -> BudgetResult:
+        """Read the ledger's sums."""
+        reply = self.net.machine.query(LEDGER_CODEC.encode(BudgetQuery(budget)))
+        result: BudgetResult = LEDGER_CODEC.decode(reply)
+        return result
