Let revisions travel with the membership's heartbeats

One item for the whole fleet names the newest revision and where to fetch it, so what a heartbeat carries does not grow with the hosts. Entry hosts spread to the hosts that membership knows to be alive, and to the configured ones before it knows any.

--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -28,7 +28,9 @@
     CallerStack,
     ConfiguredHosts,
     ConfiguredPolicies,
+    LivePeers,
     StackLinks,
+    carry_revisions,
     make_caller_stack,
 )
 from cranberrywall.hosts import (
@@ -308,15 +310,17 @@
 
     def _make_follower(self, controls: list[str]) -> Follower:
         me = SpreadHost(self._me.host, self._me.place, self._settings["listen"]["links"])
-        return make_follower(
+        follower = make_follower(
             me,
             self._configuration,
-            self._hosts,
+            LivePeers(self._me.host, self._membership, self._hosts),
             controls,
             self._caller,
             self._runtime.clock,
             self._runtime.random,
         )
+        carry_revisions(self._membership.spread, self._configuration, follower, me.links)
+        return follower
 
     def _make_allotments(self, ledger: LedgerClient) -> HostAllotments:
         return make_allotments(
--- a/cranberrywall/entry/__init__.py
+++ b/cranberrywall/entry/__init__.py
@@ -2,6 +2,7 @@
 
 from cranberrywall.entry._announcements import AnnouncementSpread
 from cranberrywall.entry._configured import ConfiguredHosts, ConfiguredPolicies
+from cranberrywall.entry._revisions import LivePeers, carry_revisions
 from cranberrywall.entry._stack import CallerStack, StackLinks, make_caller_stack
 
 __all__ = [
@@ -9,6 +10,8 @@
     "CallerStack",
     "ConfiguredHosts",
     "ConfiguredPolicies",
+    "LivePeers",
     "StackLinks",
+    "carry_revisions",
     "make_caller_stack",
 ]
--- /dev/null
+++ b/tests/entry/test_revisions.py
@@ -0,0 +1,66 @@
+"""Check that revisions travel with the membership's items, one for the whole fleet."""
+
+from collections.abc import Callable
+from typing import Any
+
+from cranberrywall.configuration import SpreadTimes
+from cranberrywall.entry import LivePeers, carry_revisions
+from cranberrywall.hosts import HostState, HostView, Item, make_static_membership
+from tests.configuration.documents import place_edit
+from tests.configuration.fleet import Fleet
+from tests.fakes.clock import run_virtual
+
+
+class SharedItems:
+    """Hand each host's items to every host at once, the newest of a key only."""
+
+    def __init__(self) -> None:
+        self.newest: dict[tuple[str, str], Item] = {}
+        self.receivers: list[Callable[[Item], None]] = []
+
+    def subscribe(self, topic: str, receive: Callable[[Item], None]) -> None:
+        self.receivers.append(receive)
+
+    def publish(self, item: Item) -> None:
+        known = self.newest.get((item.topic, item.key))
+        if known is None or item.version > known.version:
+            self.newest[item.topic, item.key] = item
+            for receive in self.receivers:
+                receive(item)
+
+    def items(self, topic: str) -> Any:
+        return list(self.newest.values())
+
+
+def test_a_host_that_missed_a_notice_learns_by_heartbeat() -> None:
+    """No notice and no poll reaches a host; all it gets are the membership's heartbeats."""
+
+    async def scenario() -> None:
+        fleet = Fleet(3, times=SpreadTimes(heartbeat=1e6, control_poll=1e6))
+        await fleet.start()
+        items = SharedItems()
+        for entry in fleet.entries:
+            carry_revisions(items, entry.configuration, entry.follower, entry.me.links)
+        deaf = fleet.entries[2]
+        deaf.follower._feed.note = lambda heard: None  # type: ignore[method-assign] # deaf
+        revision = await fleet.commit(place_edit("new"))
+        await fleet.clock.sleep(5.0)
+        assert deaf.configuration.revision == revision - 1
+        del deaf.follower._feed.note
+        items.receivers[2](items.newest["configuration", "newest"])
+        await fleet.until_everywhere(revision, limit=1.0)
+        assert len(items.newest) == 1
+        await fleet.stop()
+
+    run_virtual(scenario())
+
+
+def test_peers_are_the_live_ones_once_membership_knows_any() -> None:
+    def view(host: str) -> HostView:
+        return HostView(host, "kranj", "1.2.3.4:5", "", 1, HostState.ALIVE, 0.0)
+
+    configured = make_static_membership(view("a"), [view("b"), view("c")])
+    alone = make_static_membership(view("a"), [])
+    joined = make_static_membership(view("a"), [view("c")])
+    assert [v.host for v in LivePeers("a", alone, configured).alive()] == ["a", "b", "c"]
+    assert [v.host for v in LivePeers("a", joined, configured).alive()] == ["a", "c"]
