--- a/cranberrywall/commands/ctl/_main.py
+++ b/cranberrywall/commands/ctl/_main.py
@@ -17,8 +17,10 @@
     history,
     hosts,
     make_keys,
+    orders,
     plan,
     report,
+    roll_back,
     state,
     top_up,
 )
@@ -115,8 +117,10 @@
     history,
     hosts,
     make_keys,
+    orders,
     plan,
     report,
+    roll_back,
     state,
     top_up,
 ):
--- a/cranberrywall/commands/ctl/apply.py
+++ b/cranberrywall/commands/ctl/apply.py
@@ -5,12 +5,13 @@
 import click
 from result import Err, Ok, Result
 
+from cranberrywall.commands.ctl._changes import explain_refusal
 from cranberrywall.commands.ctl._documents import DocumentFile, read_document_file
-from cranberrywall.commands.ctl._output import format_time, print_answer
+from cranberrywall.commands.ctl._output import print_answer
 from cranberrywall.commands.ctl._session import Ctl, Session, pass_ctl
-from cranberrywall.configuration import ChangeRefusal, empty_document
+from cranberrywall.configuration import empty_document
 from cranberrywall.configuration.messages import DocumentAt
-from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.errors import Refusal
 
 
 @click.command("apply")
@@ -47,7 +48,7 @@
         found.ok_value, wanted.document, change, operator, now
     )
     if isinstance(applied, Err):
-        return Err(_explain(applied.err_value, change))
+        return Err(explain_refusal(applied.err_value, change))
     revision = applied.ok_value
     answer = {"revision": revision, "change_id": change}
     print_answer(session.options.is_json, answer, f"revision {revision.number} is accepted")
@@ -59,19 +60,3 @@
     if revision == 0:
         return Ok(DocumentAt(0, dict(empty_document()), 0))
     return await session.configuration.document(revision)
-
-
-def _explain(refused: ChangeRefusal, change: str) -> Refusal:
-    for delta in refused.since:
-        by = delta.revision
-        sections = ", ".join(by.sections)
-        click.echo(
-            f"since then: revision {by.number} by {by.operator} at {format_time(by.at)} "
-            f"changed {sections}",
-            err=True,
-        )
-    for problem in refused.problems:
-        click.echo(str(problem), err=True)
-    if refused.refusal.kind is ErrorKind.TIMEOUT:
-        return refused.refusal._replace(remedy=f"send it again with --change-id {change}")
-    return refused.refusal
--- a/tests/commands/fleets.py
+++ b/tests/commands/fleets.py
@@ -12,11 +12,11 @@
 from cranberrywall.budgets.messages import LEDGER_CODEC
 from cranberrywall.commands.ctl import main
 from cranberrywall.commands.ctl._session import Options, Session
-from cranberrywall.configuration import make_configuration_machine
 from cranberrywall.control import ChangeMemberRequest, MembersReply, ledger_group
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.hosts import register_drain
 from cranberrywall.links import Peer
+from cranberrywall.orders import make_group_machine
 from cranberrywall.replication import MemberView, Step
 from tests.fakes.clock import ManualClock
 from tests.fakes.groups import FakeControlClient, FakeGroup
@@ -75,7 +75,7 @@
 
     def __init__(self) -> None:
         self.clock = ManualClock()
-        self.groups = {"configuration": FakeGroup("configuration", make_configuration_machine)}
+        self.groups = {"configuration": FakeGroup("configuration", make_group_machine)}
         for number in range(LEDGER_GROUPS):
             name = f"ledger-{number}"
             self.groups[name] = FakeGroup(name, make_ledger_machine)
