Document the configuration, its spread and the orders, with the pages tested

The reference page is tested against the document's shape, the checks' numbers and the limits kept; log events of configuration and orders are on their page.

--- a/tests/configuration/test_machine.py
+++ b/tests/configuration/test_machine.py
@@ -8,6 +8,7 @@
 from cranberrywall.configuration import (
     ConfigurationClient,
     Edit,
+    _answers,
     apply_edits,
     edits_between,
     empty_document,
@@ -95,6 +96,24 @@
     assert (found.revision, found.document["places"]["kranj"]["region"]) == (3, "other")
 
 
+async def test_a_change_resent_after_its_answer_is_forgotten_is_not_applied_twice(
+    client: ConfigurationClient, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An operator's program sends a change again days later, past what is remembered.
+
+    Its own first application moved its section past the revision it is based on, so it is
+    refused, though nobody else touched that section.
+    """
+    monkeypatch.setattr(_answers, "ACCEPTED_LIMIT", 3)
+    assert (await client.change(place_edit("kranj"), 1, "a", "ana", 2.0)).unwrap().number == 2
+    for number in range(2, 8):
+        budget = (Edit("budgets", f"b{number}", {"unit": "tokens"}),)
+        (await client.change(budget, number, f"c{number}", "bor", 3.0)).unwrap()
+    again = (await client.change(place_edit("kranj"), 1, "a", "ana", 9.0)).unwrap_err()
+    assert again.refusal.kind is ErrorKind.CONFLICT
+    assert (await client.document()).unwrap().revision == 8
+
+
 async def test_a_refused_change_sent_again_is_refused_again(client: ConfigurationClient) -> None:
     bad = (Edit("hosts", "entry-9", {"place": "moon"}),)
     first = (await client.change(bad, 1, "a", "ana", 2.0)).unwrap_err()
--- a/tests/docs/test_reference.py
+++ b/tests/docs/test_reference.py
@@ -12,7 +12,15 @@
 
 ROOT = Path(__file__).parents[2]
 REFERENCE = ROOT / "docs" / "reference"
-PACKAGES = ("links", "settings", "observability", "runtime", "hosts")
+PACKAGES = (
+    "links",
+    "settings",
+    "observability",
+    "runtime",
+    "hosts",
+    "configuration",
+    "orders",
+)
 
 
 def page(name: str) -> str:
