Look only at what an edit can affect, and measure the document's size

A change of one workspace among 2,700 took a control host 43.95 ms and an entry host 11.95 ms: all checks ran, and all keys were indexed anew.

--- a/cranberrywall/configuration/_host.py
+++ b/cranberrywall/configuration/_host.py
@@ -9,11 +9,11 @@
 from result import Err, Ok, Result
 
 from cranberrywall.configuration._document import Document
-from cranberrywall.configuration._edits import apply_edits
 from cranberrywall.configuration._in_force import (
     InForce,
     ledger_group_name,
     make_in_force,
+    make_next_in_force,
     nothing_in_force,
     workspace_by_key,
 )
@@ -100,8 +100,7 @@
                     return Applied.GAP
                 if chain_after(after.chain, delta.edits) != delta.chain:
                     return Applied.DIVERGED
-                document = apply_edits(after.document, delta.edits)
-                after = make_in_force(delta.revision.number, delta.chain, document, after)
+                after = make_next_in_force(after, delta)
             await self._bring_in_force(after, tuple(newer))
             return Applied.IN_FORCE
 
--- a/cranberrywall/configuration/_in_force.py
+++ b/cranberrywall/configuration/_in_force.py
@@ -6,9 +6,10 @@
 
 import xxhash
 
-from cranberrywall.configuration._document import Document
-from cranberrywall.configuration._edits import empty_document
+from cranberrywall.configuration._document import Document, Workspace
+from cranberrywall.configuration._edits import apply_edits, empty_document
 from cranberrywall.configuration._interfaces import Configuration, NamedWorkspace
+from cranberrywall.configuration.messages import Delta
 
 
 class KeyOwner(NamedTuple):
@@ -27,20 +28,41 @@
     owner_by_digest: dict[bytes, KeyOwner]
 
 
-def make_in_force(
-    revision: int, chain: int, document: Document, before: InForce | None = None
-) -> InForce:
-    """Index ``document``; where its workspaces are those of ``before``, keep that index."""
-    if before is not None and before.document["workspaces"] is document["workspaces"]:
-        return InForce(revision, chain, document, before.owner_by_digest)
+def make_in_force(revision: int, chain: int, document: Document) -> InForce:
+    """Index a whole document."""
     owner_by_digest: dict[bytes, KeyOwner] = {}
     for name, workspace in document["workspaces"].items():
-        for key in workspace["keys"].values():
-            digest = bytes.fromhex(key["sha256"])
-            owner_by_digest[digest] = KeyOwner(digest, NamedWorkspace(name, workspace))
+        _add_keys(owner_by_digest, name, workspace)
     return InForce(revision, chain, document, owner_by_digest)
 
 
+def make_next_in_force(before: InForce, delta: Delta) -> InForce:
+    """Apply ``delta``, and index anew only the workspaces that it edits."""
+    document = apply_edits(before.document, delta.edits)
+    names = [edit.name for edit in delta.edits if edit.section == "workspaces"]
+    owner_by_digest = before.owner_by_digest
+    if names:
+        owner_by_digest = dict(owner_by_digest)
+    # All old keys go before any new one comes: a key may pass from one to another.
+    for name in names:
+        _remove_keys(owner_by_digest, before.document["workspaces"].get(name))
+    for name in names:
+        if name in document["workspaces"]:
+            _add_keys(owner_by_digest, name, document["workspaces"][name])
+    return InForce(delta.revision.number, delta.chain, document, owner_by_digest)
+
+
+def _add_keys(owner_by_digest: dict[bytes, KeyOwner], name: str, workspace: Workspace) -> None:
+    for key in workspace["keys"].values():
+        digest = bytes.fromhex(key["sha256"])
+        owner_by_digest[digest] = KeyOwner(digest, NamedWorkspace(name, workspace))
+
+
+def _remove_keys(owner_by_digest: dict[bytes, KeyOwner], workspace: Workspace | None) -> None:
+    for key in workspace["keys"].values() if workspace else ():
+        owner_by_digest.pop(bytes.fromhex(key["sha256"]), None)
+
+
 def nothing_in_force() -> InForce:
     """Return what a host has before any revision."""
     return make_in_force(0, 0, empty_document())
--- a/cranberrywall/configuration/checks.py
+++ b/cranberrywall/configuration/checks.py
@@ -7,7 +7,7 @@
 
 import ipaddress
 from collections.abc import Callable, Collection, Iterable, Iterator
-from typing import Any, cast, get_type_hints
+from typing import Any, NamedTuple, cast, get_type_hints
 
 from cranberrywall.configuration._document import Document, Host
 from cranberrywall.configuration._edits import SECTIONS, SINGLE_SECTIONS, Edit
@@ -51,23 +51,26 @@
         return problems
     document = cast(Document, data)
     for check in _CHECKS:
-        problems.extend(check(document))
+        problems.extend(check.find(document))
     return problems
 
 
 def check_edits(edits: Iterable[Edit], after: Document) -> list[Problem]:
     """Return every problem of ``after``, to which ``edits`` led from a valid document.
 
-    Only the edited entries are compared with the shape, so that the cost of a change does
-    not follow the size of the whole document.
+    Only the edited entries are compared with the shape, and only the checks run that read
+    an edited section: where none of what a check reads has changed, its verdict has not.
     """
+    edits = tuple(edits)
     problems: list[Problem] = []
     for edit in edits:
         problems.extend(_edit_problems(edit))
     if problems:
         return problems
+    edited = {edit.section for edit in edits}
     for check in _CHECKS:
-        problems.extend(check(after))
+        if check.sections is None or check.sections & edited:
+            problems.extend(check.find(after))
     return problems
 
 
@@ -270,6 +273,9 @@
 
 
 def _unit_problems(before: Document, after: Document) -> Iterator[Problem]:
+    if before["budgets"] is after["budgets"]:
+        # Most changes touch no budget, and there may be very many of them.
+        return
     for name, budget in after["budgets"].items():
         old = before["budgets"].get(name)
         if old is not None and old["unit"] != budget["unit"]:
@@ -281,14 +287,21 @@
             )
 
 
-_CHECKS: tuple[Callable[[Document], Iterator[Problem]], ...] = (
-    _reference_problems,
-    _priority_problems,
-    _repetition_problems,
-    _address_problems,
-    _key_problems,
-    _host_problems,
-    _model_problems,
-    _call_problems,
-    _number_problems,
+class _Check(NamedTuple):
+    """Pair a check with the sections that it reads; ``None`` is all."""
+
+    find: Callable[[Document], Iterator[Problem]]
+    sections: frozenset[str] | None = None
+
+
+_CHECKS = (
+    _Check(_reference_problems),
+    _Check(_priority_problems, frozenset({"workspaces"})),
+    _Check(_repetition_problems, frozenset({"workspaces", "hosts", "models"})),
+    _Check(_address_problems, frozenset({"hosts"})),
+    _Check(_key_problems, frozenset({"workspaces"})),
+    _Check(_host_problems, frozenset({"hosts"})),
+    _Check(_model_problems, frozenset({"models"})),
+    _Check(_call_problems, frozenset({"services"})),
+    _Check(_number_problems, frozenset({"priorities", "policies"})),
 )
--- a/measurements/config_spread.py
+++ b/measurements/config_spread.py
@@ -17,6 +17,7 @@
 from typing import NamedTuple
 
 import click
+from loguru import logger
 
 from cranberrywall.configuration import Edit, Follower, SpreadHost
 from measurements._figures import report_figures
@@ -61,6 +62,7 @@
 @click.option("--seed", default=1)
 def main(hosts: int, changes: int, seed: int) -> None:
     """Print the figures of the configuration's spread."""
+    logger.remove()
     small = run_virtual(measure_cost(SMALL_FLEET, changes, seed))
     large = run_virtual(measure_cost(hosts, changes, seed))
     broken = run_virtual(measure_reverts(FAULTY_FLEET, changes * 2, seed, Follower))
--- a/tests/configuration/test_host.py
+++ b/tests/configuration/test_host.py
@@ -7,6 +7,7 @@
 from cranberrywall.configuration import (
     Applied,
     ConfigurationMachine,
+    Edit,
     HostConfiguration,
     ledger_group_name,
     make_configuration_machine,
@@ -82,6 +83,28 @@
     assert host.ledger_group("desk") == ledger_group_name("desk", 2)
 
 
+async def test_a_key_that_passes_to_another_workspace_opens_that_one_only() -> None:
+    """A key is taken from one workspace and given to another in one change.
+
+    Whichever edit comes first, the key must open the new one, and a removed one nothing.
+    """
+    other = make_document()["workspaces"]["desk"] | {"budget": "desk"}
+    emptied = make_document()["workspaces"]["desk"] | {"keys": {}}
+    edits = (Edit("workspaces", "other", other), Edit("workspaces", "desk", emptied))
+    for number, order in enumerate((edits, edits[::-1])):
+        machine, host = make_machine(1), make_host_configuration(None)
+        machine.apply(encode_change(order, 1, f"pass-{number}"))
+        machine.apply(encode_change([Edit("places", "kranj", {"region": "x"})], 2, "p"))
+        for delta in deltas_of(machine):
+            await host.apply_deltas([delta])
+        found = host.workspace_by_key(KEY)
+        assert found is not None
+        assert found.name == "other"
+        machine.apply(encode_change([Edit("workspaces", "other", None)], 3, "gone"))
+        await host.apply_deltas(deltas_of(machine))
+        assert host.workspace_by_key(KEY) is None
+
+
 async def recalled(storage: FakeStorage) -> HostConfiguration:
     host = make_host_configuration(storage)
     (await host.recall()).unwrap()
