--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -28,7 +28,9 @@
     CallerStack,
     ConfiguredHosts,
     ConfiguredPolicies,
+    LivePeers,
     StackLinks,
+    carry_revisions,
     make_caller_stack,
 )
 from cranberrywall.hosts import (
@@ -56,6 +58,7 @@
     make_admin_server,
     make_metrics,
 )
+from cranberrywall.orders import EngineReporter
 from cranberrywall.routing import make_router
 from cranberrywall.runtime import Runtime, split_address
 from cranberrywall.settings import (
@@ -102,6 +105,7 @@
         self._spread = AnnouncementSpread(
             self._me.host, self._targets, self._membership, self._caller, runtime.clock
         )
+        self._reporter = EngineReporter(self._caller, runtime.clock, controls)
         self._follower.register(self._server)
         self._spread.register(self._server)
         self.on_drain: Callable[[], None] = lambda: None
@@ -173,6 +177,7 @@
         revision = await self._follower.join()
         self._tasks.append(asyncio.create_task(self._follower.run()))
         self._tasks.append(asyncio.create_task(self._spread.expire()))
+        self._tasks.append(asyncio.create_task(self._reporter.run()))
         # Which group keeps a budget follows from the number of groups in the document. A
         # number of this host's own would send its draws to groups that never heard of the
         # budget, and every request would be refused for want of money that is there.
@@ -227,9 +232,7 @@
             ),
         )
         stack.app.add_routes(
-            make_announce_routes(
-                self._targets, self._keys.target, runtime.clock, self._spread.publish
-            )
+            make_announce_routes(self._targets, self._keys.target, runtime.clock, self._publish)
         )
         # A handler whose caller has gone is cancelled, which frees its place in the queue.
         runner = web.AppRunner(
@@ -247,6 +250,10 @@
             self._membership.set_load(min(1.0, stack.running / BUSY_REQUESTS))
             await self._runtime.clock.sleep(LOAD_EVERY_S)
 
+    def _publish(self, announcement: Announcement) -> None:
+        self._spread.publish(announcement)
+        self._reporter.note(announcement)
+
     def _make_server(self) -> LinkServer:
         return make_link_server(
             self._runtime.network,
@@ -303,15 +310,17 @@
 
     def _make_follower(self, controls: list[str]) -> Follower:
         me = SpreadHost(self._me.host, self._me.place, self._settings["listen"]["links"])
-        return make_follower(
+        follower = make_follower(
             me,
             self._configuration,
-            self._hosts,
+            LivePeers(self._me.host, self._membership, self._hosts),
             controls,
             self._caller,
             self._runtime.clock,
             self._runtime.random,
         )
+        carry_revisions(self._membership.spread, self._configuration, follower, me.links)
+        return follower
 
     def _make_allotments(self, ledger: LedgerClient) -> HostAllotments:
         return make_allotments(
--- a/cranberrywall/commands/ctl/_main.py
+++ b/cranberrywall/commands/ctl/_main.py
@@ -17,9 +17,11 @@
     history,
     hosts,
     make_keys,
+    orders,
     plan,
     report,
     rescue,
+    roll_back,
     state,
     top_up,
 )
@@ -116,9 +118,11 @@
     history,
     hosts,
     make_keys,
+    orders,
     plan,
     report,
     rescue,
+    roll_back,
     state,
     top_up,
 ):
