--- a/cranberrywall/commands/ctl/_main.py
+++ b/cranberrywall/commands/ctl/_main.py
@@ -23,6 +23,7 @@
     rescue,
     roll_back,
     state,
+    targets,
     top_up,
 )
 from cranberrywall.commands.ctl._session import (
@@ -124,6 +125,7 @@
     rescue,
     roll_back,
     state,
+    targets,
     top_up,
 ):
     main.add_command(module.command)
--- a/cranberrywall/configuration/_in_force.py
+++ b/cranberrywall/configuration/_in_force.py
@@ -4,12 +4,11 @@
 import hmac
 from typing import NamedTuple
 
-import xxhash
-
 from cranberrywall.configuration._document import Document, Workspace
 from cranberrywall.configuration._edits import apply_edits, empty_document
 from cranberrywall.configuration._interfaces import Configuration, NamedWorkspace
 from cranberrywall.configuration.messages import Delta
+from cranberrywall.control import ledger_group
 
 
 class KeyOwner(NamedTuple):
@@ -88,7 +87,7 @@
     >>> ledger_group_name("desk", 1)
     'ledger-0'
     """
-    return f"ledger-{xxhash.xxh64(budget.encode()).intdigest() % ledger_groups}"
+    return ledger_group(budget, ledger_groups)
 
 
 def make_fixed_configuration(document: Document, revision: int = 1) -> Configuration:
--- a/tests/commands/fleets.py
+++ b/tests/commands/fleets.py
@@ -5,6 +5,7 @@
 from contextlib import asynccontextmanager
 from typing import Any
 
+import msgspec
 from click.testing import CliRunner, Result
 from result import Err, Ok
 
@@ -14,7 +15,7 @@
 from cranberrywall.commands.ctl._session import Options, Session
 from cranberrywall.control import ChangeMemberRequest, MembersReply, ledger_group
 from cranberrywall.errors import ErrorKind, Refusal
-from cranberrywall.hosts import register_drain
+from cranberrywall.hosts import DUMP, DumpReply, DumpRequest, register_drain
 from cranberrywall.links import Peer
 from cranberrywall.orders import make_group_machine
 from cranberrywall.replication import MemberView, Step
@@ -44,13 +45,13 @@
 
 
 class FakeCaller:
-    """Drain hosts by the methods that they registered; others do not answer."""
+    """Call the methods that hosts registered by address; other hosts do not answer."""
 
     def __init__(self) -> None:
-        self.handler_by_address: dict[str, Any] = {}
+        self.handler_by_address: dict[tuple[str, str], Any] = {}
 
     async def call(self, address: str, method: Any, request: Any, timeout: float):
-        handler = self.handler_by_address.get(address)
+        handler = self.handler_by_address.get((address, method.name))
         if handler is None:
             return Err(Refusal(ErrorKind.UNREACHABLE, "nobody listens"))
         return await handler(request, Peer("cranberrywallctl", "operator", 1))
@@ -67,7 +68,7 @@
         self._address = address
 
     def register(self, method: Any, handler: Any) -> None:
-        self._caller.handler_by_address[self._address] = handler
+        self._caller.handler_by_address[self._address, method.name] = handler
 
 
 class CtlFleet:
@@ -102,6 +103,16 @@
         return LEDGER_CODEC.decode(group.machine.apply(LEDGER_CODEC.encode(command)))
 
 
+def serve_dump(fleet: CtlFleet, address: str, state: dict[str, object]) -> None:
+    """Let a host answer with ``state``, by section."""
+
+    async def answer(request: DumpRequest, peer: object):
+        dumped = state.get(request.section) if request.section else state
+        return Ok(DumpReply(msgspec.json.encode(dumped)))
+
+    fleet.caller.handler_by_address[address, DUMP.name] = answer
+
+
 def configured_fleet() -> CtlFleet:
     """Return a fleet with the savings board's configuration."""
     fleet = CtlFleet()
