Say "not run" without a majority only where two witnesses know of no arrival

A non-repeatable call is refused as not_run where its intent could not be recorded. A retry of a call that an earlier host had sent got the same answer, which was false.

--- a/cranberrywall/entry/_stack.py
+++ b/cranberrywall/entry/_stack.py
@@ -35,6 +35,7 @@
     ServiceClient,
     ServiceLimits,
     ServiceRunner,
+    Witnesses,
 )
 from cranberrywall.routing import Router
 from cranberrywall.runtime import Clock, Random
@@ -169,6 +170,7 @@
         router,
         ServiceClient(session, once_session, metrics, engine_limits.connect_s),
         Intents(intents, Holder(host, incarnation), membership, clock, background),
+        Witnesses(registry, lambda: _count_missing(configuration, membership)),
         clock,
         random,
         metrics,
@@ -198,3 +200,9 @@
     return aiohttp.ClientSession(
         connector=connector, cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False
     )
+
+
+def _count_missing(configuration: Configuration, membership: Membership) -> int:
+    alive = {view.host for view in membership.alive()}
+    hosts = configuration.document["hosts"]
+    return sum("entry" in host["roles"] and name not in alive for name, host in hosts.items())
--- a/cranberrywall/requests/__init__.py
+++ b/cranberrywall/requests/__init__.py
@@ -17,6 +17,7 @@
 from cranberrywall.requests._service_client import ServiceAnswer, ServiceClient
 from cranberrywall.requests._service_path import is_repeatable, plain_path
 from cranberrywall.requests._service_runner import ServiceRequest, ServiceRunner
+from cranberrywall.requests._witnesses import Witnesses
 from cranberrywall.requests.messages import Owner
 
 __all__ = [
@@ -43,6 +44,7 @@
     "ServiceLimits",
     "ServiceRequest",
     "ServiceRunner",
+    "Witnesses",
     "Owner",
     "assemble",
     "bound_chat",
--- a/cranberrywall/requests/_chat_runner.py
+++ b/cranberrywall/requests/_chat_runner.py
@@ -15,6 +15,7 @@
 from cranberrywall.requests._identity import RequestName
 from cranberrywall.requests._metrics import RequestMetrics
 from cranberrywall.requests._prefixes import prefix_hashes
+from cranberrywall.requests._registry import NOTHING_ATTEMPTED
 from cranberrywall.requests._run import Run
 from cranberrywall.requests._usage import total_tokens
 from cranberrywall.requests.messages import Attempted
@@ -76,7 +77,7 @@
         now = self._clock.now()
         reserved = await self._allotments.reserve(_reserve_request(request), now)
         if isinstance(reserved, Err):
-            run.fail(reserved.err_value, self._clock.now())
+            run.fail(_after(begun, reserved.err_value), self._clock.now())
             return
         reservation = reserved.ok_value
         try:
@@ -170,3 +171,10 @@
         bound_tokens=request.bound.total,
         prefix_hashes=prefix_hashes(request.body.texts),
     )
+
+
+def _after(begun: Attempted, refusal: Refusal) -> Refusal:
+    # An attempt of a lost host ran: the refusal of this arrival must not say "not run".
+    if begun == NOTHING_ATTEMPTED:
+        return refusal
+    return Refusal(ErrorKind.TARGET_FAILED, f"an earlier arrival was lost; now: {refusal.kind}")
--- a/cranberrywall/requests/_registry.py
+++ b/cranberrywall/requests/_registry.py
@@ -111,14 +111,24 @@
         Alone, it may run a request a second time. That is safe for a repeatable one, and
         the ledger bills the id once.
         """
-        request = ClaimRequest(key, fingerprint, self.own, replaces)
-        links = registry_links(self._membership, key)
-        replies = await asyncio.gather(*(self._claim_at(address, request) for address in links))
+        replies = await self._claim_everywhere(key, fingerprint, replaces)
         known = [reply.ok_value for reply in replies if isinstance(reply, Ok)]
         if not known:
             return ClaimReply(self.own, NOTHING_ATTEMPTED, fingerprint)
         return self._decide(known, first_claim=replaces is None)
 
+    async def claim_first(self, key: RunKey, fingerprint: str) -> bool:
+        """Return whether every registry host answered and knows of no other claimant."""
+        replies = await self._claim_everywhere(key, fingerprint, None)
+        return all(isinstance(reply, Ok) and reply.ok_value.owner == self.own for reply in replies)
+
+    async def _claim_everywhere(
+        self, key: RunKey, fingerprint: str, replaces: Owner | None
+    ) -> Sequence[Result[ClaimReply, Refusal]]:
+        request = ClaimRequest(key, fingerprint, self.own, replaces)
+        links = registry_links(self._membership, key)
+        return await asyncio.gather(*(self._claim_at(address, request) for address in links))
+
     def _decide(self, known: Sequence[ClaimReply], first_claim: bool) -> ClaimReply:
         # The first registry host decides alone: were both to decide, two hosts that
         # claim at once could each be granted the run by one of them.
--- a/cranberrywall/requests/_service_runner.py
+++ b/cranberrywall/requests/_service_runner.py
@@ -14,6 +14,8 @@
 from cranberrywall.requests._intents import Intent, Intents
 from cranberrywall.requests._metrics import RequestMetrics
 from cranberrywall.requests._service_client import ServiceAnswer, ServiceCall, ServiceClient
+from cranberrywall.requests._witnesses import Witnesses
+from cranberrywall.requests.messages import Attempted, RunKey
 from cranberrywall.routing import Demand, Outcome, OutcomeKind, Router, Slot
 from cranberrywall.runtime import Clock, Random
 
@@ -62,6 +64,7 @@
         router: Router,
         client: ServiceClient,
         intents: Intents,
+        witnesses: Witnesses,
         clock: Clock,
         random: Random,
         metrics: RequestMetrics,
@@ -72,6 +75,7 @@
         self._router = router
         self._client = client
         self._intents = intents
+        self._witnesses = witnesses
         self._clock = clock
         self._random = random
         self._metrics = metrics
@@ -86,24 +90,43 @@
     async def _run_once(self, request: ServiceRequest, progress: Progress) -> CallResult:
         attempt_id = make_attempt_id(request.name.request_id, 0, self._random)
         intent = Intent(request.name, request.budget, attempt_id)
+        key = RunKey(*request.name.key)
         # The ledger is asked before anything can refuse the call: a second arrival must
         # never hear "not run" of a call whose first arrival ran.
         try:
-            won = await self._intents.win(intent, request.fingerprint)
+            won, is_first = await asyncio.gather(
+                self._intents.win(intent, request.fingerprint),
+                self._witnesses.claim(key, request.fingerprint),
+            )
             if isinstance(won, Err):
-                return won
+                return Err(self._without_majority(request, won.err_value, is_first))
             if won.ok_value is not None:
                 return Ok(won.ok_value)
             result = await self._reserve_and_serve(request, progress)
         except BaseException:
             self._note_end(intent, progress)
             raise
+        if not progress.sent:
+            self._witnesses.note_not_sent(key)
         if isinstance(result, Ok):
             self._intents.keep(intent, request.fingerprint, result.ok_value)
         else:
             self._note_end(intent, progress)
         return result
 
+    def _without_majority(
+        self, request: ServiceRequest, refusal: Refusal, is_first: bool
+    ) -> Refusal:
+        if refusal.kind is not ErrorKind.NOT_RUN:
+            return refusal
+        self._witnesses.note_not_sent(RunKey(*request.name.key))
+        if is_first or not request.name.named_by_caller:
+            return refusal
+        # This arrival was not sent, but an earlier one may have been: its caller must
+        # not take this answer as leave to send the call under another id.
+        message = "the ledger cannot be reached, and an earlier arrival may have run"
+        return Refusal(ErrorKind.OUTCOME_UNKNOWN, message)
+
     def _note_end(self, intent: Intent, progress: Progress) -> None:
         if progress.sent:
             self._intents.lose(intent)
@@ -195,6 +218,9 @@
             request.body,
         )
         sent_before, progress.sent = progress.sent, True
+        if not request.repeatable:
+            key = RunKey(*request.name.key)
+            self._witnesses.note_sent(key, Attempted(call.url, call.attempt_id))
         kind = OutcomeKind.CANCELLED
         try:
             result = await self._client.call(call, request.repeatable, self._limit(request))
--- a/tests/requests/test_at_most_once.py
+++ b/tests/requests/test_at_most_once.py
@@ -148,6 +148,26 @@
         assert executions(service, "c-2") == 1
 
 
+async def test_without_a_majority_a_retry_of_a_sent_call_never_hears_not_run() -> None:
+    """A reply is lost, the ledger becomes unreachable, and the caller retries elsewhere.
+
+    The retry is not sent, but its first arrival was: an answer of "not run" would let the
+    caller send the confirmation anew.
+    """
+    async with Fleet() as fleet:
+        service = await fleet.service(faults=Faults(cut=1.0))
+        hosts = [await fleet.entry(f"entry-{number}") for number in (1, 2, 3)]
+        await fleet.call(hosts[0], CONFIRM, request_id="c-1")
+        await hosts[0].stack.finish()
+        fleet.intents.reachable = False
+        for host in hosts:
+            _, head, data = await fleet.call(host, CONFIRM, request_id="c-1")
+            assert (head["X-Ran"], code(data)) == ("unknown", "outcome_unknown")
+            assert code((await fleet.call(host, CONFIRM, request_id="c-2"))[2]) == "not_run"
+        assert service.counts.by_request["c-1"]["executions"] == 1
+        assert "c-2" not in service.counts.by_request
+
+
 async def test_a_call_that_was_not_sent_may_be_sent_again() -> None:
     """No target of the service is there: the refusal is true, and the retry runs."""
     async with Fleet() as fleet:
