--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -1,12 +1,18 @@
 """Assemble the entry program: configuration, money, targets, callers, operators' HTTP."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
 from result import Err
 
-from cranberrywall.budgets import HostAllotments, make_allotments, make_ledger_client
+from cranberrywall.budgets import (
+    HostAllotments,
+    LedgerClient,
+    make_allotments,
+    make_ledger_client,
+)
 from cranberrywall.budgets.messages import Holder
 from cranberrywall.callers import BodyLimits, CallerLimits
 from cranberrywall.commands._control_program import link_limits
@@ -25,7 +31,15 @@
     StackLinks,
     make_caller_stack,
 )
-from cranberrywall.hosts import HostState, HostView, LiveMembership, make_membership, pace_of
+from cranberrywall.hosts import (
+    HostState,
+    HostView,
+    LiveMembership,
+    make_membership,
+    pace_of,
+    register_drain,
+    register_dump,
+)
 from cranberrywall.links import (
     LinkCaller,
     LinkCounters,
@@ -51,7 +65,7 @@
     seconds,
     size_in_bytes,
 )
-from cranberrywall.targets import make_announce_routes, make_targets
+from cranberrywall.targets import Announcement, make_announce_routes, make_targets
 
 SHUTDOWN_S = 1.0
 
@@ -78,19 +92,20 @@
         self._server = self._make_server()
         self._caller = self._make_caller()
         controls = [remote["links"] for remote in settings["controls"]]
-        control = make_control_client(self._caller, runtime.clock, controls, runtime.random)
-        self._ledger = make_ledger_client(control, settings["ledger_groups"])
+        self._control = make_control_client(self._caller, runtime.clock, controls, runtime.random)
         self._configuration = make_host_configuration(runtime.storage)
         self._hosts = ConfiguredHosts(self._view(), self._configuration, self._peers())
         self._membership = self._make_membership()
         self._follower = self._make_follower(controls)
-        self._allotments = self._make_allotments()
+        self._allotments: HostAllotments | None = None
         self._targets = make_targets()
         self._spread = AnnouncementSpread(
             self._me.host, self._targets, self._membership, self._caller, runtime.clock
         )
         self._follower.register(self._server)
         self._spread.register(self._server)
+        self.on_drain: Callable[[], None] = lambda: None
+        register_drain(self._server, self._me.incarnation, lambda: self.on_drain())
         self._metrics = make_metrics()
         self.state = StateRegistry()
         self._health = HealthChecks()
@@ -101,6 +116,7 @@
         self._is_draining = False
         self._tasks: list[asyncio.Task[None]] = []
         self._register_state()
+        register_dump(self._server, self.state.dump_section_json)
 
     @property
     def admin_address(self) -> str:
@@ -138,9 +154,10 @@
             for site in list(self._runner.sites):
                 await site.stop()
             await self._stack.finish()
-            await self._allotments.hand_back()
+            await self._hand_money_back()
             await self._runner.cleanup()
             await self._stack.close()
+        if self._allotments is not None:
             await self._allotments.stop()
         for task in self._tasks:
             task.cancel()
@@ -156,15 +173,30 @@
         revision = await self._follower.join()
         self._tasks.append(asyncio.create_task(self._follower.run()))
         self._tasks.append(asyncio.create_task(self._spread.expire()))
-        started = await self._allotments.start()
+        # Which group keeps a budget follows from the number of groups in the document. A
+        # number of this host's own would send its draws to groups that never heard of the
+        # budget, and every request would be refused for want of money that is there.
+        groups = self._configuration.document["ledger_groups"]
+        ledger = make_ledger_client(self._control, groups)
+        allotments = self._make_allotments(ledger)
+        started = await allotments.start()
         if isinstance(started, Err):
             self._failure = str(started.err_value)
             log_event("ERROR", "allotments_not_started", refusal=started.err_value)
             return
-        await self._serve()
+        self._allotments = allotments
+        await self._serve(allotments, ledger)
         log_event("INFO", "entry_ready", revision=revision, http=self._settings["listen"]["http"])
 
-    async def _serve(self) -> None:
+    async def _hand_money_back(self) -> None:
+        if self._allotments is None:
+            return
+        returned = await self._allotments.hand_back()
+        if isinstance(returned, Err):
+            # The next run on this host registers and brings the rest back.
+            log_event("WARNING", "money_not_handed_back", refusal=returned.err_value)
+
+    async def _serve(self, allotments: HostAllotments, ledger: LedgerClient) -> None:
         runtime = self._runtime
         router = make_router(
             self._targets,
@@ -182,8 +214,8 @@
             self._me.incarnation,
             self._configuration,
             self._membership,
-            self._allotments,
-            self._ledger,
+            allotments,
+            ledger,
             router,
             runtime.clock,
             runtime.random,
@@ -281,11 +313,11 @@
             self._runtime.random,
         )
 
-    def _make_allotments(self) -> HostAllotments:
+    def _make_allotments(self, ledger: LedgerClient) -> HostAllotments:
         return make_allotments(
             Holder(self._me.host, self._me.incarnation),
             self._me.place,
-            self._ledger,
+            ledger,
             self._membership,
             self._hosts.entry_hosts,
             ConfiguredPolicies(self._configuration),
@@ -324,10 +356,25 @@
 
     def _targets_state(self) -> dict[str, Any]:
         return {
-            name: target.announcement.name for name, target in sorted(self._targets.by_id.items())
+            name: _describe_target(target.announcement)
+            for name, target in sorted(self._targets.by_id.items())
         }
 
 
+def _describe_target(announcement: Announcement) -> dict[str, Any]:
+    load = announcement.load
+    return {
+        "kind": announcement.kind,
+        "name": announcement.name,
+        "place": announcement.place,
+        "url": announcement.url,
+        "versions": announcement.versions,
+        "capacity": announcement.capacity,
+        "running": load.running if load else None,
+        "waiting": load.waiting if load else None,
+    }
+
+
 def make_entry_program(settings: Settings, runtime: Runtime) -> EntryProgram:
     """Return the entry program of checked settings.
 
