--- a/cranberrywall/requests/_engine.py
+++ b/cranberrywall/requests/_engine.py
@@ -28,13 +28,15 @@
 class FaultKind(StrEnum):
     """Say how a call to a target went wrong.
 
-    ``UNSENT``: no byte was sent. ``BUSY``: the target answered that it did not serve the
+    ``UNSENT``: no byte was sent. ``UNRUN``: the target says itself that it did not run the
+    call. ``BUSY``: the target answered that it did not serve the
     call. ``REFUSED``: the target found the call itself at fault. ``CROSSED``: the reply was
     another attempt's. ``CUT``: the reply ended before its end mark. ``SILENT``: nothing
     came within the limit. ``UNKNOWN_ATTEMPT``: the target cannot resume the attempt.
     """
 
     UNSENT = "unsent"
+    UNRUN = "unrun"
     BUSY = "busy"
     REFUSED = "refused"
     CROSSED = "crossed"
--- a/cranberrywall/requests/_service_client.py
+++ b/cranberrywall/requests/_service_client.py
@@ -101,6 +101,9 @@
         echoed = response.headers.get(ATTEMPT_HEADER)
         if echoed is None and response.status in _UNSERVED_STATUSES:
             return Fault(FaultKind.BUSY, f"the target answered {response.status}")
+        said_unrun = response.headers.get("X-Ran") == "no"
+        if echoed == call.attempt_id and response.status in _UNSERVED_STATUSES and said_unrun:
+            return Fault(FaultKind.UNRUN, f"the target answered {response.status}")
         if echoed != call.attempt_id:
             self._metrics.dropped_chunks.labels("crossed").inc()
             logger.warning(
--- a/cranberrywall/requests/_service_runner.py
+++ b/cranberrywall/requests/_service_runner.py
@@ -228,7 +228,7 @@
         finally:
             now = self._clock.now()
             slot.finish(Outcome(kind, now - granted_at), now)
-        if isinstance(result, Fault) and result.kind is FaultKind.UNSENT:
+        if isinstance(result, Fault) and result.kind in (FaultKind.UNSENT, FaultKind.UNRUN):
             progress.sent = sent_before
         return _Attempted(slot.target_id, result)
 
--- a/standins/_common.py
+++ b/standins/_common.py
@@ -1,7 +1,5 @@
 """Read and answer what engines and services have in common."""
 
-import asyncio
-
 from aiohttp import web
 
 from standins._counts import Counts
@@ -51,9 +49,9 @@
 
 def abort(request: web.Request) -> None:
     """Cut the connection without an end, as a lost host would."""
-    transport = request.transport
-    if isinstance(transport, asyncio.Transport):
-        transport.abort()
+    # Not every event loop's transports derive from ``asyncio.Transport``.
+    if request.transport is not None:
+        request.transport.abort()
 
 
 def is_open(request: web.Request) -> bool:
--- a/standins/_service.py
+++ b/standins/_service.py
@@ -21,6 +21,8 @@
 from standins._faults import Draw, Faults, draw_faults
 from standins._load import LaggingLoad
 
+RAN_HEADER = "X-Ran"
+
 
 class ServiceOptions(NamedTuple):
     """Describe one stand-in service.
@@ -95,7 +97,10 @@
         )
         if draw.refuses or self._waiting >= self.options.queue:
             self.counts.refused += 1
-            return fail(503, "no room")
+            refusal = fail(503, "no room")
+            refusal.headers[ATTEMPT_HEADER] = attempt_id
+            refusal.headers[RAN_HEADER] = "no"
+            return refusal
         execution = self.counts.begin(request_id, attempt_id) + 1
         await self._work()
         self.counts.finish(request_id, Usage())
