--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -185,8 +185,10 @@
             log_event("ERROR", "allotments_not_started", refusal=started.err_value)
             return
         self._allotments = allotments
+        targets = await self._spread.fetch()
         await self._serve(allotments, ledger)
-        log_event("INFO", "entry_ready", revision=revision, http=self._settings["listen"]["http"])
+        http = self._settings["listen"]["http"]
+        log_event("INFO", "entry_ready", revision=revision, targets=targets, http=http)
 
     async def _hand_money_back(self) -> None:
         if self._allotments is None:
--- a/cranberrywall/entry/_announcements.py
+++ b/cranberrywall/entry/_announcements.py
@@ -13,13 +13,25 @@
 
 PASS_TIMEOUT_S = 1.0
 EXPIRE_EVERY_S = 0.5
+PEERS_ASKED = 3
 
 
 class PassedOn(NamedTuple):
     """Answer an announcement that another host passed on."""
 
 
+class KnownRequest(NamedTuple):
+    """Ask which targets a host knows."""
+
+
+class KnownReply(NamedTuple):
+    """List the newest announcement of each known target, without cache events."""
+
+    announcements: tuple[Announcement, ...]
+
+
 PASS_ON = Method("targets.pass_on", Announcement, PassedOn)
+KNOWN = Method("targets.known", KnownRequest, KnownReply)
 
 
 class AnnouncementSpread:
@@ -36,8 +48,9 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     def register(self, server: Server) -> None:
-        """Answer the call at ``server``."""
+        """Answer the calls at ``server``."""
         server.register(PASS_ON, self._take)
+        server.register(KNOWN, self._list)
 
     def publish(self, announcement: Announcement) -> None:
         """Pass on an announcement that came at first hand."""
@@ -45,6 +58,20 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def fetch(self) -> int:
+        """Learn of the targets from a peer; return how many this host knows then.
+
+        A host that has just started would refuse callers for want of targets until each
+        has renewed its announcement.
+        """
+        for links in self._others()[:PEERS_ASKED]:
+            known = await self._caller.call(links, KNOWN, KnownRequest(), PASS_TIMEOUT_S)
+            if isinstance(known, Ok) and known.ok_value.announcements:
+                for announcement in known.ok_value.announcements:
+                    self._targets.apply(announcement, self._clock.now())
+                break
+        return len(self._targets.by_id)
+
     async def expire(self) -> None:
         """Forget targets that do not renew, until cancelled."""
         while True:
@@ -52,11 +79,19 @@
             self._targets.expire(self._clock.now())
 
     async def _pass_on(self, announcement: Announcement) -> None:
-        others = [view.links for view in self._membership.alive() if view.host != self._host]
         await asyncio.gather(
-            *(self._caller.call(links, PASS_ON, announcement, PASS_TIMEOUT_S) for links in others)
+            *(
+                self._caller.call(links, PASS_ON, announcement, PASS_TIMEOUT_S)
+                for links in self._others()
+            )
         )
 
+    def _others(self) -> list[str]:
+        return [view.links for view in self._membership.alive() if view.host != self._host]
+
     async def _take(self, announcement: Announcement, peer: Peer) -> Result[PassedOn, Refusal]:
         self._targets.apply(announcement, self._clock.now())
         return Ok(PassedOn())
+
+    async def _list(self, request: KnownRequest, peer: Peer) -> Result[KnownReply, Refusal]:
+        return Ok(KnownReply(tuple(t.announcement for t in self._targets.by_id.values())))
