--- a/cranberrywall/callers/_app.py
+++ b/cranberrywall/callers/_app.py
@@ -5,7 +5,6 @@
 import msgspec
 from aiohttp import web
 from aiohttp.typedefs import Handler, Middleware
-from loguru import logger
 from result import Err
 
 from cranberrywall.callers._addresses import rank_addresses
@@ -15,6 +14,7 @@
 from cranberrywall.callers._parts import CallerParts
 from cranberrywall.callers._services import ServiceHandler
 from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.observability import log_event
 
 
 def make_caller_routes(parts: CallerParts) -> list[web.RouteDef]:
@@ -78,7 +78,7 @@
         except (ConnectionError, asyncio.CancelledError):
             raise
         except Exception as error:
-            logger.opt(exception=error).error("event=handler_failed path={}", request.path)
+            log_event("ERROR", "handler_failed", error, path=request.path)
             return parts.refuse(Refusal(ErrorKind.INTERNAL, "the handler failed"), "")
 
     return answer_errors
--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -221,7 +221,7 @@
             router,
             runtime.clock,
             runtime.random,
-            metrics_registry=self._metrics.registry,
+            metrics=self._metrics,
             links=StackLinks(self._settings["listen"]["links"], self._caller, self._server),
             caller_limits=CallerLimits(
                 bodies=BodyLimits(most_bytes=size_in_bytes(callers["body"])),
--- a/cranberrywall/entry/_stack.py
+++ b/cranberrywall/entry/_stack.py
@@ -5,7 +5,6 @@
 import aiohttp
 from aiohttp import web
 from aiohttp.typedefs import Handler, Middleware
-from prometheus_client import CollectorRegistry
 
 from cranberrywall.budgets import Allotments
 from cranberrywall.budgets.messages import Holder
@@ -18,6 +17,7 @@
 from cranberrywall.configuration import Configuration
 from cranberrywall.hosts import Membership
 from cranberrywall.links import Caller, Server
+from cranberrywall.observability import Metrics, make_metrics
 from cranberrywall.requests import (
     Attempts,
     Background,
@@ -132,7 +132,7 @@
     router: Router,
     clock: Clock,
     random: Random,
-    metrics_registry: CollectorRegistry | None = None,
+    metrics: Metrics | None = None,
     links: StackLinks | None = None,
     caller_limits: CallerLimits | None = None,
     engine_limits: EngineLimits | None = None,
@@ -143,22 +143,22 @@
 
     Without ``links`` the host stands alone: a retry at another one runs again.
     """
-    metrics = RequestMetrics(metrics_registry or CollectorRegistry())
+    counts = RequestMetrics(metrics or make_metrics())
     background = Background()
     session = _make_session(reuse=True)
     once_session = _make_session(reuse=False)
     engine_limits = engine_limits or EngineLimits()
-    attempts = Attempts(router, session, clock, random, metrics, engine_limits, background)
+    attempts = Attempts(router, session, clock, random, counts, engine_limits, background)
     registry = None
     if links is not None:
         own = Owner(host, incarnation, links.address)
         registry = Registry(own, membership, links.caller, clock, background)
     chats = ChatRuns(
-        ChatRunner(allotments, attempts, clock, metrics, background),
+        ChatRunner(allotments, attempts, clock, counts, background),
         registry,
         links.caller if links is not None else None,
         clock,
-        metrics,
+        counts,
         run_limits or RunLimits(),
         background,
     )
@@ -168,15 +168,15 @@
     runner = ServiceRunner(
         allotments,
         router,
-        ServiceClient(session, once_session, metrics, engine_limits.connect_s),
+        ServiceClient(session, once_session, counts, engine_limits.connect_s),
         Intents(intents, Holder(host, incarnation), membership, clock, background),
         Witnesses(registry, lambda: _count_missing(configuration, membership)),
         clock,
         random,
-        metrics,
+        counts,
         _SERVICE_ANSWER_S,
     )
-    services = ServiceCalls(runner, clock, metrics, service_limits or ServiceLimits(), background)
+    services = ServiceCalls(runner, clock, counts, service_limits or ServiceLimits(), background)
     parts = CallerParts(
         host,
         place,
@@ -186,7 +186,7 @@
         services,
         clock,
         random,
-        metrics,
+        counts,
         caller_limits or CallerLimits(),
     )
     return CallerStack(parts, (session, once_session), background)
--- a/cranberrywall/requests/_attempts.py
+++ b/cranberrywall/requests/_attempts.py
@@ -10,10 +10,10 @@
 from typing import NamedTuple, Protocol
 
 import aiohttp
-from loguru import logger
 from result import Err, Ok, Result
 
 from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.observability import log_event
 from cranberrywall.requests._background import Background
 from cranberrywall.requests._engine import (
     EngineCall,
@@ -254,13 +254,14 @@
 
     def _note_fault(self, run: Run, slot: Slot, fault: Fault) -> None:
         self._metrics.faults.labels(str(fault.kind)).inc()
-        logger.warning(
-            "event=attempt_failed request={} target={} fault={} frames={} message={!r}",
-            run.name.request_id,
-            slot.target_id,
-            fault.kind,
-            len(run.frames),
-            fault.message,
+        log_event(
+            "WARNING",
+            "attempt_failed",
+            request=run.name.request_id,
+            target=slot.target_id,
+            fault=fault.kind,
+            frames=len(run.frames),
+            reason=fault.message,
         )
 
 
--- a/cranberrywall/requests/_chat_runner.py
+++ b/cranberrywall/requests/_chat_runner.py
@@ -4,11 +4,11 @@
 from typing import NamedTuple
 
 import msgspec
-from loguru import logger
 from result import Err, Result
 
 from cranberrywall.budgets import Allotments, Reservation, ReserveRequest
 from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.observability import log_event
 from cranberrywall.requests._attempts import AttemptEnd, Attempts, OnAttempt
 from cranberrywall.requests._background import Background
 from cranberrywall.requests._chat import Bound, ChatBody
@@ -101,10 +101,8 @@
         # is billed also where this host dies right after it.
         settled = await asyncio.shield(self._settle(reservation, self._cost(run, request)))
         if isinstance(settled, Err):
-            logger.error(
-                "event=settle_failed request={} cause={}",
-                run.name.request_id,
-                settled.err_value.kind,
+            log_event(
+                "ERROR", "settle_failed", request=run.name.request_id, cause=settled.err_value
             )
             refusal = Refusal(ErrorKind.ANSWER_CUT, "the charge could not be recorded")
             run.fail(refusal, self._clock.now())
@@ -114,7 +112,7 @@
 
     async def _settle(self, reservation: Reservation, cost: int) -> Result[None, Refusal]:
         if cost > reservation.bound:
-            self._metrics.over_bound.inc()
+            self._metrics.over_bound.labels().inc()
             cost = reservation.bound
         return await reservation.settle(cost, self._clock.now())
 
@@ -133,7 +131,9 @@
             return
         settled = await self._settle(reservation, self._cost(run, request))
         if isinstance(settled, Err):
-            logger.error("event=settle_failed request={}", run.name.request_id)
+            log_event(
+                "ERROR", "settle_failed", request=run.name.request_id, cause=settled.err_value
+            )
 
 
 def engine_body(request: ChatRequest) -> bytes:
--- a/cranberrywall/requests/_chat_runs.py
+++ b/cranberrywall/requests/_chat_runs.py
@@ -3,11 +3,11 @@
 import asyncio
 from typing import NamedTuple
 
-from loguru import logger
 from result import Err, Ok, Result
 
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller
+from cranberrywall.observability import log_event
 from cranberrywall.requests._background import Background
 from cranberrywall.requests._chat_runner import ChatRequest, ChatRunner
 from cranberrywall.requests._following import follow
@@ -117,7 +117,7 @@
             task.cancel()
 
     async def _drive(self, run: Run, request: ChatRequest) -> None:
-        self._metrics.running.inc()
+        self._metrics.running.labels().inc()
         try:
             if self._registry is not None and run.name.named_by_caller:
                 await self._run_or_follow(run, request, self._registry)
@@ -126,11 +126,11 @@
         except asyncio.CancelledError:
             run.fail(Refusal(ErrorKind.CANCELLED, "the caller left"), self._clock.now())
         except Exception as error:
-            logger.opt(exception=error).error("event=run_failed request={}", run.name.request_id)
+            log_event("ERROR", "run_failed", error, request=run.name.request_id)
             run.fail(Refusal(ErrorKind.INTERNAL, "the run failed"), self._clock.now())
         finally:
             self._task_by_run.pop(run, None)
-            self._metrics.running.dec()
+            self._metrics.running.labels().dec()
 
     async def _run_or_follow(self, run: Run, request: ChatRequest, registry: Registry) -> None:
         key = RunKey(*request.name.key)
--- a/cranberrywall/requests/_engine.py
+++ b/cranberrywall/requests/_engine.py
@@ -7,9 +7,9 @@
 from urllib.parse import quote
 
 import aiohttp
-from loguru import logger
 from yarl import URL
 
+from cranberrywall.observability import log_event
 from cranberrywall.requests._frames import (
     Chunk,
     EndMark,
@@ -195,7 +195,7 @@
             self._drop("chunk", frame.attempt_id)
             return None
         if frame.number < self._next_index:
-            self._metrics.dropped_chunks.labels("doubled").inc()
+            self._metrics.dropped_replies.labels("doubled").inc()
             return None
         if frame.number > self._next_index:
             return Fault(FaultKind.CUT, f"chunk {self._next_index} is missing")
@@ -220,9 +220,9 @@
         return None
 
     def _drop(self, part: str, attempt_id: str) -> None:
-        self._metrics.dropped_chunks.labels("crossed").inc()
-        logger.warning(
-            "event=crossed_reply part={} attempt={} got={}", part, self._call.attempt_id, attempt_id
+        self._metrics.dropped_replies.labels("crossed").inc()
+        log_event(
+            "WARNING", "crossed_reply", part=part, attempt=self._call.attempt_id, got=attempt_id
         )
 
     def _timeout(self) -> aiohttp.ClientTimeout:
@@ -236,7 +236,7 @@
         async with session.delete(URL(_attempt_url(call), encoded=True), timeout=timeout):
             pass
     except (aiohttp.ClientError, ConnectionError, TimeoutError) as error:
-        logger.warning("event=cancel_failed attempt={} error={!r}", call.attempt_id, str(error))
+        log_event("WARNING", "cancel_failed", error, attempt=call.attempt_id)
 
 
 def _attempt_url(call: EngineCall) -> str:
--- a/cranberrywall/requests/_intents.py
+++ b/cranberrywall/requests/_intents.py
@@ -8,7 +8,6 @@
 from typing import NamedTuple, Protocol
 
 import msgspec
-from loguru import logger
 from result import Err, Ok, Result
 
 from cranberrywall.budgets.messages import (
@@ -21,6 +20,7 @@
 )
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.hosts import HostState, Membership
+from cranberrywall.observability import log_event
 from cranberrywall.requests._background import Background
 from cranberrywall.requests._identity import RequestName
 from cranberrywall.requests._service_client import ServiceAnswer
@@ -138,9 +138,7 @@
             if isinstance(recorded, Ok):
                 return
             await self._clock.sleep(_OUTCOME_PAUSE_S)
-        logger.error(
-            "event=outcome_not_recorded request={} state={}", intent.name.request_id, state
-        )
+        log_event("ERROR", "outcome_not_recorded", request=intent.name.request_id, state=state)
 
     def _may_run(self, holder: Holder) -> bool:
         view = self._membership.by_host(holder.host)
--- a/cranberrywall/requests/_metrics.py
+++ b/cranberrywall/requests/_metrics.py
@@ -1,29 +1,23 @@
 """Count what happens to requests."""
 
-from prometheus_client import CollectorRegistry, Counter, Gauge
+from cranberrywall.observability import Metrics
 
 
 class RequestMetrics:
-    """Hold the metrics of requests, registered at ``registry``."""
+    """Hold the metrics of requests."""
 
-    def __init__(self, registry: CollectorRegistry) -> None:
-        self.answered = Counter("requests_answered", "Whole answers.", ["kind"], registry=registry)
-        self.refused = Counter(
-            "requests_refused", "Requests refused or failed.", ["code"], registry=registry
+    def __init__(self, metrics: Metrics) -> None:
+        self.answered = metrics.counter("requests_answered", "Whole answers.", ["kind"])
+        self.refused = metrics.counter("requests_refused", "Refusals and failures.", ["code"])
+        self.dropped_replies = metrics.counter(
+            "requests_dropped_replies", "Replies and chunks that were not delivered.", ["cause"]
         )
-        self.dropped_chunks = Counter(
-            "requests_dropped_chunks", "Replies dropped.", ["cause"], registry=registry
+        self.faults = metrics.counter("requests_target_faults", "Attempts that failed.", ["kind"])
+        self.resumed = metrics.counter(
+            "requests_resumed", "Streams gone on with after a fault.", ["where"]
         )
-        self.faults = Counter(
-            "requests_target_faults", "Attempts that failed.", ["kind"], registry=registry
+        self.joined = metrics.counter("requests_joined", "Retries that joined a run.", ["where"])
+        self.over_bound = metrics.counter(
+            "requests_over_bound", "Answers whose usage was above their bound."
         )
-        self.resumed = Counter(
-            "requests_resumed", "Streams gone on with after a cut.", ["where"], registry=registry
-        )
-        self.joined = Counter(
-            "requests_joined", "Retries that joined a run.", ["where"], registry=registry
-        )
-        self.over_bound = Counter(
-            "requests_over_bound", "Answers that cost more than their bound.", registry=registry
-        )
-        self.running = Gauge("requests_running", "Runs in progress.", registry=registry)
+        self.running = metrics.gauge("requests_running", "Chat completions in progress.")
--- a/cranberrywall/requests/_service_calls.py
+++ b/cranberrywall/requests/_service_calls.py
@@ -3,10 +3,10 @@
 import asyncio
 from typing import NamedTuple
 
-from loguru import logger
 from result import Err
 
 from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.observability import log_event
 from cranberrywall.requests._background import Background
 from cranberrywall.requests._intents import other_request
 from cranberrywall.requests._metrics import RequestMetrics
@@ -103,9 +103,7 @@
         try:
             result = await self._runner.run(named.request, named.progress)
         except Exception as error:
-            logger.opt(exception=error).error(
-                "event=call_failed request={}", named.request.name.request_id
-            )
+            log_event("ERROR", "call_failed", error, request=named.request.name.request_id)
             result = Err(Refusal(ErrorKind.INTERNAL, "the call failed"))
         finally:
             named.ended_at = self._clock.now()
--- a/cranberrywall/requests/_service_client.py
+++ b/cranberrywall/requests/_service_client.py
@@ -4,10 +4,10 @@
 from typing import NamedTuple
 
 import aiohttp
-from loguru import logger
 from multidict import CIMultiDict
 from yarl import URL
 
+from cranberrywall.observability import log_event
 from cranberrywall.requests._engine import ATTEMPT_HEADER, Fault, FaultKind
 from cranberrywall.requests._metrics import RequestMetrics
 
@@ -105,9 +105,9 @@
         if echoed == call.attempt_id and response.status in _UNSERVED_STATUSES and said_unrun:
             return Fault(FaultKind.UNRUN, f"the target answered {response.status}")
         if echoed != call.attempt_id:
-            self._metrics.dropped_chunks.labels("crossed").inc()
-            logger.warning(
-                "event=crossed_reply part=service attempt={} got={}", call.attempt_id, echoed
+            self._metrics.dropped_replies.labels("crossed").inc()
+            log_event(
+                "WARNING", "crossed_reply", part="service", attempt=call.attempt_id, got=echoed
             )
             return Fault(FaultKind.CROSSED, "the reply is another attempt's")
         if not _has_end(call.method, response):
--- a/cranberrywall/requests/_service_runner.py
+++ b/cranberrywall/requests/_service_runner.py
@@ -3,11 +3,11 @@
 import asyncio
 from typing import NamedTuple
 
-from loguru import logger
 from result import Err, Ok, Result
 
 from cranberrywall.budgets import Allotments, Reservation, ReserveRequest
 from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.observability import log_event
 from cranberrywall.requests._attempts import BACKOFF_S, MAX_ATTEMPTS
 from cranberrywall.requests._engine import Fault, FaultKind
 from cranberrywall.requests._identity import RequestName, make_attempt_id
@@ -159,10 +159,8 @@
         if isinstance(settled, Ok):
             self._metrics.answered.labels("service").inc()
             return Ok(answer)
-        logger.error(
-            "event=settle_failed request={} cause={}",
-            request.name.request_id,
-            settled.err_value.kind,
+        log_event(
+            "ERROR", "settle_failed", request=request.name.request_id, cause=settled.err_value
         )
         kind = ErrorKind.TARGET_FAILED if request.repeatable else ErrorKind.OUTCOME_UNKNOWN
         return Err(Refusal(kind, "the call ran, and its charge could not be recorded"))
@@ -243,12 +241,13 @@
 
     def _note_fault(self, request: ServiceRequest, target_id: str, fault: Fault) -> None:
         self._metrics.faults.labels(str(fault.kind)).inc()
-        logger.warning(
-            "event=attempt_failed request={} target={} fault={} message={!r}",
-            request.name.request_id,
-            target_id,
-            fault.kind,
-            fault.message,
+        log_event(
+            "WARNING",
+            "attempt_failed",
+            request=request.name.request_id,
+            target=target_id,
+            fault=fault.kind,
+            reason=fault.message,
         )
 
 
--- a/tests/docs/test_reference.py
+++ b/tests/docs/test_reference.py
@@ -12,7 +12,16 @@
 
 ROOT = Path(__file__).parents[2]
 REFERENCE = ROOT / "docs" / "reference"
-PACKAGES = ("links", "settings", "observability", "runtime", "hosts")
+PACKAGES = (
+    "links",
+    "settings",
+    "observability",
+    "runtime",
+    "hosts",
+    "requests",
+    "callers",
+    "entry",
+)
 
 
 def page(name: str) -> str:
--- a/tests/requests/test_attempts.py
+++ b/tests/requests/test_attempts.py
@@ -81,7 +81,7 @@
         entry = await fleet.entry()
         _, _, data = await fleet.post(entry, chat(stream=True), request_id="r-1")
         assert text_of(frames(data)) == "own text"
-        dropped = entry.stack.parts.metrics.dropped_chunks
+        dropped = entry.stack.parts.metrics.dropped_replies
         assert dropped.labels("crossed")._value.get() == 1
         assert dropped.labels("doubled")._value.get() == 1
 
@@ -100,7 +100,7 @@
             status, _, data = await fleet.post(entry, body, request_id=f"r-{number}")
             assert status == 200
             assert whole_text(body).encode() in data
-        assert entry.stack.parts.metrics.dropped_chunks.labels("crossed")._value.get() > 0
+        assert entry.stack.parts.metrics.dropped_replies.labels("crossed")._value.get() > 0
 
 
 async def test_a_missing_chunk_is_fetched_before_the_next_is_delivered() -> None:
