--- a/cranberrywall/requests/_attempts.py
+++ b/cranberrywall/requests/_attempts.py
@@ -219,7 +219,10 @@
         finally:
             # Also a cancelled task comes through here: it frees its place and stops
             # the engine, or the engine would generate for nobody.
-            stream.close()
+            if fault is None:
+                self._background.spawn(stream.release())
+            else:
+                stream.close()
             if fault is not None and fault.kind is FaultKind.UNSENT:
                 run.sent = sent_before
             elif fault is not None:
--- a/cranberrywall/requests/_engine.py
+++ b/cranberrywall/requests/_engine.py
@@ -23,6 +23,7 @@
 # 404: the model or the version was unloaded after the target was chosen.
 _BUSY_STATUSES = frozenset({404, 408, 409, 425, 429, 500, 502, 503, 504})
 _CANCEL_TIMEOUT_S = 2.0
+_END_OF_BODY_S = 0.5
 
 
 class FaultKind(StrEnum):
@@ -138,11 +139,20 @@
             self._response.close()
             self._response = None
 
-    def release(self) -> None:
-        """Give the connection back for reuse: the whole stream was read."""
-        if self._response is not None:
-            self._response.release()
-            self._response = None
+    async def release(self) -> None:
+        """Give the connection back for reuse, after the end mark was read."""
+        response, self._response = self._response, None
+        if response is None:
+            return
+        try:
+            async with asyncio.timeout(_END_OF_BODY_S):
+                # The body's own end follows the end mark; until it is read the
+                # connection cannot carry another call.
+                await response.content.readany()
+        except (aiohttp.ClientError, ConnectionError, TimeoutError):
+            response.close()
+        else:
+            response.release()
 
     @property
     def next_index(self) -> int:
