--- a/cranberrywall/commands/_demo_fleet.py
+++ b/cranberrywall/commands/_demo_fleet.py
@@ -1,5 +1,6 @@
 """Run one deployment's fleet, with its targets, in this process."""
 
+import asyncio
 from pathlib import Path
 from typing import Protocol
 
@@ -47,7 +48,7 @@
         self.files = files
         self.client: FleetClient = make_fleet_client(files)
         self.targets = Targets([], [])
-        self._programs: list[Program] = []
+        self._programs_by_role: dict[str, list[Program]] = {}
 
     async def start(self) -> None:
         """Start control, commit the document and the money, then start the rest."""
@@ -68,10 +69,11 @@
             make_accounts(storage).put(name, Role.APPROVER, password).unwrap()
 
     async def stop(self) -> None:
-        """Stop everything, the targets first."""
+        """Stop everything: the targets, the entry hosts, and control at the end."""
         await self.targets.close()
-        for program in reversed(self._programs):
-            await program.stop()
+        for role in ("entry", "console", "control"):
+            programs = self._programs_by_role.pop(role, [])
+            await asyncio.gather(*(program.stop() for program in programs))
         await self.client.close()
 
     async def _start_role(self, role: str) -> None:
@@ -81,7 +83,7 @@
             with process_context(role, host.name, settings["place"]):
                 program = _make_program(role, settings, runtime)
                 await program.start()
-            self._programs.append(program)
+            self._programs_by_role.setdefault(role, []).append(program)
 
 
 def _make_program(role: str, settings: Settings, runtime: Runtime) -> Program:
--- a/cranberrywall/commands/demo.py
+++ b/cranberrywall/commands/demo.py
@@ -58,15 +58,13 @@
         for number, name in enumerate((SAVINGS_BOARD, PARKING_LESSORS), start=1)
     ]
     try:
-        for fleet in fleets:
-            await fleet.start()
+        await asyncio.gather(*(fleet.start() for fleet in fleets))
         if once:
             return await _send_once(fleets)
         await _stay_up(fleets)
         return True
     finally:
-        for fleet in fleets:
-            await fleet.stop()
+        await asyncio.gather(*(fleet.stop() for fleet in fleets))
 
 
 def _make_fleet(folder: Path, number: int, name: DeploymentName) -> DemoFleet:
--- a/cranberrywall/demo/_files.py
+++ b/cranberrywall/demo/_files.py
@@ -13,6 +13,10 @@
 from cranberrywall.settings import FleetKeys, load_fleet_keys, make_keys_file
 
 KEYS_FILE = "fleet.key"
+
+# An entry host drains for as long as callers keep its address; a demo should end soon.
+ADDRESS_TTL = "1s"
+
 _LISTENERS_BY_ROLE = {
     "control": ("links", "admin"),
     "entry": ("links", "http", "admin"),
@@ -130,6 +134,7 @@
         "log": {"level": "WARNING"},
     }
     if host.role == "entry":
+        settings["callers"] = {"address_ttl": ADDRESS_TTL}
         peers = [remote for remote in _remotes(files, "entry") if remote["host"] != host.name]
         settings["peers"] = peers
     if described["disk"]:
--- a/measurements/_processes.py
+++ b/measurements/_processes.py
@@ -36,16 +36,19 @@
     async def end_all(self) -> dict[str, int]:
         """End every process by SIGTERM, entry hosts first; return their exit statuses."""
         statuses: dict[str, int] = {}
-        order = {"entry": 0, "console": 1, "control": 2}
-        hosts = list(self._process_by_host)
-        hosts.sort(key=lambda host: order[self._files.by_host[host].role])
-        for host in hosts:
-            try:
-                statuses[host] = await self.end(host, signal.SIGTERM)
-            except ProcessLookupError:
-                statuses[host] = -1
+        for role in ("entry", "console", "control"):
+            hosts = [h for h in self._process_by_host if self._files.by_host[h].role == role]
+            ended = await asyncio.gather(*(self._end_or_find_ended(host) for host in hosts))
+            statuses.update(zip(hosts, ended, strict=True))
         return statuses
 
+    async def _end_or_find_ended(self, host: str) -> int:
+        process = self._process_by_host[host]
+        if process.returncode is not None:
+            del self._process_by_host[host]
+            return process.returncode
+        return await self.end(host, signal.SIGTERM)
+
     async def wait_ready(self, host: str) -> None:
         """Wait until the host says that it is ready; raise with its log where it ended."""
         waiting = asyncio.create_task(wait_until_ready([self._files.by_host[host]], READY_S))
--- a/standins/_command.py
+++ b/standins/_command.py
@@ -16,7 +16,7 @@
 DIED_EXIT_STATUS = 70
 
 
-class FaultsParameter(click.ParamType):
+class FaultsParameter(click.ParamType[Faults]):
     """Read faults such as ``slow=3,cut=0.1``."""
 
     name = "faults"
