--- a/cranberrywall/budgets/_charges.py
+++ b/cranberrywall/budgets/_charges.py
@@ -20,7 +20,7 @@
     RecallsQuery,
     Transfer,
 )
-from cranberrywall.errors import Refusal
+from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.runtime import Clock
 
 # Batches of one group start at least this far apart; charges in between share one.
@@ -30,6 +30,25 @@
 RETRY_MOST_S = 5.0
 
 
+# After these a command may yet be applied. Every other kind is the ledger's own answer.
+UNCERTAIN = frozenset(
+    {
+        ErrorKind.UNREACHABLE,
+        ErrorKind.TIMEOUT,
+        ErrorKind.NOT_CURRENT,
+        ErrorKind.NOT_LEADER,
+        ErrorKind.STORAGE_FAILED,
+        ErrorKind.NOT_READY,
+        ErrorKind.OVERLOADED,
+    }
+)
+
+
+def out_of_reach(refusal: Refusal) -> bool:
+    """Say whether the ledger could not be asked, or its answer was lost."""
+    return refusal.kind in UNCERTAIN
+
+
 class Kept(NamedTuple):
     """Hold what must reach the ledger some day: transfers first, then charges."""
 
@@ -101,7 +120,7 @@
         self.durable = True
         self.on_reach: Callable[[bool], Awaitable[None]] | None = None
         self.successor: Holder | None = None
-        self.on_succeed: Callable[[], Sequence[Transfer]] | None = None
+        self.on_succeed: Callable[[], Sequence[tuple[Transfer, Charged]]] | None = None
         self._ledger = ledger
         self._keeper = keeper
         self._clock = clock
@@ -201,7 +220,7 @@
                 await self._commit_next()
             else:
                 await self._probe()
-            if self.successor is not None and self.in_reach and not self._kept:
+            if self.successor is not None and self._can_succeed():
                 self._succeed()
             if self.uncommitted == 0 and self.in_reach:
                 self._to_commit.clear()
@@ -212,8 +231,10 @@
 
     async def _commit_next(self) -> None:
         source = self._kept or self._waiting
-        self._under_way = _take_first(source)
-        answer = await self._commit(self._under_way)
+        answer: Result[Any, Refusal] = await self._report_transfers()
+        if isinstance(answer, Ok):
+            self._under_way = self._take_funded(source)
+            answer = await self._commit(self._under_way)
         batch, self._under_way = self._under_way, []
         if isinstance(answer, Err):
             source.extendleft(reversed(batch))
@@ -221,6 +242,9 @@
             return
         await self._finish(batch, answer.ok_value)
 
+    def _can_succeed(self) -> bool:
+        return self.in_reach and not self._kept and not self._transfers
+
     def _succeed(self) -> None:
         """Go on as the successor: all that was spent as the old holder is committed.
 
@@ -229,8 +253,7 @@
         """
         assert self.successor is not None
         if self.on_succeed is not None:
-            transfers = self.on_succeed()
-            self._transfers.extend((transfer, None) for transfer in transfers)
+            self._transfers.extend(self.on_succeed())
         self._waiting = deque(
             pending._replace(
                 charge=pending.charge._replace(number=pending.allotment.take_charge_number())
@@ -244,11 +267,10 @@
         """Try the ledger again with what is kept, ever more rarely."""
         await self._clock.sleep(self._retry_s)
         self._retry_s = min(RETRY_MOST_S, self._retry_s * 2.0)
-        self._under_way = _take_first(self._kept)
-        if self._under_way:
-            answer = await self._commit(self._under_way)
-        else:
-            answer = await self._ask_anything()
+        answer: Result[Any, Refusal] = await self._report_transfers()
+        if isinstance(answer, Ok):
+            self._under_way = self._take_funded(self._kept)
+            answer = await self._commit_or_ask(self._under_way)
         batch, self._under_way = self._under_way, []
         if isinstance(answer, Err):
             self._kept.extendleft(reversed(batch))
@@ -264,18 +286,12 @@
         if batch:
             await self._finish(batch, answer.ok_value)
 
-    async def _ask_anything(self) -> Result[Any, Refusal]:
-        reported = await self._report_transfers()
-        if isinstance(reported, Err):
-            return reported
+    async def _commit_or_ask(self, batch: Sequence[_Pending]) -> Result[Any, Refusal]:
+        if batch:
+            return await self._commit(batch)
         return await self._ledger.recalls(self.group, RecallsQuery(self.holder), COMMIT_TIMEOUT_S)
 
     async def _commit(self, batch: Sequence[_Pending]) -> Result[Any, Refusal]:
-        # A charge against transferred money is set aside as unfunded while the ledger
-        # does not know of the transfer, so reports go first.
-        reported = await self._report_transfers()
-        if isinstance(reported, Err):
-            return reported
         if not batch:
             return Ok(ChargeBatchResult(()))
         charges = tuple(pending.charge for pending in batch)
@@ -283,19 +299,43 @@
         return await self._ledger.charge(command, COMMIT_TIMEOUT_S)
 
     async def _report_transfers(self) -> Result[None, Refusal]:
-        while self._transfers:
+        """Report each transfer once; those whose money is not reported yet stay in line."""
+        for _ in range(len(self._transfers)):
             transfer, taken_by = self._transfers[0]
             answer = await self._ledger.transfer(transfer, COMMIT_TIMEOUT_S)
             if isinstance(answer, Err):
-                return answer
+                refusal = answer.err_value
+                if refusal.kind is ErrorKind.NOT_READY:
+                    self._transfers.rotate(-1)
+                    continue
+                if out_of_reach(refusal):
+                    return answer
+                logger.error("event=transfer_refused reason={}", refusal)
             self._transfers.popleft()
-            missing = transfer.amount - answer.ok_value.moved
-            if taken_by is not None and missing > 0:
+            moved = answer.ok_value.moved if isinstance(answer, Ok) else 0
+            if taken_by is not None and moved < transfer.amount:
                 # The giver's remainder had come back and was spent elsewhere.
-                taken_by.drop(missing)
+                taken_by.drop(transfer.amount - moved)
             await self._keeper.committed(Kept(self.holder, (transfer,), ()))
         return Ok(None)
 
+    def _take_funded(self, source: deque[_Pending]) -> list[_Pending]:
+        """Take the first charges that the ledger will find covered.
+
+        Money that was given to this host pays for them: while a report of it waits for
+        that of its giver's own money, charges of the budget wait too.
+        """
+        waiting = {transfer.budget for transfer, taken_by in self._transfers if taken_by}
+        if not waiting:
+            return [source.popleft() for _ in range(min(MAX_CHARGES_IN_BATCH, len(source)))]
+        taken: list[_Pending] = []
+        left: deque[_Pending] = deque()
+        while source and len(taken) < MAX_CHARGES_IN_BATCH:
+            pending = source.popleft()
+            (left if pending.charge.budget in waiting else taken).append(pending)
+        source.extendleft(reversed(left))
+        return taken
+
     async def _finish(self, batch: Sequence[_Pending], answer: ChargeBatchResult) -> None:
         if not batch:
             return
@@ -326,10 +366,6 @@
             pending.answer(answer)
 
 
-def _take_first(source: deque[_Pending]) -> list[_Pending]:
-    return [source.popleft() for _ in range(min(MAX_CHARGES_IN_BATCH, len(source)))]
-
-
 def _note(pending: _Pending, outcome: ChargeOutcome) -> None:
     charge = pending.charge
     if outcome is ChargeOutcome.DUPLICATE:
--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -1,12 +1,18 @@
 """Assemble the entry program: configuration, money, targets, callers, operators' HTTP."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
 from result import Err
 
-from cranberrywall.budgets import HostAllotments, make_allotments, make_ledger_client
+from cranberrywall.budgets import (
+    HostAllotments,
+    LedgerClient,
+    make_allotments,
+    make_ledger_client,
+)
 from cranberrywall.budgets.messages import Holder
 from cranberrywall.callers import BodyLimits, CallerLimits
 from cranberrywall.commands._control_program import link_limits
@@ -22,6 +28,7 @@
     CallerStack,
     ConfiguredHosts,
     ConfiguredPolicies,
+    StackLinks,
     make_caller_stack,
 )
 from cranberrywall.hosts import (
@@ -30,6 +37,7 @@
     LiveMembership,
     make_membership,
     pace_of,
+    register_drain,
     register_dump,
 )
 from cranberrywall.links import (
@@ -84,19 +92,20 @@
         self._server = self._make_server()
         self._caller = self._make_caller()
         controls = [remote["links"] for remote in settings["controls"]]
-        control = make_control_client(self._caller, runtime.clock, controls, runtime.random)
-        self._ledger = make_ledger_client(control, settings["ledger_groups"])
+        self._control = make_control_client(self._caller, runtime.clock, controls, runtime.random)
         self._configuration = make_host_configuration(runtime.storage)
         self._hosts = ConfiguredHosts(self._view(), self._configuration, self._peers())
         self._membership = self._make_membership()
         self._follower = self._make_follower(controls)
-        self._allotments = self._make_allotments()
+        self._allotments: HostAllotments | None = None
         self._targets = make_targets()
         self._spread = AnnouncementSpread(
             self._me.host, self._targets, self._membership, self._caller, runtime.clock
         )
         self._follower.register(self._server)
         self._spread.register(self._server)
+        self.on_drain: Callable[[], None] = lambda: None
+        register_drain(self._server, self._me.incarnation, lambda: self.on_drain())
         self._metrics = make_metrics()
         self.state = StateRegistry()
         self._health = HealthChecks()
@@ -145,9 +154,10 @@
             for site in list(self._runner.sites):
                 await site.stop()
             await self._stack.finish()
-            await self._allotments.hand_back()
+            await self._hand_money_back()
             await self._runner.cleanup()
             await self._stack.close()
+        if self._allotments is not None:
             await self._allotments.stop()
         for task in self._tasks:
             task.cancel()
@@ -163,15 +173,30 @@
         revision = await self._follower.join()
         self._tasks.append(asyncio.create_task(self._follower.run()))
         self._tasks.append(asyncio.create_task(self._spread.expire()))
-        started = await self._allotments.start()
+        # Which group keeps a budget follows from the number of groups in the document. A
+        # number of this host's own would send its draws to groups that never heard of the
+        # budget, and every request would be refused for want of money that is there.
+        groups = self._configuration.document["ledger_groups"]
+        ledger = make_ledger_client(self._control, groups)
+        allotments = self._make_allotments(ledger)
+        started = await allotments.start()
         if isinstance(started, Err):
             self._failure = str(started.err_value)
             log_event("ERROR", "allotments_not_started", refusal=started.err_value)
             return
-        await self._serve()
+        self._allotments = allotments
+        await self._serve(allotments, ledger)
         log_event("INFO", "entry_ready", revision=revision, http=self._settings["listen"]["http"])
 
-    async def _serve(self) -> None:
+    async def _hand_money_back(self) -> None:
+        if self._allotments is None:
+            return
+        returned = await self._allotments.hand_back()
+        if isinstance(returned, Err):
+            # The next run on this host registers and brings the rest back.
+            log_event("WARNING", "money_not_handed_back", refusal=returned.err_value)
+
+    async def _serve(self, allotments: HostAllotments, ledger: LedgerClient) -> None:
         runtime = self._runtime
         router = make_router(
             self._targets,
@@ -189,12 +214,13 @@
             self._me.incarnation,
             self._configuration,
             self._membership,
-            self._allotments,
-            self._ledger,
+            allotments,
+            ledger,
             router,
             runtime.clock,
             runtime.random,
-            registry=self._metrics.registry,
+            metrics_registry=self._metrics.registry,
+            links=StackLinks(self._settings["listen"]["links"], self._caller, self._server),
             caller_limits=CallerLimits(
                 bodies=BodyLimits(most_bytes=size_in_bytes(callers["body"])),
                 ttl_s=seconds(callers["address_ttl"]),
@@ -287,11 +313,11 @@
             self._runtime.random,
         )
 
-    def _make_allotments(self) -> HostAllotments:
+    def _make_allotments(self, ledger: LedgerClient) -> HostAllotments:
         return make_allotments(
             Holder(self._me.host, self._me.incarnation),
             self._me.place,
-            self._ledger,
+            ledger,
             self._membership,
             self._hosts.entry_hosts,
             ConfiguredPolicies(self._configuration),
--- a/tests/budgets/test_allotments.py
+++ b/tests/budgets/test_allotments.py
@@ -6,21 +6,19 @@
 
 from result import Err, Ok
 
-from cranberrywall.budgets import Reservation, ReserveRequest
+from cranberrywall.budgets import Reservation, ReserveRequest, make_ledger_machine
 from cranberrywall.errors import ErrorKind
 from tests.fakes.clock import VirtualClock, run_virtual
 from tests.fakes.money import MoneyFleet
-from tests.naive.central_ledger import NaiveLedger
 
 PLACES = {"a1": "north", "a2": "north", "b1": "south"}
 
 
-def on_fleet(story: Callable[[MoneyFleet, NaiveLedger], Awaitable[None]]) -> None:
+def on_fleet(story: Callable[[MoneyFleet], Awaitable[None]]) -> None:
     async def main() -> None:
-        ledger = NaiveLedger()
-        fleet = MoneyFleet(PLACES, ledger, VirtualClock(), random.Random(5))
+        fleet = MoneyFleet(PLACES, make_ledger_machine(), VirtualClock(), random.Random(5))
         await fleet.start()
-        await story(fleet, ledger)
+        await story(fleet)
         await fleet.stop()
 
     run_virtual(main())
@@ -37,39 +35,39 @@
 
 
 def test_a_settled_request_is_charged_once_and_the_rest_is_free_again() -> None:
-    async def story(fleet: MoneyFleet, ledger: NaiveLedger) -> None:
+    async def story(fleet: MoneyFleet) -> None:
         fleet.credit("main", 1000)
         held = await reserved(fleet, "a1", ask(1, 400))
         assert await held.settle(150, fleet.clock.now()) == Ok(None)
         assert await held.settle(150, fleet.clock.now()) == Ok(None)
-        assert ledger.charged("main") == 150
+        assert fleet.sums("main").charged == 150
         assert isinstance(await reserved(fleet, "a1", ask(2, 850)), object)
 
     on_fleet(story)
 
 
 def test_a_target_past_its_bound_costs_no_more_than_was_reserved() -> None:
-    async def story(fleet: MoneyFleet, ledger: NaiveLedger) -> None:
+    async def story(fleet: MoneyFleet) -> None:
         fleet.credit("main", 1000)
         held = await reserved(fleet, "a1", ask(1, 100))
         assert await held.settle(170, fleet.clock.now()) == Ok(None)
-        assert ledger.charged("main") == 100
+        assert fleet.sums("main").charged == 100
 
     on_fleet(story)
 
 
 def test_a_released_request_costs_nothing() -> None:
-    async def story(fleet: MoneyFleet, ledger: NaiveLedger) -> None:
+    async def story(fleet: MoneyFleet) -> None:
         fleet.credit("main", 100)
         (await reserved(fleet, "a1", ask(1, 100))).release(fleet.clock.now())
         (await reserved(fleet, "a1", ask(2, 100))).release(fleet.clock.now())
-        assert ledger.charged("main") == 0
+        assert fleet.sums("main").charged == 0
 
     on_fleet(story)
 
 
 def test_requests_after_the_first_need_no_message_until_the_allotment_is_spent() -> None:
-    async def story(fleet: MoneyFleet, ledger: NaiveLedger) -> None:
+    async def story(fleet: MoneyFleet) -> None:
         fleet.credit("main", 1_000_000)
         await reserved(fleet, "a1", ask(0, 10))
         await fleet.clock.sleep(1.0)
@@ -83,7 +81,7 @@
 
 
 def test_an_unknown_budget_is_exhausted() -> None:
-    async def story(fleet: MoneyFleet, ledger: NaiveLedger) -> None:
+    async def story(fleet: MoneyFleet) -> None:
         answer = await fleet.host_by_name["a1"].allotments.reserve(ask(1, 1), fleet.clock.now())
         assert isinstance(answer, Err)
         assert answer.err_value.kind is ErrorKind.BUDGET_EXHAUSTED
@@ -92,20 +90,20 @@
 
 
 def test_money_that_idle_hosts_hold_serves_the_last_request() -> None:
-    async def story(fleet: MoneyFleet, ledger: NaiveLedger) -> None:
+    async def story(fleet: MoneyFleet) -> None:
         fleet.credit("main", 300)
         for host in PLACES:
             held = await reserved(fleet, host, ask(hash(host), 10))
             held.release(fleet.clock.now())
         held = await reserved(fleet, "b1", ask(1, 300))
         assert await held.settle(300, fleet.clock.now()) == Ok(None)
-        assert ledger.charged("main") == 300
+        assert fleet.sums("main").charged == 300
 
     on_fleet(story)
 
 
 def test_a_request_waits_for_an_open_reservation_that_would_cover_it() -> None:
-    async def story(fleet: MoneyFleet, ledger: NaiveLedger) -> None:
+    async def story(fleet: MoneyFleet) -> None:
         fleet.credit("main", 100)
         first = await reserved(fleet, "a1", ask(1, 100))
         second = asyncio.create_task(reserved(fleet, "a1", ask(2, 60)))
@@ -118,7 +116,7 @@
 
 
 def test_a_request_that_no_reservation_could_cover_is_refused_at_once() -> None:
-    async def story(fleet: MoneyFleet, ledger: NaiveLedger) -> None:
+    async def story(fleet: MoneyFleet) -> None:
         fleet.credit("main", 100)
         await reserved(fleet, "a1", ask(1, 100))
         started_at = fleet.clock.now()
@@ -131,7 +129,7 @@
 
 
 def test_a_caller_that_goes_away_while_waiting_leaves_nothing_reserved() -> None:
-    async def story(fleet: MoneyFleet, ledger: NaiveLedger) -> None:
+    async def story(fleet: MoneyFleet) -> None:
         fleet.credit("main", 100)
         first = await reserved(fleet, "a1", ask(1, 100))
         second = asyncio.create_task(reserved(fleet, "a1", ask(2, 60)))
@@ -145,11 +143,11 @@
 
 
 def test_handing_back_returns_all_that_is_held() -> None:
-    async def story(fleet: MoneyFleet, ledger: NaiveLedger) -> None:
+    async def story(fleet: MoneyFleet) -> None:
         fleet.credit("main", 1000)
         held = await reserved(fleet, "a1", ask(1, 100))
         await held.settle(40, fleet.clock.now())
         assert await fleet.host_by_name["a1"].allotments.hand_back() == Ok(None)
-        assert (ledger.free("main"), ledger.outstanding("main")) == (960, 0)
+        assert fleet.sums("main")[2:7] == (1000, 40, 0, 0, 960)
 
     on_fleet(story)
