Keep operators' sessions and trail safe from strangers, and give the document as YAML

A flood of visitors to the log-in page pushed operators' sessions out; a password typed into the name field went into the trail; the accounts command took roles by their names in the code.

--- a/cranberrywall/commands/accounts.py
+++ b/cranberrywall/commands/accounts.py
@@ -22,7 +22,7 @@
 
 @main.command()
 @click.argument("name")
-@click.option("--role", type=click.Choice(list(Role)), required=True)
+@click.option("--role", type=click.Choice([role.value for role in Role]), required=True)
 @click.password_option(help="Asked for where it is not given.")
 @click.pass_obj
 def put(accounts: Accounts, name: str, role: str, password: str) -> None:
--- a/cranberrywall/console/_app.py
+++ b/cranberrywall/console/_app.py
@@ -46,6 +46,7 @@
     router.add_get("/budgets/{name}", guard.only(reader, pages.budgets.show))
     router.add_post("/budgets/{name}", guard.only(operator, pages.budgets.top_up))
     router.add_get("/sections/{section}", guard.only(reader, pages.changes.show_section))
+    router.add_get("/document.yaml", guard.only(reader, pages.changes.show_document))
     router.add_get("/add/{section}", guard.only(operator, pages.changes.show_add))
     router.add_get("/change/{section}/{name}", guard.only(operator, pages.changes.show_change))
     router.add_post("/submit/{section}", guard.only(operator, pages.changes.submit))
--- a/cranberrywall/console/_changes.py
+++ b/cranberrywall/console/_changes.py
@@ -15,6 +15,7 @@
     Problem,
     apply_edits,
     check_document,
+    dump_document,
 )
 from cranberrywall.configuration.messages import Delta, DocumentAt
 from cranberrywall.console._audit import Audit, AuditEntry
@@ -94,6 +95,18 @@
             revision=seen.revision,
         )
 
+    async def show_document(self, visit: Visit) -> web.StreamResponse:
+        """Give the whole document as YAML, to keep or to compare."""
+        result = await self._client.document()
+        if isinstance(result, Err):
+            return self._pages.refusal(visit.session, result.err_value)
+        seen: DocumentAt = result.ok_value
+        headers = {
+            "Content-Disposition": f'attachment; filename="configuration-{seen.revision}.yaml"'
+        }
+        text = dump_document(_document(seen))
+        return web.Response(text=text, content_type="application/yaml", headers=headers)
+
     async def show_add(self, visit: Visit) -> web.StreamResponse:
         """Show the empty form of a new entry."""
         return await self._begin(visit, "add", "")
--- a/cranberrywall/console/_login.py
+++ b/cranberrywall/console/_login.py
@@ -9,6 +9,8 @@
 from cranberrywall.console._visits import LOGIN_PATH, Visit, set_cookie
 from cranberrywall.runtime import Clock, Storage
 
+UNKNOWN_NAME = "(unknown name)"
+
 
 class LoginPages:
     """Serve the page to log in, and the way out."""
@@ -44,14 +46,14 @@
         account = await self._storage.run_blocking(lambda: self._accounts.check(name, password))
         if account is None:
             self._guard.failed(name, now)
-            await self._note(name, "refused")
+            await self._note(await self._known_name(name), "refused")
             return self._refuse(visit, name, "The name or the password is wrong.", 403)
         self._guard.succeeded(name)
         self._sessions.end(visit.session.token)
         session = self._sessions.begin(account.name, account.role, now)
         await self._note(name, "done")
         response = go_to("/")
-        set_cookie(response, session.token)
+        set_cookie(visit.request, response, session.token)
         return response
 
     async def log_out(self, visit: Visit) -> web.StreamResponse:
@@ -59,6 +61,11 @@
         self._sessions.end(visit.session.token)
         return go_to(LOGIN_PATH)
 
+    async def _known_name(self, name: str) -> str:
+        # A password that was typed into the wrong field must not get into the trail.
+        by_name = await self._storage.run_blocking(self._accounts.by_name)
+        return name if name in by_name else UNKNOWN_NAME
+
     def _refuse(self, visit: Visit, name: str, problem: str, status: int) -> web.StreamResponse:
         return self._pages.page(visit.session, "login.html", status, problem=problem, name=name)
 
--- a/cranberrywall/console/_sessions.py
+++ b/cranberrywall/console/_sessions.py
@@ -34,34 +34,40 @@
     """Find sessions by the token that the browser keeps."""
 
     def __init__(self) -> None:
-        self._by_token: OrderedDict[str, Session] = OrderedDict()
+        # Those who only looked at the log-in page are kept apart: a flood of them must not
+        # push out the operators who are logged in.
+        self._logged_in: OrderedDict[str, Session] = OrderedDict()
+        self._anonymous: OrderedDict[str, Session] = OrderedDict()
 
     def begin(self, name: str, role: Role, now: float) -> Session:
         """Make a session with fresh tokens, so that an older token cannot be fixed."""
         session = Session(
             secrets.token_urlsafe(TOKEN_BYTES), secrets.token_urlsafe(TOKEN_BYTES), name, role, now
         )
-        self._by_token[session.token] = session
-        if len(self._by_token) > MOST_SESSIONS:
-            self._by_token.popitem(last=False)
+        by_token = self._logged_in if session.is_logged_in else self._anonymous
+        by_token[session.token] = session
+        if len(by_token) > MOST_SESSIONS:
+            by_token.popitem(last=False)
         return session
 
     def find(self, token: str, now: float) -> Session | None:
         """Return the session, unless it is unknown or was idle for too long."""
-        session = self._by_token.get(token)
+        by_token = self._logged_in if token in self._logged_in else self._anonymous
+        session = by_token.get(token)
         if session is None:
             return None
         if now - session.seen_at > IDLE_S:
             self.end(token)
             return None
         session = session._replace(seen_at=now)
-        self._by_token[token] = session
-        self._by_token.move_to_end(token)
+        by_token[token] = session
+        by_token.move_to_end(token)
         return session
 
     def end(self, token: str) -> None:
         """Forget a session."""
-        self._by_token.pop(token, None)
+        self._logged_in.pop(token, None)
+        self._anonymous.pop(token, None)
 
 
 def is_own_form(session: Session, token: str) -> bool:
--- a/cranberrywall/console/_visits.py
+++ b/cranberrywall/console/_visits.py
@@ -92,7 +92,7 @@
                 return self._pages.message(session, "Form refused", message, status=403)
         response = await handler(Visit(request, session, form))
         if request.cookies.get(COOKIE) != session.token and COOKIE not in response.cookies:
-            set_cookie(response, session.token)
+            set_cookie(request, response, session.token)
         return response
 
     async def _still_stands(self, session: Session) -> bool:
@@ -106,9 +106,11 @@
         return self._sessions.find(request.cookies.get(COOKIE, ""), self._clock.now())
 
 
-def set_cookie(response: web.StreamResponse, token: str) -> None:
+def set_cookie(request: web.Request, response: web.StreamResponse, token: str) -> None:
     """Give the browser its token, out of reach of scripts and of other sites."""
-    response.set_cookie(COOKIE, token, httponly=True, samesite="Strict", path="/")
+    response.set_cookie(
+        COOKIE, token, httponly=True, samesite="Strict", secure=request.secure, path="/"
+    )
 
 
 async def _read_form(request: web.Request) -> MultiDictProxy[str]:
--- a/tests/console/conftest.py
+++ b/tests/console/conftest.py
@@ -44,6 +44,11 @@
     return ConfigurationClient(control, timeout=1.0)
 
 
+@pytest.fixture
+def storage() -> FakeStorage:
+    return FakeStorage()
+
+
 @pytest.fixture
 def caller() -> Any:
     return SilentCaller()
@@ -51,9 +56,11 @@
 
 @pytest.fixture
 async def browse(
-    control: FakeControlClient, configuration: ConfigurationClient, caller: Any
+    control: FakeControlClient,
+    configuration: ConfigurationClient,
+    caller: Any,
+    storage: FakeStorage,
 ) -> AsyncIterator[OpenBrowser]:
-    storage = FakeStorage()
     accounts = make_accounts(storage)
     for name, role in [("rhea", Role.READER), ("omar", Role.OPERATOR), ("ana", Role.APPROVER)]:
         accounts.put(name, role, PASSWORD)
--- a/tests/console/test_access.py
+++ b/tests/console/test_access.py
@@ -5,7 +5,7 @@
 from cranberrywall.configuration import Edit
 from cranberrywall.console import Role, make_accounts
 from cranberrywall.console._audit import AuditEntry, make_audit
-from cranberrywall.console._sessions import IDLE_S, WAIT_S, LoginGuard, Sessions
+from cranberrywall.console._sessions import IDLE_S, MOST_SESSIONS, WAIT_S, LoginGuard, Sessions
 from tests.fakes.storage import FakeStorage
 
 
@@ -16,6 +16,24 @@
     await browser.log_in("omar", "wrong password")
     assert browser.status == 403
     assert "name or the password is wrong" in browser.text
+    await browser.log_in("a password in the wrong field", "omar")
+    reader = await browse("rhea")
+    assert "a password in the wrong field" not in await reader.get("/audit")
+    assert "(unknown name)" in reader.text
+
+
+async def test_a_session_ends_with_its_account(browse, storage) -> None:
+    browser = await browse("omar")
+    make_accounts(storage).put("omar", Role.READER, "correct horse battery")
+    assert "Log in" in await browser.get("/")
+
+
+def test_a_flood_of_visitors_pushes_no_operator_out() -> None:
+    sessions = Sessions()
+    token = sessions.begin("omar", Role.OPERATOR, now=0.0).token
+    for _ in range(MOST_SESSIONS + 1):
+        sessions.begin("", Role.READER, now=0.0)
+    assert sessions.find(token, now=0.0) is not None
 
 
 async def test_a_reader_sees_and_may_not_change(browse, configuration) -> None:
--- a/tests/console/test_changes.py
+++ b/tests/console/test_changes.py
@@ -1,6 +1,6 @@
 """Check the way from a form to a revision, also when operators race or answers get lost."""
 
-from cranberrywall.configuration import Edit
+from cranberrywall.configuration import Edit, load_document
 
 DESK = [
     ("budget", "desk"),
@@ -131,3 +131,9 @@
     await browser.post("/submit/places", [*browser.hidden(), ("action", "remove")])
     await browser.post("/submit/places", [*browser.hidden(), ("step", "apply")])
     assert "kolonnawa-dc" not in (await configuration.document()).ok_value.document["places"]
+
+
+async def test_the_document_in_force_can_be_kept_as_yaml(browse, configuration) -> None:
+    browser = await browse("rhea")
+    loaded = load_document(await browser.get("/document.yaml"))
+    assert loaded.unwrap() == (await configuration.document()).ok_value.document
