Show long lists a page at a time in the console, and ask a bounded number of hosts

At 680,000 budgets the budgets' page asked the ledger once for each; at 1,700 hosts the revision's page dialled all of them. Lists are now cut to 50 names with a search, and a page asks 100 hosts at most, spread over all, and says how many were asked.

--- a/cranberrywall/console/_budgets.py
+++ b/cranberrywall/console/_budgets.py
@@ -1,5 +1,6 @@
 """Show budgets with their money, and top them up."""
 
+import asyncio
 import secrets
 
 from aiohttp import web
@@ -18,6 +19,7 @@
 from cranberrywall.console._audit import Audit, AuditEntry
 from cranberrywall.console._changes import ANSWER_LOST_KINDS
 from cranberrywall.console._pages import Pages, go_to
+from cranberrywall.console._paging import page_names
 from cranberrywall.console._visits import Visit
 from cranberrywall.control import ControlClient
 from cranberrywall.errors import ErrorKind, Refusal
@@ -46,15 +48,19 @@
         self._clock = clock
 
     async def show_all(self, visit: Visit) -> web.StreamResponse:
-        """List every budget with its sums."""
+        """List budgets with their sums, a page at a time."""
         seen = await self._configuration.document()
         if isinstance(seen, Err):
             return self._pages.refusal(visit.session, seen.err_value)
         ledger = _ledger(self._control, seen.ok_value)
-        rows = []
-        for name, budget in sorted(seen.ok_value.document["budgets"].items()):
-            rows.append((name, budget["unit"], await self._sums(ledger, name, budget["unit"])))
-        return self._pages.page(visit.session, "budgets.html", rows=rows)
+        budgets = seen.ok_value.document["budgets"]
+        page = page_names(visit.request, budgets)
+        units = [budgets[name]["unit"] for name in page.names]
+        sums = await asyncio.gather(
+            *(self._sums(ledger, name, unit) for name, unit in zip(page.names, units, strict=True))
+        )
+        rows = list(zip(page.names, units, sums, strict=True))
+        return self._pages.page(visit.session, "budgets.html", page=page, rows=rows)
 
     async def show(self, visit: Visit) -> web.StreamResponse:
         """Show one budget: its sums, its holders, its exceptions and the top-up form."""
--- a/cranberrywall/console/_changes.py
+++ b/cranberrywall/console/_changes.py
@@ -29,6 +29,7 @@
     visible_fields,
 )
 from cranberrywall.console._pages import Pages, go_to
+from cranberrywall.console._paging import page_names
 from cranberrywall.console._visits import CSRF_FIELD, Visit
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.runtime import Clock
@@ -83,14 +84,16 @@
         if isinstance(result, Err):
             return self._pages.refusal(visit.session, result.err_value)
         seen: DocumentAt = result.ok_value
+        page = page_names(visit.request, seen.document[section])
         entries = {
-            name: entry_yaml(section, name, entry).split("\n", 2)[2]
-            for name, entry in sorted(seen.document[section].items())
+            name: entry_yaml(section, name, seen.document[section][name]).split("\n", 2)[2]
+            for name in page.names
         }
         return self._pages.page(
             visit.session,
             "section.html",
             section=section,
+            page=page,
             entries=entries,
             revision=seen.revision,
         )
--- a/cranberrywall/console/_fleet.py
+++ b/cranberrywall/console/_fleet.py
@@ -1,6 +1,7 @@
 """Show the fleet's state, and where a revision is in force."""
 
 import asyncio
+from collections.abc import Sequence
 from typing import Any, NamedTuple
 
 import msgspec
@@ -13,6 +14,7 @@
 from cranberrywall.configuration.messages import FETCH, DocumentAt, Fetch
 from cranberrywall.console._audit import Audit
 from cranberrywall.console._pages import Pages
+from cranberrywall.console._paging import page_names
 from cranberrywall.console._visits import Visit
 from cranberrywall.control import ControlClient
 from cranberrywall.hosts import DUMP, DumpRequest
@@ -24,6 +26,10 @@
 SHOWN_REVISIONS = 50
 HOSTS_ASKED_FOR_TARGETS = 3
 
+# In a large fleet a page asks a part of the hosts, spread over all of them, and says so.
+MOST_HOSTS_ASKED = 100
+MOST_TARGETS_SHOWN = 100
+
 # A host sends what follows the revision that it is asked from. Asked from one that does
 # not exist yet, it sends its own number and nothing else.
 BEYOND_ALL_REVISIONS = 2**53
@@ -87,8 +93,9 @@
         if isinstance(result, Err):
             return self._pages.refusal(visit.session, result.err_value)
         seen: DocumentAt = result.ok_value
+        page = page_names(visit.request, seen.document["hosts"])
         hosts, groups, targets, history = await asyncio.gather(
-            self._hosts(seen),
+            self._hosts(seen, page.names),
             self._groups(seen),
             self._targets(seen),
             self._configuration.history(limit=10),
@@ -98,9 +105,11 @@
             "home.html",
             revision=seen.revision,
             document=seen.document,
+            page=page,
             hosts=hosts,
             groups=groups,
-            targets=targets,
+            targets=targets[:MOST_TARGETS_SHOWN],
+            target_count=len(targets),
             revisions=history.ok_value.revisions if isinstance(history, Ok) else (),
         )
 
@@ -137,7 +146,10 @@
             if isinstance(answer, Err):
                 return self._pages.refusal(visit.session, answer.err_value)
         seen = result.unwrap()
-        hosts = [host for host in await self._hosts(seen) if "entry" in host.roles]
+        entries = [
+            name for name, host in seen.document["hosts"].items() if "entry" in host["roles"]
+        ]
+        hosts = await self._hosts(seen, spread_evenly(sorted(entries), MOST_HOSTS_ASKED))
         in_force = [h for h in hosts if h.revision is not None and h.revision >= number]
         return self._pages.page(
             visit.session,
@@ -146,14 +158,15 @@
             revision=next(iter(history.unwrap().revisions), None),
             hosts=hosts,
             in_force=len(in_force),
+            entries=len(entries),
         )
 
     async def show_audit(self, visit: Visit) -> web.StreamResponse:
         """Show the newest entries of the audit trail."""
         return self._pages.page(visit.session, "audit.html", entries=self._audit.newest())
 
-    async def _hosts(self, seen: DocumentAt) -> list[HostRow]:
-        hosts = sorted(seen.document["hosts"].items())
+    async def _hosts(self, seen: DocumentAt, names: Sequence[str]) -> list[HostRow]:
+        hosts = [(name, seen.document["hosts"][name]) for name in names]
         return list(await asyncio.gather(*(self._ask(name, host) for name, host in hosts)))
 
     async def _ask(self, name: str, host: dict[str, Any]) -> HostRow:
@@ -196,6 +209,17 @@
         return rows
 
 
+def spread_evenly(names: Sequence[str], most: int) -> list[str]:
+    """Return at most ``most`` names, taken from the whole sequence at even distances.
+
+    >>> spread_evenly(["a", "b", "c", "d"], 2)
+    ['a', 'c']
+    """
+    if len(names) <= most:
+        return list(names)
+    return [names[index * len(names) // most] for index in range(most)]
+
+
 def _target_row(name: str, target: dict[str, Any]) -> TargetRow:
     running, waiting = target.get("running"), target.get("waiting")
     load = "not reported" if running is None else f"{running} running, {waiting} waiting"
