--- a/cranberrywall/demo/__init__.py
+++ b/cranberrywall/demo/__init__.py
@@ -1,6 +1,7 @@
 """Make a whole fleet's settings on loopback, feed it requests and check its bills."""
 
 from cranberrywall.demo._deployments import (
+    EXAMPLES,
     PARKING_LESSORS,
     SAVINGS_BOARD,
     Deployment,
@@ -11,10 +12,11 @@
 from cranberrywall.demo._ledger import FleetClient, Totals, make_fleet_client
 from cranberrywall.demo._proof import Proof, prove, sum_proofs
 from cranberrywall.demo._requests import DemoRequest, demo_credits, demo_requests
-from cranberrywall.demo._targets import Targets, start_targets
+from cranberrywall.demo._targets import Ran, Targets, start_targets
 from cranberrywall.demo._waiting import wait_for_targets, wait_until_ready
 
 __all__ = [
+    "EXAMPLES",
     "PARKING_LESSORS",
     "SAVINGS_BOARD",
     "DemoRequest",
@@ -24,6 +26,7 @@
     "FleetFiles",
     "FleetSize",
     "Proof",
+    "Ran",
     "Targets",
     "Totals",
     "demo_credits",
--- a/cranberrywall/demo/_files.py
+++ b/cranberrywall/demo/_files.py
@@ -2,6 +2,7 @@
 
 import copy
 import socket
+from collections import Counter
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -98,12 +99,15 @@
 
 
 def _of_role(document: Document, role: str, count: int) -> list[tuple[str, Any]]:
-    hosts = [
-        (name, copy.deepcopy(host))
-        for name, host in document["hosts"].items()
-        if host["roles"][0] == role
-    ]
-    return hosts[:count]
+    """Return ``count`` hosts of a role, from as many places as there are."""
+    seen_by_place: Counter[str] = Counter()
+    ranked: list[tuple[int, str, Any]] = []
+    for name, host in document["hosts"].items():
+        if host["roles"][0] == role:
+            ranked.append((seen_by_place[host["place"]], name, copy.deepcopy(host)))
+            seen_by_place[host["place"]] += 1
+    ranked.sort(key=lambda ranked_host: ranked_host[0])
+    return [(name, host) for _, name, host in ranked[:count]]
 
 
 def _free_addresses(ip: str, names: tuple[str, ...]) -> dict[str, str]:
--- a/measurements/processes.py
+++ b/measurements/processes.py
@@ -25,9 +25,11 @@
 import uvloop
 
 from cranberrywall.demo import (
+    EXAMPLES,
     SAVINGS_BOARD,
     FleetFiles,
     FleetSize,
+    Ran,
     Targets,
     Totals,
     make_fleet_client,
@@ -36,8 +38,6 @@
     wait_for_targets,
     write_fleet,
 )
-from cranberrywall.demo._deployments import EXAMPLES
-from cranberrywall.demo._targets import Ran
 from cranberrywall.load import (
     Outcome,
     OutcomeKind,
