Compare every token of the bills with the requests in measurements.processes

Before, the numbers of bills were compared, not their amounts. Each answered request's cost is now worked out from the request itself, and one that ran without an answer may be billed or not.

--- a/measurements/processes.py
+++ b/measurements/processes.py
@@ -8,12 +8,15 @@
 - ``answered``: requests that got their whole, own answer, checked word for word
 - ``refused``: requests whose last word was that they did not run
 - ``unknown``: not repeatable requests whose outcome the system says it does not know
-- ``lost``: no whole answer and no true refusal, a wrong answer, or an answer without a bill
-- ``double``: not repeatable requests that ran twice, or bills beyond the requests that ran
+- ``lost``: no whole answer and no true refusal, or a wrong answer
+- ``double``: not repeatable requests that ran twice; what was billed twice is in ``overbilled``
+- ``unbilled``: tokens of answers that nobody paid; ``overbilled``: tokens billed beyond what
+  ran, by workspace, as worked out from the requests themselves
 - ``overspend``: what was charged or held above what was credited
 """
 
 import asyncio
+import json
 import signal
 import tempfile
 from collections import Counter
@@ -24,6 +27,7 @@
 import click
 import uvloop
 
+from cranberrywall.configuration import Document
 from cranberrywall.demo import (
     EXAMPLES,
     SAVINGS_BOARD,
@@ -51,7 +55,7 @@
 from cranberrywall.runtime import make_clock, make_random
 from measurements._figures import report_figures
 from measurements._processes import FleetProcesses
-from standins import check_answer
+from standins import answer_words, check_answer, count_prompt_tokens
 
 CREDIT = 10_000_000
 PATIENCE_S = 30.0
@@ -110,7 +114,7 @@
         await wait_for_targets(files, len(targets.standins), PATIENCE_S)
         outcomes = await _load_while_ending(files, processes, rate, seed)
         totals = await client.totals(PATIENCE_S)
-        _report(outcomes, targets.ran_by_request(), totals)
+        _report(files.document, outcomes, targets.ran_by_request(), totals)
     finally:
         await targets.close()
         await client.close()
@@ -155,31 +159,82 @@
     return check_answer(planned.method, planned.path, planned.body, text)
 
 
-def _report(outcomes: Sequence[Outcome], ran_by_request: dict[str, Ran], totals: Totals) -> None:
+def _report(
+    document: Document,
+    outcomes: Sequence[Outcome],
+    ran_by_request: dict[str, Ran],
+    totals: Totals,
+) -> None:
     print(make_report(outcomes).table(), end="")
     kinds = Counter(outcome.kind for outcome in outcomes)
-    answered = {o.planned.idempotency_key for o in outcomes if o.kind is OutcomeKind.ANSWERED}
-    unbilled = max(0, len(answered) - totals.billed_requests)
+    bills = _compare_bills(document, outcomes, ran_by_request, totals)
+    for text in bills.disagreements:
+        print(text)
     figures = {
         "requests": len(outcomes),
         "answered": kinds[OutcomeKind.ANSWERED],
         "refused": kinds[OutcomeKind.REFUSED],
         "unknown": kinds[OutcomeKind.UNKNOWN],
-        "lost": kinds[OutcomeKind.LOST] + kinds[OutcomeKind.WRONG] + unbilled,
-        "double": _ran_twice(outcomes, ran_by_request) + _billed_beyond(ran_by_request, totals),
+        "lost": kinds[OutcomeKind.LOST] + kinds[OutcomeKind.WRONG],
+        "double": _ran_twice(outcomes, ran_by_request),
+        "unbilled": bills.unbilled,
+        "overbilled": bills.overbilled,
         "overspend": totals.overspend,
     }
     report_figures("processes", figures)
 
 
+class Bills(NamedTuple):
+    """Compare bills with answers: tokens that were not billed, or billed beyond them."""
+
+    unbilled: int
+    overbilled: int
+    disagreements: tuple[str, ...]
+
+
+def _compare_bills(
+    document: Document,
+    outcomes: Sequence[Outcome],
+    ran_by_request: dict[str, Ran],
+    totals: Totals,
+) -> Bills:
+    """Compare each workspace's bill with what its requests cost by themselves.
+
+    Each answered request must be billed, once. One that ran and was not answered, since its
+    host died, may be billed or not.
+    """
+    planned_by_id = {o.planned.idempotency_key: o.planned for o in outcomes}
+    answered = {o.planned.idempotency_key for o in outcomes if o.kind is OutcomeKind.ANSWERED}
+    due: Counter[str] = Counter()
+    may_be_due: Counter[str] = Counter()
+    for request_id, planned in planned_by_id.items():
+        if request_id in answered:
+            due[planned.workspace] += _cost(document, planned)
+        elif request_id in ran_by_request:
+            may_be_due[planned.workspace] += _cost(document, planned)
+    billed = {name: amount for name, (amount, _) in totals.by_workspace().items()}
+    gaps = {name: billed.get(name, 0) - due[name] for name in due.keys() | billed.keys()}
+    unbilled = {name: -gap for name, gap in gaps.items() if gap < 0}
+    overbilled = {
+        name: gap - may_be_due[name] for name, gap in gaps.items() if gap > may_be_due[name]
+    }
+    texts = [f"{name}: {amount} not billed" for name, amount in unbilled.items()]
+    texts += [f"{name}: {amount} billed too much" for name, amount in overbilled.items()]
+    return Bills(sum(unbilled.values()), sum(overbilled.values()), tuple(texts))
+
+
+def _cost(document: Document, planned: PlannedRequest) -> int:
+    if not planned.tokens:
+        service = planned.path.split("/")[3]
+        return document["services"][service]["cost"]
+    messages = json.loads(planned.body)["messages"]
+    return count_prompt_tokens(messages) + len(answer_words(messages)[: planned.tokens])
+
+
 def _ran_twice(outcomes: Sequence[Outcome], ran_by_request: dict[str, Ran]) -> int:
     once = {o.planned.idempotency_key for o in outcomes if o.planned.mix == NOT_REPEATABLE}
     return sum(max(0, ran_by_request[key].executions - 1) for key in once & ran_by_request.keys())
 
 
-def _billed_beyond(ran_by_request: dict[str, Ran], totals: Totals) -> int:
-    return max(0, totals.billed_requests - len(ran_by_request))
-
-
 if __name__ == "__main__":
     main()
