--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -345,7 +345,7 @@
         return "this host is draining" if self._is_draining else None
 
     def _register_state(self) -> None:
-        self.state.register("host", lambda: {"host": self._me.host, "place": self._me.place})
+        self.state.register("host", self._me._asdict)
         self.state.register("configuration", self._follower.state)
         self.state.register("membership", self._membership.state)
         self.state.register("requests", self._requests_state)
--- a/cranberrywall/console/_app.py
+++ b/cranberrywall/console/_app.py
@@ -9,6 +9,7 @@
 from cranberrywall.console._changes import ChangePages
 from cranberrywall.console._decisions import DecisionPages
 from cranberrywall.console._fleet import FleetPages
+from cranberrywall.console._hosts import HostPages
 from cranberrywall.console._login import LoginPages
 from cranberrywall.console._pages import STATIC
 from cranberrywall.console._report import ReportPages
@@ -25,6 +26,7 @@
     changes: ChangePages
     budgets: BudgetPages
     decisions: DecisionPages
+    hosts: HostPages
     report: ReportPages
 
 
@@ -40,7 +42,8 @@
     router.add_get("/", guard.only(reader, pages.fleet.show_home))
     router.add_get("/revisions", guard.only(reader, pages.fleet.show_history))
     router.add_get(r"/revisions/{number:\d+}", guard.only(reader, pages.fleet.show_revision))
-    router.add_get("/hosts/{name}", guard.only(reader, pages.fleet.show_host))
+    router.add_get("/hosts/{name}", guard.only(reader, pages.hosts.show))
+    router.add_post("/hosts/{name}/drain", guard.only(operator, pages.hosts.drain))
     router.add_get("/audit", guard.only(reader, pages.fleet.show_audit))
     router.add_get("/budgets", guard.only(reader, pages.budgets.show_all))
     router.add_get("/budgets/{name}", guard.only(reader, pages.budgets.show))
--- a/cranberrywall/console/_fleet.py
+++ b/cranberrywall/console/_fleet.py
@@ -113,22 +113,6 @@
             revisions=history.ok_value.revisions if isinstance(history, Ok) else (),
         )
 
-    async def show_host(self, visit: Visit) -> web.StreamResponse:
-        """Show the state of one host's process, as it gives it itself."""
-        result = await self._configuration.document()
-        if isinstance(result, Err):
-            return self._pages.refusal(visit.session, result.err_value)
-        name = visit.part("name")
-        host = result.ok_value.document["hosts"].get(name)
-        if host is None:
-            message = f"There is no host {name}."
-            return self._pages.message(visit.session, "Not found", message, status=404)
-        dumped = await self._caller.call(host["links"], DUMP, DumpRequest(""), ASK_TIMEOUT_S)
-        if isinstance(dumped, Err):
-            return self._pages.refusal(visit.session, dumped.err_value)
-        state = msgspec.json.format(dumped.ok_value.state, indent=2).decode()
-        return self._pages.page(visit.session, "host.html", name=name, host=host, state=state)
-
     async def show_history(self, visit: Visit) -> web.StreamResponse:
         """List the newest revisions."""
         history = await self._configuration.history(limit=SHOWN_REVISIONS)
--- a/cranberrywall/console/_server.py
+++ b/cranberrywall/console/_server.py
@@ -12,6 +12,7 @@
 from cranberrywall.console._changes import ChangePages
 from cranberrywall.console._decisions import DecisionPages
 from cranberrywall.console._fleet import FleetPages
+from cranberrywall.console._hosts import HostPages
 from cranberrywall.console._login import LoginPages
 from cranberrywall.console._pages import Pages
 from cranberrywall.console._pending import PendingRequests
@@ -56,6 +57,7 @@
             pages,
             parts.clock,
         ),
+        HostPages(configuration, parts.caller, audit, pages, parts.clock),
         ReportPages(parts.control, configuration, pages, parts.clock, parts.storage),
     )
     return make_app(Guard(sessions, accounts, pages, parts.clock, parts.storage), sets)
--- a/tests/console/test_fleet.py
+++ b/tests/console/test_fleet.py
@@ -7,7 +7,7 @@
 
 from cranberrywall.configuration.messages import FETCH, FetchReply
 from cranberrywall.errors import ErrorKind, Refusal
-from cranberrywall.hosts import DUMP, DumpReply
+from cranberrywall.hosts import DRAIN, DUMP, DrainRequest, DumpReply
 
 TARGET = {
     "kind": "engine",
@@ -25,7 +25,8 @@
     if method is FETCH:
         return Ok(FetchReply(1, 1, (), None))
     if method is DUMP:
-        state = {"engine-1": TARGET} if request.section else {"targets": {"engine-1": TARGET}}
+        targets = {"engine-1": TARGET}
+        state = targets if request.section else {"targets": targets, "host": {"incarnation": 7}}
         return Ok(DumpReply(json.dumps(state).encode()))
     return Err(Refusal(ErrorKind.NOT_FOUND))
 
@@ -46,6 +47,35 @@
     assert browser.status == 404
 
 
+async def test_a_drain_names_the_run_and_may_be_sent_again(browse, caller) -> None:
+    """An operator drains a host and sees that no answer came back; the host did drain and
+    was started anew. Sent again, the request must not end the new process: it names the
+    run that the operator saw.
+    """
+    asked = []
+
+    async def lose_the_answer(address: str, method: Any, request: Any, timeout: float) -> Any:
+        if method is not DRAIN:
+            return await answer(address, method, request, timeout)
+        asked.append(request)
+        if len(asked) == 1:
+            return Err(Refusal(ErrorKind.TIMEOUT))
+        return Err(Refusal(ErrorKind.CONFLICT, "the host runs with incarnation 8"))
+
+    caller.call = lose_the_answer
+    browser = await browse("omar")
+    await browser.get("/hosts/entry-1")
+    await browser.post("/hosts/entry-1/drain", browser.hidden())
+    assert asked == []
+    await browser.post("/hosts/entry-1/drain", [*browser.hidden(), ("step", "apply")])
+    assert "Sending it again is safe" in browser.text
+    await browser.post("/hosts/entry-1/drain", [*browser.hidden(), ("step", "apply")])
+    assert "incarnation 8" in browser.text
+    assert asked == [DrainRequest("omar", 7)] * 2
+    reader = await browse("rhea")
+    assert "Drain" not in await reader.get("/hosts/entry-1")
+
+
 async def test_a_fleet_without_a_leader_is_said_so(browse, control) -> None:
     browser = await browse("rhea")
     control.group_by_name["configuration"].reachable = False
