--- a/cranberrywall/routing/_admission.py
+++ b/cranberrywall/routing/_admission.py
@@ -7,10 +7,10 @@
 from cranberrywall.runtime import Random
 
 SHARE_FADE_S = 10.0
-"""Places given to each rank are remembered with this time constant, in seconds."""
+"""Places given and refusals are remembered with this time constant, in seconds."""
 
 SHORTEST_RETRY_S = 0.5
-LONGEST_RETRY_S = 60.0
+LONGEST_RETRY_S = 120.0
 
 ALWAYS_LEFT = 0.05
 """Share of places that the last rank is taken to get at least."""
@@ -22,6 +22,7 @@
     def __init__(self, random: Random) -> None:
         self._random = random
         self._grants_by_rank: dict[int, float] = {}
+        self._refusals = 0.0
         self._faded_at = 0.0
 
     def granted(self, rank: int, now: float) -> None:
@@ -43,16 +44,23 @@
 
     def too_late(self, demand: Demand, wait_s: float, now: float) -> Refusal | None:
         """Return a refusal where ``demand`` would get its place after its deadline."""
-        spare_s = demand.deadline - now - wait_s
-        if spare_s >= 0:
+        if now + wait_s <= demand.deadline:
             return None
         message = f"a place is expected in {wait_s:.1f} s, after the deadline"
-        return Refusal(ErrorKind.OVERLOADED, message, retry_after=self.retry_after(-spare_s))
+        return Refusal(ErrorKind.OVERLOADED, message, retry_after=self.retry_after(wait_s, now))
 
-    def retry_after(self, seconds: float) -> float:
-        """Return when to come back: spread, so that those refused don't return together."""
-        wait_s = max(SHORTEST_RETRY_S, seconds) * self._random.uniform(1.0, 1.5)
-        return min(LONGEST_RETRY_S, wait_s)
+    def retry_after(self, wait_s: float, now: float) -> float:
+        """Count one refusal and return when to come back, in seconds.
+
+        Those who come back are refused again while more do than there are places for. The
+        more are refused for each one that gets a place, the later each is told to come,
+        spread over half of that time, so that the same few don't ask over and over.
+        """
+        self._fade(now)
+        self._refusals += 1.0
+        ratio = self._refusals / max(1.0, sum(self._grants_by_rank.values()))
+        wait_s = max(SHORTEST_RETRY_S, wait_s * max(0.5, ratio))
+        return min(LONGEST_RETRY_S, wait_s) * self._random.uniform(0.75, 1.25)
 
     def _fade(self, now: float) -> None:
         elapsed = now - self._faded_at
@@ -60,5 +68,6 @@
             return
         self._faded_at = now
         share = exp(-elapsed / SHARE_FADE_S)
+        self._refusals *= share
         for rank in self._grants_by_rank:
             self._grants_by_rank[rank] *= share
--- a/cranberrywall/routing/_candidates.py
+++ b/cranberrywall/routing/_candidates.py
@@ -1,10 +1,11 @@
 """Hold what this host knows of each target that it may choose."""
 
 from math import ceil, exp, log1p
+from typing import NamedTuple
 
 import xxhash
 
-from cranberrywall.routing._limits import ConcurrencyLimit
+from cranberrywall.routing._limits import ConcurrencyLimit, Own
 from cranberrywall.routing._retries import RetryBudget
 from cranberrywall.routing._waits import Work
 from cranberrywall.targets import Announcement, Health, Load, LoadEstimate, Usual
@@ -24,6 +25,18 @@
 """A target that fails each request seems this many times as long, plus one."""
 
 
+class Shared(NamedTuple):
+    """Say how a target is shared.
+
+    ``hosts`` is how many hosts are taken to use it, ``reserved`` how many places are to be
+    kept free, and ``unbounded_share`` this host's share of requests that no limit holds for.
+    """
+
+    hosts: int
+    reserved: int
+    unbounded_share: float
+
+
 class Candidate:
     """Estimate one run of a target from reports and this host's own requests."""
 
@@ -32,6 +45,7 @@
         announcement: Announcement,
         distance_s: float,
         hosts: int,
+        draw: float,
         now: float,
         slow_start: bool,
     ) -> None:
@@ -39,10 +53,11 @@
         self.distance_s = distance_s
         self.seed = xxhash.xxh64_intdigest(announcement.target.encode())
         self.load = LoadEstimate()
-        self.limit = ConcurrencyLimit(announcement.capacity, hosts)
+        self.limit = ConcurrencyLimit(announcement.capacity, hosts, draw)
         self.health = Health(now, slow_start)
         self.retries = RetryBudget(now)
         self.pending_blocks = 0
+        self._extra = ceil(announcement.capacity / hosts)
         self._slowness = 1.0
         self._slowness_at = 0.0
 
@@ -66,27 +81,32 @@
         """Return the estimated requests in flight there, of all hosts."""
         return self.load.in_flight + self.load.others(usual, now)
 
-    def report(self, load: Load, reserved: int, hosts: int, wall: float, now: float) -> None:
-        """Take in a load report; ``reserved`` places are to be kept free.
+    def report(self, load: Load, shared: Shared, wall: float, now: float) -> None:
+        """Take in a load report."""
+        bounded = self.load.report(load, wall, now)
+        if bounded is not None:
+            wanted = self.announcement.capacity - shared.reserved
+            own = Own(bounded, shared.unbounded_share)
+            self.limit.report(load, wanted, own, shared.hosts)
 
-        ``hosts`` is how many hosts are taken to share the target.
-        """
-        own = self.load.report(load, wall, now)
-        if own is not None:
-            self.limit.report(load, self.announcement.capacity - reserved, own, hosts)
-
-    def share_limit(self, now: float) -> float:
-        """Return how many requests this host may have there; fractions add up in a pool."""
+    def places(self, now: float) -> int:
+        """Return how many requests this host may have there."""
         health = self.health
         if health.is_ejected(now) or health.is_silent(now):
-            return 0.0
+            return 0
         if health.is_on_trial(now):
-            return 1.0
-        return self.limit.value * health.share_of_capacity(now)
+            return 1
+        return self.limit.places(health.share_of_capacity(now))
 
-    def has_room(self, extra: int, now: float) -> bool:
-        """Say whether one more request may go to the target; ``extra`` go over the limit."""
-        return self.load.in_flight < ceil(self.share_limit(now)) + extra
+    def has_room(self, bounded: bool, now: float) -> bool:
+        """Say whether one more request may go to the target.
+
+        The limit holds for a ``bounded`` request; others may go over it by a share.
+        """
+        places = self.places(now)
+        if bounded or not places:
+            return self.load.bounded < places
+        return self.load.in_flight < places + self._extra
 
     def work(self, missed_blocks: int, busy: float) -> Work:
         """Return what is ahead of a request that must compute ``missed_blocks``."""
--- a/cranberrywall/routing/_choice.py
+++ b/cranberrywall/routing/_choice.py
@@ -30,6 +30,7 @@
     work: Work
     predicted_s: float
     missed_blocks: int
+    bounded: bool
 
 
 class Choice:
@@ -43,7 +44,7 @@
     def choose(
         self,
         demand: Demand,
-        extra: int,
+        bounded: bool,
         candidates: Sequence[Candidate],
         candidate_by_id: dict[str, Candidate],
         usual: Usual,
@@ -51,9 +52,9 @@
     ) -> Chosen | None:
         """Return the best of two by chance and the prefix holders, or ``None``.
 
-        ``extra`` requests may go over the limit at a target.
+        The targets' limits hold for a ``bounded`` demand.
         """
-        fits = _Fit(demand, extra, usual, now)
+        fits = _Fit(demand, bounded, usual, now)
         matches = self._prefixes.matches(demand.prefix_hashes, now)
         drawn = self._draw(candidates, fits)
         if not drawn:
@@ -63,7 +64,7 @@
         for candidate in preferred:
             if candidate not in drawn:
                 fits.add(candidate, drawn)
-        return self._best(demand, drawn, matches, now)
+        return self._best(demand, bounded, drawn, matches, now)
 
     def _draw(self, candidates: Sequence[Candidate], fits: "_Fit") -> dict[Candidate, float]:
         drawn: dict[Candidate, float] = {}
@@ -81,6 +82,7 @@
     def _best(
         self,
         demand: Demand,
+        bounded: bool,
         drawn: dict[Candidate, float],
         matches: dict[str, int],
         now: float,
@@ -94,7 +96,7 @@
             predicted = self._waits.predict(work)
             cost = (candidate.weigh(predicted, now), self._random.random())
             if best is None or cost < best_cost:
-                best = Chosen(candidate, work, predicted, missed)
+                best = Chosen(candidate, work, predicted, missed, bounded)
                 best_cost = cost
         return best
 
@@ -102,9 +104,9 @@
 class _Fit:
     """Say which candidates may take one demand, and how busy they are."""
 
-    def __init__(self, demand: Demand, extra: int, usual: Usual, now: float) -> None:
+    def __init__(self, demand: Demand, bounded: bool, usual: Usual, now: float) -> None:
         self._demand = demand
-        self._extra = extra
+        self._bounded = bounded
         self._usual = usual
         self._now = now
 
@@ -115,7 +117,7 @@
             return
         if not candidate.serves(demand.version, demand.adapter):
             return
-        if not candidate.has_room(self._extra, self._now):
+        if not candidate.has_room(self._bounded, self._now):
             return
         if demand.retry and not candidate.retries.allows(self._now):
             return
--- a/cranberrywall/routing/_dispatcher.py
+++ b/cranberrywall/routing/_dispatcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import NamedTuple
 
 from result import Err, Ok
 
@@ -15,12 +16,15 @@
 MAX_WAITING = 1024
 """Demands that wait for one model or service on one host at most."""
 
-MAX_SCANNED = 32
-"""Waiters that are tried in vain at most when a place becomes free."""
-
 FirstRank = Callable[[], int]
 
 
+class _Wants(NamedTuple):
+    version: str
+    adapter: str
+    is_first_rank: bool
+
+
 class Dispatcher:
     """Give a pool's places to demands in the order of the queue.
 
@@ -38,7 +42,7 @@
     def admit(self, demand: Demand, on_end: Callable[[float], None], now: float) -> "Answer | None":
         """Answer ``demand`` at once, or return ``None`` where it may wait."""
         if demand.retry and not self.pool.retries.allows(now):
-            wait_s = self._admission.retry_after(self.pool.retries.seconds_to_next(now))
+            wait_s = self._admission.retry_after(self.pool.retries.seconds_to_next(now), now)
             return Err(_RETRIES_SPENT._replace(retry_after=wait_s))
         ahead = self.queue.count_ahead(demand.rank)
         if not ahead:
@@ -75,11 +79,10 @@
                 answer.ok_value.finish(Outcome(OutcomeKind.CANCELLED), now)
 
     def _dispatch_one(self, now: float) -> bool:
-        failed: set[tuple[str, str, bool]] = set()
-        scanned = 0
+        failed: set[_Wants] = set()
         for waiter in self.queue.in_order(now):
             demand = waiter.demand
-            wants = (demand.version, demand.adapter, demand.rank == self._first_rank())
+            wants = _Wants(demand.version, demand.adapter, self._is_first(demand))
             # What found no target a moment ago finds none for the next one either; only
             # demands that exclude targets differ.
             if wants in failed:
@@ -89,21 +92,21 @@
                 self.queue.granted(waiter, now)
                 waiter.answer(Ok(slot))
                 return True
-            scanned += 1
-            if scanned >= MAX_SCANNED:
-                return False
             if not demand.exclude:
                 failed.add(wants)
         return False
 
+    def _is_first(self, demand: Demand) -> bool:
+        return demand.rank == self._first_rank()
+
     def _grant(
         self, demand: Demand, on_end: Callable[[float], None], now: float
     ) -> PoolSlot | None:
-        is_first = demand.rank == self._first_rank()
-        slot = self.pool.try_grant(demand, is_first, on_end, now)
-        if slot is not None:
-            self._admission.granted(demand.rank, now)
-        return slot
+        chosen = self.pool.propose(demand, self._is_first(demand), now)
+        if chosen is None:
+            return None
+        self._admission.granted(demand.rank, now)
+        return self.pool.grant(chosen, demand, on_end, now)
 
     def _refuse(self, demand: Demand, ahead: int, now: float) -> "Answer | None":
         wait_s = self._admission.expected_wait(demand.rank, ahead, self._places_per_s(), now)
@@ -112,7 +115,7 @@
             return Err(refusal)
         if self.queue.is_full:
             loser = self.queue.last_below(demand.rank)
-            full = _QUEUE_FULL._replace(retry_after=self._admission.retry_after(wait_s / 2))
+            full = _QUEUE_FULL._replace(retry_after=self._admission.retry_after(wait_s, now))
             if loser is None:
                 return Err(full)
             self.queue.discard(loser)
--- a/cranberrywall/routing/_limits.py
+++ b/cranberrywall/routing/_limits.py
@@ -1,5 +1,7 @@
 """Bound this host's requests in flight at a target by what the target is seen to bear."""
 
+from typing import NamedTuple
+
 from cranberrywall.targets import Load
 
 LEAST = 0.1
@@ -34,6 +36,17 @@
 """The best seen is forgotten by this factor with each observation."""
 
 
+class Own(NamedTuple):
+    """Describe this host's requests at a target.
+
+    ``bounded`` are those that the limit holds for; ``unbounded_share``, 0 to below 1, is
+    the usual share of the others, which are of the first rank.
+    """
+
+    bounded: int
+    unbounded_share: float
+
+
 class ConcurrencyLimit:
     """Follow this host's share of a target's capacity.
 
@@ -47,30 +60,41 @@
     shrink the limit too, since a target may report nothing, or untruly.
     """
 
-    def __init__(self, capacity: int, hosts: int) -> None:
+    def __init__(self, capacity: int, hosts: int, draw: float) -> None:
         self._capacity = capacity
+        self._draw = draw
         self._best = 1.0
         self._shrunk_until = 0.0
         self.value = 0.0
         self._set(START_SHARES * capacity / hosts)
 
+    def places(self, share: float) -> int:
+        """Return the limit as a whole number; ``share`` of it is in use for now.
+
+        The fraction is rounded by a draw that stays the same for this host and target, so
+        that the hosts' places add up to about what is wanted without swinging.
+        """
+        return int(self.value * share + self._draw)
+
     def resize(self, capacity: int) -> None:
         """Take in a changed capacity."""
         if capacity != self._capacity:
             self.value *= capacity / self._capacity
             self._capacity = capacity
 
-    def report(self, load: Load, wanted: float, own: int, hosts: int) -> None:
+    def report(self, load: Load, wanted: float, own: Own, hosts: int) -> None:
         """Take in a report of a target that should have ``wanted`` requests.
 
         ``own`` were this host's at the time of the report.
         """
         total = max(1.0, float(load.running + load.waiting))
-        if total > wanted:
-            share = (1.0 - EVENING) * own * wanted / total + EVENING * wanted / hosts
+        # Only the bounded requests can make room for the others.
+        factor = max(0.0, (wanted / total - own.unbounded_share) / (1.0 - own.unbounded_share))
+        if factor < 1.0:
+            share = (1.0 - EVENING) * own.bounded * factor + EVENING * wanted * factor / hosts
             self._approach(min(self.value, share))
-        elif own >= self.value * USED_SHARE:
-            self._approach(self.value * min(MOST_GROWTH, wanted / total) + GROWTH)
+        elif own.bounded >= self.value * USED_SHARE or self.value < 1.0:
+            self._approach(self.value * min(MOST_GROWTH, factor) + GROWTH)
 
     def _approach(self, value: float) -> None:
         self._set(self.value + SMOOTHING * (value - self.value))
--- a/cranberrywall/routing/_pool.py
+++ b/cranberrywall/routing/_pool.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 from statistics import fmean
 
-from cranberrywall.routing._candidates import Candidate
+from cranberrywall.routing._candidates import Candidate, Shared
 from cranberrywall.routing._choice import Choice, Chosen
 from cranberrywall.routing._distances import Distances
 from cranberrywall.routing._interfaces import Demand, Outcome, OutcomeKind
@@ -21,14 +21,17 @@
 KNOWN_AFTER_S = 10.0
 """A target that joins later than this after the host's own start starts slowly, in seconds."""
 
-RESERVED_SHARE = 0.08
+RESERVED_SHARE = 0.17
 """Share of each target's places kept free for the first rank while it has traffic."""
 
 MIN_RESERVING_CAPACITY = 4
 """A target with fewer places keeps none free for the first rank."""
 
-FIRST_RANK_EXTRA = 1
-"""Requests of the first rank that may go over this host's limit at a target."""
+MOST_UNBOUNDED = 0.9
+"""The share of requests without a limit counts as this much at most."""
+
+SHARE_LEARNING = 0.1
+"""Weight of each look in the smoothed share of requests without a limit."""
 
 RESERVED_FOR_S = 60.0
 """Places are kept free this long after a demand of the first rank, in seconds."""
@@ -57,7 +60,7 @@
         self._used_share = 1.0
         self._started_at = now
         self._choice = Choice(random, self.waits, self.prefixes)
-        self._usual = Usual(0.0, 0.0, self.waits.hold_s)
+        self._usual = Usual(0.0, 0.0, 0.0, self.waits.hold_s)
         self._usual_until = 0.0
         self._first_rank_until = 0.0
         self.hears_first_tokens = False
@@ -69,10 +72,14 @@
             return
         candidate.renew(announcement._replace(cache_events=()))
         if announcement.load is not None:
-            reserved = self._reserved(announcement.capacity, now)
-            wall = self._clock.wall()
-            candidate.report(announcement.load, reserved, self._sharers(), wall, now)
-        self.prefixes.apply(announcement.target, announcement.cache_events, now)
+            shared = Shared(
+                self._sharers(),
+                self._reserved(announcement.capacity, now),
+                self._usual_now(now).unbounded_share,
+            )
+            candidate.report(announcement.load, shared, self._clock.wall(), now)
+        late_s = candidate.load.late_s
+        self.prefixes.apply(announcement.target, announcement.cache_events, late_s, now)
 
     def remove(self, target_id: str) -> None:
         """Choose the target no more; its requests in progress go on."""
@@ -101,20 +108,21 @@
         """Return this host's requests at all targets of the pool."""
         return sum(candidate.load.in_flight for candidate in self.candidates)
 
-    def try_grant(
-        self, demand: Demand, is_first_rank: bool, on_end: "OnEnd", now: float
-    ) -> "PoolSlot | None":
-        """Return a place for ``demand`` at a target that has room."""
+    def propose(self, demand: Demand, is_first_rank: bool, now: float) -> Chosen | None:
+        """Return the best target that has room for ``demand``; nothing is granted yet."""
         if is_first_rank:
             self._first_rank_until = now + RESERVED_FOR_S
-        elif self.in_flight() >= self._limit(now):
-            return None
-        extra = FIRST_RANK_EXTRA if is_first_rank else 0
-        chosen = self._choice.choose(
-            demand, extra, self.candidates, self.candidate_by_id, self._usual_now(now), now
+        return self._choice.choose(
+            demand,
+            not is_first_rank,
+            self.candidates,
+            self.candidate_by_id,
+            self._usual_now(now),
+            now,
         )
-        if chosen is None:
-            return None
+
+    def grant(self, chosen: Chosen, demand: Demand, on_end: "OnEnd", now: float) -> "PoolSlot":
+        """Return a place at the target that was just proposed for ``demand``."""
         self._start(chosen, demand, now)
         return PoolSlot(self, chosen, demand, on_end, now)
 
@@ -130,7 +138,7 @@
     ) -> None:
         """Free a place and learn from the outcome; ``owed`` says that none began before."""
         candidate = chosen.candidate
-        candidate.load.end(now)
+        candidate.load.end(chosen.bounded, now)
         answered = outcome.kind is OutcomeKind.ANSWERED
         if owed:
             candidate.pending_blocks -= chosen.missed_blocks
@@ -158,11 +166,6 @@
             if candidate.health.is_ejected(now) or candidate.health.is_silent(now)
         ]
 
-    def _limit(self, now: float) -> float:
-        # The limits at single targets are rounded up, so that each may have a request; the
-        # fractions count here, or many hosts with little each would overload the targets.
-        return max(1.0, sum(candidate.share_limit(now) for candidate in self.candidates))
-
     def _reserved(self, capacity: int, now: float) -> int:
         # A small target has no place to spare for a rank that may not come.
         if now >= self._first_rank_until or capacity < MIN_RESERVING_CAPACITY:
@@ -183,6 +186,7 @@
             announcement,
             self._distances.seconds_to(announcement.place),
             self._sharers(),
+            self._random.random(),
             now,
             slow_start=now - self._started_at > KNOWN_AFTER_S,
         )
@@ -192,7 +196,7 @@
 
     def _start(self, chosen: Chosen, demand: Demand, now: float) -> None:
         candidate = chosen.candidate
-        candidate.load.start(now)
+        candidate.load.start(chosen.bounded, now)
         budgets = (self.retries, candidate.retries)
         for budget in budgets:
             if demand.retry:
@@ -231,10 +235,18 @@
             self._usual = Usual(
                 own=fmean([load.own_mean(now) for load in loads] or [0.0]),
                 others=fmean(reported or [0.0]),
+                unbounded_share=self._unbounded_share(),
                 hold_s=self.waits.hold_s,
             )
         return self._usual
 
+    def _unbounded_share(self) -> float:
+        loads = [candidate.load for candidate in self.candidates]
+        own = sum(load.in_flight for load in loads)
+        bounded = sum(load.bounded for load in loads)
+        share = min(MOST_UNBOUNDED, 1.0 - bounded / own) if own else 0.0
+        return self._usual.unbounded_share + SHARE_LEARNING * (share - self._usual.unbounded_share)
+
 
 OnEnd = Callable[[float], None]
 
--- a/cranberrywall/targets/_load.py
+++ b/cranberrywall/targets/_load.py
@@ -23,11 +23,13 @@
     """Hold means over the targets of one model or service.
 
     ``own`` is this host's requests in flight at a target, ``others`` those of other hosts.
+    ``unbounded_share`` is the share of ``own`` that no limit holds for.
     ``hold_s`` is the time that a request holds its place, in seconds.
     """
 
     own: float
     others: float
+    unbounded_share: float
     hold_s: float
 
 
@@ -41,27 +43,31 @@
 
     def __init__(self) -> None:
         self.in_flight = 0
+        self.bounded = 0
+        self.late_s = 0.0
         self._others = 0.0
         self._own_mean = 0.0
         self._own_mean_at = 0.0
         self._reported_at: float | None = None
         self._newest_at = 0.0
-        self._history: deque[tuple[float, int]] = deque()
+        self._history: deque[_Sample] = deque()
 
-    def start(self, now: float) -> None:
-        """Count one more request of this host."""
+    def start(self, bounded: bool, now: float) -> None:
+        """Count one more request of this host; ``bounded`` where a limit holds for it."""
         self._move_mean(now)
         self.in_flight += 1
+        self.bounded += bounded
         self._remember(now)
 
-    def end(self, now: float) -> None:
+    def end(self, bounded: bool, now: float) -> None:
         """Count one request of this host less."""
         self._move_mean(now)
         self.in_flight -= 1
+        self.bounded -= bounded
         self._remember(now)
 
     def report(self, load: Load, wall: float, now: float) -> int | None:
-        """Take in a report and return this host's own requests at its time.
+        """Take in a report and return this host's own bounded requests at its time.
 
         ``None`` is for a report that is older than another. ``wall`` is this host's wall
         time at ``now``.
@@ -73,10 +79,11 @@
         # The age is by two clocks, and either may be wrong; a wild one must not make
         # the report count for ever, or not at all.
         age = min(max(0.0, wall - load.at), HISTORY_S)
+        self.late_s = age
         own = self._own_at(now - age)
-        self._others = float(max(0, load.running + load.waiting - own))
+        self._others = float(max(0, load.running + load.waiting - own.in_flight))
         self._reported_at = now - age
-        return own
+        return own.bounded
 
     def others(self, usual: Usual, now: float) -> float:
         """Return the estimated requests of other hosts at the target.
@@ -108,15 +115,23 @@
 
     def _remember(self, now: float) -> None:
         history = self._history
-        if history and now - history[-1][0] < SAMPLE_S:
-            history[-1] = (history[-1][0], self.in_flight)
-            return
-        history.append((now, self.in_flight))
-        while history[0][0] < now - HISTORY_S - SAMPLE_S:
+        since = now
+        if history and now - history[-1].since < SAMPLE_S:
+            since = history.pop().since
+        history.append(_Sample(since, self.in_flight, self.bounded))
+        while history[0].since < now - HISTORY_S - SAMPLE_S:
             history.popleft()
 
-    def _own_at(self, time: float) -> int:
-        for since, count in reversed(self._history):
-            if since <= time:
-                return count
-        return 0
+    def _own_at(self, time: float) -> "_Sample":
+        for sample in reversed(self._history):
+            if sample.since <= time:
+                return sample
+        return _Sample(time, 0, 0)
+
+
+class _Sample(NamedTuple):
+    """Hold this host's requests at a target from ``since`` on."""
+
+    since: float
+    in_flight: int
+    bounded: int
--- a/cranberrywall/targets/_prefixes.py
+++ b/cranberrywall/targets/_prefixes.py
@@ -22,8 +22,12 @@
 LEARNING = 0.02
 """Weight of each drop event in the estimate of how long a target keeps a block."""
 
-DROP_GRACE_S = 10.0
-"""A drop event may be this late, in seconds; what was used since is taken to be cached."""
+DROPPED_WITHIN = 0.9
+"""The estimate is the time within which this share of unused blocks is dropped: other
+hosts use blocks too, so that many stay longer than this host's own use tells."""
+
+REPORT_EVERY_S = 2.0
+"""A drop may have waited this long at the target for the next report, in seconds."""
 
 
 class _Holder:
@@ -78,8 +82,14 @@
         if number is not None:
             del self._holder_by_number[number]
 
-    def apply(self, target_id: str, events: Sequence[CacheEvent], now: float) -> None:
-        """Take in a target's events; those that are older than the newest known are left out."""
+    def apply(
+        self, target_id: str, events: Sequence[CacheEvent], late_s: float, now: float
+    ) -> None:
+        """Take in a target's events, sent ``late_s`` seconds ago.
+
+        Those that are older than the newest known are left out.
+        """
+        dropped_by = now - late_s - REPORT_EVERY_S
         number = self._number_by_target.get(target_id)
         if number is None:
             return
@@ -91,7 +101,7 @@
             if event.op == CacheOp.ADD:
                 self._add(event.prefix, number, now)
             else:
-                self._drop(event.prefix, number, holder, now)
+                self._drop(event.prefix, number, holder, dropped_by)
 
     def matches(self, prefix: Sequence[bytes], now: float) -> dict[str, int]:
         """Return how many leading blocks some targets probably have, the longest first."""
@@ -124,17 +134,20 @@
             self._young = {}
             self._young_size = 0
 
-    def _drop(self, block: bytes, number: int, holder: _Holder, now: float) -> None:
+    def _drop(self, block: bytes, number: int, holder: _Holder, dropped_by: float) -> None:
         holders = self._young.get(block) or self._old.get(block)
         if not holders or number not in holders:
             return
-        unused_s = now - holders[number]
         # The event is late: when this host sent the same prompt there since, the target
         # has cached it again, and the event tells of the time before.
-        if unused_s < DROP_GRACE_S:
+        unused_s = dropped_by - holders[number]
+        if unused_s < 0:
             return
         self._forget(block, number, holders)
-        holder.kept_s += LEARNING * (unused_s - holder.kept_s)
+        if unused_s > holder.kept_s:
+            holder.kept_s *= 1.0 + LEARNING * DROPPED_WITHIN
+        else:
+            holder.kept_s *= 1.0 - LEARNING * (1.0 - DROPPED_WITHIN)
 
     def _forget(self, block: bytes, number: int, holders: dict[int, float]) -> None:
         generation = self._young if block in self._young else self._old
