Pass announcements on through membership, and probe doubtful targets

A target that joins, changes or leaves is pushed at once; renewals go along with the hosts' own messages. Ejected and silent targets are asked for a sign of life once a second, 16 a round at most, so that they come back when they answer and not when a timer ends.

--- a/cranberrywall/routing/__init__.py
+++ b/cranberrywall/routing/__init__.py
@@ -2,6 +2,7 @@
 
 from cranberrywall.routing._interfaces import Demand, Outcome, OutcomeKind, Router, Slot
 from cranberrywall.routing._router import TargetRouter, make_router
+from cranberrywall.routing._spread import TargetSpread, make_target_spread
 
 __all__ = [
     "Demand",
@@ -10,5 +11,7 @@
     "Router",
     "Slot",
     "TargetRouter",
+    "TargetSpread",
     "make_router",
+    "make_target_spread",
 ]
--- a/cranberrywall/targets/__init__.py
+++ b/cranberrywall/targets/__init__.py
@@ -4,6 +4,7 @@
 from cranberrywall.targets._http import ANNOUNCE_PATH, make_announce_routes
 from cranberrywall.targets._load import LoadEstimate, Usual
 from cranberrywall.targets._prefixes import PrefixIndex
+from cranberrywall.targets._probes import Probe, Prober, make_http_probe
 from cranberrywall.targets._targets import (
     TTL_S,
     Change,
@@ -27,10 +28,13 @@
     "Load",
     "LoadEstimate",
     "PrefixIndex",
+    "Probe",
+    "Prober",
     "Target",
     "Targets",
     "Usual",
     "make_announce_routes",
+    "make_http_probe",
     "make_targets",
     "read_announcement",
 ]
