--- a/measurements/_workload.py
+++ b/measurements/_workload.py
@@ -26,12 +26,14 @@
     """Describe a stream of requests.
 
     ``rate`` is requests a second; ``templates`` is how many prompts' beginnings there are;
-    ``status_share`` of the requests are status lookups with short answers.
+    ``status_share`` of the requests are status lookups with short answers. Their prompts
+    begin in ``lookups`` short ways of their own, or as the others' where that is 0.
     """
 
     rate: float
     templates: int
     status_share: float = 0.4
+    lookups: int = 0
 
 
 def draw_requests(mix: Mix, duration_s: float, seed: int) -> Iterator[Request]:
@@ -41,11 +43,18 @@
         _blocks(b"template", seed, i, source.randint(20, 100)) for i in range(mix.templates)
     ]
     weights = [1.0 / (rank + 1) for rank in range(mix.templates)]
+    lookups = [_blocks(b"lookup", seed, i, source.randint(4, 12)) for i in range(mix.lookups)]
     conversations: list[tuple[bytes, ...]] = []
     at = 0.0
     number = 0
     while (at := at + source.expovariate(mix.rate)) < duration_s:
         number += 1
+        status = source.random() < mix.status_share
+        if status and mix.lookups:
+            base = lookups[source.randrange(mix.lookups)]
+            prefix = base + _blocks(b"tail", seed, number, 1)
+            yield Request(at, prefix, source.randint(10, 30), STATUS_RANK)
+            continue
         if conversations and source.random() < CONVERSATION_SHARE:
             base = conversations[source.randrange(len(conversations))]
         else:
@@ -54,7 +63,6 @@
         if len(prefix) < MAX_PROMPT_BLOCKS:
             conversations.append(prefix)
             del conversations[:-MAX_CONVERSATIONS]
-        status = source.random() < mix.status_share
         tokens = source.randint(10, 30) if status else source.randint(60, 260)
         yield Request(at, prefix, tokens, STATUS_RANK if status else LETTER_RANK)
 
--- a/measurements/overload.py
+++ b/measurements/overload.py
@@ -24,6 +24,7 @@
 HOSTS = 7
 TEMPLATES = 60
 STATUS_SHARE = 0.3
+LOOKUPS = 8
 LATE_S = 1.0
 EVENT_LOSS = 0.2
 
@@ -142,7 +143,7 @@
     requests: list[Request] = []
     start = 0.0
     for number, (rate, duration_s) in enumerate(phases):
-        mix = Mix(rate, TEMPLATES, STATUS_SHARE)
+        mix = Mix(rate, TEMPLATES, STATUS_SHARE, LOOKUPS)
         drawn = draw_requests(mix, duration_s, SEED + number)
         requests += [request._replace(at=request.at + start) for request in drawn]
         start += duration_s
