--- a/cranberrywall/routing/_candidates.py
+++ b/cranberrywall/routing/_candidates.py
@@ -8,7 +8,7 @@
 from cranberrywall.routing._limits import ConcurrencyLimit, Own
 from cranberrywall.routing._retries import RetryBudget
 from cranberrywall.routing._waits import Work
-from cranberrywall.targets import Announcement, Health, Load, LoadEstimate, Usual
+from cranberrywall.targets import TTL_S, Announcement, Health, Load, LoadEstimate, Usual
 
 SLOWNESS_LEARNING = 0.1
 """Weight of one observation in a target's slowness, 0 to 1."""
@@ -21,6 +21,9 @@
 SPREAD_SHARE = 0.1
 """How far the estimate of a target's work is off, as a share of its capacity."""
 
+LATE_COST = 4.0
+"""A target whose renewal is overdue seems this many times as long."""
+
 FAILURE_COST = 20.0
 """A target that fails each request seems this many times as long, plus one."""
 
@@ -57,6 +60,7 @@
         self.health = Health(now, slow_start)
         self.retries = RetryBudget(now)
         self.pending_blocks = 0
+        self._renewed_at = now
         self._extra = ceil(announcement.capacity / hosts)
         self._slowness = 1.0
         self._slowness_at = 0.0
@@ -66,9 +70,10 @@
         """Return the target's id."""
         return self.announcement.target
 
-    def renew(self, announcement: Announcement) -> None:
+    def renew(self, announcement: Announcement, now: float) -> None:
         """Take in a later announcement of the same run."""
         self.announcement = announcement
+        self._renewed_at = now
         self.limit.resize(announcement.capacity)
 
     def serves(self, version: str, adapter: str) -> bool:
@@ -119,8 +124,11 @@
 
     def weigh(self, predicted_s: float, now: float) -> float:
         """Return the cost of choosing the target, in seconds, from the predicted wait."""
-        failing = 1.0 + FAILURE_COST * self.health.failure_share
-        return self.distance_s + self.slowness(now) * predicted_s * failing
+        cost = self.slowness(now) * predicted_s
+        cost *= 1.0 + FAILURE_COST * self.health.failure_share
+        if now - self._renewed_at > TTL_S:
+            cost *= LATE_COST
+        return self.distance_s + cost
 
     def slowness(self, now: float) -> float:
         """Return by how much the target is slower than predicted; 1 is as predicted."""
--- a/cranberrywall/targets/__init__.py
+++ b/cranberrywall/targets/__init__.py
@@ -6,6 +6,7 @@
 from cranberrywall.targets._prefixes import PrefixIndex
 from cranberrywall.targets._probes import Probe, Prober, make_http_probe
 from cranberrywall.targets._targets import (
+    KEPT_S,
     TTL_S,
     Change,
     Group,
@@ -19,6 +20,7 @@
 __all__ = [
     "ANNOUNCE_PATH",
     "TARGETS_CODEC",
+    "KEPT_S",
     "TTL_S",
     "Announcement",
     "CacheEvent",
--- a/cranberrywall/targets/_targets.py
+++ b/cranberrywall/targets/_targets.py
@@ -8,7 +8,15 @@
 from cranberrywall.targets.messages import Announcement
 
 TTL_S = 6.0
-"""An announcement holds this long, in seconds; targets renew every 2 s."""
+"""Targets are asked to renew within this time, in seconds; they do so every 2 s."""
+
+KEPT_S = 20.0
+"""A target is forgotten after so many seconds without news.
+
+Renewals pass from host to host with other messages, and about one in five misses a host, so
+that three in a row are missed now and then while the target is well. A target that ended
+without a word is found by its failures meanwhile.
+"""
 
 TOMBSTONE_S = 3600.0
 """What is known of a target that left or expired is kept this long, in seconds."""
@@ -105,7 +113,7 @@
             _, target_id = heapq.heappop(self._expiries)
             heard_at = self._heard_at_by_id.get(target_id, now)
             target = self.by_id.get(target_id)
-            if target is not None and now >= heard_at + TTL_S:
+            if target is not None and now >= heard_at + KEPT_S:
                 self._remove(target_id)
                 self._tell(target.announcement, Change.LEFT, now)
                 gone.append(target_id)
@@ -142,16 +150,16 @@
         # One entry a target is in the heap: a renewal moves only ``heard_at``, and the
         # entry is pushed again when it comes up.
         if target_id not in self._heard_at_by_id:
-            heapq.heappush(self._expiries, (now + TTL_S, target_id))
+            heapq.heappush(self._expiries, (now + KEPT_S, target_id))
         self._heard_at_by_id[target_id] = now
 
     def _schedule_next(self, target_id: str, heard_at: float, now: float) -> None:
         if target_id in self.by_id:
-            heapq.heappush(self._expiries, (heard_at + TTL_S, target_id))
+            heapq.heappush(self._expiries, (heard_at + KEPT_S, target_id))
         elif now < heard_at + TOMBSTONE_S:
             # A target that is heard again meanwhile expires by this entry too late, so
             # tombstones come up as often as targets.
-            heapq.heappush(self._expiries, (now + TTL_S, target_id))
+            heapq.heappush(self._expiries, (now + KEPT_S, target_id))
         else:
             del self._order_by_id[target_id]
             del self._heard_at_by_id[target_id]
