--- a/cranberrywall/targets/__init__.py
+++ b/cranberrywall/targets/__init__.py
@@ -4,7 +4,9 @@
 from cranberrywall.targets._http import ANNOUNCE_PATH, make_announce_routes
 from cranberrywall.targets._load import LoadEstimate, Usual
 from cranberrywall.targets._prefixes import PrefixIndex
+from cranberrywall.targets._probes import Probe, Prober, make_http_probe
 from cranberrywall.targets._targets import (
+    KEPT_S,
     TTL_S,
     Change,
     Group,
@@ -18,6 +20,7 @@
 __all__ = [
     "ANNOUNCE_PATH",
     "TARGETS_CODEC",
+    "KEPT_S",
     "TTL_S",
     "Announcement",
     "CacheEvent",
@@ -27,10 +30,13 @@
     "Load",
     "LoadEstimate",
     "PrefixIndex",
+    "Probe",
+    "Prober",
     "Target",
     "Targets",
     "Usual",
     "make_announce_routes",
+    "make_http_probe",
     "make_targets",
     "read_announcement",
 ]
