--- a/cranberrywall/console/_changes.py
+++ b/cranberrywall/console/_changes.py
@@ -15,6 +15,7 @@
     Problem,
     apply_edits,
     check_document,
+    dump_document,
 )
 from cranberrywall.configuration.messages import Delta, DocumentAt
 from cranberrywall.console._audit import Audit, AuditEntry
@@ -28,6 +29,7 @@
     visible_fields,
 )
 from cranberrywall.console._pages import Pages, go_to
+from cranberrywall.console._paging import page_names
 from cranberrywall.console._visits import CSRF_FIELD, Visit
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.runtime import Clock
@@ -82,18 +84,32 @@
         if isinstance(result, Err):
             return self._pages.refusal(visit.session, result.err_value)
         seen: DocumentAt = result.ok_value
+        page = page_names(visit.request, seen.document[section])
         entries = {
-            name: entry_yaml(section, name, entry).split("\n", 2)[2]
-            for name, entry in sorted(seen.document[section].items())
+            name: entry_yaml(section, name, seen.document[section][name]).split("\n", 2)[2]
+            for name in page.names
         }
         return self._pages.page(
             visit.session,
             "section.html",
             section=section,
+            page=page,
             entries=entries,
             revision=seen.revision,
         )
 
+    async def show_document(self, visit: Visit) -> web.StreamResponse:
+        """Give the whole document as YAML, to keep or to compare."""
+        result = await self._client.document()
+        if isinstance(result, Err):
+            return self._pages.refusal(visit.session, result.err_value)
+        seen: DocumentAt = result.ok_value
+        headers = {
+            "Content-Disposition": f'attachment; filename="configuration-{seen.revision}.yaml"'
+        }
+        text = dump_document(_document(seen))
+        return web.Response(text=text, content_type="application/yaml", headers=headers)
+
     async def show_add(self, visit: Visit) -> web.StreamResponse:
         """Show the empty form of a new entry."""
         return await self._begin(visit, "add", "")
--- a/cranberrywall/requests/_engine.py
+++ b/cranberrywall/requests/_engine.py
@@ -7,9 +7,9 @@
 from urllib.parse import quote
 
 import aiohttp
-from loguru import logger
 from yarl import URL
 
+from cranberrywall.observability import log_event
 from cranberrywall.requests._frames import (
     Chunk,
     EndMark,
@@ -23,18 +23,21 @@
 # 404: the model or the version was unloaded after the target was chosen.
 _BUSY_STATUSES = frozenset({404, 408, 409, 425, 429, 500, 502, 503, 504})
 _CANCEL_TIMEOUT_S = 2.0
+_END_OF_BODY_S = 0.5
 
 
 class FaultKind(StrEnum):
     """Say how a call to a target went wrong.
 
-    ``UNSENT``: no byte was sent. ``BUSY``: the target answered that it did not serve the
+    ``UNSENT``: no byte was sent. ``UNRUN``: the target says itself that it did not run the
+    call. ``BUSY``: the target answered that it did not serve the
     call. ``REFUSED``: the target found the call itself at fault. ``CROSSED``: the reply was
     another attempt's. ``CUT``: the reply ended before its end mark. ``SILENT``: nothing
     came within the limit. ``UNKNOWN_ATTEMPT``: the target cannot resume the attempt.
     """
 
     UNSENT = "unsent"
+    UNRUN = "unrun"
     BUSY = "busy"
     REFUSED = "refused"
     CROSSED = "crossed"
@@ -136,11 +139,20 @@
             self._response.close()
             self._response = None
 
-    def release(self) -> None:
-        """Give the connection back for reuse: the whole stream was read."""
-        if self._response is not None:
-            self._response.release()
-            self._response = None
+    async def release(self) -> None:
+        """Give the connection back for reuse, after the end mark was read."""
+        response, self._response = self._response, None
+        if response is None:
+            return
+        try:
+            async with asyncio.timeout(_END_OF_BODY_S):
+                # The body's own end follows the end mark; until it is read the
+                # connection cannot carry another call.
+                await response.content.readany()
+        except (aiohttp.ClientError, ConnectionError, TimeoutError):
+            response.close()
+        else:
+            response.release()
 
     @property
     def next_index(self) -> int:
@@ -193,7 +205,7 @@
             self._drop("chunk", frame.attempt_id)
             return None
         if frame.number < self._next_index:
-            self._metrics.dropped_chunks.labels("doubled").inc()
+            self._metrics.dropped_replies.labels("doubled").inc()
             return None
         if frame.number > self._next_index:
             return Fault(FaultKind.CUT, f"chunk {self._next_index} is missing")
@@ -218,9 +230,9 @@
         return None
 
     def _drop(self, part: str, attempt_id: str) -> None:
-        self._metrics.dropped_chunks.labels("crossed").inc()
-        logger.warning(
-            "event=crossed_reply part={} attempt={} got={}", part, self._call.attempt_id, attempt_id
+        self._metrics.dropped_replies.labels("crossed").inc()
+        log_event(
+            "WARNING", "crossed_reply", part=part, attempt=self._call.attempt_id, got=attempt_id
         )
 
     def _timeout(self) -> aiohttp.ClientTimeout:
@@ -234,7 +246,7 @@
         async with session.delete(URL(_attempt_url(call), encoded=True), timeout=timeout):
             pass
     except (aiohttp.ClientError, ConnectionError, TimeoutError) as error:
-        logger.warning("event=cancel_failed attempt={} error={!r}", call.attempt_id, str(error))
+        log_event("WARNING", "cancel_failed", error, attempt=call.attempt_id)
 
 
 def _attempt_url(call: EngineCall) -> str:
