--- a/cranberrywall/callers/_streams.py
+++ b/cranberrywall/callers/_streams.py
@@ -10,6 +10,8 @@
 
 _STREAM_HEADERS = {"Content-Type": "text/event-stream", "Cache-Control": "no-cache"}
 
+_SMALL_WRITE_BYTES = 16 * 1024
+
 
 async def stream_run(request: web.Request, run: Run, stall_s: float) -> web.StreamResponse:
     """Send the run's frames, then the end mark or an explicit error.
@@ -24,7 +26,7 @@
     response = web.StreamResponse(headers=headers)
     await response.prepare(request)
     try:
-        await _send(response, run, stall_s)
+        await _send(response, request.transport, run, stall_s)
     except TimeoutError:
         # A gentle close would wait for the caller to read what it does not read.
         if request.transport is not None:
@@ -32,7 +34,12 @@
     return response
 
 
-async def _send(response: web.StreamResponse, run: Run, stall_s: float) -> None:
+async def _send(
+    response: web.StreamResponse,
+    transport: asyncio.Transport | None,
+    run: Run,
+    stall_s: float,
+) -> None:
     sent = 0
     while True:
         await run.wait_beyond(sent)
@@ -41,14 +48,29 @@
         sent += len(frames)
         if ended and sent == run.released:
             frames.append(_last_frame(run))
-        async with asyncio.timeout(stall_s):
-            await response.write(b"".join(frames))
+        await _write(response, transport, b"".join(frames), stall_s)
         if ended:
             break
     async with asyncio.timeout(stall_s):
         await response.write_eof()
 
 
+async def _write(
+    response: web.StreamResponse,
+    transport: asyncio.Transport | None,
+    data: bytes,
+    stall_s: float,
+) -> None:
+    # A caller that keeps up has taken all that was written before. Only for others,
+    # where the write may wait, is a limit set: it costs as much as the write.
+    keeps_up = transport is not None and transport.get_write_buffer_size() == 0
+    if keeps_up and len(data) < _SMALL_WRITE_BYTES:
+        await response.write(data)
+        return
+    async with asyncio.timeout(stall_s):
+        await response.write(data)
+
+
 def _last_frame(run: Run) -> bytes:
     if run.state is RunState.ANSWERED:
         return DONE_FRAME
--- a/cranberrywall/requests/_attempts.py
+++ b/cranberrywall/requests/_attempts.py
@@ -5,7 +5,6 @@
 that were delivered, and a run that differs ends in an explicit error.
 """
 
-import asyncio
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
@@ -30,7 +29,7 @@
 from cranberrywall.requests._run import Run
 from cranberrywall.requests.messages import Attempted
 from cranberrywall.routing import Demand, Outcome, OutcomeKind, Router, Slot
-from cranberrywall.runtime import Clock, Random
+from cranberrywall.runtime import Clock, Random, Timers
 
 MAX_ATTEMPTS = 4
 MAX_RESUMES = 3
@@ -96,6 +95,7 @@
         self._metrics = metrics
         self._limits = limits
         self._background = background
+        self._timers = Timers(clock)
 
     async def serve(
         self,
@@ -115,7 +115,7 @@
         if request.end_by is None:
             return await served
         try:
-            async with asyncio.timeout(request.end_by - self._clock.now()):
+            async with self._timers.limit(request.end_by - self._clock.now()):
                 return await served
         except TimeoutError:
             return AttemptEnd(_late(run))
@@ -169,7 +169,7 @@
         run.sent = True
         name = request.name.request_id
         call = EngineCall(begun.url, begun.attempt_id, name, request.rank, "", b"")
-        stream = EngineStream(self._session, call, self._limits, self._metrics)
+        stream = self._make_stream(call, self._limits)
         stream.start_at(len(run.frames))
         reader = _AttemptReader(run, request, stream, self._clock)
         try:
@@ -205,9 +205,7 @@
             slot.version,
             body,
         )
-        stream = EngineStream(
-            self._session, call, self._limits_until(request.start_by), self._metrics
-        )
+        stream = self._make_stream(call, self._limits_until(request.start_by))
         reader = _AttemptReader(run, request, stream, self._clock)
         sent_before, run.sent = run.sent, True
         on_attempt(Attempted(call.url, call.attempt_id))
@@ -247,6 +245,9 @@
                 break
         return fault
 
+    def _make_stream(self, call: EngineCall, limits: EngineLimits) -> EngineStream:
+        return EngineStream(self._session, call, limits, self._metrics, self._clock, self._timers)
+
     def _limits_until(self, start_by: float) -> EngineLimits:
         left = max(0.0, start_by - self._clock.now())
         return self._limits._replace(first_chunk_s=min(left, self._limits.first_chunk_s))
--- a/cranberrywall/requests/_engine.py
+++ b/cranberrywall/requests/_engine.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import deque
 from enum import StrEnum
+from functools import partial
 from typing import NamedTuple
 from urllib.parse import quote
 
@@ -18,6 +19,7 @@
     parse_frame,
 )
 from cranberrywall.requests._metrics import RequestMetrics
+from cranberrywall.runtime import Clock, Timer, Timers
 
 ATTEMPT_HEADER = "X-Attempt-Id"
 # 404: the model or the version was unloaded after the target was chosen.
@@ -77,6 +79,10 @@
     body: bytes
 
 
+class _SilentTargetError(Exception):
+    """Report, to the read that waits for it, a chunk that did not come in time."""
+
+
 class EngineStream:
     """Read one attempt's chunks in order; each is checked to be the attempt's next one."""
 
@@ -86,11 +92,17 @@
         call: EngineCall,
         limits: EngineLimits,
         metrics: RequestMetrics,
+        clock: Clock,
+        timers: Timers,
     ) -> None:
         self._session = session
         self._call = call
         self._limits = limits
         self._metrics = metrics
+        self._timers = timers
+        self._clock = clock
+        self._timer: Timer | None = None
+        self._silent_at = 0.0
         self._response: aiohttp.ClientResponse | None = None
         self._splitter = FrameSplitter()
         self._ready: deque[bytes] = deque()
@@ -135,12 +147,14 @@
 
     def close(self) -> None:
         """Close the connection; the engine is not told to stop."""
+        self._stop_watching()
         if self._response is not None:
             self._response.close()
             self._response = None
 
     async def release(self) -> None:
         """Give the connection back for reuse, after the end mark was read."""
+        self._stop_watching()
         response, self._response = self._response, None
         if response is None:
             return
@@ -154,6 +168,11 @@
         else:
             response.release()
 
+    def _stop_watching(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
     @property
     def next_index(self) -> int:
         """Return how many chunks were taken."""
@@ -166,7 +185,7 @@
     async def _take_head(self, request: "aiohttp.client._RequestContextManager") -> Fault | None:
         limit = self._limits.first_chunk_s
         try:
-            async with asyncio.timeout(limit):
+            async with self._timers.limit(limit):
                 response = await request
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             # Only these two come before a connection stands, so no byte was sent.
@@ -176,7 +195,11 @@
         except (aiohttp.ClientError, ConnectionError) as error:
             return Fault(FaultKind.CUT, f"{type(error).__name__}: {error}")
         self._response = response
-        return await self._check_head(response)
+        fault = await self._check_head(response)
+        if fault is None:
+            self._silent_at = self._clock.now() + limit
+            self._watch(response)
+        return fault
 
     async def _check_head(self, response: aiohttp.ClientResponse) -> Fault | None:
         if response.status == 200:
@@ -215,20 +238,31 @@
     async def _read(self) -> Fault | None:
         if self._response is None:
             return Fault(FaultKind.CUT, "the stream is closed")
-        first = self._next_index == 0
-        limit = self._limits.first_chunk_s if first else self._limits.between_chunks_s
         try:
-            async with asyncio.timeout(limit):
-                data = await self._response.content.readany()
-        except TimeoutError:
-            return Fault(FaultKind.SILENT, f"no chunk within {limit:g} s")
+            data = await self._response.content.readany()
+        except _SilentTargetError as error:
+            return Fault(FaultKind.SILENT, str(error))
         except (aiohttp.ClientError, ConnectionError) as error:
             return Fault(FaultKind.CUT, f"{type(error).__name__}: {error}")
         if not data:
             return Fault(FaultKind.CUT, "the stream ended without its end mark")
+        self._silent_at = self._clock.now() + self._limits.between_chunks_s
         self._ready.extend(self._splitter.feed(data))
         return None
 
+    def _watch(self, response: aiohttp.ClientResponse) -> None:
+        """End the read that waits for a chunk once the target was silent for too long.
+
+        One timer watches the whole stream: a limit set and cleared for each read cost
+        more than the rest of the reading.
+        """
+        if self._response is not response:
+            return
+        if self._clock.now() < self._silent_at:
+            self._timer = self._timers.call_at(self._silent_at, partial(self._watch, response))
+            return
+        response.content.set_exception(_SilentTargetError("the target fell silent"))
+
     def _drop(self, part: str, attempt_id: str) -> None:
         self._metrics.dropped_replies.labels("crossed").inc()
         log_event(
