--- a/cranberrywall/budgets/_review.py
+++ b/cranberrywall/budgets/_review.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from loguru import logger
 from result import Err
 
 from cranberrywall.budgets._allotment import Allotment
@@ -10,6 +9,7 @@
 from cranberrywall.budgets._interfaces import Peers
 from cranberrywall.budgets._ledger_steps import LedgerSteps
 from cranberrywall.budgets._sizing import HIGH_BAND, LOW_BAND, Rates, target
+from cranberrywall.observability import log_event
 from cranberrywall.runtime import Clock
 
 REVIEW_INTERVAL_S = 5.0
@@ -103,6 +103,4 @@
     async def _give_back(self, allotment: Allotment, amount: int) -> None:
         answer = await self._steps.give_back(allotment, amount)
         if isinstance(answer, Err):
-            logger.info(
-                "event=return_failed budget={} kind={}", allotment.budget, answer.err_value.kind
-            )
+            log_event("INFO", "return_failed", budget=allotment.budget, kind=answer.err_value.kind)
--- a/cranberrywall/replication/_core.py
+++ b/cranberrywall/replication/_core.py
@@ -183,10 +183,10 @@
         self.leader = ""
         return await self.save_vote(term, "")
 
-    def step_down(self, reason: str) -> None:
-        """Become a follower."""
+    def step_down(self, reason: str, level: str = "WARNING") -> None:
+        """Become a follower; a leader says so in the log, at ``level``."""
         if self.role is Role.LEADER:
-            self.event("step_down", "WARNING", reason=reason)
+            self.event("step_down", level, reason=reason)
             self.leader = ""
         was_leader = self.role is Role.LEADER
         self.role = Role.FOLLOWER
--- a/cranberrywall/replication/_group.py
+++ b/cranberrywall/replication/_group.py
@@ -104,7 +104,7 @@
         return Ok(None)
 
     async def stop(self) -> None:
-        self._core.step_down("this host stops")
+        self._core.step_down("this host stops", "INFO")
         await self._core.stop()
 
     async def propose(self, command: bytes, timeout: float) -> Result[bytes, Refusal]:
