Say which address is taken when a program cannot start

A program started twice printed a traceback. Seen when a fleet of examples/ was started by hand while another used 127.0.0.24:17304. The three programs now run by one function.

--- a/cranberrywall/commands/console.py
+++ b/cranberrywall/commands/console.py
@@ -2,9 +2,9 @@
 
 import aiomisc
 import click
-import uvloop
 
 from cranberrywall.commands._console_program import ConsoleProgram, make_console_program
+from cranberrywall.commands._running import run_until_signal
 from cranberrywall.observability import configure_log, dump_state_on_signal
 from cranberrywall.runtime import make_runtime
 from cranberrywall.settings import Settings, settings_options
@@ -36,9 +36,7 @@
 def main(settings: Settings) -> None:
     """Run the console until SIGTERM or SIGINT."""
     configure_log("console", settings["host"], settings["place"], settings["log"]["level"])
-    service = _ConsoleService(settings)
-    with aiomisc.entrypoint(service, log_config=False, loop_factory=uvloop.new_event_loop) as loop:
-        loop.run_forever()
+    run_until_signal(_ConsoleService(settings))
 
 
 if __name__ == "__main__":
--- a/cranberrywall/commands/control.py
+++ b/cranberrywall/commands/control.py
@@ -2,9 +2,9 @@
 
 import aiomisc
 import click
-import uvloop
 
 from cranberrywall.commands._control_program import ControlProgram, make_control_program
+from cranberrywall.commands._running import run_until_signal
 from cranberrywall.observability import configure_log, dump_state_on_signal
 from cranberrywall.runtime import make_runtime
 from cranberrywall.settings import Settings, settings_options
@@ -35,9 +35,7 @@
 def main(settings: Settings) -> None:
     """Run a control host until SIGTERM or SIGINT."""
     configure_log("control", settings["host"], settings["place"], settings["log"]["level"])
-    service = _ControlService(settings)
-    with aiomisc.entrypoint(service, log_config=False, loop_factory=uvloop.new_event_loop) as loop:
-        loop.run_forever()
+    run_until_signal(_ControlService(settings))
 
 
 if __name__ == "__main__":
--- a/cranberrywall/commands/entry.py
+++ b/cranberrywall/commands/entry.py
@@ -5,9 +5,9 @@
 
 import aiomisc
 import click
-import uvloop
 
 from cranberrywall.commands._entry_program import EntryProgram, make_entry_program
+from cranberrywall.commands._running import run_until_signal
 from cranberrywall.observability import configure_log, dump_state_on_signal
 from cranberrywall.runtime import make_runtime
 from cranberrywall.settings import Settings, settings_options
@@ -44,15 +44,7 @@
 def main(settings: Settings) -> None:
     """Run an entry host until SIGTERM or SIGINT."""
     configure_log("entry", settings["host"], settings["place"], settings["log"]["level"])
-    service = _EntryService(settings)
-    entrypoint = aiomisc.entrypoint(
-        service,
-        log_config=False,
-        loop_factory=uvloop.new_event_loop,
-        shutdown_timeout=LONGEST_DRAIN_S,
-    )
-    with entrypoint as loop:
-        loop.run_forever()
+    run_until_signal(_EntryService(settings), shutdown_timeout=LONGEST_DRAIN_S)
 
 
 if __name__ == "__main__":
--- a/tests/commands/test_processes.py
+++ b/tests/commands/test_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 import sys
 from pathlib import Path
 
@@ -104,6 +105,29 @@
     files = write_fleet(tmp_path / "fleet", deployment, FleetSize(1, 1), NET)
     path = files.of_role(program)[0].path
     path.write_text(path.read_text("utf-8").replace("place:", "plaice:"), "utf-8")
+    status, errors = await run_program(program, path)
+    assert status == 2
+    assert "plaice" in errors
+
+
+@pytest.mark.parametrize("program", ["control", "entry", "console"])
+async def test_an_address_that_is_taken_is_named(tmp_path: Path, program: str) -> None:
+    """An operator starts a program twice. The second one says which address is taken and
+    what to do about it, and ends; it prints no traceback.
+    """
+    files = write_fleet(tmp_path / "fleet", read_deployment(SAVINGS_BOARD), FleetSize(1, 1), NET)
+    host = files.of_role(program)[0]
+    address = host.listen["http" if program == "console" else "links"]
+    ip, _, port = address.rpartition(":")
+    with socket.create_server((ip, int(port))):
+        status, errors = await run_program(program, host.path)
+    assert status == 1
+    assert port in errors
+    assert "listen" in errors
+    assert "Traceback" not in errors
+
+
+async def run_program(program: str, path: Path) -> tuple[int | None, str]:
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
@@ -114,5 +138,4 @@
         cwd=ROOT,
     )
     _, errors = await process.communicate()
-    assert process.returncode == 2
-    assert b"plaice" in errors
+    return process.returncode, errors.decode()
