--- a/measurements/processes.py
+++ b/measurements/processes.py
@@ -1,9 +1,9 @@
-"""Kill and restart a fleet's real processes under load, one after another.
+"""Kill and restart a fleet's real processes under load.
 
 3 control and 7 entry hosts run as processes of their own on loopback addresses. Load comes
 from the load tool; the targets are stand-ins in this process. One process after another gets
-SIGKILL or SIGTERM and is started again. The last line compares what callers saw with the
-ledger's bills and the targets' counts:
+SIGKILL or SIGTERM and is started again; one dies twice, and three die together. The last line
+compares what callers saw with the ledger's bills and the targets' counts:
 
 - ``answered``: requests that got their whole, own answer, checked word for word
 - ``refused``: requests whose last word was that they did not run
@@ -71,21 +71,29 @@
 
 
 class Step(NamedTuple):
-    """End one host's process by a signal, then start it again."""
+    """End hosts' processes by a signal, together, then start them again.
 
-    host: str
+    They stay ended for ``down_s`` seconds, and ``before_s`` seconds pass before.
+    """
+
+    hosts: tuple[str, ...]
     signal: signal.Signals
+    before_s: float = PAUSE_S
+    down_s: float = PAUSE_S
 
 
 STEPS = (
-    Step("entry-1", signal.SIGKILL),
-    Step("entry-2", signal.SIGTERM),
-    Step("control-1", signal.SIGKILL),
-    Step("entry-3", signal.SIGKILL),
-    Step("control-2", signal.SIGTERM),
-    Step("entry-7", signal.SIGTERM),
-    Step("control-3", signal.SIGKILL),
-    Step("entry-6", signal.SIGKILL),
+    Step(("entry-1",), signal.SIGKILL),
+    Step(("entry-2",), signal.SIGTERM),
+    Step(("control-1",), signal.SIGKILL),
+    Step(("entry-3",), signal.SIGKILL),
+    # The same host dies again as soon as it is back.
+    Step(("entry-3",), signal.SIGKILL, before_s=0.0),
+    Step(("control-2",), signal.SIGTERM),
+    Step(("entry-7",), signal.SIGTERM),
+    Step(("control-3",), signal.SIGKILL),
+    # Three die together, one of them a control host.
+    Step(("entry-4", "entry-5", "control-1"), signal.SIGKILL),
 )
 
 
@@ -137,11 +145,14 @@
 
 async def _end_in_turn(processes: FleetProcesses) -> None:
     for step in STEPS:
-        await asyncio.sleep(PAUSE_S)
-        status = await processes.end(step.host, step.signal)
-        print(f"{step.signal.name} {step.host}: exit status {status}")
-        await asyncio.sleep(PAUSE_S)
-        await processes.start([step.host])
+        await asyncio.sleep(step.before_s)
+        ends = (processes.end(host, step.signal) for host in step.hosts)
+        statuses = await asyncio.gather(*ends)
+        ended = zip(step.hosts, statuses, strict=True)
+        text = ", ".join(f"{host} (exit status {status})" for host, status in ended)
+        print(f"{step.signal.name}: {text}")
+        await asyncio.sleep(step.down_s)
+        await processes.start(step.hosts)
 
 
 def _profile(files: FleetFiles, rate: float, seed: int, duration_s: float) -> Profile:
