Let a host with a disk hold most of its place's money

Cause: a lone host without a disk may not spend what it holds, and strands it. Change: the target is the place's share, four parts to a host with a disk and one to another. Callers that are refused without the ledger's word try a second address now, in every scheme.

--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -108,7 +108,7 @@
             ledger, keeper if isinstance(keeper, Journal) else None, self._clock
         )
         self._giver = Giver(keeper, self._clock)
-        self._reviewer = Reviewer(self._steps, peers, self._clock)
+        self._reviewer = Reviewer(holder.host, place, self._steps, peers, entry_hosts, self._clock)
         self._tools = Tools(
             holder.host,
             place,
--- a/cranberrywall/budgets/_review.py
+++ b/cranberrywall/budgets/_review.py
@@ -1,15 +1,16 @@
 """Look over a host's allotments now and then: draw ahead, return what is not needed."""
 
 import asyncio
+from collections.abc import Callable, Sequence
 
 from loguru import logger
 from result import Err
 
 from cranberrywall.budgets._allotment import Allotment
 from cranberrywall.budgets._charges import out_of_reach
-from cranberrywall.budgets._interfaces import Peers
+from cranberrywall.budgets._interfaces import EntryHost, Peers
 from cranberrywall.budgets._ledger_steps import LedgerSteps
-from cranberrywall.budgets._sizing import HIGH_BAND, LOW_BAND, Rates, target
+from cranberrywall.budgets._sizing import HIGH_BAND, LOW_BAND, Rates, part_in_place, target
 from cranberrywall.runtime import Clock
 
 REVIEW_INTERVAL_S = 5.0
@@ -24,10 +25,16 @@
 
     def __init__(
         self,
+        host: str,
+        place: str,
         steps: LedgerSteps,
         peers: Peers,
+        entry_hosts: Callable[[], Sequence[EntryHost]],
         clock: Clock,
     ) -> None:
+        self._host = host
+        self._place = place
+        self._entry_hosts = entry_hosts
         self._steps = steps
         self._peers = peers
         self._clock = clock
@@ -46,9 +53,21 @@
         now = self._clock.now()
         total = allotment.total_demand.rate()
         left = max(0.0, view.left - total * (now - view.at))
-        rates = Rates(allotment.demand.rate(), total, max(1, len(self._peers.alive())))
+        rates = self._rates(allotment.demand.rate(), total)
         return target(left, rates, allotment.policy.held_back)
 
+    def _rates(self, own: float, total: float) -> Rates:
+        alive = {peer.host for peer in self._peers.alive()} | {self._host}
+        entry_hosts = [one for one in self._entry_hosts() if one.host in alive]
+        near = [one for one in entry_hosts if one.place == self._place]
+        return Rates(
+            own,
+            total,
+            max(1, len(entry_hosts)),
+            max(1, len(near)),
+            part_in_place(self._host, near),
+        )
+
     def draw_ahead(self, allotment: Allotment) -> None:
         """Begin a draw in the background, unless one was begun a moment ago."""
         now = self._clock.now()
--- a/cranberrywall/budgets/_scarcity.py
+++ b/cranberrywall/budgets/_scarcity.py
@@ -166,6 +166,10 @@
         if is_first and free:
             # Only the first answer tells how much there is to hold a share of.
             await self._draw_share()
+        if not self._waiters:
+            return _Found(free, 0)
+        await self._tools.taker.ask_again(self._tools.peers.alive(), self._allotment)
+        self.serve()
         if not self._waiters:
             return _Found(free, 0)
         if free is None:
--- a/cranberrywall/budgets/_sizing.py
+++ b/cranberrywall/budgets/_sizing.py
@@ -5,12 +5,17 @@
 share of the recent spending, less the part held back at the ledger.
 """
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
+from cranberrywall.budgets._interfaces import EntryHost
+
 # Part of the shares that is spread evenly: demand shifts to hosts that had none lately.
 EVEN_PART = 0.1
 # A host holds no more than it would spend in this time at its rate; the rest stays free.
 HORIZON_S = 24 * 3600.0
+# In its place a host with a disk holds this many times what one without does.
+DISK_WEIGHT = 4.0
 # Outside this band around its target a host draws or returns.
 LOW_BAND = 0.75
 HIGH_BAND = 1.5
@@ -32,26 +37,52 @@
 
 
 class Rates(NamedTuple):
-    """Give this host's rate of spending, all hosts', and the number of entry hosts."""
+    """Give this host's rate of spending and all hosts', and its part in its place.
+
+    ``in_place`` is the number of hosts that share the place's callers evenly, and
+    ``part`` the part of the place's money that this one holds, between 0 and 1.
+    """
 
     own: float
     total: float
     hosts: int
+    in_place: int = 1
+    part: float = 1.0
 
 
 def share(rates: Rates) -> float:
-    """Return this host's share of the spending, between 0 and 1.
+    """Return this host's share of all money, between 0 and 1.
+
+    A place's share follows its spending, as its hosts can pass money on in most cuts.
 
     >>> share(Rates(own=0.0, total=0.0, hosts=4))
     0.25
     >>> round(share(Rates(own=3.0, total=4.0, hosts=4)), 3)
     0.7
+    >>> round(share(Rates(own=1.0, total=4.0, hosts=4, in_place=2, part=0.8)), 3)
+    0.4
     """
-    even = 1.0 / max(1, rates.hosts)
-    total = max(rates.total, rates.own)
+    even = rates.in_place / max(1, rates.hosts)
+    own_place = rates.own * rates.in_place
+    total = max(rates.total, own_place)
     if total <= 0.0:
-        return even
-    return (1.0 - EVEN_PART) * rates.own / total + EVEN_PART * even
+        return even * rates.part
+    return ((1.0 - EVEN_PART) * own_place / total + EVEN_PART * even) * rates.part
+
+
+def part_in_place(host: str, place_hosts: Sequence[EntryHost]) -> float:
+    """Return the part of its place's money that ``host`` holds.
+
+    A host with a disk goes on spending where it is cut off alone; one without cannot make
+    its charges last there, and what it holds is of use to nobody until the cut is mended.
+
+    >>> hosts = [EntryHost("a", "p", True), EntryHost("b", "p", False)]
+    >>> part_in_place("a", hosts), part_in_place("b", hosts)
+    (0.8, 0.2)
+    """
+    weight_by_host = {one.host: DISK_WEIGHT if one.disk else 1.0 for one in place_hosts}
+    total = sum(weight_by_host.values())
+    return weight_by_host.get(host, total) / total if total > 0.0 else 1.0
 
 
 def target(left: float, rates: Rates, held_back: float) -> int:
@@ -63,4 +94,5 @@
     by_share = left * share(rates) * (1.0 - held_back)
     if rates.own <= 0.0:
         return int(by_share)
-    return int(min(by_share, max(rates.own * HORIZON_S, left * held_back / max(1, rates.hosts))))
+    horizon = rates.own * rates.in_place * rates.part * HORIZON_S
+    return int(min(by_share, max(horizon, left * EVEN_PART / max(1, rates.hosts))))
--- a/cranberrywall/budgets/_transfers.py
+++ b/cranberrywall/budgets/_transfers.py
@@ -161,6 +161,15 @@
             await self._ask(peer, key, unanswered, allotment)
         return await self._ask(peer, key, request, allotment)
 
+    async def ask_again(self, peers: Sequence[PeerHost], allotment: Allotment) -> None:
+        """Repeat what was not answered: the money may have left its giver for this host."""
+        for peer in peers:
+            key = _Line(peer.host, allotment.budget)
+            request = self._unanswered.get(key)
+            if request is not None and self._clock.now() >= self._rests_until.get(peer.host, 0.0):
+                del self._unanswered[key]
+                await self._ask(peer, key, request, allotment)
+
     async def _ask(
         self,
         peer: PeerHost,
--- a/measurements/_budget_runs.py
+++ b/measurements/_budget_runs.py
@@ -17,6 +17,7 @@
 
 from cranberrywall.budgets import Reservation, ReserveRequest, SpendPolicy, make_ledger_machine
 from cranberrywall.budgets.messages import LEDGER_CODEC, BudgetQuery
+from cranberrywall.errors import ErrorKind
 from cranberrywall.runtime import Storage
 from measurements._budget_trace import Cut, Death, Deployment, Request, TopUp, Trace
 from tests.fakes.clock import VirtualClock
@@ -85,12 +86,28 @@
         )
 
 
-def host_of(request: Request, deployment: Deployment, is_up: Callable[[str], bool]) -> str | None:
-    """Return the host that the caller uses: one in its place, else any other that is up."""
-    hosts = [host for host in deployment.place_by_host if is_up(host)]
+def hosts_of(
+    request: Request, deployment: Deployment, is_up: Callable[[str], bool], cut: Cut | None
+) -> list[str]:
+    """Return the two addresses that the caller tries, those in its place first.
+
+    Each is up, and on the caller's side of a cut of places. A caller that is refused
+    without the ledger's word tries the second one, in every scheme.
+    """
+    away = cut.away if cut is not None else frozenset()
+    hosts = [
+        host
+        for host, place in deployment.place_by_host.items()
+        if is_up(host) and (place in away) == (request.place in away)
+    ]
     near = [host for host in hosts if deployment.place_by_host[host] == request.place]
-    chosen = near or hosts
-    return chosen[int(request.pick * len(chosen))] if chosen else None
+    far = [host for host in hosts if host not in near]
+    return (_from(near, request.pick) + _from(far, request.pick))[:2]
+
+
+def _from(hosts: list[str], pick: float) -> list[str]:
+    start = int(pick * len(hosts))
+    return hosts[start:] + hosts[:start]
 
 
 def away_hosts(cut: Cut, deployment: Deployment) -> frozenset[str]:
@@ -113,6 +130,7 @@
         self._scheme = scheme
         self._true = TrueState()
         self._down: set[str] = set()
+        self._now_cut: Cut | None = None
         self._queue: list[tuple[float, int, Callable[[float], None]]] = []
         self._order = itertools.count()
         self._open: dict[str, set[tuple[Request, Hold]]] = defaultdict(set)
@@ -124,8 +142,8 @@
             self._at(top_up.at, self._credit(top_up))
         for cut in trace.cuts:
             with_ledger = everybody - away_hosts(cut, trace.deployment)
-            self._at(cut.at, partial(self._scheme.cut, with_ledger))
-            self._at(cut.ends_at, partial(self._scheme.cut, everybody))
+            self._at(cut.at, partial(self._cut, cut, with_ledger))
+            self._at(cut.ends_at, partial(self._cut, None, everybody))
         for death in trace.deaths:
             self._at(death.at, self._die(death))
             self._at(death.back_at, partial(self._come_back, death.host))
@@ -139,6 +157,10 @@
     def _at(self, when: float, action: Callable[[float], None]) -> None:
         heapq.heappush(self._queue, (when, next(self._order), action))
 
+    def _cut(self, cut: Cut | None, with_ledger: frozenset[str], now: float) -> None:
+        self._now_cut = cut
+        self._scheme.cut(with_ledger, now)
+
     def _come_back(self, host: str, now: float) -> None:
         self._down.discard(host)
 
@@ -164,16 +186,16 @@
     def _arrive(self, request: Request) -> Callable[[float], None]:
         def arrive(now: float) -> None:
             deployment = self._trace.deployment
-            host = host_of(request, deployment, lambda one: one not in self._down)
-            if host is None:
-                return
-            hold = self._scheme.reserve(host, request.budget, request.bound, now)
-            if hold is None:
+            hosts = hosts_of(request, deployment, lambda one: one not in self._down, self._now_cut)
+            for host in hosts:
+                hold = self._scheme.reserve(host, request.budget, request.bound, now)
+                if hold is not None:
+                    self._true.held[request.budget] += request.bound
+                    self._open[host].add((request, hold))
+                    self._at(now + request.takes_s, self._end(request, hold))
+                    return
+            if hosts:
                 self._true.refuse(request)
-                return
-            self._true.held[request.budget] += request.bound
-            self._open[host].add((request, hold))
-            self._at(now + request.takes_s, self._end(request, hold))
 
         return arrive
 
@@ -211,6 +233,7 @@
             storages,
         )
         self._tasks_by_host: dict[str, set[asyncio.Task[None]]] = defaultdict(set)
+        self._now_cut: Cut | None = None
         self._in_memory: dict[str, list[Request]] = defaultdict(list)
 
     async def run(self) -> Outcome:
@@ -222,7 +245,7 @@
             events.append((top_up.at, next(order), partial(self._credit, top_up)))
         for cut in trace.cuts:
             events.append((cut.at, next(order), partial(self._cut, cut)))
-            events.append((cut.ends_at, next(order), self._fleet.net.mend))
+            events.append((cut.ends_at, next(order), self._mend))
         for death in trace.deaths:
             events.append((death.at, next(order), partial(self._die, death)))
         for request in trace.requests:
@@ -249,7 +272,12 @@
         self._true.credited[top_up.budget] += top_up.amount
         self._fleet.credit(top_up.budget, top_up.amount, top_up.budget)
 
+    def _mend(self) -> None:
+        self._now_cut = None
+        self._fleet.net.mend()
+
     def _cut(self, cut: Cut) -> None:
+        self._now_cut = cut
         self._fleet.net.cut(dict.fromkeys(away_hosts(cut, self._trace.deployment), 1))
         assert LEDGER not in self._fleet.net.side_by_node
 
@@ -275,16 +303,20 @@
         await host.start()
 
     def _arrive(self, request: Request) -> None:
-        hosts = self._fleet.host_by_name
-        host = host_of(request, self._trace.deployment, lambda one: hosts[one].is_up)
-        if host is None:
-            return
-        task = asyncio.ensure_future(self._serve(host, request))
-        tasks = self._tasks_by_host[host]
+        by_name = self._fleet.host_by_name
+        deployment = self._trace.deployment
+        hosts = hosts_of(request, deployment, lambda one: by_name[one].is_up, self._now_cut)
+        if hosts:
+            self._start(hosts, request)
+
+    def _start(self, hosts: list[str], request: Request) -> None:
+        task = asyncio.ensure_future(self._serve(hosts, request))
+        tasks = self._tasks_by_host[hosts[0]]
         tasks.add(task)
         task.add_done_callback(tasks.discard)
 
-    async def _serve(self, host: str, request: Request) -> None:
+    async def _serve(self, hosts: list[str], request: Request) -> None:
+        host = hosts[0]
         allotments = self._fleet.host_by_name[host].allotments
         now = self._clock.now()
         ask = ReserveRequest(
@@ -292,7 +324,11 @@
         )
         answer = await allotments.reserve(ask, now)
         if isinstance(answer, Err):
-            self._true.refuse(request)
+            is_final = answer.err_value.kind is ErrorKind.BUDGET_EXHAUSTED
+            if is_final or not hosts[1:]:
+                self._true.refuse(request)
+            else:
+                self._start(hosts[1:], request)
             return
         self._true.held[request.budget] += request.bound
         try:
