Claim what the ledger books to a host and the host never heard of

Cause: a peer gave, its answer was lost or could not be made durable, and the amount stayed booked to the taker, who could not spend it; 300 requests of one answer each were refused over one such unit. Change: with none of its steps under way, a host takes up the difference that the ledger's answer shows.

--- a/cranberrywall/budgets/_allotment.py
+++ b/cranberrywall/budgets/_allotment.py
@@ -37,6 +37,7 @@
 
     ``spendable`` may be reserved, ``reserved`` is held by requests in progress and
     ``charging`` is settled but not yet committed; the ledger books all three to us.
+    ``version`` changes whenever their sum does.
     """
 
     __slots__ = (
@@ -61,6 +62,7 @@
         "total_demand",
         "used_at",
         "used_since_view",
+        "version",
         "view",
         "workspace",
     )
@@ -90,6 +92,7 @@
         self.scarce: Scarce | None = None
         self.used_at = now
         self.used_since_view = False
+        self.version = 0
         self.on_low: Callable[[], None] | None = None
 
     def numbers(self) -> Numbers:
@@ -154,20 +157,29 @@
     def committed(self, amount: int) -> None:
         """Forget a charge that the ledger has billed."""
         self.charging -= amount
+        self.version += 1
 
     def granted(self, amount: int) -> None:
         """Add what the ledger or a peer gave."""
         self.spendable += amount
+        self.version += 1
 
     def take(self, amount: int) -> int:
         """Remove up to ``amount`` of what is spendable and return what was removed."""
         taken = max(0, min(amount, self.spendable))
         self.spendable -= taken
+        self.version += 1
         return taken
 
     def drop(self, amount: int) -> None:
         """Remove money that the ledger does not book to us; what is spendable may go below 0."""
         self.spendable -= amount
+        self.version += 1
+
+    def is_settled(self) -> bool:
+        """Say whether every step of this budget is known to the ledger, and none under way."""
+        has_step = self.pending_draw is not None or self.pending_return is not None
+        return self.queue.in_reach and self.queue.uncommitted == 0 and not has_step
 
     def heard(self, view: LedgerView) -> None:
         """Note the ledger's sums, and what all hosts spent since the last ones."""
--- a/cranberrywall/budgets/_scarcity.py
+++ b/cranberrywall/budgets/_scarcity.py
@@ -19,7 +19,7 @@
 from cranberrywall.budgets._ledger_steps import STEP_TIMEOUT_S, LedgerSteps
 from cranberrywall.budgets._reservation import HeldReservation
 from cranberrywall.budgets._transfers import Taker, nearest_first
-from cranberrywall.budgets.messages import BudgetQuery, Holder
+from cranberrywall.budgets.messages import BudgetQuery, BudgetResult, Holder
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.runtime import Clock
 
@@ -215,12 +215,15 @@
         """Take from the holders that the ledger names, the largest first."""
         tools = self._tools
         query = BudgetQuery(self._allotment.budget)
+        was_settled, version = self._allotment.is_settled(), self._allotment.version
         answer = await tools.ledger.budget(query, STEP_TIMEOUT_S)
         if isinstance(answer, Err):
             if out_of_reach(answer.err_value):
                 return _Found(None, 0)
             return _Found(free, 0)
         peer_by_host = {peer.host: peer for peer in tools.peers.alive()}
+        if was_settled and version == self._allotment.version and self._allotment.is_settled():
+            self._claim(answer.ok_value)
         unreached = 0
         free = answer.ok_value.free
         others = [
@@ -237,6 +240,23 @@
                 unreached += held.outstanding
         return _Found(free, unreached)
 
+    def _claim(self, sums: BudgetResult) -> None:
+        """Take up what the ledger books to this host and this host does not know of.
+
+        A peer's transfer whose answer was lost is one such amount, once the peer reported
+        it. Nothing of this host was under way while the ledger answered, so the whole
+        difference is its own, and nobody else can spend it.
+        """
+        allotment = self._allotment
+        booked = sum(one.outstanding for one in sums.held if one.holder == allotment.queue.holder)
+        missed = booked - allotment.booked
+        if missed <= 0:
+            return
+        self._tools.taker.forget_unanswered(allotment.budget)
+        allotment.granted(missed)
+        logger.info("event=claimed budget={} amount={}", allotment.budget, missed)
+        self.serve()
+
     async def _take_from(self, peers: Sequence[PeerHost]) -> None:
         for peer in peers:
             if not self._waiters:
--- a/cranberrywall/budgets/_transfers.py
+++ b/cranberrywall/budgets/_transfers.py
@@ -161,6 +161,11 @@
             await self._ask(peer, key, unanswered, allotment)
         return await self._ask(peer, key, request, allotment)
 
+    def forget_unanswered(self, budget: str) -> None:
+        """Give up requests for a budget: what came of them is accounted for otherwise."""
+        for key in [key for key in self._unanswered if key.budget == budget]:
+            del self._unanswered[key]
+
     async def ask_again(self, peers: Sequence[PeerHost], allotment: Allotment) -> None:
         """Repeat what was not answered: the money may have left its giver for this host."""
         for peer in peers:
