--- a/cranberrywall/commands/_control_program.py
+++ b/cranberrywall/commands/_control_program.py
@@ -1,6 +1,7 @@
 """Assemble the control program: its groups, what they keep, the spread, operators' HTTP."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from result import Err
@@ -15,6 +16,7 @@
     make_document_peers,
 )
 from cranberrywall.control import ControlHost, ledger_groups, make_control_host
+from cranberrywall.hosts import register_dump
 from cranberrywall.links import (
     Limits,
     LinkCaller,
@@ -102,7 +104,10 @@
     feed = _make_feed(settings, machine, caller)
     feed.register(server)
     state = _make_state(settings, host, machine)
-    admin = _make_admin(settings, keys, host, counters, state)
+    register_dump(server, state.dump_section_json)
+    admin = _make_admin(
+        settings, keys, host, counters, state, lambda: check_placement(settings, machine)
+    )
     return ControlProgram(host, feed, admin, state)
 
 
@@ -118,6 +123,21 @@
     )
 
 
+def check_placement(settings: Settings, machine: ConfigurationMachine) -> str | None:
+    """Return why budgets would be looked for in the wrong groups, or ``None``.
+
+    Placement follows the number of groups. Were this host to run another number than the
+    configuration says, money would be credited in one group and drawn from another.
+    """
+    newest = machine.document_at()
+    if newest is None or not newest.revision:
+        return None
+    wanted, run = newest.document["ledger_groups"], settings["ledger_groups"]
+    if wanted == run:
+        return None
+    return f"the configuration has {wanted} ledger groups, and the settings {run}"
+
+
 def _load_keys(settings: Settings) -> FleetKeys:
     keys = load_fleet_keys(settings["fleet_key"])
     if isinstance(keys, Err):
@@ -177,6 +197,7 @@
     host: ControlHost,
     counters: LinkCounters,
     state: StateRegistry,
+    check_placement: Callable[[], str | None],
 ) -> AdminServer:
     metrics = make_metrics()
     metrics.gauge_of("groups_led", "Groups that this host leads.", lambda: len(host.led()))
@@ -185,5 +206,6 @@
     health = HealthChecks()
     health.add_health("groups", host.check_started)
     health.add_readiness("groups", host.check_ready)
+    health.add_readiness("ledger_groups", check_placement)
     address = settings["listen"]["admin"]
     return make_admin_server(address, metrics, state, health, keys.admin)
