--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -212,7 +212,8 @@
     def _shortage(self, allotment: Allotment) -> Shortage:
         shortage = self._shortage_by_budget.get(allotment.budget)
         if shortage is None:
-            shortage = Shortage(allotment, self._tools)
+            over = partial(self._shortage_by_budget.pop, allotment.budget, None)
+            shortage = Shortage(allotment, self._tools, over)
             self._shortage_by_budget[allotment.budget] = shortage
         return shortage
 
--- a/cranberrywall/budgets/_scarcity.py
+++ b/cranberrywall/budgets/_scarcity.py
@@ -69,10 +69,15 @@
 
 
 class Shortage:
-    """Serve the requests in line for one allotment, in rounds of one task."""
+    """Serve the requests in line for one allotment, in rounds of one task.
 
-    def __init__(self, allotment: Allotment, tools: Tools) -> None:
+    ``on_over`` is called as a round leaves nobody in line that it could not serve: the
+    object need not be kept until the next shortage.
+    """
+
+    def __init__(self, allotment: Allotment, tools: Tools, on_over: Callable[[], object]) -> None:
         self._allotment = allotment
+        self._on_over = on_over
         self._tools = tools
         self._waiters: list[_Waiter] = []
         self._task: asyncio.Task[None] | None = None
@@ -144,6 +149,8 @@
                 await self._round()
         finally:
             self._allotment.scarce = None
+            if not self._waiters and self._pause_s == 0.0:
+                self._on_over()
 
     async def _round(self) -> None:
         present = list(self._waiters)
