--- a/cranberrywall/budgets/_allotment.py
+++ b/cranberrywall/budgets/_allotment.py
@@ -38,7 +38,8 @@
     ``spendable`` may be reserved, ``reserved`` is held by requests in progress and
     ``charging`` is settled but not yet committed; the ledger books all three to us.
     ``version`` changes whenever their sum does. ``is_checked`` is false where the ledger
-    may book more to us than we know of.
+    may book more to us than we know of. ``on_surplus`` is set while nothing should be
+    held, and called as money comes free.
     """
 
     __slots__ = (
@@ -53,12 +54,15 @@
         "next_give",
         "next_return",
         "on_low",
+        "on_surplus",
         "pending_draw",
         "pending_return",
         "policy",
         "queue",
         "reserved",
         "scarce",
+        "settled_bounds",
+        "settled_count",
         "settled_since_review",
         "spendable",
         "total_demand",
@@ -91,12 +95,20 @@
         self.demand = Demand(now)
         self.total_demand = Demand(now)
         self.settled_since_review = 0
+        self.settled_bounds = 0
+        self.settled_count = 0
         self.scarce: Scarce | None = None
         self.used_at = now
         self.used_since_view = False
         self.is_checked = True
         self.version = 0
         self.on_low: Callable[[], None] | None = None
+        self.on_surplus: Callable[[], None] | None = None
+
+    @property
+    def mean_bound(self) -> float:
+        """Return the mean bound of the requests settled here; 0 before any."""
+        return self.settled_bounds / self.settled_count if self.settled_count else 0.0
 
     def numbers(self) -> Numbers:
         """Return the next numbers, to go on from later."""
@@ -135,20 +147,26 @@
         """Move ``amount`` from reserved back to spendable."""
         self.reserved -= amount
         self.spendable += amount
+        self._was_freed()
+
+    def _was_freed(self) -> None:
         if self.scarce is not None:
             self.scarce.serve()
+        elif self.on_surplus is not None:
+            self.on_surplus()
 
     def settle(self, bound: int, actual: int) -> int:
         """Move a reservation of ``bound`` to charging and return the charge's number."""
         self.reserved -= bound
         self.charging += actual
         self.settled_since_review += actual
+        self.settled_bounds += bound
+        self.settled_count += 1
         self.used_since_view = True
         number = self.take_charge_number()
         if actual < bound:
             self.spendable += bound - actual
-            if self.scarce is not None:
-                self.scarce.serve()
+            self._was_freed()
         return number
 
     def take_charge_number(self) -> int:
--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -121,6 +121,7 @@
             peers,
             self._clock,
             self._reviewer.wanted,
+            self._reviewer.note_scarce,
         )
         self._tasks: list[asyncio.Task[None]] = []
         server.register(TAKE, self._give)
--- a/cranberrywall/budgets/_review.py
+++ b/cranberrywall/budgets/_review.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
+from functools import partial
 
 from loguru import logger
 from result import Err, Ok
@@ -19,6 +20,10 @@
 
 REVIEW_INTERVAL_S = 5.0
 CHECK_TIMEOUT_S = 1.0
+# Below this many requests' bounds, a host's share is too small to be worth holding.
+WORTH_HOLDING = 2.0
+# What comes free within this time is returned in one step.
+SURPLUS_WAIT_S = 0.05
 # The ledger's sums are asked for again after this time, where the budget was used.
 VIEW_AGE_S = 60.0
 # A fast path that runs low asks at most this often.
@@ -63,7 +68,8 @@
         total = allotment.total_demand.rate()
         left = max(0.0, view.left - total * (now - view.at))
         rates = self._rates(allotment.demand.rate(), total)
-        return target(left, rates, allotment.policy.held_back)
+        aim = target(left, rates, allotment.policy.held_back)
+        return aim if aim >= WORTH_HOLDING * allotment.mean_bound else 0
 
     def _rates(self, own: float, total: float) -> Rates:
         alive = {peer.host for peer in self._peers.alive()} | {self._host}
@@ -103,11 +109,39 @@
             self.draw_ahead(allotment)
             return
         aim = self.target(allotment)
+        self._watch_surplus(allotment, aim)
         if allotment.booked < LOW_BAND * aim and view.free > 0:
             self.draw_ahead(allotment)
         elif allotment.booked > HIGH_BAND * aim:
             await self._give_back(allotment, allotment.booked - aim)
 
+    def _watch_surplus(self, allotment: Allotment, aim: int) -> None:
+        """Have money that comes free returned at once, where nothing should be held.
+
+        The last of a budget would else lie in parts too small for any request, on as many
+        hosts as there are.
+        """
+        if aim == 0 and allotment.mean_bound > 0.0:
+            allotment.on_surplus = partial(self._return_surplus, allotment)
+        else:
+            allotment.on_surplus = None
+
+    def note_scarce(self, allotment: Allotment) -> None:
+        """Look anew, as the ledger has nothing free, whether anything should be held."""
+        self._watch_surplus(allotment, self.target(allotment))
+
+    def _return_surplus(self, allotment: Allotment) -> None:
+        if allotment.budget in self._drawing or not allotment.queue.in_reach:
+            return
+        task = asyncio.create_task(self._return_all(allotment))
+        self._drawing[allotment.budget] = task
+        task.add_done_callback(lambda _: self._drawing.pop(allotment.budget, None))
+
+    async def _return_all(self, allotment: Allotment) -> None:
+        await self._clock.sleep(SURPLUS_WAIT_S)
+        if allotment.scarce is None and allotment.on_surplus is not None:
+            await self._give_back(allotment, allotment.spendable)
+
     async def _check(self, allotment: Allotment) -> None:
         claim = Claim(allotment)
         answer = await self._ledger.budget(BudgetQuery(allotment.budget), CHECK_TIMEOUT_S)
@@ -131,6 +165,7 @@
                 await queue.lost(answer.err_value)
             return
         allotment.used_since_view = False
+        self._watch_surplus(allotment, self.target(allotment))
         allotment.low = allotment.spendable // 4
         if answer.ok_value.free == 0:
             # Nothing more can be drawn: running low is for the search to handle.
--- a/cranberrywall/budgets/_scarcity.py
+++ b/cranberrywall/budgets/_scarcity.py
@@ -45,6 +45,7 @@
     peers: Peers
     clock: Clock
     wanted: Callable[[Allotment], int]
+    is_scarce: Callable[[Allotment], None]
 
 
 class _Waiter:
@@ -234,6 +235,7 @@
                 return _Found(None, 0)
             return _Found(free, 0)
         peer_by_host = {peer.host: peer for peer in tools.peers.alive()}
+        tools.is_scarce(self._allotment)
         if claim.take_up(answer.ok_value):
             tools.taker.forget_unanswered(self._allotment.budget)
             self.serve()
--- a/cranberrywall/budgets/_transfers.py
+++ b/cranberrywall/budgets/_transfers.py
@@ -125,12 +125,13 @@
     >>> _gift(100, TakeRequest("b", "w", Holder("a", 1), 1, amount=90, minimum=10))
     50
     >>> _gift(12, TakeRequest("b", "w", Holder("a", 1), 1, amount=90, minimum=10))
-    10
+    12
     >>> _gift(8, TakeRequest("b", "w", Holder("a", 1), 1, amount=90, minimum=10))
     8
     """
-    wanted = min(request.amount, spendable // 2)
-    return min(spendable, max(wanted, request.minimum))
+    gift = min(spendable, max(min(request.amount, spendable // 2), request.minimum))
+    # What would stay is too little for a request like this one: whole parts move on.
+    return spendable if spendable - gift < request.minimum else gift
 
 
 class Taker:
--- a/tests/fakes/money.py
+++ b/tests/fakes/money.py
@@ -21,6 +21,7 @@
     LEDGER_CODEC,
     BudgetQuery,
     BudgetResult,
+    ChargeBatch,
     Credit,
     Holder,
 )
@@ -30,7 +31,7 @@
 from cranberrywall.runtime import Clock, Random, Runtime, Storage
 
 LEDGER = "ledger"
-GROUP = "ledger-0"
+_CHARGES = ChargeBatch.__name__.encode()
 
 
 class FakeHostView(NamedTuple):
@@ -58,6 +59,7 @@
         self.lose_reply: Callable[[str, str, Any], bool] = lambda *_: False
         self.calls = 0
         self.ledger_calls = 0
+        self.charge_calls = 0
 
     def reaches(self, source: str, sink: str) -> bool:
         """Say whether two nodes are on the same side."""
@@ -108,6 +110,8 @@
     async def propose(self, group: str, command: bytes, timeout: float) -> Result[bytes, Refusal]:
         """Apply a command at once where the ledger is in reach."""
         self._net.ledger_calls += 1
+        if _CHARGES in command[: len(_CHARGES) + 2]:
+            self._net.charge_calls += 1
         return await self._net.call_node(
             self._host, LEDGER, command, timeout, lambda: Ok(self._net.machine.apply(command))
         )
