--- a/cranberrywall/budgets/__init__.py
+++ b/cranberrywall/budgets/__init__.py
@@ -1,6 +1,12 @@
 """Keep prepaid budgets: the ledger on control hosts, allotments on entry hosts."""
 
 from cranberrywall.budgets._allotments import make_allotments
+from cranberrywall.budgets._bounds import (
+    BoundFigures,
+    InputBounds,
+    InputSize,
+    make_input_bounds,
+)
 from cranberrywall.budgets._client import LedgerClient, make_ledger_client
 from cranberrywall.budgets._interfaces import (
     Allotments,
@@ -20,9 +26,12 @@
 __all__ = [
     "LEDGER_CODEC",
     "Allotments",
+    "BoundFigures",
     "EntryHost",
     "HostAllotments",
     "IdLimits",
+    "InputBounds",
+    "InputSize",
     "LedgerClient",
     "PeerHost",
     "Peers",
@@ -31,6 +40,7 @@
     "ReserveRequest",
     "SpendPolicy",
     "make_allotments",
+    "make_input_bounds",
     "make_ledger_client",
     "make_ledger_machine",
 ]
--- /dev/null
+++ b/tests/budgets/test_bounds.py
@@ -0,0 +1,67 @@
+"""Check that input bounds are safe first, then tight, and safe again after a surprise."""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cranberrywall.budgets import InputSize, make_input_bounds
+
+SIZE = InputSize(text_bytes=1000, messages=2)
+
+
+def taught(samples: int = 100) -> tuple[int, int]:
+    """Return the bounds before and after learning from inputs of at most 0.3 a byte."""
+    bounds = make_input_bounds(proven_after=100)
+    chance = random.Random(3)
+    before = bounds.bound("m", SIZE, 1.2)
+    for _ in range(samples):
+        actual = round(1000 * chance.uniform(0.2, 0.3)) + 16
+        bounds.learn("m", SIZE, bounds.bound("m", SIZE, 1.2), actual)
+    return before, bounds.bound("m", SIZE, 1.2)
+
+
+def test_a_model_that_is_not_known_yet_is_bounded_by_bytes() -> None:
+    assert taught(99) == (1016, 1016)
+
+
+def test_a_bound_becomes_tight_once_it_is_proven() -> None:
+    before, after = taught(100)
+    assert before == 1016
+    assert 300 < after < 1.2 * 300 + 16 + 2
+
+
+def test_an_input_past_its_bound_makes_the_model_safe_again() -> None:
+    """A language comes that the tokenizer splits finely: the first one exceeds its bound.
+
+    It is charged what was reserved. The next ones are bounded by their bytes again.
+    """
+    bounds = make_input_bounds(proven_after=10)
+    for _ in range(10):
+        bounds.learn("m", SIZE, 1016, 266)
+    tight = bounds.bound("m", SIZE, 1.0)
+    bounds.learn("m", SIZE, tight, 700)
+    assert bounds.bound("m", SIZE, 1.0) == 1016
+    assert bounds.figures("m").exceeded == 1
+    for _ in range(10):
+        bounds.learn("m", SIZE, 1016, 266)
+    assert bounds.bound("m", SIZE, 1.0) >= 700
+
+
+@settings(derandomize=True, max_examples=50)
+@given(
+    ratios=st.lists(st.floats(0.05, 1.0), min_size=30, max_size=60),
+    margin=st.floats(1.0, 2.0),
+    size=st.builds(InputSize, st.integers(1, 50_000), st.integers(1, 20)),
+)
+def test_no_bound_is_above_the_bytes_or_below_the_worst_seen(
+    ratios: list[float], margin: float, size: InputSize
+) -> None:
+    bounds = make_input_bounds(proven_after=20)
+    worst = 0
+    for ratio in ratios:
+        actual = int(size.text_bytes * ratio) + 8 * size.messages
+        worst = max(worst, actual)
+        bounds.learn("m", size, bounds.bound("m", size, margin), actual)
+    safe = size.text_bytes + 8 * size.messages
+    assert worst <= bounds.bound("m", size, margin) <= safe
