--- /dev/null
+++ b/tests/budgets/test_allotments_differ.py
@@ -0,0 +1,133 @@
+"""Drive the allotments of a fleet beside one naive central ledger that sees everything.
+
+Whatever the order of requests, top-ups, cuts and deaths: the fleet never admits what the
+central ledger would refuse; where nothing is cut, it refuses nothing that the central
+ledger would admit; and once all is mended it has billed exactly what was settled.
+"""
+
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Ok
+
+from tests.budgets.money_stories import PLACES, SOUTH_AWAY, ask, on_fleet
+from tests.fakes.money import MoneyFleet
+from tests.naive.budget_schemes import Hold, Oracle
+
+HOSTS = st.sampled_from(sorted(PLACES))
+AMOUNTS = st.integers(1, 400)
+STEPS = st.one_of(
+    st.tuples(st.just("request"), HOSTS, AMOUNTS, st.integers(0, 100)),
+    st.tuples(st.just("request"), HOSTS, AMOUNTS, st.integers(0, 100)),
+    st.tuples(st.just("hold"), HOSTS, AMOUNTS),
+    st.tuples(st.just("end"), st.booleans()),
+    st.tuples(st.just("credit"), st.integers(1, 2000)),
+    st.tuples(st.just("cut"), st.booleans()),
+    st.tuples(st.just("mend")),
+    st.tuples(st.just("restart"), HOSTS),
+    st.tuples(st.just("wait"), st.sampled_from([1.0, 20.0, 120.0])),
+)
+
+
+class _Both:
+    """Take each step on the fleet and on the oracle."""
+
+    def __init__(self, fleet: MoneyFleet) -> None:
+        self.fleet = fleet
+        self.oracle = Oracle(sorted(PLACES))
+        self.settled = 0
+        self.number = 0
+        self.open: list[tuple[str, Any, Hold]] = []
+        self.is_whole = True
+
+    async def step(self, kind: str, *values: Any) -> None:
+        await getattr(self, kind)(*values)
+
+    async def reserve(self, host: str, bound: int) -> tuple[Any, Hold] | None:
+        self.number += 1
+        request = ask(self.fleet, f"r{self.number}", bound)
+        now = self.fleet.clock.now()
+        answer = await self.fleet.host_by_name[host].allotments.reserve(request, now)
+        hold = self.oracle.reserve(host, "main", bound, now)
+        if isinstance(answer, Ok):
+            assert hold is not None, "the fleet admitted what nobody has the money for"
+            return answer.ok_value, hold
+        if hold is not None:
+            self.oracle.settle(hold, 0, now)
+            assert not self.is_whole, f"refused although there is money: {answer.err_value}"
+        return None
+
+    async def request(self, host: str, bound: int, percent: int) -> None:
+        both = await self.reserve(host, bound)
+        if both is not None:
+            await self.settle(*both, bound * percent // 100)
+
+    async def settle(self, reservation: Any, hold: Hold, actual: int) -> None:
+        assert await reservation.settle(actual, self.fleet.clock.now()) == Ok(None)
+        self.oracle.settle(hold, actual, 0.0)
+        self.settled += actual
+
+    async def hold(self, host: str, bound: int) -> None:
+        both = await self.reserve(host, bound)
+        if both is not None:
+            self.open.append((host, *both))
+
+    async def end(self, is_settled: bool) -> None:
+        if not self.open:
+            return
+        _, reservation, hold = self.open.pop(0)
+        if is_settled:
+            await self.settle(reservation, hold, hold.bound // 2)
+        else:
+            reservation.release(self.fleet.clock.now())
+            self.oracle.settle(hold, 0, 0.0)
+
+    async def credit(self, amount: int) -> None:
+        self.fleet.credit("main", amount)
+        self.oracle.credit("main", amount, 0.0)
+
+    async def cut(self, is_south: bool) -> None:
+        self.fleet.net.cut(SOUTH_AWAY if is_south else {"a1": 1, "a2": 1})
+        self.is_whole = False
+
+    async def mend(self) -> None:
+        self.fleet.net.mend()
+
+    async def restart(self, host: str) -> None:
+        self.is_whole = False
+        for entry in [entry for entry in self.open if entry[0] == host]:
+            self.open.remove(entry)
+            self.oracle.settle(entry[2], 0, 0.0)
+        await self.fleet.host_by_name[host].kill()
+        await self.fleet.host_by_name[host].start()
+
+    async def wait(self, seconds: float) -> None:
+        await self.fleet.clock.sleep(seconds)
+
+    async def finish(self) -> None:
+        """Mend everything: the ledger has billed all that was settled, and no more."""
+        self.fleet.net.mend()
+        while self.open:
+            await self.end(False)
+        await self.fleet.clock.sleep(180.0)
+        sums = self.fleet.sums("main")
+        assert (sums.charged, sums.in_doubt) == (self.settled, 0)
+        self.is_whole = True
+        left = self.oracle.left["main"]
+        if left > 0:
+            await self.request("a1", left, 100)
+            assert self.oracle.left["main"] == 0
+
+
+@settings(derandomize=True, max_examples=40, deadline=None)
+@given(steps=st.lists(STEPS, min_size=5, max_size=30))
+def test_the_fleet_agrees_with_one_central_ledger(steps: list[tuple[Any, ...]]) -> None:
+    async def story(fleet: MoneyFleet) -> None:
+        both = _Both(fleet)
+        await both.credit(3000)
+        for step in steps:
+            await both.step(*step)
+        await both.finish()
+
+    on_fleet(story, disks=("a1", "a2", "b1"))
