--- a/cranberrywall/budgets/_allotment.py
+++ b/cranberrywall/budgets/_allotment.py
@@ -37,12 +37,16 @@
 
     ``spendable`` may be reserved, ``reserved`` is held by requests in progress and
     ``charging`` is settled but not yet committed; the ledger books all three to us.
+    ``version`` changes whenever their sum does. ``is_checked`` is false where the ledger
+    may book more to us than we know of. ``on_surplus`` is set while nothing should be
+    held, and called as money comes free.
     """
 
     __slots__ = (
         "budget",
         "charging",
         "demand",
+        "is_checked",
         "low",
         "next_accept",
         "next_charge",
@@ -50,17 +54,21 @@
         "next_give",
         "next_return",
         "on_low",
+        "on_surplus",
         "pending_draw",
         "pending_return",
         "policy",
         "queue",
         "reserved",
         "scarce",
+        "settled_bounds",
+        "settled_count",
         "settled_since_review",
         "spendable",
         "total_demand",
         "used_at",
         "used_since_view",
+        "version",
         "view",
         "workspace",
     )
@@ -87,10 +95,20 @@
         self.demand = Demand(now)
         self.total_demand = Demand(now)
         self.settled_since_review = 0
+        self.settled_bounds = 0
+        self.settled_count = 0
         self.scarce: Scarce | None = None
         self.used_at = now
         self.used_since_view = False
+        self.is_checked = True
+        self.version = 0
         self.on_low: Callable[[], None] | None = None
+        self.on_surplus: Callable[[], None] | None = None
+
+    @property
+    def mean_bound(self) -> float:
+        """Return the mean bound of the requests settled here; 0 before any."""
+        return self.settled_bounds / self.settled_count if self.settled_count else 0.0
 
     def numbers(self) -> Numbers:
         """Return the next numbers, to go on from later."""
@@ -129,20 +147,26 @@
         """Move ``amount`` from reserved back to spendable."""
         self.reserved -= amount
         self.spendable += amount
+        self._was_freed()
+
+    def _was_freed(self) -> None:
         if self.scarce is not None:
             self.scarce.serve()
+        elif self.on_surplus is not None:
+            self.on_surplus()
 
     def settle(self, bound: int, actual: int) -> int:
         """Move a reservation of ``bound`` to charging and return the charge's number."""
         self.reserved -= bound
         self.charging += actual
         self.settled_since_review += actual
+        self.settled_bounds += bound
+        self.settled_count += 1
         self.used_since_view = True
         number = self.take_charge_number()
         if actual < bound:
             self.spendable += bound - actual
-            if self.scarce is not None:
-                self.scarce.serve()
+            self._was_freed()
         return number
 
     def take_charge_number(self) -> int:
@@ -154,20 +178,29 @@
     def committed(self, amount: int) -> None:
         """Forget a charge that the ledger has billed."""
         self.charging -= amount
+        self.version += 1
 
     def granted(self, amount: int) -> None:
         """Add what the ledger or a peer gave."""
         self.spendable += amount
+        self.version += 1
 
     def take(self, amount: int) -> int:
         """Remove up to ``amount`` of what is spendable and return what was removed."""
         taken = max(0, min(amount, self.spendable))
         self.spendable -= taken
+        self.version += 1
         return taken
 
     def drop(self, amount: int) -> None:
         """Remove money that the ledger does not book to us; what is spendable may go below 0."""
         self.spendable -= amount
+        self.version += 1
+
+    def is_settled(self) -> bool:
+        """Say whether every step of this budget is known to the ledger, and none under way."""
+        has_step = self.pending_draw is not None or self.pending_return is not None
+        return self.queue.in_reach and self.queue.uncommitted == 0 and not has_step
 
     def heard(self, view: LedgerView) -> None:
         """Note the ledger's sums, and what all hosts spent since the last ones."""
--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -107,17 +107,21 @@
         self._store = MirrorStore(
             ledger, keeper if isinstance(keeper, Journal) else None, self._clock
         )
-        self._giver = Giver(keeper, self._clock)
-        self._reviewer = Reviewer(self._steps, peers, self._clock)
+        self._giver = Giver(ledger, keeper, self._clock)
+        taker = Taker(caller, keeper, self._store.is_ended, self._clock, runtime.random)
+        self._reviewer = Reviewer(
+            holder.host, place, ledger, taker, self._steps, peers, entry_hosts, self._clock
+        )
         self._tools = Tools(
             holder.host,
             place,
             ledger,
             self._steps,
-            Taker(caller, keeper, self._store.is_ended, self._clock, runtime.random),
+            taker,
             peers,
             self._clock,
             self._reviewer.wanted,
+            self._reviewer.note_scarce,
         )
         self._tasks: list[asyncio.Task[None]] = []
         server.register(TAKE, self._give)
@@ -209,7 +213,8 @@
     def _shortage(self, allotment: Allotment) -> Shortage:
         shortage = self._shortage_by_budget.get(allotment.budget)
         if shortage is None:
-            shortage = Shortage(allotment, self._tools)
+            over = partial(self._shortage_by_budget.pop, allotment.budget, None)
+            shortage = Shortage(allotment, self._tools, over)
             self._shortage_by_budget[allotment.budget] = shortage
         return shortage
 
@@ -269,7 +274,7 @@
             return Err(Refusal(ErrorKind.FORBIDDEN, "names another host", "taker"))
         allotment = self._by_budget.get(request.budget)
         if allotment is None:
-            return Ok(TakeReply(self._holder, None, 0, 0))
+            return Ok(TakeReply(self._holder, None, False, 0, 0))
         return await self._giver.give(request, allotment)
 
     async def _deliver(self, request: DeliverRequest, peer: Peer) -> Result[DeliverReply, Refusal]:
