Reserve for every byte that can become a prompt token, and learn from the counts

The estimate of four bytes a token was no bound: a short word can be a token. The learned input bounds take its place, safe by bytes first.

--- a/cranberrywall/callers/_chat.py
+++ b/cranberrywall/callers/_chat.py
@@ -55,7 +55,7 @@
         if body.model not in workspace["reach"]["models"]:
             return Err(_out_of_reach())
         policy = document["policies"].get(workspace["policy"])
-        bound = bound_chat(body, model, policy)
+        bound = bound_chat(body, model, policy, self._parts.bounds)
         if isinstance(bound, Err):
             return bound
         budget = workspace["budget"]
--- a/cranberrywall/callers/_parts.py
+++ b/cranberrywall/callers/_parts.py
@@ -4,6 +4,7 @@
 
 from aiohttp import web
 
+from cranberrywall.budgets import InputBounds
 from cranberrywall.callers._answers import error_response
 from cranberrywall.callers._bodies import BodyLimits
 from cranberrywall.configuration import Configuration
@@ -33,6 +34,7 @@
     membership: Membership
     chats: ChatRuns
     services: ServiceCalls
+    bounds: InputBounds
     clock: Clock
     random: Random
     metrics: RequestMetrics
--- a/cranberrywall/entry/_stack.py
+++ b/cranberrywall/entry/_stack.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 from aiohttp.typedefs import Handler, Middleware
 
-from cranberrywall.budgets import Allotments
+from cranberrywall.budgets import Allotments, make_input_bounds
 from cranberrywall.budgets.messages import Holder
 from cranberrywall.callers import (
     CallerLimits,
@@ -149,12 +149,13 @@
     once_session = _make_session(reuse=False)
     engine_limits = engine_limits or EngineLimits()
     attempts = Attempts(router, session, clock, random, counts, engine_limits, background)
+    bounds = make_input_bounds()
     registry = None
     if links is not None:
         own = Owner(host, incarnation, links.address)
         registry = Registry(own, membership, links.caller, clock, background)
     chats = ChatRuns(
-        ChatRunner(allotments, attempts, clock, counts, background),
+        ChatRunner(allotments, attempts, bounds, clock, counts, background),
         registry,
         links.caller if links is not None else None,
         clock,
@@ -184,6 +185,7 @@
         membership,
         chats,
         services,
+        bounds,
         clock,
         random,
         counts,
--- a/cranberrywall/requests/_chat.py
+++ b/cranberrywall/requests/_chat.py
@@ -1,6 +1,5 @@
 """Check the body of a chat completion and bound what it can cost."""
 
-import math
 from collections.abc import Mapping
 from typing import Annotated, Any, NamedTuple, NotRequired, TypedDict
 
@@ -8,12 +7,16 @@
 from msgspec import Meta
 from result import Err, Ok, Result
 
+from cranberrywall.budgets import InputBounds, InputSize
 from cranberrywall.configuration import Model, Policy
 from cranberrywall.errors import ErrorKind, Refusal
 
-_BYTES_PER_TOKEN = 4
-_TOKENS_PER_MESSAGE = 8
+_MOST_BYTES_PER_TOKEN = 16
+"""A text of more bytes a token than this is no text; only such a body is too long for sure."""
+
 _DEFAULT_MARGIN = 1.0
+_PROMPT_FIELDS = frozenset({"functions", "response_format", "tools"})
+_PLAIN_FIELDS = frozenset({"role", "content"})
 _FOR_THIS_HOST = ("stream", "stream_options", "max_completion_tokens", "max_tokens", "adapter")
 
 
@@ -46,7 +49,7 @@
     """Hold a checked body.
 
     ``passed`` is what goes to the engine as it came; ``max_tokens`` is ``None`` where the
-    caller set no limit. ``input_bytes`` is the size of all texts in UTF-8.
+    caller set no limit.
     """
 
     model: str
@@ -55,7 +58,7 @@
     include_usage: bool
     max_tokens: int | None
     texts: tuple[str, ...]
-    input_bytes: int
+    size: InputSize
     passed: Mapping[str, Any]
 
 
@@ -81,6 +84,8 @@
     except RecursionError:
         # A body nested thousands deep would otherwise surface as an internal error.
         return Err(_bad_body("is nested too deeply"))
+    if any(_has_other_parts(message) for message in body["messages"]):
+        return Err(_bad_body("has a content part that is not text"))
     texts = _texts(body["messages"])
     return Ok(
         ChatBody(
@@ -90,30 +95,44 @@
             include_usage=bool((body.get("stream_options") or {}).get("include_usage")),
             max_tokens=body.get("max_completion_tokens") or body.get("max_tokens"),
             texts=texts,
-            input_bytes=sum(len(text.encode("utf-8", "surrogatepass")) for text in texts),
+            size=_size(values, texts),
             passed={name: value for name, value in values.items() if name not in _FOR_THIS_HOST},
         )
     )
 
 
-def bound_chat(body: ChatBody, model: Model, policy: Policy | None) -> Result[Bound, Refusal]:
-    """Bound the cost of an answer to ``body``.
-
-    The input is an estimate times the policy's margin, and never more than a token a
-    byte, which no tokenizer exceeds.
-    """
+def bound_chat(
+    body: ChatBody, model: Model, policy: Policy | None, bounds: InputBounds
+) -> Result[Bound, Refusal]:
+    """Bound the cost of an answer to ``body``; the policy's margin is for what was learned."""
     limit = model["output_limit"]
     if body.max_tokens is not None and body.max_tokens > limit:
         return Err(_too_many_tokens(body.max_tokens, limit))
     margin = policy["input_margin"] if policy else _DEFAULT_MARGIN
-    framing = _TOKENS_PER_MESSAGE * len(body.texts)
-    estimate = math.ceil(body.input_bytes / _BYTES_PER_TOKEN * margin) + framing
-    input_tokens = min(estimate, body.input_bytes + framing)
-    if input_tokens > model["context_limit"]:
-        return Err(_too_long(input_tokens, model["context_limit"]))
+    input_tokens = min(bounds.bound(body.model, body.size, margin), model["context_limit"])
+    least = body.size.text_bytes // _MOST_BYTES_PER_TOKEN
+    if least > model["context_limit"]:
+        return Err(_too_long(least, model["context_limit"]))
     return Ok(Bound(input_tokens, body.max_tokens or limit))
 
 
+def _size(values: Mapping[str, Any], texts: tuple[str, ...]) -> InputSize:
+    """Measure all that an engine may make prompt tokens of, not only the texts."""
+    text_bytes = sum(len(text.encode("utf-8", "surrogatepass")) for text in texts)
+    for name in _PROMPT_FIELDS & values.keys():
+        text_bytes += len(msgspec.json.encode(values[name]))
+    for message in values["messages"]:
+        others = {name: value for name, value in message.items() if name not in _PLAIN_FIELDS}
+        text_bytes += len(msgspec.json.encode(others)) if others else 0
+    return InputSize(text_bytes, len(values["messages"]))
+
+
+def _has_other_parts(message: _Message) -> bool:
+    # An image costs tokens that no count of bytes bounds.
+    content = message.get("content")
+    return isinstance(content, list) and any(part["type"] != "text" for part in content)
+
+
 def _texts(messages: list[_Message]) -> tuple[str, ...]:
     texts: list[str] = []
     for message in messages:
--- a/cranberrywall/requests/_chat_runner.py
+++ b/cranberrywall/requests/_chat_runner.py
@@ -6,7 +6,7 @@
 import msgspec
 from result import Err, Result
 
-from cranberrywall.budgets import Allotments, Reservation, ReserveRequest
+from cranberrywall.budgets import Allotments, InputBounds, Reservation, ReserveRequest
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.observability import log_event
 from cranberrywall.requests._attempts import AttemptEnd, Attempts, OnAttempt
@@ -57,12 +57,14 @@
         self,
         allotments: Allotments,
         attempts: Attempts,
+        bounds: InputBounds,
         clock: Clock,
         metrics: RequestMetrics,
         background: Background,
     ) -> None:
         self._allotments = allotments
         self._attempts = attempts
+        self._bounds = bounds
         self._clock = clock
         self._metrics = metrics
         self._background = background
@@ -107,6 +109,13 @@
             refusal = Refusal(ErrorKind.ANSWER_CUT, "the charge could not be recorded")
             run.fail(refusal, self._clock.now())
             return
+        if run.usage is not None:
+            self._bounds.learn(
+                request.body.model,
+                request.body.size,
+                request.bound.input_tokens,
+                run.usage["prompt_tokens"],
+            )
         run.answer(self._clock.now())
         self._metrics.answered.labels("chat").inc()
 
