Bound the late charges that are kept by name, and count a budget's holders as they change

A cut over a month's end could leave any number of late charges in memory by name. A draw counted the holders of its budget anew: with every host of a large fleet that would have been most of its cost.

--- a/cranberrywall/budgets/_closing.py
+++ b/cranberrywall/budgets/_closing.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator
 
 from cranberrywall.budgets._ledger_accounts import Account
-from cranberrywall.budgets._ledger_exceptions import waiting_row
+from cranberrywall.budgets._ledger_exceptions import Unnamed, waiting_row
 from cranberrywall.budgets._ledger_state import LedgerState
 from cranberrywall.budgets.messages import (
     Accepted,
@@ -195,7 +195,7 @@
 
 
 def _exceptions_page(
-    rows: list[ExceptionRow], query: ExceptionsQuery, unnamed: int
+    rows: list[ExceptionRow], query: ExceptionsQuery, unnamed: Unnamed
 ) -> ExceptionsResult:
     wanted = [
         row
@@ -204,7 +204,8 @@
     ]
     end = query.after + max(1, min(query.limit, MAX_ROWS))
     next_after = end if end < len(wanted) else 0
-    return ExceptionsResult(tuple(wanted[query.after : end]), next_after, unnamed)
+    page = tuple(wanted[query.after : end])
+    return ExceptionsResult(page, next_after, unnamed.duplicates, unnamed.late)
 
 
 def _waiting_rows(state: LedgerState, now: float) -> list[ExceptionRow]:
--- a/cranberrywall/budgets/_closing_records.py
+++ b/cranberrywall/budgets/_closing_records.py
@@ -10,6 +10,7 @@
 import msgspec
 import xxhash
 
+from cranberrywall.budgets._ledger_exceptions import Unnamed
 from cranberrywall.budgets.messages import (
     ClosedPeriod,
     ExceptionRow,
@@ -35,7 +36,7 @@
     about: ClosedPeriod
     chunks: tuple[_Chunk, ...]
     exceptions: bytes
-    unnamed: int
+    unnamed: Unnamed
 
 
 class Closings:
@@ -59,7 +60,7 @@
         about: ClosedPeriod,
         rows: Sequence[ReportRow],
         exceptions: Sequence[ExceptionRow],
-        unnamed: int,
+        unnamed: Unnamed,
     ) -> ClosedPeriod:
         """Write a closing down; return it with its digest."""
         starts = range(0, len(rows), _ROWS_IN_CHUNK)
@@ -88,7 +89,7 @@
                 if row.budget > after:
                     yield row
 
-    def exceptions(self, period: str) -> tuple[list[ExceptionRow], int]:
+    def exceptions(self, period: str) -> tuple[list[ExceptionRow], Unnamed]:
         """Return a closed period's exceptions, and how many more were only counted."""
         closing = self._closing_by_period[period]
         return _EXCEPTIONS_DECODER.decode(closing.exceptions), closing.unnamed
@@ -104,7 +105,9 @@
         for about, chunks, exceptions, unnamed in plain[1]:
             closed = ClosedPeriod(*about)
             kept = tuple(_Chunk(*chunk) for chunk in chunks)
-            self._closing_by_period[closed.period] = _Closing(closed, kept, exceptions, unnamed)
+            self._closing_by_period[closed.period] = _Closing(
+                closed, kept, exceptions, Unnamed(*unnamed)
+            )
 
 
 def _make_chunk(rows: Sequence[ReportRow]) -> _Chunk:
--- a/cranberrywall/budgets/_ledger_accounts.py
+++ b/cranberrywall/budgets/_ledger_accounts.py
@@ -112,6 +112,7 @@
         "credited",
         "credited_before",
         "held",
+        "holders",
         "outstanding",
         "period_sums",
         "unit",
@@ -126,6 +127,9 @@
         self.charged = 0
         self.outstanding = 0
         self.held = 0
+        # How many allotments are not empty: each draw is told, and the busiest budget is
+        # held by every host of the fleet.
+        self.holders = 0
         # What was booked to closed periods; the open ones have their sums in the list.
         self.charged_before = 0
         self.credited_before = 0
@@ -205,6 +209,7 @@
         if allotment is None:
             return 0
         self.outstanding -= allotment.outstanding
+        self.holders -= allotment.outstanding > 0
         self._check()
         return allotment.outstanding
 
@@ -257,8 +262,10 @@
             self._move(allotment, -min(amount, allotment.outstanding))
 
     def _move(self, allotment: Allotment, amount: int) -> None:
+        self.holders -= allotment.outstanding > 0
         allotment.outstanding += amount
         self.outstanding += amount
+        self.holders += allotment.outstanding > 0
         if allotment.outstanding < 0:
             raise LedgerInvariantError(f"an allotment fell to {allotment.outstanding}")
         self._check()
@@ -308,5 +315,8 @@
     for host, incarnation, allotment in plain[9]:
         holder = one(Holder(host, incarnation))
         account.allotment_by_holder[holder] = load_allotment(allotment)
+    account.holders = sum(
+        1 for allotment in account.allotment_by_holder.values() if allotment.outstanding
+    )
     account.check_whole()
     return account
--- a/cranberrywall/budgets/_ledger_exceptions.py
+++ b/cranberrywall/budgets/_ledger_exceptions.py
@@ -4,8 +4,11 @@
 
 from cranberrywall.budgets.messages import ExceptionKind, ExceptionRow, Holder
 
-MAX_NAMED_DUPLICATES = 10_000
-"""The most duplicates kept by name between two closings; more are counted."""
+MAX_NAMED = 10_000
+"""The most duplicates, and the most late charges, kept by name between two closings.
+
+More are counted. Amounts in doubt are all kept by name, since each holds money.
+"""
 
 _RECORDED, _OPEN, _BILLED, _RELEASED = "recorded", "open", "billed", "released"
 
@@ -71,27 +74,45 @@
     note: str
 
 
+class Unnamed(NamedTuple):
+    """Count the duplicates and the late charges that are not kept by name."""
+
+    duplicates: int = 0
+    late: int = 0
+
+
 class Exceptions:
     """Hold the entries since the last closing, and older ones that are still open."""
 
     def __init__(self) -> None:
         self._next_number = 1
         self._duplicates = 0
-        self.unnamed = 0
+        self._late = 0
         self.entry_by_number: dict[int, Entry] = {}
         self._number_by_fingerprint: dict[int, int] = {}
 
     def record(self, entry: Entry) -> None:
         """Add an entry under the next number; its ``number`` and ``state`` are set here."""
-        if entry.kind is ExceptionKind.DUPLICATE:
-            self._duplicates += 1
-            if self._duplicates > MAX_NAMED_DUPLICATES:
-                self.unnamed += 1
-                return
+        if not self._has_room_for(entry.kind):
+            return
         state = entry.state or (_OPEN if entry.kind in _TO_RESOLVE else _RECORDED)
         self._keep(entry._replace(number=self._next_number, state=state))
         self._next_number += 1
 
+    def _has_room_for(self, kind: ExceptionKind) -> bool:
+        if kind is ExceptionKind.DUPLICATE:
+            self._duplicates += 1
+            return self._duplicates <= MAX_NAMED
+        if kind is ExceptionKind.LATE_PERIOD:
+            self._late += 1
+            return self._late <= MAX_NAMED
+        return True
+
+    @property
+    def unnamed(self) -> Unnamed:
+        """Return how many were only counted since the last closing."""
+        return Unnamed(max(0, self._duplicates - MAX_NAMED), max(0, self._late - MAX_NAMED))
+
     def _keep(self, entry: Entry) -> None:
         self.entry_by_number[entry.number] = entry
         if entry.fingerprint:
@@ -116,7 +137,7 @@
         for entry in kept:
             self._keep(entry)
         self._duplicates = 0
-        self.unnamed = 0
+        self._late = 0
 
     def count_open(self) -> int:
         """Return how many entries wait for a decision."""
@@ -129,11 +150,11 @@
     def dump(self) -> list[Any]:
         """Return the state, for a snapshot."""
         entries = list(self.entry_by_number.values())
-        return [self._next_number, self._duplicates, self.unnamed, entries]
+        return [self._next_number, self._duplicates, self._late, entries]
 
     def load(self, plain: list[Any]) -> None:
         """Replace the state by one that ``dump`` gave."""
-        self._next_number, self._duplicates, self.unnamed, entries = plain
+        self._next_number, self._duplicates, self._late, entries = plain
         self.entry_by_number = {}
         self._number_by_fingerprint = {}
         for plain_entry in entries:
--- a/cranberrywall/budgets/_ledger_holding.py
+++ b/cranberrywall/budgets/_ledger_holding.py
@@ -66,14 +66,13 @@
 
 
 def _draw_result(account: Account, allotment: Allotment) -> DrawResult:
-    holders = sum(1 for one in account.allotment_by_holder.values() if one.outstanding)
     return DrawResult(
         granted=allotment.granted,
         free=account.free,
         outstanding=account.outstanding,
         credited=account.credited,
         charged=account.charged,
-        holders=holders,
+        holders=account.holders,
     )
 
 
--- a/cranberrywall/budgets/_messages_exceptions.py
+++ b/cranberrywall/budgets/_messages_exceptions.py
@@ -70,12 +70,14 @@
 class ExceptionsResult(NamedTuple):
     """Give a page of exceptions; ``next_after`` is 0 on the last page.
 
-    ``unnamed`` counts the duplicates beyond the bound on those that are kept by name.
+    ``unnamed`` counts the duplicates, and ``unnamed_late`` the late charges, beyond the
+    bound on those that are kept by name.
     """
 
     rows: tuple[ExceptionRow, ...]
     next_after: int
     unnamed: int
+    unnamed_late: int = 0
 
 
 class ResolveDoubt(NamedTuple):
--- a/cranberrywall/commands/ctl/_reports.py
+++ b/cranberrywall/commands/ctl/_reports.py
@@ -27,6 +27,14 @@
     row: ExceptionRow
 
 
+class FleetExceptions(NamedTuple):
+    """Hold every group's exceptions, and counts of those that are not kept by name."""
+
+    exceptions: tuple[GroupException, ...]
+    unnamed: int
+    unnamed_late: int
+
+
 class WorkspaceSum(NamedTuple):
     """Sum what a workspace was charged over all budgets of one unit."""
 
@@ -39,7 +47,8 @@
 class FleetReport(NamedTuple):
     """Hold the whole fleet's report; ``faults`` are sums that do not add up.
 
-    ``unnamed`` counts duplicates beyond those that are named.
+    ``unnamed`` and ``unnamed_late`` count duplicates and late charges beyond those that
+    are named.
     """
 
     period: str
@@ -51,6 +60,7 @@
     workspaces: tuple[WorkspaceSum, ...]
     exceptions: tuple[GroupException, ...]
     unnamed: int
+    unnamed_late: int
     faults: tuple[str, ...]
 
 
@@ -66,7 +76,6 @@
     named = await gather_exceptions(ledger, ExceptionsQuery("", False, now, 0, 0, period), timeout)
     if isinstance(named, Err):
         return Err(named.err_value)
-    exceptions, unnamed = named.ok_value
     results = pages.ok_value
     first = next(iter(results.values()))
     rows = sorted(row for result in results.values() for row in result.rows)
@@ -79,8 +88,9 @@
             digest_by_group={group: result.digest for group, result in results.items()},
             rows=tuple(rows),
             workspaces=sum_by_workspace(rows, workspace),
-            exceptions=tuple(_of_workspace(exceptions, workspace)),
-            unnamed=unnamed,
+            exceptions=tuple(_of_workspace(named.ok_value.exceptions, workspace)),
+            unnamed=named.ok_value.unnamed,
+            unnamed_late=named.ok_value.unnamed_late,
             faults=tuple(fault for row in rows for fault in check_row(row)),
         )
     )
@@ -105,10 +115,10 @@
 
 async def gather_exceptions(
     ledger: LedgerClient, query: ExceptionsQuery, timeout: float
-) -> Result[tuple[list[GroupException], int], Refusal]:
-    """Return every group's exceptions, and how many more duplicates were only counted."""
+) -> Result[FleetExceptions, Refusal]:
+    """Return every group's exceptions, and how many more were only counted."""
     found: list[GroupException] = []
-    unnamed = 0
+    unnamed = unnamed_late = 0
     for group in ledger.groups():
         after = 0
         while True:
@@ -123,8 +133,9 @@
             after = page.ok_value.next_after
             if not after:
                 unnamed += page.ok_value.unnamed
+                unnamed_late += page.ok_value.unnamed_late
                 break
-    return Ok((found, unnamed))
+    return Ok(FleetExceptions(tuple(found), unnamed, unnamed_late))
 
 
 def _of_workspace(exceptions: Iterable[GroupException], workspace: str) -> Iterable[GroupException]:
--- a/cranberrywall/commands/ctl/budgets.py
+++ b/cranberrywall/commands/ctl/budgets.py
@@ -84,9 +84,9 @@
         named = await gather_exceptions(found.ok_value, query, session.timeout)
         if isinstance(named, Err):
             return Err(named.err_value)
-        exceptions, unnamed = named.ok_value
+        exceptions = named.ok_value.exceptions
         if ctl.options.is_json:
-            print_json({"exceptions": exceptions, "unnamed": unnamed})
+            print_json(named.ok_value)
         elif not exceptions:
             click.echo("nothing is in doubt")
         else:
--- a/cranberrywall/commands/ctl/report.py
+++ b/cranberrywall/commands/ctl/report.py
@@ -170,6 +170,8 @@
         print_exceptions(report.exceptions)
     if report.unnamed:
         click.echo(f"{report.unnamed} more duplicates were counted and not named")
+    if report.unnamed_late:
+        click.echo(f"{report.unnamed_late} more late charges were counted and not named")
     click.echo(f"adds up: {'no' if report.faults else 'yes'}")
 
 
--- a/tests/budgets/test_closing.py
+++ b/tests/budgets/test_closing.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from cranberrywall.budgets import _ledger_exceptions
 from cranberrywall.budgets.messages import (
     Accepted,
     ChargeOutcome,
@@ -249,6 +250,22 @@
     assert named == [f"b{number:02}" for number in range(25)]
 
 
+def test_duplicates_and_late_charges_are_named_up_to_a_bound_and_counted_beyond(monkeypatch):
+    """A cut over a month's end ends, and very many late charges arrive, some of them twice."""
+    monkeypatch.setattr(_ledger_exceptions, "MAX_NAMED", 2)
+    ledger = spent_in_november()
+    ledger.draw(B1, 1, 50)
+    close(ledger, "2026-11", NOVEMBER_END)
+    for number in range(2, 7):
+        ledger.charge(A1, f"r{number}", number, 1, IN_NOVEMBER)
+        ledger.charge(B1, f"r{number}", number, 1, IN_NOVEMBER)
+    ledger.restart()
+    result = ledger.ask(ExceptionsQuery("", False, 0.0, 0, 100))
+    assert len([row for row in result.rows if row.number]) == 4
+    assert (result.unnamed, result.unnamed_late) == (3, 3)
+    assert report(ledger).rows[0].charged == 5
+
+
 def test_a_top_up_from_before_the_closing_before_last_is_not_credited_again():
     ledger = spent_in_november()
     close(ledger, "2026-11", NOVEMBER_END)
--- a/tests/budgets/test_ledger_differs.py
+++ b/tests/budgets/test_ledger_differs.py
@@ -108,6 +108,9 @@
         answer = self.real.apply(command)
         granted = answer.granted if isinstance(answer, DrawResult) else None
         assert granted == self.naive.draw(command)
+        if isinstance(answer, DrawResult):
+            holding = [one for one in self.naive.holders if self.naive.held_by(one)]
+            assert answer.holders == len(holding)
 
     def give_back(self, command: Return) -> None:
         is_accepted = not isinstance(self.real.apply(command), Rejected)
