--- a/cranberrywall/budgets/_review.py
+++ b/cranberrywall/budgets/_review.py
@@ -1,18 +1,29 @@
 """Look over a host's allotments now and then: draw ahead, return what is not needed."""
 
 import asyncio
+from collections.abc import Callable, Sequence
+from functools import partial
 
-from loguru import logger
-from result import Err
+from result import Err, Ok
 
 from cranberrywall.budgets._allotment import Allotment
 from cranberrywall.budgets._charges import out_of_reach
-from cranberrywall.budgets._interfaces import Peers
+from cranberrywall.budgets._claims import Claim
+from cranberrywall.budgets._client import LedgerClient
+from cranberrywall.budgets._interfaces import EntryHost, Peers
 from cranberrywall.budgets._ledger_steps import LedgerSteps
-from cranberrywall.budgets._sizing import HIGH_BAND, LOW_BAND, Rates, target
+from cranberrywall.budgets._sizing import HIGH_BAND, LOW_BAND, Rates, part_in_place, target
+from cranberrywall.budgets._transfers import Taker
+from cranberrywall.budgets.messages import BudgetQuery
+from cranberrywall.observability import log_event
 from cranberrywall.runtime import Clock
 
 REVIEW_INTERVAL_S = 5.0
+CHECK_TIMEOUT_S = 1.0
+# Below this many requests' bounds, a host's share is too small to be worth holding.
+WORTH_HOLDING = 4.0
+# What comes free within this time is returned in one step.
+SURPLUS_WAIT_S = 0.05
 # The ledger's sums are asked for again after this time, where the budget was used.
 VIEW_AGE_S = 60.0
 # A fast path that runs low asks at most this often.
@@ -24,10 +35,20 @@
 
     def __init__(
         self,
+        host: str,
+        place: str,
+        ledger: LedgerClient,
+        taker: Taker,
         steps: LedgerSteps,
         peers: Peers,
+        entry_hosts: Callable[[], Sequence[EntryHost]],
         clock: Clock,
     ) -> None:
+        self._host = host
+        self._place = place
+        self._entry_hosts = entry_hosts
+        self._ledger = ledger
+        self._taker = taker
         self._steps = steps
         self._peers = peers
         self._clock = clock
@@ -46,8 +67,21 @@
         now = self._clock.now()
         total = allotment.total_demand.rate()
         left = max(0.0, view.left - total * (now - view.at))
-        rates = Rates(allotment.demand.rate(), total, max(1, len(self._peers.alive())))
-        return target(left, rates, allotment.policy.held_back)
+        rates = self._rates(allotment.demand.rate(), total)
+        aim = target(left, rates, allotment.policy.held_back)
+        return aim if aim >= WORTH_HOLDING * allotment.mean_bound else 0
+
+    def _rates(self, own: float, total: float) -> Rates:
+        alive = {peer.host for peer in self._peers.alive()} | {self._host}
+        entry_hosts = [one for one in self._entry_hosts() if one.host in alive]
+        near = [one for one in entry_hosts if one.place == self._place]
+        return Rates(
+            own,
+            total,
+            max(1, len(entry_hosts)),
+            max(1, len(near)),
+            part_in_place(self._host, near),
+        )
 
     def draw_ahead(self, allotment: Allotment) -> None:
         """Begin a draw in the background, unless one was begun a moment ago."""
@@ -67,17 +101,53 @@
         allotment.settled_since_review = 0
         if not allotment.queue.in_reach or allotment.scarce is not None:
             return
+        if not allotment.is_checked:
+            await self._check(allotment)
         view = allotment.view
         used = allotment.used_since_view
         if view is None or (used and now - view.at >= VIEW_AGE_S):
             self.draw_ahead(allotment)
             return
         aim = self.target(allotment)
+        self._watch_surplus(allotment, aim)
         if allotment.booked < LOW_BAND * aim and view.free > 0:
             self.draw_ahead(allotment)
         elif allotment.booked > HIGH_BAND * aim:
             await self._give_back(allotment, allotment.booked - aim)
 
+    def _watch_surplus(self, allotment: Allotment, aim: int) -> None:
+        """Have money that comes free returned at once, where nothing should be held.
+
+        The last of a budget would else lie in parts too small for any request, on as many
+        hosts as there are.
+        """
+        if aim == 0 and allotment.mean_bound > 0.0:
+            allotment.on_surplus = partial(self._return_surplus, allotment)
+        else:
+            allotment.on_surplus = None
+
+    def note_scarce(self, allotment: Allotment) -> None:
+        """Look anew, as the ledger has nothing free, whether anything should be held."""
+        self._watch_surplus(allotment, self.target(allotment))
+
+    def _return_surplus(self, allotment: Allotment) -> None:
+        if allotment.budget in self._drawing or not allotment.queue.in_reach:
+            return
+        task = asyncio.create_task(self._return_all(allotment))
+        self._drawing[allotment.budget] = task
+        task.add_done_callback(lambda _: self._drawing.pop(allotment.budget, None))
+
+    async def _return_all(self, allotment: Allotment) -> None:
+        await self._clock.sleep(SURPLUS_WAIT_S)
+        if allotment.scarce is None and allotment.on_surplus is not None:
+            await self._give_back(allotment, allotment.spendable)
+
+    async def _check(self, allotment: Allotment) -> None:
+        claim = Claim(allotment)
+        answer = await self._ledger.budget(BudgetQuery(allotment.budget), CHECK_TIMEOUT_S)
+        if isinstance(answer, Ok) and claim.take_up(answer.ok_value):
+            self._taker.forget_unanswered(allotment.budget)
+
     def stop(self) -> None:
         """End the draws that are under way; each is repeated by its number later."""
         for task in list(self._drawing.values()):
@@ -95,6 +165,7 @@
                 await queue.lost(answer.err_value)
             return
         allotment.used_since_view = False
+        self._watch_surplus(allotment, self.target(allotment))
         allotment.low = allotment.spendable // 4
         if answer.ok_value.free == 0:
             # Nothing more can be drawn: running low is for the search to handle.
@@ -103,6 +174,4 @@
     async def _give_back(self, allotment: Allotment, amount: int) -> None:
         answer = await self._steps.give_back(allotment, amount)
         if isinstance(answer, Err):
-            logger.info(
-                "event=return_failed budget={} kind={}", allotment.budget, answer.err_value.kind
-            )
+            log_event("INFO", "return_failed", budget=allotment.budget, kind=answer.err_value.kind)
