--- a/cranberrywall/replication/_core.py
+++ b/cranberrywall/replication/_core.py
@@ -66,6 +66,8 @@
         self.durable_index = 0
         self.committed = asyncio.Event()
         self.failure: Refusal | None = None
+        self._writes = 0
+        self._write_began_at = 0.0
         self.on_step_down: Callable[[str], None] = lambda reason: None
         self._storage = storage
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -136,16 +138,29 @@
         """
         if self.failure is not None:
             return Err(self.failure)
+        if self._writes == 0:
+            self._write_began_at = self.clock.now()
+        self._writes += 1
         try:
             done = await self._storage.run_blocking(work)
         except OSError as error:
             remedy = "mend the disk or free space, then restart this host"
             self.fail(Refusal(ErrorKind.STORAGE_FAILED, str(error), "data", remedy))
             return Err(self._failed())
+        finally:
+            # The storage takes one call at a time, so the next one begins now.
+            self._writes -= 1
+            self._write_began_at = self.clock.now()
         if self.failure is not None:
             return Err(self.failure)
         return Ok(done)
 
+    def disk_hangs(self, now: float) -> bool:
+        """Say whether a write has lasted so long that the disk seems to hang."""
+        if self._writes == 0:
+            return False
+        return now - self._write_began_at > self.settings.disk_hangs_s
+
     async def save_vote(
         self, term: int, voted_for: str, lineage: str | None = None
     ) -> Result[None, Refusal]:
--- a/cranberrywall/replication/_group.py
+++ b/cranberrywall/replication/_group.py
@@ -161,7 +161,7 @@
             host=core.host,
             role=str(core.role),
             term=core.term,
-            leader=core.leader,
+            leader=core.leader if core.hears_leader(core.clock.now()) else "",
             disk=core.vote.disk,
             lineage=core.lineage,
             last_index=core.log.last_index,
--- a/cranberrywall/replication/_leadership.py
+++ b/cranberrywall/replication/_leadership.py
@@ -108,6 +108,11 @@
         for peer in self.peer_by_host.values():
             peer.tick(now)
         self._expire(now)
+        if self._core.disk_hangs(now):
+            # Heartbeats need no disk, so a leader whose disk hangs would hold the others
+            # back for as long, while nothing is committed.
+            self._core.step_down("the disk hangs")
+            return
         heard_at = self._majority_of(now, lambda peer: peer.acked_at)
         if abs(now - heard_at) > self._core.settings.election_s:
             # A leader cut off from the majority cannot know of a newer one. It must not
--- a/cranberrywall/replication/_settings.py
+++ b/cranberrywall/replication/_settings.py
@@ -14,7 +14,8 @@
     """Hold a group's times, in seconds, and its sizes.
 
     A follower that hears no leader for ``election_s`` to twice that campaigns, and a
-    leader that hears no majority for ``election_s`` steps down. ``batch_bytes`` bounds
+    leader that hears no majority for ``election_s`` steps down; so does one
+    whose disk has not finished a write for ``disk_hangs_s``. ``batch_bytes`` bounds
     one append, ``chunk_bytes`` one part of a snapshot; ``appends_in_progress`` are sent to
     a follower before it has answered the first of them. A snapshot is due once the log
     since the last one is larger than ``snapshot_bytes`` and than that snapshot. The
@@ -26,6 +27,7 @@
     heartbeat_s: float = 0.25
     election_s: float = 1.0
     tick_s: float = 0.1
+    disk_hangs_s: float = 5.0
     batch_bytes: int = 512 * KIBIBYTE
     chunk_bytes: int = 256 * KIBIBYTE
     command_bytes: int = 8 * MEBIBYTE
--- a/tests/replication/fleet.py
+++ b/tests/replication/fleet.py
@@ -4,7 +4,7 @@
 import json
 import random
 from collections.abc import Callable, Coroutine, Sequence
-from typing import Any
+from typing import Any, TypeVar
 
 from result import Ok, Result
 
@@ -17,6 +17,8 @@
 from tests.fakes.storage import FakeStorage
 from tests.naive.state_machine import NaiveJournal
 
+T = TypeVar("T")
+
 PORT = 7000
 KEY = b"k" * 32
 SMALL = GroupSettings(snapshot_bytes=1024, retained_entries=5, chunk_bytes=256)
@@ -49,6 +51,19 @@
         self._runs.set()
 
 
+class StallingStorage(FakeStorage):
+    """Do nothing while ``stalled``, as a disk that hangs without an error."""
+
+    def __init__(self, random: random.Random) -> None:
+        super().__init__(random)
+        self.goes = asyncio.Event()
+        self.goes.set()
+
+    async def run_blocking(self, work: Callable[[], T]) -> T:
+        await self.goes.wait()
+        return await super().run_blocking(work)
+
+
 class FleetHost:
     """Hold one host: its disk, which outlives restarts, and what runs on it."""
 
@@ -56,7 +71,7 @@
         self.name = name
         self.ip = f"10.0.0.{number}"
         self.address = f"{self.ip}:{PORT}"
-        self.storage = FakeStorage(fleet.random)
+        self.storage = StallingStorage(fleet.random)
         self.clock = HostClock(fleet.clock)
         self.machine: Any = None
         self.group: Replica
@@ -106,13 +121,14 @@
     async def wipe(self) -> Result[None, Refusal]:
         """Come back with an empty disk."""
         await self.kill()
-        self.storage = FakeStorage(self._fleet.random)
+        self.storage = StallingStorage(self._fleet.random)
         return await self.start()
 
     async def _end(self) -> None:
         if not self.is_up:
             return
         self.is_up = False
+        self.storage.goes.set()
         await self.group.stop()
         await self._caller.close()
         await self._server.close()
--- a/tests/replication/test_failures.py
+++ b/tests/replication/test_failures.py
@@ -169,6 +169,30 @@
     run_fleet(test)
 
 
+def test_a_leader_whose_disk_hangs_gives_way():
+    """The leader's disk neither writes nor fails; its process goes on sending heartbeats.
+
+    As long as it leads, no change is committed. It must let another host lead, and take
+    part again when its disk does.
+    """
+
+    async def test(fleet: Fleet) -> None:
+        await fleet.write("before")
+        hung = await fleet.leader()
+        hung.storage.goes.clear()
+        # The followers alone are a majority for the batch that is being written.
+        assert isinstance(await hung.group.propose(b"first", 60.0), Ok)
+        assert isinstance(await hung.group.propose(b"second", 60.0), Err)
+        await fleet.until(lambda: any(host.group.is_leader for host in others(fleet, hung)))
+        await fleet.write("after")
+        hung.storage.goes.set()
+        words = await fleet.read()
+        await fleet.until(lambda: hung.machine.words == words)
+        assert "after" in words
+
+    run_fleet(test)
+
+
 def test_restarts_of_all_hosts_after_hundreds_of_changes():
     """All hosts lose power at once after hundreds of changes, some behind snapshots."""
 
