Hand over before a leader stops in good order

The test waited for an election timeout at each stop before (failed), now the successor campaigns at once, and what is under way is answered first.

--- a/cranberrywall/replication/_election.py
+++ b/cranberrywall/replication/_election.py
@@ -9,7 +9,13 @@
 from cranberrywall.links import Peer
 from cranberrywall.replication._core import Core, Role
 from cranberrywall.replication._rosters import majority, voters
-from cranberrywall.replication.messages import Member, VoteReply, VoteRequest
+from cranberrywall.replication.messages import (
+    HandOverReply,
+    HandOverRequest,
+    Member,
+    VoteReply,
+    VoteRequest,
+)
 
 
 class Elections:
@@ -34,6 +40,22 @@
             core.put_off_campaign(now)
             self._campaign = core.spawn(self._run())
 
+    async def take_over(
+        self, request: HandOverRequest, peer: Peer
+    ) -> Result[HandOverReply, Refusal]:
+        """Campaign at once, as the leader of this term asks."""
+        core = self._core
+        if core.failure is not None:
+            return Err(core.failure)
+        header = request.header
+        is_lawful = header.term == core.term and header.sender == core.leader
+        is_voter = core.member is not None and core.member.voter
+        if core.is_for_another(header) or not is_lawful or not is_voter:
+            return Ok(HandOverReply(False))
+        if self._campaign is None or self._campaign.done():
+            self._campaign = core.spawn(self._run(invited=True))
+        return Ok(HandOverReply(True))
+
     async def answer(self, request: VoteRequest, peer: Peer) -> Result[VoteReply, Refusal]:
         """Answer a candidate."""
         core = self._core
@@ -44,7 +66,7 @@
                 return Ok(VoteReply(core.term, False))
             # While a leader is heard, a candidate is one that was cut off, or was
             # removed; its term would only disturb the others, so it is not taken over.
-            if core.hears_leader(core.clock.now()):
+            if core.hears_leader(core.clock.now()) and not request.invited:
                 return Ok(VoteReply(core.term, False))
             if request.trial:
                 granted = self._may_vote(request) and self._is_as_new(request)
@@ -80,15 +102,15 @@
         log = self._core.log
         return (request.last_term, request.last_index) >= (log.last_term, log.last_index)
 
-    async def _run(self) -> None:
+    async def _run(self, *, invited: bool = False) -> None:
         core = self._core
         term = core.term
         # A trial first: a host that was cut off must not raise the term and so depose
         # a leader that the others still hear, when it comes back.
-        if not await self._collect(term + 1, trial=True):
+        if not invited and not await self._collect(term + 1, trial=True):
             return
         async with core.lock:
-            if core.term != term or core.hears_leader(core.clock.now()):
+            if core.term != term or (core.hears_leader(core.clock.now()) and not invited):
                 return
             core.role = Role.CANDIDATE
             core.leader = ""
@@ -96,7 +118,7 @@
             if isinstance(saved, Err):
                 return
         core.event("election_started")
-        won = await self._collect(term + 1, trial=False)
+        won = await self._collect(term + 1, trial=False, invited=invited)
         async with core.lock:
             if core.term != term + 1 or core.role is not Role.CANDIDATE or core.failure:
                 return
@@ -106,22 +128,25 @@
             core.event("election_won", last_index=core.log.last_index)
             await self._on_won()
 
-    async def _collect(self, term: int, *, trial: bool) -> bool:
+    async def _collect(self, term: int, *, trial: bool, invited: bool = False) -> bool:
         """Ask all voters and return, as soon as it is known, whether a majority agrees."""
         core = self._core
         roster = core.log.roster
         others = [member for member in voters(roster) if member.host != core.host]
         missing = majority(roster) - 1
-        asked = {core.spawn(self._ask(member, term, trial)) for member in others}
+        last_index, last_term = core.log.last_index, core.log.last_term
+        header = core.header("")._replace(term=term)
+        request = VoteRequest(header, trial, invited, last_index, last_term)
+        asked = {core.spawn(self._ask(member, request)) for member in others}
         while missing > 0 and asked:
             done, asked = await asyncio.wait(asked, return_when=asyncio.FIRST_COMPLETED)
             missing -= sum(task.result() for task in done)
         return missing <= 0
 
-    async def _ask(self, member: Member, term: int, trial: bool) -> bool:
+    async def _ask(self, member: Member, request: VoteRequest) -> bool:
         core = self._core
-        header = core.header(member.disk)._replace(term=term)
-        request = VoteRequest(header, trial, core.log.last_index, core.log.last_term)
+        term = request.header.term
+        request = request._replace(header=request.header._replace(to_disk=member.disk))
         timeout = core.settings.election_s
         reply = await core.caller.call(member.address, core.methods.vote, request, timeout)
         if isinstance(reply, Err):
--- a/cranberrywall/replication/_group.py
+++ b/cranberrywall/replication/_group.py
@@ -104,12 +104,14 @@
         return Ok(None)
 
     async def stop(self) -> None:
+        if self._leadership is not None:
+            await self._leadership.hand_over()
         self._core.step_down("this host stops")
         await self._core.stop()
 
     async def propose(self, command: bytes, timeout: float) -> Result[bytes, Refusal]:
         leadership = self._leadership
-        if leadership is None:
+        if leadership is None or leadership.is_leaving:
             return Err(self._not_leading())
         if len(command) > self._core.settings.command_bytes:
             limit = self._core.settings.command_bytes
@@ -203,6 +205,7 @@
         self._server.register(methods.vote, self._whole(self._elections.answer))
         self._server.register(methods.append, self._whole(self._following.append))
         self._server.register(methods.install, self._whole(self._following.install))
+        self._server.register(methods.hand_over, self._whole(self._elections.take_over))
         self._server.register(methods.identify, self._whole(self._formation.answer))
 
     def _whole(
@@ -259,6 +262,8 @@
         core = self._core
         if core.failure is not None:
             return core.failure
+        if self._leadership is not None:
+            return Refusal(ErrorKind.NOT_LEADER, "")
         if core.leader and core.hears_leader(core.clock.now()):
             return Refusal(ErrorKind.NOT_LEADER, core.leader_address())
         remedy = "ask another control host"
--- a/cranberrywall/replication/_leadership.py
+++ b/cranberrywall/replication/_leadership.py
@@ -11,10 +11,12 @@
 from cranberrywall.replication._core import Core
 from cranberrywall.replication._peer import PeerLink
 from cranberrywall.replication._rosters import find_member, majority, voters
-from cranberrywall.replication.messages import Entry, EntryKind, Member
+from cranberrywall.replication.messages import Entry, EntryKind, HandOverRequest, Member
 
 Answer = Result[bytes, Refusal]
 
+_DRAIN_POLL_S = 0.01
+
 _N = TypeVar("_N", int, float)
 
 
@@ -41,6 +43,7 @@
     def __init__(self, core: Core, query: Callable[[bytes], bytes], now: float) -> None:
         self.term = core.term
         self.is_active = True
+        self.is_leaving = False
         self.round = 0
         self.first_index = core.log.last_index + 1
         self.peer_by_host: dict[str, PeerLink] = {}
@@ -119,6 +122,31 @@
             # answer reads from what may be an old state, and its clients must move on.
             self._core.step_down("no majority answers")
 
+    async def hand_over(self) -> None:
+        """Finish what is under way, take nothing new, and let the best follower campaign."""
+        core = self._core
+        self.is_leaving = True
+        deadline = core.clock.now() + core.settings.heartbeat_s
+        while (self._queue or self._proposal_by_index) and core.clock.now() < deadline:
+            await core.clock.sleep(_DRAIN_POLL_S)
+        successor = self._most_advanced_voter(core.clock.now())
+        if successor is None or not self.is_active:
+            return
+        request = HandOverRequest(core.header(successor.member.disk))
+        timeout = core.settings.heartbeat_s
+        address = successor.member.address
+        reply = await core.caller.call(address, core.methods.hand_over, request, timeout)
+        accepted = isinstance(reply, Ok) and reply.ok_value.accepted
+        core.event("hand_over", to=successor.member.host, accepted=accepted)
+
+    def _most_advanced_voter(self, now: float) -> PeerLink | None:
+        peers = [
+            peer
+            for peer in self.peer_by_host.values()
+            if peer.member.voter and peer.answers_at(now)
+        ]
+        return max(peers, key=lambda peer: peer.match_index, default=None)
+
     def end(self, reason: str) -> None:
         """Answer all that waits: what was written may still be committed by another."""
         self.is_active = False
--- a/cranberrywall/replication/messages.py
+++ b/cranberrywall/replication/messages.py
@@ -66,10 +66,15 @@
 
 
 class VoteRequest(NamedTuple):
-    """Ask for a vote in ``header.term``, or, in a ``trial``, whether it would be given."""
+    """Ask for a vote in ``header.term``, or, in a ``trial``, whether it would be given.
+
+    ``invited`` says that the leader asked the candidate to take over, so that a voter need
+    not wait until it has not heard that leader for a while.
+    """
 
     header: Header
     trial: bool
+    invited: bool
     last_index: int
     last_term: int
 
@@ -81,6 +86,18 @@
     granted: bool
 
 
+class HandOverRequest(NamedTuple):
+    """Ask a voter to campaign at once: the leader of ``header.term`` stops."""
+
+    header: Header
+
+
+class HandOverReply(NamedTuple):
+    """Say whether the voter campaigns."""
+
+    accepted: bool
+
+
 class Outcome(StrEnum):
     """Say what a member did with an append or with a part of a snapshot.
 
@@ -167,6 +184,7 @@
     append: Method[AppendRequest, AppendReply]
     install: Method[InstallRequest, InstallReply]
     identify: Method[IdentifyRequest, IdentifyReply]
+    hand_over: Method[HandOverRequest, HandOverReply]
 
 
 def make_methods(group: str) -> GroupMethods:
@@ -176,4 +194,5 @@
         Method(f"replication.{group}.append", AppendRequest, AppendReply),
         Method(f"replication.{group}.install", InstallRequest, InstallReply),
         Method(f"replication.{group}.identify", IdentifyRequest, IdentifyReply),
+        Method(f"replication.{group}.hand_over", HandOverRequest, HandOverReply),
     )
--- a/tests/replication/test_failures.py
+++ b/tests/replication/test_failures.py
@@ -321,7 +321,7 @@
         call = fleet.stranger().call
         reply = (await call(receiver.address, METHODS.append, append, 1.0)).unwrap()
         assert reply.outcome is Outcome.STALE and reply.term == state["term"]
-        vote = VoteRequest(header, False, 10_000, old["term"])
+        vote = VoteRequest(header, False, True, 10_000, old["term"])
         assert not (await call(receiver.address, METHODS.vote, vote, 1.0)).unwrap().granted
         foreign = append._replace(header=header._replace(lineage="other", term=10_000))
         reply = (await call(receiver.address, METHODS.append, foreign, 1.0)).unwrap()
@@ -350,7 +350,7 @@
 
         async def grants(candidate: str) -> bool:
             header = Header(state["lineage"], term, candidate, state["disk"])
-            request = VoteRequest(header, False, 1000, term)
+            request = VoteRequest(header, False, False, 1000, term)
             reply = await fleet.stranger().call(voter.address, METHODS.vote, request, 1.0)
             return reply.unwrap().granted
 
--- a/tests/replication/test_groups.py
+++ b/tests/replication/test_groups.py
@@ -60,3 +60,27 @@
             assert len(names) == 1
 
     run_fleet(test, settings=SMALL._replace(batch_bytes=200))
+
+
+def test_a_leader_that_stops_in_good_order_hands_over_at_once():
+    """An operator restarts the hosts one after the other, as for a new version.
+
+    Without a handover callers would wait for an election timeout at each leader's stop.
+    A command that is under way is answered before the leader goes.
+    """
+
+    async def test(fleet: Fleet) -> None:
+        await fleet.write("before")
+        for _ in range(5):
+            leader = await fleet.leader()
+            under_way = asyncio.ensure_future(leader.group.propose(b"under way", 5.0))
+            await asyncio.sleep(0)
+            stopped_at = fleet.clock.now()
+            await leader.stop()
+            assert isinstance(await under_way, Ok)
+            await fleet.until(lambda: bool(fleet.leaders()))
+            assert fleet.clock.now() - stopped_at < fleet.settings.election_s
+            assert isinstance(await leader.start(), Ok)
+            await fleet.until(lambda: all(host.machine.words for host in fleet.up))
+
+    run_fleet(test)
