--- a/cranberrywall/commands/ctl/_main.py
+++ b/cranberrywall/commands/ctl/_main.py
@@ -17,10 +17,13 @@
     history,
     hosts,
     make_keys,
+    orders,
     plan,
     report,
     rescue,
+    roll_back,
     state,
+    targets,
     top_up,
 )
 from cranberrywall.commands.ctl._session import (
@@ -116,10 +119,13 @@
     history,
     hosts,
     make_keys,
+    orders,
     plan,
     report,
     rescue,
+    roll_back,
     state,
+    targets,
     top_up,
 ):
     main.add_command(module.command)
--- a/cranberrywall/requests/_attempts.py
+++ b/cranberrywall/requests/_attempts.py
@@ -10,10 +10,10 @@
 from typing import NamedTuple, Protocol
 
 import aiohttp
-from loguru import logger
 from result import Err, Ok, Result
 
 from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.observability import log_event
 from cranberrywall.requests._background import Background
 from cranberrywall.requests._engine import (
     EngineCall,
@@ -219,7 +219,10 @@
         finally:
             # Also a cancelled task comes through here: it frees its place and stops
             # the engine, or the engine would generate for nobody.
-            stream.close()
+            if fault is None:
+                self._background.spawn(stream.release())
+            else:
+                stream.close()
             if fault is not None and fault.kind is FaultKind.UNSENT:
                 run.sent = sent_before
             elif fault is not None:
@@ -254,13 +257,14 @@
 
     def _note_fault(self, run: Run, slot: Slot, fault: Fault) -> None:
         self._metrics.faults.labels(str(fault.kind)).inc()
-        logger.warning(
-            "event=attempt_failed request={} target={} fault={} frames={} message={!r}",
-            run.name.request_id,
-            slot.target_id,
-            fault.kind,
-            len(run.frames),
-            fault.message,
+        log_event(
+            "WARNING",
+            "attempt_failed",
+            request=run.name.request_id,
+            target=slot.target_id,
+            fault=fault.kind,
+            frames=len(run.frames),
+            reason=fault.message,
         )
 
 
--- a/tests/budgets/test_closing.py
+++ b/tests/budgets/test_closing.py
@@ -7,11 +7,13 @@
     ChargeOutcome,
     ClosePeriod,
     ClosePeriodResult,
+    Draw,
     ExceptionKind,
     ExceptionsQuery,
     PeriodsQuery,
     PlannedPeriod,
     PlanPeriods,
+    RegisterHolder,
     Rejected,
     ReportQuery,
     ReportResult,
@@ -168,6 +170,23 @@
     assert report(ledger).rows[0].charged == 15
 
 
+def test_a_plan_that_is_taken_back_must_not_split_charges_by_the_months():
+    """A period was planned over a month's end, and has charges on both sides of it.
+
+    Without the plan the month's end would lie between them, and one sum holds both.
+    """
+    ledger = Ledger()
+    ledger.credit(100, at=IN_NOVEMBER)
+    ledger.draw(A1, 1, 50)
+    plan = PlanPeriods((PlannedPeriod("long", NOVEMBER_END + 9 * DAY),), "ann", 0)
+    assert ledger.apply(plan) == Accepted()
+    ledger.charge(A1, "r1", 1, 10, IN_NOVEMBER)
+    ledger.charge(A1, "r2", 2, 5, NOVEMBER_END + 1)
+    assert ledger.apply(plan._replace(periods=())).kind == ErrorKind.CONFLICT
+    assert isinstance(close(ledger, "long", NOVEMBER_END + 9 * DAY), ClosePeriodResult)
+    assert report(ledger, "long").rows[0].charged == 15
+
+
 def test_the_exceptions_of_a_period_are_closed_with_it_and_open_ones_go_on():
     ledger = spent_in_november()
     ledger.draw(B1, 1, 50)
@@ -182,6 +201,17 @@
     assert report(ledger, "2026-11").rows[0].in_doubt == 50
 
 
+def test_a_duplicate_that_is_resent_after_the_closing_is_not_named_again():
+    ledger = spent_in_november()
+    ledger.draw(B1, 1, 50)
+    assert ledger.charge(B1, "r1", 1, 10, IN_NOVEMBER) is ChargeOutcome.DUPLICATE
+    close(ledger, "2026-11", NOVEMBER_END)
+    ledger.restart()
+    assert ledger.charge(B1, "r1", 1, 10, IN_NOVEMBER) is ChargeOutcome.DUPLICATE
+    rows = ledger.ask(ExceptionsQuery("", False, 0.0, 0, 10)).rows
+    assert [row for row in rows if row.number] == []
+
+
 def test_a_report_comes_in_pages_and_by_workspace():
     ledger = Ledger()
     for number in range(25):
@@ -199,6 +229,26 @@
         close(ledger, "2026-11", NOVEMBER_END)
 
 
+def test_no_exception_is_left_out_between_pages():
+    """A host that held a part of every budget dies, and an operator lists the doubts."""
+    ledger = Ledger()
+    for number in range(25):
+        budget = f"b{number:02}"
+        ledger.credit(10, f"c{number}", budget=budget, at=IN_NOVEMBER)
+        ledger.apply(Draw(budget, A1, 1, 5, 1, IN_NOVEMBER))
+    ledger.apply(RegisterHolder(A1._replace(incarnation=2), False, IN_NOVEMBER))
+    named: list[str] = []
+    after = 0
+    while True:
+        page = ledger.ask(ExceptionsQuery("", True, IN_NOVEMBER, after, 10))
+        assert len(page.rows) <= 10
+        named += [row.budget for row in page.rows]
+        after = page.next_after
+        if not after:
+            break
+    assert named == [f"b{number:02}" for number in range(25)]
+
+
 def test_a_top_up_from_before_the_closing_before_last_is_not_credited_again():
     ledger = spent_in_november()
     close(ledger, "2026-11", NOVEMBER_END)
