--- a/cranberrywall/commands/_control_program.py
+++ b/cranberrywall/commands/_control_program.py
@@ -102,6 +102,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._orders.close()
         await self._admin.close()
+        await self._host.hand_over()
         await self._host.stop()
         log_event("INFO", "control_stopped")
 
--- a/cranberrywall/control/_program.py
+++ b/cranberrywall/control/_program.py
@@ -3,6 +3,7 @@
 The program knows nothing of what its groups keep: their state machines are given to it.
 """
 
+import asyncio
 from collections.abc import Mapping
 from typing import Any
 
@@ -134,6 +135,10 @@
         await self.server.start()
         self._is_started = True
 
+    async def hand_over(self) -> None:
+        """Let other hosts lead the groups that this one leads, before it stops."""
+        await asyncio.gather(*(group.hand_over() for group in self.group_by_name.values()))
+
     async def stop(self) -> None:
         """Leave the groups and close the streams."""
         self._is_started = False
--- a/cranberrywall/replication/_group.py
+++ b/cranberrywall/replication/_group.py
@@ -103,9 +103,11 @@
         core.spawn(self._tick_always())
         return Ok(None)
 
-    async def stop(self) -> None:
+    async def hand_over(self) -> None:
         if self._leadership is not None:
             await self._leadership.hand_over()
+
+    async def stop(self) -> None:
         self._core.step_down("this host stops")
         await self._core.stop()
 
--- a/cranberrywall/replication/_interfaces.py
+++ b/cranberrywall/replication/_interfaces.py
@@ -91,6 +91,10 @@
         """Open the files and take part; ``Err`` is ``CORRUPT`` or ``STORAGE_FAILED``."""
         ...
 
+    async def hand_over(self) -> None:
+        """Let another member lead, if this one does: call it before a stop in good order."""
+        ...
+
     async def stop(self) -> None:
         """Take part no more, and close the files."""
         ...
--- a/tests/replication/fleet.py
+++ b/tests/replication/fleet.py
@@ -112,6 +112,7 @@
 
     async def stop(self) -> None:
         """End the process in good order."""
+        await self.group.hand_over()
         await self._end()
 
     async def restart(self) -> Result[None, Refusal]:
@@ -175,7 +176,7 @@
 
     async def stop(self) -> None:
         for host in self.up:
-            await host.stop()
+            await host.kill()
 
     def cut_off(self, name: str) -> None:
         for other in self.by_name.values():
