--- a/cranberrywall/replication/_files.py
+++ b/cranberrywall/replication/_files.py
@@ -47,12 +47,18 @@
     entries: tuple[Entry, ...]
 
 
+class SavedSnapshot(NamedTuple):
+    """Hold a snapshot with its description."""
+
+    info: SnapshotInfo
+    data: bytes
+
+
 class Opened(NamedTuple):
     """Hold what a group's files say; ``torn_bytes`` were cut from the end of the log."""
 
     vote: Vote
-    snapshot: SnapshotInfo | None
-    snapshot_data: bytes
+    snapshot: SavedSnapshot | None
     log: Log
     torn_bytes: int
 
@@ -116,7 +122,7 @@
         try:
             return Ok(work())
         except CorruptError as error:
-            return Err(Refusal(ErrorKind.CORRUPT, str(error), "data", _RESTORE_REMEDY))
+            return Err(_corrupt(str(error)))
         except OSError as error:
             return Err(Refusal(ErrorKind.STORAGE_FAILED, str(error), "data", "mend the disk"))
 
@@ -184,15 +190,16 @@
         # What was appended while the snapshot was written is not behind it.
         self.bytes_since_snapshot = sum(segment.size for segment in self._by_number.values())
 
-    def read_snapshot(self) -> bytes | None:
-        """Return the bytes of the snapshot in force, or ``None`` where they are damaged."""
+    def read_snapshot(self) -> Result[SavedSnapshot | None, Refusal]:
+        """Return the snapshot in force, ``None`` before the first, or ``Err`` ``CORRUPT``."""
         info = self._manifest.snapshot
         if info is None:
-            return None
-        data = self._storage.read(self._snapshot_name(info))
+            return Ok(None)
+        name = self._snapshot_name(info)
+        data = self._storage.read(name)
         if data is None or not matches(info, data):
-            return None
-        return data
+            return Err(_corrupt(f"{name} is missing or damaged"))
+        return Ok(SavedSnapshot(info, data))
 
     def close(self) -> None:
         """Close the segment that is written to."""
@@ -214,11 +221,13 @@
             raise CorruptError(f"{self._name('manifest')} is missing")
         self._manifest = _unseal(sealed_manifest, Manifest, self._name("manifest"))
         self._remove_leftovers()
-        snapshot_data = self._checked_snapshot()
+        snapshot = self.read_snapshot()
+        if isinstance(snapshot, Err):
+            raise CorruptError(snapshot.err_value.message)
         frames, torn_bytes = self._read_segments()
         log = self._make_log(frames)
         self._open_segment(self._current)
-        return Opened(vote, self._manifest.snapshot, snapshot_data, log, torn_bytes)
+        return Opened(vote, snapshot.ok_value, log, torn_bytes)
 
     def _create(self, disk: str) -> Opened:
         # The vote file is written last: without it the folder was never in use, so
@@ -231,16 +240,7 @@
         self._save_manifest(Manifest(None, 1))
         vote = Vote(disk, "", 0, "")
         self.save_vote(vote)
-        return Opened(vote, None, b"", Log(), 0)
-
-    def _checked_snapshot(self) -> bytes:
-        if self._manifest.snapshot is None:
-            return b""
-        data = self.read_snapshot()
-        if data is None:
-            name = self._snapshot_name(self._manifest.snapshot)
-            raise CorruptError(f"{name} is missing or damaged")
-        return data
+        return Opened(vote, None, Log(), 0)
 
     def _make_log(self, frames: Sequence[Frame]) -> Log:
         info = self._manifest.snapshot
@@ -334,6 +334,10 @@
     return len(data) == info.size and xxhash.xxh64_intdigest(data) == info.checksum
 
 
+def _corrupt(message: str) -> Refusal:
+    return Refusal(ErrorKind.CORRUPT, message, "data", _RESTORE_REMEDY)
+
+
 def _bind(work: Callable[[int], None], argument: int) -> Callable[[], None]:
     return lambda: work(argument)
 
--- a/cranberrywall/replication/_group.py
+++ b/cranberrywall/replication/_group.py
@@ -189,9 +189,9 @@
         core.vote = opened.vote
         core.log = opened.log
         if opened.snapshot is not None:
-            core.commit_index = opened.snapshot.last_index
+            core.commit_index = opened.snapshot.info.last_index
             try:
-                self._applier.restore(opened.snapshot.last_index, opened.snapshot_data)
+                self._applier.restore(core.commit_index, opened.snapshot.data)
             except ValueError as error:
                 message = f"the snapshot cannot be read: {error}"
                 remedy = "run the version that wrote it, or empty the group's folder"
--- a/cranberrywall/replication/_peer.py
+++ b/cranberrywall/replication/_peer.py
@@ -6,6 +6,7 @@
 from result import Err
 
 from cranberrywall.replication._core import Core
+from cranberrywall.replication._files import SavedSnapshot
 from cranberrywall.replication.messages import (
     AppendReply,
     AppendRequest,
@@ -47,7 +48,6 @@
         self.acked_at = now
         self.sent_at = float("-inf")
         self.found_disk = ""
-        self.installing = False
         self._core = core
         self._leader = leader
         self._next_index = core.log.last_index + 1
@@ -154,37 +154,43 @@
     async def _install(self) -> None:
         """Send the snapshot in parts, each after the answer to the one before."""
         core = self._core
-        data = await core.write(core.files.read_snapshot)
-        info = core.files.snapshot
-        if isinstance(data, Err) or data.ok_value is None or info is None:
+        read = (await core.write(core.files.read_snapshot)).and_then(lambda found: found)
+        if isinstance(read, Err):
+            core.fail(read.err_value)
             return
+        snapshot = read.ok_value
+        if snapshot is None:
+            return
+        info = snapshot.info
         core.event(
             "snapshot_transfer", peer=self.member.host, index=info.last_index, bytes=info.size
         )
-        self.installing = True
-        offset = 0
-        while self._leader.is_active and not self._closed:
-            part = data.ok_value[offset : offset + core.settings.chunk_bytes]
-            request = InstallRequest(core.header(self.member.disk), info, offset, part)
-            self.sent_at = core.clock.now()
-            sent_at, sent_round = self.sent_at, self._leader.round
-            timeout = 2 * core.settings.election_s
-            reply = await core.caller.call(
-                self.member.address, core.methods.install, request, timeout
-            )
-            if isinstance(reply, Err):
-                break
-            if not await self._followed(reply.ok_value):
-                break
-            self._confirmed(sent_at, sent_round)
-            offset = reply.ok_value.offset
-            if offset >= info.size:
-                self.match_index = max(self.match_index, info.last_index)
-                self._next_index = self.match_index + 1
-                self._leader.progressed()
-                self.wake()
-                break
-        self.installing = False
+        offset: int | None = 0
+        while offset is not None and self._leader.is_active and not self._closed:
+            offset = await self._send_part(snapshot, offset)
+
+    async def _send_part(self, snapshot: SavedSnapshot, offset: int) -> int | None:
+        """Send one part and return where the next one starts; ``None`` ends the transfer."""
+        core, info = self._core, snapshot.info
+        part = snapshot.data[offset : offset + core.settings.chunk_bytes]
+        request = InstallRequest(core.header(self.member.disk), info, offset, part)
+        self.sent_at = core.clock.now()
+        sent_at, sent_round = self.sent_at, self._leader.round
+        timeout = 2 * core.settings.election_s
+        reply = await core.caller.call(self.member.address, core.methods.install, request, timeout)
+        if isinstance(reply, Err) or not await self._followed(reply.ok_value):
+            return None
+        self._confirmed(sent_at, sent_round)
+        wanted = reply.ok_value.offset
+        if wanted >= info.size:
+            self.match_index = max(self.match_index, info.last_index)
+            self._next_index = self.match_index + 1
+            self._leader.progressed()
+            self.wake()
+            return None
+        # A peer that finds the whole damaged on its way wants it from the start. The next
+        # heartbeat begins again, so that a fault cannot make this a busy loop.
+        return wanted if wanted > offset else None
 
     async def _followed(self, reply: "Reply") -> bool:
         """Say whether the peer followed this leader; act on it where it did not."""
--- a/tests/replication/test_failures.py
+++ b/tests/replication/test_failures.py
@@ -231,6 +231,30 @@
     run_fleet(test)
 
 
+def test_a_leader_whose_snapshot_is_damaged_says_so_and_another_sends_its_own():
+    """A byte of the leader's snapshot changes on its disk, and a host needs that snapshot.
+
+    Sent as it is, it would make another state of that host. The leader reports the damage
+    and gives way; the next leader sends its own snapshot.
+    """
+
+    async def test(fleet: Fleet) -> None:
+        away = others(fleet, await fleet.leader())[0]
+        await away.kill()
+        words = [f"word-{number}" for number in range(300)]
+        await fleet.write(*words)
+        leader = await fleet.leader()
+        names = leader.storage.names("groups/ledger-0")
+        (name,) = [name for name in names if name.startswith("snapshot-")]
+        leader.storage.flip(f"groups/ledger-0/{name}", 7)
+        assert isinstance(await away.start(), Ok)
+        await fleet.until(lambda: "corrupt" in leader.group.state()["failure"])
+        await fleet.until(lambda: away.machine.words == words)
+        assert not leader.group.is_leader
+
+    run_fleet(test)
+
+
 def test_wall_clocks_that_jump_change_nothing():
     """The wall clock of all hosts jumps a day ahead and then two days back."""
 
