--- a/tests/replication/fleet.py
+++ b/tests/replication/fleet.py
@@ -165,6 +165,10 @@
         network = self.fabric.network("10.0.0.99")
         return make_caller(network, self.clock, self.random, KEY, Peer("stranger", "place", 1))
 
+    def others(self, host: FleetHost) -> list[FleetHost]:
+        """Return the other hosts that are up."""
+        return [other for other in self.up if other is not host]
+
     def add_host(self, name: str) -> FleetHost:
         host = FleetHost(self, name, len(self.by_name) + 1)
         self.by_name[name] = host
