--- a/cranberrywall/replication/_group.py
+++ b/cranberrywall/replication/_group.py
@@ -108,7 +108,7 @@
             await self._leadership.hand_over()
 
     async def stop(self) -> None:
-        self._core.step_down("this host stops")
+        self._core.step_down("this host stops", "INFO")
         await self._core.stop()
 
     async def propose(self, command: bytes, timeout: float) -> Result[bytes, Refusal]:
