--- a/cranberrywall/replication/_files.py
+++ b/cranberrywall/replication/_files.py
@@ -233,8 +233,9 @@
         # The vote file is written last: without it the folder was never in use, so
         # anything that holds entries has lost its vote and must not be trusted.
         for name in self._storage.names(self._folder):
-            data = self._storage.read(f"{self._folder}/{name}")
-            if name.startswith("log-") and data:
+            is_log = name.startswith("log-")
+            has_entries = is_log and self._storage.read(f"{self._folder}/{name}")
+            if has_entries or name.startswith("snapshot-"):
                 raise CorruptError(f"{self._name('vote')} is missing beside {name}")
         self._open_segment(1)
         self._save_manifest(Manifest(None, 1))
--- a/tests/replication/test_files.py
+++ b/tests/replication/test_files.py
@@ -144,6 +144,16 @@
     storage = written()
     storage.remove(f"groups/g/{name}")
     assert GroupFiles(storage, "g").open("other").unwrap_err().kind is ErrorKind.CORRUPT
+    # Behind a snapshot the log may be empty.
+    storage = written()
+    files = GroupFiles(storage, "g")
+    files.open("other")
+    taken = snapshot(3, 1, b"all")
+    for step in files.write_snapshot(taken, b"all"):
+        step()
+    files.commit_snapshot(taken, forget_log=True)
+    storage.remove(f"groups/g/{name}")
+    assert GroupFiles(storage, "g").open("other").unwrap_err().kind is ErrorKind.CORRUPT
 
 
 def test_a_missing_segment_frame_or_snapshot_is_refused():
