--- a/cranberrywall/replication/_peer.py
+++ b/cranberrywall/replication/_peer.py
@@ -195,7 +195,7 @@
     async def _followed(self, reply: "Reply") -> bool:
         """Say whether the peer followed this leader; act on it where it did not."""
         if reply.outcome is Outcome.OTHER_DISK:
-            self.found_disk = reply.disk
+            self._note_other_disk(reply.disk)
             return False
         self.found_disk = ""
         if reply.outcome is Outcome.STALE:
@@ -203,6 +203,15 @@
             return False
         return True
 
+    def _note_other_disk(self, disk: str) -> None:
+        if self.found_disk != disk:
+            # The same disk is one that belongs to another lineage of the group.
+            is_same = disk == self.member.disk
+            self._core.event(
+                "other_lineage" if is_same else "other_disk", "WARNING", peer=self.member.host
+            )
+        self.found_disk = disk
+
     def _confirmed(self, sent_at: float, sent_round: int) -> None:
         self._has_followed = True
         self.acked_at = sent_at
