--- a/measurements/config_spread.py
+++ b/measurements/config_spread.py
@@ -20,8 +20,8 @@
 from loguru import logger
 
 from cranberrywall.configuration import Edit, Follower, SpreadHost
+from measurements._configuration_fleet import EntryHost, Fleet
 from measurements._figures import report_figures
-from tests.configuration.fleet import EntryHost, Fleet
 from tests.fakes.clock import run_virtual
 from tests.fakes.network import Rule
 from tests.fakes.storage import FakeStorage
--- a/measurements/orders.py
+++ b/measurements/orders.py
@@ -20,9 +20,9 @@
 
 from cranberrywall.orders import Copy
 from measurements._figures import report_figures
+from measurements._orders_world import ControlProcess, Sight, World
 from tests.fakes.clock import run_virtual
 from tests.naive.orders import NaiveController
-from tests.orders.world import ControlProcess, Sight, World
 
 MODELS = ("drafting", "status", "gate")
 HOSTS = ("control-0", "control-1", "control-2")
--- a/tests/configuration/test_spread.py
+++ b/tests/configuration/test_spread.py
@@ -8,8 +8,8 @@
 from cranberrywall.configuration import SpreadTimes
 from cranberrywall.configuration._feed import CONTROL_FEEDS
 from cranberrywall.configuration._neighbours import rank_hosts
+from measurements._configuration_fleet import Fleet, entry_host
 from tests.configuration.documents import place_edit
-from tests.configuration.fleet import Fleet, entry_host
 from tests.fakes.clock import run_virtual
 from tests.fakes.storage import FakeStorage
 
--- a/tests/entry/test_revisions.py
+++ b/tests/entry/test_revisions.py
@@ -6,8 +6,8 @@
 from cranberrywall.configuration import SpreadTimes
 from cranberrywall.entry import LivePeers, carry_revisions
 from cranberrywall.hosts import HostState, HostView, Item, make_static_membership
+from measurements._configuration_fleet import Fleet
 from tests.configuration.documents import place_edit
-from tests.configuration.fleet import Fleet
 from tests.fakes.clock import run_virtual
 
 
--- a/tests/orders/test_controller.py
+++ b/tests/orders/test_controller.py
@@ -8,9 +8,9 @@
 import pytest
 
 from cranberrywall.orders import Copy, Evidence, OrdersClient
+from measurements._orders_world import World
 from tests.fakes.clock import run_virtual
 from tests.fakes.groups import FakeControlClient, FakeGroup
-from tests.orders.world import World
 
 OLD, NEW = Copy("letters", "v1"), Copy("letters", "v2")
 
