--- a/tests/configuration/test_machine.py
+++ b/tests/configuration/test_machine.py
@@ -150,6 +150,8 @@
         (await client.history(limit=500)).unwrap(),
     ) == before
     assert before[0].revision == 400
+    late = (await client.change(place_edit("place-1"), 1, "late", "bor", 2.0)).unwrap_err()
+    assert late.refusal.kind is ErrorKind.CONFLICT
 
 
 async def test_the_weight_store_may_be_set_changed_and_removed(
--- a/tests/orders/test_controller.py
+++ b/tests/orders/test_controller.py
@@ -6,7 +6,9 @@
 from typing import Any
 
 import pytest
+from result import Err
 
+from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.orders import Copy, Evidence, OrdersClient
 from measurements._orders_world import World
 from tests.fakes.clock import run_virtual
@@ -193,6 +195,40 @@
     await world.stop()
 
 
+@in_virtual_time
+async def test_an_order_that_is_committed_many_terms_late_is_never_sent() -> None:
+    """A leader proposes an order, gets no answer, and is deposed; five leaders follow.
+
+    Then the proposal, which had lain in a log, is committed after all. Nobody may send it:
+    its issuer gave it up, and says so when asked.
+    """
+    world = make_world(checks_fencing=False, engines=2)
+    world.start()
+    old = world.elect("control-0")
+    await world.clock.sleep(3.0)
+    kept: list[bytes] = []
+
+    async def lose(command: bytes, timeout: float) -> Any:
+        kept.append(command)
+        return Err(Refusal(ErrorKind.TIMEOUT))
+
+    old.member.propose = lose  # type: ignore[method-assign] # a fault
+    world.add_model("letters", "v2", copies=2)
+    assert await until(world, lambda: bool(kept), 10.0)
+    for number in range(5):
+        old.member.is_leader = False
+        old = world.elect(f"control-{1 + number % 2}")
+        await world.clock.sleep(20.0)
+    assert all(engine.copies == {NEW} for engine in world.engines)
+    world.machine.apply(kept[0])
+    world.add_model("letters", "v3", copies=2)
+    newest = Copy("letters", "v3")
+    assert await until(world, lambda: all(e.copies == {newest} for e in world.engines), 100.0)
+    assert Evidence.UNSENT in evidence(world)
+    assert all(engine.old_after_new() == 0 for engine in world.engines)
+    await world.stop()
+
+
 @in_virtual_time
 async def test_loads_are_paced_over_a_change_of_leaders() -> None:
     world = make_world(checks_fencing=False, engines=8)
