--- a/cranberrywall/commands/ctl/_main.py
+++ b/cranberrywall/commands/ctl/_main.py
@@ -20,8 +20,10 @@
     orders,
     plan,
     report,
+    rescue,
     roll_back,
     state,
+    targets,
     top_up,
 )
 from cranberrywall.commands.ctl._session import (
@@ -120,8 +122,10 @@
     orders,
     plan,
     report,
+    rescue,
     roll_back,
     state,
+    targets,
     top_up,
 ):
     main.add_command(module.command)
--- a/cranberrywall/replication/_files.py
+++ b/cranberrywall/replication/_files.py
@@ -14,6 +14,7 @@
 
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.replication._frames import encode_frame, scan_frames
+from cranberrywall.replication._log import Log
 from cranberrywall.replication._settings import MEBIBYTE
 from cranberrywall.replication.messages import Entry, SnapshotInfo
 from cranberrywall.runtime import AppendFile, Storage
@@ -52,12 +53,12 @@
     vote: Vote
     snapshot: SnapshotInfo | None
     snapshot_data: bytes
-    frames: list[Frame]
+    log: Log
     torn_bytes: int
 
 
 class _Segment(NamedTuple):
-    """Hold the newest index that a segment ever held, and its size in bytes."""
+    """Hold the newest index that counts in a segment, and its size in bytes."""
 
     newest_index: int
     size: int
@@ -102,8 +103,18 @@
         An empty folder is given the identity ``fresh_disk``. ``Err`` is ``CORRUPT``
         where a file is damaged or missing, or ``STORAGE_FAILED``.
         """
+        return self._read(lambda: self._open(fresh_disk))
+
+    def open_existing(self) -> Result[Opened, Refusal]:
+        """Read everything as ``open`` does, but refuse a folder that was never in use."""
+        if self._storage.read(self._name("vote")) is None:
+            message = f"{self._folder} holds no member of the group"
+            return Err(Refusal(ErrorKind.NOT_FOUND, message, "data", "give another data folder"))
+        return self._read(lambda: self._open(""))
+
+    def _read(self, work: Callable[[], Opened]) -> Result[Opened, Refusal]:
         try:
-            return Ok(self._open(fresh_disk))
+            return Ok(work())
         except CorruptError as error:
             return Err(Refusal(ErrorKind.CORRUPT, str(error), "data", _RESTORE_REMEDY))
         except OSError as error:
@@ -119,9 +130,9 @@
         frame = encode_frame(_encoder.encode(Frame(first_index, tuple(entries))))
         self._file.append(frame)
         self._file.sync()
-        newest, size = self._by_number[self._current]
-        last = first_index + len(entries) - 1
-        self._by_number[self._current] = _Segment(max(newest, last), size + len(frame))
+        size = self._by_number[self._current].size + len(frame)
+        self._note_frame(self._current, first_index, len(entries))
+        self._by_number[self._current] = self._by_number[self._current]._replace(size=size)
         self.bytes_since_snapshot += len(frame)
 
     def rotate(self) -> None:
@@ -205,8 +216,9 @@
         self._remove_leftovers()
         snapshot_data = self._checked_snapshot()
         frames, torn_bytes = self._read_segments()
+        log = self._make_log(frames)
         self._open_segment(self._current)
-        return Opened(vote, self._manifest.snapshot, snapshot_data, frames, torn_bytes)
+        return Opened(vote, self._manifest.snapshot, snapshot_data, log, torn_bytes)
 
     def _create(self, disk: str) -> Opened:
         # The vote file is written last: without it the folder was never in use, so
@@ -219,7 +231,7 @@
         self._save_manifest(Manifest(None, 1))
         vote = Vote(disk, "", 0, "")
         self.save_vote(vote)
-        return Opened(vote, None, b"", [], 0)
+        return Opened(vote, None, b"", Log(), 0)
 
     def _checked_snapshot(self) -> bytes:
         if self._manifest.snapshot is None:
@@ -230,6 +242,19 @@
             raise CorruptError(f"{name} is missing or damaged")
         return data
 
+    def _make_log(self, frames: Sequence[Frame]) -> Log:
+        info = self._manifest.snapshot
+        log = Log(info.last_index, info.last_term, info.roster) if info else Log()
+        for frame in frames:
+            if frame.first_index > log.last_index + 1:
+                raise CorruptError(
+                    f"{self._folder} lacks the entries {log.last_index + 1} to "
+                    f"{frame.first_index - 1}"
+                )
+            skipped = max(0, log.base_index + 1 - frame.first_index)
+            log.append(frame.first_index + skipped, frame.entries[skipped:])
+        return log
+
     def _read_segments(self) -> tuple[list[Frame], int]:
         numbers = self._segment_numbers()
         first = self._manifest.first_segment
@@ -253,15 +278,23 @@
             raise CorruptError(f"{name} is damaged at byte {sound_size}, and is not the last")
         if torn_bytes:
             self._storage.truncate(name, sound_size)
-        newest = 0
+        self._by_number[number] = _Segment(0, sound_size)
         for payload in payloads:
             frame = _frame_decoder.decode(payload)
             frames.append(frame)
-            newest = max(newest, frame.first_index + len(frame.entries) - 1)
-        self._by_number[number] = _Segment(newest, sound_size)
+            self._note_frame(number, frame.first_index, len(frame.entries))
         self.bytes_since_snapshot += sound_size
         return torn_bytes
 
+    def _note_frame(self, number: int, first_index: int, count: int) -> None:
+        # Entries from the first index on no longer count in any older segment, so they
+        # must not keep that segment from being removed.
+        for other, segment in self._by_number.items():
+            if segment.newest_index >= first_index:
+                self._by_number[other] = segment._replace(newest_index=first_index - 1)
+        last = first_index + count - 1
+        self._by_number[number] = self._by_number[number]._replace(newest_index=last)
+
     def _remove_leftovers(self) -> None:
         for number in self._segment_numbers():
             if number < self._manifest.first_segment:
