--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -1,7 +1,7 @@
 """Assemble the entry program: configuration, money, targets, callers, operators' HTTP."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from aiohttp import web
@@ -105,7 +105,9 @@
         self._spread = AnnouncementSpread(
             self._me.host, self._targets, self._membership, self._caller, runtime.clock
         )
-        self._reporter = EngineReporter(self._caller, runtime.clock, controls)
+        self._reporter = EngineReporter(
+            self._caller, runtime.clock, controls, lambda: self._waiting_by_model()
+        )
         self._follower.register(self._server)
         self._spread.register(self._server)
         self.on_drain: Callable[[], None] = lambda: None
@@ -114,6 +116,7 @@
         self.state = StateRegistry()
         self._health = HealthChecks()
         self._admin = self._make_admin()
+        self._waiting_by_model: Callable[[], Mapping[str, float]] = dict
         self._stack: CallerStack | None = None
         self._runner: web.AppRunner | None = None
         self._failure = ""
@@ -214,6 +217,7 @@
             self._me.place,
             lambda: max(1, len(self._membership.alive())),
         )
+        self._waiting_by_model = router.waiting_by_model
         callers = self._settings["callers"]
         stack = make_caller_stack(
             self._me.host,
--- a/cranberrywall/routing/_router.py
+++ b/cranberrywall/routing/_router.py
@@ -83,6 +83,14 @@
             self._count(demand.workspace, 1)
         return answer
 
+    def waiting_by_model(self) -> dict[str, float]:
+        """Return how many requests wait here for each model."""
+        return {
+            group.name: float(len(dispatcher.queue))
+            for group, dispatcher in self._dispatcher_by_group.items()
+            if group.kind == "engine" and len(dispatcher.queue)
+        }
+
     def tick(self, now: float) -> None:
         """Refuse waiters past their deadline and serve those who can be served."""
         for dispatcher in self._dispatcher_by_group.values():
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -71,6 +71,21 @@
     assert (await router.acquire(demand(), 1.0)).is_ok()
 
 
+async def test_waiters_are_counted_by_model():
+    router, _, _ = make(announce("a", capacity=1))
+    slot = (await router.acquire(demand(), 0.0)).unwrap()
+    assert router.waiting_by_model() == {}
+    waiters = [asyncio.create_task(router.acquire(demand(), 0.0)) for _ in range(2)]
+    await settle()
+    assert router.waiting_by_model() == {demand().name: 2.0}
+    slot.finish(ANSWERED, 1.0)
+    await settle()
+    assert router.waiting_by_model() == {demand().name: 1.0}
+    for waiter in waiters:
+        waiter.cancel()
+    await settle()
+
+
 async def test_a_waiter_is_refused_at_its_deadline():
     router, _, clock = make(announce("a", capacity=1))
     await router.acquire(demand(), 0.0)
