Bound what a refused change keeps

A conflict's answer held whole deltas, up to 20 whole documents, and 1,024 such answers were kept: that could fill a control host's memory. An answer now shows 100 edits and 100 problems at most, and 256 refused answers are kept.

--- a/cranberrywall/configuration/_answers.py
+++ b/cranberrywall/configuration/_answers.py
@@ -11,7 +11,7 @@
 moved its sections past the revision it was based on, so it gets a conflict.
 """
 
-REFUSED_LIMIT = 1_024
+REFUSED_LIMIT = 256
 """Refused changes whose answers are kept; such a change left nothing behind."""
 
 
--- a/cranberrywall/configuration/_machine.py
+++ b/cranberrywall/configuration/_machine.py
@@ -40,6 +40,16 @@
 CONFLICT_DELTAS_LIMIT = 20
 """A conflict's answer shows this many of the newest changes at most."""
 
+CONFLICT_EDITS_LIMIT = 100
+"""A conflict's answer shows this many edits of those changes at most, newest changes first.
+
+Refused answers are kept: without a bound, some whole documents in each could fill the
+memory. ``GetDeltas`` returns all.
+"""
+
+PROBLEMS_LIMIT = 100
+"""A refusal lists this many problems of a document at most."""
+
 
 class ConfigurationMachine(StateMachine, Protocol):
     """Replicate the configuration, and let the spread read this host's copy."""
@@ -203,7 +213,7 @@
                 ErrorKind.BAD_REQUEST,
                 f"the document would have {len(problems)} problems; the first is {problems[0]}",
                 self._revision,
-                problems=tuple(problems),
+                problems=tuple(problems[:PROBLEMS_LIMIT]),
             )
         return self._commit(command, edits, after)
 
@@ -216,7 +226,7 @@
         ]
         if not newer:
             return None
-        since = self._records.touching(newer, based_on, CONFLICT_DELTAS_LIMIT)
+        since = _shorten(self._records.touching(newer, based_on, CONFLICT_DELTAS_LIMIT))
         return ChangeRefused(
             ErrorKind.CONFLICT,
             _conflict_message(based_on, newer, since),
@@ -273,6 +283,16 @@
     return xxhash.xxh64(msgspec.msgpack.encode(command._replace(at=0.0))).intdigest()
 
 
+def _shorten(deltas: tuple[Delta, ...]) -> tuple[Delta, ...]:
+    """Cut edits off the older deltas, so that at most ``CONFLICT_EDITS_LIMIT`` remain."""
+    left = CONFLICT_EDITS_LIMIT
+    shortened: list[Delta] = []
+    for delta in reversed(deltas):
+        shortened.append(delta._replace(edits=delta.edits[:left]))
+        left -= len(shortened[-1].edits)
+    return tuple(reversed(shortened))
+
+
 def _conflict_message(based_on: int, sections: list[str], since: tuple[Delta, ...]) -> str:
     changes = ", ".join(
         f"revision {delta.revision.number} by {delta.revision.operator}" for delta in since
--- a/cranberrywall/configuration/messages.py
+++ b/cranberrywall/configuration/messages.py
@@ -72,7 +72,8 @@
     """Answer a change that was refused and changed nothing; ``kind`` is an ``ErrorKind``.
 
     ``since`` lists, for a conflict, what changed in the change's sections after
-    ``based_on``, with by whom; ``problems`` lists, for a bad document, what is wrong.
+    ``based_on``, with by whom; of large changes the first edits only. ``problems`` lists,
+    for a bad document, what is wrong.
     """
 
     kind: str
--- a/tests/configuration/test_machine.py
+++ b/tests/configuration/test_machine.py
@@ -52,6 +52,19 @@
     assert (await client.change(place_edit("domzale"), 2, "c", "bor", 3.0)).unwrap().number == 3
 
 
+async def test_a_conflict_with_a_large_change_shows_a_bounded_part(
+    client: ConfigurationClient,
+) -> None:
+    many = tuple(Edit("places", f"p{number}", {"region": "x"}) for number in range(500))
+    await client.change(many, 1, "many", "ana", 2.0)
+    await client.change(place_edit("kranj"), 2, "one", "cilka", 3.0)
+    since = (await client.change(place_edit("x"), 1, "b", "bor", 4.0)).unwrap_err().since
+    assert [(delta.revision.operator, len(delta.edits)) for delta in since] == [
+        ("ana", 99),
+        ("cilka", 1),
+    ]
+
+
 async def test_changes_to_different_sections_do_not_clash(client: ConfigurationClient) -> None:
     budget = (Edit("budgets", "letters", {"unit": "tokens"}),)
     assert isinstance(await client.change(place_edit("kranj"), 1, "a", "ana", 2.0), Ok)
