Do not let silent neighbours hold the next revision up

With a third of 24 hosts silent and several changes a second, each change reached the others after 0.9 s: a host told its neighbours of the next revision only once its calls to the silent ones had timed out. Now each neighbour is told by a task of its own. Test seen to fail before.

--- a/cranberrywall/configuration/_feed.py
+++ b/cranberrywall/configuration/_feed.py
@@ -34,6 +34,9 @@
 CONTROL_FEEDS = 3
 """Entry hosts that each control host notifies of a new revision."""
 
+ROUNDS_LIMIT = 16
+"""Rounds of notices that a control host has in progress at most; the next one waits."""
+
 CONTROL_TRIES = 12
 """Entry hosts that a control host calls at most to find those that answer."""
 
@@ -90,6 +93,9 @@
         self._is_control = is_control
         self._on_heard = on_heard
         self._new = asyncio.Event()
+        self._telling: set[str] = set()
+        self._rounds = 0
+        self._is_round_due = False
         self._revision_by_links: dict[str, int] = {}
         self.heard = 0
         source.watch(lambda revision: self._new.set())
@@ -101,13 +107,19 @@
 
     async def run(self) -> None:
         """Notify of each new revision, until cancelled."""
-        while True:
-            await self._new.wait()
-            self._new.clear()
-            if self._is_control:
-                await self._notify_some()
-            else:
-                await self._notify_neighbours()
+        async with asyncio.TaskGroup() as tasks:
+            while True:
+                await self._new.wait()
+                self._new.clear()
+                # Nobody is waited for here: a silent neighbour would keep the others from
+                # the next revision until its call times out, and so at every hop.
+                if not self._is_control:
+                    for links in self._neighbours_behind():
+                        tasks.create_task(self._tell(links))
+                elif self._rounds < ROUNDS_LIMIT:
+                    tasks.create_task(self._notify_some())
+                else:
+                    self._is_round_due = True
 
     def note(self, heard: Heard) -> None:
         """Remember what a peer has, so that it is told nothing it knows."""
@@ -135,19 +147,30 @@
         self.note(Heard(reply.revision, links))
         return True
 
-    async def _notify_neighbours(self) -> None:
-        revision = self._source.revision
-        behind = [
+    def _neighbours_behind(self) -> list[str]:
+        return [
             host.links
             for host in self.neighbours()
-            if self._revision_by_links.get(host.links, 0) < revision
+            if host.links not in self._telling and self._is_behind(host.links)
         ]
-        await asyncio.gather(*(self.notify(links) for links in behind))
+
+    def _is_behind(self, links: str) -> bool:
+        return self._revision_by_links.get(links, 0) < self._source.revision
+
+    async def _tell(self, links: str) -> None:
+        """Notify one neighbour, and again while newer revisions come meanwhile."""
+        self._telling.add(links)
+        told = -1
+        while told < self._source.revision and self._is_behind(links):
+            told = self._source.revision
+            await self.notify(links)
+        self._telling.discard(links)
 
     async def _notify_some(self) -> None:
         # The document also names hosts that are down. Were a control host to stop at its
         # first few, an accepted revision could stay on the control hosts; so it goes on
         # to others until enough have answered.
+        self._rounds += 1
         answered = 0
         ranked = rank_hosts(self._me, self._peers.alive())[:CONTROL_TRIES]
         for start in range(0, len(ranked), CONTROL_FEEDS):
@@ -155,7 +178,11 @@
             answers = await asyncio.gather(*(self.notify(host.links) for host in batch))
             answered += sum(answers)
             if answered >= CONTROL_FEEDS:
-                return
+                break
+        self._rounds -= 1
+        if self._is_round_due:
+            self._is_round_due = False
+            self._new.set()
 
     async def _answer_notice(self, notice: Notice, peer: Peer) -> Result[NoticeReply, Refusal]:
         self.note(Heard(notice.revision, notice.links))
--- a/tests/configuration/test_spread.py
+++ b/tests/configuration/test_spread.py
@@ -126,6 +126,27 @@
     await fleet.stop()
 
 
+@in_virtual_time
+async def test_silent_hosts_do_not_hold_the_others_up() -> None:
+    """A third of the hosts is lost: everybody has neighbours who answer nothing any more.
+
+    Changes go on coming, several a second. A host that waited for the silent ones before
+    it told the others of the next change would make each of them late.
+    """
+    fleet = Fleet(24, places=4, times=SpreadTimes(heartbeat=1e6, control_poll=1e6))
+    await fleet.start()
+    silent = fleet.entries[::3]
+    everyone = CONTROL_IPS + [ip(number) for number in range(24)]
+    for entry in silent:
+        cut_off(fleet, entry.me.links.partition(":")[0], everyone)
+    fleet.entries = [entry for entry in fleet.entries if entry not in silent]
+    for number in range(20):
+        revision = await fleet.commit(place_edit("moving", f"region-{number}"))
+        await fleet.until_everywhere(revision, limit=0.2)
+    fleet.entries += silent
+    await fleet.stop()
+
+
 @in_virtual_time
 async def test_a_diskless_host_restarting_beside_a_stale_peer() -> None:
     """A diskless host crashes and comes back; the first peer to answer is far behind.
