--- a/cranberrywall/budgets/_bounds.py
+++ b/cranberrywall/budgets/_bounds.py
@@ -12,6 +12,8 @@
 import math
 from typing import NamedTuple, Protocol
 
+from cranberrywall.observability import log_event
+
 # So many requests of a model are bounded by their bytes before a ratio is believed.
 PROVEN_AFTER = 1000
 # A chat template wraps each message in about this many tokens of its own.
