Count a draw or a return once where two tasks wait for its answer

Found by reading, seen failing first: a draw ahead and a shortage could both send one draw, and both added its grant (590 held where the ledger booked 200). The ledger would have set the overspent charges aside as unfunded. Also: a return whose answer was lost is sent again by the review (found by the differential test, 300 examples as a trial).

--- a/cranberrywall/budgets/_ledger_steps.py
+++ b/cranberrywall/budgets/_ledger_steps.py
@@ -30,10 +30,9 @@
         self, allotment: Allotment, amount: int, minimum: int
     ) -> Result[DrawResult, Refusal]:
         """Draw ``amount``, or at least ``minimum``; the grant is added to the allotment."""
-        if allotment.pending_draw is not None:
-            resent = await self._send_draw(allotment, allotment.pending_draw)
-            if isinstance(resent, Err):
-                return resent
+        finished = await self.finish(allotment)
+        if isinstance(finished, Err):
+            return Err(finished.err_value)
         draw = Draw(
             allotment.budget,
             allotment.queue.holder,
@@ -44,10 +43,25 @@
         )
         return await self._send_draw(allotment, draw)
 
+    async def finish(self, allotment: Allotment) -> Result[None, Refusal]:
+        """Send again what was not answered; until then its money is of use to nobody."""
+        if allotment.pending_return is not None:
+            returned = await self._send_return(allotment, allotment.pending_return)
+            if isinstance(returned, Err) and out_of_reach(returned.err_value):
+                return returned
+        if allotment.pending_draw is not None:
+            drawn = await self._send_draw(allotment, allotment.pending_draw)
+            if isinstance(drawn, Err) and out_of_reach(drawn.err_value):
+                return Err(drawn.err_value)
+        return Ok(None)
+
     async def _send_draw(self, allotment: Allotment, draw: Draw) -> Result[DrawResult, Refusal]:
         allotment.pending_draw = draw
         self.sent += 1
         answer = await self._ledger.draw(draw, STEP_TIMEOUT_S)
+        if allotment.pending_draw is not draw:
+            # Another task sent it as well and got the same answer: it is counted once.
+            return answer
         if isinstance(answer, Err):
             if not out_of_reach(answer.err_value):
                 allotment.pending_draw = None
@@ -69,10 +83,9 @@
 
     async def give_back(self, allotment: Allotment, amount: int) -> Result[int, Refusal]:
         """Return up to ``amount`` of what is spendable; gives what was returned."""
-        if allotment.pending_return is not None:
-            resent = await self._send_return(allotment, allotment.pending_return)
-            if isinstance(resent, Err):
-                return Err(resent.err_value)
+        finished = await self.finish(allotment)
+        if isinstance(finished, Err):
+            return Err(finished.err_value)
         taken = allotment.take(amount)
         if taken == 0:
             return Ok(0)
@@ -92,6 +105,8 @@
         allotment.pending_return = step
         self.sent += 1
         answer = await self._ledger.give_back(step, STEP_TIMEOUT_S)
+        if allotment.pending_return is not step:
+            return answer.map(lambda _: None)
         if isinstance(answer, Err):
             if not out_of_reach(answer.err_value):
                 # The ledger refused it and changed nothing: the money is still held here.
--- a/cranberrywall/budgets/_review.py
+++ b/cranberrywall/budgets/_review.py
@@ -101,6 +101,8 @@
         allotment.settled_since_review = 0
         if not allotment.queue.in_reach or allotment.scarce is not None:
             return
+        if isinstance(await self._steps.finish(allotment), Err):
+            return
         if not allotment.is_checked:
             await self._check(allotment)
         view = allotment.view
