Pass targets' announcements on through membership in the entry program

Cause: the entry program sent every renewal of every target to every other entry host by a call each, so a host's cost grew with hosts times targets; the routing package had the way through membership's bounded messages already, and its measurement (leaving) ran over it. Change: the program uses routing's TargetSpread; entry's own spread is gone.

--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -24,7 +24,6 @@
 )
 from cranberrywall.control import make_control_client
 from cranberrywall.entry import (
-    AnnouncementSpread,
     CallerStack,
     ConfiguredHosts,
     ConfiguredPolicies,
@@ -59,7 +58,7 @@
     make_metrics,
 )
 from cranberrywall.orders import EngineReporter
-from cranberrywall.routing import make_router
+from cranberrywall.routing import make_router, make_target_spread
 from cranberrywall.runtime import Runtime, split_address
 from cranberrywall.settings import (
     FleetKeys,
@@ -79,6 +78,8 @@
 """A draining host without an arrival for so long is no longer used by any caller."""
 
 LOAD_EVERY_S = 1.0
+
+EXPIRE_EVERY_S = 1.0
 BUSY_REQUESTS = 1000
 """Requests in progress at which a host says that it is fully loaded."""
 
@@ -102,14 +103,11 @@
         self._follower = self._make_follower(controls)
         self._allotments: HostAllotments | None = None
         self._targets = make_targets()
-        self._spread = AnnouncementSpread(
-            self._me.host, self._targets, self._membership, self._caller, runtime.clock
-        )
+        self._spread = make_target_spread(self._targets, self._membership.spread, runtime.clock)
         self._reporter = EngineReporter(
             self._caller, runtime.clock, controls, lambda: self._waiting_by_model()
         )
         self._follower.register(self._server)
-        self._spread.register(self._server)
         self.on_drain: Callable[[], None] = lambda: None
         register_drain(self._server, self._me.incarnation, lambda: self.on_drain())
         self._metrics = make_metrics()
@@ -179,7 +177,7 @@
         await self._membership.start()
         revision = await self._follower.join()
         self._tasks.append(asyncio.create_task(self._follower.run()))
-        self._tasks.append(asyncio.create_task(self._spread.expire()))
+        self._tasks.append(asyncio.create_task(self._expire_targets()))
         self._tasks.append(asyncio.create_task(self._reporter.run()))
         # Which group keeps a budget follows from the number of groups in the document. A
         # number of this host's own would send its draws to groups that never heard of the
@@ -193,9 +191,9 @@
             log_event("ERROR", "allotments_not_started", refusal=started.err_value)
             return
         self._allotments = allotments
-        targets = await self._spread.fetch()
         await self._serve(allotments, ledger)
         http = self._settings["listen"]["http"]
+        targets = len(self._targets.by_id)
         log_event("INFO", "entry_ready", revision=revision, targets=targets, http=http)
 
     async def _hand_money_back(self) -> None:
@@ -251,6 +249,12 @@
         self._runner = runner
         self._tasks.append(asyncio.create_task(self._report_load(stack)))
 
+    async def _expire_targets(self) -> None:
+        clock = self._runtime.clock
+        while True:
+            await clock.sleep(EXPIRE_EVERY_S)
+            self._spread.expire(clock.now())
+
     async def _report_load(self, stack: CallerStack) -> None:
         while True:
             self._membership.set_load(min(1.0, stack.running / BUSY_REQUESTS))
--- a/cranberrywall/entry/__init__.py
+++ b/cranberrywall/entry/__init__.py
@@ -1,12 +1,10 @@
 """Assemble the entry program."""
 
-from cranberrywall.entry._announcements import AnnouncementSpread
 from cranberrywall.entry._configured import ConfiguredHosts, ConfiguredPolicies
 from cranberrywall.entry._revisions import LivePeers, carry_revisions
 from cranberrywall.entry._stack import CallerStack, StackLinks, make_caller_stack
 
 __all__ = [
-    "AnnouncementSpread",
     "CallerStack",
     "ConfiguredHosts",
     "ConfiguredPolicies",
