--- a/cranberrywall/commands/_console_program.py
+++ b/cranberrywall/commands/_console_program.py
@@ -78,8 +78,10 @@
     parts = ConsoleParts(control, caller, runtime.clock, runtime.storage)
     server = make_console_server(parts, settings["listen"]["http"])
     state = _make_state(settings, caller)
+    metrics = make_metrics()
+    counters.export(metrics)
     admin = make_admin_server(
-        settings["listen"]["admin"], make_metrics(), state, HealthChecks(), keys.admin
+        settings["listen"]["admin"], metrics, state, HealthChecks(), keys.admin
     )
     return ConsoleProgram(server, caller, admin, state)
 
--- a/measurements/node_cost.py
+++ b/measurements/node_cost.py
@@ -7,16 +7,20 @@
 
 - ``cpu_percent_per_host``, ``bytes_per_s_per_host``: slopes by entry hosts (bytes out)
 - ``cpu_percent_per_target``, ``bytes_per_s_per_target``, ``memory_per_target_bytes``: by targets
+- ``control_*_per_host``, ``control_*_per_target``: the same slopes at the control host, to
+  which each entry host reports its targets (bytes in)
+- ``console_*``: the console, while nobody visits it
+- ``renewal_bytes``: one renewal, as it is passed on from host to host
 - ``announcements_per_s``: those that a host takes at first hand with the most targets
-- ``known_least``, ``known_after``: targets that the host with the fewest knows, at the end of
-  the measured time and 10 s later, of ``targets`` in all
+- ``known_of_N``: targets that the host with the fewest knows, of N, some 20 s after the last
+  of them began to announce itself
 """
 
 import asyncio
 import os
 import tempfile
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import NamedTuple
 
@@ -35,6 +39,9 @@
     wait_for_targets,
     write_fleet,
 )
+from cranberrywall.hosts import Item
+from cranberrywall.hosts._spread import size_of
+from cranberrywall.targets import TARGETS_CODEC, Announcement, Load
 from measurements._figures import Figure, report_figures
 from measurements._process_usage import (
     Usage,
@@ -55,14 +62,17 @@
 KEEP_S = 10.0
 PATIENCE_S = 30.0
 MODEL = "drafting-llm"
+CONTROL = "control-1"
+CONSOLE = "console-1"
 
 
 class Step(NamedTuple):
-    """Hold the mean usage a second of the entry hosts, with ``hosts`` and ``targets``."""
+    """Hold the entry hosts' mean usage a second, and the control host's."""
 
     hosts: int
     targets: int
     usage: Usage
+    control: Usage
 
 
 class SimulatedTargets:
@@ -72,6 +82,8 @@
         self._files = files
         self._session = session
         self._place = str(files.document["hosts"]["entry-1"]["place"])
+        # Targets of another version would be given orders that they cannot carry out.
+        self._version = str(files.document["models"][MODEL]["version"])
         self._urls: list[str] = []
         self._tasks: list[asyncio.Task[None]] = []
         self.failures = 0
@@ -105,7 +117,7 @@
                 "name": MODEL,
                 "place": self._place,
                 "url": f"http://127.0.{NET}.200:{10_000 + number}",
-                "versions": ["v1"],
+                "versions": [self._version],
                 "adapters": [],
                 "capacity": 16,
                 "checks_fencing": True,
@@ -138,7 +150,7 @@
 
     async def start_control(self, client: FleetClient) -> None:
         """Start the control host and give it the document."""
-        await self.processes.start(["control-1"])
+        await self.processes.start([CONTROL])
         await client.commit(self._files.document, PATIENCE_S)
 
     async def measure(self, hosts: int, targets: int, seconds: float) -> Step:
@@ -154,7 +166,16 @@
         await asyncio.sleep(seconds)
         after = await self._usages()
         used = [usage_per_second(*pair, seconds) for pair in zip(before, after, strict=True)]
-        return Step(hosts, targets, mean_usage(used))
+        return Step(hosts, targets, mean_usage(used[1:]), used[0])
+
+    async def measure_console(self, seconds: float) -> Usage:
+        """Start the console and return what it uses a second while nobody visits it."""
+        await self.processes.start([CONSOLE])
+        await asyncio.sleep(SETTLE_S)
+        before = await read_usage(self._session, self._admin(CONSOLE))
+        await asyncio.sleep(seconds)
+        after = await read_usage(self._session, self._admin(CONSOLE))
+        return usage_per_second(before, after, seconds)
 
     async def known_least(self) -> int:
         """Return how many targets the host that knows the fewest knows."""
@@ -162,7 +183,9 @@
         return min(len(state["targets"]) for state in states)
 
     async def _usages(self) -> list[Usage]:
-        return [await read_usage(self._session, self._admin(host)) for host in self._entries]
+        return [
+            await read_usage(self._session, self._admin(host)) for host in (CONTROL, *self._entries)
+        ]
 
     def _admin(self, host: str) -> str:
         return self._files.by_host[host].listen["admin"]
@@ -178,7 +201,7 @@
 
 
 async def _measure(folder: Path, seconds: float) -> None:
-    size = FleetSize(1, max(HOST_COUNTS), 0)
+    size = FleetSize(1, max(HOST_COUNTS), 1)
     files = write_fleet(folder / "fleet", read_deployment(SAVINGS_BOARD), size, NET)
     client = make_fleet_client(files)
     connector = aiohttp.TCPConnector(limit=0)
@@ -197,36 +220,67 @@
     few_targets, most_hosts = min(TARGET_COUNTS), max(HOST_COUNTS)
     by_hosts = [await run.measure(hosts, few_targets, seconds) for hosts in HOST_COUNTS]
     await wait_for_targets(files, few_targets, PATIENCE_S)
-    more = [await run.measure(most_hosts, targets, seconds) for targets in TARGET_COUNTS[1:]]
+    more: list[Step] = []
+    known_by_count: dict[str, Figure] = {}
+    for targets in TARGET_COUNTS[1:]:
+        more.append(await run.measure(most_hosts, targets, seconds))
+        await asyncio.sleep(KEEP_S)
+        known_by_count[f"known_of_{targets}"] = await run.known_least()
     by_targets = [by_hosts[-1], *more]
-    known_least = await run.known_least()
-    await asyncio.sleep(KEEP_S)
-    known_after = await run.known_least()
+    console = await run.measure_console(seconds)
     for step in (*by_hosts, *more):
         print(f"{step.hosts} hosts, {step.targets} targets: {describe_usage(step.usage)}")
-    cpu = fit_line([(step.hosts, step.usage.cpu_s) for step in by_hosts])
-    sent = fit_line([(step.hosts, step.usage.bytes_out) for step in by_hosts])
-    target_cpu = fit_line([(step.targets, step.usage.cpu_s) for step in by_targets])
-    target_sent = fit_line([(step.targets, step.usage.bytes_out) for step in by_targets])
-    memory = fit_line([(step.targets, step.usage.memory_bytes) for step in by_targets])
+        print(f"  control host: {describe_usage(step.control)}")
     return {
         "hosts": most_hosts,
         "targets": max(TARGET_COUNTS),
         "cpu_percent": by_hosts[-1].usage.cpu_s * 100,
         "bytes_per_s": by_hosts[-1].usage.bytes_out,
         "memory_bytes": by_hosts[-1].usage.memory_bytes,
-        "cpu_percent_per_host": cpu.slope * 100,
-        "bytes_per_s_per_host": sent.slope,
-        "cpu_percent_per_target": target_cpu.slope * 100,
-        "bytes_per_s_per_target": target_sent.slope,
-        "memory_per_target_bytes": memory.slope,
+        **_slopes("host", [(step.hosts, step) for step in by_hosts]),
+        **_slopes("target", [(step.targets, step) for step in by_targets]),
+        "console_cpu_percent": console.cpu_s * 100,
+        "console_memory_bytes": console.memory_bytes,
+        "console_bytes_per_s": console.bytes_out,
+        "renewal_bytes": renewal_bytes(),
         "announcements_per_s": max(TARGET_COUNTS) / RENEW_EVERY_S / most_hosts,
         "failed_announcements": run.targets.failures,
-        "known_least": known_least,
-        "known_after": known_after,
+        **known_by_count,
         "load_average": os.getloadavg()[0],
     }
 
 
+def _slopes(by: str, steps: Sequence[tuple[float, Step]]) -> dict[str, Figure]:
+    def slope(read: Callable[[Step], float]) -> float:
+        return fit_line([(size, read(step)) for size, step in steps]).slope
+
+    return {
+        f"cpu_percent_per_{by}": slope(lambda step: step.usage.cpu_s * 100),
+        f"bytes_per_s_per_{by}": slope(lambda step: step.usage.bytes_out),
+        f"memory_per_{by}_bytes": slope(lambda step: step.usage.memory_bytes),
+        f"control_cpu_percent_per_{by}": slope(lambda step: step.control.cpu_s * 100),
+        f"control_bytes_per_s_per_{by}": slope(lambda step: step.control.bytes_in),
+    }
+
+
+def renewal_bytes() -> int:
+    """Return the size of one renewal as it is passed on, without cache events."""
+    announcement = Announcement(
+        target="engine-1",
+        incarnation=1_793_000_000_000,
+        counter=1_000,
+        kind="engine",
+        name=MODEL,
+        place="town-hall",
+        url=f"http://127.0.{NET}.200:10000",
+        capacity=16,
+        versions=("v1",),
+        checks_fencing=True,
+        load=Load(3, 0, 1_793_000_000.5),
+    )
+    payload = TARGETS_CODEC.encode(announcement)
+    return size_of(Item("target-renewal", announcement.target, (1, 0, 1), payload))
+
+
 if __name__ == "__main__":
     main()
