--- a/cranberrywall/replication/_peer.py
+++ b/cranberrywall/replication/_peer.py
@@ -206,10 +206,10 @@
     def _note_other_disk(self, disk: str) -> None:
         if self.found_disk != disk:
             # The same disk is one that belongs to another lineage of the group.
-            is_same = disk == self.member.disk
-            self._core.event(
-                "other_lineage" if is_same else "other_disk", "WARNING", peer=self.member.host
-            )
+            if disk == self.member.disk:
+                self._core.event("other_lineage", "WARNING", peer=self.member.host)
+            else:
+                self._core.event("other_disk", "WARNING", peer=self.member.host)
         self.found_disk = disk
 
     def _confirmed(self, sent_at: float, sent_round: int) -> None:
