--- a/tests/naive/orders.py
+++ b/tests/naive/orders.py
@@ -42,7 +42,7 @@
             have = [engine for engine in engines if new in engine.copies]
             self._load(engines, new, wanted - len(have), now)
             for engine in engines:
-                for copy in engine.copies:
+                for copy in sorted(engine.copies):
                     is_old = copy.model == name and copy != new and have
                     if is_old or (copy == new and engine in have[wanted:]):
                         self._send(engine, Action("unload", *copy), now)
@@ -61,7 +61,7 @@
         held = [
             (demand.get(copy.model, 0.0), engine.target, engine, copy)
             for engine in engines
-            for copy in engine.copies
+            for copy in sorted(engine.copies)
             if copy.model != wanted.model and wanted not in engine.copies
         ]
         if held:
