--- a/cranberrywall/hosts/_membership.py
+++ b/cranberrywall/hosts/_membership.py
@@ -20,7 +20,7 @@
 from cranberrywall.hosts._interfaces import HostState, HostView, LiveMembership, Spread
 from cranberrywall.hosts._pace import Pace
 from cranberrywall.hosts._prober import Prober
-from cranberrywall.hosts._ring import Ring
+from cranberrywall.hosts._ring import Rings
 from cranberrywall.hosts._roster import Roster
 from cranberrywall.hosts._spread import Contact, Spreading
 from cranberrywall.hosts._sync import Syncing
@@ -231,8 +231,10 @@
         return [seed for seed in self._seeds if seed not in in_touch]
 
     def _publish_load(self, now: float) -> None:
+        shortest = self._roster.size_of_own_place() / self._pace.load_items_per_s
+        longest = max(self._pace.load_period, shortest)
         changed = abs(self._load - self._published_load) >= self._pace.load_step
-        if changed or now - self._load_at >= self._pace.load_period:
+        if now - self._load_at >= (shortest if changed else longest):
             self._load_at = now
             self._load_number += 1
             self._published_load = self._load
@@ -246,7 +248,7 @@
     def _publish_place_load(self) -> None:
         """Tell other places the mean load of this one, where it falls to this host."""
         here = [view for view in self.alive() if view.place == self._place]
-        if self._host not in Ring(view.host for view in here).delegates()[:1]:
+        if self._host not in Rings(view.host for view in here).delegates()[:1]:
             return
         mean = sum(view.load for view in here) / len(here)
         held = self._table.get(PLACE_LOAD_TOPIC, self._place)
--- a/cranberrywall/hosts/_pace.py
+++ b/cranberrywall/hosts/_pace.py
@@ -12,7 +12,9 @@
     within ``probe_timeout`` is followed by probes through ``helpers`` other hosts. A suspect
     is taken for dead after ``suspicion``, and forgotten ``forget_after`` later.
     ``piggyback_bytes`` bounds the items in one probe, ``push_bytes_per_s`` what is pushed at
-    once, on average, with ``push_burst_bytes`` at most saved up.
+    once, on average, with ``push_burst_bytes`` at most saved up. A host publishes its load
+    every ``load_period``, and sooner after a change of ``load_step``, but all hosts of a
+    place together no more than ``load_items_per_s``.
     """
 
     period: float = 0.5
@@ -29,6 +31,7 @@
     push_burst_bytes: float = 256_000.0
     load_period: float = 10.0
     load_step: float = 0.1
+    load_items_per_s: float = 4.0
     flaps: int = 3
     flap_window: float = 60.0
     flap_hold: float = 5.0
--- a/cranberrywall/hosts/_prober.py
+++ b/cranberrywall/hosts/_prober.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
-from typing import TypeVar
 
 from result import Ok
 
@@ -16,8 +15,6 @@
 from cranberrywall.links import Caller
 from cranberrywall.runtime import Clock, Random
 
-T = TypeVar("T")
-
 _FROZEN_FACTOR = 2.0
 
 
@@ -43,8 +40,7 @@
         self._random = random
         self._pace = pace
         self._on_answer = on_answer
-        self._near_round: list[str] = []
-        self._far_round: list[str] = []
+        self._probed_at: dict[str, float] = {}
         self._under_way: set[str] = set()
         self.probes = 0
         self.failures = 0
@@ -53,16 +49,21 @@
     def next_targets(self) -> list[Entry]:
         """Return the next neighbour in this place and, for a delegate, the next beyond.
 
-        Each round takes every neighbour once, in a new order: so each is probed within a
-        known time, and no two hosts keep probing the same one at the same moments.
+        It is the one that has waited longest, so that each is probed at even times: in a new
+        order for each round, one could wait for almost two rounds.
         """
         own_place = self._roster.own.record.place
-        near: list[Entry] = []
-        far: list[Entry] = []
-        for entry in self._roster.neighbours():
-            (near if entry.record.place == own_place else far).append(entry)
-        targets = (self._next(self._near_round, near), self._next(self._far_round, far))
-        return [entry for entry in targets if entry and entry.host not in self._under_way]
+        neighbours = self._roster.neighbours()
+        self._probed_at = {
+            entry.host: self._probed_at.get(entry.host) or -self._random.random()
+            for entry in neighbours
+        }
+        near = [entry for entry in neighbours if entry.record.place == own_place]
+        far = [entry for entry in neighbours if entry.record.place != own_place]
+        targets = [self._longest_waiting(group) for group in (near, far) if group]
+        for target in targets:
+            self._probed_at[target.host] = self._clock.now()
+        return [entry for entry in targets if entry.host not in self._under_way]
 
     async def probe(self, entry: Entry) -> None:
         """Probe one host, and suspect it where neither it nor a helper answers."""
@@ -127,17 +128,10 @@
         self._shuffle(willing)
         return willing[: self._pace.helpers]
 
-    def _next(self, order: list[str], group: Sequence[Entry]) -> Entry | None:
-        by_host = {entry.host: entry for entry in group}
-        while order:
-            host = order.pop()
-            if host in by_host:
-                return by_host[host]
-        order += by_host
-        self._shuffle(order)
-        return by_host[order.pop()] if order else None
-
-    def _shuffle(self, items: list[T]) -> None:
+    def _longest_waiting(self, group: Sequence[Entry]) -> Entry:
+        return min(group, key=lambda entry: self._probed_at[entry.host])
+
+    def _shuffle(self, items: list[Entry]) -> None:
         for last in range(len(items) - 1, 0, -1):
             other = self._random.randrange(0, last + 1)
             items[last], items[other] = items[other], items[last]
--- a/cranberrywall/hosts/_roster.py
+++ b/cranberrywall/hosts/_roster.py
@@ -17,7 +17,7 @@
 )
 from cranberrywall.hosts._interfaces import HostState, HostView
 from cranberrywall.hosts._pace import Pace
-from cranberrywall.hosts._ring import Ring
+from cranberrywall.hosts._ring import Rings
 from cranberrywall.hosts._table import Table
 from cranberrywall.hosts.messages import Item
 
@@ -36,7 +36,7 @@
         self._dead_since: dict[str, float] = {}
         self._falls_by_host: dict[str, deque[float]] = {}
         # The hosts that are not dead, by place.
-        self._ring_by_place: dict[str, Ring] = {own.record.place: Ring([own.host])}
+        self._rings_by_place: dict[str, Rings] = {own.record.place: Rings([own.host])}
         self._neighbours: list[str] | None = None
         self._cut_places: frozenset[str] | None = None
         self.is_superseded = False
@@ -64,7 +64,7 @@
             return self._answer_for_own(entry)
         before = self._entry_by_host.get(entry.host)
         self._entry_by_host[entry.host] = entry
-        self._place_on_ring(before, entry)
+        self._place_on_rings(before, entry)
         self._cut_places = None
         if before is None or before.state is not entry.state:
             self.transitions[entry.state] += 1
@@ -122,9 +122,13 @@
             self._neighbours = self._choose_neighbours()
         return [self._entry_by_host[host] for host in self._neighbours]
 
+    def size_of_own_place(self) -> int:
+        """Return the number of hosts in this host's place that are not dead."""
+        return len(self._rings_by_place[self.own.record.place])
+
     def is_delegate(self) -> bool:
         """Say whether this host talks with other places for its own."""
-        return self.own.host in self._ring_by_place[self.own.record.place].delegates()
+        return self.own.host in self._rings_by_place[self.own.record.place].delegates()
 
     def former_neighbours(self) -> Sequence[Entry]:
         """Return dead hosts that would be neighbours, to try whether they are back.
@@ -134,9 +138,9 @@
         dead = {host for host in self._dead_since if not self._entry_by_host[host].version.leaving}
         own_place = self.own.record.place
         here = {host for host in dead if self._entry_by_host[host].record.place == own_place}
-        tried = Ring({self.own.host, *here}).neighbours(self.own.host)
+        tried = Rings({self.own.host, *here}).neighbours(self.own.host)
         if self.is_delegate():
-            tried += Ring({self.own.host, *dead - here}).neighbours(self.own.host)
+            tried += Rings({self.own.host, *dead - here}).neighbours(self.own.host)
         return [self._entry_by_host[host] for host in tried]
 
     def cut_places(self) -> frozenset[str]:
@@ -148,8 +152,8 @@
         if self._cut_places is None:
             self._cut_places = frozenset(
                 place
-                for place, ring in self._ring_by_place.items()
-                if place != self.own.record.place and self._all_suspect(ring.delegates())
+                for place, rings in self._rings_by_place.items()
+                if place != self.own.record.place and self._all_suspect(rings.delegates())
             )
         return self._cut_places
 
@@ -236,30 +240,30 @@
         return self.own
 
     def _choose_neighbours(self) -> list[str]:
-        chosen = self._ring_by_place[self.own.record.place].neighbours(self.own.host)
+        chosen = self._rings_by_place[self.own.record.place].neighbours(self.own.host)
         if self.is_delegate():
-            rings = self._ring_by_place.values()
-            speakers = Ring(host for ring in rings for host in ring.delegates())
+            rings = self._rings_by_place.values()
+            speakers = Rings(host for one in rings for host in one.delegates())
             chosen += [host for host in speakers.neighbours(self.own.host) if host not in chosen]
         return chosen
 
-    def _place_on_ring(self, before: Entry | None, entry: Entry) -> None:
+    def _place_on_rings(self, before: Entry | None, entry: Entry) -> None:
         was_present = before is not None and before.state is not HostState.DEAD
         is_present = entry.state is not HostState.DEAD
         if before is not None and was_present:
             if is_present and before.record.place == entry.record.place:
                 return
-            self._take_off_ring(before)
+            self._take_off_rings(before)
         if is_present:
-            self._ring_by_place.setdefault(entry.record.place, Ring()).add(entry.host)
+            self._rings_by_place.setdefault(entry.record.place, Rings()).add(entry.host)
         self._neighbours = None
 
-    def _take_off_ring(self, entry: Entry) -> None:
+    def _take_off_rings(self, entry: Entry) -> None:
         place = entry.record.place
-        ring = self._ring_by_place[place]
-        ring.remove(entry.host)
-        if not len(ring):
-            del self._ring_by_place[place]
+        rings = self._rings_by_place[place]
+        rings.remove(entry.host)
+        if not len(rings):
+            del self._rings_by_place[place]
 
     def _all_suspect(self, hosts: Sequence[str]) -> bool:
         return all(self._entry_by_host[host].state is HostState.SUSPECT for host in hosts)
--- a/cranberrywall/hosts/_spread.py
+++ b/cranberrywall/hosts/_spread.py
@@ -10,9 +10,11 @@
 from cranberrywall.links import Caller
 from cranberrywall.runtime import Clock
 
-_SENDS = 4
-"""How often an item goes out with a probe: passed on four times by each host that gets it,
-news misses about one host in fifty, and the digests find those."""
+_SENDS_BY_URGENCY = {Urgency.URGENT: 1, Urgency.NORMAL: 4, Urgency.VOLATILE: 3}
+"""How often an item goes out with a probe from each host that gets it. Passed on four times,
+news misses about one host in fifty, three times one in twenty; the digests find those that
+miss lasting items. Urgent items are pushed besides."""
+_HELD_BACK_SENDS = 4
 _ITEM_OVERHEAD_BYTES = 24
 _PUSH_TIMEOUT_S = 2.0
 _PUSH_ITEMS = 500
@@ -98,9 +100,7 @@
                 if pending is not None and pending.item.version == item.version:
                     pending.known_by.add(source)
                 continue
-            sends_by_key = self._sends_by_urgency[item.urgency]
-            sends_by_key.pop(key, None)
-            sends_by_key[key] = _SENDS
+            self._queue(item, _SENDS_BY_URGENCY[item.urgency])
             if item.urgency is Urgency.URGENT:
                 self._urgent[key] = _Pending(item, {source})
                 self._push_soon()
@@ -150,6 +150,13 @@
         for task in self._tasks:
             task.cancel()
 
+    def _queue(self, item: Item, sends: int) -> None:
+        sends_by_key = self._sends_by_urgency[item.urgency]
+        key = (item.topic, item.key)
+        # The newest goes first, so that an item that is queued again moves to the end.
+        sends_by_key.pop(key, None)
+        sends_by_key[key] = sends
+
     def _push_soon(self) -> None:
         if self._push_waits:
             return
@@ -176,6 +183,8 @@
                 # Without the bound, a host that flaps quickly would make all others push
                 # without end. What is not pushed still goes out with the probes.
                 self.delayed_pushes += 1
+                for item in items:
+                    self._queue(item, _HELD_BACK_SENDS)
                 continue
             self.pushed_bytes += cost
             self._start(self.push_to(contact, items))
