--- a/tests/hosts/fleet.py
+++ b/tests/hosts/fleet.py
@@ -3,8 +3,10 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable, Iterable, Iterator
+from typing import Any
 
-from cranberrywall.hosts import HostState, LiveMembership, Pace, make_membership
+from cranberrywall.hosts import HostState, Item, LiveMembership, Pace, make_membership
+from cranberrywall.hosts._entries import Entry, HostRecord, HostVersion
 from cranberrywall.links import LinkCaller, LinkServer, Peer, make_caller, make_link_server
 from tests.fakes.clock import VirtualClock, run_virtual
 from tests.fakes.network import FakeFabric, Rule
@@ -26,6 +28,11 @@
         self.server: LinkServer
         self.caller: LinkCaller
 
+    def first_item(self) -> Item:
+        """Return what the host says of itself at its first start."""
+        record = HostRecord(self.place, self.links, f"{self.ip}:80")
+        return Entry(self.name, record, HostVersion(1, 0, 1, 0)).item()
+
 
 class Fleet:
     """Start, crash and cut hosts, and ask what they believe."""
@@ -55,6 +62,17 @@
         """Start all hosts at once."""
         await asyncio.gather(*map(self.start, self.host_by_name.values()))
 
+    async def start_warm(self) -> None:
+        """Start all hosts as after a long run: each knows all others from the beginning."""
+        self.seeds = []
+        items = [host.first_item() for host in self]
+        for host in self:
+            await self.start(host)
+            membership: Any = host.membership
+            for item in items:
+                membership._table.put(item, self.clock.now())
+                membership._roster.take(item, self.clock.now())
+
     async def start(self, host: Host, incarnation: int | None = None) -> None:
         host.incarnation = incarnation or host.incarnation + 1
         identity = Peer(host.name, host.place, host.incarnation)
