--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable, Sequence
 from functools import partial
 
-from loguru import logger
 from result import Err, Ok, Result
 
 from cranberrywall.budgets._allotment import Allotment, Numbers
@@ -41,6 +40,7 @@
 from cranberrywall.budgets.messages import Holder, Transfer
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller, Peer, Server
+from cranberrywall.observability import log_event
 from cranberrywall.runtime import Runtime
 
 # An allotment that was not used for this long is returned and forgotten.
@@ -107,17 +107,21 @@
         self._store = MirrorStore(
             ledger, keeper if isinstance(keeper, Journal) else None, self._clock
         )
-        self._giver = Giver(keeper, self._clock)
-        self._reviewer = Reviewer(self._steps, peers, self._clock)
+        self._giver = Giver(ledger, keeper, self._clock)
+        taker = Taker(caller, keeper, self._store.is_ended, self._clock, runtime.random)
+        self._reviewer = Reviewer(
+            holder.host, place, ledger, taker, self._steps, peers, entry_hosts, self._clock
+        )
         self._tools = Tools(
             holder.host,
             place,
             ledger,
             self._steps,
-            Taker(caller, keeper, self._store.is_ended, self._clock, runtime.random),
+            taker,
             peers,
             self._clock,
             self._reviewer.wanted,
+            self._reviewer.note_scarce,
         )
         self._tasks: list[asyncio.Task[None]] = []
         server.register(TAKE, self._give)
@@ -209,7 +213,8 @@
     def _shortage(self, allotment: Allotment) -> Shortage:
         shortage = self._shortage_by_budget.get(allotment.budget)
         if shortage is None:
-            shortage = Shortage(allotment, self._tools)
+            over = partial(self._shortage_by_budget.pop, allotment.budget, None)
+            shortage = Shortage(allotment, self._tools, over)
             self._shortage_by_budget[allotment.budget] = shortage
         return shortage
 
@@ -226,11 +231,12 @@
             kept = mine[0] if mine else Kept(checkpoint.holder, (), ())
             resume(checkpoint, of_group(kept, queue.group, self._ledger), queue, self._allotment)
             queue.successor = self._holder
-            logger.info(
-                "event=resumed_from_journal group={} incarnation={} budgets={}",
-                checkpoint.group,
-                checkpoint.holder.incarnation,
-                len(checkpoint.rows),
+            log_event(
+                "INFO",
+                "resumed_from_journal",
+                group=checkpoint.group,
+                incarnation=checkpoint.holder.incarnation,
+                budgets=len(checkpoint.rows),
             )
 
     def _is_mine(self, kept: Kept) -> bool:
@@ -268,7 +274,7 @@
             return Err(Refusal(ErrorKind.FORBIDDEN, "names another host", "taker"))
         allotment = self._by_budget.get(request.budget)
         if allotment is None:
-            return Ok(TakeReply(self._holder, None, 0, 0))
+            return Ok(TakeReply(self._holder, None, False, 0, 0))
         return await self._giver.give(request, allotment)
 
     async def _deliver(self, request: DeliverRequest, peer: Peer) -> Result[DeliverReply, Refusal]:
--- a/cranberrywall/budgets/_scarcity.py
+++ b/cranberrywall/budgets/_scarcity.py
@@ -9,18 +9,19 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
-from loguru import logger
 from result import Err, Ok, Result
 
 from cranberrywall.budgets._allotment import Allotment
 from cranberrywall.budgets._charges import out_of_reach
+from cranberrywall.budgets._claims import Claim
 from cranberrywall.budgets._client import LedgerClient
 from cranberrywall.budgets._interfaces import PeerHost, Peers, ReserveRequest
 from cranberrywall.budgets._ledger_steps import STEP_TIMEOUT_S, LedgerSteps
 from cranberrywall.budgets._reservation import HeldReservation
 from cranberrywall.budgets._transfers import Taker, nearest_first
-from cranberrywall.budgets.messages import BudgetQuery, Holder
+from cranberrywall.budgets.messages import BudgetQuery, BudgetResult, Holder
 from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.observability import log_event
 from cranberrywall.runtime import Clock
 
 # The most hosts that one round asks while the ledger cannot name those that hold money.
@@ -44,6 +45,7 @@
     peers: Peers
     clock: Clock
     wanted: Callable[[Allotment], int]
+    is_scarce: Callable[[Allotment], None]
 
 
 class _Waiter:
@@ -68,10 +70,15 @@
 
 
 class Shortage:
-    """Serve the requests in line for one allotment, in rounds of one task."""
+    """Serve the requests in line for one allotment, in rounds of one task.
 
-    def __init__(self, allotment: Allotment, tools: Tools) -> None:
+    ``on_over`` is called as a round leaves nobody in line that it could not serve: the
+    object need not be kept until the next shortage.
+    """
+
+    def __init__(self, allotment: Allotment, tools: Tools, on_over: Callable[[], object]) -> None:
         self._allotment = allotment
+        self._on_over = on_over
         self._tools = tools
         self._waiters: list[_Waiter] = []
         self._task: asyncio.Task[None] | None = None
@@ -143,12 +150,18 @@
                 await self._round()
         finally:
             self._allotment.scarce = None
+            if not self._waiters and self._pause_s == 0.0:
+                self._on_over()
 
     async def _round(self) -> None:
         present = list(self._waiters)
+        was_in_reach = self._allotment.queue.in_reach
         found = await self._search()
         self.serve()
-        self._decide(present, found)
+        if found.free is not None or not was_in_reach:
+            # A ledger that was lost in this very round may only have changed its leader:
+            # it is asked once more before anybody is refused.
+            self._decide(present, found)
         served = all(_was_served(waiter) for waiter in present)
         longer = min(PAUSE_MOST_S, max(PAUSE_FIRST_S, self._pause_s * 2.0))
         self._pause_s = 0.0 if served else longer
@@ -160,12 +173,18 @@
             await self._tools.clock.sleep(wait)
 
     async def _search(self) -> _Found:
+        if self._pause_s > 0.0 and await self._is_spent():
+            return _Found(0, 0)
         is_first = self._allotment.view is None
         free = await self._draw()
         self.serve()
         if is_first and free:
             # Only the first answer tells how much there is to hold a share of.
             await self._draw_share()
+        if not self._waiters:
+            return _Found(free, 0)
+        await self._tools.taker.ask_again(self._tools.peers.alive(), self._allotment)
+        self.serve()
         if not self._waiters:
             return _Found(free, 0)
         if free is None:
@@ -185,11 +204,21 @@
         if out_of_reach(refusal):
             await self._allotment.queue.lost(refusal)
             return None
-        logger.info("event=draw_refused budget={} kind={}", allotment.budget, refusal.kind)
+        log_event("INFO", "draw_refused", budget=allotment.budget, kind=refusal.kind)
         # A budget that was never credited has nothing. Any other refusal says nothing of
         # the money, as where this holder was succeeded while it was cut off.
         return 0 if refusal.kind is ErrorKind.NOT_FOUND else None
 
+    async def _is_spent(self) -> bool:
+        """Ask, by one read, whether all that is left anywhere covers nobody in line."""
+        query = BudgetQuery(self._allotment.budget)
+        answer = await self._tools.ledger.budget(query, STEP_TIMEOUT_S)
+        return isinstance(answer, Ok) and self._shortfall() > self._elsewhere(answer.ok_value)
+
+    def _elsewhere(self, sums: BudgetResult) -> int:
+        """Return what is free, held by others, or granted to us without our knowing yet."""
+        return sums.free + sums.outstanding - self._allotment.booked
+
     async def _draw_share(self) -> None:
         wanted = self._tools.wanted(self._allotment)
         if wanted > 0:
@@ -211,18 +240,25 @@
         """Take from the holders that the ledger names, the largest first."""
         tools = self._tools
         query = BudgetQuery(self._allotment.budget)
+        claim = Claim(self._allotment)
         answer = await tools.ledger.budget(query, STEP_TIMEOUT_S)
         if isinstance(answer, Err):
             if out_of_reach(answer.err_value):
                 return _Found(None, 0)
             return _Found(free, 0)
         peer_by_host = {peer.host: peer for peer in tools.peers.alive()}
+        tools.is_scarce(self._allotment)
+        if claim.take_up(answer.ok_value):
+            tools.taker.forget_unanswered(self._allotment.budget)
+            self.serve()
         unreached = 0
         free = answer.ok_value.free
         others = [
             held for held in answer.ok_value.held if held.holder != self._allotment.queue.holder
         ]
-        if 0 < free < self._shortfall() <= free + sum(held.outstanding for held in others):
+        if self._shortfall() > self._elsewhere(answer.ok_value):
+            return _Found(free, 0)
+        if 0 < free < self._shortfall():
             await self._tools.steps.draw(self._allotment, free, 1)
             free = 0
         for held in sorted(others, key=lambda held: -held.outstanding):
--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -1,7 +1,7 @@
 """Assemble the entry program: configuration, money, targets, callers, operators' HTTP."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from aiohttp import web
@@ -24,11 +24,12 @@
 )
 from cranberrywall.control import make_control_client
 from cranberrywall.entry import (
-    AnnouncementSpread,
     CallerStack,
     ConfiguredHosts,
     ConfiguredPolicies,
+    LivePeers,
     StackLinks,
+    carry_revisions,
     make_caller_stack,
 )
 from cranberrywall.hosts import (
@@ -56,7 +57,8 @@
     make_admin_server,
     make_metrics,
 )
-from cranberrywall.routing import make_router
+from cranberrywall.orders import EngineReporter
+from cranberrywall.routing import make_router, make_target_spread
 from cranberrywall.runtime import Runtime, split_address
 from cranberrywall.settings import (
     FleetKeys,
@@ -76,6 +78,8 @@
 """A draining host without an arrival for so long is no longer used by any caller."""
 
 LOAD_EVERY_S = 1.0
+
+EXPIRE_EVERY_S = 1.0
 BUSY_REQUESTS = 1000
 """Requests in progress at which a host says that it is fully loaded."""
 
@@ -99,17 +103,18 @@
         self._follower = self._make_follower(controls)
         self._allotments: HostAllotments | None = None
         self._targets = make_targets()
-        self._spread = AnnouncementSpread(
-            self._me.host, self._targets, self._membership, self._caller, runtime.clock
+        self._spread = make_target_spread(self._targets, self._membership.spread, runtime.clock)
+        self._reporter = EngineReporter(
+            self._caller, runtime.clock, controls, lambda: self._waiting_by_model()
         )
         self._follower.register(self._server)
-        self._spread.register(self._server)
         self.on_drain: Callable[[], None] = lambda: None
         register_drain(self._server, self._me.incarnation, lambda: self.on_drain())
         self._metrics = make_metrics()
         self.state = StateRegistry()
         self._health = HealthChecks()
         self._admin = self._make_admin()
+        self._waiting_by_model: Callable[[], Mapping[str, float]] = dict
         self._stack: CallerStack | None = None
         self._runner: web.AppRunner | None = None
         self._failure = ""
@@ -172,7 +177,8 @@
         await self._membership.start()
         revision = await self._follower.join()
         self._tasks.append(asyncio.create_task(self._follower.run()))
-        self._tasks.append(asyncio.create_task(self._spread.expire()))
+        self._tasks.append(asyncio.create_task(self._expire_targets()))
+        self._tasks.append(asyncio.create_task(self._reporter.run()))
         # Which group keeps a budget follows from the number of groups in the document. A
         # number of this host's own would send its draws to groups that never heard of the
         # budget, and every request would be refused for want of money that is there.
@@ -186,7 +192,9 @@
             return
         self._allotments = allotments
         await self._serve(allotments, ledger)
-        log_event("INFO", "entry_ready", revision=revision, http=self._settings["listen"]["http"])
+        http = self._settings["listen"]["http"]
+        targets = len(self._targets.by_id)
+        log_event("INFO", "entry_ready", revision=revision, targets=targets, http=http)
 
     async def _hand_money_back(self) -> None:
         if self._allotments is None:
@@ -207,6 +215,7 @@
             self._me.place,
             lambda: max(1, len(self._membership.alive())),
         )
+        self._waiting_by_model = router.waiting_by_model
         callers = self._settings["callers"]
         stack = make_caller_stack(
             self._me.host,
@@ -219,7 +228,7 @@
             router,
             runtime.clock,
             runtime.random,
-            metrics_registry=self._metrics.registry,
+            metrics=self._metrics,
             links=StackLinks(self._settings["listen"]["links"], self._caller, self._server),
             caller_limits=CallerLimits(
                 bodies=BodyLimits(most_bytes=size_in_bytes(callers["body"])),
@@ -227,9 +236,7 @@
             ),
         )
         stack.app.add_routes(
-            make_announce_routes(
-                self._targets, self._keys.target, runtime.clock, self._spread.publish
-            )
+            make_announce_routes(self._targets, self._keys.target, runtime.clock, self._publish)
         )
         # A handler whose caller has gone is cancelled, which frees its place in the queue.
         runner = web.AppRunner(
@@ -242,11 +249,21 @@
         self._runner = runner
         self._tasks.append(asyncio.create_task(self._report_load(stack)))
 
+    async def _expire_targets(self) -> None:
+        clock = self._runtime.clock
+        while True:
+            await clock.sleep(EXPIRE_EVERY_S)
+            self._spread.expire(clock.now())
+
     async def _report_load(self, stack: CallerStack) -> None:
         while True:
             self._membership.set_load(min(1.0, stack.running / BUSY_REQUESTS))
             await self._runtime.clock.sleep(LOAD_EVERY_S)
 
+    def _publish(self, announcement: Announcement) -> None:
+        self._spread.publish(announcement)
+        self._reporter.note(announcement)
+
     def _make_server(self) -> LinkServer:
         return make_link_server(
             self._runtime.network,
@@ -303,15 +320,17 @@
 
     def _make_follower(self, controls: list[str]) -> Follower:
         me = SpreadHost(self._me.host, self._me.place, self._settings["listen"]["links"])
-        return make_follower(
+        follower = make_follower(
             me,
             self._configuration,
-            self._hosts,
+            LivePeers(self._me.host, self._membership, self._hosts),
             controls,
             self._caller,
             self._runtime.clock,
             self._runtime.random,
         )
+        carry_revisions(self._membership.spread, self._configuration, follower, me.links)
+        return follower
 
     def _make_allotments(self, ledger: LedgerClient) -> HostAllotments:
         return make_allotments(
@@ -343,7 +362,7 @@
         return "this host is draining" if self._is_draining else None
 
     def _register_state(self) -> None:
-        self.state.register("host", lambda: {"host": self._me.host, "place": self._me.place})
+        self.state.register("host", self._me._asdict)
         self.state.register("configuration", self._follower.state)
         self.state.register("membership", self._membership.state)
         self.state.register("requests", self._requests_state)
--- a/cranberrywall/replication/_group.py
+++ b/cranberrywall/replication/_group.py
@@ -17,14 +17,14 @@
 from cranberrywall.replication._formation import Formation
 from cranberrywall.replication._interfaces import GroupState, Replica, StateMachine
 from cranberrywall.replication._leadership import Leadership
-from cranberrywall.replication._log import Log
-from cranberrywall.replication._rosters import EMPTY_ROSTER, describe
+from cranberrywall.replication._rosters import describe
 from cranberrywall.replication._settings import GroupSettings
 from cranberrywall.replication.checks import MemberView, Step, list_steps
 from cranberrywall.replication.messages import EntryKind, make_methods
 from cranberrywall.runtime import Runtime
 
-_DISK_BITS = 128
+_DISK_BITS = 64
+_MICROSECONDS = 1_000_000
 
 
 def make_group(
@@ -88,13 +88,12 @@
 
     async def start(self) -> Result[None, Refusal]:
         core = self._core
-        fresh_disk = f"{core.random.getrandbits(_DISK_BITS):032x}"
-        read = await core.write(lambda: core.files.open(fresh_disk))
-        opened = read.and_then(lambda found: found)
-        if isinstance(opened, Err):
-            core.fail(opened.err_value)
-            return Err(opened.err_value)
-        self._load(opened.ok_value)
+        disk = self._draw_disk()
+        read = await core.write(lambda: core.files.open(disk))
+        loaded = read.and_then(lambda opened: opened.and_then(self._load))
+        if isinstance(loaded, Err):
+            core.fail(loaded.err_value)
+            return loaded
         core.put_off_campaign(core.clock.now())
         if len(core.log.roster.members) == 1:
             core.campaign_at = core.clock.now()
@@ -104,13 +103,17 @@
         core.spawn(self._tick_always())
         return Ok(None)
 
+    async def hand_over(self) -> None:
+        if self._leadership is not None:
+            await self._leadership.hand_over()
+
     async def stop(self) -> None:
-        self._core.step_down("this host stops")
+        self._core.step_down("this host stops", "INFO")
         await self._core.stop()
 
     async def propose(self, command: bytes, timeout: float) -> Result[bytes, Refusal]:
         leadership = self._leadership
-        if leadership is None:
+        if leadership is None or leadership.is_leaving:
             return Err(self._not_leading())
         if len(command) > self._core.settings.command_bytes:
             limit = self._core.settings.command_bytes
@@ -162,7 +165,7 @@
             host=core.host,
             role=str(core.role),
             term=core.term,
-            leader=core.leader,
+            leader=core.leader if core.hears_leader(core.clock.now()) else "",
             disk=core.vote.disk,
             lineage=core.lineage,
             last_index=core.log.last_index,
@@ -174,29 +177,37 @@
             failure=str(core.failure or ""),
         )
 
-    def _load(self, opened: Opened) -> None:
+    def _draw_disk(self) -> str:
+        # Random numbers may be seeded, and would then give an emptied disk the identity
+        # that it had before; the time of its start does not come again.
+        core = self._core
+        started = int(core.clock.wall() * _MICROSECONDS)
+        return f"{core.host}-{started:x}-{core.random.getrandbits(_DISK_BITS):016x}"
+
+    def _load(self, opened: Opened) -> Result[None, Refusal]:
         core = self._core
         core.vote = opened.vote
-        snapshot = opened.snapshot
-        if snapshot is not None:
-            core.log = Log(snapshot.last_index, snapshot.last_term, snapshot.roster)
-            core.commit_index = snapshot.last_index
-            self._applier.restore(snapshot.last_index, opened.snapshot_data)
-        else:
-            core.log = Log(0, 0, EMPTY_ROSTER)
-        for frame in opened.frames:
-            skipped = max(0, core.log.base_index + 1 - frame.first_index)
-            core.log.append(frame.first_index + skipped, frame.entries[skipped:])
+        core.log = opened.log
+        if opened.snapshot is not None:
+            core.commit_index = opened.snapshot.info.last_index
+            try:
+                self._applier.restore(core.commit_index, opened.snapshot.data)
+            except ValueError as error:
+                message = f"the snapshot cannot be read: {error}"
+                remedy = "run the version that wrote it, or empty the group's folder"
+                return Err(Refusal(ErrorKind.CORRUPT, message, "data", remedy))
         core.durable_index = core.log.last_index
         if opened.torn_bytes:
-            core.event("torn_tail_cut", bytes=opened.torn_bytes)
+            core.event("torn_tail_cut", "WARNING", bytes=opened.torn_bytes)
         core.event("group_opened", last_index=core.log.last_index, base=core.log.base_index)
+        return Ok(None)
 
     def _register(self) -> None:
         methods = self._core.methods
         self._server.register(methods.vote, self._whole(self._elections.answer))
         self._server.register(methods.append, self._whole(self._following.append))
         self._server.register(methods.install, self._whole(self._following.install))
+        self._server.register(methods.hand_over, self._whole(self._elections.take_over))
         self._server.register(methods.identify, self._whole(self._formation.answer))
 
     def _whole(
@@ -253,6 +264,8 @@
         core = self._core
         if core.failure is not None:
             return core.failure
+        if self._leadership is not None:
+            return Refusal(ErrorKind.NOT_LEADER, "")
         if core.leader and core.hears_leader(core.clock.now()):
             return Refusal(ErrorKind.NOT_LEADER, core.leader_address())
         remedy = "ask another control host"
--- a/cranberrywall/requests/_chat_runner.py
+++ b/cranberrywall/requests/_chat_runner.py
@@ -4,17 +4,18 @@
 from typing import NamedTuple
 
 import msgspec
-from loguru import logger
 from result import Err, Result
 
-from cranberrywall.budgets import Allotments, Reservation, ReserveRequest
+from cranberrywall.budgets import Allotments, InputBounds, Reservation, ReserveRequest
 from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.observability import log_event
 from cranberrywall.requests._attempts import AttemptEnd, Attempts, OnAttempt
 from cranberrywall.requests._background import Background
 from cranberrywall.requests._chat import Bound, ChatBody
 from cranberrywall.requests._identity import RequestName
 from cranberrywall.requests._metrics import RequestMetrics
 from cranberrywall.requests._prefixes import prefix_hashes
+from cranberrywall.requests._registry import NOTHING_ATTEMPTED
 from cranberrywall.requests._run import Run
 from cranberrywall.requests._usage import total_tokens
 from cranberrywall.requests.messages import Attempted
@@ -56,12 +57,14 @@
         self,
         allotments: Allotments,
         attempts: Attempts,
+        bounds: InputBounds,
         clock: Clock,
         metrics: RequestMetrics,
         background: Background,
     ) -> None:
         self._allotments = allotments
         self._attempts = attempts
+        self._bounds = bounds
         self._clock = clock
         self._metrics = metrics
         self._background = background
@@ -76,7 +79,7 @@
         now = self._clock.now()
         reserved = await self._allotments.reserve(_reserve_request(request), now)
         if isinstance(reserved, Err):
-            run.fail(reserved.err_value, self._clock.now())
+            run.fail(_after(begun, reserved.err_value), self._clock.now())
             return
         reservation = reserved.ok_value
         try:
@@ -100,20 +103,25 @@
         # is billed also where this host dies right after it.
         settled = await asyncio.shield(self._settle(reservation, self._cost(run, request)))
         if isinstance(settled, Err):
-            logger.error(
-                "event=settle_failed request={} cause={}",
-                run.name.request_id,
-                settled.err_value.kind,
+            log_event(
+                "ERROR", "settle_failed", request=run.name.request_id, cause=settled.err_value
             )
             refusal = Refusal(ErrorKind.ANSWER_CUT, "the charge could not be recorded")
             run.fail(refusal, self._clock.now())
             return
+        if run.usage is not None:
+            self._bounds.learn(
+                request.body.model,
+                request.body.size,
+                request.bound.input_tokens,
+                run.usage["prompt_tokens"],
+            )
         run.answer(self._clock.now())
         self._metrics.answered.labels("chat").inc()
 
     async def _settle(self, reservation: Reservation, cost: int) -> Result[None, Refusal]:
         if cost > reservation.bound:
-            self._metrics.over_bound.inc()
+            self._metrics.over_bound.labels().inc()
             cost = reservation.bound
         return await reservation.settle(cost, self._clock.now())
 
@@ -132,7 +140,9 @@
             return
         settled = await self._settle(reservation, self._cost(run, request))
         if isinstance(settled, Err):
-            logger.error("event=settle_failed request={}", run.name.request_id)
+            log_event(
+                "ERROR", "settle_failed", request=run.name.request_id, cause=settled.err_value
+            )
 
 
 def engine_body(request: ChatRequest) -> bytes:
@@ -170,3 +180,10 @@
         bound_tokens=request.bound.total,
         prefix_hashes=prefix_hashes(request.body.texts),
     )
+
+
+def _after(begun: Attempted, refusal: Refusal) -> Refusal:
+    # An attempt of a lost host ran: the refusal of this arrival must not say "not run".
+    if begun == NOTHING_ATTEMPTED:
+        return refusal
+    return Refusal(ErrorKind.TARGET_FAILED, f"an earlier arrival was lost; now: {refusal.kind}")
--- a/tests/replication/test_members.py
+++ b/tests/replication/test_members.py
@@ -1,8 +1,12 @@
 """Change the members of a group, and lose disks while it changes."""
 
+import random
+
+import pytest
 from result import Err, Ok
 
 from cranberrywall.errors import ErrorKind
+from cranberrywall.replication import rescue_group
 from tests.fakes.network import Rule
 from tests.replication.fleet import Fleet, FleetHost, run_fleet
 
@@ -148,7 +152,8 @@
     run_fleet(test)
 
 
-def test_the_leader_dies_in_the_middle_of_a_change_of_members():
+@pytest.mark.parametrize("after_s", [0.0, 0.1, 0.2, 0.4, 0.7, 1.0, 1.5, 3.0])
+def test_the_leader_dies_in_the_middle_of_a_change_of_members(after_s: float):
     """An operator replaces a host, and the leader loses power between the steps.
 
     Whether the new leader has seen the step or not, exactly one list of members is in
@@ -163,6 +168,7 @@
         assert isinstance(await new.start(), Ok)
         fleet.fabric.set_rule(first.ip, new.ip, Rule(delay=0.2))
         assert isinstance(await first.group.replace(old.name, "d", new.address, 5.0), Ok)
+        await fleet.clock.sleep(after_s)
         await first.kill()
         await fleet.write("between")
         assert isinstance(await first.start(), Ok)
@@ -171,3 +177,43 @@
         assert await fleet.read() == [*WORDS, "between"]
 
     run_fleet(test)
+
+
+def test_the_last_host_is_rescued_and_a_lost_one_cannot_come_back_with_its_old_log():
+    """Two of three control hosts burn, and an operator lets the third go on alone.
+
+    It answers with all that it had. One of the lost disks turns up after all: its host
+    must not vote or lead with the old members, or two groups would spend the same budgets.
+    """
+
+    async def test(fleet: Fleet) -> None:
+        await fleet.write(*WORDS)
+        await fleet.until(lambda: all(host.machine.words == WORDS for host in fleet.up))
+        left, burnt, found = fleet.up
+        for host in (left, burnt, found):
+            await host.kill()
+        storage = left.storage
+
+        def rescue(group: str, lost: str) -> ErrorKind | None:
+            result = rescue_group(group, "a", left.address, lost, storage, random.Random(1))
+            return result.err_value.kind if isinstance(result, Err) else None
+
+        assert rescue("ledger-0", "b") is ErrorKind.UNSAFE_STEP
+        assert rescue("ledger-0", "bc") is None
+        assert rescue("ledger-0", "bc") is None
+        assert rescue("ledger-1", "bc") is ErrorKind.NOT_FOUND
+        assert isinstance(await left.start(), Ok)
+        await fleet.write("alone")
+        assert isinstance(await found.start(), Ok)
+        await fleet.clock.sleep(30.0)
+        assert fleet.leaders() == [left]
+        refused = await left.group.add("c", found.address, 5.0)
+        assert isinstance(refused, Err) and refused.err_value.kind is ErrorKind.CONFLICT
+        for host in (burnt, found):
+            await host.wipe()
+            await fleet.until(lambda: len(voters(fleet)) == len(left.group.state()["roster"]))
+            assert isinstance(await left.group.add(host.name, host.address, 5.0), Ok)
+        await fleet.until(lambda: voters(fleet) == {"a", "b", "c"})
+        await fleet.until(lambda: found.machine.words == [*WORDS, "alone"])
+
+    run_fleet(test)
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -5,29 +5,16 @@
 from typing import Any
 
 from cranberrywall.errors import ErrorKind
-from cranberrywall.routing import Demand, Outcome, OutcomeKind, TargetRouter, make_router
+from cranberrywall.routing import Outcome, OutcomeKind, TargetRouter, make_router
 from cranberrywall.targets import Targets, make_targets
 from tests.routing.clocks import ManualClock
 from tests.routing.configurations import FixedConfiguration
+from tests.routing.demands import demand
 from tests.targets.announcements import announce
 
 ANSWERED = Outcome(OutcomeKind.ANSWERED, 0.1, 10)
 
 
-def demand(**fields: Any) -> Demand:
-    values: dict[str, Any] = {
-        "workspace": "desk",
-        "kind": "engine",
-        "name": "asistent",
-        "version": "",
-        "adapter": "",
-        "rank": 5,
-        "deadline": 100.0,
-        "bound_tokens": 100,
-    }
-    return Demand(**{**values, **fields})
-
-
 def make(*announcements: Any) -> tuple[TargetRouter, Targets, ManualClock]:
     targets = make_targets()
     clock = ManualClock()
@@ -84,6 +71,21 @@
     assert (await router.acquire(demand(), 1.0)).is_ok()
 
 
+async def test_waiters_are_counted_by_model():
+    router, _, _ = make(announce("a", capacity=1))
+    slot = (await router.acquire(demand(), 0.0)).unwrap()
+    assert router.waiting_by_model() == {}
+    waiters = [asyncio.create_task(router.acquire(demand(), 0.0)) for _ in range(2)]
+    await settle()
+    assert router.waiting_by_model() == {demand().name: 2.0}
+    slot.finish(ANSWERED, 1.0)
+    await settle()
+    assert router.waiting_by_model() == {demand().name: 1.0}
+    for waiter in waiters:
+        waiter.cancel()
+    await settle()
+
+
 async def test_a_waiter_is_refused_at_its_deadline():
     router, _, clock = make(announce("a", capacity=1))
     await router.acquire(demand(), 0.0)
