--- a/cranberrywall/replication/_peer.py
+++ b/cranberrywall/replication/_peer.py
@@ -204,13 +204,15 @@
         return True
 
     def _note_other_disk(self, disk: str) -> None:
-        if self.found_disk != disk:
-            # The same disk is one that belongs to another lineage of the group.
-            is_same = disk == self.member.disk
-            self._core.event(
-                "other_lineage" if is_same else "other_disk", "WARNING", peer=self.member.host
-            )
+        if self.found_disk == disk:
+            return
         self.found_disk = disk
+        host = self.member.host
+        if disk == self.member.disk:
+            # The right disk refuses only what comes from another lineage of the group.
+            self._core.event("other_lineage", "WARNING", peer=host)
+        else:
+            self._core.event("other_disk", "WARNING", peer=host)
 
     def _confirmed(self, sent_at: float, sent_round: int) -> None:
         self._has_followed = True
