Bound what is kept of answers, and join calls of tools

Kept answers were bounded by number only, and each named request walked through all of them. They are now queued and forgotten by age, number and bytes; an event without an end and an answer over 16 MiB end in an error. Deltas of tool calls overwrote each other in answers that are not streamed.

--- a/cranberrywall/requests/_attempts.py
+++ b/cranberrywall/requests/_attempts.py
@@ -36,6 +36,9 @@
 BACKOFF_S = 0.05
 OnAttempt = Callable[[Attempted], None]
 
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""An answer is held in memory for its callers and their retries."""
+
 _SPARE_CHUNKS = 8
 """Chunks beyond the token limit that an engine may send: role, finish and usage."""
 
@@ -304,6 +307,8 @@
             return self._compare(chunk, frame)
         if chunk.number >= self._request.output_limit + _SPARE_CHUNKS:
             return Fault(FaultKind.REFUSED, "the engine ran past its token limit")
+        if run.bytes_held + len(frame) > MAX_ANSWER_BYTES:
+            return Fault(FaultKind.REFUSED, f"the answer is over {MAX_ANSWER_BYTES} bytes")
         run.append(frame, chunk.usage)
         return None
 
--- a/cranberrywall/requests/_chat_runs.py
+++ b/cranberrywall/requests/_chat_runs.py
@@ -12,6 +12,7 @@
 from cranberrywall.requests._chat_runner import ChatRequest, ChatRunner
 from cranberrywall.requests._following import follow
 from cranberrywall.requests._intents import other_request
+from cranberrywall.requests._kept import KeepLimits, KeptAnswers
 from cranberrywall.requests._metrics import RequestMetrics
 from cranberrywall.requests._registry import NOTHING_ATTEMPTED, Registry
 from cranberrywall.requests._run import Run, RunState
@@ -23,12 +24,11 @@
     """Limit what is kept of runs; seconds.
 
     A run whose callers all left goes on for ``linger_s`` where the caller named it, so that
-    a retry can join; a finished one is kept for ``kept_s`` to answer retries.
+    a retry can join; a finished one is kept to answer retries.
     """
 
     linger_s: float = 3.0
-    kept_s: float = 300.0
-    kept_runs: int = 4096
+    keep: KeepLimits = KeepLimits()
 
 
 class ChatRuns:
@@ -51,6 +51,7 @@
         self._clock = clock
         self._metrics = metrics
         self._limits = limits
+        self._kept = KeptAnswers(limits.keep)
         self._run_by_key: dict[tuple[str, str], Run] = {}
         self._task_by_run: dict[Run, asyncio.Task[None]] = {}
         self._background = background
@@ -62,9 +63,10 @@
 
     async def start_or_join(self, request: ChatRequest, now: float) -> Result[Run, Refusal]:
         """Return a run of ``request``, which the caller must ``leave``."""
-        self._forget_old(now)
+        for key in self._kept.take_old(now):
+            del self._run_by_key[key]
         known = self._run_by_key.get(request.name.key)
-        if known is not None and known.state is not RunState.FAILED:
+        if known is not None:
             return self._join(known, request)
         run = Run(request.name, request.fingerprint, now)
         run.listeners = 1
@@ -130,6 +132,7 @@
             run.fail(Refusal(ErrorKind.INTERNAL, "the run failed"), self._clock.now())
         finally:
             self._task_by_run.pop(run, None)
+            self._keep_or_forget(run)
             self._metrics.running.labels().dec()
 
     async def _run_or_follow(self, run: Run, request: ChatRequest, registry: Registry) -> None:
@@ -170,14 +173,14 @@
         """Return the run of a named request at this host."""
         return self._run_by_key.get((key.workspace, key.request_id))
 
-    def _forget_old(self, now: float) -> None:
-        for key, run in list(self._run_by_key.items()):
-            too_many = len(self._run_by_key) > self._limits.kept_runs
-            ended = run.ended_at is not None
-            old = ended and run.ended_at is not None and now - run.ended_at > self._limits.kept_s
-            if not old and not (ended and too_many):
-                break
-            del self._run_by_key[key]
+    def _keep_or_forget(self, run: Run) -> None:
+        if not run.name.named_by_caller:
+            return
+        if run.state is RunState.ANSWERED:
+            self._kept.add(run.name.key, run.bytes_held, self._clock.now())
+        else:
+            # A refusal is not the request's answer: its retry runs afresh.
+            self._run_by_key.pop(run.name.key, None)
 
 
 def _ignore(attempted: Attempted) -> None:
--- a/cranberrywall/requests/_engine.py
+++ b/cranberrywall/requests/_engine.py
@@ -247,7 +247,10 @@
         if not data:
             return Fault(FaultKind.CUT, "the stream ended without its end mark")
         self._silent_at = self._clock.now() + self._limits.between_chunks_s
-        self._ready.extend(self._splitter.feed(data))
+        try:
+            self._ready.extend(self._splitter.feed(data))
+        except MalformedFrameError as error:
+            return Fault(FaultKind.REFUSED, str(error))
         return None
 
     def _watch(self, response: aiohttp.ClientResponse) -> None:
--- a/cranberrywall/requests/_frames.py
+++ b/cranberrywall/requests/_frames.py
@@ -7,6 +7,7 @@
 from cranberrywall.requests._usage import Usage, total_tokens
 
 DONE_FRAME = b"data: [DONE]\n\n"
+MAX_EVENT_BYTES = 1024 * 1024
 _SEPARATOR = b"\n\n"
 _DATA = b"data:"
 _DATA_PREFIX = b"data: "
@@ -53,11 +54,14 @@
         self._rest = b""
 
     def feed(self, data: bytes) -> list[bytes]:
-        """Return the payloads that ``data`` completes."""
+        """Return the payloads that ``data`` completes; raise ``MalformedFrameError``."""
         data = self._rest + data if self._rest else data
         if b"\r" in data:
             data = data.replace(b"\r\n", b"\n")
         *events, self._rest = data.split(_SEPARATOR)
+        if len(self._rest) > MAX_EVENT_BYTES:
+            # A target that never ends an event would fill this host's memory.
+            raise MalformedFrameError(f"an event is over {MAX_EVENT_BYTES} bytes")
         return [event[len(_DATA) :].strip() for event in events if event.startswith(_DATA)]
 
 
@@ -116,30 +120,64 @@
 
 def assemble(frames: list[bytes], request_id: str, usage: Usage | None) -> bytes:
     """Join the frames of a whole stream into the body of an answer that is not streamed."""
-    message: dict[str, Any] = {"role": "assistant"}
-    text: list[str] = []
+    message = _Message()
     finish_reason = None
     head: _Content = {}
     for frame in frames:
         content = _content_decoder.decode(_payload(frame))
         head = head or content
         for choice in content.get("choices", ()):
-            delta = dict(choice.get("delta") or {})
-            text.append(delta.pop("content", None) or "")
-            message.update(delta)
+            message.add(choice.get("delta") or {})
             finish_reason = choice.get("finish_reason") or finish_reason
-    message["content"] = "".join(text)
     answer = {
         "id": request_id,
         "object": "chat.completion",
         "created": head.get("created", 0),
         "model": head.get("model", ""),
-        "choices": [{"index": 0, "message": message, "finish_reason": finish_reason or "stop"}],
+        "choices": [
+            {"index": 0, "message": message.whole(), "finish_reason": finish_reason or "stop"}
+        ],
         "usage": _whole_usage(usage),
     }
     return msgspec.json.encode(answer)
 
 
+class _Message:
+    """Join the deltas of a message: texts and arguments of calls grow, the rest is set."""
+
+    def __init__(self) -> None:
+        self._text: list[str] = []
+        self._values: dict[str, Any] = {"role": "assistant"}
+        self._call_by_index: dict[int, dict[str, Any]] = {}
+
+    def add(self, delta: dict[str, Any]) -> None:
+        for name, value in delta.items():
+            if name == "content":
+                self._text.append(value or "")
+            elif name == "tool_calls":
+                for call in value or ():
+                    self._add_call(call)
+            else:
+                self._values[name] = value
+
+    def whole(self) -> dict[str, Any]:
+        message = {**self._values, "content": "".join(self._text)}
+        if self._call_by_index:
+            calls = sorted(self._call_by_index.items())
+            message["tool_calls"] = [call for _, call in calls]
+        return message
+
+    def _add_call(self, delta: dict[str, Any]) -> None:
+        call = self._call_by_index.setdefault(delta.get("index", 0), {})
+        for name, value in delta.items():
+            if name == "function":
+                function = call.setdefault("function", {"arguments": ""})
+                arguments = function["arguments"] + (value.get("arguments") or "")
+                function.update({**value, "arguments": arguments})
+            elif name != "index":
+                call[name] = value
+
+
 def _whole_usage(usage: Usage | None) -> dict[str, int]:
     if usage is None:
         return {}
--- a/cranberrywall/requests/_run.py
+++ b/cranberrywall/requests/_run.py
@@ -38,6 +38,7 @@
         self.refusal: Refusal | None = None
         self.usage: Usage | None = None
         self.frames: list[bytes] = []
+        self.bytes_held = 0
         self.released = 0
         self.listeners = 0
         self.sent = False
@@ -48,6 +49,7 @@
     def append(self, frame: bytes, usage: Usage | None) -> None:
         """Add a frame; one that has the usage is the last, and is held until ``answer``."""
         self.frames.append(frame)
+        self.bytes_held += len(frame)
         if usage is None:
             self.released = len(self.frames)
             self._wake()
--- a/cranberrywall/requests/_service_calls.py
+++ b/cranberrywall/requests/_service_calls.py
@@ -3,12 +3,14 @@
 import asyncio
 from typing import NamedTuple
 
-from result import Err
+from result import Err, Ok
 
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.observability import log_event
 from cranberrywall.requests._background import Background
+from cranberrywall.requests._identity import RequestName
 from cranberrywall.requests._intents import other_request
+from cranberrywall.requests._kept import KeepLimits, KeptAnswers
 from cranberrywall.requests._metrics import RequestMetrics
 from cranberrywall.requests._service_runner import (
     CallResult,
@@ -25,13 +27,11 @@
 class ServiceLimits(NamedTuple):
     """Limit what is kept of calls; seconds.
 
-    A call whose callers all left goes on for ``linger_s``; its answer is kept for
-    ``kept_s``.
+    A call whose callers all left goes on for ``linger_s``; its answer is kept for retries.
     """
 
     linger_s: float = 3.0
-    kept_s: float = 300.0
-    kept_calls: int = 4096
+    keep: KeepLimits = KeepLimits()
 
 
 class _NamedCall:
@@ -40,7 +40,6 @@
         self.progress = Progress()
         self.task: asyncio.Task[CallResult] | None = None
         self.waiters = 0
-        self.ended_at: float | None = None
 
 
 class ServiceCalls:
@@ -58,6 +57,7 @@
         self._clock = clock
         self._metrics = metrics
         self._limits = limits
+        self._kept = KeptAnswers(limits.keep)
         self._background = background
         self._call_by_key: dict[tuple[str, str], _NamedCall] = {}
         self._tasks: set[asyncio.Task[CallResult]] = set()
@@ -69,7 +69,8 @@
 
     async def call(self, request: ServiceRequest, now: float) -> CallResult:
         """Return the answer to ``request``, running it or joining its run here."""
-        self._forget_old(now)
+        for key in self._kept.take_old(now):
+            del self._call_by_key[key]
         named = self._call_by_key.get(request.name.key)
         if named is None:
             named = self._start(request)
@@ -106,12 +107,18 @@
             log_event("ERROR", "call_failed", error, request=named.request.name.request_id)
             result = Err(Refusal(ErrorKind.INTERNAL, "the call failed"))
         finally:
-            named.ended_at = self._clock.now()
-            if isinstance(result, Err):
-                # A refusal is not the call's answer: the next arrival asks afresh.
-                self._call_by_key.pop(named.request.name.key, None)
+            self._keep_or_forget(named.request.name, result)
         return result
 
+    def _keep_or_forget(self, name: RequestName, result: CallResult) -> None:
+        if not name.named_by_caller:
+            return
+        if isinstance(result, Ok):
+            self._kept.add(name.key, len(result.ok_value.body), self._clock.now())
+        else:
+            # A refusal is not the call's answer: the next arrival asks afresh.
+            self._call_by_key.pop(name.key, None)
+
     async def _wait(self, named: _NamedCall, request: ServiceRequest) -> CallResult:
         task = named.task
         assert task is not None
@@ -144,12 +151,3 @@
         # would turn an answer that is on its way into an unknown outcome.
         if named.task is not None and (named.request.repeatable or not named.progress.sent):
             named.task.cancel()
-
-    def _forget_old(self, now: float) -> None:
-        for key, named in list(self._call_by_key.items()):
-            if named.ended_at is None:
-                continue
-            too_many = len(self._call_by_key) > self._limits.kept_calls
-            if not too_many and now - named.ended_at <= self._limits.kept_s:
-                break
-            del self._call_by_key[key]
--- a/tests/requests/fleet.py
+++ b/tests/requests/fleet.py
@@ -120,7 +120,7 @@
         made = make_service(ServiceOptions(target, SERVICE, **{"work_s": 0.0, **options}))
         return await self._serve(made, target, "service", SERVICE)
 
-    async def target(self, app: web.Application, kind: str = "engine") -> None:
+    async def target(self, app: web.Application, kind: str = "engine", capacity: int = 8) -> None:
         """Announce a target that the test itself writes."""
         runner = web.AppRunner(app, shutdown_timeout=0.1)
         await runner.setup()
@@ -128,7 +128,7 @@
         self._standins.append(_Closing(runner))
         url = f"http://127.0.0.1:{runner.addresses[0][1]}"
         name = MODEL if kind == "engine" else SERVICE
-        self._announce(f"own-{len(self._standins)}", kind, name, url, 8)
+        self._announce(f"own-{len(self._standins)}", kind, name, url, capacity)
 
     async def entry(self, host: str = "entry-1", **limits: Any) -> Entry:
         random_numbers = random.Random(len(self.entries) + 1)
--- a/tests/requests/scripted.py
+++ b/tests/requests/scripted.py
@@ -46,11 +46,13 @@
         return response
 
 
-def chunk(attempt: str, index: int, text: str = "", usage: int = 0) -> bytes:
+def chunk(attempt: str, index: int, said: str | dict[str, Any] = "", usage: int = 0) -> bytes:
+    """Return an event; ``said`` is the text, or the whole delta."""
+    delta = {"content": said} if isinstance(said, str) else said
     value: dict[str, Any] = {
         "id": attempt,
         "index": index,
-        "choices": [{"index": 0, "delta": {"content": text}}],
+        "choices": [{"index": 0, "delta": delta}],
     }
     if usage:
         value["usage"] = {"prompt_tokens": 3, "completion_tokens": usage}
@@ -58,7 +60,10 @@
 
 
 def script(*steps: Any) -> Play:
-    """Return a play of steps: ``(index, text)``, ``bytes``, ``"cut"``, ``"wait"``, ``"end"``."""
+    """Return a play of steps.
+
+    A step is ``(index, text or delta)``, ``bytes``, ``"cut"``, ``"wait"`` or ``"end"``.
+    """
 
     async def play(
         engine: ScriptedEngine, request: web.Request, response: web.StreamResponse, attempt: str
--- a/tests/requests/test_attempts.py
+++ b/tests/requests/test_attempts.py
@@ -1,6 +1,7 @@
 """Check that callers get whole answers of their own when targets fail in mid answer."""
 
 import asyncio
+import json
 from typing import Any
 
 from standins import Faults, answer_words
@@ -182,3 +183,61 @@
         (charged,) = fleet.ledger.billed_by_request.values()
         assert 2 <= charged < 40
         engine.released.set()
+
+
+async def test_a_deadline_ends_the_answer_by_an_explicit_error() -> None:
+    """The caller waits for two tenths of a second, and the engine stops in mid answer."""
+    async with Fleet() as fleet:
+        engine = ScriptedEngine(script((0, "a"), "wait"))
+        await fleet.target(engine.app)
+        entry = await fleet.entry()
+        sent = headers() | {"X-Deadline-S": "0.2"}
+        url = f"{entry.url}/v1/chat/completions"
+        async with fleet.session.post(url, json=chat(stream=True), headers=sent) as answer:
+            events = frames(await answer.read())
+        assert events[-1]["error"]["code"] == "answer_cut"
+        await entry.stack.finish()
+        assert (len(engine.cancelled), entry.allotments.held) == (1, 0)
+        engine.released.set()
+
+
+async def test_a_deadline_in_the_queue_says_that_nothing_ran() -> None:
+    """The engine's only place is taken until the caller's time is over."""
+    async with Fleet() as fleet:
+        engine = ScriptedEngine(script((0, "a"), "wait"))
+        await fleet.target(engine.app, capacity=1)
+        entry = await fleet.entry()
+        first = asyncio.create_task(fleet.post(entry, chat(stream=True)))
+        while not engine.calls:
+            await asyncio.sleep(0.005)
+        sent = headers() | {"X-Deadline-S": "0.1"}
+        url = f"{entry.url}/v1/chat/completions"
+        async with fleet.session.post(url, json=chat(), headers=sent) as answer:
+            assert answer.headers["X-Ran"] == "no"
+            assert "Retry-After" in answer.headers
+        first.cancel()
+        engine.released.set()
+
+
+async def test_an_event_without_an_end_does_not_fill_the_memory() -> None:
+    """An engine sends one line that never ends."""
+    async with Fleet() as fleet:
+        endless = b"data: " + b"x" * (2 * 1024 * 1024)
+        await fleet.target(ScriptedEngine(script(endless, "wait")).app)
+        entry = await fleet.entry()
+        status, head, _ = await fleet.post(entry, chat())
+        assert (status, head["X-Ran"]) == (502, "yes")
+
+
+async def test_calls_of_tools_are_joined_in_an_answer_that_is_not_streamed() -> None:
+    def call(text: str, **more: Any) -> dict[str, Any]:
+        return {"tool_calls": [{"index": 0, "function": {"arguments": text}, **more}]}
+
+    async with Fleet() as fleet:
+        steps = [(0, call('{"bay"', id="c-1")), (1, call(": 7}"))]
+        engine = ScriptedEngine(script(*steps, "end"))
+        await fleet.target(engine.app)
+        entry = await fleet.entry()
+        _, _, data = await fleet.post(entry, chat())
+        [made] = json.loads(data)["choices"][0]["message"]["tool_calls"]
+        assert made == {"id": "c-1", "function": {"arguments": '{"bay": 7}'}}
