--- a/cranberrywall/replication/_group.py
+++ b/cranberrywall/replication/_group.py
@@ -103,13 +103,17 @@
         core.spawn(self._tick_always())
         return Ok(None)
 
+    async def hand_over(self) -> None:
+        if self._leadership is not None:
+            await self._leadership.hand_over()
+
     async def stop(self) -> None:
         self._core.step_down("this host stops", "INFO")
         await self._core.stop()
 
     async def propose(self, command: bytes, timeout: float) -> Result[bytes, Refusal]:
         leadership = self._leadership
-        if leadership is None:
+        if leadership is None or leadership.is_leaving:
             return Err(self._not_leading())
         if len(command) > self._core.settings.command_bytes:
             limit = self._core.settings.command_bytes
@@ -161,7 +165,7 @@
             host=core.host,
             role=str(core.role),
             term=core.term,
-            leader=core.leader,
+            leader=core.leader if core.hears_leader(core.clock.now()) else "",
             disk=core.vote.disk,
             lineage=core.lineage,
             last_index=core.log.last_index,
@@ -185,9 +189,9 @@
         core.vote = opened.vote
         core.log = opened.log
         if opened.snapshot is not None:
-            core.commit_index = opened.snapshot.last_index
+            core.commit_index = opened.snapshot.info.last_index
             try:
-                self._applier.restore(opened.snapshot.last_index, opened.snapshot_data)
+                self._applier.restore(core.commit_index, opened.snapshot.data)
             except ValueError as error:
                 message = f"the snapshot cannot be read: {error}"
                 remedy = "run the version that wrote it, or empty the group's folder"
@@ -203,6 +207,7 @@
         self._server.register(methods.vote, self._whole(self._elections.answer))
         self._server.register(methods.append, self._whole(self._following.append))
         self._server.register(methods.install, self._whole(self._following.install))
+        self._server.register(methods.hand_over, self._whole(self._elections.take_over))
         self._server.register(methods.identify, self._whole(self._formation.answer))
 
     def _whole(
@@ -259,6 +264,8 @@
         core = self._core
         if core.failure is not None:
             return core.failure
+        if self._leadership is not None:
+            return Refusal(ErrorKind.NOT_LEADER, "")
         if core.leader and core.hears_leader(core.clock.now()):
             return Refusal(ErrorKind.NOT_LEADER, core.leader_address())
         remedy = "ask another control host"
