--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -15,41 +15,17 @@
 )
 from cranberrywall.budgets.messages import Holder
 from cranberrywall.callers import BodyLimits, CallerLimits
-from cranberrywall.commands._control_program import link_limits
-from cranberrywall.configuration import (
-    Follower,
-    SpreadHost,
-    make_follower,
-    make_host_configuration,
-)
+from cranberrywall.commands._entry_ties import HostTies, describe_target, load_keys
+from cranberrywall.configuration import make_host_configuration
 from cranberrywall.control import make_control_client
 from cranberrywall.entry import (
     AnnouncementSpread,
     CallerStack,
-    ConfiguredHosts,
     ConfiguredPolicies,
-    LivePeers,
     StackLinks,
-    carry_revisions,
     make_caller_stack,
 )
-from cranberrywall.hosts import (
-    HostState,
-    HostView,
-    LiveMembership,
-    make_membership,
-    pace_of,
-    register_drain,
-    register_dump,
-)
-from cranberrywall.links import (
-    LinkCaller,
-    LinkCounters,
-    LinkServer,
-    Peer,
-    make_caller,
-    make_link_server,
-)
+from cranberrywall.hosts import register_drain, register_dump
 from cranberrywall.observability import (
     AdminServer,
     HealthChecks,
@@ -61,14 +37,14 @@
 from cranberrywall.orders import EngineReporter
 from cranberrywall.routing import make_router
 from cranberrywall.runtime import Runtime, split_address
-from cranberrywall.settings import (
-    FleetKeys,
-    Settings,
-    load_fleet_keys,
-    seconds,
-    size_in_bytes,
+from cranberrywall.settings import Settings, seconds, size_in_bytes
+from cranberrywall.targets import (
+    Announcement,
+    Prober,
+    make_announce_routes,
+    make_http_probe,
+    make_targets,
 )
-from cranberrywall.targets import Announcement, make_announce_routes, make_targets
 
 SHUTDOWN_S = 1.0
 
@@ -89,24 +65,21 @@
     def __init__(self, settings: Settings, runtime: Runtime) -> None:
         self._settings = settings
         self._runtime = runtime
-        self._keys = _load_keys(settings)
-        self._me = Peer(settings["host"], settings["place"], int(runtime.clock.wall() * 1000))
-        self._counters = LinkCounters()
-        self._server = self._make_server()
-        self._caller = self._make_caller()
-        controls = [remote["links"] for remote in settings["controls"]]
-        self._control = make_control_client(self._caller, runtime.clock, controls, runtime.random)
+        self._keys = load_keys(settings)
         self._configuration = make_host_configuration(runtime.storage)
-        self._hosts = ConfiguredHosts(self._view(), self._configuration, self._peers())
-        self._membership = self._make_membership()
-        self._follower = self._make_follower(controls)
+        ties = HostTies(settings, runtime, self._keys, self._configuration)
+        self._hosts = ties.configured
+        self._me, self._server, self._caller = ties.me, ties.server, ties.caller
+        self._membership, self._follower = ties.membership, ties.follower
+        clock, controls = runtime.clock, ties.controls
+        self._control = make_control_client(self._caller, clock, controls, runtime.random)
         self._allotments: HostAllotments | None = None
         self._targets = make_targets()
         self._spread = AnnouncementSpread(
-            self._me.host, self._targets, self._membership, self._caller, runtime.clock
+            self._me.host, self._targets, self._membership, self._caller, clock
         )
         self._reporter = EngineReporter(
-            self._caller, runtime.clock, controls, lambda: self._waiting_by_model()
+            self._caller, clock, controls, lambda: self._waiting_by_model()
         )
         self._follower.register(self._server)
         self._spread.register(self._server)
@@ -249,7 +222,11 @@
         await web.TCPSite(runner, host, port).start()
         self._stack = stack
         self._runner = runner
+        prober = Prober(
+            make_http_probe(stack.session), router.doubtful, router.probed, runtime.clock
+        )
         self._tasks.append(asyncio.create_task(self._report_load(stack)))
+        self._tasks.append(asyncio.create_task(prober.run()))
 
     async def _report_load(self, stack: CallerStack) -> None:
         while True:
@@ -260,74 +237,6 @@
         self._spread.publish(announcement)
         self._reporter.note(announcement)
 
-    def _make_server(self) -> LinkServer:
-        return make_link_server(
-            self._runtime.network,
-            self._runtime.clock,
-            self._settings["listen"]["links"],
-            self._keys.fleet,
-            self._me,
-            self._counters,
-            link_limits(self._settings["streams"]),
-        )
-
-    def _make_caller(self) -> LinkCaller:
-        return make_caller(
-            self._runtime.network,
-            self._runtime.clock,
-            self._runtime.random,
-            self._keys.fleet,
-            self._me,
-            self._counters,
-            link_limits(self._settings["streams"]),
-        )
-
-    def _view(self) -> HostView:
-        listen = self._settings["listen"]
-        return HostView(
-            host=self._me.host,
-            place=self._me.place,
-            links=listen["links"],
-            http=listen["http"],
-            incarnation=self._me.incarnation,
-            state=HostState.ALIVE,
-            load=0.0,
-        )
-
-    def _peers(self) -> list[HostView]:
-        return [
-            HostView(peer["host"], "", peer["links"], "", 0, HostState.ALIVE, 0.0)
-            for peer in self._settings["peers"]
-        ]
-
-    def _make_membership(self) -> LiveMembership:
-        listen = self._settings["listen"]
-        return make_membership(
-            self._me,
-            listen["links"],
-            listen["http"],
-            [peer["links"] for peer in self._settings["peers"]],
-            self._server,
-            self._caller,
-            self._runtime.clock,
-            self._runtime.random,
-            pace_of(self._settings),
-        )
-
-    def _make_follower(self, controls: list[str]) -> Follower:
-        me = SpreadHost(self._me.host, self._me.place, self._settings["listen"]["links"])
-        follower = make_follower(
-            me,
-            self._configuration,
-            LivePeers(self._me.host, self._membership, self._hosts),
-            controls,
-            self._caller,
-            self._runtime.clock,
-            self._runtime.random,
-        )
-        carry_revisions(self._membership.spread, self._configuration, follower, me.links)
-        return follower
-
     def _make_allotments(self, ledger: LedgerClient) -> HostAllotments:
         return make_allotments(
             Holder(self._me.host, self._me.incarnation),
@@ -371,35 +280,14 @@
 
     def _targets_state(self) -> dict[str, Any]:
         return {
-            name: _describe_target(target.announcement)
+            name: describe_target(target.announcement)
             for name, target in sorted(self._targets.by_id.items())
         }
 
 
-def _describe_target(announcement: Announcement) -> dict[str, Any]:
-    load = announcement.load
-    return {
-        "kind": announcement.kind,
-        "name": announcement.name,
-        "place": announcement.place,
-        "url": announcement.url,
-        "versions": announcement.versions,
-        "capacity": announcement.capacity,
-        "running": load.running if load else None,
-        "waiting": load.waiting if load else None,
-    }
-
-
 def make_entry_program(settings: Settings, runtime: Runtime) -> EntryProgram:
     """Return the entry program of checked settings.
 
     Raise ``ValueError`` for a key file that changed since the check.
     """
     return EntryProgram(settings, runtime)
-
-
-def _load_keys(settings: Settings) -> FleetKeys:
-    keys = load_fleet_keys(settings["fleet_key"])
-    if isinstance(keys, Err):
-        raise ValueError("; ".join(str(problem) for problem in keys.err_value))
-    return keys.ok_value
--- a/cranberrywall/entry/_stack.py
+++ b/cranberrywall/entry/_stack.py
@@ -73,6 +73,11 @@
         self.app.on_response_prepare.append(self._close_connection)
         self.app.add_routes(make_caller_routes(parts))
 
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """Return the session that holds this host's connections to targets."""
+        return self._sessions[0]
+
     @property
     def running(self) -> int:
         """Return how many requests are in progress."""
--- a/measurements/at_most_once.py
+++ b/measurements/at_most_once.py
@@ -27,6 +27,7 @@
 from measurements._figures import report_figures
 from measurements._live_fleet import PATIENCE_S, LiveFleet, Reply, other_host
 from standins import Faults, ServiceOptions
+from standins._common import UNNAMED_REQUEST
 
 NET = 21
 SIZE = FleetSize(controls=3, entries=4, consoles=0)
@@ -117,6 +118,7 @@
 
 async def _report(fleet: LiveFleet, endings: list[Ending]) -> None:
     ran = fleet.targets.ran_by_request()
+    ran.pop(UNNAMED_REQUEST, None)  # Probes of services carry no request's id.
     totals = await fleet.client.totals(PATIENCE_S)
     executions = {key: count.executions for key, count in ran.items()}
     words = Counter(ending.reply.code or ending.reply.ran or "lost" for ending in endings)
--- a/measurements/billing.py
+++ b/measurements/billing.py
@@ -29,6 +29,7 @@
 from measurements._figures import report_figures
 from measurements._live_fleet import PATIENCE_S, WORKSPACE, LiveFleet, other_host
 from standins import EngineOptions, Faults, ServiceOptions, answer_words, count_prompt_tokens
+from standins._common import UNNAMED_REQUEST
 
 NET = 23
 SIZE = FleetSize(controls=3, entries=4, consoles=0)
@@ -157,6 +158,7 @@
 
 async def _report(fleet: LiveFleet, endings: list[Ending]) -> None:
     ran = fleet.targets.ran_by_request()
+    ran.pop(UNNAMED_REQUEST, None)  # Probes of services carry no request's id.
     totals = await fleet.client.totals(PATIENCE_S)
     amount, billed = totals.by_workspace()[WORKSPACE]
     answered = [ending for ending in endings if ending.answered]
