--- a/cranberrywall/routing/_candidates.py
+++ b/cranberrywall/routing/_candidates.py
@@ -1,5 +1,6 @@
 """Hold what this host knows of each target that it may choose."""
 
+from enum import Enum
 from math import ceil, exp, log1p
 from typing import NamedTuple
 
@@ -28,6 +29,18 @@
 """A target that fails each request seems this many times as long, plus one."""
 
 
+class Claim(Enum):
+    """Say what bounds a request at a target.
+
+    ``BOUNDED`` requests keep within this host's limit; the ``FIRST_RANK`` may go over it by
+    a share. The ``ONLY`` request of a host may go where none of its own is.
+    """
+
+    BOUNDED = "bounded"
+    FIRST_RANK = "first_rank"
+    ONLY = "only"
+
+
 class Shared(NamedTuple):
     """Say how a target is shared.
 
@@ -94,18 +107,15 @@
             own = Own(bounded, shared.unbounded_share)
             self.limit.report(load, wanted, own, shared.hosts)
 
-    def has_room(self, bounded: bool, now: float) -> bool:
-        """Say whether one more request may go to the target.
-
-        The limit holds for a ``bounded`` request; others may go over it by a share.
-        """
+    def has_room(self, claim: Claim, now: float) -> bool:
+        """Say whether one more request with this claim may go to the target."""
         health = self.health
         if health.is_ejected(now) or health.is_silent(now):
             return False
-        if health.is_on_trial(now):
+        if health.is_on_trial(now) or claim is Claim.ONLY:
             return self.load.in_flight == 0
         places = self.limit.places(health.share_of_capacity(now))
-        if bounded:
+        if claim is Claim.BOUNDED or not places:
             return self.load.bounded < places
         return self.load.in_flight < places + self._extra
 
--- a/cranberrywall/routing/_choice.py
+++ b/cranberrywall/routing/_choice.py
@@ -4,7 +4,7 @@
 from heapq import nlargest
 from typing import NamedTuple
 
-from cranberrywall.routing._candidates import Candidate
+from cranberrywall.routing._candidates import Candidate, Claim
 from cranberrywall.routing._interfaces import Demand
 from cranberrywall.routing._waits import WaitModel, Work
 from cranberrywall.runtime import Random
@@ -45,7 +45,7 @@
     def choose(
         self,
         demand: Demand,
-        bounded: bool,
+        claim: Claim,
         candidates: Sequence[Candidate],
         candidate_by_id: dict[str, Candidate],
         usual: Usual,
@@ -53,9 +53,9 @@
     ) -> Chosen | None:
         """Return the best of two by chance and the prefix holders, or ``None``.
 
-        The targets' limits hold for a ``bounded`` demand.
+        ``claim`` says which of the targets' limits hold for the demand.
         """
-        fits = _Fit(demand, bounded, usual, now)
+        fits = _Fit(demand, claim, usual, now)
         matches = self._prefixes.matches(demand.prefix_hashes, now)
         drawn = self._draw(candidates, fits)
         if not drawn:
@@ -65,7 +65,7 @@
         for candidate in preferred:
             if candidate not in drawn:
                 fits.add(candidate, drawn)
-        return self._best(demand, bounded, drawn, matches, now)
+        return self._best(demand, claim, drawn, matches, now)
 
     def _draw(self, candidates: Sequence[Candidate], fits: "_Fit") -> dict[Candidate, float]:
         drawn: dict[Candidate, float] = {}
@@ -83,11 +83,12 @@
     def _best(
         self,
         demand: Demand,
-        bounded: bool,
+        claim: Claim,
         drawn: dict[Candidate, float],
         matches: dict[str, int],
         now: float,
     ) -> Chosen | None:
+        bounded = claim is Claim.BOUNDED
         best: Chosen | None = None
         best_cost = (0.0, 0.0)
         blocks = len(demand.prefix_hashes)
@@ -107,9 +108,9 @@
 class _Fit:
     """Say which candidates may take one demand, and how busy they are."""
 
-    def __init__(self, demand: Demand, bounded: bool, usual: Usual, now: float) -> None:
+    def __init__(self, demand: Demand, claim: Claim, usual: Usual, now: float) -> None:
         self._demand = demand
-        self._bounded = bounded
+        self._claim = claim
         self._usual = usual
         self._now = now
 
@@ -120,7 +121,7 @@
             return
         if not candidate.serves(demand.version, demand.adapter):
             return
-        if not candidate.has_room(self._bounded, self._now):
+        if not candidate.has_room(self._claim, self._now):
             return
         if demand.retry and not candidate.retries.allows(self._now):
             return
--- a/cranberrywall/routing/_limits.py
+++ b/cranberrywall/routing/_limits.py
@@ -4,6 +4,9 @@
 
 from cranberrywall.targets import Load
 
+LEAST_REPORTED = 0.1
+"""The smallest limit at a target that reports its load; the hosts' fractions add up."""
+
 SMOOTHING = 0.5
 """Part of the way that a limit goes with each report."""
 
@@ -60,8 +63,8 @@
     def __init__(self, capacity: int, hosts: int, draw: float) -> None:
         self._capacity = capacity
         self._draw = draw
-        # Below one request only where hosts are more than places, where the fractions of
-        # the hosts add up: a target that looks slow to all must not end without any work.
+        # A target that reports nothing must not end without any work because it looked
+        # slow to all: nothing would show that it is well again.
         self._least = min(1.0, capacity / hosts)
         self._is_reported = False
         self._best = 1.0
@@ -89,6 +92,7 @@
         ``own`` were this host's at the time of the report.
         """
         self._is_reported = True
+        self._least = LEAST_REPORTED
         total = max(1.0, float(load.running + load.waiting))
         # Only the bounded requests can make room for the others.
         factor = max(0.0, (wanted / total - own.unbounded_share) / (1.0 - own.unbounded_share))
@@ -110,7 +114,7 @@
         self._best = min(ratio, self._best * BEST_FORGETS)
         late_s = seconds - predicted_s * self._best
         if ratio <= CONGESTED_RATIO * self._best or late_s <= CONGESTED_S:
-            if not self._is_reported and in_flight + 1 >= self.value:
+            if not self._is_reported and in_flight + 1 >= self.places(1.0):
                 self._set(self.value + GROWTH / max(1.0, self.value))
             return False
         # A queue that others made is no reason to bound what this host doesn't use.
--- a/cranberrywall/routing/_pool.py
+++ b/cranberrywall/routing/_pool.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 from statistics import fmean
 
-from cranberrywall.routing._candidates import Candidate, Shared
+from cranberrywall.routing._candidates import Candidate, Claim, Shared
 from cranberrywall.routing._choice import Choice, Chosen
 from cranberrywall.routing._distances import Distances
 from cranberrywall.routing._interfaces import Demand, Outcome, OutcomeKind
@@ -116,11 +116,11 @@
         """Return the best target that has room for ``demand``; nothing is granted yet."""
         if is_first_rank:
             self._first_rank_until = now + RESERVED_FOR_S
-        chosen = self._choose(demand, not is_first_rank, now)
+        chosen = self._choose(demand, Claim.FIRST_RANK if is_first_rank else Claim.BOUNDED, now)
         # Where hosts are more than places some have none by their limits; one request for
         # each host keeps their waiters from starving.
-        if chosen is None and not is_first_rank and not self.in_flight():
-            chosen = self._choose(demand, False, now)
+        if chosen is None and not self.in_flight():
+            chosen = self._choose(demand, Claim.ONLY, now)
         return chosen
 
     def grant(self, chosen: Chosen, demand: Demand, on_end: "OnEnd", now: float) -> "PoolSlot":
@@ -168,11 +168,9 @@
             if candidate.health.is_ejected(now) or candidate.health.is_silent(now)
         ]
 
-    def _choose(self, demand: Demand, bounded: bool, now: float) -> Chosen | None:
+    def _choose(self, demand: Demand, claim: Claim, now: float) -> Chosen | None:
         usual = self._usual_now(now)
-        return self._choice.choose(
-            demand, bounded, self.candidates, self.candidate_by_id, usual, now
-        )
+        return self._choice.choose(demand, claim, self.candidates, self.candidate_by_id, usual, now)
 
     def note_crowd(self, now: float) -> None:
         """Note that demands wait: places are short."""
--- a/tests/routing/test_failures.py
+++ b/tests/routing/test_failures.py
@@ -6,7 +6,7 @@
 import pytest
 
 from cranberrywall.errors import ErrorKind
-from cranberrywall.routing import Outcome, OutcomeKind, TargetRouter
+from cranberrywall.routing import Demand, Outcome, OutcomeKind, Slot, TargetRouter
 from cranberrywall.targets import KEPT_S, CacheEvent, Load, PrefixIndex
 from tests.routing.clocks import ManualClock
 from tests.routing.demands import demand
@@ -30,6 +30,17 @@
     return slot.target_id
 
 
+async def grant_now(router: TargetRouter, count: int, wanted: Demand, now: float) -> list[Slot]:
+    """Return the places that are granted at once to ``count`` like demands."""
+    tasks = [asyncio.create_task(router.acquire(wanted, now)) for _ in range(count)]
+    await settle()
+    slots = [task.result().unwrap() for task in tasks if task.done()]
+    for task in tasks:
+        task.cancel()
+    await settle()
+    return slots
+
+
 async def fail_until_ejected(router: TargetRouter, clock: ManualClock) -> None:
     for _ in range(1000):
         if [found.target for found in router.doubtful(clock.time)] == ["a"]:
@@ -56,12 +67,16 @@
     router.probed(announce("a"), False, clock.time)
     assert {await use(router, clock) for _ in range(20)} == {"b"}
     router.probed(announce("a"), True, clock.time)
-    slots = [(await router.acquire(demand(), clock.time)).unwrap() for _ in range(5)]
+    slots = await grant_now(router, 5, demand(), clock.time)
     assert Counter(slot.target_id for slot in slots) == {"a": 1, "b": 4}
     for slot in slots:
         slot.finish(ANSWERED, clock.time)
-    clock.time += 11.0
-    slots = [(await router.acquire(demand(deadline=1e6), clock.time)).unwrap() for _ in range(8)]
+    for _ in range(200):
+        clock.time += 0.1
+        slots = await grant_now(router, 8, demand(deadline=1e6), clock.time)
+        for slot in slots:
+            slot.finish(ANSWERED, clock.time)
+    slots = await grant_now(router, 8, demand(deadline=1e6), clock.time)
     assert Counter(slot.target_id for slot in slots) == {"a": 4, "b": 4}
 
 
