End an entry host that cannot reach the ledger

Seen: an entry process that got SIGTERM after its control hosts had ended was still draining 23 minutes later; it waits for its charges to be committed.

--- a/cranberrywall/commands/_demo_fleet.py
+++ b/cranberrywall/commands/_demo_fleet.py
@@ -48,7 +48,7 @@
         self.files = files
         self.client: FleetClient = make_fleet_client(files)
         self.targets = Targets([], [])
-        self._programs_by_role: dict[str, list[Program]] = {}
+        self.programs_by_role: dict[str, list[Program]] = {}
 
     async def start(self) -> None:
         """Start control, commit the document and the money, then start the rest."""
@@ -72,7 +72,7 @@
         """Stop everything: the targets, the entry hosts, and control at the end."""
         await self.targets.close()
         for role in ("entry", "console", "control"):
-            programs = self._programs_by_role.pop(role, [])
+            programs = self.programs_by_role.pop(role, [])
             await asyncio.gather(*(program.stop() for program in programs))
         await self.client.close()
 
@@ -83,7 +83,7 @@
             with process_context(role, host.name, settings["place"]):
                 program = _make_program(role, settings, runtime)
                 await program.start()
-            self._programs_by_role.setdefault(role, []).append(program)
+            self.programs_by_role.setdefault(role, []).append(program)
 
 
 def _make_program(role: str, settings: Settings, runtime: Runtime) -> Program:
--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -32,6 +32,7 @@
     carry_revisions,
     make_caller_stack,
 )
+from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.hosts import (
     HostState,
     HostView,
@@ -71,6 +72,9 @@
 
 SHUTDOWN_S = 1.0
 
+HAND_BACK_S = 10.0
+"""A host that ends tries for so long to commit its charges and return its money."""
+
 TTL_MARGIN_S = 0.5
 """How much longer than they were told callers may keep addresses, for answers on the way."""
 
@@ -199,7 +203,13 @@
     async def _hand_money_back(self) -> None:
         if self._allotments is None:
             return
-        returned = await self._allotments.hand_back()
+        try:
+            async with asyncio.timeout(HAND_BACK_S):
+                returned = await self._allotments.hand_back()
+        except TimeoutError:
+            # A host that is cut off from the ledger would drain for ever. Its charges are
+            # durable without the ledger, and what it holds stays booked to it.
+            returned = Err(Refusal(ErrorKind.TIMEOUT, "the ledger is out of reach"))
         if isinstance(returned, Err):
             # The next run on this host registers and brings the rest back.
             log_event("WARNING", "money_not_handed_back", refusal=returned.err_value)
