--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -75,6 +75,8 @@
 HAND_BACK_S = 10.0
 """A host that ends tries for so long to commit its charges and return its money."""
 
+HAND_BACK_WITHOUT_DISK_S = 60.0
+
 TTL_MARGIN_S = 0.5
 """How much longer than they were told callers may keep addresses, for answers on the way."""
 
@@ -204,11 +206,14 @@
         if self._allotments is None:
             return
         try:
-            async with asyncio.timeout(HAND_BACK_S):
+            has_disk = self._runtime.storage is not None
+            async with asyncio.timeout(HAND_BACK_S if has_disk else HAND_BACK_WITHOUT_DISK_S):
                 returned = await self._allotments.hand_back()
         except TimeoutError:
-            # A host that is cut off from the ledger would drain for ever. Its charges are
-            # durable without the ledger, and what it holds stays booked to it.
+            # A host that is cut off from the ledger would drain for ever. What it holds
+            # stays booked to it, and its charges are in its journal or at two peers. Only
+            # on a host without a disk that reaches neither the ledger nor two peers, under
+            # the policy `spend`, are they lost, so it tries for longer.
             returned = Err(Refusal(ErrorKind.TIMEOUT, "the ledger is out of reach"))
         if isinstance(returned, Err):
             # The next run on this host registers and brings the rest back.
