--- a/measurements/budget_partition.py
+++ b/measurements/budget_partition.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from cranberrywall.budgets import SpendPolicy
+from measurements._budget_least import least_false_refusals
 from measurements._budget_runs import Outcome, run_allotments, run_scheme
 from measurements._budget_trace import ASSOCIATION, BOARD, Deployment, Trace, make_trace
 from measurements._figures import report_figures
@@ -42,6 +43,7 @@
     static = _sum([run_scheme(trace, FixedShares(_weights(trace))) for trace in traces])
     central = _sum([run_scheme(trace, Central(hosts)) for trace in traces])
     leases = _sum([run_scheme(trace, TimedLeases(hosts, LEASE_S)) for trace in traces])
+    least = [least_false_refusals(trace) for trace in traces]
     best = min(equal.false_refusals, static.false_refusals, central.false_refusals)
     report_figures(
         f"budget_partition_{deployment.name}",
@@ -58,6 +60,8 @@
             "central": central.false_refusals,
             "timed_lease": leases.false_refusals,
             "timed_lease_overspend": leases.overspend,
+            "least": sum(one.best for one in least),
+            "split_by_past": sum(one.by_past for one in least),
             "calls_per_request": ours.calls / ours.requests,
             "seconds": took,
             "ratio": ours.false_refusals / max(1, best),
