--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable, Sequence
 from functools import partial
 
-from loguru import logger
 from result import Err, Ok, Result
 
 from cranberrywall.budgets._allotment import Allotment, Numbers
@@ -41,6 +40,7 @@
 from cranberrywall.budgets.messages import Holder, Transfer
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller, Peer, Server
+from cranberrywall.observability import log_event
 from cranberrywall.runtime import Runtime
 
 # An allotment that was not used for this long is returned and forgotten.
@@ -231,11 +231,12 @@
             kept = mine[0] if mine else Kept(checkpoint.holder, (), ())
             resume(checkpoint, of_group(kept, queue.group, self._ledger), queue, self._allotment)
             queue.successor = self._holder
-            logger.info(
-                "event=resumed_from_journal group={} incarnation={} budgets={}",
-                checkpoint.group,
-                checkpoint.holder.incarnation,
-                len(checkpoint.rows),
+            log_event(
+                "INFO",
+                "resumed_from_journal",
+                group=checkpoint.group,
+                incarnation=checkpoint.holder.incarnation,
+                budgets=len(checkpoint.rows),
             )
 
     def _is_mine(self, kept: Kept) -> bool:
--- a/cranberrywall/budgets/_bounds.py
+++ b/cranberrywall/budgets/_bounds.py
@@ -12,7 +12,7 @@
 import math
 from typing import NamedTuple, Protocol
 
-from loguru import logger
+from cranberrywall.observability import log_event
 
 # So many requests of a model are bounded by their bytes before a ratio is believed.
 PROVEN_AFTER = 1000
@@ -104,6 +104,4 @@
         """Go back to the safe bound: what was learned did not hold for this input."""
         learned.exceeded += 1
         learned.since_proof_began = 0
-        logger.warning(
-            "event=input_bound_exceeded model={} bound={} actual={}", model, bound, actual
-        )
+        log_event("WARNING", "input_bound_exceeded", model=model, bound=bound, actual=actual)
--- a/cranberrywall/budgets/_charges.py
+++ b/cranberrywall/budgets/_charges.py
@@ -5,7 +5,6 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any, NamedTuple, Protocol
 
-from loguru import logger
 from result import Err, Ok, Result
 
 from cranberrywall.budgets._client import LedgerClient
@@ -21,6 +20,7 @@
     Transfer,
 )
 from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.observability import log_event
 from cranberrywall.runtime import Clock
 
 # Batches of one group start at least this far apart; charges in between share one.
@@ -201,7 +201,7 @@
         if not self.in_reach:
             return
         self.in_reach = False
-        logger.warning("event=ledger_out_of_reach group={} kind={}", self.group, refusal.kind)
+        log_event("WARNING", "ledger_out_of_reach", group=self.group, kind=refusal.kind)
         if self.on_reach is not None:
             await self.on_reach(False)
         self._work_came()
@@ -283,7 +283,7 @@
         # that are committed, or a restart would count their money as still held.
         if self.on_reach is not None:
             await self.on_reach(True)
-        logger.info("event=ledger_in_reach group={} kept={}", self.group, len(self._kept))
+        log_event("INFO", "ledger_in_reach", group=self.group, kept=len(self._kept))
         self.in_reach = True
         self.durable = True
         self._retry_s = RETRY_FIRST_S
@@ -314,7 +314,7 @@
                     continue
                 if out_of_reach(refusal):
                     return answer
-                logger.error("event=transfer_refused reason={}", refusal)
+                log_event("ERROR", "transfer_refused", reason=refusal)
             self._transfers.popleft()
             moved = answer.ok_value.moved if isinstance(answer, Ok) else 0
             if taken_by is not None and moved < transfer.amount:
@@ -375,10 +375,11 @@
     if outcome is ChargeOutcome.DUPLICATE:
         # The ledger left the amount in our allotment: it can be spent again.
         pending.allotment.granted(charge.amount)
-    logger.warning(
-        "event=charge_not_billed outcome={} budget={} request={} amount={}",
-        outcome,
-        charge.budget,
-        charge.request_id,
-        charge.amount,
+    log_event(
+        "WARNING",
+        "charge_not_billed",
+        outcome=outcome,
+        budget=charge.budget,
+        request=charge.request_id,
+        amount=charge.amount,
     )
--- a/cranberrywall/budgets/_claims.py
+++ b/cranberrywall/budgets/_claims.py
@@ -3,10 +3,9 @@
 A peer's transfer whose answer was lost is one such amount, once the peer reported it.
 """
 
-from loguru import logger
-
 from cranberrywall.budgets._allotment import Allotment
 from cranberrywall.budgets.messages import BudgetResult
+from cranberrywall.observability import log_event
 
 
 class Claim:
@@ -34,5 +33,5 @@
         if missed <= 0:
             return 0
         allotment.granted(missed)
-        logger.info("event=claimed budget={} amount={}", allotment.budget, missed)
+        log_event("INFO", "claimed", budget=allotment.budget, amount=missed)
         return missed
--- a/cranberrywall/budgets/_journal.py
+++ b/cranberrywall/budgets/_journal.py
@@ -8,7 +8,6 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from loguru import logger
 from result import Err, Ok, Result
 
 from cranberrywall.budgets._allotment import Numbers
@@ -16,6 +15,7 @@
 from cranberrywall.budgets.messages import Charge, Holder, Transfer
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import MalformedMessageError, MessageCodec
+from cranberrywall.observability import log_event
 from cranberrywall.replication import encode_frame, scan_frames
 from cranberrywall.runtime import AppendFile, Storage
 
@@ -250,7 +250,7 @@
             # What a failed sync wrote may or may not be there, and nothing after it can be
             # trusted to last: the file takes no more in this run.
             self._file = None
-            logger.error("event=journal_failed error={}", error)
+            log_event("ERROR", "journal_failed", error=error)
             return Err(Refusal(ErrorKind.STORAGE_FAILED, f"{FILE}: {error}"))
         return Ok(None)
 
--- a/cranberrywall/budgets/_mirror.py
+++ b/cranberrywall/budgets/_mirror.py
@@ -7,7 +7,6 @@
 import asyncio
 from collections.abc import Callable, Sequence
 
-from loguru import logger
 from result import Err, Ok, Result
 
 from cranberrywall.budgets._charges import Kept
@@ -23,6 +22,7 @@
 from cranberrywall.budgets.messages import Holder, Transfer
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller
+from cranberrywall.observability import log_event
 
 # Copies in the memory of two peers last through the loss of one; one on a disk does too.
 COPIES = 2
@@ -144,7 +144,7 @@
     for name in mirrors:
         peer = peer_by_host.get(name)
         if peer is None:
-            logger.info("event=remainder_waits host={} for={}", host, name)
+            log_event("INFO", "remainder_waits", owner=host, waits_for=name)
             return False
         answer = await caller.call(peer.links, DELIVER, request, 4 * CALL_TIMEOUT_S)
         if isinstance(answer, Err) or answer.ok_value.remaining > 0:
--- a/cranberrywall/budgets/_mirror_store.py
+++ b/cranberrywall/budgets/_mirror_store.py
@@ -2,7 +2,6 @@
 
 from typing import NamedTuple
 
-from loguru import logger
 from result import Err, Ok, Result
 
 from cranberrywall.budgets._charges import Kept
@@ -25,6 +24,7 @@
 )
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Peer
+from cranberrywall.observability import log_event
 from cranberrywall.runtime import Clock
 
 COMMIT_TIMEOUT_S = 1.0
@@ -157,7 +157,7 @@
             for key in some:
                 copies.charge_by_key.pop(key, None)
             await self._note_committed(Kept(holder, (), charges))
-            logger.info("event=copies_committed host={} charges={}", holder.host, len(some))
+            log_event("INFO", "copies_committed", owner=holder.host, charges=len(some))
 
     async def _note_committed(self, kept: Kept) -> None:
         if self._journal is not None and (kept.charges or kept.transfers):
--- a/cranberrywall/budgets/_registration.py
+++ b/cranberrywall/budgets/_registration.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Awaitable, Callable, Sequence
 
-from loguru import logger
 from result import Err, Ok, Result
 
 from cranberrywall.budgets._charges import Keeper, Kept, out_of_reach
@@ -15,6 +14,7 @@
     Transfer,
 )
 from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.observability import log_event
 from cranberrywall.runtime import Clock
 
 STEP_TIMEOUT_S = 1.0
@@ -60,9 +60,9 @@
         command = RegisterHolder(holder, True, self._clock.wall())
         answer = await self._ledger.register(group, command, STEP_TIMEOUT_S)
         if isinstance(answer, Err):
-            logger.info("event=register_failed group={} kind={}", group, answer.err_value.kind)
+            log_event("INFO", "register_failed", group=group, kind=answer.err_value.kind)
             return False
-        logger.info("event=registered group={} released={}", group, answer.ok_value.released)
+        log_event("INFO", "registered", group=group, released=answer.ok_value.released)
         return True
 
     async def _deliver(self, kept: Kept) -> Result[None, Refusal]:
--- a/cranberrywall/budgets/_reservation.py
+++ b/cranberrywall/budgets/_reservation.py
@@ -1,12 +1,12 @@
 """Hold one request's money until it is settled or released."""
 
-from loguru import logger
 from result import Err, Ok, Result
 
 from cranberrywall.budgets._allotment import Allotment
 from cranberrywall.budgets._interfaces import ReserveRequest
 from cranberrywall.budgets.messages import Charge
 from cranberrywall.errors import Refusal
+from cranberrywall.observability import log_event
 
 
 class HeldReservation:
@@ -37,12 +37,13 @@
             # The target ran past the limit it was given. The caller's budget must not
             # pay for that: the invariant covers only what was reserved.
             amount = self.bound
-            logger.warning(
-                "event=bound_exceeded budget={} request={} bound={} actual={}",
-                request.budget,
-                request.request_id,
-                self.bound,
-                actual,
+            log_event(
+                "WARNING",
+                "bound_exceeded",
+                budget=request.budget,
+                request=request.request_id,
+                bound=self.bound,
+                actual=actual,
             )
         number = self._allotment.settle(self.bound, amount)
         charge = Charge(
--- a/cranberrywall/budgets/_review.py
+++ b/cranberrywall/budgets/_review.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable, Sequence
 from functools import partial
 
-from loguru import logger
 from result import Err, Ok
 
 from cranberrywall.budgets._allotment import Allotment
@@ -16,6 +15,7 @@
 from cranberrywall.budgets._sizing import HIGH_BAND, LOW_BAND, Rates, part_in_place, target
 from cranberrywall.budgets._transfers import Taker
 from cranberrywall.budgets.messages import BudgetQuery
+from cranberrywall.observability import log_event
 from cranberrywall.runtime import Clock
 
 REVIEW_INTERVAL_S = 5.0
@@ -176,6 +176,4 @@
     async def _give_back(self, allotment: Allotment, amount: int) -> None:
         answer = await self._steps.give_back(allotment, amount)
         if isinstance(answer, Err):
-            logger.info(
-                "event=return_failed budget={} kind={}", allotment.budget, answer.err_value.kind
-            )
+            log_event("INFO", "return_failed", budget=allotment.budget, kind=answer.err_value.kind)
--- a/cranberrywall/budgets/_scarcity.py
+++ b/cranberrywall/budgets/_scarcity.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
-from loguru import logger
 from result import Err, Ok, Result
 
 from cranberrywall.budgets._allotment import Allotment
@@ -22,6 +21,7 @@
 from cranberrywall.budgets._transfers import Taker, nearest_first
 from cranberrywall.budgets.messages import BudgetQuery, BudgetResult, Holder
 from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.observability import log_event
 from cranberrywall.runtime import Clock
 
 # The most hosts that one round asks while the ledger cannot name those that hold money.
@@ -204,7 +204,7 @@
         if out_of_reach(refusal):
             await self._allotment.queue.lost(refusal)
             return None
-        logger.info("event=draw_refused budget={} kind={}", allotment.budget, refusal.kind)
+        log_event("INFO", "draw_refused", budget=allotment.budget, kind=refusal.kind)
         # A budget that was never credited has nothing. Any other refusal says nothing of
         # the money, as where this holder was succeeded while it was cut off.
         return 0 if refusal.kind is ErrorKind.NOT_FOUND else None
--- a/cranberrywall/budgets/_transfers.py
+++ b/cranberrywall/budgets/_transfers.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
-from loguru import logger
 from result import Err, Ok, Result
 
 from cranberrywall.budgets._allotment import Allotment
@@ -20,6 +19,7 @@
 from cranberrywall.budgets.messages import Holder, Transfer
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller
+from cranberrywall.observability import log_event
 from cranberrywall.runtime import Clock, Random
 
 TAKE_TIMEOUT_S = 0.5
@@ -99,12 +99,7 @@
             return Err(kept.err_value)
         self._remember(asked, _Given(transfer, is_reported))
         self.given += 1
-        logger.info(
-            "event=transfer_given budget={} to={} amount={}",
-            asked.budget,
-            asked.taker.host,
-            amount,
-        )
+        log_event("INFO", "transfer_given", budget=asked.budget, to=asked.taker.host, amount=amount)
         return Ok(_reply(allotment, transfer, is_reported))
 
     async def _commit(self, transfer: Transfer, allotment: Allotment) -> bool:
