--- a/cranberrywall/budgets/_mirror.py
+++ b/cranberrywall/budgets/_mirror.py
@@ -144,7 +144,7 @@
     for name in mirrors:
         peer = peer_by_host.get(name)
         if peer is None:
-            log_event("INFO", "remainder_waits", owner=host, waits_for=name)
+            log_event("INFO", "remainder_waits", peer=host, waits_for=name)
             return False
         answer = await caller.call(peer.links, DELIVER, request, 4 * CALL_TIMEOUT_S)
         if isinstance(answer, Err) or answer.ok_value.remaining > 0:
--- a/cranberrywall/budgets/_mirror_store.py
+++ b/cranberrywall/budgets/_mirror_store.py
@@ -157,7 +157,7 @@
             for key in some:
                 copies.charge_by_key.pop(key, None)
             await self._note_committed(Kept(holder, (), charges))
-            log_event("INFO", "copies_committed", owner=holder.host, charges=len(some))
+            log_event("INFO", "copies_committed", peer=holder.host, charges=len(some))
 
     async def _note_committed(self, kept: Kept) -> None:
         if self._journal is not None and (kept.charges or kept.transfers):
--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -1,7 +1,7 @@
 """Assemble the entry program: configuration, money, targets, callers, operators' HTTP."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from aiohttp import web
@@ -28,7 +28,9 @@
     CallerStack,
     ConfiguredHosts,
     ConfiguredPolicies,
+    LivePeers,
     StackLinks,
+    carry_revisions,
     make_caller_stack,
 )
 from cranberrywall.hosts import (
@@ -56,6 +58,7 @@
     make_admin_server,
     make_metrics,
 )
+from cranberrywall.orders import EngineReporter
 from cranberrywall.routing import make_router
 from cranberrywall.runtime import Runtime, split_address
 from cranberrywall.settings import (
@@ -102,6 +105,9 @@
         self._spread = AnnouncementSpread(
             self._me.host, self._targets, self._membership, self._caller, runtime.clock
         )
+        self._reporter = EngineReporter(
+            self._caller, runtime.clock, controls, lambda: self._waiting_by_model()
+        )
         self._follower.register(self._server)
         self._spread.register(self._server)
         self.on_drain: Callable[[], None] = lambda: None
@@ -110,6 +116,7 @@
         self.state = StateRegistry()
         self._health = HealthChecks()
         self._admin = self._make_admin()
+        self._waiting_by_model: Callable[[], Mapping[str, float]] = dict
         self._stack: CallerStack | None = None
         self._runner: web.AppRunner | None = None
         self._failure = ""
@@ -173,6 +180,7 @@
         revision = await self._follower.join()
         self._tasks.append(asyncio.create_task(self._follower.run()))
         self._tasks.append(asyncio.create_task(self._spread.expire()))
+        self._tasks.append(asyncio.create_task(self._reporter.run()))
         # Which group keeps a budget follows from the number of groups in the document. A
         # number of this host's own would send its draws to groups that never heard of the
         # budget, and every request would be refused for want of money that is there.
@@ -185,8 +193,10 @@
             log_event("ERROR", "allotments_not_started", refusal=started.err_value)
             return
         self._allotments = allotments
+        targets = await self._spread.fetch()
         await self._serve(allotments, ledger)
-        log_event("INFO", "entry_ready", revision=revision, http=self._settings["listen"]["http"])
+        http = self._settings["listen"]["http"]
+        log_event("INFO", "entry_ready", revision=revision, targets=targets, http=http)
 
     async def _hand_money_back(self) -> None:
         if self._allotments is None:
@@ -207,6 +217,7 @@
             self._me.place,
             lambda: max(1, len(self._membership.alive())),
         )
+        self._waiting_by_model = router.waiting_by_model
         callers = self._settings["callers"]
         stack = make_caller_stack(
             self._me.host,
@@ -219,7 +230,7 @@
             router,
             runtime.clock,
             runtime.random,
-            metrics_registry=self._metrics.registry,
+            metrics=self._metrics,
             links=StackLinks(self._settings["listen"]["links"], self._caller, self._server),
             caller_limits=CallerLimits(
                 bodies=BodyLimits(most_bytes=size_in_bytes(callers["body"])),
@@ -227,9 +238,7 @@
             ),
         )
         stack.app.add_routes(
-            make_announce_routes(
-                self._targets, self._keys.target, runtime.clock, self._spread.publish
-            )
+            make_announce_routes(self._targets, self._keys.target, runtime.clock, self._publish)
         )
         # A handler whose caller has gone is cancelled, which frees its place in the queue.
         runner = web.AppRunner(
@@ -247,6 +256,10 @@
             self._membership.set_load(min(1.0, stack.running / BUSY_REQUESTS))
             await self._runtime.clock.sleep(LOAD_EVERY_S)
 
+    def _publish(self, announcement: Announcement) -> None:
+        self._spread.publish(announcement)
+        self._reporter.note(announcement)
+
     def _make_server(self) -> LinkServer:
         return make_link_server(
             self._runtime.network,
@@ -303,15 +316,17 @@
 
     def _make_follower(self, controls: list[str]) -> Follower:
         me = SpreadHost(self._me.host, self._me.place, self._settings["listen"]["links"])
-        return make_follower(
+        follower = make_follower(
             me,
             self._configuration,
-            self._hosts,
+            LivePeers(self._me.host, self._membership, self._hosts),
             controls,
             self._caller,
             self._runtime.clock,
             self._runtime.random,
         )
+        carry_revisions(self._membership.spread, self._configuration, follower, me.links)
+        return follower
 
     def _make_allotments(self, ledger: LedgerClient) -> HostAllotments:
         return make_allotments(
@@ -343,7 +358,7 @@
         return "this host is draining" if self._is_draining else None
 
     def _register_state(self) -> None:
-        self.state.register("host", lambda: {"host": self._me.host, "place": self._me.place})
+        self.state.register("host", self._me._asdict)
         self.state.register("configuration", self._follower.state)
         self.state.register("membership", self._membership.state)
         self.state.register("requests", self._requests_state)
--- a/cranberrywall/replication/_core.py
+++ b/cranberrywall/replication/_core.py
@@ -10,11 +10,11 @@
 from enum import StrEnum
 from typing import Any, TypeVar
 
-from loguru import logger
 from result import Err, Ok, Result
 
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller
+from cranberrywall.observability import log_event
 from cranberrywall.replication._files import GroupFiles, Vote
 from cranberrywall.replication._log import Log
 from cranberrywall.replication._rosters import find_member
@@ -66,6 +66,8 @@
         self.durable_index = 0
         self.committed = asyncio.Event()
         self.failure: Refusal | None = None
+        self._writes = 0
+        self._write_began_at = 0.0
         self.on_step_down: Callable[[str], None] = lambda reason: None
         self._storage = storage
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -78,7 +80,9 @@
     @property
     def lineage(self) -> str:
         """Return the group's lineage; empty on a host that never was a member."""
-        return self.log.roster.lineage or self.vote.lineage
+        # A snapshot from before a rescue still names the old lineage, so the one that was
+        # saved with the vote goes first.
+        return self.vote.lineage or self.log.roster.lineage
 
     @property
     def member(self) -> Member | None:
@@ -134,16 +138,29 @@
         """
         if self.failure is not None:
             return Err(self.failure)
+        if self._writes == 0:
+            self._write_began_at = self.clock.now()
+        self._writes += 1
         try:
             done = await self._storage.run_blocking(work)
         except OSError as error:
             remedy = "mend the disk or free space, then restart this host"
             self.fail(Refusal(ErrorKind.STORAGE_FAILED, str(error), "data", remedy))
             return Err(self._failed())
+        finally:
+            # The storage takes one call at a time, so the next one begins now.
+            self._writes -= 1
+            self._write_began_at = self.clock.now()
         if self.failure is not None:
             return Err(self.failure)
         return Ok(done)
 
+    def disk_hangs(self, now: float) -> bool:
+        """Say whether a write has lasted so long that the disk seems to hang."""
+        if self._writes == 0:
+            return False
+        return now - self._write_began_at > self.settings.disk_hangs_s
+
     async def save_vote(
         self, term: int, voted_for: str, lineage: str | None = None
     ) -> Result[None, Refusal]:
@@ -181,10 +198,10 @@
         self.leader = ""
         return await self.save_vote(term, "")
 
-    def step_down(self, reason: str) -> None:
-        """Become a follower."""
+    def step_down(self, reason: str, level: str = "WARNING") -> None:
+        """Become a follower; a leader says so in the log, at ``level``."""
         if self.role is Role.LEADER:
-            self.event("step_down", reason=reason)
+            self.event("step_down", level, reason=reason)
             self.leader = ""
         was_leader = self.role is Role.LEADER
         self.role = Role.FOLLOWER
@@ -197,7 +214,7 @@
         if self.failure is not None:
             return
         self.failure = refusal
-        logger.error("event=group_failed group={} host={} {}", self.group, self.host, refusal)
+        self.event("group_failed", "ERROR", refusal=refusal)
         self.step_down(str(refusal))
 
     def commit(self, index: int) -> None:
@@ -221,12 +238,9 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         await self._storage.run_blocking(self.files.close)
 
-    def event(self, name: str, **fields: object) -> None:
+    def event(self, name: str, level: str = "INFO", **fields: Any) -> None:
         """Log one event of this member."""
-        text = " ".join(f"{key}={value!s}" for key, value in fields.items())
-        logger.info(
-            "event={} group={} host={} term={} {}", name, self.group, self.host, self.term, text
-        )
+        log_event(level, name, host=self.host, group=self.group, term=self.term, **fields)
 
     def _failed(self) -> Refusal:
         assert self.failure is not None
@@ -240,5 +254,5 @@
         if error is not None:
             # A fault in our own code: its state cannot be trusted, and a member that
             # goes on half alive would keep its followers from electing another.
-            logger.opt(exception=error).error("event=task_failed group={}", self.group)
+            log_event("ERROR", "group_task_failed", error, host=self.host, group=self.group)
             self.fail(Refusal(ErrorKind.INTERNAL, f"{type(error).__name__}: {error}"))
--- a/cranberrywall/requests/_attempts.py
+++ b/cranberrywall/requests/_attempts.py
@@ -5,15 +5,14 @@
 that were delivered, and a run that differs ends in an explicit error.
 """
 
-import asyncio
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 import aiohttp
-from loguru import logger
 from result import Err, Ok, Result
 
 from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.observability import log_event
 from cranberrywall.requests._background import Background
 from cranberrywall.requests._engine import (
     EngineCall,
@@ -30,7 +29,7 @@
 from cranberrywall.requests._run import Run
 from cranberrywall.requests.messages import Attempted
 from cranberrywall.routing import Demand, Outcome, OutcomeKind, Router, Slot
-from cranberrywall.runtime import Clock, Random
+from cranberrywall.runtime import Clock, Random, Timers
 
 MAX_ATTEMPTS = 4
 MAX_RESUMES = 3
@@ -96,6 +95,7 @@
         self._metrics = metrics
         self._limits = limits
         self._background = background
+        self._timers = Timers(clock)
 
     async def serve(
         self,
@@ -115,7 +115,7 @@
         if request.end_by is None:
             return await served
         try:
-            async with asyncio.timeout(request.end_by - self._clock.now()):
+            async with self._timers.limit(request.end_by - self._clock.now()):
                 return await served
         except TimeoutError:
             return AttemptEnd(_late(run))
@@ -169,7 +169,7 @@
         run.sent = True
         name = request.name.request_id
         call = EngineCall(begun.url, begun.attempt_id, name, request.rank, "", b"")
-        stream = EngineStream(self._session, call, self._limits, self._metrics)
+        stream = self._make_stream(call, self._limits)
         stream.start_at(len(run.frames))
         reader = _AttemptReader(run, request, stream, self._clock)
         try:
@@ -205,9 +205,7 @@
             slot.version,
             body,
         )
-        stream = EngineStream(
-            self._session, call, self._limits_until(request.start_by), self._metrics
-        )
+        stream = self._make_stream(call, self._limits_until(request.start_by))
         reader = _AttemptReader(run, request, stream, self._clock)
         sent_before, run.sent = run.sent, True
         on_attempt(Attempted(call.url, call.attempt_id))
@@ -219,7 +217,10 @@
         finally:
             # Also a cancelled task comes through here: it frees its place and stops
             # the engine, or the engine would generate for nobody.
-            stream.close()
+            if fault is None:
+                self._background.spawn(stream.release())
+            else:
+                stream.close()
             if fault is not None and fault.kind is FaultKind.UNSENT:
                 run.sent = sent_before
             elif fault is not None:
@@ -244,6 +245,9 @@
                 break
         return fault
 
+    def _make_stream(self, call: EngineCall, limits: EngineLimits) -> EngineStream:
+        return EngineStream(self._session, call, limits, self._metrics, self._clock, self._timers)
+
     def _limits_until(self, start_by: float) -> EngineLimits:
         left = max(0.0, start_by - self._clock.now())
         return self._limits._replace(first_chunk_s=min(left, self._limits.first_chunk_s))
@@ -254,13 +258,14 @@
 
     def _note_fault(self, run: Run, slot: Slot, fault: Fault) -> None:
         self._metrics.faults.labels(str(fault.kind)).inc()
-        logger.warning(
-            "event=attempt_failed request={} target={} fault={} frames={} message={!r}",
-            run.name.request_id,
-            slot.target_id,
-            fault.kind,
-            len(run.frames),
-            fault.message,
+        log_event(
+            "WARNING",
+            "attempt_failed",
+            request=run.name.request_id,
+            target=slot.target_id,
+            fault=fault.kind,
+            frames=len(run.frames),
+            reason=fault.message,
         )
 
 
--- a/tests/budgets/test_ledger_failures.py
+++ b/tests/budgets/test_ledger_failures.py
@@ -282,7 +282,7 @@
     assert (ledger.sums().outstanding, ledger.sums().free) == (30, 20)
 
 
-SMALL = IdLimits(per_segment=4, segments=2)
+SMALL = IdLimits(per_segment=4, merged=8, kept=8)
 
 
 def bill(ledger: Ledger, numbers: range) -> None:
@@ -349,6 +349,6 @@
 def test_a_holder_that_is_silent_for_long_is_named_with_what_it_holds():
     ledger = funded()
     ledger.draw(A1, 1, 50)
-    assert named(ledger, NOW + 60.0) == []
-    (row,) = named(ledger, NOW + 7_200.0)
+    assert named(ledger, NOW + 3_600.0) == []
+    (row,) = named(ledger, NOW + 90_000.0)
     assert (row.kind, row.holder, row.amount) == (ExceptionKind.SILENT_HOLDER, A1, 50)
--- a/tests/configuration/test_machine.py
+++ b/tests/configuration/test_machine.py
@@ -8,6 +8,7 @@
 from cranberrywall.configuration import (
     ConfigurationClient,
     Edit,
+    _answers,
     apply_edits,
     edits_between,
     empty_document,
@@ -51,6 +52,19 @@
     assert (await client.change(place_edit("domzale"), 2, "c", "bor", 3.0)).unwrap().number == 3
 
 
+async def test_a_conflict_with_a_large_change_shows_a_bounded_part(
+    client: ConfigurationClient,
+) -> None:
+    many = tuple(Edit("places", f"p{number}", {"region": "x"}) for number in range(500))
+    await client.change(many, 1, "many", "ana", 2.0)
+    await client.change(place_edit("kranj"), 2, "one", "cilka", 3.0)
+    since = (await client.change(place_edit("x"), 1, "b", "bor", 4.0)).unwrap_err().since
+    assert [(delta.revision.operator, len(delta.edits)) for delta in since] == [
+        ("ana", 99),
+        ("cilka", 1),
+    ]
+
+
 async def test_changes_to_different_sections_do_not_clash(client: ConfigurationClient) -> None:
     budget = (Edit("budgets", "letters", {"unit": "tokens"}),)
     assert isinstance(await client.change(place_edit("kranj"), 1, "a", "ana", 2.0), Ok)
@@ -95,6 +109,24 @@
     assert (found.revision, found.document["places"]["kranj"]["region"]) == (3, "other")
 
 
+async def test_a_change_resent_after_its_answer_is_forgotten_is_not_applied_twice(
+    client: ConfigurationClient, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An operator's program sends a change again days later, past what is remembered.
+
+    Its own first application moved its section past the revision it is based on, so it is
+    refused, though nobody else touched that section.
+    """
+    monkeypatch.setattr(_answers, "ACCEPTED_LIMIT", 3)
+    assert (await client.change(place_edit("kranj"), 1, "a", "ana", 2.0)).unwrap().number == 2
+    for number in range(2, 8):
+        budget = (Edit("budgets", f"b{number}", {"unit": "tokens"}),)
+        (await client.change(budget, number, f"c{number}", "bor", 3.0)).unwrap()
+    again = (await client.change(place_edit("kranj"), 1, "a", "ana", 9.0)).unwrap_err()
+    assert again.refusal.kind is ErrorKind.CONFLICT
+    assert (await client.document()).unwrap().revision == 8
+
+
 async def test_a_refused_change_sent_again_is_refused_again(client: ConfigurationClient) -> None:
     bad = (Edit("hosts", "entry-9", {"place": "moon"}),)
     first = (await client.change(bad, 1, "a", "ana", 2.0)).unwrap_err()
@@ -131,6 +163,8 @@
         (await client.history(limit=500)).unwrap(),
     ) == before
     assert before[0].revision == 400
+    late = (await client.change(place_edit("place-1"), 1, "late", "bor", 2.0)).unwrap_err()
+    assert late.refusal.kind is ErrorKind.CONFLICT
 
 
 async def test_the_weight_store_may_be_set_changed_and_removed(
