--- a/measurements/_capacity_roles.py
+++ b/measurements/_capacity_roles.py
@@ -12,6 +12,7 @@
 """The most groups that the configuration takes."""
 
 FEW_MEMBERS = 3
+RENEWALS = "renewals of targets, the fewest that keep them known"
 MEGABYTE = 1e6
 KILOBYTE = 1e3
 CORE_PERCENT = 100.0
@@ -69,6 +70,12 @@
             Unit.CORE,
             "a target tells one host; that host tells the others",
         ),
+        _work(
+            figures,
+            RENEWALS,
+            "routing_cost.renewal_us_12000",
+            sizes.targets / TTL_S,
+        )._replace(mechanism="none: today renewals beyond 1,000 bytes a probe are dropped"),
         Part(
             "configuration in force",
             "config_size.host_change_ms",
@@ -152,7 +159,7 @@
         ),
         _traffic(
             figures,
-            "renewals of targets, one each before it is forgotten",
+            RENEWALS,
             "node_cost.renewal_bytes",
             sizes.targets / TTL_S,
             "none: today renewals beyond 1,000 bytes a probe are dropped",
