--- a/cranberrywall/hosts/_spread.py
+++ b/cranberrywall/hosts/_spread.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Iterable, Sequence
-from typing import Any
+from typing import Any, NamedTuple
 
 from cranberrywall.hosts._pace import Pace
 from cranberrywall.hosts._table import Table
@@ -22,15 +22,12 @@
 Receiver = Callable[[Item], None]
 
 
-class Contact:
+class Contact(NamedTuple):
     """Name a host to which items go."""
 
-    __slots__ = ("host", "links", "place")
-
-    def __init__(self, host: str, place: str, links: str) -> None:
-        self.host = host
-        self.place = place
-        self.links = links
+    host: str
+    place: str
+    links: str
 
 
 class _Pending:
--- a/cranberrywall/links/_served.py
+++ b/cranberrywall/links/_served.py
@@ -1,7 +1,7 @@
 """Answer the calls of one authenticated connection: one task for each call in progress."""
 
 import asyncio
-from typing import Any
+from typing import Any, NamedTuple
 
 from result import Err, Ok, Result
 
@@ -28,12 +28,11 @@
 _FRAMES_IN_A_ROW = 32
 
 
-class Registered:
+class Registered(NamedTuple):
     """Pair a method with its handler."""
 
-    def __init__(self, method: Method[Any, Any], handler: Handler[Any, Any]) -> None:
-        self.method = method
-        self.handler = handler
+    method: Method[Any, Any]
+    handler: Handler[Any, Any]
 
 
 class Shared:
--- a/cranberrywall/settings/_shape.py
+++ b/cranberrywall/settings/_shape.py
@@ -2,7 +2,16 @@
 
 import difflib
 from collections.abc import Iterator, Mapping
-from typing import Annotated, Any, Literal, NotRequired, get_args, get_origin, get_type_hints
+from typing import (
+    Annotated,
+    Any,
+    Literal,
+    NamedTuple,
+    NotRequired,
+    get_args,
+    get_origin,
+    get_type_hints,
+)
 
 import msgspec
 
@@ -10,13 +19,12 @@
 from cranberrywall.settings._settings import Address, Duration, Name, Size
 
 
-class _Leaf:
+class _Leaf(NamedTuple):
     """Say how a wrong value of one type is reported."""
 
-    def __init__(self, check: str, message: str, remedy: str) -> None:
-        self.check = check
-        self.message = message
-        self.remedy = remedy
+    check: str
+    message: str
+    remedy: str
 
 
 _LEAF_BY_TYPE: dict[Any, _Leaf] = {
--- a/tests/hosts/fleet.py
+++ b/tests/hosts/fleet.py
@@ -13,6 +13,8 @@
 
 KEY = b"k" * 32
 PORT = 7001
+TODAY = {"ljubljana-a": 2, "ljubljana-b": 2, "kranj": 2, "domzale": 1}
+"""The places of one of today's deployments, with their entry hosts."""
 
 
 class Host:
@@ -128,6 +130,11 @@
         )
 
 
+def but(fleet: Fleet, *names: str) -> list[Host]:
+    """Return the fleet's other hosts."""
+    return [host for host in fleet if host.name not in names]
+
+
 def in_fleet(
     sizes: dict[str, int],
     test: Callable[[Fleet], Awaitable[None]],
