--- a/cranberrywall/hosts/_prober.py
+++ b/cranberrywall/hosts/_prober.py
@@ -15,7 +15,10 @@
 from cranberrywall.links import Caller
 from cranberrywall.runtime import Clock, Random
 
-_FROZEN_FACTOR = 2.0
+_THROUGH_OTHERS_TIMEOUTS = 2
+"""The time for helpers, in timeouts: each of them waits for one of its own."""
+_FROZEN_TIMEOUTS = 6.0
+"""A failed probe takes three timeouts; one that took twice that did not run meanwhile."""
 
 
 class Prober:
@@ -98,7 +101,7 @@
             return
         # A process that did not run for a while, as one that was stopped or starved, finds
         # that all its probes timed out at once. That says nothing of the others.
-        if self._clock.now() - began > _FROZEN_FACTOR * 3 * timeout:
+        if self._clock.now() - began > _FROZEN_TIMEOUTS * timeout:
             return
         suspect = self._roster.judge(entry.host, SUSPECT)
         if suspect is not None and suspect.version[:3] == entry.version[:3]:
@@ -108,10 +111,10 @@
     async def _ask_through_others(self, entry: Entry, timeout: float) -> bool:
         """Ask helpers to probe the host, and try it once more: the way to it may be cut."""
         request = AskRequest(entry.host, entry.record.links, timeout)
-        asked = [
-            self._ask_helper(helper, request, 2 * timeout) for helper in self._helpers(entry.host)
-        ]
-        again = self.ask(entry.host, entry.record.links, 2 * timeout)
+        longest = _THROUGH_OTHERS_TIMEOUTS * timeout
+        helpers = self._helpers(entry.host)
+        asked = [self._ask_helper(helper, request, longest) for helper in helpers]
+        again = self.ask(entry.host, entry.record.links, longest)
         replies = await asyncio.gather(again, *asked)
         return any(replies)
 
--- a/tests/settings/test_load.py
+++ b/tests/settings/test_load.py
@@ -12,12 +12,15 @@
 from click.testing import CliRunner
 from result import Err, Ok
 
+from cranberrywall.hosts import Pace, pace_of
+from cranberrywall.links import Limits, limits_of
 from cranberrywall.settings import (
     Settings,
     load_fleet_keys,
     load_settings,
     make_keys_file,
     settings_options,
+    with_defaults,
 )
 
 Change = Callable[[dict[str, Any]], object]
@@ -66,6 +69,12 @@
     assert settings["streams"]["frame"] == "16MiB"
 
 
+def test_the_defaults_are_those_of_the_parts_that_take_them():
+    settings = with_defaults({})
+    assert limits_of(settings) == Limits()
+    assert pace_of(settings) == Pace()
+
+
 def _set(*path: str | int, to: Any) -> Change:
     def change(document: Any) -> None:
         for key in path[:-1]:
