--- a/tests/links/test_failures.py
+++ b/tests/links/test_failures.py
@@ -214,18 +214,24 @@
     in_pair(test, rule=Rule(delay=0.001))
 
 
-def test_calls_at_the_very_moment_of_an_idle_end_go_through():
+def test_a_call_at_the_very_moment_of_an_idle_end_goes_through():
+    """A connection is being closed as idle, over a few turns of the event loop; a call comes."""
+
     async def test(pair: Pair):
         await pair.work(Work("a"))
-        results = []
+        [link] = pair.caller._outlet_by_address.values()  # type: ignore[attr-defined]  # the moment shows only inside
+        wait_until_asked = link._wait_until_asked
+        calls = []
 
-        async def call_at(moment: float) -> None:
-            await pair.clock.sleep(moment)
-            results.append(await pair.work(Work("b")))
+        async def call_as_it_ends() -> None:
+            try:
+                await wait_until_asked()
+            except Exception:
+                calls.append(asyncio.ensure_future(pair.work(Work("b"))))
+                raise
 
-        limit = pair.limits.idle_after
-        moments = [limit - 0.0002 + step * 0.0001 for step in range(6)]
-        await asyncio.gather(*(call_at(moment) for moment in moments))
-        assert [type(result) for result in results] == [Ok] * len(moments)
+        link._wait_until_asked = call_as_it_ends
+        await pair.clock.sleep(pair.limits.idle_after * 1.5)
+        assert await asyncio.gather(*calls) == [Ok(Done("b"))]
 
-    in_pair(test, rule=Rule(delay=0.00005))
+    in_pair(test)
