--- a/cranberrywall/routing/_candidates.py
+++ b/cranberrywall/routing/_candidates.py
@@ -85,7 +85,8 @@
 
     def renew(self, announcement: Announcement, now: float) -> None:
         """Take in a later announcement of the same run."""
-        self.announcement = announcement
+        # The cache events went to the prefix index; kept, they would take much memory.
+        self.announcement = announcement._replace(cache_events=())
         self._renewed_at = now
         self.limit.resize(announcement.capacity)
 
--- a/cranberrywall/routing/_pool.py
+++ b/cranberrywall/routing/_pool.py
@@ -74,7 +74,7 @@
         candidate = self.candidate_by_id.get(announcement.target)
         if candidate is None:
             return
-        candidate.renew(announcement._replace(cache_events=()), now)
+        candidate.renew(announcement, now)
         if announcement.load is not None:
             shared = Shared(
                 self._sharers(),
--- a/cranberrywall/targets/_prefixes.py
+++ b/cranberrywall/targets/_prefixes.py
@@ -10,12 +10,15 @@
 
 from cranberrywall.targets.messages import CacheEvent, CacheOp
 
-MAX_ENTRIES = 200_000
+MAX_ENTRIES = 40_000
 """Pairs of block and target that are kept for one model at most."""
 
 MAX_HOLDERS_FOUND = 4
 """A lookup ends when it knows this many targets that hold part of the prompt."""
 
+STRIDE = 4
+"""Blocks by which a lookup goes on after the longest match."""
+
 KEPT_S = 600.0
 """A target is taken to keep an unused block this long until its events tell, in seconds."""
 
@@ -106,20 +109,28 @@
     def matches(self, prefix: Sequence[bytes], now: float) -> dict[str, int]:
         """Return how many leading blocks some targets probably have, the longest first."""
         found: dict[str, int] = {}
-        for position in range(len(prefix) - 1, -1, -1):
+        position = len(prefix) - 1
+        while position >= 0:
             block = prefix[position]
             holders = self._young.get(block) or self._old.get(block)
-            if not holders:
-                continue
-            for number, used_at in holders.items():
-                holder = self._holder_by_number.get(number)
-                if holder is None or now - used_at > holder.kept_s:
-                    continue
-                found.setdefault(holder.target_id, position + 1)
-            if len(found) >= MAX_HOLDERS_FOUND:
-                break
+            if holders:
+                self._note_holders(holders, position + 1, found, now)
+                if len(found) >= MAX_HOLDERS_FOUND:
+                    break
+            # Behind the longest match only shorter ones of other targets are missing, and
+            # those need not be exact.
+            position -= STRIDE if found else 1
         return found
 
+    def _note_holders(
+        self, holders: dict[int, float], length: int, found: dict[str, int], now: float
+    ) -> None:
+        for number, used_at in holders.items():
+            holder = self._holder_by_number.get(number)
+            if holder is None or now - used_at > holder.kept_s:
+                continue
+            found.setdefault(holder.target_id, length)
+
     def _add(self, block: bytes, number: int, now: float) -> None:
         holders = self._young.get(block)
         if holders is None:
--- a/cranberrywall/targets/_targets.py
+++ b/cranberrywall/targets/_targets.py
@@ -124,7 +124,9 @@
         before = self.by_id.get(announcement.target)
         if before is not None and _group(before.announcement) != _group(announcement):
             self._remove(announcement.target)
-        target = Target(announcement._replace(cache_events=()), now)
+        # The events are for listeners only; kept, they would take most of the memory.
+        kept = announcement._replace(cache_events=()) if announcement.cache_events else announcement
+        target = Target(kept, now)
         self.by_id[announcement.target] = target
         self.by_group.setdefault(_group(announcement), {})[announcement.target] = target
         if before is None:
@@ -170,8 +172,18 @@
 
 
 def _same(before: Announcement, after: Announcement) -> bool:
-    return _identity(before) == _identity(after)
+    """Say whether nothing but the counter, the load and the cache events differ.
 
-
-def _identity(announcement: Announcement) -> Announcement:
-    return announcement._replace(counter=0, load=None, cache_events=())
+    It runs at each renewal, so it compares fields in place of copies.
+    """
+    return (
+        before.incarnation == after.incarnation
+        and before.url == after.url
+        and before.capacity == after.capacity
+        and before.versions == after.versions
+        and before.adapters == after.adapters
+        and before.place == after.place
+        and before.name == after.name
+        and before.kind == after.kind
+        and before.checks_fencing == after.checks_fencing
+    )
