--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -4,13 +4,13 @@
 from collections.abc import Callable, Sequence
 from functools import partial
 
-from loguru import logger
 from result import Err, Ok, Result
 
 from cranberrywall.budgets._allotment import Allotment, Numbers
 from cranberrywall.budgets._charges import ChargeQueue, Kept
 from cranberrywall.budgets._client import LedgerClient
 from cranberrywall.budgets._interfaces import (
+    EntryHost,
     HostAllotments,
     Peers,
     Policies,
@@ -19,7 +19,7 @@
 )
 from cranberrywall.budgets._journal import Journal, Recovered
 from cranberrywall.budgets._ledger_steps import LedgerSteps
-from cranberrywall.budgets._mirror import Mirror, deliver_at_peers
+from cranberrywall.budgets._mirror import Mirror, deliver_at_mirrors, mirrors_of
 from cranberrywall.budgets._mirror_store import MirrorStore
 from cranberrywall.budgets._peer_messages import (
     DELIVER,
@@ -40,6 +40,7 @@
 from cranberrywall.budgets.messages import Holder, Transfer
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller, Peer, Server
+from cranberrywall.observability import log_event
 from cranberrywall.runtime import Runtime
 
 # An allotment that was not used for this long is returned and forgotten.
@@ -47,7 +48,7 @@
 
 _ISOLATED = Refusal(
     ErrorKind.BUDGET_UNREACHABLE,
-    "this host reaches neither the ledger nor two peers, and has no disk that works",
+    "this host has no disk that works, and reaches neither the ledger nor peers to keep charges",
     "budget",
     "send it to another host",
 )
@@ -58,7 +59,7 @@
     place: str,
     ledger: LedgerClient,
     peers: Peers,
-    entry_hosts: Callable[[], Sequence[str]],
+    entry_hosts: Callable[[], Sequence[EntryHost]],
     policies: Policies,
     caller: Caller,
     server: Server,
@@ -66,11 +67,11 @@
 ) -> HostAllotments:
     """Return the allotments of this run of this host; ``start`` them before use.
 
-    ``entry_hosts`` names every entry host of the configuration in force: a host without a
-    disk asks each of them what it keeps of its earlier runs.
+    ``entry_hosts`` lists the entry hosts of the configuration in force: a host without a
+    disk keeps charges at some of them, and asks those what they keep of its earlier runs.
     """
     storage = runtime.storage
-    keeper = Journal(storage) if storage else Mirror(holder.host, place, peers, caller)
+    keeper = Journal(storage) if storage else Mirror(holder.host, entry_hosts, peers, caller)
     return _HostAllotments(
         holder, place, ledger, peers, entry_hosts, policies, caller, server, keeper, runtime
     )
@@ -83,7 +84,7 @@
         place: str,
         ledger: LedgerClient,
         peers: Peers,
-        entry_hosts: Callable[[], Sequence[str]],
+        entry_hosts: Callable[[], Sequence[EntryHost]],
         policies: Policies,
         caller: Caller,
         server: Server,
@@ -103,18 +104,24 @@
         self._shortage_by_budget: dict[str, Shortage] = {}
         self._queue_by_group = {group: self._make_queue(group) for group in ledger.groups()}
         self._steps = LedgerSteps(ledger, self._clock)
-        self._store = MirrorStore(ledger, self._clock)
-        self._giver = Giver(keeper, self._clock)
-        self._reviewer = Reviewer(self._steps, peers, self._clock)
+        self._store = MirrorStore(
+            ledger, keeper if isinstance(keeper, Journal) else None, self._clock
+        )
+        self._giver = Giver(ledger, keeper, self._clock)
+        taker = Taker(caller, keeper, self._store.is_ended, self._clock, runtime.random)
+        self._reviewer = Reviewer(
+            holder.host, place, ledger, taker, self._steps, peers, entry_hosts, self._clock
+        )
         self._tools = Tools(
             holder.host,
             place,
             ledger,
             self._steps,
-            Taker(caller, keeper, self._store.is_ended, runtime.random),
+            taker,
             peers,
             self._clock,
             self._reviewer.wanted,
+            self._reviewer.note_scarce,
         )
         self._tasks: list[asyncio.Task[None]] = []
         server.register(TAKE, self._give)
@@ -165,7 +172,7 @@
         for queue in self._queue_by_group.values():
             queue.start()
             left = [of_group(kept, queue.group, self._ledger) for kept in recovered.kept]
-            left = [kept for kept in left if kept.holder != queue.holder]
+            left = [one for one in left if one.holder != queue.holder and self._is_mine(one)]
             register = registration.register(
                 queue.group, self._holder, left, partial(_is_succeeded, queue)
             )
@@ -206,12 +213,16 @@
     def _shortage(self, allotment: Allotment) -> Shortage:
         shortage = self._shortage_by_budget.get(allotment.budget)
         if shortage is None:
-            shortage = Shortage(allotment, self._tools)
+            over = partial(self._shortage_by_budget.pop, allotment.budget, None)
+            shortage = Shortage(allotment, self._tools, over)
             self._shortage_by_budget[allotment.budget] = shortage
         return shortage
 
     def _resume(self, recovered: Recovered) -> None:
         """Go on as the holder of each checkpoint; the others' remains are delivered."""
+        for kept in recovered.kept:
+            if not self._is_mine(kept):
+                self._store.adopt(kept)
         for checkpoint in recovered.checkpoints:
             queue = self._queue_by_group.get(checkpoint.group)
             if queue is None:
@@ -220,14 +231,18 @@
             kept = mine[0] if mine else Kept(checkpoint.holder, (), ())
             resume(checkpoint, of_group(kept, queue.group, self._ledger), queue, self._allotment)
             queue.successor = self._holder
-            logger.info(
-                "event=resumed_from_journal group={} incarnation={} budgets={}",
-                checkpoint.group,
-                checkpoint.holder.incarnation,
-                len(checkpoint.rows),
+            log_event(
+                "INFO",
+                "resumed_from_journal",
+                group=checkpoint.group,
+                incarnation=checkpoint.holder.incarnation,
+                budgets=len(checkpoint.rows),
             )
 
-    def _hand_over(self, queue: ChargeQueue) -> list[Transfer]:
+    def _is_mine(self, kept: Kept) -> bool:
+        return kept.holder.host == self._holder.host
+
+    def _hand_over(self, queue: ChargeQueue) -> list[tuple[Transfer, Allotment]]:
         return hand_over(list(self._by_budget.values()), queue, self._clock.wall())
 
     async def _reach_changed(self, queue: ChargeQueue, in_reach: bool) -> None:
@@ -243,17 +258,23 @@
         if isinstance(self._keeper, Journal):
             # The journal holds all that earlier runs on this disk left.
             return True
+        if self._policies.spends_alone():
+            # An earlier run may have spent alone, and taken what it knew of that with it.
+            return False
         host, incarnation = self._holder
-        return await deliver_at_peers(
-            host, incarnation, self._entry_hosts(), self._peers, self._caller
-        )
+        entry_hosts = self._entry_hosts()
+        if host not in [one.host for one in entry_hosts]:
+            # Without the configuration nobody can say which hosts kept what.
+            return False
+        mirrors = mirrors_of(host, entry_hosts)
+        return await deliver_at_mirrors(host, incarnation, mirrors, self._peers, self._caller)
 
     async def _give(self, request: TakeRequest, peer: Peer) -> Result[TakeReply, Refusal]:
         if peer.host != request.taker.host:
             return Err(Refusal(ErrorKind.FORBIDDEN, "names another host", "taker"))
         allotment = self._by_budget.get(request.budget)
         if allotment is None:
-            return Ok(TakeReply(self._holder, None, 0, 0))
+            return Ok(TakeReply(self._holder, None, False, 0, 0))
         return await self._giver.give(request, allotment)
 
     async def _deliver(self, request: DeliverRequest, peer: Peer) -> Result[DeliverReply, Refusal]:
@@ -287,4 +308,5 @@
 
 
 def _is_succeeded(queue: ChargeQueue) -> bool:
-    return queue.successor is None
+    """Say whether the ledger knows that all an older holder held is this run's now."""
+    return queue.successor is None and not queue.unreported
--- a/cranberrywall/budgets/_closing.py
+++ b/cranberrywall/budgets/_closing.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator
 
 from cranberrywall.budgets._ledger_accounts import Account
-from cranberrywall.budgets._ledger_exceptions import waiting_row
+from cranberrywall.budgets._ledger_exceptions import Unnamed, waiting_row
 from cranberrywall.budgets._ledger_state import LedgerState
 from cranberrywall.budgets.messages import (
     Accepted,
@@ -14,6 +14,7 @@
     ExceptionRow,
     ExceptionsQuery,
     ExceptionsResult,
+    Holder,
     PeriodsQuery,
     PeriodsResult,
     PlanPeriods,
@@ -28,8 +29,11 @@
 MAX_ROWS = 1_000
 """The most rows on a page of a report or of a list of exceptions."""
 
-SILENT_AFTER_S = 3_600.0
-"""A holder that has not been heard for this long is named with what it holds."""
+SILENT_AFTER_S = 86_400.0
+"""A holder that sent nothing for this long is named with what it holds.
+
+It is longer than an office is closed at night, or each morning would begin with a list.
+"""
 
 _END_OF_TIME = float("inf")
 
@@ -104,11 +108,13 @@
     """Return a budget's row for the open period that ends at ``through``."""
     by_workspace = _join(account.charges_through(through))
     charged = sum(entry.amount for entry in by_workspace)
+    credits = account.credits_through(through)
     return ReportRow(
         budget=budget,
         unit=account.unit,
         credited=account.credited,
-        credits=account.credited - account.credited_before,
+        credits=credits,
+        credits_after=account.credited - account.credited_before - credits,
         charged_before=account.charged_before,
         charged=charged,
         charged_after=account.charged - account.charged_before - charged,
@@ -180,9 +186,7 @@
     """Return a page of the present exceptions, or of a closed period's."""
     unnamed = state.exceptions.unnamed
     if not query.period:
-        rows = state.exceptions.rows()
-        if not query.after:
-            rows = [*_waiting_rows(state, query.now), *rows]
+        rows = [*_waiting_rows(state, query.now), *state.exceptions.rows()]
     elif state.closings.find(query.period) is None:
         return _no_period(query.period)
     else:
@@ -191,23 +195,22 @@
 
 
 def _exceptions_page(
-    rows: list[ExceptionRow], query: ExceptionsQuery, unnamed: int
+    rows: list[ExceptionRow], query: ExceptionsQuery, unnamed: Unnamed
 ) -> ExceptionsResult:
     wanted = [
         row
         for row in rows
         if query.budget in ("", row.budget) and (row.state == "open" or not query.open_only)
     ]
-    waiting = [row for row in wanted if not row.number and not query.after]
-    numbered = [row for row in wanted if row.number > query.after]
-    limit = max(1, min(query.limit, MAX_ROWS))
-    page = numbered[:limit]
-    next_after = page[-1].number if len(numbered) > limit else 0
-    return ExceptionsResult((*waiting[:MAX_ROWS], *page), next_after, unnamed)
+    end = query.after + max(1, min(query.limit, MAX_ROWS))
+    next_after = end if end < len(wanted) else 0
+    page = tuple(wanted[query.after : end])
+    return ExceptionsResult(page, next_after, unnamed.duplicates, unnamed.late)
 
 
 def _waiting_rows(state: LedgerState, now: float) -> list[ExceptionRow]:
     rows = []
+    active_at_by_holder = _last_activity(state)
     for budget in state.sorted_budgets():
         account = state.account_by_budget[budget]
         for holder, allotment in account.allotment_by_holder.items():
@@ -216,13 +219,22 @@
             kind = ExceptionKind.SILENT_HOLDER
             if not state.holders.is_current(holder):
                 kind = ExceptionKind.DEAD_HOLDER
-            elif now - allotment.active_at < SILENT_AFTER_S:
+            elif now - active_at_by_holder[holder] < SILENT_AFTER_S:
                 continue
-            amount, at = allotment.outstanding, allotment.active_at
+            amount, at = allotment.outstanding, active_at_by_holder[holder]
             rows.append(waiting_row(kind, budget, account.workspace, holder, amount, at))
     return rows
 
 
+def _last_activity(state: LedgerState) -> dict[Holder, float]:
+    active_at_by_holder: dict[Holder, float] = {}
+    for account in state.account_by_budget.values():
+        for holder, allotment in account.allotment_by_holder.items():
+            known = active_at_by_holder.get(holder, 0.0)
+            active_at_by_holder[holder] = max(known, allotment.active_at)
+    return active_at_by_holder
+
+
 def _no_period(period: str) -> Rejected:
     remedy = "list the periods with: cranberrywallctl report --periods"
     return Rejected(ErrorKind.NOT_FOUND, f"{period} is not closed, or no longer kept", "", remedy)
--- a/cranberrywall/budgets/_journal.py
+++ b/cranberrywall/budgets/_journal.py
@@ -8,7 +8,6 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from loguru import logger
 from result import Err, Ok, Result
 
 from cranberrywall.budgets._allotment import Numbers
@@ -16,6 +15,7 @@
 from cranberrywall.budgets.messages import Charge, Holder, Transfer
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import MalformedMessageError, MessageCodec
+from cranberrywall.observability import log_event
 from cranberrywall.replication import encode_frame, scan_frames
 from cranberrywall.runtime import AppendFile, Storage
 
@@ -79,13 +79,20 @@
 
 
 class _TransferKey(NamedTuple):
+    """Name a transfer and the host that has to report it.
+
+    Both ends report, and a giver with a disk may also keep the report of a taker that has
+    none: the two entries are dropped at different times.
+    """
+
+    reporter: str
     giver: Holder
     budget: str
     number: int
 
 
-def _transfer_key(transfer: Transfer) -> _TransferKey:
-    return _TransferKey(transfer.giver, transfer.budget, transfer.giver_number)
+def _transfer_key(holder: Holder, transfer: Transfer) -> _TransferKey:
+    return _TransferKey(holder.host, transfer.giver, transfer.budget, transfer.giver_number)
 
 
 class _Live:
@@ -113,8 +120,9 @@
             key = _ChargeKey(kept.holder, charge.budget, charge.number)
             self.charge_by_key[key] = charge
         for transfer in kept.transfers:
-            self.transfer_by_key[_transfer_key(transfer)] = transfer
-            self.reporter_by_key[_transfer_key(transfer)] = kept.holder
+            to_report = _transfer_key(kept.holder, transfer)
+            self.transfer_by_key[to_report] = transfer
+            self.reporter_by_key[to_report] = kept.holder
             self._move(kept.holder, transfer)
 
     def _move(self, holder: Holder, transfer: Transfer) -> None:
@@ -132,8 +140,9 @@
         for budget, number in record.charges:
             self.charge_by_key.pop(_ChargeKey(record.holder, budget, number), None)
         for budget, giver, number in record.transfers:
-            self.transfer_by_key.pop(_TransferKey(giver, budget, number), None)
-            self.reporter_by_key.pop(_TransferKey(giver, budget, number), None)
+            reported = _TransferKey(record.holder.host, giver, budget, number)
+            self.transfer_by_key.pop(reported, None)
+            self.reporter_by_key.pop(reported, None)
 
     def kept(self) -> list[Kept]:
         """Return what is to be delivered, by holder, in the order of the numbers."""
@@ -189,6 +198,10 @@
         """Return once ``kept`` is synced."""
         return await self._write([kept])
 
+    def can_keep(self) -> bool:
+        """Say whether the file takes more."""
+        return self._file is not None
+
     async def keep_transfer(self, holder: Holder, transfer: Transfer) -> Result[None, Refusal]:
         """Return once the transfer is synced."""
         return await self._write([Kept(holder, (transfer,), ())])
@@ -237,7 +250,7 @@
             # What a failed sync wrote may or may not be there, and nothing after it can be
             # trusted to last: the file takes no more in this run.
             self._file = None
-            logger.error("event=journal_failed error={}", error)
+            log_event("ERROR", "journal_failed", error=error)
             return Err(Refusal(ErrorKind.STORAGE_FAILED, f"{FILE}: {error}"))
         return Ok(None)
 
--- a/cranberrywall/budgets/_ledger_holding.py
+++ b/cranberrywall/budgets/_ledger_holding.py
@@ -66,14 +66,13 @@
 
 
 def _draw_result(account: Account, allotment: Allotment) -> DrawResult:
-    holders = sum(1 for one in account.allotment_by_holder.values() if one.outstanding)
     return DrawResult(
         granted=allotment.granted,
         free=account.free,
         outstanding=account.outstanding,
         credited=account.credited,
         charged=account.charged,
-        holders=holders,
+        holders=account.holders,
     )
 
 
@@ -92,6 +91,8 @@
     allotment.return_number = command.number
     allotment.active_at = max(allotment.active_at, command.at)
     account.give_back(allotment, command.amount)
+    if not allotment.recalled:
+        state.end_recall(command.budget, command.holder)
     return Accepted()
 
 
@@ -110,13 +111,11 @@
     """Apply one report of a transfer."""
 
     def __init__(self, state: LedgerState, account: Account, command: Transfer) -> None:
+        self._state = state
         self._account = account
         self._command = command
         self._giver = account.allotment_by_holder.get(command.giver)
         self._taker = account.allotment_by_holder.get(command.taker)
-        if self._taker is None and state.holders.is_current(command.taker):
-            state.holders.note(command.taker)
-            self._taker = account.allotment(state.holders.one(command.taker))
         self._key = (state.holders.one(command.giver), command.giver_number)
 
     def apply(self) -> TransferResult | Rejected:
@@ -125,11 +124,32 @@
         if moved is None and self._is_too_far_ahead():
             remedy = "report the transfers with the lowest numbers first"
             return Rejected(ErrorKind.CONFLICT, "too many are missing", "giver_number", remedy)
+        if moved is None and self._is_ahead_of_its_money():
+            remedy = "report it again after the transfer that funded it"
+            return Rejected(ErrorKind.NOT_READY, "the giver lacks it yet", "giver", remedy)
+        self._find_taker()
         if moved is None:
             moved = self._account.move(self._giver, self._taker, self._command.amount)
         self._note(moved)
         return TransferResult(moved)
 
+    def _find_taker(self) -> None:
+        state, taker = self._state, self._command.taker
+        if self._taker is None and state.holders.is_current(taker):
+            state.holders.note(taker)
+            self._taker = self._account.allotment(state.holders.one(taker))
+
+    def _is_ahead_of_its_money(self) -> bool:
+        """Say whether the giver gave what it had been given, and that is not reported yet.
+
+        Hosts on the far side of a cut pass money on, and report in any order once it is
+        mended. Were the later transfer applied first, the taker would be told to drop
+        money that is truly there, and its charges would be set aside as unfunded.
+        """
+        if self._giver is None:
+            return self._state.holders.is_current(self._command.giver)
+        return self._giver.outstanding < self._command.amount
+
     def _is_too_far_ahead(self) -> bool:
         numbers = self._giver.given_numbers if self._giver else None
         return numbers is not None and self._command.giver_number > numbers.through + MAX_AHEAD
@@ -185,7 +205,10 @@
     ]
     busy_after = command.at - ACTIVE_WITHIN_S
     others.sort(key=lambda one: (one[1].active_at > busy_after, -one[1].outstanding, one[0]))
-    return RecallResult(tuple(_ask(others, command.amount)))
+    asked = _ask(others, command.amount)
+    for one in asked:
+        state.note_recall(command.budget, one.holder)
+    return RecallResult(tuple(asked))
 
 
 def _ask(others: list[tuple[Holder, Allotment]], amount: int) -> list[HeldAmount]:
@@ -202,8 +225,8 @@
 def recalls(state: LedgerState, query: RecallsQuery) -> RecallsResult:
     """List the amounts that a holder was asked to return and has not returned."""
     recalled = []
-    for budget, account in state.account_by_budget.items():
-        allotment = account.allotment_by_holder.get(query.holder)
+    for budget in state.recalled_budgets(query.holder):
+        allotment = state.account_by_budget[budget].allotment_by_holder.get(query.holder)
         if allotment is not None and allotment.recalled and allotment.outstanding:
             amount = min(allotment.recalled, allotment.outstanding)
             recalled.append(RecalledAmount(budget, amount))
@@ -247,6 +270,7 @@
 
 
 def _release_confirmed(state: LedgerState, command: ConfirmDead) -> int:
+    state.forget_holder(command.holder)
     note = f"confirmed dead by {command.operator}, approved by {command.approver}"
     total = 0
     for budget, account in state.account_by_budget.items():
@@ -284,6 +308,7 @@
 
 
 def _release(state: LedgerState, holder: Holder) -> int:
+    state.forget_holder(holder)
     return sum(account.release(holder) for account in state.account_by_budget.values())
 
 
--- a/cranberrywall/commands/entry.py
+++ b/cranberrywall/commands/entry.py
@@ -1,14 +1,20 @@
 """Run an entry host: callers, targets and spending."""
 
+import signal
+from functools import partial
+
 import aiomisc
 import click
-import uvloop
 
 from cranberrywall.commands._entry_program import EntryProgram, make_entry_program
+from cranberrywall.commands._running import run_until_signal
 from cranberrywall.observability import configure_log, dump_state_on_signal
 from cranberrywall.runtime import make_runtime
 from cranberrywall.settings import Settings, settings_options
 
+LONGEST_DRAIN_S = 3600.0
+"""The last stream must end within this; a graceful shutdown cuts none before."""
+
 
 class _EntryService(aiomisc.Service):
     """Start and stop the entry program with the process."""
@@ -21,12 +27,15 @@
     async def start(self) -> None:
         """Start the program, and dump its state on SIGUSR1."""
         self._program = make_entry_program(self._settings, make_runtime(self._settings.get("data")))
+        # An operator's drain ends the process by the way that SIGTERM does.
+        self._program.on_drain = partial(signal.raise_signal, signal.SIGTERM)
         await self._program.start()
         dump_state_on_signal(self._program.state)
 
     async def stop(self, exception: Exception | None = None) -> None:
-        """Stop the program."""
+        """Drain and stop the program."""
         if self._program is not None:
+            await self._program.drain()
             await self._program.stop()
 
 
@@ -35,9 +44,7 @@
 def main(settings: Settings) -> None:
     """Run an entry host until SIGTERM or SIGINT."""
     configure_log("entry", settings["host"], settings["place"], settings["log"]["level"])
-    service = _EntryService(settings)
-    with aiomisc.entrypoint(service, log_config=False, loop_factory=uvloop.new_event_loop) as loop:
-        loop.run_forever()
+    run_until_signal(_EntryService(settings), shutdown_timeout=LONGEST_DRAIN_S)
 
 
 if __name__ == "__main__":
--- a/cranberrywall/configuration/_host.py
+++ b/cranberrywall/configuration/_host.py
@@ -6,15 +6,14 @@
 from enum import StrEnum
 from typing import Any, cast
 
-from loguru import logger
 from result import Err, Ok, Result
 
 from cranberrywall.configuration._document import Document
-from cranberrywall.configuration._edits import apply_edits
 from cranberrywall.configuration._in_force import (
     InForce,
     ledger_group_name,
     make_in_force,
+    make_next_in_force,
     nothing_in_force,
     workspace_by_key,
 )
@@ -23,6 +22,7 @@
 from cranberrywall.configuration._memory import Memory
 from cranberrywall.configuration.messages import Delta, DocumentAt
 from cranberrywall.errors import Refusal
+from cranberrywall.observability import log_event
 from cranberrywall.runtime import Storage
 
 WINDOW_LIMIT = 256
@@ -100,8 +100,7 @@
                     return Applied.GAP
                 if chain_after(after.chain, delta.edits) != delta.chain:
                     return Applied.DIVERGED
-                document = apply_edits(after.document, delta.edits)
-                after = make_in_force(delta.revision.number, delta.chain, document, after)
+                after = make_next_in_force(after, delta)
             await self._bring_in_force(after, tuple(newer))
             return Applied.IN_FORCE
 
@@ -144,5 +143,5 @@
         # A full disk must not keep a revoked key valid here, so the revision still comes
         # in force; the host says that it could come back with an older one.
         if isinstance(remembered, Err):
-            logger.error("event=configuration_not_remembered error={}", remembered.err_value)
+            log_event("ERROR", "configuration_not_remembered", refusal=remembered.err_value)
         self.remembers = isinstance(remembered, Ok)
--- a/cranberrywall/console/_fleet.py
+++ b/cranberrywall/console/_fleet.py
@@ -1,8 +1,10 @@
 """Show the fleet's state, and where a revision is in force."""
 
 import asyncio
+from collections.abc import Sequence
 from typing import Any, NamedTuple
 
+import msgspec
 from aiohttp import web
 from result import Err, Ok
 
@@ -12,14 +14,21 @@
 from cranberrywall.configuration.messages import FETCH, DocumentAt, Fetch
 from cranberrywall.console._audit import Audit
 from cranberrywall.console._pages import Pages
+from cranberrywall.console._paging import page_names
 from cranberrywall.console._visits import Visit
 from cranberrywall.control import ControlClient
+from cranberrywall.hosts import DUMP, DumpRequest
 from cranberrywall.links import Caller
 from cranberrywall.runtime import Clock
 
 ASK_TIMEOUT_S = 1.0
 GROUP_TIMEOUT_S = 2.0
 SHOWN_REVISIONS = 50
+HOSTS_ASKED_FOR_TARGETS = 3
+
+# In a large fleet a page asks a part of the hosts, spread over all of them, and says so.
+MOST_HOSTS_ASKED = 100
+MOST_TARGETS_SHOWN = 100
 
 # A host sends what follows the revision that it is asked from. Asked from one that does
 # not exist yet, it sends its own number and nothing else.
@@ -48,6 +57,17 @@
     problem: str
 
 
+class TargetRow(NamedTuple):
+    """Describe one target as some entry host knows it."""
+
+    name: str
+    kind: str
+    serves: str
+    place: str
+    versions: str
+    load: str
+
+
 class FleetPages:
     """Serve the pages that are only read."""
 
@@ -73,16 +93,23 @@
         if isinstance(result, Err):
             return self._pages.refusal(visit.session, result.err_value)
         seen: DocumentAt = result.ok_value
-        hosts, groups, history = await asyncio.gather(
-            self._hosts(seen), self._groups(seen), self._configuration.history(limit=10)
+        page = page_names(visit.request, seen.document["hosts"])
+        hosts, groups, targets, history = await asyncio.gather(
+            self._hosts(seen, page.names),
+            self._groups(seen),
+            self._targets(seen),
+            self._configuration.history(limit=10),
         )
         return self._pages.page(
             visit.session,
             "home.html",
             revision=seen.revision,
             document=seen.document,
+            page=page,
             hosts=hosts,
             groups=groups,
+            targets=targets[:MOST_TARGETS_SHOWN],
+            target_count=len(targets),
             revisions=history.ok_value.revisions if isinstance(history, Ok) else (),
         )
 
@@ -103,7 +130,10 @@
             if isinstance(answer, Err):
                 return self._pages.refusal(visit.session, answer.err_value)
         seen = result.unwrap()
-        hosts = [host for host in await self._hosts(seen) if "entry" in host.roles]
+        entries = [
+            name for name, host in seen.document["hosts"].items() if "entry" in host["roles"]
+        ]
+        hosts = await self._hosts(seen, spread_evenly(sorted(entries), MOST_HOSTS_ASKED))
         in_force = [h for h in hosts if h.revision is not None and h.revision >= number]
         return self._pages.page(
             visit.session,
@@ -112,14 +142,15 @@
             revision=next(iter(history.unwrap().revisions), None),
             hosts=hosts,
             in_force=len(in_force),
+            entries=len(entries),
         )
 
     async def show_audit(self, visit: Visit) -> web.StreamResponse:
         """Show the newest entries of the audit trail."""
         return self._pages.page(visit.session, "audit.html", entries=self._audit.newest())
 
-    async def _hosts(self, seen: DocumentAt) -> list[HostRow]:
-        hosts = sorted(seen.document["hosts"].items())
+    async def _hosts(self, seen: DocumentAt, names: Sequence[str]) -> list[HostRow]:
+        hosts = [(name, seen.document["hosts"][name]) for name in names]
         return list(await asyncio.gather(*(self._ask(name, host) for name, host in hosts)))
 
     async def _ask(self, name: str, host: dict[str, Any]) -> HostRow:
@@ -132,6 +163,22 @@
         problem = str(result.err_value.kind) if isinstance(result, Err) else ""
         return HostRow(name, host["place"], roles, host["links"], True, revision, problem)
 
+    async def _targets(self, seen: DocumentAt) -> list[TargetRow]:
+        """Return the targets that a few entry hosts know; each should know all of them."""
+        entries = [h["links"] for h in seen.document["hosts"].values() if "entry" in h["roles"]]
+        request = DumpRequest("targets")
+        answers = await asyncio.gather(
+            *(
+                self._caller.call(links, DUMP, request, ASK_TIMEOUT_S)
+                for links in entries[:HOSTS_ASKED_FOR_TARGETS]
+            )
+        )
+        known: dict[str, Any] = {}
+        for answer in answers:
+            if isinstance(answer, Ok):
+                known |= msgspec.json.decode(answer.ok_value.state) or {}
+        return [_target_row(name, target) for name, target in sorted(known.items())]
+
     async def _groups(self, seen: DocumentAt) -> list[GroupRow]:
         ledger = make_ledger_client(self._control, seen.document["ledger_groups"])
         names = ledger.groups()
@@ -144,3 +191,27 @@
             problem = str(answer.err_value) if isinstance(answer, Err) else ""
             rows.append(GroupRow(name, problem))
         return rows
+
+
+def spread_evenly(names: Sequence[str], most: int) -> list[str]:
+    """Return at most ``most`` names, taken from the whole sequence at even distances.
+
+    >>> spread_evenly(["a", "b", "c", "d"], 2)
+    ['a', 'c']
+    """
+    if len(names) <= most:
+        return list(names)
+    return [names[index * len(names) // most] for index in range(most)]
+
+
+def _target_row(name: str, target: dict[str, Any]) -> TargetRow:
+    running, waiting = target.get("running"), target.get("waiting")
+    load = "not reported" if running is None else f"{running} running, {waiting} waiting"
+    return TargetRow(
+        name=name,
+        kind=target["kind"],
+        serves=target["name"],
+        place=target["place"],
+        versions=", ".join(target["versions"]),
+        load=f"{load} of {target['capacity']}",
+    )
--- a/cranberrywall/entry/_stack.py
+++ b/cranberrywall/entry/_stack.py
@@ -1,10 +1,12 @@
 """Put together the parts that serve callers on one entry host."""
 
+from typing import NamedTuple
+
 import aiohttp
 from aiohttp import web
-from prometheus_client import CollectorRegistry
+from aiohttp.typedefs import Handler, Middleware
 
-from cranberrywall.budgets import Allotments
+from cranberrywall.budgets import Allotments, make_input_bounds
 from cranberrywall.budgets.messages import Holder
 from cranberrywall.callers import (
     CallerLimits,
@@ -14,28 +16,44 @@
 )
 from cranberrywall.configuration import Configuration
 from cranberrywall.hosts import Membership
+from cranberrywall.links import Caller, Server
+from cranberrywall.observability import Metrics, make_metrics
 from cranberrywall.requests import (
     Attempts,
     Background,
+    ChatRunner,
     ChatRuns,
     EngineLimits,
     IntentLedger,
     Intents,
+    Leader,
+    Owner,
+    Registry,
     RequestMetrics,
     RunLimits,
     ServiceCalls,
     ServiceClient,
     ServiceLimits,
     ServiceRunner,
+    Witnesses,
 )
 from cranberrywall.routing import Router
 from cranberrywall.runtime import Clock, Random
 
+CALLERS_PREFIXES = ("/v1/chat/", "/v1/services/")
 _SERVICE_ANSWER_S = 60.0
 _KEPT_CONNECTIONS = 0
 """No limit on connections: the router bounds the calls in progress at each target."""
 
 
+class StackLinks(NamedTuple):
+    """Hold this host's streams to the other entry hosts; ``address`` is its own."""
+
+    address: str
+    caller: Caller
+    server: Server
+
+
 class CallerStack:
     """Serve callers: the application and what runs behind it."""
 
@@ -48,20 +66,53 @@
         self._sessions = sessions
         self._background = background
         self.parts = parts
-        self.app = web.Application(middlewares=[make_error_middleware(parts)])
+        self._is_draining = False
+        self._last_arrival_at = float("-inf")
+        middlewares = [self._make_watch(), make_error_middleware(parts)]
+        self.app = web.Application(middlewares=middlewares)
+        self.app.on_response_prepare.append(self._close_connection)
         self.app.add_routes(make_caller_routes(parts))
 
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """Return the session that holds this host's connections to targets."""
+        return self._sessions[0]
+
     @property
     def running(self) -> int:
         """Return how many requests are in progress."""
         return self.parts.chats.running + self.parts.services.running
 
+    def start_draining(self) -> None:
+        """Ask callers, with each answer, to close their connection after it."""
+        self._is_draining = True
+
+    def quiet_for(self, now: float) -> float:
+        """Return for how long no request has arrived, in seconds."""
+        return now - self._last_arrival_at
+
     async def finish(self) -> None:
         """Return once no request is in progress and what they left is recorded."""
         await self.parts.chats.wait_idle()
         await self.parts.services.wait_idle()
         await self._background.wait_empty()
 
+    def _make_watch(self) -> Middleware:
+        @web.middleware
+        async def watch(request: web.Request, handler: Handler) -> web.StreamResponse:
+            if request.path.startswith(CALLERS_PREFIXES):
+                self._last_arrival_at = self.parts.clock.now()
+            return await handler(request)
+
+        return watch
+
+    async def _close_connection(self, request: web.Request, response: web.StreamResponse) -> None:
+        # A connection that stays open could bring a request at the very moment at
+        # which this host closes it.
+        if self._is_draining:
+            response.force_close()
+            response.headers["Connection"] = "close"
+
     async def close(self) -> None:
         """Close the connections to targets."""
         for session in self._sessions:
@@ -86,31 +137,52 @@
     router: Router,
     clock: Clock,
     random: Random,
-    registry: CollectorRegistry | None = None,
+    metrics: Metrics | None = None,
+    links: StackLinks | None = None,
     caller_limits: CallerLimits | None = None,
     engine_limits: EngineLimits | None = None,
     run_limits: RunLimits | None = None,
     service_limits: ServiceLimits | None = None,
 ) -> CallerStack:
-    """Return the stack of one entry host; call it in a running event loop."""
-    metrics = RequestMetrics(registry or CollectorRegistry())
+    """Return the stack of one entry host; call it in a running event loop.
+
+    Without ``links`` the host stands alone: a retry at another one runs again.
+    """
+    counts = RequestMetrics(metrics or make_metrics())
     background = Background()
     session = _make_session(reuse=True)
     once_session = _make_session(reuse=False)
     engine_limits = engine_limits or EngineLimits()
-    attempts = Attempts(router, session, clock, random, metrics, engine_limits, background)
-    chats = ChatRuns(allotments, attempts, clock, metrics, run_limits or RunLimits(), background)
+    attempts = Attempts(router, session, clock, random, counts, engine_limits, background)
+    bounds = make_input_bounds()
+    registry = None
+    if links is not None:
+        own = Owner(host, incarnation, links.address)
+        registry = Registry(own, membership, links.caller, clock, background)
+    chats = ChatRuns(
+        ChatRunner(allotments, attempts, bounds, clock, counts, background),
+        registry,
+        links.caller if links is not None else None,
+        clock,
+        counts,
+        run_limits or RunLimits(),
+        background,
+    )
+    if links is not None and registry is not None:
+        registry.register(links.server)
+        Leader(chats.find, clock).register(links.server)
     runner = ServiceRunner(
         allotments,
         router,
-        ServiceClient(session, once_session, metrics, engine_limits.connect_s),
+        ServiceClient(session, once_session, counts, engine_limits.connect_s),
         Intents(intents, Holder(host, incarnation), membership, clock, background),
+        Witnesses(registry, lambda: _count_missing(configuration, membership)),
         clock,
         random,
-        metrics,
+        counts,
         _SERVICE_ANSWER_S,
     )
-    services = ServiceCalls(runner, clock, metrics, service_limits or ServiceLimits(), background)
+    services = ServiceCalls(runner, clock, counts, service_limits or ServiceLimits(), background)
     parts = CallerParts(
         host,
         place,
@@ -118,9 +190,10 @@
         membership,
         chats,
         services,
+        bounds,
         clock,
         random,
-        metrics,
+        counts,
         caller_limits or CallerLimits(),
     )
     return CallerStack(parts, (session, once_session), background)
@@ -134,3 +207,9 @@
     return aiohttp.ClientSession(
         connector=connector, cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False
     )
+
+
+def _count_missing(configuration: Configuration, membership: Membership) -> int:
+    alive = {view.host for view in membership.alive()}
+    hosts = configuration.document["hosts"]
+    return sum("entry" in host["roles"] and name not in alive for name, host in hosts.items())
--- a/cranberrywall/hosts/_spread.py
+++ b/cranberrywall/hosts/_spread.py
@@ -10,9 +10,11 @@
 from cranberrywall.links import Caller
 from cranberrywall.runtime import Clock
 
-_SENDS = 4
-"""How often an item goes out with a probe: passed on four times by each host that gets it,
-news misses about one host in fifty, and the digests find those."""
+_SENDS_BY_URGENCY = {Urgency.URGENT: 1, Urgency.NORMAL: 4, Urgency.VOLATILE: 3}
+"""How often an item goes out with a probe from each host that gets it. Passed on four times,
+news misses about one host in fifty, three times one in twenty; the digests find those that
+miss lasting items. Urgent items are pushed besides."""
+_HELD_BACK_SENDS = 4
 _ITEM_OVERHEAD_BYTES = 24
 _PUSH_TIMEOUT_S = 2.0
 _PUSH_ITEMS = 500
@@ -31,6 +33,20 @@
         self.links = links
 
 
+class _Pending:
+    """Hold an item that is to be pushed, and the hosts that have it already."""
+
+    __slots__ = ("item", "known_by")
+
+    def __init__(self, item: Item, known_by: set[str]) -> None:
+        self.item = item
+        self.known_by = known_by
+
+    def is_for(self, contact: Contact) -> bool:
+        """Say whether the contact should get the item."""
+        return self.item.place in ("", contact.place) and contact.host not in self.known_by
+
+
 class Spreading:
     """Publish items and pass on those of others; it implements ``Spread``."""
 
@@ -52,7 +68,7 @@
         self._sends_by_urgency: dict[Urgency, dict[tuple[str, str], int]] = {
             urgency: {} for urgency in sorted(Urgency, reverse=True)
         }
-        self._urgent: dict[tuple[str, str], Item] = {}
+        self._urgent: dict[tuple[str, str], _Pending] = {}
         self._push_credit = pace.push_burst_bytes
         self._push_credit_at = clock.now()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -74,18 +90,19 @@
         """Return the newest items of a topic, without those that are gone."""
         return self._table.of_topic(topic)
 
-    def absorb(self, items: Iterable[Item]) -> None:
-        """Take in items from a peer, and queue the news among them for others."""
+    def absorb(self, items: Iterable[Item], source: str = "") -> None:
+        """Take in items from the host ``source``, and queue the news among them for others."""
         now = self._clock.now()
         for item in items:
+            key = (item.topic, item.key)
             if not self._table.put(item, now):
+                pending = self._urgent.get(key)
+                if pending is not None and pending.item.version == item.version:
+                    pending.known_by.add(source)
                 continue
-            key = (item.topic, item.key)
-            sends_by_key = self._sends_by_urgency[item.urgency]
-            sends_by_key.pop(key, None)
-            sends_by_key[key] = _SENDS
+            self._queue(item, _SENDS_BY_URGENCY[item.urgency])
             if item.urgency is Urgency.URGENT:
-                self._urgent[key] = item
+                self._urgent[key] = _Pending(item, {source})
                 self._push_soon()
             receive = self._receiver_by_topic.get(item.topic)
             if receive is not None:
@@ -122,13 +139,6 @@
             del sends_by_key[key]
         return used
 
-    def repeat(self, topic: str, key: str) -> None:
-        """Let an item go out once more with the next messages."""
-        item = self._table.get(topic, key)
-        if item is not None:
-            sends_by_key = self._sends_by_urgency[item.urgency]
-            sends_by_key[topic, key] = max(1, sends_by_key.pop((topic, key), 0))
-
     async def push_to(self, contact: Contact, items: Sequence[Item]) -> None:
         """Send items to one host at once, some hundred a message."""
         for start in range(0, len(items), _PUSH_ITEMS):
@@ -140,6 +150,13 @@
         for task in self._tasks:
             task.cancel()
 
+    def _queue(self, item: Item, sends: int) -> None:
+        sends_by_key = self._sends_by_urgency[item.urgency]
+        key = (item.topic, item.key)
+        # The newest goes first, so that an item that is queued again moves to the end.
+        sends_by_key.pop(key, None)
+        sends_by_key[key] = sends
+
     def _push_soon(self) -> None:
         if self._push_waits:
             return
@@ -158,7 +175,7 @@
         urgent, self._urgent = list(self._urgent.values()), {}
         now = self._clock.now()
         for contact in self._contacts():
-            items = [item for item in urgent if item.place in ("", contact.place)]
+            items = [pending.item for pending in urgent if pending.is_for(contact)]
             cost = sum(map(size_of, items))
             if not items:
                 continue
@@ -166,6 +183,8 @@
                 # Without the bound, a host that flaps quickly would make all others push
                 # without end. What is not pushed still goes out with the probes.
                 self.delayed_pushes += 1
+                for item in items:
+                    self._queue(item, _HELD_BACK_SENDS)
                 continue
             self.pushed_bytes += cost
             self._start(self.push_to(contact, items))
--- a/cranberrywall/replication/_files.py
+++ b/cranberrywall/replication/_files.py
@@ -14,6 +14,7 @@
 
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.replication._frames import encode_frame, scan_frames
+from cranberrywall.replication._log import Log
 from cranberrywall.replication._settings import MEBIBYTE
 from cranberrywall.replication.messages import Entry, SnapshotInfo
 from cranberrywall.runtime import AppendFile, Storage
@@ -46,18 +47,24 @@
     entries: tuple[Entry, ...]
 
 
+class SavedSnapshot(NamedTuple):
+    """Hold a snapshot with its description."""
+
+    info: SnapshotInfo
+    data: bytes
+
+
 class Opened(NamedTuple):
     """Hold what a group's files say; ``torn_bytes`` were cut from the end of the log."""
 
     vote: Vote
-    snapshot: SnapshotInfo | None
-    snapshot_data: bytes
-    frames: list[Frame]
+    snapshot: SavedSnapshot | None
+    log: Log
     torn_bytes: int
 
 
 class _Segment(NamedTuple):
-    """Hold the newest index that a segment ever held, and its size in bytes."""
+    """Hold the newest index that counts in a segment, and its size in bytes."""
 
     newest_index: int
     size: int
@@ -102,10 +109,20 @@
         An empty folder is given the identity ``fresh_disk``. ``Err`` is ``CORRUPT``
         where a file is damaged or missing, or ``STORAGE_FAILED``.
         """
+        return self._read(lambda: self._open(fresh_disk))
+
+    def open_existing(self) -> Result[Opened, Refusal]:
+        """Read everything as ``open`` does, but refuse a folder that was never in use."""
+        if self._storage.read(self._name("vote")) is None:
+            message = f"{self._folder} holds no member of the group"
+            return Err(Refusal(ErrorKind.NOT_FOUND, message, "data", "give another data folder"))
+        return self._read(lambda: self._open(""))
+
+    def _read(self, work: Callable[[], Opened]) -> Result[Opened, Refusal]:
         try:
-            return Ok(self._open(fresh_disk))
+            return Ok(work())
         except CorruptError as error:
-            return Err(Refusal(ErrorKind.CORRUPT, str(error), "data", _RESTORE_REMEDY))
+            return Err(_corrupt(str(error)))
         except OSError as error:
             return Err(Refusal(ErrorKind.STORAGE_FAILED, str(error), "data", "mend the disk"))
 
@@ -119,9 +136,9 @@
         frame = encode_frame(_encoder.encode(Frame(first_index, tuple(entries))))
         self._file.append(frame)
         self._file.sync()
-        newest, size = self._by_number[self._current]
-        last = first_index + len(entries) - 1
-        self._by_number[self._current] = _Segment(max(newest, last), size + len(frame))
+        size = self._by_number[self._current].size + len(frame)
+        self._note_frame(self._current, first_index, len(entries))
+        self._by_number[self._current] = self._by_number[self._current]._replace(size=size)
         self.bytes_since_snapshot += len(frame)
 
     def rotate(self) -> None:
@@ -169,18 +186,20 @@
             or (segment.newest_index > info.last_index and not forget_log)
         ]
         self._save_manifest(Manifest(info, min(needed)))
-        self.bytes_since_snapshot = 0
         self._remove_leftovers()
+        # What was appended while the snapshot was written is not behind it.
+        self.bytes_since_snapshot = sum(segment.size for segment in self._by_number.values())
 
-    def read_snapshot(self) -> bytes | None:
-        """Return the bytes of the snapshot in force, or ``None`` where they are damaged."""
+    def read_snapshot(self) -> Result[SavedSnapshot | None, Refusal]:
+        """Return the snapshot in force, ``None`` before the first, or ``Err`` ``CORRUPT``."""
         info = self._manifest.snapshot
         if info is None:
-            return None
-        data = self._storage.read(self._snapshot_name(info))
+            return Ok(None)
+        name = self._snapshot_name(info)
+        data = self._storage.read(name)
         if data is None or not matches(info, data):
-            return None
-        return data
+            return Err(_corrupt(f"{name} is missing or damaged"))
+        return Ok(SavedSnapshot(info, data))
 
     def close(self) -> None:
         """Close the segment that is written to."""
@@ -202,32 +221,40 @@
             raise CorruptError(f"{self._name('manifest')} is missing")
         self._manifest = _unseal(sealed_manifest, Manifest, self._name("manifest"))
         self._remove_leftovers()
-        snapshot_data = self._checked_snapshot()
+        snapshot = self.read_snapshot()
+        if isinstance(snapshot, Err):
+            raise CorruptError(snapshot.err_value.message)
         frames, torn_bytes = self._read_segments()
+        log = self._make_log(frames)
         self._open_segment(self._current)
-        return Opened(vote, self._manifest.snapshot, snapshot_data, frames, torn_bytes)
+        return Opened(vote, snapshot.ok_value, log, torn_bytes)
 
     def _create(self, disk: str) -> Opened:
         # The vote file is written last: without it the folder was never in use, so
         # anything that holds entries has lost its vote and must not be trusted.
         for name in self._storage.names(self._folder):
-            data = self._storage.read(f"{self._folder}/{name}")
-            if name.startswith("log-") and data:
+            is_log = name.startswith("log-")
+            has_entries = is_log and self._storage.read(f"{self._folder}/{name}")
+            if has_entries or name.startswith("snapshot-"):
                 raise CorruptError(f"{self._name('vote')} is missing beside {name}")
         self._open_segment(1)
         self._save_manifest(Manifest(None, 1))
         vote = Vote(disk, "", 0, "")
         self.save_vote(vote)
-        return Opened(vote, None, b"", [], 0)
+        return Opened(vote, None, Log(), 0)
 
-    def _checked_snapshot(self) -> bytes:
-        if self._manifest.snapshot is None:
-            return b""
-        data = self.read_snapshot()
-        if data is None:
-            name = self._snapshot_name(self._manifest.snapshot)
-            raise CorruptError(f"{name} is missing or damaged")
-        return data
+    def _make_log(self, frames: Sequence[Frame]) -> Log:
+        info = self._manifest.snapshot
+        log = Log(info.last_index, info.last_term, info.roster) if info else Log()
+        for frame in frames:
+            if frame.first_index > log.last_index + 1:
+                raise CorruptError(
+                    f"{self._folder} lacks the entries {log.last_index + 1} to "
+                    f"{frame.first_index - 1}"
+                )
+            skipped = max(0, log.base_index + 1 - frame.first_index)
+            log.append(frame.first_index + skipped, frame.entries[skipped:])
+        return log
 
     def _read_segments(self) -> tuple[list[Frame], int]:
         numbers = self._segment_numbers()
@@ -252,15 +279,23 @@
             raise CorruptError(f"{name} is damaged at byte {sound_size}, and is not the last")
         if torn_bytes:
             self._storage.truncate(name, sound_size)
-        newest = 0
+        self._by_number[number] = _Segment(0, sound_size)
         for payload in payloads:
             frame = _frame_decoder.decode(payload)
             frames.append(frame)
-            newest = max(newest, frame.first_index + len(frame.entries) - 1)
-        self._by_number[number] = _Segment(newest, sound_size)
+            self._note_frame(number, frame.first_index, len(frame.entries))
         self.bytes_since_snapshot += sound_size
         return torn_bytes
 
+    def _note_frame(self, number: int, first_index: int, count: int) -> None:
+        # Entries from the first index on no longer count in any older segment, so they
+        # must not keep that segment from being removed.
+        for other, segment in self._by_number.items():
+            if segment.newest_index >= first_index:
+                self._by_number[other] = segment._replace(newest_index=first_index - 1)
+        last = first_index + count - 1
+        self._by_number[number] = self._by_number[number]._replace(newest_index=last)
+
     def _remove_leftovers(self) -> None:
         for number in self._segment_numbers():
             if number < self._manifest.first_segment:
@@ -300,6 +335,10 @@
     return len(data) == info.size and xxhash.xxh64_intdigest(data) == info.checksum
 
 
+def _corrupt(message: str) -> Refusal:
+    return Refusal(ErrorKind.CORRUPT, message, "data", _RESTORE_REMEDY)
+
+
 def _bind(work: Callable[[int], None], argument: int) -> Callable[[], None]:
     return lambda: work(argument)
 
--- a/cranberrywall/requests/_engine.py
+++ b/cranberrywall/requests/_engine.py
@@ -3,13 +3,14 @@
 import asyncio
 from collections import deque
 from enum import StrEnum
+from functools import partial
 from typing import NamedTuple
 from urllib.parse import quote
 
 import aiohttp
-from loguru import logger
 from yarl import URL
 
+from cranberrywall.observability import log_event
 from cranberrywall.requests._frames import (
     Chunk,
     EndMark,
@@ -18,23 +19,27 @@
     parse_frame,
 )
 from cranberrywall.requests._metrics import RequestMetrics
+from cranberrywall.runtime import Clock, Timer, Timers
 
 ATTEMPT_HEADER = "X-Attempt-Id"
 # 404: the model or the version was unloaded after the target was chosen.
 _BUSY_STATUSES = frozenset({404, 408, 409, 425, 429, 500, 502, 503, 504})
 _CANCEL_TIMEOUT_S = 2.0
+_END_OF_BODY_S = 0.5
 
 
 class FaultKind(StrEnum):
     """Say how a call to a target went wrong.
 
-    ``UNSENT``: no byte was sent. ``BUSY``: the target answered that it did not serve the
+    ``UNSENT``: no byte was sent. ``UNRUN``: the target says itself that it did not run the
+    call. ``BUSY``: the target answered that it did not serve the
     call. ``REFUSED``: the target found the call itself at fault. ``CROSSED``: the reply was
     another attempt's. ``CUT``: the reply ended before its end mark. ``SILENT``: nothing
     came within the limit. ``UNKNOWN_ATTEMPT``: the target cannot resume the attempt.
     """
 
     UNSENT = "unsent"
+    UNRUN = "unrun"
     BUSY = "busy"
     REFUSED = "refused"
     CROSSED = "crossed"
@@ -60,6 +65,7 @@
     connect_s: float = 1.0
     first_chunk_s: float = 15.0
     between_chunks_s: float = 10.0
+    elsewhere_s: float = 2.0
 
 
 class EngineCall(NamedTuple):
@@ -73,6 +79,10 @@
     body: bytes
 
 
+class _SilentTargetError(Exception):
+    """Report, to the read that waits for it, a chunk that did not come in time."""
+
+
 class EngineStream:
     """Read one attempt's chunks in order; each is checked to be the attempt's next one."""
 
@@ -82,11 +92,17 @@
         call: EngineCall,
         limits: EngineLimits,
         metrics: RequestMetrics,
+        clock: Clock,
+        timers: Timers,
     ) -> None:
         self._session = session
         self._call = call
         self._limits = limits
         self._metrics = metrics
+        self._timers = timers
+        self._clock = clock
+        self._timer: Timer | None = None
+        self._silent_at = 0.0
         self._response: aiohttp.ClientResponse | None = None
         self._splitter = FrameSplitter()
         self._ready: deque[bytes] = deque()
@@ -131,15 +147,31 @@
 
     def close(self) -> None:
         """Close the connection; the engine is not told to stop."""
+        self._stop_watching()
         if self._response is not None:
             self._response.close()
             self._response = None
 
-    def release(self) -> None:
-        """Give the connection back for reuse: the whole stream was read."""
-        if self._response is not None:
-            self._response.release()
-            self._response = None
+    async def release(self) -> None:
+        """Give the connection back for reuse, after the end mark was read."""
+        self._stop_watching()
+        response, self._response = self._response, None
+        if response is None:
+            return
+        try:
+            async with asyncio.timeout(_END_OF_BODY_S):
+                # The body's own end follows the end mark; until it is read the
+                # connection cannot carry another call.
+                await response.content.readany()
+        except (aiohttp.ClientError, ConnectionError, TimeoutError):
+            response.close()
+        else:
+            response.release()
+
+    def _stop_watching(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
 
     @property
     def next_index(self) -> int:
@@ -153,7 +185,7 @@
     async def _take_head(self, request: "aiohttp.client._RequestContextManager") -> Fault | None:
         limit = self._limits.first_chunk_s
         try:
-            async with asyncio.timeout(limit):
+            async with self._timers.limit(limit):
                 response = await request
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             # Only these two come before a connection stands, so no byte was sent.
@@ -163,7 +195,11 @@
         except (aiohttp.ClientError, ConnectionError) as error:
             return Fault(FaultKind.CUT, f"{type(error).__name__}: {error}")
         self._response = response
-        return await self._check_head(response)
+        fault = await self._check_head(response)
+        if fault is None:
+            self._silent_at = self._clock.now() + limit
+            self._watch(response)
+        return fault
 
     async def _check_head(self, response: aiohttp.ClientResponse) -> Fault | None:
         if response.status == 200:
@@ -192,7 +228,7 @@
             self._drop("chunk", frame.attempt_id)
             return None
         if frame.number < self._next_index:
-            self._metrics.dropped_chunks.labels("doubled").inc()
+            self._metrics.dropped_replies.labels("doubled").inc()
             return None
         if frame.number > self._next_index:
             return Fault(FaultKind.CUT, f"chunk {self._next_index} is missing")
@@ -202,24 +238,38 @@
     async def _read(self) -> Fault | None:
         if self._response is None:
             return Fault(FaultKind.CUT, "the stream is closed")
-        first = self._next_index == 0
-        limit = self._limits.first_chunk_s if first else self._limits.between_chunks_s
         try:
-            async with asyncio.timeout(limit):
-                data = await self._response.content.readany()
-        except TimeoutError:
-            return Fault(FaultKind.SILENT, f"no chunk within {limit:g} s")
+            data = await self._response.content.readany()
+        except _SilentTargetError as error:
+            return Fault(FaultKind.SILENT, str(error))
         except (aiohttp.ClientError, ConnectionError) as error:
             return Fault(FaultKind.CUT, f"{type(error).__name__}: {error}")
         if not data:
             return Fault(FaultKind.CUT, "the stream ended without its end mark")
-        self._ready.extend(self._splitter.feed(data))
+        self._silent_at = self._clock.now() + self._limits.between_chunks_s
+        try:
+            self._ready.extend(self._splitter.feed(data))
+        except MalformedFrameError as error:
+            return Fault(FaultKind.REFUSED, str(error))
         return None
 
+    def _watch(self, response: aiohttp.ClientResponse) -> None:
+        """End the read that waits for a chunk once the target was silent for too long.
+
+        One timer watches the whole stream: a limit set and cleared for each read cost
+        more than the rest of the reading.
+        """
+        if self._response is not response:
+            return
+        if self._clock.now() < self._silent_at:
+            self._timer = self._timers.call_at(self._silent_at, partial(self._watch, response))
+            return
+        response.content.set_exception(_SilentTargetError("the target fell silent"))
+
     def _drop(self, part: str, attempt_id: str) -> None:
-        self._metrics.dropped_chunks.labels("crossed").inc()
-        logger.warning(
-            "event=crossed_reply part={} attempt={} got={}", part, self._call.attempt_id, attempt_id
+        self._metrics.dropped_replies.labels("crossed").inc()
+        log_event(
+            "WARNING", "crossed_reply", part=part, attempt=self._call.attempt_id, got=attempt_id
         )
 
     def _timeout(self) -> aiohttp.ClientTimeout:
@@ -233,7 +283,7 @@
         async with session.delete(URL(_attempt_url(call), encoded=True), timeout=timeout):
             pass
     except (aiohttp.ClientError, ConnectionError, TimeoutError) as error:
-        logger.warning("event=cancel_failed attempt={} error={!r}", call.attempt_id, str(error))
+        log_event("WARNING", "cancel_failed", error, attempt=call.attempt_id)
 
 
 def _attempt_url(call: EngineCall) -> str:
