--- a/tests/commands/test_processes.py
+++ b/tests/commands/test_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import re
 import socket
 import sys
 from pathlib import Path
@@ -11,6 +12,7 @@
 
 from cranberrywall.demo import (
     SAVINGS_BOARD,
+    FleetFiles,
     FleetSize,
     demo_requests,
     make_fleet_client,
@@ -49,6 +51,14 @@
     return {name: count["executions"] for name, count in document["requests"].items()}
 
 
+async def check_streams_are_counted(files: FleetFiles) -> None:
+    counted = re.compile(r'^cranberrywall_links_bytes_total\{direction="out"\} [1-9]', re.MULTILINE)
+    async with aiohttp.ClientSession() as session:
+        for host in [*files.of_role("control"), *files.of_role("entry")]:
+            async with session.get(f"http://{host.listen['admin']}/metrics") as response:
+                assert counted.search(await response.text()), host.name
+
+
 async def test_separate_processes_serve_a_request_and_bill_it_once(tmp_path: Path) -> None:
     deployment = read_deployment(SAVINGS_BOARD)
     files = write_fleet(tmp_path / "fleet", deployment, FleetSize(3, 2), NET)
@@ -66,6 +76,7 @@
         standins.append(await start_standin("service", files.entry_urls(), key))
         await wait_for_targets(files, 2, PATIENCE_S)
         await send_and_check(files, deployment)
+        await check_streams_are_counted(files)
         totals = await client.totals(PATIENCE_S)
         assert totals.by_workspace()["counter-clerks"][1] == 1
         assert totals.billed_requests == 1
