Work out what failures bring at the users' size

Change: rows of arithmetic on measured figures beside the roles' tables, with tests. Conclusion: the page's numbers can all be made again by one command.

--- a/measurements/_capacity_parts.py
+++ b/measurements/_capacity_parts.py
@@ -17,6 +17,7 @@
     requests_per_s: int = 50_000
     tokens_per_s: int = 15_000_000
     budgets: int = 680_000
+    regions: int = 4
     places: int = 13
     changes_per_day: int = 14_000
     failures_per_day: int = 260
--- a/measurements/capacity.py
+++ b/measurements/capacity.py
@@ -10,6 +10,7 @@
 
 import click
 
+from measurements._capacity_events import Event, make_events
 from measurements._capacity_parts import (
     Figures,
     Limit,
@@ -30,13 +31,15 @@
 @click.option("--markdown", is_flag=True, help="Print the tables of docs/CAPACITY.md.")
 def main(markdown: bool) -> None:
     """Print each role's cost at the users' size, against its limits."""
+    figures, sizes = Figures(OUT), Sizes()
     try:
-        roles = make_roles(Figures(OUT), Sizes())
+        roles, events = make_roles(figures, sizes), make_events(figures, sizes)
     except MissingFigureError as error:
         click.echo(str(error), err=True)
         sys.exit(1)
     for role in roles:
         click.echo(format_markdown(role) if markdown else format_text(role))
+    click.echo(format_events(events))
     if not markdown:
         report_figures("capacity", totals(roles))
 
@@ -76,6 +79,15 @@
     return "\n".join(lines) + "\n"
 
 
+def format_events(events: Sequence[Event]) -> str:
+    """Return the events' table as Markdown, which reads well as text."""
+    lines = ["### When things fail", "", "| event | what | from | gives |", "|---|---|---|---|"]
+    for event in events:
+        gives = f"{_number(event.value)} {event.unit}"
+        lines.append(f"| {event.event} | {event.what} | {event.follows_from} | {gives} |")
+    return "\n".join(lines) + "\n"
+
+
 def rows_of(role: Role) -> Iterator[tuple[str, ...]]:
     """Return the cells of a role's parts, then of its totals."""
     for part in role.parts:
@@ -104,9 +116,13 @@
     >>> _quantity(0.0123456, Unit.CORE)
     '0.0123% of a core'
     """
-    number = f"{value:,.0f}" if abs(value) >= 1000 else f"{value:.3g}"
+    number = _number(value)
     return f"{number}{unit}" if unit is Unit.CORE else f"{number} {unit}"
 
 
+def _number(value: float) -> str:
+    return f"{value:,.0f}" if abs(value) >= 1000 else f"{value:.3g}"
+
+
 if __name__ == "__main__":
     main()
--- a/tests/measurements/test_capacity.py
+++ b/tests/measurements/test_capacity.py
@@ -8,6 +8,7 @@
 from click.testing import CliRunner
 
 from measurements import capacity
+from measurements._capacity_events import make_events
 from measurements._capacity_parts import (
     Figures,
     Limit,
@@ -82,6 +83,24 @@
     assert changes.value == pytest.approx(2.0)
 
 
+def test_a_lost_place_leaves_its_tokens_to_the_other_hosts() -> None:
+    sizes = Sizes(nodes=26, places=13, tokens_per_s=24_000)
+    events = make_events(KnownFigures(tokens_per_core_s=2_000.0), sizes)
+    by_what = {event.what: event.value for event in events}
+    # 24 hosts are left, with 1,000 tokens a second each.
+    assert by_what["proxying at each host that is left"] == pytest.approx(50.0)
+    assert by_what["entry hosts lost"] == pytest.approx(2.0)
+
+
+def test_a_region_apart_keeps_an_hour_of_its_charges() -> None:
+    sizes = Sizes(requests_per_s=400, regions=4, nodes=100)
+    events = make_events(KnownFigures(charges_per_s=1_000.0), sizes)
+    by_what = {event.what: event.value for event in events}
+    assert by_what["charges of the region"] == pytest.approx(360_000)
+    assert by_what["charges that one host keeps"] == pytest.approx(14_400)
+    assert by_what["one core's time to apply them afterwards"] == pytest.approx(360)
+
+
 def test_a_missing_figure_names_the_measurement_to_run(tmp_path: Path) -> None:
     (tmp_path / "proxy.json").write_text(json.dumps({"first_ms": 2.5}))
     figures = Figures(tmp_path)
