--- a/measurements/_capacity_events.py
+++ b/measurements/_capacity_events.py
@@ -4,7 +4,8 @@
 
 from cranberrywall.budgets import IdLimits
 from measurements._capacity_parts import DAY_S, Figures, Sizes
-from measurements._capacity_roles import LEDGER_GROUPS, MICROSECONDS_TO_PERCENT
+from measurements._capacity_roles import LEDGER_GROUPS
+from measurements._capacity_slopes import MICROSECONDS_TO_PERCENT
 
 HOUR_S = 3600.0
 
