Show membership and streams on /metrics of entry hosts

The counts of dropped frames were kept and documented, and no entry host exported them; the membership had none. The entry program's ties take their limits from links.limits_of.

--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -90,6 +90,8 @@
         self.on_drain: Callable[[], None] = lambda: None
         register_drain(self._server, self._me.incarnation, lambda: self.on_drain())
         self._metrics = make_metrics()
+        ties.counters.export(self._metrics)
+        ties.membership.export(self._metrics)
         self.state = StateRegistry()
         self._health = HealthChecks()
         self._admin = self._make_admin()
--- a/cranberrywall/commands/_entry_ties.py
+++ b/cranberrywall/commands/_entry_ties.py
@@ -4,7 +4,6 @@
 
 from result import Err
 
-from cranberrywall.commands._control_program import link_limits
 from cranberrywall.configuration import (
     Follower,
     HostConfiguration,
@@ -24,6 +23,7 @@
     LinkCounters,
     LinkServer,
     Peer,
+    limits_of,
     make_caller,
     make_link_server,
 )
@@ -54,33 +54,33 @@
         self._runtime = runtime
         self.me = Peer(settings["host"], settings["place"], int(runtime.clock.wall() * 1000))
         self.controls = [remote["links"] for remote in settings["controls"]]
-        counters = LinkCounters()
-        self.server = self._make_server(keys, counters)
-        self.caller = self._make_caller(keys, counters)
+        self.counters = LinkCounters()
+        self.server = self._make_server(keys)
+        self.caller = self._make_caller(keys)
         self.configured = ConfiguredHosts(self._view(), configuration, self._peers())
         self.membership = self._make_membership()
         self.follower = self._make_follower(configuration)
 
-    def _make_server(self, keys: FleetKeys, counters: LinkCounters) -> LinkServer:
+    def _make_server(self, keys: FleetKeys) -> LinkServer:
         return make_link_server(
             self._runtime.network,
             self._runtime.clock,
             self._settings["listen"]["links"],
             keys.fleet,
             self.me,
-            counters,
-            link_limits(self._settings["streams"]),
+            self.counters,
+            limits_of(self._settings),
         )
 
-    def _make_caller(self, keys: FleetKeys, counters: LinkCounters) -> LinkCaller:
+    def _make_caller(self, keys: FleetKeys) -> LinkCaller:
         return make_caller(
             self._runtime.network,
             self._runtime.clock,
             self._runtime.random,
             keys.fleet,
             self.me,
-            counters,
-            link_limits(self._settings["streams"]),
+            self.counters,
+            limits_of(self._settings),
         )
 
     def _view(self) -> HostView:
--- a/cranberrywall/hosts/_interfaces.py
+++ b/cranberrywall/hosts/_interfaces.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple, Protocol
 
 from cranberrywall.hosts.messages import Item
+from cranberrywall.observability import Metrics
 
 
 class HostState(StrEnum):
@@ -95,6 +96,10 @@
         """Stop taking part."""
         ...
 
+    def export(self, metrics: Metrics) -> None:
+        """Let ``metrics`` show the hosts by state, and what membership did."""
+        ...
+
     def state(self) -> dict[str, Any]:
         """Return hosts and counts for the state dump."""
         ...
--- a/cranberrywall/hosts/_membership.py
+++ b/cranberrywall/hosts/_membership.py
@@ -39,7 +39,7 @@
     PushRequest,
 )
 from cranberrywall.links import Caller, Peer, Server
-from cranberrywall.observability import log_event
+from cranberrywall.observability import Metrics, log_event
 from cranberrywall.runtime import Clock, Random
 
 _VIEWS_KEPT_S = 0.2
@@ -178,6 +178,22 @@
             "is_superseded": self.is_superseded,
             "changes": dict(self._roster.transitions),
             "items": len(self._table),
+            **self._counts(),
+        }
+
+    def export(self, metrics: Metrics) -> None:
+        metrics.gauges_of(
+            "membership_hosts", "Hosts known, by what is believed of them.", "state",
+            self._hosts_by_state,
+        )  # fmt: skip
+        metrics.counters_of("membership_events", "What membership did.", "event", self._counts)
+
+    def _hosts_by_state(self) -> dict[str, float]:
+        states = [view.state for view in self.all()]
+        return {str(state): states.count(state) for state in HostState}
+
+    def _counts(self) -> dict[str, float]:
+        return {
             "probes": self._prober.probes,
             "failed_probes": self._prober.failures,
             "suspicions": self._prober.suspicions,
--- a/cranberrywall/observability/_metrics.py
+++ b/cranberrywall/observability/_metrics.py
@@ -14,7 +14,7 @@
     generate_latest,
 )
 from prometheus_client.metrics import MetricWrapperBase
-from prometheus_client.metrics_core import CounterMetricFamily, Metric
+from prometheus_client.metrics_core import CounterMetricFamily, GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
 OTHER = "other"
@@ -56,17 +56,25 @@
         return series
 
 
-class _CountsCollector(Collector):
+class _ReadCollector(Collector):
+    """Export values that are read at each collection."""
+
     def __init__(
-        self, name: str, help_text: str, label: str, read: Callable[[], Mapping[str, float]]
+        self,
+        family: type[CounterMetricFamily | GaugeMetricFamily],
+        name: str,
+        help_text: str,
+        label: str,
+        read: Callable[[], Mapping[str, float]],
     ) -> None:
+        self._family = family
         self._name = name
         self._help_text = help_text
         self._label = label
         self._read = read
 
     def collect(self) -> Iterable[Metric]:
-        family = CounterMetricFamily(self._name, self._help_text, labels=[self._label])
+        family = self._family(self._name, self._help_text, labels=[self._label])
         for value, count in self._read().items():
             family.add_metric([value], count)
         return [family]
@@ -125,7 +133,15 @@
 
         It suits counts of a hot path, kept as plain ints; the values must be a closed list.
         """
-        self._registry.register(_CountsCollector(_PREFIX + name, help_text, label, read))
+        collector = _ReadCollector(CounterMetricFamily, _PREFIX + name, help_text, label, read)
+        self._registry.register(collector)
+
+    def gauges_of(
+        self, name: str, help_text: str, label: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        """Export the values that ``read`` gives at each collection, as ``counters_of`` does."""
+        collector = _ReadCollector(GaugeMetricFamily, _PREFIX + name, help_text, label, read)
+        self._registry.register(collector)
 
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
--- a/tests/hosts/test_membership.py
+++ b/tests/hosts/test_membership.py
@@ -6,6 +6,7 @@
 import pytest
 
 from cranberrywall.hosts import HostState, Pace
+from cranberrywall.observability import make_metrics
 from tests.fakes.network import Rule
 from tests.hosts.fleet import TODAY, Fleet, Host, but, in_fleet
 
@@ -348,3 +349,18 @@
             assert fleet.all_alive()
 
     in_fleet(TODAY, test)
+
+
+def test_the_metrics_tell_hosts_by_state_and_what_was_done():
+    async def test(fleet: Fleet):
+        await fleet.crash(fleet["kranj-2"])
+        await fleet.clock.sleep(10)
+        metrics = make_metrics()
+        fleet["kranj-1"].membership.export(metrics)
+        text = metrics.render().decode()
+        assert 'cranberrywall_membership_hosts{state="alive"} 6.0' in text
+        assert 'cranberrywall_membership_hosts{state="dead"} 1.0' in text
+        probes = fleet["kranj-1"].membership.state()["probes"]
+        assert f'cranberrywall_membership_events_total{{event="probes"}} {probes:.1f}' in text
+
+    in_fleet(TODAY, test)
