--- a/tests/requests/test_registry.py
+++ b/tests/requests/test_registry.py
@@ -131,3 +131,25 @@
         engine.released.set()
         assert (await second.read()).endswith(b"data: [DONE]\n\n")
         assert len(engine.calls) == 1
+
+
+async def test_a_retry_after_its_run_was_cancelled_is_whole_and_billed_once() -> None:
+    """A caller leaves, and comes back only after its run was cancelled and charged.
+
+    The request runs again, at either host, and the caller gets the whole answer. The
+    ledger has billed the id already, so the second charge is named as a duplicate.
+    """
+    async with Fleet() as fleet:
+        await fleet.engine(step_s=0.01)
+        limits = {"run_limits": RunLimits(linger_s=0.02)}
+        hosts = [await fleet.entry(f"entry-{number}", **limits) for number in (1, 2)]
+        body = chat(stream=True)
+        first = await begin(fleet, hosts[0], body, "r-1")
+        first.close()
+        while not fleet.ledger.billed_by_request:
+            await asyncio.sleep(0.005)
+        await hosts[0].stack.finish()
+        _, _, data = await fleet.post(hosts[1], body, request_id="r-1")
+        assert text_of(frames(data)) == " ".join(answer_words(body["messages"]))
+        assert fleet.ledger.duplicates == [("desk", "r-1")]
+        assert [host.allotments.held for host in hosts] == [0, 0]
