--- a/cranberrywall/routing/_candidates.py
+++ b/cranberrywall/routing/_candidates.py
@@ -49,7 +49,7 @@
     """
 
     hosts: int
-    reserved: int
+    reserved: float
     unbounded_share: float
 
 
--- a/cranberrywall/routing/_pool.py
+++ b/cranberrywall/routing/_pool.py
@@ -21,7 +21,7 @@
 KNOWN_AFTER_S = 10.0
 """A target that joins later than this after the host's own start starts slowly, in seconds."""
 
-RESERVED_SHARE = 0.25
+RESERVED_SHARE = 0.27
 """Share of each target's places kept free for the first rank while places are short."""
 
 CROWDED_FOR_S = 10.0
@@ -176,13 +176,13 @@
         """Note that demands wait: places are short."""
         self._crowded_until = now + CROWDED_FOR_S
 
-    def _reserved(self, capacity: int, now: float) -> int:
+    def _reserved(self, capacity: int, now: float) -> float:
         # Places kept free while they are not short would only narrow the choice. A small
         # target has none to spare for a rank that may not come.
         is_crowded = now < min(self._crowded_until, self._first_rank_until)
         if not is_crowded or capacity < MIN_RESERVING_CAPACITY:
-            return 0
-        return max(1, round(capacity * RESERVED_SHARE))
+            return 0.0
+        return max(1.0, capacity * RESERVED_SHARE)
 
     def _sharers(self) -> int:
         return max(1, round(self._count_hosts() * self._used_share))
