Keep files that are written whole from other users of the machine

The tutorial's run left console-1/accounts.json, which holds password hashes, with mode 0644, beside logs with 0640: replace() took open()'s default. Both have 0640 now; the test sets no umask and failed before. The accounts command said "omar is a operator"; it names the role now.

--- a/cranberrywall/commands/accounts.py
+++ b/cranberrywall/commands/accounts.py
@@ -31,7 +31,7 @@
     if isinstance(result, Err):
         click.echo(str(result.err_value), err=True)
         sys.exit(EXIT_BAD_INPUT)
-    click.echo(f"{name} is a {role}")
+    click.echo(f"{name} has the role {role}")
 
 
 @main.command()
--- a/cranberrywall/runtime/_storage.py
+++ b/cranberrywall/runtime/_storage.py
@@ -13,6 +13,9 @@
 
 _BESIDE_SUFFIX = ".beside"
 
+_FILE_MODE = 0o640
+"""Files hold password hashes and ledgers: other users of the machine may not read them."""
+
 
 def make_storage(folder: str) -> Storage:
     """Return the files under ``folder``, which must exist; raise ``OSError`` if not."""
@@ -45,7 +48,7 @@
         path = self._path(name)
         self._make_folders(path.parent)
         beside = path.with_name(path.name + _BESIDE_SUFFIX)
-        with open(beside, "wb") as file:
+        with open(beside, "wb", opener=_open_for_us) as file:
             file.write(data)
             file.flush()
             os.fsync(file.fileno())
@@ -69,7 +72,7 @@
         path = self._path(name)
         self._make_folders(path.parent)
         is_new = not path.exists()
-        descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o640)
+        descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, _FILE_MODE)
         if is_new:
             _sync_folder(path.parent)
         return _File(descriptor)
@@ -113,3 +116,7 @@
         os.fsync(descriptor)
     finally:
         os.close(descriptor)
+
+
+def _open_for_us(path: str, flags: int) -> int:
+    return os.open(path, flags, _FILE_MODE)
--- a/tests/commands/test_accounts.py
+++ b/tests/commands/test_accounts.py
@@ -25,6 +25,7 @@
     status, output = run(settings, "put", "omar", "--role", "operator", typed=password * 2)
     assert status == 0
     assert "correct horse" not in output
+    assert "omar has the role operator\n" in output
     assert run(settings, "list") == (0, "omar operator\n")
     assert run(settings, "remove", "omar")[0] == 0
     assert run(settings, "list") == (0, "")
--- a/tests/runtime/test_real.py
+++ b/tests/runtime/test_real.py
@@ -105,6 +105,23 @@
     assert storage.read("vote") == b"old"
 
 
+def test_files_are_not_for_other_users(tmp_path: Path):
+    """Any user of the machine could read the console's password hashes, or the ledgers.
+
+    Files that were written whole, such as the console's accounts, had mode 0644; logs had 0640.
+    """
+    storage = make_runtime(str(tmp_path)).storage
+    assert storage is not None
+    before = os.umask(0)
+    try:
+        storage.replace("accounts", b"whole")
+        storage.open_append("log").close()
+    finally:
+        os.umask(before)
+    modes = {file.name: file.stat().st_mode & 0o007 for file in tmp_path.iterdir()}
+    assert modes == {"accounts": 0, "log": 0}
+
+
 def test_replace_syncs_the_file_before_the_rename_and_the_folder_after(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ):
