Find the subcommands of cranberrywallctl once, by their modules' names

Cause: each subcommand stood in an import list and again in the list that added it; who added a module had to name it in both, and duplicates listed the pair. Change: every module of the package without a leading underscore is a subcommand.

--- a/cranberrywall/commands/ctl/_main.py
+++ b/cranberrywall/commands/ctl/_main.py
@@ -1,31 +1,12 @@
 """Define ``cranberrywallctl``, its common options and its subcommands."""
 
 import getpass
+import importlib
+import pkgutil
+from pathlib import Path
 
 import click
 
-from cranberrywall.commands.ctl import (
-    apply,
-    budgets,
-    check,
-    close,
-    confirm_dead,
-    diff,
-    drain,
-    export,
-    groups,
-    history,
-    hosts,
-    make_keys,
-    orders,
-    plan,
-    report,
-    rescue,
-    roll_back,
-    state,
-    targets,
-    top_up,
-)
 from cranberrywall.commands.ctl._session import (
     Ctl,
     FleetFile,
@@ -106,26 +87,12 @@
     return address
 
 
-for module in (
-    apply,
-    budgets,
-    check,
-    close,
-    confirm_dead,
-    diff,
-    drain,
-    export,
-    groups,
-    history,
-    hosts,
-    make_keys,
-    orders,
-    plan,
-    report,
-    rescue,
-    roll_back,
-    state,
-    targets,
-    top_up,
-):
-    main.add_command(module.command)
+def _add_subcommands() -> None:
+    """Add ``command`` of each module of this package whose name has no leading underscore."""
+    package = "cranberrywall.commands.ctl"
+    for found in pkgutil.iter_modules([str(Path(__file__).parent)]):
+        if not found.name.startswith("_"):
+            main.add_command(importlib.import_module(f"{package}.{found.name}").command)
+
+
+_add_subcommands()
