Run the console, control and entry programs by one service

Cause: three modules held the same aiomisc service, log set-up and state dump. Change: commands/_running.py holds the service and the Program that it needs; the entry host's drain before its stop is a small program around the assembled one.

--- a/cranberrywall/commands/control.py
+++ b/cranberrywall/commands/control.py
@@ -1,41 +1,17 @@
 """Run a control host: the replicated groups of configuration and ledgers."""
 
-import aiomisc
 import click
 
-from cranberrywall.commands._control_program import ControlProgram, make_control_program
+from cranberrywall.commands._control_program import make_control_program
 from cranberrywall.commands._running import run_until_signal
-from cranberrywall.observability import configure_log, dump_state_on_signal
-from cranberrywall.runtime import make_runtime
 from cranberrywall.settings import Settings, settings_options
 
 
-class _ControlService(aiomisc.Service):
-    """Start and stop the control program with the process."""
-
-    def __init__(self, settings: Settings) -> None:
-        super().__init__()
-        self._settings = settings
-        self._program: ControlProgram | None = None
-
-    async def start(self) -> None:
-        """Start the program, and dump its state on SIGUSR1."""
-        self._program = make_control_program(self._settings, make_runtime(self._settings["data"]))
-        await self._program.start()
-        dump_state_on_signal(self._program.state)
-
-    async def stop(self, exception: Exception | None = None) -> None:
-        """Stop the program."""
-        if self._program is not None:
-            await self._program.stop()
-
-
 @click.command()
 @settings_options("control")
 def main(settings: Settings) -> None:
     """Run a control host until SIGTERM or SIGINT."""
-    configure_log("control", settings["host"], settings["place"], settings["log"]["level"])
-    run_until_signal(_ControlService(settings))
+    run_until_signal("control", settings, make_control_program)
 
 
 if __name__ == "__main__":
--- a/cranberrywall/commands/entry.py
+++ b/cranberrywall/commands/entry.py
@@ -3,48 +3,47 @@
 import signal
 from functools import partial
 
-import aiomisc
 import click
 
 from cranberrywall.commands._entry_program import EntryProgram, make_entry_program
 from cranberrywall.commands._running import run_until_signal
-from cranberrywall.observability import configure_log, dump_state_on_signal
-from cranberrywall.runtime import make_runtime
+from cranberrywall.observability import StateRegistry
+from cranberrywall.runtime import Runtime
 from cranberrywall.settings import Settings, settings_options
 
 LONGEST_DRAIN_S = 3600.0
 """The last stream must end within this; a graceful shutdown cuts none before."""
 
 
-class _EntryService(aiomisc.Service):
-    """Start and stop the entry program with the process."""
+class _DrainedProgram:
+    """Run an entry host that drains before it stops."""
 
-    def __init__(self, settings: Settings) -> None:
-        super().__init__()
-        self._settings = settings
-        self._program: EntryProgram | None = None
+    def __init__(self, program: EntryProgram) -> None:
+        self._program = program
+        # An operator's drain ends the process by the way that SIGTERM does.
+        program.on_drain = partial(signal.raise_signal, signal.SIGTERM)
+
+    @property
+    def state(self) -> StateRegistry:
+        return self._program.state
 
     async def start(self) -> None:
-        """Start the program, and dump its state on SIGUSR1."""
-        self._program = make_entry_program(self._settings, make_runtime(self._settings.get("data")))
-        # An operator's drain ends the process by the way that SIGTERM does.
-        self._program.on_drain = partial(signal.raise_signal, signal.SIGTERM)
         await self._program.start()
-        dump_state_on_signal(self._program.state)
 
-    async def stop(self, exception: Exception | None = None) -> None:
-        """Drain and stop the program."""
-        if self._program is not None:
-            await self._program.drain()
-            await self._program.stop()
+    async def stop(self) -> None:
+        await self._program.drain()
+        await self._program.stop()
+
+
+def _make_drained_program(settings: Settings, runtime: Runtime) -> _DrainedProgram:
+    return _DrainedProgram(make_entry_program(settings, runtime))
 
 
 @click.command()
 @settings_options("entry")
 def main(settings: Settings) -> None:
     """Run an entry host until SIGTERM or SIGINT."""
-    configure_log("entry", settings["host"], settings["place"], settings["log"]["level"])
-    run_until_signal(_EntryService(settings), shutdown_timeout=LONGEST_DRAIN_S)
+    run_until_signal("entry", settings, _make_drained_program, LONGEST_DRAIN_S)
 
 
 if __name__ == "__main__":
