Let stand-in engines and services share their options and their faults

Cause: both commands repeated seven options, and both classes cut connections and died by the same code. Change: standin_options adds the options; FaultSwitch.break_connection carries out a fault.

--- a/standins/_command.py
+++ b/standins/_command.py
@@ -4,6 +4,8 @@
 import json
 import os
 import signal
+from collections.abc import Callable
+from typing import ParamSpec, TypeVar
 
 import click
 import uvloop
@@ -15,6 +17,9 @@
 KEY_VARIABLE = "STANDIN_TARGET_KEY"
 DIED_EXIT_STATUS = 70
 
+Parameters = ParamSpec("Parameters")
+Returned = TypeVar("Returned")
+
 
 class FaultsParameter(click.ParamType[Faults]):
     """Read faults such as ``slow=3,cut=0.1``."""
@@ -42,6 +47,24 @@
         return Faults(**named)
 
 
+def standin_options(command: Callable[Parameters, Returned]) -> Callable[Parameters, Returned]:
+    """Add the options that every stand-in takes, in the order of the help page."""
+    for option in reversed(_STANDIN_OPTIONS):
+        command = option(command)
+    return command
+
+
+_STANDIN_OPTIONS = (
+    click.option("--place", default="town-hall", help="The place it stands in."),
+    click.option("--host", default="127.0.0.1", help="The address to bind."),
+    click.option("--port", default=0, help="The port to bind; 0 takes a free one."),
+    click.option("--entry", "entries", multiple=True, help="URL of an entry host to announce to."),
+    click.option("--key", envvar=KEY_VARIABLE, default="", help="The fleet's target key."),
+    click.option("--faults", type=FaultsParameter(), default=Faults(), help="As slow=3,cut=0.1."),
+    click.option("--seed", default=1, help="The seed of every draw."),
+)
+
+
 def announce_options(entries: tuple[str, ...], key: str) -> AnnounceOptions | None:
     """Return how to announce, or ``None`` where no entry host is named."""
     return AnnounceOptions(entries, key) if entries else None
@@ -58,7 +81,7 @@
     async def die() -> None:
         os._exit(DIED_EXIT_STATUS)
 
-    standin.on_death = die
+    standin.switch.on_death = die
     serving = await serve(standin, host, port, announce)
     click.echo(json.dumps({"url": serving.url}))
     stopped = asyncio.Event()
--- a/standins/_common.py
+++ b/standins/_common.py
@@ -1,9 +1,12 @@
 """Read and answer what engines and services have in common."""
 
+import asyncio
+from collections.abc import Awaitable, Callable
+
 from aiohttp import web
 
 from standins._counts import Counts
-from standins._faults import FaultChange, Faults
+from standins._faults import Draw, FaultChange, Faults
 
 ATTEMPT_HEADER = "X-Attempt-Id"
 REQUEST_HEADER = "X-Request-Id"
@@ -11,15 +14,29 @@
 
 
 class FaultSwitch:
-    """Hold the faults in force, changed by ``PUT /faults``."""
+    """Hold the faults in force, changed by ``PUT /faults``.
+
+    ``on_death`` ends the whole stand-in; what serves it sets it.
+    """
 
     def __init__(self, faults: Faults) -> None:
         self.faults = faults
+        self.on_death: Callable[[], Awaitable[None]] | None = None
+        # The event loop refers to tasks weakly, so a death is kept here until it is over.
+        self._deaths: set[asyncio.Future[None]] = set()
 
     def change(self, change: FaultChange) -> None:
         """Change the named faults; raise ``TypeError`` for an unknown one."""
         self.faults = Faults(**{**self.faults._asdict(), **change})
 
+    def break_connection(self, request: web.Request, draw: Draw) -> None:
+        """Cut the connection where ``draw`` says so; a death ends the others as well."""
+        if draw.dies and self.on_death is not None:
+            abort(request)
+            self._deaths.add(asyncio.ensure_future(self.on_death()))
+        elif draw.cut:
+            abort(request)
+
 
 def add_common_routes(app: web.Application, counts: Counts, switch: FaultSwitch) -> None:
     """Serve ``GET /counts``, ``GET /faults`` and ``PUT /faults``."""
--- a/standins/_engine.py
+++ b/standins/_engine.py
@@ -4,7 +4,6 @@
 import json
 import math
 import time
-from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
 from aiohttp import web
@@ -79,15 +78,13 @@
         self.options = options
         self.counts = Counts()
         self.orders = Orders(options.versions, options.checks_fencing, options.load_s)
-        self.on_death: Callable[[], Awaitable[None]] | None = None
-        self._switch = FaultSwitch(options.faults)
+        self.switch = FaultSwitch(options.faults)
         self._cache = PrefixCache(
             options.cache_blocks, options.event_delay_s, options.event_loss, options.seed
         )
         self._attempts = Attempts()
         self._load = LaggingLoad(options.load_lag_s)
         self._batch = Batch(options.capacity, self._step_s, self._count_end)
-        self._deaths: set[asyncio.Task[None]] = set()
         self.app = self._make_app()
 
     @property
@@ -124,14 +121,14 @@
         app.router.add_delete("/v1/attempts/{attempt:.+}", self._cancel)
         app.router.add_post("/v1/orders", self._order)
         app.router.add_get("/v1/orders", self._list_orders)
-        add_common_routes(app, self.counts, self._switch)
+        add_common_routes(app, self.counts, self.switch)
         return app
 
     async def _complete(self, request: web.Request) -> web.StreamResponse:
         body = await request.json()
         request_id, attempt_id = identity(request)
         draw = draw_faults(
-            self._switch.faults, self.options.seed, request_id, self.counts.started(request_id)
+            self.switch.faults, self.options.seed, request_id, self.counts.started(request_id)
         )
         refusal = self._refusal(request, body, draw)
         if refusal is not None:
@@ -139,7 +136,7 @@
             return refusal
         attempt = self._begin(request, body, request_id, attempt_id, draw)
         if draw.late:
-            await asyncio.sleep(self._switch.faults.late_s)
+            await asyncio.sleep(self.switch.faults.late_s)
         answered = self._crossed(attempt) if draw.crossed else attempt
         if body.get("stream", False):
             return await self._stream(request, answered, 0, draw)
@@ -220,7 +217,7 @@
             async for chunk in attempt.follow(start):
                 await response.write(f"data: {json.dumps(chunk)}\n\n".encode())
                 if draw is not None and chunk["index"] + 1 == CUT_AFTER_CHUNKS:
-                    self._fail_in_mid_answer(request, draw)
+                    self.switch.break_connection(request, draw)
             if attempt.finished:
                 await response.write(b"data: [DONE]\n\n")
             else:
@@ -236,7 +233,7 @@
     ) -> web.StreamResponse:
         await attempt.wait()
         if draw.cut or draw.dies:
-            self._fail_in_mid_answer(request, draw)
+            self.switch.break_connection(request, draw)
         if not attempt.finished:
             return fail(499, "cancelled")
         if not is_open(request):
@@ -256,16 +253,6 @@
         }
         return web.json_response(document, headers={ATTEMPT_HEADER: attempt.plan.attempt_id})
 
-    def _fail_in_mid_answer(self, request: web.Request, draw: Draw) -> None:
-        if draw.dies and self.on_death is not None:
-            abort(request)
-            self._deaths.add(asyncio.create_task(self._die(self.on_death)))
-        elif draw.cut:
-            abort(request)
-
-    async def _die(self, on_death: Callable[[], Awaitable[None]]) -> None:
-        await on_death()
-
     def _cancel_later(self, attempt: Attempt) -> None:
         loop = asyncio.get_running_loop()
         loop.call_later(self.options.detached_s, self._cancel_if_unread, attempt)
@@ -297,7 +284,7 @@
 
     def _step_s(self) -> float:
         step_s = self.options.step_s + self.options.step_each_s * self._batch.running
-        return step_s * self._switch.faults.slow
+        return step_s * self.switch.faults.slow
 
     def _count_end(self, attempt: Attempt) -> None:
         if attempt.cancelled:
--- a/standins/_service.py
+++ b/standins/_service.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
 from aiohttp import web
@@ -11,7 +10,6 @@
 from standins._common import (
     ATTEMPT_HEADER,
     FaultSwitch,
-    abort,
     add_common_routes,
     crossed_id,
     fail,
@@ -53,15 +51,13 @@
     def __init__(self, options: ServiceOptions) -> None:
         self.options = options
         self.counts = Counts()
-        self.on_death: Callable[[], Awaitable[None]] | None = None
-        self._switch = FaultSwitch(options.faults)
+        self.switch = FaultSwitch(options.faults)
         self._load = LaggingLoad(options.load_lag_s)
         self._slots = asyncio.Semaphore(options.capacity)
         self._running = 0
         self._waiting = 0
-        self._deaths: set[asyncio.Task[None]] = set()
         self.app = web.Application()
-        add_common_routes(self.app, self.counts, self._switch)
+        add_common_routes(self.app, self.counts, self.switch)
         self.app.router.add_route("*", "/{path:.*}", self._call)
 
     @property
@@ -93,7 +89,7 @@
         body = await request.read()
         request_id, attempt_id = identity(request)
         draw = draw_faults(
-            self._switch.faults, self.options.seed, request_id, self.counts.started(request_id)
+            self.switch.faults, self.options.seed, request_id, self.counts.started(request_id)
         )
         if draw.refuses or self._waiting >= self.options.queue:
             self.counts.refused += 1
@@ -105,8 +101,8 @@
         await self._work()
         self.counts.finish(request_id, Usage())
         if draw.late:
-            await asyncio.sleep(self._switch.faults.late_s)
-        self._break_connection(request, draw)
+            await asyncio.sleep(self.switch.faults.late_s)
+        self.switch.break_connection(request, draw)
         return self._answer(request, body, attempt_id, execution, draw)
 
     async def _work(self) -> None:
@@ -118,22 +114,12 @@
         self._running += 1
         self._record_load()
         try:
-            await asyncio.sleep(self.options.work_s * self._switch.faults.slow)
+            await asyncio.sleep(self.options.work_s * self.switch.faults.slow)
         finally:
             self._running -= 1
             self._slots.release()
             self._record_load()
 
-    def _break_connection(self, request: web.Request, draw: Draw) -> None:
-        if draw.dies and self.on_death is not None:
-            abort(request)
-            self._deaths.add(asyncio.create_task(self._die(self.on_death)))
-        elif draw.cut:
-            abort(request)
-
-    async def _die(self, on_death: Callable[[], Awaitable[None]]) -> None:
-        await on_death()
-
     def _answer(
         self, request: web.Request, body: bytes, attempt_id: str, execution: int, draw: Draw
     ) -> web.Response:
--- a/standins/_serving.py
+++ b/standins/_serving.py
@@ -1,12 +1,12 @@
 """Serve a stand-in on an address, announced or not."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
 from aiohttp import web
 
 from standins._announcer import AnnounceOptions, Announcer
+from standins._common import FaultSwitch
 
 LEAVE_GRACE_S = 10.0
 _POLL_S = 0.05
@@ -16,7 +16,7 @@
     """Define what serving needs of an engine or a service."""
 
     app: web.Application
-    on_death: Callable[[], Awaitable[None]] | None
+    switch: FaultSwitch
 
     @property
     def busy(self) -> int:
@@ -79,6 +79,6 @@
         announcer = Announcer(announce, lambda: standin.describe(url))
         announcer.start()
     serving = Serving(standin, runner, url, announcer)
-    if standin.on_death is None:
-        standin.on_death = serving.close
+    if standin.switch.on_death is None:
+        standin.switch.on_death = serving.close
     return serving
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -2,7 +2,7 @@
 
 import click
 
-from standins._command import KEY_VARIABLE, FaultsParameter, announce_options, run_until_signal
+from standins._command import announce_options, run_until_signal, standin_options
 from standins._engine import EngineOptions, make_engine
 from standins._faults import Faults
 
@@ -11,17 +11,11 @@
 @click.option("--target", default="engine-1", help="The target's name.")
 @click.option("--model", default="drafting-llm", help="The model it serves.")
 @click.option("--version", "versions", multiple=True, default=["2026-10"], help="Loaded version.")
-@click.option("--place", default="town-hall", help="The place it stands in.")
-@click.option("--host", default="127.0.0.1", help="The address to bind.")
-@click.option("--port", default=0, help="The port to bind; 0 takes a free one.")
-@click.option("--entry", "entries", multiple=True, help="URL of an entry host to announce to.")
-@click.option("--key", envvar=KEY_VARIABLE, default="", help="The fleet's target key.")
 @click.option("--capacity", default=8, help="Attempts in one batch.")
 @click.option("--step-s", default=0.004, help="Seconds of one step of the batch.")
 @click.option("--cache-blocks", default=512, help="Blocks in the prefix cache.")
 @click.option("--checks-fencing/--ignores-fencing", default=True, help="Refuse old orders.")
-@click.option("--faults", type=FaultsParameter(), default=Faults(), help="As slow=3,cut=0.1.")
-@click.option("--seed", default=1, help="The seed of every draw.")
+@standin_options
 def main(
     target: str,
     model: str,
--- a/standins/service.py
+++ b/standins/service.py
@@ -2,7 +2,7 @@
 
 import click
 
-from standins._command import KEY_VARIABLE, FaultsParameter, announce_options, run_until_signal
+from standins._command import announce_options, run_until_signal, standin_options
 from standins._faults import Faults
 from standins._service import ServiceOptions, make_service
 
@@ -10,15 +10,9 @@
 @click.command()
 @click.option("--target", default="service-1", help="The target's name.")
 @click.option("--service", default="deposit-ledger-api", help="The service it is.")
-@click.option("--place", default="town-hall", help="The place it stands in.")
-@click.option("--host", default="127.0.0.1", help="The address to bind.")
-@click.option("--port", default=0, help="The port to bind; 0 takes a free one.")
-@click.option("--entry", "entries", multiple=True, help="URL of an entry host to announce to.")
-@click.option("--key", envvar=KEY_VARIABLE, default="", help="The fleet's target key.")
 @click.option("--capacity", default=16, help="Executions at once.")
 @click.option("--work-s", default=0.005, help="Seconds of one execution.")
-@click.option("--faults", type=FaultsParameter(), default=Faults(), help="As slow=3,cut=0.1.")
-@click.option("--seed", default=1, help="The seed of every draw.")
+@standin_options
 def main(
     target: str,
     service: str,
