--- a/cranberrywall/budgets/_allotment.py
+++ b/cranberrywall/budgets/_allotment.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable
-from typing import NamedTuple, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from cranberrywall.budgets._charges import ChargeQueue
 from cranberrywall.budgets._demand import Demand
@@ -133,6 +133,15 @@
         """Return what the ledger books to this host, as far as this host knows."""
         return self.spendable + self.reserved + self.charging
 
+    def state(self) -> dict[str, Any]:
+        """Describe the allotment, for the state dump."""
+        return {
+            "spendable": self.spendable,
+            "reserved": self.reserved,
+            "charging": self.charging,
+            "ledger": self.view,
+        }
+
     def try_hold(self, amount: int) -> bool:
         """Move ``amount`` from spendable to reserved where it is covered."""
         if amount > self.spendable:
--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -1,8 +1,10 @@
 """Spend prepaid budgets on an entry host from the amounts that it holds."""
 
 import asyncio
+import heapq
 from collections.abc import Callable, Sequence
 from functools import partial
+from typing import Any
 
 from result import Err, Ok, Result
 
@@ -45,6 +47,10 @@
 
 # An allotment that was not used for this long is returned and forgotten.
 FORGET_AFTER_S = 24 * 3600.0
+# A host that stops waits this long for the ledger to take its charges.
+HAND_BACK_TIMEOUT_S = 10.0
+# The state dump names this many budgets, those that hold most.
+BUDGETS_DUMPED = 50
 
 _ISOLATED = Refusal(
     ErrorKind.BUDGET_UNREACHABLE,
@@ -191,14 +197,32 @@
             await queue.stop()
 
     async def hand_back(self) -> Result[None, Refusal]:
-        for queue in self._queue_by_group.values():
-            await queue.drained()
+        try:
+            async with asyncio.timeout(HAND_BACK_TIMEOUT_S):
+                for queue in self._queue_by_group.values():
+                    await queue.drained()
+        except TimeoutError:
+            # Cut off, a host must still be able to stop: its charges are kept, and its next
+            # run delivers them and lets the remainder come back.
+            return Err(Refusal(ErrorKind.UNREACHABLE, "the ledger does not take the charges"))
         for allotment in list(self._by_budget.values()):
             returned = await self._steps.give_back(allotment, allotment.spendable)
             if isinstance(returned, Err):
                 return Err(returned.err_value)
         return Ok(None)
 
+    def state(self) -> dict[str, Any]:
+        queues = self._queue_by_group.values()
+        largest = heapq.nlargest(
+            BUDGETS_DUMPED, self._by_budget.values(), key=lambda allotment: allotment.booked
+        )
+        return {
+            "groups": {queue.group: queue.state() for queue in queues},
+            "budgets": len(self._by_budget),
+            "waiting": sorted(self._shortage_by_budget),
+            "largest": {allotment.budget: allotment.state() for allotment in largest},
+        }
+
     def _allotment(self, budget: str, workspace: str) -> Allotment:
         allotment = self._by_budget.get(budget)
         if allotment is None:
--- a/cranberrywall/budgets/_charges.py
+++ b/cranberrywall/budgets/_charges.py
@@ -149,6 +149,17 @@
         charges = len(self._waiting) + len(self._under_way) + len(self._kept)
         return charges + len(self._transfers)
 
+    def state(self) -> dict[str, Any]:
+        """Describe the queue, for the state dump."""
+        return {
+            "holder": self.holder,
+            "in_reach": self.in_reach,
+            "durable": self.durable,
+            "waiting": len(self._waiting) + len(self._under_way),
+            "kept": len(self._kept),
+            "transfers_to_report": len(self._transfers),
+        }
+
     def start(self) -> None:
         """Begin to commit."""
         self._tasks = [
--- a/cranberrywall/budgets/_interfaces.py
+++ b/cranberrywall/budgets/_interfaces.py
@@ -1,7 +1,7 @@
 """Define what requests use of budgets on an entry host, and what budgets use of others."""
 
 from collections.abc import Sequence
-from typing import Literal, NamedTuple, Protocol
+from typing import Any, Literal, NamedTuple, Protocol
 
 from result import Result
 
@@ -80,6 +80,10 @@
         """Commit every charge and return what this host holds, for a graceful exit."""
         ...
 
+    def state(self) -> dict[str, Any]:
+        """Describe what this host holds, for the state dump."""
+        ...
+
 
 class SpendPolicy(NamedTuple):
     """Weigh overspend's margin against false refusals for one workspace.
--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -368,6 +368,10 @@
         self.state.register("requests", self._requests_state)
         self.state.register("targets", self._targets_state)
         self.state.register("links", self._caller.state)
+        self.state.register("budgets", self._budgets_state)
+
+    def _budgets_state(self) -> dict[str, Any]:
+        return self._allotments.state() if self._allotments is not None else {}
 
     def _requests_state(self) -> dict[str, Any]:
         running = self._stack.running if self._stack is not None else 0
--- a/tests/budgets/test_allotments.py
+++ b/tests/budgets/test_allotments.py
@@ -142,6 +142,32 @@
     on_fleet(story)
 
 
+def test_a_host_that_is_cut_off_can_stop_all_the_same() -> None:
+    """A host is told to stop while the ledger is out of reach: it says so in good time."""
+
+    async def story(fleet: MoneyFleet) -> None:
+        fleet.credit("main", 1000)
+        held = await reserved(fleet, "a1", ask(1, 100))
+        fleet.net.cut({"a1": 1})
+        await held.settle(40, fleet.clock.now())
+        started_at = fleet.clock.now()
+        assert isinstance(await fleet.host_by_name["a1"].allotments.hand_back(), Err)
+        assert fleet.clock.now() - started_at < 30.0
+
+    on_fleet(story)
+
+
+def test_the_state_names_what_is_held_and_what_waits() -> None:
+    async def story(fleet: MoneyFleet) -> None:
+        fleet.credit("main", 1000)
+        await reserved(fleet, "a1", ask(1, 100))
+        state = fleet.host_by_name["a1"].allotments.state()
+        assert state["largest"]["main"]["reserved"] == 100
+        assert state["groups"]["ledger-0"]["in_reach"] is True
+
+    on_fleet(story)
+
+
 def test_handing_back_returns_all_that_is_held() -> None:
     async def story(fleet: MoneyFleet) -> None:
         fleet.credit("main", 1000)
