Listen for HTTP by one class in the console and for operators' tools

Cause: console/_server.py and observability/_admin.py held the same start, close and address, to the letter. Change: observability.HttpListener serves both; AdminServer stays its name where a program holds the operators' one.

--- a/cranberrywall/commands/_console_program.py
+++ b/cranberrywall/commands/_console_program.py
@@ -3,12 +3,13 @@
 from result import Err
 
 from cranberrywall.commands._control_program import link_limits
-from cranberrywall.console import ConsoleParts, ConsoleServer, make_console_server
+from cranberrywall.console import ConsoleParts, make_console_server
 from cranberrywall.control import make_control_client
 from cranberrywall.links import LinkCaller, LinkCounters, Peer, make_caller
 from cranberrywall.observability import (
     AdminServer,
     HealthChecks,
+    HttpListener,
     StateRegistry,
     log_event,
     make_admin_server,
@@ -22,7 +23,7 @@
     """Hold one console process."""
 
     def __init__(
-        self, server: ConsoleServer, caller: LinkCaller, admin: AdminServer, state: StateRegistry
+        self, server: HttpListener, caller: LinkCaller, admin: AdminServer, state: StateRegistry
     ) -> None:
         self.state = state
         self._server = server
--- a/cranberrywall/console/_server.py
+++ b/cranberrywall/console/_server.py
@@ -21,7 +21,8 @@
 from cranberrywall.console._visits import Guard
 from cranberrywall.control import ControlClient
 from cranberrywall.links import Caller
-from cranberrywall.runtime import Clock, Storage, split_address
+from cranberrywall.observability import HttpListener
+from cranberrywall.runtime import Clock, Storage
 
 CHANGE_TIMEOUT_S = 5.0
 SHUTDOWN_S = 2.0
@@ -63,33 +64,6 @@
     return make_app(Guard(sessions, accounts, pages, parts.clock, parts.storage), sets)
 
 
-class ConsoleServer:
-    """Serve the console on one address."""
-
-    def __init__(self, parts: ConsoleParts, address: str) -> None:
-        self._address = address
-        self._runner = web.AppRunner(
-            make_application(parts), access_log=None, shutdown_timeout=SHUTDOWN_S
-        )
-
-    @property
-    def address(self) -> str:
-        """Return ``host:port`` as bound once started."""
-        return self._address
-
-    async def start(self) -> None:
-        """Listen, or raise ``OSError``."""
-        host, port = split_address(self._address)
-        await self._runner.setup()
-        await web.TCPSite(self._runner, host, port).start()
-        bound_host, bound_port = self._runner.addresses[0][:2]
-        self._address = f"{bound_host}:{bound_port}"
-
-    async def close(self) -> None:
-        """Stop listening."""
-        await self._runner.cleanup()
-
-
-def make_console_server(parts: ConsoleParts, address: str) -> ConsoleServer:
+def make_console_server(parts: ConsoleParts, address: str) -> HttpListener:
     """Return a console that will listen at ``address`` once started."""
-    return ConsoleServer(parts, address)
+    return HttpListener(make_application(parts), address, SHUTDOWN_S)
--- a/cranberrywall/observability/__init__.py
+++ b/cranberrywall/observability/__init__.py
@@ -2,6 +2,7 @@
 
 from cranberrywall.observability._admin import AdminServer, make_admin_server
 from cranberrywall.observability._health import HealthChecks
+from cranberrywall.observability._listener import HttpListener
 from cranberrywall.observability._log import (
     EventLimiter,
     configure_log,
@@ -19,6 +20,7 @@
     "EventLimiter",
     "Family",
     "HealthChecks",
+    "HttpListener",
     "Metrics",
     "StateRegistry",
     "configure_log",
--- a/cranberrywall/observability/_admin.py
+++ b/cranberrywall/observability/_admin.py
@@ -2,80 +2,43 @@
 
 import hmac
 import ipaddress
-from typing import Protocol
 
 from aiohttp import web
 from prometheus_client import CONTENT_TYPE_LATEST
 
 from cranberrywall.observability._health import HealthChecks
+from cranberrywall.observability._listener import HttpListener
 from cranberrywall.observability._metrics import Metrics
 from cranberrywall.observability._state import StateRegistry
-from cranberrywall.runtime import split_address
 
 _SHUTDOWN_S = 1.0
 
-
-class AdminServer(Protocol):
-    """Listen for operators and their tools."""
-
-    @property
-    def address(self) -> str:
-        """Return ``host:port`` as bound once started."""
-        ...
-
-    async def start(self) -> None:
-        """Listen, or raise ``OSError``."""
-        ...
-
-    async def close(self) -> None:
-        """Stop listening."""
-        ...
+AdminServer = HttpListener
+"""What listens for operators and their tools."""
 
 
 def make_admin_server(
     address: str, metrics: Metrics, state: StateRegistry, health: HealthChecks, token: str = ""
 ) -> AdminServer:
-    """Return a server for ``address``.
+    """Return a listener for ``address``.
 
     ``/state`` is for callers on this machine, and for others that bring ``token`` as a
     bearer; with an empty one there are no others.
     """
-    return _AdminServer(address, metrics, state, health, token)
+    pages = _AdminPages(metrics, state, health, token)
+    return AdminServer(pages.make_app(), address, _SHUTDOWN_S)
 
 
-class _AdminServer:
+class _AdminPages:
     def __init__(
-        self,
-        address: str,
-        metrics: Metrics,
-        state: StateRegistry,
-        health: HealthChecks,
-        token: str,
+        self, metrics: Metrics, state: StateRegistry, health: HealthChecks, token: str
     ) -> None:
-        self._address = address
         self._metrics = metrics
         self._state = state
         self._health = health
         self._token = token
-        self._runner = web.AppRunner(
-            self._make_app(), access_log=None, shutdown_timeout=_SHUTDOWN_S
-        )
-
-    @property
-    def address(self) -> str:
-        return self._address
-
-    async def start(self) -> None:
-        host, port = split_address(self._address)
-        await self._runner.setup()
-        await web.TCPSite(self._runner, host, port).start()
-        bound_host, bound_port = self._runner.addresses[0][:2]
-        self._address = f"{bound_host}:{bound_port}"
-
-    async def close(self) -> None:
-        await self._runner.cleanup()
 
-    def _make_app(self) -> web.Application:
+    def make_app(self) -> web.Application:
         app = web.Application()
         app.router.add_get("/metrics", self._get_metrics)
         app.router.add_get("/state", self._get_state)
