--- a/cranberrywall/commands/_control_program.py
+++ b/cranberrywall/commands/_control_program.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
-from typing import cast
 
 from result import Err
 
@@ -204,7 +203,7 @@
 
 def _document_of(machine: ConfigurationMachine) -> Document:
     newest = machine.document_at()
-    return cast(Document, newest.document) if newest else empty_document()
+    return newest.checked if newest else empty_document()
 
 
 def _make_orders(
--- a/cranberrywall/commands/ctl/export.py
+++ b/cranberrywall/commands/ctl/export.py
@@ -26,7 +26,7 @@
         if ctl.options.is_json:
             print_json(found.ok_value)
             return Ok(None)
-        text = revision_line(found.ok_value.revision) + dump_document(found.ok_value.document)  # type: ignore[arg-type]  # it was checked when it was committed
+        text = revision_line(found.ok_value.revision) + dump_document(found.ok_value.checked)
         if output:
             Path(output).write_text(text, encoding="utf-8")
         else:
--- a/cranberrywall/configuration/_host.py
+++ b/cranberrywall/configuration/_host.py
@@ -109,8 +109,7 @@
         async with self._lock:
             if snapshot.revision <= self.revision:
                 return Applied.OLD
-            document = cast(Document, snapshot.document)
-            after = make_in_force(snapshot.revision, snapshot.chain, document)
+            after = make_in_force(snapshot.revision, snapshot.chain, snapshot.checked)
             self._window.clear()
             await self._bring_in_force(after, ())
             return Applied.IN_FORCE
--- a/cranberrywall/configuration/_memory.py
+++ b/cranberrywall/configuration/_memory.py
@@ -11,7 +11,6 @@
 import xxhash
 from result import Err, Ok, Result
 
-from cranberrywall.configuration._document import Document
 from cranberrywall.configuration._edits import apply_edits
 from cranberrywall.configuration._in_force import InForce, make_in_force
 from cranberrywall.configuration.messages import Delta, DocumentAt
@@ -90,7 +89,7 @@
 
     def _join(self, whole: DocumentAt, tail: _Tail) -> InForce:
         revision, chain = whole.revision, whole.chain
-        document = cast(Document, whole.document)
+        document = whole.checked
         for delta in tail.deltas:
             if delta.revision.number == revision + 1:
                 document = apply_edits(document, delta.edits)
--- a/cranberrywall/configuration/messages.py
+++ b/cranberrywall/configuration/messages.py
@@ -4,8 +4,9 @@
 idempotent by its ``change_id``.
 """
 
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, cast
 
+from cranberrywall.configuration._document import Document
 from cranberrywall.configuration._edits import Edit
 from cranberrywall.configuration._shape import Problem
 from cranberrywall.links import MessageCodec, Method
@@ -96,6 +97,11 @@
     document: dict[str, Any]
     chain: int
 
+    @property
+    def checked(self) -> Document:
+        """Return the document with its type, which was checked before it was committed."""
+        return cast(Document, self.document)
+
 
 class GetDeltas(NamedTuple):
     """Ask for the deltas after ``since``, at most ``limit`` of them."""
--- a/cranberrywall/console/_changes.py
+++ b/cranberrywall/console/_changes.py
@@ -2,7 +2,7 @@
 
 import hashlib
 import secrets
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from aiohttp import web
 from multidict import MultiDict
@@ -107,7 +107,7 @@
         headers = {
             "Content-Disposition": f'attachment; filename="configuration-{seen.revision}.yaml"'
         }
-        text = dump_document(_document(seen))
+        text = dump_document(seen.checked)
         return web.Response(text=text, content_type="application/yaml", headers=headers)
 
     async def show_add(self, visit: Visit) -> web.StreamResponse:
@@ -145,7 +145,7 @@
             message = f"There is no {name} in {section} any more."
             return self._pages.message(visit.session, "Not found", message, status=404)
         draft = Draft(section, name, action, seen.revision, _new_change_id(), MultiDict())
-        form = make_form(section, seen.document, name, None)  # type: ignore[arg-type]  # Checked.
+        form = make_form(section, seen, name, None)
         return self._show_form(visit, draft, form, [])
 
     async def _document_seen(self, draft: Draft) -> Result[DocumentAt, Refusal]:
@@ -155,12 +155,11 @@
     def _form(self, draft: Draft, seen: DocumentAt) -> EntryForm:
         typed = MultiDict(draft.typed)
         typed["name"] = draft.name
-        document: Any = seen.document
-        return make_form(draft.section, document, draft.name, typed)
+        return make_form(draft.section, seen, draft.name, typed)
 
     def _problems(self, draft: Draft, form: EntryForm, seen: DocumentAt) -> list[Problem]:
         if draft.action == "remove":
-            return check_document(apply_edits(_document(seen), [_edit(draft, form, seen)]))
+            return check_document(apply_edits(seen.checked, [_edit(draft, form, seen)]))
         if not form.validate():
             return [
                 Problem("", str(form[name].label.text or name), "; ".join(errors), "correct it")
@@ -169,7 +168,7 @@
             ]
         if draft.action == "add" and draft.name in seen.document[draft.section]:
             return [Problem("", "Name", f"{draft.name} is there already", "choose another name")]
-        return check_document(apply_edits(_document(seen), [_edit(draft, form, seen)]))
+        return check_document(apply_edits(seen.checked, [_edit(draft, form, seen)]))
 
     def _show_form(
         self, visit: Visit, draft: Draft, form: EntryForm, problems: list[Problem]
@@ -324,9 +323,5 @@
     return Edit(draft.section, draft.name, entry_of(draft.section, form, before))
 
 
-def _document(seen: DocumentAt) -> Any:
-    return seen.document
-
-
 def _new_change_id() -> str:
     return f"console-{secrets.token_hex(12)}"
--- a/cranberrywall/console/_entries.py
+++ b/cranberrywall/console/_entries.py
@@ -20,6 +20,7 @@
 from wtforms.widgets import CheckboxInput, ListWidget
 
 from cranberrywall.configuration import Document
+from cranberrywall.configuration.messages import DocumentAt
 
 NAME_PATTERN = r"^[a-z0-9][a-z0-9.-]{0,62}$"
 NAME_HINT = "lower-case letters, digits, '.' and '-', at most 63"
@@ -151,17 +152,16 @@
 
 
 def make_form(
-    section: str, document: Document, name: str, typed: Mapping[str, Any] | None
+    section: str, seen: DocumentAt, name: str, typed: Mapping[str, Any] | None
 ) -> EntryForm:
     """Return the form of one entry, filled from ``typed`` or else from the document."""
-    entries: dict[str, Any] = document[section]  # type: ignore[literal-required]  # A section.
-    entry = entries.get(name)
+    entry = seen.document[section].get(name)
     data = {"name": name, **(_fields_of(section, entry) if entry else {})}
     form = _FORM_BY_SECTION[section](typed, data=data)
     if isinstance(form, WorkspaceForm):
-        _offer_to_workspace(form, document, entry)
+        _offer_to_workspace(form, seen.checked, entry)
     if isinstance(form, HostForm):
-        form.place.choices = _choices(document["places"], [form.place.data])
+        form.place.choices = _choices(seen.checked["places"], [form.place.data])
     return form
 
 
