Answer from the configuration in force by one class

Cause: HostConfiguration and the fixed configuration of tools repeated four members, and ledger_group_name only called control.ledger_group under another name. Change: ServedConfiguration answers from one revision; HostConfiguration extends it and replaces the revision. ledger_group_name is gone; its test compares with ledger_group.

--- a/cranberrywall/configuration/__init__.py
+++ b/cranberrywall/configuration/__init__.py
@@ -25,7 +25,7 @@
 from cranberrywall.configuration._feed import Feed, make_control_feed
 from cranberrywall.configuration._follower import Follower, SpreadTimes, make_follower
 from cranberrywall.configuration._host import Applied, HostConfiguration, make_host_configuration
-from cranberrywall.configuration._in_force import ledger_group_name, make_fixed_configuration
+from cranberrywall.configuration._in_force import make_fixed_configuration
 from cranberrywall.configuration._interfaces import Configuration, NamedWorkspace
 from cranberrywall.configuration._machine import (
     ConfigurationMachine,
@@ -72,7 +72,6 @@
     "dump_document",
     "edits_between",
     "empty_document",
-    "ledger_group_name",
     "load_document",
     "make_configuration_machine",
     "make_control_feed",
--- a/cranberrywall/configuration/_host.py
+++ b/cranberrywall/configuration/_host.py
@@ -8,16 +8,13 @@
 
 from result import Err, Ok, Result
 
-from cranberrywall.configuration._document import Document
 from cranberrywall.configuration._in_force import (
     InForce,
-    ledger_group_name,
+    ServedConfiguration,
     make_in_force,
     make_next_in_force,
     nothing_in_force,
-    workspace_by_key,
 )
-from cranberrywall.configuration._interfaces import NamedWorkspace
 from cranberrywall.configuration._machine import chain_after
 from cranberrywall.configuration._memory import Memory
 from cranberrywall.configuration.messages import Delta, DocumentAt
@@ -43,35 +40,17 @@
     return HostConfiguration(Memory(storage) if storage is not None else None)
 
 
-class HostConfiguration:
-    """Implement ``Configuration``, and take in deltas and snapshots."""
+class HostConfiguration(ServedConfiguration):
+    """Serve the revision in force, and take in deltas and snapshots."""
 
     def __init__(self, memory: Memory | None) -> None:
+        super().__init__(nothing_in_force())
         self._memory = memory
-        self._in_force = nothing_in_force()
         self._window: deque[Delta] = deque(maxlen=WINDOW_LIMIT)
         self._lock = asyncio.Lock()
         self._watchers: list[Callable[[int], None]] = []
         self.remembers = memory is not None
 
-    @property
-    def revision(self) -> int:
-        """Return the revision in force; 0 before any."""
-        return self._in_force.revision
-
-    @property
-    def document(self) -> Document:
-        """Return the document in force; an empty one before any."""
-        return self._in_force.document
-
-    def workspace_by_key(self, key: str) -> NamedWorkspace | None:
-        """Return the workspace that a caller's bearer key belongs to."""
-        return workspace_by_key(self._in_force, key)
-
-    def ledger_group(self, budget: str) -> str:
-        """Return the name of the ledger group that keeps ``budget``."""
-        return ledger_group_name(budget, self.document["ledger_groups"])
-
     def watch(self, on_revision: Callable[[int], None]) -> None:
         """Call ``on_revision`` with each revision that comes in force, just after it did."""
         self._watchers.append(on_revision)
--- a/cranberrywall/configuration/_in_force.py
+++ b/cranberrywall/configuration/_in_force.py
@@ -67,48 +67,40 @@
     return make_in_force(0, 0, empty_document())
 
 
-def workspace_by_key(in_force: InForce, key: str) -> NamedWorkspace | None:
-    """Return the workspace of a caller's bearer key.
+class ServedConfiguration:
+    """Implement ``Configuration`` over one revision, which a subclass may replace."""
 
-    The table is searched by the key's SHA-256, never by the key: a caller who measures
-    how long the search takes learns of digests, from which no key can be made. The match
-    is confirmed in constant time.
-    """
-    digest = hashlib.sha256(key.encode()).digest()
-    found = in_force.owner_by_digest.get(digest)
-    if found is None or not hmac.compare_digest(found.digest, digest):
-        return None
-    return found.owner
-
-
-def ledger_group_name(budget: str, ledger_groups: int) -> str:
-    """Return the name of the ledger group that keeps ``budget``.
-
-    >>> ledger_group_name("desk", 1)
-    'ledger-0'
-    """
-    return ledger_group(budget, ledger_groups)
-
-
-def make_fixed_configuration(document: Document, revision: int = 1) -> Configuration:
-    """Return a ``Configuration`` that never changes, for tools and tests."""
-    return _Fixed(make_in_force(revision, 0, document))
-
-
-class _Fixed:
     def __init__(self, in_force: InForce) -> None:
         self._in_force = in_force
 
     @property
     def revision(self) -> int:
+        """Return the revision in force; 0 before any."""
         return self._in_force.revision
 
     @property
     def document(self) -> Document:
+        """Return the document in force; an empty one before any."""
         return self._in_force.document
 
     def workspace_by_key(self, key: str) -> NamedWorkspace | None:
-        return workspace_by_key(self._in_force, key)
+        """Return the workspace that a caller's bearer key belongs to.
+
+        The table is searched by the key's SHA-256, never by the key: a caller who measures
+        how long the search takes learns of digests, from which no key can be made. The
+        match is confirmed in constant time.
+        """
+        digest = hashlib.sha256(key.encode()).digest()
+        found = self._in_force.owner_by_digest.get(digest)
+        if found is None or not hmac.compare_digest(found.digest, digest):
+            return None
+        return found.owner
 
     def ledger_group(self, budget: str) -> str:
-        return ledger_group_name(budget, self.document["ledger_groups"])
+        """Return the name of the ledger group that keeps ``budget``."""
+        return ledger_group(budget, self.document["ledger_groups"])
+
+
+def make_fixed_configuration(document: Document, revision: int = 1) -> Configuration:
+    """Return a ``Configuration`` that never changes, for tools and tests."""
+    return ServedConfiguration(make_in_force(revision, 0, document))
--- a/tests/configuration/test_host.py
+++ b/tests/configuration/test_host.py
@@ -9,11 +9,11 @@
     ConfigurationMachine,
     Edit,
     HostConfiguration,
-    ledger_group_name,
     make_configuration_machine,
     make_host_configuration,
 )
 from cranberrywall.configuration.messages import Delta, DocumentAt
+from cranberrywall.control import ledger_group
 from cranberrywall.errors import ErrorKind
 from tests.configuration.documents import (
     KEY,
@@ -80,7 +80,7 @@
     assert found is not None
     assert found.name == "desk"
     assert host.workspace_by_key(KEY + "x") is None
-    assert host.ledger_group("desk") == ledger_group_name("desk", 2)
+    assert host.ledger_group("desk") == ledger_group("desk", 2)
 
 
 async def test_a_key_that_passes_to_another_workspace_opens_that_one_only() -> None:
