Read YAML and report its problems by one piece of code

Cause: settings and configuration each had a loader that refuses a key given twice, with two wordings, and each a Problem of the same four fields, one called check and one called code. The settings test reads .code in place of .check, and is as strict as before.

--- a/cranberrywall/commands/ctl/_documents.py
+++ b/cranberrywall/commands/ctl/_documents.py
@@ -13,7 +13,8 @@
 from cranberrywall.commands.ctl._exits import Exit
 from cranberrywall.commands.ctl._output import print_json
 from cranberrywall.commands.ctl._session import Ctl
-from cranberrywall.configuration import Document, Edit, Problem, load_document
+from cranberrywall.configuration import Document, Edit, load_document
+from cranberrywall.settings import Problem
 
 _REVISION_LINE = re.compile(r"^# revision: (\d+)$", re.MULTILINE)
 
--- a/cranberrywall/configuration/__init__.py
+++ b/cranberrywall/configuration/__init__.py
@@ -33,7 +33,6 @@
 )
 from cranberrywall.configuration._neighbours import Peers, SpreadHost
 from cranberrywall.configuration._peers import make_document_peers
-from cranberrywall.configuration._shape import Problem
 from cranberrywall.configuration._yaml import dump_document, load_document
 from cranberrywall.configuration.checks import check_document
 from cranberrywall.configuration.messages import CONFIGURATION_CODEC
@@ -60,7 +59,6 @@
     "Place",
     "Policy",
     "Priority",
-    "Problem",
     "Reach",
     "Service",
     "SpreadHost",
--- a/cranberrywall/configuration/_client.py
+++ b/cranberrywall/configuration/_client.py
@@ -6,7 +6,6 @@
 from result import Err, Ok, Result
 
 from cranberrywall.configuration._edits import Edit, edits_between
-from cranberrywall.configuration._shape import Problem
 from cranberrywall.configuration.messages import (
     CONFIGURATION_CODEC,
     Change,
@@ -26,6 +25,7 @@
 from cranberrywall.control import ControlClient
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import MalformedMessageError
+from cranberrywall.settings import Problem
 
 GROUP = "configuration"
 
--- a/cranberrywall/configuration/_shape.py
+++ b/cranberrywall/configuration/_shape.py
@@ -2,27 +2,11 @@
 
 import difflib
 from collections.abc import Iterator
-from typing import Annotated, Any, NamedTuple, get_args, get_origin, get_type_hints, is_typeddict
+from typing import Annotated, Any, get_args, get_origin, get_type_hints, is_typeddict
 
 import msgspec
 
-
-class Problem(NamedTuple):
-    """Report one fault of a document: its number, where it is and what to do about it."""
-
-    code: str
-    field: str
-    message: str
-    remedy: str
-
-    def __str__(self) -> str:
-        """Return the problem as one line.
-
-        >>> str(Problem("C003", "budgets.desk.unit", "is missing", "add it"))
-        'C003 budgets.desk.unit: is missing (remedy: add it)'
-        """
-        return f"{self.code} {self.field or '(document)'}: {self.message} (remedy: {self.remedy})"
-
+from cranberrywall.settings import Problem
 
 UNKNOWN_KEY = "C002"
 MISSING_KEY = "C003"
--- a/cranberrywall/configuration/checks.py
+++ b/cranberrywall/configuration/checks.py
@@ -13,12 +13,12 @@
 from cranberrywall.configuration._edits import SECTIONS, SINGLE_SECTIONS, Edit
 from cranberrywall.configuration._shape import (
     UNKNOWN_KEY,
-    Problem,
     closest_name,
     join_path,
     shape_problems,
     without_marker,
 )
+from cranberrywall.settings import Problem
 
 DANGLING_NAME = "C010"
 PRIORITY_NOT_LISTED = "C011"
--- a/cranberrywall/configuration/messages.py
+++ b/cranberrywall/configuration/messages.py
@@ -8,8 +8,8 @@
 
 from cranberrywall.configuration._document import Document
 from cranberrywall.configuration._edits import Edit
-from cranberrywall.configuration._shape import Problem
 from cranberrywall.links import MessageCodec, Method
+from cranberrywall.settings import Problem
 
 
 class Change(NamedTuple):
--- a/cranberrywall/console/_changes.py
+++ b/cranberrywall/console/_changes.py
@@ -12,7 +12,6 @@
     ChangeRefusal,
     ConfigurationClient,
     Edit,
-    Problem,
     apply_edits,
     check_document,
     dump_document,
@@ -33,6 +32,7 @@
 from cranberrywall.console._visits import CSRF_FIELD, Visit
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.runtime import Clock
+from cranberrywall.settings import Problem
 
 KEY_BYTES = 24
 ANSWER_LOST_KINDS = frozenset(
--- a/cranberrywall/settings/__init__.py
+++ b/cranberrywall/settings/__init__.py
@@ -15,6 +15,7 @@
     Streams,
 )
 from cranberrywall.settings._units import seconds, size_in_bytes
+from cranberrywall.settings._yaml import parse_yaml
 
 __all__ = [
     "DEFAULTS",
@@ -31,6 +32,7 @@
     "load_or_exit",
     "load_settings",
     "make_keys_file",
+    "parse_yaml",
     "seconds",
     "settings_options",
     "size_in_bytes",
--- a/cranberrywall/settings/_keys.py
+++ b/cranberrywall/settings/_keys.py
@@ -49,7 +49,7 @@
         return Err([Problem("S012", "fleet_key", message, f"run `chmod 600 {path}`")])
     read = read_yaml(file)
     if isinstance(read, Err):
-        return Err([read.err_value._replace(check="S013")])
+        return Err([read.err_value._replace(code="S013")])
     # A problem's message may quote the value at fault, which here is a secret.
     problems = [_without_value(problem) for problem in check_shape(read.ok_value, _KeyFile)]
     if problems:
@@ -71,6 +71,6 @@
 
 def _without_value(problem: Problem) -> Problem:
     message = problem.message
-    if problem.check not in ("S003", "S004"):
+    if problem.code not in ("S003", "S004"):
         message = f"is no text of at least {_SECRET_CHARACTERS} characters"
     return Problem("S013", f"fleet_key: {problem.field}", message, problem.remedy)
--- a/cranberrywall/settings/_problem.py
+++ b/cranberrywall/settings/_problem.py
@@ -1,12 +1,15 @@
-"""Describe what is wrong with a settings file."""
+"""Describe what is wrong with a file that an operator wrote."""
 
 from typing import NamedTuple
 
 
 class Problem(NamedTuple):
-    """Hold one failed check: its number, the field, what is wrong and what to do."""
+    """Report one fault of a file: its number, where it is and what to do about it.
 
-    check: str
+    An empty ``field`` is the whole file.
+    """
+
+    code: str
     field: str
     message: str
     remedy: str
@@ -17,4 +20,4 @@
         >>> str(Problem("S004", "place", "is missing", "add it"))
         'S004 place: is missing (remedy: add it)'
         """
-        return f"{self.check} {self.field}: {self.message} (remedy: {self.remedy})"
+        return f"{self.code} {self.field or '(document)'}: {self.message} (remedy: {self.remedy})"
--- a/cranberrywall/settings/_shape.py
+++ b/cranberrywall/settings/_shape.py
@@ -22,7 +22,7 @@
 class _Leaf(NamedTuple):
     """Say how a wrong value of one type is reported."""
 
-    check: str
+    code: str
     message: str
     remedy: str
 
@@ -103,9 +103,9 @@
     leaf = _LEAF_BY_TYPE.get(shape)
     if leaf is not None and not isinstance(value, str):
         # YAML reads a bare number, as in `period: 2`, as one: the unit is what is missing.
-        has_no_unit = leaf.check == "S006" and isinstance(value, int | float)
-        check = "S006" if has_no_unit else "S005"
-        yield Problem(check, field, f"{_shown(value)} {leaf.message}", leaf.remedy)
+        has_no_unit = leaf.code == "S006" and isinstance(value, int | float)
+        code = "S006" if has_no_unit else "S005"
+        yield Problem(code, field, f"{_shown(value)} {leaf.message}", leaf.remedy)
         return
     if type(value) is not plain and not (plain is float and type(value) is int):
         expected = _PLAIN_NAME_BY_TYPE[plain]
@@ -116,7 +116,7 @@
         msgspec.convert(value, shape)
     except msgspec.ValidationError as error:
         if leaf is not None:
-            yield Problem(leaf.check, field, f"{_shown(value)} {leaf.message}", leaf.remedy)
+            yield Problem(leaf.code, field, f"{_shown(value)} {leaf.message}", leaf.remedy)
         else:
             yield Problem("S009", field, f"{_shown(value)} is out of range", str(error))
 
--- a/cranberrywall/settings/_yaml.py
+++ b/cranberrywall/settings/_yaml.py
@@ -1,4 +1,4 @@
-"""Read YAML, and refuse a key that stands twice."""
+"""Read YAML, and refuse a key that is given twice."""
 
 from pathlib import Path
 from typing import Any
@@ -10,20 +10,33 @@
 
 
 class _Loader(yaml.SafeLoader):
-    """Load plain YAML; the library itself takes the last of two equal keys without a word."""
+    """Load plain data, and refuse a key that is given twice.
+
+    YAML readers keep the last of two equal keys without a word: an operator who pastes a
+    workspace twice would lose the first one.
+    """
 
     def construct_mapping(self, node: yaml.MappingNode, deep: bool = False) -> dict[Any, Any]:
+        """Build one mapping, or raise ``ConstructorError`` naming the key given twice."""
         seen = set()
         for key_node, _ in node.value:
             key = self.construct_object(key_node, deep=True)
             if key in seen:
                 raise yaml.constructor.ConstructorError(
-                    None, None, f"the key `{key}` stands twice", key_node.start_mark
+                    None, None, f"the key {key!r} is given twice", key_node.start_mark
                 )
             seen.add(key)
         return super().construct_mapping(node, deep)
 
 
+def parse_yaml(text: str) -> Result[Any, str]:
+    """Return the document that ``text`` holds, or say on one line why it is not YAML."""
+    try:
+        return Ok(yaml.load(text, Loader=_Loader))
+    except (yaml.YAMLError, TypeError, ValueError) as error:
+        return Err("is not YAML: " + " ".join(str(error).split()))
+
+
 def read_yaml(path: Path) -> Result[Any, Problem]:
     """Return the file's document, or the problem ``S001`` or ``S002``."""
     try:
@@ -33,8 +46,6 @@
         return Err(Problem("S001", str(path), message, "name a file that this user may read"))
     except UnicodeDecodeError:
         return Err(Problem("S002", str(path), "is not UTF-8 text", "save it as UTF-8"))
-    try:
-        return Ok(yaml.load(text, _Loader))
-    except (yaml.YAMLError, TypeError) as error:
-        message = " ".join(str(error).split())
-        return Err(Problem("S002", str(path), f"is not YAML: {message}", "mend the line named"))
+    return parse_yaml(text).map_err(
+        lambda message: Problem("S002", str(path), message, "mend the line named")
+    )
--- a/tests/settings/test_load.py
+++ b/tests/settings/test_load.py
@@ -56,7 +56,7 @@
     result = load_settings(path)
     assert isinstance(result, Err)
     assert all(problem.message and problem.remedy for problem in result.err_value)
-    return [(problem.check, problem.field) for problem in result.err_value]
+    return [(problem.code, problem.field) for problem in result.err_value]
 
 
 def test_good_settings_come_with_their_defaults(folder: Path):
