--- a/cranberrywall/configuration/__init__.py
+++ b/cranberrywall/configuration/__init__.py
@@ -25,7 +25,7 @@
 from cranberrywall.configuration._feed import Feed, make_control_feed
 from cranberrywall.configuration._follower import Follower, SpreadTimes, make_follower
 from cranberrywall.configuration._host import Applied, HostConfiguration, make_host_configuration
-from cranberrywall.configuration._in_force import ledger_group_name, make_fixed_configuration
+from cranberrywall.configuration._in_force import make_fixed_configuration
 from cranberrywall.configuration._interfaces import Configuration, NamedWorkspace
 from cranberrywall.configuration._machine import (
     ConfigurationMachine,
@@ -33,7 +33,6 @@
 )
 from cranberrywall.configuration._neighbours import Peers, SpreadHost
 from cranberrywall.configuration._peers import make_document_peers
-from cranberrywall.configuration._shape import Problem
 from cranberrywall.configuration._yaml import dump_document, load_document
 from cranberrywall.configuration.checks import check_document
 from cranberrywall.configuration.messages import CONFIGURATION_CODEC
@@ -60,7 +59,6 @@
     "Place",
     "Policy",
     "Priority",
-    "Problem",
     "Reach",
     "Service",
     "SpreadHost",
@@ -72,7 +70,6 @@
     "dump_document",
     "edits_between",
     "empty_document",
-    "ledger_group_name",
     "load_document",
     "make_configuration_machine",
     "make_control_feed",
