Refuse 0.0.0.0 where others are told the address

listen.links, and listen.http of an entry host, are passed on to other hosts and callers; told 0.0.0.0, each would connect to itself. S007 names the field and the remedy now; the three new rows of the table of bad settings failed before.

--- a/cranberrywall/settings/_load.py
+++ b/cranberrywall/settings/_load.py
@@ -16,6 +16,7 @@
 from cranberrywall.settings._shape import check_shape
 from cranberrywall.settings._yaml import read_yaml
 
+_ANY_ADDRESS = "0.0.0.0"
 _HIGHEST_PORT = 65535
 _LISTEN_BY_PROCESS = {
     "entry": ("links", "http"),
@@ -80,6 +81,15 @@
         if int(port) > _HIGHEST_PORT or (int(port) == 0 and not may_be_any):
             remedy = f"give a port from 1 to {_HIGHEST_PORT}"
             yield Problem("S007", field, f"`{port}` is no port", remedy)
+        if host == _ANY_ADDRESS and _is_told(field, document["process"]):
+            # Other hosts and callers connect to this address. Told `0.0.0.0`, each would
+            # connect to itself.
+            remedy = "give the host's own IP number"
+            yield Problem("S007", field, f"`{host}` is told to others as the address", remedy)
+
+
+def _is_told(field: str, process: str) -> bool:
+    return field.endswith("links") or (field == "listen.http" and process == "entry")
 
 
 def _check_process(document: dict[str, Any]) -> Iterator[Problem]:
