Show on /metrics what money an entry host holds and which charges wait

Cause: an operator saw a partition's effect on money only in the state dump. Change: four gauges, documented, and looked at in the test with separate processes.

--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -42,7 +42,7 @@
 from cranberrywall.budgets.messages import Holder, Transfer
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller, Peer, Server
-from cranberrywall.observability import log_event
+from cranberrywall.observability import Metrics, log_event
 from cranberrywall.runtime import Runtime
 
 # An allotment that was not used for this long is returned and forgotten.
@@ -223,6 +223,27 @@
             "largest": {allotment.budget: allotment.state() for allotment in largest},
         }
 
+    def export(self, metrics: Metrics) -> None:
+        queues = self._queue_by_group.values()
+        metrics.gauge_of(
+            "budgets_held", "Budgets of which this host holds money.", lambda: len(self._by_budget)
+        )
+        metrics.gauge_of(
+            "budgets_short",
+            "Budgets for which requests wait here.",
+            lambda: len(self._shortage_by_budget),
+        )
+        metrics.gauge_of(
+            "charges_waiting",
+            "Charges and transfers that the ledger has not confirmed.",
+            lambda: sum(queue.uncommitted for queue in queues),
+        )
+        metrics.gauge_of(
+            "ledger_groups_out_of_reach",
+            "Ledger groups that do not answer this host.",
+            lambda: sum(not queue.in_reach for queue in queues),
+        )
+
     def _allotment(self, budget: str, workspace: str) -> Allotment:
         allotment = self._by_budget.get(budget)
         if allotment is None:
--- a/cranberrywall/budgets/_interfaces.py
+++ b/cranberrywall/budgets/_interfaces.py
@@ -6,6 +6,7 @@
 from result import Result
 
 from cranberrywall.errors import Refusal
+from cranberrywall.observability import Metrics
 
 
 class ReserveRequest(NamedTuple):
@@ -84,6 +85,10 @@
         """Describe what this host holds, for the state dump."""
         ...
 
+    def export(self, metrics: Metrics) -> None:
+        """Export what this host holds, and what waits, as metrics; call it once."""
+        ...
+
 
 class SpendPolicy(NamedTuple):
     """Weigh overspend's margin against false refusals for one workspace.
--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -172,6 +172,7 @@
             log_event("ERROR", "allotments_not_started", refusal=started.err_value)
             return
         self._allotments = allotments
+        allotments.export(self._metrics)
         await self._serve(allotments, ledger)
         http = self._settings["listen"]["http"]
         targets = len(self._targets.by_id)
--- a/tests/commands/test_processes.py
+++ b/tests/commands/test_processes.py
@@ -59,6 +59,17 @@
                 assert counted.search(await response.text()), host.name
 
 
+async def check_money_is_counted(files: FleetFiles) -> None:
+    held = []
+    async with aiohttp.ClientSession() as session:
+        for host in files.of_role("entry"):
+            async with session.get(f"http://{host.listen['admin']}/metrics") as response:
+                text = await response.text()
+            held += re.findall(r"^cranberrywall_budgets_held (\S+)$", text, re.MULTILINE)
+            assert re.search(r"^cranberrywall_charges_waiting 0.0$", text, re.MULTILINE)
+    assert sum(map(float, held)) >= 1.0
+
+
 async def test_separate_processes_serve_a_request_and_bill_it_once(tmp_path: Path) -> None:
     deployment = read_deployment(SAVINGS_BOARD)
     files = write_fleet(tmp_path / "fleet", deployment, FleetSize(3, 2), NET)
@@ -77,6 +88,7 @@
         await wait_for_targets(files, 2, PATIENCE_S)
         await send_and_check(files, deployment)
         await check_streams_are_counted(files)
+        await check_money_is_counted(files)
         totals = await client.totals(PATIENCE_S)
         assert totals.by_workspace()["counter-clerks"][1] == 1
         assert totals.billed_requests == 1
