Ask in one place whether a host's process is stopped

Cause: 'confirm-dead' and 'orders confirm-dead' put the same question by the same six lines. Change: ctl/_dead_hosts.py asks it for both.

--- a/cranberrywall/commands/ctl/confirm_dead.py
+++ b/cranberrywall/commands/ctl/confirm_dead.py
@@ -4,6 +4,7 @@
 from result import Err, Ok, Result
 
 from cranberrywall.budgets.messages import ConfirmDead, Holder
+from cranberrywall.commands.ctl._dead_hosts import ask_whether_stopped
 from cranberrywall.commands.ctl._ledgers import to_each_group
 from cranberrywall.commands.ctl._output import print_answer
 from cranberrywall.commands.ctl._session import Ctl, Session, pass_ctl
@@ -22,12 +23,7 @@
     Look at the machine first. A host that is only cut off goes on serving, and charges
     that its money no longer covers are set aside as amounts in doubt.
     """
-    if not yes:
-        click.confirm(
-            f"Is the process of {host} with incarnation {incarnation} stopped for good?",
-            abort=True,
-            err=True,
-        )
+    ask_whether_stopped(host, incarnation, is_sure=yes)
 
     async def work(session: Session) -> Result[None, Refusal]:
         found = await session.ledger()
--- a/cranberrywall/commands/ctl/orders.py
+++ b/cranberrywall/commands/ctl/orders.py
@@ -3,6 +3,7 @@
 import click
 from result import Err, Ok, Result
 
+from cranberrywall.commands.ctl._dead_hosts import ask_whether_stopped
 from cranberrywall.commands.ctl._output import (
     format_time,
     print_answer,
@@ -76,12 +77,7 @@
     if approver == ctl.options.operator:
         remedy = "let another person look at the machine as well"
         ctl.fail_input("the approver is the operator", "--approver", remedy)
-    if not yes:
-        click.confirm(
-            f"Is the process of {host} with incarnation {incarnation} stopped for good?",
-            abort=True,
-            err=True,
-        )
+    ask_whether_stopped(host, incarnation, is_sure=yes)
 
     async def work(session: Session) -> Result[None, Refusal]:
         client = OrdersClient(session.control, session.timeout)
