Plan chats and service calls of a load run by one piece of code

Cause: both kinds filled the same nine of fourteen fields of a planned request. Change: a mix decides its call; what all requests have is filled in once.

--- a/cranberrywall/load/_plan.py
+++ b/cranberrywall/load/_plan.py
@@ -38,6 +38,16 @@
     repeat: bool
 
 
+class _Call(NamedTuple):
+    """Hold what a mix decides of one request."""
+
+    method: str
+    path: str
+    body: bytes
+    stream: bool = False
+    tokens: int = 0
+
+
 def make_plan(profile: Profile, run: str) -> list[PlannedRequest]:
     """Return the requests in the order of their times.
 
@@ -91,19 +101,11 @@
         workspace = self._generator.choices(self._workspaces, self._workspace_weights)[0]
         chat = self._chat_by_name.get(name)
         if chat is not None:
-            return self._draw_chat(number, at, name, workspace, chat)
-        return self._draw_service(number, at, name, workspace, self._service_by_name[name])
-
-    def _draw_chat(
-        self, number: int, at: float, name: str, workspace: str, chat: ChatMix
-    ) -> PlannedRequest:
-        tokens = self._size(chat["max_tokens"])
-        document = {
-            "model": chat["model"],
-            "messages": [{"role": "user", "content": self._prompt(chat, number)}],
-            "max_tokens": tokens,
-            "stream": chat["stream"],
-        }
+            mix: ChatMix | ServiceMix = chat
+            call = self._draw_chat(chat, number)
+        else:
+            mix = self._service_by_name[name]
+            call = self._draw_service(mix)
         return PlannedRequest(
             at=at,
             number=number,
@@ -111,38 +113,32 @@
             workspace=workspace,
             key=self._key_by_workspace[workspace],
             idempotency_key=f"{self._run}-{number}",
-            method="POST",
-            path="/v1/chat/completions",
-            body=msgspec.json.encode(document),
-            stream=chat["stream"],
-            tokens=tokens,
-            priority=chat.get("priority", ""),
-            deadline_s=chat.get("deadline_s"),
-            repeat=self._generator.random() < chat.get("repeat", 0.0),
+            method=call.method,
+            path=call.path,
+            body=call.body,
+            stream=call.stream,
+            tokens=call.tokens,
+            priority=mix.get("priority", ""),
+            deadline_s=mix.get("deadline_s"),
+            repeat=self._generator.random() < mix.get("repeat", 0.0),
         )
 
-    def _draw_service(
-        self, number: int, at: float, name: str, workspace: str, service: ServiceMix
-    ) -> PlannedRequest:
+    def _draw_chat(self, chat: ChatMix, number: int) -> _Call:
+        tokens = self._size(chat["max_tokens"])
+        document = {
+            "model": chat["model"],
+            "messages": [{"role": "user", "content": self._prompt(chat, number)}],
+            "max_tokens": tokens,
+            "stream": chat["stream"],
+        }
+        body = msgspec.json.encode(document)
+        return _Call("POST", "/v1/chat/completions", body, chat["stream"], tokens)
+
+    def _draw_service(self, service: ServiceMix) -> _Call:
         path = service["path"].replace("{number}", str(self._generator.randrange(MOST_NUMBERS)))
         sizes = service.get("body_characters")
         body = self._text(self._size(sizes)).encode() if sizes else b""
-        return PlannedRequest(
-            at=at,
-            number=number,
-            mix=name,
-            workspace=workspace,
-            key=self._key_by_workspace[workspace],
-            idempotency_key=f"{self._run}-{number}",
-            method=service["method"],
-            path=f"/v1/services/{service['service']}{path}",
-            body=body,
-            stream=False,
-            tokens=0,
-            priority=service.get("priority", ""),
-            deadline_s=service.get("deadline_s"),
-            repeat=self._generator.random() < service.get("repeat", 0.0),
-        )
+        return _Call(service["method"], f"/v1/services/{service['service']}{path}", body)
 
     def _prompt(self, chat: ChatMix, number: int) -> str:
         which = self._generator.randrange(chat.get("prefixes", DEFAULT_PREFIXES))
