Name the fields of what packages hand each other in pairs

Cause: the demo's bills, a period's moved end, a closed period's exceptions and a stand-in's ids were bare tuples, which a reader has to look up. Change: Billed, MovedEnd, NamedExceptions and Identity.

--- a/cranberrywall/budgets/_closing_calendar.py
+++ b/cranberrywall/budgets/_closing_calendar.py
@@ -7,7 +7,7 @@
 from bisect import bisect_right
 from collections.abc import Iterator, Sequence
 from datetime import UTC, datetime
-from typing import Any
+from typing import Any, NamedTuple
 
 from cranberrywall.budgets.messages import PlannedPeriod, Rejected
 from cranberrywall.errors import ErrorKind
@@ -18,6 +18,13 @@
 _JUST_BEFORE_S = 0.001
 
 
+class MovedEnd(NamedTuple):
+    """Hold the old and the new end of an open period, in seconds since the epoch."""
+
+    old: float
+    new: float
+
+
 class Calendar:
     """Hold the ends of the periods to come, and which of them have charges."""
 
@@ -77,8 +84,8 @@
         before = max(end - _JUST_BEFORE_S, self.closed_through)
         return _period_of(before, planned).through == end
 
-    def plan(self, periods: tuple[PlannedPeriod, ...]) -> tuple[float, float] | None:
-        """Take a checked plan; return the old and new end of a period that changed."""
+    def plan(self, periods: tuple[PlannedPeriod, ...]) -> MovedEnd | None:
+        """Take a checked plan; return the end that it moved, if any."""
         old = self._open_booked()
         self._planned = list(periods)
         return self._rebook(old, self.period_of(self._latest).through)
@@ -100,8 +107,8 @@
             return Rejected(ErrorKind.CONFLICT, message, "through", remedy)
         return None
 
-    def close(self, through: float) -> tuple[float, float] | None:
-        """Take a checked closing; return the old and new end of the period, if it moved."""
+    def close(self, through: float) -> MovedEnd | None:
+        """Take a checked closing; return the end that it moved, if any."""
         moved = None
         if self._latest < through:
             moved = self._rebook(self._open_booked(), through)
@@ -114,12 +121,12 @@
         """Return the end after the last reservation, where a charge is booked by it."""
         return max((end for end in self._booked if end > self._latest), default=None)
 
-    def _rebook(self, old: float | None, new: float) -> tuple[float, float] | None:
+    def _rebook(self, old: float | None, new: float) -> MovedEnd | None:
         if old is None or old == new:
             return None
         self._booked.remove(old)
         self._booked.add(new)
-        return old, new
+        return MovedEnd(old, new)
 
     def _name_of(self, through: float) -> str:
         return self.period_of(through - _JUST_BEFORE_S).period
--- a/cranberrywall/budgets/_closing_records.py
+++ b/cranberrywall/budgets/_closing_records.py
@@ -39,6 +39,13 @@
     unnamed: Unnamed
 
 
+class NamedExceptions(NamedTuple):
+    """Hold a closed period's exceptions, and how many more were only counted."""
+
+    rows: list[ExceptionRow]
+    unnamed: Unnamed
+
+
 class Closings:
     """Hold the closed periods, oldest first."""
 
@@ -89,10 +96,10 @@
                 if row.budget > after:
                     yield row
 
-    def exceptions(self, period: str) -> tuple[list[ExceptionRow], Unnamed]:
-        """Return a closed period's exceptions, and how many more were only counted."""
+    def exceptions(self, period: str) -> NamedExceptions:
+        """Return a closed period's exceptions."""
         closing = self._closing_by_period[period]
-        return _EXCEPTIONS_DECODER.decode(closing.exceptions), closing.unnamed
+        return NamedExceptions(_EXCEPTIONS_DECODER.decode(closing.exceptions), closing.unnamed)
 
     def dump(self) -> list[Any]:
         """Return the state, for a snapshot."""
--- a/cranberrywall/budgets/_ledger_state.py
+++ b/cranberrywall/budgets/_ledger_state.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from cranberrywall.budgets._closing_calendar import Calendar
+from cranberrywall.budgets._closing_calendar import Calendar, MovedEnd
 from cranberrywall.budgets._closing_records import Closings
 from cranberrywall.budgets._closing_spend import SpendByDay
 from cranberrywall.budgets._ledger_accounts import Account, load_account
@@ -65,12 +65,12 @@
             self._sorted_budgets = sorted(self.account_by_budget)
         return self._sorted_budgets
 
-    def rebook(self, moved: tuple[float, float] | None) -> None:
+    def rebook(self, moved: MovedEnd | None) -> None:
         """Change the end of an open period in every account, where it moved."""
         if moved is None:
             return
         for account in self.account_by_budget.values():
-            account.rebook(*moved)
+            account.rebook(moved.old, moved.new)
 
     def _parts(self) -> list[Any]:
         return [
--- a/cranberrywall/demo/_ledger.py
+++ b/cranberrywall/demo/_ledger.py
@@ -29,6 +29,13 @@
 ResultT = TypeVar("ResultT")
 
 
+class Billed(NamedTuple):
+    """Hold what a workspace was billed, in its budget's unit, and for how many requests."""
+
+    amount: int = 0
+    requests: int = 0
+
+
 class Totals(NamedTuple):
     """Hold a whole fleet's bills: every budget's row, and the duplicates that were named."""
 
@@ -45,10 +52,10 @@
         """Return by how much what is spent or held exceeds what was credited, in all."""
         return sum(max(0, _spent_or_held(row) - row.credited) for row in self.rows)
 
-    def by_workspace(self) -> dict[str, tuple[int, int]]:
-        """Return each workspace's charged amount and billed requests."""
+    def by_workspace(self) -> dict[str, Billed]:
+        """Return what each workspace was billed."""
         return {
-            charge.workspace: (charge.amount, charge.requests)
+            charge.workspace: Billed(charge.amount, charge.requests)
             for row in self.rows
             for charge in row.by_workspace
         }
--- a/cranberrywall/demo/_proof.py
+++ b/cranberrywall/demo/_proof.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from cranberrywall.configuration import Document
-from cranberrywall.demo._ledger import Totals
+from cranberrywall.demo._ledger import Billed, Totals
 from cranberrywall.demo._targets import Ran
 from cranberrywall.load import Outcome, OutcomeKind
 
@@ -113,15 +113,15 @@
         ran = ran_by_request.get(request_id, Ran(0, 0, 0))
         bills = expected.setdefault(outcome.planned.workspace, {})
         bills[request_id] = expected_cost(document, outcome, ran)
-    billed = totals.by_workspace()
+    billed_by_workspace = totals.by_workspace()
     problems: list[str] = []
-    for workspace in sorted(expected.keys() | billed.keys()):
+    for workspace in sorted(expected.keys() | billed_by_workspace.keys()):
         bills = expected.get(workspace, {})
-        due = (sum(bills.values()), len(bills))
-        if billed.get(workspace, (0, 0)) != due:
-            amount, requests = billed.get(workspace, (0, 0))
+        due = Billed(sum(bills.values()), len(bills))
+        billed = billed_by_workspace.get(workspace, Billed())
+        if billed != due:
             problems.append(
-                f"{workspace} was billed {amount} for {requests} requests, "
-                f"not {due[0]} for {due[1]}"
+                f"{workspace} was billed {billed.amount} for {billed.requests} requests, "
+                f"not {due.amount} for {due.requests}"
             )
     return problems
--- a/standins/_common.py
+++ b/standins/_common.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import NamedTuple
 
 from aiohttp import web
 
@@ -76,10 +77,17 @@
     return request.transport is not None and not request.transport.is_closing()
 
 
-def identity(request: web.Request) -> tuple[str, str]:
+class Identity(NamedTuple):
+    """Hold the ids that a request's headers name."""
+
+    request_id: str
+    attempt_id: str
+
+
+def identity(request: web.Request) -> Identity:
     """Return the request id and the attempt id that the headers name."""
     request_id = request.headers.get(REQUEST_HEADER, UNNAMED_REQUEST)
-    return request_id, request.headers.get(ATTEMPT_HEADER, f"{request_id}/0")
+    return Identity(request_id, request.headers.get(ATTEMPT_HEADER, f"{request_id}/0"))
 
 
 def crossed_id(attempt_id: str) -> str:
