Name the units of timeouts and times where a caller reads them

Cause: the clients of the groups, of orders and of the configuration took a timeout or a time whose unit stood nowhere near. Change: each class or module says it once.

--- a/cranberrywall/configuration/_client.py
+++ b/cranberrywall/configuration/_client.py
@@ -44,7 +44,11 @@
 
 
 class ConfigurationClient:
-    """Call the configuration group through a ``ControlClient``."""
+    """Call the configuration group through a ``ControlClient``.
+
+    Each call takes ``timeout`` seconds at most; ``at`` is the present time, in seconds since
+    the epoch.
+    """
 
     def __init__(self, control: ControlClient, timeout: float) -> None:
         self._control = control
--- a/cranberrywall/control/_client.py
+++ b/cranberrywall/control/_client.py
@@ -47,7 +47,7 @@
 
 
 class ControlClient(Protocol):
-    """Reach the replicated groups from any process."""
+    """Reach the replicated groups from any process; each ``timeout`` is in seconds."""
 
     async def propose(self, group: str, command: bytes, timeout: float) -> Result[bytes, Refusal]:
         """Commit ``command`` in ``group``, following leader hints until ``timeout``.
--- a/cranberrywall/hosts/messages.py
+++ b/cranberrywall/hosts/messages.py
@@ -56,7 +56,7 @@
 
 
 class AskRequest(NamedTuple):
-    """Ask a host to probe another."""
+    """Ask a host to probe another, and to wait ``timeout`` seconds for its answer."""
 
     host: str
     links: str
--- a/cranberrywall/orders/_client.py
+++ b/cranberrywall/orders/_client.py
@@ -18,7 +18,10 @@
 
 
 class OrdersClient:
-    """Call the orders' part of the configuration group through a ``ControlClient``."""
+    """Call the orders' part of the configuration group through a ``ControlClient``.
+
+    Each call takes ``timeout`` seconds at most for each command that it sends.
+    """
 
     def __init__(self, control: ControlClient, timeout: float) -> None:
         self._control = control
@@ -41,8 +44,9 @@
     async def confirm_dead(self, issuer: Issuer, operator: str, at: float) -> Result[int, Refusal]:
         """Close the open orders of a control process that an operator knows to be dead.
 
-        Return how many there were. The operator vouches that the host is off or wiped: if
-        it comes back with an order in hand, an engine that does not check will obey it.
+        Return how many there were. ``at`` is the present time, in seconds since the epoch.
+        The operator vouches that the host is off or wiped: if it comes back with an order
+        in hand, an engine that does not check will obey it.
         """
         view = await self.orders()
         if isinstance(view, Err):
--- a/cranberrywall/orders/_outbox.py
+++ b/cranberrywall/orders/_outbox.py
@@ -42,7 +42,7 @@
         return self._fate_by_order_id.setdefault(order_id, Fate.NEVER_SENT)
 
     def start(self, order_id: str, url: str, number: int, action: Action, timeout: float) -> bool:
-        """Begin to send an order, unless it is barred or was begun before."""
+        """Begin to send an order for ``timeout`` seconds, unless it is barred or was begun."""
         if order_id in self._fate_by_order_id:
             return False
         self._set_fate(order_id, Fate.SENDING)
--- a/cranberrywall/orders/messages.py
+++ b/cranberrywall/orders/messages.py
@@ -1,7 +1,8 @@
 """Define the commands, queries and results about orders in the configuration group.
 
 An order is committed, with a number that rises, before it is sent to an engine. It is
-*open* until there is evidence that it is finished or can no longer be sent.
+*open* until there is evidence that it is finished or can no longer be sent. Times are
+seconds since the epoch, given by the proposer.
 """
 
 from enum import StrEnum
--- a/cranberrywall/replication/_interfaces.py
+++ b/cranberrywall/replication/_interfaces.py
@@ -58,7 +58,10 @@
 
 
 class Group(Protocol):
-    """Replicate one state machine; one of these runs on each member host."""
+    """Replicate one state machine; one of these runs on each member host.
+
+    Each ``timeout`` is in seconds.
+    """
 
     @property
     def name(self) -> str:
