Make link limits and load the fleet's keys by one function each

Cause: link_limits repeated links.limits_of, which only its test called, and the control and console programs each loaded the keys by the same lines. Change: limits_of serves the programs; commands/_keys.py loads the keys.

--- a/cranberrywall/commands/_console_program.py
+++ b/cranberrywall/commands/_console_program.py
@@ -1,11 +1,9 @@
 """Assemble the console program: its streams, its pages, operators' HTTP."""
 
-from result import Err
-
-from cranberrywall.commands._control_program import link_limits
+from cranberrywall.commands._keys import load_keys
 from cranberrywall.console import ConsoleParts, make_console_server
 from cranberrywall.control import make_control_client
-from cranberrywall.links import LinkCaller, LinkCounters, Peer, make_caller
+from cranberrywall.links import LinkCaller, LinkCounters, Peer, limits_of, make_caller
 from cranberrywall.observability import (
     AdminServer,
     HealthChecks,
@@ -16,7 +14,7 @@
     make_metrics,
 )
 from cranberrywall.runtime import Runtime
-from cranberrywall.settings import FleetKeys, Settings, load_fleet_keys
+from cranberrywall.settings import Settings
 
 
 class ConsoleProgram:
@@ -62,7 +60,7 @@
     """
     if runtime.storage is None:
         raise ValueError("the console keeps accounts and its audit trail in files: give `data`")
-    keys = _load_keys(settings)
+    keys = load_keys(settings)
     me = Peer(settings["host"], settings["place"], int(runtime.clock.wall() * 1000))
     counters = LinkCounters()
     caller = make_caller(
@@ -72,7 +70,7 @@
         keys.fleet,
         me,
         counters,
-        link_limits(settings["streams"]),
+        limits_of(settings),
     )
     controls = [remote["links"] for remote in settings["controls"]]
     control = make_control_client(caller, runtime.clock, controls, runtime.random)
@@ -85,13 +83,6 @@
     return ConsoleProgram(server, caller, admin, state)
 
 
-def _load_keys(settings: Settings) -> FleetKeys:
-    keys = load_fleet_keys(settings["fleet_key"])
-    if isinstance(keys, Err):
-        raise ValueError("; ".join(str(problem) for problem in keys.err_value))
-    return keys.ok_value
-
-
 def _make_state(settings: Settings, caller: LinkCaller) -> StateRegistry:
     state = StateRegistry()
     state.register("host", lambda: {"host": settings["host"], "place": settings["place"]})
--- a/cranberrywall/commands/_control_program.py
+++ b/cranberrywall/commands/_control_program.py
@@ -3,9 +3,8 @@
 import asyncio
 from collections.abc import Callable, Mapping
 
-from result import Err
-
 from cranberrywall.budgets import LedgerMachine, LedgerSummary, make_ledger_machine
+from cranberrywall.commands._keys import load_keys
 from cranberrywall.configuration import (
     ConfigurationMachine,
     Document,
@@ -18,11 +17,11 @@
 from cranberrywall.control import ControlHost, ledger_groups, make_control_host
 from cranberrywall.hosts import register_dump
 from cranberrywall.links import (
-    Limits,
     LinkCaller,
     LinkCounters,
     LinkServer,
     Peer,
+    limits_of,
     make_caller,
     make_link_server,
 )
@@ -49,10 +48,6 @@
 from cranberrywall.settings import (
     FleetKeys,
     Settings,
-    Streams,
-    load_fleet_keys,
-    seconds,
-    size_in_bytes,
 )
 
 CONFIGURATION_GROUP = "configuration"
@@ -112,11 +107,11 @@
     Raise ``ValueError`` for a key file that changed since the check, and for a runtime
     without storage.
     """
-    keys = _load_keys(settings)
+    keys = load_keys(settings)
     me = Peer(settings["host"], settings["place"], int(runtime.clock.wall() * 1000))
     counters = LinkCounters()
     server = _make_server(settings, runtime, keys, me, counters)
-    limits = link_limits(settings["streams"])
+    limits = limits_of(settings)
     caller = make_caller(
         runtime.network, runtime.clock, runtime.random, keys.fleet, me, counters, limits
     )
@@ -137,18 +132,6 @@
     return ControlProgram(host, feed, orders, admin, state)
 
 
-def link_limits(streams: Streams) -> Limits:
-    """Return the bounds of streams that the settings give."""
-    return Limits(
-        frame_bytes=size_in_bytes(streams["frame"]),
-        queued_bytes=size_in_bytes(streams["queued"]),
-        calls=streams["calls"],
-        dial_timeout=seconds(streams["dial_timeout"]),
-        handshake_timeout=seconds(streams["handshake_timeout"]),
-        write_timeout=seconds(streams["write_timeout"]),
-    )
-
-
 def check_placement(settings: Settings, machine: ConfigurationMachine) -> str | None:
     """Return why budgets would be looked for in the wrong groups, or ``None``.
 
@@ -164,18 +147,11 @@
     return f"the configuration has {wanted} ledger groups, and the settings {run}"
 
 
-def _load_keys(settings: Settings) -> FleetKeys:
-    keys = load_fleet_keys(settings["fleet_key"])
-    if isinstance(keys, Err):
-        raise ValueError("; ".join(str(problem) for problem in keys.err_value))
-    return keys.ok_value
-
-
 def _make_server(
     settings: Settings, runtime: Runtime, keys: FleetKeys, me: Peer, counters: LinkCounters
 ) -> LinkServer:
     address = settings["listen"]["links"]
-    limits = link_limits(settings["streams"])
+    limits = limits_of(settings)
     return make_link_server(
         runtime.network, runtime.clock, address, keys.fleet, me, counters, limits
     )
--- a/cranberrywall/commands/_entry_ties.py
+++ b/cranberrywall/commands/_entry_ties.py
@@ -4,7 +4,6 @@
 
 from result import Err
 
-from cranberrywall.commands._control_program import link_limits
 from cranberrywall.configuration import (
     Follower,
     HostConfiguration,
@@ -24,6 +23,7 @@
     LinkCounters,
     LinkServer,
     Peer,
+    limits_of,
     make_caller,
     make_link_server,
 )
@@ -69,7 +69,7 @@
             keys.fleet,
             self.me,
             counters,
-            link_limits(self._settings["streams"]),
+            limits_of(self._settings),
         )
 
     def _make_caller(self, keys: FleetKeys, counters: LinkCounters) -> LinkCaller:
@@ -80,7 +80,7 @@
             keys.fleet,
             self.me,
             counters,
-            link_limits(self._settings["streams"]),
+            limits_of(self._settings),
         )
 
     def _view(self) -> HostView:
