--- a/cranberrywall/commands/_entry_ties.py
+++ b/cranberrywall/commands/_entry_ties.py
@@ -2,8 +2,7 @@
 
 from typing import Any
 
-from result import Err
-
+from cranberrywall.commands._keys import load_keys as load_keys
 from cranberrywall.configuration import (
     Follower,
     HostConfiguration,
@@ -28,18 +27,10 @@
     make_link_server,
 )
 from cranberrywall.runtime import Runtime
-from cranberrywall.settings import FleetKeys, Settings, load_fleet_keys
+from cranberrywall.settings import FleetKeys, Settings
 from cranberrywall.targets import Announcement
 
 
-def load_keys(settings: Settings) -> FleetKeys:
-    """Return the fleet's keys; raise ``ValueError`` where the file changed since the check."""
-    keys = load_fleet_keys(settings["fleet_key"])
-    if isinstance(keys, Err):
-        raise ValueError("; ".join(str(problem) for problem in keys.err_value))
-    return keys.ok_value
-
-
 class HostTies:
     """Hold one entry host's identity, its streams, and what it knows of the other hosts."""
 
@@ -54,32 +45,32 @@
         self._runtime = runtime
         self.me = Peer(settings["host"], settings["place"], int(runtime.clock.wall() * 1000))
         self.controls = [remote["links"] for remote in settings["controls"]]
-        counters = LinkCounters()
-        self.server = self._make_server(keys, counters)
-        self.caller = self._make_caller(keys, counters)
+        self.counters = LinkCounters()
+        self.server = self._make_server(keys)
+        self.caller = self._make_caller(keys)
         self.configured = ConfiguredHosts(self._view(), configuration, self._peers())
         self.membership = self._make_membership()
         self.follower = self._make_follower(configuration)
 
-    def _make_server(self, keys: FleetKeys, counters: LinkCounters) -> LinkServer:
+    def _make_server(self, keys: FleetKeys) -> LinkServer:
         return make_link_server(
             self._runtime.network,
             self._runtime.clock,
             self._settings["listen"]["links"],
             keys.fleet,
             self.me,
-            counters,
+            self.counters,
             limits_of(self._settings),
         )
 
-    def _make_caller(self, keys: FleetKeys, counters: LinkCounters) -> LinkCaller:
+    def _make_caller(self, keys: FleetKeys) -> LinkCaller:
         return make_caller(
             self._runtime.network,
             self._runtime.clock,
             self._runtime.random,
             keys.fleet,
             self.me,
-            counters,
+            self.counters,
             limits_of(self._settings),
         )
 
