Say where the demo runs when its examples are not there

An installed package has no examples/; cranberrywall-demo ended with the traceback of a file not found, seen with pip install into a new environment. It names the folder and the remedy now, with exit status 2. The check of shown commands also reads shell loops.

--- a/cranberrywall/commands/demo.py
+++ b/cranberrywall/commands/demo.py
@@ -13,6 +13,7 @@
 
 from cranberrywall.commands._demo_fleet import DemoFleet
 from cranberrywall.demo import (
+    EXAMPLES,
     PARKING_LESSORS,
     SAVINGS_BOARD,
     DemoRequest,
@@ -45,6 +46,10 @@
 
     With --once, exit 0 only where the answers, the bills and the targets' counts agree.
     """
+    if not EXAMPLES.is_dir():
+        # The examples are no part of an installed package.
+        remedy = "run it from a checkout, or install the checkout with `pip install -e .`"
+        raise click.UsageError(f"there is no folder {EXAMPLES} (remedy: {remedy})")
     configure_log("demo", "demo", "loopback", "ERROR")
     with tempfile.TemporaryDirectory(prefix="cranberrywall-demo-") as folder:
         agreed = uvloop.run(_run(Path(folder), once))
--- a/tests/docs/test_commands_in_pages.py
+++ b/tests/docs/test_commands_in_pages.py
@@ -31,7 +31,9 @@
 
 def shown(page: Path) -> list[str]:
     text = re.sub(r"\\\n\s*>?\s*", " ", page.read_text(encoding="utf-8"))
-    lines = re.findall(r"^(?:\s*[$>] +| {4,})(cranberrywall(?:ctl|-\w+) .*)$", text, re.MULTILINE)
+    lines = re.findall(
+        r"^(?:\s*[$>] +| {4,})(?:for .* do )?(cranberrywall(?:ctl|-\w+) .*)$", text, re.MULTILINE
+    )
     inline = re.findall(r"`(cranberrywallctl [^`\n]+)`", text)
     return lines + inline
 
