--- a/standins/_engine.py
+++ b/standins/_engine.py
@@ -43,7 +43,9 @@
     ``prefill_tokens`` uncached prompt tokens take one step. The prefix cache holds
     ``cache_blocks`` blocks of 256 characters; its events come ``event_delay_s`` late and a
     share ``event_loss`` never. Load is reported ``load_lag_s`` late. An attempt that nobody
-    reads is cancelled after ``detached_s``.
+    reads is cancelled after ``detached_s``. ``models`` are those that it can be ordered to
+    load, one at a time, its first one among them; without any it has ``model`` for good.
+    It holds ``slots`` versions at once, where that is not 0.
     """
 
     target: str
@@ -62,6 +64,8 @@
     load_s: float = 0.5
     detached_s: float = 5.0
     checks_fencing: bool = True
+    models: tuple[str, ...] = ()
+    slots: int = 0
     seed: int = 1
     faults: Faults = Faults()
 
@@ -77,7 +81,14 @@
     def __init__(self, options: EngineOptions) -> None:
         self.options = options
         self.counts = Counts()
-        self.orders = Orders(options.versions, options.checks_fencing, options.load_s)
+        self.orders = Orders(
+            options.model,
+            options.models or (options.model,),
+            options.versions,
+            options.checks_fencing,
+            options.load_s,
+            options.slots,
+        )
         self.switch = FaultSwitch(options.faults)
         self._cache = PrefixCache(
             options.cache_blocks, options.event_delay_s, options.event_loss, options.seed
@@ -97,9 +108,10 @@
         at = time.time()
         self._record_load()
         return {
+            **self._optional_fields(),
             "target": self.options.target,
             "kind": "engine",
-            "name": self.options.model,
+            "name": self.orders.model,
             "place": self.options.place,
             "url": url,
             "versions": list(self.orders.versions),
@@ -110,6 +122,14 @@
             "cache_events": self._cache.take_events(time.monotonic()),
         }
 
+    def _optional_fields(self) -> dict[str, Any]:
+        fields: dict[str, Any] = {}
+        if self.options.models:
+            fields["models"] = list(self.options.models)
+        if self.options.slots:
+            fields["slots"] = self.options.slots
+        return fields
+
     def stop(self) -> None:
         """Stop the work at once."""
         self._batch.stop()
@@ -145,8 +165,8 @@
     def _refusal(
         self, request: web.Request, body: dict[str, Any], draw: Draw
     ) -> web.Response | None:
-        if body.get("model") != self.options.model:
-            return fail(404, f"this engine serves {self.options.model}")
+        if body.get("model") != self.orders.model or not self.orders.versions:
+            return fail(404, f"this engine serves {self.orders.model} {self.orders.versions}")
         version = request.headers.get(VERSION_HEADER, "")
         if version and version not in self.orders.versions:
             return fail(404, f"version {version} is not loaded")
@@ -172,7 +192,7 @@
         plan = AttemptPlan(
             attempt_id=attempt_id,
             request_id=request_id,
-            model=self.options.model,
+            model=self.orders.model,
             rank=int(request.headers.get(PRIORITY_HEADER, DEFAULT_RANK)),
             words=words[:limit],
             cut_short=len(words) > limit,
@@ -276,7 +296,10 @@
         return web.json_response({"finished": attempt.finished})
 
     async def _order(self, request: web.Request) -> web.Response:
+        moves = self.orders.model_moves
         answer = await self.orders.take(await request.json())
+        if self.orders.model_moves != moves:
+            self._cache.clear()
         return web.json_response(answer.document, status=answer.status)
 
     async def _list_orders(self, request: web.Request) -> web.Response:
--- a/standins/_prefixes.py
+++ b/standins/_prefixes.py
@@ -69,6 +69,11 @@
             self._publish("drop", dropped, now)
         return cached
 
+    def clear(self) -> None:
+        """Forget all, as the model that filled it is gone."""
+        self._blocks.clear()
+        self._pending.clear()
+
     def take_events(self, now: float) -> list[CacheEvent]:
         """Return the events that are due; each is given once."""
         events: list[CacheEvent] = []
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -11,6 +11,9 @@
 @click.option("--target", default="engine-1", help="The target's name.")
 @click.option("--model", default="drafting-llm", help="The model it serves.")
 @click.option("--version", "versions", multiple=True, default=["2026-10"], help="Loaded version.")
+@click.option("--models", default="", help="Models that it can load by order, as one,other.")
+@click.option("--slots", default=0, help="Versions held at once; 0 for any, not announced.")
+@click.option("--load-s", default=0.5, help="Seconds that a load takes.")
 @click.option("--capacity", default=8, help="Attempts in one batch.")
 @click.option("--step-s", default=0.004, help="Seconds of one step of the batch.")
 @click.option("--cache-blocks", default=512, help="Blocks in the prefix cache.")
@@ -20,6 +23,9 @@
     target: str,
     model: str,
     versions: tuple[str, ...],
+    models: str,
+    slots: int,
+    load_s: float,
     place: str,
     host: str,
     port: int,
@@ -38,6 +44,9 @@
         model=model,
         place=place,
         versions=tuple(versions),
+        models=tuple(filter(None, models.split(","))),
+        slots=slots,
+        load_s=load_s,
         capacity=capacity,
         step_s=step_s,
         cache_blocks=cache_blocks,
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -1,5 +1,6 @@
 """Check that the stand-in engine speaks the interface and counts what it ran."""
 
+import asyncio
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
@@ -147,3 +148,37 @@
         attempt_id, attempt_id, "drafting-llm", rank, ["a"], False, 0, Usage(1, 1), 0
     )
     engine._batch.add(Attempt(plan))
+
+
+async def test_an_ordered_model_replaces_the_one_before_after_its_load_time(start, session) -> None:
+    """The engine serves what it had until the load is done, then the new model alone."""
+    engine, url = await start(models=("drafting-llm", "status-llm"), slots=1, load_s=0.2)
+    load = {"number": 1, "order": "load", "model": "status-llm", "version": "v3"}
+    loading = asyncio.create_task(session.post(f"{url}/v1/orders", json=load))
+    while not engine.orders.taken:
+        await asyncio.sleep(0.01)
+    assert (await ask(session, url)).status == 200
+    assert (await loading).status == 200
+    described = engine.describe(url)
+    assert (described["name"], described["versions"]) == ("status-llm", ["v3"])
+    assert (described["models"], described["slots"]) == (["drafting-llm", "status-llm"], 1)
+    assert (await ask(session, url, "r2/1/a")).status == 404
+    assert (await ask(session, url, "r3/1/a", model="status-llm")).status == 200
+
+
+@pytest.mark.parametrize(
+    ("order", "status"),
+    [
+        ({"order": "load", "model": "gate-llm", "version": "v1"}, 400),
+        ({"order": "load", "version": "2026-11"}, 400),
+        ({"order": "adapter", "model": "status-llm", "adapter": "x"}, 400),
+        ({"order": "unload", "model": "status-llm", "version": "2026-10"}, 200),
+    ],
+)
+async def test_orders_for_what_an_engine_cannot_hold_change_nothing(
+    start, session, order, status
+) -> None:
+    models = ("drafting-llm", "status-llm")
+    engine, url = await start(models=models, slots=1, load_s=0.0)
+    assert (await session.post(f"{url}/v1/orders", json={"number": 1, **order})).status == status
+    assert (engine.orders.model, engine.orders.versions) == ("drafting-llm", ["2026-10"])
