--- a/cranberrywall/budgets/_interfaces.py
+++ b/cranberrywall/budgets/_interfaces.py
@@ -1,11 +1,12 @@
 """Define what requests use of budgets on an entry host, and what budgets use of others."""
 
 from collections.abc import Sequence
-from typing import Literal, NamedTuple, Protocol
+from typing import Any, Literal, NamedTuple, Protocol
 
 from result import Result
 
 from cranberrywall.errors import Refusal
+from cranberrywall.observability import Metrics
 
 
 class ReserveRequest(NamedTuple):
@@ -80,6 +81,14 @@
         """Commit every charge and return what this host holds, for a graceful exit."""
         ...
 
+    def state(self) -> dict[str, Any]:
+        """Describe what this host holds, for the state dump."""
+        ...
+
+    def export(self, metrics: Metrics) -> None:
+        """Export what this host holds, and what waits, as metrics; call it once."""
+        ...
+
 
 class SpendPolicy(NamedTuple):
     """Weigh overspend's margin against false refusals for one workspace.
--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -91,6 +91,7 @@
         register_drain(self._server, self._me.incarnation, lambda: self.on_drain())
         self._metrics = make_metrics()
         ties.counters.export(self._metrics)
+        ties.membership.export(self._metrics)
         self.state = StateRegistry()
         self._health = HealthChecks()
         self._admin = self._make_admin()
@@ -171,6 +172,7 @@
             log_event("ERROR", "allotments_not_started", refusal=started.err_value)
             return
         self._allotments = allotments
+        allotments.export(self._metrics)
         await self._serve(allotments, ledger)
         http = self._settings["listen"]["http"]
         targets = len(self._targets.by_id)
@@ -293,6 +295,10 @@
         self.state.register("requests", self._requests_state)
         self.state.register("targets", self._targets_state)
         self.state.register("links", self._caller.state)
+        self.state.register("budgets", self._budgets_state)
+
+    def _budgets_state(self) -> dict[str, Any]:
+        return self._allotments.state() if self._allotments is not None else {}
 
     def _requests_state(self) -> dict[str, Any]:
         running = self._stack.running if self._stack is not None else 0
--- a/cranberrywall/configuration/_client.py
+++ b/cranberrywall/configuration/_client.py
@@ -6,7 +6,6 @@
 from result import Err, Ok, Result
 
 from cranberrywall.configuration._edits import Edit, edits_between
-from cranberrywall.configuration._shape import Problem
 from cranberrywall.configuration.messages import (
     CONFIGURATION_CODEC,
     Change,
@@ -26,6 +25,7 @@
 from cranberrywall.control import ControlClient
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import MalformedMessageError
+from cranberrywall.settings import Problem
 
 GROUP = "configuration"
 
@@ -44,7 +44,11 @@
 
 
 class ConfigurationClient:
-    """Call the configuration group through a ``ControlClient``."""
+    """Call the configuration group through a ``ControlClient``.
+
+    Each call takes ``timeout`` seconds at most; ``at`` is the present time, in seconds since
+    the epoch.
+    """
 
     def __init__(self, control: ControlClient, timeout: float) -> None:
         self._control = control
--- a/standins/_engine.py
+++ b/standins/_engine.py
@@ -4,7 +4,6 @@
 import json
 import math
 import time
-from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
 from aiohttp import web
@@ -44,7 +43,9 @@
     ``prefill_tokens`` uncached prompt tokens take one step. The prefix cache holds
     ``cache_blocks`` blocks of 256 characters; its events come ``event_delay_s`` late and a
     share ``event_loss`` never. Load is reported ``load_lag_s`` late. An attempt that nobody
-    reads is cancelled after ``detached_s``.
+    reads is cancelled after ``detached_s``. ``models`` are those that it can be ordered to
+    load, one at a time, its first one among them; without any it has ``model`` for good.
+    It holds ``slots`` versions at once, where that is not 0.
     """
 
     target: str
@@ -63,6 +64,8 @@
     load_s: float = 0.5
     detached_s: float = 5.0
     checks_fencing: bool = True
+    models: tuple[str, ...] = ()
+    slots: int = 0
     seed: int = 1
     faults: Faults = Faults()
 
@@ -78,16 +81,21 @@
     def __init__(self, options: EngineOptions) -> None:
         self.options = options
         self.counts = Counts()
-        self.orders = Orders(options.versions, options.checks_fencing, options.load_s)
-        self.on_death: Callable[[], Awaitable[None]] | None = None
-        self._switch = FaultSwitch(options.faults)
+        self.orders = Orders(
+            options.model,
+            options.models or (options.model,),
+            options.versions,
+            options.checks_fencing,
+            options.load_s,
+            options.slots,
+        )
+        self.switch = FaultSwitch(options.faults)
         self._cache = PrefixCache(
             options.cache_blocks, options.event_delay_s, options.event_loss, options.seed
         )
         self._attempts = Attempts()
         self._load = LaggingLoad(options.load_lag_s)
         self._batch = Batch(options.capacity, self._step_s, self._count_end)
-        self._deaths: set[asyncio.Task[None]] = set()
         self.app = self._make_app()
 
     @property
@@ -100,9 +108,10 @@
         at = time.time()
         self._record_load()
         return {
+            **self._optional_fields(),
             "target": self.options.target,
             "kind": "engine",
-            "name": self.options.model,
+            "name": self.orders.model,
             "place": self.options.place,
             "url": url,
             "versions": list(self.orders.versions),
@@ -113,6 +122,14 @@
             "cache_events": self._cache.take_events(time.monotonic()),
         }
 
+    def _optional_fields(self) -> dict[str, Any]:
+        fields: dict[str, Any] = {}
+        if self.options.models:
+            fields["models"] = list(self.options.models)
+        if self.options.slots:
+            fields["slots"] = self.options.slots
+        return fields
+
     def stop(self) -> None:
         """Stop the work at once."""
         self._batch.stop()
@@ -124,14 +141,14 @@
         app.router.add_delete("/v1/attempts/{attempt:.+}", self._cancel)
         app.router.add_post("/v1/orders", self._order)
         app.router.add_get("/v1/orders", self._list_orders)
-        add_common_routes(app, self.counts, self._switch)
+        add_common_routes(app, self.counts, self.switch)
         return app
 
     async def _complete(self, request: web.Request) -> web.StreamResponse:
         body = await request.json()
         request_id, attempt_id = identity(request)
         draw = draw_faults(
-            self._switch.faults, self.options.seed, request_id, self.counts.started(request_id)
+            self.switch.faults, self.options.seed, request_id, self.counts.started(request_id)
         )
         refusal = self._refusal(request, body, draw)
         if refusal is not None:
@@ -139,7 +156,7 @@
             return refusal
         attempt = self._begin(request, body, request_id, attempt_id, draw)
         if draw.late:
-            await asyncio.sleep(self._switch.faults.late_s)
+            await asyncio.sleep(self.switch.faults.late_s)
         answered = self._crossed(attempt) if draw.crossed else attempt
         if body.get("stream", False):
             return await self._stream(request, answered, 0, draw)
@@ -148,8 +165,8 @@
     def _refusal(
         self, request: web.Request, body: dict[str, Any], draw: Draw
     ) -> web.Response | None:
-        if body.get("model") != self.options.model:
-            return fail(404, f"this engine serves {self.options.model}")
+        if body.get("model") != self.orders.model or not self.orders.versions:
+            return fail(404, f"this engine serves {self.orders.model} {self.orders.versions}")
         version = request.headers.get(VERSION_HEADER, "")
         if version and version not in self.orders.versions:
             return fail(404, f"version {version} is not loaded")
@@ -175,7 +192,7 @@
         plan = AttemptPlan(
             attempt_id=attempt_id,
             request_id=request_id,
-            model=self.options.model,
+            model=self.orders.model,
             rank=int(request.headers.get(PRIORITY_HEADER, DEFAULT_RANK)),
             words=words[:limit],
             cut_short=len(words) > limit,
@@ -220,7 +237,7 @@
             async for chunk in attempt.follow(start):
                 await response.write(f"data: {json.dumps(chunk)}\n\n".encode())
                 if draw is not None and chunk["index"] + 1 == CUT_AFTER_CHUNKS:
-                    self._fail_in_mid_answer(request, draw)
+                    self.switch.break_connection(request, draw)
             if attempt.finished:
                 await response.write(b"data: [DONE]\n\n")
             else:
@@ -236,7 +253,7 @@
     ) -> web.StreamResponse:
         await attempt.wait()
         if draw.cut or draw.dies:
-            self._fail_in_mid_answer(request, draw)
+            self.switch.break_connection(request, draw)
         if not attempt.finished:
             return fail(499, "cancelled")
         if not is_open(request):
@@ -256,16 +273,6 @@
         }
         return web.json_response(document, headers={ATTEMPT_HEADER: attempt.plan.attempt_id})
 
-    def _fail_in_mid_answer(self, request: web.Request, draw: Draw) -> None:
-        if draw.dies and self.on_death is not None:
-            abort(request)
-            self._deaths.add(asyncio.create_task(self._die(self.on_death)))
-        elif draw.cut:
-            abort(request)
-
-    async def _die(self, on_death: Callable[[], Awaitable[None]]) -> None:
-        await on_death()
-
     def _cancel_later(self, attempt: Attempt) -> None:
         loop = asyncio.get_running_loop()
         loop.call_later(self.options.detached_s, self._cancel_if_unread, attempt)
@@ -289,7 +296,10 @@
         return web.json_response({"finished": attempt.finished})
 
     async def _order(self, request: web.Request) -> web.Response:
+        moves = self.orders.model_moves
         answer = await self.orders.take(await request.json())
+        if self.orders.model_moves != moves:
+            self._cache.clear()
         return web.json_response(answer.document, status=answer.status)
 
     async def _list_orders(self, request: web.Request) -> web.Response:
@@ -297,7 +307,7 @@
 
     def _step_s(self) -> float:
         step_s = self.options.step_s + self.options.step_each_s * self._batch.running
-        return step_s * self._switch.faults.slow
+        return step_s * self.switch.faults.slow
 
     def _count_end(self, attempt: Attempt) -> None:
         if attempt.cancelled:
