Run the capacity table after the measurements that it reads

Cause: measure-all runs by name, and capacity comes before control_cost and others; on a fresh tree it would end with the name of a missing figure, and fail the whole run. Change: measurements that read others' figures run last; the test failed before. The whole of measure-all was not run.

--- a/measurements/everything.py
+++ b/measurements/everything.py
@@ -21,6 +21,7 @@
 LONGEST_S = 300.0
 TIMED_OUT = 124
 SUMMARY = "summary.md"
+READ_OTHERS = ("capacity",)
 
 
 class Run(NamedTuple):
@@ -48,9 +49,10 @@
 
 
 def measurement_names() -> list[str]:
-    """Return the names of all measurements, sorted."""
+    """Return the names of all measurements, sorted, those last that read others' figures."""
     names = (path.stem for path in PACKAGE.glob("*.py"))
-    return sorted(name for name in names if not name.startswith("_") and name != "everything")
+    found = (name for name in names if not name.startswith("_") and name != "everything")
+    return sorted(found, key=lambda name: (name in READ_OTHERS, name))
 
 
 def run_measurement(name: str) -> Run:
--- a/tests/measurements/test_everything.py
+++ b/tests/measurements/test_everything.py
@@ -31,3 +31,10 @@
     assert "| 0 | answered=3 lost=0 |" in summary
     assert (package.parent / "out" / "good.txt").read_text("utf-8").startswith("table")
     assert CliRunner().invoke(everything.main, ["good"]).exit_code == 0
+
+
+def test_the_capacity_table_is_made_after_the_figures_that_it_reads() -> None:
+    names = everything.measurement_names()
+    assert names[-1] == "capacity"
+    assert names[:-1] == sorted(names[:-1])
+    assert {"control_cost", "node_cost", "ledger_size"} < set(names)
