--- a/cranberrywall/commands/_entry_ties.py
+++ b/cranberrywall/commands/_entry_ties.py
@@ -2,8 +2,7 @@
 
 from typing import Any
 
-from result import Err
-
+from cranberrywall.commands._keys import load_keys as load_keys
 from cranberrywall.configuration import (
     Follower,
     HostConfiguration,
@@ -28,18 +27,10 @@
     make_link_server,
 )
 from cranberrywall.runtime import Runtime
-from cranberrywall.settings import FleetKeys, Settings, load_fleet_keys
+from cranberrywall.settings import FleetKeys, Settings
 from cranberrywall.targets import Announcement
 
 
-def load_keys(settings: Settings) -> FleetKeys:
-    """Return the fleet's keys; raise ``ValueError`` where the file changed since the check."""
-    keys = load_fleet_keys(settings["fleet_key"])
-    if isinstance(keys, Err):
-        raise ValueError("; ".join(str(problem) for problem in keys.err_value))
-    return keys.ok_value
-
-
 class HostTies:
     """Hold one entry host's identity, its streams, and what it knows of the other hosts."""
 
