Name a path in the settings that cannot even be looked up

A data folder or key file with a NUL in it, or one that is too long, ended the start in a traceback (ValueError: embedded null byte; OSError: File name too long). Each is named now as S010 or S011 with its remedy.

--- a/cranberrywall/settings/_load.py
+++ b/cranberrywall/settings/_load.py
@@ -18,6 +18,7 @@
 
 _ANY_ADDRESS = "0.0.0.0"
 _HIGHEST_PORT = 65535
+_CODE_BY_PATH = {"data": "S010", "fleet_key": "S011"}
 _LISTEN_BY_PROCESS = {
     "entry": ("links", "http"),
     "control": ("links",),
@@ -36,6 +37,9 @@
         return Err([read.err_value])
     document = read.ok_value
     problems = list(check_shape(document, Settings))
+    if problems:
+        return Err(problems)
+    problems = list(_check_paths(document, file.parent))
     if problems:
         return Err(problems)
     _resolve_paths(document, file.parent)
@@ -45,8 +49,24 @@
     return Ok(with_defaults(document))
 
 
+def _check_paths(document: dict[str, Any], folder: Path) -> Iterator[Problem]:
+    """Yield a problem for each path that cannot be looked up; one that is missing can."""
+    for name, code in _CODE_BY_PATH.items():
+        if name not in document:
+            continue
+        try:
+            os.stat(folder / document[name])
+        except (FileNotFoundError, NotADirectoryError):
+            continue
+        except (OSError, ValueError) as error:
+            # Too long, a NUL in it, links in a circle, or no right to look: later checks
+            # would end in a traceback.
+            reason = getattr(error, "strerror", None) or str(error)
+            yield Problem(code, name, f"cannot be looked up: {reason}", "give another path")
+
+
 def _resolve_paths(document: dict[str, Any], folder: Path) -> None:
-    for name in ("data", "fleet_key"):
+    for name in _CODE_BY_PATH:
         if name in document:
             document[name] = str((folder / document[name]).resolve())
 
