--- a/cranberrywall/budgets/_review.py
+++ b/cranberrywall/budgets/_review.py
@@ -21,7 +21,7 @@
 REVIEW_INTERVAL_S = 5.0
 CHECK_TIMEOUT_S = 1.0
 # Below this many requests' bounds, a host's share is too small to be worth holding.
-WORTH_HOLDING = 4.0
+WORTH_HOLDING = 2.0
 # What comes free within this time is returned in one step.
 SURPLUS_WAIT_S = 0.05
 # The ledger's sums are asked for again after this time, where the budget was used.
