Ask the holders of a scarce budget in rounds of one, two, four, not one by one

Cause: a search asked every holder that the ledger names, one after the other: 0.15 s at 50 holders and four times that at 200, so that in the last 1% many searches ran at once and took the same parts from each other; each then ended with nothing while the money was at another.

Change: the first holder alone, then two at once, four, eight; asked together, none gives more than the need. The numbers of takes that gave nothing are used again, lowest first, since the ledger refuses transfers too far ahead of a missing number.

Both new tests fail without it: the first refuses, the second with the old numbering.

--- a/cranberrywall/budgets/_scarcity.py
+++ b/cranberrywall/budgets/_scarcity.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
 from result import Err, Ok, Result
@@ -19,7 +19,7 @@
 from cranberrywall.budgets._ledger_steps import STEP_TIMEOUT_S, LedgerSteps
 from cranberrywall.budgets._reservation import HeldReservation
 from cranberrywall.budgets._transfers import Taker, nearest_first
-from cranberrywall.budgets.messages import BudgetQuery, BudgetResult, Holder
+from cranberrywall.budgets.messages import BudgetQuery, BudgetResult, HeldAmount, Holder
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.observability import log_event
 from cranberrywall.runtime import Clock
@@ -252,7 +252,6 @@
         if claim.take_up(answer.ok_value):
             tools.taker.forget_unanswered(self._allotment.budget)
             self.serve()
-        unreached = 0
         free = answer.ok_value.free
         others = [
             held for held in answer.ok_value.held if held.holder != self._allotment.queue.holder
@@ -262,25 +261,56 @@
         if 0 < free < self._shortfall():
             await self._tools.steps.draw(self._allotment, free, 1)
             free = 0
-        for held in sorted(others, key=lambda held: -held.outstanding):
-            if not self._waiters:
-                break
-            peer = peer_by_host.get(held.holder.host)
-            if peer is None or not await self._take(peer, held.holder):
-                unreached += held.outstanding
-        return _Found(free, unreached)
+        others.sort(key=lambda held: -held.outstanding)
+        return _Found(free, await self._take_from_each(others, peer_by_host))
+
+    async def _take_from_each(
+        self, others: Sequence[HeldAmount], peer_by_host: Mapping[str, PeerHost]
+    ) -> int:
+        """Ask one holder, then two at once, then four; gives what unreached ones hold.
+
+        One after the other, many holders take so long that other hosts' searches move the
+        money about meanwhile: each finds nothing, though there is enough. All at once
+        would give far more than is needed.
+        """
+        unreached = 0
+        begin, count = 0, 1
+        while begin < len(others) and self._waiters:
+            asked = others[begin : begin + count]
+            answered = await asyncio.gather(
+                *(self._take_from_holder(held, peer_by_host, count == 1) for held in asked)
+            )
+            unreached += sum(
+                held.outstanding
+                for held, is_answer in zip(asked, answered, strict=True)
+                if not is_answer
+            )
+            begin += count
+            count *= 2
+        return unreached
+
+    async def _take_from_holder(
+        self, held: HeldAmount, peer_by_host: Mapping[str, PeerHost], is_alone: bool
+    ) -> bool:
+        peer = peer_by_host.get(held.holder.host)
+        if peer is None:
+            return False
+        return await self._take(peer, held.holder, is_alone)
 
     async def _take_from(self, peers: Sequence[PeerHost]) -> None:
         for peer in peers:
             if not self._waiters:
                 return
-            await self._take(peer, None)
+            await self._take(peer, None, True)
 
-    async def _take(self, peer: PeerHost, expected: Holder | None) -> bool:
-        """Take from one peer; false where the expected holder did not answer."""
+    async def _take(self, peer: PeerHost, expected: Holder | None, is_alone: bool) -> bool:
+        """Take from one peer; false where the expected holder did not answer.
+
+        Where several are asked at once (not ``is_alone``), no more than the need is asked of each.
+        """
         allotment = self._allotment
         minimum = self._shortfall()
-        amount = max(minimum, self._tools.wanted(allotment))
+        amount = max(minimum, self._tools.wanted(allotment)) if is_alone else minimum
         reply = await self._tools.taker.take(peer, allotment, amount, minimum)
         self.serve()
         if reply is None:
--- a/cranberrywall/budgets/_transfers.py
+++ b/cranberrywall/budgets/_transfers.py
@@ -5,6 +5,7 @@
 it: at each moment at most one of the two can spend it.
 """
 
+import heapq
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
@@ -47,6 +48,11 @@
     budget: str
 
 
+class _Numbering(NamedTuple):
+    taker: Holder
+    budget: str
+
+
 class Giver:
     """Answer peers that are short of money."""
 
@@ -157,6 +163,7 @@
         self._random = random
         self._rests_until: dict[str, float] = {}
         self._unanswered: dict[_Line, TakeRequest] = {}
+        self._unused_by_numbering: dict[_Numbering, list[int]] = {}
         self.sent = 0
 
     async def take(
@@ -178,11 +185,10 @@
             allotment.workspace,
             holder,
             number,
-            allotment.next_accept,
+            self._next_number(allotment),
             amount,
             minimum,
         )
-        allotment.next_accept += 1
         key = _Line(peer.host, allotment.budget)
         unanswered = self._unanswered.pop(key, None)
         if unanswered is not None:
@@ -221,11 +227,30 @@
         reply = answer.ok_value
         if reply.transfer is not None:
             await self._accept(reply.transfer, reply.is_reported, allotment)
-        elif request.taker_number + 1 == allotment.next_accept:
-            # No transfer bears the number: the next request may have it.
-            allotment.next_accept = request.taker_number
+        else:
+            # No transfer bears the number: a later request may have it.
+            numbering = _Numbering(request.taker, request.budget)
+            heapq.heappush(
+                self._unused_by_numbering.setdefault(numbering, []), request.taker_number
+            )
         return reply
 
+    def _next_number(self, allotment: Allotment) -> int:
+        """Return the lowest number that no transfer to this holder has or may have.
+
+        Hosts that are asked at once mostly give nothing. Were their numbers left out, the
+        ledger would soon refuse the others as too far ahead of the first missing one.
+        """
+        numbering = _Numbering(allotment.queue.holder, allotment.budget)
+        unused = self._unused_by_numbering.get(numbering)
+        if unused:
+            number = heapq.heappop(unused)
+            if not unused:
+                del self._unused_by_numbering[numbering]
+            return number
+        allotment.next_accept += 1
+        return allotment.next_accept - 1
+
     async def _accept(self, transfer: Transfer, is_reported: bool, allotment: Allotment) -> None:
         if self._is_ended(transfer.giver) or transfer.taker != allotment.queue.holder:
             # A late answer. This host has told the giver's successor that nothing of the
--- /dev/null
+++ b/tests/budgets/test_searches.py
@@ -0,0 +1,73 @@
+"""Tell how a host finds the last of a budget that many hosts hold parts of."""
+
+import random
+from collections.abc import Awaitable, Callable
+
+from result import Ok
+
+from cranberrywall.budgets import make_ledger_machine
+from cranberrywall.budgets._peer_messages import TakeRequest
+from cranberrywall.errors import ErrorKind
+from tests.budgets.money_stories import ask, refused, reserved
+from tests.fakes.clock import VirtualClock, run_virtual
+from tests.fakes.money import MoneyFleet
+
+HOSTS = [f"h{number}" for number in range(30)]
+
+
+def _on_many_hosts(story: Callable[[MoneyFleet], Awaitable[None]]) -> None:
+    async def main() -> None:
+        places = dict.fromkeys(HOSTS, "north")
+        fleet = MoneyFleet(places, make_ledger_machine(), VirtualClock(), random.Random(5))
+        await fleet.start()
+        await story(fleet)
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_parts_on_many_distant_hosts_are_gathered_in_time() -> None:
+    """Thirty hosts hold a part each, and a call between hosts takes 40 ms.
+
+    A request needs most of the parts. Asked one after the other, the hosts took longer
+    than the request may wait, and it was refused though the money was there.
+    """
+
+    async def story(fleet: MoneyFleet) -> None:
+        fleet.credit("main", 3000)
+        for host in HOSTS:
+            await reserved(fleet, host, f"small {host}", 1)
+        fleet.net.delay_s = 0.02
+        now = fleet.clock.now()
+        allotments = fleet.host_by_name["h0"].allotments
+        answer = await allotments.reserve(ask(fleet, "large", 2700, patience_s=1.5), now)
+        assert isinstance(answer, Ok), answer
+
+    _on_many_hosts(story)
+
+
+def test_hosts_that_give_nothing_use_up_no_numbers() -> None:
+    """All that is left is reserved on thirty hosts, and one of them is refused again and again.
+
+    Each refusal asks all the others at once. Did their answers use up a number each, the
+    ledger would soon refuse this host's transfers as too far ahead of the missing ones.
+    """
+
+    async def story(fleet: MoneyFleet) -> None:
+        fleet.credit("main", 100 * len(HOSTS))
+        for host in HOSTS:
+            await reserved(fleet, host, f"open {host}", 100)
+        numbers: list[int] = []
+
+        def note(_: str, __: str, request: object) -> bool:
+            if isinstance(request, TakeRequest):
+                numbers.append(request.taker_number)
+            return False
+
+        fleet.net.lose_request = note
+        for attempt in range(8):
+            assert await refused(fleet, "h0", f"r{attempt}", 80) is ErrorKind.BUDGET_EXHAUSTED
+        assert len(numbers) >= 8 * (len(HOSTS) - 1)
+        assert max(numbers) <= len(HOSTS)
+
+    _on_many_hosts(story)
