Read before drawing where the ledger had too little free when last heard

Cause: in the last 1% a search drew (and got nothing), then read who holds money; after a fruitless round it read whether all is spent, drew, and read again. What a read told was not kept, so hosts drew once more only because their last sums were old.

Change: such a round begins with one read, which tells whether all is spent, whether a draw can succeed, and whom to take from; the sums that a read tells are kept like a draw's.

--- a/cranberrywall/budgets/_ledger_steps.py
+++ b/cranberrywall/budgets/_ledger_steps.py
@@ -5,7 +5,7 @@
 from cranberrywall.budgets._allotment import Allotment
 from cranberrywall.budgets._charges import out_of_reach
 from cranberrywall.budgets._client import LedgerClient
-from cranberrywall.budgets._sizing import LedgerView
+from cranberrywall.budgets._sizing import view_of
 from cranberrywall.budgets.messages import Draw, DrawResult, Return
 from cranberrywall.errors import Refusal
 from cranberrywall.runtime import Clock
@@ -70,15 +70,7 @@
         allotment.pending_draw = None
         allotment.next_draw = draw.number + 1
         allotment.granted(result.granted)
-        allotment.heard(
-            LedgerView(
-                result.free,
-                result.outstanding,
-                result.credited,
-                result.charged,
-                self._clock.now(),
-            )
-        )
+        allotment.heard(view_of(result, self._clock.now()))
         return answer
 
     async def give_back(self, allotment: Allotment, amount: int) -> Result[int, Refusal]:
--- a/cranberrywall/budgets/_scarcity.py
+++ b/cranberrywall/budgets/_scarcity.py
@@ -18,6 +18,7 @@
 from cranberrywall.budgets._interfaces import PeerHost, Peers, ReserveRequest
 from cranberrywall.budgets._ledger_steps import STEP_TIMEOUT_S, LedgerSteps
 from cranberrywall.budgets._reservation import HeldReservation
+from cranberrywall.budgets._sizing import view_of
 from cranberrywall.budgets._transfers import Taker, nearest_first
 from cranberrywall.budgets.messages import BudgetQuery, BudgetResult, HeldAmount, Holder
 from cranberrywall.errors import ErrorKind, Refusal
@@ -173,9 +174,10 @@
             await self._tools.clock.sleep(wait)
 
     async def _search(self) -> _Found:
-        is_known_in_reach = self._allotment.queue.in_reach
-        if is_known_in_reach and self._pause_s > 0.0 and await self._is_spent():
-            return _Found(0, 0)
+        if self._is_read_first():
+            found = await self._read_and_take()
+            if found is not None:
+                return found
         is_first = self._allotment.view is None
         free = await self._draw()
         self.serve()
@@ -210,11 +212,40 @@
         # the money, as where this holder was succeeded while it was cut off.
         return 0 if refusal.kind is ErrorKind.NOT_FOUND else None
 
-    async def _is_spent(self) -> bool:
-        """Ask, by one read, whether all that is left anywhere covers nobody in line."""
-        query = BudgetQuery(self._allotment.budget)
-        answer = await self._tools.ledger.budget(query, STEP_TIMEOUT_S)
-        return isinstance(answer, Ok) and self._shortfall() > self._elsewhere(answer.ok_value)
+    def _is_read_first(self) -> bool:
+        """Say whether the ledger had too little free when it was last heard.
+
+        A draw would then most likely be refused, and the read that follows it tells the
+        same and more.
+        """
+        allotment = self._allotment
+        view = allotment.view
+        is_short = view is not None and view.free < self._shortfall()
+        return allotment.queue.in_reach and (self._pause_s > 0.0 or is_short)
+
+    async def _read_and_take(self) -> _Found | None:
+        """Read the sums and act on them; ``None`` where a draw is to be tried."""
+        await self._tools.taker.ask_again(self._tools.peers.alive(), self._allotment)
+        self.serve()
+        if not self._waiters:
+            return _Found(0, 0)
+        claim = Claim(self._allotment)
+        answer = await self._read()
+        if isinstance(answer, Err):
+            return None
+        sums = answer.ok_value
+        if self._shortfall() > self._elsewhere(sums):
+            return _Found(0, 0)
+        if sums.free >= self._shortfall():
+            return None
+        return await self._take_as_told(sums, claim)
+
+    async def _read(self) -> Result[BudgetResult, Refusal]:
+        tools = self._tools
+        answer = await tools.ledger.budget(BudgetQuery(self._allotment.budget), STEP_TIMEOUT_S)
+        if isinstance(answer, Ok):
+            self._allotment.heard(view_of(answer.ok_value, tools.clock.now()))
+        return answer
 
     def _elsewhere(self, sums: BudgetResult) -> int:
         """Return what is free, held by others, or granted to us without our knowing yet."""
@@ -239,24 +270,25 @@
 
     async def _take_from_holders(self, free: int) -> _Found:
         """Take from the holders that the ledger names, the largest first."""
-        tools = self._tools
-        query = BudgetQuery(self._allotment.budget)
         claim = Claim(self._allotment)
-        answer = await tools.ledger.budget(query, STEP_TIMEOUT_S)
+        answer = await self._read()
         if isinstance(answer, Err):
             if out_of_reach(answer.err_value):
                 return _Found(None, 0)
             return _Found(free, 0)
+        return await self._take_as_told(answer.ok_value, claim)
+
+    async def _take_as_told(self, sums: BudgetResult, claim: Claim) -> _Found:
+        """Take from the holders in ``sums``, which were read after ``claim`` was made."""
+        tools = self._tools
         peer_by_host = {peer.host: peer for peer in tools.peers.alive()}
         tools.is_scarce(self._allotment)
-        if claim.take_up(answer.ok_value):
+        if claim.take_up(sums):
             tools.taker.forget_unanswered(self._allotment.budget)
             self.serve()
-        free = answer.ok_value.free
-        others = [
-            held for held in answer.ok_value.held if held.holder != self._allotment.queue.holder
-        ]
-        if self._shortfall() > self._elsewhere(answer.ok_value):
+        free = sums.free
+        others = [held for held in sums.held if held.holder != self._allotment.queue.holder]
+        if self._shortfall() > self._elsewhere(sums):
             return _Found(free, 0)
         if 0 < free < self._shortfall():
             await self._tools.steps.draw(self._allotment, free, 1)
--- a/cranberrywall/budgets/_sizing.py
+++ b/cranberrywall/budgets/_sizing.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from cranberrywall.budgets._interfaces import EntryHost
+from cranberrywall.budgets.messages import BudgetResult, DrawResult
 
 # Part of the shares that is spread evenly: demand shifts to hosts that had none lately.
 EVEN_PART = 0.4
@@ -36,6 +37,11 @@
         return self.credited - self.charged
 
 
+def view_of(sums: BudgetResult | DrawResult, now: float) -> LedgerView:
+    """Return the view that the ledger's answer at ``now`` gives."""
+    return LedgerView(sums.free, sums.outstanding, sums.credited, sums.charged, now)
+
+
 class Rates(NamedTuple):
     """Give this host's rate of spending and all hosts', and its part in its place.
 
--- a/tests/budgets/test_searches.py
+++ b/tests/budgets/test_searches.py
@@ -71,3 +71,44 @@
         assert max(numbers) <= len(HOSTS)
 
     _on_many_hosts(story)
+
+
+def test_a_spent_budget_costs_one_read_a_refusal() -> None:
+    """A budget is spent, and long after the last refusal another request comes.
+
+    The host knows that nothing was free, and asks the ledger anew: by one read, which tells
+    both what is free and who holds the rest.
+    """
+
+    async def story(fleet: MoneyFleet) -> None:
+        fleet.credit("main", 100)
+        first = await reserved(fleet, "h1", "first", 100)
+        assert await first.settle(100, fleet.clock.now()) == Ok(None)
+        await refused(fleet, "h0", "before", 50)
+        for attempt in range(5):
+            await fleet.clock.sleep(3.0)
+            before = fleet.net.ledger_calls
+            assert await refused(fleet, "h0", f"r{attempt}", 50) is ErrorKind.BUDGET_EXHAUSTED
+            assert fleet.net.ledger_calls == before + 1
+
+    _on_many_hosts(story)
+
+
+def test_money_held_by_others_is_found_by_one_read() -> None:
+    """Nothing is free at the ledger, as a host knows, and others hold money in parts.
+
+    It used to draw, be refused, and then read who holds the money; now it reads at once.
+    """
+
+    async def story(fleet: MoneyFleet) -> None:
+        fleet.credit("main", 100)
+        open_ = await reserved(fleet, "h1", "open", 100)
+        await refused(fleet, "h0", "before", 50)
+        await fleet.clock.sleep(3.0)
+        open_.release(fleet.clock.now())
+        before = fleet.net.ledger_calls
+        await reserved(fleet, "h0", "next", 50)
+        reads_and_transfers = fleet.net.ledger_calls - before
+        assert reads_and_transfers == 2
+
+    _on_many_hosts(story)
