--- a/tests/settings/test_load.py
+++ b/tests/settings/test_load.py
@@ -158,7 +158,15 @@
 
 
 @pytest.mark.parametrize(
-    "content", [b"process: [entry", b"host: a\nhost: b\n", b"\xff\xfe", b"a: *b", b"? {a: b}\n: c"]
+    "content",
+    [
+        b"process: [entry",
+        b"host: a\nhost: b\n",
+        b"\xff\xfe",
+        b"a: *b",
+        b"? {a: b}\n: c",
+        b"host: 2026-13-45",
+    ],
 )
 def test_a_file_that_is_not_yaml(folder: Path, content: bytes):
     file = folder / "broken.yaml"
