--- a/cranberrywall/hosts/_membership.py
+++ b/cranberrywall/hosts/_membership.py
@@ -94,9 +94,15 @@
         self._spreading = Spreading(self._table, caller, clock, pace, self._contacts)
         self._syncing = Syncing(own.host, place, self._table, self._spreading, caller, clock, pace)
         self._prober = Prober(
-            self._roster, self._table, self._spreading, caller, clock, random, pace,
+            self._roster,
+            self._table,
+            self._spreading,
+            caller,
+            clock,
+            random,
+            pace,
             self._on_answer,
-        )  # fmt: skip
+        )
         self._spreading.subscribe(HOSTS_TOPIC, self._on_host)
         self._tasks: set[asyncio.Task[Any]] = set()
         self._load = 0.0
@@ -183,9 +189,11 @@
 
     def export(self, metrics: Metrics) -> None:
         metrics.gauges_of(
-            "membership_hosts", "Hosts known, by what is believed of them.", "state",
+            "membership_hosts",
+            "Hosts known, by what is believed of them.",
+            "state",
             self._hosts_by_state,
-        )  # fmt: skip
+        )
         metrics.counters_of("membership_events", "What membership did.", "event", self._counts)
 
     def _hosts_by_state(self) -> dict[str, float]:
--- a/cranberrywall/hosts/_roster.py
+++ b/cranberrywall/hosts/_roster.py
@@ -169,9 +169,14 @@
     def _view(self, entry: Entry, now: float) -> HostView:
         record = entry.record
         return HostView(
-            entry.host, record.place, record.links, record.http,
-            entry.version.incarnation, self._believed(entry, now), self._load(entry),
-        )  # fmt: skip
+            host=entry.host,
+            place=record.place,
+            links=record.links,
+            http=record.http,
+            incarnation=entry.version.incarnation,
+            state=self._believed(entry, now),
+            load=self._load(entry),
+        )
 
     def _believed(self, entry: Entry, now: float) -> HostState:
         state = entry.state
--- a/cranberrywall/observability/_log.py
+++ b/cranberrywall/observability/_log.py
@@ -32,9 +32,13 @@
     logger.remove()
     logger.configure(extra={"process_name": process, "host": host, "place": place})
     logger.add(
-        sink or sys.stderr, level=level, format=_format, colorize=False, backtrace=False,
+        sink or sys.stderr,
+        level=level,
+        format=_format,
+        colorize=False,
+        backtrace=False,
         diagnose=False,
-    )  # fmt: skip
+    )
     _take_over_library_logs()
 
 
