--- a/cranberrywall/hosts/_prober.py
+++ b/cranberrywall/hosts/_prober.py
@@ -99,8 +99,8 @@
         self.failures += 1
         if await self._ask_through_others(entry, timeout):
             return
-        # A process that did not run for a while, as one that was stopped or starved, finds
-        # that all its probes timed out at once. That says nothing of the others.
+        # A process that did not run for a while, since it was stopped or got no processor
+        # time, finds that all its probes timed out at once. That says nothing of the others.
         if self._clock.now() - began > _FROZEN_TIMEOUTS * timeout:
             return
         suspect = self._roster.judge(entry.host, SUSPECT)
--- a/cranberrywall/replication/_core.py
+++ b/cranberrywall/replication/_core.py
@@ -252,7 +252,7 @@
             return
         error = task.exception()
         if error is not None:
-            # A fault in our own code: its state cannot be trusted, and a member that
-            # goes on half alive would keep its followers from electing another.
+            # A fault in our own code: its state cannot be trusted, and a leader that goes
+            # on with its heartbeats alone would keep its followers from electing another.
             log_event("ERROR", "group_task_failed", error, host=self.host, group=self.group)
             self.fail(Refusal(ErrorKind.INTERNAL, f"{type(error).__name__}: {error}"))
