Write ledger queries by the names of their fields

Cause: a reader of ExceptionsQuery('', False, now, 0, 0, period) has to look up six places. Change: each query with literals in it names them; gather_report and gather_exceptions say their units, and that the pages are theirs.

--- a/cranberrywall/commands/ctl/_reports.py
+++ b/cranberrywall/commands/ctl/_reports.py
@@ -67,13 +67,17 @@
 async def gather_report(
     ledger: LedgerClient, period: str, workspace: str, now: float, timeout: float
 ) -> Result[FleetReport, Refusal]:
-    """Return the report of a closed period, or of the open one where ``period`` is empty."""
+    """Return the report of a closed period, or of the open one where ``period`` is empty.
+
+    ``now`` is seconds since the epoch; each call to a group takes ``timeout`` seconds at most.
+    """
     pages = await from_each_group(
         ledger, lambda group: _read_rows(ledger, group, period, workspace, timeout)
     )
     if isinstance(pages, Err):
         return Err(pages.err_value)
-    named = await gather_exceptions(ledger, ExceptionsQuery("", False, now, 0, 0, period), timeout)
+    query = ExceptionsQuery(budget="", open_only=False, now=now, after=0, limit=0, period=period)
+    named = await gather_exceptions(ledger, query, timeout)
     if isinstance(named, Err):
         return Err(named.err_value)
     results = pages.ok_value
@@ -102,7 +106,7 @@
     rows: list[ReportRow] = []
     after = ""
     while True:
-        query = ReportQuery(period, workspace, after, _PAGE_ROWS)
+        query = ReportQuery(period, workspace, after, limit=_PAGE_ROWS)
         page = await ledger.report(group, query, timeout)
         if isinstance(page, Err):
             return page
@@ -116,7 +120,11 @@
 async def gather_exceptions(
     ledger: LedgerClient, query: ExceptionsQuery, timeout: float
 ) -> Result[FleetExceptions, Refusal]:
-    """Return every group's exceptions, and how many more were only counted."""
+    """Return every group's exceptions, and how many more were only counted.
+
+    The pages are asked for one after another, whatever the query's ``after`` and ``limit``;
+    each call takes ``timeout`` seconds at most.
+    """
     found: list[GroupException] = []
     unnamed = unnamed_late = 0
     for group in ledger.groups():
--- a/cranberrywall/commands/ctl/budgets.py
+++ b/cranberrywall/commands/ctl/budgets.py
@@ -80,7 +80,9 @@
         found = await session.ledger()
         if isinstance(found, Err):
             return Err(found.err_value)
-        query = ExceptionsQuery(budget, not is_all, session.clock.wall(), 0, 0)
+        query = ExceptionsQuery(
+            budget=budget, open_only=not is_all, now=session.clock.wall(), after=0, limit=0
+        )
         named = await gather_exceptions(found.ok_value, query, session.timeout)
         if isinstance(named, Err):
             return Err(named.err_value)
--- a/cranberrywall/console/_budgets.py
+++ b/cranberrywall/console/_budgets.py
@@ -164,7 +164,9 @@
     async def _exceptions(
         self, ledger: LedgerClient, name: str
     ) -> Result[ExceptionsResult, Refusal]:
-        query = ExceptionsQuery(name, True, self._clock.wall(), 0, MOST_EXCEPTIONS)
+        query = ExceptionsQuery(
+            budget=name, open_only=True, now=self._clock.wall(), after=0, limit=MOST_EXCEPTIONS
+        )
         return await ledger.exceptions(ledger.group(name), query, TIMEOUT_S)
 
     async def _note(self, visit: Visit, what: str, outcome: str) -> None:
--- a/cranberrywall/console/_decisions.py
+++ b/cranberrywall/console/_decisions.py
@@ -74,7 +74,9 @@
             return self._pages.refusal(visit.session, ledger.err_value)
         rows: list[OpenRow] = []
         silent: list[str] = []
-        query = ExceptionsQuery("", True, self._clock.wall(), 0, MOST_SHOWN)
+        query = ExceptionsQuery(
+            budget="", open_only=True, now=self._clock.wall(), after=0, limit=MOST_SHOWN
+        )
         for group in ledger.ok_value.groups():
             result = await ledger.ok_value.exceptions(group, query, TIMEOUT_S)
             if isinstance(result, Ok):
--- a/cranberrywall/console/_report.py
+++ b/cranberrywall/console/_report.py
@@ -90,7 +90,7 @@
         for group in ledger.groups():
             after = ""
             while len(rows) < MOST_ROWS:
-                query = ReportQuery(period, "", after, PAGE)
+                query = ReportQuery(period, workspace="", after=after, limit=PAGE)
                 result = await ledger.report(group, query, TIMEOUT_S)
                 if isinstance(result, Err):
                     return Err(result.err_value)
@@ -102,7 +102,14 @@
         return Ok(sorted(rows))
 
     async def _exceptions(self, ledger: LedgerClient, period: str) -> list[ExceptionRow]:
-        query = ExceptionsQuery("", False, self._clock.wall(), 0, PAGE, period)
+        query = ExceptionsQuery(
+            budget="",
+            open_only=False,
+            now=self._clock.wall(),
+            after=0,
+            limit=PAGE,
+            period=period,
+        )
         rows: list[ExceptionRow] = []
         for group in ledger.groups():
             result = await ledger.exceptions(group, query, TIMEOUT_S)
--- a/cranberrywall/demo/_ledger.py
+++ b/cranberrywall/demo/_ledger.py
@@ -115,7 +115,7 @@
         rows: list[ReportRow] = []
         after = ""
         while True:
-            query = ReportQuery("", "", after, PAGE)
+            query = ReportQuery(period="", workspace="", after=after, limit=PAGE)
             page: ReportResult = await self._persist(
                 partial(self._ledger.report, group, query, CALL_TIMEOUT_S), patience_s
             )
@@ -128,7 +128,9 @@
         named = 0
         after = 0
         while True:
-            query = ExceptionsQuery("", False, self._clock.wall(), after, PAGE)
+            query = ExceptionsQuery(
+                budget="", open_only=False, now=self._clock.wall(), after=after, limit=PAGE
+            )
             page: ExceptionsResult = await self._persist(
                 partial(self._ledger.exceptions, group, query, CALL_TIMEOUT_S), patience_s
             )
