Answer 404 to a top-up of a budget that was removed meanwhile

Cause: the console looked the budget up in the newest document by its key, and a KeyError became a 500 (test seen to fail with it first). Change: the top-up reads the document once and says that there is no such budget. Measured: tests/console passes with the new test.

--- a/cranberrywall/console/_budgets.py
+++ b/cranberrywall/console/_budgets.py
@@ -73,13 +73,16 @@
         if isinstance(amount, Err):
             typed = visit.field("amount")
             return await self._show(visit, amount.err_value.message, typed, change_id, 400)
-        if visit.field("step") == "apply":
-            return await self._apply(visit, amount.ok_value, change_id)
         seen = await self._configuration.document()
         if isinstance(seen, Err):
             return self._pages.refusal(visit.session, seen.err_value)
         name = visit.part("name")
-        unit = seen.ok_value.document["budgets"][name]["unit"]
+        budget = seen.ok_value.document["budgets"].get(name)
+        if budget is None:
+            return self._no_budget(visit)
+        unit = budget["unit"]
+        if visit.field("step") == "apply":
+            return await self._apply(visit, seen.ok_value, unit, amount.ok_value, change_id)
         sums = await self._sums(_ledger(self._control, seen.ok_value), name, unit)
         if isinstance(sums, Err):
             return self._pages.refusal(visit.session, sums.err_value)
@@ -102,8 +105,7 @@
         name = visit.part("name")
         budget = seen.ok_value.document["budgets"].get(name)
         if budget is None:
-            message = f"There is no budget {name}."
-            return self._pages.message(visit.session, "Not found", message, status=404)
+            return self._no_budget(visit)
         ledger = _ledger(self._control, seen.ok_value)
         sums = await self._sums(ledger, name, budget["unit"])
         if isinstance(sums, Err):
@@ -121,21 +123,24 @@
             change_id=change_id,
         )
 
-    async def _apply(self, visit: Visit, amount: int, change_id: str) -> web.StreamResponse:
+    def _no_budget(self, visit: Visit) -> web.StreamResponse:
+        message = f"There is no budget {visit.part('name')}."
+        return self._pages.message(visit.session, "Not found", message, status=404)
+
+    async def _apply(
+        self, visit: Visit, seen: DocumentAt, unit: str, amount: int, change_id: str
+    ) -> web.StreamResponse:
         name = visit.part("name")
-        seen = await self._configuration.document()
-        if isinstance(seen, Err):
-            return self._pages.refusal(visit.session, seen.err_value)
         credit = Credit(
             budget=name,
-            workspace=next(iter(_workspaces(seen.ok_value, name)), ""),
-            unit=seen.ok_value.document["budgets"][name]["unit"],
+            workspace=next(iter(_workspaces(seen, name)), ""),
+            unit=unit,
             amount=amount,
             change_id=change_id,
             operator=visit.session.name,
             at=self._clock.wall(),
         )
-        result = await _ledger(self._control, seen.ok_value).credit(credit, TIMEOUT_S)
+        result = await _ledger(self._control, seen).credit(credit, TIMEOUT_S)
         outcome = "done" if isinstance(result, Ok) else str(result.err_value)
         await self._note(visit, f"{name} by {amount}, change {change_id}", outcome)
         if isinstance(result, Ok):
--- a/tests/console/test_budgets.py
+++ b/tests/console/test_budgets.py
@@ -43,3 +43,16 @@
         await browser.post("/budgets/desk", [*browser.hidden(), ("amount", typed)])
         assert browser.status == 400
         assert f'value="{typed}"' in browser.text
+
+
+async def test_a_top_up_of_a_budget_that_is_gone_is_not_found(browse) -> None:
+    """An operator has a budget's page open while another removes the budget, and then
+    tops it up. The document that is read for the top-up has no such budget any more.
+    """
+    browser = await browse("omar")
+    await browser.get("/budgets/desk")
+    form = [*browser.hidden(), ("amount", "1500")]
+    for step in ("", "apply"):
+        await browser.post("/budgets/gone", [*form, ("step", step)])
+        assert browser.status == 404
+        assert "There is no budget gone." in browser.text
