Preview a top-up in a function of its own

Cause: BudgetPages.top_up read the form, chose the step and made the preview. Change: _preview stands beside _apply and takes the same. Measured: tests/console passes.

--- a/cranberrywall/console/_budgets.py
+++ b/cranberrywall/console/_budgets.py
@@ -76,14 +76,19 @@
         seen = await self._configuration.document()
         if isinstance(seen, Err):
             return self._pages.refusal(visit.session, seen.err_value)
-        name = visit.part("name")
-        budget = seen.ok_value.document["budgets"].get(name)
+        budget = seen.ok_value.document["budgets"].get(visit.part("name"))
         if budget is None:
             return self._no_budget(visit)
         unit = budget["unit"]
         if visit.field("step") == "apply":
             return await self._apply(visit, seen.ok_value, unit, amount.ok_value, change_id)
-        sums = await self._sums(_ledger(self._control, seen.ok_value), name, unit)
+        return await self._preview(visit, seen.ok_value, unit, amount.ok_value, change_id)
+
+    async def _preview(
+        self, visit: Visit, seen: DocumentAt, unit: str, amount: int, change_id: str
+    ) -> web.StreamResponse:
+        name = visit.part("name")
+        sums = await self._sums(_ledger(self._control, seen), name, unit)
         if isinstance(sums, Err):
             return self._pages.refusal(visit.session, sums.err_value)
         return self._pages.page(
@@ -91,7 +96,7 @@
             "topup.html",
             name=name,
             sums=sums.ok_value,
-            amount=amount.ok_value,
+            amount=amount,
             change_id=change_id,
             lost=None,
         )
