Write out five one-letter names

Cause: w, h, i and _N say nothing to a reader. Change: workspace, row, host, item and _Number. Measured: tests/console, load, budgets and replication pass.

--- a/cranberrywall/budgets/_ledger_machine.py
+++ b/cranberrywall/budgets/_ledger_machine.py
@@ -182,7 +182,9 @@
         return holding.no_budget(query.budget)
     held = tuple(
         messages.HeldAmount(holder, allotment.outstanding, allotment.active_at)
-        for holder, allotment in sorted(account.allotment_by_holder.items(), key=lambda i: i[0])
+        for holder, allotment in sorted(
+            account.allotment_by_holder.items(), key=lambda item: item[0]
+        )
     )
     return messages.BudgetResult(
         budget=query.budget,
--- a/cranberrywall/console/_fleet.py
+++ b/cranberrywall/console/_fleet.py
@@ -134,7 +134,7 @@
             name for name, host in seen.document["hosts"].items() if "entry" in host["roles"]
         ]
         hosts = await self._hosts(seen, spread_evenly(sorted(entries), MOST_HOSTS_ASKED))
-        in_force = [h for h in hosts if h.revision is not None and h.revision >= number]
+        in_force = [row for row in hosts if row.revision is not None and row.revision >= number]
         return self._pages.page(
             visit.session,
             "revision.html",
@@ -165,7 +165,9 @@
 
     async def _targets(self, seen: DocumentAt) -> list[TargetRow]:
         """Return the targets that a few entry hosts know; each should know all of them."""
-        entries = [h["links"] for h in seen.document["hosts"].values() if "entry" in h["roles"]]
+        entries = [
+            host["links"] for host in seen.document["hosts"].values() if "entry" in host["roles"]
+        ]
         request = DumpRequest("targets")
         answers = await asyncio.gather(
             *(
--- a/cranberrywall/load/_plan.py
+++ b/cranberrywall/load/_plan.py
@@ -86,7 +86,9 @@
             name: workspace["key"] for name, workspace in profile["workspaces"].items()
         }
         self._workspaces = list(profile["workspaces"])
-        self._workspace_weights = [w["weight"] for w in profile["workspaces"].values()]
+        self._workspace_weights = [
+            workspace["weight"] for workspace in profile["workspaces"].values()
+        ]
         self._chat_by_name = profile.get("chats", {})
         self._service_by_name = profile.get("services", {})
         self._names = [*self._chat_by_name, *self._service_by_name]
--- a/cranberrywall/replication/_leadership.py
+++ b/cranberrywall/replication/_leadership.py
@@ -17,7 +17,7 @@
 
 _DRAIN_POLL_S = 0.01
 
-_N = TypeVar("_N", int, float)
+_Number = TypeVar("_Number", int, float)
 
 
 class _Proposal(NamedTuple):
@@ -239,10 +239,10 @@
                 waiting.append(read)
         self._reads = waiting
 
-    def _majority_of(self, own: _N, value: Callable[[PeerLink], _N]) -> _N:
+    def _majority_of(self, own: _Number, value: Callable[[PeerLink], _Number]) -> _Number:
         """Return the highest value that a majority of the voters has reached."""
         roster = self._core.log.roster
-        values: list[_N] = []
+        values: list[_Number] = []
         for member in voters(roster):
             peer = self.peer_by_host.get(member.host)
             if member.host == self._core.host:
