Guard the streams by TLS with certificates at both ends, and serve HTTPS

Cause: streams and HTTP were in the clear; every host holds the one fleet key, so that any of them could give itself out for another.

Change: settings have a section tls. Streams are TLS 1.3 with certificates at both ends below the shared-key proof, and a host that claims a name which its certificate does not name is dropped (wrong_certificate). Entry hosts and the console serve HTTPS, targets with HTTPS are trusted by the same authorities, and /v1/addresses names URLs of the scheme that the caller came by. Files are looked at again on an interval and on SIGHUP; new connections use what is whole and right, open ones go on. A handshake that a listener refuses is logged, because the event loop drops it without a word.

Additive in others' packages: make_http_sender(context), make_caller_stack(fetch=), rank_addresses(scheme), make_console_server(context), CertifiedWriter and StreamContexts in runtime; tests' fakes stay as they were.

With the listener's switch of contexts taken out, the rotation test fails; with the server's check of the certificate's name taken out, the test of a host under another's name fails.

--- a/cranberrywall/callers/_addresses.py
+++ b/cranberrywall/callers/_addresses.py
@@ -17,9 +17,13 @@
     place: str
 
 
-def rank_addresses(hosts: Sequence[HostView], place: str) -> list[CallerAddress]:
+def rank_addresses(
+    hosts: Sequence[HostView], place: str, scheme: str = "http"
+) -> list[CallerAddress]:
     """Return the hosts to use, best first.
 
+    ``scheme`` is how the caller reached this host; the hosts of a fleet serve alike.
+
     Hosts in ``place`` weigh more, busy ones less; each keeps a little weight, so that
     callers notice when a busy host has become free. Hosts that leave, are suspect or dead
     are not named.
@@ -38,7 +42,7 @@
         if view.state is not HostState.ALIVE or not view.http:
             continue
         near = _OWN_PLACE_FACTOR if view.place == place else 1.0
-        raw_by_url[f"http://{view.http}"] = (
+        raw_by_url[f"{scheme}://{view.http}"] = (
             near * max(_LEAST_WEIGHT, 1.0 - view.load),
             view.place,
         )
--- a/cranberrywall/callers/_app.py
+++ b/cranberrywall/callers/_app.py
@@ -38,7 +38,7 @@
     async def addresses(self, request: web.Request) -> web.Response:
         """Answer ``GET /v1/addresses``; it needs no key, and works before a configuration."""
         parts = self._parts
-        addresses = rank_addresses(parts.membership.alive(), parts.place)
+        addresses = rank_addresses(parts.membership.alive(), parts.place, request.scheme)
         body = {
             "addresses": [address._asdict() for address in addresses],
             "ttl_s": parts.limits.ttl_s,
--- a/cranberrywall/commands/_console_program.py
+++ b/cranberrywall/commands/_console_program.py
@@ -16,6 +16,7 @@
 )
 from cranberrywall.runtime import Runtime
 from cranberrywall.settings import FleetKeys, Settings, load_fleet_keys
+from cranberrywall.tls import TlsKeeper
 
 
 class ConsoleProgram:
@@ -53,8 +54,10 @@
         log_event("INFO", "console_stopped")
 
 
-def make_console_program(settings: Settings, runtime: Runtime) -> ConsoleProgram:
-    """Return the console program of checked settings.
+def make_console_program(
+    settings: Settings, runtime: Runtime, tls: TlsKeeper | None = None
+) -> ConsoleProgram:
+    """Return the console program of checked settings; ``tls`` gives HTTPS.
 
     Raise ``ValueError`` for a key file that changed since the check, and for a runtime
     without storage: accounts and the audit trail are files.
@@ -76,7 +79,7 @@
     controls = [remote["links"] for remote in settings["controls"]]
     control = make_control_client(caller, runtime.clock, controls, runtime.random)
     parts = ConsoleParts(control, caller, runtime.clock, runtime.storage)
-    server = make_console_server(parts, settings["listen"]["http"])
+    server = make_console_server(parts, settings["listen"]["http"], tls.http if tls else None)
     state = _make_state(settings, caller)
     admin = make_admin_server(
         settings["listen"]["admin"], make_metrics(), state, HealthChecks(), keys.admin
--- a/cranberrywall/commands/_control_program.py
+++ b/cranberrywall/commands/_control_program.py
@@ -41,6 +41,7 @@
     GroupMachine,
     Issuer,
     OrderController,
+    OrderSender,
     make_group_machine,
     make_http_sender,
     make_order_controller,
@@ -55,6 +56,7 @@
     seconds,
     size_in_bytes,
 )
+from cranberrywall.tls import TlsKeeper
 
 CONFIGURATION_GROUP = "configuration"
 
@@ -107,8 +109,10 @@
         log_event("INFO", "control_stopped")
 
 
-def make_control_program(settings: Settings, runtime: Runtime) -> ControlProgram:
-    """Return the control program of checked settings.
+def make_control_program(
+    settings: Settings, runtime: Runtime, tls: TlsKeeper | None = None
+) -> ControlProgram:
+    """Return the control program of checked settings; ``tls`` trusts targets with HTTPS.
 
     Raise ``ValueError`` for a key file that changed since the check, and for a runtime
     without storage.
@@ -129,7 +133,8 @@
     host = _make_host(settings, runtime, machine_by_group, caller, server)
     feed = _make_feed(settings, machine.configuration, caller)
     feed.register(server)
-    orders = _make_orders(settings, runtime, me, machine, host)
+    sender = make_http_sender(tls.fetch if tls else None)
+    orders = _make_orders(settings, runtime, me, machine, host, sender)
     state = _make_state(settings, runtime.clock, host, machine, orders, ledger_by_group)
     register_dump(server, state.dump_section_json)
     metrics = _make_metrics(host, counters, ledger_by_group)
@@ -208,7 +213,12 @@
 
 
 def _make_orders(
-    settings: Settings, runtime: Runtime, me: Peer, machine: GroupMachine, host: ControlHost
+    settings: Settings,
+    runtime: Runtime,
+    me: Peer,
+    machine: GroupMachine,
+    host: ControlHost,
+    sender: OrderSender,
 ) -> OrderController:
     reports = EngineReports(runtime.clock)
     reports.register(host.server)
@@ -217,7 +227,7 @@
         Issuer(me.host, me.incarnation),
         reports,
         lambda: _document_of(machine.configuration),
-        make_http_sender(),
+        sender,
         host.caller,
         {remote["host"]: remote["links"] for remote in settings["controls"]},
         runtime.clock,
--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -45,6 +45,7 @@
     make_http_probe,
     make_targets,
 )
+from cranberrywall.tls import TlsKeeper
 
 SHUTDOWN_S = 1.0
 
@@ -69,8 +70,9 @@
 class EntryProgram:
     """Hold one entry process."""
 
-    def __init__(self, settings: Settings, runtime: Runtime) -> None:
+    def __init__(self, settings: Settings, runtime: Runtime, tls: TlsKeeper | None) -> None:
         self._settings = settings
+        self._tls = tls
         self._runtime = runtime
         self._keys = load_keys(settings)
         self._configuration = make_host_configuration(runtime.storage)
@@ -222,6 +224,7 @@
                 bodies=BodyLimits(most_bytes=size_in_bytes(callers["body"])),
                 ttl_s=seconds(callers["address_ttl"]),
             ),
+            fetch=self._tls.fetch if self._tls else None,
         )
         stack.app.add_routes(
             make_announce_routes(self._targets, self._keys.target, runtime.clock, self._publish)
@@ -232,7 +235,8 @@
         )
         await runner.setup()
         host, port = split_address(self._settings["listen"]["http"])
-        await web.TCPSite(runner, host, port).start()
+        context = self._tls.http if self._tls else None
+        await web.TCPSite(runner, host, port, ssl_context=context).start()
         self._stack = stack
         self._runner = runner
         prober = Prober(
@@ -304,9 +308,11 @@
         }
 
 
-def make_entry_program(settings: Settings, runtime: Runtime) -> EntryProgram:
-    """Return the entry program of checked settings.
+def make_entry_program(
+    settings: Settings, runtime: Runtime, tls: TlsKeeper | None = None
+) -> EntryProgram:
+    """Return the entry program of checked settings; ``tls`` gives HTTPS.
 
     Raise ``ValueError`` for a key file that changed since the check.
     """
-    return EntryProgram(settings, runtime)
+    return EntryProgram(settings, runtime, tls)
--- a/cranberrywall/commands/console.py
+++ b/cranberrywall/commands/console.py
@@ -1,12 +1,14 @@
 """Run the operators' console."""
 
+import asyncio
+
 import aiomisc
 import click
 
 from cranberrywall.commands._console_program import ConsoleProgram, make_console_program
 from cranberrywall.commands._running import run_until_signal
+from cranberrywall.commands._secured import make_secured
 from cranberrywall.observability import configure_log, dump_state_on_signal
-from cranberrywall.runtime import make_runtime
 from cranberrywall.settings import Settings, settings_options
 
 
@@ -17,16 +19,20 @@
         super().__init__()
         self._settings = settings
         self._program: ConsoleProgram | None = None
+        self._watch: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Start the program, and dump its state on SIGUSR1."""
-        runtime = make_runtime(self._settings.get("data"))
-        self._program = make_console_program(self._settings, runtime)
+        secured = make_secured(self._settings)
+        self._program = make_console_program(self._settings, *secured)
         await self._program.start()
         dump_state_on_signal(self._program.state)
+        self._watch = secured.watch()
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stop the program."""
+        if self._watch is not None:
+            self._watch.cancel()
         if self._program is not None:
             await self._program.stop()
 
--- a/cranberrywall/commands/control.py
+++ b/cranberrywall/commands/control.py
@@ -1,12 +1,14 @@
 """Run a control host: the replicated groups of configuration and ledgers."""
 
+import asyncio
+
 import aiomisc
 import click
 
 from cranberrywall.commands._control_program import ControlProgram, make_control_program
 from cranberrywall.commands._running import run_until_signal
+from cranberrywall.commands._secured import make_secured
 from cranberrywall.observability import configure_log, dump_state_on_signal
-from cranberrywall.runtime import make_runtime
 from cranberrywall.settings import Settings, settings_options
 
 
@@ -17,15 +19,20 @@
         super().__init__()
         self._settings = settings
         self._program: ControlProgram | None = None
+        self._watch: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Start the program, and dump its state on SIGUSR1."""
-        self._program = make_control_program(self._settings, make_runtime(self._settings["data"]))
+        secured = make_secured(self._settings)
+        self._program = make_control_program(self._settings, *secured)
         await self._program.start()
         dump_state_on_signal(self._program.state)
+        self._watch = secured.watch()
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stop the program."""
+        if self._watch is not None:
+            self._watch.cancel()
         if self._program is not None:
             await self._program.stop()
 
--- a/cranberrywall/commands/ctl/_main.py
+++ b/cranberrywall/commands/ctl/_main.py
@@ -40,7 +40,7 @@
     "--fleet",
     type=click.Path(dir_okay=False),
     show_envvar=True,
-    help="A YAML file with `controls` and `fleet_key`, such as a process's settings.",
+    help="A YAML file with `controls`, `fleet_key` and, for TLS, `tls`.",
 )
 @click.option(
     "--controls",
@@ -94,6 +94,7 @@
         operator=operator or getpass.getuser(),
         timeout=timeout,
         is_json=is_json,
+        tls=found.tls,
     )
     context.obj = Ctl(options, context.obj or connect_to_fleet)
 
--- a/cranberrywall/commands/ctl/_session.py
+++ b/cranberrywall/commands/ctl/_session.py
@@ -19,18 +19,39 @@
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller, Peer, make_caller
 from cranberrywall.observability import configure_log
-from cranberrywall.runtime import Clock, make_clock, make_network, make_random
-from cranberrywall.settings import load_fleet_keys
+from cranberrywall.runtime import (
+    Clock,
+    StreamContexts,
+    make_clock,
+    make_network,
+    make_random,
+)
+from cranberrywall.settings import (
+    Tls,
+    check_shape,
+    check_tls,
+    load_fleet_keys,
+    resolve_tls_paths,
+    tls_files_of,
+)
+from cranberrywall.tls import TlsKeeper
+
+OPERATOR_HOST = "cranberrywallctl"
+"""The host that commands call themselves, and that their certificate must name."""
 
 
 class Options(NamedTuple):
-    """Hold the options that every command has; ``timeout`` is in seconds."""
+    """Hold the options that every command has; ``timeout`` is in seconds.
+
+    ``tls`` names the files for TLS on the streams; an empty section means none.
+    """
 
     controls: tuple[str, ...]
     key: str
     operator: str
     timeout: float
     is_json: bool
+    tls: Tls = {}
 
 
 class Session:
@@ -119,8 +140,9 @@
     # What the streams log is for processes that go on; here the refusal says it.
     configure_log("cranberrywallctl", "operator", "-", "ERROR")
     clock, random = make_clock(), make_random()
-    me = Peer("cranberrywallctl", "operator", int(clock.wall() * 1000))
-    caller = make_caller(make_network(), clock, random, keys.ok_value.fleet, me)
+    me = Peer(OPERATOR_HOST, "operator", int(clock.wall() * 1000))
+    network = make_network(_stream_contexts(options.tls, clock))
+    caller = make_caller(network, clock, random, keys.ok_value.fleet, me)
     try:
         control = make_control_client(caller, clock, options.controls, random)
         yield Session(control, caller, clock, options)
@@ -128,11 +150,21 @@
         await caller.close()
 
 
+def _stream_contexts(section: Tls, clock: Clock) -> StreamContexts | None:
+    problems = list(check_tls(section, OPERATOR_HOST, clock.wall()))
+    if problems:
+        _exit_wrong("; ".join(str(problem) for problem in problems))
+    if tls_files_of(section).streams is None:
+        return None
+    return TlsKeeper(section, OPERATOR_HOST, clock)
+
+
 class FleetFile(NamedTuple):
-    """Hold the control hosts' addresses and the path of the fleet's keys."""
+    """Hold the control hosts' addresses, the path of the fleet's keys, and the TLS files."""
 
     controls: tuple[str, ...] = ()
     key: str = ""
+    tls: Tls = {}
 
 
 def read_fleet_file(path: str) -> FleetFile:
@@ -151,12 +183,23 @@
             "process's settings file, or write one with `controls` and `fleet_key`)"
         )
     key = data.get("fleet_key", "")
+    tls = _read_tls(path, data.get("tls", {}))
     return FleetFile(
         controls=tuple(one["links"] for one in controls),
         key=str((Path(path).parent / key).resolve()) if key else "",
+        tls=tls,
     )
 
 
+def _read_tls(path: str, section: Any) -> Tls:
+    problems = list(check_shape(section, Tls, "tls"))
+    if problems:
+        _exit_wrong(f"fleet: {path}: " + "; ".join(str(problem) for problem in problems))
+    resolve_tls_paths(section, Path(path).parent)
+    found: Tls = section
+    return found
+
+
 def _is_remote(value: object) -> bool:
     return isinstance(value, dict) and isinstance(value.get("links"), str)
 
--- a/cranberrywall/console/_server.py
+++ b/cranberrywall/console/_server.py
@@ -1,5 +1,6 @@
 """Assemble the console from its parts."""
 
+from ssl import SSLContext
 from typing import NamedTuple
 
 from aiohttp import web
@@ -66,8 +67,9 @@
 class ConsoleServer:
     """Serve the console on one address."""
 
-    def __init__(self, parts: ConsoleParts, address: str) -> None:
+    def __init__(self, parts: ConsoleParts, address: str, context: SSLContext | None) -> None:
         self._address = address
+        self._context = context
         self._runner = web.AppRunner(
             make_application(parts), access_log=None, shutdown_timeout=SHUTDOWN_S
         )
@@ -81,7 +83,7 @@
         """Listen, or raise ``OSError``."""
         host, port = split_address(self._address)
         await self._runner.setup()
-        await web.TCPSite(self._runner, host, port).start()
+        await web.TCPSite(self._runner, host, port, ssl_context=self._context).start()
         bound_host, bound_port = self._runner.addresses[0][:2]
         self._address = f"{bound_host}:{bound_port}"
 
@@ -90,6 +92,8 @@
         await self._runner.cleanup()
 
 
-def make_console_server(parts: ConsoleParts, address: str) -> ConsoleServer:
-    """Return a console that will listen at ``address`` once started."""
-    return ConsoleServer(parts, address)
+def make_console_server(
+    parts: ConsoleParts, address: str, context: SSLContext | None = None
+) -> ConsoleServer:
+    """Return a console that will listen at ``address`` once started; ``context`` gives HTTPS."""
+    return ConsoleServer(parts, address, context)
--- a/cranberrywall/entry/_stack.py
+++ b/cranberrywall/entry/_stack.py
@@ -1,5 +1,6 @@
 """Put together the parts that serve callers on one entry host."""
 
+from ssl import SSLContext
 from typing import NamedTuple
 
 import aiohttp
@@ -143,15 +144,17 @@
     engine_limits: EngineLimits | None = None,
     run_limits: RunLimits | None = None,
     service_limits: ServiceLimits | None = None,
+    fetch: SSLContext | None = None,
 ) -> CallerStack:
     """Return the stack of one entry host; call it in a running event loop.
 
-    Without ``links`` the host stands alone: a retry at another one runs again.
+    ``fetch`` says which certificates of targets with HTTPS are trusted. Without
+    ``links`` the host stands alone: a retry at another one runs again.
     """
     counts = RequestMetrics(metrics or make_metrics())
     background = Background()
-    session = _make_session(reuse=True)
-    once_session = _make_session(reuse=False)
+    session = _make_session(fetch, reuse=True)
+    once_session = _make_session(fetch, reuse=False)
     engine_limits = engine_limits or EngineLimits()
     attempts = Attempts(router, session, clock, random, counts, engine_limits, background)
     bounds = make_input_bounds()
@@ -199,11 +202,11 @@
     return CallerStack(parts, (session, once_session), background)
 
 
-def _make_session(reuse: bool) -> aiohttp.ClientSession:
-    if reuse:
-        connector = aiohttp.TCPConnector(limit=_KEPT_CONNECTIONS)
-    else:
-        connector = aiohttp.TCPConnector(limit=_KEPT_CONNECTIONS, force_close=True)
+def _make_session(fetch: SSLContext | None, reuse: bool) -> aiohttp.ClientSession:
+    # Without a context the system's authorities are trusted.
+    connector = aiohttp.TCPConnector(
+        limit=_KEPT_CONNECTIONS, force_close=not reuse, ssl=fetch or True
+    )
     return aiohttp.ClientSession(
         connector=connector, cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False
     )
--- a/cranberrywall/links/_counters.py
+++ b/cranberrywall/links/_counters.py
@@ -24,6 +24,8 @@
     TOO_MANY_STRANGERS = "too_many_strangers"
     HANDSHAKE_TIMEOUT = "handshake_timeout"
     WRONG_PROOF = "wrong_proof"
+    TLS_FAILED = "tls_failed"
+    WRONG_CERTIFICATE = "wrong_certificate"
     SLOW_PEER = "slow_peer"
     SILENT_PEER = "silent_peer"
 
--- a/cranberrywall/links/_handshake.py
+++ b/cranberrywall/links/_handshake.py
@@ -2,7 +2,8 @@
 
 Each end sends a fresh nonce and answers the other's with an HMAC over the version, both
 nonces and both identities. A recorded proof fails against a new nonce, and a proof sent back
-to its maker fails because the two ends' proofs name their role.
+to its maker fails because the two ends' proofs name their role. Over TLS, an identity's host must
+also be one that the certificate at its end names.
 """
 
 import hashlib
@@ -22,7 +23,7 @@
     read_frame,
 )
 from cranberrywall.links._interfaces import Peer
-from cranberrywall.runtime import Reader, Writer
+from cranberrywall.runtime import CertifiedWriter, Reader, Writer
 
 _NONCE_BYTES = 32
 
@@ -58,6 +59,7 @@
         challenge: _Challenge = await self._receive(reader, FrameKind.CHALLENGE, _Challenge)
         session = (nonce, challenge.nonce, self._identity, challenge.server)
         self._check(challenge.proof, "server", session)
+        _check_certificate(writer, challenge.server)
         await self._send(writer, FrameKind.PROOF, _Proof(self._prove("client", session)))
         await self._receive(reader, FrameKind.WELCOME, tuple)
         return challenge.server
@@ -73,6 +75,7 @@
         await self._send(writer, FrameKind.CHALLENGE, challenge)
         proof: _Proof = await self._receive(reader, FrameKind.PROOF, _Proof)
         self._check(proof.proof, "client", session)
+        _check_certificate(writer, hello.client)
         await self._send(writer, FrameKind.WELCOME, ())
         return hello.client
 
@@ -98,3 +101,10 @@
     def _check(self, proof: bytes, role: str, session: tuple[bytes, bytes, Peer, Peer]) -> None:
         if not hmac.compare_digest(proof, self._prove(role, session)):
             raise BadFrameError(DropReason.WRONG_PROOF)
+
+
+def _check_certificate(writer: Writer, peer: Peer) -> None:
+    # All hosts hold the one fleet key, so that its proof lets any of them pass for another.
+    hosts = writer.peer_hosts() if isinstance(writer, CertifiedWriter) else None
+    if hosts is not None and peer.host not in hosts:
+        raise BadFrameError(DropReason.WRONG_CERTIFICATE)
--- a/cranberrywall/links/_outlet.py
+++ b/cranberrywall/links/_outlet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import ssl
 from functools import partial
 from typing import Any
 
@@ -239,6 +240,17 @@
             self._counters.drop(error.reason)
             self._drops.log("WARNING", "connection_dropped", error.reason, peer=self._address)
             self._last_error = f"{self._address}: {error.reason}"
+        except ssl.SSLError as error:
+            self._counters.drop(DropReason.TLS_FAILED)
+            detail = error.reason or type(error).__name__
+            self._drops.log(
+                "WARNING",
+                "connection_dropped",
+                DropReason.TLS_FAILED,
+                peer=self._address,
+                detail=detail,
+            )
+            self._last_error = f"{self._address}: TLS failed: {detail}"
         except OSError as error:
             self._last_error = f"{self._address}: {str(error) or type(error).__name__}"
         finally:
--- a/cranberrywall/orders/_sender.py
+++ b/cranberrywall/orders/_sender.py
@@ -2,6 +2,7 @@
 
 import socket
 import struct
+from ssl import SSLContext
 from typing import Any, Protocol
 
 import aiohttp
@@ -28,9 +29,13 @@
         ...
 
 
-def make_http_sender() -> OrderSender:
-    """Return a sender over aiohttp, which opens its session with the first order."""
-    return _HttpSender()
+def make_http_sender(context: SSLContext | None = None) -> OrderSender:
+    """Return a sender over aiohttp, which opens its session with the first order.
+
+    ``context`` says which certificates of engines with HTTPS are trusted; ``None`` leaves
+    that to the system's authorities.
+    """
+    return _HttpSender(context)
 
 
 def order_body(number: int, action: Action) -> dict[str, Any]:
@@ -51,7 +56,8 @@
 
 
 class _HttpSender:
-    def __init__(self) -> None:
+    def __init__(self, context: SSLContext | None) -> None:
+        self._context = context
         self._session: aiohttp.ClientSession | None = None
 
     async def send(self, url: str, number: int, action: Action, timeout: float) -> Fate:
@@ -73,7 +79,9 @@
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            connector = aiohttp.TCPConnector(force_close=True, socket_factory=_make_socket)
+            connector = aiohttp.TCPConnector(
+                force_close=True, socket_factory=_make_socket, ssl=self._context or True
+            )
             self._session = aiohttp.ClientSession(connector=connector)
         return self._session
 
--- a/cranberrywall/runtime/__init__.py
+++ b/cranberrywall/runtime/__init__.py
@@ -3,6 +3,7 @@
 from cranberrywall.runtime._clock import make_clock
 from cranberrywall.runtime._interfaces import (
     AppendFile,
+    CertifiedWriter,
     Clock,
     Listener,
     Network,
@@ -11,6 +12,7 @@
     Reader,
     Runtime,
     Storage,
+    StreamContexts,
     Writer,
 )
 from cranberrywall.runtime._network import make_network, split_address
@@ -20,6 +22,7 @@
 
 __all__ = [
     "AppendFile",
+    "CertifiedWriter",
     "Clock",
     "Listener",
     "Network",
@@ -28,6 +31,7 @@
     "Reader",
     "Runtime",
     "Storage",
+    "StreamContexts",
     "Timer",
     "Timers",
     "Writer",
--- a/cranberrywall/runtime/_interfaces.py
+++ b/cranberrywall/runtime/_interfaces.py
@@ -1,7 +1,8 @@
 """Define the interfaces to the outside: time, network, files and chance."""
 
+import ssl
 from collections.abc import Awaitable, Callable, Sequence
-from typing import NamedTuple, Protocol, TypeVar
+from typing import NamedTuple, Protocol, TypeVar, runtime_checkable
 
 T = TypeVar("T")
 
@@ -46,6 +47,30 @@
         ...
 
 
+@runtime_checkable
+class CertifiedWriter(Protocol):
+    """Tell what the certificate at the other end of a connection proves.
+
+    A writer of a network without TLS need not have this.
+    """
+
+    def peer_hosts(self) -> frozenset[str] | None:
+        """Return the host names of the other's certificate; ``None`` without TLS."""
+        ...
+
+
+class StreamContexts(Protocol):
+    """Give the TLS contexts for connections that begin now."""
+
+    def server(self) -> ssl.SSLContext:
+        """Return the context to listen with; it lasts as long as the listener."""
+        ...
+
+    def client(self) -> ssl.SSLContext:
+        """Return the context to dial with, for one connection."""
+        ...
+
+
 OnConnect = Callable[[Reader, Writer], Awaitable[None]]
 
 
--- a/cranberrywall/runtime/_network.py
+++ b/cranberrywall/runtime/_network.py
@@ -1,19 +1,31 @@
-"""Dial and listen over TCP."""
+"""Dial and listen over TCP, with TLS where there are contexts for it."""
 
 import asyncio
 import socket
-
-from cranberrywall.runtime._interfaces import Listener, Network, OnConnect, Reader, Writer
+import ssl
+from collections.abc import Awaitable, Callable
+
+from cranberrywall.runtime._interfaces import (
+    Listener,
+    Network,
+    OnConnect,
+    Reader,
+    StreamContexts,
+    Writer,
+)
 
 _KEEPALIVE_IDLE_S = 30
 _KEEPALIVE_INTERVAL_S = 10
 _KEEPALIVE_PROBES = 3
 _FLUSH_ON_CLOSE_S = 1.0
+_TLS_HANDSHAKE_S = 3.0
+
+_Accept = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
-def make_network() -> Network:
-    """Return the network of this machine."""
-    return _TcpNetwork()
+def make_network(contexts: StreamContexts | None = None) -> Network:
+    """Return the network of this machine; every connection is TLS where ``contexts`` are given."""
+    return _TcpNetwork(contexts)
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -27,10 +39,14 @@
 
 
 class _TcpNetwork:
+    def __init__(self, contexts: StreamContexts | None) -> None:
+        self._contexts = contexts
+
     async def dial(self, address: str, timeout: float) -> tuple[Reader, Writer]:
         host, port = split_address(address)
         async with asyncio.timeout(timeout):
-            reader, writer = await asyncio.open_connection(host, port)
+            context = self._contexts.client() if self._contexts else None
+            reader, writer = await asyncio.open_connection(host, port, ssl=context)
         return reader, _TcpWriter(writer)
 
     async def listen(self, address: str, on_connect: OnConnect) -> Listener:
@@ -47,7 +63,20 @@
             finally:
                 tcp_writer.close()
 
-        return _TcpListener(await asyncio.start_server(accept, host, port))
+        return _TcpListener(await self._start_server(accept, host, port))
+
+    async def _start_server(self, accept: _Accept, host: str, port: int) -> asyncio.Server:
+        if self._contexts is None:
+            return await asyncio.start_server(accept, host, port)
+        # A stranger that never ends its part of the TLS handshake is let go as soon as one
+        # that never proves itself.
+        return await asyncio.start_server(
+            accept,
+            host,
+            port,
+            ssl=self._contexts.server(),
+            ssl_handshake_timeout=_TLS_HANDSHAKE_S,
+        )
 
 
 class _TcpWriter:
@@ -57,6 +86,13 @@
         self.write = writer.write
         self.drain = writer.drain
 
+    def peer_hosts(self) -> frozenset[str] | None:
+        connection: ssl.SSLObject | None = self._writer.get_extra_info("ssl_object")
+        if connection is None:
+            return None
+        names = (connection.getpeercert() or {}).get("subjectAltName", ())
+        return frozenset(str(name[1]) for name in names if name[0] == "DNS")
+
     def close(self) -> None:
         if self._writer.is_closing():
             return
--- a/cranberrywall/settings/__init__.py
+++ b/cranberrywall/settings/__init__.py
@@ -13,6 +13,17 @@
     Remote,
     Settings,
     Streams,
+    Tls,
+    TlsCallers,
+)
+from cranberrywall.settings._shape import check_shape
+from cranberrywall.settings._tls import (
+    KeyPair,
+    TlsFiles,
+    check_tls,
+    expiry_of,
+    resolve_tls_paths,
+    tls_files_of,
 )
 from cranberrywall.settings._units import seconds, size_in_bytes
 
@@ -20,6 +31,7 @@
     "DEFAULTS",
     "Callers",
     "FleetKeys",
+    "KeyPair",
     "Listen",
     "Log",
     "MembershipTimes",
@@ -27,12 +39,20 @@
     "Remote",
     "Settings",
     "Streams",
+    "Tls",
+    "TlsCallers",
+    "TlsFiles",
+    "check_shape",
+    "check_tls",
+    "expiry_of",
     "load_fleet_keys",
     "load_or_exit",
     "load_settings",
     "make_keys_file",
+    "resolve_tls_paths",
     "seconds",
     "settings_options",
     "size_in_bytes",
+    "tls_files_of",
     "with_defaults",
 ]
--- a/cranberrywall/settings/_defaults.py
+++ b/cranberrywall/settings/_defaults.py
@@ -18,6 +18,7 @@
     },
     "membership": {"period": "500ms", "probe_timeout": "250ms", "suspicion": "2s"},
     "callers": {"body": "1MiB", "address_ttl": "5s"},
+    "tls": {"reread": "30s"},
 }
 
 
--- a/cranberrywall/settings/_load.py
+++ b/cranberrywall/settings/_load.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 import os
+import time
 from collections import Counter
 from collections.abc import Iterator
 from pathlib import Path
@@ -14,6 +15,7 @@
 from cranberrywall.settings._problem import Problem
 from cranberrywall.settings._settings import Settings
 from cranberrywall.settings._shape import check_shape
+from cranberrywall.settings._tls import check_tls, resolve_tls_paths
 from cranberrywall.settings._yaml import read_yaml
 
 _HIGHEST_PORT = 65535
@@ -48,6 +50,7 @@
     for name in ("data", "fleet_key"):
         if name in document:
             document[name] = str((folder / document[name]).resolve())
+    resolve_tls_paths(document.get("tls", {}), folder)
 
 
 def _check_meaning(document: dict[str, Any]) -> Iterator[Problem]:
@@ -58,6 +61,7 @@
     keys = load_fleet_keys(document["fleet_key"])
     if isinstance(keys, Err):
         yield from keys.err_value
+    yield from check_tls(document.get("tls", {}), document["host"], time.time())
 
 
 def _addresses(document: dict[str, Any]) -> Iterator[tuple[str, str, bool]]:
--- a/cranberrywall/settings/_settings.py
+++ b/cranberrywall/settings/_settings.py
@@ -63,6 +63,26 @@
     address_ttl: NotRequired[Duration]
 
 
+class TlsCallers(TypedDict):
+    """Name the files for HTTPS towards callers, targets and operators."""
+
+    certificate: str
+    key: str
+
+
+class Tls(TypedDict):
+    """Name the PEM files of certificates and keys; ``callers`` is for HTTPS.
+
+    ``reread`` is how often the files are looked at again.
+    """
+
+    certificate: NotRequired[str]
+    key: NotRequired[str]
+    authorities: NotRequired[str]
+    reread: NotRequired[Duration]
+    callers: NotRequired[TlsCallers]
+
+
 class Settings(TypedDict):
     """Hold one process's settings.
 
@@ -85,3 +105,4 @@
     streams: NotRequired[Streams]
     membership: NotRequired[MembershipTimes]
     callers: NotRequired[Callers]
+    tls: NotRequired[Tls]
