--- a/cranberrywall/tls/_authority.py
+++ b/cranberrywall/tls/_authority.py
@@ -181,6 +181,8 @@
     for host in hosts:
         if host.host == AUTHORITY or not _NAME.fullmatch(host.host):
             raise ValueError(f"`{host.host}` is no name of a host")
+        for address in host.addresses:
+            ip_address(address)
 
 
 def _pem_of(key: ec.EllipticCurvePrivateKey) -> bytes:
