--- a/cranberrywall/settings/__init__.py
+++ b/cranberrywall/settings/__init__.py
@@ -26,6 +26,7 @@
     tls_files_of,
 )
 from cranberrywall.settings._units import seconds, size_in_bytes
+from cranberrywall.settings._yaml import parse_yaml
 
 __all__ = [
     "DEFAULTS",
@@ -49,6 +50,7 @@
     "load_or_exit",
     "load_settings",
     "make_keys_file",
+    "parse_yaml",
     "resolve_tls_paths",
     "seconds",
     "settings_options",
--- a/cranberrywall/settings/_shape.py
+++ b/cranberrywall/settings/_shape.py
@@ -2,7 +2,16 @@
 
 import difflib
 from collections.abc import Iterator, Mapping
-from typing import Annotated, Any, Literal, NotRequired, get_args, get_origin, get_type_hints
+from typing import (
+    Annotated,
+    Any,
+    Literal,
+    NamedTuple,
+    NotRequired,
+    get_args,
+    get_origin,
+    get_type_hints,
+)
 
 import msgspec
 
@@ -10,13 +19,12 @@
 from cranberrywall.settings._settings import Address, Duration, Name, Size
 
 
-class _Leaf:
+class _Leaf(NamedTuple):
     """Say how a wrong value of one type is reported."""
 
-    def __init__(self, check: str, message: str, remedy: str) -> None:
-        self.check = check
-        self.message = message
-        self.remedy = remedy
+    code: str
+    message: str
+    remedy: str
 
 
 _LEAF_BY_TYPE: dict[Any, _Leaf] = {
@@ -95,9 +103,9 @@
     leaf = _LEAF_BY_TYPE.get(shape)
     if leaf is not None and not isinstance(value, str):
         # YAML reads a bare number, as in `period: 2`, as one: the unit is what is missing.
-        has_no_unit = leaf.check == "S006" and isinstance(value, int | float)
-        check = "S006" if has_no_unit else "S005"
-        yield Problem(check, field, f"{_shown(value)} {leaf.message}", leaf.remedy)
+        has_no_unit = leaf.code == "S006" and isinstance(value, int | float)
+        code = "S006" if has_no_unit else "S005"
+        yield Problem(code, field, f"{_shown(value)} {leaf.message}", leaf.remedy)
         return
     if type(value) is not plain and not (plain is float and type(value) is int):
         expected = _PLAIN_NAME_BY_TYPE[plain]
@@ -108,7 +116,7 @@
         msgspec.convert(value, shape)
     except msgspec.ValidationError as error:
         if leaf is not None:
-            yield Problem(leaf.check, field, f"{_shown(value)} {leaf.message}", leaf.remedy)
+            yield Problem(leaf.code, field, f"{_shown(value)} {leaf.message}", leaf.remedy)
         else:
             yield Problem("S009", field, f"{_shown(value)} is out of range", str(error))
 
--- a/tests/commands/test_ctl_keys.py
+++ b/tests/commands/test_ctl_keys.py
@@ -76,7 +76,7 @@
     [problem] = check_tls(
         tls_section(new, "entry-1", old / "authorities.crt"), "entry-1", time.time()
     )
-    assert problem.check == "S023"
+    assert problem.code == "S023"
 
 
 @pytest.mark.parametrize(
--- a/tests/settings/test_load.py
+++ b/tests/settings/test_load.py
@@ -12,12 +12,15 @@
 from click.testing import CliRunner
 from result import Err, Ok
 
+from cranberrywall.hosts import Pace, pace_of
+from cranberrywall.links import Limits, limits_of
 from cranberrywall.settings import (
     Settings,
     load_fleet_keys,
     load_settings,
     make_keys_file,
     settings_options,
+    with_defaults,
 )
 
 Change = Callable[[dict[str, Any]], object]
@@ -53,7 +56,7 @@
     result = load_settings(path)
     assert isinstance(result, Err)
     assert all(problem.message and problem.remedy for problem in result.err_value)
-    return [(problem.check, problem.field) for problem in result.err_value]
+    return [(problem.code, problem.field) for problem in result.err_value]
 
 
 def test_good_settings_come_with_their_defaults(folder: Path):
@@ -66,6 +69,12 @@
     assert settings["streams"]["frame"] == "16MiB"
 
 
+def test_the_defaults_are_those_of_the_parts_that_take_them():
+    settings = with_defaults({})
+    assert limits_of(settings) == Limits()
+    assert pace_of(settings) == Pace()
+
+
 def _set(*path: str | int, to: Any) -> Change:
     def change(document: Any) -> None:
         for key in path[:-1]:
@@ -103,6 +112,9 @@
     ("no IP number", _set("listen", "http", to="10.0.0.256:80"), ("S007", "listen.http")),
     ("port too high", _set("listen", "http", to="10.0.0.1:65536"), ("S007", "listen.http")),
     ("port 0", _set("peers", 0, "links", to="10.0.0.1:0"), ("S007", "peers[0].links")),
+    ("any address", _set("listen", "links", to="0.0.0.0:7001"), ("S007", "listen.links")),
+    ("any for callers", _set("listen", "http", to="0.0.0.0:80"), ("S007", "listen.http")),
+    ("any peer", _set("peers", 0, "links", to="0.0.0.0:7001"), ("S007", "peers[0].links")),
     ("no name", _set("place", to="Town Hall"), ("S008", "place")),
     ("no choice", _set("process", to="entri"), ("S009", "process")),
     ("no level", _set("log", to={"level": "info"}), ("S009", "log.level")),
--- a/tests/settings/test_tls.py
+++ b/tests/settings/test_tls.py
@@ -61,7 +61,7 @@
 def test_each_fault_is_named(site: Path, fault: Fault, expected: list[tuple[str, str]]):
     fault(site)
     problems = list(check_tls(tls_section(site, "entry-1"), "entry-1", time.time()))
-    assert [(problem.check, problem.field) for problem in problems] == expected
+    assert [(problem.code, problem.field) for problem in problems] == expected
     assert all(problem.remedy for problem in problems)
 
 
@@ -71,7 +71,7 @@
     assert not list(check_tls(callers, "entry-1", time.time()))
     os.chmod(section["key"], 0o644)
     [problem] = check_tls(callers, "entry-1", time.time())
-    assert (problem.check, problem.field) == ("S018", "tls.callers.key")
+    assert (problem.code, problem.field) == ("S018", "tls.callers.key")
 
 
 def test_settings_name_the_files_from_their_own_folder(site: Path):
@@ -87,7 +87,7 @@
     del document["tls"]["key"], document["tls"]["authorities"]
     file.write_text(yaml.safe_dump(document))
     problems = load_settings(str(file)).unwrap_err()
-    assert [(problem.check, problem.field) for problem in problems] == [
+    assert [(problem.code, problem.field) for problem in problems] == [
         ("S014", "tls.key"),
         ("S014", "tls.authorities"),
     ]
