Make the contexts of new certificates without reading the system's authorities again

Cause: a take-up of new files made the context for HTTPS targets too, and threw it away; that reads all of the system's authorities on the event loop. Change: that context is made once, at the start.

--- a/cranberrywall/tls/_contexts.py
+++ b/cranberrywall/tls/_contexts.py
@@ -10,14 +10,13 @@
 class Contexts(NamedTuple):
     """Hold the contexts made of one state of the files.
 
-    ``listen`` and ``dial`` are for the streams, ``http`` to serve HTTPS and ``fetch`` to
-    ask HTTPS of targets; ``None`` where the settings name no files for it.
+    ``listen`` and ``dial`` are for the streams, ``http`` to serve HTTPS; ``None`` where the
+    settings name no files for it.
     """
 
     listen: ssl.SSLContext | None
     dial: ssl.SSLContext | None
     http: ssl.SSLContext | None
-    fetch: ssl.SSLContext | None
 
 
 def make_contexts(files: TlsFiles) -> Contexts:
@@ -27,8 +26,17 @@
         listen = _make_stream_context(ssl.PROTOCOL_TLS_SERVER, files.streams, files.authorities)
         dial = _make_stream_context(ssl.PROTOCOL_TLS_CLIENT, files.streams, files.authorities)
     http = None if files.callers is None else _make_http_context(files.callers)
-    fetch = None if files.authorities is None else _make_fetch_context(files.authorities)
-    return Contexts(listen, dial, http, fetch)
+    return Contexts(listen, dial, http)
+
+
+def make_fetch_context(authorities: str) -> ssl.SSLContext:
+    """Return a context to ask HTTPS of targets: the system's authorities and the file's.
+
+    It reads all of the system's, which takes tens of milliseconds: make it once.
+    """
+    context = ssl.create_default_context()
+    context.load_verify_locations(cafile=authorities)
+    return context
 
 
 def make_front(
@@ -91,9 +99,3 @@
     context.minimum_version = ssl.TLSVersion.TLSv1_2
     context.load_cert_chain(pair.certificate, pair.key)
     return context
-
-
-def _make_fetch_context(authorities: str) -> ssl.SSLContext:
-    context = ssl.create_default_context()
-    context.load_verify_locations(cafile=authorities)
-    return context
--- a/cranberrywall/tls/_keeper.py
+++ b/cranberrywall/tls/_keeper.py
@@ -16,7 +16,13 @@
     seconds,
     tls_files_of,
 )
-from cranberrywall.tls._contexts import Contexts, make_contexts, make_front, report_failures
+from cranberrywall.tls._contexts import (
+    Contexts,
+    make_contexts,
+    make_fetch_context,
+    make_front,
+    report_failures,
+)
 
 _DAY_S = 86_400.0
 _WARN_BEFORE_S = 14 * _DAY_S
@@ -42,7 +48,8 @@
         fronts = make_contexts(self._files)
         self._listen_front = fronts.listen
         self._http_front = fronts.http
-        self._fetch = fronts.fetch
+        authorities = self._files.authorities
+        self._fetch = None if authorities is None else make_fetch_context(authorities)
         if self._listen_front is not None:
             make_front(self._listen_front, lambda: self._contexts.listen)
             report_failures(self._listen_front, self._report_refused)
