--- a/cranberrywall/settings/_keys.py
+++ b/cranberrywall/settings/_keys.py
@@ -1,5 +1,6 @@
 """Read the file of the fleet's secrets."""
 
+import os
 import secrets
 import stat
 from pathlib import Path
@@ -40,7 +41,8 @@
 def load_fleet_keys(path: str) -> Result[FleetKeys, list[Problem]]:
     """Return the secrets of the file, or every problem with it (``S011`` to ``S013``)."""
     file = Path(path)
-    if not file.is_file():
+    # Path.is_file raises for a name that is too long for the file system.
+    if not os.path.isfile(file):
         remedy = "make one with `cranberrywallctl make-keys FILE` and copy it to each host"
         return Err([Problem("S011", "fleet_key", f"there is no file {path}", remedy)])
     mode = stat.S_IMODE(file.stat().st_mode)
--- a/cranberrywall/settings/_load.py
+++ b/cranberrywall/settings/_load.py
@@ -131,7 +131,8 @@
     folder = document.get("data")
     if folder is None:
         return
-    if not Path(folder).is_dir():
+    # Path.is_dir raises for a name that is too long for the file system.
+    if not os.path.isdir(folder):
         message = f"there is no folder {folder}"
         yield Problem("S010", "data", message, f"run `mkdir -p {folder}` on the data disk")
     elif not os.access(folder, os.R_OK | os.W_OK | os.X_OK):
--- a/cranberrywall/settings/_settings.py
+++ b/cranberrywall/settings/_settings.py
@@ -8,6 +8,7 @@
 
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
 Address = Annotated[str, Meta(pattern=r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$")]
+FilePath = Annotated[str, Meta(pattern=r"^[^\x00]+$")]
 Duration = Annotated[str, Meta(pattern=DURATION_PATTERN)]
 Size = Annotated[str, Meta(pattern=SIZE_PATTERN)]
 Count = Annotated[int, Meta(ge=1, le=1_000_000)]
@@ -66,8 +67,8 @@
 class TlsCallers(TypedDict):
     """Name the files for HTTPS towards callers, targets and operators."""
 
-    certificate: str
-    key: str
+    certificate: FilePath
+    key: FilePath
 
 
 class Tls(TypedDict):
@@ -76,9 +77,9 @@
     ``reread`` is how often the files are looked at again.
     """
 
-    certificate: NotRequired[str]
-    key: NotRequired[str]
-    authorities: NotRequired[str]
+    certificate: NotRequired[FilePath]
+    key: NotRequired[FilePath]
+    authorities: NotRequired[FilePath]
     reread: NotRequired[Duration]
     callers: NotRequired[TlsCallers]
 
@@ -98,8 +99,8 @@
     listen: Listen
     controls: list[Remote]
     peers: NotRequired[list[Remote]]
-    data: NotRequired[str]
-    fleet_key: str
+    data: NotRequired[FilePath]
+    fleet_key: FilePath
     ledger_groups: NotRequired[Annotated[int, Meta(ge=1, le=64)]]
     log: NotRequired[Log]
     streams: NotRequired[Streams]
--- a/cranberrywall/settings/_shape.py
+++ b/cranberrywall/settings/_shape.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from cranberrywall.settings._problem import Problem
-from cranberrywall.settings._settings import Address, Duration, Name, Size
+from cranberrywall.settings._settings import Address, Duration, FilePath, Name, Size
 
 
 class _Leaf(NamedTuple):
@@ -30,6 +30,7 @@
 _LEAF_BY_TYPE: dict[Any, _Leaf] = {
     Address: _Leaf("S007", "is no address", "give an IP number and a port, such as 127.0.0.1:7001"),
     Name: _Leaf("S008", "is no name", "use small letters, digits, dots and dashes, 63 at most"),
+    FilePath: _Leaf("S008", "is no path", "name a file or folder, in one line of text"),
     Duration: _Leaf("S006", "is no duration", "give a number with its unit: 250ms, 2s, 5min or 1h"),
     Size: _Leaf("S006", "is no size", "give a whole number with its unit: 512B, 64KiB or 8MiB"),
 }
