--- a/cranberrywall/budgets/_scarcity.py
+++ b/cranberrywall/budgets/_scarcity.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
 from result import Err, Ok, Result
@@ -18,8 +18,9 @@
 from cranberrywall.budgets._interfaces import PeerHost, Peers, ReserveRequest
 from cranberrywall.budgets._ledger_steps import STEP_TIMEOUT_S, LedgerSteps
 from cranberrywall.budgets._reservation import HeldReservation
+from cranberrywall.budgets._sizing import view_of
 from cranberrywall.budgets._transfers import Taker, nearest_first
-from cranberrywall.budgets.messages import BudgetQuery, BudgetResult, Holder
+from cranberrywall.budgets.messages import BudgetQuery, BudgetResult, HeldAmount, Holder
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.observability import log_event
 from cranberrywall.runtime import Clock
@@ -173,9 +174,10 @@
             await self._tools.clock.sleep(wait)
 
     async def _search(self) -> _Found:
-        is_known_in_reach = self._allotment.queue.in_reach
-        if is_known_in_reach and self._pause_s > 0.0 and await self._is_spent():
-            return _Found(0, 0)
+        if self._is_read_first():
+            found = await self._read_and_take()
+            if found is not None:
+                return found
         is_first = self._allotment.view is None
         free = await self._draw()
         self.serve()
@@ -210,11 +212,40 @@
         # the money, as where this holder was succeeded while it was cut off.
         return 0 if refusal.kind is ErrorKind.NOT_FOUND else None
 
-    async def _is_spent(self) -> bool:
-        """Ask, by one read, whether all that is left anywhere covers nobody in line."""
-        query = BudgetQuery(self._allotment.budget)
-        answer = await self._tools.ledger.budget(query, STEP_TIMEOUT_S)
-        return isinstance(answer, Ok) and self._shortfall() > self._elsewhere(answer.ok_value)
+    def _is_read_first(self) -> bool:
+        """Say whether the ledger had too little free when it was last heard.
+
+        A draw would then most likely be refused, and the read that follows it tells the
+        same and more.
+        """
+        allotment = self._allotment
+        view = allotment.view
+        is_short = view is not None and view.free < self._shortfall()
+        return allotment.queue.in_reach and (self._pause_s > 0.0 or is_short)
+
+    async def _read_and_take(self) -> _Found | None:
+        """Read the sums and act on them; ``None`` where a draw is to be tried."""
+        await self._tools.taker.ask_again(self._tools.peers.alive(), self._allotment)
+        self.serve()
+        if not self._waiters:
+            return _Found(0, 0)
+        claim = Claim(self._allotment)
+        answer = await self._read()
+        if isinstance(answer, Err):
+            return None
+        sums = answer.ok_value
+        if self._shortfall() > self._elsewhere(sums):
+            return _Found(0, 0)
+        if sums.free >= self._shortfall():
+            return None
+        return await self._take_as_told(sums, claim)
+
+    async def _read(self) -> Result[BudgetResult, Refusal]:
+        tools = self._tools
+        answer = await tools.ledger.budget(BudgetQuery(self._allotment.budget), STEP_TIMEOUT_S)
+        if isinstance(answer, Ok):
+            self._allotment.heard(view_of(answer.ok_value, tools.clock.now()))
+        return answer
 
     def _elsewhere(self, sums: BudgetResult) -> int:
         """Return what is free, held by others, or granted to us without our knowing yet."""
@@ -239,48 +270,79 @@
 
     async def _take_from_holders(self, free: int) -> _Found:
         """Take from the holders that the ledger names, the largest first."""
-        tools = self._tools
-        query = BudgetQuery(self._allotment.budget)
         claim = Claim(self._allotment)
-        answer = await tools.ledger.budget(query, STEP_TIMEOUT_S)
+        answer = await self._read()
         if isinstance(answer, Err):
             if out_of_reach(answer.err_value):
                 return _Found(None, 0)
             return _Found(free, 0)
+        return await self._take_as_told(answer.ok_value, claim)
+
+    async def _take_as_told(self, sums: BudgetResult, claim: Claim) -> _Found:
+        """Take from the holders in ``sums``, which were read after ``claim`` was made."""
+        tools = self._tools
         peer_by_host = {peer.host: peer for peer in tools.peers.alive()}
         tools.is_scarce(self._allotment)
-        if claim.take_up(answer.ok_value):
+        if claim.take_up(sums):
             tools.taker.forget_unanswered(self._allotment.budget)
             self.serve()
-        unreached = 0
-        free = answer.ok_value.free
-        others = [
-            held for held in answer.ok_value.held if held.holder != self._allotment.queue.holder
-        ]
-        if self._shortfall() > self._elsewhere(answer.ok_value):
+        free = sums.free
+        others = [held for held in sums.held if held.holder != self._allotment.queue.holder]
+        if self._shortfall() > self._elsewhere(sums):
             return _Found(free, 0)
         if 0 < free < self._shortfall():
             await self._tools.steps.draw(self._allotment, free, 1)
             free = 0
-        for held in sorted(others, key=lambda held: -held.outstanding):
-            if not self._waiters:
-                break
-            peer = peer_by_host.get(held.holder.host)
-            if peer is None or not await self._take(peer, held.holder):
-                unreached += held.outstanding
-        return _Found(free, unreached)
+        others.sort(key=lambda held: -held.outstanding)
+        return _Found(free, await self._take_from_each(others, peer_by_host))
+
+    async def _take_from_each(
+        self, others: Sequence[HeldAmount], peer_by_host: Mapping[str, PeerHost]
+    ) -> int:
+        """Ask one holder, then two at once, then four; gives what unreached ones hold.
+
+        One after the other, many holders take so long that other hosts' searches move the
+        money about meanwhile: each finds nothing, though there is enough. All at once
+        would give far more than is needed.
+        """
+        unreached = 0
+        begin, count = 0, 1
+        while begin < len(others) and self._waiters:
+            asked = others[begin : begin + count]
+            answered = await asyncio.gather(
+                *(self._take_from_holder(held, peer_by_host, count == 1) for held in asked)
+            )
+            unreached += sum(
+                held.outstanding
+                for held, is_answer in zip(asked, answered, strict=True)
+                if not is_answer
+            )
+            begin += count
+            count *= 2
+        return unreached
+
+    async def _take_from_holder(
+        self, held: HeldAmount, peer_by_host: Mapping[str, PeerHost], is_alone: bool
+    ) -> bool:
+        peer = peer_by_host.get(held.holder.host)
+        if peer is None:
+            return False
+        return await self._take(peer, held.holder, is_alone)
 
     async def _take_from(self, peers: Sequence[PeerHost]) -> None:
         for peer in peers:
             if not self._waiters:
                 return
-            await self._take(peer, None)
+            await self._take(peer, None, True)
+
+    async def _take(self, peer: PeerHost, expected: Holder | None, is_alone: bool) -> bool:
+        """Take from one peer; false where the expected holder did not answer.
 
-    async def _take(self, peer: PeerHost, expected: Holder | None) -> bool:
-        """Take from one peer; false where the expected holder did not answer."""
+        Where several are asked at once (not ``is_alone``), no more than the need is asked of each.
+        """
         allotment = self._allotment
         minimum = self._shortfall()
-        amount = max(minimum, self._tools.wanted(allotment))
+        amount = max(minimum, self._tools.wanted(allotment)) if is_alone else minimum
         reply = await self._tools.taker.take(peer, allotment, amount, minimum)
         self.serve()
         if reply is None:
--- a/cranberrywall/console/_budgets.py
+++ b/cranberrywall/console/_budgets.py
@@ -73,14 +73,22 @@
         if isinstance(amount, Err):
             typed = visit.field("amount")
             return await self._show(visit, amount.err_value.message, typed, change_id, 400)
-        if visit.field("step") == "apply":
-            return await self._apply(visit, amount.ok_value, change_id)
         seen = await self._configuration.document()
         if isinstance(seen, Err):
             return self._pages.refusal(visit.session, seen.err_value)
+        budget = seen.ok_value.document["budgets"].get(visit.part("name"))
+        if budget is None:
+            return self._no_budget(visit)
+        unit = budget["unit"]
+        if visit.field("step") == "apply":
+            return await self._apply(visit, seen.ok_value, unit, amount.ok_value, change_id)
+        return await self._preview(visit, seen.ok_value, unit, amount.ok_value, change_id)
+
+    async def _preview(
+        self, visit: Visit, seen: DocumentAt, unit: str, amount: int, change_id: str
+    ) -> web.StreamResponse:
         name = visit.part("name")
-        unit = seen.ok_value.document["budgets"][name]["unit"]
-        sums = await self._sums(_ledger(self._control, seen.ok_value), name, unit)
+        sums = await self._sums(_ledger(self._control, seen), name, unit)
         if isinstance(sums, Err):
             return self._pages.refusal(visit.session, sums.err_value)
         return self._pages.page(
@@ -88,7 +96,7 @@
             "topup.html",
             name=name,
             sums=sums.ok_value,
-            amount=amount.ok_value,
+            amount=amount,
             change_id=change_id,
             lost=None,
         )
@@ -102,8 +110,7 @@
         name = visit.part("name")
         budget = seen.ok_value.document["budgets"].get(name)
         if budget is None:
-            message = f"There is no budget {name}."
-            return self._pages.message(visit.session, "Not found", message, status=404)
+            return self._no_budget(visit)
         ledger = _ledger(self._control, seen.ok_value)
         sums = await self._sums(ledger, name, budget["unit"])
         if isinstance(sums, Err):
@@ -121,21 +128,24 @@
             change_id=change_id,
         )
 
-    async def _apply(self, visit: Visit, amount: int, change_id: str) -> web.StreamResponse:
+    def _no_budget(self, visit: Visit) -> web.StreamResponse:
+        message = f"There is no budget {visit.part('name')}."
+        return self._pages.message(visit.session, "Not found", message, status=404)
+
+    async def _apply(
+        self, visit: Visit, seen: DocumentAt, unit: str, amount: int, change_id: str
+    ) -> web.StreamResponse:
         name = visit.part("name")
-        seen = await self._configuration.document()
-        if isinstance(seen, Err):
-            return self._pages.refusal(visit.session, seen.err_value)
         credit = Credit(
             budget=name,
-            workspace=next(iter(_workspaces(seen.ok_value, name)), ""),
-            unit=seen.ok_value.document["budgets"][name]["unit"],
+            workspace=next(iter(_workspaces(seen, name)), ""),
+            unit=unit,
             amount=amount,
             change_id=change_id,
             operator=visit.session.name,
             at=self._clock.wall(),
         )
-        result = await _ledger(self._control, seen.ok_value).credit(credit, TIMEOUT_S)
+        result = await _ledger(self._control, seen).credit(credit, TIMEOUT_S)
         outcome = "done" if isinstance(result, Ok) else str(result.err_value)
         await self._note(visit, f"{name} by {amount}, change {change_id}", outcome)
         if isinstance(result, Ok):
@@ -164,7 +174,9 @@
     async def _exceptions(
         self, ledger: LedgerClient, name: str
     ) -> Result[ExceptionsResult, Refusal]:
-        query = ExceptionsQuery(name, True, self._clock.wall(), 0, MOST_EXCEPTIONS)
+        query = ExceptionsQuery(
+            budget=name, open_only=True, now=self._clock.wall(), after=0, limit=MOST_EXCEPTIONS
+        )
         return await ledger.exceptions(ledger.group(name), query, TIMEOUT_S)
 
     async def _note(self, visit: Visit, what: str, outcome: str) -> None:
--- a/cranberrywall/settings/_settings.py
+++ b/cranberrywall/settings/_settings.py
@@ -99,8 +99,8 @@
     listen: Listen
     controls: list[Remote]
     peers: NotRequired[list[Remote]]
-    data: NotRequired[FilePath]
-    fleet_key: FilePath
+    data: NotRequired[str]
+    fleet_key: str
     ledger_groups: NotRequired[Annotated[int, Meta(ge=1, le=64)]]
     log: NotRequired[Log]
     streams: NotRequired[Streams]
