--- a/cranberrywall/callers/_addresses.py
+++ b/cranberrywall/callers/_addresses.py
@@ -28,13 +28,16 @@
     place: str
 
 
-def rank_addresses(hosts: Sequence[HostView], place: str, answering: str) -> list[CallerAddress]:
+def rank_addresses(
+    hosts: Sequence[HostView], place: str, answering: str, scheme: str = "http"
+) -> list[CallerAddress]:
     """Return the hosts to use, best first, ``MOST_ADDRESSES`` of them at most.
 
     Hosts in ``place`` weigh more, busy ones less; each keeps a little weight, so that
     callers notice when a busy host has become free. Hosts that leave, are suspect or dead
     are not named. In a large fleet each ``answering`` host names a selection of its own,
     by a hash of both names: were all to name the same ones, those would get all callers.
+    ``scheme`` is how the caller reached this host; the hosts of a fleet serve alike.
 
     >>> from cranberrywall.hosts import HostState, HostView
     >>> def view(host, place, state, load):
@@ -50,7 +53,7 @@
     weights = [_weigh(view, place) for view in chosen]
     total = sum(weights)
     addresses = [
-        CallerAddress(f"http://{view.http}", round(weight / total, 4), view.place)
+        CallerAddress(f"{scheme}://{view.http}", round(weight / total, 4), view.place)
         for view, weight in zip(chosen, weights, strict=True)
     ]
     return sorted(addresses, key=lambda address: (-address.weight, address.url))
--- a/cranberrywall/commands/_control_program.py
+++ b/cranberrywall/commands/_control_program.py
@@ -39,6 +39,7 @@
     GroupMachine,
     Issuer,
     OrderController,
+    OrderSender,
     make_group_machine,
     make_http_sender,
     make_order_controller,
@@ -49,6 +50,7 @@
     FleetKeys,
     Settings,
 )
+from cranberrywall.tls import TlsKeeper
 
 CONFIGURATION_GROUP = "configuration"
 
@@ -101,8 +103,10 @@
         log_event("INFO", "control_stopped")
 
 
-def make_control_program(settings: Settings, runtime: Runtime) -> ControlProgram:
-    """Return the control program of checked settings.
+def make_control_program(
+    settings: Settings, runtime: Runtime, tls: TlsKeeper | None = None
+) -> ControlProgram:
+    """Return the control program of checked settings; ``tls`` trusts targets with HTTPS.
 
     Raise ``ValueError`` for a key file that changed since the check, and for a runtime
     without storage.
@@ -123,7 +127,8 @@
     host = _make_host(settings, runtime, machine_by_group, caller, server)
     feed = _make_feed(settings, machine.configuration, caller)
     feed.register(server)
-    orders = _make_orders(settings, runtime, me, machine, host)
+    sender = make_http_sender(tls.fetch if tls else None)
+    orders = _make_orders(settings, runtime, me, machine, host, sender)
     state = _make_state(settings, runtime.clock, host, machine, orders, ledger_by_group)
     register_dump(server, state.dump_section_json)
     metrics = _make_metrics(host, counters, ledger_by_group)
@@ -183,7 +188,12 @@
 
 
 def _make_orders(
-    settings: Settings, runtime: Runtime, me: Peer, machine: GroupMachine, host: ControlHost
+    settings: Settings,
+    runtime: Runtime,
+    me: Peer,
+    machine: GroupMachine,
+    host: ControlHost,
+    sender: OrderSender,
 ) -> OrderController:
     reports = EngineReports(runtime.clock)
     reports.register(host.server)
@@ -192,7 +202,7 @@
         Issuer(me.host, me.incarnation),
         reports,
         lambda: _document_of(machine.configuration),
-        make_http_sender(),
+        sender,
         host.caller,
         {remote["host"]: remote["links"] for remote in settings["controls"]},
         runtime.clock,
--- a/cranberrywall/commands/entry.py
+++ b/cranberrywall/commands/entry.py
@@ -10,6 +10,7 @@
 from cranberrywall.observability import StateRegistry
 from cranberrywall.runtime import Runtime
 from cranberrywall.settings import Settings, settings_options
+from cranberrywall.tls import TlsKeeper
 
 LONGEST_DRAIN_S = 3600.0
 """The last stream must end within this; a graceful shutdown cuts none before."""
@@ -35,8 +36,10 @@
         await self._program.stop()
 
 
-def _make_drained_program(settings: Settings, runtime: Runtime) -> _DrainedProgram:
-    return _DrainedProgram(make_entry_program(settings, runtime))
+def _make_drained_program(
+    settings: Settings, runtime: Runtime, tls: TlsKeeper | None
+) -> _DrainedProgram:
+    return _DrainedProgram(make_entry_program(settings, runtime, tls))
 
 
 @click.command()
--- a/cranberrywall/console/_server.py
+++ b/cranberrywall/console/_server.py
@@ -1,5 +1,6 @@
 """Assemble the console from its parts."""
 
+from ssl import SSLContext
 from typing import NamedTuple
 
 from aiohttp import web
@@ -64,6 +65,8 @@
     return make_app(Guard(sessions, accounts, pages, parts.clock, parts.storage), sets)
 
 
-def make_console_server(parts: ConsoleParts, address: str) -> HttpListener:
-    """Return a console that will listen at ``address`` once started."""
-    return HttpListener(make_application(parts), address, SHUTDOWN_S)
+def make_console_server(
+    parts: ConsoleParts, address: str, context: SSLContext | None = None
+) -> HttpListener:
+    """Return a console that will listen at ``address`` once started; ``context`` gives HTTPS."""
+    return HttpListener(make_application(parts), address, SHUTDOWN_S, context)
