Ask for newer sums only where the budget was used since the last ones came

Cause: the mark that a budget was used since its last sums was taken off by a draw ahead alone. A host that had drawn or read in a search, and served nothing since, still drew a minute later: at 200 holders 125 draws and 109 returns after the budget was exhausted.

Change: whatever brings the ledger's sums takes the mark off.

--- a/cranberrywall/budgets/_allotment.py
+++ b/cranberrywall/budgets/_allotment.py
@@ -217,3 +217,4 @@
         if last is not None and view.charged >= last.charged:
             self.total_demand.add(view.charged - last.charged, view.at)
         self.view = view
+        self.used_since_view = False
--- a/cranberrywall/budgets/_review.py
+++ b/cranberrywall/budgets/_review.py
@@ -166,7 +166,6 @@
             if out_of_reach(answer.err_value):
                 await queue.lost(answer.err_value)
             return
-        allotment.used_since_view = False
         self._watch_surplus(allotment, self.target(allotment))
         allotment.low = allotment.spendable // 4
         if answer.ok_value.free == 0:
--- a/tests/budgets/test_searches.py
+++ b/tests/budgets/test_searches.py
@@ -20,6 +20,8 @@
         places = dict.fromkeys(HOSTS, "north")
         fleet = MoneyFleet(places, make_ledger_machine(), VirtualClock(), random.Random(5))
         await fleet.start()
+        # Each host's registration is committed.
+        await fleet.clock.sleep(10.0)
         await story(fleet)
         await fleet.stop()
 
@@ -112,3 +114,50 @@
         assert reads_and_transfers == 2
 
     _on_many_hosts(story)
+
+
+def test_hosts_that_were_only_refused_since_leave_the_ledger_alone() -> None:
+    """Two hosts spend a budget, and both are refused after that.
+
+    They asked for the ledger's sums again a minute later, for the sake of requests that
+    they had served before; two hundred hosts did so at the end of each busy budget.
+    """
+
+    async def story(fleet: MoneyFleet) -> None:
+        fleet.credit("main", 100)
+        for host, amount in (("h0", 40), ("h1", 60)):
+            reservation = await reserved(fleet, host, f"all {host}", amount)
+            assert await reservation.settle(amount, fleet.clock.now()) == Ok(None)
+        for host in ("h0", "h1"):
+            await refused(fleet, host, f"more {host}", 50)
+        before = fleet.net.ledger_calls
+        await fleet.clock.sleep(200.0)
+        assert fleet.net.ledger_calls == before
+
+    _on_many_hosts(story)
+
+
+def test_small_shares_are_held_and_not_drawn_for_each_request() -> None:
+    """Three to four requests' bounds a host are left of a budget, and each host serves one request.
+
+    Hosts held nothing of so little: each request cost a draw, and a return of what it had
+    not spent.
+    """
+
+    async def serve(fleet: MoneyFleet, host: str, id_: str) -> None:
+        reservation = await reserved(fleet, host, id_, 10)
+        assert await reservation.settle(5, fleet.clock.now()) == Ok(None)
+
+    async def story(fleet: MoneyFleet) -> None:
+        fleet.credit("main", 50 * len(HOSTS))
+        for turn in range(3):
+            for host in HOSTS:
+                await serve(fleet, host, f"{host} {turn}")
+            await fleet.clock.sleep(200.0)
+        before = fleet.net.ledger_calls - fleet.net.charge_calls
+        for host in HOSTS:
+            await serve(fleet, host, f"{host} last")
+        await fleet.clock.sleep(1.0)
+        assert fleet.net.ledger_calls - fleet.net.charge_calls - before < len(HOSTS)
+
+    _on_many_hosts(story)
