--- a/cranberrywall/commands/_control_program.py
+++ b/cranberrywall/commands/_control_program.py
@@ -2,11 +2,9 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
-from typing import cast
-
-from result import Err
 
 from cranberrywall.budgets import LedgerMachine, LedgerSummary, make_ledger_machine
+from cranberrywall.commands._keys import load_keys
 from cranberrywall.configuration import (
     ConfigurationMachine,
     Document,
@@ -19,11 +17,11 @@
 from cranberrywall.control import ControlHost, ledger_groups, make_control_host
 from cranberrywall.hosts import register_dump
 from cranberrywall.links import (
-    Limits,
     LinkCaller,
     LinkCounters,
     LinkServer,
     Peer,
+    limits_of,
     make_caller,
     make_link_server,
 )
@@ -41,6 +39,7 @@
     GroupMachine,
     Issuer,
     OrderController,
+    OrderSender,
     make_group_machine,
     make_http_sender,
     make_order_controller,
@@ -50,11 +49,8 @@
 from cranberrywall.settings import (
     FleetKeys,
     Settings,
-    Streams,
-    load_fleet_keys,
-    seconds,
-    size_in_bytes,
 )
+from cranberrywall.tls import TlsKeeper
 
 CONFIGURATION_GROUP = "configuration"
 
@@ -107,17 +103,19 @@
         log_event("INFO", "control_stopped")
 
 
-def make_control_program(settings: Settings, runtime: Runtime) -> ControlProgram:
-    """Return the control program of checked settings.
+def make_control_program(
+    settings: Settings, runtime: Runtime, tls: TlsKeeper | None = None
+) -> ControlProgram:
+    """Return the control program of checked settings; ``tls`` trusts targets with HTTPS.
 
     Raise ``ValueError`` for a key file that changed since the check, and for a runtime
     without storage.
     """
-    keys = _load_keys(settings)
+    keys = load_keys(settings)
     me = Peer(settings["host"], settings["place"], int(runtime.clock.wall() * 1000))
     counters = LinkCounters()
     server = _make_server(settings, runtime, keys, me, counters)
-    limits = link_limits(settings["streams"])
+    limits = limits_of(settings)
     caller = make_caller(
         runtime.network, runtime.clock, runtime.random, keys.fleet, me, counters, limits
     )
@@ -129,7 +127,8 @@
     host = _make_host(settings, runtime, machine_by_group, caller, server)
     feed = _make_feed(settings, machine.configuration, caller)
     feed.register(server)
-    orders = _make_orders(settings, runtime, me, machine, host)
+    sender = make_http_sender(tls.fetch if tls else None)
+    orders = _make_orders(settings, runtime, me, machine, host, sender)
     state = _make_state(settings, runtime.clock, host, machine, orders, ledger_by_group)
     register_dump(server, state.dump_section_json)
     metrics = _make_metrics(host, counters, ledger_by_group)
@@ -138,18 +137,6 @@
     return ControlProgram(host, feed, orders, admin, state)
 
 
-def link_limits(streams: Streams) -> Limits:
-    """Return the bounds of streams that the settings give."""
-    return Limits(
-        frame_bytes=size_in_bytes(streams["frame"]),
-        queued_bytes=size_in_bytes(streams["queued"]),
-        calls=streams["calls"],
-        dial_timeout=seconds(streams["dial_timeout"]),
-        handshake_timeout=seconds(streams["handshake_timeout"]),
-        write_timeout=seconds(streams["write_timeout"]),
-    )
-
-
 def check_placement(settings: Settings, machine: ConfigurationMachine) -> str | None:
     """Return why budgets would be looked for in the wrong groups, or ``None``.
 
@@ -165,18 +152,11 @@
     return f"the configuration has {wanted} ledger groups, and the settings {run}"
 
 
-def _load_keys(settings: Settings) -> FleetKeys:
-    keys = load_fleet_keys(settings["fleet_key"])
-    if isinstance(keys, Err):
-        raise ValueError("; ".join(str(problem) for problem in keys.err_value))
-    return keys.ok_value
-
-
 def _make_server(
     settings: Settings, runtime: Runtime, keys: FleetKeys, me: Peer, counters: LinkCounters
 ) -> LinkServer:
     address = settings["listen"]["links"]
-    limits = link_limits(settings["streams"])
+    limits = limits_of(settings)
     return make_link_server(
         runtime.network, runtime.clock, address, keys.fleet, me, counters, limits
     )
@@ -204,11 +184,16 @@
 
 def _document_of(machine: ConfigurationMachine) -> Document:
     newest = machine.document_at()
-    return cast(Document, newest.document) if newest else empty_document()
+    return newest.checked if newest else empty_document()
 
 
 def _make_orders(
-    settings: Settings, runtime: Runtime, me: Peer, machine: GroupMachine, host: ControlHost
+    settings: Settings,
+    runtime: Runtime,
+    me: Peer,
+    machine: GroupMachine,
+    host: ControlHost,
+    sender: OrderSender,
 ) -> OrderController:
     reports = EngineReports(runtime.clock)
     reports.register(host.server)
@@ -217,7 +202,7 @@
         Issuer(me.host, me.incarnation),
         reports,
         lambda: _document_of(machine.configuration),
-        make_http_sender(),
+        sender,
         host.caller,
         {remote["host"]: remote["links"] for remote in settings["controls"]},
         runtime.clock,
--- a/cranberrywall/commands/_running.py
+++ b/cranberrywall/commands/_running.py
@@ -1,5 +1,6 @@
 """Run a program until a signal, and say plainly where it could not start."""
 
+import asyncio
 import sys
 from collections.abc import Callable
 from typing import Protocol
@@ -8,9 +9,13 @@
 import click
 import uvloop
 
+from cranberrywall.commands._secured import make_secured
 from cranberrywall.observability import StateRegistry, configure_log, dump_state_on_signal
-from cranberrywall.runtime import Runtime, make_runtime
+from cranberrywall.runtime import Runtime
 from cranberrywall.settings import Settings
+from cranberrywall.tls import TlsKeeper
+
+Make = Callable[[Settings, Runtime, TlsKeeper | None], "Program"]
 
 EXIT_NOT_STARTED = 1
 SHUTDOWN_S = 60.0
@@ -36,21 +41,25 @@
 class _ProgramService(aiomisc.Service):
     """Start and stop a program with the process."""
 
-    def __init__(self, settings: Settings, make: Callable[[Settings, Runtime], Program]) -> None:
+    def __init__(self, settings: Settings, make: Make) -> None:
         super().__init__()
         self._settings = settings
         self._make = make
         self._program: Program | None = None
+        self._watch: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Start the program, and dump its state on SIGUSR1."""
-        runtime = make_runtime(self._settings.get("data"))
-        self._program = self._make(self._settings, runtime)
+        secured = make_secured(self._settings)
+        self._program = self._make(self._settings, *secured)
         await self._program.start()
         dump_state_on_signal(self._program.state)
+        self._watch = secured.watch()
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stop the program."""
+        if self._watch is not None:
+            self._watch.cancel()
         if self._program is not None:
             await self._program.stop()
 
@@ -58,7 +67,7 @@
 def run_until_signal(
     kind: str,
     settings: Settings,
-    make: Callable[[Settings, Runtime], Program],
+    make: Make,
     shutdown_timeout: float = SHUTDOWN_S,
 ) -> None:
     """Run a program until SIGTERM or SIGINT; exit 1 where an address cannot be bound.
--- a/cranberrywall/settings/_load.py
+++ b/cranberrywall/settings/_load.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 import os
+import time
 from collections import Counter
 from collections.abc import Iterator
 from pathlib import Path
@@ -14,9 +15,12 @@
 from cranberrywall.settings._problem import Problem
 from cranberrywall.settings._settings import Settings
 from cranberrywall.settings._shape import check_shape
+from cranberrywall.settings._tls import check_tls, resolve_tls_paths
 from cranberrywall.settings._yaml import read_yaml
 
+_ANY_ADDRESS = "0.0.0.0"
 _HIGHEST_PORT = 65535
+_CODE_BY_PATH = {"data": "S010", "fleet_key": "S011"}
 _LISTEN_BY_PROCESS = {
     "entry": ("links", "http"),
     "control": ("links",),
@@ -35,6 +39,9 @@
         return Err([read.err_value])
     document = read.ok_value
     problems = list(check_shape(document, Settings))
+    if problems:
+        return Err(problems)
+    problems = list(_check_paths(document, file.parent))
     if problems:
         return Err(problems)
     _resolve_paths(document, file.parent)
@@ -44,10 +51,27 @@
     return Ok(with_defaults(document))
 
 
+def _check_paths(document: dict[str, Any], folder: Path) -> Iterator[Problem]:
+    """Yield a problem for each path that cannot be looked up; one that is missing can."""
+    for name, code in _CODE_BY_PATH.items():
+        if name not in document:
+            continue
+        try:
+            os.stat(folder / document[name])
+        except (FileNotFoundError, NotADirectoryError):
+            continue
+        except (OSError, ValueError) as error:
+            # Too long, a NUL in it, links in a circle, or no right to look: later checks
+            # would end in a traceback.
+            reason = getattr(error, "strerror", None) or str(error)
+            yield Problem(code, name, f"cannot be looked up: {reason}", "give another path")
+
+
 def _resolve_paths(document: dict[str, Any], folder: Path) -> None:
-    for name in ("data", "fleet_key"):
+    for name in _CODE_BY_PATH:
         if name in document:
             document[name] = str((folder / document[name]).resolve())
+    resolve_tls_paths(document.get("tls", {}), folder)
 
 
 def _check_meaning(document: dict[str, Any]) -> Iterator[Problem]:
@@ -58,6 +82,7 @@
     keys = load_fleet_keys(document["fleet_key"])
     if isinstance(keys, Err):
         yield from keys.err_value
+    yield from check_tls(document.get("tls", {}), document["host"], time.time())
 
 
 def _addresses(document: dict[str, Any]) -> Iterator[tuple[str, str, bool]]:
@@ -80,6 +105,15 @@
         if int(port) > _HIGHEST_PORT or (int(port) == 0 and not may_be_any):
             remedy = f"give a port from 1 to {_HIGHEST_PORT}"
             yield Problem("S007", field, f"`{port}` is no port", remedy)
+        if host == _ANY_ADDRESS and _is_told(field, document["process"]):
+            # Other hosts and callers connect to this address. Told `0.0.0.0`, each would
+            # connect to itself.
+            remedy = "give the host's own IP number"
+            yield Problem("S007", field, f"`{host}` is told to others as the address", remedy)
+
+
+def _is_told(field: str, process: str) -> bool:
+    return field.endswith("links") or (field == "listen.http" and process == "entry")
 
 
 def _check_process(document: dict[str, Any]) -> Iterator[Problem]:
--- a/cranberrywall/settings/_settings.py
+++ b/cranberrywall/settings/_settings.py
@@ -8,6 +8,7 @@
 
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
 Address = Annotated[str, Meta(pattern=r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$")]
+FilePath = Annotated[str, Meta(pattern=r"^[^\x00]+$")]
 Duration = Annotated[str, Meta(pattern=DURATION_PATTERN)]
 Size = Annotated[str, Meta(pattern=SIZE_PATTERN)]
 Count = Annotated[int, Meta(ge=1, le=1_000_000)]
@@ -63,6 +64,26 @@
     address_ttl: NotRequired[Duration]
 
 
+class TlsCallers(TypedDict):
+    """Name the files for HTTPS towards callers, targets and operators."""
+
+    certificate: FilePath
+    key: FilePath
+
+
+class Tls(TypedDict):
+    """Name the PEM files of certificates and keys; ``callers`` is for HTTPS.
+
+    ``reread`` is how often the files are looked at again.
+    """
+
+    certificate: NotRequired[FilePath]
+    key: NotRequired[FilePath]
+    authorities: NotRequired[FilePath]
+    reread: NotRequired[Duration]
+    callers: NotRequired[TlsCallers]
+
+
 class Settings(TypedDict):
     """Hold one process's settings.
 
@@ -85,3 +106,4 @@
     streams: NotRequired[Streams]
     membership: NotRequired[MembershipTimes]
     callers: NotRequired[Callers]
+    tls: NotRequired[Tls]
--- a/cranberrywall/settings/_shape.py
+++ b/cranberrywall/settings/_shape.py
@@ -16,13 +16,13 @@
 import msgspec
 
 from cranberrywall.settings._problem import Problem
-from cranberrywall.settings._settings import Address, Duration, Name, Size
+from cranberrywall.settings._settings import Address, Duration, FilePath, Name, Size
 
 
 class _Leaf(NamedTuple):
     """Say how a wrong value of one type is reported."""
 
-    check: str
+    code: str
     message: str
     remedy: str
 
@@ -30,6 +30,7 @@
 _LEAF_BY_TYPE: dict[Any, _Leaf] = {
     Address: _Leaf("S007", "is no address", "give an IP number and a port, such as 127.0.0.1:7001"),
     Name: _Leaf("S008", "is no name", "use small letters, digits, dots and dashes, 63 at most"),
+    FilePath: _Leaf("S008", "is no path", "name a file or folder, in one line of text"),
     Duration: _Leaf("S006", "is no duration", "give a number with its unit: 250ms, 2s, 5min or 1h"),
     Size: _Leaf("S006", "is no size", "give a whole number with its unit: 512B, 64KiB or 8MiB"),
 }
@@ -103,9 +104,9 @@
     leaf = _LEAF_BY_TYPE.get(shape)
     if leaf is not None and not isinstance(value, str):
         # YAML reads a bare number, as in `period: 2`, as one: the unit is what is missing.
-        has_no_unit = leaf.check == "S006" and isinstance(value, int | float)
-        check = "S006" if has_no_unit else "S005"
-        yield Problem(check, field, f"{_shown(value)} {leaf.message}", leaf.remedy)
+        has_no_unit = leaf.code == "S006" and isinstance(value, int | float)
+        code = "S006" if has_no_unit else "S005"
+        yield Problem(code, field, f"{_shown(value)} {leaf.message}", leaf.remedy)
         return
     if type(value) is not plain and not (plain is float and type(value) is int):
         expected = _PLAIN_NAME_BY_TYPE[plain]
@@ -116,7 +117,7 @@
         msgspec.convert(value, shape)
     except msgspec.ValidationError as error:
         if leaf is not None:
-            yield Problem(leaf.check, field, f"{_shown(value)} {leaf.message}", leaf.remedy)
+            yield Problem(leaf.code, field, f"{_shown(value)} {leaf.message}", leaf.remedy)
         else:
             yield Problem("S009", field, f"{_shown(value)} is out of range", str(error))
 
--- a/tests/settings/test_load.py
+++ b/tests/settings/test_load.py
@@ -56,7 +56,7 @@
     result = load_settings(path)
     assert isinstance(result, Err)
     assert all(problem.message and problem.remedy for problem in result.err_value)
-    return [(problem.check, problem.field) for problem in result.err_value]
+    return [(problem.code, problem.field) for problem in result.err_value]
 
 
 def test_good_settings_come_with_their_defaults(folder: Path):
@@ -112,6 +112,9 @@
     ("no IP number", _set("listen", "http", to="10.0.0.256:80"), ("S007", "listen.http")),
     ("port too high", _set("listen", "http", to="10.0.0.1:65536"), ("S007", "listen.http")),
     ("port 0", _set("peers", 0, "links", to="10.0.0.1:0"), ("S007", "peers[0].links")),
+    ("any address", _set("listen", "links", to="0.0.0.0:7001"), ("S007", "listen.links")),
+    ("any for callers", _set("listen", "http", to="0.0.0.0:80"), ("S007", "listen.http")),
+    ("any peer", _set("peers", 0, "links", to="0.0.0.0:7001"), ("S007", "peers[0].links")),
     ("no name", _set("place", to="Town Hall"), ("S008", "place")),
     ("no choice", _set("process", to="entri"), ("S009", "process")),
     ("no level", _set("log", to={"level": "info"}), ("S009", "log.level")),
@@ -155,7 +158,15 @@
 
 
 @pytest.mark.parametrize(
-    "content", [b"process: [entry", b"host: a\nhost: b\n", b"\xff\xfe", b"a: *b", b"? {a: b}\n: c"]
+    "content",
+    [
+        b"process: [entry",
+        b"host: a\nhost: b\n",
+        b"\xff\xfe",
+        b"a: *b",
+        b"? {a: b}\n: c",
+        b"host: 2026-13-45",
+    ],
 )
 def test_a_file_that_is_not_yaml(folder: Path, content: bytes):
     file = folder / "broken.yaml"
