Tell the router of first tokens

The smallest change in requests: an attempt calls Slot.first_token with its first chunk. Without it the router takes no target for silent, since a long answer would look the same, and doesn't count the prompts that a target has still to compute.

--- a/cranberrywall/requests/_attempts.py
+++ b/cranberrywall/requests/_attempts.py
@@ -209,7 +209,7 @@
             body,
         )
         stream = self._make_stream(call, self._limits_until(request.start_by))
-        reader = _AttemptReader(run, request, stream, self._clock)
+        reader = _AttemptReader(run, request, stream, self._clock, slot)
         sent_before, run.sent = run.sent, True
         on_attempt(Attempted(call.url, call.attempt_id))
         fault: Fault | None = Fault(FaultKind.CUT, "cancelled")
@@ -276,12 +276,18 @@
     """Move one attempt's chunks to the run."""
 
     def __init__(
-        self, run: Run, request: AttemptRequest, stream: EngineStream, clock: Clock
+        self,
+        run: Run,
+        request: AttemptRequest,
+        stream: EngineStream,
+        clock: Clock,
+        slot: Slot | None = None,
     ) -> None:
         self._run = run
         self._request = request
         self._stream = stream
         self._clock = clock
+        self._slot = slot
         self.first_chunk_at: float | None = None
         self.tokens = 0
 
@@ -302,6 +308,8 @@
         self.tokens += 1
         if self.first_chunk_at is None:
             self.first_chunk_at = self._clock.now()
+            if self._slot is not None:
+                self._slot.first_token(self.first_chunk_at)
         frame = frame_for_caller(chunk, run.name.request_id)
         if chunk.number < len(run.frames):
             return self._compare(chunk, frame)
