--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -90,6 +90,8 @@
         self.on_drain: Callable[[], None] = lambda: None
         register_drain(self._server, self._me.incarnation, lambda: self.on_drain())
         self._metrics = make_metrics()
+        ties.counters.export(self._metrics)
+        ties.membership.export(self._metrics)
         self.state = StateRegistry()
         self._health = HealthChecks()
         self._admin = self._make_admin()
@@ -292,6 +294,10 @@
         self.state.register("requests", self._requests_state)
         self.state.register("targets", self._targets_state)
         self.state.register("links", self._caller.state)
+        self.state.register("budgets", self._budgets_state)
+
+    def _budgets_state(self) -> dict[str, Any]:
+        return self._allotments.state() if self._allotments is not None else {}
 
     def _requests_state(self) -> dict[str, Any]:
         running = self._stack.running if self._stack is not None else 0
