Define what keeps charges in a module of its own

Cause: budgets/_charges.py had grown to 411 lines and held two subjects. Change: the keepers' Protocol, what they keep and which refusals mean out of reach stand in _keepers.py; no behaviour changed.

--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from cranberrywall.budgets._allotment import Allotment, Numbers
-from cranberrywall.budgets._charges import ChargeQueue, Kept
+from cranberrywall.budgets._charges import ChargeQueue
 from cranberrywall.budgets._client import LedgerClient
 from cranberrywall.budgets._interfaces import (
     EntryHost,
@@ -20,6 +20,7 @@
     ReserveRequest,
 )
 from cranberrywall.budgets._journal import Journal, Recovered
+from cranberrywall.budgets._keepers import Kept
 from cranberrywall.budgets._ledger_steps import LedgerSteps
 from cranberrywall.budgets._mirror import Mirror, deliver_at_mirrors, mirrors_of
 from cranberrywall.budgets._mirror_store import MirrorStore
--- a/cranberrywall/budgets/_charges.py
+++ b/cranberrywall/budgets/_charges.py
@@ -9,6 +9,7 @@
 
 from cranberrywall.budgets._client import LedgerClient
 from cranberrywall.budgets._interfaces import SpendPolicy
+from cranberrywall.budgets._keepers import Keeper, Kept, out_of_reach
 from cranberrywall.budgets.messages import (
     MAX_CHARGES_IN_BATCH,
     Charge,
@@ -30,53 +31,6 @@
 RETRY_MOST_S = 5.0
 
 
-# After these a command may yet be applied. Every other kind is the ledger's own answer.
-UNCERTAIN = frozenset(
-    {
-        ErrorKind.UNREACHABLE,
-        ErrorKind.TIMEOUT,
-        ErrorKind.NOT_CURRENT,
-        ErrorKind.NOT_LEADER,
-        ErrorKind.STORAGE_FAILED,
-        ErrorKind.NOT_READY,
-        ErrorKind.OVERLOADED,
-    }
-)
-
-
-def out_of_reach(refusal: Refusal) -> bool:
-    """Say whether the ledger could not be asked, or its answer was lost."""
-    return refusal.kind in UNCERTAIN
-
-
-class Kept(NamedTuple):
-    """Hold what must reach the ledger some day: transfers first, then charges."""
-
-    holder: Holder
-    transfers: tuple[Transfer, ...]
-    charges: tuple[Charge, ...]
-
-
-class Keeper(Protocol):
-    """Make charges and transfers durable without the ledger."""
-
-    async def keep(self, kept: Kept) -> Result[None, Refusal]:
-        """Return once ``kept`` survives the loss of this process."""
-        ...
-
-    def can_keep(self) -> bool:
-        """Say whether ``keep`` is likely to succeed now."""
-        ...
-
-    async def keep_transfer(self, holder: Holder, transfer: Transfer) -> Result[None, Refusal]:
-        """Return once the giver may tell the taker of a transfer."""
-        ...
-
-    async def committed(self, kept: Kept) -> None:
-        """Note that the ledger has ``kept``: nobody need keep it any longer."""
-        ...
-
-
 class Charged(Protocol):
     """Hold the money that charges are made against."""
 
--- a/cranberrywall/budgets/_ledger_steps.py
+++ b/cranberrywall/budgets/_ledger_steps.py
@@ -3,8 +3,8 @@
 from result import Err, Ok, Result
 
 from cranberrywall.budgets._allotment import Allotment
-from cranberrywall.budgets._charges import out_of_reach
 from cranberrywall.budgets._client import LedgerClient
+from cranberrywall.budgets._keepers import out_of_reach
 from cranberrywall.budgets._sizing import view_of
 from cranberrywall.budgets.messages import Draw, DrawResult, Return
 from cranberrywall.errors import Refusal
--- a/cranberrywall/budgets/_mirror.py
+++ b/cranberrywall/budgets/_mirror.py
@@ -9,8 +9,8 @@
 
 from result import Err, Ok, Result
 
-from cranberrywall.budgets._charges import Kept
 from cranberrywall.budgets._interfaces import EntryHost, PeerHost, Peers
+from cranberrywall.budgets._keepers import Kept
 from cranberrywall.budgets._peer_messages import (
     DELIVER,
     FORGET,
--- a/cranberrywall/budgets/_registration.py
+++ b/cranberrywall/budgets/_registration.py
@@ -4,8 +4,8 @@
 
 from result import Err, Ok, Result
 
-from cranberrywall.budgets._charges import Keeper, Kept, out_of_reach
 from cranberrywall.budgets._client import LedgerClient
+from cranberrywall.budgets._keepers import Keeper, Kept, out_of_reach
 from cranberrywall.budgets.messages import (
     MAX_CHARGES_IN_BATCH,
     ChargeBatch,
--- a/cranberrywall/budgets/_review.py
+++ b/cranberrywall/budgets/_review.py
@@ -7,10 +7,10 @@
 from result import Err, Ok
 
 from cranberrywall.budgets._allotment import Allotment
-from cranberrywall.budgets._charges import out_of_reach
 from cranberrywall.budgets._claims import Claim
 from cranberrywall.budgets._client import LedgerClient
 from cranberrywall.budgets._interfaces import EntryHost, Peers
+from cranberrywall.budgets._keepers import out_of_reach
 from cranberrywall.budgets._ledger_steps import LedgerSteps
 from cranberrywall.budgets._sizing import HIGH_BAND, LOW_BAND, Rates, part_in_place, target
 from cranberrywall.budgets._transfers import Taker
--- a/cranberrywall/budgets/_scarcity.py
+++ b/cranberrywall/budgets/_scarcity.py
@@ -12,10 +12,10 @@
 from result import Err, Ok, Result
 
 from cranberrywall.budgets._allotment import Allotment
-from cranberrywall.budgets._charges import out_of_reach
 from cranberrywall.budgets._claims import Claim
 from cranberrywall.budgets._client import LedgerClient
 from cranberrywall.budgets._interfaces import PeerHost, Peers, ReserveRequest
+from cranberrywall.budgets._keepers import out_of_reach
 from cranberrywall.budgets._ledger_steps import STEP_TIMEOUT_S, LedgerSteps
 from cranberrywall.budgets._reservation import HeldReservation
 from cranberrywall.budgets._sizing import view_of
--- a/cranberrywall/budgets/_transfers.py
+++ b/cranberrywall/budgets/_transfers.py
@@ -13,9 +13,9 @@
 from result import Err, Ok, Result
 
 from cranberrywall.budgets._allotment import Allotment
-from cranberrywall.budgets._charges import Keeper, Kept
 from cranberrywall.budgets._client import LedgerClient
 from cranberrywall.budgets._interfaces import PeerHost
+from cranberrywall.budgets._keepers import Keeper, Kept
 from cranberrywall.budgets._peer_messages import TAKE, TakeReply, TakeRequest
 from cranberrywall.budgets.messages import Holder, Transfer
 from cranberrywall.errors import ErrorKind, Refusal
