--- a/cranberrywall/budgets/__init__.py
+++ b/cranberrywall/budgets/__init__.py
@@ -21,12 +21,15 @@
 )
 from cranberrywall.budgets._ledger_ids import IdLimits
 from cranberrywall.budgets._ledger_machine import LedgerMachine, LedgerSummary, make_ledger_machine
-from cranberrywall.budgets.messages import LEDGER_CODEC
+from cranberrywall.budgets._totals import CreditRaiser
+from cranberrywall.budgets.messages import LEDGER_CODEC, BudgetTotal
 
 __all__ = [
     "LEDGER_CODEC",
     "Allotments",
     "BoundFigures",
+    "BudgetTotal",
+    "CreditRaiser",
     "EntryHost",
     "HostAllotments",
     "IdLimits",
--- a/cranberrywall/budgets/_client.py
+++ b/cranberrywall/budgets/_client.py
@@ -39,6 +39,12 @@
         """Add prepaid money to a budget."""
         return await self._propose(command.budget, command, messages.Accepted, timeout)
 
+    async def raise_credits(
+        self, group: str, command: messages.RaiseCredits, timeout: float
+    ) -> Result[messages.Accepted, Refusal]:
+        """Credit budgets of one group up to their totals."""
+        return await self._propose_to(group, command, messages.Accepted, timeout)
+
     async def draw(
         self, command: messages.Draw, timeout: float
     ) -> Result[messages.DrawResult, Refusal]:
--- a/cranberrywall/budgets/_ledger_machine.py
+++ b/cranberrywall/budgets/_ledger_machine.py
@@ -58,6 +58,7 @@
         self._state = LedgerState(limits)
         self._apply_by_type: dict[type, Callable[[LedgerState, Any], Any]] = {
             messages.Credit: _credit,
+            messages.RaiseCredits: _raise_credits,
             messages.Draw: holding.draw,
             messages.Return: holding.give_back,
             messages.ChargeBatch: charges.apply_batch,
@@ -147,6 +148,31 @@
     return messages.Accepted()
 
 
+def _raise_credits(
+    state: LedgerState, command: messages.RaiseCredits
+) -> messages.Accepted | Rejected:
+    for wanted in command.totals:
+        account = state.account_by_budget.get(wanted.budget)
+        credited = account.credited if account else 0
+        if wanted.total <= credited:
+            continue
+        # The change id names the total, so that the list of top-ups tells where each part
+        # came from.
+        credit = messages.Credit(
+            wanted.budget,
+            wanted.workspace,
+            wanted.unit,
+            wanted.total - credited,
+            f"total {wanted.total} of {wanted.budget}",
+            command.operator,
+            max(command.at, state.credits.floor),
+        )
+        credited_now = _credit(state, credit)
+        if isinstance(credited_now, Rejected):
+            return credited_now
+    return messages.Accepted()
+
+
 def _credited_before(
     known: messages.Credit, command: messages.Credit
 ) -> messages.Accepted | Rejected:
--- a/cranberrywall/budgets/_messages_money.py
+++ b/cranberrywall/budgets/_messages_money.py
@@ -21,6 +21,27 @@
     at: float
 
 
+class BudgetTotal(NamedTuple):
+    """Name what a budget of a workspace should have been credited in all."""
+
+    budget: str
+    workspace: str
+    unit: str
+    total: int
+
+
+class RaiseCredits(NamedTuple):
+    """Credit each budget with what it lacks of its total; a new budget is made by it.
+
+    It is idempotent by the totals: sent again, or late, it finds nothing missing. A total
+    below what was credited takes nothing back.
+    """
+
+    totals: tuple[BudgetTotal, ...]
+    operator: str
+    at: float
+
+
 class Draw(NamedTuple):
     """Move up to ``amount`` (at least ``minimum``) from what is free to a holder.
 
--- /dev/null
+++ b/cranberrywall/commands/_caller_front.py
@@ -0,0 +1,107 @@
+"""Serve the product's own interface: chat completions, services, addresses, announcements."""
+
+import asyncio
+
+from aiohttp import web
+
+from cranberrywall.callers import BodyLimits, CallerLimits
+from cranberrywall.entry import CallerStack, FrontParts, StackLinks, make_caller_stack
+from cranberrywall.runtime import Clock, split_address
+from cranberrywall.settings import Settings, seconds, size_in_bytes
+from cranberrywall.targets import Prober, make_announce_routes, make_http_probe
+from cranberrywall.tls import TlsKeeper
+
+SHUTDOWN_S = 1.0
+
+
+class CallerFront:
+    """Hold the listener for callers and targets, and the stack behind it."""
+
+    def __init__(
+        self, settings: Settings, target_key: str, clock: Clock, tls: TlsKeeper | None
+    ) -> None:
+        self._settings = settings
+        self._target_key = target_key
+        self._clock = clock
+        self._tls = tls
+        self._stack: CallerStack | None = None
+        self._runner: web.AppRunner | None = None
+        self._prober: asyncio.Task[None] | None = None
+
+    @property
+    def running(self) -> int:
+        """Return how many requests are in progress."""
+        return self._stack.running if self._stack is not None else 0
+
+    async def listen(self) -> None:
+        """Leave the address alone: it is bound once there is something to serve."""
+
+    async def serve(self, parts: FrontParts) -> None:
+        """Bind the address for callers and targets, and serve them."""
+        stack = self._make_stack(parts)
+        stack.app.add_routes(
+            make_announce_routes(parts.targets, self._target_key, self._clock, parts.publish)
+        )
+        # A handler whose caller has gone is cancelled, which frees its place in the queue.
+        runner = web.AppRunner(
+            stack.app, access_log=None, shutdown_timeout=SHUTDOWN_S, handler_cancellation=True
+        )
+        await runner.setup()
+        host, port = split_address(self._settings["listen"]["http"])
+        context = self._tls.http if self._tls else None
+        await web.TCPSite(runner, host, port, ssl_context=context).start()
+        self._stack = stack
+        self._runner = runner
+        router = parts.router
+        prober = Prober(make_http_probe(stack.session), router.doubtful, router.probed, self._clock)
+        self._prober = asyncio.create_task(prober.run())
+
+    def start_draining(self) -> None:
+        """Ask callers, with each answer, to close their connection after it."""
+        if self._stack is not None:
+            self._stack.start_draining()
+
+    def quiet_for(self, now: float) -> float:
+        """Return for how long no request has arrived, in seconds."""
+        return self._stack.quiet_for(now) if self._stack is not None else float("inf")
+
+    async def stop_listening(self) -> None:
+        """Accept no new connection."""
+        for site in list(self._runner.sites) if self._runner is not None else ():
+            await site.stop()
+
+    async def finish(self) -> None:
+        """Return once no request is in progress and what they left is recorded."""
+        if self._stack is not None:
+            await self._stack.finish()
+
+    async def close(self) -> None:
+        """Close the connections of callers and to targets."""
+        if self._prober is not None:
+            self._prober.cancel()
+        if self._runner is not None:
+            await self._runner.cleanup()
+        if self._stack is not None:
+            await self._stack.close()
+
+    def _make_stack(self, parts: FrontParts) -> CallerStack:
+        callers = self._settings["callers"]
+        return make_caller_stack(
+            parts.me.host,
+            parts.me.place,
+            parts.me.incarnation,
+            parts.configuration,
+            parts.membership,
+            parts.allotments,
+            parts.ledger,
+            parts.router,
+            self._clock,
+            parts.runtime.random,
+            metrics=parts.metrics,
+            links=StackLinks(self._settings["listen"]["links"], parts.caller, parts.server),
+            caller_limits=CallerLimits(
+                bodies=BodyLimits(most_bytes=size_in_bytes(callers["body"])),
+                ttl_s=seconds(callers["address_ttl"]),
+            ),
+            fetch=self._tls.fetch if self._tls else None,
+        )
--- a/cranberrywall/commands/_control_program.py
+++ b/cranberrywall/commands/_control_program.py
@@ -1,9 +1,16 @@
 """Assemble the control program: its groups, what they keep, the spread, operators' HTTP."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 
 from cranberrywall.budgets import LedgerMachine, LedgerSummary, make_ledger_machine
+from cranberrywall.commands._control_ties import (
+    ControlTies,
+    Loop,
+    make_credit_raiser,
+    make_founders,
+    make_group_settings,
+)
 from cranberrywall.commands._keys import load_keys
 from cranberrywall.configuration import (
     ConfigurationMachine,
@@ -65,8 +72,12 @@
         orders: OrderController,
         admin: AdminServer,
         state: StateRegistry,
+        ties: ControlTies,
+        loops: Sequence[Loop],
     ) -> None:
         self.state = state
+        self.ties = ties
+        self._loops = loops
         self._host = host
         self._feed = feed
         self._orders = orders
@@ -88,6 +99,7 @@
         await self._host.start()
         self._tasks.append(asyncio.create_task(self._feed.run()))
         self._tasks.append(asyncio.create_task(self._orders.run()))
+        self._tasks += [asyncio.create_task(loop()) for loop in self._loops]
         await self._admin.start()
         log_event("INFO", "control_started", links=self.links_address, admin=self.admin_address)
 
@@ -104,14 +116,17 @@
 
 
 def make_control_program(
-    settings: Settings, runtime: Runtime, tls: TlsKeeper | None = None
+    settings: Settings,
+    runtime: Runtime,
+    tls: TlsKeeper | None = None,
+    keys: FleetKeys | None = None,
 ) -> ControlProgram:
     """Return the control program of checked settings; ``tls`` trusts targets with HTTPS.
 
-    Raise ``ValueError`` for a key file that changed since the check, and for a runtime
-    without storage.
+    ``keys`` are the fleet's where no file holds them. Raise ``ValueError`` for a key file
+    that changed since the check, and for a runtime without storage.
     """
-    keys = load_keys(settings)
+    keys = keys or load_keys(settings)
     me = Peer(settings["host"], settings["place"], int(runtime.clock.wall() * 1000))
     counters = LinkCounters()
     server = _make_server(settings, runtime, keys, me, counters)
@@ -125,7 +140,9 @@
     }
     machine_by_group = {CONFIGURATION_GROUP: machine, **ledger_by_group}
     host = _make_host(settings, runtime, machine_by_group, caller, server)
-    feed = _make_feed(settings, machine.configuration, caller)
+    ties = ControlTies(settings, runtime, me, host)
+    raiser = make_credit_raiser(host, ledger_by_group, machine.configuration, runtime)
+    feed = _make_feed(settings, machine.configuration, caller, ties)
     feed.register(server)
     sender = make_http_sender(tls.fetch if tls else None)
     orders = _make_orders(settings, runtime, me, machine, host, sender)
@@ -134,7 +151,8 @@
     metrics = _make_metrics(host, counters, ledger_by_group)
     health = _make_health(host, lambda: check_placement(settings, machine.configuration))
     admin = make_admin_server(settings["listen"]["admin"], metrics, state, health, keys.admin)
-    return ControlProgram(host, feed, orders, admin, state)
+    loops = [raiser.run, *ties.loops()]
+    return ControlProgram(host, feed, orders, admin, state, ties, loops)
 
 
 def check_placement(settings: Settings, machine: ConfigurationMachine) -> str | None:
@@ -169,16 +187,23 @@
     caller: LinkCaller,
     server: LinkServer,
 ) -> ControlHost:
-    address_by_host = {remote["host"]: remote["links"] for remote in settings["controls"]}
     return make_control_host(
-        settings["host"], address_by_host, machine_by_group, runtime, caller, server
+        settings["host"],
+        make_founders(settings),
+        machine_by_group,
+        runtime,
+        caller,
+        server,
+        make_group_settings(settings),
     )
 
 
-def _make_feed(settings: Settings, machine: ConfigurationMachine, caller: LinkCaller) -> Feed:
+def _make_feed(
+    settings: Settings, machine: ConfigurationMachine, caller: LinkCaller, ties: ControlTies
+) -> Feed:
     me = SpreadHost(settings["host"], settings["place"], settings["listen"]["links"])
-
-    peers = make_document_peers(lambda: _document_of(machine))
+    listed = make_document_peers(lambda: _document_of(machine))
+    peers = ties if settings.get("seeds") else listed
     return make_control_feed(me, machine, peers, caller)
 
 
--- /dev/null
+++ b/cranberrywall/commands/_control_ties.py
@@ -0,0 +1,127 @@
+"""Make what ties a control host to hosts that it is not told of: they enrol, and it enlists."""
+
+from collections.abc import Callable, Coroutine, Iterable, Sequence
+from typing import Any
+
+from result import Result
+
+from cranberrywall.budgets import BudgetTotal, CreditRaiser
+from cranberrywall.configuration import ConfigurationMachine, SpreadHost
+from cranberrywall.control import (
+    ChangeMemberReply,
+    ChangeMemberRequest,
+    ControlContacts,
+    ControlHost,
+    Enlistment,
+    EnrolledHost,
+    Enrolments,
+    MembersClient,
+    make_control_client,
+)
+from cranberrywall.errors import Refusal
+from cranberrywall.links import Peer
+from cranberrywall.replication import Founders, GroupSettings, founders_of
+from cranberrywall.runtime import Runtime
+from cranberrywall.settings import Settings
+from cranberrywall.targets import TargetRelay
+
+GIVE_UP_S = 10.0
+"""A voter that is silent for so long loses its seat, in seconds, where hosts enlist by themselves.
+
+It is longer than a restart or a short cut takes, and costs little where it is wrong: the host
+asks for its seat again as soon as it reaches a leader."""
+
+ENLIST_TIMEOUT_S = 2.0
+
+Loop = Callable[[], Coroutine[Any, Any, None]]
+
+
+def make_founders(settings: Settings) -> Founders:
+    """Return who forms the groups where there are none yet."""
+    own = settings["listen"]["links"]
+    seeds = settings.get("seeds")
+    if seeds:
+        return Founders(tuple(seeds), own, settings.get("founding", False))
+    address_by_host = {remote["host"]: remote["links"] for remote in settings["controls"]}
+    return founders_of(address_by_host, settings["host"])
+
+
+def make_group_settings(settings: Settings) -> GroupSettings:
+    """Return the groups' times; only hosts that enlist by themselves may lose their seats."""
+    return GroupSettings(give_up_s=GIVE_UP_S if settings.get("seeds") else None)
+
+
+class ControlTies:
+    """Hold what a control host knows of hosts beyond its groups, and its client of the groups."""
+
+    def __init__(self, settings: Settings, runtime: Runtime, me: Peer, host: ControlHost) -> None:
+        self._settings = settings
+        self._host = host
+        clock, random = runtime.clock, runtime.random
+        self.enrolments = Enrolments(host.members, clock, random)
+        self.enrolments.register(host.server)
+        self.contacts = self._make_contacts(runtime, me)
+        self.client: MembersClient = make_control_client(host.caller, clock, self.controls, random)
+        self.relay = TargetRelay(self._entry_links, host.caller, clock)
+        links = settings["listen"]["links"]
+        self._enlistment = Enlistment(me.host, links, host.unheard, self._enlist, clock)
+
+    def controls(self) -> Sequence[str]:
+        """Return the control hosts' stream addresses known now."""
+        if self.contacts is not None:
+            return list(dict.fromkeys((*self._host.members(), *self.contacts.addresses())))
+        return [remote["links"] for remote in self._settings["controls"]]
+
+    def alive(self) -> list[SpreadHost]:
+        """Return the entry hosts that enrolled; those that are down may be among them."""
+        return [
+            SpreadHost(entry.host, entry.place, entry.links) for entry in self.enrolments.entries()
+        ]
+
+    def loops(self) -> list[Loop]:
+        """Return what runs for as long as the process, where the settings name seeds."""
+        if self.contacts is None:
+            return []
+        return [self.contacts.run, self._enlistment.run]
+
+    def _entry_links(self) -> list[str]:
+        return [entry.links for entry in self.alive()]
+
+    def _make_contacts(self, runtime: Runtime, me: Peer) -> ControlContacts | None:
+        seeds = self._settings.get("seeds")
+        if not seeds:
+            return None
+        links = self._settings["listen"]["links"]
+        own = EnrolledHost(me.host, me.place, links, "", me.incarnation, True)
+        return ControlContacts(own, seeds, self._host.caller, runtime.clock, runtime.random)
+
+    async def _enlist(
+        self, group: str, host: str, links: str
+    ) -> Result[ChangeMemberReply, Refusal]:
+        request = ChangeMemberRequest(group, "enlist", host, "", links, False)
+        return await self.client.change_member(request, ENLIST_TIMEOUT_S)
+
+
+def make_credit_raiser(
+    host: ControlHost, ledgers: Iterable[str], machine: ConfigurationMachine, runtime: Runtime
+) -> CreditRaiser:
+    """Return what credits the ledgers up to the totals of the configuration."""
+    groups = [host.group_by_name[name] for name in ledgers]
+    raiser = CreditRaiser(groups, lambda: _totals(machine), runtime.clock)
+    machine.watch(raiser.note_change)
+    return raiser
+
+
+def _totals(machine: ConfigurationMachine) -> list[BudgetTotal]:
+    newest = machine.document_at()
+    if newest is None:
+        return []
+    document = newest.checked
+    workspace_by_budget = {
+        workspace["budget"]: name for name, workspace in document["workspaces"].items()
+    }
+    return [
+        BudgetTotal(name, workspace_by_budget.get(name, name), budget["unit"], budget["total"])
+        for name, budget in document["budgets"].items()
+        if "total" in budget
+    ]
--- a/cranberrywall/commands/_demo_fleet.py
+++ b/cranberrywall/commands/_demo_fleet.py
@@ -8,7 +8,7 @@
 
 from cranberrywall.commands._console_program import make_console_program
 from cranberrywall.commands._control_program import make_control_program
-from cranberrywall.commands._entry_program import make_entry_program
+from cranberrywall.commands._entry_service import make_entry_program
 from cranberrywall.console import Role, make_accounts
 from cranberrywall.demo import (
     Deployment,
--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from aiohttp import web
 from result import Err
 
 from cranberrywall.budgets import (
@@ -14,16 +13,10 @@
     make_ledger_client,
 )
 from cranberrywall.budgets.messages import Holder
-from cranberrywall.callers import BodyLimits, CallerLimits
-from cranberrywall.commands._entry_ties import HostTies, describe_target, load_keys
+from cranberrywall.commands._entry_ties import HostTies, describe_target
 from cranberrywall.configuration import make_host_configuration
 from cranberrywall.control import make_control_client
-from cranberrywall.entry import (
-    CallerStack,
-    ConfiguredPolicies,
-    StackLinks,
-    make_caller_stack,
-)
+from cranberrywall.entry import ConfiguredPolicies, Front, FrontParts
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.hosts import register_drain, register_dump
 from cranberrywall.observability import (
@@ -35,19 +28,10 @@
     make_metrics,
 )
 from cranberrywall.orders import EngineReporter
-from cranberrywall.routing import make_router, make_target_spread
-from cranberrywall.runtime import Runtime, split_address
-from cranberrywall.settings import Settings, seconds, size_in_bytes
-from cranberrywall.targets import (
-    Announcement,
-    Prober,
-    make_announce_routes,
-    make_http_probe,
-    make_targets,
-)
-from cranberrywall.tls import TlsKeeper
-
-SHUTDOWN_S = 1.0
+from cranberrywall.routing import RetryLimits, make_router, make_target_spread
+from cranberrywall.runtime import Runtime
+from cranberrywall.settings import FleetKeys, Settings, seconds
+from cranberrywall.targets import Announcement, make_targets, register_relay
 
 HAND_BACK_S = 10.0
 """A host that ends tries for so long to commit its charges and return its money."""
@@ -70,14 +54,21 @@
 class EntryProgram:
     """Hold one entry process."""
 
-    def __init__(self, settings: Settings, runtime: Runtime, tls: TlsKeeper | None) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        runtime: Runtime,
+        keys: FleetKeys,
+        front: Front,
+        retry_limits: RetryLimits | None = None,
+    ) -> None:
         self._settings = settings
-        self._tls = tls
         self._runtime = runtime
-        self._keys = load_keys(settings)
+        self._front = front
+        self._retry_limits = retry_limits
         self._configuration = make_host_configuration(runtime.storage)
-        ties = HostTies(settings, runtime, self._keys, self._configuration)
-        self._hosts = ties.configured
+        ties = HostTies(settings, runtime, keys, self._configuration)
+        self._ties = ties
         self._me, self._server, self._caller = ties.me, ties.server, ties.caller
         self._membership, self._follower = ties.membership, ties.follower
         clock, controls = runtime.clock, ties.controls
@@ -91,16 +82,16 @@
         self._follower.register(self._server)
         self.on_drain: Callable[[], None] = lambda: None
         register_drain(self._server, self._me.incarnation, lambda: self.on_drain())
+        register_relay(self._server, self._publish)
         self._metrics = make_metrics()
         ties.counters.export(self._metrics)
         ties.membership.export(self._metrics)
         self.state = StateRegistry()
         self._health = HealthChecks()
-        self._admin = self._make_admin()
+        self._admin = self._make_admin(keys)
         self._waiting_by_model: Callable[[], Mapping[str, float]] = dict
-        self._stack: CallerStack | None = None
-        self._runner: web.AppRunner | None = None
         self._failure = ""
+        self._is_serving = False
         self._is_draining = False
         self._tasks: list[asyncio.Task[None]] = []
         self._register_state()
@@ -114,6 +105,7 @@
     async def start(self) -> None:
         """Listen, and serve callers once there is a configuration; raise ``OSError``."""
         await self._server.start()
+        await self._front.listen()
         await self._admin.start()
         self._tasks.append(asyncio.create_task(self._become_ready()))
         log_event("INFO", "entry_started", admin=self.admin_address)
@@ -125,26 +117,24 @@
         live when this returns. So no request is refused or cut because the host leaves.
         """
         self._membership.leave()
-        if self._stack is None or self._is_draining:
+        if not self._is_serving or self._is_draining:
             return
         self._is_draining = True
-        self._stack.start_draining()
+        self._front.start_draining()
         clock = self._runtime.clock
-        log_event("INFO", "entry_draining", running=self._stack.running)
+        log_event("INFO", "entry_draining", running=self._front.running)
         await clock.sleep(seconds(self._settings["callers"]["address_ttl"]) + TTL_MARGIN_S)
-        while self._stack.quiet_for(clock.now()) < QUIET_S:
-            await clock.sleep(QUIET_S - self._stack.quiet_for(clock.now()))
+        while self._front.quiet_for(clock.now()) < QUIET_S:
+            await clock.sleep(QUIET_S - self._front.quiet_for(clock.now()))
 
     async def stop(self) -> None:
         """Finish the requests in progress, hand the money back and close everything."""
         self._membership.leave()
-        if self._runner is not None and self._stack is not None:
-            for site in list(self._runner.sites):
-                await site.stop()
-            await self._stack.finish()
+        if self._is_serving:
+            await self._front.stop_listening()
+            await self._front.finish()
             await self._hand_money_back()
-            await self._runner.cleanup()
-            await self._stack.close()
+        await self._front.close()
         if self._allotments is not None:
             await self._allotments.stop()
         for task in self._tasks:
@@ -157,6 +147,8 @@
         log_event("INFO", "entry_stopped")
 
     async def _become_ready(self) -> None:
+        if self._ties.contacts is not None:
+            self._tasks.append(asyncio.create_task(self._ties.contacts.run()))
         await self._membership.start()
         revision = await self._follower.join()
         self._tasks.append(asyncio.create_task(self._follower.run()))
@@ -176,9 +168,8 @@
         self._allotments = allotments
         allotments.export(self._metrics)
         await self._serve(allotments, ledger)
-        http = self._settings["listen"]["http"]
         targets = len(self._targets.by_id)
-        log_event("INFO", "entry_ready", revision=revision, targets=targets, http=http)
+        log_event("INFO", "entry_ready", revision=revision, targets=targets)
 
     async def _hand_money_back(self) -> None:
         if self._allotments is None:
@@ -207,56 +198,48 @@
             self._me.host,
             self._me.place,
             lambda: max(1, len(self._membership.alive())),
+            retry_limits=self._retry_limits,
         )
         self._waiting_by_model = router.waiting_by_model
-        callers = self._settings["callers"]
-        stack = make_caller_stack(
-            self._me.host,
-            self._me.place,
-            self._me.incarnation,
+        parts = FrontParts(
+            self._me,
             self._configuration,
             self._membership,
             allotments,
             ledger,
+            self._targets,
             router,
-            runtime.clock,
-            runtime.random,
-            metrics=self._metrics,
-            links=StackLinks(self._settings["listen"]["links"], self._caller, self._server),
-            caller_limits=CallerLimits(
-                bodies=BodyLimits(most_bytes=size_in_bytes(callers["body"])),
-                ttl_s=seconds(callers["address_ttl"]),
-            ),
-            fetch=self._tls.fetch if self._tls else None,
-        )
-        stack.app.add_routes(
-            make_announce_routes(self._targets, self._keys.target, runtime.clock, self._publish)
-        )
-        # A handler whose caller has gone is cancelled, which frees its place in the queue.
-        runner = web.AppRunner(
-            stack.app, access_log=None, shutdown_timeout=SHUTDOWN_S, handler_cancellation=True
-        )
-        await runner.setup()
-        host, port = split_address(self._settings["listen"]["http"])
-        context = self._tls.http if self._tls else None
-        await web.TCPSite(runner, host, port, ssl_context=context).start()
-        self._stack = stack
-        self._runner = runner
-        prober = Prober(
-            make_http_probe(stack.session), router.doubtful, router.probed, runtime.clock
+            self._caller,
+            self._server,
+            runtime,
+            self._metrics,
+            self._publish,
+            self._is_current,
         )
-        self._tasks.append(asyncio.create_task(self._report_load(stack)))
-        self._tasks.append(asyncio.create_task(prober.run()))
+        await self._front.serve(parts)
+        self._is_serving = True
+        self._tasks.append(asyncio.create_task(self._report_load()))
+
+    def _is_current(self, now: float) -> bool:
+        if not self._follower.has_newest_heard:
+            return False
+        contacts = self._ties.contacts
+        return contacts is None or contacts.heard_lately(now)
 
     async def _expire_targets(self) -> None:
         clock = self._runtime.clock
         while True:
             await clock.sleep(EXPIRE_EVERY_S)
-            self._spread.expire(clock.now())
-
-    async def _report_load(self, stack: CallerStack) -> None:
+            contacts = self._ties.contacts
+            # Where control takes the targets' renewals in, a host that is cut off from it
+            # hears none. That says nothing of the targets: they are used as long as they
+            # answer.
+            if contacts is None or contacts.heard_lately(clock.now()):
+                self._spread.expire(clock.now())
+
+    async def _report_load(self) -> None:
         while True:
-            self._membership.set_load(min(1.0, stack.running / BUSY_REQUESTS))
+            self._membership.set_load(min(1.0, self._front.running / BUSY_REQUESTS))
             await self._runtime.clock.sleep(LOAD_EVERY_S)
 
     def _publish(self, announcement: Announcement) -> None:
@@ -269,14 +252,14 @@
             self._me.place,
             ledger,
             self._membership,
-            self._hosts.entry_hosts,
+            self._ties.entry_hosts,
             ConfiguredPolicies(self._configuration),
             self._caller,
             self._server,
             self._runtime,
         )
 
-    def _make_admin(self) -> AdminServer:
+    def _make_admin(self, keys: FleetKeys) -> AdminServer:
         self._health.add_health("allotments", lambda: self._failure or None)
         self._health.add_readiness("callers", self._check_serving)
         return make_admin_server(
@@ -284,11 +267,11 @@
             self._metrics,
             self.state,
             self._health,
-            self._keys.admin,
+            keys.admin,
         )
 
     def _check_serving(self) -> str | None:
-        if self._runner is None:
+        if not self._is_serving:
             return "there is no configuration yet"
         return "this host is draining" if self._is_draining else None
 
@@ -305,21 +288,10 @@
         return self._allotments.state() if self._allotments is not None else {}
 
     def _requests_state(self) -> dict[str, Any]:
-        running = self._stack.running if self._stack is not None else 0
-        return {"running": running, "is_draining": self._is_draining}
+        return {"running": self._front.running, "is_draining": self._is_draining}
 
     def _targets_state(self) -> dict[str, Any]:
         return {
             name: describe_target(target.announcement)
             for name, target in sorted(self._targets.by_id.items())
         }
-
-
-def make_entry_program(
-    settings: Settings, runtime: Runtime, tls: TlsKeeper | None = None
-) -> EntryProgram:
-    """Return the entry program of checked settings; ``tls`` gives HTTPS.
-
-    Raise ``ValueError`` for a key file that changed since the check.
-    """
-    return EntryProgram(settings, runtime, tls)
--- a/cranberrywall/commands/_entry_ties.py
+++ b/cranberrywall/commands/_entry_ties.py
@@ -1,15 +1,18 @@
 """Make what ties an entry host to the others: keys, streams, membership, spread."""
 
+import asyncio
+from collections.abc import Sequence
 from typing import Any
 
-from cranberrywall.commands._keys import load_keys as load_keys
+from cranberrywall.budgets import EntryHost
 from cranberrywall.configuration import (
     Follower,
     HostConfiguration,
     SpreadHost,
     make_follower,
 )
-from cranberrywall.entry import ConfiguredHosts, LivePeers, carry_revisions
+from cranberrywall.control import ControlContacts, EnrolledHost
+from cranberrywall.entry import ConfiguredHosts, DiscoveredHosts, LivePeers, carry_revisions
 from cranberrywall.hosts import (
     HostState,
     HostView,
@@ -32,7 +35,11 @@
 
 
 class HostTies:
-    """Hold one entry host's identity, its streams, and what it knows of the other hosts."""
+    """Hold one entry host's identity, its streams, and what it knows of the other hosts.
+
+    ``contacts`` is there where the settings name seeds: the control hosts and the other
+    entry hosts are then found through these, in place of lists in settings and configuration.
+    """
 
     def __init__(
         self,
@@ -44,13 +51,41 @@
         self._settings = settings
         self._runtime = runtime
         self.me = Peer(settings["host"], settings["place"], int(runtime.clock.wall() * 1000))
-        self.controls = [remote["links"] for remote in settings["controls"]]
         self.counters = LinkCounters()
         self.server = self._make_server(keys)
         self.caller = self._make_caller(keys)
-        self.configured = ConfiguredHosts(self._view(), configuration, self._peers())
+        self.contacts = self._make_contacts()
+        self._configured = ConfiguredHosts(self._view(), configuration, self._peers())
         self.membership = self._make_membership()
         self.follower = self._make_follower(configuration)
+        self._meeting: asyncio.Task[None] | None = None
+
+    def controls(self) -> Sequence[str]:
+        """Return the control hosts' stream addresses known now."""
+        if self.contacts is not None:
+            return self.contacts.addresses()
+        return [remote["links"] for remote in self._settings["controls"]]
+
+    def entry_hosts(self) -> Sequence[EntryHost]:
+        """Return the entry hosts known, those that are down too."""
+        if self.contacts is not None:
+            return DiscoveredHosts(self.membership).entry_hosts()
+        return self._configured.entry_hosts()
+
+    def _make_contacts(self) -> ControlContacts | None:
+        seeds = self._settings.get("seeds")
+        if not seeds:
+            return None
+        listen = self._settings["listen"]
+        host, place, incarnation = self.me
+        own = EnrolledHost(host, place, listen["links"], listen["http"], incarnation, False)
+        clock, random = self._runtime.clock, self._runtime.random
+        return ControlContacts(own, seeds, self.caller, clock, random, self._meet)
+
+    def _meet(self, entries: Sequence[EnrolledHost]) -> None:
+        if self._meeting is None or self._meeting.done():
+            work = self.membership.meet([entry.links for entry in entries])
+            self._meeting = asyncio.get_running_loop().create_task(work)
 
     def _make_server(self, keys: FleetKeys) -> LinkServer:
         return make_link_server(
@@ -111,7 +146,7 @@
         follower = make_follower(
             me,
             configuration,
-            LivePeers(self.me.host, self.membership, self.configured),
+            LivePeers(self.me.host, self.membership, self._configured),
             self.controls,
             self.caller,
             self._runtime.clock,
--- a/cranberrywall/commands/entry.py
+++ b/cranberrywall/commands/entry.py
@@ -5,7 +5,8 @@
 
 import click
 
-from cranberrywall.commands._entry_program import EntryProgram, make_entry_program
+from cranberrywall.commands._entry_program import EntryProgram
+from cranberrywall.commands._entry_service import make_entry_program
 from cranberrywall.commands._running import run_until_signal
 from cranberrywall.observability import StateRegistry
 from cranberrywall.runtime import Runtime
--- a/cranberrywall/configuration/_client.py
+++ b/cranberrywall/configuration/_client.py
@@ -17,8 +17,12 @@
     GetDeltas,
     GetDocument,
     GetHistory,
+    GetPublished,
     History,
     NotKept,
+    Published,
+    PublishedSource,
+    PublishNumbered,
     Revision,
     RollBack,
 )
@@ -78,6 +82,28 @@
         """Commit the document of revision ``to`` as a new revision."""
         return await self._propose(RollBack(to, based_on, change_id, operator, at))
 
+    async def publish(
+        self, number: int, document: Mapping[str, Any], source: bytes, at: float
+    ) -> Result[Published, Refusal]:
+        """Put a whole document in force under the operators' own number; the highest wins.
+
+        The document must have been checked: the group takes it as it is.
+        """
+        command = PublishNumbered(number, dict(document), source, at)
+        data = CONFIGURATION_CODEC.encode(command)
+        result = await self._control.propose(GROUP, data, self._timeout)
+        if isinstance(result, Err):
+            return Err(result.err_value)
+        answer = _decode(result.ok_value)
+        return Ok(answer) if isinstance(answer, Published) else Err(_unexpected(answer))
+
+    async def published(self) -> Result[PublishedSource, Refusal]:
+        """Return the numbered document in force as it was sent; a linearizable read."""
+        answer: Result[PublishedSource, Refusal] = await self._query(
+            GetPublished(), PublishedSource
+        )
+        return answer
+
     async def document(self, revision: int = 0) -> Result[DocumentAt, Refusal]:
         """Return the document in force, or as of an earlier ``revision``."""
         return await self._query(GetDocument(revision), DocumentAt)
--- a/cranberrywall/configuration/_document.py
+++ b/cranberrywall/configuration/_document.py
@@ -41,9 +41,14 @@
 
 
 class Budget(TypedDict):
-    """Describe one prepaid budget; its money is in the ledger, not here."""
+    """Describe one prepaid budget; its money is in the ledger, not here.
+
+    ``total`` is what it should have been credited in all: the ledger credits what is
+    missing, and a lower one takes nothing back. Without it, operators credit by top-ups.
+    """
 
     unit: Literal["tokens", "answers"]
+    total: NotRequired[Annotated[int, Meta(ge=0)]]
 
 
 class Priority(TypedDict):
@@ -70,15 +75,71 @@
     adapters: NotRequired[list[Name]]
 
 
+class Engine(TypedDict):
+    """Describe the engines behind a service that requests are forwarded to.
+
+    ``memory_tokens`` is the room for running requests and cached prompts together, and
+    ``tokens_per_event`` how many tokens one event of a stream holds at most.
+    """
+
+    slots: Positive
+    memory_tokens: Positive
+    tokens_per_event: Positive
+
+
 class Service(TypedDict):
-    """Describe a plain service.
+    """Describe a plain service, or one whose requests are forwarded by routes.
 
     ``not_repeatable`` lists ``METHOD /path`` prefixes that may run at most once. ``cost``
-    is what an answer costs in the budget's unit.
+    is what an answer costs in the budget's unit. ``connections`` bounds what a target takes
+    from all hosts together, and ``engine`` is there where its targets are model engines.
     """
 
     not_repeatable: list[str]
     cost: Positive
+    health_path: NotRequired[str]
+    connections: NotRequired[Positive]
+    engine: NotRequired[Engine]
+
+
+class RouteShare(TypedDict):
+    """Send a share of a route's requests to a service, in proportion to ``weight``."""
+
+    service: str
+    weight: Annotated[int, Meta(ge=0)]
+
+
+class Route(TypedDict):
+    """Forward what callers send to ``host`` under ``prefix``, unchanged, to targets.
+
+    ``kind`` says what may be repeated: of ``idempotent`` requests anything, of the others
+    nothing, but for a ``stream`` that ``is_resumable``. ``attempts`` bounds the targets that
+    one request may be sent to. A request is given up after ``timeout_s``; ``goal_s`` is the
+    wanted time to the whole answer or the first event, and ``gap_goal_s`` the longest wanted
+    pause between events. ``rank`` 0 goes first. A public route asks for no key.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: Literal["idempotent", "non_idempotent", "stream"]
+    shares: list[RouteShare]
+    attempts: Positive
+    timeout_s: Seconds
+    goal_s: float
+    gap_goal_s: float
+    rank: Annotated[int, Meta(ge=0)]
+    is_public: bool
+    is_resumable: bool
+
+
+class ArrivalLimits(TypedDict):
+    """Bound what a caller may send, and how long it may take or stay idle."""
+
+    header_bytes: Positive
+    body_bytes: Positive
+    header_timeout_s: Seconds
+    idle_timeout_s: Seconds
 
 
 class Place(TypedDict):
@@ -133,3 +194,5 @@
     policies: dict[Name, Policy]
     ledger_groups: Annotated[int, Meta(ge=1, le=64)]
     weight_store: NotRequired[WeightStore]
+    routes: NotRequired[dict[str, Route]]
+    arrival_limits: NotRequired[ArrivalLimits]
--- a/cranberrywall/configuration/_edits.py
+++ b/cranberrywall/configuration/_edits.py
@@ -8,10 +8,14 @@
 SECTIONS: tuple[str, ...] = tuple(get_type_hints(Document))
 """The top-level keys of the document."""
 
-SINGLE_SECTIONS: frozenset[str] = frozenset({"ledger_groups", "weight_store"})
+SINGLE_SECTIONS: frozenset[str] = frozenset({"ledger_groups", "weight_store", "arrival_limits"})
 """Sections that hold one value; an edit of one has an empty name."""
 
 
+OPTIONAL_SECTIONS: frozenset[str] = frozenset(SECTIONS) - Document.__required_keys__
+"""Sections that a document may lack; one of entries by name is then as if empty."""
+
+
 class Edit(NamedTuple):
     """Put ``value`` in place of one entry of a section; ``None`` removes the entry."""
 
@@ -27,7 +31,7 @@
     1
     """
     document: dict[str, Any] = {
-        section: {} for section in SECTIONS if section not in SINGLE_SECTIONS
+        section: {} for section in SECTIONS if section not in SINGLE_SECTIONS | OPTIONAL_SECTIONS
     }
     document["ledger_groups"] = 1
     return cast(Document, document)
@@ -45,7 +49,7 @@
             _put(sections, edit.section, edit.value)
             continue
         if edit.section not in copied:
-            sections[edit.section] = dict(sections[edit.section])
+            sections[edit.section] = dict(sections.get(edit.section, {}))
             copied.add(edit.section)
         _put(sections[edit.section], edit.name, edit.value)
     return cast(Document, sections)
@@ -59,7 +63,7 @@
             if before.get(section) != after.get(section):
                 edits.append(Edit(section, "", after.get(section)))
             continue
-        edits.extend(_entry_edits(section, before[section], after[section]))
+        edits.extend(_entry_edits(section, before.get(section, {}), after.get(section, {})))
     return tuple(edits)
 
 
@@ -71,7 +75,7 @@
         if edit.section in SINGLE_SECTIONS:
             inverse.append(Edit(edit.section, "", sections.get(edit.section)))
         else:
-            old = sections[edit.section].get(edit.name)
+            old = sections.get(edit.section, {}).get(edit.name)
             inverse.append(Edit(edit.section, edit.name, old))
     return tuple(inverse)
 
--- a/cranberrywall/configuration/_follower.py
+++ b/cranberrywall/configuration/_follower.py
@@ -1,7 +1,7 @@
 """Keep an entry host's configuration up to date, and find the newest before it serves."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
 from result import Err
@@ -40,13 +40,13 @@
     me: SpreadHost,
     configuration: HostConfiguration,
     peers: Peers,
-    controls: Sequence[str],
+    controls: Callable[[], Sequence[str]],
     caller: Caller,
     clock: Clock,
     random: Random,
     times: SpreadTimes | None = None,
 ) -> "Follower":
-    """Return the spread's part on an entry host; ``controls`` are ``links`` addresses."""
+    """Return the spread's part on an entry host; ``controls`` gives ``links`` addresses."""
     return Follower(
         me, configuration, peers, controls, caller, clock, random, times or SpreadTimes()
     )
@@ -60,7 +60,7 @@
         me: SpreadHost,
         configuration: HostConfiguration,
         peers: Peers,
-        controls: Sequence[str],
+        controls: Callable[[], Sequence[str]],
         caller: Caller,
         clock: Clock,
         random: Random,
@@ -69,7 +69,7 @@
         self._configuration = configuration
         self._peers = peers
         self._me = me
-        self._controls = tuple(controls)
+        self._controls = controls
         self._caller = caller
         self._clock = clock
         self._random = random
@@ -112,6 +112,11 @@
             tasks.create_task(self._exchange_with_neighbours())
             tasks.create_task(self._poll_control())
 
+    @property
+    def has_newest_heard(self) -> bool:
+        """Say whether the configuration in force is the newest that was heard of."""
+        return 0 < self._configuration.revision >= self._feed.heard
+
     def state(self) -> dict[str, Any]:
         """Return what a state dump shows."""
         return {
@@ -123,16 +128,17 @@
 
     async def _has_newest(self, waited: float) -> bool:
         peers = [host.links for host in self._feed.neighbours()][:PEERS_ASKED]
-        asked = [*self._controls, *peers]
+        controls = list(self._controls())
+        asked = [*controls, *peers]
         answers = await asyncio.gather(*(self._feed.notify(links) for links in asked))
-        from_controls = sum(answers[: len(self._controls)])
-        from_peers = sum(answers[len(self._controls) :])
+        from_controls = sum(answers[: len(controls)])
+        from_peers = sum(answers[len(controls) :])
         await self._catch_up()
         if self._configuration.revision == 0 or self._configuration.revision < self._feed.heard:
             return False
         # One answer alone may come from a host that is cut off and behind: taking it
         # would put an older revision in force than this host had before its restart.
-        if _is_majority(from_controls, self._controls) or _is_majority(from_peers, peers):
+        if _is_majority(from_controls, controls) or _is_majority(from_peers, peers):
             return True
         if waited < self._times.patience or from_controls + from_peers == 0:
             return False
@@ -202,11 +208,13 @@
     async def _poll_control(self) -> None:
         # Neighbours carry nearly every revision. This is for a host whose neighbours are
         # all cut off from control while it is not.
-        while self._controls:
+        while True:
             hosts = len(self._peers.alive())
             period = max(self._times.control_poll, hosts / CONTROL_POLLS_PER_S)
             await self._clock.sleep(period * self._random.uniform(0.75, 1.25))
-            await self._feed.notify(self._controls[self._random.randrange(0, len(self._controls))])
+            controls = self._controls()
+            if controls:
+                await self._feed.notify(controls[self._random.randrange(0, len(controls))])
 
 
 def _is_majority(count: int, asked: Sequence[str]) -> bool:
--- a/cranberrywall/configuration/_machine.py
+++ b/cranberrywall/configuration/_machine.py
@@ -28,8 +28,12 @@
     GetDeltas,
     GetDocument,
     GetHistory,
+    GetPublished,
     History,
     NotKept,
+    Published,
+    PublishedSource,
+    PublishNumbered,
     Revision,
     RollBack,
 )
@@ -77,6 +81,10 @@
     return _Machine()
 
 
+PUBLISHER = "operator"
+"""Who is named as the author of a numbered document, which tells nobody's name."""
+
+
 class _State(NamedTuple):
     revision: int
     chain: int
@@ -84,6 +92,8 @@
     changed_at_by_section: dict[str, int]
     records: RecordsState
     answers: AnswersState
+    number: int = 0
+    source: bytes = b""
 
 
 class _Machine:
@@ -94,6 +104,8 @@
         self._changed_at_by_section = dict.fromkeys(SECTIONS, 0)
         self._records = Records()
         self._answers = Answers()
+        self._number = 0
+        self._source = b""
         self._watchers: list[Callable[[int], None]] = []
 
     @property
@@ -108,6 +120,8 @@
             message = CONFIGURATION_CODEC.decode(command)
         except MalformedMessageError as error:
             return self._encode(self._refuse(ErrorKind.MALFORMED, str(error)))
+        if isinstance(message, PublishNumbered):
+            return self._encode(self._publish(message))
         if not isinstance(message, Change | RollBack):
             return self._encode(self._refuse(ErrorKind.MALFORMED, "this is not a command"))
         return self._encode(self._answer_once(message))
@@ -119,6 +133,8 @@
             return self._encode(self._refuse(ErrorKind.MALFORMED, str(error)))
         if isinstance(message, GetDocument):
             return self._encode(self.document_at(message.revision) or self._not_kept(message))
+        if isinstance(message, GetPublished):
+            return self._encode(PublishedSource(self._number, self._source))
         if isinstance(message, GetDeltas):
             deltas = self.deltas_after(message.since, message.limit)
             if deltas is None:
@@ -154,6 +170,8 @@
                 self._changed_at_by_section,
                 self._records.state(),
                 self._answers.state(),
+                self._number,
+                self._source,
             )
         )
 
@@ -165,8 +183,22 @@
         self._changed_at_by_section = dict(state.changed_at_by_section)
         self._records = Records(state.records)
         self._answers = Answers(state.answers)
+        self._number = state.number
+        self._source = state.source
         self._tell_watchers()
 
+    def _publish(self, command: PublishNumbered) -> Published:
+        if command.number > self._number:
+            self._number = command.number
+            self._source = command.source
+            before = cast(dict[str, Any], self._document)
+            edits = edits_between(before, command.document)
+            if edits:
+                change_id = f"number {command.number}"
+                record = Change(edits, self._revision, change_id, PUBLISHER, command.at)
+                self._commit(record, edits, apply_edits(self._document, edits))
+        return Published(self._number, self._revision)
+
     def _answer_once(self, command: Change | RollBack) -> Changed | ChangeRefused:
         digest = _digest_of(command)
         first = self._answers.first(command.change_id)
--- a/cranberrywall/configuration/messages.py
+++ b/cranberrywall/configuration/messages.py
@@ -41,6 +41,39 @@
     at: float
 
 
+class PublishNumbered(NamedTuple):
+    """Put a whole document in force under a number of the operators' own.
+
+    The highest number wins, whatever the order of arrival. One that is not above the number
+    held is accepted and changes nothing: an operator that sends a document again, or whose
+    document was overtaken, has done nothing wrong. ``source`` is the document as it was sent,
+    to be given back byte for byte. ``at`` is seconds since the Unix epoch.
+    """
+
+    number: int
+    document: dict[str, Any]
+    source: bytes
+    at: float
+
+
+class Published(NamedTuple):
+    """Answer a numbered document: the number held now, and the revision in force."""
+
+    number: int
+    revision: int
+
+
+class GetPublished(NamedTuple):
+    """Ask for the numbered document that is held."""
+
+
+class PublishedSource(NamedTuple):
+    """Give back a numbered document as it was sent; number 0 where there is none."""
+
+    number: int
+    source: bytes
+
+
 class Revision(NamedTuple):
     """Describe one committed revision: who, when, which change and which sections."""
 
@@ -187,8 +220,12 @@
         GetDeltas,
         GetDocument,
         GetHistory,
+        GetPublished,
         History,
         NotKept,
+        PublishNumbered,
+        Published,
+        PublishedSource,
         RollBack,
     ]
 )
--- a/cranberrywall/control/__init__.py
+++ b/cranberrywall/control/__init__.py
@@ -1,12 +1,16 @@
 """Assemble the control program, and call it from the other programs."""
 
 from cranberrywall.control._client import ControlClient, MembersClient, make_control_client
+from cranberrywall.control._contacts import ControlContacts, Enlistment
+from cranberrywall.control._enrolment import Enrolments
 from cranberrywall.control._placement import ledger_group, ledger_groups
 from cranberrywall.control._program import ControlHost, make_control_host
 from cranberrywall.control.messages import (
     PROPOSE,
     QUERY,
+    ChangeMemberReply,
     ChangeMemberRequest,
+    EnrolledHost,
     MembersReply,
     ProposeReply,
     ProposeRequest,
@@ -17,9 +21,14 @@
 __all__ = [
     "PROPOSE",
     "QUERY",
+    "ChangeMemberReply",
     "ChangeMemberRequest",
     "ControlClient",
+    "ControlContacts",
     "ControlHost",
+    "Enlistment",
+    "EnrolledHost",
+    "Enrolments",
     "MembersClient",
     "MembersReply",
     "ProposeReply",
--- a/cranberrywall/control/_client.py
+++ b/cranberrywall/control/_client.py
@@ -1,6 +1,6 @@
 """Find a group's leader and call it."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Protocol, TypeVar
 
 from result import Err, Ok, Result
@@ -77,27 +77,41 @@
 
 
 def make_control_client(
-    caller: Caller, clock: Clock, controls: Sequence[str], random: Random | None = None
+    caller: Caller,
+    clock: Clock,
+    controls: Sequence[str] | Callable[[], Sequence[str]],
+    random: Random | None = None,
 ) -> MembersClient:
     """Return a client of the control hosts at the addresses ``controls``.
 
-    Raise ``ValueError`` where there are none.
+    A function gives the addresses known at each call. Raise ``ValueError`` where there are
+    none.
     """
-    if not controls:
+    addresses = controls if callable(controls) else _make_fixed(controls)
+    if not addresses():
         raise ValueError("name at least one control host")
-    return _ControlClient(caller, clock, tuple(controls), random or make_random())
+    return _ControlClient(caller, clock, addresses, random or make_random())
+
+
+def _make_fixed(controls: Sequence[str]) -> Callable[[], Sequence[str]]:
+    fixed = tuple(controls)
+    return lambda: fixed
 
 
 class _ControlClient:
     def __init__(
-        self, caller: Caller, clock: Clock, controls: tuple[str, ...], random: Random
+        self,
+        caller: Caller,
+        clock: Clock,
+        controls: Callable[[], Sequence[str]],
+        random: Random,
     ) -> None:
         self._caller = caller
         self._clock = clock
         self._controls = controls
         self._random = random
         self._leader_by_group: dict[str, str] = {}
-        self._next = random.randrange(0, len(controls))
+        self._next = random.randrange(0, len(controls()))
 
     async def propose(self, group: str, command: bytes, timeout: float) -> Result[bytes, Refusal]:
         reply = await self._follow(group, PROPOSE, ProposeRequest(group, command), timeout)
@@ -136,8 +150,9 @@
             await self._back_off(search)
 
     def _another(self) -> str:
-        self._next = (self._next + 1) % len(self._controls)
-        return self._controls[self._next]
+        controls = self._controls()
+        self._next = (self._next + 1) % len(controls)
+        return controls[self._next]
 
     def _take_hint(self, group: str, address: str, refusal: Refusal) -> None:
         self._leader_by_group.pop(group, None)
--- a/cranberrywall/control/_program.py
+++ b/cranberrywall/control/_program.py
@@ -26,7 +26,13 @@
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import LinkCaller, LinkServer, Peer, Server
 from cranberrywall.observability import log_event
-from cranberrywall.replication import GroupSettings, Replica, StateMachine, make_group
+from cranberrywall.replication import (
+    Founders,
+    GroupSettings,
+    Replica,
+    StateMachine,
+    make_group,
+)
 from cranberrywall.runtime import Runtime
 
 PROPOSE_S = 10.0
@@ -99,6 +105,8 @@
 async def _change(group: Replica, request: ChangeMemberRequest) -> Result[None, Refusal]:
     if request.action == "add":
         return await group.add(request.host, request.address, PROPOSE_S)
+    if request.action == "enlist":
+        return await group.enlist(request.host, request.address, PROPOSE_S)
     if request.action == "remove":
         return await group.remove(request.host, PROPOSE_S, request.forced)
     return await group.replace(
@@ -151,6 +159,17 @@
         """Return the groups that this host leads."""
         return [name for name, group in self.group_by_name.items() if group.is_leader]
 
+    def unheard(self) -> list[str]:
+        """Return the groups of which this host hears no leader."""
+        return [name for name, group in self.group_by_name.items() if not group.hears_leader]
+
+    def members(self) -> list[str]:
+        """Return the stream addresses of all groups' members, as this host's logs name them."""
+        addresses = [
+            address for group in self.group_by_name.values() for address in group.addresses()
+        ]
+        return list(dict.fromkeys(addresses))
+
     def check_started(self) -> str | None:
         """Return why a group could not open its files, or ``None``."""
         if not self._failures:
@@ -161,7 +180,7 @@
         """Return why this host does not answer calls yet, or ``None``."""
         if not self._is_started:
             return "the groups are being opened"
-        lost = [name for name, group in self.group_by_name.items() if not group.state()["leader"]]
+        lost = self.unheard()
         return f"no leader is known of {', '.join(lost)}" if lost else None
 
     def state(self) -> dict[str, Any]:
@@ -172,7 +191,7 @@
 
 def make_control_host(
     host: str,
-    address_by_host: Mapping[str, str],
+    founders: Founders,
     machine_by_group: Mapping[str, StateMachine],
     runtime: Runtime,
     caller: LinkCaller,
@@ -181,11 +200,11 @@
 ) -> ControlHost:
     """Return a control host that is a member of one group for each state machine.
 
-    ``address_by_host`` are the control hosts' stream addresses. Raise ``ValueError`` for a
+    ``founders`` form the groups where there are none yet. Raise ``ValueError`` for a
     host without a disk.
     """
     group_by_name = {
-        name: make_group(name, address_by_host, host, machine, runtime, caller, server, settings)
+        name: make_group(name, founders, host, machine, runtime, caller, server, settings)
         for name, machine in machine_by_group.items()
     }
     GroupServer(group_by_name).register(server)
--- a/cranberrywall/control/messages.py
+++ b/cranberrywall/control/messages.py
@@ -46,14 +46,14 @@
 
 
 class ChangeMemberRequest(NamedTuple):
-    """Ask the leader of ``group`` to add, remove or replace ``host``.
+    """Ask the leader of ``group`` to add, enlist, remove or replace ``host``.
 
-    ``new_host`` takes its place in a replacement; ``address`` is the stream address of
-    the host that comes. ``forced`` allows an unsafe removal or replacement.
+    A host enlists itself. ``new_host`` takes its place in a replacement; ``address`` is the
+    stream address of the host that comes. ``forced`` allows an unsafe removal or replacement.
     """
 
     group: str
-    action: Literal["add", "remove", "replace"]
+    action: Literal["add", "enlist", "remove", "replace"]
     host: str
     new_host: str
     address: str
@@ -64,6 +64,31 @@
     """Say that the change was committed; a new host catches up after it."""
 
 
+class EnrolledHost(NamedTuple):
+    """Describe a host as it told of itself; ``http`` is for callers, empty on control hosts."""
+
+    host: str
+    place: str
+    links: str
+    http: str
+    incarnation: int
+    is_control: bool
+
+
+class EnrolRequest(NamedTuple):
+    """Tell a control host where the sender is."""
+
+    me: EnrolledHost
+
+
+class EnrolReply(NamedTuple):
+    """Give the control hosts' stream addresses, and some entry hosts."""
+
+    controls: tuple[str, ...]
+    entries: tuple[EnrolledHost, ...]
+
+
+ENROL = Method("control.enrol", EnrolRequest, EnrolReply)
 PROPOSE = Method("control.propose", ProposeRequest, ProposeReply)
 QUERY = Method("control.query", QueryRequest, QueryReply)
 MEMBERS = Method("control.members", MembersRequest, MembersReply)
--- a/cranberrywall/entry/__init__.py
+++ b/cranberrywall/entry/__init__.py
@@ -1,6 +1,8 @@
 """Assemble the entry program."""
 
 from cranberrywall.entry._configured import ConfiguredHosts, ConfiguredPolicies
+from cranberrywall.entry._discovered import DiscoveredHosts
+from cranberrywall.entry._front import Front, FrontParts
 from cranberrywall.entry._revisions import LivePeers, carry_revisions
 from cranberrywall.entry._stack import CallerStack, StackLinks, make_caller_stack
 
@@ -8,6 +10,9 @@
     "CallerStack",
     "ConfiguredHosts",
     "ConfiguredPolicies",
+    "DiscoveredHosts",
+    "Front",
+    "FrontParts",
     "LivePeers",
     "StackLinks",
     "carry_revisions",
--- /dev/null
+++ b/cranberrywall/forwarding/__init__.py
@@ -0,0 +1,27 @@
+"""Forward callers' requests to targets unchanged, by routes, within budgets."""
+
+from cranberrywall.forwarding._forwarder import Forwarder
+from cranberrywall.forwarding._interfaces import (
+    Arrival,
+    Attempt,
+    CallerReply,
+    Dialect,
+    Generation,
+    Headers,
+    PromptPart,
+    TargetHead,
+    TargetLoad,
+)
+
+__all__ = [
+    "Arrival",
+    "Attempt",
+    "CallerReply",
+    "Dialect",
+    "Forwarder",
+    "Generation",
+    "Headers",
+    "PromptPart",
+    "TargetHead",
+    "TargetLoad",
+]
--- /dev/null
+++ b/cranberrywall/forwarding/_calls.py
@@ -0,0 +1,84 @@
+"""Forward a call whose answer is read whole before it goes to the caller."""
+
+import asyncio
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from cranberrywall.errors import Refusal
+from cranberrywall.forwarding._attempts import Attempts, outcome_of
+from cranberrywall.forwarding._client import (
+    AttemptFailedError,
+    FailureKind,
+    TargetClient,
+    read_whole,
+)
+from cranberrywall.forwarding._interfaces import Headers
+from cranberrywall.forwarding._money import Purse
+from cranberrywall.routing import Outcome, OutcomeKind, Slot
+from cranberrywall.runtime import Clock
+
+FAILED_FROM_STATUS = 500
+
+
+class WholeAnswer(NamedTuple):
+    """Hold a target's answer as it goes to the caller."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class CallForwarder:
+    """Try targets until one answers."""
+
+    def __init__(self, client: TargetClient, clock: Clock) -> None:
+        self._client = client
+        self._clock = clock
+
+    async def run(self, attempts: Attempts, purse: Purse) -> Result[WholeAnswer, Refusal]:
+        """Return a target's own answer, or a refusal that is true of whether the call ran.
+
+        A target's own failure is an answer: it is tried again elsewhere where the call may be
+        repeated, and goes to the caller as it is where no other target has a better one.
+        """
+        failed: WholeAnswer | None = None
+        while True:
+            acquired = await attempts.acquire()
+            if isinstance(acquired, Err):
+                return Ok(failed) if failed else Err(attempts.refusal(acquired.err_value))
+            try:
+                answer = await self._attempt(attempts, acquired.ok_value, purse)
+            except AttemptFailedError as failure:
+                attempts.note_failure(failure)
+            else:
+                if answer.status < FAILED_FROM_STATUS:
+                    return Ok(answer)
+                failed = answer
+                attempts.may_have_run = True
+            if not attempts.may_go_on():
+                return Ok(failed) if failed else Err(attempts.refusal())
+
+    async def _attempt(self, attempts: Attempts, slot: Slot, purse: Purse) -> WholeAnswer:
+        started_at = self._clock.now()
+        outcome = Outcome(OutcomeKind.CANCELLED)
+        attempt = attempts.begin(slot, None)
+        purse.note_begun()
+        try:
+            async with asyncio.timeout(attempt.left_s):
+                may_run_again = attempts.plan.repeats.may_run_again
+                async with self._client.open(slot.url, attempt, may_run_again) as answer:
+                    body = await read_whole(answer)
+            is_failure = answer.status >= FAILED_FROM_STATUS
+            kind = OutcomeKind.FAILED_AFTER if is_failure else OutcomeKind.ANSWERED
+            outcome = Outcome(kind, self._clock.now() - started_at)
+            return WholeAnswer(answer.status, answer.headers, body)
+        except TimeoutError as error:
+            failure = AttemptFailedError(FailureKind.LATE, f"no answer in {attempt.left_s:.3f} s")
+            outcome = outcome_of(failure)
+            raise failure from error
+        except AttemptFailedError as failure:
+            outcome = outcome_of(failure)
+            raise
+        finally:
+            slot.finish(outcome, self._clock.now())
--- /dev/null
+++ b/cranberrywall/forwarding/_money.py
@@ -0,0 +1,112 @@
+"""Hold a request's money while it runs, and charge what it used."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from result import Err, Ok, Result
+
+from cranberrywall.budgets import HostAllotments, Reservation, ReserveRequest
+from cranberrywall.configuration import Configuration
+from cranberrywall.errors import Refusal
+from cranberrywall.forwarding._interfaces import Arrival, Generation
+from cranberrywall.observability import log_event
+from cranberrywall.runtime import Clock
+
+FALLBACK_TOKENS_PER_EVENT = 1
+"""Tokens in an event of a service whose configuration names no engine."""
+
+
+class Purse:
+    """Hold the money of one request; it is charged at most once.
+
+    The input counts from the moment in which a target may have begun, the output as it went
+    to the caller. So a request that no target began costs nothing.
+    """
+
+    def __init__(
+        self, reservation: Reservation | None, generation: Generation | None, clock: Clock
+    ) -> None:
+        self._reservation = reservation
+        self._generation = generation
+        self._clock = clock
+        self._may_have_begun = False
+        self._output = 0
+
+    @property
+    def used(self) -> int:
+        """Return the tokens to charge for so far."""
+        if self._generation is None or not self._may_have_begun:
+            return 0
+        output = min(self._output, self._generation.output_limit)
+        return self._generation.input_tokens + output
+
+    def note_begun(self) -> None:
+        """Note that a target may have begun to work."""
+        self._may_have_begun = True
+
+    def note_output(self, tokens: int) -> None:
+        """Count tokens that go to the caller."""
+        self._output += tokens
+
+    async def settle(self) -> None:
+        """Charge what was used, and return once the charge is durable; free the rest."""
+        reservation, self._reservation = self._reservation, None
+        if reservation is None:
+            return
+        now = self._clock.now()
+        if not self.used:
+            reservation.release(now)
+            return
+        settled = await reservation.settle(self.used, now)
+        if isinstance(settled, Err):
+            # What was delivered stays reserved by nobody and is charged in memory: only the
+            # loss of this process can lose the charge.
+            log_event("WARNING", "charge_not_durable", refusal=settled.err_value)
+
+
+class Cashier:
+    """Reserve money for requests, and settle what their callers left behind."""
+
+    def __init__(
+        self, allotments: HostAllotments, configuration: Configuration, clock: Clock
+    ) -> None:
+        self._allotments = allotments
+        self._configuration = configuration
+        self._clock = clock
+        self._left: set[asyncio.Task[None]] = set()
+
+    async def reserve(
+        self, arrival: Arrival, workspace: str, deadline: float
+    ) -> Result[Purse, Refusal]:
+        """Hold the most that the request can cost, where its workspace has a budget."""
+        budget = self._budget_of(workspace)
+        generation = arrival.generation
+        if budget is None or generation is None:
+            return Ok(Purse(None, generation, self._clock))
+        request = ReserveRequest(
+            workspace, budget, arrival.request_id, max(1, generation.bound), deadline
+        )
+        reserved = await self._allotments.reserve(request, self._clock.now())
+        return reserved.map(lambda held: Purse(held, generation, self._clock))
+
+    def settle_later(self, purse: Purse) -> None:
+        """Settle in a task of its own: the request's task was cancelled."""
+        self._start(purse.settle())
+
+    async def wait_idle(self) -> None:
+        """Return once all is settled."""
+        while self._left:
+            await asyncio.wait(self._left)
+
+    def _budget_of(self, workspace: str) -> str | None:
+        document = self._configuration.document
+        known = document["workspaces"].get(workspace)
+        if known is None or "total" not in document["budgets"][known["budget"]]:
+            return None
+        return known["budget"]
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._left.add(task)
+        task.add_done_callback(self._left.discard)
--- a/cranberrywall/hosts/_interfaces.py
+++ b/cranberrywall/hosts/_interfaces.py
@@ -92,6 +92,10 @@
         """Join by the seeds, as far as they answer, and take part until ``close``."""
         ...
 
+    async def meet(self, links: Sequence[str]) -> None:
+        """Compare with one of the hosts at these addresses that this one is out of touch with."""
+        ...
+
     async def close(self) -> None:
         """Stop taking part."""
         ...
--- a/cranberrywall/hosts/_membership.py
+++ b/cranberrywall/hosts/_membership.py
@@ -168,6 +168,12 @@
             if any(answered):
                 return
 
+    async def meet(self, links: Sequence[str]) -> None:
+        own = self._roster.own.record.links
+        strangers = [address for address in self._out_of_touch(links) if address != own]
+        if strangers:
+            await self._syncing.sync_with(strangers[self._random.randrange(0, len(strangers))])
+
     async def close(self) -> None:
         self._spreading.close()
         tasks = list(self._tasks)
@@ -247,12 +253,15 @@
                 await self._syncing.sync_with(lost[self._random.randrange(0, len(lost))])
 
     def _lost_seeds(self) -> list[str]:
+        return self._out_of_touch(self._seeds)
+
+    def _out_of_touch(self, links: Sequence[str]) -> list[str]:
         in_touch = {
             entry.record.links
             for entry in self._roster.entries()
             if entry.state is not HostState.DEAD
         }
-        return [seed for seed in self._seeds if seed not in in_touch]
+        return [address for address in links if address not in in_touch]
 
     def _publish_load(self, now: float) -> None:
         shortest = self._roster.size_of_own_place() / self._pace.load_items_per_s
--- a/cranberrywall/orders/_reports.py
+++ b/cranberrywall/orders/_reports.py
@@ -50,7 +50,7 @@
         self,
         caller: Caller,
         clock: Clock,
-        controls: Sequence[str],
+        controls: Callable[[], Sequence[str]],
         waiting: Callable[[], Mapping[str, float]] = dict,
     ) -> None:
         self._caller = caller
@@ -74,7 +74,7 @@
             await asyncio.gather(
                 *(
                     self._caller.call(links, REPORT, report, REPORT_TIMEOUT_S)
-                    for links in self._controls
+                    for links in self._controls()
                 )
             )
 
--- /dev/null
+++ b/cranberrywall/platform/_control.py
@@ -0,0 +1,94 @@
+"""Answer the operator and the targets on a control host."""
+
+from aiohttp import web
+from result import Err
+
+from cranberrywall.commands._control_program import ControlProgram
+from cranberrywall.configuration import ConfigurationClient
+from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.observability import HttpListener, log_event
+from cranberrywall.platform._announcements import decode_heartbeat, leave_of
+from cranberrywall.platform._arrivals import refuse
+from cranberrywall.platform._documents import decode_document
+from cranberrywall.runtime import Clock
+from cranberrywall.targets import Announcement
+
+PUBLISH_TIMEOUT_S = 3.0
+"""A change has this long to be committed, in seconds; the operator then sends it again."""
+
+MOST_BODY_BYTES = 8 * 1024 * 1024
+SHUTDOWN_S = 0.5
+
+_NOT_PASSED_ON = Refusal(ErrorKind.NOT_CURRENT, "no entry host could be told", retry_after=0.5)
+
+
+class ControlCalls:
+    """Translate the calls of the operator and of targets."""
+
+    def __init__(
+        self, program: ControlProgram, region_by_place: dict[str, str], clock: Clock
+    ) -> None:
+        self._configuration = ConfigurationClient(program.ties.client, PUBLISH_TIMEOUT_S)
+        self._relay = program.ties.relay
+        self._region_by_place = region_by_place
+        self._clock = clock
+
+    def make_listener(self, address: str) -> HttpListener:
+        """Return what listens for the calls."""
+        app = web.Application(client_max_size=MOST_BODY_BYTES)
+        app.router.add_post("/v1/config/replace", self._replace)
+        app.router.add_get("/v1/config/get", self._get)
+        app.router.add_post("/v1/instances/{instance}/heartbeat", self._heartbeat)
+        app.router.add_post("/v1/instances/{instance}/leave", self._leave)
+        return HttpListener(app, address, SHUTDOWN_S)
+
+    async def _replace(self, request: web.Request) -> web.Response:
+        body = await request.read()
+        decoded = decode_document(body, self._region_by_place)
+        if isinstance(decoded, Err):
+            log_event("INFO", "configuration_refused", refusal=decoded.err_value)
+            return refuse(decoded.err_value)
+        number, document = decoded.ok_value
+        published = await self._configuration.publish(number, document, body, self._clock.wall())
+        log_event(
+            "INFO",
+            "configuration_published",
+            number=number,
+            bytes=len(body),
+            outcome=published.map(lambda held: f"held {held.number}").unwrap_or("unknown"),
+            refusal=published.err() or "",
+        )
+        if isinstance(published, Err):
+            return _unknown(published.err_value)
+        return web.json_response({})
+
+    async def _get(self, request: web.Request) -> web.Response:
+        published = await self._configuration.published()
+        if isinstance(published, Err):
+            return _unknown(published.err_value)
+        if not published.ok_value.number:
+            return refuse(Refusal(ErrorKind.NOT_READY, "there is no configuration yet"))
+        return web.Response(body=published.ok_value.source, content_type="application/json")
+
+    async def _heartbeat(self, request: web.Request) -> web.Response:
+        decoded = decode_heartbeat(request.match_info["instance"], await request.read())
+        if isinstance(decoded, Err):
+            log_event("WARNING", "heartbeat_refused", refusal=decoded.err_value)
+            return refuse(decoded.err_value)
+        return await self._announce(decoded.ok_value)
+
+    async def _leave(self, request: web.Request) -> web.Response:
+        instance = request.match_info["instance"]
+        return await self._announce(leave_of(instance, self._relay.find(instance)))
+
+    async def _announce(self, announcement: Announcement) -> web.Response:
+        if await self._relay.announce(announcement):
+            return web.json_response({})
+        log_event("WARNING", "leaving_not_passed_on", target=announcement.target)
+        return refuse(_NOT_PASSED_ON)
+
+
+def _unknown(refusal: Refusal) -> web.Response:
+    # Whatever kept the groups from answering, the caller may ask another control host; only a
+    # 5xx says so.
+    return refuse(Refusal(ErrorKind.NOT_CURRENT, str(refusal), retry_after=0.2))
--- /dev/null
+++ b/cranberrywall/platform/_dialect.py
@@ -0,0 +1,40 @@
+"""Translate between forwarding and the headers that targets understand."""
+
+from cranberrywall.forwarding import Attempt, Headers, TargetHead, TargetLoad
+from cranberrywall.platform import _headers as names
+
+_MISDIRECTED = 421
+_LOAD_FIELDS = 3
+
+
+class TargetDialect:
+    """Write the heads of requests to targets, and read those of their answers."""
+
+    def request_headers(self, attempt: Attempt) -> Headers:
+        """Return the caller's headers with those that the system sets itself."""
+        headers = list(attempt.arrival.headers)
+        headers.append((names.DEADLINE_MS, str(max(1, int(attempt.left_s * 1000)))))
+        headers.append((names.EXPECT_INSTANCE, attempt.target_id))
+        if attempt.workspace:
+            headers.append((names.TENANT, attempt.workspace))
+        if attempt.last_event is not None:
+            headers.append((names.LAST_EVENT_ID, str(attempt.last_event)))
+        return tuple(headers)
+
+    def read_head(self, status: int, headers: Headers) -> TargetHead:
+        """Return what the head of a target's answer tells."""
+        value_by_name = {name.lower(): value for name, value in headers}
+        return TargetHead(
+            request_id=value_by_name.get(names.REQUEST_ID.lower(), ""),
+            not_run=names.NOT_RUN.lower() in value_by_name,
+            is_other=status == _MISDIRECTED,
+            load=_read_load(value_by_name.get(names.SERVER_LOAD.lower(), "")),
+        )
+
+
+def _read_load(text: str) -> TargetLoad | None:
+    parts = text.split(",")
+    if len(parts) != _LOAD_FIELDS or not all(part.strip().isdigit() for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return TargetLoad(running, waiting, slots)
--- /dev/null
+++ b/cranberrywall/platform/_front.py
@@ -0,0 +1,185 @@
+"""Serve callers on the users' platform: their requests, the directory, and readiness."""
+
+import asyncio
+from typing import Any
+
+from aiohttp import StreamReader, web
+from aiohttp.http import RawRequestMessage
+from result import Err
+
+from cranberrywall.entry import FrontParts
+from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.forwarding import Forwarder
+from cranberrywall.observability import log_event
+from cranberrywall.platform._arrivals import decode_arrival, refuse
+from cranberrywall.platform._boot import ADDRESS_TTL_S, Boot
+from cranberrywall.platform._dialect import TargetDialect
+from cranberrywall.platform._directory import choose_addresses
+from cranberrywall.platform._replies import HttpReply
+from cranberrywall.runtime import Clock, split_address
+
+IDLE_CALLERS_S = 120.0
+"""Idle connections of callers are kept for so long, in seconds: they give them up far earlier."""
+
+LONGEST_HEAD_BYTES = 65_536
+DEFAULT_BODY_BYTES = 4_194_304
+
+FINISH_SHARE = 0.8
+"""Share of the time to stop after which requests that still run are cut.
+
+What follows is to hand the money back, which takes a few round trips to control."""
+
+POLL_S = 0.05
+
+_NOT_READY = Refusal(ErrorKind.NOT_READY, "this host has no configuration yet", retry_after=0.5)
+
+
+class PlatformFront:
+    """Hold the listeners of one entry host; it implements ``entry.Front``."""
+
+    def __init__(self, boot: Boot, clock: Clock) -> None:
+        self._boot = boot
+        self._clock = clock
+        self._parts: FrontParts | None = None
+        self._forwarder: Forwarder | None = None
+        self._draining_since: float | None = None
+        self._last_arrival_at = float("-inf")
+        self._runners: list[Any] = []
+        self._front_runner: web.ServerRunner | None = None
+        self.running = 0
+
+    async def listen(self) -> None:
+        """Bind all addresses at once: a host without a configuration says so to callers."""
+        server = web.Server(
+            self._serve,
+            request_factory=self._make_request,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=IDLE_CALLERS_S,
+            max_line_size=LONGEST_HEAD_BYTES,
+            max_field_size=LONGEST_HEAD_BYTES,
+        )
+        self._front_runner = web.ServerRunner(server)
+        await self._bind(self._front_runner, self._boot.front)
+        app = web.Application()
+        app.router.add_get("/v1/ready", self._answer_ready)
+        app.router.add_get("/v1/resolve", self._answer_resolve)
+        for address in dict.fromkeys((self._boot.ready, self._boot.directory)):
+            if address:
+                await self._bind(web.AppRunner(app, access_log=None), address)
+
+    async def serve(self, parts: FrontParts) -> None:
+        """Begin to forward."""
+        self._forwarder = Forwarder(
+            parts.configuration,
+            parts.allotments,
+            parts.router,
+            TargetDialect(),
+            self._clock,
+            parts.runtime.random,
+            parts.metrics,
+        )
+        self._parts = parts
+
+    def start_draining(self) -> None:
+        """Be ready and named no more, and ask callers to close their connections."""
+        self._draining_since = self._clock.now()
+
+    def quiet_for(self, now: float) -> float:
+        """Return for how long no request has arrived, in seconds."""
+        return now - self._last_arrival_at
+
+    async def stop_listening(self) -> None:
+        """Accept no new connection; requests on open ones are still served."""
+        if self._front_runner is not None:
+            for site in list(self._front_runner.sites):
+                await site.stop()
+
+    async def finish(self) -> None:
+        """Return once no request is in progress, or the time to stop is nearly over."""
+        started_at = self._draining_since or self._clock.now()
+        until = started_at + FINISH_SHARE * self._boot.grace_s
+        while self.running and self._clock.now() < until:
+            await self._clock.sleep(POLL_S)
+        if self.running:
+            log_event("WARNING", "requests_cut_by_stop", running=self.running)
+        if self._forwarder is not None:
+            await self._forwarder.wait_idle()
+
+    async def close(self) -> None:
+        """Close every connection."""
+        for runner in self._runners:
+            await runner.cleanup()
+        if self._forwarder is not None:
+            await self._forwarder.close()
+
+    async def _bind(self, runner: Any, address: str) -> None:
+        await runner.setup()
+        self._runners.append(runner)
+        host, port = split_address(address)
+        await web.TCPSite(runner, host, port, backlog=1024).start()
+
+    def _make_request(
+        self,
+        message: RawRequestMessage,
+        payload: StreamReader,
+        protocol: Any,
+        writer: Any,
+        task: "asyncio.Task[None]",
+    ) -> web.BaseRequest:
+        loop = asyncio.get_running_loop()
+        limit = self._body_limit()
+        return web.BaseRequest(
+            message, payload, protocol, writer, task, loop, client_max_size=limit
+        )
+
+    def _body_limit(self) -> int:
+        if self._parts is None:
+            return DEFAULT_BODY_BYTES
+        limits = self._parts.configuration.document.get("arrival_limits")
+        return limits["body_bytes"] if limits else DEFAULT_BODY_BYTES
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        now = self._clock.now()
+        self._last_arrival_at = now
+        parts, forwarder = self._parts, self._forwarder
+        if parts is None or forwarder is None:
+            return refuse(_NOT_READY)
+        self.running += 1
+        try:
+            return await self._forward(request, parts, forwarder, now)
+        finally:
+            self.running -= 1
+
+    async def _forward(
+        self, request: web.BaseRequest, parts: FrontParts, forwarder: Forwarder, now: float
+    ) -> web.StreamResponse:
+        try:
+            body = await request.read()
+        except web.HTTPRequestEntityTooLarge:
+            message = f"the body is over {self._body_limit()} bytes"
+            return refuse(Refusal(ErrorKind.TOO_LARGE, message, "body", "send a smaller one"))
+        decoded = decode_arrival(request.method, request.raw_path, request.raw_headers, body, now)
+        if isinstance(decoded, Err):
+            return refuse(decoded.err_value)
+        reply = HttpReply(request, closes=self._draining_since is not None)
+        served = await forwarder.serve(decoded.ok_value, reply, parts.is_current(now))
+        if reply.response is not None:
+            return reply.response
+        response = refuse(served.err() or _NOT_READY)
+        if self._draining_since is not None:
+            response.force_close()
+        return response
+
+    async def _answer_ready(self, request: web.Request) -> web.Response:
+        is_ready = self._parts is not None and self._draining_since is None
+        return web.Response(status=200 if is_ready else 503)
+
+    async def _answer_resolve(self, request: web.Request) -> web.Response:
+        if self._parts is None:
+            return refuse(_NOT_READY)
+        place = request.query.get("zone", "")
+        addresses = choose_addresses(self._parts.membership.all(), place)
+        if not addresses:
+            return refuse(Refusal(ErrorKind.NOT_READY, "no host is known that serves callers"))
+        return web.json_response({"addrs": addresses, "ttl_s": ADDRESS_TTL_S})
--- /dev/null
+++ b/cranberrywall/platform/_running.py
@@ -0,0 +1,93 @@
+"""Run a program on the users' platform until it is told to stop."""
+
+import asyncio
+import signal
+import sys
+import time
+from collections.abc import Callable
+
+import aiomisc
+import uvloop
+from result import Err
+
+from cranberrywall.commands._running import Program
+from cranberrywall.observability import configure_log, log_event
+from cranberrywall.platform._boot import Boot, path_from_environment, read_boot
+
+EXIT_NOT_STARTED = 1
+
+Make = Callable[[Boot], Program]
+
+
+class _ProgramService(aiomisc.Service):
+    """Start and stop a program with the process."""
+
+    def __init__(self, boot: Boot, make: Make) -> None:
+        super().__init__()
+        self._boot = boot
+        self._make = make
+        self._program: Program | None = None
+
+    async def start(self) -> None:
+        """Start the program, and stay alive when the settings file changes."""
+        loop = asyncio.get_running_loop()
+        # Unhandled, the signal would end the process.
+        loop.add_signal_handler(signal.SIGHUP, _note_reload, self._boot)
+        self._program = self._make(self._boot)
+        await self._program.start()
+        log_event(
+            "INFO",
+            "process_started",
+            processor_s=time.process_time(),
+            memory_kib=_resident_kib(),
+            first_start=self._boot.may_form,
+        )
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stop the program."""
+        log_event("INFO", "process_stopping", processor_s=time.process_time())
+        if self._program is not None:
+            await self._program.stop()
+
+
+def _note_reload(started_with: Boot) -> None:
+    read = read_boot(path_from_environment())
+    if isinstance(read, Err):
+        log_event("ERROR", "settings_not_reloaded", problem=read.err_value)
+        return
+    now = read.ok_value._asdict()
+    changed = [name for name, value in started_with._asdict().items() if now[name] != value]
+    log_event("INFO", "settings_read_again", changed=",".join(changed))
+
+
+def _resident_kib() -> int:
+    """Return the memory of this process that is resident, in KiB; 0 where it cannot be read."""
+    try:
+        with open("/proc/self/status", encoding="ascii") as file:
+            lines = [line.split() for line in file if line.startswith("VmRSS:")]
+        return int(lines[0][1])
+    except (OSError, IndexError, ValueError) as error:
+        log_event("WARNING", "memory_not_known", error)
+        return 0
+
+
+def run_program(process: str, make: Make) -> None:
+    """Read the settings, and run ``make``'s program until SIGTERM; exit 1 where it cannot start."""
+    read = read_boot(path_from_environment())
+    if isinstance(read, Err):
+        print(f"not started: {read.err_value}", file=sys.stderr)
+        sys.exit(EXIT_NOT_STARTED)
+    boot = read.ok_value
+    configure_log(process, boot.host, boot.place, "INFO", sys.stdout)
+    entrypoint = aiomisc.entrypoint(
+        _ProgramService(boot, make),
+        log_config=False,
+        loop_factory=uvloop.new_event_loop,
+        shutdown_timeout=boot.grace_s,
+    )
+    try:
+        with entrypoint as loop:
+            loop.run_forever()
+    except OSError as error:
+        log_event("ERROR", "not_started", error)
+        sys.exit(EXIT_NOT_STARTED)
--- a/cranberrywall/replication/__init__.py
+++ b/cranberrywall/replication/__init__.py
@@ -1,5 +1,6 @@
 """Keep state on several disk hosts by replicated logs."""
 
+from cranberrywall.replication._formation import Founders, founders_of
 from cranberrywall.replication._frames import Scan, encode_frame, scan_frames
 from cranberrywall.replication._group import make_group
 from cranberrywall.replication._interfaces import Group, GroupState, Replica, StateMachine
@@ -8,6 +9,7 @@
 from cranberrywall.replication.checks import MemberView, Step
 
 __all__ = [
+    "Founders",
     "Group",
     "GroupSettings",
     "GroupState",
@@ -18,6 +20,7 @@
     "StateMachine",
     "Step",
     "encode_frame",
+    "founders_of",
     "make_group",
     "rescue_group",
     "scan_frames",
--- a/cranberrywall/replication/_changes.py
+++ b/cranberrywall/replication/_changes.py
@@ -29,6 +29,7 @@
 from cranberrywall.replication.messages import EntryKind, IdentifyRequest, Member, Roster
 
 _LEAST_VOTERS_LEFT_BY_ITSELF = 2
+_LEAST_VOTERS_AFTER_A_LOSS = 3
 _CHANGE_TIMEOUT_S = 10.0
 
 
@@ -96,6 +97,35 @@
         learner = Member(host, address, reply.ok_value.disk, False, replaces)
         return await self._change(leadership, lambda roster: with_member(roster, learner), deadline)
 
+    async def enlist(
+        self, leadership: Leadership, host: str, address: str, deadline: float
+    ) -> Result[None, Refusal]:
+        """Take in a host that asks for itself, as a learner; members are left as they are.
+
+        A member that asks from another address has moved. It keeps its vote only where it
+        kept its disk, since the roster names members by both.
+        """
+        member = find_member(self._core.log.roster, host)
+        if member is None:
+            return await self.add(leadership, host, address, deadline)
+        if member.address == address:
+            return Ok(None)
+        reply = await self._core.caller.call(
+            address,
+            self._core.methods.identify,
+            IdentifyRequest(()),
+            self._core.settings.election_s,
+        )
+        if isinstance(reply, Err):
+            return Err(reply.err_value._replace(field="address"))
+        kept_disk = reply.ok_value.disk == member.disk
+        moved = Member(host, address, reply.ok_value.disk, member.voter and kept_disk)
+        changed = with_member(self._core.log.roster, moved)
+        if len(voters(changed)) < _LEAST_VOTERS_LEFT_BY_ITSELF:
+            message = f"without {host} fewer than {_LEAST_VOTERS_LEFT_BY_ITSELF} voters are left"
+            return Err(Refusal(ErrorKind.UNSAFE_STEP, message, "host", "rescue the group instead"))
+        return await self._change(leadership, lambda roster: with_member(roster, moved), deadline)
+
     async def remove(
         self, leadership: Leadership, host: str, deadline: float, forced: bool
     ) -> Result[None, Refusal]:
@@ -158,6 +188,7 @@
                 self._with_new_disk(leadership, member)
                 or self._with_vote(leadership, member, now)
                 or self._without_replaced(member)
+                or self._without_lost(leadership, member, now)
             )
             if changed is not None:
                 return changed
@@ -193,6 +224,25 @@
             return None
         return without_host(roster, member.replaces)
 
+    def _without_lost(self, leadership: Leadership, member: Member, now: float) -> Roster | None:
+        """Take the seat of a voter that seems gone for good; it asks anew should it come back.
+
+        The group keeps enough voters that the loss of one more doesn't stop it. Removing is
+        safe at any time: it is committed by a majority of the voters there were.
+        """
+        core = self._core
+        give_up_s = core.settings.give_up_s
+        peer = leadership.peer_by_host.get(member.host)
+        if give_up_s is None or peer is None or not member.voter:
+            return None
+        if now - peer.acked_at < give_up_s:
+            return None
+        left = [view for view in self.view(leadership, now) if view.voter and view.answers]
+        if len(left) < _LEAST_VOTERS_AFTER_A_LOSS:
+            return None
+        core.event("voter_given_up", "WARNING", lost=member.host, silent_s=now - peer.acked_at)
+        return without_host(core.log.roster, member.host)
+
 
 def _may_force(refusal: Refusal, forced: bool) -> bool:
     return forced and refusal.kind is ErrorKind.UNSAFE_STEP
--- a/cranberrywall/replication/_formation.py
+++ b/cranberrywall/replication/_formation.py
@@ -1,12 +1,13 @@
 """Form a new group, once, from hosts that never were members of one.
 
-The first of the hosts by name asks all others. It writes the first roster only when every
-one of them answers, agrees on the list of hosts, and holds nothing of this group. So hosts
-whose disks were wiped cannot form an empty group beside a host that still has its log.
+The first of the founders by address asks all others. It writes the first roster only when
+every one of them answers, agrees on the list of founders, and holds nothing of this group. So
+hosts whose disks were wiped cannot form an empty group beside a host that still has its log.
 """
 
 import asyncio
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from result import Err, Ok, Result
 
@@ -27,13 +28,35 @@
 _FIRST_TERM = 1
 
 
+class Founders(NamedTuple):
+    """Name the hosts that form a new group by their stream addresses; ``own`` is this host's.
+
+    ``may_form`` is false where the group is known to exist: a host with an empty disk then
+    waits until a leader takes it in, however many of the founders have lost their disks.
+    """
+
+    addresses: tuple[str, ...]
+    own: str
+    may_form: bool = True
+
+
+def founders_of(address_by_host: Mapping[str, str], this_host: str) -> Founders:
+    """Return the founders of a group whose hosts are known by name, as settings list them.
+
+    A host that is added later may stand in no list but its own; it founds nothing.
+    """
+    return Founders(tuple(sorted(address_by_host.values())), address_by_host.get(this_host, ""))
+
+
 class Formation:
-    """Form the group out of ``address_by_host``, or answer the host that does."""
+    """Form the group out of its founders, or answer the founder that does."""
 
-    def __init__(self, core: Core, address_by_host: Mapping[str, str]) -> None:
+    def __init__(self, core: Core, founders: Founders) -> None:
         self._core = core
-        self._address_by_host = dict(address_by_host)
-        self._hosts = tuple(sorted(address_by_host))
+        self._own = founders.own
+        self._founders = tuple(sorted(founders.addresses))
+        self._is_first = founders.may_form and self._founders[:1] == (founders.own,)
+        self._may_form = founders.may_form
         self._asking: asyncio.Task[None] | None = None
         self._ask_at = float("-inf")
 
@@ -46,13 +69,14 @@
         """Give this host's disk."""
         if self._core.failure is not None:
             return Err(self._core.failure)
-        agrees = request.hosts == self._hosts
-        return Ok(IdentifyReply(self._core.vote.disk, self._core.lineage, self.is_free and agrees))
+        core = self._core
+        agrees = self._may_form and request.founders == self._founders
+        return Ok(IdentifyReply(core.vote.disk, core.lineage, self.is_free and agrees, core.host))
 
     def tick(self, now: float) -> None:
         """Try to form the group, where it is this host's turn."""
         core = self._core
-        if not self.is_free or core.failure or core.host != self._hosts[0]:
+        if not self.is_free or core.failure or not self._is_first:
             return
         if now < self._ask_at or (self._asking and not self._asking.done()):
             return
@@ -61,9 +85,9 @@
 
     async def _run(self) -> None:
         core = self._core
-        members = [Member(core.host, self._address_by_host[core.host], core.vote.disk, True)]
-        others = [host for host in self._hosts if host != core.host]
-        found = await asyncio.gather(*(self._identify(host) for host in others))
+        members = [Member(core.host, self._own, core.vote.disk, True)]
+        others = [address for address in self._founders if address != self._own]
+        found = await asyncio.gather(*(self._identify(address) for address in others))
         for member in found:
             if member is None:
                 return
@@ -74,15 +98,14 @@
             if self.is_free:
                 await self._write(roster)
 
-    async def _identify(self, host: str) -> Member | None:
+    async def _identify(self, address: str) -> Member | None:
         core = self._core
-        address = self._address_by_host[host]
         timeout = core.settings.election_s
-        request = IdentifyRequest(self._hosts)
+        request = IdentifyRequest(self._founders)
         reply = await core.caller.call(address, core.methods.identify, request, timeout)
         if isinstance(reply, Err) or not reply.ok_value.free:
             return None
-        return Member(host, address, reply.ok_value.disk, True)
+        return Member(reply.ok_value.host, address, reply.ok_value.disk, True)
 
     async def _write(self, roster: Roster) -> None:
         core = self._core
@@ -92,5 +115,5 @@
             return
         # Nobody leads the first term: the roster is committed by the first leader.
         await core.save_vote(max(core.term, _FIRST_TERM), "", roster.lineage)
-        core.event("group_formed", hosts=",".join(self._hosts))
+        core.event("group_formed", founders=",".join(self._founders))
         core.campaign_at = core.clock.now()
--- a/cranberrywall/replication/_group.py
+++ b/cranberrywall/replication/_group.py
@@ -1,7 +1,7 @@
 """Assemble one member of a group."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
 from result import Err, Ok, Result
@@ -14,7 +14,7 @@
 from cranberrywall.replication._election import Elections
 from cranberrywall.replication._files import Opened
 from cranberrywall.replication._following import Following
-from cranberrywall.replication._formation import Formation
+from cranberrywall.replication._formation import Formation, Founders
 from cranberrywall.replication._interfaces import GroupState, Replica, StateMachine
 from cranberrywall.replication._leadership import Leadership
 from cranberrywall.replication._rosters import describe
@@ -29,7 +29,7 @@
 
 def make_group(
     name: str,
-    address_by_host: Mapping[str, str],
+    founders: Founders,
     this_host: str,
     state_machine: StateMachine,
     runtime: Runtime,
@@ -39,9 +39,8 @@
 ) -> Replica:
     """Return this host's member of group ``name``; ``start`` opens its files.
 
-    ``address_by_host`` are the hosts that form the group when none of them has any of it
-    yet. Later its members are those in its log. Raise ``ValueError`` for a host without a
-    disk.
+    ``founders`` form the group when none of them has any of it yet. Later its members are
+    those in its log. Raise ``ValueError`` for a host without a disk.
     """
     if runtime.storage is None:
         raise ValueError(f"{this_host} has no data folder, which a member of a group needs")
@@ -55,7 +54,7 @@
         runtime.random,
         runtime.storage,
     )
-    return _Group(core, state_machine, address_by_host, server)
+    return _Group(core, state_machine, founders, server)
 
 
 class _Group:
@@ -63,7 +62,7 @@
         self,
         core: Core,
         state_machine: StateMachine,
-        address_by_host: Mapping[str, str],
+        founders: Founders,
         server: Server,
     ) -> None:
         self._core = core
@@ -73,7 +72,7 @@
         self._applier.on_turn = self._applied_turn
         self._elections = Elections(core, self._lead)
         self._following = Following(core, self._applier)
-        self._formation = Formation(core, address_by_host)
+        self._formation = Formation(core, founders)
         self._changes = MemberChanges(core)
         self._leadership: Leadership | None = None
         core.on_step_down = self._stop_leading
@@ -86,6 +85,14 @@
     def is_leader(self) -> bool:
         return self._core.role is Role.LEADER
 
+    @property
+    def hears_leader(self) -> bool:
+        core = self._core
+        return bool(core.leader) and core.hears_leader(core.clock.now())
+
+    def addresses(self) -> Sequence[str]:
+        return [member.address for member in self._core.log.roster.members]
+
     async def start(self) -> Result[None, Refusal]:
         core = self._core
         disk = self._draw_disk()
@@ -141,6 +148,12 @@
         deadline = self._core.clock.now() + timeout
         return await self._changes.add(self._leadership, host, address, deadline)
 
+    async def enlist(self, host: str, address: str, timeout: float) -> Result[None, Refusal]:
+        if self._leadership is None:
+            return Err(self._not_leading())
+        deadline = self._core.clock.now() + timeout
+        return await self._changes.enlist(self._leadership, host, address, deadline)
+
     async def remove(
         self, host: str, timeout: float, forced: bool = False
     ) -> Result[None, Refusal]:
@@ -165,7 +178,7 @@
             host=core.host,
             role=str(core.role),
             term=core.term,
-            leader=core.leader if core.hears_leader(core.clock.now()) else "",
+            leader=core.leader if self.hears_leader else "",
             disk=core.vote.disk,
             lineage=core.lineage,
             last_index=core.log.last_index,
--- a/cranberrywall/replication/_interfaces.py
+++ b/cranberrywall/replication/_interfaces.py
@@ -90,6 +90,15 @@
 class Replica(Group, Protocol):
     """Run this host's member of a group."""
 
+    @property
+    def hears_leader(self) -> bool:
+        """Say whether this host leads, or heard the leader lately."""
+        ...
+
+    def addresses(self) -> Sequence[str]:
+        """Return the stream addresses of the members, by this host's log."""
+        ...
+
     async def start(self) -> Result[None, Refusal]:
         """Open the files and take part; ``Err`` is ``CORRUPT`` or ``STORAGE_FAILED``."""
         ...
@@ -114,6 +123,13 @@
         """Add a host, which becomes a voter by itself once it has caught up."""
         ...
 
+    async def enlist(self, host: str, address: str, timeout: float) -> Result[None, Refusal]:
+        """Take in a host that asks for itself; one that is a member already changes nothing.
+
+        A member that asks from another address has moved, with or without its disk.
+        """
+        ...
+
     async def remove(
         self, host: str, timeout: float, forced: bool = False
     ) -> Result[None, Refusal]:
--- a/cranberrywall/replication/_settings.py
+++ b/cranberrywall/replication/_settings.py
@@ -21,7 +21,9 @@
     since the last one is larger than ``snapshot_bytes`` and than that snapshot. The
     newest ``retained_entries`` stay in the log behind a snapshot, so that a follower
     that is a little late needs no transfer. A learner that lacks at most
-    ``promotion_lag`` entries becomes a voter.
+    ``promotion_lag`` entries becomes a voter. A voter that has been silent for
+    ``give_up_s`` loses its seat where at least three others answer, so that a host that is
+    gone for good doesn't count in majorities for ever; ``None`` leaves that to operators.
     """
 
     heartbeat_s: float = 0.25
@@ -37,3 +39,4 @@
     snapshot_bytes: int = 128 * KIBIBYTE
     retained_entries: int = 500
     promotion_lag: int = 50
+    give_up_s: float | None = None
--- a/cranberrywall/replication/messages.py
+++ b/cranberrywall/replication/messages.py
@@ -164,17 +164,18 @@
 
 
 class IdentifyRequest(NamedTuple):
-    """Ask for a host's disk; ``hosts`` are those that would form a new group."""
+    """Ask for a host's disk; ``founders`` are the addresses that would form a new group."""
 
-    hosts: tuple[str, ...]
+    founders: tuple[str, ...]
 
 
 class IdentifyReply(NamedTuple):
-    """Give a host's disk and lineage, and whether it is free to join a new group of those hosts."""
+    """Give a host's name, disk and lineage, and whether it is free to found a new group."""
 
     disk: str
     lineage: str
     free: bool
+    host: str
 
 
 class GroupMethods(NamedTuple):
--- a/cranberrywall/routing/__init__.py
+++ b/cranberrywall/routing/__init__.py
@@ -1,6 +1,7 @@
 """Choose a target for each request, and queue what must wait."""
 
 from cranberrywall.routing._interfaces import Demand, Outcome, OutcomeKind, Router, Slot
+from cranberrywall.routing._retries import RetryLimits
 from cranberrywall.routing._router import TargetRouter, make_router
 from cranberrywall.routing._spread import TargetSpread, make_target_spread
 
@@ -8,6 +9,7 @@
     "Demand",
     "Outcome",
     "OutcomeKind",
+    "RetryLimits",
     "Router",
     "Slot",
     "TargetRouter",
--- a/cranberrywall/routing/_interfaces.py
+++ b/cranberrywall/routing/_interfaces.py
@@ -15,6 +15,7 @@
 class Demand(NamedTuple):
     """Describe one attempt that needs a place at a target.
 
+    ``workspace`` is empty where a route already decided that the request may go there.
     ``kind`` is ``"engine"`` or ``"service"`` and ``name`` the model or the service.
     ``version`` and ``adapter`` are empty where any will do. ``rank`` is the priority, 0 is
     served first. ``bound_tokens`` is the most that the attempt can cost. ``prefix_hashes``
--- a/cranberrywall/routing/_pool.py
+++ b/cranberrywall/routing/_pool.py
@@ -7,7 +7,7 @@
 from cranberrywall.routing._choice import Choice, Chosen
 from cranberrywall.routing._distances import Distances
 from cranberrywall.routing._interfaces import Demand, Outcome, OutcomeKind
-from cranberrywall.routing._retries import RetryBudget
+from cranberrywall.routing._retries import RetryBudget, RetryLimits
 from cranberrywall.routing._waits import WaitModel
 from cranberrywall.runtime import Clock, Random
 from cranberrywall.targets import Announcement, PrefixIndex, Usual
@@ -50,12 +50,14 @@
         distances: Distances,
         count_hosts: Callable[[], int],
         now: float,
+        retry_limits: RetryLimits | None = None,
     ) -> None:
         self.candidate_by_id: dict[str, Candidate] = {}
         self.candidates: list[Candidate] = []
         self.prefixes = PrefixIndex()
         self.waits = WaitModel()
-        self.retries = RetryBudget(now)
+        self.retries = RetryBudget(now, retry_limits)
+        self._retry_limits = retry_limits
         self._clock = clock
         self._random = random
         self._distances = distances
@@ -201,6 +203,7 @@
             self._random.random(),
             now,
             slow_start=now - self._started_at > KNOWN_AFTER_S,
+            retry_limits=self._retry_limits,
         )
         self.candidate_by_id[announcement.target] = candidate
         self.prefixes.put(announcement.target, announcement.incarnation)
--- a/cranberrywall/routing/_retries.py
+++ b/cranberrywall/routing/_retries.py
@@ -1,5 +1,7 @@
 """Bound retries to a share of first attempts, so that an outage breeds no storm."""
 
+from typing import NamedTuple
+
 RETRY_SHARE = 0.1
 """Retries that each first attempt pays for."""
 
@@ -10,17 +12,30 @@
 """One retry is allowed this often in any case, in seconds, so that little traffic can retry."""
 
 
+class RetryLimits(NamedTuple):
+    """Bound one host's retries; the hosts' bounds add up to the fleet's.
+
+    ``share`` are the retries that each first attempt pays for, ``saved`` those that can be
+    saved up, and one is allowed every ``every_s`` seconds in any case.
+    """
+
+    share: float = RETRY_SHARE
+    saved: float = MOST_SAVED
+    every_s: float = EVERY_S
+
+
 class RetryBudget:
     """Save a part of a retry with each first attempt, and spend one with each retry."""
 
-    def __init__(self, now: float) -> None:
-        self._saved = MOST_SAVED / 2
+    def __init__(self, now: float, limits: RetryLimits | None = None) -> None:
+        self._limits = limits or RetryLimits()
+        self._saved = self._limits.saved / 2
         self._updated_at = now
 
     def first_attempt(self, now: float) -> None:
         """Pay in for one first attempt."""
         self._refill(now)
-        self._saved = min(MOST_SAVED, self._saved + RETRY_SHARE)
+        self._saved = min(self._limits.saved, self._saved + self._limits.share)
 
     def allows(self, now: float) -> bool:
         """Say whether a retry may be made."""
@@ -35,11 +50,11 @@
     def seconds_to_next(self, now: float) -> float:
         """Return the seconds until a retry is allowed without any first attempt."""
         self._refill(now)
-        return max(0.0, 1.0 - self._saved) * EVERY_S
+        return max(0.0, 1.0 - self._saved) * self._limits.every_s
 
     def _refill(self, now: float) -> None:
         # Only a slow trickle: what is saved while nothing runs must not pay for a storm.
         elapsed = max(0.0, now - self._updated_at)
         self._updated_at = max(now, self._updated_at)
         if self._saved < 1.0:
-            self._saved = min(1.0, self._saved + elapsed / EVERY_S)
+            self._saved = min(1.0, self._saved + elapsed / self._limits.every_s)
--- a/cranberrywall/routing/_router.py
+++ b/cranberrywall/routing/_router.py
@@ -13,6 +13,7 @@
 from cranberrywall.routing._interfaces import Demand, Slot
 from cranberrywall.routing._pool import Pool
 from cranberrywall.routing._queue import Answer, Waiter
+from cranberrywall.routing._retries import RetryLimits
 from cranberrywall.routing._subset import subset_of
 from cranberrywall.runtime import Clock, Random
 from cranberrywall.targets import Announcement, Change, Group, Targets
@@ -32,6 +33,7 @@
     place: str = "",
     count_hosts: Callable[[], int] = lambda: 1,
     max_waiting: int = MAX_WAITING,
+    retry_limits: RetryLimits | None = None,
 ) -> "TargetRouter":
     """Return the router of ``host`` in ``place``; it follows the changes of ``targets``.
 
@@ -39,7 +41,7 @@
     ``max_waiting`` demands wait for one model or service at most.
     """
     return TargetRouter(
-        targets, configuration, clock, random, host, place, count_hosts, max_waiting
+        targets, configuration, clock, random, host, place, count_hosts, max_waiting, retry_limits
     )
 
 
@@ -56,7 +58,9 @@
         place: str,
         count_hosts: Callable[[], int],
         max_waiting: int,
+        retry_limits: RetryLimits | None = None,
     ) -> None:
+        self._retry_limits = retry_limits
         self._max_waiting = max_waiting
         self._count_hosts = count_hosts
         self._targets = targets
@@ -140,6 +144,15 @@
     def _check(self, demand: Demand, now: float) -> Refusal | None:
         if demand.deadline <= now:
             return Refusal(ErrorKind.DEADLINE_PASSED, "the deadline had passed on arrival")
+        refusal = self._check_workspace(demand) if demand.workspace else None
+        if refusal is not None:
+            return refusal
+        dispatcher = self._dispatcher_by_group.get(Group(demand.kind, demand.name))
+        if dispatcher is None or not dispatcher.pool.serves(demand):
+            return Refusal(ErrorKind.NO_TARGET, f"no target serves {demand.name} now")
+        return None
+
+    def _check_workspace(self, demand: Demand) -> Refusal | None:
         workspace = self._configuration.document["workspaces"].get(demand.workspace)
         if workspace is None or not _reaches(workspace, demand):
             return Refusal(
@@ -153,9 +166,6 @@
                 ErrorKind.TOO_MANY_REQUESTS,
                 f"workspace {demand.workspace} has {workspace['concurrent']} requests in progress",
             )
-        dispatcher = self._dispatcher_by_group.get(Group(demand.kind, demand.name))
-        if dispatcher is None or not dispatcher.pool.serves(demand):
-            return Refusal(ErrorKind.NO_TARGET, f"no target serves {demand.name} now")
         return None
 
     def _first_rank(self) -> int:
@@ -213,6 +223,7 @@
                 self._distances,
                 self._count_hosts,
                 self._clock.now(),
+                self._retry_limits,
             )
             self._dispatcher_by_group[group] = Dispatcher(
                 pool, self._random, self._first_rank, self._max_waiting
--- a/cranberrywall/settings/_load.py
+++ b/cranberrywall/settings/_load.py
@@ -92,6 +92,8 @@
     for section in ("controls", "peers"):
         for number, remote in enumerate(document.get(section, [])):
             yield f"{section}[{number}].links", remote["links"], False
+    for number, address in enumerate(document.get("seeds", [])):
+        yield f"seeds[{number}]", address, False
 
 
 def _check_addresses(document: dict[str, Any]) -> Iterator[Problem]:
@@ -125,15 +127,17 @@
     if process in ("control", "console") and "data" not in document:
         message = f"is missing, and the {process} process keeps its state in files"
         yield Problem("S014", "data", message, "add `data: FOLDER`")
-    if not document["controls"]:
+    if not document["controls"] and not document.get("seeds"):
         message = "is empty, and every process needs the control hosts"
-        yield Problem("S014", "controls", message, "list each control host with its address")
+        remedy = "list each control host with its address, or give `seeds`"
+        yield Problem("S014", "controls", message, remedy)
 
 
 def _check_repeats(document: dict[str, Any]) -> Iterator[Problem]:
     # Port 0 is any free port, so that several may stand side by side.
     listening = [address for address in document["listen"].values() if not address.endswith(":0")]
     yield from _repeats("listen", listening)
+    yield from _repeats("seeds", document.get("seeds", []))
     for section in ("controls", "peers"):
         remotes = document.get(section, [])
         yield from _repeats(section, [remote["host"] for remote in remotes])
--- a/cranberrywall/settings/_settings.py
+++ b/cranberrywall/settings/_settings.py
@@ -89,8 +89,10 @@
 
     ``data`` is the one data folder, absent on a host without a disk. ``fleet_key`` is the
     path of the file that holds the fleet's shared key. ``controls`` are the control
-    hosts, ``peers`` the entry hosts to join by. What may be left out has its value in
-    ``DEFAULTS``.
+    hosts, ``peers`` the entry hosts to join by. ``seeds`` are stream addresses of a few
+    control hosts through which all others are found, in place of both; a control host among
+    them that is ``founding`` forms the groups together with the other seeds. What
+    may be left out has its value in ``DEFAULTS``.
     """
 
     process: Literal["entry", "control", "console"]
@@ -99,6 +101,8 @@
     listen: Listen
     controls: list[Remote]
     peers: NotRequired[list[Remote]]
+    seeds: NotRequired[list[Address]]
+    founding: NotRequired[bool]
     data: NotRequired[str]
     fleet_key: str
     ledger_groups: NotRequired[Annotated[int, Meta(ge=1, le=64)]]
--- a/cranberrywall/targets/__init__.py
+++ b/cranberrywall/targets/__init__.py
@@ -5,6 +5,7 @@
 from cranberrywall.targets._load import LoadEstimate, Usual
 from cranberrywall.targets._prefixes import PrefixIndex
 from cranberrywall.targets._probes import Probe, Prober, make_http_probe
+from cranberrywall.targets._relay import TargetRelay, register_relay
 from cranberrywall.targets._targets import (
     KEPT_S,
     TTL_S,
@@ -33,10 +34,12 @@
     "Probe",
     "Prober",
     "Target",
+    "TargetRelay",
     "Targets",
     "Usual",
     "make_announce_routes",
     "make_http_probe",
     "make_targets",
     "read_announcement",
+    "register_relay",
 ]
--- /dev/null
+++ b/cranberrywall/targets/_relay.py
@@ -0,0 +1,124 @@
+"""Take targets' announcements in at control hosts, and pass them on to the entry hosts.
+
+Where targets cannot reach entry hosts, they announce themselves to control.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any, NamedTuple
+
+from result import Ok, Result
+
+from cranberrywall.errors import Refusal
+from cranberrywall.links import Caller, Method, Peer, Server
+from cranberrywall.observability import log_event
+from cranberrywall.runtime import Clock
+from cranberrywall.targets._targets import Change, Targets
+from cranberrywall.targets.messages import Announcement
+
+PASS_ON_TIMEOUT_S = 0.4
+"""An entry host has this long to take a change in, in seconds: targets wait a second."""
+
+MOST_TOLD = 12
+"""Entry hosts that are told of a change directly; they push it on to all others."""
+
+
+class PassOnRequest(NamedTuple):
+    """Carry what targets said to a control host, each at first hand."""
+
+    announcements: tuple[Announcement, ...]
+
+
+class PassOnReply(NamedTuple):
+    """Say that the announcements hold at the entry host now."""
+
+
+PASS_ON = Method("targets.pass_on", PassOnRequest, PassOnReply)
+
+
+def register_relay(server: Server, publish: Callable[[Announcement], None]) -> None:
+    """Take in at an entry host what control hosts pass on."""
+
+    async def answer(request: PassOnRequest, peer: Peer) -> Result[PassOnReply, Refusal]:
+        for announcement in request.announcements:
+            publish(announcement)
+        return Ok(PassOnReply())
+
+    server.register(PASS_ON, answer)
+
+
+class TargetRelay:
+    """Hold what targets announced to this control host, and tell the entry hosts."""
+
+    def __init__(self, entries: Callable[[], Sequence[str]], caller: Caller, clock: Clock) -> None:
+        """``entries`` gives the stream addresses of the entry hosts known."""
+        self._targets = Targets()
+        self._entries = entries
+        self._caller = caller
+        self._clock = clock
+        self._turn = 0
+        self._tasks: set[asyncio.Task[bool]] = set()
+
+    async def announce(self, announcement: Announcement) -> bool:
+        """Take in an announcement, and return whether it may be acknowledged.
+
+        That a target leaves is acknowledged only once an entry host knows it: the target
+        goes away some time after the acknowledgement, and requests that were still sent to
+        it would be lost. A renewal asks for no such care.
+        """
+        now = self._clock.now()
+        self._targets.expire(now)
+        before = self._targets.by_id.get(announcement.target)
+        change = self._targets.apply(announcement, now)
+        if change is Change.STALE:
+            return True
+        if change is Change.RENEWED:
+            self._start(self._tell_one(announcement))
+            return True
+        log_event(
+            "INFO",
+            "target_announced",
+            target=announcement.target,
+            service=announcement.name,
+            change=change,
+            counter=announcement.counter,
+            was_known=before is not None,
+        )
+        told = await self._tell_all(announcement)
+        return told or not announcement.leaving
+
+    def find(self, target_id: str) -> Announcement | None:
+        """Return what a target that is not leaving last said."""
+        target = self._targets.by_id.get(target_id)
+        return target.announcement if target is not None else None
+
+    async def _tell_one(self, announcement: Announcement) -> bool:
+        entries = self._entries()
+        if not entries:
+            return False
+        self._turn += 1
+        return await self._tell(entries[self._turn % len(entries)], announcement)
+
+    async def _tell_all(self, announcement: Announcement) -> bool:
+        """Tell many entry hosts, and return once one has it, or none answers."""
+        entries = self._entries()
+        self._turn += 1
+        start = self._turn % len(entries) if entries else 0
+        chosen = [*entries[start:], *entries[:start]][:MOST_TOLD]
+        left = {self._start(self._tell(links, announcement)) for links in chosen}
+        while left:
+            done, left = await asyncio.wait(left, return_when=asyncio.FIRST_COMPLETED)
+            if any(task.result() for task in done):
+                return True
+        return False
+
+    async def _tell(self, links: str, announcement: Announcement) -> bool:
+        request = PassOnRequest((announcement,))
+        answer = await self._caller.call(links, PASS_ON, request, PASS_ON_TIMEOUT_S)
+        return isinstance(answer, Ok)
+
+    def _start(self, work: Coroutine[Any, Any, bool]) -> asyncio.Task[bool]:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
--- a/measurements/_configuration_fleet.py
+++ b/measurements/_configuration_fleet.py
@@ -102,7 +102,7 @@
             self.me,
             self.configuration,
             document_peers,
-            [control.me.links for control in fleet.controls],
+            lambda: [control.me.links for control in fleet.controls],
             self._links.caller,
             fleet.clock,
             fleet.random,
--- a/tests/orders/test_reports.py
+++ b/tests/orders/test_reports.py
@@ -38,7 +38,7 @@
 async def test_engines_and_demand_reach_control_and_expire() -> None:
     clock = ManualClock()
     control = ControlSide(clock)
-    reporter = EngineReporter(control, clock, ["control-1"], lambda: {"letters": 4.0})
+    reporter = EngineReporter(control, clock, lambda: ["control-1"], lambda: {"letters": 4.0})
     task = asyncio.create_task(reporter.run())
     reporter.note(make_announcement(1, cache_events=(CacheEvent(1, "add", b"12345678"),)))
     reporter.note(make_announcement(2, kind="service", target="service-1"))
--- a/tests/replication/fleet.py
+++ b/tests/replication/fleet.py
@@ -10,7 +10,7 @@
 
 from cranberrywall.errors import Refusal
 from cranberrywall.links import LinkCaller, LinkServer, Peer, make_caller, make_link_server
-from cranberrywall.replication import GroupSettings, Replica, StateMachine, make_group
+from cranberrywall.replication import GroupSettings, Replica, StateMachine, founders_of, make_group
 from cranberrywall.runtime import Runtime
 from tests.fakes.clock import VirtualClock, run_virtual
 from tests.fakes.network import FakeFabric, Rule
@@ -90,7 +90,7 @@
         self.machine = fleet.make_machine()
         self.group = make_group(
             "ledger-0",
-            addresses or fleet.addresses,
+            founders_of(addresses or fleet.addresses, self.name),
             self.name,
             self.machine,
             runtime,
