Charge a request's bound before it goes to a target, and release only what is proven unspent

A host without a disk that started again got back its predecessor's whole part, with what its running requests had used; and what peers kept in memory was forgotten with them.

Change: open charges, made durable before the first attempt and corrected at the end; the ledger notes each holder's contacts, and frees an older run's part only where it had no time to keep anything at peers, or where peers that were up before its last contact hold nothing. Also: the input counts from the sending on, whoever ends the attempt; a charge whose batch failed after a draw had found the ledger lost was never kept anywhere.

Ruled out: freeing nothing (each kill would strand a seventh of all budgets); a window of money opened ahead (requests are as large as a hundredth of a budget, so that a window strands too much).

Tests: four new stories in tests/budgets/test_partitions.py. test_a_place_that_is_lost... expected a part back that nobody can prove unspent; it now has hosts with disks, and the case without is a stricter story of its own.

--- a/cranberrywall/budgets/_allotment.py
+++ b/cranberrywall/budgets/_allotment.py
@@ -178,6 +178,25 @@
             self._was_freed()
         return number
 
+    def open(self, bound: int) -> int:
+        """Move a reservation of ``bound`` to charging, whole, and return the charge's number."""
+        self.reserved -= bound
+        self.charging += bound
+        return self.take_charge_number()
+
+    def note_cost(self, bound: int, actual: int) -> None:
+        """Learn from an open charge of ``bound`` what its request cost."""
+        self.settled_since_review += actual
+        self.settled_bounds += bound
+        self.settled_count += 1
+        self.used_since_view = True
+
+    def refunded(self, amount: int) -> None:
+        """Add what the ledger gave back of an open charge."""
+        self.spendable += amount
+        self.version += 1
+        self._was_freed()
+
     def take_charge_number(self) -> int:
         """Return the next charge's number, and count it as used."""
         number = self.next_charge
--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -22,6 +22,7 @@
 from cranberrywall.budgets._journal import Journal, Recovered
 from cranberrywall.budgets._keepers import Kept
 from cranberrywall.budgets._ledger_steps import LedgerSteps
+from cranberrywall.budgets._messages_holders import DETACH_AFTER_S
 from cranberrywall.budgets._mirror import Mirror, deliver_at_mirrors, mirrors_of
 from cranberrywall.budgets._mirror_store import MirrorStore
 from cranberrywall.budgets._peer_messages import (
@@ -71,16 +72,28 @@
     caller: Caller,
     server: Server,
     runtime: Runtime,
+    started_clock: float | None = None,
 ) -> HostAllotments:
     """Return the allotments of this run of this host; ``start`` them before use.
 
     ``entry_hosts`` lists the entry hosts of the configuration in force: a host without a
     disk keeps charges at some of them, and asks those what they keep of its earlier runs.
+    ``started_clock`` is the runtime's clock at the start of this process, now where ``None``.
     """
     storage = runtime.storage
     keeper = Journal(storage) if storage else Mirror(holder.host, entry_hosts, peers, caller)
     return _HostAllotments(
-        holder, place, ledger, peers, entry_hosts, policies, caller, server, keeper, runtime
+        holder,
+        place,
+        ledger,
+        peers,
+        entry_hosts,
+        policies,
+        caller,
+        server,
+        keeper,
+        runtime,
+        runtime.clock.now() if started_clock is None else started_clock,
     )
 
 
@@ -97,7 +110,9 @@
         server: Server,
         keeper: Journal | Mirror,
         runtime: Runtime,
+        started_clock: float,
     ) -> None:
+        self._started_clock = started_clock
         self._holder = holder
         self._ledger = ledger
         self._peers = peers
@@ -112,7 +127,7 @@
         self._queue_by_group = {group: self._make_queue(group) for group in ledger.groups()}
         self._steps = LedgerSteps(ledger, self._clock)
         self._store = MirrorStore(
-            ledger, keeper if isinstance(keeper, Journal) else None, self._clock
+            holder, ledger, keeper if isinstance(keeper, Journal) else None, self._clock
         )
         self._giver = Giver(ledger, keeper, self._clock)
         taker = Taker(caller, keeper, self._store.is_ended, self._clock, runtime.random)
@@ -137,7 +152,11 @@
         server.register(DELIVER, self._deliver)
 
     def _make_queue(self, group: str) -> ChargeQueue:
-        queue = ChargeQueue(group, self._holder, self._ledger, self._keeper, self._clock)
+        # A journal outlives its process; what peers keep in memory may not.
+        detach_after_s = 0.0 if isinstance(self._keeper, Journal) else DETACH_AFTER_S
+        queue = ChargeQueue(
+            group, self._holder, self._ledger, self._keeper, self._clock, detach_after_s
+        )
         queue.on_reach = partial(self._reach_changed, queue)
         queue.on_succeed = partial(self._hand_over, queue)
         return queue
@@ -173,8 +192,13 @@
                 return Err(opened.err_value)
             recovered = opened.ok_value
         self._resume(recovered)
+        has_journal = isinstance(self._keeper, Journal)
         registration = Registration(
-            self._ledger, self._keeper, self._delivered_elsewhere, self._clock
+            self._ledger,
+            self._keeper,
+            None if has_journal else self._delivered_elsewhere,
+            self._clock,
+            self._started_clock,
         )
         for queue in self._queue_by_group.values():
             queue.start()
@@ -300,18 +324,15 @@
         checkpoint = checkpoint_of(queue, list(self._by_budget.values()))
         await self._keeper.out_of_reach(checkpoint, queue.unreported)
 
-    async def _delivered_elsewhere(self) -> bool:
-        if isinstance(self._keeper, Journal):
-            # The journal holds all that earlier runs on this disk left.
-            return True
+    async def _delivered_elsewhere(self) -> tuple[Holder, ...] | None:
         if self._policies.spends_alone():
             # An earlier run may have spent alone, and taken what it knew of that with it.
-            return False
+            return None
         host, incarnation = self._holder
         entry_hosts = self._entry_hosts()
         if host not in [one.host for one in entry_hosts]:
             # Without the configuration nobody can say which hosts kept what.
-            return False
+            return None
         mirrors = mirrors_of(host, entry_hosts)
         return await deliver_at_mirrors(host, incarnation, mirrors, self._peers, self._caller)
 
@@ -333,18 +354,25 @@
             for transfer in queue.unreported
             if self._store.is_ended(transfer.giver) and transfer.giver.host == request.host
         ]
-        return Ok(DeliverReply(answer.ok_value.remaining + len(unreported)))
+        remaining = answer.ok_value.remaining + len(unreported)
+        return Ok(answer.ok_value._replace(remaining=remaining))
 
     async def _review_loop(self) -> None:
         while True:
             await self._clock.sleep(REVIEW_INTERVAL_S)
             now = self._clock.now()
             await self._store.help(now)
+            for queue in self._queues_with_money():
+                await queue.keep_in_contact()
             for allotment in list(self._by_budget.values()):
                 await self._reviewer.review(allotment)
                 if allotment.booked == 0 and now - allotment.used_at >= FORGET_AFTER_S:
                     self._forget(allotment)
 
+    def _queues_with_money(self) -> list[ChargeQueue]:
+        held = {one.queue.group for one in self._by_budget.values() if one.booked > 0}
+        return [queue for group, queue in self._queue_by_group.items() if group in held]
+
     def _forget(self, allotment: Allotment) -> None:
         # The ledger knows the numbers that were used: were they used again, new charges
         # would pass for old ones that arrive twice, and never be billed.
--- a/cranberrywall/budgets/_charges.py
+++ b/cranberrywall/budgets/_charges.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Awaitable, Callable, Sequence
+from itertools import islice
 from typing import Any, NamedTuple, Protocol
 
 from result import Err, Ok, Result
@@ -16,6 +17,9 @@
     ChargeBatch,
     ChargeBatchResult,
     ChargeOutcome,
+    Contact,
+    Correction,
+    Corrections,
     Holder,
     RecallsQuery,
     Transfer,
@@ -27,6 +31,9 @@
 # Batches of one group start at least this far apart; charges in between share one.
 BATCH_GAP_S = 0.02
 COMMIT_TIMEOUT_S = 1.0
+# An idle holder is heard by the ledger this often, in seconds: a command for each host.
+CONTACT_EVERY_S = 5.0
+LEAST_WAIT_S = 0.001
 RETRY_FIRST_S = 0.25
 RETRY_MOST_S = 5.0
 
@@ -42,6 +49,10 @@
         """Add money that may be spent."""
         ...
 
+    def refunded(self, amount: int) -> None:
+        """Add what the ledger gave back of an open charge."""
+        ...
+
     def drop(self, amount: int) -> None:
         """Remove money that the ledger does not book to this host."""
         ...
@@ -62,6 +73,20 @@
             self.done.set_result(result)
 
 
+class _Correcting(NamedTuple):
+    """Hold a correction until the ledger has it; ``holder`` made the charge."""
+
+    holder: Holder
+    correction: Correction
+    surplus: int
+    allotment: Charged
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Return the budget and number of the charge."""
+        return self.correction.budget, self.correction.number
+
+
 class ChargeQueue:
     """Commit one holder's charges at one ledger group; at most one batch is under way.
 
@@ -70,8 +95,19 @@
     """
 
     def __init__(
-        self, group: str, holder: Holder, ledger: LedgerClient, keeper: Keeper, clock: Clock
+        self,
+        group: str,
+        holder: Holder,
+        ledger: LedgerClient,
+        keeper: Keeper,
+        clock: Clock,
+        detach_after_s: float = 0.0,
     ) -> None:
+        """``detach_after_s`` is the silence towards the ledger before anything is kept."""
+        self._detach_after_s = detach_after_s
+        self._contact_at = clock.now()
+        self._corrections: deque[_Correcting] = deque()
+        self._unbilled: set[tuple[str, int]] = set()
         self.group = group
         self.holder = holder
         self.in_reach = True
@@ -103,7 +139,12 @@
     def uncommitted(self) -> int:
         """Return the number of charges and transfers that the ledger has not confirmed."""
         charges = len(self._waiting) + len(self._under_way) + len(self._kept)
-        return charges + len(self._transfers)
+        return charges + len(self._transfers) + len(self._corrections)
+
+    @property
+    def may_keep(self) -> bool:
+        """Say whether charges and transfers may be kept elsewhere than at the ledger now."""
+        return not self.in_reach and self._attached_for(self._clock.now()) <= 0.0
 
     def state(self) -> dict[str, Any]:
         """Describe the queue, for the state dump."""
@@ -140,6 +181,13 @@
                 self._to_keep.set()
         return await done
 
+    def correct(self, charge: Charge, amount: int, allotment: Charged) -> None:
+        """Queue what an open charge, which is durable, came to in the end."""
+        correction = Correction(charge.budget, charge.number, amount)
+        surplus = charge.amount - amount
+        self._corrections.append(_Correcting(self.holder, correction, surplus, allotment))
+        self._work_came()
+
     def report(self, transfer: Transfer, taken_by: Charged | None) -> None:
         """Queue the report of a transfer, before every charge that is not committed yet.
 
@@ -204,6 +252,8 @@
     async def _commit_next(self) -> None:
         source = self._kept or self._waiting
         answer: Result[Any, Refusal] = await self._report_transfers()
+        if isinstance(answer, Ok):
+            answer = await self._commit_corrections()
         if isinstance(answer, Ok):
             self._under_way = self._take_funded(source)
             answer = await self._commit(self._under_way)
@@ -211,9 +261,69 @@
         if isinstance(answer, Err):
             source.extendleft(reversed(batch))
             await self.lost(answer.err_value)
+            # A draw may have found the ledger lost while this batch was on its way: nobody
+            # would keep it then, and its requests would wait until the cut is mended.
+            self._to_keep.set()
             return
         await self._finish(batch, answer.ok_value)
 
+    async def _commit_corrections(self) -> Result[Any, Refusal]:
+        """Correct open charges, once all charges that are kept elsewhere are committed."""
+        some = self._correctable()
+        if not some:
+            return Ok(None)
+        holder = some[0].holder
+        corrections = tuple(one.correction for one in some)
+        command = Corrections(holder, corrections, self._clock.wall(), self.contact())
+        answer = await self._ledger.correct(self.group, command, COMMIT_TIMEOUT_S)
+        if isinstance(answer, Err):
+            return answer
+        for one in some:
+            self._corrections.remove(one)
+            if one.key in self._unbilled:
+                # The ledger has no such charge, or set it aside: it gave nothing back.
+                self._unbilled.discard(one.key)
+            else:
+                one.allotment.refunded(one.surplus)
+        return answer
+
+    def _correctable(self) -> list[_Correcting]:
+        """Return corrections of one holder whose charges the ledger has.
+
+        A caller may leave while its charge waits. Were the correction to go first, it would
+        find nothing to correct, and the money would be spent here and charged there.
+        """
+        if not self._corrections or self._kept:
+            return []
+        waiting = {(one.charge.budget, one.charge.number) for one in self._waiting}
+        holder = self._corrections[0].holder
+        first = islice(self._corrections, MAX_CHARGES_IN_BATCH)
+        return [one for one in first if one.holder == holder and one.key not in waiting]
+
+    async def keep_in_contact(self) -> None:
+        """Tell the ledger that this holder is there, where it had nothing to say for long.
+
+        Should it be lost, its peers can vouch for it only if they came up before that.
+        """
+        if not self.in_reach or self._clock.now() - self._contact_at < CONTACT_EVERY_S:
+            return
+        command = Corrections(self.holder, (), self._clock.wall(), self.contact())
+        answer = await self._ledger.correct(self.group, command, COMMIT_TIMEOUT_S)
+        if isinstance(answer, Err):
+            log_event("INFO", "contact_failed", group=self.group, kind=answer.err_value.kind)
+
+    def contact(self) -> Contact:
+        """Return how the ledger is reached by a command that goes out now, and remember it."""
+        now = self._clock.now()
+        is_attached = self.in_reach and not self._kept and not self._transfers
+        if is_attached:
+            self._contact_at = now
+        return Contact(now, not is_attached)
+
+    def _attached_for(self, now: float) -> float:
+        """Return how many seconds must still pass before anything may be kept elsewhere."""
+        return self._contact_at + self._detach_after_s - now
+
     def _can_succeed(self) -> bool:
         return self.in_reach and not self._kept and not self._transfers
 
@@ -267,7 +377,7 @@
         if not batch:
             return Ok(ChargeBatchResult(()))
         charges = tuple(pending.charge for pending in batch)
-        command = ChargeBatch(self.holder, charges, self._clock.wall())
+        command = ChargeBatch(self.holder, charges, self._clock.wall(), self.contact())
         return await self._ledger.charge(command, COMMIT_TIMEOUT_S)
 
     async def _report_transfers(self) -> Result[None, Refusal]:
@@ -327,6 +437,8 @@
             pending.allotment.committed(pending.charge.amount)
             if outcome is not ChargeOutcome.BILLED:
                 _note(pending, outcome)
+                if pending.charge.is_open:
+                    self._unbilled.add((pending.charge.budget, pending.charge.number))
             pending.answer(Ok(None))
         charges = tuple(pending.charge for pending in batch)
         await self._keeper.committed(Kept(self.holder, (), charges))
@@ -336,7 +448,12 @@
             await self._to_keep.wait()
             self._to_keep.clear()
             while self._waiting and not self.in_reach:
-                await self._keep_waiting()
+                wait_s = self._attached_for(self._clock.now())
+                if wait_s > 0.0:
+                    # A rest so small that it does not move the clock would be a busy loop.
+                    await self._clock.sleep(max(LEAST_WAIT_S, wait_s))
+                else:
+                    await self._keep_waiting()
 
     async def _keep_waiting(self) -> None:
         """Make what waits durable here, and hold it until the ledger takes it."""
--- a/cranberrywall/budgets/_client.py
+++ b/cranberrywall/budgets/_client.py
@@ -64,6 +64,12 @@
         budget = command.charges[0].budget
         return await self._propose(budget, command, messages.ChargeBatchResult, timeout)
 
+    async def correct(
+        self, group: str, command: messages.Corrections, timeout: float
+    ) -> Result[messages.Accepted, Refusal]:
+        """Correct open charges whose budgets are all kept by one group."""
+        return await self._propose_to(group, command, messages.Accepted, timeout)
+
     async def transfer(
         self, command: messages.Transfer, timeout: float
     ) -> Result[messages.TransferResult, Refusal]:
--- a/cranberrywall/budgets/_closing_spend.py
+++ b/cranberrywall/budgets/_closing_spend.py
@@ -22,6 +22,12 @@
         spent, requests = self._sums_by_key.get(key, (0, 0))
         self._sums_by_key[key] = (spent + amount, requests + 1)
 
+    def refund(self, workspace: str, unit: str, amount: int, reserved_at: float) -> None:
+        """Take out a part of what a billed request was added with."""
+        key = (workspace, unit, int(reserved_at // _DAY_S))
+        spent, requests = self._sums_by_key.get(key, (0, 0))
+        self._sums_by_key[key] = (max(0, spent - amount), requests)
+
     def days(self, workspace: str) -> tuple[DaySpend, ...]:
         """Return the sums of one workspace, or of all where it is empty."""
         rows = [DaySpend(*key, *sums) for key, sums in sorted(self._sums_by_key.items())]
--- a/cranberrywall/budgets/_interfaces.py
+++ b/cranberrywall/budgets/_interfaces.py
@@ -31,6 +31,16 @@
         """Return the amount held."""
         ...
 
+    async def begin(self, now: float) -> Result[None, Refusal]:
+        """Charge the whole amount before a target can begin to work for the request.
+
+        Without it, a process that is lost before ``settle`` leaves no trace of what its
+        requests used, and the money is spent a second time. It returns once the charge is
+        durable, as ``settle`` does; on ``Err`` the request must not be sent. ``settle`` then
+        gives back what the request did not cost.
+        """
+        ...
+
     async def settle(self, actual: int, now: float) -> Result[None, Refusal]:
         """Charge ``actual`` (at most ``bound``) and free the rest.
 
--- a/cranberrywall/budgets/_ledger_accounts.py
+++ b/cranberrywall/budgets/_ledger_accounts.py
@@ -26,6 +26,14 @@
     credited: int
 
 
+class OpenCharge(NamedTuple):
+    """Hold what a correction of an open charge needs."""
+
+    amount: int
+    workspace: str
+    reserved_at: float
+
+
 class Allotment:
     """Hold what one incarnation of one host may spend of one budget."""
 
@@ -35,6 +43,7 @@
         "draw_number",
         "given_numbers",
         "granted",
+        "open_by_number",
         "outstanding",
         "recalled",
         "reported_by_giver",
@@ -56,6 +65,7 @@
         self.taken_numbers: NumberSet | None = None
         self.reported_by_giver: dict[tuple[Holder, int], int] | None = None
         self.short_by_number: dict[int, int] | None = None
+        self.open_by_number: dict[int, OpenCharge] | None = None
 
     def dump(self) -> list[Any]:
         """Return the allotment's state, for a snapshot."""
@@ -68,8 +78,11 @@
             self.recalled,
             self.charge_numbers.dump(),
         ]
-        if self.given_numbers or self.taken_numbers or self.reported_by_giver:
+        has_transfers = self.given_numbers or self.taken_numbers or self.reported_by_giver
+        if has_transfers or self.open_by_number:
             plain.append(self._dump_transfers())
+        if self.open_by_number:
+            plain.append([[number, *one] for number, one in self.open_by_number.items()])
         return plain
 
     def _dump_transfers(self) -> list[Any]:
@@ -99,6 +112,8 @@
             for host, incarnation, number, moved in reported
         } or None
         allotment.short_by_number = dict(short) or None
+    if len(plain) > 8:
+        allotment.open_by_number = {number: OpenCharge(*one) for number, *one in plain[8]}
     return allotment
 
 
@@ -189,6 +204,11 @@
         self.charged += amount
         self._check()
 
+    def refund(self, allotment: Allotment, amount: int) -> None:
+        """Move ``amount`` of what was charged back to the allotment that it came from."""
+        self.charged -= amount
+        self._move(allotment, amount)
+
     def hold(self, allotment: Allotment | None, amount: int) -> int:
         """Set aside up to ``amount`` until an operator decides; return what was set aside."""
         held = min(amount, self.available(allotment))
@@ -217,6 +237,10 @@
         """Add one request's charge to its period's sums."""
         self._book(PeriodSum(through, workspace, amount, 1, 0))
 
+    def book_refund(self, through: float, workspace: str, amount: int) -> None:
+        """Take a part of a request's charge out of its period's sums again."""
+        self._book(PeriodSum(through, workspace, -amount, 0, 0))
+
     def book_credit(self, through: float, workspace: str, amount: int) -> None:
         """Add a top-up to its period's sums."""
         self._book(PeriodSum(through, workspace, 0, 0, amount))
--- a/cranberrywall/budgets/_ledger_charges.py
+++ b/cranberrywall/budgets/_ledger_charges.py
@@ -1,7 +1,7 @@
 """Bill each request once, and name every charge that could not be billed plainly."""
 
 from cranberrywall.budgets._closing_calendar import MAX_TIME
-from cranberrywall.budgets._ledger_accounts import Account, Allotment
+from cranberrywall.budgets._ledger_accounts import Account, Allotment, OpenCharge
 from cranberrywall.budgets._ledger_exceptions import Entry
 from cranberrywall.budgets._ledger_ids import charge_fingerprint, id_fingerprint
 from cranberrywall.budgets._ledger_state import LedgerState
@@ -12,6 +12,7 @@
     ChargeBatch,
     ChargeBatchResult,
     ChargeOutcome,
+    Corrections,
     ExceptionKind,
     Holder,
     Rejected,
@@ -26,6 +27,7 @@
         remedy = f"send at most {MAX_CHARGES_IN_BATCH} charges"
         return Rejected(ErrorKind.TOO_LARGE, "the batch is too large", "charges", remedy)
     state.holders.note(batch.holder)
+    state.holders.note_contact(batch.holder, batch.contact)
     ids = [id_fingerprint(charge.workspace, charge.request_id) for charge in batch.charges]
     old = state.ids.find_old(ids)
     outcomes = []
@@ -91,6 +93,11 @@
         account.charge(allotment, charge.amount)
         book(self._state, account, charge.workspace, charge.amount, charge.reserved_at)
         self._mark(allotment)
+        if charge.is_open and allotment is not None:
+            allotment.open_by_number = allotment.open_by_number or {}
+            allotment.open_by_number[charge.number] = OpenCharge(
+                charge.amount, charge.workspace, charge.reserved_at
+            )
         return ChargeOutcome.BILLED
 
     def _set_aside(
@@ -128,6 +135,30 @@
         )
 
 
+def correct(state: LedgerState, command: Corrections) -> Accepted:
+    """Give back what open charges were too high by.
+
+    A holder that was released has no allotment any more: its open charges stay as they are,
+    since nobody knows what their requests cost.
+    """
+    state.holders.note_contact(command.holder, command.contact)
+    for correction in command.corrections:
+        account = state.account_by_budget.get(correction.budget)
+        allotment = account.allotment_by_holder.get(command.holder) if account else None
+        if account is None or allotment is None or not allotment.open_by_number:
+            continue
+        charged = allotment.open_by_number.pop(correction.number, None)
+        if charged is None:
+            continue
+        surplus = charged.amount - max(0, min(correction.amount, charged.amount))
+        if surplus:
+            account.refund(allotment, surplus)
+            through = state.calendar.book(charged.reserved_at)
+            account.book_refund(through, charged.workspace, surplus)
+            state.spend.refund(charged.workspace, account.unit, surplus, charged.reserved_at)
+    return Accepted()
+
+
 def book(
     state: LedgerState, account: Account, workspace: str, amount: int, reserved_at: float
 ) -> None:
--- a/cranberrywall/budgets/_ledger_holders.py
+++ b/cranberrywall/budgets/_ledger_holders.py
@@ -2,7 +2,8 @@
 
 from typing import Any, NamedTuple
 
-from cranberrywall.budgets.messages import Holder
+from cranberrywall.budgets._messages_holders import DETACH_AFTER_S
+from cranberrywall.budgets.messages import Contact, Evidence, Holder
 
 
 class HostRecord(NamedTuple):
@@ -22,11 +23,25 @@
     confirmed_released: int = 0
 
 
+class ContactRecord(NamedTuple):
+    """Hold a holder's last contact; ``order`` counts contacts and registrations of all."""
+
+    clock: float
+    is_detached: bool
+    order: int
+
+
+_NO_CONTACT = ContactRecord(float("-inf"), is_detached=True, order=0)
+
+
 class Holders:
-    """Hold one record for each host; older incarnations need none."""
+    """Hold one record for each host, and the last contact of each holder with money."""
 
     def __init__(self) -> None:
         self.record_by_host: dict[str, HostRecord] = {}
+        self._contact_by_holder: dict[Holder, ContactRecord] = {}
+        self._registered_by_holder: dict[Holder, int] = {}
+        self._order = 0
         self._shared: dict[Holder, Holder] = {}
 
     def note(self, holder: Holder) -> None:
@@ -54,15 +69,71 @@
         """Replace a host's record."""
         self.record_by_host[host] = record
 
+    def note_contact(self, holder: Holder, contact: Contact | None) -> None:
+        """Note that the holder itself was heard.
+
+        What a detached holder says is no news of its peers: they may have come up, without
+        what they held for it, at any time since it was last attached.
+        """
+        if contact is None:
+            return
+        self._order += 1
+        order = self._order
+        if contact.is_detached:
+            order = self._contact_by_holder.get(holder, _NO_CONTACT).order
+        self._contact_by_holder[holder] = ContactRecord(contact.clock, contact.is_detached, order)
+
+    def note_registered(self, holder: Holder) -> None:
+        """Note when, among all contacts, a holder came up."""
+        if holder not in self._registered_by_holder:
+            self._order += 1
+            older = [one for one in self._registered_by_holder if one.host == holder.host]
+            for one in older:
+                del self._registered_by_holder[one]
+            self._registered_by_holder[holder] = self._order
+
+    def forget_contact(self, holder: Holder) -> None:
+        """Forget the contacts of a holder that was released."""
+        self._contact_by_holder.pop(holder, None)
+
+    def is_proven(self, older: Holder, evidence: Evidence) -> bool:
+        """Say whether ``evidence`` shows that nothing of ``older`` is kept anywhere.
+
+        Either it had no time to detach before its successor started, or every peer that may
+        have kept something has been up since before the last contact, and holds nothing: a
+        peer that came up later may have held it and forgotten.
+        """
+        contact = self._contact_by_holder.get(older, _NO_CONTACT)
+        silent_s = evidence.started_clock - contact.clock
+        if not contact.is_detached and 0.0 <= silent_s < DETACH_AFTER_S:
+            return True
+        came_up = [self._registered_by_holder.get(peer) for peer in evidence.peers]
+        return evidence.has_asked and all(
+            order is not None and order < contact.order for order in came_up
+        )
+
     def one(self, holder: Holder) -> Holder:
         """Return the one shared copy of an equal holder, to save memory in allotments."""
         return self._shared.setdefault(holder, holder)
 
     def dump(self) -> list[Any]:
         """Return the state, for a snapshot."""
-        return [[host, *record] for host, record in self.record_by_host.items()]
+        return [
+            [[host, *record] for host, record in self.record_by_host.items()],
+            [[*holder, *contact] for holder, contact in self._contact_by_holder.items()],
+            [[*holder, order] for holder, order in self._registered_by_holder.items()],
+            self._order,
+        ]
 
     def load(self, plain: list[Any]) -> None:
         """Replace the state by one that ``dump`` gave."""
-        self.record_by_host = {host: HostRecord(*record) for host, *record in plain}
+        records, contacts, registered, self._order = plain
+        self.record_by_host = {host: HostRecord(*record) for host, *record in records}
+        self._contact_by_holder = {
+            Holder(host, incarnation): ContactRecord(*contact)
+            for host, incarnation, *contact in contacts
+        }
+        self._registered_by_holder = {
+            Holder(host, incarnation): order for host, incarnation, order in registered
+        }
         self._shared = {}
--- a/cranberrywall/budgets/_ledger_holding.py
+++ b/cranberrywall/budgets/_ledger_holding.py
@@ -45,6 +45,7 @@
     if refusal is not None:
         return refusal
     state.holders.note(command.holder)
+    state.holders.note_contact(command.holder, command.contact)
     allotment = account.allotment(state.holders.one(command.holder))
     if command.number < allotment.draw_number:
         message = f"draw {allotment.draw_number} was answered after it"
@@ -240,9 +241,13 @@
     state.holders.note(command.holder)
     host, incarnation = command.holder
     record = state.holders.record_by_host[host]
+    state.holders.note_registered(command.holder)
     if command.delivered and not record.delivered:
-        released = sum(_release(state, one) for one in _older(state, host, incarnation))
-        record = record._replace(delivered=True, released=released)
+        left = _older(state, host, incarnation)
+        proven = [one for one in left if _is_proven(state, one, command)]
+        released = record.released + sum(_release(state, one) for one in proven)
+        is_all = len(proven) == len(left)
+        record = record._replace(delivered=is_all, released=released)
         state.holders.update(host, record)
     held = 0
     for older in _older(state, host, incarnation):
@@ -250,6 +255,10 @@
     return RegisterResult(record.released, held)
 
 
+def _is_proven(state: LedgerState, older: Holder, command: RegisterHolder) -> bool:
+    return command.evidence is None or state.holders.is_proven(older, command.evidence)
+
+
 def confirm_dead(state: LedgerState, command: ConfirmDead) -> ConfirmDeadResult | Rejected:
     """Free what an incarnation held, on the word of two persons."""
     refusal = check_two_persons(command.operator, command.approver)
@@ -309,6 +318,7 @@
 
 def _release(state: LedgerState, holder: Holder) -> int:
     state.forget_holder(holder)
+    state.holders.forget_contact(holder)
     return sum(account.release(holder) for account in state.account_by_budget.values())
 
 
--- a/cranberrywall/budgets/_ledger_machine.py
+++ b/cranberrywall/budgets/_ledger_machine.py
@@ -62,6 +62,7 @@
             messages.Draw: holding.draw,
             messages.Return: holding.give_back,
             messages.ChargeBatch: charges.apply_batch,
+            messages.Corrections: charges.correct,
             messages.RegisterHolder: holding.register,
             messages.ConfirmDead: holding.confirm_dead,
             messages.Recall: holding.recall,
--- a/cranberrywall/budgets/_ledger_state.py
+++ b/cranberrywall/budgets/_ledger_state.py
@@ -19,7 +19,8 @@
 from cranberrywall.budgets._ledger_intents import Intents
 from cranberrywall.budgets.messages import Holder
 
-_VERSION = 1
+_VERSION = 2
+_VERSION_WITHOUT_CONTACTS = 1
 
 
 class LedgerState:
@@ -95,7 +96,9 @@
         """Replace the whole state by one that ``dump`` gave; raise ``ValueError`` on another."""
         with _without_collection():
             version, parts, accounts = msgspec.msgpack.decode(data)
-            if version != _VERSION:
+            if version == _VERSION_WITHOUT_CONTACTS:
+                parts[0] = [parts[0], [], [], 0]
+            elif version != _VERSION:
                 raise ValueError(f"a ledger snapshot of version {version} is not readable")
             for part, plain in zip(self._parts(), parts, strict=True):
                 part.load(plain)
--- a/cranberrywall/budgets/_ledger_steps.py
+++ b/cranberrywall/budgets/_ledger_steps.py
@@ -56,6 +56,8 @@
         return Ok(None)
 
     async def _send_draw(self, allotment: Allotment, draw: Draw) -> Result[DrawResult, Refusal]:
+        # Sent again, it tells of the contact that is made now.
+        draw = draw._replace(contact=allotment.queue.contact())
         allotment.pending_draw = draw
         self.sent += 1
         answer = await self._ledger.draw(draw, STEP_TIMEOUT_S)
--- a/cranberrywall/budgets/_messages_holders.py
+++ b/cranberrywall/budgets/_messages_holders.py
@@ -10,6 +10,39 @@
     incarnation: int
 
 
+DETACH_AFTER_S = 2.0
+"""A holder without a disk keeps nothing at its peers before it has been silent for so long.
+
+Seconds since it last sent the ledger anything. A successor that starts sooner than that after
+the holder's last contact so proves that nothing was kept anywhere, also where all peers were
+lost with it: a killed process is started again about a second later. The price is that requests
+wait for so long at the beginning of a cut."""
+
+
+class Contact(NamedTuple):
+    """Say when a holder reached the ledger, by the steady clock of its machine, in seconds.
+
+    The clock goes on while processes of the machine end and start. ``is_detached`` says that
+    charges or transfers of the holder may be kept at peers that the ledger has not got.
+    """
+
+    clock: float
+    is_detached: bool
+
+
+class Evidence(NamedTuple):
+    """Show that nothing is kept of older incarnations of a host without a disk.
+
+    ``started_clock`` is the machine's steady clock at the start of the successor. Where
+    ``has_asked``, every host that may have kept anything said that it holds nothing more;
+    ``peers`` are those of them without a disk, which may have forgotten.
+    """
+
+    started_clock: float
+    has_asked: bool = False
+    peers: tuple[Holder, ...] = ()
+
+
 class HeldAmount(NamedTuple):
     """Describe one holder's allotment; ``active_at`` is its last draw, return or charge."""
 
@@ -25,12 +58,14 @@
     may neither draw nor take a transfer any more, but its late charges are still billed.
     ``delivered`` says that every charge and transfer that the older incarnations left (in
     the host's journal, or at its mirrors) has been sent: only then does their remainder
-    come back. Send it again with ``delivered`` set once that is so.
+    come back. Send it again with ``delivered`` set once that is so. A host without a disk
+    cannot know by itself, so the ledger weighs its ``evidence`` for each older incarnation.
     """
 
     holder: Holder
     delivered: bool
     at: float
+    evidence: Evidence | None = None
 
 
 class RegisterResult(NamedTuple):
--- a/cranberrywall/budgets/_messages_money.py
+++ b/cranberrywall/budgets/_messages_money.py
@@ -3,7 +3,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from cranberrywall.budgets._messages_holders import HeldAmount, Holder
+from cranberrywall.budgets._messages_holders import Contact, HeldAmount, Holder
 
 MAX_CHARGES_IN_BATCH = 1_000
 """The most charges that one ``ChargeBatch`` may carry."""
@@ -56,6 +56,7 @@
     amount: int
     minimum: int
     at: float
+    contact: Contact | None = None
 
 
 class DrawResult(NamedTuple):
@@ -96,6 +97,9 @@
     ``reserved_at`` decides the period. The ledger bills each ``request_id`` of a
     workspace once; a second one is recorded as a duplicate and its amount goes back to
     the holder that charged it.
+
+    An ``is_open`` charge is made before its request is sent to a target, with the most that
+    the request can cost. A ``Correction`` gives back what it did not.
     """
 
     budget: str
@@ -104,14 +108,37 @@
     number: int
     amount: int
     reserved_at: float
+    is_open: bool = False
 
 
 class ChargeBatch(NamedTuple):
-    """Charge several requests of one holder in one command."""
+    """Charge several requests of one holder in one command.
+
+    ``contact`` says when and how the holder reached the ledger; ``None`` where another host
+    sends the charges in its stead.
+    """
 
     holder: Holder
     charges: tuple[Charge, ...]
     at: float
+    contact: Contact | None = None
+
+
+class Correction(NamedTuple):
+    """Say what the request of an open charge cost in the end, at most the charge."""
+
+    budget: str
+    number: int
+    amount: int
+
+
+class Corrections(NamedTuple):
+    """Correct open charges of one holder, each once; a second correction changes nothing."""
+
+    holder: Holder
+    corrections: tuple[Correction, ...]
+    at: float
+    contact: Contact | None = None
 
 
 class ChargeOutcome(StrEnum):
--- a/cranberrywall/budgets/_mirror.py
+++ b/cranberrywall/budgets/_mirror.py
@@ -133,20 +133,23 @@
 
 async def deliver_at_mirrors(
     host: str, incarnation: int, mirrors: Sequence[str], peers: Peers, caller: Caller
-) -> bool:
+) -> tuple[Holder, ...] | None:
     """Have every mirror commit what it holds of ``host``'s older incarnations.
 
-    Return true only where each of them answered that nothing is left. A host that does
-    not answer may hold a copy that nobody else has.
+    Return those of them that keep nothing on a disk, and only where each mirror answered
+    that nothing is left. A host that does not answer may hold a copy that nobody else has.
     """
+    answered: list[Holder] = []
     peer_by_host = {peer.host: peer for peer in peers.alive()}
     request = DeliverRequest(host, incarnation)
     for name in mirrors:
         peer = peer_by_host.get(name)
         if peer is None:
             log_event("INFO", "remainder_waits", peer=host, waits_for=name)
-            return False
+            return None
         answer = await caller.call(peer.links, DELIVER, request, 4 * CALL_TIMEOUT_S)
         if isinstance(answer, Err) or answer.ok_value.remaining > 0:
-            return False
-    return True
+            return None
+        if not answer.ok_value.on_disk:
+            answered.append(answer.ok_value.holder)
+    return tuple(answered)
--- a/cranberrywall/budgets/_mirror_store.py
+++ b/cranberrywall/budgets/_mirror_store.py
@@ -53,7 +53,10 @@
 class MirrorStore:
     """Answer the keep, forget and deliver calls of peers."""
 
-    def __init__(self, ledger: LedgerClient, journal: Journal | None, clock: Clock) -> None:
+    def __init__(
+        self, own: Holder, ledger: LedgerClient, journal: Journal | None, clock: Clock
+    ) -> None:
+        self._own = own
         self._ledger = ledger
         self._journal = journal
         self._clock = clock
@@ -118,7 +121,7 @@
         for holder in list(self._copies_by_holder):
             if holder.host == request.host and self.is_ended(holder):
                 remaining += await self._commit(holder)
-        return Ok(DeliverReply(remaining))
+        return Ok(DeliverReply(remaining, self._own, self._journal is not None))
 
     async def help(self, now: float) -> None:
         """Commit copies that their owners have not taken care of for long."""
--- a/cranberrywall/budgets/_peer_messages.py
+++ b/cranberrywall/budgets/_peer_messages.py
@@ -75,9 +75,14 @@
 
 
 class DeliverReply(NamedTuple):
-    """Say how many entries the peer still holds after it tried."""
+    """Say how many entries the peer still holds after it tried, and who it is.
+
+    ``on_disk`` says that what it held was on its disk too, so that it forgot nothing.
+    """
 
     remaining: int
+    holder: Holder
+    on_disk: bool
 
 
 TAKE = Method("budgets.take", TakeRequest, TakeReply)
--- a/cranberrywall/budgets/_registration.py
+++ b/cranberrywall/budgets/_registration.py
@@ -9,6 +9,7 @@
 from cranberrywall.budgets.messages import (
     MAX_CHARGES_IN_BATCH,
     ChargeBatch,
+    Evidence,
     Holder,
     RegisterHolder,
     Transfer,
@@ -29,9 +30,12 @@
         self,
         ledger: LedgerClient,
         keeper: Keeper,
-        delivered_elsewhere: Callable[[], Awaitable[bool]],
+        delivered_elsewhere: Callable[[], Awaitable[tuple[Holder, ...] | None]] | None,
         clock: Clock,
+        started_clock: float,
     ) -> None:
+        """``delivered_elsewhere`` asks the peers; ``None`` where a journal knows it all."""
+        self._started_clock = started_clock
         self._ledger = ledger
         self._keeper = keeper
         self._delivered_elsewhere = delivered_elsewhere
@@ -55,15 +59,36 @@
         for kept in left:
             if isinstance(await self._deliver(kept), Err):
                 return False
-        if not is_ready() or not await self._delivered_elsewhere():
+        if not is_ready():
             return False
-        command = RegisterHolder(holder, True, self._clock.wall())
+        if self._delivered_elsewhere is None:
+            return await self._register(group, holder, None)
+        # The ledger may know that there was no time to keep anything at peers: where all
+        # were lost together, nobody else can tell.
+        is_released = await self._register(group, holder, Evidence(self._started_clock))
+        # The peers are asked in any case: from then on they keep nothing more for older runs.
+        peers = await self._delivered_elsewhere()
+        if is_released or peers is None:
+            return is_released
+        return await self._register(group, holder, Evidence(self._started_clock, True, peers))
+
+    async def _register(self, group: str, holder: Holder, evidence: Evidence | None) -> bool:
+        """Return whether nothing is left with older holders."""
+        command = RegisterHolder(holder, True, self._clock.wall(), evidence)
         answer = await self._ledger.register(group, command, STEP_TIMEOUT_S)
         if isinstance(answer, Err):
             log_event("INFO", "register_failed", group=group, kind=answer.err_value.kind)
             return False
-        log_event("INFO", "registered", group=group, released=answer.ok_value.released)
-        return True
+        result = answer.ok_value
+        log_event(
+            "INFO",
+            "registered",
+            group=group,
+            released=result.released,
+            held=result.held,
+            peers=len(evidence.peers) if evidence else "",
+        )
+        return result.held == 0
 
     async def _deliver(self, kept: Kept) -> Result[None, Refusal]:
         left = await self._report(kept.transfers)
--- a/cranberrywall/budgets/_reservation.py
+++ b/cranberrywall/budgets/_reservation.py
@@ -12,7 +12,7 @@
 class HeldReservation:
     """Hold money of one allotment; it counts as spent until ``settle`` or ``release``."""
 
-    __slots__ = ("_allotment", "_open", "_request", "_reserved_at", "bound")
+    __slots__ = ("_allotment", "_charge", "_open", "_request", "_reserved_at", "bound")
 
     def __init__(
         self,
@@ -25,12 +25,31 @@
         self._request = request
         self._reserved_at = reserved_at
         self._open = True
+        self._charge: Charge | None = None
+
+    async def begin(self, now: float) -> Result[None, Refusal]:
+        """Charge the whole bound, and return once that is durable."""
+        request = self._request
+        number = self._allotment.open(self.bound)
+        self._charge = Charge(
+            request.budget,
+            request.workspace,
+            request.request_id,
+            number,
+            self.bound,
+            self._reserved_at,
+            is_open=True,
+        )
+        return await self._allotment.queue.add(self._charge, self._allotment)
 
     async def settle(self, actual: int, now: float) -> Result[None, Refusal]:
         """Charge ``actual``, capped at the bound, and return once that is durable."""
         if not self._open:
             return Ok(None)
         self._open = False
+        if self._charge is not None:
+            self._correct(self._charge, actual)
+            return Ok(None)
         request = self._request
         amount = actual
         if actual > self.bound:
@@ -65,4 +84,12 @@
         if not self._open:
             return
         self._open = False
-        self._allotment.free(self.bound)
+        if self._charge is not None:
+            self._correct(self._charge, 0)
+        else:
+            self._allotment.free(self.bound)
+
+    def _correct(self, charge: Charge, actual: int) -> None:
+        amount = min(actual, charge.amount)
+        self._allotment.note_cost(charge.amount, amount)
+        self._allotment.queue.correct(charge, amount, self._allotment)
--- a/cranberrywall/budgets/_transfers.py
+++ b/cranberrywall/budgets/_transfers.py
@@ -72,7 +72,8 @@
         if asked in self._given_by_asked:
             given = self._given_by_asked[asked]
             return Ok(_reply(allotment, given.transfer, given.is_reported))
-        if not (allotment.queue.in_reach or self._keeper.can_keep()):
+        queue = allotment.queue
+        if not (queue.in_reach or (queue.may_keep and self._keeper.can_keep())):
             # The transfer could not be made durable, and its money would be stranded.
             return Ok(_reply(allotment, None, False))
         amount = allotment.take(_gift(allotment.spendable, request))
--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -6,6 +6,7 @@
 
 from result import Err
 
+from cranberrywall import STARTED_CLOCK
 from cranberrywall.budgets import (
     HostAllotments,
     LedgerClient,
@@ -257,6 +258,7 @@
             self._caller,
             self._server,
             self._runtime,
+            STARTED_CLOCK,
         )
 
     def _make_admin(self, keys: FleetKeys) -> AdminServer:
--- a/cranberrywall/forwarding/_calls.py
+++ b/cranberrywall/forwarding/_calls.py
@@ -8,6 +8,7 @@
 from cranberrywall.errors import Refusal
 from cranberrywall.forwarding._attempts import Attempts, outcome_of
 from cranberrywall.forwarding._client import (
+    DID_NOT_RUN,
     AttemptFailedError,
     FailureKind,
     TargetClient,
@@ -44,6 +45,9 @@
         """
         failed: WholeAnswer | None = None
         while True:
+            begun = await purse.begin()
+            if isinstance(begun, Err):
+                return Err(attempts.refusal(begun.err_value))
             acquired = await attempts.acquire()
             if isinstance(acquired, Err):
                 return Ok(failed) if failed else Err(attempts.refusal(acquired.err_value))
@@ -63,7 +67,7 @@
         started_at = self._clock.now()
         outcome = Outcome(OutcomeKind.CANCELLED)
         attempt = attempts.begin(slot, None)
-        purse.note_begun()
+        purse.note_sent()
         try:
             async with asyncio.timeout(attempt.left_s):
                 may_run_again = attempts.plan.repeats.may_run_again
@@ -78,6 +82,8 @@
             outcome = outcome_of(failure)
             raise failure from error
         except AttemptFailedError as failure:
+            if failure.kind in DID_NOT_RUN:
+                purse.note_not_run()
             outcome = outcome_of(failure)
             raise
         finally:
--- a/cranberrywall/forwarding/_money.py
+++ b/cranberrywall/forwarding/_money.py
@@ -30,20 +30,35 @@
         self._reservation = reservation
         self._generation = generation
         self._clock = clock
-        self._may_have_begun = False
+        self._has_begun = False
+        self._attempts_that_may_have_run = 0
         self._output = 0
 
     @property
     def used(self) -> int:
         """Return the tokens to charge for so far."""
-        if self._generation is None or not self._may_have_begun:
+        if self._generation is None or not self._attempts_that_may_have_run:
             return 0
         output = min(self._output, self._generation.output_limit)
         return self._generation.input_tokens + output
 
-    def note_begun(self) -> None:
-        """Note that a target may have begun to work."""
-        self._may_have_begun = True
+    async def begin(self) -> Result[None, Refusal]:
+        """Charge the most that the request can cost, before its first attempt."""
+        if self._reservation is None or self._has_begun:
+            return Ok(None)
+        self._has_begun = True
+        return await self._reservation.begin(self._clock.now())
+
+    def note_sent(self) -> None:
+        """Note that the request goes to a target, which may begin to work from now on.
+
+        Whatever ends the attempt after that, also a caller that leaves, the input counts.
+        """
+        self._attempts_that_may_have_run += 1
+
+    def note_not_run(self) -> None:
+        """Note that the target of the last attempt did not run it."""
+        self._attempts_that_may_have_run -= 1
 
     def note_output(self, tokens: int) -> None:
         """Count tokens that go to the caller."""
--- a/cranberrywall/forwarding/_streams.py
+++ b/cranberrywall/forwarding/_streams.py
@@ -8,6 +8,7 @@
 from cranberrywall.forwarding._attempts import Attempts, outcome_of
 from cranberrywall.forwarding._calls import WholeAnswer
 from cranberrywall.forwarding._client import (
+    DID_NOT_RUN,
     AttemptFailedError,
     FailureKind,
     TargetAnswer,
@@ -42,6 +43,9 @@
         last_event = attempts.arrival.last_event
         progress = _Progress(last_event, purse, attempts.plan.tokens_per_event, reply)
         while True:
+            begun = await purse.begin()
+            if isinstance(begun, Err):
+                return Err(attempts.refusal(begun.err_value))
             acquired = await attempts.acquire()
             if isinstance(acquired, Err):
                 return Err(attempts.refusal(acquired.err_value))
@@ -68,6 +72,7 @@
         """Return ``None`` at the stream's end, or the target's own failure."""
         outcome = Outcome(OutcomeKind.CANCELLED)
         attempt = attempts.begin(slot, progress.last_event)
+        purse.note_sent()
         started_at = self._clock.now()
         may_run_again = attempts.plan.repeats.may_run_again
         try:
@@ -75,7 +80,6 @@
                 asyncio.timeout(attempt.left_s),
                 self._client.open(slot.url, attempt, may_run_again) as answer,
             ):
-                purse.note_begun()
                 if answer.status >= FIRST_FAILURE_STATUS:
                     outcome = Outcome(OutcomeKind.FAILED_AFTER)
                     attempts.may_have_run = True
@@ -85,13 +89,12 @@
             outcome = Outcome(OutcomeKind.ANSWERED, first_s, progress.events)
             return None
         except TimeoutError as error:
-            purse.note_begun()
             failure = AttemptFailedError(FailureKind.LATE, f"no end in {attempt.left_s:.3f} s")
             outcome = outcome_of(failure)
             raise failure from error
         except AttemptFailedError as failure:
-            if failure.kind in (FailureKind.BROKEN, FailureKind.CROSSED):
-                purse.note_begun()
+            if failure.kind in DID_NOT_RUN:
+                purse.note_not_run()
             outcome = outcome_of(failure)
             raise
         finally:
--- a/tests/budgets/test_partitions.py
+++ b/tests/budgets/test_partitions.py
@@ -1,9 +1,12 @@
 """Cut hosts from the ledger and from each other: nothing is overspent, little refused."""
 
+import asyncio
+
 import pytest
 from result import Err, Ok
 
 from cranberrywall.budgets import SpendPolicy
+from cranberrywall.budgets.messages import LEDGER_CODEC, ConfirmDead
 from cranberrywall.errors import ErrorKind
 from tests.budgets.money_stories import (
     SOUTH_AWAY,
@@ -231,4 +234,106 @@
         rest = await spend_all(fleet, "a1", "rest", 10)
         assert 0 <= 10_000 - 200 - spent - rest < 10
 
+    on_fleet(story, disks=("b1", "b2", "b3"))
+
+
+def test_hosts_that_are_back_after_long_do_not_free_what_they_may_have_spent() -> None:
+    """All hosts of the south are lost at once, and are back a minute later.
+
+    Two of them have no disk, and each may have kept charges of the other that both forgot.
+    Nobody can prove that they did not, so their part stays booked until two persons decide.
+    """
+
+    async def story(fleet: MoneyFleet) -> None:
+        await warm_up(fleet)
+        south = [host for host in fleet.host_by_name.values() if host.place == "south"]
+        for host in south:
+            await host.kill()
+        await fleet.clock.sleep(60.0)
+        for host in south:
+            await host.start()
+        await fleet.clock.sleep(60.0)
+        spent = await spend_all(fleet, "a1", "north", 10)
+        booked = [one for one in fleet.sums("main").held if one.holder.host in ("b2", "b3")]
+        held = sum(one.outstanding for one in booked)
+        assert held > 0
+        assert 0 <= 10_000 - 200 - spent - held < 10
+        for one in booked:
+            command = ConfirmDead(one.holder, "asha", "ravi", fleet.clock.wall())
+            fleet.net.machine.apply(LEDGER_CODEC.encode(command))
+        rest = await spend_all(fleet, "a1", "rest", 10)
+        assert 0 <= 10_000 - 200 - spent - rest < 10
+
     on_fleet(story, disks=("b1",))
+
+
+def test_charges_that_only_lost_peers_kept_are_not_spent_twice() -> None:
+    """In a cut, a host without a disk serves a request, and its charge is kept at its peers.
+
+    All of them are lost together and start again. Their new runs know of no charge, so that
+    the part of the lost host would come back whole, and the request's money with it.
+    """
+
+    async def story(fleet: MoneyFleet) -> None:
+        await warm_up(fleet)
+        fleet.net.cut(SOUTH_AWAY)
+        spent = 200 + await spend_all(fleet, "b1", "cut", 50)
+        south = [host for host in fleet.host_by_name.values() if host.place == "south"]
+        for host in south:
+            await host.kill()
+        fleet.net.mend()
+        for host in south:
+            await host.start()
+        await fleet.clock.sleep(60.0)
+        for name in fleet.host_by_name:
+            spent += await spend_all(fleet, name, f"after-{name}", 10)
+        assert spent <= 10_000
+
+    on_fleet(story)
+
+
+def test_a_request_that_runs_as_its_host_is_killed_is_paid_for() -> None:
+    """A host is killed while it serves; it and its peers start again at once.
+
+    What the request used is known to nobody. Its money was charged before it went to a
+    target, so that it is not spent a second time; the rest of the host's part comes back.
+    """
+
+    async def story(fleet: MoneyFleet) -> None:
+        await warm_up(fleet)
+        running = await reserved(fleet, "b2", "running", 500)
+        assert await running.begin(fleet.clock.now()) == Ok(None)
+        for name in ("b1", "b2", "b3"):
+            await fleet.host_by_name[name].kill()
+        for name in ("b1", "b2", "b3"):
+            await fleet.host_by_name[name].start()
+        await fleet.clock.sleep(10.0)
+        rest = await spend_all(fleet, "a1", "rest", 10)
+        assert 0 <= 10_000 - 200 - 500 - rest < 10
+
+    on_fleet(story)
+
+
+def test_what_a_request_did_not_use_of_its_open_charge_can_be_spent() -> None:
+    """A request is charged the most that it can cost before it is sent, and costs less.
+
+    Another is given up by its caller while its charge is on the way, and costs nothing.
+    """
+
+    async def story(fleet: MoneyFleet) -> None:
+        await warm_up(fleet)
+        first = await reserved(fleet, "b2", "first", 900)
+        assert await first.begin(fleet.clock.now()) == Ok(None)
+        assert await first.settle(100, fleet.clock.now()) == Ok(None)
+        second = await reserved(fleet, "b2", "second", 900)
+        begins = asyncio.ensure_future(second.begin(fleet.clock.now()))
+        await asyncio.sleep(0)
+        begins.cancel()
+        second.release(fleet.clock.now())
+        await fleet.clock.sleep(10.0)
+        sums = fleet.sums("main")
+        assert sums.charged == 200 + 100
+        rest = await spend_all(fleet, "a1", "rest", 10)
+        assert 0 <= 10_000 - 200 - 100 - rest < 10
+
+    on_fleet(story)
--- a/tests/budgets/test_peer_messages.py
+++ b/tests/budgets/test_peer_messages.py
@@ -24,7 +24,7 @@
         peer.ForgetRequest(A, (("main", A, 3),), (("main", 7),)),
         peer.ForgetReply(),
         peer.DeliverRequest("a", 5),
-        peer.DeliverReply(2),
+        peer.DeliverReply(2, B, on_disk=False),
     ],
 )
 def test_a_message_is_the_same_after_its_way(message: Any) -> None:
--- a/tests/fakes/allotments.py
+++ b/tests/fakes/allotments.py
@@ -49,6 +49,11 @@
     def bound(self) -> int:
         return self._request.bound
 
+    async def begin(self, now: float) -> Result[None, Refusal]:
+        if self._owner.settle_refusal is not None:
+            return Err(self._owner.settle_refusal)
+        return Ok(None)
+
     async def settle(self, actual: int, now: float) -> Result[None, Refusal]:
         assert actual <= self.bound
         if self._owner.settle_refusal is not None:
