--- a/cranberrywall/budgets/_charges.py
+++ b/cranberrywall/budgets/_charges.py
@@ -35,7 +35,8 @@
 CONTACT_EVERY_S = 5.0
 LEAST_WAIT_S = 0.001
 RETRY_FIRST_S = 0.25
-RETRY_MOST_S = 5.0
+# A cut that is mended is noticed within about this time, in seconds, at one small call for it.
+RETRY_MOST_S = 1.0
 
 
 class Charged(Protocol):
--- a/cranberrywall/budgets/_registration.py
+++ b/cranberrywall/budgets/_registration.py
@@ -86,6 +86,7 @@
             group=group,
             released=result.released,
             held=result.held,
+            started_clock=evidence.started_clock if evidence else "",
             peers=len(evidence.peers) if evidence else "",
         )
         return result.held == 0
--- a/cranberrywall/configuration/__init__.py
+++ b/cranberrywall/configuration/__init__.py
@@ -2,6 +2,7 @@
 
 from cranberrywall.configuration._client import ChangeRefusal, ConfigurationClient
 from cranberrywall.configuration._document import (
+    RANK_OF_ROUTE,
     ArrivalLimits,
     Budget,
     Document,
@@ -43,6 +44,7 @@
 
 __all__ = [
     "CONFIGURATION_CODEC",
+    "RANK_OF_ROUTE",
     "SECTIONS",
     "Applied",
     "ArrivalLimits",
--- a/cranberrywall/configuration/_document.py
+++ b/cranberrywall/configuration/_document.py
@@ -24,6 +24,12 @@
     services: list[Name]
 
 
+RANK_OF_ROUTE = "rank-of-route"
+"""The class of workspaces whose requests are ranked by their routes.
+
+The class's own rank holds for requests that come by no route."""
+
+
 class Workspace(TypedDict):
     """Describe one workspace.
 
--- a/cranberrywall/forwarding/_calls.py
+++ b/cranberrywall/forwarding/_calls.py
@@ -74,6 +74,8 @@
                 async with self._client.open(slot.url, attempt, may_run_again) as answer:
                     body = await read_whole(answer)
             is_failure = answer.status >= FAILED_FROM_STATUS
+            if not is_failure:
+                purse.note_whole_answer()
             kind = OutcomeKind.FAILED_AFTER if is_failure else OutcomeKind.ANSWERED
             outcome = Outcome(kind, self._clock.now() - started_at)
             return WholeAnswer(answer.status, answer.headers, body)
--- a/cranberrywall/forwarding/_money.py
+++ b/cranberrywall/forwarding/_money.py
@@ -64,6 +64,11 @@
         """Count tokens that go to the caller."""
         self._output += tokens
 
+    def note_whole_answer(self) -> None:
+        """Count an answer that does not say how many tokens it has: as many as it may have."""
+        if self._generation is not None:
+            self._output = self._generation.output_limit
+
     async def settle(self) -> None:
         """Charge what was used, and return once the charge is durable; free the rest."""
         reservation, self._reservation = self._reservation, None
--- a/cranberrywall/forwarding/_plan.py
+++ b/cranberrywall/forwarding/_plan.py
@@ -4,7 +4,7 @@
 
 from result import Err, Ok, Result
 
-from cranberrywall.configuration import Configuration, Route
+from cranberrywall.configuration import RANK_OF_ROUTE, Configuration, Route
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.forwarding._interfaces import Arrival
 from cranberrywall.forwarding._routes import Repeats, RouteTable, choose_service, repeats_of
@@ -92,8 +92,9 @@
     def _rank_of(self, route: Route, workspace: str) -> int:
         document = self._configuration.document
         known = document["workspaces"].get(workspace)
-        priority = document["priorities"].get(known["priority"]) if known else None
-        return priority["rank"] if priority is not None else route["rank"]
+        if known is None or known["priority"] == RANK_OF_ROUTE:
+            return route["rank"]
+        return document["priorities"][known["priority"]]["rank"]
 
 
 def _only_if_current(refusal: Refusal, is_current: bool) -> Refusal:
--- a/cranberrywall/platform/_documents.py
+++ b/cranberrywall/platform/_documents.py
@@ -6,7 +6,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from cranberrywall.configuration import Document
+from cranberrywall.configuration import RANK_OF_ROUTE, Document
 from cranberrywall.errors import ErrorKind, Refusal
 
 _POLICY = "default"
@@ -158,14 +158,13 @@
 
 
 def _document(body: _Body, region_by_place: dict[str, str]) -> Document:
-    ranks = sorted(
-        {_rank(tenant.priority) for tenant in body.tenants if tenant.priority is not None}
-    )
+    rank_by_class = {_class_of(one): _rank(one.priority) for one in body.tenants}
     return {
         "workspaces": {one.name: _workspace(one) for one in body.tenants},
         "budgets": {one.name: _budget(one) for one in body.tenants},
         "priorities": {
-            _class_of(rank): {"rank": rank, "deadline_s": _DEADLINE_S} for rank in ranks
+            name: {"rank": rank, "deadline_s": _DEADLINE_S}
+            for name, rank in sorted(rank_by_class.items())
         },
         "models": {},
         "services": {one.name: _service(one) for one in body.services},
@@ -185,13 +184,13 @@
 
 def _workspace(tenant: _Tenant) -> Any:
     digests = (hashlib.sha256(key.encode()).hexdigest() for key in tenant.api_keys)
-    rank = [] if tenant.priority is None else [_class_of(_rank(tenant.priority))]
+    rank_class = _class_of(tenant)
     return {
         "keys": {f"key-{number}": {"sha256": digest} for number, digest in enumerate(digests)},
         "budget": tenant.name,
         "reach": {"models": [], "services": []},
-        "priority": rank[0] if rank else "",
-        "priorities": rank,
+        "priority": rank_class,
+        "priorities": [rank_class],
         "policy": _POLICY,
         "concurrent": _ANY_NUMBER,
     }
@@ -238,9 +237,9 @@
     }
 
 
-def _rank(priority: int) -> int:
-    return min(_HIGHEST_RANK, max(0, priority))
+def _rank(priority: int | None) -> int:
+    return _HIGHEST_RANK if priority is None else min(_HIGHEST_RANK, max(0, priority))
 
 
-def _class_of(rank: int) -> str:
-    return f"rank-{rank}"
+def _class_of(tenant: _Tenant) -> str:
+    return RANK_OF_ROUTE if tenant.priority is None else f"rank-{_rank(tenant.priority)}"
--- a/cranberrywall/targets/_relay.py
+++ b/cranberrywall/targets/_relay.py
@@ -57,6 +57,7 @@
         self._caller = caller
         self._clock = clock
         self._turn = 0
+        self._untold_by_id: dict[str, Announcement] = {}
         self._tasks: set[asyncio.Task[bool]] = set()
 
     async def announce(self, announcement: Announcement) -> bool:
@@ -67,11 +68,13 @@
         it would be lost. A renewal asks for no such care.
         """
         now = self._clock.now()
-        self._targets.expire(now)
+        for gone in self._targets.expire(now):
+            self._untold_by_id.pop(gone, None)
         before = self._targets.by_id.get(announcement.target)
         change = self._targets.apply(announcement, now)
         if change is Change.STALE:
-            return True
+            untold = self._untold_by_id.get(announcement.target)
+            return untold is None or await self._tell_leaving(untold)
         if change is Change.RENEWED:
             self._start(self._tell_one(announcement))
             return True
@@ -84,14 +87,25 @@
             counter=announcement.counter,
             was_known=before is not None,
         )
-        told = await self._tell_all(announcement)
-        return told or not announcement.leaving
+        if announcement.leaving:
+            return await self._tell_leaving(announcement)
+        await self._tell_all(announcement)
+        return True
 
     def find(self, target_id: str) -> Announcement | None:
         """Return what a target that is not leaving last said."""
         target = self._targets.by_id.get(target_id)
         return target.announcement if target is not None else None
 
+    async def _tell_leaving(self, announcement: Announcement) -> bool:
+        # A target that got no acknowledgement says it again. By its order that is no news
+        # here, but the entry hosts still have to hear it.
+        self._untold_by_id[announcement.target] = announcement
+        told = await self._tell_all(announcement)
+        if told:
+            self._untold_by_id.pop(announcement.target, None)
+        return told
+
     async def _tell_one(self, announcement: Announcement) -> bool:
         entries = self._entries()
         if not entries:
--- /dev/null
+++ b/tests/forwarding/scripted.py
@@ -0,0 +1,231 @@
+"""Put a forwarder before targets that do as they are told, on loopback."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+from aiohttp import web
+from result import Err, Ok, Result
+
+from cranberrywall.configuration import make_fixed_configuration
+from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.forwarding import Arrival, Forwarder, Generation, Headers
+from cranberrywall.observability import make_metrics
+from cranberrywall.platform._dialect import TargetDialect
+from cranberrywall.routing import Demand, Outcome
+from cranberrywall.runtime import make_clock
+from tests.configuration.documents import KEY, make_document
+from tests.fakes.allotments import MemoryAllotments, MemoryLedger
+
+Script = Callable[[web.Request], Awaitable[web.StreamResponse]]
+BUDGET = 10_000
+
+
+def route(**fields: Any) -> dict[str, Any]:
+    made = {
+        "name": "r-1",
+        "host": "a.example",
+        "prefix": "/x/",
+        "kind": "idempotent",
+        "shares": [{"service": "ledger-api", "weight": 1}],
+        "attempts": 2,
+        "timeout_s": 2.0,
+        "goal_s": 0.1,
+        "gap_goal_s": 0.5,
+        "rank": 1,
+        "is_public": False,
+        "is_resumable": False,
+    }
+    return {**made, **fields}
+
+
+def arrival(**fields: Any) -> Arrival:
+    made: dict[str, Any] = {
+        "request_id": "id-1",
+        "host": "a.example",
+        "method": "POST",
+        "path": "/x/2f",
+        "headers": (("Host", "a.example"), ("X-Request-Id", fields.get("request_id", "id-1"))),
+        "body": b"body",
+        "key": KEY,
+        "at": make_clock().now(),
+        "patience_s": 2.0,
+        "generation": Generation(100, 50),
+    }
+    return Arrival(**{**made, **fields})
+
+
+class HeldReply:
+    """Hold what a caller got."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.data = b""
+        self.is_whole = False
+        self.is_cut = False
+
+    @property
+    def has_begun(self) -> bool:
+        return self.status != 0
+
+    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        await self.begin(status, headers)
+        self.data = body
+        self.is_whole = True
+
+    async def begin(self, status: int, headers: Headers) -> None:
+        assert not self.has_begun
+        self.status = status
+        self.headers = dict(headers)
+
+    async def write(self, data: bytes) -> None:
+        self.data += data
+
+    async def finish(self) -> None:
+        self.is_whole = True
+
+    def cut(self) -> None:
+        self.is_cut = True
+
+
+class _Slot:
+    def __init__(self, target_id: str, url: str, ended: list[Outcome]) -> None:
+        self.target_id = target_id
+        self.url = url
+        self.version = ""
+        self._ended = ended
+
+    def first_token(self, now: float) -> None:
+        pass
+
+    def finish(self, outcome: Outcome, now: float) -> None:
+        self._ended.append(outcome)
+
+
+class InOrder:
+    """Give the targets out in the order of their names, and then refuse."""
+
+    def __init__(self) -> None:
+        self.url_by_id: dict[str, str] = {}
+        self.demands: list[Demand] = []
+        self.ended: list[Outcome] = []
+
+    async def acquire(self, demand: Demand, now: float) -> Result[Any, Refusal]:
+        self.demands.append(demand)
+        for target_id, url in sorted(self.url_by_id.items()):
+            if target_id not in demand.exclude:
+                return Ok(_Slot(target_id, url, self.ended))
+        return Err(Refusal(ErrorKind.NO_TARGET))
+
+
+class Scene:
+    """Hold the forwarder, its targets and its money."""
+
+    def __init__(self, **route_fields: Any) -> None:
+        document = make_document()
+        document["routes"] = {"a.example/x/": route(**route_fields)}
+        document["budgets"]["desk"]["total"] = BUDGET
+        document["services"]["ledger-api"]["engine"] = {
+            "slots": 1,
+            "memory_tokens": 1000,
+            "tokens_per_event": 4,
+        }
+        self.money = MemoryAllotments(MemoryLedger(), BUDGET)
+        self.router = InOrder()
+        self.seen: list[tuple[str, Mapping[str, str]]] = []
+        self._runners: list[web.AppRunner] = []
+        self._document = document
+        self.forwarder: Forwarder
+
+    async def __aenter__(self) -> "Scene":
+        self.forwarder = Forwarder(
+            make_fixed_configuration(self._document),
+            self.money,  # type: ignore[arg-type]
+            self.router,
+            TargetDialect(),
+            make_clock(),
+            random.Random(1),
+            make_metrics(),
+        )
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.forwarder.close()
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def target(self, name: str, script: Script) -> None:
+        """Start a target; ``script`` answers each request."""
+
+        async def handle(request: web.Request) -> web.StreamResponse:
+            self.seen.append((name, request.headers.copy()))
+            return await script(request)
+
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", handle)
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        self._runners.append(runner)
+        host, port = runner.addresses[0][:2]
+        self.router.url_by_id[name] = f"http://{host}:{port}"
+
+    async def serve(self, request: Arrival | None = None) -> tuple[HeldReply, Any]:
+        reply = HeldReply()
+        result = await self.forwarder.serve(request or arrival(), reply, is_current=True)
+        return reply, result
+
+    @property
+    def spent(self) -> int:
+        return BUDGET - self.money.free
+
+
+def answers(status: int = 200, body: bytes = b"answer", **headers: Any) -> Script:
+    async def script(request: web.Request) -> web.StreamResponse:
+        await request.read()
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        named.setdefault("X-Request-Id", request.headers["X-Request-Id"])
+        return web.Response(status=status, body=body, headers=named)
+
+    return script
+
+
+def event(number: int) -> bytes:
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
+def streams(first: int, last: int, then: bytes = b"", breaks: bool = False) -> Script:
+    """Send events ``first`` to ``last``, then bytes, and break off or end."""
+
+    async def script(request: web.Request) -> web.StreamResponse:
+        await request.read()
+        headers = {
+            "X-Request-Id": request.headers["X-Request-Id"],
+            "X-Server-Stamp": f"stamp-of-{first}",
+        }
+        response = web.StreamResponse(headers=headers)
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        for number in range(first, last + 1):
+            await response.write(event(number))
+        if then:
+            await response.write(then)
+        if breaks:
+            await asyncio.sleep(0.02)
+            assert request.transport is not None
+            request.transport.abort()
+        return response
+
+    return script
+
+
+def breaks_off() -> Script:
+    async def script(request: web.Request) -> web.StreamResponse:
+        await request.read()
+        assert request.transport is not None
+        request.transport.abort()
+        return web.Response()
+
+    return script
--- a/tests/replication/fleet.py
+++ b/tests/replication/fleet.py
@@ -10,7 +10,14 @@
 
 from cranberrywall.errors import Refusal
 from cranberrywall.links import LinkCaller, LinkServer, Peer, make_caller, make_link_server
-from cranberrywall.replication import GroupSettings, Replica, StateMachine, founders_of, make_group
+from cranberrywall.replication import (
+    Founders,
+    GroupSettings,
+    Replica,
+    StateMachine,
+    founders_of,
+    make_group,
+)
 from cranberrywall.runtime import Runtime
 from tests.fakes.clock import VirtualClock, run_virtual
 from tests.fakes.network import FakeFabric, Rule
@@ -80,7 +87,9 @@
         self._caller: LinkCaller
         self._server: LinkServer
 
-    async def start(self, addresses: dict[str, str] | None = None) -> Result[None, Refusal]:
+    async def start(
+        self, addresses: dict[str, str] | None = None, founders: Founders | None = None
+    ) -> Result[None, Refusal]:
         fleet = self._fleet
         network = fleet.fabric.network(self.ip)
         runtime = Runtime(self.clock, network, fleet.random, self.storage)
@@ -90,7 +99,7 @@
         self.machine = fleet.make_machine()
         self.group = make_group(
             "ledger-0",
-            founders_of(addresses or fleet.addresses, self.name),
+            founders or founders_of(addresses or fleet.addresses, self.name),
             self.name,
             self.machine,
             runtime,
--- /dev/null
+++ b/tests/replication/test_enlisting.py
@@ -0,0 +1,102 @@
+"""Form groups by addresses, take in hosts that ask for themselves, give lost seats away."""
+
+from result import Ok
+
+from cranberrywall.replication import Founders
+from tests.replication.fleet import SMALL, Fleet, FleetHost, run_fleet
+from tests.replication.test_members import voters
+
+GIVES_UP = SMALL._replace(give_up_s=10.0)
+
+
+def test_wiped_founders_form_no_second_group() -> None:
+    """All founders come back with empty disks, told that the system is not new.
+
+    An empty group would answer the operator that there never was a configuration.
+    """
+
+    async def test(fleet: Fleet) -> None:
+        await fleet.write("one")
+        for host in list(fleet.by_name.values()):
+            await host.kill()
+        for host in fleet.by_name.values():
+            host.storage = type(host.storage)(fleet.random)
+            founders = Founders(tuple(fleet.addresses.values()), host.address, may_form=False)
+            assert isinstance(await host.start(founders=founders), Ok)
+        await fleet.clock.sleep(30.0)
+        assert fleet.leaders() == []
+
+    run_fleet(test)
+
+
+def test_a_host_that_enlists_becomes_a_voter_once() -> None:
+    async def test(fleet: Fleet) -> None:
+        await fleet.write("one", "two")
+        leader = await fleet.leader()
+        added = fleet.add_host("d")
+        founders = Founders(tuple(fleet.addresses.values()), added.address, may_form=False)
+        assert isinstance(await added.start(founders=founders), Ok)
+        for _ in range(3):
+            assert isinstance(await leader.group.enlist("d", added.address, 5.0), Ok)
+        await fleet.until(lambda: voters(fleet) == {"a", "b", "c", "d"})
+        await fleet.until(lambda: added.machine.words == ["one", "two"])
+
+    run_fleet(test)
+
+
+def test_a_newcomer_gets_the_seat_of_a_host_that_is_gone_for_good() -> None:
+    """A host is removed for good, and another comes in its place, at another address.
+
+    Were the seat of the first kept, the next two losses would stop a group of four voters.
+    """
+
+    async def test(fleet: Fleet) -> None:
+        await fleet.write("one")
+        await (await other_than_leader(fleet)).kill()
+        leader = await fleet.leader()
+        added = fleet.add_host("d")
+        assert isinstance(await added.start(), Ok)
+        assert isinstance(await leader.group.enlist("d", added.address, 5.0), Ok)
+        await fleet.until(lambda: len(voters(fleet)) == 3 and "d" in voters(fleet))
+
+    run_fleet(test, settings=GIVES_UP)
+
+
+def test_a_host_that_lost_its_seat_while_cut_off_gets_it_back() -> None:
+    """A host is cut off for a minute and loses its seat. It is back, and asks for it.
+
+    Its own log still names it a voter; no leader sends it anything.
+    """
+
+    async def test(fleet: Fleet) -> None:
+        added = fleet.add_host("d")
+        assert isinstance(await added.start(), Ok)
+        leader = await fleet.leader()
+        assert isinstance(await leader.group.enlist("d", added.address, 5.0), Ok)
+        await fleet.until(lambda: len(voters(fleet)) == 4)
+        lost = await other_than_leader(fleet)
+        fleet.cut_off(lost.name)
+        await fleet.until(lambda: lost.name not in voters(fleet))
+        fleet.mend()
+        await fleet.clock.sleep(5.0)
+        assert not lost.group.hears_leader
+        leader = await fleet.leader()
+        assert isinstance(await leader.group.enlist(lost.name, lost.address, 5.0), Ok)
+        await fleet.until(lambda: lost.name in voters(fleet) and lost.group.hears_leader)
+
+    run_fleet(test, settings=GIVES_UP)
+
+
+def test_three_voters_are_never_made_two() -> None:
+    async def test(fleet: Fleet) -> None:
+        await fleet.leader()
+        await (await other_than_leader(fleet)).kill()
+        await fleet.clock.sleep(60.0)
+        assert len(voters(fleet)) == 3
+
+    run_fleet(test, settings=GIVES_UP)
+
+
+async def other_than_leader(fleet: Fleet) -> FleetHost:
+    leader = await fleet.leader()
+    return fleet.others(leader)[0]
--- /dev/null
+++ b/tests/targets/test_relay.py
@@ -0,0 +1,72 @@
+"""Take announcements in at control, and pass them on to entry hosts."""
+
+from typing import Any
+
+from result import Err, Ok, Result
+
+from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.targets import TargetRelay
+from tests.fakes.clock import VirtualClock, run_virtual
+from tests.targets.announcements import announce
+
+
+class Entries:
+    """Take announcements at some addresses."""
+
+    def __init__(self) -> None:
+        self.reachable = {"a", "b"}
+        self.told: list[tuple[str, str, bool]] = []
+
+    async def call(
+        self, address: str, method: Any, request: Any, timeout: float
+    ) -> Result[Any, Refusal]:
+        if address not in self.reachable:
+            return Err(Refusal(ErrorKind.UNREACHABLE))
+        self.told += [(address, one.target, one.leaving) for one in request.announcements]
+        return Ok(None)
+
+
+def make_relay(entries: Entries) -> TargetRelay:
+    return TargetRelay(lambda: ["a", "b"], entries, VirtualClock())
+
+
+def test_that_a_target_leaves_is_acknowledged_once_an_entry_host_knows() -> None:
+    """A target goes away soon after the acknowledgement.
+
+    Were it given while no entry host can be told, they would go on sending requests to it.
+    """
+
+    async def story() -> None:
+        entries = Entries()
+        relay = make_relay(entries)
+        assert await relay.announce(announce())
+        entries.reachable = set()
+        leaving = announce(counter=2, leaving=True)
+        assert not await relay.announce(leaving)
+        assert not await relay.announce(leaving)
+        entries.reachable = {"b"}
+        assert await relay.announce(leaving)
+        assert ("b", "engine-1", True) in entries.told
+
+    run_virtual(story())
+
+
+def test_a_target_that_cannot_be_passed_on_yet_is_acknowledged_all_the_same() -> None:
+    async def story() -> None:
+        entries = Entries()
+        entries.reachable = set()
+        assert await make_relay(entries).announce(announce())
+
+    run_virtual(story())
+
+
+def test_a_late_heartbeat_does_not_bring_back_what_left() -> None:
+    async def story() -> None:
+        entries = Entries()
+        relay = make_relay(entries)
+        await relay.announce(announce(counter=5, leaving=True))
+        told = len(entries.told)
+        assert await relay.announce(announce(counter=9))
+        assert len(entries.told) == told
+
+    run_virtual(story())
