Let a holder spend a grace where the ledger falls silent, and run the programs before a stand-in

Cause: a host without a disk waited 2 s at the beginning of each cut before it kept charges at its peers, so that its successor could prove that it kept none; with every request charged before it is sent, all streams waited for it. Change: a fiftieth of a budget may be spent at once; where all hosts are lost together this much stays booked. The ledger is given up after 0.4 s where requests wait for their charge, and money that is not found within a second is not waited for.

Ruled out: a shorter proof (killed processes are back after 0.6 to 1.1 s), spending freely in that time (it would be spent twice where all are killed).

--- a/cranberrywall/budgets/_allotment.py
+++ b/cranberrywall/budgets/_allotment.py
@@ -10,6 +10,7 @@
 from cranberrywall.budgets._charges import ChargeQueue
 from cranberrywall.budgets._demand import Demand
 from cranberrywall.budgets._interfaces import SpendPolicy
+from cranberrywall.budgets._messages_holders import grace_of
 from cranberrywall.budgets._sizing import LedgerView
 from cranberrywall.budgets.messages import Draw, Return
 
@@ -105,6 +106,11 @@
         self.on_low: Callable[[], None] | None = None
         self.on_surplus: Callable[[], None] | None = None
 
+    @property
+    def grace(self) -> int:
+        """Return what may be spent at once where the ledger falls silent, as last heard."""
+        return grace_of(self.view.credited) if self.view is not None else 0
+
     @property
     def mean_bound(self) -> float:
         """Return the mean bound of the requests settled here; 0 before any."""
--- a/cranberrywall/budgets/_charges.py
+++ b/cranberrywall/budgets/_charges.py
@@ -31,9 +31,14 @@
 # Batches of one group start at least this far apart; charges in between share one.
 BATCH_GAP_S = 0.02
 COMMIT_TIMEOUT_S = 1.0
+# A commit takes some milliseconds. Where charges can be kept at peers only, requests wait for
+# theirs before they are sent: the ledger counts as out of reach after this, in seconds.
+QUICK_COMMIT_TIMEOUT_S = 0.4
 # An idle holder is heard by the ledger this often, in seconds: a command for each host.
 CONTACT_EVERY_S = 5.0
 LEAST_WAIT_S = 0.001
+# Charges that came meanwhile are looked at this often while nothing may be kept, in seconds.
+GRACE_POLL_S = 0.05
 RETRY_FIRST_S = 0.25
 # A cut that is mended is noticed within about this time, in seconds, at one small call for it.
 RETRY_MOST_S = 1.0
@@ -42,6 +47,11 @@
 class Charged(Protocol):
     """Hold the money that charges are made against."""
 
+    @property
+    def grace(self) -> int:
+        """Return what may be spent at once where the ledger falls silent."""
+        ...
+
     def committed(self, amount: int) -> None:
         """Forget a charge that the ledger has billed."""
         ...
@@ -104,9 +114,14 @@
         clock: Clock,
         detach_after_s: float = 0.0,
     ) -> None:
-        """``detach_after_s`` is the silence towards the ledger before anything is kept."""
+        """``detach_after_s`` is the silence towards the ledger before anything is kept.
+
+        It is 0 where a journal outlives the process.
+        """
+        self._commit_timeout_s = QUICK_COMMIT_TIMEOUT_S if detach_after_s else COMMIT_TIMEOUT_S
         self._detach_after_s = detach_after_s
         self._contact_at = clock.now()
+        self._spent_silently_by_budget: dict[str, int] = {}
         self._corrections: deque[_Correcting] = deque()
         self._unbilled: set[tuple[str, int]] = set()
         self.group = group
@@ -276,7 +291,7 @@
         holder = some[0].holder
         corrections = tuple(one.correction for one in some)
         command = Corrections(holder, corrections, self._clock.wall(), self.contact())
-        answer = await self._ledger.correct(self.group, command, COMMIT_TIMEOUT_S)
+        answer = await self._ledger.correct(self.group, command, self._commit_timeout_s)
         if isinstance(answer, Err):
             return answer
         for one in some:
@@ -309,7 +324,7 @@
         if not self.in_reach or self._clock.now() - self._contact_at < CONTACT_EVERY_S:
             return
         command = Corrections(self.holder, (), self._clock.wall(), self.contact())
-        answer = await self._ledger.correct(self.group, command, COMMIT_TIMEOUT_S)
+        answer = await self._ledger.correct(self.group, command, self._commit_timeout_s)
         if isinstance(answer, Err):
             log_event("INFO", "contact_failed", group=self.group, kind=answer.err_value.kind)
 
@@ -319,6 +334,7 @@
         is_attached = self.in_reach and not self._kept and not self._transfers
         if is_attached:
             self._contact_at = now
+            self._spent_silently_by_budget.clear()
         return Contact(now, not is_attached)
 
     def _attached_for(self, now: float) -> float:
@@ -372,14 +388,16 @@
     async def _commit_or_ask(self, batch: Sequence[_Pending]) -> Result[Any, Refusal]:
         if batch:
             return await self._commit(batch)
-        return await self._ledger.recalls(self.group, RecallsQuery(self.holder), COMMIT_TIMEOUT_S)
+        return await self._ledger.recalls(
+            self.group, RecallsQuery(self.holder), self._commit_timeout_s
+        )
 
     async def _commit(self, batch: Sequence[_Pending]) -> Result[Any, Refusal]:
         if not batch:
             return Ok(ChargeBatchResult(()))
         charges = tuple(pending.charge for pending in batch)
         command = ChargeBatch(self.holder, charges, self._clock.wall(), self.contact())
-        return await self._ledger.charge(command, COMMIT_TIMEOUT_S)
+        return await self._ledger.charge(command, self._commit_timeout_s)
 
     async def _report_transfers(self) -> Result[None, Refusal]:
         """Report each transfer once; those whose money is not reported yet stay in line."""
@@ -387,7 +405,7 @@
             return Ok(None)
         for _ in range(len(self._transfers)):
             transfer, taken_by = self._transfers[0]
-            answer = await self._ledger.transfer(transfer, COMMIT_TIMEOUT_S)
+            answer = await self._ledger.transfer(transfer, self._commit_timeout_s)
             if isinstance(answer, Err):
                 refusal = answer.err_value
                 if refusal.kind is ErrorKind.NOT_READY:
@@ -450,16 +468,35 @@
             self._to_keep.clear()
             while self._waiting and not self.in_reach:
                 wait_s = self._attached_for(self._clock.now())
-                if wait_s > 0.0:
-                    # A rest so small that it does not move the clock would be a busy loop.
-                    await self._clock.sleep(max(LEAST_WAIT_S, wait_s))
+                batch = self._take_graced() if wait_s > 0.0 else self._take_waiting()
+                if batch:
+                    await self._keep_batch(batch)
                 else:
-                    await self._keep_waiting()
+                    # A rest so small that it does not move the clock would be a busy loop.
+                    await self._clock.sleep(min(GRACE_POLL_S, max(LEAST_WAIT_S, wait_s)))
 
-    async def _keep_waiting(self) -> None:
-        """Make what waits durable here, and hold it until the ledger takes it."""
+    def _take_waiting(self) -> list[_Pending]:
         batch = list(self._waiting)
         self._waiting.clear()
+        return batch
+
+    def _take_graced(self) -> list[_Pending]:
+        """Take the charges that the grace of their budgets covers, and count them to it."""
+        taken: list[_Pending] = []
+        left: deque[_Pending] = deque()
+        for pending in self._waiting:
+            budget = pending.charge.budget
+            spent = self._spent_silently_by_budget.get(budget, 0) + pending.charge.amount
+            if spent <= pending.allotment.grace:
+                self._spent_silently_by_budget[budget] = spent
+                taken.append(pending)
+            else:
+                left.append(pending)
+        self._waiting = left
+        return taken
+
+    async def _keep_batch(self, batch: list[_Pending]) -> None:
+        """Make charges durable here, and hold them until the ledger takes them."""
         charges = tuple(pending.charge for pending in batch)
         self._kept.extend(batch)
         answer = await self._keeper.keep(Kept(self.holder, (), charges))
--- a/cranberrywall/budgets/_ledger_accounts.py
+++ b/cranberrywall/budgets/_ledger_accounts.py
@@ -233,6 +233,15 @@
         self._check()
         return allotment.outstanding
 
+    def release_but(self, holder: Holder, kept: int) -> int:
+        """Free what a holder has beyond ``kept``; return what became free."""
+        allotment = self.allotment_by_holder.get(holder)
+        if allotment is None:
+            return 0
+        freed = max(0, allotment.outstanding - kept)
+        self._move(allotment, -freed)
+        return freed
+
     def book_charge(self, through: float, workspace: str, amount: int) -> None:
         """Add one request's charge to its period's sums."""
         self._book(PeriodSum(through, workspace, amount, 1, 0))
--- a/cranberrywall/budgets/_ledger_holders.py
+++ b/cranberrywall/budgets/_ledger_holders.py
@@ -96,17 +96,22 @@
         """Forget the contacts of a holder that was released."""
         self._contact_by_holder.pop(holder, None)
 
+    def had_no_time(self, older: Holder, evidence: Evidence) -> bool:
+        """Say whether ``older`` had no time to detach before its successor started.
+
+        It may then have spent its grace out of the ledger's sight, and no more.
+        """
+        contact = self._contact_by_holder.get(older, _NO_CONTACT)
+        silent_s = evidence.started_clock - contact.clock
+        return not contact.is_detached and 0.0 <= silent_s < DETACH_AFTER_S
+
     def is_proven(self, older: Holder, evidence: Evidence) -> bool:
         """Say whether ``evidence`` shows that nothing of ``older`` is kept anywhere.
 
-        Either it had no time to detach before its successor started, or every peer that may
-        have kept something has been up since before the last contact, and holds nothing: a
-        peer that came up later may have held it and forgotten.
+        Every peer that may have kept something has been up since before the last contact, and
+        holds nothing: a peer that came up later may have held it and forgotten.
         """
         contact = self._contact_by_holder.get(older, _NO_CONTACT)
-        silent_s = evidence.started_clock - contact.clock
-        if not contact.is_detached and 0.0 <= silent_s < DETACH_AFTER_S:
-            return True
         came_up = [self._registered_by_holder.get(peer) for peer in evidence.peers]
         return evidence.has_asked and all(
             order is not None and order < contact.order for order in came_up
--- a/cranberrywall/budgets/_ledger_holding.py
+++ b/cranberrywall/budgets/_ledger_holding.py
@@ -9,6 +9,7 @@
 from cranberrywall.budgets._ledger_exceptions import Entry
 from cranberrywall.budgets._ledger_numbers import MAX_AHEAD, NumberSet
 from cranberrywall.budgets._ledger_state import LedgerState
+from cranberrywall.budgets._messages_holders import grace_of
 from cranberrywall.budgets.messages import (
     Accepted,
     ConfirmDead,
@@ -246,6 +247,7 @@
         left = _older(state, host, incarnation)
         proven = [one for one in left if _is_proven(state, one, command)]
         released = record.released + sum(_release(state, one) for one in proven)
+        released += sum(_release_in_part(state, one, command) for one in left - set(proven))
         is_all = len(proven) == len(left)
         record = record._replace(delivered=is_all, released=released)
         state.holders.update(host, record)
@@ -259,6 +261,16 @@
     return command.evidence is None or state.holders.is_proven(older, command.evidence)
 
 
+def _release_in_part(state: LedgerState, older: Holder, command: RegisterHolder) -> int:
+    """Free all but the grace of a holder that had no time to spend more unseen."""
+    if command.evidence is None or not state.holders.had_no_time(older, command.evidence):
+        return 0
+    return sum(
+        account.release_but(older, grace_of(account.credited))
+        for account in state.account_by_budget.values()
+    )
+
+
 def confirm_dead(state: LedgerState, command: ConfirmDead) -> ConfirmDeadResult | Rejected:
     """Free what an incarnation held, on the word of two persons."""
     refusal = check_two_persons(command.operator, command.approver)
--- a/cranberrywall/budgets/_messages_holders.py
+++ b/cranberrywall/budgets/_messages_holders.py
@@ -11,12 +11,27 @@
 
 
 DETACH_AFTER_S = 2.0
-"""A holder without a disk keeps nothing at its peers before it has been silent for so long.
+"""A holder without a disk keeps no more than its grace at peers before it was silent for so long.
 
 Seconds since it last sent the ledger anything. A successor that starts sooner than that after
-the holder's last contact so proves that nothing was kept anywhere, also where all peers were
-lost with it: a killed process is started again about a second later. The price is that requests
-wait for so long at the beginning of a cut."""
+the holder's last contact so proves that nothing more was kept anywhere, also where all peers
+were lost with it: a killed process is started again about a second later."""
+
+GRACE_SHARE = 0.02
+"""Share of a budget's credits that a holder may spend at once where the ledger falls silent.
+
+Without it, requests would wait for ``DETACH_AFTER_S`` at the beginning of each cut. Where all hosts
+are lost together this much stays booked to each of them: a fiftieth of a budget is one or two
+requests where budgets are small, and seven hosts strand a seventh of it at worst."""
+
+
+def grace_of(credited: int) -> int:
+    """Return the grace of each holder of a budget with these credits.
+
+    >>> grace_of(1000)
+    20
+    """
+    return int(credited * GRACE_SHARE)
 
 
 class Contact(NamedTuple):
--- a/cranberrywall/forwarding/_calls.py
+++ b/cranberrywall/forwarding/_calls.py
@@ -45,7 +45,7 @@
         """
         failed: WholeAnswer | None = None
         while True:
-            begun = await purse.begin()
+            begun = await purse.begin(attempts.left_s())
             if isinstance(begun, Err):
                 return Err(attempts.refusal(begun.err_value))
             acquired = await attempts.acquire()
--- a/cranberrywall/forwarding/_money.py
+++ b/cranberrywall/forwarding/_money.py
@@ -8,13 +8,30 @@
 
 from cranberrywall.budgets import HostAllotments, Reservation, ReserveRequest
 from cranberrywall.configuration import Configuration
-from cranberrywall.errors import Refusal
+from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.forwarding._interfaces import Arrival, Generation
 from cranberrywall.observability import log_event
 from cranberrywall.runtime import Clock
 
-FALLBACK_TOKENS_PER_EVENT = 1
-"""Tokens in an event of a service whose configuration names no engine."""
+LONGEST_RESERVE_S = 1.0
+"""Money that was not found within this is not waited for, in seconds.
+
+It is as long as one step at a ledger that has fallen silent. Callers that are refused may try a
+host that holds some; waiting to their deadline would leave them no time for that."""
+
+
+BEGIN_SHARE = 0.5
+"""Share of a request's time that its charge may take to become durable.
+
+At the beginning of a cut this lasts a while; the other half is left for the target."""
+
+_NOT_DURABLE = Refusal(
+    ErrorKind.BUDGET_UNREACHABLE,
+    "the charge could not be recorded in time",
+    "budget",
+    "send it again, or to another host",
+    retry_after=1.0,
+)
 
 
 class Purse:
@@ -42,12 +59,19 @@
         output = min(self._output, self._generation.output_limit)
         return self._generation.input_tokens + output
 
-    async def begin(self) -> Result[None, Refusal]:
-        """Charge the most that the request can cost, before its first attempt."""
+    async def begin(self, left_s: float) -> Result[None, Refusal]:
+        """Charge the most that the request can cost, before its first attempt.
+
+        ``left_s`` is the time that the request has, in seconds.
+        """
         if self._reservation is None or self._has_begun:
             return Ok(None)
         self._has_begun = True
-        return await self._reservation.begin(self._clock.now())
+        try:
+            async with asyncio.timeout(BEGIN_SHARE * max(0.0, left_s)):
+                return await self._reservation.begin(self._clock.now())
+        except TimeoutError:
+            return Err(_NOT_DURABLE)
 
     def note_sent(self) -> None:
         """Note that the request goes to a target, which may begin to work from now on.
@@ -104,10 +128,12 @@
         generation = arrival.generation
         if budget is None or generation is None:
             return Ok(Purse(None, generation, self._clock))
+        now = self._clock.now()
+        until = min(deadline, now + LONGEST_RESERVE_S)
         request = ReserveRequest(
-            workspace, budget, arrival.request_id, max(1, generation.bound), deadline
+            workspace, budget, arrival.request_id, max(1, generation.bound), until
         )
-        reserved = await self._allotments.reserve(request, self._clock.now())
+        reserved = await self._allotments.reserve(request, now)
         return reserved.map(lambda held: Purse(held, generation, self._clock))
 
     def settle_later(self, purse: Purse) -> None:
--- a/cranberrywall/forwarding/_streams.py
+++ b/cranberrywall/forwarding/_streams.py
@@ -43,7 +43,7 @@
         last_event = attempts.arrival.last_event
         progress = _Progress(last_event, purse, attempts.plan.tokens_per_event, reply)
         while True:
-            begun = await purse.begin()
+            begun = await purse.begin(attempts.left_s())
             if isinstance(begun, Err):
                 return Err(attempts.refusal(begun.err_value))
             acquired = await attempts.acquire()
--- /dev/null
+++ b/standins/_platform.py
@@ -0,0 +1,395 @@
+"""Stand in for the users' platform on loopback: machines, operator, workers and callers.
+
+Each machine is an address of the loopback range, on which one program runs as a process that
+reads its settings file. Words on the wire are the platform's.
+"""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import time
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import aiohttp
+from aiohttp import web
+
+CONTROL_PORT_OFFSET = 10
+FRONT_PORT_OFFSET = 11
+READY_PORT_OFFSET = 12
+DIRECTORY_PORT_OFFSET = 13
+PORTS_PER_MACHINE = 20
+BEAT_S = 0.3
+CALL_S = 2.0
+RETRY_S = 0.1
+ZONES = ("town-hall", "annex")
+HOST = "letters.example"
+KEY = "stand-in-key-1"
+
+
+class Machine(NamedTuple):
+    """Describe one machine: ``ip`` is its own address of the loopback range."""
+
+    name: str
+    module: str
+    ip: str
+    zone: str
+
+
+class Answer(NamedTuple):
+    """Hold what a caller got; ``is_whole`` is false where the answer was cut."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool
+
+
+class Worker:
+    """Answer forwarded requests, as a plain service or as a model engine with event streams."""
+
+    def __init__(self, name: str, service: str, is_engine: bool, event_s: float = 0.01) -> None:
+        self.name = name
+        self.service = service
+        self.is_engine = is_engine
+        self.ran: list[str] = []
+        self.events = 6
+        self._event_s = event_s
+        self._runner: web.AppRunner | None = None
+        self.address = ""
+        self.call_seq = 0
+
+    async def start(self) -> None:
+        """Listen at a free port."""
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", self._answer)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        host, port = self._runner.addresses[0][:2]
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def heartbeat(self, state: str = "ready") -> dict[str, Any]:
+        """Return the body of the next heartbeat."""
+        self.call_seq += 1
+        body: dict[str, Any] = {
+            "service": self.service,
+            "addr": self.address,
+            "zone": ZONES[0],
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "cold_left_ms": 0,
+            "call_seq": self.call_seq,
+        }
+        if self.is_engine:
+            body["models"] = [{"name": "m", "version": 1, "adapters": []}]
+        return body
+
+    async def _answer(self, request: web.Request) -> web.StreamResponse:
+        request_id = request.headers.get("X-Request-Id", "")
+        headers = {"X-Request-Id": request_id, "X-Server-Stamp": f"{self.name}.{request_id}"}
+        if request.headers.get("X-Expect-Instance") not in (None, self.name):
+            return web.Response(status=421, headers=headers)
+        await request.read()
+        self.ran.append(request_id)
+        if self.is_engine:
+            return await self._stream(request, headers)
+        told = {"by": self.name, "tenant": request.headers.get("X-Tenant", "")}
+        return web.Response(body=json.dumps(told).encode(), headers=headers)
+
+    async def _stream(self, request: web.Request, headers: dict[str, str]) -> web.StreamResponse:
+        response = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        for number in range(first, self.events + 1):
+            await asyncio.sleep(self._event_s)
+            await response.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+        return response
+
+
+class Platform:
+    """Run the system's programs on loopback, and speak to them as the platform does."""
+
+    def __init__(self, folder: Path, cores: int = 3, fronts: int = 2) -> None:
+        self._folder = folder
+        self._port = _free_port()
+        self.cores = [
+            Machine(f"core-{number}", "core", f"127.0.3.{number}", ZONES[number % 2])
+            for number in range(1, cores + 1)
+        ]
+        self.fronts = [
+            Machine(f"front-{number}", "front", f"127.0.4.{number}", ZONES[number % 2])
+            for number in range(1, fronts + 1)
+        ]
+        self._process_by_name: dict[str, asyncio.subprocess.Process] = {}
+        self.workers: list[Worker] = []
+        self._beating: dict[str, asyncio.Task[None]] = {}
+        self._session: aiohttp.ClientSession | None = None
+        self._ids = 0
+
+    async def start(self) -> None:
+        """Start all programs for the first time."""
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=CALL_S), auto_decompress=False
+        )
+        for machine in (*self.cores, *self.fronts):
+            await self.start_machine(machine, first_start=True)
+
+    async def start_machine(self, machine: Machine, first_start: bool = False) -> None:
+        """Start a machine's program, with the disk that it had."""
+        path = self._write_boot(machine, first_start)
+        environment = {**os.environ, "CRANBERRYWALL_CONFIG": str(path)}
+        log = (self._folder / f"{machine.name}.log").open("ab")
+        command = [sys.executable, "-m", f"cranberrywall.platform.{machine.module}"]
+        self._process_by_name[machine.name] = await asyncio.create_subprocess_exec(
+            *command, env=environment, stdout=log, stderr=log
+        )
+        log.close()
+
+    async def kill(self, machine: Machine) -> None:
+        """End a machine's process at once."""
+        process = self._process_by_name.pop(machine.name)
+        process.kill()
+        await process.wait()
+
+    async def terminate(self, machine: Machine) -> float:
+        """Ask a machine's process to stop; return the seconds that it took."""
+        process = self._process_by_name.pop(machine.name)
+        started_at = time.monotonic()
+        process.terminate()
+        await process.wait()
+        return time.monotonic() - started_at
+
+    def freeze(self, machine: Machine) -> None:
+        """Stop a machine's process for a while."""
+        self._process_by_name[machine.name].send_signal(signal.SIGSTOP)
+
+    def thaw(self, machine: Machine) -> None:
+        """Let a machine's process go on."""
+        self._process_by_name[machine.name].send_signal(signal.SIGCONT)
+
+    async def stop(self) -> None:
+        """End every process that was started here, and the workers."""
+        for task in self._beating.values():
+            task.cancel()
+        for process in self._process_by_name.values():
+            process.kill()
+            await process.wait()
+        for worker in self.workers:
+            await worker.stop()
+        if self._session is not None:
+            await self._session.close()
+
+    async def add_worker(self, worker: Worker) -> None:
+        """Start a worker, which announces itself to control from now on."""
+        await worker.start()
+        self.workers.append(worker)
+        self._beating[worker.name] = asyncio.create_task(self._beat(worker))
+
+    async def withdraw_worker(self, worker: Worker) -> None:
+        """Report that a worker leaves, until that is acknowledged."""
+        self._beating.pop(worker.name).cancel()
+        path = f"/v1/instances/{worker.name}/heartbeat"
+        await self._call_control("POST", path, worker.heartbeat("draining"))
+
+    async def publish(self, version: int, prepaid: int, routes: list[Any] | None = None) -> None:
+        """Send a configuration until it is acknowledged."""
+        body = configuration(version, prepaid, routes)
+        await self._call_control("POST", "/v1/config/replace", body)
+
+    async def refused_status(self, body: Any) -> int:
+        """Send one configuration to one control host, and return its status."""
+        status, _ = await self._call(
+            "POST",
+            f"http://{self._address(self.cores[0], CONTROL_PORT_OFFSET)}/v1/config/replace",
+            body,
+        )
+        return status
+
+    async def read_configuration(self) -> dict[str, Any]:
+        """Return the configuration in force."""
+        data = await self._call_control("GET", "/v1/config/get", None)
+        read: dict[str, Any] = json.loads(data)
+        return read
+
+    async def resolve(self, asked: Machine) -> list[str]:
+        """Return the addresses that one host names to callers; none where it does not answer."""
+        address = self._address(asked, DIRECTORY_PORT_OFFSET)
+        url = f"http://{address}/v1/resolve?name={HOST}&region=r&zone={asked.zone}"
+        status, data = await self._call("GET", url, None)
+        return list(json.loads(data)["addrs"]) if status == 200 else []
+
+    async def is_ready(self, machine: Machine) -> bool:
+        """Say whether a host says that it is ready."""
+        address = self._address(machine, READY_PORT_OFFSET)
+        status, _ = await self._call("GET", f"http://{address}/v1/ready", None)
+        return status == 200
+
+    async def until_ready(self, seconds: float = 20.0) -> None:
+        """Wait until every front is ready."""
+        end = time.monotonic() + seconds
+        for machine in self.fronts:
+            while not await self.is_ready(machine):
+                if time.monotonic() > end:
+                    raise TimeoutError(f"{machine.name} is not ready; see {self._folder}")
+                await asyncio.sleep(RETRY_S)
+
+    async def ask(self, front: Machine, path: str, **headers: str) -> Answer:
+        """Send one request to one front, as a caller."""
+        assert self._session is not None
+        self._ids += 1
+        sent = {
+            "Host": HOST,
+            "X-Request-Id": f"id-{self._ids}",
+            "X-Deadline-Ms": "2000",
+            "Authorization": f"Bearer {KEY}",
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        url = f"http://{self._address(front, FRONT_PORT_OFFSET)}{path}"
+        body = b""
+        async with self._session.post(url, headers=sent, data=b"{}") as response:
+            try:
+                async for data in response.content.iter_any():
+                    body += data
+            except aiohttp.ClientPayloadError:
+                return Answer(response.status, dict(response.headers), body, False)
+            return Answer(response.status, dict(response.headers), body, True)
+
+    async def until_answered(
+        self, front: Machine, path: str, seconds: float = 15.0, **headers: str
+    ) -> Answer:
+        """Ask again, a little later each time, until a front answers 200."""
+        end = time.monotonic() + seconds
+        while True:
+            try:
+                answer = await self.ask(front, path, **headers)
+            except (aiohttp.ClientError, TimeoutError):
+                answer = Answer(0, {}, b"", False)
+            if answer.status == 200:
+                return answer
+            if time.monotonic() > end:
+                raise TimeoutError(f"{front.name} answers {answer}; see {self._folder}")
+            await asyncio.sleep(RETRY_S)
+
+    async def _beat(self, worker: Worker) -> None:
+        while True:
+            path = f"/v1/instances/{worker.name}/heartbeat"
+            await self._call_control("POST", path, worker.heartbeat())
+            await asyncio.sleep(BEAT_S)
+
+    async def _call_control(self, method: str, path: str, body: Any) -> bytes:
+        """Call one control host after another until one answers."""
+        turn = 0
+        while True:
+            core = self.cores[turn % len(self.cores)]
+            url = f"http://{self._address(core, CONTROL_PORT_OFFSET)}{path}"
+            status, data = await self._call(method, url, body)
+            if 200 <= status < 300:
+                return data
+            if 400 <= status < 500:
+                raise ValueError(f"{path}: {status} {data!r}")
+            turn += 1
+            await asyncio.sleep(RETRY_S)
+
+    async def _call(self, method: str, url: str, body: Any) -> tuple[int, bytes]:
+        assert self._session is not None
+        data = json.dumps(body).encode() if body is not None else None
+        try:
+            async with self._session.request(method, url, data=data) as response:
+                return response.status, await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return 0, b""
+
+    def _address(self, machine: Machine, offset: int) -> str:
+        return f"{machine.ip}:{self._port + offset}"
+
+    def _write_boot(self, machine: Machine, first_start: bool) -> Path:
+        seeds = [self._address(core, CONTROL_PORT_OFFSET) for core in self.cores[:3]]
+        lines = [
+            f'node = "{machine.name}"',
+            f'ip = "{machine.ip}"',
+            f'zone = "{machine.zone}"',
+            f"port_range = [{self._port}, {self._port + CONTROL_PORT_OFFSET - 1}]",
+            f"seeds = {json.dumps(seeds)}",
+            f"first_start = {str(first_start).lower()}",
+        ]
+        if machine.module == "core":
+            data = self._folder / f"{machine.name}.data"
+            data.mkdir(exist_ok=True)
+            lines.append(f'data_dir = "{data}"')
+        lines += ["[zones]", *(f'{zone} = "r"' for zone in ZONES), "[listen]"]
+        for name, offset in self._listen(machine):
+            lines.append(f'{name} = "{self._address(machine, offset)}"')
+        path = self._folder / f"{machine.name}.toml"
+        path.write_text("\n".join(lines) + "\n", encoding="utf-8")
+        return path
+
+    def _listen(self, machine: Machine) -> list[tuple[str, int]]:
+        if machine.module == "core":
+            return [("control", CONTROL_PORT_OFFSET)]
+        return [
+            ("front", FRONT_PORT_OFFSET),
+            ("ready", READY_PORT_OFFSET),
+            ("directory", DIRECTORY_PORT_OFFSET),
+        ]
+
+
+def configuration(version: int, prepaid: int, routes: list[Any] | None = None) -> dict[str, Any]:
+    """Return a configuration with a stream route and two plain ones."""
+    return {
+        "version": version,
+        "routes": routes
+        or [
+            route("letters", "stream", "engines", resumable=True),
+            route("checks", "idempotent", "ledger"),
+            route("orders", "non_idempotent", "ledger"),
+        ],
+        "services": [
+            {
+                "name": "engines",
+                "health_path": "/health",
+                "max_conns": 100,
+                "engine": {"slots": 8, "kv_capacity": 100_000, "stride": 4},
+            },
+            {"name": "ledger", "health_path": "/health", "max_conns": 100},
+        ],
+        "limits": {},
+        "tenants": [{"name": "desk", "api_keys": [KEY], "priority": 1, "prepaid": prepaid}],
+    }
+
+
+def route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
+    """Return a route of ``HOST`` with the path ``/NAME/``."""
+    made = {
+        "name": name,
+        "host": HOST,
+        "path_prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 5000,
+        "goal_ms": 500,
+        "priority": 1,
+        "service": service,
+        "attempts": 2,
+        "public": False,
+        "resumable": False,
+        "gap_goal_ms": 500,
+    }
+    return {**made, **fields}
+
+
+def _free_port() -> int:
+    """Return the first of some ports that are free, as far as one can tell."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.3.1", 0))
+        port: int = probe.getsockname()[1]
+    return min(port, 65535 - PORTS_PER_MACHINE)
