--- a/cranberrywall/budgets/_ledger_ids.py
+++ b/cranberrywall/budgets/_ledger_ids.py
@@ -10,14 +10,15 @@
 new one fall together with a chance of about one in 10**13.
 """
 
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
-import numpy
 import xxhash
-from numpy.typing import NDArray
 
 from cranberrywall.budgets.messages import Charge, Holder
 
+if TYPE_CHECKING:
+    from cranberrywall.budgets._id_segments import Segment
+
 
 class IdLimits(NamedTuple):
     """Bound the memory for ids.
@@ -31,12 +32,6 @@
     kept: int = 2_097_152
 
 
-class _Segment(NamedTuple):
-    ids: NDArray[numpy.uint64]
-    charges: NDArray[numpy.uint64]
-    latest: float
-
-
 def id_fingerprint(workspace: str, request_id: str) -> int:
     """Return the fingerprint that names one request."""
     return xxhash.xxh3_64_intdigest(f"{workspace}\0{request_id}".encode())
@@ -55,8 +50,12 @@
         self._limits = limits
         self._charge_by_id: dict[int, int] = {}
         self._latest = 0.0
-        self._segments: list[_Segment] = []
+        self._segments: list[Segment] = []
         self.floor = 0.0
+        # Hosts that only spend have no ids to keep, and do without the module's library.
+        from cranberrywall.budgets import _id_segments
+
+        self._make = _id_segments
 
     def __len__(self) -> int:
         """Return the number of ids that are kept."""
@@ -68,14 +67,8 @@
         One call for a whole batch, since a search costs little more for many ids.
         """
         found: dict[int, int] = {}
-        if not self._segments:
-            return found
-        wanted = numpy.array(ids, dtype=numpy.uint64)
         for segment in self._segments:
-            places = numpy.searchsorted(segment.ids, wanted)
-            places[places == len(segment.ids)] = 0
-            for index in numpy.flatnonzero(segment.ids[places] == wanted):
-                found[ids[index]] = int(segment.charges[places[index]])
+            found |= segment.find(ids)
         return found
 
     def find_new(self, id_: int) -> int | None:
@@ -94,7 +87,7 @@
         """
         if len(self._charge_by_id) < self._limits.per_segment:
             return
-        self._segments.append(self._make_segment())
+        self._segments.append(self._make.make_segment(self._charge_by_id, self._latest))
         self._charge_by_id = {}
         self._latest = 0.0
         self._merge_small()
@@ -106,40 +99,16 @@
         is_large = any(len(one.ids) >= 2 * self._limits.per_segment for one in small)
         if len(small) < self._limits.merged or is_large:
             return
-        ids = numpy.concatenate([one.ids for one in small])
-        charges = numpy.concatenate([one.charges for one in small])
-        order = numpy.argsort(ids, kind="stable")
-        latest = max(one.latest for one in small)
-        self._segments[-self._limits.merged :] = [_Segment(ids[order], charges[order], latest)]
-
-    def _make_segment(self) -> _Segment:
-        count = len(self._charge_by_id)
-        ids = numpy.fromiter(self._charge_by_id.keys(), numpy.uint64, count)
-        charges = numpy.fromiter(self._charge_by_id.values(), numpy.uint64, count)
-        order = numpy.argsort(ids)
-        return _Segment(ids[order], charges[order], self._latest)
+        self._segments[-self._limits.merged :] = [self._make.merge_segments(small)]
 
     def dump(self) -> list[Any]:
         """Return the state, for a snapshot."""
-        newest = self._make_segment()
-        segments = [*self._segments, newest]
-        return [
-            self.floor,
-            [[one.ids.tobytes(), one.charges.tobytes(), one.latest] for one in segments],
-        ]
+        newest = self._make.make_segment(self._charge_by_id, self._latest)
+        return [self.floor, [one.dump() for one in (*self._segments, newest)]]
 
     def load(self, plain: list[Any]) -> None:
         """Replace the state by one that ``dump`` gave."""
         self.floor = plain[0]
-        segments = [
-            _Segment(
-                numpy.frombuffer(ids, dtype=numpy.uint64),
-                numpy.frombuffer(charges, dtype=numpy.uint64),
-                latest,
-            )
-            for ids, charges, latest in plain[1]
-        ]
-        newest = segments.pop()
-        self._segments = segments
-        self._charge_by_id = dict(zip(newest.ids.tolist(), newest.charges.tolist(), strict=True))
+        *self._segments, newest = [self._make.load_segment(one) for one in plain[1]]
+        self._charge_by_id = newest.as_dictionary()
         self._latest = newest.latest
--- a/cranberrywall/commands/ctl/keys.py
+++ b/cranberrywall/commands/ctl/keys.py
@@ -11,7 +11,7 @@
 from cranberrywall.configuration import Host
 from cranberrywall.runtime import make_clock
 from cranberrywall.settings import make_keys_file
-from cranberrywall.tls import (
+from cranberrywall.tls.authority import (
     FleetCertificates,
     HostNames,
     NamesTakenError,
--- a/cranberrywall/platform/_running.py
+++ b/cranberrywall/platform/_running.py
@@ -10,6 +10,7 @@
 import uvloop
 from result import Err
 
+from cranberrywall import STARTED_PROCESSOR_S
 from cranberrywall.commands._running import Program
 from cranberrywall.observability import configure_log, log_event
 from cranberrywall.platform._boot import Boot, path_from_environment, read_boot
@@ -38,18 +39,23 @@
         log_event(
             "INFO",
             "process_started",
-            processor_s=time.process_time(),
+            processor_s=_processor_s(),
             memory_kib=_resident_kib(),
             first_start=self._boot.may_form,
         )
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stop the program."""
-        log_event("INFO", "process_stopping", processor_s=time.process_time())
+        log_event("INFO", "process_stopping", processor_s=_processor_s())
         if self._program is not None:
             await self._program.stop()
 
 
+def _processor_s() -> float:
+    """Return the processor time that this process took since it imported the project."""
+    return time.process_time() - STARTED_PROCESSOR_S
+
+
 def _note_reload(started_with: Boot) -> None:
     read = read_boot(path_from_environment())
     if isinstance(read, Err):
--- a/measurements/tls_cost.py
+++ b/measurements/tls_cost.py
@@ -22,7 +22,8 @@
 from cranberrywall.links import LinkCaller, Method, Peer, make_caller, make_link_server
 from cranberrywall.runtime import StreamContexts, make_clock, make_network
 from cranberrywall.settings import Tls
-from cranberrywall.tls import HostNames, TlsKeeper, make_fleet_certificates
+from cranberrywall.tls import TlsKeeper
+from cranberrywall.tls.authority import HostNames, make_fleet_certificates
 from measurements._figures import report_figures
 
 _KEY = b"k" * 32
--- a/tests/tls/site.py
+++ b/tests/tls/site.py
@@ -20,7 +20,8 @@
 )
 from cranberrywall.runtime import StreamContexts, make_clock, make_network
 from cranberrywall.settings import Tls
-from cranberrywall.tls import HostNames, TlsKeeper, make_fleet_certificates
+from cranberrywall.tls import TlsKeeper
+from cranberrywall.tls.authority import HostNames, make_fleet_certificates
 
 KEY = b"k" * 32
 
