Count input where a target may have begun, also without an answer; clear the grace late

Two causes were possible and both are mended: - A request whose connection broke before the head of an answer was charged nothing, though its target may have run it to the end. It is charged its input now. Silent targets (timeout) and callers that left before any answer still cost nothing: a request starts with its first token. - What a host had spent of its grace was forgotten as soon as a command that names its contact went out, and could be spent again where that command was lost; the ledger keeps back one grace only. It is forgotten now when the ledger has answered and nothing is kept.

--- a/cranberrywall/budgets/_charges.py
+++ b/cranberrywall/budgets/_charges.py
@@ -282,6 +282,9 @@
             self._to_keep.set()
             return
         await self._finish(batch, answer.ok_value)
+        if self.in_reach and not self._kept:
+            # Not before the ledger has it all: its answer may be lost, and the host with it.
+            self._spent_silently_by_budget.clear()
 
     async def _commit_corrections(self) -> Result[Any, Refusal]:
         """Correct open charges, once all charges that are kept elsewhere are committed."""
@@ -334,7 +337,6 @@
         is_attached = self.in_reach and not self._kept and not self._transfers
         if is_attached:
             self._contact_at = now
-            self._spent_silently_by_budget.clear()
         return Contact(now, not is_attached)
 
     def _attached_for(self, now: float) -> float:
--- a/cranberrywall/forwarding/_calls.py
+++ b/cranberrywall/forwarding/_calls.py
@@ -8,6 +8,7 @@
 from cranberrywall.errors import Refusal
 from cranberrywall.forwarding._attempts import Attempts, note_load, outcome_of
 from cranberrywall.forwarding._client import (
+    BROKE_OFF,
     AttemptFailedError,
     FailureKind,
     TargetClient,
@@ -53,6 +54,8 @@
             try:
                 answer = await self._attempt(attempts, acquired.ok_value, purse)
             except AttemptFailedError as failure:
+                if failure.kind in BROKE_OFF:
+                    purse.note_run()
                 attempts.note_failure(failure)
             else:
                 if answer.status < FAILED_FROM_STATUS:
@@ -70,7 +73,7 @@
             async with asyncio.timeout(attempt.left_s):
                 may_run_again = attempts.plan.repeats.may_run_again
                 async with self._client.open(slot.url, attempt, may_run_again) as answer:
-                    purse.note_answered()
+                    purse.note_run()
                     note_load(slot, answer, self._clock.now())
                     body = await read_whole(answer)
             is_failure = answer.status >= FAILED_FROM_STATUS
--- a/cranberrywall/forwarding/_money.py
+++ b/cranberrywall/forwarding/_money.py
@@ -37,11 +37,11 @@
 class Purse:
     """Hold the money of one request; it is charged at most once.
 
-    The input counts once a target's answer shows that it ran the request, the output as it went
-    to the caller. A request that ended with no answer at all, or whose caller left before,
-    costs nothing: its workspace got nothing. With targets that fall silent and callers that
-    repeat, input counted for every attempt took 12 in 100 of the totals of one minute; they
-    were refused to other requests.
+    The input counts once a target may have begun to run the request: it says so by its
+    answer's head, or its connection broke before. The output counts as it went to the caller.
+    A target that was silent to the end, or until the caller left, has not begun, and nothing
+    is charged. With targets that fall silent and callers that repeat, input counted for them
+    too took 10 in 100 of the totals of one minute; they were refused to other requests.
     """
 
     def __init__(
@@ -51,13 +51,13 @@
         self._generation = generation
         self._clock = clock
         self._has_begun = False
-        self._is_answered = False
+        self._may_have_run = False
         self._output = 0
 
     @property
     def used(self) -> int:
         """Return the tokens to charge for so far."""
-        if self._generation is None or not self._is_answered:
+        if self._generation is None or not self._may_have_run:
             return 0
         output = min(self._output, self._generation.output_limit)
         return self._generation.input_tokens + output
@@ -76,9 +76,9 @@
         except TimeoutError:
             return Err(_NOT_DURABLE)
 
-    def note_answered(self) -> None:
-        """Note that a target's answer to the request has begun, also one of a failure."""
-        self._is_answered = True
+    def note_run(self) -> None:
+        """Note that a target began to run the request, or may have."""
+        self._may_have_run = True
 
     def note_output(self, tokens: int) -> None:
         """Count tokens that go to the caller."""
--- a/cranberrywall/forwarding/_streams.py
+++ b/cranberrywall/forwarding/_streams.py
@@ -8,6 +8,7 @@
 from cranberrywall.forwarding._attempts import Attempts, note_load, outcome_of
 from cranberrywall.forwarding._calls import WholeAnswer
 from cranberrywall.forwarding._client import (
+    BROKE_OFF,
     AttemptFailedError,
     FailureKind,
     TargetAnswer,
@@ -51,6 +52,8 @@
             try:
                 failed = await self._attempt(attempts, acquired.ok_value, purse, progress)
             except AttemptFailedError as failure:
+                if failure.kind in BROKE_OFF:
+                    purse.note_run()
                 attempts.note_failure(failure)
             else:
                 if failed is None or not (reply.has_begun or attempts.may_go_on()):
@@ -78,7 +81,7 @@
                 asyncio.timeout(attempt.left_s),
                 self._client.open(slot.url, attempt, may_run_again) as answer,
             ):
-                purse.note_answered()
+                purse.note_run()
                 note_load(slot, answer, self._clock.now())
                 if answer.status >= FIRST_FAILURE_STATUS:
                     outcome = Outcome(OutcomeKind.FAILED_AFTER)
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -212,20 +212,35 @@
         assert scene.spent >= 100
 
 
-async def test_a_request_without_any_answer_costs_nothing_and_one_answered_later_costs_once() -> (
-    None
-):
-    """A tenant is refused by noon: half of its total went for requests that got no answer.
+async def test_a_request_whose_target_was_silent_costs_nothing() -> None:
+    """A tenant is refused by noon: a part of its total went for requests that never began.
 
     Some targets are dark, and their callers repeat. Cause: the input was charged for each
-    attempt of which nothing more is known, though the workspace got nothing for it.
+    attempt, though a target that was silent to the end has not begun.
+    """
+
+    async def silent(request: web.Request) -> web.StreamResponse:
+        await asyncio.sleep(5.0)
+        return web.Response()
+
+    async with Scene(timeout_s=0.2) as scene:
+        await scene.target("a", silent)
+        _, result = await scene.serve()
+        assert result.is_err()
+        assert scene.spent == 0
+
+
+async def test_a_request_whose_answer_was_lost_costs_its_input_once() -> None:
+    """The target runs the request, and its answer is lost on the way.
+
+    Counted as nothing, a workspace got more than its total allows.
     """
     async with Scene() as scene:
         await scene.target("a", breaks_off())
         await scene.target("b", breaks_off())
         _, result = await scene.serve()
         assert result.is_err()
-        assert scene.spent == 0
+        assert scene.spent == 100
     async with Scene() as scene:
         await scene.target("a", breaks_off())
         await scene.target("b", answers())
