--- a/tests/forwarding/scripted.py
+++ b/tests/forwarding/scripted.py
@@ -197,6 +197,12 @@
     return script
 
 
+async def silent(request: web.Request) -> web.StreamResponse:
+    """Say nothing for longer than any route allows."""
+    await asyncio.sleep(5.0)
+    return web.Response()
+
+
 def without_length(body: bytes, *, is_reset: bool) -> Script:
     """Answer with a body that ends with the connection, closed in order or reset."""
 
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -14,6 +14,7 @@
     arrival,
     breaks_off,
     event,
+    silent,
     streams,
     without_length,
 )
@@ -218,11 +219,6 @@
     Some targets are dark, and their callers repeat. Cause: the input was charged for each
     attempt, though a target that was silent to the end has not begun.
     """
-
-    async def silent(request: web.Request) -> web.StreamResponse:
-        await asyncio.sleep(5.0)
-        return web.Response()
-
     async with Scene(timeout_s=0.2) as scene:
         await scene.target("a", silent)
         _, result = await scene.serve()
@@ -256,10 +252,6 @@
 
 
 async def test_a_caller_that_leaves_before_any_answer_pays_nothing() -> None:
-    async def silent(request: web.Request) -> web.StreamResponse:
-        await asyncio.sleep(5.0)
-        return web.Response()
-
     async with Scene(kind="stream") as scene:
         await scene.target("a", silent)
         task = asyncio.ensure_future(scene.serve())
@@ -271,10 +263,6 @@
 
 
 async def test_a_late_target_is_given_up_at_the_routes_timeout() -> None:
-    async def silent(request: web.Request) -> web.StreamResponse:
-        await asyncio.sleep(5.0)
-        return web.Response()
-
     async with Scene(timeout_s=0.2) as scene:
         await scene.target("a", silent)
         _, result = await scene.serve()
