--- a/cranberrywall/forwarding/_money.py
+++ b/cranberrywall/forwarding/_money.py
@@ -39,8 +39,7 @@
 
     The input counts from the moment in which a target may have begun, the output as it went
     to the caller. So a request that no target began costs nothing. A target that is silent may
-    have begun and fallen silent then: not counting its input, nor that of callers that left
-    before an answer, put workspaces over their totals on 2 of 40 days of faults.
+    have begun and fallen silent then, so its input counts too.
     """
 
     def __init__(
