--- a/cranberrywall/budgets/_charges.py
+++ b/cranberrywall/budgets/_charges.py
@@ -136,6 +136,7 @@
         self._clock = clock
         self._waiting: deque[_Pending] = deque()
         self._under_way: list[_Pending] = []
+        self._sends_kept = False
         self._kept: deque[_Pending] = deque()
         self._transfers: deque[tuple[Transfer, Charged | None]] = deque()
         self._to_commit = asyncio.Event()
@@ -271,8 +272,10 @@
         if isinstance(answer, Ok):
             answer = await self._commit_corrections()
         if isinstance(answer, Ok):
+            self._sends_kept = source is self._kept
             self._under_way = self._take_funded(source)
             answer = await self._commit(self._under_way)
+        self._sends_kept = False
         batch, self._under_way = self._under_way, []
         if isinstance(answer, Err):
             source.extendleft(reversed(batch))
@@ -334,7 +337,10 @@
     def contact(self) -> Contact:
         """Return how the ledger is reached by a command that goes out now, and remember it."""
         now = self._clock.now()
-        is_attached = self.in_reach and not self._kept and not self._transfers
+        # Kept charges on their way may be lost with this host: a draw that overtakes them must
+        # not say that nothing is kept, or the ledger would free what they have spent.
+        has_kept = bool(self._kept) or self._sends_kept
+        is_attached = self.in_reach and not has_kept and not self._transfers
         if is_attached:
             self._contact_at = now
         return Contact(now, not is_attached)
--- a/tests/budgets/test_grace.py
+++ b/tests/budgets/test_grace.py
@@ -102,3 +102,39 @@
         await queue.stop()
 
     run_virtual(main())
+
+
+def test_a_command_that_overtakes_kept_charges_does_not_say_that_nothing_is_kept() -> None:
+    """A workspace gets more than its total: a host is killed as a cut ends.
+
+    Charges kept in the cut are on their way when a draw overtakes them and says that nothing
+    is kept any more. The charges are lost with the host, and the ledger frees their money.
+    """
+
+    async def main() -> None:
+        clock = VirtualClock()
+        said: list[bool] = []
+
+        async def billed_slowly(batch: ChargeBatch) -> Result[Any, Refusal]:
+            second = Charge("main", "clerks", "id-2", 2, 5, 0.0)
+            waits.append(asyncio.ensure_future(queue.add(second, Allotment())))
+            await clock.sleep(0.2)
+            return Ok(ChargeBatchResult((ChargeOutcome.BILLED,) * len(batch.charges)))
+
+        async def overtaken(batch: ChargeBatch) -> Result[Any, Refusal]:
+            said.append(queue.contact().is_detached)
+            return Ok(ChargeBatchResult((ChargeOutcome.BILLED,) * len(batch.charges)))
+
+        waits: list[asyncio.Task[Any]] = []
+        ledger: Any = OneByOne([lost, billed_slowly, overtaken])
+        peer: Any = AnyPeer()
+        queue = ChargeQueue("ledger-0", Holder("b1", 1), ledger, peer, clock, DETACH_AFTER_S)
+        queue.start()
+        first = Charge("main", "clerks", "id-1", 1, 15, 0.0)
+        assert await queue.add(first, Allotment()) == Ok(None)
+        await clock.sleep(1.0)
+        assert said == [True]
+        assert not queue.contact().is_detached
+        await queue.stop()
+
+    run_virtual(main())
