--- a/cranberrywall/budgets/_charges.py
+++ b/cranberrywall/budgets/_charges.py
@@ -3,14 +3,17 @@
 import asyncio
 from collections import deque
 from collections.abc import Awaitable, Callable, Sequence
-from itertools import islice
-from typing import Any, NamedTuple, Protocol
+from typing import Any
 
 from result import Err, Ok, Result
 
 from cranberrywall.budgets._client import LedgerClient
+from cranberrywall.budgets._corrections import OpenCharges
 from cranberrywall.budgets._interfaces import SpendPolicy
-from cranberrywall.budgets._keepers import Keeper, Kept, out_of_reach
+from cranberrywall.budgets._keepers import Keeper, Kept
+from cranberrywall.budgets._pending import Charged, Pending, note_outcome
+from cranberrywall.budgets._silence import Silence
+from cranberrywall.budgets._transfer_reports import TransferReports
 from cranberrywall.budgets.messages import (
     MAX_CHARGES_IN_BATCH,
     Charge,
@@ -18,13 +21,12 @@
     ChargeBatchResult,
     ChargeOutcome,
     Contact,
-    Correction,
     Corrections,
     Holder,
     RecallsQuery,
     Transfer,
 )
-from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.errors import Refusal
 from cranberrywall.observability import log_event
 from cranberrywall.runtime import Clock
 
@@ -44,60 +46,6 @@
 RETRY_MOST_S = 1.0
 
 
-class Charged(Protocol):
-    """Hold the money that charges are made against."""
-
-    @property
-    def grace(self) -> int:
-        """Return what may be spent at once where the ledger falls silent."""
-        ...
-
-    def committed(self, amount: int) -> None:
-        """Forget a charge that the ledger has billed."""
-        ...
-
-    def granted(self, amount: int) -> None:
-        """Add money that may be spent."""
-        ...
-
-    def refunded(self, amount: int) -> None:
-        """Add what the ledger gave back of an open charge."""
-        ...
-
-    def drop(self, amount: int) -> None:
-        """Remove money that the ledger does not book to this host."""
-        ...
-
-    def take_charge_number(self) -> int:
-        """Return the next charge's number, and count it as used."""
-        ...
-
-
-class _Pending(NamedTuple):
-    charge: Charge
-    allotment: Charged
-    done: "asyncio.Future[Result[None, Refusal]] | None"
-
-    def answer(self, result: Result[None, Refusal]) -> None:
-        """Answer the request that waits, unless it went away or was answered before."""
-        if self.done is not None and not self.done.done():
-            self.done.set_result(result)
-
-
-class _Correcting(NamedTuple):
-    """Hold a correction until the ledger has it; ``holder`` made the charge."""
-
-    holder: Holder
-    correction: Correction
-    surplus: int
-    allotment: Charged
-
-    @property
-    def key(self) -> tuple[str, int]:
-        """Return the budget and number of the charge."""
-        return self.correction.budget, self.correction.number
-
-
 class ChargeQueue:
     """Commit one holder's charges at one ledger group; at most one batch is under way.
 
@@ -119,11 +67,8 @@
         It is 0 where a journal outlives the process.
         """
         self._commit_timeout_s = QUICK_COMMIT_TIMEOUT_S if detach_after_s else COMMIT_TIMEOUT_S
-        self._detach_after_s = detach_after_s
-        self._contact_at = clock.now()
-        self._spent_silently_by_budget: dict[str, int] = {}
-        self._corrections: deque[_Correcting] = deque()
-        self._unbilled: set[tuple[str, int]] = set()
+        self._silence = Silence(detach_after_s, clock.now())
+        self._open_charges = OpenCharges()
         self.group = group
         self.holder = holder
         self.in_reach = True
@@ -134,19 +79,17 @@
         self._ledger = ledger
         self._keeper = keeper
         self._clock = clock
-        self._waiting: deque[_Pending] = deque()
-        self._under_way: list[_Pending] = []
+        self._waiting: deque[Pending] = deque()
+        self._under_way: list[Pending] = []
         self._sends_kept = False
-        self._kept: deque[_Pending] = deque()
-        self._transfers: deque[tuple[Transfer, Charged | None]] = deque()
+        self._kept: deque[Pending] = deque()
+        self._transfers = TransferReports(ledger, keeper, clock, self._commit_timeout_s)
         self._to_commit = asyncio.Event()
         self._to_keep = asyncio.Event()
         self._idle = asyncio.Event()
         self._idle.set()
         self._tasks: list[asyncio.Task[None]] = []
         self._retry_s = RETRY_FIRST_S
-        self._report_pause_s = 0.0
-        self._report_at = 0.0
 
     def accepts(self, policy: SpendPolicy) -> bool:
         """Say whether a new request may be admitted: its charge would last."""
@@ -156,12 +99,12 @@
     def uncommitted(self) -> int:
         """Return the number of charges and transfers that the ledger has not confirmed."""
         charges = len(self._waiting) + len(self._under_way) + len(self._kept)
-        return charges + len(self._transfers) + len(self._corrections)
+        return charges + len(self._transfers) + len(self._open_charges)
 
     @property
     def may_keep(self) -> bool:
         """Say whether charges and transfers may be kept elsewhere than at the ledger now."""
-        return not self.in_reach and self._attached_for(self._clock.now()) <= 0.0
+        return not self.in_reach and self._silence.left_s(self._clock.now()) <= 0.0
 
     def state(self) -> dict[str, Any]:
         """Describe the queue, for the state dump."""
@@ -191,7 +134,7 @@
     async def add(self, charge: Charge, allotment: Charged) -> Result[None, Refusal]:
         """Queue a charge and return once it is durable."""
         done: asyncio.Future[Result[None, Refusal]] = asyncio.get_running_loop().create_future()
-        self._waiting.append(_Pending(charge, allotment, done))
+        self._waiting.append(Pending(charge, allotment, done))
         if len(self._waiting) == 1:
             self._work_came()
             if not self.in_reach:
@@ -200,9 +143,7 @@
 
     def correct(self, charge: Charge, amount: int, allotment: Charged) -> None:
         """Queue what an open charge, which is durable, came to in the end."""
-        correction = Correction(charge.budget, charge.number, amount)
-        surplus = charge.amount - amount
-        self._corrections.append(_Correcting(self.holder, correction, surplus, allotment))
+        self._open_charges.correct(self.holder, charge, amount, allotment)
         self._work_came()
 
     def report(self, transfer: Transfer, taken_by: Charged | None) -> None:
@@ -210,14 +151,13 @@
 
         ``taken_by`` is the allotment that took it; the giver's report has none.
         """
-        self._transfers.append((transfer, taken_by))
-        self._report_at = 0.0
+        self._transfers.add(transfer, taken_by)
         self._work_came()
 
     @property
     def unreported(self) -> tuple[Transfer, ...]:
         """Return the transfers that the ledger has not confirmed."""
-        return tuple(transfer for transfer, _ in self._transfers)
+        return self._transfers.transfers
 
     def start_out_of_reach(self) -> None:
         """Begin without the ledger, as after a restart that goes on from a checkpoint."""
@@ -226,7 +166,7 @@
 
     def adopt(self, charge: Charge, allotment: Charged) -> None:
         """Queue a charge that is already kept, as after a restart."""
-        self._kept.append(_Pending(charge, allotment, None))
+        self._kept.append(Pending(charge, allotment, None))
         self._work_came()
 
     async def lost(self, refusal: Refusal) -> None:
@@ -268,7 +208,7 @@
 
     async def _commit_next(self) -> None:
         source = self._kept or self._waiting
-        answer: Result[Any, Refusal] = await self._report_transfers()
+        answer: Result[Any, Refusal] = await self._transfers.report_all(self.holder)
         if isinstance(answer, Ok):
             answer = await self._commit_corrections()
         if isinstance(answer, Ok):
@@ -286,12 +226,11 @@
             return
         await self._finish(batch, answer.ok_value)
         if self.in_reach and not self._kept:
-            # Not before the ledger has it all: its answer may be lost, and the host with it.
-            self._spent_silently_by_budget.clear()
+            self._silence.forget_spent()
 
     async def _commit_corrections(self) -> Result[Any, Refusal]:
         """Correct open charges, once all charges that are kept elsewhere are committed."""
-        some = self._correctable()
+        some = [] if self._kept else self._open_charges.take(self._waiting)
         if not some:
             return Ok(None)
         holder = some[0].holder
@@ -300,34 +239,15 @@
         answer = await self._ledger.correct(self.group, command, self._commit_timeout_s)
         if isinstance(answer, Err):
             return answer
-        for one in some:
-            self._corrections.remove(one)
-            if one.key in self._unbilled:
-                # The ledger has no such charge, or set it aside: it gave nothing back.
-                self._unbilled.discard(one.key)
-            else:
-                one.allotment.refunded(one.surplus)
+        self._open_charges.confirm(some)
         return answer
 
-    def _correctable(self) -> list[_Correcting]:
-        """Return corrections of one holder whose charges the ledger has.
-
-        A caller may leave while its charge waits. Were the correction to go first, it would
-        find nothing to correct, and the money would be spent here and charged there.
-        """
-        if not self._corrections or self._kept:
-            return []
-        waiting = {(one.charge.budget, one.charge.number) for one in self._waiting}
-        holder = self._corrections[0].holder
-        first = islice(self._corrections, MAX_CHARGES_IN_BATCH)
-        return [one for one in first if one.holder == holder and one.key not in waiting]
-
     async def keep_in_contact(self) -> None:
         """Tell the ledger that this holder is there, where it had nothing to say for long.
 
         Should it be lost, its peers can vouch for it only if they came up before that.
         """
-        if not self.in_reach or self._clock.now() - self._contact_at < CONTACT_EVERY_S:
+        if not self.in_reach or self._silence.since(self._clock.now()) < CONTACT_EVERY_S:
             return
         command = Corrections(self.holder, (), self._clock.wall(), self.contact())
         answer = await self._ledger.correct(self.group, command, self._commit_timeout_s)
@@ -342,13 +262,9 @@
         has_kept = bool(self._kept) or self._sends_kept
         is_attached = self.in_reach and not has_kept and not self._transfers
         if is_attached:
-            self._contact_at = now
+            self._silence.note_heard(now)
         return Contact(now, not is_attached)
 
-    def _attached_for(self, now: float) -> float:
-        """Return how many seconds must still pass before anything may be kept elsewhere."""
-        return self._contact_at + self._detach_after_s - now
-
     def _can_succeed(self) -> bool:
         return self.in_reach and not self._kept and not self._transfers
 
@@ -374,7 +290,7 @@
         """Try the ledger again with what is kept, ever more rarely."""
         await self._clock.sleep(self._retry_s)
         self._retry_s = min(RETRY_MOST_S, self._retry_s * 2.0)
-        answer: Result[Any, Refusal] = await self._report_transfers()
+        answer: Result[Any, Refusal] = await self._transfers.report_all(self.holder)
         if isinstance(answer, Ok):
             self._under_way = self._take_funded(self._kept)
             answer = await self._commit_or_ask(self._under_way)
@@ -393,79 +309,45 @@
         if batch:
             await self._finish(batch, answer.ok_value)
 
-    async def _commit_or_ask(self, batch: Sequence[_Pending]) -> Result[Any, Refusal]:
+    async def _commit_or_ask(self, batch: Sequence[Pending]) -> Result[Any, Refusal]:
         if batch:
             return await self._commit(batch)
         return await self._ledger.recalls(
             self.group, RecallsQuery(self.holder), self._commit_timeout_s
         )
 
-    async def _commit(self, batch: Sequence[_Pending]) -> Result[Any, Refusal]:
+    async def _commit(self, batch: Sequence[Pending]) -> Result[Any, Refusal]:
         if not batch:
             return Ok(ChargeBatchResult(()))
         charges = tuple(pending.charge for pending in batch)
         command = ChargeBatch(self.holder, charges, self._clock.wall(), self.contact())
         return await self._ledger.charge(command, self._commit_timeout_s)
 
-    async def _report_transfers(self) -> Result[None, Refusal]:
-        """Report each transfer once; those whose money is not reported yet stay in line."""
-        if self._clock.now() < self._report_at:
-            return Ok(None)
-        for _ in range(len(self._transfers)):
-            transfer, taken_by = self._transfers[0]
-            answer = await self._ledger.transfer(transfer, self._commit_timeout_s)
-            if isinstance(answer, Err):
-                refusal = answer.err_value
-                if refusal.kind is ErrorKind.NOT_READY:
-                    self._transfers.rotate(-1)
-                    continue
-                if out_of_reach(refusal):
-                    return answer
-                log_event("ERROR", "transfer_refused", reason=refusal)
-            self._transfers.popleft()
-            moved = answer.ok_value.moved if isinstance(answer, Ok) else 0
-            if taken_by is not None and moved < transfer.amount:
-                # The giver's remainder had come back and was spent elsewhere.
-                taken_by.drop(transfer.amount - moved)
-            await self._keeper.committed(Kept(self.holder, (transfer,), ()))
-        self._rest_from_reports()
-        return Ok(None)
-
-    def _rest_from_reports(self) -> None:
-        """Try what is left again later: the host it waits for may be lost for long."""
-        if not self._transfers:
-            self._report_pause_s = 0.0
-            return
-        longer = max(RETRY_FIRST_S, 2.0 * self._report_pause_s)
-        self._report_pause_s = min(RETRY_MOST_S, longer)
-        self._report_at = self._clock.now() + self._report_pause_s
-
-    def _take_funded(self, source: deque[_Pending]) -> list[_Pending]:
+    def _take_funded(self, source: deque[Pending]) -> list[Pending]:
         """Take the first charges that the ledger will find covered.
 
         Money that was given to this host pays for them: while a report of it waits for
         that of its giver's own money, charges of the budget wait too.
         """
-        waiting = {transfer.budget for transfer, taken_by in self._transfers if taken_by}
+        waiting = self._transfers.unfunded_budgets()
         if not waiting:
             return [source.popleft() for _ in range(min(MAX_CHARGES_IN_BATCH, len(source)))]
-        taken: list[_Pending] = []
-        left: deque[_Pending] = deque()
+        taken: list[Pending] = []
+        left: deque[Pending] = deque()
         while source and len(taken) < MAX_CHARGES_IN_BATCH:
             pending = source.popleft()
             (left if pending.charge.budget in waiting else taken).append(pending)
         source.extendleft(reversed(left))
         return taken
 
-    async def _finish(self, batch: Sequence[_Pending], answer: ChargeBatchResult) -> None:
+    async def _finish(self, batch: Sequence[Pending], answer: ChargeBatchResult) -> None:
         if not batch:
             return
         for pending, outcome in zip(batch, answer.outcomes, strict=True):
             pending.allotment.committed(pending.charge.amount)
             if outcome is not ChargeOutcome.BILLED:
-                _note(pending, outcome)
-                if pending.charge.is_open:
-                    self._unbilled.add((pending.charge.budget, pending.charge.number))
+                note_outcome(pending, outcome)
+                self._open_charges.note_unbilled(pending.charge)
             pending.answer(Ok(None))
         charges = tuple(pending.charge for pending in batch)
         await self._keeper.committed(Kept(self.holder, (), charges))
@@ -475,35 +357,24 @@
             await self._to_keep.wait()
             self._to_keep.clear()
             while self._waiting and not self.in_reach:
-                wait_s = self._attached_for(self._clock.now())
-                batch = self._take_graced() if wait_s > 0.0 else self._take_waiting()
+                wait_s = self._silence.left_s(self._clock.now())
+                batch = (
+                    self._silence.take_graced(self._waiting)
+                    if wait_s > 0.0
+                    else self._take_waiting()
+                )
                 if batch:
                     await self._keep_batch(batch)
                 else:
                     # A rest so small that it does not move the clock would be a busy loop.
                     await self._clock.sleep(min(GRACE_POLL_S, max(LEAST_WAIT_S, wait_s)))
 
-    def _take_waiting(self) -> list[_Pending]:
+    def _take_waiting(self) -> list[Pending]:
         batch = list(self._waiting)
         self._waiting.clear()
         return batch
 
-    def _take_graced(self) -> list[_Pending]:
-        """Take the charges that the grace of their budgets covers, and count them to it."""
-        taken: list[_Pending] = []
-        left: deque[_Pending] = deque()
-        for pending in self._waiting:
-            budget = pending.charge.budget
-            spent = self._spent_silently_by_budget.get(budget, 0) + pending.charge.amount
-            if spent <= pending.allotment.grace:
-                self._spent_silently_by_budget[budget] = spent
-                taken.append(pending)
-            else:
-                left.append(pending)
-        self._waiting = left
-        return taken
-
-    async def _keep_batch(self, batch: list[_Pending]) -> None:
+    async def _keep_batch(self, batch: list[Pending]) -> None:
         """Make charges durable here, and hold them until the ledger takes them."""
         charges = tuple(pending.charge for pending in batch)
         self._kept.extend(batch)
@@ -511,18 +382,3 @@
         self.durable = isinstance(answer, Ok)
         for pending in batch:
             pending.answer(answer)
-
-
-def _note(pending: _Pending, outcome: ChargeOutcome) -> None:
-    charge = pending.charge
-    if outcome is ChargeOutcome.DUPLICATE:
-        # The ledger left the amount in our allotment: it can be spent again.
-        pending.allotment.granted(charge.amount)
-    log_event(
-        "WARNING",
-        "charge_not_billed",
-        outcome=outcome,
-        budget=charge.budget,
-        request=charge.request_id,
-        amount=charge.amount,
-    )
--- /dev/null
+++ b/cranberrywall/budgets/_pending.py
@@ -0,0 +1,66 @@
+"""Hold a charge until the ledger has answered for it."""
+
+import asyncio
+from typing import NamedTuple, Protocol
+
+from result import Result
+
+from cranberrywall.budgets.messages import Charge, ChargeOutcome
+from cranberrywall.errors import Refusal
+from cranberrywall.observability import log_event
+
+
+class Charged(Protocol):
+    """Hold the money that charges are made against."""
+
+    @property
+    def grace(self) -> int:
+        """Return what may be spent at once where the ledger falls silent."""
+        ...
+
+    def committed(self, amount: int) -> None:
+        """Forget a charge that the ledger has billed."""
+        ...
+
+    def granted(self, amount: int) -> None:
+        """Add money that may be spent."""
+        ...
+
+    def refunded(self, amount: int) -> None:
+        """Add what the ledger gave back of an open charge."""
+        ...
+
+    def drop(self, amount: int) -> None:
+        """Remove money that the ledger does not book to this host."""
+        ...
+
+    def take_charge_number(self) -> int:
+        """Return the next charge's number, and count it as used."""
+        ...
+
+
+class Pending(NamedTuple):
+    charge: Charge
+    allotment: Charged
+    done: "asyncio.Future[Result[None, Refusal]] | None"
+
+    def answer(self, result: Result[None, Refusal]) -> None:
+        """Answer the request that waits, unless it went away or was answered before."""
+        if self.done is not None and not self.done.done():
+            self.done.set_result(result)
+
+
+def note_outcome(pending: Pending, outcome: ChargeOutcome) -> None:
+    """Log a charge that the ledger did not bill, and free what it left in the allotment."""
+    charge = pending.charge
+    if outcome is ChargeOutcome.DUPLICATE:
+        # The ledger left the amount in our allotment: it can be spent again.
+        pending.allotment.granted(charge.amount)
+    log_event(
+        "WARNING",
+        "charge_not_billed",
+        outcome=outcome,
+        budget=charge.budget,
+        request=charge.request_id,
+        amount=charge.amount,
+    )
