--- a/cranberrywall/forwarding/_calls.py
+++ b/cranberrywall/forwarding/_calls.py
@@ -6,14 +6,13 @@
 from result import Err, Ok, Result
 
 from cranberrywall.errors import Refusal
-from cranberrywall.forwarding._attempts import Attempts, note_load, outcome_of
+from cranberrywall.forwarding._attempts import Attempts, note_load
 from cranberrywall.forwarding._client import (
-    DID_NOT_RUN,
     AttemptFailedError,
-    FailureKind,
     TargetClient,
     read_whole,
 )
+from cranberrywall.forwarding._conclusion import concluding
 from cranberrywall.forwarding._interfaces import Headers
 from cranberrywall.forwarding._money import Purse
 from cranberrywall.routing import Outcome, OutcomeKind, Slot
@@ -65,29 +64,18 @@
 
     async def _attempt(self, attempts: Attempts, slot: Slot, purse: Purse) -> WholeAnswer:
         started_at = self._clock.now()
-        outcome = Outcome(OutcomeKind.CANCELLED)
         attempt = attempts.begin(slot, None)
-        purse.note_sent()
-        try:
-            async with asyncio.timeout(attempt.left_s):
-                may_run_again = attempts.plan.repeats.may_run_again
-                async with self._client.open(slot.url, attempt, may_run_again) as answer:
-                    note_load(slot, answer, self._clock.now())
-                    body = await read_whole(answer)
+        may_run_again = attempts.plan.repeats.may_run_again
+        with concluding(slot, attempt, purse, self._clock) as conclusion:
+            async with (
+                asyncio.timeout(attempt.left_s),
+                self._client.open(slot.url, attempt, may_run_again) as answer,
+            ):
+                note_load(slot, answer, self._clock.now())
+                body = await read_whole(answer)
             is_failure = answer.status >= FAILED_FROM_STATUS
             if not is_failure:
                 purse.note_whole_answer()
             kind = OutcomeKind.FAILED_AFTER if is_failure else OutcomeKind.ANSWERED
-            outcome = Outcome(kind, self._clock.now() - started_at)
+            conclusion.outcome = Outcome(kind, self._clock.now() - started_at)
             return WholeAnswer(answer.status, answer.headers, body)
-        except TimeoutError as error:
-            failure = AttemptFailedError(FailureKind.LATE, f"no answer in {attempt.left_s:.3f} s")
-            outcome = outcome_of(failure)
-            raise failure from error
-        except AttemptFailedError as failure:
-            if failure.kind in DID_NOT_RUN:
-                purse.note_not_run()
-            outcome = outcome_of(failure)
-            raise
-        finally:
-            slot.finish(outcome, self._clock.now())
--- a/cranberrywall/forwarding/_streams.py
+++ b/cranberrywall/forwarding/_streams.py
@@ -5,16 +5,16 @@
 from result import Err, Ok, Result
 
 from cranberrywall.errors import Refusal
-from cranberrywall.forwarding._attempts import Attempts, note_load, outcome_of
+from cranberrywall.forwarding._attempts import Attempts, note_load
 from cranberrywall.forwarding._calls import WholeAnswer
 from cranberrywall.forwarding._client import (
-    DID_NOT_RUN,
     AttemptFailedError,
     FailureKind,
     TargetAnswer,
     TargetClient,
     read_whole,
 )
+from cranberrywall.forwarding._conclusion import concluding
 from cranberrywall.forwarding._events import Event, EventSplitter
 from cranberrywall.forwarding._interfaces import CallerReply
 from cranberrywall.forwarding._money import Purse
@@ -70,36 +70,23 @@
         self, attempts: Attempts, slot: Slot, purse: Purse, progress: "_Progress"
     ) -> WholeAnswer | None:
         """Return ``None`` at the stream's end, or the target's own failure."""
-        outcome = Outcome(OutcomeKind.CANCELLED)
         attempt = attempts.begin(slot, progress.last_event)
-        purse.note_sent()
         started_at = self._clock.now()
         may_run_again = attempts.plan.repeats.may_run_again
-        try:
+        with concluding(slot, attempt, purse, self._clock) as conclusion:
             async with (
                 asyncio.timeout(attempt.left_s),
                 self._client.open(slot.url, attempt, may_run_again) as answer,
             ):
                 note_load(slot, answer, self._clock.now())
                 if answer.status >= FIRST_FAILURE_STATUS:
-                    outcome = Outcome(OutcomeKind.FAILED_AFTER)
+                    conclusion.outcome = Outcome(OutcomeKind.FAILED_AFTER)
                     attempts.may_have_run = True
                     return WholeAnswer(answer.status, answer.headers, await read_whole(answer))
                 await progress.begin(answer)
                 first_s = await self._pump(answer, slot, progress, started_at)
-            outcome = Outcome(OutcomeKind.ANSWERED, first_s, progress.events)
+            conclusion.outcome = Outcome(OutcomeKind.ANSWERED, first_s, progress.events)
             return None
-        except TimeoutError as error:
-            failure = AttemptFailedError(FailureKind.LATE, f"no end in {attempt.left_s:.3f} s")
-            outcome = outcome_of(failure)
-            raise failure from error
-        except AttemptFailedError as failure:
-            if failure.kind in DID_NOT_RUN:
-                purse.note_not_run()
-            outcome = outcome_of(failure)
-            raise
-        finally:
-            slot.finish(outcome, self._clock.now())
 
     async def _pump(
         self, answer: TargetAnswer, slot: Slot, progress: "_Progress", started_at: float
