--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -62,7 +62,10 @@
         keys: FleetKeys,
         front: Front,
         retry_limits: RetryLimits | None = None,
+        hand_back_s: float | None = None,
     ) -> None:
+        """``hand_back_s`` bounds the time to hand money back; else it depends on the disk."""
+        self._hand_back_s = hand_back_s
         self._settings = settings
         self._runtime = runtime
         self._front = front
@@ -172,12 +175,16 @@
         targets = len(self._targets.by_id)
         log_event("INFO", "entry_ready", revision=revision, targets=targets)
 
+    def _longest_hand_back_s(self) -> float:
+        if self._hand_back_s is not None:
+            return self._hand_back_s
+        return HAND_BACK_WITHOUT_DISK_S if self._runtime.storage is None else HAND_BACK_S
+
     async def _hand_money_back(self) -> None:
         if self._allotments is None:
             return
         try:
-            has_disk = self._runtime.storage is not None
-            async with asyncio.timeout(HAND_BACK_S if has_disk else HAND_BACK_WITHOUT_DISK_S):
+            async with asyncio.timeout(self._longest_hand_back_s()):
                 returned = await self._allotments.hand_back()
         except TimeoutError:
             # A host that is cut off from the ledger would drain for ever. What it holds
--- a/cranberrywall/platform/front.py
+++ b/cranberrywall/platform/front.py
@@ -13,6 +13,11 @@
 DRAIN_SHARE = 0.4
 """Share of the time to stop in which callers may come that have not heard of it."""
 
+HAND_BACK_SHARE = 0.1
+"""Share of the time to stop in which money is handed back: some round trips to control.
+
+Where the ledger is out of reach the host would be killed in the middle of stopping otherwise."""
+
 RETRIES_KEPT_BACK = 0.8
 """Share of the fleet's bound on retries that hosts use: their clocks and windows differ."""
 
@@ -32,6 +37,7 @@
             fleet_keys(),
             PlatformFront(boot, runtime.clock),
             _retry_limits(boot),
+            HAND_BACK_SHARE * boot.grace_s,
         )
 
     @property
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -9,6 +9,9 @@
 from standins._platform import Platform, Worker, configuration, route
 
 PREPAID = 100_000
+GRACE_S = 8.0
+"""The time to stop where the settings file names no bound, in seconds."""
+
 TOKENS = "100,24"
 
 
@@ -131,6 +134,23 @@
         await platform.until_answered(front, "/letters/1", X_Token_Counts=TOKENS)
 
 
+async def test_an_entry_host_that_reaches_no_control_is_still_gone_in_time(tmp_path: Path) -> None:
+    """A host is told to stop while control is silent, and is killed for not being gone.
+
+    Cause: it went on trying to hand its money back for longer than the platform gives it.
+    """
+    async with running(tmp_path, fronts=3) as platform:
+        front = platform.fronts[0]
+        await platform.until_answered(front, "/letters/1", X_Token_Counts=TOKENS)
+        for core in platform.cores:
+            platform.freeze(core)
+        for _ in range(3):
+            await platform.ask(front, "/letters/1", X_Token_Counts=TOKENS)
+        assert await platform.terminate(front) < GRACE_S
+        for core in platform.cores:
+            platform.thaw(core)
+
+
 async def test_an_entry_host_that_is_told_to_stop_cuts_nothing(tmp_path: Path) -> None:
     """A stream runs as its host is told to stop. It comes to its end, and the host is gone in
     time; it is neither ready nor named to callers meanwhile."""
