Prove that nothing is kept by the keepers that the ledger was told of

Cause: a host that came up again asked the peers that it happened to know what they kept of its earlier run. After a loss of power it knew none, asked none, and told the ledger that all who were asked held nothing: its whole part came back, though it had been spent in a cut.

Change: each command names the runs of peers that keep charges from now on. A keeper is used only once the ledger has answered for it, and the ledger says who must be asked. Contacts that a cut held up no longer overtake later ones.

--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -23,7 +23,7 @@
 from cranberrywall.budgets._keepers import Kept
 from cranberrywall.budgets._ledger_steps import LedgerSteps
 from cranberrywall.budgets._messages_holders import DETACH_AFTER_S
-from cranberrywall.budgets._mirror import Mirror, deliver_at_mirrors, mirrors_of
+from cranberrywall.budgets._mirror import Emptied, Mirror, deliver_at_mirrors
 from cranberrywall.budgets._mirror_store import MirrorStore
 from cranberrywall.budgets._peer_messages import (
     DELIVER,
@@ -77,7 +77,7 @@
     """Return the allotments of this run of this host; ``start`` them before use.
 
     ``entry_hosts`` lists the entry hosts of the configuration in force: a host without a
-    disk keeps charges at some of them, and asks those what they keep of its earlier runs.
+    disk keeps charges at some of them.
     ``started_clock`` is the runtime's clock at the start of this process, now where ``None``.
     """
     storage = runtime.storage
@@ -204,9 +204,7 @@
             queue.start()
             left = [of_group(kept, queue.group, self._ledger) for kept in recovered.kept]
             left = [one for one in left if one.holder != queue.holder and self._is_mine(one)]
-            register = registration.register(
-                queue.group, self._holder, left, partial(_is_succeeded, queue)
-            )
+            register = registration.register(queue, self._holder, left)
             self._tasks.append(asyncio.create_task(register))
         self._tasks.append(asyncio.create_task(self._review_loop()))
         return Ok(None)
@@ -324,17 +322,12 @@
         checkpoint = checkpoint_of(queue, list(self._by_budget.values()))
         await self._keeper.out_of_reach(checkpoint, queue.unreported)
 
-    async def _delivered_elsewhere(self) -> tuple[Holder, ...] | None:
+    async def _delivered_elsewhere(self, keepers: Sequence[str]) -> Emptied | None:
         if self._policies.spends_alone():
             # An earlier run may have spent alone, and taken what it knew of that with it.
             return None
         host, incarnation = self._holder
-        entry_hosts = self._entry_hosts()
-        if host not in [one.host for one in entry_hosts]:
-            # Without the configuration nobody can say which hosts kept what.
-            return None
-        mirrors = mirrors_of(host, entry_hosts)
-        return await deliver_at_mirrors(host, incarnation, mirrors, self._peers, self._caller)
+        return await deliver_at_mirrors(host, incarnation, keepers, self._peers, self._caller)
 
     async def _give(self, request: TakeRequest, peer: Peer) -> Result[TakeReply, Refusal]:
         if peer.host != request.taker.host:
@@ -362,6 +355,8 @@
             await self._clock.sleep(REVIEW_INTERVAL_S)
             now = self._clock.now()
             await self._store.help(now)
+            for queue in self._queue_by_group.values():
+                await queue.announce_keepers()
             for queue in self._queues_with_money():
                 await queue.keep_in_contact()
             for allotment in list(self._by_budget.values()):
@@ -379,8 +374,3 @@
         self._numbers_by_budget[allotment.budget] = allotment.numbers()
         del self._by_budget[allotment.budget]
         self._shortage_by_budget.pop(allotment.budget, None)
-
-
-def _is_succeeded(queue: ChargeQueue) -> bool:
-    """Say whether the ledger knows that all an older holder held is this run's now."""
-    return queue.successor is None and not queue.unreported
--- a/cranberrywall/budgets/_charges.py
+++ b/cranberrywall/budgets/_charges.py
@@ -7,6 +7,7 @@
 
 from result import Err, Ok, Result
 
+from cranberrywall.budgets._announced import AnnouncedKeepers
 from cranberrywall.budgets._client import LedgerClient
 from cranberrywall.budgets._corrections import OpenCharges
 from cranberrywall.budgets._interfaces import SpendPolicy
@@ -21,6 +22,7 @@
     ChargeBatchResult,
     ChargeOutcome,
     Contact,
+    Correction,
     Corrections,
     Holder,
     RecallsQuery,
@@ -69,6 +71,7 @@
         self._commit_timeout_s = QUICK_COMMIT_TIMEOUT_S if detach_after_s else COMMIT_TIMEOUT_S
         self._silence = Silence(detach_after_s, clock.now())
         self._open_charges = OpenCharges()
+        self._announced = AnnouncedKeepers()
         self.group = group
         self.holder = holder
         self.in_reach = True
@@ -106,6 +109,10 @@
         """Say whether charges and transfers may be kept elsewhere than at the ledger now."""
         return not self.in_reach and self._silence.left_s(self._clock.now()) <= 0.0
 
+    def may_keep_at(self, host: str) -> bool:
+        """Say whether charges and transfers may be kept at a peer."""
+        return self._announced.allows(host)
+
     def state(self) -> dict[str, Any]:
         """Describe the queue, for the state dump."""
         return {
@@ -114,6 +121,7 @@
             "durable": self.durable,
             "waiting": len(self._waiting) + len(self._under_way),
             "kept": len(self._kept),
+            "keepers": self._announced.state(),
             "transfers_to_report": len(self._transfers),
         }
 
@@ -235,22 +243,38 @@
             return Ok(None)
         holder = some[0].holder
         corrections = tuple(one.correction for one in some)
-        command = Corrections(holder, corrections, self._clock.wall(), self.contact())
+        answer = await self._correct(holder, corrections)
+        if isinstance(answer, Ok):
+            self._open_charges.confirm(some)
+        return answer
+
+    async def _correct(
+        self, holder: Holder, corrections: tuple[Correction, ...]
+    ) -> Result[Any, Refusal]:
+        contact = self.contact()
+        command = Corrections(holder, corrections, self._clock.wall(), contact)
         answer = await self._ledger.correct(self.group, command, self._commit_timeout_s)
-        if isinstance(answer, Err):
-            return answer
-        self._open_charges.confirm(some)
+        if isinstance(answer, Ok):
+            self.note_answered(contact)
         return answer
 
     async def keep_in_contact(self) -> None:
-        """Tell the ledger that this holder is there, where it had nothing to say for long.
+        """Tell the ledger that this holder is there, where it had nothing to say for long."""
+        if self._silence.since(self._clock.now()) >= CONTACT_EVERY_S:
+            await self._make_contact()
+
+    async def announce_keepers(self) -> None:
+        """Tell the ledger who keeps charges from now on, where that has changed.
 
-        Should it be lost, its peers can vouch for it only if they came up before that.
+        In a cut, a host may spend what its peers give it, also where it held nothing before.
         """
-        if not self.in_reach or self._silence.since(self._clock.now()) < CONTACT_EVERY_S:
+        if not self._announced.are(self._keeper.choose(self._clock.now())):
+            await self._make_contact()
+
+    async def _make_contact(self) -> None:
+        if not self.in_reach:
             return
-        command = Corrections(self.holder, (), self._clock.wall(), self.contact())
-        answer = await self._ledger.correct(self.group, command, self._commit_timeout_s)
+        answer = await self._correct(self.holder, ())
         if isinstance(answer, Err):
             log_event("INFO", "contact_failed", group=self.group, kind=answer.err_value.kind)
 
@@ -261,9 +285,15 @@
         # not say that nothing is kept, or the ledger would free what they have spent.
         has_kept = bool(self._kept) or self._sends_kept
         is_attached = self.in_reach and not has_kept and not self._transfers
-        if is_attached:
-            self._silence.note_heard(now)
-        return Contact(now, not is_attached)
+        if not is_attached:
+            return Contact(now, is_detached=True)
+        self._silence.note_heard(now)
+        keepers = self._announced.announce(self._keeper.choose(now), now)
+        return Contact(now, is_detached=False, keepers=keepers)
+
+    def note_answered(self, contact: Contact) -> None:
+        """Note that the ledger has answered a command with this contact."""
+        self._announced.confirm(contact)
 
     def _can_succeed(self) -> bool:
         return self.in_reach and not self._kept and not self._transfers
@@ -320,8 +350,12 @@
         if not batch:
             return Ok(ChargeBatchResult(()))
         charges = tuple(pending.charge for pending in batch)
-        command = ChargeBatch(self.holder, charges, self._clock.wall(), self.contact())
-        return await self._ledger.charge(command, self._commit_timeout_s)
+        contact = self.contact()
+        command = ChargeBatch(self.holder, charges, self._clock.wall(), contact)
+        answer = await self._ledger.charge(command, self._commit_timeout_s)
+        if isinstance(answer, Ok):
+            self.note_answered(contact)
+        return answer
 
     def _take_funded(self, source: deque[Pending]) -> list[Pending]:
         """Take the first charges that the ledger will find covered.
@@ -378,7 +412,7 @@
         """Make charges durable here, and hold them until the ledger takes them."""
         charges = tuple(pending.charge for pending in batch)
         self._kept.extend(batch)
-        answer = await self._keeper.keep(Kept(self.holder, (), charges))
+        answer = await self._keeper.keep(Kept(self.holder, (), charges), self.may_keep_at)
         self.durable = isinstance(answer, Ok)
         for pending in batch:
             pending.answer(answer)
--- a/cranberrywall/budgets/_interfaces.py
+++ b/cranberrywall/budgets/_interfaces.py
@@ -141,6 +141,11 @@
         """Return the address of its streams."""
         ...
 
+    @property
+    def incarnation(self) -> int:
+        """Return the run of the host that is meant."""
+        ...
+
 
 class EntryHost(NamedTuple):
     """Describe an entry host of the configuration in force."""
--- a/cranberrywall/budgets/_journal.py
+++ b/cranberrywall/budgets/_journal.py
@@ -5,13 +5,13 @@
 checkpoint less what was spent since. In reach nothing but transfers is written.
 """
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from typing import NamedTuple
 
 from result import Err, Ok, Result
 
 from cranberrywall.budgets._allotment import Numbers
-from cranberrywall.budgets._keepers import Kept
+from cranberrywall.budgets._keepers import Allows, Kept
 from cranberrywall.budgets.messages import Charge, Holder, Transfer
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import MalformedMessageError, MessageCodec
@@ -194,18 +194,18 @@
         checkpoints = tuple(self._live.checkpoint_by_group.values())
         return Ok(Recovered(checkpoints, tuple(self._live.kept())))
 
-    async def keep(self, kept: Kept) -> Result[None, Refusal]:
+    def choose(self, now: float) -> Collection[Holder]:
+        """Return no peer: the disk keeps all."""
+        return ()
+
+    async def keep(self, kept: Kept, allows: Allows | None = None) -> Result[None, Refusal]:
         """Return once ``kept`` is synced."""
         return await self._write([kept])
 
-    def can_keep(self) -> bool:
+    def can_keep(self, allows: Allows) -> bool:
         """Say whether the file takes more."""
         return self._file is not None
 
-    async def keep_transfer(self, holder: Holder, transfer: Transfer) -> Result[None, Refusal]:
-        """Return once the transfer is synced."""
-        return await self._write([Kept(holder, (transfer,), ())])
-
     async def committed(self, kept: Kept) -> None:
         """Note what the ledger has, where the journal may hold it."""
         live = self._live
--- a/cranberrywall/budgets/_keepers.py
+++ b/cranberrywall/budgets/_keepers.py
@@ -1,5 +1,6 @@
 """Define what keeps charges and transfers safe while the ledger is out of reach."""
 
+from collections.abc import Callable, Collection
 from typing import NamedTuple, Protocol
 
 from result import Result
@@ -34,19 +35,26 @@
     charges: tuple[Charge, ...]
 
 
+Allows = Callable[[str], bool]
+"""Say of a host by its name whether something may be kept there."""
+
+
 class Keeper(Protocol):
     """Make charges and transfers durable without the ledger."""
 
-    async def keep(self, kept: Kept) -> Result[None, Refusal]:
-        """Return once ``kept`` survives the loss of this process."""
+    def choose(self, now: float) -> Collection[Holder]:
+        """Return the runs of peers that should keep from now on; none where no peer does."""
         ...
 
-    def can_keep(self) -> bool:
-        """Say whether ``keep`` is likely to succeed now."""
+    async def keep(self, kept: Kept, allows: Allows) -> Result[None, Refusal]:
+        """Return once ``kept`` survives the loss of this process.
+
+        Peers may keep it only where ``allows`` says so of the peer's name.
+        """
         ...
 
-    async def keep_transfer(self, holder: Holder, transfer: Transfer) -> Result[None, Refusal]:
-        """Return once the giver may tell the taker of a transfer."""
+    def can_keep(self, allows: Allows) -> bool:
+        """Say whether ``keep`` is likely to succeed now."""
         ...
 
     async def committed(self, kept: Kept) -> None:
--- a/cranberrywall/budgets/_ledger_holders.py
+++ b/cranberrywall/budgets/_ledger_holders.py
@@ -1,5 +1,6 @@
 """Know each host's latest incarnation, and whether it can still spend."""
 
+from collections.abc import Iterable
 from typing import Any, NamedTuple
 
 from cranberrywall.budgets._messages_holders import DETACH_AFTER_S
@@ -24,14 +25,14 @@
 
 
 class ContactRecord(NamedTuple):
-    """Hold a holder's last contact; ``order`` counts contacts and registrations of all."""
+    """Hold a holder's last contact, and where it may have kept anything since."""
 
     clock: float
     is_detached: bool
-    order: int
+    keepers: tuple[Holder, ...]
 
 
-_NO_CONTACT = ContactRecord(float("-inf"), is_detached=True, order=0)
+_NO_CONTACT = ContactRecord(float("-inf"), is_detached=True, keepers=())
 
 
 class Holders:
@@ -40,8 +41,6 @@
     def __init__(self) -> None:
         self.record_by_host: dict[str, HostRecord] = {}
         self._contact_by_holder: dict[Holder, ContactRecord] = {}
-        self._registered_by_holder: dict[Holder, int] = {}
-        self._order = 0
         self._shared: dict[Holder, Holder] = {}
 
     def note(self, holder: Holder) -> None:
@@ -72,25 +71,21 @@
     def note_contact(self, holder: Holder, contact: Contact | None) -> None:
         """Note that the holder itself was heard.
 
-        What a detached holder says is no news of its peers: they may have come up, without
-        what they held for it, at any time since it was last attached.
+        A command that a cut held up may come long after it was sent, and behind later ones:
+        what it says of the holder is no longer true then.
         """
         if contact is None:
             return
-        self._order += 1
-        order = self._order
-        if contact.is_detached:
-            order = self._contact_by_holder.get(holder, _NO_CONTACT).order
-        self._contact_by_holder[holder] = ContactRecord(contact.clock, contact.is_detached, order)
-
-    def note_registered(self, holder: Holder) -> None:
-        """Note when, among all contacts, a holder came up."""
-        if holder not in self._registered_by_holder:
-            self._order += 1
-            older = [one for one in self._registered_by_holder if one.host == holder.host]
-            for one in older:
-                del self._registered_by_holder[one]
-            self._registered_by_holder[holder] = self._order
+        last = self._contact_by_holder.get(holder)
+        if last is None and contact.is_detached:
+            return
+        last = last or _NO_CONTACT
+        if contact.clock < last.clock:
+            return
+        keepers = last.keepers if contact.is_detached else contact.keepers
+        self._contact_by_holder[holder] = ContactRecord(
+            contact.clock, contact.is_detached, tuple(self.one(keeper) for keeper in keepers)
+        )
 
     def forget_contact(self, holder: Holder) -> None:
         """Forget the contacts of a holder that was released."""
@@ -108,15 +103,23 @@
     def is_proven(self, older: Holder, evidence: Evidence) -> bool:
         """Say whether ``evidence`` shows that nothing of ``older`` is kept anywhere.
 
-        Every peer that may have kept something has been up since before the last contact, and
-        holds nothing: a peer that came up later may have held it and forgotten.
+        Each run of a peer that was named as keeper holds nothing: a later run of it proves
+        nothing, since what the earlier one held in memory is forgotten. A holder that named
+        nobody yet may have kept anywhere what its peers gave it.
         """
-        contact = self._contact_by_holder.get(older, _NO_CONTACT)
-        came_up = [self._registered_by_holder.get(peer) for peer in evidence.peers]
-        return evidence.has_asked and all(
-            order is not None and order < contact.order for order in came_up
+        contact = self._contact_by_holder.get(older)
+        if contact is None or not evidence.has_asked:
+            return False
+        return all(
+            keeper in evidence.empty or keeper.host in evidence.empty_on_disk
+            for keeper in contact.keepers
         )
 
+    def keepers(self, holders: Iterable[Holder]) -> tuple[str, ...]:
+        """Return the hosts that may keep anything of ``holders``, sorted."""
+        contacts = [self._contact_by_holder.get(holder, _NO_CONTACT) for holder in holders]
+        return tuple(sorted({keeper.host for contact in contacts for keeper in contact.keepers}))
+
     def one(self, holder: Holder) -> Holder:
         """Return the one shared copy of an equal holder, to save memory in allotments."""
         return self._shared.setdefault(holder, holder)
@@ -125,20 +128,20 @@
         """Return the state, for a snapshot."""
         return [
             [[host, *record] for host, record in self.record_by_host.items()],
-            [[*holder, *contact] for holder, contact in self._contact_by_holder.items()],
-            [[*holder, order] for holder, order in self._registered_by_holder.items()],
-            self._order,
+            [
+                [*holder, contact.clock, contact.is_detached, [[*one] for one in contact.keepers]]
+                for holder, contact in self._contact_by_holder.items()
+            ],
         ]
 
     def load(self, plain: list[Any]) -> None:
         """Replace the state by one that ``dump`` gave."""
-        records, contacts, registered, self._order = plain
+        records, contacts = plain
         self.record_by_host = {host: HostRecord(*record) for host, *record in records}
         self._contact_by_holder = {
-            Holder(host, incarnation): ContactRecord(*contact)
-            for host, incarnation, *contact in contacts
-        }
-        self._registered_by_holder = {
-            Holder(host, incarnation): order for host, incarnation, order in registered
+            Holder(host, incarnation): ContactRecord(
+                clock, is_detached, tuple(Holder(*keeper) for keeper in keepers)
+            )
+            for host, incarnation, clock, is_detached, keepers in contacts
         }
         self._shared = {}
--- a/cranberrywall/budgets/_ledger_holding.py
+++ b/cranberrywall/budgets/_ledger_holding.py
@@ -240,9 +240,9 @@
     if not state.holders.is_current(command.holder):
         return _superseded(command.holder)
     state.holders.note(command.holder)
+    state.holders.note_contact(command.holder, command.contact)
     host, incarnation = command.holder
     record = state.holders.record_by_host[host]
-    state.holders.note_registered(command.holder)
     if command.delivered and not record.delivered:
         left = _older(state, host, incarnation)
         proven = [one for one in left if _is_proven(state, one, command)]
@@ -251,10 +251,9 @@
         is_all = len(proven) == len(left)
         record = record._replace(delivered=is_all, released=released)
         state.holders.update(host, record)
-    held = 0
-    for older in _older(state, host, incarnation):
-        held += _outstanding(state, older)
-    return RegisterResult(record.released, held)
+    left = _older(state, host, incarnation)
+    held = sum(_outstanding(state, older) for older in left)
+    return RegisterResult(record.released, held, state.holders.keepers(left))
 
 
 def _is_proven(state: LedgerState, older: Holder, command: RegisterHolder) -> bool:
--- a/cranberrywall/budgets/_ledger_steps.py
+++ b/cranberrywall/budgets/_ledger_steps.py
@@ -57,10 +57,13 @@
 
     async def _send_draw(self, allotment: Allotment, draw: Draw) -> Result[DrawResult, Refusal]:
         # Sent again, it tells of the contact that is made now.
-        draw = draw._replace(contact=allotment.queue.contact())
+        contact = allotment.queue.contact()
+        draw = draw._replace(contact=contact)
         allotment.pending_draw = draw
         self.sent += 1
         answer = await self._ledger.draw(draw, STEP_TIMEOUT_S)
+        if isinstance(answer, Ok):
+            allotment.queue.note_answered(contact)
         if allotment.pending_draw is not draw:
             # Another task sent it as well and got the same answer: it is counted once.
             return answer
--- a/cranberrywall/budgets/_messages_holders.py
+++ b/cranberrywall/budgets/_messages_holders.py
@@ -39,23 +39,28 @@
 
     The clock goes on while processes of the machine end and start. ``is_detached`` says that
     charges or transfers of the holder may be kept at peers that the ledger has not got.
+    ``keepers`` are the peers at which it keeps any from now on, and the runs of them that are
+    up; a detached holder goes on with those that it named before.
     """
 
     clock: float
     is_detached: bool
+    keepers: tuple[Holder, ...] = ()
 
 
 class Evidence(NamedTuple):
     """Show that nothing is kept of older incarnations of a host without a disk.
 
     ``started_clock`` is the machine's steady clock at the start of the successor. Where
-    ``has_asked``, every host that may have kept anything said that it holds nothing more;
-    ``peers`` are those of them without a disk, which may have forgotten.
+    ``has_asked``, the keepers were asked that the ledger names, and nothing was spent that
+    nobody keeps: ``empty`` are runs of peers that hold nothing any more, and ``empty_on_disk``
+    hosts whose disks hold nothing, whichever of their runs kept it.
     """
 
     started_clock: float
     has_asked: bool = False
-    peers: tuple[Holder, ...] = ()
+    empty: tuple[Holder, ...] = ()
+    empty_on_disk: tuple[str, ...] = ()
 
 
 class HeldAmount(NamedTuple):
@@ -81,13 +86,18 @@
     delivered: bool
     at: float
     evidence: Evidence | None = None
+    contact: Contact | None = None
 
 
 class RegisterResult(NamedTuple):
-    """Give the sum that came back, and what older incarnations still hold in this group."""
+    """Give the sum that came back, and what older incarnations still hold in this group.
+
+    ``keepers`` are the hosts that may keep charges and transfers of those incarnations.
+    """
 
     released: int
     held: int
+    keepers: tuple[str, ...] = ()
 
 
 class ConfirmDead(NamedTuple):
--- a/cranberrywall/budgets/_mirror.py
+++ b/cranberrywall/budgets/_mirror.py
@@ -6,20 +6,22 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
+from typing import NamedTuple
 
 from result import Err, Ok, Result
 
 from cranberrywall.budgets._interfaces import EntryHost, PeerHost, Peers
-from cranberrywall.budgets._keepers import Kept
+from cranberrywall.budgets._keepers import Allows, Kept
 from cranberrywall.budgets._peer_messages import (
     DELIVER,
     FORGET,
     KEEP,
+    DeliverReply,
     DeliverRequest,
     ForgetRequest,
     KeepRequest,
 )
-from cranberrywall.budgets.messages import Holder, Transfer
+from cranberrywall.budgets.messages import Holder
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller
 from cranberrywall.observability import log_event
@@ -27,15 +29,20 @@
 # Copies in the memory of two peers last through the loss of one; one on a disk does too.
 COPIES = 2
 CALL_TIMEOUT_S = 0.5
+# Each keeper must be asked before a lost host's money comes back, so there are no more than the
+# copies and a spare for each.
+MOST_KEEPERS = 2 * COPIES
+# Who keeps is chosen anew this often, in seconds: it goes through the list of all hosts.
+CHOOSE_EVERY_S = 1.0
 
 _ALONE = Refusal(
     ErrorKind.UNREACHABLE,
-    f"no peer with a disk and fewer than {COPIES} others answer: the charge is in memory only",
+    f"no peer with a disk and fewer than {COPIES} others keep it: the charge is in memory only",
 )
 
 
 class Mirror:
-    """Keep at the mirrors of a host, as ``mirrors_of`` names them."""
+    """Keep at some peers that ``mirrors_of`` names, once the ledger knows of them."""
 
     def __init__(
         self,
@@ -50,11 +57,25 @@
         self._caller = caller
         self._mirrored = 0
         self._links_of_mirrors: set[str] = set()
+        self._chosen: tuple[Holder, ...] = ()
+        self._choose_at = float("-inf")
+
+    def choose(self, now: float) -> tuple[Holder, ...]:
+        """Return the runs of the first mirrors that are alive."""
+        if now >= self._choose_at:
+            self._choose_at = now + CHOOSE_EVERY_S
+            alive = {peer.host: peer for peer in self._peers.alive()}
+            known = [one for one in self._entry_hosts() if one.host in (self._host, *alive)]
+            mirrors = [alive[name] for name in mirrors_of(self._host, known) if name in alive]
+            self._chosen = tuple(
+                Holder(peer.host, peer.incarnation) for peer in mirrors[:MOST_KEEPERS]
+            )
+        return self._chosen
 
-    async def keep(self, kept: Kept) -> Result[None, Refusal]:
+    async def keep(self, kept: Kept, allows: Allows) -> Result[None, Refusal]:
         """Return once two peers hold ``kept``, or one has it on its disk."""
         request = KeepRequest(kept.holder, kept.transfers, kept.charges)
-        candidates = self._candidates()
+        candidates = self._candidates(allows)
         copies = 0
         while candidates and copies < COPIES:
             asked, candidates = candidates[: COPIES - copies], candidates[COPIES - copies :]
@@ -65,16 +86,12 @@
         self._mirrored += len(kept.charges) + len(kept.transfers)
         return Ok(None)
 
-    def can_keep(self) -> bool:
+    def can_keep(self, allows: Allows) -> bool:
         """Say whether enough mirrors are in reach."""
-        on_disk = {one.host for one in self._entry_hosts() if one.disk}
-        candidates = self._candidates()
+        on_disk = self._hosts_with_disk()
+        candidates = self._candidates(allows)
         return len(candidates) >= COPIES or any(peer.host in on_disk for peer in candidates)
 
-    async def keep_transfer(self, holder: Holder, transfer: Transfer) -> Result[None, Refusal]:
-        """Return once the mirrors hold the transfer, as they hold charges."""
-        return await self.keep(Kept(holder, (transfer,), ()))
-
     async def committed(self, kept: Kept) -> None:
         """Tell the peers what the ledger has, where any of them may hold it."""
         if not self._mirrored:
@@ -102,47 +119,70 @@
         self._links_of_mirrors.add(peer.links)
         return COPIES if answer.ok_value.on_disk else 1
 
-    def _candidates(self) -> list[PeerHost]:
-        """Return the mirrors in reach, those with a disk first."""
+    def _candidates(self, allows: Allows) -> list[PeerHost]:
+        """Return the peers in reach that are allowed, those with a disk first.
+
+        Any run of them will do. One that started since the ledger was told of its host costs
+        certainty, not money: if this host is lost, nobody can prove that nothing was kept.
+        """
         peer_by_host = {peer.host: peer for peer in self._peers.alive()}
-        mirrors = mirrors_of(self._host, self._entry_hosts())
-        return [peer_by_host[name] for name in mirrors if name in peer_by_host]
+        others = by_preference(self._host, self._entry_hosts())
+        names = [one.host for one in others if one.host in peer_by_host and allows(one.host)]
+        return [peer_by_host[name] for name in names]
+
+    def _hosts_with_disk(self) -> set[str]:
+        return {one.host for one in self._entry_hosts() if one.disk}
+
+
+def by_preference(host: str, entry_hosts: Sequence[EntryHost]) -> list[EntryHost]:
+    """Return the other hosts: those with a disk first, then those of the same place.
+
+    Each host begins with the one whose name comes after its own, so that not all keep at the
+    same few.
+    """
+    place = {one.host: one.place for one in entry_hosts}.get(host)
+    return sorted(
+        (one for one in entry_hosts if one.host != host),
+        key=lambda one: (not one.disk, one.place != place, one.host < host, one.host),
+    )
 
 
 def mirrors_of(host: str, entry_hosts: Sequence[EntryHost]) -> list[str]:
-    """Return the hosts that may keep charges of ``host``, those with a disk first.
+    """Return the hosts that should keep charges of ``host``, those with a disk first.
 
     They are those of its own place, where one of them has a disk or there are two: they
-    stay in reach through most cuts, and a successor need ask nobody else whether its
-    remainder may come back. Else they are all hosts.
+    stay in reach through most cuts. Else they are all hosts.
 
     >>> hosts = [EntryHost("a", "p", False), EntryHost("b", "q", False), EntryHost("c", "p", True)]
     >>> mirrors_of("a", hosts), mirrors_of("b", hosts)
     (['c'], ['c', 'a'])
     """
-    others = sorted((one for one in entry_hosts if one.host != host), key=_disk_first)
+    others = by_preference(host, entry_hosts)
     place = {one.host: one.place for one in entry_hosts}.get(host)
     near = [one for one in others if one.place == place]
     is_enough = len(near) >= COPIES or any(one.disk for one in near)
     return [one.host for one in (near if is_enough else others)]
 
 
-def _disk_first(entry_host: EntryHost) -> tuple[bool, str]:
-    return (not entry_host.disk, entry_host.host)
+class Emptied(NamedTuple):
+    """Name who holds nothing more of a host's older incarnations."""
+
+    runs: tuple[Holder, ...]
+    hosts_on_disk: tuple[str, ...]
 
 
 async def deliver_at_mirrors(
-    host: str, incarnation: int, mirrors: Sequence[str], peers: Peers, caller: Caller
-) -> tuple[Holder, ...] | None:
-    """Have every mirror commit what it holds of ``host``'s older incarnations.
+    host: str, incarnation: int, keepers: Sequence[str], peers: Peers, caller: Caller
+) -> Emptied | None:
+    """Have each of ``keepers`` commit what it holds of ``host``'s older incarnations.
 
-    Return those of them that keep nothing on a disk, and only where each mirror answered
-    that nothing is left. A host that does not answer may hold a copy that nobody else has.
+    ``None`` where one doesn't answer that nothing is left: it may hold a copy that nobody
+    else has.
     """
-    answered: list[Holder] = []
+    answers: list[DeliverReply] = []
     peer_by_host = {peer.host: peer for peer in peers.alive()}
     request = DeliverRequest(host, incarnation)
-    for name in mirrors:
+    for name in keepers:
         peer = peer_by_host.get(name)
         if peer is None:
             log_event("INFO", "remainder_waits", peer=host, waits_for=name)
@@ -150,6 +190,8 @@
         answer = await caller.call(peer.links, DELIVER, request, 4 * CALL_TIMEOUT_S)
         if isinstance(answer, Err) or answer.ok_value.remaining > 0:
             return None
-        if not answer.ok_value.on_disk:
-            answered.append(answer.ok_value.holder)
-    return tuple(answered)
+        answers.append(answer.ok_value)
+    return Emptied(
+        tuple(one.holder for one in answers if not one.on_disk),
+        tuple(one.holder.host for one in answers if one.on_disk),
+    )
--- a/cranberrywall/budgets/_registration.py
+++ b/cranberrywall/budgets/_registration.py
@@ -4,14 +4,17 @@
 
 from result import Err, Ok, Result
 
+from cranberrywall.budgets._charges import ChargeQueue
 from cranberrywall.budgets._client import LedgerClient
 from cranberrywall.budgets._keepers import Keeper, Kept, out_of_reach
+from cranberrywall.budgets._mirror import Emptied
 from cranberrywall.budgets.messages import (
     MAX_CHARGES_IN_BATCH,
     ChargeBatch,
     Evidence,
     Holder,
     RegisterHolder,
+    RegisterResult,
     Transfer,
 )
 from cranberrywall.errors import ErrorKind, Refusal
@@ -30,55 +33,61 @@
         self,
         ledger: LedgerClient,
         keeper: Keeper,
-        delivered_elsewhere: Callable[[], Awaitable[tuple[Holder, ...] | None]] | None,
+        delivered_elsewhere: Callable[[Sequence[str]], Awaitable[Emptied | None]] | None,
         clock: Clock,
         started_clock: float,
     ) -> None:
-        """``delivered_elsewhere`` asks the peers; ``None`` where a journal knows it all."""
+        """``delivered_elsewhere`` asks the peers that it is given.
+
+        ``None`` stands for it where a journal knows it all.
+        """
         self._started_clock = started_clock
         self._ledger = ledger
         self._keeper = keeper
         self._delivered_elsewhere = delivered_elsewhere
         self._clock = clock
 
-    async def register(
-        self, group: str, holder: Holder, left: Sequence[Kept], is_ready: Callable[[], bool]
-    ) -> None:
-        """Repeat until the group has all that was left, and released the older holders.
-
-        ``is_ready`` says whether this run has stopped spending as an older holder.
-        """
+    async def register(self, queue: ChargeQueue, holder: Holder, left: Sequence[Kept]) -> None:
+        """Repeat until the queue's group has all that was left, and released older holders."""
         pause_s = RETRY_FIRST_S
-        while not await self._try(group, holder, left, is_ready):
+        while not await self._try(queue, holder, left):
             await self._clock.sleep(pause_s)
             pause_s = min(RETRY_MOST_S, pause_s * 2.0)
 
-    async def _try(
-        self, group: str, holder: Holder, left: Sequence[Kept], is_ready: Callable[[], bool]
-    ) -> bool:
+    async def _try(self, queue: ChargeQueue, holder: Holder, left: Sequence[Kept]) -> bool:
         for kept in left:
             if isinstance(await self._deliver(kept), Err):
                 return False
-        if not is_ready():
+        if queue.successor is not None or queue.unreported:
+            # This run still spends as an older holder.
             return False
         if self._delivered_elsewhere is None:
-            return await self._register(group, holder, None)
-        # The ledger may know that there was no time to keep anything at peers: where all
-        # were lost together, nobody else can tell.
-        is_released = await self._register(group, holder, Evidence(self._started_clock))
+            registered = await self._register(queue, holder, None)
+            return registered is not None and registered.held == 0
+        # The ledger says who may keep anything. It may also know that there was no time to
+        # keep it: where all hosts were lost together, nobody else can tell.
+        first = await self._register(queue, holder, Evidence(self._started_clock))
+        if first is None:
+            return False
         # The peers are asked in any case: from then on they keep nothing more for older runs.
-        peers = await self._delivered_elsewhere()
-        if is_released or peers is None:
-            return is_released
-        return await self._register(group, holder, Evidence(self._started_clock, True, peers))
+        emptied = await self._delivered_elsewhere(first.keepers)
+        if first.held == 0 or emptied is None:
+            return first.held == 0
+        evidence = Evidence(self._started_clock, True, *emptied)
+        second = await self._register(queue, holder, evidence)
+        return second is not None and second.held == 0
 
-    async def _register(self, group: str, holder: Holder, evidence: Evidence | None) -> bool:
-        """Return whether nothing is left with older holders."""
-        command = RegisterHolder(holder, True, self._clock.wall(), evidence)
+    async def _register(
+        self, queue: ChargeQueue, holder: Holder, evidence: Evidence | None
+    ) -> RegisterResult | None:
+        """Return the ledger's answer; ``None`` where there is none."""
+        group, contact = queue.group, queue.contact()
+        command = RegisterHolder(holder, True, self._clock.wall(), evidence, contact)
         answer = await self._ledger.register(group, command, STEP_TIMEOUT_S)
         if isinstance(answer, Err):
             log_event("INFO", "register_failed", group=group, kind=answer.err_value.kind)
-            return False
+            return None
+        queue.note_answered(contact)
         result = answer.ok_value
         log_event(
             "INFO",
@@ -87,9 +96,15 @@
             released=result.released,
             held=result.held,
             started_clock=evidence.started_clock if evidence else "",
-            peers=len(evidence.peers) if evidence else "",
+            keepers=",".join(result.keepers),
+            empty=(
+                ",".join(f"{run.host}/{run.incarnation}" for run in evidence.empty)
+                if evidence
+                else ""
+            ),
+            empty_on_disk=",".join(evidence.empty_on_disk) if evidence else "",
         )
-        return result.held == 0
+        return result
 
     async def _deliver(self, kept: Kept) -> Result[None, Refusal]:
         left = await self._report(kept.transfers)
--- a/cranberrywall/budgets/_transfers.py
+++ b/cranberrywall/budgets/_transfers.py
@@ -73,7 +73,7 @@
             given = self._given_by_asked[asked]
             return Ok(_reply(allotment, given.transfer, given.is_reported))
         queue = allotment.queue
-        if not (queue.in_reach or (queue.may_keep and self._keeper.can_keep())):
+        if not (queue.in_reach or (queue.may_keep and self._keeper.can_keep(queue.may_keep_at))):
             # The transfer could not be made durable, and its money would be stranded.
             return Ok(_reply(allotment, None, False))
         amount = allotment.take(_gift(allotment.spendable, request))
@@ -102,7 +102,9 @@
             # Whatever comes of the rest, the money is no longer ours: a write that failed
             # may still be found by a restart, which would then report the transfer.
             allotment.queue.report(transfer, None)
-            kept = await self._keeper.keep_transfer(transfer.giver, transfer)
+            kept = await self._keeper.keep(
+                Kept(transfer.giver, (transfer,), ()), allotment.queue.may_keep_at
+            )
         self._being_kept.discard(asked)
         if isinstance(kept, Err):
             return Err(kept.err_value)
@@ -263,7 +265,8 @@
             # ledger, or the keeper, before any charge against it.
             allotment.queue.report(transfer, allotment)
             if not allotment.queue.in_reach:
-                await self._keeper.keep(Kept(allotment.queue.holder, (transfer,), ()))
+                queue = allotment.queue
+                await self._keeper.keep(Kept(queue.holder, (transfer,), ()), queue.may_keep_at)
         allotment.granted(transfer.amount)
 
 
--- a/measurements/admission.py
+++ b/measurements/admission.py
@@ -75,7 +75,7 @@
     """Be the only host of the fleet; nobody calls."""
 
     def alive(self) -> list[FakeHostView]:
-        return [FakeHostView("e1", "p", "127.0.0.1:1")]
+        return [FakeHostView("e1", "p", "127.0.0.1:1", 1)]
 
     def register(self, method: object, handler: object) -> None:
         pass
--- a/tests/budgets/test_grace.py
+++ b/tests/budgets/test_grace.py
@@ -53,7 +53,10 @@
 class AnyPeer:
     """Keep all."""
 
-    async def keep(self, kept: Any) -> Result[None, Refusal]:
+    def choose(self, now: float) -> tuple[Holder, ...]:
+        return ()
+
+    async def keep(self, kept: Any, at: Any) -> Result[None, Refusal]:
         return Ok(None)
 
     async def committed(self, kept: Any) -> None:
--- a/tests/budgets/test_partitions.py
+++ b/tests/budgets/test_partitions.py
@@ -296,6 +296,36 @@
     on_fleet(story)
 
 
+def test_charges_that_only_lost_peers_kept_are_not_spent_twice_by_a_host_that_knows_nobody() -> (
+    None
+):
+    """In a cut, a host without a disk serves a request, and its charge is kept at its peers.
+
+    All of them lose their power together. The first to be back has not heard of the others yet,
+    asks none of them what they keep, and says that all who were asked hold nothing. Its part
+    comes back whole, and what was spent in the cut is spent again.
+    """
+
+    async def story(fleet: MoneyFleet) -> None:
+        await warm_up(fleet)
+        fleet.net.cut(SOUTH_AWAY)
+        spent = 200 + await spend_all(fleet, "b1", "cut", 50)
+        south = [host for host in fleet.host_by_name.values() if host.place == "south"]
+        for host in south:
+            await host.kill()
+        await fleet.clock.sleep(3.0)
+        fleet.net.mend()
+        fleet.host_by_name["b1"].knows_others = False
+        for host in south:
+            await host.start()
+        await fleet.clock.sleep(60.0)
+        for name in fleet.host_by_name:
+            spent += await spend_all(fleet, name, f"after-{name}", 10)
+        assert spent <= 10_000
+
+    on_fleet(story)
+
+
 def test_a_request_that_runs_as_its_host_is_killed_is_paid_for() -> None:
     """A host is killed while it serves; it and its peers start again at once.
 
--- a/tests/fakes/money.py
+++ b/tests/fakes/money.py
@@ -40,6 +40,7 @@
     host: str
     place: str
     links: str
+    incarnation: int
 
 
 class MoneyNet:
@@ -175,6 +176,7 @@
         self.storage = storage
         self.incarnation = 0
         self.is_up = False
+        self.knows_others = True
         self._fleet = fleet
         self.allotments: HostAllotments
 
@@ -189,7 +191,7 @@
             self.place,
             make_ledger_client(FakeControl(fleet.net, self.name), 1),
             self,
-            fleet.entry_hosts,
+            self.entry_hosts,
             FakePolicies(fleet.policy),
             links,
             links,
@@ -208,11 +210,22 @@
         """Return the hosts in reach, this one included."""
         fleet = self._fleet
         return [
-            FakeHostView(host.name, host.place, host.name)
+            FakeHostView(host.name, host.place, host.name, host.incarnation)
             for host in fleet.host_by_name.values()
-            if host.is_up and fleet.net.reaches(self.name, host.name)
+            if host.is_up and fleet.net.reaches(self.name, host.name) and self._knows(host)
         ]
 
+    def entry_hosts(self) -> list[EntryHost]:
+        """Return the hosts that this one has heard of."""
+        return [
+            EntryHost(host.name, host.place, host.storage is not None)
+            for host in self._fleet.host_by_name.values()
+            if self._knows(host)
+        ]
+
+    def _knows(self, host: "MoneyHost") -> bool:
+        return self.knows_others or host is self
+
 
 class MoneyFleet:
     """Hold the hosts of some places and one ledger group."""
@@ -242,13 +255,6 @@
         for host in self.host_by_name.values():
             await host.start()
 
-    def entry_hosts(self) -> list[EntryHost]:
-        """Return the hosts as the configuration has them."""
-        return [
-            EntryHost(host.name, host.place, host.storage is not None)
-            for host in self.host_by_name.values()
-        ]
-
     async def stop(self) -> None:
         """Stop every host that is up."""
         for host in self.host_by_name.values():
