Ask peers at once for money while the ledger is out of reach

Cause: each search for money began with a draw. Now a host that is cut off asks its peers alone, and refuses at once what they lack; while the ledger may only be changing its leader (1.5 s) nobody is refused for want of it.

Found on the way, by the stories of cut-short transfers (they ran slower before, which hid it): - A request for money that was sent again reached a later run of the peer, which gave anew under the number of the first gift: the ledger took two for one and stranded the second.

--- a/cranberrywall/budgets/_allotment.py
+++ b/cranberrywall/budgets/_allotment.py
@@ -38,7 +38,7 @@
 
     ``spendable`` may be reserved, ``reserved`` is held by requests in progress and
     ``charging`` is settled but not yet committed; the ledger books all three to us.
-    ``version`` changes whenever their sum does. ``is_checked`` is false where the ledger
+    ``version`` changes whenever their sum does. Until ``checked_until`` the ledger
     may book more to us than we know of. ``on_surplus`` is set while nothing should be
     held, and called as money comes free.
     """
@@ -47,7 +47,7 @@
         "budget",
         "charging",
         "demand",
-        "is_checked",
+        "checked_until",
         "low",
         "next_accept",
         "next_charge",
@@ -101,7 +101,7 @@
         self.scarce: Scarce | None = None
         self.used_at = now
         self.used_since_view = False
-        self.is_checked = True
+        self.checked_until = float("-inf")
         self.version = 0
         self.on_low: Callable[[], None] | None = None
         self.on_surplus: Callable[[], None] | None = None
--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -332,6 +332,11 @@
     async def _give(self, request: TakeRequest, peer: Peer) -> Result[TakeReply, Refusal]:
         if peer.host != request.taker.host:
             return Err(Refusal(ErrorKind.FORBIDDEN, "names another host", "taker"))
+        if request.giver != self._holder:
+            # An earlier run may have answered it. Answered twice, two transfers would have the
+            # same number at the taker, and the ledger would take them for one.
+            message = f"this is incarnation {self._holder.incarnation}"
+            return Err(Refusal(ErrorKind.CONFLICT, message, "giver"))
         allotment = self._by_budget.get(request.budget)
         if allotment is None:
             return Ok(TakeReply(self._holder, None, False, 0, 0))
--- a/cranberrywall/budgets/_charges.py
+++ b/cranberrywall/budgets/_charges.py
@@ -75,6 +75,7 @@
         self.group = group
         self.holder = holder
         self.in_reach = True
+        self._lost_at = float("-inf")
         self.durable = True
         self.on_reach: Callable[[bool], Awaitable[None]] | None = None
         self.successor: Holder | None = None
@@ -104,6 +105,10 @@
         charges = len(self._waiting) + len(self._under_way) + len(self._kept)
         return charges + len(self._transfers) + len(self._open_charges)
 
+    def out_of_reach_s(self, now: float) -> float:
+        """Return for how long the ledger has been out of reach, in seconds; 0 while it is not."""
+        return 0.0 if self.in_reach else now - self._lost_at
+
     @property
     def may_keep(self) -> bool:
         """Say whether charges and transfers may be kept elsewhere than at the ledger now."""
@@ -182,6 +187,7 @@
         if not self.in_reach:
             return
         self.in_reach = False
+        self._lost_at = self._clock.now()
         log_event("WARNING", "ledger_out_of_reach", group=self.group, kind=refusal.kind)
         if self.on_reach is not None:
             await self.on_reach(False)
--- a/cranberrywall/budgets/_claims.py
+++ b/cranberrywall/budgets/_claims.py
@@ -26,12 +26,12 @@
         is_same = self._version == allotment.version
         if not (self._was_settled and is_same and allotment.is_settled()):
             return 0
-        allotment.is_checked = True
         holder = allotment.queue.holder
         booked = sum(one.outstanding for one in sums.held if one.holder == holder)
         missed = booked - allotment.booked
         if missed <= 0:
             return 0
         allotment.granted(missed)
+        allotment.checked_until = float("-inf")
         log_event("INFO", "claimed", budget=allotment.budget, amount=missed)
         return missed
--- a/cranberrywall/budgets/_peer_messages.py
+++ b/cranberrywall/budgets/_peer_messages.py
@@ -13,11 +13,13 @@
     """Ask a peer for money of ``budget``: ``amount``, or at least ``minimum``.
 
     ``number`` is drawn at random and names the request: a repeated one gets the first
-    answer. ``taker_number`` is the number that a transfer will have at the taker.
+    answer. ``taker_number`` is the number that a transfer will have at the taker. ``giver`` is
+    the run that is asked: a later one does not know whether it was answered, and refuses.
     """
 
     budget: str
     workspace: str
+    giver: Holder
     taker: Holder
     number: int
     taker_number: int
--- a/cranberrywall/budgets/_recovery.py
+++ b/cranberrywall/budgets/_recovery.py
@@ -8,6 +8,11 @@
 from cranberrywall.budgets._keepers import Kept
 from cranberrywall.budgets.messages import Charge, Transfer
 
+LOST_ACCEPTS = 64
+"""Numbers that are left out after a restart: as many peers may have been asked for money whose
+answers this host never saw. Were such a number used again, the ledger would take two transfers
+for one, and strand the second."""
+
 MakeAllotment = Callable[[str, str], Allotment]
 
 
@@ -68,7 +73,7 @@
     return numbers._replace(
         charge=max([numbers.charge, *(charge.number + 1 for charge in charges)]),
         give=max([numbers.give, *(number + 1 for number in given)]),
-        accept=max([numbers.accept, *(number + 1 for number in taken)]),
+        accept=max([numbers.accept, *(number + 1 for number in taken)]) + LOST_ACCEPTS,
     )
 
 
--- a/cranberrywall/budgets/_review.py
+++ b/cranberrywall/budgets/_review.py
@@ -103,7 +103,7 @@
             return
         if isinstance(await self._steps.finish(allotment), Err):
             return
-        if not allotment.is_checked:
+        if now < allotment.checked_until:
             await self._check(allotment)
         view = allotment.view
         used = allotment.used_since_view
@@ -145,6 +145,8 @@
             await self._give_back(allotment, allotment.spendable)
 
     async def _check(self, allotment: Allotment) -> None:
+        """Take up what peers gave without this host hearing of it."""
+        await self._taker.ask_again(self._peers.alive(), allotment)
         claim = Claim(allotment)
         answer = await self._ledger.budget(BudgetQuery(allotment.budget), CHECK_TIMEOUT_S)
         if isinstance(answer, Ok) and claim.take_up(answer.ok_value):
--- a/cranberrywall/budgets/_scarcity.py
+++ b/cranberrywall/budgets/_scarcity.py
@@ -27,6 +27,9 @@
 
 # The most hosts that one round asks while the ledger cannot name those that hold money.
 PEERS_ASKED = 16
+# Nobody is refused for want of the ledger before it was out of reach for so long, in seconds: it
+# may only have changed its leader, which takes about a second.
+LEADER_CHANGE_S = 1.5
 # Rounds that found nothing follow each other at these pauses, in seconds, ever longer:
 # an exhausted budget under load costs the ledger little, and each refusal stays fresh.
 PAUSE_FIRST_S = 0.02
@@ -156,12 +159,10 @@
 
     async def _round(self) -> None:
         present = list(self._waiters)
-        was_in_reach = self._allotment.queue.in_reach
         found = await self._search()
         self.serve()
-        if found.free is not None or not was_in_reach:
-            # A ledger that was lost in this very round may only have changed its leader:
-            # it is asked once more before anybody is refused.
+        queue, now = self._allotment.queue, self._tools.clock.now()
+        if found.free is not None or queue.out_of_reach_s(now) >= LEADER_CHANGE_S:
             self._decide(present, found)
         served = all(_was_served(waiter) for waiter in present)
         longer = min(PAUSE_MOST_S, max(PAUSE_FIRST_S, self._pause_s * 2.0))
@@ -174,6 +175,8 @@
             await self._tools.clock.sleep(wait)
 
     async def _search(self) -> _Found:
+        if not self._allotment.queue.in_reach:
+            return await self._take_from_peers()
         if self._is_read_first():
             found = await self._read_and_take()
             if found is not None:
@@ -191,10 +194,23 @@
         if not self._waiters:
             return _Found(free, 0)
         if free is None:
-            await self._take_from(self._neighbours())
-            return _Found(None, 0)
+            return await self._take_from_peers()
         return await self._take_from_holders(free)
 
+    async def _take_from_peers(self) -> _Found:
+        """Take from peers alone: the ledger is out of reach, and others ask it when it is back.
+
+        A draw would wait for an answer for as long as callers wait for theirs.
+        """
+        tools = self._tools
+        await tools.taker.ask_again(tools.peers.alive(), self._allotment)
+        self.serve()
+        for peer in nearest_first(tools.peers.alive(), tools.place, tools.host)[:PEERS_ASKED]:
+            if not self._waiters:
+                break
+            await self._take(peer, None, True)
+        return _Found(None, 0)
+
     async def _draw(self) -> int | None:
         """Draw for those in line; gives what is still free, ``None`` out of reach."""
         allotment = self._allotment
@@ -216,9 +232,11 @@
         """Say whether the ledger had too little free when it was last heard.
 
         A draw would then most likely be refused, and the read that follows it tells the
-        same and more.
+        same and more. One whose answer was lost is finished first: it may have brought all.
         """
         allotment = self._allotment
+        if allotment.pending_draw is not None:
+            return False
         view = allotment.view
         is_short = view is not None and view.free < self._shortfall()
         return allotment.queue.in_reach and (self._pause_s > 0.0 or is_short)
@@ -264,10 +282,6 @@
         least = min(waiter.request.bound for waiter in self._waiters)
         return max(1, least - self._allotment.spendable)
 
-    def _neighbours(self) -> Sequence[PeerHost]:
-        tools = self._tools
-        return nearest_first(tools.peers.alive(), tools.place, tools.host)[:PEERS_ASKED]
-
     async def _take_from_holders(self, free: int) -> _Found:
         """Take from the holders that the ledger names, the largest first."""
         claim = Claim(self._allotment)
@@ -329,12 +343,6 @@
             return False
         return await self._take(peer, held.holder, is_alone)
 
-    async def _take_from(self, peers: Sequence[PeerHost]) -> None:
-        for peer in peers:
-            if not self._waiters:
-                return
-            await self._take(peer, None, True)
-
     async def _take(self, peer: PeerHost, expected: Holder | None, is_alone: bool) -> bool:
         """Take from one peer; false where the expected holder did not answer.
 
--- a/cranberrywall/budgets/_transfers.py
+++ b/cranberrywall/budgets/_transfers.py
@@ -27,6 +27,10 @@
 # Half of the above: a giver that has just lost the ledger still answers in time.
 COMMIT_TIMEOUT_S = 0.25
 PEER_REST_S = 5.0
+# What a peer gave without its answer reaching us is booked to us once it or a keeper of its
+# charges reports it: a keeper does so on its own after a minute, and a lost host's next run soon
+# after its start. The ledger is asked for so long, in seconds, at one small call a review.
+CHECK_FOR_S = 120.0
 # A giver answers a repeated request from these; a taker repeats only its last one.
 ANSWERS_KEPT = 1024
 
@@ -76,7 +80,7 @@
         if not (queue.in_reach or (queue.may_keep and self._keeper.can_keep(queue.may_keep_at))):
             # The transfer could not be made durable, and its money would be stranded.
             return Ok(_reply(allotment, None, False))
-        amount = allotment.take(_gift(allotment.spendable, request))
+        amount = allotment.take(_gift(allotment.spendable, request.amount, request.minimum))
         if amount == 0:
             return Ok(_reply(allotment, None, False))
         return await self._transfer(asked, amount, allotment)
@@ -131,21 +135,17 @@
     return TakeReply(holder, transfer, is_reported, allotment.spendable, allotment.booked)
 
 
-def _gift(spendable: int, request: TakeRequest) -> int:
-    """Return what to give.
+def _gift(spendable: int, amount: int, minimum: int) -> int:
+    """Return what to give to a peer that asks for ``amount``, or at least ``minimum``.
 
-    >>> _gift(100, TakeRequest("b", "w", Holder("a", 1), 1, 1, amount=30, minimum=10))
-    30
-    >>> _gift(100, TakeRequest("b", "w", Holder("a", 1), 1, 1, amount=90, minimum=10))
-    50
-    >>> _gift(12, TakeRequest("b", "w", Holder("a", 1), 1, 1, amount=90, minimum=10))
-    12
-    >>> _gift(8, TakeRequest("b", "w", Holder("a", 1), 1, 1, amount=90, minimum=10))
-    8
+    >>> _gift(100, amount=30, minimum=10), _gift(100, amount=90, minimum=10)
+    (30, 50)
+    >>> _gift(12, amount=90, minimum=10), _gift(8, amount=90, minimum=10)
+    (12, 8)
     """
-    gift = min(spendable, max(min(request.amount, spendable // 2), request.minimum))
+    gift = min(spendable, max(min(amount, spendable // 2), minimum))
     # What would stay is too little for a request like this one: whole parts move on.
-    return spendable if spendable - gift < request.minimum else gift
+    return spendable if spendable - gift < minimum else gift
 
 
 class Taker:
@@ -186,6 +186,7 @@
         request = TakeRequest(
             allotment.budget,
             allotment.workspace,
+            Holder(peer.host, peer.incarnation),
             holder,
             number,
             self._next_number(allotment),
@@ -222,10 +223,15 @@
         self.sent += 1
         answer = await self._caller.call(peer.links, TAKE, request, TAKE_TIMEOUT_S)
         if isinstance(answer, Err):
+            if answer.err_value.kind is ErrorKind.CONFLICT:
+                # The run that was asked is gone. What it may have given, others report.
+                allotment.checked_until = self._clock.now() + CHECK_FOR_S
+                return None
             # The peer may have given. The same request, sent again, gets what it gave.
             self._unanswered.setdefault(key, request)
-            allotment.is_checked = False
-            self._rests_until[peer.host] = self._clock.now() + PEER_REST_S
+            now = self._clock.now()
+            allotment.checked_until = now + CHECK_FOR_S
+            self._rests_until[peer.host] = now + PEER_REST_S
             return None
         reply = answer.ok_value
         if reply.transfer is not None:
--- a/tests/budgets/test_partitions.py
+++ b/tests/budgets/test_partitions.py
@@ -12,6 +12,7 @@
 from cranberrywall.errors import ErrorKind
 from tests.budgets.money_stories import (
     SOUTH_AWAY,
+    ask,
     on_fleet,
     refused,
     reserved,
@@ -326,6 +327,28 @@
     on_fleet(story)
 
 
+def test_a_host_that_is_cut_off_asks_its_peers_at_once() -> None:
+    """In a cut, a host has spent its part, and its peers hold plenty. Callers wait a second.
+
+    They were refused: each search began with a draw at the ledger, which had not answered for
+    seconds, and waited for it longer than the callers do.
+    """
+
+    async def story(fleet: MoneyFleet) -> None:
+        await warm_up(fleet)
+        fleet.net.cut(SOUTH_AWAY)
+        await spend(fleet, "b1", "notices", 10)
+        await fleet.clock.sleep(3.0)
+        allotments = fleet.host_by_name["b1"].allotments
+        held = allotments.state()["largest"]["main"]["spendable"]
+        started_at = fleet.clock.now()
+        answer = await allotments.reserve(ask(fleet, "more", held + 100, 1.0), started_at)
+        assert isinstance(answer, Ok), answer
+        assert fleet.clock.now() - started_at < 0.5
+
+    on_fleet(story)
+
+
 def test_a_request_that_runs_as_its_host_is_killed_is_paid_for() -> None:
     """A host is killed while it serves; it and its peers start again at once.
 
--- a/tests/budgets/test_peer_messages.py
+++ b/tests/budgets/test_peer_messages.py
@@ -16,7 +16,7 @@
 @pytest.mark.parametrize(
     "message",
     [
-        peer.TakeRequest("main", "clerks", B, 2**62, 4, 500, 20),
+        peer.TakeRequest("main", "clerks", A, B, 2**62, 4, 500, 20),
         peer.TakeReply(A, TRANSFER, True, 10, 30),
         peer.TakeReply(A, None, False, 0, 0),
         peer.KeepRequest(A, (TRANSFER,), (CHARGE, CHARGE)),
