--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -358,16 +358,23 @@
     async def _review_loop(self) -> None:
         while True:
             await self._clock.sleep(REVIEW_INTERVAL_S)
-            now = self._clock.now()
-            await self._store.help(now)
-            for queue in self._queue_by_group.values():
-                await queue.announce_keepers()
-            for queue in self._queues_with_money():
-                await queue.keep_in_contact()
-            for allotment in list(self._by_budget.values()):
-                await self._reviewer.review(allotment)
-                if allotment.booked == 0 and now - allotment.used_at >= FORGET_AFTER_S:
-                    self._forget(allotment)
+            await self._review_all()
+
+    async def _review_all(self) -> None:
+        now = self._clock.now()
+        # Cut off before its first request of a budget, a host would have nothing to serve
+        # it from, and nor would its peers.
+        for budget, workspace in self._policies.known_budgets():
+            self._allotment(budget, workspace)
+        await self._store.help(now)
+        for queue in self._queue_by_group.values():
+            await queue.announce_keepers()
+        for queue in self._queues_with_money():
+            await queue.keep_in_contact()
+        for allotment in list(self._by_budget.values()):
+            await self._reviewer.review(allotment)
+            if allotment.booked == 0 and now - allotment.used_at >= FORGET_AFTER_S:
+                self._forget(allotment)
 
     def _queues_with_money(self) -> list[ChargeQueue]:
         held = {one.queue.group for one in self._by_budget.values() if one.booked > 0}
--- a/cranberrywall/budgets/_scarcity.py
+++ b/cranberrywall/budgets/_scarcity.py
@@ -27,6 +27,9 @@
 
 # The most hosts that one round asks while the ledger cannot name those that hold money.
 PEERS_ASKED = 16
+# A host that is cut off asks a peer for this many times its need, so that the next requests need
+# not ask again: 1 transfer in place of 8, each of which three hosts keep and report.
+TAKE_AHEAD = 8
 # Nobody is refused for want of the ledger before it was out of reach for so long, in seconds: it
 # may only have changed its leader, which takes about a second.
 LEADER_CHANGE_S = 1.5
@@ -208,7 +211,10 @@
         for peer in nearest_first(tools.peers.alive(), tools.place, tools.host)[:PEERS_ASKED]:
             if not self._waiters:
                 break
-            await self._take(peer, None, True)
+            minimum = self._shortfall()
+            amount = max(TAKE_AHEAD * minimum, tools.wanted(self._allotment))
+            await tools.taker.take(peer, self._allotment, amount, minimum)
+            self.serve()
         return _Found(None, 0)
 
     async def _draw(self) -> int | None:
@@ -343,7 +349,7 @@
             return False
         return await self._take(peer, held.holder, is_alone)
 
-    async def _take(self, peer: PeerHost, expected: Holder | None, is_alone: bool) -> bool:
+    async def _take(self, peer: PeerHost, expected: Holder, is_alone: bool) -> bool:
         """Take from one peer; false where the expected holder did not answer.
 
         Where several are asked at once (not ``is_alone``), no more than the need is asked of each.
@@ -353,9 +359,7 @@
         amount = max(minimum, self._tools.wanted(allotment)) if is_alone else minimum
         reply = await self._tools.taker.take(peer, allotment, amount, minimum)
         self.serve()
-        if reply is None:
-            return False
-        return expected is None or reply.giver == expected
+        return reply is not None and reply.giver == expected
 
     def _decide(self, present: Sequence[_Waiter], found: _Found) -> None:
         """Refuse those of this round whom no open reservation could still cover."""
