--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -369,10 +369,6 @@
 
     async def _review_all(self) -> None:
         now = self._clock.now()
-        # Cut off before its first request of a budget, a host would have nothing to serve
-        # it from, and nor would its peers.
-        for budget, workspace in self._policies.known_budgets():
-            self._allotment(budget, workspace)
         await self._store.help(now)
         for queue in self._queues_with_money():
             await queue.keep_in_contact()
--- a/cranberrywall/budgets/_review.py
+++ b/cranberrywall/budgets/_review.py
@@ -163,11 +163,7 @@
         queue = allotment.queue
         if not queue.in_reach:
             return
-        is_first = allotment.view is None
         answer = await self._steps.draw(allotment, self.wanted(allotment), 1)
-        if is_first and isinstance(answer, Ok) and self.wanted(allotment):
-            # Only the first answer tells how much there is to hold a share of.
-            answer = await self._steps.draw(allotment, self.wanted(allotment), 1)
         if isinstance(answer, Err):
             if out_of_reach(answer.err_value):
                 await queue.lost(answer.err_value)
