--- a/cranberrywall/budgets/_charges.py
+++ b/cranberrywall/budgets/_charges.py
@@ -7,13 +7,12 @@
 
 from result import Err, Ok, Result
 
-from cranberrywall.budgets._announced import AnnouncedKeepers
 from cranberrywall.budgets._client import LedgerClient
 from cranberrywall.budgets._corrections import OpenCharges
 from cranberrywall.budgets._interfaces import SpendPolicy
 from cranberrywall.budgets._keepers import Keeper, Kept
 from cranberrywall.budgets._pending import Charged, Pending, note_outcome
-from cranberrywall.budgets._silence import Silence
+from cranberrywall.budgets._reach import Reach
 from cranberrywall.budgets._transfer_reports import TransferReports
 from cranberrywall.budgets.messages import (
     MAX_CHARGES_IN_BATCH,
@@ -51,8 +50,8 @@
 class ChargeQueue:
     """Commit one holder's charges at one ledger group; at most one batch is under way.
 
-    ``in_reach`` says whether the ledger answered last; ``durable`` whether a charge can
-    be made durable at all. ``on_reach`` is called with the new state at each change.
+    ``durable`` says whether a charge can be made durable at all. ``on_reach`` is called with
+    the new state of ``in_reach`` at each change.
     """
 
     def __init__(
@@ -69,13 +68,10 @@
         It is 0 where a journal outlives the process.
         """
         self._commit_timeout_s = QUICK_COMMIT_TIMEOUT_S if detach_after_s else COMMIT_TIMEOUT_S
-        self._silence = Silence(detach_after_s, clock.now())
+        self.reach = Reach(keeper, clock, detach_after_s)
         self._open_charges = OpenCharges()
-        self._announced = AnnouncedKeepers()
         self.group = group
         self.holder = holder
-        self.in_reach = True
-        self._lost_at = float("-inf")
         self.durable = True
         self.on_reach: Callable[[bool], Awaitable[None]] | None = None
         self.successor: Holder | None = None
@@ -105,26 +101,10 @@
         charges = len(self._waiting) + len(self._under_way) + len(self._kept)
         return charges + len(self._transfers) + len(self._open_charges)
 
-    def out_of_reach_s(self, now: float) -> float:
-        """Return for how long the ledger has been out of reach, in seconds; 0 while it is not."""
-        return 0.0 if self.in_reach else now - self._lost_at
-
     @property
-    def may_keep(self) -> bool:
-        """Say whether charges and transfers may be kept elsewhere than at the ledger now."""
-        return not self.in_reach and self._silence.left_s(self._clock.now()) <= 0.0
-
-    def may_give_unseen(self) -> bool:
-        """Say whether a transfer that the ledger has not got may go to its taker.
-
-        Not before the holder counts as cut off: the ledger would free what is given, should this
-        host be lost, while the taker spends it.
-        """
-        return self._silence.left_s(self._clock.now()) <= 0.0
-
-    def may_keep_at(self, host: str) -> bool:
-        """Say whether charges and transfers may be kept at a peer."""
-        return self._announced.allows(host)
+    def in_reach(self) -> bool:
+        """Say whether the ledger answered last."""
+        return self.reach.in_reach
 
     def state(self) -> dict[str, Any]:
         """Describe the queue, for the state dump."""
@@ -134,7 +114,7 @@
             "durable": self.durable,
             "waiting": len(self._waiting) + len(self._under_way),
             "kept": len(self._kept),
-            "keepers": self._announced.state(),
+            "keepers": self.reach.keepers(),
             "transfers_to_report": len(self._transfers),
         }
 
@@ -182,7 +162,7 @@
 
     def start_out_of_reach(self) -> None:
         """Begin without the ledger, as after a restart that goes on from a checkpoint."""
-        self.in_reach = False
+        self.reach.lose()
         self._work_came()
 
     def adopt(self, charge: Charge, allotment: Charged) -> None:
@@ -194,8 +174,7 @@
         """Note that the ledger is out of reach: charges are kept here from now on."""
         if not self.in_reach:
             return
-        self.in_reach = False
-        self._lost_at = self._clock.now()
+        self.reach.lose()
         log_event("WARNING", "ledger_out_of_reach", group=self.group, kind=refusal.kind)
         if self.on_reach is not None:
             await self.on_reach(False)
@@ -248,7 +227,7 @@
             return
         await self._finish(batch, answer.ok_value)
         if self.in_reach and not self._kept:
-            self._silence.forget_spent()
+            self.reach.forget_spent()
 
     async def _commit_corrections(self) -> Result[Any, Refusal]:
         """Correct open charges, once all charges that are kept elsewhere are committed."""
@@ -269,12 +248,12 @@
         command = Corrections(holder, corrections, self._clock.wall(), contact)
         answer = await self._ledger.correct(self.group, command, self._commit_timeout_s)
         if isinstance(answer, Ok):
-            self.note_answered(contact)
+            self.reach.note_answered(contact)
         return answer
 
     async def keep_in_contact(self) -> None:
         """Tell the ledger that this holder is there, where it had nothing to say for long."""
-        if self._silence.since(self._clock.now()) >= CONTACT_EVERY_S:
+        if self.reach.was_silent(CONTACT_EVERY_S):
             await self._make_contact()
 
     async def announce_keepers(self) -> None:
@@ -282,8 +261,7 @@
 
         In a cut, a host may spend what its peers give it, also where it held nothing before.
         """
-        keepers = self._keeper.choose(self._clock.now())
-        if keepers is not None and not self._announced.are(keepers):
+        if self.reach.has_new_keepers():
             await self._make_contact()
 
     async def _make_contact(self) -> None:
@@ -294,22 +272,11 @@
             log_event("INFO", "contact_failed", group=self.group, kind=answer.err_value.kind)
 
     def contact(self) -> Contact:
-        """Return how the ledger is reached by a command that goes out now, and remember it."""
-        now = self._clock.now()
+        """Return how the ledger is reached by a command that goes out now."""
         # Kept charges on their way may be lost with this host: a draw that overtakes them must
         # not say that nothing is kept, or the ledger would free what they have spent.
-        has_kept = bool(self._kept) or self._sends_kept
-        is_attached = self.in_reach and not has_kept and not self._transfers
-        if not is_attached:
-            return Contact(now, is_detached=True)
-        self._silence.note_heard(now)
-        chosen = self._keeper.choose(now)
-        named = None if chosen is None else self._announced.announce(chosen, now)
-        return Contact(now, is_detached=False, keepers=named)
-
-    def note_answered(self, contact: Contact) -> None:
-        """Note that the ledger has answered a command with this contact."""
-        self._announced.confirm(contact)
+        has_kept = bool(self._kept) or self._sends_kept or len(self._transfers) > 0
+        return self.reach.contact(has_kept)
 
     def _can_succeed(self) -> bool:
         return self.in_reach and not self._kept and not self._transfers
@@ -349,7 +316,7 @@
         if self.on_reach is not None:
             await self.on_reach(True)
         log_event("INFO", "ledger_in_reach", group=self.group, kept=len(self._kept))
-        self.in_reach = True
+        self.reach.find()
         self.durable = True
         self._retry_s = RETRY_FIRST_S
         if batch:
@@ -370,7 +337,7 @@
         command = ChargeBatch(self.holder, charges, self._clock.wall(), contact)
         answer = await self._ledger.charge(command, self._commit_timeout_s)
         if isinstance(answer, Ok):
-            self.note_answered(contact)
+            self.reach.note_answered(contact)
         return answer
 
     def _take_funded(self, source: deque[Pending]) -> list[Pending]:
@@ -407,11 +374,9 @@
             await self._to_keep.wait()
             self._to_keep.clear()
             while self._waiting and not self.in_reach:
-                wait_s = self._silence.left_s(self._clock.now())
+                wait_s = self.reach.until_cut_off_s()
                 batch = (
-                    self._silence.take_graced(self._waiting)
-                    if wait_s > 0.0
-                    else self._take_waiting()
+                    self.reach.take_graced(self._waiting) if wait_s > 0.0 else self._take_waiting()
                 )
                 if batch:
                     await self._keep_batch(batch)
@@ -428,7 +393,7 @@
         """Make charges durable here, and hold them until the ledger takes them."""
         charges = tuple(pending.charge for pending in batch)
         self._kept.extend(batch)
-        answer = await self._keeper.keep(Kept(self.holder, (), charges), self.may_keep_at)
+        answer = await self._keeper.keep(Kept(self.holder, (), charges), self.reach.may_keep_at)
         self.durable = isinstance(answer, Ok)
         for pending in batch:
             pending.answer(answer)
--- a/cranberrywall/budgets/_ledger_steps.py
+++ b/cranberrywall/budgets/_ledger_steps.py
@@ -63,7 +63,7 @@
         self.sent += 1
         answer = await self._ledger.draw(draw, STEP_TIMEOUT_S)
         if isinstance(answer, Ok):
-            allotment.queue.note_answered(contact)
+            allotment.queue.reach.note_answered(contact)
         if allotment.pending_draw is not draw:
             # Another task sent it as well and got the same answer: it is counted once.
             return answer
--- a/cranberrywall/budgets/_registration.py
+++ b/cranberrywall/budgets/_registration.py
@@ -87,7 +87,7 @@
         if isinstance(answer, Err):
             log_event("INFO", "register_failed", group=group, kind=answer.err_value.kind)
             return None
-        queue.note_answered(contact)
+        queue.reach.note_answered(contact)
         result = answer.ok_value
         log_event(
             "INFO",
--- a/cranberrywall/budgets/_scarcity.py
+++ b/cranberrywall/budgets/_scarcity.py
@@ -165,7 +165,7 @@
         found = await self._search()
         self.serve()
         queue, now = self._allotment.queue, self._tools.clock.now()
-        if found.free is not None or queue.out_of_reach_s(now) >= LEADER_CHANGE_S:
+        if found.free is not None or queue.reach.out_of_reach_s(now) >= LEADER_CHANGE_S:
             self._decide(present, found)
         served = all(_was_served(waiter) for waiter in present)
         longer = min(PAUSE_MOST_S, max(PAUSE_FIRST_S, self._pause_s * 2.0))
--- a/cranberrywall/budgets/_transfers.py
+++ b/cranberrywall/budgets/_transfers.py
@@ -77,7 +77,10 @@
             given = self._given_by_asked[asked]
             return Ok(_reply(allotment, given.transfer, given.is_reported))
         queue = allotment.queue
-        if not (queue.in_reach or (queue.may_keep and self._keeper.can_keep(queue.may_keep_at))):
+        if not (
+            queue.in_reach
+            or (queue.reach.may_keep and self._keeper.can_keep(queue.reach.may_keep_at))
+        ):
             # The transfer could not be made durable, and its money would be stranded.
             return Ok(_reply(allotment, None, False))
         amount = allotment.take(_gift(allotment.spendable, request.amount, request.minimum))
@@ -118,11 +121,13 @@
     async def _keep(self, transfer: Transfer, allotment: Allotment) -> Result[None, Refusal]:
         """Have peers keep a transfer that the ledger has not got, for as long as it takes."""
         queue = allotment.queue
-        if not queue.may_give_unseen():
+        if not queue.reach.may_give_unseen:
             # It was begun in the ledger's sight. The ledger will book it to the taker, who finds
             # it there.
             return Err(Refusal(ErrorKind.BUDGET_UNREACHABLE, "the ledger did not answer"))
-        return await self._keeper.keep(Kept(transfer.giver, (transfer,), ()), queue.may_keep_at)
+        return await self._keeper.keep(
+            Kept(transfer.giver, (transfer,), ()), queue.reach.may_keep_at
+        )
 
     async def _commit(self, transfer: Transfer, allotment: Allotment) -> bool:
         """Have the ledger commit the transfer, where it is in reach: one message for both."""
@@ -279,7 +284,9 @@
             allotment.queue.report(transfer, allotment)
             if not allotment.queue.in_reach:
                 queue = allotment.queue
-                await self._keeper.keep(Kept(queue.holder, (transfer,), ()), queue.may_keep_at)
+                await self._keeper.keep(
+                    Kept(queue.holder, (transfer,), ()), queue.reach.may_keep_at
+                )
         allotment.granted(transfer.amount)
 
 
