Share the fleet's slack of retries among all entry hosts that are known

Cause: each host took a tenth of the slack, however many there are: 58 hosts could retry 905 times where the bound allows 156 beyond its share. Now a host's part is that of all hosts that were ever known at once, ten at least; it never grows, as each side of a cut sees few hosts and their parts would add up to more than the bound.

The stories of 58 hosts, in tests/routing/test_retry_parts.py, hold now.

--- a/cranberrywall/platform/front.py
+++ b/cranberrywall/platform/front.py
@@ -21,8 +21,10 @@
 RETRIES_KEPT_BACK = 0.8
 """Share of the fleet's bound on retries that hosts use: their clocks and windows differ."""
 
-SHARING_HOSTS = 10
-"""Hosts that share what the bound allows beyond its share of requests, at least."""
+LEAST_SHARERS = 10
+"""Hosts that share what the bound allows beyond its share of requests, at least.
+
+A host that has just started knows of few others."""
 
 
 class _Program:
@@ -61,8 +63,9 @@
     # requests are spread over the hosts.
     return RetryLimits(
         share=RETRIES_KEPT_BACK * boot.retry_share,
-        saved=RETRIES_KEPT_BACK * boot.retry_slack / SHARING_HOSTS,
+        saved=RETRIES_KEPT_BACK * boot.retry_slack,
         every_s=float("inf"),
+        sharers=LEAST_SHARERS,
     )
 
 
--- a/cranberrywall/routing/_candidates.py
+++ b/cranberrywall/routing/_candidates.py
@@ -7,7 +7,7 @@
 import xxhash
 
 from cranberrywall.routing._limits import ConcurrencyLimit, Own
-from cranberrywall.routing._retries import RetryBudget, RetryLimits
+from cranberrywall.routing._retries import RetryBudget
 from cranberrywall.routing._waits import Work
 from cranberrywall.targets import TTL_S, Announcement, Health, Load, LoadEstimate, Usual
 
@@ -64,7 +64,7 @@
         draw: float,
         now: float,
         slow_start: bool,
-        retry_limits: RetryLimits | None = None,
+        retries: RetryBudget | None = None,
     ) -> None:
         self.announcement = announcement
         self.distance_s = distance_s
@@ -72,7 +72,7 @@
         self.load = LoadEstimate()
         self.limit = ConcurrencyLimit(announcement.capacity, hosts, draw)
         self.health = Health(now, slow_start)
-        self.retries = RetryBudget(now, retry_limits)
+        self.retries = retries or RetryBudget(now)
         self.pending_blocks = 0
         self._renewed_at = now
         self._extra = ceil(announcement.capacity / hosts)
--- a/cranberrywall/routing/_pool.py
+++ b/cranberrywall/routing/_pool.py
@@ -56,7 +56,7 @@
         self.candidates: list[Candidate] = []
         self.prefixes = PrefixIndex()
         self.waits = WaitModel()
-        self.retries = RetryBudget(now, retry_limits)
+        self.retries = RetryBudget(now, retry_limits, count_hosts)
         self._retry_limits = retry_limits
         self._clock = clock
         self._random = random
@@ -213,7 +213,7 @@
             self._random.random(),
             now,
             slow_start=now - self._started_at > KNOWN_AFTER_S,
-            retry_limits=self._retry_limits,
+            retries=RetryBudget(now, self._retry_limits, self._count_hosts),
         )
         self.candidate_by_id[announcement.target] = candidate
         self.prefixes.put(announcement.target, announcement.incarnation)
--- a/cranberrywall/routing/_retries.py
+++ b/cranberrywall/routing/_retries.py
@@ -1,5 +1,6 @@
 """Bound retries to a share of first attempts, so that an outage breeds no storm."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 RETRY_SHARE = 0.1
@@ -16,30 +17,40 @@
     """Bound one host's retries; the hosts' bounds add up to the fleet's.
 
     ``share`` are the retries that each first attempt pays for, ``saved`` those that can be
-    saved up, and one is allowed every ``every_s`` seconds in any case.
+    saved up, and one is allowed every ``every_s`` seconds in any case. Where ``sharers`` is
+    above 0, the hosts share what is ``saved`` among them, that many at least.
     """
 
     share: float = RETRY_SHARE
     saved: float = MOST_SAVED
     every_s: float = EVERY_S
+    sharers: int = 0
 
 
 class RetryBudget:
     """Save a part of a retry with each first attempt, and spend one with each retry."""
 
-    def __init__(self, now: float, limits: RetryLimits | None = None) -> None:
+    def __init__(
+        self,
+        now: float,
+        limits: RetryLimits | None = None,
+        count_hosts: Callable[[], int] = lambda: 1,
+    ) -> None:
         self._limits = limits or RetryLimits()
-        self._saved = self._limits.saved / 2
+        self._count_hosts = count_hosts
+        self._most_hosts = self._limits.sharers
+        self._saved = self._most_saved() / 2
         self._updated_at = now
 
     def first_attempt(self, now: float) -> None:
         """Pay in for one first attempt."""
         self._refill(now)
-        self._saved = min(self._limits.saved, self._saved + self._limits.share)
+        self._saved = min(self._most_saved(), self._saved + self._limits.share)
 
     def allows(self, now: float) -> bool:
         """Say whether a retry may be made."""
         self._refill(now)
+        self._saved = min(self._saved, max(1.0, self._most_saved()))
         return self._saved >= 1.0
 
     def spend(self, now: float) -> None:
@@ -52,6 +63,17 @@
         self._refill(now)
         return max(0.0, 1.0 - self._saved) * self._limits.every_s
 
+    def _most_saved(self) -> float:
+        """Return what this host may save up.
+
+        Its part never grows: in a cut, each side sees few hosts, and the parts of both sides
+        would add up to more than all may save.
+        """
+        if not self._limits.sharers:
+            return self._limits.saved
+        self._most_hosts = max(self._most_hosts, self._count_hosts())
+        return self._limits.saved / self._most_hosts
+
     def _refill(self, now: float) -> None:
         # Only a slow trickle: what is saved while nothing runs must not pay for a storm.
         elapsed = max(0.0, now - self._updated_at)
--- /dev/null
+++ b/tests/routing/test_retry_parts.py
@@ -0,0 +1,53 @@
+"""Check that the retries of all hosts keep to the fleet's bound together."""
+
+from cranberrywall.routing import RetryLimits
+from cranberrywall.routing._retries import RetryBudget
+
+SLACK = 156.0
+LIMITS = RetryLimits(share=0.2, saved=SLACK, every_s=float("inf"), sharers=10)
+
+
+def spend_all(budgets: list[RetryBudget], now: float) -> int:
+    """Retry at each host for as long as it allows it; gives the sum."""
+    spent = 0
+    for budget in budgets:
+        while budget.allows(now):
+            budget.spend(now)
+            spent += 1
+    return spent
+
+
+def test_the_parts_of_many_hosts_add_up_to_the_bound() -> None:
+    """All targets fail at once, and each of 58 hosts retries what it has saved up.
+
+    Together they retried six times what the fleet may: each took a tenth of it.
+    """
+    budgets = [RetryBudget(0.0, LIMITS, lambda: 58) for _ in range(58)]
+    for budget in budgets:
+        for _ in range(500):
+            budget.first_attempt(1.0)
+    assert 0.5 * SLACK <= spend_all(budgets, 2.0) <= SLACK
+
+
+def test_a_part_does_not_grow_where_fewer_hosts_are_seen() -> None:
+    """The fleet is cut into halves, and each host sees half of the others."""
+    seen = [58]
+    budgets = [RetryBudget(0.0, LIMITS, lambda: seen[0]) for _ in range(58)]
+    for budget in budgets:
+        budget.first_attempt(0.5)
+    seen[0] = 29
+    for budget in budgets:
+        for _ in range(500):
+            budget.first_attempt(1.0)
+    assert spend_all(budgets, 2.0) <= SLACK
+
+
+def test_a_part_that_shrinks_is_not_spent_as_it_was() -> None:
+    """A host hears of the others only after it has saved up a tenth."""
+    seen = [1]
+    budgets = [RetryBudget(0.0, LIMITS, lambda: seen[0]) for _ in range(58)]
+    for budget in budgets:
+        for _ in range(500):
+            budget.first_attempt(1.0)
+    seen[0] = 58
+    assert spend_all(budgets, 2.0) <= SLACK
