--- a/cranberrywall/budgets/_announced.py
+++ b/cranberrywall/budgets/_announced.py
@@ -13,6 +13,7 @@
     keepers: frozenset[Holder]
 
     def names(self, host: str) -> bool:
+        """Say whether a run of the host is among the keepers."""
         return any(keeper.host == host for keeper in self.keepers)
 
 
@@ -47,15 +48,16 @@
             self._unanswered.append(_Announcement(now, named))
         return tuple(sorted(named))
 
-    def confirm(self, contact: Contact) -> None:
-        """Note that the ledger has answered a command with this contact."""
-        answered = self._answered
+    def confirm(self, contact: Contact) -> bool:
+        """Note that the ledger has answered a command; say whether it names others now."""
+        last = self._answered
         if contact.is_detached or contact.keepers is None:
-            return
-        if answered is not None and contact.clock < answered.clock:
-            return
+            return False
+        if last is not None and contact.clock < last.clock:
+            return False
         self._answered = _Announcement(contact.clock, frozenset(contact.keepers))
         self._unanswered = [one for one in self._unanswered if one.clock > contact.clock]
+        return last is None or last.keepers != self._answered.keepers
 
     def allows(self, host: str) -> bool:
         """Say whether something may be kept at a host now.
--- a/cranberrywall/budgets/_charges.py
+++ b/cranberrywall/budgets/_charges.py
@@ -68,7 +68,7 @@
         It is 0 where a journal outlives the process.
         """
         self._commit_timeout_s = QUICK_COMMIT_TIMEOUT_S if detach_after_s else COMMIT_TIMEOUT_S
-        self.reach = Reach(keeper, clock, detach_after_s)
+        self.reach = Reach(group, keeper, clock, detach_after_s)
         self._open_charges = OpenCharges()
         self.group = group
         self.holder = holder
--- a/cranberrywall/budgets/_reach.py
+++ b/cranberrywall/budgets/_reach.py
@@ -7,6 +7,7 @@
 from cranberrywall.budgets._pending import Pending
 from cranberrywall.budgets._silence import Silence
 from cranberrywall.budgets.messages import Contact
+from cranberrywall.observability import log_event
 from cranberrywall.runtime import Clock
 
 
@@ -16,8 +17,9 @@
     ``in_reach`` says whether the ledger answered last.
     """
 
-    def __init__(self, keeper: Keeper, clock: Clock, detach_after_s: float) -> None:
+    def __init__(self, group: str, keeper: Keeper, clock: Clock, detach_after_s: float) -> None:
         """``detach_after_s`` is the silence towards the ledger before anything is kept."""
+        self._group = group
         self.in_reach = True
         self._lost_at = float("-inf")
         self._silence = Silence(detach_after_s, clock.now())
@@ -83,7 +85,9 @@
 
     def note_answered(self, contact: Contact) -> None:
         """Note that the ledger has answered a command with this contact."""
-        self._announced.confirm(contact)
+        if self._announced.confirm(contact):
+            keepers = ",".join(self._announced.state())
+            log_event("INFO", "keepers_named", group=self._group, keepers=keepers)
 
     def has_new_keepers(self) -> bool:
         """Say whether others should keep from now on than the ledger knows of."""
@@ -91,7 +95,7 @@
         return chosen is not None and not self._announced.are(chosen)
 
     def take_graced(self, waiting: deque[Pending]) -> list[Pending]:
-        """Take out the charges that the grace of their budgets covers, and count them to it."""
+        """Take out the charges that may be kept before the holder counts as cut off."""
         return self._silence.take_graced(waiting)
 
     def forget_spent(self) -> None:
--- a/cranberrywall/budgets/_registration.py
+++ b/cranberrywall/budgets/_registration.py
@@ -97,11 +97,7 @@
             held=result.held,
             started_clock=evidence.started_clock if evidence else "",
             keepers=",".join(result.keepers),
-            empty=(
-                ",".join(f"{run.host}/{run.incarnation}" for run in evidence.empty)
-                if evidence
-                else ""
-            ),
+            empty=",".join(map(_text_of, evidence.empty)) if evidence else "",
             empty_on_disk=",".join(evidence.empty_on_disk) if evidence else "",
         )
         return result
@@ -136,3 +132,7 @@
         tuple(one for one in kept.transfers if ledger.group(one.budget) == group),
         tuple(one for one in kept.charges if ledger.group(one.budget) == group),
     )
+
+
+def _text_of(run: Holder) -> str:
+    return f"{run.host}/{run.incarnation}"
