--- a/cranberrywall/budgets/_scarcity.py
+++ b/cranberrywall/budgets/_scarcity.py
@@ -17,19 +17,17 @@
 from cranberrywall.budgets._interfaces import PeerHost, Peers, ReserveRequest
 from cranberrywall.budgets._keepers import out_of_reach
 from cranberrywall.budgets._ledger_steps import STEP_TIMEOUT_S, LedgerSteps
+from cranberrywall.budgets._peer_messages import TakeReply
 from cranberrywall.budgets._reservation import HeldReservation
 from cranberrywall.budgets._sizing import view_of
 from cranberrywall.budgets._transfers import Taker, nearest_first
-from cranberrywall.budgets.messages import BudgetQuery, BudgetResult, HeldAmount, Holder
+from cranberrywall.budgets.messages import BudgetQuery, BudgetResult, HeldAmount
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.observability import log_event
 from cranberrywall.runtime import Clock
 
 # The most hosts that one round asks while the ledger cannot name those that hold money.
 PEERS_ASKED = 16
-# A host that is cut off asks a peer for this many times its need, so that the next requests need
-# not ask again: 1 transfer in place of 8, each of which three hosts keep and report.
-TAKE_AHEAD = 8
 # Nobody is refused for want of the ledger before it was out of reach for so long, in seconds: it
 # may only have changed its leader, which takes about a second.
 LEADER_CHANGE_S = 1.5
@@ -211,10 +209,7 @@
         for peer in nearest_first(tools.peers.alive(), tools.place, tools.host)[:PEERS_ASKED]:
             if not self._waiters:
                 break
-            minimum = self._shortfall()
-            amount = max(TAKE_AHEAD * minimum, tools.wanted(self._allotment))
-            await tools.taker.take(peer, self._allotment, amount, minimum)
-            self.serve()
+            await self._take(peer, True)
         return _Found(None, 0)
 
     async def _draw(self) -> int | None:
@@ -347,10 +342,11 @@
         peer = peer_by_host.get(held.holder.host)
         if peer is None:
             return False
-        return await self._take(peer, held.holder, is_alone)
+        reply = await self._take(peer, is_alone)
+        return reply is not None and reply.giver == held.holder
 
-    async def _take(self, peer: PeerHost, expected: Holder, is_alone: bool) -> bool:
-        """Take from one peer; false where the expected holder did not answer.
+    async def _take(self, peer: PeerHost, is_alone: bool) -> TakeReply | None:
+        """Take from one peer; ``None`` where it did not answer.
 
         Where several are asked at once (not ``is_alone``), no more than the need is asked of each.
         """
@@ -359,7 +355,7 @@
         amount = max(minimum, self._tools.wanted(allotment)) if is_alone else minimum
         reply = await self._tools.taker.take(peer, allotment, amount, minimum)
         self.serve()
-        return reply is not None and reply.giver == expected
+        return reply
 
     def _decide(self, present: Sequence[_Waiter], found: _Found) -> None:
         """Refuse those of this round whom no open reservation could still cover."""
