--- a/tests/budgets/test_partitions.py
+++ b/tests/budgets/test_partitions.py
@@ -1,6 +1,7 @@
 """Cut hosts from the ledger and from each other: nothing is overspent, little refused."""
 
 import asyncio
+from functools import partial
 from typing import Literal
 
 import pytest
@@ -274,6 +275,31 @@
     on_fleet(story, disks=("b1",))
 
 
+async def spend_in_a_cut_and_lose_the_south(
+    fleet: MoneyFleet, dark_s: float, knows_others: bool
+) -> None:
+    """Spend in the south while it is cut off, lose all its hosts there, and spend what is left.
+
+    No more than the budget may be spent. ``knows_others`` says whether the first host that is
+    back has heard of its peers.
+    """
+    await warm_up(fleet)
+    fleet.net.cut(SOUTH_AWAY)
+    spent = 200 + await spend_all(fleet, "b1", "cut", 50)
+    south = [host for host in fleet.host_by_name.values() if host.place == "south"]
+    for host in south:
+        await host.kill()
+    await fleet.clock.sleep(dark_s)
+    fleet.net.mend()
+    fleet.host_by_name["b1"].knows_others = knows_others
+    for host in south:
+        await host.start()
+    await fleet.clock.sleep(60.0)
+    for name in fleet.host_by_name:
+        spent += await spend_all(fleet, name, f"after-{name}", 10)
+    assert spent <= 10_000
+
+
 def test_charges_that_only_lost_peers_kept_are_not_spent_twice() -> None:
     """In a cut, a host without a disk serves a request, and its charge is kept at its peers.
 
@@ -281,22 +307,7 @@
     the part of the lost host would come back whole, and the request's money with it.
     """
 
-    async def story(fleet: MoneyFleet) -> None:
-        await warm_up(fleet)
-        fleet.net.cut(SOUTH_AWAY)
-        spent = 200 + await spend_all(fleet, "b1", "cut", 50)
-        south = [host for host in fleet.host_by_name.values() if host.place == "south"]
-        for host in south:
-            await host.kill()
-        fleet.net.mend()
-        for host in south:
-            await host.start()
-        await fleet.clock.sleep(60.0)
-        for name in fleet.host_by_name:
-            spent += await spend_all(fleet, name, f"after-{name}", 10)
-        assert spent <= 10_000
-
-    on_fleet(story)
+    on_fleet(partial(spend_in_a_cut_and_lose_the_south, dark_s=0.0, knows_others=True))
 
 
 def test_charges_that_only_lost_peers_kept_are_not_spent_twice_by_a_host_that_knows_nobody() -> (
@@ -309,24 +320,7 @@
     comes back whole, and what was spent in the cut is spent again.
     """
 
-    async def story(fleet: MoneyFleet) -> None:
-        await warm_up(fleet)
-        fleet.net.cut(SOUTH_AWAY)
-        spent = 200 + await spend_all(fleet, "b1", "cut", 50)
-        south = [host for host in fleet.host_by_name.values() if host.place == "south"]
-        for host in south:
-            await host.kill()
-        await fleet.clock.sleep(3.0)
-        fleet.net.mend()
-        fleet.host_by_name["b1"].knows_others = False
-        for host in south:
-            await host.start()
-        await fleet.clock.sleep(60.0)
-        for name in fleet.host_by_name:
-            spent += await spend_all(fleet, name, f"after-{name}", 10)
-        assert spent <= 10_000
-
-    on_fleet(story)
+    on_fleet(partial(spend_in_a_cut_and_lose_the_south, dark_s=3.0, knows_others=False))
 
 
 def test_a_host_that_is_cut_off_asks_its_peers_at_once() -> None:
