Never claim, or number twice, what is on its way between two hosts

A host that gives takes the amount out of its part and waits for the ledger. Meanwhile its own search, or its review, reads the ledger, finds more booked than held, and claims the amount back. A gift that neither the ledger nor peers confirmed was forgotten though it is reported later. Asked again, the giver gave another amount under the same number, or said that the number was free. The ledger books one amount for a number; both were spent.

--- a/cranberrywall/budgets/_allotment.py
+++ b/cranberrywall/budgets/_allotment.py
@@ -4,7 +4,8 @@
 is whole before the next begins, so there is one writer and no lock.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Any, NamedTuple, Protocol
 
 from cranberrywall.budgets._charges import ChargeQueue
@@ -67,6 +68,7 @@
         "settled_since_review",
         "spendable",
         "total_demand",
+        "transfers_under_way",
         "used_at",
         "used_since_view",
         "version",
@@ -101,6 +103,7 @@
         self.scarce: Scarce | None = None
         self.used_at = now
         self.used_since_view = False
+        self.transfers_under_way = 0
         self.checked_until = float("-inf")
         self.version = 0
         self.on_low: Callable[[], None] | None = None
@@ -231,10 +234,28 @@
         self.spendable -= amount
         self.version += 1
 
+    @contextmanager
+    def transferring(self) -> Iterator[None]:
+        """Count a transfer with a peer as under way while the block runs.
+
+        The ledger may have it before or after this host counts it. What the ledger books to
+        this host is then no measure of what it holds: claimed as missing, the amount would be
+        spent by both hosts of the transfer, or twice by its taker.
+        """
+        self.transfers_under_way += 1
+        self.version += 1
+        try:
+            yield
+        finally:
+            self.transfers_under_way -= 1
+            self.version += 1
+
     def is_settled(self) -> bool:
         """Say whether every step of this budget is known to the ledger, and none under way."""
         has_step = self.pending_draw is not None or self.pending_return is not None
-        return self.queue.in_reach and self.queue.uncommitted == 0 and not has_step
+        if has_step or self.transfers_under_way:
+            return False
+        return self.queue.in_reach and self.queue.uncommitted == 0
 
     def heard(self, view: LedgerView) -> None:
         """Note the ledger's sums, and what all hosts spent since the last ones."""
--- a/cranberrywall/budgets/_transfers.py
+++ b/cranberrywall/budgets/_transfers.py
@@ -43,8 +43,11 @@
 
 
 class _Given(NamedTuple):
+    """Hold a transfer that has left this host; ``is_durable`` says that its taker may have it."""
+
     transfer: Transfer
     is_reported: bool
+    is_durable: bool
 
 
 class _Line(NamedTuple):
@@ -74,8 +77,7 @@
         if asked in self._being_kept:
             return Err(Refusal(ErrorKind.NOT_READY, "the transfer is being made durable"))
         if asked in self._given_by_asked:
-            given = self._given_by_asked[asked]
-            return Ok(_reply(allotment, given.transfer, given.is_reported))
+            return self._give_again(asked, allotment)
         queue = allotment.queue
         if not (
             queue.in_reach
@@ -86,7 +88,8 @@
         amount = allotment.take(_gift(allotment.spendable, request.amount, request.minimum))
         if amount == 0:
             return Ok(_reply(allotment, None, False))
-        return await self._transfer(asked, amount, allotment)
+        with allotment.transferring():
+            return await self._transfer(asked, amount, allotment)
 
     async def _transfer(
         self, asked: _Asked, amount: int, allotment: Allotment
@@ -111,13 +114,24 @@
             allotment.queue.report(transfer, None)
             kept = await self._keep(transfer, allotment)
         self._being_kept.discard(asked)
+        # Also where it could not be kept: it will be reported under the taker's number. Asked
+        # again, this host would give another amount under that number, or say that the number
+        # is free; the ledger would book one of the two amounts only, and both would be spent.
+        self._remember(asked, _Given(transfer, is_reported, isinstance(kept, Ok)))
         if isinstance(kept, Err):
             return Err(kept.err_value)
-        self._remember(asked, _Given(transfer, is_reported))
         self.given += 1
         log_event("INFO", "transfer_given", budget=asked.budget, to=asked.taker.host, amount=amount)
         return Ok(_reply(allotment, transfer, is_reported))
 
+    def _give_again(self, asked: _Asked, allotment: Allotment) -> Result[TakeReply, Refusal]:
+        """Answer a request that is repeated as it was answered first."""
+        given = self._given_by_asked[asked]
+        if not given.is_durable and given.transfer in allotment.queue.unreported:
+            return Err(Refusal(ErrorKind.NOT_READY, "the transfer is not durable yet"))
+        # Where the ledger refused it meanwhile, the taker's own report finds that out.
+        return Ok(_reply(allotment, given.transfer, given.is_reported))
+
     async def _keep(self, transfer: Transfer, allotment: Allotment) -> Result[None, Refusal]:
         """Have peers keep a transfer that the ledger has not got, for as long as it takes."""
         queue = allotment.queue
@@ -231,6 +245,17 @@
         key: _Line,
         request: TakeRequest,
         allotment: Allotment,
+    ) -> TakeReply | None:
+        """Ask, and add what is given; the request is remembered where no answer came."""
+        with allotment.transferring():
+            return await self._ask_and_accept(peer, key, request, allotment)
+
+    async def _ask_and_accept(
+        self,
+        peer: PeerHost,
+        key: _Line,
+        request: TakeRequest,
+        allotment: Allotment,
     ) -> TakeReply | None:
         self.sent += 1
         answer = await self._caller.call(peer.links, TAKE, request, TAKE_TIMEOUT_S)
--- a/tests/budgets/test_lost_steps.py
+++ b/tests/budgets/test_lost_steps.py
@@ -1,11 +1,15 @@
 """Lose messages, hosts and leaders in the middle of moving money: none is doubled."""
 
 import asyncio
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 from result import Err, Ok
 
+from cranberrywall.budgets import SpendPolicy
+from cranberrywall.budgets._allotment import Allotment
+from cranberrywall.budgets._claims import Claim
 from cranberrywall.budgets._peer_messages import TakeRequest
 from cranberrywall.budgets.messages import LEDGER_CODEC, ChargeBatch, Draw, Holder, Return
 from cranberrywall.errors import ErrorKind
@@ -312,3 +316,27 @@
         assert allotment.booked == held["a1"]
 
     on_fleet(story)
+
+
+def test_nothing_is_claimed_while_a_transfer_is_under_way() -> None:
+    """A host reads the ledger in the moment in which it gives an amount to a peer.
+
+    The ledger still books the amount to it. Were it claimed, both hosts would spend it.
+    """
+
+    async def story(fleet: MoneyFleet) -> None:
+        fleet.credit("main", 1_000)
+        (await reserved(fleet, "b1", "one", 100)).release(fleet.clock.now())
+        allotment = Allotment("main", "clerks", SpendPolicy(), settled_queue("b1"), 0.0)
+        claims = [Claim(allotment)]
+        with allotment.transferring():
+            claims.append(Claim(allotment))
+        assert [claim.take_up(fleet.sums("main")) for claim in claims] == [0, 0]
+        assert Claim(allotment).take_up(fleet.sums("main")) > 0
+
+    on_fleet(story)
+
+
+def settled_queue(host: str) -> Any:
+    """Return a queue of the host's first run that the ledger knows all of."""
+    return SimpleNamespace(in_reach=True, uncommitted=0, holder=Holder(host, 1))
--- a/tests/fakes/money.py
+++ b/tests/fakes/money.py
@@ -47,7 +47,7 @@
     """Carry calls between nodes; ``side_by_node`` cuts, ``lose_reply`` loses single replies.
 
     ``lose_reply`` and ``lose_request`` are asked with the caller, the node called and the
-    request.
+    request. Each way of a call takes ``delay_s`` and what ``extra_delay_s`` returns, in seconds.
     """
 
     def __init__(self, machine: StateMachine, clock: Clock, delay_s: float = 0.0015) -> None:
@@ -58,6 +58,7 @@
         self.handlers: dict[str, dict[str, Callable[..., Any]]] = {}
         self.lose_request: Callable[[str, str, Any], bool] = lambda *_: False
         self.lose_reply: Callable[[str, str, Any], bool] = lambda *_: False
+        self.extra_delay_s: Callable[[], float] = lambda: 0.0
         self.calls = 0
         self.ledger_calls = 0
         self.charge_calls = 0
@@ -85,13 +86,13 @@
         """Deliver one call and its reply, or time out."""
         self.calls += 1
         started_at = self.clock.now()
-        await self.clock.sleep(self.delay_s)
+        await self.clock.sleep(self.delay_s + self.extra_delay_s())
         if not self.reaches(source, sink) or self.lose_request(source, sink, request):
             return await self._timed_out(started_at, timeout)
         reply: Any = answer()
         if asyncio.iscoroutine(reply):
             reply = await reply
-        await self.clock.sleep(self.delay_s)
+        await self.clock.sleep(self.delay_s + self.extra_delay_s())
         if not self.reaches(source, sink) or self.lose_reply(source, sink, request):
             return await self._timed_out(started_at, timeout)
         result: Result[Any, Refusal] = reply
