Order what targets say by their starts; let nobody else's message move a target

A target may start again under the id that it had, and its counts begin anew. Heartbeats and leaves are ordered by start, then count; what was believed of the earlier run is dropped with its candidate. Heartbeats by another writer (fields that lack, of another type, unknown states and services) name no target: control refuses them, says why in one line, and what is known holds.

Seen in tests first: a heartbeat of an earlier start with the higher count overtook the later one; a beat under another service's name took a target from its own.

--- a/cranberrywall/commands/_control_program.py
+++ b/cranberrywall/commands/_control_program.py
@@ -140,7 +140,7 @@
     }
     machine_by_group = {CONFIGURATION_GROUP: machine, **ledger_by_group}
     host = _make_host(settings, runtime, machine_by_group, caller, server)
-    ties = ControlTies(settings, runtime, me, host)
+    ties = ControlTies(settings, runtime, me, host, machine.configuration)
     raiser = make_credit_raiser(host, ledger_by_group, machine.configuration, runtime)
     feed = _make_feed(settings, machine.configuration, caller, ties)
     feed.register(server)
--- a/cranberrywall/commands/_control_ties.py
+++ b/cranberrywall/commands/_control_ties.py
@@ -1,6 +1,7 @@
 """Make what ties a control host to hosts that it is not told of: they enrol, and it enlists."""
 
-from collections.abc import Callable, Coroutine, Iterable, Sequence
+from collections.abc import Callable, Coroutine, Iterable, Mapping, Sequence
+from functools import partial
 from typing import Any
 
 from result import Result
@@ -54,7 +55,14 @@
 class ControlTies:
     """Hold what a control host knows of hosts beyond its groups, and its client of the groups."""
 
-    def __init__(self, settings: Settings, runtime: Runtime, me: Peer, host: ControlHost) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        runtime: Runtime,
+        me: Peer,
+        host: ControlHost,
+        machine: ConfigurationMachine,
+    ) -> None:
         self._settings = settings
         self._host = host
         clock, random = runtime.clock, runtime.random
@@ -62,7 +70,8 @@
         self.enrolments.register(host.server)
         self.contacts = self._make_contacts(runtime, me)
         self.client: MembersClient = make_control_client(host.caller, clock, self.controls, random)
-        self.relay = TargetRelay(self._entry_links, host.caller, clock)
+        kinds = partial(_target_kinds, machine)
+        self.relay = TargetRelay(self._entry_links, host.caller, clock, kinds)
         links = settings["listen"]["links"]
         self._enlistment = Enlistment(me.host, links, host.unheard, self._enlist, clock)
 
@@ -125,3 +134,14 @@
         for name, budget in document["budgets"].items()
         if "total" in budget
     ]
+
+
+def _target_kinds(machine: ConfigurationMachine) -> Mapping[str, str] | None:
+    newest = machine.document_at()
+    if newest is None or not newest.revision:
+        return None
+    document = newest.document
+    kind_by_name = dict.fromkeys(document["models"], "engine")
+    for name, service in document["services"].items():
+        kind_by_name[name] = "engine" if service.get("engine") else "service"
+    return kind_by_name
--- a/cranberrywall/platform/_announcements.py
+++ b/cranberrywall/platform/_announcements.py
@@ -1,64 +1,101 @@
 """Decode what targets tell control into announcements."""
 
+from typing import Annotated
+
 import msgspec
 from result import Err, Ok, Result
 
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.targets import Announcement
 
+_READY = "ready"
 _LEAVING = "draining"
+_STATES = (_READY, _LEAVING)
 _REMEDY = "send the fields of a heartbeat as they are listed"
+_MOST = 2**63 - 1
+
+_Number = Annotated[int, msgspec.Meta(ge=0, le=_MOST)]
+_Text = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+_Address = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+
+
+class _Model(msgspec.Struct):
+    name: _Text
 
 
 class _Heartbeat(msgspec.Struct):
-    service: str
-    addr: str
-    call_seq: int  # rises with each call of one instance, which is one start of a target
+    service: _Text
+    addr: _Address
+    call_seq: _Number  # rises with each call of one start of a target
+    born: _Number = 0  # wall milliseconds of that start; a target may start again under its id
     zone: str = ""
-    slots: int = 1
-    state: str = "ready"
-    models: list[msgspec.Raw] = []  # there for model engines only
+    slots: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] = 1
+    state: str = _READY
+    models: list[_Model] = []  # there for model engines only
+
+
+class _Leave(msgspec.Struct):
+    born: _Number | None = None
 
 
 _decoder = msgspec.json.Decoder(_Heartbeat)
+_leave_decoder = msgspec.json.Decoder(_Leave)
 
 
 def decode_heartbeat(instance: str, body: bytes) -> Result[Announcement, Refusal]:
-    """Return the announcement in a heartbeat of ``instance``.
+    """Return the announcement in a heartbeat of ``instance``, or a refusal.
 
-    Each start of a target has an id of its own, so incarnations need not be told apart.
+    Others than targets may write heartbeats. One that lacks a field, or has a value that is
+    not as listed, names no target to use.
     """
     try:
         heartbeat = _decoder.decode(body)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Err(Refusal(ErrorKind.BAD_REQUEST, str(error), "body", _REMEDY))
+        return Err(_unreadable(str(error)))
+    if heartbeat.state not in _STATES:
+        return Err(_unreadable(f"unknown state {heartbeat.state!r}"))
     return Ok(
         Announcement(
             target=instance,
-            incarnation=0,
-            counter=max(0, heartbeat.call_seq),
+            incarnation=heartbeat.born,
+            counter=heartbeat.call_seq,
             kind="engine" if heartbeat.models else "service",
             name=heartbeat.service,
             place=heartbeat.zone,
             url=f"http://{heartbeat.addr}",
-            capacity=max(1, heartbeat.slots),
+            capacity=heartbeat.slots,
             leaving=heartbeat.state == _LEAVING,
         )
     )
 
 
-def leave_of(instance: str, known: Announcement | None) -> Announcement:
-    """Return the announcement that ``instance`` leaves, which overtakes all others of it."""
-    if known is not None:
-        return known._replace(leaving=True, counter=known.counter + 1)
-    return Announcement(
-        target=instance,
-        incarnation=0,
-        counter=0,
-        kind="service",
-        name="",
-        place="",
-        url="",
-        capacity=1,
-        leaving=True,
+def decode_leave(
+    instance: str, body: bytes, known: Announcement | None
+) -> Result[Announcement, Refusal]:
+    """Return the announcement that ``instance`` leaves, which overtakes all others of its start.
+
+    A call that does not tell its start is taken to be of the start that is ``known``.
+    """
+    try:
+        leave = _leave_decoder.decode(body) if body else _Leave()
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Err(_unreadable(str(error)))
+    if known is not None and leave.born in (None, known.incarnation):
+        return Ok(known._replace(leaving=True, counter=known.counter + 1))
+    return Ok(
+        Announcement(
+            target=instance,
+            incarnation=leave.born or 0,
+            counter=0,
+            kind="service",
+            name="",
+            place="",
+            url="",
+            capacity=1,
+            leaving=True,
+        )
     )
+
+
+def _unreadable(message: str) -> Refusal:
+    return Refusal(ErrorKind.BAD_REQUEST, message, "body", _REMEDY)
--- a/cranberrywall/platform/_control.py
+++ b/cranberrywall/platform/_control.py
@@ -7,7 +7,7 @@
 from cranberrywall.configuration import ConfigurationClient
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.observability import HttpListener, log_event
-from cranberrywall.platform._announcements import decode_heartbeat, leave_of
+from cranberrywall.platform._announcements import decode_heartbeat, decode_leave
 from cranberrywall.platform._arrivals import refuse
 from cranberrywall.platform._documents import decode_document
 from cranberrywall.runtime import Clock
@@ -71,15 +71,21 @@
         return web.Response(body=published.ok_value.source, content_type="application/json")
 
     async def _heartbeat(self, request: web.Request) -> web.Response:
-        decoded = decode_heartbeat(request.match_info["instance"], await request.read())
+        instance = request.match_info["instance"]
+        decoded = decode_heartbeat(instance, await request.read())
         if isinstance(decoded, Err):
-            log_event("WARNING", "heartbeat_refused", refusal=decoded.err_value)
-            return refuse(decoded.err_value)
+            return _names_no_target(instance, decoded.err_value)
+        refusal = self._relay.check(decoded.ok_value)
+        if refusal is not None:
+            return _names_no_target(instance, refusal)
         return await self._announce(decoded.ok_value)
 
     async def _leave(self, request: web.Request) -> web.Response:
         instance = request.match_info["instance"]
-        return await self._announce(leave_of(instance, self._relay.find(instance)))
+        decoded = decode_leave(instance, await request.read(), self._relay.find(instance))
+        if isinstance(decoded, Err):
+            return _names_no_target(instance, decoded.err_value)
+        return await self._announce(decoded.ok_value)
 
     async def _announce(self, announcement: Announcement) -> web.Response:
         if await self._relay.announce(announcement):
@@ -92,3 +98,8 @@
     # Whatever kept the groups from answering, the caller may ask another control host; only a
     # 5xx says so.
     return refuse(Refusal(ErrorKind.NOT_CURRENT, str(refusal), retry_after=0.2))
+
+
+def _names_no_target(instance: str, refusal: Refusal) -> web.Response:
+    log_event("WARNING", "heartbeat_refused", target=instance, refusal=refusal)
+    return refuse(refusal)
--- a/cranberrywall/routing/_router.py
+++ b/cranberrywall/routing/_router.py
@@ -16,7 +16,7 @@
 from cranberrywall.routing._retries import RetryLimits
 from cranberrywall.routing._subset import subset_of
 from cranberrywall.runtime import Clock, Random
-from cranberrywall.targets import Announcement, Change, Group, Targets
+from cranberrywall.targets import Announcement, Change, Group, Targets, group_of
 
 TICK_S = 0.05
 """Deadlines in the queues are looked at this often, in seconds, while anything waits."""
@@ -114,7 +114,7 @@
 
     def probed(self, announcement: Announcement, well: bool, now: float) -> None:
         """Take in what a probe of a target showed."""
-        self._dispatcher(_group(announcement)).pool.probed(announcement.target, well, now)
+        self._dispatcher(group_of(announcement)).pool.probed(announcement.target, well, now)
 
     async def _wait(self, dispatcher: Dispatcher, waiter: Waiter) -> Answer:
         self._start_ticker()
@@ -187,7 +187,7 @@
             self.tick(self._clock.now())
 
     def _on_change(self, announcement: Announcement, change: Change, now: float) -> None:
-        group = _group(announcement)
+        group = group_of(announcement)
         if change is Change.LEFT:
             # A target may have left from a group other than the one that it named last.
             for dispatcher in self._dispatcher_by_group.values():
@@ -231,10 +231,6 @@
         return self._dispatcher_by_group[group]
 
 
-def _group(announcement: Announcement) -> Group:
-    return Group(announcement.kind, announcement.name)
-
-
 def _granted(waiter: Waiter) -> bool:
     future = waiter.future
     return future.done() and not future.cancelled() and future.result().is_ok()
--- a/cranberrywall/targets/__init__.py
+++ b/cranberrywall/targets/__init__.py
@@ -13,6 +13,7 @@
     Group,
     Target,
     Targets,
+    group_of,
     make_targets,
 )
 from cranberrywall.targets.checks import read_announcement
@@ -37,6 +38,7 @@
     "TargetRelay",
     "Targets",
     "Usual",
+    "group_of",
     "make_announce_routes",
     "make_http_probe",
     "make_targets",
--- a/cranberrywall/targets/_relay.py
+++ b/cranberrywall/targets/_relay.py
@@ -4,16 +4,16 @@
 """
 
 import asyncio
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Mapping, Sequence
 from typing import Any, NamedTuple
 
 from result import Ok, Result
 
-from cranberrywall.errors import Refusal
+from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller, Method, Peer, Server
 from cranberrywall.observability import log_event
 from cranberrywall.runtime import Clock
-from cranberrywall.targets._targets import Change, Targets
+from cranberrywall.targets._targets import Change, Targets, group_of
 from cranberrywall.targets.messages import Announcement
 
 PASS_ON_TIMEOUT_S = 0.4
@@ -23,6 +23,11 @@
 """Entry hosts that are told of a change directly; they push it on to all others."""
 
 
+def _misfit(message: str) -> Refusal:
+    remedy = "announce a service of the configuration, with all fields of its kind"
+    return Refusal(ErrorKind.BAD_REQUEST, message, "service", remedy)
+
+
 class PassOnRequest(NamedTuple):
     """Carry what targets said to a control host, each at first hand."""
 
@@ -47,11 +52,22 @@
     server.register(PASS_ON, answer)
 
 
+KindByName = Callable[[], Mapping[str, str] | None]
+"""Return the kind of each model's or service's targets; ``None`` before any configuration."""
+
+
 class TargetRelay:
     """Hold what targets announced to this control host, and tell the entry hosts."""
 
-    def __init__(self, entries: Callable[[], Sequence[str]], caller: Caller, clock: Clock) -> None:
+    def __init__(
+        self,
+        entries: Callable[[], Sequence[str]],
+        caller: Caller,
+        clock: Clock,
+        kind_by_name: KindByName = lambda: None,
+    ) -> None:
         """``entries`` gives the stream addresses of the entry hosts known."""
+        self._kind_by_name = kind_by_name
         self._targets = Targets()
         self._entries = entries
         self._caller = caller
@@ -60,6 +76,26 @@
         self._untold_by_id: dict[str, Announcement] = {}
         self._tasks: set[asyncio.Task[bool]] = set()
 
+    def check(self, announcement: Announcement) -> Refusal | None:
+        """Return why an announcement names no target to use; ``None`` where it does.
+
+        Others than targets may write announcements, under the id of a target that is well.
+        Taken in, one that names another service would take the target away from its own. What
+        was known of a target before goes on to hold, also where its service was removed since.
+        """
+        known = self._targets.by_id.get(announcement.target)
+        before = known.announcement if known is not None else None
+        if before is not None and group_of(before) == group_of(announcement):
+            return None
+        kind_by_name = self._kind_by_name()
+        if kind_by_name is None:
+            return None
+        if kind_by_name.get(announcement.name) != announcement.kind:
+            return _misfit(f"no {announcement.kind} {announcement.name!r} is configured")
+        if before is not None and kind_by_name.get(before.name) == before.kind:
+            return _misfit(f"the target announced {before.name} before")
+        return None
+
     async def announce(self, announcement: Announcement) -> bool:
         """Take in an announcement, and return whether it may be acknowledged.
 
--- a/cranberrywall/targets/_targets.py
+++ b/cranberrywall/targets/_targets.py
@@ -122,13 +122,13 @@
 
     def _put(self, announcement: Announcement, now: float) -> Change:
         before = self.by_id.get(announcement.target)
-        if before is not None and _group(before.announcement) != _group(announcement):
+        if before is not None and group_of(before.announcement) != group_of(announcement):
             self._remove(announcement.target)
         # The events are for listeners only; kept, they would take most of the memory.
         kept = announcement._replace(cache_events=()) if announcement.cache_events else announcement
         target = Target(kept, now)
         self.by_id[announcement.target] = target
-        self.by_group.setdefault(_group(announcement), {})[announcement.target] = target
+        self.by_group.setdefault(group_of(announcement), {})[announcement.target] = target
         if before is None:
             return Change.JOINED
         return Change.RENEWED if _same(before.announcement, announcement) else Change.CHANGED
@@ -137,7 +137,7 @@
         target = self.by_id.pop(target_id, None)
         if target is None:
             return
-        group = _group(target.announcement)
+        group = group_of(target.announcement)
         members = self.by_group[group]
         del members[target_id]
         if not members:
@@ -167,7 +167,8 @@
             del self._heard_at_by_id[target_id]
 
 
-def _group(announcement: Announcement) -> Group:
+def group_of(announcement: Announcement) -> Group:
+    """Return the group of an announcement's target."""
     return Group(announcement.kind, announcement.name)
 
 
--- a/tests/platform/test_arrivals.py
+++ b/tests/platform/test_arrivals.py
@@ -4,7 +4,7 @@
 
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.forwarding import Arrival, Attempt, PromptPart
-from cranberrywall.platform._announcements import decode_heartbeat, leave_of
+from cranberrywall.platform._announcements import decode_heartbeat, decode_leave
 from cranberrywall.platform._arrivals import decode_arrival, encode_refusal
 from cranberrywall.platform._dialect import TargetDialect
 
@@ -108,6 +108,6 @@
     assert (announcement.kind, announcement.url) == ("engine", "http://10.0.0.9:80")
     draining = decode_heartbeat("i-7", beat.replace(b'"ready"', b'"draining"')).unwrap()
     assert draining.leaving
-    assert leave_of("i-7", announcement).leaving
-    assert leave_of("i-8", None).target == "i-8"
+    assert decode_leave("i-7", b"", announcement).unwrap().leaving
+    assert decode_leave("i-8", b"", None).unwrap().target == "i-8"
     assert decode_heartbeat("i-7", b'{"addr":1}').unwrap_err().field == "body"
--- a/tests/targets/test_relay.py
+++ b/tests/targets/test_relay.py
@@ -70,3 +70,25 @@
         assert len(entries.told) == told
 
     run_virtual(story())
+
+
+def test_an_announcement_by_another_writer_takes_no_target_from_its_service() -> None:
+    """Somebody announces a target that is well, under a service that is not configured.
+
+    Taken in, it would move the target to a service that nobody asks for: its own service would
+    lose it until its next heartbeats, and these would count as late.
+    """
+
+    async def story() -> None:
+        kinds = {"asistent": "engine", "vratar": "service"}
+        relay = TargetRelay(lambda: ["a"], Entries(), VirtualClock(), lambda: kinds)
+        assert relay.check(announce()) is None
+        assert await relay.announce(announce())
+        for changes in ({"name": "unheard-of"}, {"name": "vratar"}, {"kind": "service"}):
+            assert relay.check(announce(counter=9, **changes)) is not None
+            assert relay.check(announce(target="new", **changes)) is not None
+        kinds.clear()
+        assert relay.check(announce(counter=2)) is None
+        assert relay.check(announce(target="new")) is not None
+
+    run_virtual(story())
