Hold a share of each known budget before anyone asks, small ones at a few hosts

Hypothesis: with most of it free after any loss, money is best held by hosts. In a cut that came before a host's first request of a budget nobody there held any; a budget too small for a part on each host was held by none.

--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -136,7 +136,15 @@
         self._giver = Giver(ledger, keeper, self._clock)
         taker = Taker(caller, keeper, self._store.is_ended, self._clock, runtime.random)
         self._reviewer = Reviewer(
-            holder.host, place, ledger, taker, self._steps, peers, entry_hosts, self._clock
+            holder.host,
+            place,
+            ledger,
+            taker,
+            self._steps,
+            peers,
+            entry_hosts,
+            self._usual_bound,
+            self._clock,
         )
         self._tools = Tools(
             holder.host,
@@ -284,6 +292,11 @@
             self._by_budget[budget] = allotment
         return allotment
 
+    def _usual_bound(self) -> float:
+        allotments = self._by_budget.values()
+        count = sum(one.settled_count for one in allotments)
+        return sum(one.settled_bounds for one in allotments) / count if count else 0.0
+
     def _shortage(self, allotment: Allotment) -> Shortage:
         shortage = self._shortage_by_budget.get(allotment.budget)
         if shortage is None:
@@ -381,6 +394,10 @@
 
     async def _review_all(self) -> None:
         now = self._clock.now()
+        # Cut off before its first request of a budget, a host would have nothing to serve
+        # it from, and nor would its peers.
+        for budget, workspace in self._policies.known_budgets():
+            self._allotment(budget, workspace)
         await self._store.help(now)
         for allotment in list(self._by_budget.values()):
             await self._reviewer.review(allotment)
--- a/cranberrywall/budgets/_interfaces.py
+++ b/cranberrywall/budgets/_interfaces.py
@@ -111,6 +111,13 @@
     isolated: Literal["refuse", "spend"] = "refuse"
 
 
+class KnownBudget(NamedTuple):
+    """Name a budget, and a workspace that spends it."""
+
+    budget: str
+    workspace: str
+
+
 class Policies(Protocol):
     """Look up the policy in force."""
 
@@ -118,6 +125,10 @@
         """Return the workspace's policy; the default one where it names none."""
         ...
 
+    def known_budgets(self) -> Sequence[KnownBudget]:
+        """Return the budgets of which each host should hold a share before it is asked for."""
+        ...
+
     def spends_alone(self) -> bool:
         """Say whether any workspace's policy lets a host spend that is alone."""
         ...
--- a/cranberrywall/budgets/_review.py
+++ b/cranberrywall/budgets/_review.py
@@ -12,7 +12,15 @@
 from cranberrywall.budgets._interfaces import EntryHost, Peers
 from cranberrywall.budgets._keepers import out_of_reach
 from cranberrywall.budgets._ledger_steps import LedgerSteps
-from cranberrywall.budgets._sizing import HIGH_BAND, LOW_BAND, Rates, part_in_place, target
+from cranberrywall.budgets._sizing import (
+    HIGH_BAND,
+    LOW_BAND,
+    Rates,
+    homes,
+    part_in_place,
+    parts_of,
+    target,
+)
 from cranberrywall.budgets._transfers import Taker
 from cranberrywall.budgets.messages import BudgetQuery
 from cranberrywall.observability import log_event
@@ -20,8 +28,6 @@
 
 REVIEW_INTERVAL_S = 5.0
 CHECK_TIMEOUT_S = 1.0
-# Below this many requests' bounds, a host's share is too small to be worth holding.
-WORTH_HOLDING = 2.0
 # What comes free within this time is returned in one step.
 SURPLUS_WAIT_S = 0.05
 # The ledger's sums are asked for again after this time, where the budget was used.
@@ -42,8 +48,11 @@
         steps: LedgerSteps,
         peers: Peers,
         entry_hosts: Callable[[], Sequence[EntryHost]],
+        usual_bound: Callable[[], float],
         clock: Clock,
     ) -> None:
+        """``usual_bound`` returns the mean bound of this host's requests, 0 before any."""
+        self._usual_bound = usual_bound
         self._host = host
         self._place = place
         self._entry_hosts = entry_hosts
@@ -67,9 +76,18 @@
         now = self._clock.now()
         total = allotment.total_demand.rate()
         left = max(0.0, view.left - total * (now - view.at))
-        rates = self._rates(allotment.demand.rate(), total)
-        aim = target(left, rates, allotment.policy.held_back)
-        return aim if aim >= WORTH_HOLDING * allotment.mean_bound else 0
+        held_back = allotment.policy.held_back
+        hosts = self._hosts()
+        parts = parts_of(left, held_back, allotment.mean_bound or self._usual_bound())
+        if parts < len(hosts):
+            # In equal parts it would serve nobody: a few hosts hold it, and others ask them.
+            is_home = self._host in homes(allotment.budget, hosts)[:parts]
+            return int(left * (1.0 - held_back) / parts) if is_home else 0
+        return target(left, self._rates(allotment.demand.rate(), total), held_back)
+
+    def _hosts(self) -> list[str]:
+        alive = {peer.host for peer in self._peers.alive()} | {self._host}
+        return [one.host for one in self._entry_hosts() if one.host in alive] or [self._host]
 
     def _rates(self, own: float, total: float) -> Rates:
         alive = {peer.host for peer in self._peers.alive()} | {self._host}
@@ -163,7 +181,11 @@
         queue = allotment.queue
         if not queue.in_reach:
             return
+        is_first = allotment.view is None
         answer = await self._steps.draw(allotment, self.wanted(allotment), 1)
+        if is_first and isinstance(answer, Ok) and self.wanted(allotment):
+            # Only the first answer tells how much there is to hold a share of.
+            answer = await self._steps.draw(allotment, self.wanted(allotment), 1)
         if isinstance(answer, Err):
             if out_of_reach(answer.err_value):
                 await queue.lost(answer.err_value)
--- a/cranberrywall/budgets/_scarcity.py
+++ b/cranberrywall/budgets/_scarcity.py
@@ -19,8 +19,8 @@
 from cranberrywall.budgets._ledger_steps import STEP_TIMEOUT_S, LedgerSteps
 from cranberrywall.budgets._peer_messages import TakeReply
 from cranberrywall.budgets._reservation import HeldReservation
-from cranberrywall.budgets._sizing import view_of
-from cranberrywall.budgets._transfers import Taker, nearest_first
+from cranberrywall.budgets._sizing import homes, view_of
+from cranberrywall.budgets._transfers import Taker
 from cranberrywall.budgets.messages import BudgetQuery, BudgetResult, HeldAmount
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.observability import log_event
@@ -35,6 +35,10 @@
 # an exhausted budget under load costs the ledger little, and each refusal stays fresh.
 PAUSE_FIRST_S = 0.02
 PAUSE_MOST_S = 0.5
+# Those in line are looked at this often between two rounds, in seconds.
+SERVE_EVERY_S = 0.05
+# A rest so small that it does not move the clock would be a busy loop.
+LEAST_WAIT_S = 0.001
 
 Reserved = Result[HeldReservation, Refusal]
 
@@ -171,9 +175,11 @@
         self._next_round_at = self._tools.clock.now() + self._pause_s
 
     async def _pause(self) -> None:
-        wait = self._next_round_at - self._tools.clock.now()
-        if wait > 0.0:
-            await self._tools.clock.sleep(wait)
+        clock = self._tools.clock
+        while (wait := self._next_round_at - clock.now()) > LEAST_WAIT_S:
+            await clock.sleep(min(wait, SERVE_EVERY_S))
+            # Out of the ledger's sight more may be spent with each moment.
+            self.serve()
 
     async def _search(self) -> _Found:
         if not self._allotment.queue.in_reach:
@@ -206,10 +212,14 @@
         tools = self._tools
         await tools.taker.ask_again(tools.peers.alive(), self._allotment)
         self.serve()
-        for peer in nearest_first(tools.peers.alive(), tools.place, tools.host)[:PEERS_ASKED]:
-            if not self._waiters:
-                break
-            await self._take(peer, True)
+        peer_by_host = {peer.host: peer for peer in tools.peers.alive() if peer.host != tools.host}
+        first = [peer_by_host[host] for host in homes(self._allotment.budget, peer_by_host)]
+        begin, count = 0, 1
+        while begin < min(len(first), PEERS_ASKED) and self._waiters:
+            asked = first[begin : begin + count]
+            await asyncio.gather(*(self._take(peer, count == 1) for peer in asked))
+            begin += count
+            count *= 2
         return _Found(None, 0)
 
     async def _draw(self) -> int | None:
--- a/cranberrywall/budgets/_sizing.py
+++ b/cranberrywall/budgets/_sizing.py
@@ -5,9 +5,11 @@
 share of the recent spending, less the part held back at the ledger.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
+import xxhash
+
 from cranberrywall.budgets._interfaces import EntryHost
 from cranberrywall.budgets.messages import BudgetResult, DrawResult
 
@@ -17,6 +19,9 @@
 HORIZON_S = 24 * 3600.0
 # In its place a host with a disk holds this many times what one without does.
 DISK_WEIGHT = 8.0
+# Below this many usual requests' bounds, a part is too small to be worth holding.
+WORTH_HOLDING = 2.0
+ANY_PARTS = 1_000_000
 # Outside this band around its target a host draws or returns.
 LOW_BAND = 0.75
 HIGH_BAND = 1.5
@@ -91,6 +96,31 @@
     return weight_by_host.get(host, total) / total if total > 0.0 else 1.0
 
 
+def homes(budget: str, hosts: Iterable[str]) -> list[str]:
+    """Return the hosts in the order in which they hold a budget that is too small for all.
+
+    All hosts order them alike, by a hash of host and budget (rendezvous hashing): one that looks
+    for the last of a budget finds it at the first hosts, and a host that leaves changes little.
+
+    >>> homes("desk", ["a", "b", "c"]) == homes("desk", ["c", "a", "b"])
+    True
+    """
+    return sorted(hosts, key=lambda host: xxhash.xxh64_intdigest(f"{host}\n{budget}".encode()))
+
+
+def parts_of(left: float, held_back: float, request: float) -> int:
+    """Return in how many parts a budget may lie that are each worth holding, 1 at least.
+
+    ``request`` is the bound of a usual request; 0 where none is known yet.
+
+    >>> parts_of(1000.0, 0.1, 100.0), parts_of(150.0, 0.1, 100.0)
+    (4, 1)
+    """
+    if request <= 0.0:
+        return ANY_PARTS
+    return max(1, int(left * (1.0 - held_back) / (WORTH_HOLDING * request)))
+
+
 def target(left: float, rates: Rates, held_back: float) -> int:
     """Return what this host should hold of ``left``.
 
--- a/cranberrywall/budgets/_transfers.py
+++ b/cranberrywall/budgets/_transfers.py
@@ -26,7 +26,9 @@
 TAKE_TIMEOUT_S = 0.5
 # Half of the above: a giver that has just lost the ledger still answers in time.
 COMMIT_TIMEOUT_S = 0.25
-PEER_REST_S = 5.0
+# A peer that did not answer is left alone for so long, in seconds: a cut lasts a few of them, and
+# the peer may only have waited for its keepers.
+PEER_REST_S = 1.5
 # What a peer gave without its answer reaching us is booked to us once it or a keeper of its
 # charges reports it: a keeper does so on its own after a minute, and a lost host's next run soon
 # after its start. The ledger is asked for so long, in seconds, at one small call a review.
@@ -313,9 +315,3 @@
                     Kept(queue.holder, (transfer,), ()), queue.reach.may_keep_at
                 )
         allotment.granted(transfer.amount)
-
-
-def nearest_first(peers: Sequence[PeerHost], place: str, host: str) -> list[PeerHost]:
-    """Return the other hosts, those of our own place first."""
-    others = [peer for peer in peers if peer.host != host]
-    return sorted(others, key=lambda peer: (peer.place != place, peer.host))
--- a/cranberrywall/entry/_configured.py
+++ b/cranberrywall/entry/_configured.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from cranberrywall.budgets import EntryHost, SpendPolicy
+from cranberrywall.budgets import EntryHost, KnownBudget, SpendPolicy
 from cranberrywall.configuration import Configuration
 from cranberrywall.hosts import HostState, HostView
 
@@ -62,6 +62,13 @@
         return configured or self._peers
 
 
+MOST_KNOWN_BUDGETS = 64
+"""Hosts hold shares of budgets before they are asked for where there are no more than this.
+
+Each costs a host two draws after its start, and memory; what is rarely used here would be of more
+use elsewhere."""
+
+
 class ConfiguredPolicies:
     """Look up each workspace's policy."""
 
@@ -77,6 +84,14 @@
             return SpendPolicy()
         return SpendPolicy(policy["held_back"], policy["isolated"])
 
+    def known_budgets(self) -> Sequence[KnownBudget]:
+        """Return the budgets of the configuration; none where there are many."""
+        document = self._configuration.document
+        if len(document["budgets"]) > MOST_KNOWN_BUDGETS:
+            return ()
+        workspace_by_budget = {one["budget"]: name for name, one in document["workspaces"].items()}
+        return [KnownBudget(*pair) for pair in sorted(workspace_by_budget.items())]
+
     def spends_alone(self) -> bool:
         """Say whether any workspace's policy lets a host spend that is alone."""
         policies = self._configuration.document["policies"]
--- a/cranberrywall/forwarding/_money.py
+++ b/cranberrywall/forwarding/_money.py
@@ -13,11 +13,14 @@
 from cranberrywall.observability import log_event
 from cranberrywall.runtime import Clock
 
-LONGEST_RESERVE_S = 1.0
-"""Money that was not found within this is not waited for, in seconds.
+LEAST_RESERVE_S = 1.0
+"""Money is looked for at least so long, in seconds: as long as one step at a silent ledger."""
 
-It is as long as one step at a ledger that has fallen silent. Callers that are refused may try a
-host that holds some; waiting to their deadline would leave them no time for that."""
+RESERVE_SHARE = 0.4
+"""Share of a request's time for which money is waited for that will come, and for no other.
+
+In a cut a host may spend more each moment, and reservations come free unused. Callers that are
+refused after all have time left to try another host."""
 
 
 BEGIN_SHARE = 0.5
@@ -130,7 +133,7 @@
         if budget is None or generation is None:
             return Ok(Purse(None, generation, self._clock))
         now = self._clock.now()
-        until = min(deadline, now + LONGEST_RESERVE_S)
+        until = min(deadline, now + max(LEAST_RESERVE_S, RESERVE_SHARE * (deadline - now)))
         request = ReserveRequest(
             workspace, budget, arrival.request_id, max(1, generation.bound), until
         )
--- a/cranberrywall/platform/_documents.py
+++ b/cranberrywall/platform/_documents.py
@@ -15,8 +15,11 @@
 _HIGHEST_RANK = 9
 _DEADLINE_S = 60.0
 _MILLISECONDS = 1000.0
-_HELD_BACK = 0.1
-"""The share of what is left of a budget that stays at the ledger, as on other deployments."""
+_HELD_BACK = 0.02
+"""The share of what is left of a budget that stays at the ledger.
+
+A cut keeps it from all hosts. Hosts without disks give back nearly all that they hold after any
+loss, so that there is little to keep it for."""
 
 _REMEDY = "correct the field and send the configuration again under the same number"
 
--- a/tests/budgets/test_partitions.py
+++ b/tests/budgets/test_partitions.py
@@ -7,7 +7,7 @@
 import pytest
 from result import Err, Ok
 
-from cranberrywall.budgets import SpendPolicy
+from cranberrywall.budgets import KnownBudget, SpendPolicy
 from cranberrywall.budgets._allotments import CONTACT_EVERY_S
 from cranberrywall.budgets._messages_holders import UNSEEN_ALL_AFTER_S, unseen_share
 from cranberrywall.budgets.messages import LEDGER_CODEC, ConfirmDead, Holder
@@ -325,6 +325,23 @@
     on_fleet(partial(spend_in_a_cut_and_lose_the_south, dark_s=3.0, knows_others=False))
 
 
+def test_a_budget_that_was_never_asked_for_can_be_spent_in_a_cut() -> None:
+    """A workspace's first callers come just after a cut has begun, and all of them are refused.
+
+    Hosts drew money only once they were asked for it, and then nobody on their side held any.
+    """
+
+    async def story(fleet: MoneyFleet) -> None:
+        fleet.known_budgets.append(KnownBudget("main", "clerks"))
+        fleet.credit("main", 10_000)
+        await fleet.clock.sleep(8.0)
+        fleet.net.cut(SOUTH_AWAY)
+        await fleet.clock.sleep(3.0)
+        assert await spend_all(fleet, "b1", "first", 20) > 3_000
+
+    on_fleet(story)
+
+
 def test_a_host_that_is_cut_off_asks_its_peers_at_once() -> None:
     """In a cut, a host has spent its part, and its peers hold plenty. Callers wait a second.
 
--- a/tests/fakes/money.py
+++ b/tests/fakes/money.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any, NamedTuple
 
 from result import Err, Ok, Result
@@ -13,6 +13,7 @@
 from cranberrywall.budgets import (
     EntryHost,
     HostAllotments,
+    KnownBudget,
     SpendPolicy,
     make_allotments,
     make_ledger_client,
@@ -177,8 +178,13 @@
 class FakePolicies:
     """Give every workspace the same policy."""
 
-    def __init__(self, policy: SpendPolicy) -> None:
+    def __init__(self, policy: SpendPolicy, budgets: Sequence[KnownBudget] = ()) -> None:
         self.policy = policy
+        self._budgets = budgets
+
+    def known_budgets(self) -> Sequence[KnownBudget]:
+        """Return the budgets that the fleet's configuration names."""
+        return self._budgets
 
     def spend_policy(self, workspace: str) -> SpendPolicy:
         """Return the one policy."""
@@ -215,7 +221,7 @@
             make_ledger_client(FakeControl(fleet.net, self.name), 1),
             self,
             self.entry_hosts,
-            FakePolicies(fleet.policy),
+            FakePolicies(fleet.policy, fleet.known_budgets),
             links,
             links,
             Runtime(self.clock, fleet.no_network, fleet.random, self.storage),
@@ -270,6 +276,7 @@
         self.random = random
         self.policy = policy or SpendPolicy()
         self.net = MoneyNet(machine, clock)
+        self.known_budgets: list[KnownBudget] = []
         self.no_network: Any = None
         self._credits = 0
         self.host_by_name = {
