--- a/cranberrywall/budgets/_charges.py
+++ b/cranberrywall/budgets/_charges.py
@@ -80,7 +80,7 @@
         self._under_way: list[Pending] = []
         self._sends_kept = False
         self._kept: deque[Pending] = deque()
-        self._transfers = TransferReports(ledger, keeper, clock, self._commit_timeout_s)
+        self._transfers = TransferReports(group, ledger, keeper, clock, self._commit_timeout_s)
         self._to_commit = asyncio.Event()
         self._to_keep = asyncio.Event()
         self._idle = asyncio.Event()
@@ -89,8 +89,13 @@
         self._retry_s = RETRY_FIRST_S
 
     def accepts(self, policy: SpendPolicy) -> bool:
-        """Say whether a new request may be admitted: its charge would last."""
-        return self.durable or policy.isolated == "spend"
+        """Say whether a new request may be admitted: its charge would last.
+
+        Where one could not be kept, peers may be in reach again: they restart one by one.
+        """
+        if self.durable or policy.isolated == "spend":
+            return True
+        return self._keeper.can_keep(self.reach.may_keep_at)
 
     @property
     def uncommitted(self) -> int:
--- a/cranberrywall/budgets/_client.py
+++ b/cranberrywall/budgets/_client.py
@@ -76,6 +76,12 @@
         """Report a transfer between two holders."""
         return await self._propose(command.budget, command, messages.TransferResult, timeout)
 
+    async def transfer_batch(
+        self, group: str, command: messages.TransferBatch, timeout: float
+    ) -> Result[messages.TransferBatchResult, Refusal]:
+        """Report transfers whose budgets are all kept by one group."""
+        return await self._propose_to(group, command, messages.TransferBatchResult, timeout)
+
     async def recall(
         self, command: messages.Recall, timeout: float
     ) -> Result[messages.RecallResult, Refusal]:
--- a/cranberrywall/budgets/_ledger_holders.py
+++ b/cranberrywall/budgets/_ledger_holders.py
@@ -6,6 +6,7 @@
 from cranberrywall.budgets._ledger_silence import Heard, Silences
 from cranberrywall.budgets._messages_holders import unseen_share
 from cranberrywall.budgets.messages import Contact, Evidence, Holder
+from cranberrywall.observability import log_event
 
 
 class HostRecord(NamedTuple):
@@ -119,14 +120,14 @@
         """Note the clocks that other hosts tell after this one has registered."""
         if contact is not None:
             up_s = contact.clock - evidence.started_clock
-            self._silences.begin(holder.host, holder.incarnation, up_s)
+            self._silences.begin(holder, up_s)
 
     def listen_no_more(self, host: str) -> None:
         """Note that nothing is left of the older runs of a host."""
         self._silences.end(host)
 
     def may_have_spent(
-        self, older: Holder, evidence: Evidence, contact: Contact | None
+        self, older: Holder, successor: Holder, evidence: Evidence, contact: Contact | None
     ) -> float | None:
         """Return the share of its part that a lost run may have spent unseen; ``None`` unknown.
 
@@ -135,11 +136,20 @@
         record = self._contact_by_holder.get(older)
         if record is None or record.is_reduced or contact is None:
             return None
-        silent_s = self._silences.bound(older.host, record.heard, evidence.started_clock, contact)
+        silent_s = self._silences.bound(successor, record.heard, evidence.started_clock, contact)
         if silent_s is None:
             return None
         self._contact_by_holder[older] = record._replace(is_reduced=True)
-        return unseen_share(silent_s)
+        share = unseen_share(silent_s)
+        log_event(
+            "INFO",
+            "lost_run_bounded",
+            lost=older.host,
+            incarnation=older.incarnation,
+            silent_s=silent_s,
+            share=share,
+        )
+        return share
 
     def is_proven(self, older: Holder, evidence: Evidence) -> bool:
         """Say whether ``evidence`` shows that nothing of ``older`` is kept anywhere.
--- a/cranberrywall/budgets/_ledger_holding.py
+++ b/cranberrywall/budgets/_ledger_holding.py
@@ -10,6 +10,7 @@
 from cranberrywall.budgets._ledger_numbers import MAX_AHEAD, NumberSet
 from cranberrywall.budgets._ledger_state import LedgerState
 from cranberrywall.budgets.messages import (
+    MAX_TRANSFERS_IN_BATCH,
     Accepted,
     ConfirmDead,
     ConfirmDeadResult,
@@ -28,6 +29,9 @@
     Rejected,
     Return,
     Transfer,
+    TransferBatch,
+    TransferBatchResult,
+    TransferOutcome,
     TransferResult,
 )
 from cranberrywall.errors import ErrorKind
@@ -108,6 +112,33 @@
     return _Transferring(state, account, command).apply()
 
 
+def transfer_batch(state: LedgerState, command: TransferBatch) -> TransferBatchResult | Rejected:
+    """Move the amounts of a batch, each once those are moved that fund it."""
+    if len(command.transfers) > MAX_TRANSFERS_IN_BATCH:
+        remedy = f"report at most {MAX_TRANSFERS_IN_BATCH} together"
+        return Rejected(ErrorKind.TOO_LARGE, "the batch is too large", "transfers", remedy)
+    outcome_by_index: dict[int, TransferOutcome] = {}
+    left = list(enumerate(command.transfers))
+    while left:
+        waiting = []
+        for index, one in left:
+            outcome = _outcome(transfer(state, one))
+            outcome_by_index[index] = outcome
+            if outcome.kind == ErrorKind.NOT_READY:
+                waiting.append((index, one))
+        if len(waiting) == len(left):
+            break
+        left = waiting
+    outcomes = [outcome_by_index[index] for index in range(len(command.transfers))]
+    return TransferBatchResult(tuple(outcomes))
+
+
+def _outcome(answer: TransferResult | Rejected) -> TransferOutcome:
+    if isinstance(answer, Rejected):
+        return TransferOutcome(0, str(answer.kind), answer.message)
+    return TransferOutcome(answer.moved)
+
+
 class _Transferring:
     """Apply one report of a transfer."""
 
@@ -278,7 +309,7 @@
     """
     if command.evidence is None:
         return 0
-    share = state.holders.may_have_spent(older, command.evidence, command.contact)
+    share = state.holders.may_have_spent(older, command.holder, command.evidence, command.contact)
     if share is None:
         return 0
     heard_clock = state.holders.heard_clock(older)
--- a/cranberrywall/budgets/_ledger_machine.py
+++ b/cranberrywall/budgets/_ledger_machine.py
@@ -67,6 +67,7 @@
             messages.ConfirmDead: holding.confirm_dead,
             messages.Recall: holding.recall,
             messages.Transfer: holding.transfer,
+            messages.TransferBatch: holding.transfer_batch,
             messages.RecordIntent: lambda state, command: state.intents.record(command),
             messages.RecordOutcome: lambda state, command: state.intents.finish(command),
             messages.PlanPeriods: closing.plan_periods,
--- a/cranberrywall/budgets/_ledger_silence.py
+++ b/cranberrywall/budgets/_ledger_silence.py
@@ -6,7 +6,7 @@
 
 from typing import Any, NamedTuple
 
-from cranberrywall.budgets._messages_holders import Contact
+from cranberrywall.budgets._messages_holders import Contact, Holder
 
 LARGEST_STEP_S = 5.0
 """Steady clock and time of day of a machine differ by less than this while it has power."""
@@ -58,17 +58,19 @@
         walls = list(self._wall_by_host.items())[-WITNESSES:]
         return Heard(contact.clock, contact.wall, tuple(walls))
 
-    def begin(self, host: str, incarnation: int, up_s: float) -> None:
+    def begin(self, successor: Holder, up_s: float) -> None:
         """Begin to listen to others, as a successor registers that was started ``up_s`` ago."""
-        waiting = self._waiting_by_host.get(host)
-        if waiting is None or waiting.incarnation != incarnation:
-            self._waiting_by_host[host] = _Waiting(incarnation, up_s)
+        waiting = self._waiting_by_host.get(successor.host)
+        if waiting is None or waiting.incarnation != successor.incarnation:
+            self._waiting_by_host[successor.host] = _Waiting(successor.incarnation, up_s)
 
     def end(self, host: str) -> None:
         """Listen no more for a host: all is known of its older runs."""
         self._waiting_by_host.pop(host, None)
 
-    def bound(self, host: str, heard: Heard, started_clock: float, now: Contact) -> float | None:
+    def bound(
+        self, successor: Holder, heard: Heard, started_clock: float, now: Contact
+    ) -> float | None:
         """Return the most that a run was silent before its successor started, in seconds.
 
         ``heard`` is what the run said last, and ``now`` the contact of the successor. ``None``
@@ -78,18 +80,20 @@
         by_day_s = now.wall - heard.wall - (now.clock - started_clock)
         if silent_s >= 0.0 and abs(silent_s - by_day_s) < LARGEST_STEP_S:
             return silent_s
-        waiting = self._waiting_by_host.get(host)
-        if waiting is None:
+        waiting = self._waiting_by_host.get(successor.host)
+        if waiting is None or waiting.incarnation != successor.incarnation:
+            # What others said after an earlier successor's registration is too old.
             return None
         told = [
             waiting.wall_by_host[name] - wall - waiting.up_s
             for name, wall in heard.walls
             if name in waiting.wall_by_host
         ]
-        others = [name for name, _ in heard.walls if name != host]
+        others = [name for name, _ in heard.walls if name != successor.host]
         if len(told) < max(LEAST_WITNESSES, len(others) // 2 + 1):
             return None
-        return _upper_quartile([*told, by_day_s])
+        most_s = _upper_quartile([*told, by_day_s])
+        return most_s if most_s >= 0.0 else None
 
     def dump(self) -> list[Any]:
         """Return the state, for a snapshot."""
--- a/cranberrywall/budgets/_messages_money.py
+++ b/cranberrywall/budgets/_messages_money.py
@@ -194,6 +194,32 @@
     moved: int
 
 
+MAX_TRANSFERS_IN_BATCH = 200
+
+
+class TransferBatch(NamedTuple):
+    """Report transfers together, in any order: one may fund another.
+
+    After a cut hosts have tens to report, and serve from the ledger only when they are through.
+    """
+
+    transfers: tuple[Transfer, ...]
+
+
+class TransferOutcome(NamedTuple):
+    """Say what became of one transfer: what was ``moved``, or the kind of a refusal."""
+
+    moved: int
+    kind: str = ""
+    message: str = ""
+
+
+class TransferBatchResult(NamedTuple):
+    """Give an outcome for each transfer of a batch."""
+
+    outcomes: tuple[TransferOutcome, ...]
+
+
 class Recall(NamedTuple):
     """Ask holders other than ``asker`` to return what they do not need, ``amount`` in all.
 
--- a/cranberrywall/budgets/_mirror.py
+++ b/cranberrywall/budgets/_mirror.py
@@ -160,18 +160,15 @@
 def mirrors_of(host: str, entry_hosts: Sequence[EntryHost]) -> list[str]:
     """Return the hosts that should keep charges of ``host``, those with a disk first.
 
-    They are those of its own place, where one of them has a disk or there are two: they
-    stay in reach through most cuts. Else they are all hosts.
+    Those of its own place go first: they stay in reach through most cuts, and bytes between
+    places cost. Hosts of other places are spare ones: with two keepers that restart in turn, a
+    host refused all that came in the rest of a cut.
 
     >>> hosts = [EntryHost("a", "p", False), EntryHost("b", "q", False), EntryHost("c", "p", True)]
     >>> mirrors_of("a", hosts), mirrors_of("b", hosts)
-    (['c'], ['c', 'a'])
+    (['c', 'b'], ['c', 'a'])
     """
-    others = by_preference(host, entry_hosts)
-    place = {one.host: one.place for one in entry_hosts}.get(host)
-    near = [one for one in others if one.place == place]
-    is_enough = len(near) >= COPIES or any(one.disk for one in near)
-    return [one.host for one in (near if is_enough else others)]
+    return [one.host for one in by_preference(host, entry_hosts)]
 
 
 class Emptied(NamedTuple):
--- a/cranberrywall/budgets/messages.py
+++ b/cranberrywall/budgets/messages.py
@@ -56,6 +56,7 @@
 )
 from cranberrywall.budgets._messages_money import (
     MAX_CHARGES_IN_BATCH,
+    MAX_TRANSFERS_IN_BATCH,
     BudgetQuery,
     BudgetResult,
     BudgetTotal,
@@ -78,6 +79,9 @@
     RecallsResult,
     Return,
     Transfer,
+    TransferBatch,
+    TransferBatchResult,
+    TransferOutcome,
     TransferResult,
 )
 from cranberrywall.links import MessageCodec
@@ -143,7 +147,11 @@
     "Return",
     "SpendQuery",
     "SpendResult",
+    "MAX_TRANSFERS_IN_BATCH",
     "Transfer",
+    "TransferBatch",
+    "TransferBatchResult",
+    "TransferOutcome",
     "TransferResult",
     "WorkspaceCharge",
 ]
@@ -181,6 +189,8 @@
         RecallsQuery,
         RecallsResult,
         Transfer,
+        TransferBatch,
+        TransferBatchResult,
         TransferResult,
         RecordIntent,
         RecordOutcome,
