--- a/cranberrywall/budgets/_allotment.py
+++ b/cranberrywall/budgets/_allotment.py
@@ -23,6 +23,10 @@
         """Hold money for those in line whom the allotment covers now."""
         ...
 
+    def shortfall(self) -> int:
+        """Return the least amount that would serve one more of those in line; 0 for nobody."""
+        ...
+
 
 class Numbers(NamedTuple):
     """Hold the next number of each kind of step that a holder takes for a budget."""
--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -53,6 +53,9 @@
 CONTACT_EVERY_S = 0.5
 # All idle hosts together send the ledger's leader so many commands a second for it.
 CONTACTS_PER_S = 16.0
+# The configuration's totals are compared with what the ledger said was credited this often, in
+# seconds: a raise is credited within one.
+TOTALS_EVERY_S = 1.0
 # A host that stops waits this long for the ledger to take its charges.
 HAND_BACK_TIMEOUT_S = 10.0
 # The state dump names this many budgets, those that hold most.
@@ -144,6 +147,7 @@
             peers,
             entry_hosts,
             self._usual_bound,
+            lambda: len(self._by_budget),
             self._clock,
         )
         self._tools = Tools(
@@ -221,6 +225,7 @@
         self._tasks.append(asyncio.create_task(self._announce_loop()))
         self._tasks.append(asyncio.create_task(self._review_loop()))
         self._tasks.append(asyncio.create_task(self._contact_loop()))
+        self._tasks.append(asyncio.create_task(self._totals_loop()))
         return Ok(None)
 
     async def stop(self) -> None:
@@ -380,6 +385,16 @@
             for queue in self._queue_by_group.values():
                 await queue.announce_keepers()
 
+    async def _totals_loop(self) -> None:
+        """Draw of totals that were raised: a cut may come before the next review."""
+        while True:
+            await self._clock.sleep(TOTALS_EVERY_S)
+            for budget, _, total in self._policies.known_budgets():
+                allotment = self._by_budget.get(budget)
+                view = allotment.view if allotment is not None else None
+                if allotment is not None and view is not None and view.credited < total:
+                    self._reviewer.draw_ahead(allotment)
+
     async def _contact_loop(self) -> None:
         while True:
             every_s = max(CONTACT_EVERY_S, len(self._entry_hosts()) / CONTACTS_PER_S)
@@ -396,7 +411,7 @@
         now = self._clock.now()
         # Cut off before its first request of a budget, a host would have nothing to serve
         # it from, and nor would its peers.
-        for budget, workspace in self._policies.known_budgets():
+        for budget, workspace, _ in self._policies.known_budgets():
             self._allotment(budget, workspace)
         await self._store.help(now)
         for allotment in list(self._by_budget.values()):
--- a/cranberrywall/budgets/_charges.py
+++ b/cranberrywall/budgets/_charges.py
@@ -40,8 +40,9 @@
 # Charges that may not be kept yet are looked at this often, in seconds: their bounds rise.
 KEEP_POLL_S = 0.05
 RETRY_FIRST_S = 0.25
-# A cut that is mended is noticed within about this time, in seconds, at one small call for it.
-RETRY_MOST_S = 1.0
+# A cut that is mended is noticed within about this time and a commit's, in seconds, at one small
+# call for it. Until then a host counts as silent, and after a loss of power for all of that.
+RETRY_MOST_S = 0.3
 
 
 class ChargeQueue:
--- a/cranberrywall/budgets/_interfaces.py
+++ b/cranberrywall/budgets/_interfaces.py
@@ -112,10 +112,14 @@
 
 
 class KnownBudget(NamedTuple):
-    """Name a budget, and a workspace that spends it."""
+    """Name a budget, and a workspace that spends it.
+
+    ``total`` is what the configuration says is credited in all; 0 where it does not say.
+    """
 
     budget: str
     workspace: str
+    total: int = 0
 
 
 class Policies(Protocol):
--- a/cranberrywall/budgets/_review.py
+++ b/cranberrywall/budgets/_review.py
@@ -30,8 +30,11 @@
 CHECK_TIMEOUT_S = 1.0
 # What comes free within this time is returned in one step.
 SURPLUS_WAIT_S = 0.05
-# The ledger's sums are asked for again after this time, where the budget was used.
-VIEW_AGE_S = 60.0
+# The ledger's sums are asked for again after this time, in seconds, where the budget was used.
+# Others return and lose money meanwhile, and a cut keeps from all what is free at the ledger.
+LEAST_VIEW_AGE_S = 5.0
+# Hosts together draw so often a second for it, over all budgets that they hold.
+VIEWS_PER_S = 16.0
 # A fast path that runs low asks at most this often.
 DRAW_AHEAD_GAP_S = 0.5
 
@@ -49,10 +52,15 @@
         peers: Peers,
         entry_hosts: Callable[[], Sequence[EntryHost]],
         usual_bound: Callable[[], float],
+        count_budgets: Callable[[], int],
         clock: Clock,
     ) -> None:
-        """``usual_bound`` returns the mean bound of this host's requests, 0 before any."""
+        """``usual_bound`` returns the mean bound of this host's requests, 0 before any.
+
+        ``count_budgets`` returns of how many budgets this host holds anything.
+        """
         self._usual_bound = usual_bound
+        self._count_budgets = count_budgets
         self._host = host
         self._place = place
         self._entry_hosts = entry_hosts
@@ -85,6 +93,10 @@
             return int(left * (1.0 - held_back) / parts) if is_home else 0
         return target(left, self._rates(allotment.demand.rate(), total), held_back)
 
+    def _view_age_s(self) -> float:
+        views = self._count_budgets() * len(self._hosts())
+        return max(LEAST_VIEW_AGE_S, views / VIEWS_PER_S)
+
     def _hosts(self) -> list[str]:
         alive = {peer.host for peer in self._peers.alive()} | {self._host}
         return [one.host for one in self._entry_hosts() if one.host in alive] or [self._host]
@@ -125,12 +137,12 @@
             await self._check(allotment)
         view = allotment.view
         used = allotment.used_since_view
-        if view is None or (used and now - view.at >= VIEW_AGE_S):
+        if view is None or (used and now - view.at >= self._view_age_s()):
             self.draw_ahead(allotment)
             return
         aim = self.target(allotment)
         self._watch_surplus(allotment, aim)
-        if allotment.booked < LOW_BAND * aim and view.free > 0:
+        if self._is_low(allotment) and view.free > 0:
             self.draw_ahead(allotment)
         elif allotment.booked > HIGH_BAND * aim:
             await self._give_back(allotment, allotment.booked - aim)
@@ -175,16 +187,18 @@
         for task in list(self._drawing.values()):
             task.cancel()
 
+    def _is_low(self, allotment: Allotment) -> bool:
+        return allotment.booked < LOW_BAND * self.target(allotment)
+
     async def _draw(self, allotment: Allotment) -> None:
         if allotment.scarce is not None:
             return
         queue = allotment.queue
         if not queue.in_reach:
             return
-        is_first = allotment.view is None
         answer = await self._steps.draw(allotment, self.wanted(allotment), 1)
-        if is_first and isinstance(answer, Ok) and self.wanted(allotment):
-            # Only the first answer tells how much there is to hold a share of.
+        if isinstance(answer, Ok) and answer.ok_value.free and self._is_low(allotment):
+            # Only the answer tells how much there is now to hold a share of.
             answer = await self._steps.draw(allotment, self.wanted(allotment), 1)
         if isinstance(answer, Err):
             if out_of_reach(answer.err_value):
--- a/cranberrywall/budgets/_scarcity.py
+++ b/cranberrywall/budgets/_scarcity.py
@@ -227,7 +227,7 @@
         allotment = self._allotment
         total = sum(waiter.request.bound for waiter in self._waiters)
         amount = max(total - allotment.usable, self._tools.wanted(allotment))
-        answer = await self._tools.steps.draw(allotment, amount, self._shortfall())
+        answer = await self._tools.steps.draw(allotment, amount, self.shortfall())
         if isinstance(answer, Ok):
             return answer.ok_value.free
         refusal = answer.err_value
@@ -249,7 +249,7 @@
         if allotment.pending_draw is not None:
             return False
         view = allotment.view
-        is_short = view is not None and view.free < self._shortfall()
+        is_short = view is not None and view.free < self.shortfall()
         return allotment.queue.in_reach and (self._pause_s > 0.0 or is_short)
 
     async def _read_and_take(self) -> _Found | None:
@@ -263,9 +263,9 @@
         if isinstance(answer, Err):
             return None
         sums = answer.ok_value
-        if self._shortfall() > self._elsewhere(sums):
+        if self.shortfall() > self._elsewhere(sums):
             return _Found(0, 0)
-        if sums.free >= self._shortfall():
+        if sums.free >= self.shortfall():
             return None
         return await self._take_as_told(sums, claim)
 
@@ -286,7 +286,7 @@
             await self._tools.steps.draw(self._allotment, wanted, 1)
             self.serve()
 
-    def _shortfall(self) -> int:
+    def shortfall(self) -> int:
         """Return the least amount that would serve one more of those in line."""
         if not self._waiters:
             return 0
@@ -313,9 +313,9 @@
             self.serve()
         free = sums.free
         others = [held for held in sums.held if held.holder != self._allotment.queue.holder]
-        if self._shortfall() > self._elsewhere(sums):
+        if self.shortfall() > self._elsewhere(sums):
             return _Found(free, 0)
-        if 0 < free < self._shortfall():
+        if 0 < free < self.shortfall():
             await self._tools.steps.draw(self._allotment, free, 1)
             free = 0
         others.sort(key=lambda held: -held.outstanding)
@@ -361,7 +361,7 @@
         Where several are asked at once (not ``is_alone``), no more than the need is asked of each.
         """
         allotment = self._allotment
-        minimum = self._shortfall()
+        minimum = self.shortfall()
         amount = max(minimum, self._tools.wanted(allotment)) if is_alone else minimum
         reply = await self._tools.taker.take(peer, allotment, amount, minimum)
         self.serve()
--- a/cranberrywall/budgets/_transfers.py
+++ b/cranberrywall/budgets/_transfers.py
@@ -84,6 +84,8 @@
         if not (queue.in_reach or self._keeper.can_keep(queue.reach.may_keep_at)):
             # The transfer could not be made durable, and its money would be stranded.
             return Ok(_reply(allotment, None, False))
+        if _is_needed_more_here(allotment, request):
+            return Ok(_reply(allotment, None, False))
         amount = allotment.take(_gift(allotment.usable, request.amount, request.minimum))
         if amount == 0:
             return Ok(_reply(allotment, None, False))
@@ -161,6 +163,17 @@
     return TakeReply(holder, transfer, is_reported, allotment.usable, allotment.booked)
 
 
+def _is_needed_more_here(allotment: Allotment, request: TakeRequest) -> bool:
+    """Say whether this host is short of less than the one that asks.
+
+    Two hosts that are short at the same time would swap their last parts, and both refuse what
+    either could have served with the two. The one that needs less gets them.
+    """
+    missing = allotment.scarce.shortfall() if allotment.scarce is not None else 0
+    own = (missing, allotment.queue.holder.host)
+    return missing > 0 and own < (request.minimum, request.taker.host)
+
+
 def _gift(spendable: int, amount: int, minimum: int) -> int:
     """Return what to give to a peer that asks for ``amount``, or at least ``minimum``.
 
--- a/cranberrywall/entry/_configured.py
+++ b/cranberrywall/entry/_configured.py
@@ -90,7 +90,10 @@
         if len(document["budgets"]) > MOST_KNOWN_BUDGETS:
             return ()
         workspace_by_budget = {one["budget"]: name for name, one in document["workspaces"].items()}
-        return [KnownBudget(*pair) for pair in sorted(workspace_by_budget.items())]
+        return [
+            KnownBudget(budget, workspace, document["budgets"][budget].get("total", 0))
+            for budget, workspace in sorted(workspace_by_budget.items())
+        ]
 
     def spends_alone(self) -> bool:
         """Say whether any workspace's policy lets a host spend that is alone."""
--- a/cranberrywall/forwarding/_attempts.py
+++ b/cranberrywall/forwarding/_attempts.py
@@ -19,6 +19,11 @@
 LEAST_LEFT_S = 0.03
 """An attempt that has less time than this is not begun, in seconds: no target answers in it."""
 
+MOST_UNSENT = 3
+"""Targets that may turn out to take no connection, besides the route's attempts.
+
+More of them in a row are rather a fault of this host's own network."""
+
 DEADLINE_MARGIN_S = 0.005
 """A target is given this much less than the caller waits, for the way back, in seconds."""
 
@@ -27,7 +32,8 @@
     """Count the attempts of one request, over all targets.
 
     ``may_have_run`` says whether any of them may have run it: a refusal must then not promise
-    that it did not.
+    that it did not. ``sent`` counts the targets that a byte may have gone to, ``targets`` names
+    all that were tried.
     """
 
     def __init__(self, arrival: Arrival, plan: Plan, router: Router, clock: Clock) -> None:
@@ -45,6 +51,8 @@
         """Say whether another target may be tried after a failure."""
         if self.sent >= self.plan.route["attempts"] or self.left_s() < LEAST_LEFT_S:
             return False
+        if len(self.targets) >= self.plan.route["attempts"] + MOST_UNSENT:
+            return False
         return self.plan.repeats.may_run_again or not self.may_have_run
 
     def left_s(self) -> float:
@@ -67,6 +75,7 @@
             home=self._blocks[-1] if self._blocks else b"",
             exclude=frozenset(self.targets),
             retry=self.sent > 0,
+            again=self.sent == 0 and bool(self.targets),
         )
         return await self._router.acquire(demand, self._clock.now())
 
@@ -83,12 +92,15 @@
         self.last = failure
         if failure.kind not in DID_NOT_RUN:
             self.may_have_run = True
+        if failure.kind is FailureKind.UNSENT:
+            # A target that takes no connection got nothing: a route with one attempt still has it.
+            self.sent -= 1
         log_event(
             "WARNING",
             "attempt_failed",
             request=self.arrival.request_id,
             target=self.targets[-1],
-            attempt=self.sent,
+            attempt=len(self.targets),
             fault=failure.kind,
             reason=failure.message,
         )
--- a/cranberrywall/routing/_interfaces.py
+++ b/cranberrywall/routing/_interfaces.py
@@ -23,7 +23,8 @@
     the prompt shares with others, where that is known: all hosts send such prompts to one
     target, as long as it keeps up. ``exclude`` names the
     targets already tried for this request; ``retry`` is true for each attempt but the
-    first, and draws on the retry budget.
+    first, and draws on the retry budget. ``again`` is true where an attempt before it reached no
+    target: it neither draws on that budget nor adds to it once more.
     """
 
     workspace: str
@@ -38,6 +39,7 @@
     home: bytes = b""
     exclude: frozenset[str] = frozenset()
     retry: bool = False
+    again: bool = False
 
 
 class OutcomeKind(StrEnum):
--- a/cranberrywall/routing/_pool.py
+++ b/cranberrywall/routing/_pool.py
@@ -226,7 +226,7 @@
         for budget in budgets:
             if demand.retry:
                 budget.spend(now)
-            else:
+            elif not demand.again:
                 budget.first_attempt(now)
         if self.hears_first_tokens:
             candidate.pending_blocks += chosen.missed_blocks
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -189,7 +189,7 @@
 
 async def test_a_caller_that_leaves_frees_the_target_and_pays_for_what_ran() -> None:
     """A caller gives up while its stream runs; the target's connection ends at once."""
-    left = asyncio.Event()
+    begun, left = asyncio.Event(), asyncio.Event()
 
     async def endless(request: web.Request) -> web.StreamResponse:
         await request.read()
@@ -198,6 +198,7 @@
         try:
             for number in range(1, 1000):
                 await response.write(event(number))
+                begun.set()
                 await asyncio.sleep(0.01)
         except ConnectionError:
             left.set()
@@ -206,7 +207,9 @@
     async with Scene(kind="stream") as scene:
         await scene.target("a", endless)
         task = asyncio.ensure_future(scene.serve())
-        await asyncio.sleep(0.1)
+        # Given up before it reached the target, the stream would have nothing to free.
+        async with asyncio.timeout(5.0):
+            await begun.wait()
         task.cancel()
         async with asyncio.timeout(0.5):
             await left.wait()
