--- a/tests/budgets/test_partitions.py
+++ b/tests/budgets/test_partitions.py
@@ -481,3 +481,72 @@
         assert 0.97 * left <= at_once + rest <= left
 
     on_fleet(story, policy=SpendPolicy(held_back=0.5))
+
+
+def test_a_raise_just_before_a_cut_can_be_spent_in_it() -> None:
+    """A total is raised, and two seconds later all hosts of a place are cut off from the ledger.
+
+    They refused what the raise had paid for: hosts drew of it at their next review only.
+    """
+
+    async def story(fleet: MoneyFleet) -> None:
+        fleet.known_budgets.append(KnownBudget("main", "clerks", 1_000))
+        fleet.credit("main", 1_000)
+        await fleet.clock.sleep(12.0)
+        # Just after a review, so that the next one comes too late.
+        fleet.known_budgets[:] = [KnownBudget("main", "clerks", 101_000)]
+        fleet.credit("main", 100_000)
+        await fleet.clock.sleep(2.0)
+        fleet.net.cut(SOUTH_AWAY)
+        await fleet.clock.sleep(UNSEEN_ALL_AFTER_S)
+        assert await spend_all(fleet, "b1", "raised", 1_000) > 30_000
+
+    on_fleet(story)
+
+
+def test_after_a_cut_with_much_lending_hosts_are_soon_in_touch_again() -> None:
+    """Cut off together, hosts lend to each other at each request, and the cut is mended.
+
+    Each transfer was reported by itself, and nobody drew of the ledger before all were through.
+    """
+
+    async def story(fleet: MoneyFleet) -> None:
+        await warm_up(fleet)
+        fleet.net.cut(dict.fromkeys(fleet.host_by_name, 1))
+        for turn in range(60):
+            host = ("a1", "b1", "b2")[turn % 3]
+            allotments = fleet.host_by_name[host].allotments
+            usable = allotments.state()["largest"]["main"]["usable"]
+            request = ask(fleet, f"turn-{turn}", usable + 20, 0.3)
+            answer = await allotments.reserve(request, fleet.clock.now())
+            if isinstance(answer, Ok):
+                answer.ok_value.release(fleet.clock.now())
+            await fleet.clock.sleep(0.1)
+        fleet.net.delay_s = 0.02
+        fleet.net.mend()
+        await fleet.clock.sleep(1.5)
+        for one in fleet.host_by_name.values():
+            group = one.allotments.state()["groups"]["ledger-0"]
+            assert (group["in_reach"], group["transfers_to_report"]) == (True, 0)
+
+    on_fleet(story)
+
+
+def test_two_hosts_that_are_short_at_once_do_not_swap_their_last_parts() -> None:
+    """Two hosts hold 60 each and get a request of 100 at the same time. One of them is served."""
+
+    async def story(fleet: MoneyFleet) -> None:
+        fleet.credit("main", 120)
+        for host in ("a1", "b1"):
+            (await reserved(fleet, host, f"{host}-first", 60)).release(fleet.clock.now())
+        answers = await asyncio.gather(
+            *(
+                fleet.host_by_name[host].allotments.reserve(
+                    ask(fleet, f"{host}-second", 100), fleet.clock.now()
+                )
+                for host in ("a1", "b1")
+            )
+        )
+        assert sum(isinstance(answer, Ok) for answer in answers) == 1
+
+    on_fleet(story)
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -8,6 +8,7 @@
 from result import Ok
 
 from cranberrywall.errors import ErrorKind
+from cranberrywall.forwarding._attempts import MOST_UNSENT
 from tests.forwarding.scripted import (
     HeldReply,
     Scene,
@@ -298,3 +299,28 @@
             assert result.unwrap_err().kind is kind
             stale = await scene.forwarder.serve(request, HeldReply(), False)
             assert stale.unwrap_err().kind is ErrorKind.NOT_READY
+
+
+async def test_a_target_that_takes_no_connection_uses_up_no_attempt() -> None:
+    """A target ended a moment ago, and its route allows one attempt. Another target is well.
+
+    Nothing was sent: the caller would else be refused for a target that was merely gone. It is
+    no retry either, and adds nothing to what retries may be made.
+    """
+    async with Scene(kind="non_idempotent", attempts=1) as scene:
+        scene.router.url_by_id["a"] = "http://127.0.0.1:9"
+        await scene.target("b", answers())
+        reply, _ = await scene.serve()
+        assert reply.status == 200
+        second = scene.router.demands[1]
+        assert (second.retry, second.again) == (False, True)
+
+
+async def test_a_host_whose_every_connection_fails_gives_up() -> None:
+    """All targets seem gone: after a few the request is refused, as not run."""
+    async with Scene(attempts=1) as scene:
+        for number in range(10):
+            scene.router.url_by_id[f"t{number}"] = "http://127.0.0.1:9"
+        _, result = await scene.serve()
+        assert result.unwrap_err().kind is ErrorKind.NOT_RUN
+        assert len(scene.router.demands) == 1 + MOST_UNSENT
