--- a/cranberrywall/commands/_control_program.py
+++ b/cranberrywall/commands/_control_program.py
@@ -1,7 +1,9 @@
 """Assemble the control program: its groups, what they keep, the spread, operators' HTTP."""
 
 import asyncio
+import sys
 from collections.abc import Callable, Mapping, Sequence
+from functools import partial
 
 from cranberrywall.budgets import LedgerMachine, LedgerSummary, make_ledger_machine
 from cranberrywall.commands._control_ties import (
@@ -21,7 +23,13 @@
     make_control_feed,
     make_document_peers,
 )
-from cranberrywall.control import ControlHost, ledger_groups, make_control_host
+from cranberrywall.control import (
+    EXIT_RESTART,
+    ControlHost,
+    StorageWatch,
+    ledger_groups,
+    make_control_host,
+)
 from cranberrywall.hosts import register_dump
 from cranberrywall.links import (
     LinkCaller,
@@ -152,6 +160,10 @@
     health = _make_health(host, lambda: check_placement(settings, machine.configuration))
     admin = make_admin_server(settings["listen"]["admin"], metrics, state, health, keys.admin)
     loops = [raiser.run, *ties.loops()]
+    if runtime.storage is not None:
+        restart = partial(sys.exit, EXIT_RESTART)
+        groups = list(host.group_by_name.values())
+        loops.append(StorageWatch(groups, runtime.storage, runtime.clock, restart).run)
     return ControlProgram(host, feed, orders, admin, state, ties, loops)
 
 
--- a/cranberrywall/control/__init__.py
+++ b/cranberrywall/control/__init__.py
@@ -5,6 +5,7 @@
 from cranberrywall.control._enrolment import Enrolments
 from cranberrywall.control._placement import ledger_group, ledger_groups
 from cranberrywall.control._program import ControlHost, make_control_host
+from cranberrywall.control._storage_watch import EXIT_RESTART, StorageWatch
 from cranberrywall.control.messages import (
     PROPOSE,
     QUERY,
@@ -19,6 +20,7 @@
 )
 
 __all__ = [
+    "EXIT_RESTART",
     "PROPOSE",
     "QUERY",
     "ChangeMemberReply",
@@ -35,6 +37,7 @@
     "ProposeRequest",
     "QueryReply",
     "QueryRequest",
+    "StorageWatch",
     "ledger_group",
     "ledger_groups",
     "make_control_client",
--- a/cranberrywall/replication/_group.py
+++ b/cranberrywall/replication/_group.py
@@ -90,6 +90,10 @@
         core = self._core
         return bool(core.leader) and core.hears_leader(core.clock.now())
 
+    @property
+    def failure(self) -> Refusal | None:
+        return self._core.failure
+
     def addresses(self) -> Sequence[str]:
         return [member.address for member in self._core.log.roster.members]
 
--- a/cranberrywall/replication/_interfaces.py
+++ b/cranberrywall/replication/_interfaces.py
@@ -95,6 +95,11 @@
         """Say whether this host leads, or heard the leader lately."""
         ...
 
+    @property
+    def failure(self) -> Refusal | None:
+        """Return why this host takes part no more; ``None`` while it does."""
+        ...
+
     def addresses(self) -> Sequence[str]:
         """Return the stream addresses of the members, by this host's log."""
         ...
