--- a/cranberrywall/budgets/_charges.py
+++ b/cranberrywall/budgets/_charges.py
@@ -36,7 +36,7 @@
 COMMIT_TIMEOUT_S = 1.0
 # A commit takes some milliseconds. Where charges can be kept at peers only, requests wait for
 # theirs before they are sent: the ledger counts as out of reach after this, in seconds.
-QUICK_COMMIT_TIMEOUT_S = 0.4
+QUICK_COMMIT_TIMEOUT_S = 0.25
 # Charges that may not be kept yet are looked at this often, in seconds: their bounds rise.
 KEEP_POLL_S = 0.05
 RETRY_FIRST_S = 0.25
