--- a/cranberrywall/budgets/_allotment.py
+++ b/cranberrywall/budgets/_allotment.py
@@ -143,6 +143,7 @@
         if not self._may_be_unseen(amount):
             return False
         self.unseen.kept += amount
+        self.queue.reach.note_unseen()
         return True
 
     def try_give_unseen(self, amount: int) -> bool:
@@ -150,6 +151,7 @@
         if not self._may_be_unseen(amount):
             return False
         self.unseen.given += amount
+        self.queue.reach.note_unseen()
         return True
 
     def _may_be_unseen(self, amount: int) -> bool:
@@ -165,7 +167,7 @@
         """
         reach = self.queue.reach
         self.unseen.renew(reach)
-        if asked_clock > reach.heard_at:
+        if asked_clock > reach.told_at:
             self.unseen.received += amount
 
     @property
--- a/cranberrywall/budgets/_reach.py
+++ b/cranberrywall/budgets/_reach.py
@@ -13,15 +13,18 @@
 class Reach:
     """Hold one holder's contact with one ledger group.
 
-    ``in_reach`` says whether the ledger answered last. ``heard_at`` is when the holder last told
-    it what is kept elsewhere, by its steady clock.
+    ``in_reach`` says whether the ledger answered last. ``told_at`` is when the holder last sent it
+    what is kept elsewhere, by its steady clock, and ``heard_at`` when it sent what was answered.
+    The ledger goes by one of the two: a command or its answer may be lost.
     """
 
     def __init__(self, group: str, keeper: Keeper, clock: Clock, is_bounded: bool) -> None:
         """``is_bounded`` where what the host spends unseen may be lost with it."""
         self._group = group
         self.in_reach = True
-        self.heard_at = clock.now()
+        self.told_at = clock.now()
+        self.heard_at = self.told_at
+        self._last_unseen_at = float("-inf")
         self._is_bounded = is_bounded
         self._lost_at = float("-inf")
         self._announced = AnnouncedKeepers()
@@ -32,7 +35,11 @@
         """Return the share of its part that the holder may spend unseen, ``later_s`` from now."""
         if not self._is_bounded:
             return 1.0
-        return unseen_share(self._clock.now() + later_s - self.heard_at)
+        return unseen_share(self._clock.now() + later_s - self.told_at)
+
+    def note_unseen(self) -> None:
+        """Note that something is spent or given now out of the ledger's sight."""
+        self._last_unseen_at = self._clock.now()
 
     def may_keep_at(self, host: str) -> bool:
         """Say whether charges and transfers may be kept at a peer."""
@@ -48,7 +55,7 @@
 
     def was_silent(self, seconds: float) -> bool:
         """Say whether the ledger was last told so long ago what is kept elsewhere."""
-        return self._clock.now() - self.heard_at >= seconds
+        return self._clock.now() - self.told_at >= seconds
 
     def lose(self) -> None:
         """Note that the ledger is out of reach."""
@@ -67,7 +74,7 @@
         now, wall = self._clock.now(), self._clock.wall()
         if not self.in_reach:
             return Contact(now, is_detached=True, wall=wall)
-        self.heard_at = now
+        self.told_at = now
         kept = tuple(sorted(unseen.items()))
         chosen = self._keeper.choose(now)
         named = None if chosen is None else self._announced.announce(chosen, now)
@@ -75,6 +82,8 @@
 
     def note_answered(self, contact: Contact) -> None:
         """Note that the ledger has answered a command with this contact."""
+        if not contact.is_detached and contact.clock > self._last_unseen_at:
+            self.heard_at = max(self.heard_at, contact.clock)
         if self._announced.confirm(contact):
             keepers = ",".join(self._announced.state())
             log_event("INFO", "keepers_named", group=self._group, keepers=keepers)
