Take a lost machine's own time of day for the least of its silence

Taken for the first words after a registration, they bounded a silence of three seconds by 0.6 s. The silence is now never taken for shorter than the machine's own clock says; that one is wrong only where it was stepped, and then the other hosts' clocks hold.

--- a/cranberrywall/budgets/_ledger_holders.py
+++ b/cranberrywall/budgets/_ledger_holders.py
@@ -107,7 +107,7 @@
         self._contact_by_holder.pop(holder, None)
 
     def heard_clock(self, holder: Holder) -> float:
-        """Return when a holder was last heard while nothing was kept, by its steady clock."""
+        """Return when a holder last told what is kept elsewhere, by its steady clock."""
         return self._contact_by_holder.get(holder, _NO_CONTACT).heard.clock
 
     def unseen(self, holder: Holder) -> dict[str, int]:
--- a/cranberrywall/budgets/_ledger_silence.py
+++ b/cranberrywall/budgets/_ledger_silence.py
@@ -19,7 +19,7 @@
 
 
 class Heard(NamedTuple):
-    """Hold what a holder said last while nothing of it was kept elsewhere.
+    """Hold the clocks of a holder as it last told what is kept elsewhere.
 
     ``walls`` are the times of day of some hosts as of then, by their last words.
     """
@@ -92,7 +92,9 @@
         others = [name for name, _ in heard.walls if name != successor.host]
         if len(told) < max(LEAST_WITNESSES, len(others) // 2 + 1):
             return None
-        most_s = _upper_quartile([*told, by_day_s])
+        # A cut may hold other hosts' commands up for its whole length: what they tell is then from
+        # before the loss. The machine's own time of day is not, and is only wrong where stepped.
+        most_s = max(by_day_s, _upper_quartile(told))
         return most_s if most_s >= 0.0 else None
 
     def dump(self) -> list[Any]:
@@ -116,7 +118,7 @@
 
 
 def _upper_quartile(values: list[float]) -> float:
-    """Return a value that a quarter exceeds: stepped clocks of fewer than three in four hide none.
+    """Return a value that a quarter exceeds: fewer than three stepped clocks in four hide none.
 
     >>> _upper_quartile([1.0, 1.1, 1.2, 1.3, -1.0]), _upper_quartile([1.0, 1.2])
     (1.2, 1.2)
--- a/tests/budgets/test_silence.py
+++ b/tests/budgets/test_silence.py
@@ -72,3 +72,19 @@
         silences.note(host, LOST_AT - 20.0)
     heard = heard_before_the_loss(silences)
     assert bound(silences, heard, 3) is None
+
+
+def test_commands_that_a_cut_held_up_do_not_shorten_the_silence() -> None:
+    """A machine loses its power in a cut, and registers as the cut ends.
+
+    Just then the commands arrive that other hosts sent as it had begun. By these alone, the
+    silence lasted half a second.
+    """
+    silences = Silences()
+    heard = heard_before_the_loss(silences)
+    silences.begin(Holder("a", 2), UP_S)
+    for host in OTHERS:
+        silences.note(host, LOST_AT + 1.0)
+    found = bound(silences, heard, 2)
+    assert found is not None
+    assert found >= BACK_AT - LOST_AT
