--- a/cranberrywall/budgets/_charges.py
+++ b/cranberrywall/budgets/_charges.py
@@ -400,11 +400,11 @@
     def _take_allowed(self) -> list[Pending]:
         """Take out the charges that may be kept now, and count them to their budgets' bounds."""
         taken: list[Pending] = []
-        left: deque[Pending] = deque()
-        for pending in self._waiting:
+        # In place: a commit that began before holds this deque, and would send what is kept.
+        for _ in range(len(self._waiting)):
+            pending = self._waiting.popleft()
             is_allowed = pending.allotment.try_keep_unseen(pending.charge.amount)
-            (taken if is_allowed else left).append(pending)
-        self._waiting = left
+            (taken if is_allowed else self._waiting).append(pending)
         return taken
 
     async def _keep_batch(self, batch: list[Pending]) -> None:
--- a/tests/budgets/schedules.py
+++ b/tests/budgets/schedules.py
@@ -232,6 +232,39 @@
         return self._random.sample(names, self._random.randrange(1, len(names)))
 
 
+class FrozenLedger(Schedule):
+    """Freeze the ledger's leader now and then; commands are applied when it wakes.
+
+    Their senders have given up by then, and have sent them again or kept them elsewhere.
+    """
+
+    def _delay_s(self) -> float:
+        return self._random.choice((0.0, 0.001, 0.005, 0.02, 0.2))
+
+    async def _trouble(self) -> None:
+        self._fleet.net.applies_late = True
+        troubles = [self._freeze, self._freeze, self._cut_all, self._lose_messages]
+        until = self._fleet.clock.now() + self._length_s
+        while self._fleet.clock.now() < until:
+            await self._fleet.clock.sleep(self._random.uniform(0.0, 3.0))
+            await self._random.choice(troubles)()
+            if self._random.random() < 0.3:
+                self._credit(RAISE)
+        await self._fleet.clock.sleep(10.0)
+
+    async def _freeze(self) -> None:
+        net = self._fleet.net
+        net.is_frozen = True
+        await self._fleet.clock.sleep(self._random.uniform(0.1, 5.0))
+        net.is_frozen = False
+        await self._fleet.clock.sleep(self._random.uniform(0.5, 4.0))
+
+
+def play_frozen(seed: int, hosts: int = 6) -> Found:
+    """Play a schedule with a leader that freezes."""
+    return run_virtual(FrozenLedger(seed, hosts, 40.0).play())
+
+
 class Blackout(Schedule):
     """Cut all hosts off, press until their bounds are used up, and lose them all, or some.
 
--- a/tests/budgets/test_schedules.py
+++ b/tests/budgets/test_schedules.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.budgets.schedules import play, play_blackout
+from tests.budgets.schedules import play, play_blackout, play_frozen
 
 # Schedules that once gave out more than was paid for, and why.
 CLAIMED_WHILE_GIVING = (2, 6, 24, 72, 88, 93, 95)
@@ -47,3 +47,14 @@
     found = play_blackout(seed)
     assert found.most_over <= 0
     assert found.served > 500
+
+
+@pytest.mark.parametrize("seed", range(24, 32))
+def test_a_charge_is_not_both_kept_and_committed(seed: int) -> None:
+    """A workspace gets more than its total after a leader froze for some seconds.
+
+    A commit waits for it while its host counts the ledger as lost, and keeps the charges that
+    wait at peers. The commit goes on and sends them too; counted twice as committed, they leave
+    the host with less than is booked to it, and the difference is claimed and spent again.
+    """
+    assert play_frozen(seed).most_over <= 0
--- a/tests/budgets/test_unseen.py
+++ b/tests/budgets/test_unseen.py
@@ -220,3 +220,44 @@
         await queue.stop()
 
     run_virtual(main())
+
+
+def test_a_charge_that_is_kept_while_a_commit_waits_is_committed_once() -> None:
+    """A workspace gets more than its total after a leader froze for some seconds.
+
+    A commit waits for a correction to be answered, and a draw finds the ledger lost meanwhile: the
+    charges that wait are kept at peers. The commit goes on and sends them too. Counted twice as
+    committed, they leave the host with less than is booked to it, which it claims and spends.
+    """
+
+    class SlowCorrections(OneByOne):
+        async def correct(self, group: str, command: Any, timeout: float) -> Result[Any, Refusal]:
+            await clock.sleep(0.2)
+            return Ok(None)
+
+        async def charge(self, batch: ChargeBatch, timeout: float) -> Result[Any, Refusal]:
+            return Ok(ChargeBatchResult((ChargeOutcome.BILLED,) * len(batch.charges)))
+
+    async def main() -> None:
+        queue, allotment = make_queue(SlowCorrections([]), clock)
+        queue.start()
+
+        def spend(number: int) -> tuple[Charge, asyncio.Task[Any]]:
+            assert allotment.try_hold(10)
+            allotment.open(10)
+            charge = Charge("main", "clerks", f"id-{number}", number, 10, 0.0, is_open=True)
+            return charge, asyncio.ensure_future(queue.add(charge, allotment))
+
+        first, added = spend(1)
+        assert await added == Ok(None)
+        queue.correct(first, 10, allotment)
+        _, second = spend(2)
+        await clock.sleep(0.1)
+        await queue.lost(Refusal(ErrorKind.TIMEOUT, "no answer"))
+        await clock.sleep(3.0)
+        assert second.done()
+        assert (allotment.charging, queue.uncommitted) == (0, 0)
+        await queue.stop()
+
+    clock = VirtualClock()
+    run_virtual(main())
--- a/tests/fakes/money.py
+++ b/tests/fakes/money.py
@@ -32,6 +32,7 @@
 from cranberrywall.runtime import Clock, Random, Runtime, Storage
 
 LEDGER = "ledger"
+FROZEN_POLL_S = 0.01
 _CHARGES = ChargeBatch.__name__.encode()
 
 
@@ -47,6 +48,8 @@
 class MoneyNet:
     """Carry calls between nodes; ``side_by_node`` cuts, ``lose_reply`` loses single replies.
 
+    Where it ``applies_late``, calls are delivered also after their callers have given up, and the
+    ledger answers none while it ``is_frozen``.
     ``lose_reply`` and ``lose_request`` are asked with the caller, the node called and the
     request. Each way of a call takes ``delay_s`` and what ``extra_delay_s`` returns, in seconds.
     """
@@ -60,6 +63,9 @@
         self.lose_request: Callable[[str, str, Any], bool] = lambda *_: False
         self.lose_reply: Callable[[str, str, Any], bool] = lambda *_: False
         self.extra_delay_s: Callable[[], float] = lambda: 0.0
+        self.applies_late = False
+        self.is_frozen = False
+        self._late: set[asyncio.Task[Any]] = set()
         self.calls = 0
         self.ledger_calls = 0
         self.charge_calls = 0
@@ -86,6 +92,8 @@
     ) -> Result[Any, Refusal]:
         """Deliver one call and its reply, or time out."""
         self.calls += 1
+        if self.applies_late:
+            return await self._call_late(source, sink, request, timeout, answer)
         started_at = self.clock.now()
         await self.clock.sleep(self.delay_s + self.extra_delay_s())
         if not self.reaches(source, sink) or self.lose_request(source, sink, request):
@@ -99,6 +107,35 @@
         result: Result[Any, Refusal] = reply
         return result
 
+    async def _call_late(
+        self, source: str, sink: str, request: Any, timeout: float, answer: Callable[[], Any]
+    ) -> Result[Any, Refusal]:
+        """Answer in time, or deliver the call all the same once its caller has given up."""
+
+        async def deliver() -> Any:
+            await self.clock.sleep(self.delay_s + self.extra_delay_s())
+            while sink == LEDGER and self.is_frozen:
+                await self.clock.sleep(FROZEN_POLL_S)
+            if not self.reaches(source, sink) or self.lose_request(source, sink, request):
+                return None
+            reply: Any = answer()
+            if asyncio.iscoroutine(reply):
+                reply = await reply
+            await self.clock.sleep(self.delay_s + self.extra_delay_s())
+            is_lost = not self.reaches(source, sink) or self.lose_reply(source, sink, request)
+            return None if is_lost else reply
+
+        started_at = self.clock.now()
+        task = asyncio.ensure_future(deliver())
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+        done, _ = await asyncio.wait({task}, timeout=timeout)
+        reply = task.result() if done else None
+        if reply is None:
+            return await self._timed_out(started_at, timeout)
+        result: Result[Any, Refusal] = reply
+        return result
+
     async def _timed_out(self, started_at: float, timeout: float) -> Result[Any, Refusal]:
         await self.clock.sleep(max(0.0, started_at + timeout - self.clock.now()))
         return Err(Refusal(ErrorKind.TIMEOUT, "no answer"))
