Keep the generator of schedules as it was when its seeds showed overspends

The seeds of the first overspends stood in tests that named them as regressions, but the generator had been extended since, so that they drove other schedules. It stands again unchanged, and the two stories use it. The seeds with a frozen ledger never failed: their test no longer says so.

--- a/tests/budgets/test_schedules.py
+++ b/tests/budgets/test_schedules.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from tests.budgets import first_schedules
 from tests.budgets.schedules import play, play_blackout, play_frozen
 
 # Schedules that once gave out more than was paid for, and why.
@@ -17,7 +18,7 @@
     search of its own reads the ledger just before that, finds more booked than the host holds,
     and claims the amount back. The same befalls a taker whose answer is still on its way.
     """
-    assert play(seed).most_over <= 0
+    assert first_schedules.play(seed).most_over <= 0
 
 
 @pytest.mark.parametrize("seed", NUMBERED_TWICE)
@@ -28,7 +29,7 @@
     again, the host forgot that and gave another amount under the same number. The ledger booked
     the first amount only, and the taker spent both.
     """
-    assert play(seed).most_over <= 0
+    assert first_schedules.play(seed).most_over <= 0
 
 
 @pytest.mark.parametrize("seed", range(1000, 1006))
@@ -50,11 +51,10 @@
 
 
 @pytest.mark.parametrize("seed", range(24, 32))
-def test_a_charge_is_not_both_kept_and_committed(seed: int) -> None:
-    """A workspace gets more than its total after a leader froze for some seconds.
+def test_commands_that_are_applied_late_overspend_nothing(seed: int) -> None:
+    """A leader freezes for some seconds, and applies commands that their senders gave up.
 
-    A commit waits for it while its host counts the ledger as lost, and keeps the charges that
-    wait at peers. The commit goes on and sends them too; counted twice as committed, they leave
-    the host with less than is booked to it, and the difference is claimed and spent again.
+    None of these seeds failed on the fault that such a schedule showed once; its own test is
+    ``test_a_charge_that_is_kept_while_a_commit_waits_is_committed_once``.
     """
     assert play_frozen(seed).most_over <= 0
