Sight: log which requests are the same, and which targets ended under them

The logs could not tell the hypotheses of the incident apart: which arrivals are the same request, for how long an attempt had been answered when it broke, whether its target ended or lives on. Attempts and ends of requests now carry a fingerprint (caller, path, body) and answered_s; a new event target_ended says by what word a target's end is known (its address refuses connections, or a later start announced itself there) and what was under way. Nothing is decided by it.

--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -29,8 +29,9 @@
     make_metrics,
 )
 from cranberrywall.orders import EngineReporter
+from cranberrywall.quarantine import RunWatch
 from cranberrywall.routing import RetryLimits, make_router, make_target_spread
-from cranberrywall.runtime import Runtime
+from cranberrywall.runtime import Runtime, make_network
 from cranberrywall.settings import FleetKeys, Settings, seconds
 from cranberrywall.targets import Announcement, make_targets, register_relay
 
@@ -80,6 +81,8 @@
         self._allotments: HostAllotments | None = None
         self._targets = make_targets()
         self._spread = make_target_spread(self._targets, self._membership.spread, clock)
+        # Targets' own listeners are asked only whether they take connections, without a word.
+        self._watch = RunWatch(self._targets, make_network(), clock)
         self._reporter = EngineReporter(
             self._caller, clock, controls, lambda: self._waiting_by_model()
         )
@@ -139,6 +142,7 @@
             await self._front.finish()
             await self._hand_money_back()
         await self._front.close()
+        self._watch.close()
         if self._allotments is not None:
             await self._allotments.stop()
         for task in self._tasks:
@@ -223,6 +227,7 @@
             self._metrics,
             self._publish,
             self._is_current,
+            self._watch,
         )
         await self._front.serve(parts)
         self._is_serving = True
--- a/cranberrywall/forwarding/_attempts.py
+++ b/cranberrywall/forwarding/_attempts.py
@@ -13,6 +13,7 @@
 from cranberrywall.forwarding._interfaces import Arrival, Attempt
 from cranberrywall.forwarding._plan import Plan
 from cranberrywall.observability import log_event
+from cranberrywall.quarantine import short_name
 from cranberrywall.routing import Demand, Outcome, OutcomeKind, Router, Slot
 from cranberrywall.runtime import Clock
 
@@ -85,7 +86,16 @@
         self.targets.append(slot.target_id)
         left_s = max(0.0, self.left_s() - DEADLINE_MARGIN_S)
         plan = self.plan
-        return Attempt(self.arrival, slot.target_id, plan.workspace, left_s, plan.rank, last_event)
+        return Attempt(
+            self.arrival,
+            slot.target_id,
+            plan.workspace,
+            left_s,
+            plan.rank,
+            last_event,
+            plan.fingerprint,
+            plan.repeats.is_stream,
+        )
 
     def note_failure(self, failure: AttemptFailedError) -> None:
         """Take in how an attempt failed."""
@@ -101,7 +111,9 @@
             request=self.arrival.request_id,
             target=self.targets[-1],
             attempt=len(self.targets),
+            fingerprint=short_name(self.plan.fingerprint),
             fault=failure.kind,
+            answered_s="" if failure.answered_s is None else failure.answered_s,
             reason=failure.message,
         )
 
--- a/cranberrywall/forwarding/_calls.py
+++ b/cranberrywall/forwarding/_calls.py
@@ -15,6 +15,7 @@
 from cranberrywall.forwarding._conclusion import concluding
 from cranberrywall.forwarding._interfaces import Headers
 from cranberrywall.forwarding._money import Purse
+from cranberrywall.quarantine import RunWatch
 from cranberrywall.routing import Outcome, OutcomeKind, Slot
 from cranberrywall.runtime import Clock
 
@@ -32,8 +33,9 @@
 class CallForwarder:
     """Try targets until one answers."""
 
-    def __init__(self, client: TargetClient, clock: Clock) -> None:
+    def __init__(self, client: TargetClient, watch: RunWatch, clock: Clock) -> None:
         self._client = client
+        self._watch = watch
         self._clock = clock
 
     async def run(self, attempts: Attempts, purse: Purse) -> Result[WholeAnswer, Refusal]:
@@ -66,16 +68,17 @@
         started_at = self._clock.now()
         attempt = attempts.begin(slot, None)
         may_run_again = attempts.plan.repeats.may_run_again
-        with concluding(slot, attempt, purse, self._clock) as conclusion:
+        with concluding(slot, attempt, purse, self._watch, self._clock) as conclusion:
             async with (
                 asyncio.timeout(attempt.left_s),
                 self._client.open(slot.url, attempt, may_run_again) as answer,
             ):
+                conclusion.answered(self._clock.now())
                 note_load(slot, answer, self._clock.now())
                 body = await read_whole(answer)
             is_failure = answer.status >= FAILED_FROM_STATUS
             if not is_failure:
                 purse.note_whole_answer()
             kind = OutcomeKind.FAILED_AFTER if is_failure else OutcomeKind.ANSWERED
-            conclusion.outcome = Outcome(kind, self._clock.now() - started_at)
+            conclusion.is_whole(Outcome(kind, self._clock.now() - started_at))
             return WholeAnswer(answer.status, answer.headers, body)
--- a/cranberrywall/forwarding/_client.py
+++ b/cranberrywall/forwarding/_client.py
@@ -53,12 +53,17 @@
 
 
 class AttemptFailedError(Exception):
-    """Report an attempt without an answer."""
+    """Report an attempt without an answer.
+
+    ``answered_s`` is for how long the target had begun to answer, in seconds; ``None`` where it
+    had not.
+    """
 
     def __init__(self, kind: FailureKind, message: str) -> None:
         super().__init__(f"{kind}: {message}")
         self.kind = kind
         self.message = message
+        self.answered_s: float | None = None
 
 
 class TargetAnswer(NamedTuple):
--- a/cranberrywall/forwarding/_forwarder.py
+++ b/cranberrywall/forwarding/_forwarder.py
@@ -15,6 +15,7 @@
 from cranberrywall.forwarding._plan import Plan, Planner
 from cranberrywall.forwarding._streams import StreamForwarder
 from cranberrywall.observability import Metrics, log_event
+from cranberrywall.quarantine import RunWatch, short_name
 from cranberrywall.routing import Router
 from cranberrywall.runtime import Clock, Random
 
@@ -31,14 +32,15 @@
         clock: Clock,
         random: Random,
         metrics: Metrics,
+        watch: RunWatch,
     ) -> None:
         self._kept = make_session(keeps_connections=True)
         self._fresh = make_session(keeps_connections=False)
         client = TargetClient(self._kept, self._fresh, dialect)
         self._planner = Planner(configuration, random)
         self._cashier = Cashier(allotments, configuration, clock)
-        self._calls = CallForwarder(client, clock)
-        self._streams = StreamForwarder(client, clock)
+        self._calls = CallForwarder(client, watch, clock)
+        self._streams = StreamForwarder(client, watch, clock)
         self._router = router
         self._clock = clock
         self._requests = metrics.counter(
@@ -148,6 +150,7 @@
             route=plan.route["name"],
             workspace=plan.workspace,
             revision=plan.revision,
+            fingerprint=short_name(plan.fingerprint),
             targets=",".join(attempts.targets),
             may_have_run=attempts.may_have_run,
             charged=purse.used,
--- a/cranberrywall/forwarding/_interfaces.py
+++ b/cranberrywall/forwarding/_interfaces.py
@@ -5,6 +5,8 @@
 
 from typing import NamedTuple, Protocol
 
+from cranberrywall.quarantine import Fingerprint
+
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -54,7 +56,8 @@
     """Describe one sending of a request to a target.
 
     ``left_s`` is the time that the target may use. ``last_event`` is the last event that the
-    caller has. ``rank`` is the priority, 0 first.
+    caller has. ``rank`` is the priority, 0 first. ``is_streamed`` says that the target begins to
+    answer as it begins to run the request.
     """
 
     arrival: Arrival
@@ -63,6 +66,8 @@
     left_s: float
     rank: int
     last_event: int | None
+    fingerprint: Fingerprint
+    is_streamed: bool
 
 
 class TargetLoad(NamedTuple):
--- a/cranberrywall/forwarding/_plan.py
+++ b/cranberrywall/forwarding/_plan.py
@@ -8,6 +8,7 @@
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.forwarding._interfaces import Arrival
 from cranberrywall.forwarding._routes import Repeats, RouteTable, choose_service, repeats_of
+from cranberrywall.quarantine import Fingerprint, fingerprint_of
 from cranberrywall.runtime import Random
 
 NOT_SURE_RETRY_S = 0.5
@@ -21,7 +22,7 @@
 
     ``workspace`` is empty where the route asks for no key. ``kind`` is ``"engine"`` or
     ``"service"``, as ``service``'s targets are. ``tokens_per_event`` bounds what an event of
-    a stream holds.
+    a stream holds. ``fingerprint`` is the same for the same request, wherever it comes in.
     """
 
     route: Route
@@ -33,6 +34,7 @@
     repeats: Repeats
     deadline: float
     revision: int
+    fingerprint: Fingerprint
 
 
 class Planner:
@@ -87,6 +89,7 @@
             repeats_of(route),
             arrival.at + time_s,
             self._configuration.revision,
+            fingerprint_of(workspace, arrival.path, arrival.body),
         )
 
     def _rank_of(self, route: Route, workspace: str) -> int:
--- a/cranberrywall/forwarding/_streams.py
+++ b/cranberrywall/forwarding/_streams.py
@@ -19,6 +19,7 @@
 from cranberrywall.forwarding._interfaces import CallerReply
 from cranberrywall.forwarding._money import Purse
 from cranberrywall.observability import log_event
+from cranberrywall.quarantine import RunWatch
 from cranberrywall.routing import Outcome, OutcomeKind, Slot
 from cranberrywall.runtime import Clock
 
@@ -28,8 +29,9 @@
 class StreamForwarder:
     """Pass events on as they come; the caller sees one answer with the head of the first target."""
 
-    def __init__(self, client: TargetClient, clock: Clock) -> None:
+    def __init__(self, client: TargetClient, watch: RunWatch, clock: Clock) -> None:
         self._client = client
+        self._watch = watch
         self._clock = clock
 
     async def run(
@@ -73,19 +75,21 @@
         attempt = attempts.begin(slot, progress.last_event)
         started_at = self._clock.now()
         may_run_again = attempts.plan.repeats.may_run_again
-        with concluding(slot, attempt, purse, self._clock) as conclusion:
+        with concluding(slot, attempt, purse, self._watch, self._clock) as conclusion:
             async with (
                 asyncio.timeout(attempt.left_s),
                 self._client.open(slot.url, attempt, may_run_again) as answer,
             ):
+                conclusion.answered(self._clock.now())
                 note_load(slot, answer, self._clock.now())
                 if answer.status >= FIRST_FAILURE_STATUS:
-                    conclusion.outcome = Outcome(OutcomeKind.FAILED_AFTER)
                     attempts.may_have_run = True
-                    return WholeAnswer(answer.status, answer.headers, await read_whole(answer))
+                    failed = WholeAnswer(answer.status, answer.headers, await read_whole(answer))
+                    conclusion.is_whole(Outcome(OutcomeKind.FAILED_AFTER))
+                    return failed
                 await progress.begin(answer)
                 first_s = await self._pump(answer, slot, progress, started_at)
-            conclusion.outcome = Outcome(OutcomeKind.ANSWERED, first_s, progress.events)
+            conclusion.is_whole(Outcome(OutcomeKind.ANSWERED, first_s, progress.events))
             return None
 
     async def _pump(
--- a/cranberrywall/platform/_front.py
+++ b/cranberrywall/platform/_front.py
@@ -78,6 +78,7 @@
             self._clock,
             parts.runtime.random,
             parts.metrics,
+            parts.watch,
         )
         self._parts = parts
 
--- /dev/null
+++ b/cranberrywall/quarantine/__init__.py
@@ -0,0 +1,7 @@
+"""Find the requests that end the targets which begin them, and refuse those."""
+
+from cranberrywall.quarantine._fingerprint import Fingerprint, fingerprint_of, short_name
+from cranberrywall.quarantine._runs import Run, RunEnd
+from cranberrywall.quarantine._watch import RunWatch
+
+__all__ = ["Fingerprint", "Run", "RunEnd", "RunWatch", "fingerprint_of", "short_name"]
--- /dev/null
+++ b/cranberrywall/quarantine/_runs.py
@@ -0,0 +1,137 @@
+"""Remember which requests this host has at each target, and for a while those it had.
+
+Times are monotonic seconds.
+"""
+
+from collections.abc import Sequence
+from enum import StrEnum
+from typing import NamedTuple
+
+from cranberrywall.quarantine._fingerprint import Fingerprint
+
+REMEMBERED_S = 12.0
+"""A run that came to no answer is remembered this long, in seconds: that its target ended may
+be known only once the target is back, and announces itself again."""
+
+MOST_REMEMBERED = 4096
+"""Runs that came to no answer and are remembered at most, over all targets."""
+
+JUST_ENDED_S = 1.0
+"""A run that broke, or that this host gave up, may have been under way at a target that ended so
+long after, in seconds: connections of one process close within milliseconds, but this host may be
+late to see them all, and a target works on for a while after its caller left."""
+
+
+class TargetStart(NamedTuple):
+    """Name one start of a target: another start under the same name has another incarnation."""
+
+    target: str
+    incarnation: int
+
+
+class RunEnd(StrEnum):
+    """Say how a run at a target ended, as far as it tells of the target's end.
+
+    ``WHOLE``: the target answered to the end. ``NOT_SERVED``: it lives on, and did not run the
+    request or failed it, which says nothing of the request.
+    ``BROKEN``: the connection was lost. ``GIVEN_UP``: this host ended it, or lost patience.
+    """
+
+    WHOLE = "whole"
+    NOT_SERVED = "not_served"
+    BROKEN = "broken"
+    GIVEN_UP = "given_up"
+
+
+class Run:
+    """Hold one attempt at a target.
+
+    ``is_streamed`` says that a target answers with the head as it begins to run the request,
+    and not only once it has run it.
+    """
+
+    __slots__ = (
+        "answered_at",
+        "end",
+        "ended_at",
+        "fingerprint",
+        "is_streamed",
+        "request_id",
+        "start",
+    )
+
+    def __init__(
+        self, request_id: str, start: TargetStart, fingerprint: Fingerprint, is_streamed: bool
+    ) -> None:
+        self.request_id = request_id
+        self.start = start
+        self.fingerprint = fingerprint
+        self.is_streamed = is_streamed
+        self.answered_at: float | None = None
+        self.end: RunEnd | None = None
+        self.ended_at = 0.0
+
+    def answered_s(self, at: float) -> float | None:
+        """Return for how long the target had answered by then, in seconds."""
+        return None if self.answered_at is None else max(0.0, at - self.answered_at)
+
+
+class Runs:
+    """Hold the runs under way at each start of a target, and those that came to no answer."""
+
+    def __init__(self) -> None:
+        self._by_start: dict[TargetStart, set[Run]] = {}
+        self._unanswered: dict[Run, None] = {}
+
+    def add(self, run: Run) -> None:
+        """Take in a run that is sent now."""
+        self._by_start.setdefault(run.start, set()).add(run)
+
+    def finish(self, run: Run, end: RunEnd, now: float) -> None:
+        """Note how a run ended; a second call does nothing."""
+        if run.end is not None:
+            return
+        run.end, run.ended_at = end, now
+        if end in (RunEnd.WHOLE, RunEnd.NOT_SERVED):
+            self._drop(run)
+            return
+        self._unanswered[run] = None
+        if len(self._unanswered) > MOST_REMEMBERED:
+            self._forget(next(iter(self._unanswered)))
+
+    def under_way(self, start: TargetStart, ended_at: float) -> Sequence[Run]:
+        """Return the runs that a target may have been at as it ended."""
+        return [run for run in self._by_start.get(start, ()) if _was_under_way(run, ended_at)]
+
+    def broke_at(self, start: TargetStart) -> float | None:
+        """Return when this host last lost a connection to a target; ``None`` where it did not."""
+        runs = self._by_start.get(start, ())
+        return max((run.ended_at for run in runs if run.end is RunEnd.BROKEN), default=None)
+
+    def under_way_of(self, fingerprint: Fingerprint) -> int:
+        """Return how often this host has a request at targets now."""
+        runs = (run for runs in self._by_start.values() for run in runs)
+        return sum(run.end is None and run.fingerprint == fingerprint for run in runs)
+
+    def forget_old(self, now: float) -> None:
+        """Forget the runs of which nothing more can be learned."""
+        for run in list(self._unanswered):
+            if now - run.ended_at < REMEMBERED_S:
+                break
+            self._forget(run)
+
+    def _forget(self, run: Run) -> None:
+        del self._unanswered[run]
+        self._drop(run)
+
+    def _drop(self, run: Run) -> None:
+        runs = self._by_start.get(run.start)
+        if runs is None:
+            return
+        runs.discard(run)
+        if not runs:
+            del self._by_start[run.start]
+
+
+def _was_under_way(run: Run, ended_at: float) -> bool:
+    return run.end is None or run.ended_at >= ended_at - JUST_ENDED_S
--- a/tests/forwarding/scripted.py
+++ b/tests/forwarding/scripted.py
@@ -15,8 +15,10 @@
 from cranberrywall.forwarding import Arrival, Forwarder, Generation, Headers
 from cranberrywall.observability import make_metrics
 from cranberrywall.platform._dialect import TargetDialect
+from cranberrywall.quarantine import RunWatch
 from cranberrywall.routing import Demand, Outcome
-from cranberrywall.runtime import make_clock
+from cranberrywall.runtime import make_clock, make_network
+from cranberrywall.targets import make_targets
 from tests.configuration.documents import KEY, make_document
 from tests.fakes.allotments import MemoryAllotments, MemoryLedger
 
@@ -139,6 +141,8 @@
         }
         self.money = MemoryAllotments(MemoryLedger(), BUDGET)
         self.router = InOrder()
+        self.targets = make_targets()
+        self.watch = RunWatch(self.targets, make_network(), make_clock())
         self.seen: list[tuple[str, Mapping[str, str]]] = []
         self._runners: list[web.AppRunner] = []
         self._document = document
@@ -154,11 +158,13 @@
             make_clock(),
             random.Random(1),
             make_metrics(),
+            self.watch,
         )
         return self
 
     async def __aexit__(self, *_: object) -> None:
         await self.forwarder.close()
+        self.watch.close()
         for runner in self._runners:
             await runner.cleanup()
 
--- a/tests/platform/test_arrivals.py
+++ b/tests/platform/test_arrivals.py
@@ -46,7 +46,7 @@
 
 
 def test_a_target_gets_what_the_system_sets() -> None:
-    attempt = Attempt(arrival(), "i-7", "desk", 0.55, 1, 14)
+    attempt = Attempt(arrival(), "i-7", "desk", 0.55, 1, 14, b"", False)
     headers = dict(TargetDialect().request_headers(attempt))
     assert headers["X-Tenant"] == "desk"
     assert headers["X-Expect-Instance"] == "i-7"
--- /dev/null
+++ b/tests/quarantine/scene.py
@@ -0,0 +1,74 @@
+"""Watch runs at targets whose addresses do as they are told, in virtual time."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from cranberrywall.quarantine import Run, RunEnd, RunWatch, fingerprint_of
+from cranberrywall.quarantine._endings import Ending
+from cranberrywall.targets import Announcement, make_targets
+from tests.fakes.clock import VirtualClock, run_virtual
+
+
+class ToldNetwork:
+    """Take connections, refuse them or stay silent, by address."""
+
+    def __init__(self) -> None:
+        self.refuses: set[str] = set()
+        self.silent: set[str] = set()
+        self.dialled: list[str] = []
+
+    async def dial(self, address: str, timeout: float) -> Any:
+        self.dialled.append(address)
+        if address in self.refuses:
+            raise ConnectionRefusedError(111, "refused")
+        if address in self.silent:
+            await asyncio.sleep(timeout)
+            raise TimeoutError
+        return object(), _Writer()
+
+
+class _Writer:
+    def close(self) -> None:
+        pass
+
+
+def announcement(target: str, port: int, incarnation: int = 1, **fields: Any) -> Announcement:
+    made = Announcement(
+        target, incarnation, 1, "engine", "drafting-llm", "town-hall", f"http://10.0.0.1:{port}", 8
+    )
+    return made._replace(**fields)
+
+
+class Scene:
+    """Hold one host's watch, and what it reported."""
+
+    def __init__(self) -> None:
+        self.clock = VirtualClock()
+        self.network = ToldNetwork()
+        self.targets = make_targets()
+        self.watch = RunWatch(self.targets, self.network, self.clock)  # type: ignore[arg-type]
+        self.ended: list[tuple[Ending, list[str]]] = []
+        self.watch.on_ended = self._note
+
+    def _note(self, ending: Ending, runs: Any, now: float) -> None:
+        self.ended.append((ending, sorted(run.request_id for run in runs)))
+
+    def announce(self, target: str, port: int, incarnation: int = 1, **fields: Any) -> None:
+        self.targets.apply(announcement(target, port, incarnation, **fields), self.clock.now())
+
+    def run(self, request_id: str, target: str, body: bytes = b"") -> Run:
+        return self.watch.begin(request_id, target, fingerprint_of("desk", "/x", body), True)
+
+    def finish(self, run: Run, end: RunEnd, port: int) -> None:
+        self.watch.finish(run, end, f"http://10.0.0.1:{port}", self.clock.now())
+
+
+def in_scene(story: Callable[[Scene], Awaitable[None]]) -> None:
+    async def main() -> None:
+        scene = Scene()
+        scene.announce("a", 1)
+        await story(scene)
+        scene.watch.close()
+
+    run_virtual(main())
