--- a/standins/_platform.py
+++ b/standins/_platform.py
@@ -48,29 +48,66 @@
     is_whole: bool
 
 
+ENDS_WORKERS = b"ends-workers"
+"""A request whose body holds this ends each worker that begins to run it."""
+
+CRASH_AFTER_S = 0.03
+"""How long after the head of its answer such a request ends its worker, in seconds."""
+
+
 class Worker:
-    """Answer forwarded requests, as a plain service or as a model engine with event streams."""
+    """Answer forwarded requests, as a plain service or as a model engine with event streams.
+
+    One that ended is back after ``back_after_s`` under a new name, at the same address.
+    """
+
+    back_after_s = 1.0
 
     def __init__(self, name: str, service: str, is_engine: bool, event_s: float = 0.01) -> None:
         self.name = name
         self.service = service
         self.is_engine = is_engine
         self.ran: list[str] = []
+        self.ends: list[float] = []
+        self.begun_fatal: list[float] = []
         self.events = 6
         self._event_s = event_s
         self._runner: web.AppRunner | None = None
+        self._transports: set[asyncio.Transport] = set()
+        self._crash: asyncio.Task[None] | None = None
         self.address = ""
         self.call_seq = 0
 
-    async def start(self) -> None:
-        """Listen at a free port."""
+    async def start(self, port: int = 0) -> None:
+        """Listen at a port, or at a free one."""
         app = web.Application()
         app.router.add_route("*", "/{path:.*}", self._answer)
         self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await self._runner.setup()
-        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
-        host, port = self._runner.addresses[0][:2]
-        self.address = f"{host}:{port}"
+        await web.TCPSite(self._runner, "127.0.0.1", port, reuse_address=True).start()
+        host, bound = self._runner.addresses[0][:2]
+        self.address = f"{host}:{bound}"
+
+    @property
+    def is_up(self) -> bool:
+        """Say whether the worker runs now."""
+        return self._runner is not None
+
+    async def _end_and_return(self) -> None:
+        """End as a process that crashes does, and start again later."""
+        if self._runner is None:
+            return
+        runner, self._runner = self._runner, None
+        self.ends.append(time.monotonic())
+        for site in list(runner.sites):
+            await site.stop()
+        for transport in list(self._transports):
+            transport.abort()
+        await runner.cleanup()
+        await asyncio.sleep(self.back_after_s)
+        self.call_seq = 0
+        self.name = f"{self.name.partition('+')[0]}+{len(self.ends)}"
+        await self.start(int(self.address.rpartition(":")[2]))
 
     async def stop(self) -> None:
         """Stop listening."""
@@ -99,13 +136,40 @@
         headers = {"X-Request-Id": request_id, "X-Server-Stamp": f"{self.name}.{request_id}"}
         if request.headers.get("X-Expect-Instance") not in (None, self.name):
             return web.Response(status=421, headers=headers)
-        await request.read()
+        transport = request.transport
+        assert isinstance(transport, asyncio.Transport)
+        self._transports.add(transport)
+        try:
+            return await self._run(request, headers, request_id)
+        finally:
+            self._transports.discard(transport)
+
+    async def _run(
+        self, request: web.Request, headers: dict[str, str], request_id: str
+    ) -> web.StreamResponse:
+        body = await request.read()
         self.ran.append(request_id)
+        if ENDS_WORKERS in body:
+            return await self._begin_fatal(request, headers)
         if self.is_engine:
             return await self._stream(request, headers)
         told = {"by": self.name, "tenant": request.headers.get("X-Tenant", "")}
         return web.Response(body=json.dumps(told).encode(), headers=headers)
 
+    async def _begin_fatal(
+        self, request: web.Request, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        self.begun_fatal.append(time.monotonic())
+        response = web.StreamResponse(headers=headers)
+        response.enable_chunked_encoding()
+        if self.is_engine:
+            await response.prepare(request)
+        await asyncio.sleep(CRASH_AFTER_S)
+        if self._crash is None or self._crash.done():
+            self._crash = asyncio.create_task(self._end_and_return())
+        await asyncio.sleep(CALL_S)
+        return response
+
     async def _stream(self, request: web.Request, headers: dict[str, str]) -> web.StreamResponse:
         response = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
         response.enable_chunked_encoding()
@@ -244,7 +308,9 @@
                     raise TimeoutError(f"{machine.name} is not ready; see {self._folder}")
                 await asyncio.sleep(RETRY_S)
 
-    async def ask(self, front: Machine, path: str, **headers: str) -> Answer:
+    async def ask(
+        self, front: Machine, path: str, body: bytes = b"{}", /, **headers: str
+    ) -> Answer:
         """Send one request to one front, as a caller."""
         assert self._session is not None
         self._ids += 1
@@ -256,14 +322,14 @@
             **{name.replace("_", "-"): value for name, value in headers.items()},
         }
         url = f"http://{self._address(front, FRONT_PORT_OFFSET)}{path}"
-        body = b""
-        async with self._session.post(url, headers=sent, data=b"{}") as response:
+        got = b""
+        async with self._session.post(url, headers=sent, data=body) as response:
             try:
                 async for data in response.content.iter_any():
-                    body += data
+                    got += data
             except aiohttp.ClientPayloadError:
-                return Answer(response.status, dict(response.headers), body, False)
-            return Answer(response.status, dict(response.headers), body, True)
+                return Answer(response.status, dict(response.headers), got, False)
+            return Answer(response.status, dict(response.headers), got, True)
 
     async def until_answered(
         self, front: Machine, path: str, seconds: float = 15.0, **headers: str
@@ -283,8 +349,9 @@
 
     async def _beat(self, worker: Worker) -> None:
         while True:
-            path = f"/v1/instances/{worker.name}/heartbeat"
-            await self._call_control("POST", path, worker.heartbeat())
+            if worker.is_up:
+                path = f"/v1/instances/{worker.name}/heartbeat"
+                await self._call_control("POST", path, worker.heartbeat())
             await asyncio.sleep(BEAT_S)
 
     async def _call_control(self, method: str, path: str, body: Any) -> bytes:
