Hold back a request that ends the targets which begin it, on every host

Cause: whether a request ends targets shows only over all arrivals and hosts, and every decision on retries rested on one arrival's count at one host. Class: a fleet-wide fact kept as a local count.

Each host reports the requests under way at a target that ended; all weigh all reports (naive Bayes with explaining away), hold back the guilty one, end what they have of it at targets, and refuse it before money is reserved.

--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -29,7 +29,7 @@
     make_metrics,
 )
 from cranberrywall.orders import EngineReporter
-from cranberrywall.quarantine import RunWatch
+from cranberrywall.quarantine import Quarantine, RunWatch
 from cranberrywall.routing import RetryLimits, make_router, make_target_spread
 from cranberrywall.runtime import Runtime, make_network
 from cranberrywall.settings import FleetKeys, Settings, seconds
@@ -82,7 +82,9 @@
         self._targets = make_targets()
         self._spread = make_target_spread(self._targets, self._membership.spread, clock)
         # Targets' own listeners are asked only whether they take connections, without a word.
-        self._watch = RunWatch(self._targets, make_network(), clock)
+        watch = RunWatch(self._targets, make_network(), clock)
+        spread = ties.membership.spread
+        self._quarantine = Quarantine(self._me.host, watch, spread, clock)
         self._reporter = EngineReporter(
             self._caller, clock, controls, lambda: self._waiting_by_model()
         )
@@ -93,6 +95,7 @@
         self._metrics = make_metrics()
         ties.counters.export(self._metrics)
         ties.membership.export(self._metrics)
+        self._quarantine.export(self._metrics)
         self.state = StateRegistry()
         self._health = HealthChecks()
         self._admin = self._make_admin(keys)
@@ -142,7 +145,7 @@
             await self._front.finish()
             await self._hand_money_back()
         await self._front.close()
-        self._watch.close()
+        self._quarantine.close()
         if self._allotments is not None:
             await self._allotments.stop()
         for task in self._tasks:
@@ -227,7 +230,7 @@
             self._metrics,
             self._publish,
             self._is_current,
-            self._watch,
+            self._quarantine,
         )
         await self._front.serve(parts)
         self._is_serving = True
@@ -243,6 +246,7 @@
         clock = self._runtime.clock
         while True:
             await clock.sleep(EXPIRE_EVERY_S)
+            self._quarantine.expire(clock.now())
             contacts = self._ties.contacts
             # Where control takes the targets' renewals in, a host that is cut off from it
             # hears none. That says nothing of the targets: they are used as long as they
@@ -295,6 +299,7 @@
         self.state.register("membership", self._membership.state)
         self.state.register("requests", self._requests_state)
         self.state.register("targets", self._targets_state)
+        self.state.register("quarantine", self._quarantine.state)
         self.state.register("links", self._caller.state)
         self.state.register("budgets", self._budgets_state)
 
--- a/cranberrywall/entry/_front.py
+++ b/cranberrywall/entry/_front.py
@@ -8,7 +8,7 @@
 from cranberrywall.hosts import LiveMembership
 from cranberrywall.links import LinkCaller, LinkServer, Peer
 from cranberrywall.observability import Metrics
-from cranberrywall.quarantine import RunWatch
+from cranberrywall.quarantine import Quarantine
 from cranberrywall.routing import TargetRouter
 from cranberrywall.runtime import Runtime
 from cranberrywall.targets import Announcement, Targets
@@ -18,8 +18,8 @@
     """Hold what a front uses of its host once there is a configuration to serve by.
 
     ``publish`` passes on what a target said at first hand. ``is_current`` says whether no
-    newer configuration than the one in force is known, and control was heard of lately. ``watch``
-    is told of each attempt at a target.
+    newer configuration than the one in force is known, and control was heard of lately.
+    ``quarantine`` says which requests must not go to targets.
     """
 
     me: Peer
@@ -35,7 +35,7 @@
     metrics: Metrics
     publish: Callable[[Announcement], None]
     is_current: Callable[[float], bool]
-    watch: RunWatch
+    quarantine: Quarantine
 
 
 class Front(Protocol):
--- a/cranberrywall/errors/_kinds.py
+++ b/cranberrywall/errors/_kinds.py
@@ -24,6 +24,7 @@
     BUDGET_UNREACHABLE = "budget_unreachable"
     OVERLOADED = "overloaded"
     NO_TARGET = "no_target"
+    QUARANTINED = "quarantined"
     DEADLINE_PASSED = "deadline_passed"
     DRAINING = "draining"
     NOT_READY = "not_ready"
--- a/cranberrywall/errors/_reference.py
+++ b/cranberrywall/errors/_reference.py
@@ -14,6 +14,7 @@
     ErrorKind.BUDGET_UNREACHABLE: "This host holds too little, and no ledger could be asked.",
     ErrorKind.OVERLOADED: "The queues are full, or the wait would pass the deadline.",
     ErrorKind.NO_TARGET: "No target that may serve the request is known and well.",
+    ErrorKind.QUARANTINED: "Targets ended as they began this request; it goes to no other.",
     ErrorKind.DEADLINE_PASSED: "The deadline passed while the request waited its turn.",
     ErrorKind.DRAINING: "This host is shutting down; another address serves at once.",
     ErrorKind.NOT_READY: "This host has not got its configuration yet.",
--- a/cranberrywall/forwarding/_attempts.py
+++ b/cranberrywall/forwarding/_attempts.py
@@ -1,6 +1,6 @@
 """Find a target for each attempt of one request, and say when there may be another."""
 
-from result import Result
+from result import Err, Ok, Result
 
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.forwarding._blocks import blocks_of
@@ -13,7 +13,7 @@
 from cranberrywall.forwarding._interfaces import Arrival, Attempt
 from cranberrywall.forwarding._plan import Plan
 from cranberrywall.observability import log_event
-from cranberrywall.quarantine import short_name
+from cranberrywall.quarantine import Quarantine, short_name
 from cranberrywall.routing import Demand, Outcome, OutcomeKind, Router, Slot
 from cranberrywall.runtime import Clock
 
@@ -37,7 +37,9 @@
     all that were tried.
     """
 
-    def __init__(self, arrival: Arrival, plan: Plan, router: Router, clock: Clock) -> None:
+    def __init__(
+        self, arrival: Arrival, plan: Plan, router: Router, quarantine: Quarantine, clock: Clock
+    ) -> None:
         self.arrival = arrival
         self.plan = plan
         self.may_have_run = False
@@ -45,6 +47,7 @@
         self.targets: list[str] = []
         self.last: AttemptFailedError | None = None
         self._router = router
+        self._quarantine = quarantine
         self._clock = clock
         self._blocks = blocks_of(arrival.generation.parts) if arrival.generation else ()
 
@@ -61,7 +64,7 @@
         return self.plan.deadline - self._clock.now()
 
     async def acquire(self) -> Result[Slot, Refusal]:
-        """Wait for a place at a target that was not tried."""
+        """Wait for a place at a target that was not tried; refuse a request that is held back."""
         plan, generation = self.plan, self.arrival.generation
         demand = Demand(
             workspace="",
@@ -78,7 +81,15 @@
             retry=self.sent > 0,
             again=self.sent == 0 and bool(self.targets),
         )
-        return await self._router.acquire(demand, self._clock.now())
+        acquired = await self._router.acquire(demand, self._clock.now())
+        # It may have been held back while it waited, or for what its last attempt did.
+        now = self._clock.now()
+        held = self._quarantine.check(plan.fingerprint, now)
+        if held is None:
+            return acquired
+        if isinstance(acquired, Ok):
+            acquired.ok_value.finish(Outcome(OutcomeKind.CANCELLED), now)
+        return Err(held)
 
     def begin(self, slot: Slot, last_event: int | None) -> Attempt:
         """Note that the request goes to the slot's target now, and return the attempt."""
--- a/cranberrywall/forwarding/_calls.py
+++ b/cranberrywall/forwarding/_calls.py
@@ -1,6 +1,5 @@
 """Forward a call whose answer is read whole before it goes to the caller."""
 
-import asyncio
 from typing import NamedTuple
 
 from result import Err, Ok, Result
@@ -70,7 +69,7 @@
         may_run_again = attempts.plan.repeats.may_run_again
         with concluding(slot, attempt, purse, self._watch, self._clock) as conclusion:
             async with (
-                asyncio.timeout(attempt.left_s),
+                conclusion.limit(attempt.left_s),
                 self._client.open(slot.url, attempt, may_run_again) as answer,
             ):
                 conclusion.answered(self._clock.now())
--- a/cranberrywall/forwarding/_client.py
+++ b/cranberrywall/forwarding/_client.py
@@ -37,8 +37,9 @@
 
     ``UNSENT``: no byte of the request went out. ``NOT_RUN``: the target says that it did not
     run it. ``WRONG_TARGET``: another target has the address, and ran nothing. After the others the
-    request may have run: ``BROKEN`` connections, ``CROSSED`` answers to another request, and
-    ``LATE`` ones that did not come in time.
+    request may have run: ``BROKEN`` connections, ``CROSSED`` answers to another request, ``LATE``
+    ones that did not come in time, and attempts that this host ``STOPPED``, as the request is held
+    back from now on.
     """
 
     UNSENT = "unsent"
@@ -47,6 +48,7 @@
     BROKEN = "broken"
     CROSSED = "crossed"
     LATE = "late"
+    STOPPED = "stopped"
 
 
 DID_NOT_RUN = frozenset({FailureKind.UNSENT, FailureKind.NOT_RUN, FailureKind.WRONG_TARGET})
--- a/cranberrywall/forwarding/_conclusion.py
+++ b/cranberrywall/forwarding/_conclusion.py
@@ -1,5 +1,6 @@
 """Conclude an attempt the same way for calls and streams, however it ends."""
 
+import asyncio
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -20,6 +21,17 @@
         self.outcome = Outcome(OutcomeKind.CANCELLED)
         self.end = RunEnd.GIVEN_UP
 
+    def limit(self, seconds: float) -> asyncio.Timeout:
+        """Return the limit of the attempt's time, which is over once the request is held back."""
+        limit = asyncio.timeout(seconds)
+
+        def end_now() -> None:
+            if not limit.expired():
+                limit.reschedule(asyncio.get_running_loop().time())
+
+        self.run.on_stop = end_now
+        return limit
+
     def answered(self, now: float) -> None:
         """Note that the target began to answer."""
         self.run.answered_at = now
@@ -56,7 +68,7 @@
     try:
         yield conclusion
     except TimeoutError as error:
-        failure = AttemptFailedError(FailureKind.LATE, f"no end in {attempt.left_s:.3f} s")
+        failure = _timed_out(run, attempt)
         conclusion.fails(failure, clock.now())
         raise failure from error
     except AttemptFailedError as failure:
@@ -68,3 +80,9 @@
         now = clock.now()
         watch.finish(run, conclusion.end, slot.url, now)
         slot.finish(conclusion.outcome, now)
+
+
+def _timed_out(run: Run, attempt: Attempt) -> AttemptFailedError:
+    if run.is_stopped:
+        return AttemptFailedError(FailureKind.STOPPED, "the request is held back from now on")
+    return AttemptFailedError(FailureKind.LATE, f"no end in {attempt.left_s:.3f} s")
--- a/cranberrywall/forwarding/_forwarder.py
+++ b/cranberrywall/forwarding/_forwarder.py
@@ -15,7 +15,7 @@
 from cranberrywall.forwarding._plan import Plan, Planner
 from cranberrywall.forwarding._streams import StreamForwarder
 from cranberrywall.observability import Metrics, log_event
-from cranberrywall.quarantine import RunWatch, short_name
+from cranberrywall.quarantine import Quarantine, short_name
 from cranberrywall.routing import Router
 from cranberrywall.runtime import Clock, Random
 
@@ -32,16 +32,17 @@
         clock: Clock,
         random: Random,
         metrics: Metrics,
-        watch: RunWatch,
+        quarantine: Quarantine,
     ) -> None:
         self._kept = make_session(keeps_connections=True)
         self._fresh = make_session(keeps_connections=False)
         client = TargetClient(self._kept, self._fresh, dialect)
         self._planner = Planner(configuration, random)
         self._cashier = Cashier(allotments, configuration, clock)
-        self._calls = CallForwarder(client, watch, clock)
-        self._streams = StreamForwarder(client, watch, clock)
+        self._calls = CallForwarder(client, quarantine.watch, clock)
+        self._streams = StreamForwarder(client, quarantine.watch, clock)
         self._router = router
+        self._quarantine = quarantine
         self._clock = clock
         self._requests = metrics.counter(
             "forwarded_requests", "Forwarded requests by how they ended.", ["outcome"]
@@ -59,6 +60,10 @@
             self._note_refused(arrival, planned.err_value, None)
             return Err(planned.err_value)
         plan = planned.ok_value
+        held = self._quarantine.check(plan.fingerprint, self._clock.now())
+        if held is not None:
+            self._note_refused(arrival, held, plan)
+            return Err(held)
         reserved = await self._cashier.reserve(arrival, plan.workspace, plan.deadline)
         if isinstance(reserved, Err):
             self._note_refused(arrival, reserved.err_value, plan)
@@ -77,7 +82,7 @@
     async def _serve_paid(
         self, arrival: Arrival, plan: Plan, purse: Purse, reply: CallerReply
     ) -> Result[None, Refusal]:
-        attempts = Attempts(arrival, plan, self._router, self._clock)
+        attempts = Attempts(arrival, plan, self._router, self._quarantine, self._clock)
         try:
             result = await self._forward(attempts, purse, reply)
             # The charge is durable before the caller has the end of the answer: it is billed
@@ -126,6 +131,7 @@
             route=plan.route["name"] if plan else "",
             workspace=plan.workspace if plan else "",
             revision=plan.revision if plan else "",
+            fingerprint=short_name(plan.fingerprint) if plan else "",
             refusal=refusal,
         )
 
--- a/cranberrywall/forwarding/_streams.py
+++ b/cranberrywall/forwarding/_streams.py
@@ -1,7 +1,5 @@
 """Forward an event stream, event by event, and go on elsewhere where it breaks off."""
 
-import asyncio
-
 from result import Err, Ok, Result
 
 from cranberrywall.errors import Refusal
@@ -77,7 +75,7 @@
         may_run_again = attempts.plan.repeats.may_run_again
         with concluding(slot, attempt, purse, self._watch, self._clock) as conclusion:
             async with (
-                asyncio.timeout(attempt.left_s),
+                conclusion.limit(attempt.left_s),
                 self._client.open(slot.url, attempt, may_run_again) as answer,
             ):
                 conclusion.answered(self._clock.now())
--- a/cranberrywall/platform/_front.py
+++ b/cranberrywall/platform/_front.py
@@ -78,7 +78,7 @@
             self._clock,
             parts.runtime.random,
             parts.metrics,
-            parts.watch,
+            parts.quarantine,
         )
         self._parts = parts
 
--- a/cranberrywall/quarantine/_endings.py
+++ b/cranberrywall/quarantine/_endings.py
@@ -136,7 +136,12 @@
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._note_done)
+
+    def _note_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log_event("ERROR", "target_look_failed", task.exception())
 
 
 def _start_of(announcement: Announcement) -> TargetStart:
--- /dev/null
+++ b/cranberrywall/quarantine/_evidence.py
@@ -0,0 +1,86 @@
+"""Hold which requests targets were at as they ended, as reported by all hosts.
+
+Times are monotonic seconds of this host.
+"""
+
+from collections.abc import Sequence
+
+from cranberrywall.quarantine._fingerprint import Fingerprint
+from cranberrywall.quarantine._judgement import Weights
+from cranberrywall.quarantine._runs import TargetStart
+
+KEPT_S = 3600.0
+"""What is known of a target's end is kept so long, in seconds: a request that comes twice an hour
+and ends a target each time is found."""
+
+MOST_ENDINGS = 256
+"""Ends of targets that are kept at most; the oldest go first."""
+
+MOST_JUDGED = 64
+"""The newest ends that are weighed together: they are what a burst leaves, and bound its cost."""
+
+
+class _Known:
+    __slots__ = ("heard_at", "is_told_by_us", "weight_by_fingerprint")
+
+    def __init__(self, now: float) -> None:
+        self.heard_at = now
+        self.is_told_by_us = False
+        self.weight_by_fingerprint: dict[Fingerprint, float] = {}
+
+
+class Evidence:
+    """Hold the ends of targets, oldest first."""
+
+    def __init__(self) -> None:
+        self._by_start: dict[TargetStart, _Known] = {}
+        self._starts_by_fingerprint: dict[Fingerprint, set[TargetStart]] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_start)
+
+    def add(self, start: TargetStart, weights: Weights, now: float) -> Sequence[TargetStart]:
+        """Take in a host's report; return the ends that are forgotten to make room."""
+        known = self._by_start.setdefault(start, _Known(now))
+        for fingerprint, weight in weights.items():
+            held = known.weight_by_fingerprint.get(fingerprint, 0.0)
+            known.weight_by_fingerprint[fingerprint] = max(held, weight)
+            self._starts_by_fingerprint.setdefault(fingerprint, set()).add(start)
+        spare = len(self._by_start) - MOST_ENDINGS
+        return self._forget(list(self._by_start)[: max(0, spare)])
+
+    def tell(self, start: TargetStart) -> bool:
+        """Say whether this host's own report is due, and take it as told from now on."""
+        known = self._by_start.get(start)
+        if known is None:
+            return True
+        was_told, known.is_told_by_us = known.is_told_by_us, True
+        return not was_told
+
+    def starts_of(self, fingerprint: Fingerprint) -> Sequence[TargetStart]:
+        """Return the targets that ended under a request."""
+        return sorted(self._starts_by_fingerprint.get(fingerprint, ()))
+
+    def clear(self, fingerprint: Fingerprint) -> None:
+        """Forget what speaks against a request."""
+        for start in self._starts_by_fingerprint.pop(fingerprint, ()):
+            self._by_start[start].weight_by_fingerprint.pop(fingerprint, None)
+
+    def newest(self) -> Sequence[Weights]:
+        """Return the weights of the newest ends."""
+        newest = list(self._by_start.values())[-MOST_JUDGED:]
+        return [known.weight_by_fingerprint for known in newest]
+
+    def forget_old(self, now: float) -> Sequence[TargetStart]:
+        """Forget the ends that are too long ago, and return them."""
+        old = [start for start, known in self._by_start.items() if now - known.heard_at > KEPT_S]
+        return self._forget(old)
+
+    def _forget(self, starts: Sequence[TargetStart]) -> Sequence[TargetStart]:
+        for start in starts:
+            for fingerprint in self._by_start.pop(start).weight_by_fingerprint:
+                others = self._starts_by_fingerprint[fingerprint]
+                others.discard(start)
+                if not others:
+                    del self._starts_by_fingerprint[fingerprint]
+        return starts
--- a/cranberrywall/quarantine/_runs.py
+++ b/cranberrywall/quarantine/_runs.py
@@ -3,7 +3,7 @@
 Times are monotonic seconds.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -47,7 +47,8 @@
     """Hold one attempt at a target.
 
     ``is_streamed`` says that a target answers with the head as it begins to run the request,
-    and not only once it has run it.
+    and not only once it has run it. ``on_stop`` ends it early; it may be called at any time until
+    the run's end.
     """
 
     __slots__ = (
@@ -55,7 +56,9 @@
         "end",
         "ended_at",
         "fingerprint",
+        "is_stopped",
         "is_streamed",
+        "on_stop",
         "request_id",
         "start",
     )
@@ -67,6 +70,8 @@
         self.start = start
         self.fingerprint = fingerprint
         self.is_streamed = is_streamed
+        self.on_stop: Callable[[], None] = _do_nothing
+        self.is_stopped = False
         self.answered_at: float | None = None
         self.end: RunEnd | None = None
         self.ended_at = 0.0
@@ -113,6 +118,21 @@
         runs = (run for runs in self._by_start.values() for run in runs)
         return sum(run.end is None and run.fingerprint == fingerprint for run in runs)
 
+    def name_of(self, fingerprint: Fingerprint) -> str:
+        """Return an id under which a request came to this host lately; empty if it did not."""
+        runs = (run for runs in self._by_start.values() for run in runs)
+        return next((run.request_id for run in runs if run.fingerprint == fingerprint), "")
+
+    def stop(self, fingerprint: Fingerprint) -> int:
+        """End what this host has of a request at targets; return how many runs."""
+        stopped = 0
+        for run in [run for runs in self._by_start.values() for run in runs]:
+            if run.end is None and run.fingerprint == fingerprint:
+                run.is_stopped = True
+                run.on_stop()
+                stopped += 1
+        return stopped
+
     def forget_old(self, now: float) -> None:
         """Forget the runs of which nothing more can be learned."""
         for run in list(self._unanswered):
@@ -133,5 +153,9 @@
             del self._by_start[run.start]
 
 
+def _do_nothing() -> None:
+    pass
+
+
 def _was_under_way(run: Run, ended_at: float) -> bool:
     return run.end is None or run.ended_at >= ended_at - JUST_ENDED_S
--- a/tests/forwarding/scripted.py
+++ b/tests/forwarding/scripted.py
@@ -15,12 +15,13 @@
 from cranberrywall.forwarding import Arrival, Forwarder, Generation, Headers
 from cranberrywall.observability import make_metrics
 from cranberrywall.platform._dialect import TargetDialect
-from cranberrywall.quarantine import RunWatch
+from cranberrywall.quarantine import Quarantine, RunWatch
 from cranberrywall.routing import Demand, Outcome
 from cranberrywall.runtime import make_clock, make_network
 from cranberrywall.targets import make_targets
 from tests.configuration.documents import KEY, make_document
 from tests.fakes.allotments import MemoryAllotments, MemoryLedger
+from tests.fakes.spread import MemorySpread
 
 Script = Callable[[web.Request], Awaitable[web.StreamResponse]]
 BUDGET = 10_000
@@ -142,7 +143,8 @@
         self.money = MemoryAllotments(MemoryLedger(), BUDGET)
         self.router = InOrder()
         self.targets = make_targets()
-        self.watch = RunWatch(self.targets, make_network(), make_clock())
+        watch = RunWatch(self.targets, make_network(), make_clock())
+        self.quarantine = Quarantine("entry-1", watch, MemorySpread(), make_clock())
         self.seen: list[tuple[str, Mapping[str, str]]] = []
         self._runners: list[web.AppRunner] = []
         self._document = document
@@ -158,13 +160,13 @@
             make_clock(),
             random.Random(1),
             make_metrics(),
-            self.watch,
+            self.quarantine,
         )
         return self
 
     async def __aexit__(self, *_: object) -> None:
         await self.forwarder.close()
-        self.watch.close()
+        self.quarantine.close()
         for runner in self._runners:
             await runner.cleanup()
 
--- /dev/null
+++ b/tests/quarantine/fleet.py
@@ -0,0 +1,98 @@
+"""Put the quarantines of some hosts before targets that end when a test says so."""
+
+from collections.abc import Awaitable, Callable
+
+from cranberrywall.quarantine import Fingerprint, Quarantine, Run, RunEnd, RunWatch, fingerprint_of
+from cranberrywall.targets import Targets, make_targets
+from tests.fakes.clock import VirtualClock, run_virtual
+from tests.fakes.spread import MemorySpread
+from tests.quarantine.scene import ToldNetwork, announcement
+
+SOON_S = 0.3
+"""Hosts have told each other, and weighed what they heard, after so long."""
+
+
+def named(name: str) -> Fingerprint:
+    return fingerprint_of("desk", f"/letters/{name}", b"")
+
+
+class Host:
+    """Hold one host's quarantine; ``stopped`` names the runs that it ended early."""
+
+    def __init__(self, name: str, fleet: "Fleet") -> None:
+        self.name = name
+        self.fleet = fleet
+        self.targets: Targets = make_targets()
+        self.spread = MemorySpread()
+        self.stopped: list[str] = []
+        watch = RunWatch(self.targets, fleet.network, fleet.clock)  # type: ignore[arg-type]
+        self.quarantine = Quarantine(name, watch, self.spread, fleet.clock)
+        for port in fleet.ports:
+            self.targets.apply(announcement(f"t{port}", port), fleet.clock.now())
+
+    def send(self, request: str, target: int, answered: bool = True) -> Run:
+        """Send a request to a target, which begins to answer at once unless told otherwise."""
+        run = self.quarantine.watch.begin(request, f"t{target}", named(request), True)
+        if answered:
+            run.answered_at = self.fleet.clock.now()
+        run.on_stop = lambda: self.stopped.append(request)
+        return run
+
+    def finish(self, run: Run, end: RunEnd) -> None:
+        port = int(run.start.target.removeprefix("t"))
+        now = self.fleet.clock.now()
+        self.quarantine.watch.finish(run, end, f"http://10.0.0.1:{port}", now)
+
+    def refuses(self, request: str) -> bool:
+        return self.quarantine.check(named(request), self.fleet.clock.now()) is not None
+
+
+class Fleet:
+    """Hold hosts that tell each other everything, and forty targets."""
+
+    def __init__(self, hosts: int) -> None:
+        self.clock = VirtualClock()
+        self.network = ToldNetwork()
+        self.ports = range(1, 41)
+        self.hosts = [Host(f"entry-{number}", self) for number in range(hosts)]
+        self.tie()
+        self._next = 0
+
+    def tie(self) -> None:
+        for host in self.hosts:
+            host.spread.join([other.spread for other in self.hosts])
+
+    def add(self) -> Host:
+        """Start one more host, which learns what the others have."""
+        host = Host(f"entry-{len(self.hosts)}", self)
+        self.hosts.append(host)
+        self.tie()
+        return host
+
+    def next_target(self) -> int:
+        self._next += 1
+        return self._next
+
+    async def end(self, *runs: tuple[Host, Run]) -> None:
+        """End one target under all these runs, and wait until all hosts know."""
+        self.network.refuses.add(f"10.0.0.1:{runs[0][1].start.target.removeprefix('t')}")
+        for host, run in runs:
+            host.finish(run, RunEnd.BROKEN)
+        await self.clock.sleep(SOON_S)
+
+    async def end_under(self, host: Host, *requests: str, age_s: float = 0.05) -> None:
+        """Let a fresh target end under these requests, sent by one host."""
+        target = self.next_target()
+        runs = [(host, host.send(request, target)) for request in requests]
+        await self.clock.sleep(age_s)
+        await self.end(*runs)
+
+
+def in_fleet(story: Callable[[Fleet], Awaitable[None]], hosts: int = 3) -> None:
+    async def main() -> None:
+        fleet = Fleet(hosts)
+        await story(fleet)
+        for host in fleet.hosts:
+            host.quarantine.close()
+
+    run_virtual(main())
