Hold back fatal requests at the product's own interface too, and let operators decide

Chat completions and calls to services are watched, checked and stopped like forwarded requests. The stand-in engine learns a prompt that ends it. cranberrywallctl quarantine list, lift and hold; the fingerprint stands whole in logs, so that an operator can hold one by its line.

--- a/cranberrywall/commands/_caller_front.py
+++ b/cranberrywall/commands/_caller_front.py
@@ -97,6 +97,7 @@
             parts.router,
             self._clock,
             parts.runtime.random,
+            parts.quarantine,
             metrics=parts.metrics,
             links=StackLinks(self._settings["listen"]["links"], parts.caller, parts.server),
             caller_limits=CallerLimits(
--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -29,7 +29,7 @@
     make_metrics,
 )
 from cranberrywall.orders import EngineReporter
-from cranberrywall.quarantine import Quarantine, RunWatch
+from cranberrywall.quarantine import Quarantine, RunWatch, register_quarantine
 from cranberrywall.routing import RetryLimits, make_router, make_target_spread
 from cranberrywall.runtime import Runtime, make_network
 from cranberrywall.settings import FleetKeys, Settings, seconds
@@ -92,6 +92,7 @@
         self.on_drain: Callable[[], None] = lambda: None
         register_drain(self._server, self._me.incarnation, lambda: self.on_drain())
         register_relay(self._server, self._publish)
+        register_quarantine(self._server, self._quarantine)
         self._metrics = make_metrics()
         ties.counters.export(self._metrics)
         ties.membership.export(self._metrics)
--- a/cranberrywall/entry/_stack.py
+++ b/cranberrywall/entry/_stack.py
@@ -19,6 +19,7 @@
 from cranberrywall.hosts import Membership
 from cranberrywall.links import Caller, Server
 from cranberrywall.observability import Metrics, make_metrics
+from cranberrywall.quarantine import Quarantine
 from cranberrywall.requests import (
     Attempts,
     Background,
@@ -138,6 +139,7 @@
     router: Router,
     clock: Clock,
     random: Random,
+    quarantine: Quarantine,
     metrics: Metrics | None = None,
     links: StackLinks | None = None,
     caller_limits: CallerLimits | None = None,
@@ -156,14 +158,16 @@
     session = _make_session(fetch, reuse=True)
     once_session = _make_session(fetch, reuse=False)
     engine_limits = engine_limits or EngineLimits()
-    attempts = Attempts(router, session, clock, random, counts, engine_limits, background)
+    attempts = Attempts(
+        router, session, clock, random, counts, engine_limits, background, quarantine
+    )
     bounds = make_input_bounds()
     registry = None
     if links is not None:
         own = Owner(host, incarnation, links.address)
         registry = Registry(own, membership, links.caller, clock, background)
     chats = ChatRuns(
-        ChatRunner(allotments, attempts, bounds, clock, counts, background),
+        ChatRunner(allotments, attempts, bounds, clock, counts, background, quarantine),
         registry,
         links.caller if links is not None else None,
         clock,
@@ -184,6 +188,7 @@
         random,
         counts,
         _SERVICE_ANSWER_S,
+        quarantine,
     )
     services = ServiceCalls(runner, clock, counts, service_limits or ServiceLimits(), background)
     parts = CallerParts(
--- a/cranberrywall/forwarding/_attempts.py
+++ b/cranberrywall/forwarding/_attempts.py
@@ -13,7 +13,7 @@
 from cranberrywall.forwarding._interfaces import Arrival, Attempt
 from cranberrywall.forwarding._plan import Plan
 from cranberrywall.observability import log_event
-from cranberrywall.quarantine import Quarantine, short_name
+from cranberrywall.quarantine import Quarantine
 from cranberrywall.routing import Demand, Outcome, OutcomeKind, Router, Slot
 from cranberrywall.runtime import Clock
 
@@ -122,7 +122,7 @@
             request=self.arrival.request_id,
             target=self.targets[-1],
             attempt=len(self.targets),
-            fingerprint=short_name(self.plan.fingerprint),
+            fingerprint=self.plan.fingerprint.hex(),
             fault=failure.kind,
             answered_s="" if failure.answered_s is None else failure.answered_s,
             reason=failure.message,
--- a/cranberrywall/forwarding/_conclusion.py
+++ b/cranberrywall/forwarding/_conclusion.py
@@ -8,7 +8,7 @@
 from cranberrywall.forwarding._client import DID_NOT_RUN, AttemptFailedError, FailureKind
 from cranberrywall.forwarding._interfaces import Attempt
 from cranberrywall.forwarding._money import Purse
-from cranberrywall.quarantine import Run, RunEnd, RunWatch
+from cranberrywall.quarantine import Run, RunEnd, RunWatch, stoppable
 from cranberrywall.routing import Outcome, OutcomeKind, Slot
 from cranberrywall.runtime import Clock
 
@@ -23,14 +23,7 @@
 
     def limit(self, seconds: float) -> asyncio.Timeout:
         """Return the limit of the attempt's time, which is over once the request is held back."""
-        limit = asyncio.timeout(seconds)
-
-        def end_now() -> None:
-            if not limit.expired():
-                limit.reschedule(asyncio.get_running_loop().time())
-
-        self.run.on_stop = end_now
-        return limit
+        return stoppable(self.run, seconds)
 
     def answered(self, now: float) -> None:
         """Note that the target began to answer."""
--- a/cranberrywall/forwarding/_forwarder.py
+++ b/cranberrywall/forwarding/_forwarder.py
@@ -15,7 +15,7 @@
 from cranberrywall.forwarding._plan import Plan, Planner
 from cranberrywall.forwarding._streams import StreamForwarder
 from cranberrywall.observability import Metrics, log_event
-from cranberrywall.quarantine import Quarantine, short_name
+from cranberrywall.quarantine import Quarantine
 from cranberrywall.routing import Router
 from cranberrywall.runtime import Clock, Random
 
@@ -131,7 +131,7 @@
             route=plan.route["name"] if plan else "",
             workspace=plan.workspace if plan else "",
             revision=plan.revision if plan else "",
-            fingerprint=short_name(plan.fingerprint) if plan else "",
+            fingerprint=plan.fingerprint.hex() if plan else "",
             refusal=refusal,
         )
 
@@ -156,7 +156,7 @@
             route=plan.route["name"],
             workspace=plan.workspace,
             revision=plan.revision,
-            fingerprint=short_name(plan.fingerprint),
+            fingerprint=plan.fingerprint.hex(),
             targets=",".join(attempts.targets),
             may_have_run=attempts.may_have_run,
             charged=purse.used,
--- a/cranberrywall/quarantine/_decisions.py
+++ b/cranberrywall/quarantine/_decisions.py
@@ -8,7 +8,7 @@
 
 from cranberrywall.hosts import Item, Spread, Urgency
 from cranberrywall.observability import log_event
-from cranberrywall.quarantine._fingerprint import Fingerprint, short_name
+from cranberrywall.quarantine._fingerprint import Fingerprint
 from cranberrywall.quarantine._items import decode_item
 from cranberrywall.quarantine.messages import QUARANTINE_CODEC, Decision, DecisionState
 from cranberrywall.runtime import Clock
@@ -114,7 +114,7 @@
         self._on_free(fingerprint)
 
     def _let_go(self, fingerprint: Fingerprint, reason: str) -> None:
-        log_event("INFO", "request_let_go", fingerprint=short_name(fingerprint), reason=reason)
+        log_event("INFO", "request_let_go", fingerprint=fingerprint.hex(), reason=reason)
         self._publish(fingerprint, _GONE_RANK, b"")
 
 
@@ -124,7 +124,7 @@
         "quarantine_decided",
         state=decision.state,
         request=decision.request_id,
-        fingerprint=short_name(decision.fingerprint),
+        fingerprint=decision.fingerprint.hex(),
         by=decision.by,
         ended=len(decision.targets),
         targets=",".join(decision.targets),
--- a/cranberrywall/quarantine/_fingerprint.py
+++ b/cranberrywall/quarantine/_fingerprint.py
@@ -6,11 +6,6 @@
 """16 bytes of hash. Collisions can be made on purpose, but only within one caller's requests."""
 
 
-def short_name(fingerprint: Fingerprint) -> str:
-    """Return the fingerprint as logs, operators and answers name it: 16 hexadecimal digits."""
-    return fingerprint[:8].hex()
-
-
 def fingerprint_of(caller: str, path: str, body: bytes) -> Fingerprint:
     """Return the hash of what makes a request the same one wherever and whenever it comes.
 
--- a/cranberrywall/quarantine/_quarantine.py
+++ b/cranberrywall/quarantine/_quarantine.py
@@ -15,7 +15,7 @@
 from cranberrywall.quarantine._decisions import Decisions, Held
 from cranberrywall.quarantine._endings import Ending, Word
 from cranberrywall.quarantine._evidence import Evidence
-from cranberrywall.quarantine._fingerprint import Fingerprint, short_name
+from cranberrywall.quarantine._fingerprint import Fingerprint
 from cranberrywall.quarantine._items import decode_item
 from cranberrywall.quarantine._judgement import (
     DOUBTED_FROM,
@@ -86,6 +86,10 @@
         """Let a request run again on all hosts, and forget what spoke against it."""
         self._decide(fingerprint, DecisionState.LIFTED, by)
 
+    def held_now(self) -> Sequence[Fingerprint]:
+        """Return the requests that are held back, oldest first."""
+        return [held.decision.fingerprint for held in self._decisions.all_held()]
+
     def expire(self, now: float) -> None:
         """Forget what is too old; call it once a second."""
         self._decisions.expire(now)
@@ -210,7 +214,7 @@
             "INFO",
             "request_doubted",
             request=self.watch.runs.name_of(fingerprint),
-            fingerprint=short_name(fingerprint),
+            fingerprint=fingerprint.hex(),
             chance=chance,
             ended=len(self._evidence.starts_of(fingerprint)),
         )
@@ -226,9 +230,7 @@
         self._doubted -= {fingerprint}
         stopped = self.watch.runs.stop(fingerprint)
         if stopped:
-            log_event(
-                "INFO", "held_runs_stopped", fingerprint=short_name(fingerprint), runs=stopped
-            )
+            log_event("INFO", "held_runs_stopped", fingerprint=fingerprint.hex(), runs=stopped)
 
     def _forget(self, fingerprint: Fingerprint) -> None:
         """Forget what speaks against a request."""
@@ -250,7 +252,7 @@
     return Refusal(
         ErrorKind.QUARANTINED,
         f"{len(held.decision.targets)} targets ended as they began this request "
-        f"({short_name(held.decision.fingerprint)}), so it is not sent to any other",
+        f"({held.decision.fingerprint.hex()}), so it is not sent to any other",
         remedy="change the request, or ask an operator to let it run once the targets are mended",
         retry_after=max(1.0, held.until - now),
     )
@@ -259,7 +261,7 @@
 def _doubted_refusal(fingerprint: Fingerprint) -> Refusal:
     return Refusal(
         ErrorKind.QUARANTINED,
-        f"targets ended under this request ({short_name(fingerprint)}); until it is known whether "
+        f"targets ended under this request ({fingerprint.hex()}); until it is known whether "
         "it was the cause, it runs at one target at a time",
         remedy="send it again once the one under way has ended",
         retry_after=DOUBT_RETRY_S,
--- a/cranberrywall/quarantine/_watch.py
+++ b/cranberrywall/quarantine/_watch.py
@@ -4,7 +4,7 @@
 
 from cranberrywall.observability import log_event
 from cranberrywall.quarantine._endings import Ending, TargetEndings
-from cranberrywall.quarantine._fingerprint import Fingerprint, short_name
+from cranberrywall.quarantine._fingerprint import Fingerprint
 from cranberrywall.quarantine._runs import Run, RunEnd, Runs, TargetStart
 from cranberrywall.runtime import Clock, Network
 from cranberrywall.targets import Targets
@@ -59,7 +59,7 @@
             word=ending.word,
             after_s=now - ending.at,
             under_way=len(runs),
-            fingerprints=",".join(sorted({short_name(run.fingerprint) for run in runs})),
+            fingerprints=",".join(sorted({run.fingerprint.hex() for run in runs})),
         )
         if self.on_ended is not None:
             self.on_ended(ending, runs, now)
--- a/cranberrywall/requests/_attempts.py
+++ b/cranberrywall/requests/_attempts.py
@@ -13,6 +13,8 @@
 
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.observability import log_event
+from cranberrywall.quarantine import Quarantine, stoppable
+from cranberrywall.quarantine import Run as WatchedRun
 from cranberrywall.requests._background import Background
 from cranberrywall.requests._engine import (
     EngineCall,
@@ -27,6 +29,7 @@
 from cranberrywall.requests._metrics import RequestMetrics
 from cranberrywall.requests._registry import NOTHING_ATTEMPTED
 from cranberrywall.requests._run import Run
+from cranberrywall.requests._watching import STOPPED, fingerprint_of_request, watching
 from cranberrywall.requests.messages import Attempted
 from cranberrywall.routing import Demand, Outcome, OutcomeKind, Router, Slot
 from cranberrywall.runtime import Clock, Random, Timers
@@ -51,6 +54,11 @@
         """Return the request's name."""
         ...
 
+    @property
+    def fingerprint(self) -> str:
+        """Return a hash of what is asked; the same for the same request under another id."""
+        ...
+
     @property
     def rank(self) -> int:
         """Return the priority's rank."""
@@ -90,7 +98,9 @@
         metrics: RequestMetrics,
         limits: EngineLimits,
         background: Background,
+        quarantine: Quarantine,
     ) -> None:
+        self._quarantine = quarantine
         self._router = router
         self._session = session
         self._clock = clock
@@ -143,6 +153,10 @@
             if isinstance(acquired, Err):
                 return AttemptEnd(_refusal(run, last, acquired.err_value))
             slot = acquired.ok_value
+            held = self._check(request)
+            if held is not None:
+                slot.finish(Outcome(OutcomeKind.CANCELLED), self._clock.now())
+                return AttemptEnd(_refusal(run, last, held))
             last = await self._attempt(run, request, slot, number, body, on_attempt)
             if last is None:
                 return AttemptEnd(None)
@@ -152,6 +166,11 @@
             tried |= {slot.target_id}
         return AttemptEnd(_refusal(run, last, None))
 
+    def _check(self, request: AttemptRequest) -> Refusal | None:
+        """Return why no further attempt is made: the last one may have shown it."""
+        fingerprint = fingerprint_of_request(request.name, request.fingerprint)
+        return self._quarantine.check(fingerprint, self._clock.now())
+
     async def _acquire(
         self, run: Run, demand: Demand, tried: frozenset[str]
     ) -> Result[Slot, Refusal]:
@@ -215,7 +234,7 @@
         fault: Fault | None = Fault(FaultKind.CUT, "cancelled")
         cancelled = True
         try:
-            fault = await self._read_with_resumes(reader, stream, await stream.open())
+            fault = await self._watch(request, slot, reader, stream)
             cancelled = False
         finally:
             # Also a cancelled task comes through here: it frees its place and stops
@@ -232,6 +251,25 @@
             slot.finish(outcome, self._clock.now())
         return fault
 
+    async def _watch(
+        self, request: AttemptRequest, slot: Slot, reader: "_AttemptReader", stream: EngineStream
+    ) -> Fault | None:
+        fingerprint = fingerprint_of_request(request.name, request.fingerprint)
+        with watching(
+            self._quarantine, request.name, slot, fingerprint, True, self._clock
+        ) as watched:
+            fault: Fault | None = STOPPED
+            try:
+                async with stoppable(watched.run, None):
+                    reader.watched = watched.run
+                    opened = await stream.open()
+                    fault = await self._read_with_resumes(reader, stream, opened)
+            except TimeoutError:
+                if not watched.run.is_stopped:
+                    raise
+            watched.ended(fault)
+            return fault
+
     async def _read_with_resumes(
         self, reader: "_AttemptReader", stream: EngineStream, opened: Fault | None
     ) -> Fault | None:
@@ -288,6 +326,7 @@
         self._stream = stream
         self._clock = clock
         self._slot = slot
+        self.watched: WatchedRun | None = None
         self.first_chunk_at: float | None = None
         self.tokens = 0
 
@@ -310,6 +349,9 @@
             self.first_chunk_at = self._clock.now()
             if self._slot is not None:
                 self._slot.first_token(self.first_chunk_at)
+            if self.watched is not None:
+                # An engine may send the head while the call still waits its turn there.
+                self.watched.answered_at = self.first_chunk_at
         frame = frame_for_caller(chunk, run.name.request_id)
         if chunk.number < len(run.frames):
             return self._compare(chunk, frame)
--- a/cranberrywall/requests/_chat_runner.py
+++ b/cranberrywall/requests/_chat_runner.py
@@ -9,6 +9,7 @@
 from cranberrywall.budgets import Allotments, InputBounds, Reservation, ReserveRequest
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.observability import log_event
+from cranberrywall.quarantine import Quarantine
 from cranberrywall.requests._attempts import AttemptEnd, Attempts, OnAttempt
 from cranberrywall.requests._background import Background
 from cranberrywall.requests._chat import Bound, ChatBody
@@ -18,6 +19,7 @@
 from cranberrywall.requests._registry import NOTHING_ATTEMPTED
 from cranberrywall.requests._run import Run
 from cranberrywall.requests._usage import total_tokens
+from cranberrywall.requests._watching import fingerprint_of_request
 from cranberrywall.requests.messages import Attempted
 from cranberrywall.routing import Demand
 from cranberrywall.runtime import Clock
@@ -61,7 +63,9 @@
         clock: Clock,
         metrics: RequestMetrics,
         background: Background,
+        quarantine: Quarantine,
     ) -> None:
+        self._quarantine = quarantine
         self._allotments = allotments
         self._attempts = attempts
         self._bounds = bounds
@@ -77,6 +81,12 @@
         ``begun`` is the attempt of a lost host to go on with.
         """
         now = self._clock.now()
+        held = self._quarantine.check(
+            fingerprint_of_request(request.name, request.fingerprint), now
+        )
+        if held is not None:
+            run.fail(_after(begun, held), now)
+            return
         reserved = await self._allotments.reserve(_reserve_request(request), now)
         if isinstance(reserved, Err):
             run.fail(_after(begun, reserved.err_value), self._clock.now())
--- a/cranberrywall/requests/_engine.py
+++ b/cranberrywall/requests/_engine.py
@@ -36,6 +36,7 @@
     call. ``REFUSED``: the target found the call itself at fault. ``CROSSED``: the reply was
     another attempt's. ``CUT``: the reply ended before its end mark. ``SILENT``: nothing
     came within the limit. ``UNKNOWN_ATTEMPT``: the target cannot resume the attempt.
+    ``STOPPED``: this host ended the call, as the request is held back from now on.
     """
 
     UNSENT = "unsent"
@@ -46,6 +47,7 @@
     CUT = "cut"
     SILENT = "silent"
     UNKNOWN_ATTEMPT = "unknown_attempt"
+    STOPPED = "stopped"
 
 
 class Fault(NamedTuple):
--- a/cranberrywall/requests/_service_runner.py
+++ b/cranberrywall/requests/_service_runner.py
@@ -8,12 +8,14 @@
 from cranberrywall.budgets import Allotments, Reservation, ReserveRequest
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.observability import log_event
+from cranberrywall.quarantine import Quarantine, stoppable
 from cranberrywall.requests._attempts import BACKOFF_S, MAX_ATTEMPTS
 from cranberrywall.requests._engine import Fault, FaultKind
 from cranberrywall.requests._identity import RequestName, make_attempt_id
 from cranberrywall.requests._intents import Intent, Intents
 from cranberrywall.requests._metrics import RequestMetrics
 from cranberrywall.requests._service_client import ServiceAnswer, ServiceCall, ServiceClient
+from cranberrywall.requests._watching import STOPPED, fingerprint_of_request, watching
 from cranberrywall.requests._witnesses import Witnesses
 from cranberrywall.requests.messages import Attempted, RunKey
 from cranberrywall.routing import Demand, Outcome, OutcomeKind, Router, Slot
@@ -69,6 +71,7 @@
         random: Random,
         metrics: RequestMetrics,
         answer_s: float,
+        quarantine: Quarantine,
     ) -> None:
         """``answer_s`` is the longest wait, in seconds, for a call that runs at most once."""
         self._allotments = allotments
@@ -80,6 +83,7 @@
         self._random = random
         self._metrics = metrics
         self._answer_s = answer_s
+        self._quarantine = quarantine
 
     async def run(self, request: ServiceRequest, progress: Progress) -> CallResult:
         """Return the whole answer, or a refusal that is true of whether the call ran."""
@@ -135,6 +139,10 @@
 
     async def _reserve_and_serve(self, request: ServiceRequest, progress: Progress) -> CallResult:
         name = request.name
+        fingerprint = fingerprint_of_request(name, request.fingerprint)
+        held = self._quarantine.check(fingerprint, self._clock.now())
+        if held is not None:
+            return Err(held)
         wanted = ReserveRequest(
             name.workspace, request.budget, name.request_id, request.cost, request.deadline
         )
@@ -174,7 +182,14 @@
             acquired = await self._acquire(request, tried, retry=last is not None)
             if isinstance(acquired, Err):
                 return Err(_refusal(request, progress, last, acquired.err_value))
-            attempted = await self._attempt(request, acquired.ok_value, number, progress)
+            slot = acquired.ok_value
+            held = self._quarantine.check(
+                fingerprint_of_request(request.name, request.fingerprint), self._clock.now()
+            )
+            if held is not None:
+                slot.finish(Outcome(OutcomeKind.CANCELLED), self._clock.now())
+                return Err(_refusal(request, progress, last, held))
+            attempted = await self._attempt(request, slot, number, progress)
             if not isinstance(attempted.result, Fault):
                 return Ok(attempted.result)
             last = attempted.result
@@ -221,7 +236,7 @@
             self._witnesses.note_sent(key, Attempted(call.url, call.attempt_id))
         kind = OutcomeKind.CANCELLED
         try:
-            result = await self._client.call(call, request.repeatable, self._limit(request))
+            result = await self._watch(request, slot, call)
             kind = _outcome_kind(result)
         finally:
             now = self._clock.now()
@@ -230,6 +245,23 @@
             progress.sent = sent_before
         return _Attempted(slot.target_id, result)
 
+    async def _watch(
+        self, request: ServiceRequest, slot: Slot, call: ServiceCall
+    ) -> ServiceAnswer | Fault:
+        fingerprint = fingerprint_of_request(request.name, request.fingerprint)
+        with watching(
+            self._quarantine, request.name, slot, fingerprint, False, self._clock
+        ) as watched:
+            result: ServiceAnswer | Fault = STOPPED
+            try:
+                async with stoppable(watched.run, None):
+                    result = await self._client.call(call, request.repeatable, self._limit(request))
+            except TimeoutError:
+                if not watched.run.is_stopped:
+                    raise
+            watched.ended(result if isinstance(result, Fault) else None)
+            return result
+
     def _limit(self, request: ServiceRequest) -> float:
         # A call that runs at most once cannot be tried again, so its answer is worth
         # waiting for beyond the caller's deadline: the caller's retry gets it.
--- a/standins/_engine.py
+++ b/standins/_engine.py
@@ -45,7 +45,8 @@
     share ``event_loss`` never. Load is reported ``load_lag_s`` late. An attempt that nobody
     reads is cancelled after ``detached_s``. ``models`` are those that it can be ordered to
     load, one at a time, its first one among them; without any it has ``model`` for good.
-    It holds ``slots`` versions at once, where that is not 0.
+    It holds ``slots`` versions at once, where that is not 0. A prompt with the text ``ends_on``
+    ends the engine in mid answer, whoever sends it.
     """
 
     target: str
@@ -66,6 +67,7 @@
     checks_fencing: bool = True
     models: tuple[str, ...] = ()
     slots: int = 0
+    ends_on: str = ""
     seed: int = 1
     faults: Faults = Faults()
 
@@ -150,6 +152,8 @@
         draw = draw_faults(
             self.switch.faults, self.options.seed, request_id, self.counts.started(request_id)
         )
+        if self.options.ends_on and self.options.ends_on in prompt_text(body["messages"]):
+            draw = draw._replace(dies=True)
         refusal = self._refusal(request, body, draw)
         if refusal is not None:
             self.counts.refused += 1
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -17,6 +17,7 @@
 @click.option("--capacity", default=8, help="Attempts in one batch.")
 @click.option("--step-s", default=0.004, help="Seconds of one step of the batch.")
 @click.option("--cache-blocks", default=512, help="Blocks in the prefix cache.")
+@click.option("--ends-on", default="", help="A prompt with this text ends the engine.")
 @click.option("--checks-fencing/--ignores-fencing", default=True, help="Refuse old orders.")
 @standin_options
 def main(
@@ -34,6 +35,7 @@
     capacity: int,
     step_s: float,
     cache_blocks: int,
+    ends_on: str,
     checks_fencing: bool,
     faults: Faults,
     seed: int,
@@ -50,6 +52,7 @@
         capacity=capacity,
         step_s=step_s,
         cache_blocks=cache_blocks,
+        ends_on=ends_on,
         checks_fencing=checks_fencing,
         seed=seed,
         faults=faults,
--- a/tests/requests/fleet.py
+++ b/tests/requests/fleet.py
@@ -11,9 +11,10 @@
 from cranberrywall.configuration import make_fixed_configuration
 from cranberrywall.entry import CallerStack, StackLinks, make_caller_stack
 from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.quarantine import Quarantine, RunWatch
 from cranberrywall.requests import EngineLimits
 from cranberrywall.routing import make_router
-from cranberrywall.runtime import make_clock
+from cranberrywall.runtime import make_clock, make_network
 from cranberrywall.targets import make_targets
 from standins import EngineOptions, ServiceOptions, make_engine, make_service, serve
 from tests.configuration.documents import make_document
@@ -21,6 +22,7 @@
 from tests.fakes.intents import HostIntents, MemoryIntents
 from tests.fakes.links import Switchboard
 from tests.fakes.membership import FixedMembership
+from tests.fakes.spread import MemorySpread
 from tests.targets.announcements import announce
 
 KEY = "demo-key"
@@ -96,6 +98,7 @@
         self.configuration = make_fixed_configuration(document())
         self.announcements: list[Any] = []
         self.entries: list[Entry] = []
+        self.spreads: list[MemorySpread] = []
         self._standins: list[Any] = []
         self.session: aiohttp.ClientSession
 
@@ -152,6 +155,7 @@
             router=router,
             clock=self.clock,
             random=random_numbers,
+            quarantine=self._make_quarantine(host, targets),
             links=links,
             **{"engine_limits": FAST, **limits},
         )
@@ -169,6 +173,14 @@
         self.entries.append(entry)
         return entry
 
+    def _make_quarantine(self, host: str, targets: Any) -> Quarantine:
+        spread = MemorySpread()
+        self.spreads.append(spread)
+        made = Quarantine(host, RunWatch(targets, make_network(), self.clock), spread, self.clock)
+        for one in self.spreads:
+            one.join(self.spreads)
+        return made
+
     async def post(self, entry: Entry, body: Any, **how: Any) -> tuple[int, Any, bytes]:
         """Send a chat completion; return the status, the headers and the body."""
         sent = headers(**how)
