Forget a target at once that ended, on every host, and one whose address another has

Found by the story of other letters: five seconds after the last end letters were still turned down (503, wrong target; then no retries left). A target's end is told to all hosts now, and each forgets it until it is heard again; whoever announces itself at an address takes it over. A mistake lasts until the next renewal.

--- a/cranberrywall/quarantine/_endings.py
+++ b/cranberrywall/quarantine/_endings.py
@@ -106,7 +106,7 @@
 
     def _hear(self, announcement: Announcement, change: Change, now: float) -> None:
         """Learn from an announcement that another start stands where a target was."""
-        if change is Change.LEFT:
+        if announcement.leaving:
             self._lost_by_start.pop(_start_of(announcement), None)
             return
         if change not in (Change.JOINED, Change.CHANGED):
--- a/cranberrywall/quarantine/_evidence.py
+++ b/cranberrywall/quarantine/_evidence.py
@@ -49,6 +49,10 @@
         spare = len(self._by_start) - MOST_ENDINGS
         return self._forget(list(self._by_start)[: max(0, spare)])
 
+    def knows(self, start: TargetStart) -> bool:
+        """Say whether the end of this start of a target is known already."""
+        return start in self._by_start
+
     def tell(self, start: TargetStart) -> bool:
         """Say whether this host's own report is due, and take it as told from now on."""
         known = self._by_start.get(start)
--- a/cranberrywall/quarantine/_quarantine.py
+++ b/cranberrywall/quarantine/_quarantine.py
@@ -163,8 +163,13 @@
             return
         now = self._clock.now()
         start = TargetStart(report.target, report.incarnation)
+        is_news = not self._evidence.knows(start)
         weights = {one.fingerprint: min(100, one.percent) / 100 for one in report.suspicions}
         self._publish_gone(self._evidence.add(start, weights, now))
+        if is_news:
+            # Each host would find out by failures of its own otherwise, and send requests there
+            # until then.
+            self.watch.forget_target(start, now)
         if report.host == self._host:
             self._evidence.tell(start)
         else:
--- a/cranberrywall/quarantine/_watch.py
+++ b/cranberrywall/quarantine/_watch.py
@@ -45,6 +45,12 @@
         if self.on_finished is not None:
             self.on_finished(run, end, now)
 
+    def forget_target(self, start: TargetStart, now: float) -> None:
+        """Let no request go to a target that ended, until it is heard again."""
+        known = self._targets.by_id.get(start.target)
+        if known is not None and known.announcement.incarnation == start.incarnation:
+            self._targets.forget(start.target, now)
+
     def close(self) -> None:
         """Look into no target any more."""
         self._endings.close()
--- a/cranberrywall/targets/_targets.py
+++ b/cranberrywall/targets/_targets.py
@@ -79,6 +79,7 @@
     def __init__(self) -> None:
         self.by_id: dict[str, Target] = {}
         self.by_group: dict[Group, dict[str, Target]] = {}
+        self._id_by_url: dict[str, str] = {}
         self._order_by_id: dict[str, _Order] = {}
         self._heard_at_by_id: dict[str, float] = {}
         self._expiries: list[tuple[float, str]] = []
@@ -106,6 +107,17 @@
             return self._tell(announcement, Change.LEFT, now)
         return self._tell(announcement, self._put(announcement, now), now)
 
+    def forget(self, target_id: str, now: float) -> None:
+        """Use a target no more until it is heard again, in any newer message of its own.
+
+        It is for a target that seems to have ended. If that was wrong, its next renewal brings
+        it back.
+        """
+        target = self.by_id.get(target_id)
+        if target is not None:
+            self._remove(target_id)
+            self._tell(target.announcement, Change.LEFT, now)
+
     def expire(self, now: float) -> Sequence[str]:
         """Remove the targets that did not renew, and tombstones past their time."""
         gone = []
@@ -124,6 +136,7 @@
         before = self.by_id.get(announcement.target)
         if before is not None and group_of(before.announcement) != group_of(announcement):
             self._remove(announcement.target)
+        self._take_address(announcement, now)
         # The events are for listeners only; kept, they would take most of the memory.
         kept = announcement._replace(cache_events=()) if announcement.cache_events else announcement
         target = Target(kept, now)
@@ -133,10 +146,24 @@
             return Change.JOINED
         return Change.RENEWED if _same(before.announcement, announcement) else Change.CHANGED
 
+    def _take_address(self, announcement: Announcement, now: float) -> None:
+        """Forget another target at the same address: it ended, and this one has its place.
+
+        Without that, requests go to the one that ended for as long as it is kept, and its
+        successor turns them down. A late message of the one that ended brings it back until its
+        successor's next renewal.
+        """
+        other = self._id_by_url.get(announcement.url)
+        if other is not None and other != announcement.target:
+            self.forget(other, now)
+        self._id_by_url[announcement.url] = announcement.target
+
     def _remove(self, target_id: str) -> None:
         target = self.by_id.pop(target_id, None)
         if target is None:
             return
+        if self._id_by_url.get(target.announcement.url) == target_id:
+            del self._id_by_url[target.announcement.url]
         group = group_of(target.announcement)
         members = self.by_group[group]
         del members[target_id]
--- a/tests/platform/test_fatal_requests.py
+++ b/tests/platform/test_fatal_requests.py
@@ -77,3 +77,49 @@
         assert sent_after_known(engines) <= MOST_SENT_AFTER
     finally:
         await platform.stop()
+
+
+async def test_a_host_that_starts_anew_knows_what_the_others_found_out(tmp_path: Path) -> None:
+    """A host is killed after the request was found out, and is back with an empty memory.
+
+    It asks the others as it starts: the request reaches no target through it.
+    """
+    platform = Platform(tmp_path, fronts=3)
+    try:
+        engines = await start_engines(platform)
+        await repeat(platform, FATAL, seconds=4.0, gap_s=0.1)
+        begun = sum(len(engine.begun_fatal) for engine in engines)
+        lost = platform.fronts[0]
+        await platform.kill(lost)
+        await platform.start_machine(lost)
+        await platform.until_answered(lost, "/letters/1", X_Token_Counts=TOKENS)
+        answer = await ask_letter(platform, lost, FATAL)
+        assert (answer.status, b"quarantined" in answer.body) == (503, True)
+        assert sum(len(engine.begun_fatal) for engine in engines) == begun
+    finally:
+        await platform.stop()
+
+
+async def test_other_letters_are_written_while_such_requests_come(tmp_path: Path) -> None:
+    """Three such requests come to all hosts at once, while letters of others are asked for.
+
+    The others' letters are whole again soon after, though their caller and path are the same: only
+    their bodies differ.
+    """
+    platform = Platform(tmp_path, fronts=3)
+    try:
+        await start_engines(platform)
+        bodies = [FATAL + b"%d" % number for number in range(3)]
+        await asyncio.gather(
+            *(repeat(platform, body, seconds=5.0, gap_s=0.3) for body in bodies),
+        )
+        letters = [
+            await ask_letter(platform, platform.fronts[number % 3], b'{"letter": %d}' % number)
+            for number in range(60)
+        ]
+        assert [one.status for one in letters] == [200] * 60
+        assert all(one.is_whole for one in letters)
+        answers = [await ask_letter(platform, platform.fronts[0], body) for body in bodies]
+        assert [one.status for one in answers] == [503] * 3
+    finally:
+        await platform.stop()
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -4,6 +4,7 @@
 from cranberrywall.quarantine import RunEnd
 from cranberrywall.quarantine._decisions import HELD_S
 from tests.quarantine.fleet import SOON_S, Fleet, in_fleet, named
+from tests.quarantine.scene import announcement
 
 
 def test_a_request_that_came_to_each_host_once_is_refused_on_all() -> None:
@@ -256,3 +257,16 @@
         assert host.spread.published == 0
 
     in_fleet(story)
+
+
+def test_a_target_that_ended_gets_nothing_more_from_any_host_until_it_is_heard_again() -> None:
+    """One host sees a target end; the others would send their next requests there, and fail."""
+
+    async def story(fleet: Fleet) -> None:
+        await fleet.end_under(fleet.hosts[0], "r-1")
+        assert all("t1" not in host.targets.by_id for host in fleet.hosts)
+        for host in fleet.hosts:
+            host.targets.apply(announcement("t1", 1, incarnation=2), fleet.clock.now())
+        assert all("t1" in host.targets.by_id for host in fleet.hosts)
+
+    in_fleet(story)
--- a/tests/targets/test_targets.py
+++ b/tests/targets/test_targets.py
@@ -72,3 +72,41 @@
         Change.CHANGED
     )
     assert set(targets.by_group) == {Group("engine", "drafting-llm")}
+
+
+def test_a_target_that_has_anothers_address_takes_its_place():
+    """Letters are turned down for 20 s after an engine was brought back under another name.
+
+    Requests went on to the old name, at whose address the new engine turns them down as not meant
+    for it. Cause: each name was kept until it had not been heard of for long.
+    """
+    targets = make_targets()
+    targets.apply(announce("engine-1", url="http://10.0.0.1:80"), 0.0)
+    targets.apply(announce("engine-2", url="http://10.0.0.2:80"), 0.0)
+    targets.apply(announce("engine-1b", url="http://10.0.0.1:80"), 3.0)
+    assert sorted(targets.by_id) == ["engine-1b", "engine-2"]
+
+
+def test_a_late_message_of_the_one_before_keeps_an_address_only_until_the_next_renewal():
+    """The message of an engine that ended was held up by a cut, and comes after its successor's."""
+    targets = make_targets()
+    targets.apply(announce("engine-1", url="http://10.0.0.1:80", counter=1), 0.0)
+    targets.apply(announce("engine-1b", url="http://10.0.0.1:80", counter=1), 3.0)
+    targets.apply(announce("engine-1", url="http://10.0.0.1:80", counter=2), 3.1)
+    targets.apply(announce("engine-1b", url="http://10.0.0.1:80", counter=2), 4.3)
+    assert list(targets.by_id) == ["engine-1b"]
+
+
+def test_a_target_that_is_forgotten_by_mistake_is_back_with_its_next_renewal():
+    targets = make_targets()
+    seen = []
+    targets.subscribe(lambda announcement, change, now: seen.append(change))
+    targets.apply(announce("engine-1", counter=1), 0.0)
+    targets.forget("engine-1", 1.0)
+    targets.forget("engine-1", 1.0)
+    assert not targets.by_id
+    targets.apply(announce("engine-1", counter=1), 1.5)
+    assert not targets.by_id
+    targets.apply(announce("engine-1", counter=2), 2.0)
+    assert seen == [Change.JOINED, Change.LEFT, Change.JOINED]
+    assert list(targets.by_id) == ["engine-1"]
