Take no target for ended whose other requests go on

A target with all the connections that it takes may reset one and refuse the next, and go on with the rest. Found by reading; a test with such a target fails before. Looks 0.03 s after the first, as the losses of one end come within some milliseconds.

--- a/cranberrywall/quarantine/_endings.py
+++ b/cranberrywall/quarantine/_endings.py
@@ -16,7 +16,7 @@
 from cranberrywall.runtime import Clock, Network
 from cranberrywall.targets import Announcement, Change, Targets
 
-LOOK_AFTER_S = (0.0, 0.2, 1.0)
+LOOK_AFTER_S = (0.0, 0.03, 0.2, 1.0)
 """When the address of a target that lost connections is tried, in seconds after the one before.
 
 A process that ends closes its connections and its listener within milliseconds, in any order; the
@@ -54,8 +54,15 @@
     """Look into the targets that lost connections, and report those that ended."""
 
     def __init__(
-        self, targets: Targets, network: Network, clock: Clock, on_ending: OnEnding
+        self,
+        targets: Targets,
+        network: Network,
+        clock: Clock,
+        is_at_work: Callable[[TargetStart], bool],
+        on_ending: OnEnding,
     ) -> None:
+        """``is_at_work`` says whether a run of this host goes on at a target."""
+        self._is_at_work = is_at_work
         self._targets = targets
         self._network = network
         self._clock = clock
@@ -87,7 +94,9 @@
                 is_refused = await self._is_refused(url)
                 if start not in self._lost_by_start:
                     return
-                if is_refused:
+                # A target that has too many connections may refuse one and go on with the rest.
+                # One that ended leaves no run going on, or only some whose loss is on its way.
+                if is_refused and not self._is_at_work(start):
                     self._report(start, Word.REFUSED)
                     return
         finally:
--- a/cranberrywall/quarantine/_runs.py
+++ b/cranberrywall/quarantine/_runs.py
@@ -108,6 +108,10 @@
         """Return the runs that a target may have been at as it ended."""
         return [run for run in self._by_start.get(start, ()) if _was_under_way(run, ended_at)]
 
+    def has_open(self, start: TargetStart) -> bool:
+        """Say whether a run goes on at a target, as far as this host knows."""
+        return any(run.end is None for run in self._by_start.get(start, ()))
+
     def broke_at(self, start: TargetStart) -> float | None:
         """Return when this host last lost a connection to a target; ``None`` where it did not."""
         runs = self._by_start.get(start, ())
--- a/cranberrywall/quarantine/_watch.py
+++ b/cranberrywall/quarantine/_watch.py
@@ -24,7 +24,7 @@
         self.on_ended: OnEnded | None = None
         self.on_finished: OnFinished | None = None
         self._targets = targets
-        self._endings = TargetEndings(targets, network, clock, self._take)
+        self._endings = TargetEndings(targets, network, clock, self.runs.has_open, self._take)
 
     def begin(
         self, request_id: str, target_id: str, fingerprint: Fingerprint, is_streamed: bool
--- a/tests/quarantine/test_watch.py
+++ b/tests/quarantine/test_watch.py
@@ -33,7 +33,7 @@
         scene.finish(scene.run("r-1", "a"), RunEnd.BROKEN, 1)
         await scene.clock.sleep(20.0)
         assert scene.ended == []
-        assert len(scene.network.dialled) == 3
+        assert len(scene.network.dialled) == 4
 
     in_scene(story)
 
@@ -132,3 +132,33 @@
         assert not scene.watch.runs._by_start
 
     in_scene(story)
+
+
+def test_a_target_that_refuses_connections_and_goes_on_with_its_requests_has_not_ended() -> None:
+    """A target has all the connections that it takes: it resets one, and refuses the next.
+
+    Taken for its end, all hosts would leave it alone, and the others would have its work too.
+    """
+
+    async def story(scene: Scene) -> None:
+        going_on = scene.run("r-1", "a")
+        scene.network.refuses.add("10.0.0.1:1")
+        scene.finish(scene.run("r-2", "a"), RunEnd.BROKEN, 1)
+        await scene.clock.sleep(5.0)
+        assert scene.ended == []
+        scene.finish(going_on, RunEnd.WHOLE, 1)
+
+    in_scene(story)
+
+
+def test_a_target_whose_last_connection_is_lost_a_moment_later_has_ended() -> None:
+    async def story(scene: Scene) -> None:
+        late = scene.run("r-1", "a")
+        scene.network.refuses.add("10.0.0.1:1")
+        scene.finish(scene.run("r-2", "a"), RunEnd.BROKEN, 1)
+        await scene.clock.sleep(0.1)
+        scene.finish(late, RunEnd.BROKEN, 1)
+        await scene.clock.sleep(0.3)
+        assert [runs for _, runs in scene.ended] == [["r-1", "r-2"]]
+
+    in_scene(story)
