Explain a request from its logs: cranberrywallctl explain ID FILE

A sentence with the outcome, the request's lines in order, and what other hosts saw of its targets and of the same request under other ids. Bad input names file and line.

--- a/cranberrywall/observability/__init__.py
+++ b/cranberrywall/observability/__init__.py
@@ -2,6 +2,7 @@
 
 from cranberrywall.observability._admin import AdminServer, make_admin_server
 from cranberrywall.observability._health import HealthChecks
+from cranberrywall.observability._lines import parse_pairs
 from cranberrywall.observability._listener import HttpListener
 from cranberrywall.observability._log import (
     EventLimiter,
@@ -30,6 +31,7 @@
     "log_event",
     "make_admin_server",
     "make_metrics",
+    "parse_pairs",
     "process_context",
     "request_context",
     "to_plain",
--- /dev/null
+++ b/tests/commands/test_ctl_explain.py
@@ -0,0 +1,69 @@
+"""Explain requests from logs, on the command line."""
+
+from pathlib import Path
+
+from cranberrywall.commands.ctl._exits import Exit
+from tests.commands.fleets import CtlFleet
+
+ONE = """\
+time=2026-12-03T02:20:56.1+0000 level=WARNING event=attempt_failed process=entry host=entry-1 \
+place=annex request=r-1 target=t-1 attempt=1 fingerprint=abc fault=broken reason="lost it"
+time=2026-12-03T02:20:56.2+0000 level=INFO event=request_ended process=entry host=entry-1 \
+place=annex request=r-1 outcome=answered status=200 targets=t-1,t-2 may_have_run=True \
+fingerprint=abc charged=120 seconds=0.25
+time=2026-12-03T02:20:58.0+0000 level=INFO event=request_refused process=entry host=entry-1 \
+place=annex request=r-2 fingerprint=abc refusal="quarantined: 4 targets ended"
+time=2026-12-03T02:20:59.0+0000 level=WARNING event=attempt_failed process=entry host=entry-1 \
+place=annex request=r-4 target=t-9 attempt=1 fingerprint=xyz fault=late reason="no end"
+"""
+OTHER = """\
+time=2026-12-03T02:20:56.15+0000 level=WARNING event=target_ended process=entry host=entry-2 \
+place=annex target=t-1 word=refused
+time=2026-12-03T02:20:57.0+0000 level=WARNING event=quarantine_decided process=entry host=entry-2 \
+place=annex state=held request=r-0 fingerprint=abc targets=t-1,t-3
+time=2026-12-03T02:20:57.1+0000 level=WARNING event=target_ended process=entry host=entry-2 \
+place=annex target=t-8 word=refused
+"""
+
+
+def write(folder: Path) -> tuple[str, str]:
+    for name, text in (("one.log", ONE), ("other.log", OTHER)):
+        (folder / name).write_text(text, encoding="utf-8")
+    return str(folder / "one.log"), str(folder / "other.log")
+
+
+def test_a_request_is_told_with_what_other_hosts_saw_of_its_targets(tmp_path: Path) -> None:
+    result = CtlFleet().run("explain", "r-1", *write(tmp_path))
+    sentence, *lines = result.stdout.splitlines()
+    assert sentence == (
+        "The request r-1 was answered with 200 by entry-1 after 0.25 s, with failed attempts "
+        "(t-1 broken); 120 were charged."
+    )
+    events = [line.split("event=")[1].split()[0] for line in lines]
+    assert events == ["attempt_failed", "target_ended", "request_ended", "quarantine_decided"]
+    assert "other.log:1:" in lines[1]
+
+
+def test_a_refusal_and_a_request_without_an_end_are_said(tmp_path: Path) -> None:
+    files = write(tmp_path)
+    refused = CtlFleet().run("explain", "r-2", *files).stdout.splitlines()[0]
+    assert "was refused by entry-1 before anything was sent: quarantined" in refused
+    assert "has no end in these logs" in CtlFleet().run("explain", "r-4", *files).stdout
+    shown = CtlFleet().run_json("explain", "r-2", *files)
+    assert [line["event"] for line in shown["lines"]] == ["quarantine_decided", "request_refused"]
+
+
+def test_an_unknown_request_and_bad_files_are_told_apart(tmp_path: Path) -> None:
+    files = write(tmp_path)
+    unknown = CtlFleet().run("explain", "r-9", *files)
+    assert (unknown.exit_code, "No line names" in unknown.stdout) == (Exit.REFUSED, True)
+    no_log = tmp_path / "notes.txt"
+    no_log.write_text("\nnot a log\n", encoding="utf-8")
+    bad = CtlFleet().run("explain", "r-1", str(no_log))
+    assert (bad.exit_code, "notes.txt:2" in bad.stderr) == (Exit.WRONG_INPUT, True)
+    no_log.write_bytes(ONE.encode() + b"\xff\n")
+    bad = CtlFleet().run("explain", "r-1", str(no_log))
+    assert (bad.exit_code, "notes.txt:5" in bad.stderr) == (Exit.WRONG_INPUT, True)
+    no_log.write_text("Traceback (most recent call last):\n" + ONE, encoding="utf-8")
+    mixed = CtlFleet().run("explain", "r-1", str(no_log))
+    assert (mixed.exit_code, "notes.txt:1: left out" in mixed.stderr) == (Exit.DONE, True)
--- /dev/null
+++ b/tests/platform/test_explaining.py
@@ -0,0 +1,57 @@
+"""Play failures, and follow the operators' page from a request's id to its cause."""
+
+import asyncio
+from pathlib import Path
+
+from standins._platform import ENDS_WORKERS, KEY, Answer, Platform, Worker
+from tests.commands.fleets import CtlFleet
+
+PREPAID = 40_000
+FATAL = b'{"prompt": "%s"}' % ENDS_WORKERS
+
+
+def explain(folder: Path, request_id: str) -> tuple[str, str]:
+    """Return the sentence about a request, and the lines, by the logs of all processes."""
+    files = sorted(str(path) for path in folder.glob("*.log"))
+    sentence, *lines = CtlFleet().run("explain", request_id, *files).stdout.splitlines()
+    return sentence, "\n".join(lines)
+
+
+async def ask(platform: Platform, number: int, request_id: str, body: bytes, tokens: str) -> Answer:
+    headers = {
+        "X_Request_Id": request_id,
+        "X_Token_Counts": tokens,
+        "Authorization": f"Bearer {KEY}",
+    }
+    return await platform.ask(platform.fronts[number % 2], "/letters/1", body, **headers)
+
+
+async def test_three_failures_are_explained_by_their_lines(tmp_path: Path) -> None:
+    """A stream is cut as its target ends; its repeats are refused; another is over the budget."""
+    platform = Platform(tmp_path)
+    try:
+        await platform.start()
+        await platform.publish(1, PREPAID)
+        for number in range(6):
+            await platform.add_worker(Worker(f"i-{number}", "engines", is_engine=True))
+        await platform.until_ready()
+        for front in platform.fronts:
+            await platform.until_answered(front, "/letters/1", X_Token_Counts="100,24")
+        for number in range(5):
+            await ask(platform, number, f"fatal-{number}", FATAL, "100,24")
+            await asyncio.sleep(0.4)
+        await ask(platform, 0, "too-large", b"{}", "39000,4000")
+    finally:
+        await platform.stop()
+    sentence, lines = explain(tmp_path, "fatal-0")
+    assert "got no whole answer" in sentence
+    assert "broken" in sentence
+    assert "it may have run" in sentence
+    assert "event=target_ended" in lines
+    sentence, lines = explain(tmp_path, "fatal-4")
+    assert "quarantined" in sentence
+    assert "event=quarantine_decided" in lines
+    assert "state=held" in lines
+    sentence, _ = explain(tmp_path, "too-large")
+    assert "was refused by front" in sentence
+    assert "budget_exhausted" in sentence
