--- a/cranberrywall/quarantine/_evidence.py
+++ b/cranberrywall/quarantine/_evidence.py
@@ -40,7 +40,7 @@
         return len(self._by_start)
 
     def add(self, start: TargetStart, weights: Weights, now: float) -> Sequence[TargetStart]:
-        """Take in a host's report; return the ends that are forgotten to make room."""
+        """Take in a host's report; return what this host told of ends forgotten to make room."""
         known = self._by_start.setdefault(start, _Known(now))
         for fingerprint, weight in weights.items():
             held = known.weight_by_fingerprint.get(fingerprint, 0.0)
@@ -76,15 +76,19 @@
         return [known.weight_by_fingerprint for known in newest]
 
     def forget_old(self, now: float) -> Sequence[TargetStart]:
-        """Forget the ends that are too long ago, and return them."""
+        """Forget the ends that are too long ago; return those of which this host told."""
         old = [start for start, known in self._by_start.items() if now - known.heard_at > KEPT_S]
         return self._forget(old)
 
     def _forget(self, starts: Sequence[TargetStart]) -> Sequence[TargetStart]:
+        told: list[TargetStart] = []
         for start in starts:
-            for fingerprint in self._by_start.pop(start).weight_by_fingerprint:
+            known = self._by_start.pop(start)
+            if known.is_told_by_us:
+                told.append(start)
+            for fingerprint in known.weight_by_fingerprint:
                 others = self._starts_by_fingerprint[fingerprint]
                 others.discard(start)
                 if not others:
                     del self._starts_by_fingerprint[fingerprint]
-        return starts
+        return told
--- a/cranberrywall/quarantine/_quarantine.py
+++ b/cranberrywall/quarantine/_quarantine.py
@@ -23,7 +23,7 @@
     LEAST_ENDINGS,
     chances,
 )
-from cranberrywall.quarantine._runs import Run, RunEnd, TargetStart
+from cranberrywall.quarantine._runs import Run, TargetStart
 from cranberrywall.quarantine._watch import RunWatch
 from cranberrywall.quarantine._weights import weight_of
 from cranberrywall.quarantine.messages import (
@@ -64,7 +64,7 @@
         self._ended = {str(word): 0 for word in Word}
         self._refused = {"held": 0, "doubted": 0}
         watch.on_ended = self._report
-        watch.on_finished = self._take_finished
+        watch.on_whole = self._clear
         spread.subscribe(ENDINGS_TOPIC, self._take_report)
 
     def check(self, fingerprint: Fingerprint, now: float) -> Refusal | None:
@@ -183,10 +183,6 @@
         if runs and self._evidence.tell(start):
             self._publish_report(start, runs, ended_at)
 
-    def _take_finished(self, run: Run, end: RunEnd, now: float) -> None:
-        if end is RunEnd.WHOLE:
-            self._clear(run)
-
     def _clear(self, run: Run) -> None:
         """Take a whole answer for the proof that the request doesn't end targets."""
         fingerprint = run.fingerprint
--- a/cranberrywall/quarantine/_watch.py
+++ b/cranberrywall/quarantine/_watch.py
@@ -13,16 +13,13 @@
 """Take in a target's end, with the runs that it may have been at."""
 
 
-OnFinished = Callable[[Run, RunEnd, float], None]
-
-
 class RunWatch:
     """Hold this host's runs at targets, from the sending to their end."""
 
     def __init__(self, targets: Targets, network: Network, clock: Clock) -> None:
         self.runs = Runs()
         self.on_ended: OnEnded | None = None
-        self.on_finished: OnFinished | None = None
+        self.on_whole: Callable[[Run], None] | None = None
         self._targets = targets
         self._endings = TargetEndings(targets, network, clock, self.runs.has_open, self._take)
 
@@ -42,8 +39,8 @@
         self.runs.finish(run, end, now)
         if end is RunEnd.BROKEN:
             self._endings.lost_connection(run.start, url, now)
-        if self.on_finished is not None:
-            self.on_finished(run, end, now)
+        elif end is RunEnd.WHOLE and self.on_whole is not None:
+            self.on_whole(run)
 
     def forget_target(self, start: TargetStart, now: float) -> None:
         """Let no request go to a target that ended, until it is heard again."""
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -3,6 +3,7 @@
 from cranberrywall.errors import ErrorKind, answer_for
 from cranberrywall.quarantine import RunEnd
 from cranberrywall.quarantine._decisions import HELD_S
+from cranberrywall.quarantine._evidence import KEPT_S, MOST_ENDINGS
 from tests.quarantine.fleet import SOON_S, Fleet, in_fleet, named
 from tests.quarantine.scene import announcement
 
@@ -270,3 +271,29 @@
         assert all("t1" in host.targets.by_id for host in fleet.hosts)
 
     in_fleet(story)
+
+
+def test_what_is_kept_of_ends_is_bounded_and_ends_with_its_time() -> None:
+    """Targets crash for hours. Each host keeps the newest ends, and takes its old reports back."""
+
+    async def story(fleet: Fleet) -> None:
+        first, second, _ = fleet.hosts
+        for number in range(MOST_ENDINGS + 20):
+            start = announcement(f"u{number}", 100)
+            first.targets.apply(start, fleet.clock.now())
+            fleet.network.refuses.add("10.0.0.1:100")
+            watch = first.quarantine.watch
+            run = watch.begin(f"r-{number}", f"u{number}", named(f"r-{number}"), True)
+            watch.finish(run, RunEnd.BROKEN, start.url, fleet.clock.now())
+            await fleet.clock.sleep(0.05)
+        for host in fleet.hosts:
+            assert host.quarantine.state()["endings"] == MOST_ENDINGS
+        assert len(second.spread.items("target-ended")) == MOST_ENDINGS
+        await fleet.clock.sleep(KEPT_S + 1.0)
+        for host in fleet.hosts:
+            host.quarantine.expire(fleet.clock.now())
+            assert host.quarantine.state()["endings"] == 0
+        assert second.spread.items("target-ended") == []
+        assert second.spread.published == 0
+
+    in_fleet(story)
