--- a/cranberrywall/quarantine/_decisions.py
+++ b/cranberrywall/quarantine/_decisions.py
@@ -23,6 +23,9 @@
 MOST_HELD = 1000
 """Requests held back at most; the oldest go first."""
 
+MOST_NUMBERS = 4 * MOST_HELD
+"""Requests at most whose last decision's number is remembered, also once they are free again."""
+
 _RANKS = {DecisionState.HELD: 1, DecisionState.LIFTED: 2, DecisionState.CLEARED: 3}
 """Of two decisions made at the same time, the higher one holds on all hosts. That a target answered
 a request whole is a fact, where holding it back is a guess."""
@@ -91,7 +94,7 @@
         except ValueError as error:
             log_event("WARNING", "quarantine_item_malformed", topic=item.topic, reason=str(error))
             return
-        self._number_by_fingerprint[fingerprint] = item.version[0]
+        self._remember_number(fingerprint, item.version[0])
         decision = decode_item(item, Decision)
         if decision is None:
             self._free(fingerprint)
@@ -102,6 +105,12 @@
         else:
             self._free(fingerprint)
 
+    def _remember_number(self, fingerprint: Fingerprint, number: int) -> None:
+        self._number_by_fingerprint.pop(fingerprint, None)
+        self._number_by_fingerprint[fingerprint] = number
+        if len(self._number_by_fingerprint) > MOST_NUMBERS:
+            del self._number_by_fingerprint[next(iter(self._number_by_fingerprint))]
+
     def _hold(self, fingerprint: Fingerprint, decision: Decision) -> None:
         self.held_by_fingerprint.pop(fingerprint, None)
         self.held_by_fingerprint[fingerprint] = Held(decision, self._clock.now() + HELD_S)
--- a/cranberrywall/requests/_service_runner.py
+++ b/cranberrywall/requests/_service_runner.py
@@ -139,8 +139,7 @@
 
     async def _reserve_and_serve(self, request: ServiceRequest, progress: Progress) -> CallResult:
         name = request.name
-        fingerprint = fingerprint_of_request(name, request.fingerprint)
-        held = self._quarantine.check(fingerprint, self._clock.now())
+        held = self._check(request)
         if held is not None:
             return Err(held)
         wanted = ReserveRequest(
@@ -183,9 +182,7 @@
             if isinstance(acquired, Err):
                 return Err(_refusal(request, progress, last, acquired.err_value))
             slot = acquired.ok_value
-            held = self._quarantine.check(
-                fingerprint_of_request(request.name, request.fingerprint), self._clock.now()
-            )
+            held = self._check(request)
             if held is not None:
                 slot.finish(Outcome(OutcomeKind.CANCELLED), self._clock.now())
                 return Err(_refusal(request, progress, last, held))
@@ -245,6 +242,11 @@
             progress.sent = sent_before
         return _Attempted(slot.target_id, result)
 
+    def _check(self, request: ServiceRequest) -> Refusal | None:
+        """Return why the call must not go to a target now."""
+        fingerprint = fingerprint_of_request(request.name, request.fingerprint)
+        return self._quarantine.check(fingerprint, self._clock.now())
+
     async def _watch(
         self, request: ServiceRequest, slot: Slot, call: ServiceCall
     ) -> ServiceAnswer | Fault:
--- a/measurements/_fatal_fleet.py
+++ b/measurements/_fatal_fleet.py
@@ -235,8 +235,7 @@
                 return False
             now = asyncio.get_running_loop().time()
             if self.schedule.tells and host.quarantine.check(fingerprint, now) is not None:
-                is_held = host.quarantine.check(fingerprint, now)
-                return None if is_held and not is_fatal else False
+                return False if is_fatal else None
             target = self.random.choice(up)
             tried.add(target.id)
             if await self._run(host, target, fingerprint, lasts_s, is_fatal):
