--- a/cranberrywall/quarantine/_runs.py
+++ b/cranberrywall/quarantine/_runs.py
@@ -139,10 +139,11 @@
 
     def forget_old(self, now: float) -> None:
         """Forget the runs of which nothing more can be learned."""
-        for run in list(self._unanswered):
-            if now - run.ended_at < REMEMBERED_S:
-                break
-            self._forget(run)
+        while self._unanswered:
+            oldest = next(iter(self._unanswered))
+            if now - oldest.ended_at < REMEMBERED_S:
+                return
+            self._forget(oldest)
 
     def _forget(self, run: Run) -> None:
         del self._unanswered[run]
