--- a/cranberrywall/forwarding/_attempts.py
+++ b/cranberrywall/forwarding/_attempts.py
@@ -8,9 +8,8 @@
     DID_NOT_RUN,
     AttemptFailedError,
     FailureKind,
-    TargetAnswer,
 )
-from cranberrywall.forwarding._interfaces import Arrival, Attempt
+from cranberrywall.forwarding._interfaces import Arrival, Attempt, TargetHead
 from cranberrywall.forwarding._plan import Plan
 from cranberrywall.observability import log_event
 from cranberrywall.quarantine import Quarantine
@@ -141,11 +140,12 @@
         return Refusal(ErrorKind.NOT_RUN, message)
 
 
-def note_load(slot: Slot, answer: TargetAnswer, now: float) -> None:
-    """Pass on what an answer's head tells of its target's load."""
-    load = answer.head.load
+def note_head(slot: Slot, head: TargetHead, now: float) -> None:
+    """Pass on what an answer's head tells of its target."""
+    load = head.load
     if load is not None:
         slot.loaded(load.running, load.waiting, now)
+    slot.rate_named(head.rate, now)
 
 
 def outcome_of(failure: AttemptFailedError) -> Outcome:
--- a/cranberrywall/forwarding/_calls.py
+++ b/cranberrywall/forwarding/_calls.py
@@ -5,7 +5,7 @@
 from result import Err, Ok, Result
 
 from cranberrywall.errors import Refusal
-from cranberrywall.forwarding._attempts import Attempts, note_load
+from cranberrywall.forwarding._attempts import Attempts, note_head
 from cranberrywall.forwarding._client import (
     AttemptFailedError,
     TargetClient,
@@ -73,7 +73,7 @@
                 self._client.open(slot.url, attempt, may_run_again) as answer,
             ):
                 conclusion.answered(self._clock.now())
-                note_load(slot, answer, self._clock.now())
+                note_head(slot, answer.head, self._clock.now())
                 body = await read_whole(answer)
             is_failure = answer.status >= FAILED_FROM_STATUS
             if not is_failure:
--- a/cranberrywall/forwarding/_client.py
+++ b/cranberrywall/forwarding/_client.py
@@ -58,13 +58,14 @@
     """Report an attempt without an answer.
 
     ``answered_s`` is for how long the target had begun to answer, in seconds; ``None`` where it
-    had not.
+    had not. ``head`` is what the target's answer said of the target, where it gave one.
     """
 
-    def __init__(self, kind: FailureKind, message: str) -> None:
+    def __init__(self, kind: FailureKind, message: str, head: TargetHead | None = None) -> None:
         super().__init__(f"{kind}: {message}")
         self.kind = kind
         self.message = message
+        self.head = head
         self.answered_s: float | None = None
 
 
@@ -170,7 +171,7 @@
         if head.is_other:
             raise AttemptFailedError(FailureKind.WRONG_TARGET, "another target has the address")
         if head.not_run:
-            raise AttemptFailedError(FailureKind.NOT_RUN, f"answered {response.status}")
+            raise AttemptFailedError(FailureKind.NOT_RUN, f"answered {response.status}", head)
         passed_on = tuple(pair for pair in headers if pair[0].lower() not in _HOP_HEADERS)
         return TargetAnswer(response.status, passed_on, head, response)
 
--- a/cranberrywall/forwarding/_conclusion.py
+++ b/cranberrywall/forwarding/_conclusion.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
-from cranberrywall.forwarding._attempts import outcome_of
+from cranberrywall.forwarding._attempts import note_head, outcome_of
 from cranberrywall.forwarding._client import DID_NOT_RUN, AttemptFailedError, FailureKind
 from cranberrywall.forwarding._interfaces import Attempt
 from cranberrywall.forwarding._money import Purse
@@ -67,6 +67,8 @@
     except AttemptFailedError as failure:
         if failure.kind in DID_NOT_RUN:
             purse.note_not_run()
+        if failure.head is not None:
+            note_head(slot, failure.head, clock.now())
         conclusion.fails(failure, clock.now())
         raise
     finally:
--- a/cranberrywall/forwarding/_interfaces.py
+++ b/cranberrywall/forwarding/_interfaces.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple, Protocol
 
 from cranberrywall.quarantine import Fingerprint
+from cranberrywall.rates import RateNotice
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -83,12 +84,14 @@
 
     ``request_id`` is the request that the target says it answers. ``not_run`` says that it
     did not and will not run the request, ``is_other`` that another target has the address.
+    ``rate`` is what it says of the requests that it takes.
     """
 
     request_id: str
     not_run: bool
     is_other: bool
     load: TargetLoad | None
+    rate: RateNotice
 
 
 class Dialect(Protocol):
--- a/cranberrywall/forwarding/_streams.py
+++ b/cranberrywall/forwarding/_streams.py
@@ -3,7 +3,7 @@
 from result import Err, Ok, Result
 
 from cranberrywall.errors import Refusal
-from cranberrywall.forwarding._attempts import Attempts, note_load
+from cranberrywall.forwarding._attempts import Attempts, note_head
 from cranberrywall.forwarding._calls import WholeAnswer
 from cranberrywall.forwarding._client import (
     AttemptFailedError,
@@ -79,7 +79,7 @@
                 self._client.open(slot.url, attempt, may_run_again) as answer,
             ):
                 conclusion.answered(self._clock.now())
-                note_load(slot, answer, self._clock.now())
+                note_head(slot, answer.head, self._clock.now())
                 if answer.status >= FIRST_FAILURE_STATUS:
                     attempts.may_have_run = True
                     failed = WholeAnswer(answer.status, answer.headers, await read_whole(answer))
--- a/cranberrywall/platform/_dialect.py
+++ b/cranberrywall/platform/_dialect.py
@@ -2,9 +2,11 @@
 
 from cranberrywall.forwarding import Attempt, Headers, TargetHead, TargetLoad
 from cranberrywall.platform import _headers as names
+from cranberrywall.rates import read_rate
 
 _MISDIRECTED = 421
 _LOAD_FIELDS = 3
+_LIMIT = names.SERVER_LIMIT.lower()
 
 
 class TargetDialect:
@@ -29,6 +31,7 @@
             not_run=names.NOT_RUN.lower() in value_by_name,
             is_other=status == _MISDIRECTED,
             load=_read_load(value_by_name.get(names.SERVER_LOAD.lower(), "")),
+            rate=read_rate([value for name, value in headers if name.lower() == _LIMIT]),
         )
 
 
--- a/cranberrywall/platform/_headers.py
+++ b/cranberrywall/platform/_headers.py
@@ -11,6 +11,7 @@
 PRIORITY = "X-Request-Priority"
 NOT_RUN = "X-Not-Run"
 SERVER_LOAD = "X-Server-Load"
+SERVER_LIMIT = "Server-Limit"
 
 KEY_SCHEME = "bearer "
 
--- a/cranberrywall/routing/_candidates.py
+++ b/cranberrywall/routing/_candidates.py
@@ -6,6 +6,8 @@
 
 import xxhash
 
+from cranberrywall.observability import log_event
+from cranberrywall.rates import NO_RATE, RateNotice
 from cranberrywall.routing._limits import ConcurrencyLimit, Own
 from cranberrywall.routing._retries import RetryBudget
 from cranberrywall.routing._waits import Work
@@ -74,6 +76,7 @@
         self.health = Health(now, slow_start)
         self.retries = retries or RetryBudget(now)
         self.pending_blocks = 0
+        self._rate_named: RateNotice = NO_RATE
         self._renewed_at = now
         self._extra = ceil(announcement.capacity / hosts)
         self._slowness = 1.0
@@ -142,6 +145,19 @@
             cost *= LATE_COST
         return self.distance_s + cost
 
+    def note_rate(self, notice: RateNotice) -> None:
+        """Note what an answer said of the requests a second that the target takes."""
+        if notice != self._rate_named:
+            log_event(
+                "INFO",
+                "target_rate_named",
+                target=self.target_id,
+                incarnation=self.announcement.incarnation,
+                rate=notice,
+                before=self._rate_named,
+            )
+            self._rate_named = notice
+
     def slowness(self, now: float) -> float:
         """Return by how much the target is slower than predicted; 1 is as predicted."""
         age = max(0.0, now - self._slowness_at)
--- a/cranberrywall/routing/_interfaces.py
+++ b/cranberrywall/routing/_interfaces.py
@@ -10,6 +10,7 @@
 from result import Result
 
 from cranberrywall.errors import Refusal
+from cranberrywall.rates import RateNotice
 
 
 class Demand(NamedTuple):
@@ -90,6 +91,10 @@
         """Note the requests of all hosts that the target said it has now."""
         ...
 
+    def rate_named(self, notice: RateNotice, now: float) -> None:
+        """Note what the target said of the requests a second that it takes."""
+        ...
+
     def finish(self, outcome: Outcome, now: float) -> None:
         """Free the place and report the outcome; a second call does nothing."""
         ...
--- a/cranberrywall/routing/_pool.py
+++ b/cranberrywall/routing/_pool.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Sequence
 from statistics import fmean
 
+from cranberrywall.rates import RateNotice
 from cranberrywall.routing._candidates import Candidate, Claim, Shared
 from cranberrywall.routing._choice import Choice, Chosen
 from cranberrywall.routing._distances import Distances
@@ -322,6 +323,10 @@
         """Note the requests of all hosts that the target said it has now."""
         self._pool.note_load(self._chosen, running, waiting, now)
 
+    def rate_named(self, notice: RateNotice, now: float) -> None:
+        """Note what the target said of the requests a second that it takes."""
+        self._chosen.candidate.note_rate(notice)
+
     def finish(self, outcome: Outcome, now: float) -> None:
         """Free the place; a second call does nothing."""
         if self._open:
--- a/standins/_platform.py
+++ b/standins/_platform.py
@@ -58,7 +58,9 @@
 class Worker:
     """Answer forwarded requests, as a plain service or as a model engine with event streams.
 
-    One that ended is back after ``back_after_s`` under a new name, at the same address.
+    One that ended is back after ``back_after_s`` under a new name, at the same address. One in
+    need names in its answers ``limit``, the requests a second that it takes, as text.
+    ``arrived_at`` has the monotonic time of each request that reached it, whatever became of it.
     """
 
     back_after_s = 1.0
@@ -71,6 +73,8 @@
         self.ends: list[float] = []
         self.begun_fatal: list[float] = []
         self.events = 6
+        self.limit: str | None = None
+        self.arrived_at: list[float] = []
         self._event_s = event_s
         self._runner: web.AppRunner | None = None
         self._transports: set[asyncio.Transport] = set()
@@ -132,8 +136,11 @@
         return body
 
     async def _answer(self, request: web.Request) -> web.StreamResponse:
+        self.arrived_at.append(time.monotonic())
         request_id = request.headers.get("X-Request-Id", "")
         headers = {"X-Request-Id": request_id, "X-Server-Stamp": f"{self.name}.{request_id}"}
+        if self.limit is not None:
+            headers["Server-Limit"] = self.limit
         if request.headers.get("X-Expect-Instance") not in (None, self.name):
             return web.Response(status=421, headers=headers)
         transport = request.transport
--- a/tests/forwarding/scripted.py
+++ b/tests/forwarding/scripted.py
@@ -16,6 +16,7 @@
 from cranberrywall.observability import make_metrics
 from cranberrywall.platform._dialect import TargetDialect
 from cranberrywall.quarantine import Quarantine, RunWatch
+from cranberrywall.rates import RateNotice
 from cranberrywall.routing import Demand, Outcome
 from cranberrywall.runtime import make_clock, make_network
 from cranberrywall.targets import make_targets
@@ -108,6 +109,9 @@
     def loaded(self, running: int, waiting: int, now: float) -> None:
         pass
 
+    def rate_named(self, notice: RateNotice, now: float) -> None:
+        pass
+
     def finish(self, outcome: Outcome, now: float) -> None:
         self._ended.append(outcome)
 
--- a/tests/naive/routers.py
+++ b/tests/naive/routers.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from cranberrywall.errors import ErrorKind, Refusal
+from cranberrywall.rates import RateNotice
 from cranberrywall.routing import Demand, Outcome, Slot
 from cranberrywall.targets import Announcement, Group, Targets
 
@@ -31,6 +32,9 @@
     def loaded(self, running: int, waiting: int, now: float) -> None:
         pass
 
+    def rate_named(self, notice: RateNotice, now: float) -> None:
+        pass
+
     def finish(self, outcome: Outcome, now: float) -> None:
         pass
 
