--- a/tests/rates/test_coordinator.py
+++ b/tests/rates/test_coordinator.py
@@ -23,7 +23,7 @@
 
 
 def request(
-    *wants: Want, wait_s: float = 0.0, per_s: float = 1.0, **fields: float
+    *wants: Want, wait_s: float = 0.0, per_s: float = 1.0, patience_s: float = 0.0
 ) -> PermitRequest:
     asked = AskedTarget(START, 1, per_s)
     return PermitRequest("service", "ledger", (asked,), wants, wait_s, patience_s)
