Keep to named rates at the product's own interface too; operators see them

Engines and services of the own interface name a rate as X-Rate-Limit. Resumes, takeovers and cancels of attempts count there as well and need a permit. The stand-ins name limits by a setting or at random, and note what arrives. cranberrywallctl targets and the console show targets in need, explain prints the changes of their rates.

--- a/cranberrywall/commands/ctl/_story.py
+++ b/cranberrywall/commands/ctl/_story.py
@@ -5,7 +5,9 @@
 
 from cranberrywall.observability import parse_pairs
 
-_ABOUT_TARGETS = frozenset({"target_ended", "target_announced", "target_out_of_reach"})
+_ABOUT_TARGETS = frozenset(
+    {"target_ended", "target_announced", "target_out_of_reach", "target_rate_named"}
+)
 _ABOUT_FINGERPRINTS = frozenset({"quarantine_decided", "request_doubted", "held_runs_stopped"})
 _ANSWERED = "answered"
 
--- a/cranberrywall/commands/ctl/targets.py
+++ b/cranberrywall/commands/ctl/targets.py
@@ -12,7 +12,12 @@
 
 
 class TargetRow(NamedTuple):
-    """Describe a target; ``known_by`` counts the entry hosts that know it."""
+    """Describe a target; ``known_by`` counts the entry hosts that know it.
+
+    ``rate`` is the requests a second that a target in need takes from all hosts together, ``None``
+    where it names none; ``rate_age_s`` is for how long that is known, ``rate_told_by`` the host
+    that heard it, and ``rate_sent`` what all hosts that answered sent since, by permits.
+    """
 
     target: str
     kind: str
@@ -24,6 +29,10 @@
     waiting: int | None
     capacity: int
     known_by: int
+    rate: float | None
+    rate_age_s: float | None
+    rate_told_by: str
+    rate_sent: int
 
 
 @click.command("targets")
@@ -60,10 +69,12 @@
     """Return a row for each target, as the last host that knows it describes it."""
     known_by: dict[str, int] = {}
     described: dict[str, Any] = {}
+    sent: dict[str, int] = {}
     for targets in heard:
         for name, target in targets.items():
             known_by[name] = known_by.get(name, 0) + 1
             described[name] = target
+            sent[name] = sent.get(name, 0) + _rate_of(target).get("sent_from_here", 0)
     return [
         TargetRow(
             target=name,
@@ -76,13 +87,17 @@
             waiting=one["waiting"],
             capacity=one["capacity"],
             known_by=known_by[name],
+            rate=_rate_of(one).get("per_s"),
+            rate_age_s=_rate_of(one).get("age_s"),
+            rate_told_by=_rate_of(one).get("told_by", ""),
+            rate_sent=sent[name],
         )
         for name, one in sorted(described.items())
     ]
 
 
 def _print(rows: list[TargetRow], hosts: int) -> None:
-    headers = ["target", "kind", "serves", "place", "versions", "load", "known by"]
+    headers = ["target", "kind", "serves", "place", "versions", "load", "known by", "in need"]
     lines = [
         [
             row.target,
@@ -92,6 +107,7 @@
             ", ".join(row.versions),
             _load(row),
             f"{row.known_by} of {hosts}",
+            _need(row),
         ]
         for row in rows
     ]
@@ -102,3 +118,17 @@
     if row.running is None:
         return f"not reported, capacity {row.capacity}"
     return f"{row.running} running, {row.waiting} waiting of {row.capacity}"
+
+
+def _rate_of(target: dict[str, Any]) -> dict[str, Any]:
+    # A host of an earlier version tells of no rate.
+    return target.get("rate") or {}
+
+
+def _need(row: TargetRow) -> str:
+    if row.rate is None:
+        return ""
+    return (
+        f"takes {row.rate:g} a second, {row.rate_sent} sent in {row.rate_age_s:.0f} s "
+        f"(heard by {row.rate_told_by})"
+    )
--- a/cranberrywall/console/_fleet.py
+++ b/cranberrywall/console/_fleet.py
@@ -215,5 +215,11 @@
         serves=target["name"],
         place=target["place"],
         versions=", ".join(target["versions"]),
-        load=f"{load} of {target['capacity']}",
+        load=f"{load} of {target['capacity']}{_need(target)}",
     )
+
+
+def _need(target: dict[str, Any]) -> str:
+    """Return what a target in need takes, as its row shows it."""
+    rate = target.get("rate")
+    return f"; in need, takes {rate['per_s']:g} a second" if rate else ""
--- a/cranberrywall/requests/_attempts.py
+++ b/cranberrywall/requests/_attempts.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple, Protocol
 
 import aiohttp
@@ -15,6 +16,7 @@
 from cranberrywall.observability import log_event
 from cranberrywall.quarantine import Quarantine, stoppable
 from cranberrywall.quarantine import Run as WatchedRun
+from cranberrywall.rates import RateNotice
 from cranberrywall.requests._background import Background
 from cranberrywall.requests._engine import (
     EngineCall,
@@ -194,12 +196,14 @@
         stream = self._make_stream(call, self._limits)
         stream.start_at(len(run.frames))
         reader = _AttemptReader(run, request, stream, self._clock)
+        if not await self._may_send_again(request, begun.url):
+            return False
         try:
             fault = await stream.resume()
             if fault is None:
-                fault = await self._read_with_resumes(reader, stream, None)
+                fault = await self._read_with_resumes(request, reader, stream, None)
         except BaseException:
-            self._background.spawn(cancel_attempt(self._session, call))
+            self._background.spawn(self._cancel(request, call))
             raise
         finally:
             stream.close()
@@ -228,6 +232,7 @@
             body,
         )
         stream = self._make_stream(call, self._limits_until(request.start_by))
+        stream.on_rate = partial(self._note_rate, slot, request.name.request_id)
         reader = _AttemptReader(run, request, stream, self._clock, slot)
         sent_before, run.sent = run.sent, True
         on_attempt(Attempted(call.url, call.attempt_id))
@@ -246,7 +251,7 @@
             if fault is not None and fault.kind is FaultKind.UNSENT:
                 run.sent = sent_before
             elif fault is not None:
-                self._background.spawn(cancel_attempt(self._session, call))
+                self._background.spawn(self._cancel(request, call))
             outcome = _outcome(fault, cancelled, reader, granted_at)
             slot.finish(outcome, self._clock.now())
         return fault
@@ -263,7 +268,7 @@
                 async with stoppable(watched.run, None):
                     reader.watched = watched.run
                     opened = await stream.open()
-                    fault = await self._read_with_resumes(reader, stream, opened)
+                    fault = await self._read_with_resumes(request, reader, stream, opened)
             except TimeoutError:
                 if not watched.run.is_stopped:
                     raise
@@ -271,13 +276,19 @@
             return fault
 
     async def _read_with_resumes(
-        self, reader: "_AttemptReader", stream: EngineStream, opened: Fault | None
+        self,
+        request: AttemptRequest,
+        reader: "_AttemptReader",
+        stream: EngineStream,
+        opened: Fault | None,
     ) -> Fault | None:
         fault = await reader.read() if opened is None else opened
         resumes = 0
         while fault is not None and _resumable(fault, stream) and resumes < MAX_RESUMES:
             resumes += 1
             await self._back_off(resumes)
+            if not await self._may_send_again(request, stream.url):
+                break
             resumed = await stream.resume()
             if resumed is None:
                 self._metrics.resumed.labels("same_target").inc()
@@ -286,6 +297,26 @@
                 break
         return fault
 
+    async def _may_send_again(self, request: AttemptRequest, url: str) -> bool:
+        """Say whether an engine may be asked for the rest of an answer: one in need counts that."""
+        name = request.name
+        if await self._router.may_send_again(url, request.rank, name.workspace):
+            return True
+        log_event("INFO", "attempt_not_resumed", request=name.request_id, url=url)
+        return False
+
+    async def _cancel(self, request: AttemptRequest, call: EngineCall) -> None:
+        """Tell an engine to stop an attempt, unless it is in need and has no request to spare.
+
+        It ends an attempt that nobody reads by itself, some seconds later.
+        """
+        name = request.name
+        if await self._router.may_send_again(call.url, request.rank, name.workspace):
+            await cancel_attempt(self._session, call)
+
+    def _note_rate(self, slot: Slot, request_id: str, notice: RateNotice, is_served: bool) -> None:
+        slot.rate_named(notice, is_served, request_id, self._clock.now())
+
     def _make_stream(self, call: EngineCall, limits: EngineLimits) -> EngineStream:
         return EngineStream(self._session, call, limits, self._metrics, self._clock, self._timers)
 
--- a/cranberrywall/requests/_chat_runner.py
+++ b/cranberrywall/requests/_chat_runner.py
@@ -189,6 +189,7 @@
         deadline=request.start_by,
         bound_tokens=request.bound.total,
         prefix_hashes=prefix_hashes(request.body.texts),
+        caller=request.name.workspace,
     )
 
 
--- a/cranberrywall/requests/_engine.py
+++ b/cranberrywall/requests/_engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from enum import StrEnum
 from functools import partial
 from typing import NamedTuple
@@ -11,6 +12,7 @@
 from yarl import URL
 
 from cranberrywall.observability import log_event
+from cranberrywall.rates import RateNotice, read_rate
 from cranberrywall.requests._frames import (
     Chunk,
     EndMark,
@@ -22,6 +24,12 @@
 from cranberrywall.runtime import Clock, Timer, Timers
 
 ATTEMPT_HEADER = "X-Attempt-Id"
+RATE_HEADER = "X-Rate-Limit"
+"""Where a target in need names the requests a second that it takes, from all hosts together."""
+
+OnRate = Callable[[RateNotice, bool], None]
+"""Take in what an answer says of its target's rate, and whether the call was served."""
+
 # 404: the model or the version was unloaded after the target was chosen.
 _BUSY_STATUSES = frozenset({404, 408, 409, 425, 429, 500, 502, 503, 504})
 _CANCEL_TIMEOUT_S = 2.0
@@ -103,6 +111,7 @@
         self._metrics = metrics
         self._timers = timers
         self._clock = clock
+        self.on_rate: OnRate = _ignore_rate
         self._timer: Timer | None = None
         self._silent_at = 0.0
         self._response: aiohttp.ClientResponse | None = None
@@ -175,6 +184,11 @@
             self._timer.cancel()
             self._timer = None
 
+    @property
+    def url(self) -> str:
+        """Return the engine's base URL."""
+        return self._call.url
+
     @property
     def next_index(self) -> int:
         """Return how many chunks were taken."""
@@ -207,11 +221,13 @@
         if response.status == 200:
             echoed = response.headers.get(ATTEMPT_HEADER)
             if echoed == self._call.attempt_id:
+                self.on_rate(rate_of(response), True)
                 return None
             self._drop("head", echoed or "")
             self.close()
             return Fault(FaultKind.CROSSED, "the reply is another attempt's")
         message = f"the target answered {response.status}"
+        self.on_rate(rate_of(response), False)
         self.close()
         if response.status == 404 and response.method == "GET":
             return Fault(FaultKind.UNKNOWN_ATTEMPT, message)
@@ -278,6 +294,15 @@
         return aiohttp.ClientTimeout(total=None, sock_connect=self._limits.connect_s)
 
 
+def rate_of(response: aiohttp.ClientResponse) -> RateNotice:
+    """Return what an answer says of its target's rate."""
+    return read_rate(response.headers.getall(RATE_HEADER, []))
+
+
+def _ignore_rate(notice: RateNotice, is_served: bool) -> None:
+    """Take nothing in: the target of an attempt that was taken over may be another by now."""
+
+
 async def cancel_attempt(session: aiohttp.ClientSession, call: EngineCall) -> None:
     """Tell the engine to stop an attempt; a failure is logged, and the engine's loss."""
     timeout = aiohttp.ClientTimeout(total=_CANCEL_TIMEOUT_S)
--- a/cranberrywall/requests/_service_runner.py
+++ b/cranberrywall/requests/_service_runner.py
@@ -1,6 +1,7 @@
 """Run one call to a plain service: with retries where it may be repeated, else once."""
 
 import asyncio
+from functools import partial
 from typing import NamedTuple
 
 from result import Err, Ok, Result
@@ -9,6 +10,7 @@
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.observability import log_event
 from cranberrywall.quarantine import Quarantine, stoppable
+from cranberrywall.rates import RateNotice
 from cranberrywall.requests._attempts import BACKOFF_S, MAX_ATTEMPTS
 from cranberrywall.requests._engine import Fault, FaultKind
 from cranberrywall.requests._identity import RequestName, make_attempt_id
@@ -210,6 +212,7 @@
             bound_tokens=request.cost,
             exclude=tried,
             retry=retry,
+            caller=request.name.workspace,
         )
         return await self._router.acquire(demand, self._clock.now())
 
@@ -257,13 +260,21 @@
             result: ServiceAnswer | Fault = STOPPED
             try:
                 async with stoppable(watched.run, None):
-                    result = await self._client.call(call, request.repeatable, self._limit(request))
+                    result = await self._client.call(
+                        call,
+                        request.repeatable,
+                        self._limit(request),
+                        partial(self._note_rate, slot, request.name.request_id),
+                    )
             except TimeoutError:
                 if not watched.run.is_stopped:
                     raise
             watched.ended(result if isinstance(result, Fault) else None)
             return result
 
+    def _note_rate(self, slot: Slot, request_id: str, notice: RateNotice, is_served: bool) -> None:
+        slot.rate_named(notice, is_served, request_id, self._clock.now())
+
     def _limit(self, request: ServiceRequest) -> float:
         # A call that runs at most once cannot be tried again, so its answer is worth
         # waiting for beyond the caller's deadline: the caller's retry gets it.
--- a/standins/_common.py
+++ b/standins/_common.py
@@ -1,27 +1,35 @@
 """Read and answer what engines and services have in common."""
 
 import asyncio
+import time
+from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 from aiohttp import web
+from aiohttp.typedefs import Handler
 
 from standins._counts import Counts
-from standins._faults import Draw, FaultChange, Faults
+from standins._faults import Draw, FaultChange, Faults, is_in_need
 
 ATTEMPT_HEADER = "X-Attempt-Id"
 REQUEST_HEADER = "X-Request-Id"
+RATE_HEADER = "X-Rate-Limit"
+MOST_ARRIVALS = 100_000
+_NO_WORK = frozenset({"/counts", "/faults", "/v1/orders"})
 UNNAMED_REQUEST = "unnamed"
 
 
 class FaultSwitch:
     """Hold the faults in force, changed by ``PUT /faults``.
 
-    ``on_death`` ends the whole stand-in; what serves it sets it.
+    ``on_death`` ends the whole stand-in; what serves it sets it. ``arrived_at`` has the monotonic
+    times at which work arrived, whatever became of it.
     """
 
     def __init__(self, faults: Faults) -> None:
         self.faults = faults
+        self.arrived_at: deque[float] = deque(maxlen=MOST_ARRIVALS)
         self.on_death: Callable[[], Awaitable[None]] | None = None
         # The event loop refers to tasks weakly, so a death is kept here until it is over.
         self._deaths: set[asyncio.Future[None]] = set()
@@ -39,8 +47,22 @@
             abort(request)
 
 
-def add_common_routes(app: web.Application, counts: Counts, switch: FaultSwitch) -> None:
-    """Serve ``GET /counts``, ``GET /faults`` and ``PUT /faults``."""
+def add_common_routes(app: web.Application, counts: Counts, switch: FaultSwitch, seed: int) -> None:
+    """Serve ``GET /counts``, ``GET /faults`` and ``PUT /faults``; name a limit in all answers."""
+
+    async def name_limit(request: web.Request, response: web.StreamResponse) -> None:
+        faults = switch.faults
+        if is_in_need(faults, seed, time.monotonic()):
+            response.headers[RATE_HEADER] = f"{faults.limit_per_s:g}"
+
+    @web.middleware
+    async def count_arrivals(request: web.Request, handler: Handler) -> web.StreamResponse:
+        if request.path not in _NO_WORK:
+            switch.arrived_at.append(time.monotonic())
+        return await handler(request)
+
+    app.on_response_prepare.append(name_limit)
+    app.middlewares.append(count_arrivals)
 
     async def get_counts(request: web.Request) -> web.Response:
         return web.json_response({"requests": counts.by_request, "refused": counts.refused})
--- a/standins/_engine.py
+++ b/standins/_engine.py
@@ -143,7 +143,7 @@
         app.router.add_delete("/v1/attempts/{attempt:.+}", self._cancel)
         app.router.add_post("/v1/orders", self._order)
         app.router.add_get("/v1/orders", self._list_orders)
-        add_common_routes(app, self.counts, self.switch)
+        add_common_routes(app, self.counts, self.switch, self.options.seed)
         return app
 
     async def _complete(self, request: web.Request) -> web.StreamResponse:
--- a/standins/_faults.py
+++ b/standins/_faults.py
@@ -5,6 +5,9 @@
 
 import xxhash
 
+NEED_SPAN_S = 5.0
+"""Whether a stand-in is in need is drawn anew so often, in seconds."""
+
 
 class Faults(NamedTuple):
     """Hold the faults of one stand-in.
@@ -13,6 +16,10 @@
     ``cut`` ends the connection in mid answer; ``crossed`` gives another request's answer;
     ``late`` holds the answer back for ``late_s`` seconds; ``wrong_usage`` reports too much
     usage; ``refuses`` answers 503 without running; ``dies`` ends the stand-in in mid answer.
+
+    One with ``limit_per_s`` of 0 or more is in need: its answers name that many requests a second,
+    which it takes from all hosts together. With ``needs`` above 0 it is so only in that share of
+    spans of ``NEED_SPAN_S`` seconds, drawn by chance.
     """
 
     slow: float = 1.0
@@ -23,6 +30,8 @@
     wrong_usage: float = 0.0
     refuses: float = 0.0
     dies: float = 0.0
+    limit_per_s: float = -1.0
+    needs: float = 0.0
 
 
 class FaultChange(TypedDict, total=False):
@@ -36,6 +45,8 @@
     wrong_usage: float
     refuses: float
     dies: float
+    limit_per_s: float
+    needs: float
 
 
 class Draw(NamedTuple):
@@ -61,3 +72,16 @@
         refuses=generator.random() < faults.refuses,
         dies=generator.random() < faults.dies,
     )
+
+
+def is_in_need(faults: Faults, seed: int, now: float) -> bool:
+    """Say whether a stand-in names a limit now.
+
+    >>> is_in_need(Faults(), 1, 0.0), is_in_need(Faults(limit_per_s=2.0), 1, 0.0)
+    (False, True)
+    """
+    if faults.limit_per_s < 0 or not faults.needs:
+        return faults.limit_per_s >= 0
+    span = int(now // NEED_SPAN_S)
+    generator = random.Random(xxhash.xxh64_intdigest(f"need#{span}".encode(), seed=seed))
+    return generator.random() < faults.needs
--- a/standins/_service.py
+++ b/standins/_service.py
@@ -57,7 +57,7 @@
         self._running = 0
         self._waiting = 0
         self.app = web.Application()
-        add_common_routes(self.app, self.counts, self.switch)
+        add_common_routes(self.app, self.counts, self.switch, self.options.seed)
         self.app.router.add_route("*", "/{path:.*}", self._call)
 
     @property
--- a/tests/fakes/membership.py
+++ b/tests/fakes/membership.py
@@ -18,5 +18,8 @@
     def alive(self) -> Sequence[HostView]:
         return [view for view in self.views.values() if view.state is HostState.ALIVE]
 
+    def all(self) -> Sequence[HostView]:
+        return list(self.views.values())
+
     def by_host(self, host: str) -> HostView | None:
         return self.views.get(host)
--- a/tests/requests/fleet.py
+++ b/tests/requests/fleet.py
@@ -12,6 +12,7 @@
 from cranberrywall.entry import CallerStack, StackLinks, make_caller_stack
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.quarantine import Quarantine, RunWatch
+from cranberrywall.rates import KnownRates, Permits, TargetRates
 from cranberrywall.requests import EngineLimits
 from cranberrywall.routing import make_router
 from cranberrywall.runtime import make_clock, make_network
@@ -99,6 +100,7 @@
         self.announcements: list[Any] = []
         self.entries: list[Entry] = []
         self.spreads: list[MemorySpread] = []
+        self.rate_spreads: list[MemorySpread] = []
         self._standins: list[Any] = []
         self.session: aiohttp.ClientSession
 
@@ -136,14 +138,21 @@
     async def entry(self, host: str = "entry-1", **limits: Any) -> Entry:
         random_numbers = random.Random(len(self.entries) + 1)
         targets = make_targets()
+        links = StackLinks(host, self.switchboard.caller(host), self.switchboard.server(host))
+        rates = self._make_rates(host, targets, links, random_numbers)
         router = make_router(
-            targets, self.configuration, self.clock, random_numbers, host, "town-hall"
+            targets,
+            self.configuration,
+            self.clock,
+            random_numbers,
+            host,
+            "town-hall",
+            rates=rates,
         )
         for announcement in self.announcements:
             targets.apply(announcement, self.clock.now())
         allotments = MemoryAllotments(self.ledger)
         intents = HostIntents(self.intents)
-        links = StackLinks(host, self.switchboard.caller(host), self.switchboard.server(host))
         stack = make_caller_stack(
             host=host,
             place="town-hall",
@@ -173,6 +182,18 @@
         self.entries.append(entry)
         return entry
 
+    def _make_rates(
+        self, host: str, targets: Any, links: StackLinks, random_numbers: random.Random
+    ) -> TargetRates:
+        spread = MemorySpread()
+        self.rate_spreads.append(spread)
+        known = KnownRates(host, targets, spread, self.clock)
+        for one in self.rate_spreads:
+            one.join(self.rate_spreads)
+        permits = Permits(host, known, self.membership, links.caller, self.clock, random_numbers)
+        permits.register(links.server)
+        return TargetRates(known, permits)
+
     def _make_quarantine(self, host: str, targets: Any) -> Quarantine:
         spread = MemorySpread()
         self.spreads.append(spread)
