Explain refusals by a rate; count requests before their permits; look at hosts five times a second

A workspace's requests in progress were counted only once their permit had come, so that more than its number could ask at once. Hosts are hashed and looked at when the list of those alive changes, not with each request for a permit.

--- a/cranberrywall/commands/ctl/_story.py
+++ b/cranberrywall/commands/ctl/_story.py
@@ -1,13 +1,14 @@
 """Put the log lines about one request in order, and say in a sentence what became of it."""
 
+import re
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from cranberrywall.observability import parse_pairs
 
-_ABOUT_TARGETS = frozenset(
-    {"target_ended", "target_announced", "target_out_of_reach", "target_rate_named"}
-)
+_RATE_NAMED = "target_rate_named"
+_WORD = re.compile(r"[^\s,]+")
+_ABOUT_TARGETS = frozenset({"target_ended", "target_announced", "target_out_of_reach", _RATE_NAMED})
 _ABOUT_FINGERPRINTS = frozenset({"quarantine_decided", "request_doubted", "held_runs_stopped"})
 _ANSWERED = "answered"
 
@@ -56,11 +57,13 @@
     """Return the story of a request, without lines where nothing is known of it."""
     own = [line for line in lines if line.pairs.get("request") == request_id]
     targets = {target for line in own for target in _targets_of(line)}
+    refusals = {word for line in own for word in _WORD.findall(line.pairs.get("refusal", ""))}
     fingerprints = {line.pairs.get("fingerprint", "") for line in own} - {""}
     met = [
         line
         for line in lines
         if (line.event in _ABOUT_TARGETS and line.pairs.get("target") in targets)
+        or (line.event == _RATE_NAMED and line.pairs.get("target") in refusals)
         or (line.event in _ABOUT_FINGERPRINTS and line.pairs.get("fingerprint") in fingerprints)
     ]
     by_source = {line.source: line for line in (*own, *met)}
--- a/cranberrywall/rates/_known.py
+++ b/cranberrywall/rates/_known.py
@@ -76,6 +76,8 @@
 
     def known(self, start: TargetStart) -> KnownRate:
         """Return what is known of a start of a target."""
+        if not self._known_by_start and not self._forgotten_by_start:
+            return NEVER_NAMED
         found = self._known_by_start.get(start)
         return found or self._forgotten_by_start.get(start, NEVER_NAMED)
 
--- a/cranberrywall/rates/_permits.py
+++ b/cranberrywall/rates/_permits.py
@@ -23,6 +23,10 @@
 LOST_PAUSE_S = 0.5
 """After a request for permits that failed the host does not ask again for so long, in seconds."""
 
+DECLINED_PAUSE_S = 0.1
+"""The same where the host that was asked leaves it to another: the two agree within some ten
+milliseconds on who is alive."""
+
 
 class KnownHosts(Protocol):
     """Know the other entry hosts."""
@@ -56,6 +60,8 @@
         self._random = random
         self._reach = Reach(hosts.all)
         self._coordinator_by_group: dict[Group, Coordinator] = {}
+        self._alive: Sequence[HostView] = ()
+        self._first_by_group: dict[Group, HostView | None] = {}
         self._paused_until_by_group: dict[Group, float] = {}
         self.counts = {"asked": 0, "failed": 0, "declined": 0}
 
@@ -70,14 +76,16 @@
         if now < self._paused_until_by_group.get(group, 0.0):
             return None
         self.counts["asked"] += 1
-        coordinator = first_host(group, self._hosts.alive())
+        coordinator = self._first(group)
         if coordinator is None or coordinator.host == self._host:
             return await self._coordinator(group).answer(self._host, request)
         answered = await self._call(coordinator, request)
         if isinstance(answered, Ok):
             return answered.ok_value
         self.counts["failed"] += 1
-        self._paused_until_by_group[group] = self._clock.now() + LOST_PAUSE_S
+        declined = answered.err_value.kind is ErrorKind.NOT_LEADER
+        pause_s = DECLINED_PAUSE_S if declined else LOST_PAUSE_S
+        self._paused_until_by_group[group] = self._clock.now() + pause_s
         return None
 
     def expire(self, now: float) -> None:
@@ -112,7 +120,7 @@
 
     async def _answer(self, request: PermitRequest, peer: Peer) -> Result[PermitReply, Refusal]:
         group = Group(request.kind, request.name)
-        coordinator = first_host(group, self._hosts.alive())
+        coordinator = self._first(group)
         # Two hosts that both gave permits would give twice the rate. Where they differ in who is
         # alive, the one that is asked wrongly leaves it to the other.
         if coordinator is not None and coordinator.host != self._host:
@@ -121,6 +129,18 @@
             return Err(Refusal(ErrorKind.NOT_LEADER, message))
         return Ok(await self._coordinator(group).answer(peer.host, request))
 
+    def _first(self, group: Group) -> HostView | None:
+        """Return the host that gives a group's permits."""
+        alive = self._hosts.alive()
+        if alive is not self._alive:
+            # The same list is handed out until it may have changed; hashing all hosts of a large
+            # fleet for each request costs 0.7 ms.
+            self._alive = alive
+            self._first_by_group.clear()
+        if group not in self._first_by_group:
+            self._first_by_group[group] = first_host(group, alive)
+        return self._first_by_group[group]
+
     def _coordinator(self, group: Group) -> Coordinator:
         found = self._coordinator_by_group.get(group)
         if found is None:
--- a/cranberrywall/rates/_reach.py
+++ b/cranberrywall/rates/_reach.py
@@ -12,6 +12,10 @@
 two sides up to about 3 s apart (a probe, then 2 s of suspicion), and the side that notices last
 still gives the whole rate until then."""
 
+LOOK_EVERY_S = 0.2
+"""The hosts are looked at so often at most, in seconds; what is believed of them changes no sooner,
+and 250 requests for permits a second would each look at all of them."""
+
 _SILENT = (HostState.SUSPECT, HostState.DEAD)
 
 
@@ -22,6 +26,8 @@
         self._views = views
         self._state_by_host: dict[str, HostState] = {}
         self._silent_since_by_host: dict[str, float] = {}
+        self._share = 1.0
+        self._looked_at = float("-inf")
 
     def share(self, now: float) -> float:
         """Return the share of a rate that the hosts in reach may use, 0 to 1.
@@ -30,6 +36,12 @@
         the whole rate after ``LOST_S``; the other keeps to its part for as long as the cut lasts,
         so that both together never give half as much again as the target takes.
         """
+        if now - self._looked_at >= LOOK_EVERY_S:
+            self._looked_at = now
+            self._share = self._look(now)
+        return self._share
+
+    def _look(self, now: float) -> float:
         views = self._views()
         self._follow(views, now)
         lost = len(self._silent_since_by_host)
--- a/cranberrywall/routing/_candidates.py
+++ b/cranberrywall/routing/_candidates.py
@@ -75,6 +75,7 @@
         retries: RetryBudget | None = None,
     ) -> None:
         self.announcement = announcement
+        self.start = TargetStart(announcement.target, announcement.incarnation)
         self.distance_s = distance_s
         self.seed = xxhash.xxh64_intdigest(announcement.target.encode())
         self.load = LoadEstimate()
@@ -94,11 +95,6 @@
         """Return the target's id."""
         return self.announcement.target
 
-    @property
-    def start(self) -> TargetStart:
-        """Return the target's start that this is."""
-        return TargetStart(self.announcement.target, self.announcement.incarnation)
-
     def renew(self, announcement: Announcement, now: float) -> None:
         """Take in a later announcement of the same run."""
         # The cache events went to the prefix index; kept, they would take much memory.
--- a/cranberrywall/routing/_pool.py
+++ b/cranberrywall/routing/_pool.py
@@ -148,7 +148,8 @@
         """
         if is_first_rank:
             self._first_rank_until = now + RESERVED_FOR_S
-        barred = self.limited().keys() - open_to
+        limited = self.limited()
+        barred = limited.keys() - open_to if limited else ()
         claim = Claim.FIRST_RANK if is_first_rank else Claim.BOUNDED
         chosen = self._choose(demand, claim, self.candidates, barred, now)
         # Where hosts are more than places some have none by their limits; one request for
@@ -267,7 +268,8 @@
 
     def _start(self, chosen: Chosen, demand: Demand, now: float) -> None:
         candidate = chosen.candidate
-        if candidate.start in self.rates.known.rate_by_start:
+        rates = self.rates.known.rate_by_start
+        if rates and candidate.start in rates:
             self.rates.sent_by_target[candidate.target_id] += 1
         candidate.load.start(chosen.bounded, now)
         budgets = (self.retries, candidate.retries)
--- a/cranberrywall/routing/_rated.py
+++ b/cranberrywall/routing/_rated.py
@@ -60,6 +60,9 @@
 """Share of a caller's time that a request may wait for a permit. The rest is for the target, which
 is slow as it is in need: an answer that begins at the deadline is none."""
 
+MOST_LISTED = 4
+"""Targets that a refusal names."""
+
 OnEnd = Callable[[float], None]
 
 
@@ -244,8 +247,8 @@
         per_s = self._per_s(usable)
         return Refusal(
             ErrorKind.RATE_LIMITED,
-            f"{len(usable)} targets of {demand.name} are in need and take {per_s:g} requests a "
-            f"second together; one more would wait {wait_s:.1f} s, past its deadline",
+            f"{_listed(usable)} of {demand.name} are in need and take {per_s:g} requests a second "
+            f"together; one more would wait {wait_s:.1f} s, past its deadline",
             retry_after=self._dispatcher.retry_after(wait_s, now),
         )
 
@@ -335,6 +338,13 @@
         return reply
 
 
+def _listed(candidates: Sequence[Candidate]) -> str:
+    """Return the targets' names, of many the first few."""
+    names = sorted(candidate.target_id for candidate in candidates)
+    more = f" and {len(names) - MOST_LISTED} more" if len(names) > MOST_LISTED else ""
+    return ", ".join(names[:MOST_LISTED]) + more
+
+
 def _start_by(demand: Demand, since: float) -> float:
     """Return until when a demand that came at ``since`` may wait."""
     return since + WAITING_SHARE * (demand.deadline - since)
--- a/cranberrywall/routing/_router.py
+++ b/cranberrywall/routing/_router.py
@@ -108,18 +108,12 @@
             return Err(refusal)
         dispatcher = self._dispatcher_by_group[Group(demand.kind, demand.name)]
         on_end = partial(self._end, dispatcher, demand.workspace)
-        rated: RatedAdmission | None = None
         if dispatcher.pool.limited():
-            rated = self._rated_by_group[Group(demand.kind, demand.name)]
-            answer = await rated.admit(demand, on_end)
-        else:
-            answer = dispatcher.admit(demand, on_end, now)
+            return await self._acquire_rated(dispatcher, demand, on_end)
+        answer = dispatcher.admit(demand, on_end, now)
         if answer is None:
             self._count(demand.workspace, 1)
-            waiter = dispatcher.wait(demand, on_end, now)
-            if rated is not None:
-                rated.seek()
-            return await self._wait(dispatcher, waiter)
+            return await self._wait(dispatcher, dispatcher.wait(demand, on_end, now))
         if answer.is_ok():
             self._count(demand.workspace, 1)
         return answer
@@ -170,6 +164,26 @@
         """Take in what a probe of a target showed."""
         self._dispatcher(group_of(announcement)).pool.probed(announcement.target, well, now)
 
+    async def _acquire_rated(
+        self, dispatcher: Dispatcher, demand: Demand, on_end: Callable[[float], None]
+    ) -> Answer:
+        """Acquire while targets of the group are in need."""
+        rated = self._rated_by_group[Group(demand.kind, demand.name)]
+        # Counted before permits are asked for: others of the workspace come meanwhile.
+        self._count(demand.workspace, 1)
+        try:
+            answer = await rated.admit(demand, on_end)
+        except asyncio.CancelledError:
+            self._count(demand.workspace, -1)
+            raise
+        if answer is None:
+            waiter = dispatcher.wait(demand, on_end, self._clock.now())
+            rated.seek()
+            return await self._wait(dispatcher, waiter)
+        if answer.is_err():
+            self._count(demand.workspace, -1)
+        return answer
+
     async def _wait(self, dispatcher: Dispatcher, waiter: Waiter) -> Answer:
         self._start_ticker()
         try:
--- a/measurements/_rate_fleet.py
+++ b/measurements/_rate_fleet.py
@@ -418,9 +418,9 @@
         span_s = schedule.seconds - schedule.named_at
         until = min(schedule.over_at, schedule.seconds)
         return RateOutcome(
-            max(_most(target, until) for target in needy),
+            max((_most(target, until) for target in needy), default=0),
             WINDOW_S * schedule.per_s + 3,
-            min(_least_use(target, schedule.per_s, until) for target in needy),
+            min((_least_use(target, schedule.per_s, until) for target in needy), default=0.0),
             self.asked,
             self.served,
             self.refused,
@@ -433,7 +433,7 @@
                 name: self.served_by_workspace.get(name, 0) / asked
                 for name, asked in sorted(self.asked_by_workspace.items())
             },
-            max(_full_after(target, schedule) for target in needy),
+            max((_full_after(target, schedule) for target in needy), default=0.0),
         )
 
 
--- a/standins/_platform.py
+++ b/standins/_platform.py
@@ -17,6 +17,8 @@
 import aiohttp
 from aiohttp import web
 
+from standins._faults import Faults, is_in_need
+
 CONTROL_PORT_OFFSET = 10
 FRONT_PORT_OFFSET = 11
 READY_PORT_OFFSET = 12
@@ -59,7 +61,8 @@
     """Answer forwarded requests, as a plain service or as a model engine with event streams.
 
     One that ended is back after ``back_after_s`` under a new name, at the same address. One in
-    need names in its answers ``limit``, the requests a second that it takes, as text.
+    need names in its answers ``limit``, the requests a second that it takes, as text; with
+    ``needs`` above 0 only in that share of spans of some seconds, drawn by chance.
     ``arrived_at`` has the monotonic time of each request that reached it, whatever became of it.
     """
 
@@ -74,6 +77,7 @@
         self.begun_fatal: list[float] = []
         self.events = 6
         self.limit: str | None = None
+        self.needs = 0.0
         self.arrived_at: list[float] = []
         self._event_s = event_s
         self._runner: web.AppRunner | None = None
@@ -139,7 +143,8 @@
         self.arrived_at.append(time.monotonic())
         request_id = request.headers.get("X-Request-Id", "")
         headers = {"X-Request-Id": request_id, "X-Server-Stamp": f"{self.name}.{request_id}"}
-        if self.limit is not None:
+        need = Faults(limit_per_s=0.0, needs=self.needs)
+        if self.limit is not None and is_in_need(need, len(self.name), time.monotonic()):
             headers["Server-Limit"] = self.limit
         if request.headers.get("X-Expect-Instance") not in (None, self.name):
             return web.Response(status=421, headers=headers)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -3,7 +3,8 @@
     python -m standins.platform --seconds 10
 
 Three control hosts and two entry hosts run as processes of their own; one of each is killed on
-the way. What is printed is what callers see.
+the way, and at the end the engines are in need and take two letters a second each. What is printed
+is what callers see.
 """
 
 import argparse
@@ -19,6 +20,8 @@
 
 PREPAID = 1_000_000
 PAUSE_S = 0.02
+NEED_AFTER = 0.8
+IN_NEED = "2"
 PATHS = ("/letters/1", "/checks/1", "/orders/1")
 
 
@@ -57,6 +60,10 @@
             print(f"{machine.name} is killed, and starts again")
             await platform.kill(machine)
             await platform.start_machine(machine)
+        if time.monotonic() - started_at > seconds * NEED_AFTER and not platform.workers[0].limit:
+            print(f"the engines take {IN_NEED} letters a second each from now on")
+            for worker in platform.workers:
+                worker.limit = IN_NEED if worker.is_engine else None
         turn += 1
         path = PATHS[turn % len(PATHS)]
         front = platform.fronts[turn % len(platform.fronts)]
--- a/tests/measurements/test_named_rates.py
+++ b/tests/measurements/test_named_rates.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from measurements.named_rates import ALONE, LARGE, SCHEDULES, measure
+from measurements.named_rates import ALONE, LARGE, SCHEDULES, measure, run
 
 SEEDS = range(2)
 LEAST_USE = 0.9
@@ -46,5 +46,10 @@
     assert found.late == 0
 
 
+def test_nothing_is_sent_between_hosts_while_no_target_names_a_rate():
+    outcome = run(ALONE._replace(in_need=0, targets=3, named_at=0.0))
+    assert (outcome.items, outcome.messages_per_s) == (0, 0.0)
+
+
 def test_without_it_a_target_in_need_gets_all_that_comes():
     assert measure(SCHEDULES["before"], range(1)).most > 100
--- a/tests/platform/test_explaining.py
+++ b/tests/platform/test_explaining.py
@@ -55,3 +55,31 @@
     sentence, _ = explain(tmp_path, "too-large")
     assert "was refused by front" in sentence
     assert "budget_exhausted" in sentence
+
+
+async def test_a_refusal_by_a_rate_is_explained_by_who_named_it(tmp_path: Path) -> None:
+    """The only engine is in need and takes one request a second; most letters are refused."""
+    platform = Platform(tmp_path)
+    try:
+        await platform.start()
+        await platform.publish(1, PREPAID)
+        engine = Worker("i-0", "engines", is_engine=True)
+        await platform.add_worker(engine)
+        await platform.until_ready()
+        for front in platform.fronts:
+            await platform.until_answered(front, "/letters/1", X_Token_Counts="100,24")
+        engine.limit = "1"
+        asked = []
+        for number in range(20):
+            body = b'{"letter": %d}' % number
+            asked.append(asyncio.create_task(ask(platform, 1, f"l-{number}", body, "100,24")))
+            await asyncio.sleep(0.05)
+        answers = await asyncio.gather(*asked)
+    finally:
+        await platform.stop()
+    refused = [number for number, answer in enumerate(answers) if answer.status == 503]
+    sentence, lines = explain(tmp_path, f"l-{refused[-1]}")
+    assert "rate_limited: i-0 of engines are in need and take 1 requests a second" in sentence
+    assert "it did not run, and 0 were charged" in sentence
+    assert "event=target_rate_named" in lines
+    assert "target=i-0" in lines
--- a/tests/requests/test_named_rates.py
+++ b/tests/requests/test_named_rates.py
@@ -57,7 +57,7 @@
         service.switch.change({"limit_per_s": RATE})
         entries = [await fleet.entry("entry-1"), await fleet.entry("entry-2")]
         answers = await ask_for_a_while(
-            lambda entry: fleet.call(entry, "/transfer", **SOON), entries
+            lambda entry: fleet.call(entry, "/transfer", "POST", b"", **SOON), entries
         )
         assert most_in_window(service) <= MOST_IN_WINDOW
         assert kinds(answers) <= {"rate_limited"}
