--- a/tests/platform/test_named_rates.py
+++ b/tests/platform/test_named_rates.py
@@ -20,6 +20,9 @@
 MOST_IN_WINDOW = 1.5 * WINDOW_S * RATE + 5
 """What some 4 s may bring the target, over all hosts, as its owner states it."""
 
+LEAST_USE = 0.9
+"""Share of what a target names that reaches it over 20 s where callers ask for more."""
+
 ASKED_EVERY_S = 0.05
 ASKED_FOR_S = 14.0
 TOKENS = "100,24"
@@ -48,16 +51,16 @@
     return list(await asyncio.gather(*asked))
 
 
-async def start_engines(platform: Platform) -> list[Worker]:
+async def start_engines(platform: Platform, engines: int = ENGINES) -> list[Worker]:
     await platform.start()
     await platform.publish(1, PREPAID)
-    engines = [Worker(f"i-engine-{n}", "engines", is_engine=True) for n in range(ENGINES)]
-    for engine in engines:
+    started = [Worker(f"i-engine-{n}", "engines", is_engine=True) for n in range(engines)]
+    for engine in started:
         await platform.add_worker(engine)
     await platform.until_ready()
     for front in platform.fronts:
         await platform.until_answered(front, "/letters/1", X_Token_Counts=TOKENS)
-    return engines
+    return started
 
 
 def most_in_window(arrived_at: Sequence[float], since: float) -> int:
@@ -88,6 +91,41 @@
         await platform.stop()
 
 
+async def test_hosts_that_are_killed_and_frozen_take_nothing_of_the_rate_with_them(
+    tmp_path: Path,
+) -> None:
+    """The only engine takes two letters a second. Hosts are lost in series, one by one.
+
+    One is frozen for three seconds, one is killed and comes back, whichever of them gave the
+    permits. The engine is asked for no more than it takes, and for most of that. A window may hold
+    letters of the host that wakes, which does not know yet that another gave permits meanwhile.
+    """
+    platform = Platform(tmp_path, fronts=4)
+    try:
+        await start_engines(platform, engines=1)
+        engine = platform.workers[0]
+        engine.limit = "2"
+        asking = asyncio.create_task(ask_for_a_while(platform, 20.0))
+        named_at = time.monotonic()
+        await asyncio.sleep(4.0)
+        platform.freeze(platform.fronts[0])
+        await asyncio.sleep(3.0)
+        platform.thaw(platform.fronts[0])
+        await asyncio.sleep(2.0)
+        await platform.kill(platform.fronts[1])
+        await platform.start_machine(platform.fronts[1])
+        await asyncio.sleep(3.0)
+        platform.freeze(platform.fronts[2])
+        await asyncio.sleep(3.0)
+        platform.thaw(platform.fronts[2])
+        await asking
+        assert most_in_window(engine.arrived_at, named_at + IN_TOUCH_S) <= WINDOW_S * 2.0 * 1.5 + 5
+        arrived = sum(named_at < at < named_at + 20.0 for at in engine.arrived_at)
+        assert arrived >= LEAST_USE * 2.0 * 20.0
+    finally:
+        await platform.stop()
+
+
 async def test_all_targets_in_need_get_no_more_than_they_name(tmp_path: Path) -> None:
     """All engines of a service are in need: what they can't take is refused at once, and truly."""
     platform = Platform(tmp_path, fronts=3)
--- a/tests/requests/test_named_rates.py
+++ b/tests/requests/test_named_rates.py
@@ -47,6 +47,8 @@
         refused = [headers for status, headers, _ in answers if status == 503]
         assert all(headers["X-Ran"] == "no" for headers in refused)
         assert all(float(headers["Retry-After"]) > 0 for headers in refused)
+        assert all(entry.allotments.held == 0 for entry in entries)
+        assert len(fleet.ledger.billed_by_request) == sum(one[0] == 200 for one in answers)
         served = sum(status == 200 for status, _, _ in answers)
         assert served >= 0.9 * RATE * (LASTS_S - HEARD_S) - 1
 
