Don't let permits that nobody can use go to and fro; ask anew where a target takes more

A retry that waits while the only target of its service is in need, and was tried, made its host ask for permits and return them without a pause: the loop did nothing else (the test hangs on the code before). A pause that was told for a rate of 0.05 a second outlasted the rate.

--- a/cranberrywall/routing/_rated.py
+++ b/cranberrywall/routing/_rated.py
@@ -47,6 +47,9 @@
 
 LOST_POLL_S = 0.2
 
+UNUSED_PAUSE_S = 0.1
+"""A host that had no use for a permit asks again after this, in seconds."""
+
 MOST_EXPECTED = 1000
 """Ranks and workspaces whose expected wait is remembered at most."""
 
@@ -105,6 +108,13 @@
         if self._seeker is None or self._seeker.done():
             self._seeker = asyncio.get_running_loop().create_task(self._seek())
 
+    def rate_changed(self, start: TargetStart, now: float) -> None:
+        """Ask anew where a target takes more by now, or waits were expected for less."""
+        self._expected_by_want.clear()
+        candidate = self._candidate(start)
+        if candidate is not None:
+            candidate.ask_again_at = now
+
     def expire(self, now: float) -> None:
         """Refuse those that waited as long as they can.
 
@@ -216,14 +226,11 @@
             self._unused.append(permit.start)
         return None
 
-    def _usable(self, demand: Demand | None, now: float) -> list[Candidate]:
-        """Return the targets in need that have room here, for ``demand`` or for any."""
-        limited = self._pool.limited().values()
-        if demand is None:
-            return list(limited)
+    def _usable(self, demand: Demand, now: float) -> list[Candidate]:
+        """Return the targets in need that have room here for ``demand``."""
         return [
             candidate
-            for candidate in limited
+            for candidate in self._pool.limited().values()
             if self._dispatcher.propose_at(candidate, demand, now) is not None
         ]
 
@@ -260,18 +267,22 @@
                 Want(rank, caller, len(waiters))
                 for (rank, caller), waiters in list(waiters_by_want.items())[:MOST_WANTS]
             ]
-            reply = await self._ask(self._usable(None, self._clock.now()), wants, POLL_S)
-            if reply is None:
-                await self._clock.sleep(LOST_POLL_S)
-                continue
-            self._use_all(reply)
-            self._refuse_late(wants, reply)
-            if reply.pause_s:
-                await self._clock.sleep(reply.pause_s)
+            reply = await self._ask(list(self._pool.limited().values()), wants, POLL_S)
+            pause_s = LOST_POLL_S
+            if reply is not None:
+                pause_s = reply.pause_s
+                if not self._use_all(reply):
+                    # Those that wait can't use these targets, as they were tried or are full
+                    # here: the same permits would go to and fro without end.
+                    pause_s = max(pause_s, UNUSED_PAUSE_S)
+                self._refuse_late(wants, reply)
+            if pause_s:
+                await self._clock.sleep(pause_s)
         if self._unused:
             await self._ask([], [], 0.0)
 
-    def _use_all(self, reply: PermitReply) -> None:
+    def _use_all(self, reply: PermitReply) -> bool:
+        """Give all permits to those that wait; return whether none was left over."""
         now = self._clock.now()
         for permit in reply.permits:
             candidate = self._candidate(permit.start)
@@ -279,6 +290,7 @@
                 candidate, permit.workspace, now
             ):
                 self._unused.append(permit.start)
+        return not self._unused
 
     def _refuse_late(self, wants: Sequence[Want], reply: PermitReply) -> None:
         """Refuse at once those that wait and would have their permit after their deadline."""
--- a/cranberrywall/routing/_router.py
+++ b/cranberrywall/routing/_router.py
@@ -271,12 +271,15 @@
 
     def _on_rate(self, start: TargetStart) -> None:
         """Serve those that wait where a target's need is over; ask for permits where it began."""
+        now = self._clock.now()
         for group, dispatcher in self._dispatcher_by_group.items():
-            if start.target not in dispatcher.pool.candidate_by_id or not len(dispatcher.queue):
+            if start.target not in dispatcher.pool.candidate_by_id:
                 continue
-            dispatcher.dispatch(self._clock.now())
-            if dispatcher.pool.limited():
-                self._rated_by_group[group].seek()
+            rated = self._rated_by_group[group]
+            rated.rate_changed(start, now)
+            dispatcher.dispatch(now)
+            if len(dispatcher.queue) and dispatcher.pool.limited():
+                rated.seek()
 
     def _leave_other_groups(self, target_id: str, group: Group, now: float) -> None:
         # An engine that was ordered to load another model announces itself under that
