Measure even parts and full use as the aim states them; bounds of three checks from the aim

Cause: three checks had bounds that followed no stated aim. It is 0.9 of the even part now, or of what it asked where that is less. Full use after a need was twice a rate of one; it is nine tenths of what callers ask for, of 30 a second here.

--- a/measurements/_rate_fleet.py
+++ b/measurements/_rate_fleet.py
@@ -25,9 +25,11 @@
 KIND, SERVICE = "service", "ledger"
 WINDOW_S = 4.0
 USE_WINDOW_S = 20.0
+FULL_SHARE = 0.9
 HEARD_S = 0.5
 """Hosts have heard of a rate so long after the first one did, in seconds."""
 
+BURST_SENDER = "w-0"
 LINK_S = (0.001, 0.004)
 SUSPECTED_S = (0.8, 1.6)
 DEAD_AFTER_S = 2.0
@@ -81,8 +83,10 @@
     ``most`` is the most arrivals in 4 s at one target in need, of all hosts, from half a second
     after the first host heard the rate; ``bound`` what it is held to. ``least_use`` is the smallest
     share of its rate that arrived in some 20 s. ``held_s`` is the longest that a request was kept
-    waiting before it was refused. ``full_after_s`` is when a target had twice its rate again after
-    its need was over.
+    waiting before it was refused. ``least_part`` is the smallest share of its even part, or of what
+    it asked where that is less, that a workspace got which sent no burst; it is for schedules in
+    which all targets are in need. ``full_after_s`` is when, after its need was over, a target had
+    in a second nine tenths of what callers ask for.
     """
 
     most: int
@@ -96,7 +100,7 @@
     messages_per_s: float
     bytes_per_s: float
     items: int
-    served_by_workspace: dict[str, float]
+    least_part: float
     full_after_s: float
 
 
@@ -368,10 +372,10 @@
         schedule = self.schedule
         while loop.time() < schedule.seconds:
             await asyncio.sleep(self.random.expovariate(schedule.asked_per_s))
-            workspace = self.random.randrange(schedule.workspaces)
+            name = f"w-{self.random.randrange(schedule.workspaces)}"
             if self.random.random() < schedule.burst_share:
-                workspace = 0
-            self._spawn(self._call(f"w-{workspace}", self.random.randrange(schedule.ranks)))
+                name = BURST_SENDER
+            self._spawn(self._call(name, self.random.randrange(schedule.ranks)))
 
     async def _call(self, workspace: str, rank: int) -> None:
         loop = asyncio.get_running_loop()
@@ -412,6 +416,17 @@
             served = self.served_by_workspace
             served[workspace] = served.get(workspace, 0) + 1
 
+    def _least_part(self) -> float:
+        schedule = self.schedule
+        span_s = schedule.seconds - schedule.named_at - HEARD_S
+        even = schedule.per_s * schedule.in_need * span_s / schedule.workspaces
+        parts = [
+            self.served_by_workspace.get(name, 0) / min(asked, even)
+            for name, asked in self.asked_by_workspace.items()
+            if name != BURST_SENDER and even
+        ]
+        return min(parts, default=0.0)
+
     def _outcome(self) -> RateOutcome:
         schedule = self.schedule
         needy = self.targets[: schedule.in_need]
@@ -429,10 +444,7 @@
             self.messages / span_s,
             self.message_bytes / span_s,
             self.items,
-            {
-                name: self.served_by_workspace.get(name, 0) / asked
-                for name, asked in sorted(self.asked_by_workspace.items())
-            },
+            self._least_part(),
             max((_full_after(target, schedule) for target in needy), default=0.0),
         )
 
@@ -456,11 +468,11 @@
 
 
 def _full_after(target: _Target, schedule: RateSchedule) -> float:
-    """Return the seconds from the first answer without a rate to twice the rate in one second."""
+    """Return the seconds from the first arrival after the need to a second of nearly all work."""
     if schedule.over_at >= schedule.seconds:
         return 0.0
     times = [at for at in target.arrived_at if at >= schedule.over_at]
-    wanted = max(2, round(2 * schedule.per_s))
+    wanted = FULL_SHARE * schedule.asked_per_s / schedule.targets
     for begin in times[1:]:
         if sum(begin <= at < begin + 1.0 for at in times) >= wanted:
             return begin - times[0]
--- a/measurements/named_rates.py
+++ b/measurements/named_rates.py
@@ -48,10 +48,7 @@
 
 
 class Figures(NamedTuple):
-    """Hold what several seeds of one schedule gave.
-
-    ``worst_other`` is the smallest share that was served of a workspace that sent no burst.
-    """
+    """Hold what several seeds of one schedule gave, the worst of them where that can be said."""
 
     most: int
     bound: float
@@ -61,7 +58,7 @@
     held_s: float
     messages_per_s: float
     bytes_per_s: float
-    worst_other: float
+    least_part: float
     full_after_s: float
 
 
@@ -83,16 +80,13 @@
         max(one.held_s for one in outcomes),
         fmean(one.messages_per_s for one in outcomes),
         fmean(one.bytes_per_s for one in outcomes),
-        min(_worst_other(one) for one in outcomes),
+        min(one.least_part for one in outcomes),
         max(one.full_after_s for one in outcomes),
     )
 
 
-def _worst_other(outcome: RateOutcome) -> float:
-    return min(
-        (share for name, share in outcome.served_by_workspace.items() if name != "w-0"),
-        default=0.0,
-    )
+def _use(schedule: RateSchedule, found: Figures) -> str:
+    return f"{found.least_use:.3f}" if schedule.per_s else "-"
 
 
 def main() -> None:
@@ -104,10 +98,10 @@
         found = measure(schedule, seeds)
         broken += schedule.keeps and found.most > found.bound
         print(
-            f"{name}: most={found.most} bound={found.bound:g} least_use={found.least_use:.3f} "
+            f"{name}: most={found.most} bound={found.bound:g} least_use={_use(schedule, found)} "
             f"served_share={found.served_share:.4f} late={found.late} held_s={found.held_s:.2f} "
             f"messages_per_s={found.messages_per_s:.1f} bytes_per_s={found.bytes_per_s:.0f} "
-            f"worst_other={found.worst_other:.3f} full_after_s={found.full_after_s:.2f}",
+            f"least_part={found.least_part:.3f} full_after_s={found.full_after_s:.2f}",
             flush=True,
         )
     report_figures("named_rates", {"schedules": len(SCHEDULES), "over_the_bound": broken})
--- a/tests/measurements/test_named_rates.py
+++ b/tests/measurements/test_named_rates.py
@@ -1,7 +1,7 @@
 """Play fleets before targets that name rates; the figures by hand use more seeds and sizes.
 
 The bounds are the stated aim: in any 4 s at most 4 times the rate and 3 requests arrive, over all
-hosts, and in any 20 s at least 0.9 of it where callers ask for more.
+hosts, and in any 20 s at least 0.9 of it where callers ask for more, evenly between workspaces.
 """
 
 import pytest
@@ -31,7 +31,7 @@
 def test_a_burst_of_one_caller_leaves_the_others_their_part():
     found = measure(SCHEDULES["burst_of_one_caller"], SEEDS)
     assert found.most <= found.bound
-    assert found.worst_other >= 0.8
+    assert found.least_part >= LEAST_USE
 
 
 def test_a_target_is_used_in_full_soon_after_its_need_is_over():
--- a/tests/rates/test_known.py
+++ b/tests/rates/test_known.py
@@ -1,6 +1,7 @@
 """Hear what targets name on several hosts, in any order, and hold the same on all."""
 
 from cranberrywall.rates import NO_RATE, KnownRates, RateNotice
+from cranberrywall.rates._known import SETTLE_S
 from cranberrywall.targets import Announcement, Targets, TargetStart, make_targets
 from tests.fakes.clock import ManualClock
 from tests.fakes.spread import MemorySpread
@@ -116,11 +117,13 @@
     for number in range(400):
         host.hears(RateNotice(100.0 + 10.0 * (number % 7)), host.sends())
         clock.step(0.005)
-    assert host.spread.published <= 80
+    # At most one raise, and one fall behind it, in each span in which a rate settles.
+    assert host.spread.published <= 2 * 2.0 / SETTLE_S
+    before = host.spread.published
     for number in range(400):
         host.hears(RateNotice(50.0 + 0.1 * (number % 7)), host.sends())
         clock.step(0.005)
-    assert host.spread.published <= 84
+    assert host.spread.published == before + 1
 
 
 def test_a_new_start_takes_no_rate_over_and_the_old_one_is_forgotten():
