Measure a burst beside callers that ask for more than their part

Traced: that workspace asked for 6 requests in 5 s in which its part was 16, and for up to 26 in others, so it did not ask for its part at the time.

--- a/measurements/named_rates.py
+++ b/measurements/named_rates.py
@@ -37,6 +37,9 @@
     "others_have_room_78": LARGE._replace(targets=9, asked_per_s=37.0),
     "all_in_need": ALONE._replace(targets=9, in_need=9, asked_per_s=37.0),
     "burst_of_one_caller": ALONE._replace(per_s=10.0, burst_share=0.9, asked_per_s=100.0, ranks=1),
+    "burst_beside_callers_that_ask_for_more": ALONE._replace(
+        per_s=10.0, burst_share=0.8, asked_per_s=100.0, ranks=1
+    ),
     "need_over": ALONE._replace(over_at=20.0),
     "killed": ALONE._replace(faults=(Fault("kill", 15.0, 3.0, (0, 1)),)),
     "frozen_each_in_turn": ALONE._replace(
--- a/tests/measurements/test_named_rates.py
+++ b/tests/measurements/test_named_rates.py
@@ -28,8 +28,9 @@
     assert found.least_use >= LEAST_USE
 
 
-def test_a_burst_of_one_caller_leaves_the_others_their_part():
-    found = measure(SCHEDULES["burst_of_one_caller"], SEEDS)
+@pytest.mark.parametrize("name", ["burst_of_one_caller", "burst_beside_callers_that_ask_for_more"])
+def test_a_burst_of_one_caller_leaves_the_others_their_part(name: str):
+    found = measure(SCHEDULES[name], SEEDS)
     assert found.most <= found.bound
     assert found.least_part >= LEAST_USE
 
