--- a/tests/fakes/network.py
+++ b/tests/fakes/network.py
@@ -21,6 +21,11 @@
 
 _BUFFER_BYTES = 64 * 1024
 _RETRANSMIT_S = 0.2
+_WINDOW_BYTES = 64 * 1024
+"""What one connection has under way at most where a machine's own link has a rate."""
+
+_SEGMENT_BYTES = 8 * 1024
+"""Connections that share such a link take turns after so many bytes."""
 
 
 class Rule(NamedTuple):
@@ -38,6 +43,30 @@
     is_cut: bool = False
 
 
+class MachineLink:
+    """Carry what one machine sends and takes, each at a rate, and hand it to its processor.
+
+    ``bytes_per_s`` holds for each direction. The processor takes ``seconds_per_byte`` for what
+    arrives, one after the other.
+    """
+
+    def __init__(self, bytes_per_s: float, seconds_per_byte: float = 0.0) -> None:
+        self._seconds_out = 1.0 / bytes_per_s
+        self._seconds_in = 1.0 / bytes_per_s + seconds_per_byte
+        self._out_free_at = 0.0
+        self._in_free_at = 0.0
+
+    def leave(self, size: int, now: float) -> float:
+        """Return when ``size`` bytes that are sent now are on their way."""
+        self._out_free_at = max(now, self._out_free_at) + size * self._seconds_out
+        return self._out_free_at
+
+    def arrive(self, size: int, at: float) -> float:
+        """Return when ``size`` bytes that reach the link at ``at`` are taken in."""
+        self._in_free_at = max(at, self._in_free_at) + size * self._seconds_in
+        return self._in_free_at
+
+
 class FakeFabric:
     """Join the hosts' networks, and break what is between them."""
 
@@ -49,6 +78,7 @@
         self.bytes_by_host: dict[str, int] = {}
         self._rule_by_pair: dict[tuple[str, str], Rule] = {}
         self._silent: set[str] = set()
+        self._link_by_host: dict[str, MachineLink] = {}
         self._listener_by_address: dict[str, _FakeListener] = {}
         self._pipes: list[_Pipe] = []
         self._tasks: set[asyncio.Task[None]] = set()
@@ -89,6 +119,20 @@
         """Cut a host off from all others, as when it loses its power."""
         self._silent.add(host)
 
+    def unsilence(self, host: str) -> None:
+        """End a silence; what was held arrives."""
+        self._silent.discard(host)
+        for pipe in list(self._pipes):
+            pipe.release_held()
+
+    def set_link(self, host: str, link: MachineLink) -> None:
+        """Let a machine's own link have a rate; set it before its connections are made."""
+        self._link_by_host[host] = link
+
+    def link(self, host: str) -> MachineLink | None:
+        """Return the link of a machine that has a rate."""
+        return self._link_by_host.get(host)
+
     def halve(self, source: str, sink: str) -> None:
         """Lose for good what open connections carry from ``source`` to ``sink``."""
         for pipe in self._between(source, sink):
@@ -194,6 +238,7 @@
         self._fabric = fabric
         self._held: deque[bytes | None] = deque()
         self._under_way = 0
+        self._on_the_way = 0
         self._last_arrival = 0.0
         self._buffer = bytearray()
         self._is_at_end = False
@@ -210,13 +255,24 @@
             self._under_way += len(data)
             count = self._fabric.bytes_by_host.get(self.source, 0)
             self._fabric.bytes_by_host[self.source] = count + len(data)
-        self._held.append(data)
+        if data is not None and self._has_rate():
+            starts = range(0, len(data), _SEGMENT_BYTES)
+            self._held.extend(data[start : start + _SEGMENT_BYTES] for start in starts)
+        else:
+            self._held.append(data)
         self.release_held()
 
+    def _may_send(self) -> bool:
+        return self._on_the_way < _WINDOW_BYTES or not self._has_rate()
+
+    def _has_rate(self) -> bool:
+        ends = (self._fabric.link(self.source), self._fabric.link(self.sink))
+        return any(link is not None for link in ends)
+
     def release_held(self) -> None:
-        """Send on what is held, unless the direction is cut."""
+        """Send on what is held, unless the direction is cut or its window is full."""
         rule = self._fabric.rule(self.source, self.sink)
-        while self._held and not rule.is_cut:
+        while self._held and not rule.is_cut and self._may_send():
             data = self._held.popleft()
             self._schedule(data, rule)
             if data and rule.duplicates and self._fabric.random.random() < rule.duplicates:
@@ -230,13 +286,26 @@
         if rule.loss and self._fabric.random.random() < rule.loss:
             delay += _RETRANSMIT_S
         now = self._fabric.clock.now()
-        self._last_arrival = max(self._last_arrival, now + delay)
+        link = self._fabric.link(self.source)
+        left_at = now if link is None else link.leave(len(data or b""), now)
+        self._last_arrival = max(self._last_arrival, left_at + delay)
+        self._on_the_way += len(data or b"")
         if self._last_arrival <= now:
-            self._arrive(data)
+            self._take_in(data)
         else:
-            self._fabric.timers.call_at(self._last_arrival, lambda: self._arrive(data))
+            self._fabric.timers.call_at(self._last_arrival, lambda: self._take_in(data))
+
+    def _take_in(self, data: bytes | None) -> None:
+        """Let the sink's own link and processor take what came over the line."""
+        link = self._fabric.link(self.sink)
+        if link is None:
+            self._arrive(data)
+            return
+        taken_at = link.arrive(len(data or b""), self._fabric.clock.now())
+        self._fabric.timers.call_at(taken_at, lambda: self._arrive(data))
 
     def _arrive(self, data: bytes | None) -> None:
+        self._on_the_way -= len(data or b"")
         if self.is_lost:
             return
         if data is None:
@@ -246,6 +315,8 @@
         else:
             self._buffer += data
         self._changed.set()
+        if self._held:
+            self.release_held()
 
     def reset(self) -> None:
         """End the connection for both ends at once."""
