Sight: log when revisions come in force, from whom and after what, and whom control told

Nothing is decided by it. Told apart by it: a host that waited for a silent peer (configuration_fetch_failed), one whose line was full (fetch_s), one that was not told (age_s without behind_s), and targets whose leaving no entry host took (leaving_told).

--- a/cranberrywall/configuration/_feed.py
+++ b/cranberrywall/configuration/_feed.py
@@ -28,6 +28,7 @@
 )
 from cranberrywall.errors import Refusal
 from cranberrywall.links import Caller, Peer, Server
+from cranberrywall.observability import log_event
 
 NOTICE_TIMEOUT_S = 1.0
 DELTAS_PER_FETCH = 256
@@ -172,13 +173,17 @@
         # to others until enough have answered.
         self._rounds += 1
         answered = 0
+        asked = 0
+        revision = self._source.revision
         ranked = rank_hosts(self._me, self._peers.alive())[:CONTROL_TRIES]
         for start in range(0, len(ranked), CONTROL_FEEDS):
             batch = ranked[start : start + CONTROL_FEEDS]
             answers = await asyncio.gather(*(self.notify(host.links) for host in batch))
+            asked += len(batch)
             answered += sum(answers)
             if answered >= CONTROL_FEEDS:
                 break
+        log_event("INFO", "configuration_told", revision=revision, asked=asked, answered=answered)
         self._rounds -= 1
         if self._is_round_due:
             self._is_round_due = False
--- a/cranberrywall/configuration/_follower.py
+++ b/cranberrywall/configuration/_follower.py
@@ -10,8 +10,9 @@
 from cranberrywall.configuration._host import Applied, HostConfiguration
 from cranberrywall.configuration._neighbours import Peers, SpreadHost
 from cranberrywall.configuration.messages import FETCH, Fetch, FetchReply
+from cranberrywall.errors import Refusal
 from cranberrywall.links import Caller, Server
-from cranberrywall.observability import log_event
+from cranberrywall.observability import EventLimiter, log_event
 from cranberrywall.runtime import Clock, Random
 
 FETCH_TIMEOUT_S = 5.0
@@ -75,6 +76,8 @@
         self._random = random
         self._times = times
         self._claim_by_links: dict[str, int] = {}
+        self._behind_since: float | None = None
+        self._failures = EventLimiter(clock.now)
         self._behind = asyncio.Event()
         self._turn = 0
         self._feed = Feed(me, configuration, peers, caller, False, self._on_heard)
@@ -153,6 +156,8 @@
 
     def _on_heard(self, heard: Heard) -> None:
         if heard.revision > self._configuration.revision:
+            if self._behind_since is None:
+                self._behind_since = self._clock.now()
             self._claim_by_links[heard.links] = heard.revision
             self._behind.set()
 
@@ -170,15 +175,54 @@
             if links is None:
                 return
             fetch = Fetch(self._configuration.revision, whole)
+            began_at = self._clock.now()
             result = await self._caller.call(links, FETCH, fetch, FETCH_TIMEOUT_S)
             if isinstance(result, Err):
+                self._note_failure(links, began_at, result.err_value)
                 self._claim_by_links.pop(links, None)
                 continue
             applied = await self._apply(result.ok_value)
+            if applied is Applied.IN_FORCE:
+                self._note_in_force(links, began_at, result.ok_value)
             whole = applied in (Applied.GAP, Applied.DIVERGED)
             if applied is Applied.OLD or (whole and fetch.whole):
                 self._claim_by_links.pop(links, None)
 
+    def _note_failure(self, links: str, began_at: float, refusal: Refusal) -> None:
+        waited_s = self._clock.now() - began_at
+        self._failures.log(
+            "WARNING",
+            "configuration_fetch_failed",
+            str(refusal.kind),
+            source=links,
+            revision=self._configuration.revision,
+            heard=self._feed.heard,
+            waited_s=waited_s,
+            refusal=refusal,
+        )
+
+    def _note_in_force(self, links: str, began_at: float, reply: FetchReply) -> None:
+        """Say when a revision came in force here, from whom, and what was waited for."""
+        now = self._clock.now()
+        behind_s = 0.0 if self._behind_since is None else now - self._behind_since
+        is_newest = self._configuration.revision >= self._feed.heard
+        self._behind_since = None if is_newest else now
+        edits = sum(len(delta.edits) for delta in reply.deltas)
+        # By two machines' clocks: what the change's control host said of when it came.
+        age_s = self._clock.wall() - reply.deltas[-1].revision.at if reply.deltas else None
+        log_event(
+            "INFO",
+            "configuration_in_force",
+            revision=self._configuration.revision,
+            heard=self._feed.heard,
+            source=links,
+            whole=reply.snapshot is not None,
+            edits=edits,
+            fetch_s=now - began_at,
+            behind_s=behind_s,
+            age_s="" if age_s is None else age_s,
+        )
+
     async def _apply(self, reply: FetchReply) -> Applied:
         self._feed.heard = max(self._feed.heard, reply.heard)
         if reply.snapshot is not None:
--- a/cranberrywall/targets/_relay.py
+++ b/cranberrywall/targets/_relay.py
@@ -137,7 +137,17 @@
         # A target that got no acknowledgement says it again. By its order that is no news
         # here, but the entry hosts still have to hear it.
         self._untold_by_id[announcement.target] = announcement
+        began_at = self._clock.now()
         told = await self._tell_all(announcement)
+        log_event(
+            "INFO",
+            "leaving_told",
+            target=announcement.target,
+            counter=announcement.counter,
+            told=told,
+            hosts=len(self._entries()),
+            seconds=self._clock.now() - began_at,
+        )
         if told:
             self._untold_by_id.pop(announcement.target, None)
         return told
--- a/measurements/confirmed_changes.py
+++ b/measurements/confirmed_changes.py
@@ -225,7 +225,10 @@
     return Outcome(max(0.0, last - confirmed_at))
 
 
-LINKS: dict[str, Any] = {"entry_bytes_per_s": ENTRY_BYTES_PER_S, "control_bytes_per_s": CONTROL_BYTES_PER_S}
+LINKS: dict[str, Any] = {
+    "entry_bytes_per_s": ENTRY_BYTES_PER_S,
+    "control_bytes_per_s": CONTROL_BYTES_PER_S,
+}
 
 SCHEDULES: dict[str, tuple[Schedule, dict[str, Any]]] = {
     "change_silent": (change_while_silent, {}),
