Let control tell each entry host of a revision, without waiting for any, until it answers

What callers saw: hosts that heard of a new configuration seconds after it was confirmed. Cause: a control host told three entry hosts, by threes, a second for each three with a silent one among them; a host whose notice was lost waited for an exchange with one of six neighbours a second. Now three control hosts, by rendezvous hash, tell each entry host, each in a task of its own, again every 0.25 s for 30 s; what control answers as a host enrols names the newest revision too, so that one that was cut off or not there learns of it in its next turn. It holds since two control hosts may be lost at once. A test of control that goes past hosts that are down no longer asks which hosts come first: all are told, and the one that is left is the last of the list.

--- a/cranberrywall/commands/_control_program.py
+++ b/cranberrywall/commands/_control_program.py
@@ -150,7 +150,7 @@
     host = _make_host(settings, runtime, machine_by_group, caller, server)
     ties = ControlTies(settings, runtime, me, host, machine.configuration)
     raiser = make_credit_raiser(host, ledger_by_group, machine.configuration, runtime)
-    feed = _make_feed(settings, machine.configuration, caller, ties)
+    feed = _make_feed(settings, machine.configuration, caller, ties, runtime.clock)
     feed.register(server)
     sender = make_http_sender(tls.fetch if tls else None)
     orders = _make_orders(settings, runtime, me, machine, host, sender)
@@ -211,12 +211,16 @@
 
 
 def _make_feed(
-    settings: Settings, machine: ConfigurationMachine, caller: LinkCaller, ties: ControlTies
+    settings: Settings,
+    machine: ConfigurationMachine,
+    caller: LinkCaller,
+    ties: ControlTies,
+    clock: Clock,
 ) -> Feed:
     me = SpreadHost(settings["host"], settings["place"], settings["listen"]["links"])
     listed = make_document_peers(lambda: _document_of(machine))
     peers = ties if settings.get("seeds") else listed
-    return make_control_feed(me, machine, peers, caller)
+    return make_control_feed(me, machine, peers, caller, clock, ties.tellers.tells)
 
 
 def _document_of(machine: ConfigurationMachine) -> Document:
--- a/cranberrywall/commands/_control_ties.py
+++ b/cranberrywall/commands/_control_ties.py
@@ -17,6 +17,7 @@
     EnrolledHost,
     Enrolments,
     MembersClient,
+    Tellers,
     make_control_client,
 )
 from cranberrywall.errors import Refusal
@@ -66,9 +67,10 @@
         self._settings = settings
         self._host = host
         clock, random = runtime.clock, runtime.random
-        self.enrolments = Enrolments(host.members, clock, random)
+        self.enrolments = Enrolments(host.members, lambda: machine.revision, clock, random)
         self.enrolments.register(host.server)
         self.contacts = self._make_contacts(runtime, me)
+        self.tellers = Tellers(settings["listen"]["links"], self.controls)
         self.client: MembersClient = make_control_client(host.caller, clock, self.controls, random)
         kinds = partial(_target_kinds, machine)
         self.relay = TargetRelay(self._entry_links, host.caller, clock, kinds)
--- a/cranberrywall/commands/_entry_ties.py
+++ b/cranberrywall/commands/_entry_ties.py
@@ -81,7 +81,10 @@
         host, place, incarnation = self.me
         own = EnrolledHost(host, place, listen["links"], listen["http"], incarnation, False)
         clock, random = self._runtime.clock, self._runtime.random
-        return ControlContacts(own, seeds, self.caller, clock, random, self._meet)
+        return ControlContacts(own, seeds, self.caller, clock, random, self._meet, self._hear)
+
+    def _hear(self, revision: int, control: str) -> None:
+        self.follower.hear(revision, control)
 
     def _meet(self, entries: Sequence[EnrolledHost]) -> None:
         if self._meeting is None or self._meeting.done():
--- a/cranberrywall/configuration/_feed.py
+++ b/cranberrywall/configuration/_feed.py
@@ -5,17 +5,12 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import NamedTuple, Protocol
 
 from result import Ok, Result
 
-from cranberrywall.configuration._neighbours import (
-    Peers,
-    SpreadHost,
-    choose_neighbours,
-    rank_hosts,
-)
+from cranberrywall.configuration._neighbours import Peers, SpreadHost
 from cranberrywall.configuration.messages import (
     FETCH,
     NOTICE,
@@ -28,18 +23,22 @@
 )
 from cranberrywall.errors import Refusal
 from cranberrywall.links import Caller, Peer, Server
-from cranberrywall.observability import log_event
+from cranberrywall.observability import EventLimiter
+from cranberrywall.runtime import Clock
 
-NOTICE_TIMEOUT_S = 1.0
+NOTICE_TIMEOUT_S = 0.5
 DELTAS_PER_FETCH = 256
-CONTROL_FEEDS = 3
-"""Entry hosts that each control host notifies of a new revision."""
 
-ROUNDS_LIMIT = 16
-"""Rounds of notices that a control host has in progress at most; the next one waits."""
+TELL_AGAIN_S = 0.25
+"""A control host tells a host that doesn't answer again after this, in seconds."""
+
+TELL_FOR_S = 30.0
+"""A control host tries to tell a host for so long, in seconds.
 
-CONTROL_TRIES = 12
-"""Entry hosts that a control host calls at most to find those that answer."""
+One that is in touch again later asks by itself."""
+
+LATE_S = 1.0
+"""A host that could be told only after this is logged, in seconds."""
 
 
 class Source(Protocol):
@@ -70,9 +69,23 @@
     links: str
 
 
-def make_control_feed(me: SpreadHost, source: Source, peers: Peers, caller: Caller) -> "Feed":
-    """Return the spread's part on a control host; ``source`` is its group's machine."""
-    return Feed(me, source, peers, caller, is_control=True, on_heard=lambda heard: None)
+def make_control_feed(
+    me: SpreadHost,
+    source: Source,
+    peers: Peers,
+    caller: Caller,
+    clock: Clock,
+    tells: Callable[[str], bool] = lambda links: True,
+) -> "Feed":
+    """Return the spread's part on a control host; ``source`` is its group's machine.
+
+    It tells those of ``peers`` for whose address ``tells`` says so.
+    """
+
+    def fall_to_me() -> list[str]:
+        return [host.links for host in peers.alive() if tells(host.links)]
+
+    return Feed(me, source, caller, clock, fall_to_me, TELL_FOR_S)
 
 
 class Feed:
@@ -82,25 +95,32 @@
         self,
         me: SpreadHost,
         source: Source,
-        peers: Peers,
         caller: Caller,
-        is_control: bool,
-        on_heard: Callable[[Heard], None],
+        clock: Clock,
+        whom: Callable[[], Sequence[str]],
+        tell_for_s: float,
+        on_heard: Callable[[Heard], None] = lambda heard: None,
     ) -> None:
+        """``whom`` gives the addresses to tell, each for ``tell_for_s`` until it answers."""
         self._me = me
         self._source = source
-        self._peers = peers
         self._caller = caller
-        self._is_control = is_control
+        self._clock = clock
+        self._whom = whom
+        self._tell_for_s = tell_for_s
         self._on_heard = on_heard
         self._new = asyncio.Event()
         self._telling: set[str] = set()
-        self._rounds = 0
-        self._is_round_due = False
+        self._late = EventLimiter(clock.now)
         self._revision_by_links: dict[str, int] = {}
         self.heard = 0
         source.watch(lambda revision: self._new.set())
 
+    @property
+    def untold(self) -> Sequence[str]:
+        """Return the addresses of the hosts that are being told now."""
+        return sorted(self._telling)
+
     def register(self, server: Server) -> None:
         """Answer the spread's calls at ``server``."""
         server.register(NOTICE, self._answer_notice)
@@ -112,15 +132,10 @@
             while True:
                 await self._new.wait()
                 self._new.clear()
-                # Nobody is waited for here: a silent neighbour would keep the others from
-                # the next revision until its call times out, and so at every hop.
-                if not self._is_control:
-                    for links in self._neighbours_behind():
-                        tasks.create_task(self._tell(links))
-                elif self._rounds < ROUNDS_LIMIT:
-                    tasks.create_task(self._notify_some())
-                else:
-                    self._is_round_due = True
+                # Nobody is waited for here: a silent host would keep the others from the
+                # next revision until its call times out, and so at every hop.
+                for links in self._to_tell():
+                    tasks.create_task(self._tell(links))
 
     def note(self, heard: Heard) -> None:
         """Remember what a peer has, so that it is told nothing it knows."""
@@ -128,15 +143,6 @@
         self._revision_by_links[heard.links] = heard.revision
         self._on_heard(heard)
 
-    def neighbours(self) -> list[SpreadHost]:
-        """Return this host's neighbours as of now."""
-        chosen = choose_neighbours(self._me, self._peers.alive())
-        links = {host.links for host in chosen}
-        self._revision_by_links = {
-            known: revision for known, revision in self._revision_by_links.items() if known in links
-        }
-        return chosen
-
     async def notify(self, links: str) -> bool:
         """Tell one peer which revision this host has, and learn which it has."""
         notice = Notice(self._source.revision, self._me.links)
@@ -148,46 +154,41 @@
         self.note(Heard(reply.revision, links))
         return True
 
-    def _neighbours_behind(self) -> list[str]:
-        return [
-            host.links
-            for host in self.neighbours()
-            if host.links not in self._telling and self._is_behind(host.links)
-        ]
+    def _to_tell(self) -> list[str]:
+        listed = self._whom()
+        self._revision_by_links = {
+            links: self._revision_by_links.get(links, 0) for links in dict.fromkeys(listed)
+        }
+        return [links for links in listed if links not in self._telling and self._is_behind(links)]
 
     def _is_behind(self, links: str) -> bool:
         return self._revision_by_links.get(links, 0) < self._source.revision
 
     async def _tell(self, links: str) -> None:
-        """Notify one neighbour, and again while newer revisions come meanwhile."""
+        """Notify one host, and again while newer revisions come or it doesn't answer."""
         self._telling.add(links)
+        began_at = self._clock.now()
         told = -1
         while told < self._source.revision and self._is_behind(links):
-            told = self._source.revision
-            await self.notify(links)
-        self._telling.discard(links)
-
-    async def _notify_some(self) -> None:
-        # The document also names hosts that are down. Were a control host to stop at its
-        # first few, an accepted revision could stay on the control hosts; so it goes on
-        # to others until enough have answered.
-        self._rounds += 1
-        answered = 0
-        asked = 0
-        revision = self._source.revision
-        ranked = rank_hosts(self._me, self._peers.alive())[:CONTROL_TRIES]
-        for start in range(0, len(ranked), CONTROL_FEEDS):
-            batch = ranked[start : start + CONTROL_FEEDS]
-            answers = await asyncio.gather(*(self.notify(host.links) for host in batch))
-            asked += len(batch)
-            answered += sum(answers)
-            if answered >= CONTROL_FEEDS:
+            revision = self._source.revision
+            if await self.notify(links):
+                told = revision
+            elif self._clock.now() - began_at >= self._tell_for_s:
                 break
-        log_event("INFO", "configuration_told", revision=revision, asked=asked, answered=answered)
-        self._rounds -= 1
-        if self._is_round_due:
-            self._is_round_due = False
-            self._new.set()
+            else:
+                await self._clock.sleep(TELL_AGAIN_S)
+        self._telling.discard(links)
+        seconds = self._clock.now() - began_at
+        if seconds > LATE_S:
+            is_told = told >= 0 or not self._is_behind(links)
+            self._late.log(
+                "WARNING",
+                "configuration_told_late",
+                "told" if is_told else "gave_up",
+                peer=links,
+                revision=self._source.revision,
+                seconds=seconds,
+            )
 
     async def _answer_notice(self, notice: Notice, peer: Peer) -> Result[NoticeReply, Refusal]:
         self.note(Heard(notice.revision, notice.links))
--- a/cranberrywall/configuration/_follower.py
+++ b/cranberrywall/configuration/_follower.py
@@ -9,7 +9,7 @@
 from cranberrywall.configuration._feed import Feed, Heard
 from cranberrywall.configuration._fetching import Fetched, Fetching
 from cranberrywall.configuration._host import Applied, HostConfiguration
-from cranberrywall.configuration._neighbours import Peers, SpreadHost
+from cranberrywall.configuration._neighbours import Peers, SpreadHost, choose_neighbours
 from cranberrywall.configuration.messages import Fetch, FetchReply
 from cranberrywall.links import Caller, Server
 from cranberrywall.observability import log_event
@@ -22,6 +22,9 @@
 LONGEST_RETRY_S = 4.0
 """A host that nobody hands a newer revision on to asks again after these, in seconds."""
 
+TELL_NEIGHBOURS_FOR_S = 0.0
+"""An entry host tells each neighbour once, in seconds: control goes on to tell all."""
+
 JOIN_RETRY_S = 0.25
 PEERS_ASKED = 8
 
@@ -85,7 +88,15 @@
         self._fetching = Fetching(caller, clock)
         self._behind = asyncio.Event()
         self._turn = 0
-        self._feed = Feed(me, configuration, peers, caller, False, self._on_heard)
+        self._feed = Feed(
+            me,
+            configuration,
+            caller,
+            clock,
+            self._neighbours,
+            TELL_NEIGHBOURS_FOR_S,
+            self._on_heard,
+        )
 
     def register(self, server: Server) -> None:
         """Answer the spread's calls at ``server``."""
@@ -117,8 +128,8 @@
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._feed.run())
             tasks.create_task(self._fetch_on_demand())
-            tasks.create_task(self._exchange_with_neighbours())
-            tasks.create_task(self._poll_control())
+            tasks.create_task(self._exchange_with_neighbours(tasks))
+            tasks.create_task(self._poll_control(tasks))
 
     @property
     def has_newest_heard(self) -> bool:
@@ -131,11 +142,11 @@
             "revision": self._configuration.revision,
             "heard": self._feed.heard,
             "remembers": self._configuration.remembers,
-            "neighbours": [host.host for host in self._feed.neighbours()],
+            "neighbours": [host.host for host in choose_neighbours(self._me, self._peers.alive())],
         }
 
     async def _has_newest(self, waited: float) -> bool:
-        peers = [host.links for host in self._feed.neighbours()][:PEERS_ASKED]
+        peers = self._neighbours()[:PEERS_ASKED]
         controls = list(self._controls())
         asked = [*controls, *peers]
         answers = await asyncio.gather(*(self._feed.notify(links) for links in asked))
@@ -159,6 +170,9 @@
         )
         return True
 
+    def _neighbours(self) -> list[str]:
+        return [host.links for host in choose_neighbours(self._me, self._peers.alive())]
+
     def _on_heard(self, heard: Heard) -> None:
         if heard.revision > self._configuration.revision:
             if self._behind_since is None:
@@ -212,7 +226,7 @@
         claims = {links: claim for links, claim in self._claim_by_links.items() if claim > revision}
         self._claim_by_links = claims
         claimants = sorted(claims, key=lambda links: (links not in controls, -claims[links]))
-        neighbours = [host.links for host in self._feed.neighbours()]
+        neighbours = self._neighbours()
         start = self._random.randrange(0, len(controls)) if controls else 0
         others = [*controls[start:], *controls[:start], *neighbours]
         return list(dict.fromkeys((*claimants, *others)))[:MOST_SOURCES]
@@ -246,15 +260,17 @@
             log_event("ERROR", "configuration_diverged", revision=self._configuration.revision)
         return applied
 
-    async def _exchange_with_neighbours(self) -> None:
+    async def _exchange_with_neighbours(self, tasks: asyncio.TaskGroup) -> None:
+        # A neighbour that is silent must not delay the exchange with the next one.
         while True:
             await self._clock.sleep(self._times.heartbeat * self._random.uniform(0.75, 1.25))
-            neighbours = self._feed.neighbours()
+            neighbours = self._neighbours()
             if neighbours:
                 self._turn += 1
-                await self._feed.notify(neighbours[self._turn % len(neighbours)].links)
+                links = neighbours[self._turn % len(neighbours)]
+                tasks.create_task(self._feed.notify(links))
 
-    async def _poll_control(self) -> None:
+    async def _poll_control(self, tasks: asyncio.TaskGroup) -> None:
         # Neighbours carry nearly every revision. This is for a host whose neighbours are
         # all cut off from control while it is not.
         while True:
@@ -263,7 +279,8 @@
             await self._clock.sleep(period * self._random.uniform(0.75, 1.25))
             controls = self._controls()
             if controls:
-                await self._feed.notify(controls[self._random.randrange(0, len(controls))])
+                links = controls[self._random.randrange(0, len(controls))]
+                tasks.create_task(self._feed.notify(links))
 
 
 def _is_majority(count: int, asked: Sequence[str]) -> bool:
--- a/cranberrywall/control/__init__.py
+++ b/cranberrywall/control/__init__.py
@@ -6,6 +6,7 @@
 from cranberrywall.control._placement import ledger_group, ledger_groups
 from cranberrywall.control._program import ControlHost, make_control_host
 from cranberrywall.control._storage_watch import EXIT_RESTART, StorageWatch
+from cranberrywall.control._tellers import TELLERS, Tellers
 from cranberrywall.control.messages import (
     PROPOSE,
     QUERY,
@@ -23,6 +24,7 @@
     "EXIT_RESTART",
     "PROPOSE",
     "QUERY",
+    "TELLERS",
     "ChangeMemberReply",
     "ChangeMemberRequest",
     "ControlClient",
@@ -38,6 +40,7 @@
     "QueryReply",
     "QueryRequest",
     "StorageWatch",
+    "Tellers",
     "ledger_group",
     "ledger_groups",
     "make_control_client",
--- a/cranberrywall/control/_contacts.py
+++ b/cranberrywall/control/_contacts.py
@@ -33,6 +33,9 @@
 
 OnEntries = Callable[[Sequence[EnrolledHost]], None]
 
+OnRevision = Callable[[int, str], None]
+"""Take in which revision of the configuration the control host at an address has."""
+
 
 class ControlContacts:
     """Hold the control hosts' stream addresses; the seeds stay among them for good.
@@ -49,6 +52,7 @@
         clock: Clock,
         random: Random,
         on_entries: OnEntries = lambda entries: None,
+        on_revision: OnRevision = lambda revision, control: None,
     ) -> None:
         self._me = me
         self._seeds = tuple(seeds)
@@ -56,6 +60,7 @@
         self._clock = clock
         self._random = random
         self._on_entries = on_entries
+        self._on_revision = on_revision
         self._told: tuple[str, ...] = ()
         self._turn = random.randrange(0, max(1, len(seeds)))
         self._heard_at = float("-inf")
@@ -93,6 +98,7 @@
         self._heard_at = now
         # An answer without control hosts is one of a host that knows of none yet.
         self._told = reply.controls or self._told
+        self._on_revision(reply.revision, address)
         self._on_entries([one for one in reply.entries if one.host != self._me.host])
         return True
 
--- a/cranberrywall/control/_enrolment.py
+++ b/cranberrywall/control/_enrolment.py
@@ -28,9 +28,20 @@
 class Enrolments:
     """Hold the hosts that were heard of lately."""
 
-    def __init__(self, members: Callable[[], Sequence[str]], clock: Clock, random: Random) -> None:
-        """``members`` gives the stream addresses of the groups' members, by their rosters."""
+    def __init__(
+        self,
+        members: Callable[[], Sequence[str]],
+        revision: Callable[[], int],
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        """``members`` gives the stream addresses of the groups' members, by their rosters.
+
+        ``revision`` is the newest one of the configuration here. A host that nobody could tell of
+        it, since it was cut off or not there yet, so learns of it as soon as it is in touch.
+        """
         self._members = members
+        self._revision = revision
         self._clock = clock
         self._random = random
         self._host_by_name: dict[str, EnrolledHost] = {}
@@ -57,7 +68,7 @@
         entries = self.entries()
         while len(entries) > ENTRIES_TOLD:
             entries.pop(self._random.randrange(0, len(entries)))
-        return Ok(EnrolReply(self.controls(), tuple(entries)))
+        return Ok(EnrolReply(self.controls(), tuple(entries), self._revision()))
 
     def _note(self, host: EnrolledHost) -> None:
         known = self._host_by_name.get(host.host)
--- a/cranberrywall/control/messages.py
+++ b/cranberrywall/control/messages.py
@@ -82,10 +82,14 @@
 
 
 class EnrolReply(NamedTuple):
-    """Give the control hosts' stream addresses, and some entry hosts."""
+    """Give the control hosts' stream addresses, and some entry hosts.
+
+    ``revision`` is the newest one of the configuration that the control host has.
+    """
 
     controls: tuple[str, ...]
     entries: tuple[EnrolledHost, ...]
+    revision: int = 0
 
 
 ENROL = Method("control.enrol", EnrolRequest, EnrolReply)
--- a/measurements/_configuration_fleet.py
+++ b/measurements/_configuration_fleet.py
@@ -56,7 +56,9 @@
         self.is_cut_off = False
         self._links = _Links(fleet, self.me)
         peers = make_document_peers(self._document)
-        self._feed = make_control_feed(self.me, self.machine, peers, self._links.caller)
+        self._feed = make_control_feed(
+            self.me, self.machine, peers, self._links.caller, fleet.clock
+        )
         self._feed.register(self._links.server)
 
     def _document(self) -> Any:
--- a/measurements/_confirmed_fleet.py
+++ b/measurements/_confirmed_fleet.py
@@ -88,7 +88,9 @@
         settings = fleet.settings_of(me, "control")
         self.ties = ControlTies(settings, runtime, identity, groups, self.machine)
         self.relay = self.ties.relay
-        self.feed = make_control_feed(me, self.machine, self.ties, self.caller)
+        self.feed = make_control_feed(
+            me, self.machine, self.ties, self.caller, clock, self.ties.tellers.tells
+        )
         self.feed.register(self.server)
         self._tasks: list[asyncio.Task[Any]] = []
 
--- a/tests/configuration/test_silent_peers.py
+++ b/tests/configuration/test_silent_peers.py
@@ -73,9 +73,7 @@
 
 async def follow(peers: Peers) -> tuple[Any, HostConfiguration, asyncio.Task[None]]:
     configuration = make_host_configuration(None)
-    follower = make_follower(
-        ME, configuration, peers, list, peers, peers.clock, random.Random(1)
-    )
+    follower = make_follower(ME, configuration, peers, list, peers, peers.clock, random.Random(1))
     return follower, configuration, asyncio.create_task(follower.run())
 
 
@@ -129,7 +127,7 @@
     async def story() -> None:
         peers = Peers(12)
         me = SpreadHost("control-0", "town-hall", "10.0.0.1:7000")
-        feed = make_control_feed(me, peers.machine, peers, peers)
+        feed = make_control_feed(me, peers.machine, peers, peers, peers.clock)
         running = asyncio.create_task(feed.run())
         await peers.clock.sleep(0.0)
         peers.silent = {host.links for host in peers.hosts[::2]}
@@ -152,7 +150,7 @@
     async def story() -> None:
         peers = Peers(3)
         me = SpreadHost("control-0", "town-hall", "10.0.0.1:7000")
-        feed = make_control_feed(me, peers.machine, peers, peers)
+        feed = make_control_feed(me, peers.machine, peers, peers, peers.clock)
         running = asyncio.create_task(feed.run())
         await peers.clock.sleep(0.0)
         late = peers.hosts[1].links
--- a/tests/configuration/test_spread.py
+++ b/tests/configuration/test_spread.py
@@ -6,8 +6,6 @@
 from typing import Any
 
 from cranberrywall.configuration import SpreadTimes
-from cranberrywall.configuration._feed import CONTROL_FEEDS
-from cranberrywall.configuration._neighbours import rank_hosts
 from measurements._configuration_fleet import Fleet, entry_host
 from tests.configuration.documents import place_edit
 from tests.fakes.clock import run_virtual
@@ -111,12 +109,7 @@
     """
     fleet = Fleet(12, times=SpreadTimes(control_poll=10_000.0))
     await fleet.start()
-    first_called = {
-        host.host
-        for control in fleet.controls
-        for host in rank_hosts(control.me, [entry.me for entry in fleet.entries])[:CONTROL_FEEDS]
-    }
-    survivor = next(entry for entry in fleet.entries if entry.me.host not in first_called)
+    survivor = fleet.entries[-1]
     for entry in fleet.entries:
         if entry is not survivor:
             await entry.stop()
--- a/tests/control/test_enrolment.py
+++ b/tests/control/test_enrolment.py
@@ -32,7 +32,7 @@
 
 
 def make_enrolments(clock: VirtualClock) -> Enrolments:
-    return Enrolments(lambda: ["10.0.0.1:7000"], clock, random.Random(1))
+    return Enrolments(lambda: ["10.0.0.1:7000"], lambda: 7, clock, random.Random(1))
 
 
 def test_a_control_host_tells_of_members_and_of_those_that_enrolled() -> None:
@@ -42,6 +42,7 @@
         reply = (await enrolments._enrol(EnrolRequest(ENTRY), PEER)).unwrap()
         assert reply.controls == ("10.0.0.1:7000", "10.0.0.4:7000")
         assert reply.entries == (ENTRY,)
+        assert reply.revision == 7
 
     run_virtual(story())
 
@@ -94,3 +95,24 @@
         assert list(contacts.addresses()) == [*others, *seeds]
 
     run_virtual(story())
+
+
+def test_a_host_that_nobody_told_hears_of_the_newest_configuration_as_it_enrols() -> None:
+    """A host comes back from a cut. Control has given up telling it of what it missed."""
+
+    async def story() -> None:
+        clock, controls = VirtualClock(), Controls()
+        controls.reply_by_address["10.0.0.1:7000"] = EnrolReply((), (), revision=9)
+        heard: list[tuple[int, str]] = []
+        contacts = ControlContacts(
+            ENTRY,
+            ["10.0.0.1:7000"],
+            controls,
+            clock,
+            random.Random(1),
+            on_revision=lambda revision, control: heard.append((revision, control)),
+        )
+        assert await contacts.enrol_once()
+        assert heard == [(9, "10.0.0.1:7000")]
+
+    run_virtual(story())
--- a/tests/naive/spread.py
+++ b/tests/naive/spread.py
@@ -7,7 +7,7 @@
     """Serve by whatever the first peer or control host that answers has."""
 
     async def _has_newest(self, waited: float) -> bool:
-        asked = [*self._controls(), *(host.links for host in self._feed.neighbours())]
+        asked = [*self._controls(), *self._neighbours()]
         self._random.shuffle(asked)  # type: ignore[attr-defined] # tests use random.Random
         for links in asked:
             if await self._feed.notify(links):
