Acknowledge that a target leaves once three control hosts hold it, and tell every host until it has it

What callers saw: requests went to targets that had said that they leave, long after they were acknowledged. Cause: control told twelve entry hosts, once, for 0.4 s, and took the first answer for the fleet's; hosts lost just after, cut off then or started later left the others to what neighbours compare. Class: one host's word, held in memory, taken for the fleet's. Now a control host hands it to the others before it acknowledges; with it, more hold it than may be lost at once. A word that is said again is told once. Where too few control hosts answer, three entry hosts must have it.

--- a/cranberrywall/commands/_control_ties.py
+++ b/cranberrywall/commands/_control_ties.py
@@ -25,7 +25,7 @@
 from cranberrywall.replication import Founders, GroupSettings, founders_of
 from cranberrywall.runtime import Runtime
 from cranberrywall.settings import Settings
-from cranberrywall.targets import TargetRelay
+from cranberrywall.targets import EntryRun, TargetRelay
 
 GIVE_UP_S = 10.0
 """A voter that is silent for so long loses its seat, in seconds, where hosts enlist by themselves.
@@ -73,8 +73,11 @@
         self.tellers = Tellers(settings["listen"]["links"], self.controls)
         self.client: MembersClient = make_control_client(host.caller, clock, self.controls, random)
         kinds = partial(_target_kinds, machine)
-        self.relay = TargetRelay(self._entry_links, host.caller, clock, kinds)
         links = settings["listen"]["links"]
+        self.relay = TargetRelay(
+            self._entry_runs, host.caller, clock, kinds, self._others, self.tellers.tells
+        )
+        self.relay.register(host.server)
         self._enlistment = Enlistment(me.host, links, host.unheard, self._enlist, clock)
 
     def controls(self) -> Sequence[str]:
@@ -95,8 +98,12 @@
             return []
         return [self.contacts.run, self._enlistment.run]
 
-    def _entry_links(self) -> list[str]:
-        return [entry.links for entry in self.alive()]
+    def _entry_runs(self) -> list[EntryRun]:
+        return [EntryRun(one.links, one.incarnation) for one in self.enrolments.entries()]
+
+    def _others(self) -> list[str]:
+        own = self._settings["listen"]["links"]
+        return [links for links in self.controls() if links != own]
 
     def _make_contacts(self, runtime: Runtime, me: Peer) -> ControlContacts | None:
         seeds = self._settings.get("seeds")
--- a/cranberrywall/targets/_relay.py
+++ b/cranberrywall/targets/_relay.py
@@ -9,12 +9,21 @@
 
 from result import Ok, Result
 
+from cranberrywall.control import TELLERS
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller, Method, Peer, Server
 from cranberrywall.observability import log_event
 from cranberrywall.runtime import Clock
+from cranberrywall.targets._leaving_news import LEAVING_KEPT_S, EntryRun, LeavingNews
 from cranberrywall.targets._targets import Change, Targets, group_of
-from cranberrywall.targets.messages import Announcement
+from cranberrywall.targets.messages import (
+    PASS_ON,
+    SHARE_LEAVING,
+    Announcement,
+    PassOnReply,
+    PassOnRequest,
+    TargetStart,
+)
 
 PASS_ON_TIMEOUT_S = 0.4
 """An entry host has this long to take a change in, in seconds: targets wait a second."""
@@ -22,23 +31,18 @@
 MOST_TOLD = 12
 """Entry hosts that are told of a change directly; they push it on to all others."""
 
+HOLDERS = 2
+"""Other control hosts that must hold it before it is acknowledged that a target leaves.
 
-def _misfit(message: str) -> Refusal:
-    remedy = "announce a service of the configuration, with all fields of its kind"
-    return Refusal(ErrorKind.BAD_REQUEST, message, "service", remedy)
-
+With this one, more than may be lost at once; each goes on to tell the entry hosts."""
 
-class PassOnRequest(NamedTuple):
-    """Carry what targets said to a control host, each at first hand."""
+LEAST_TOLD = 3
+"""Entry hosts that must know it where too few control hosts can be reached, to hold it for them."""
 
-    announcements: tuple[Announcement, ...]
 
-
-class PassOnReply(NamedTuple):
-    """Say that the announcements hold at the entry host now."""
-
-
-PASS_ON = Method("targets.pass_on", PassOnRequest, PassOnReply)
+def _misfit(message: str) -> Refusal:
+    remedy = "announce a service of the configuration, with all fields of its kind"
+    return Refusal(ErrorKind.BAD_REQUEST, message, "service", remedy)
 
 
 def register_relay(server: Server, publish: Callable[[Announcement], None]) -> None:
@@ -56,26 +60,64 @@
 """Return the kind of each model's or service's targets; ``None`` before any configuration."""
 
 
+class _Holders(NamedTuple):
+    """Count who holds that a target leaves.
+
+    ``needed`` control hosts besides this one are asked for. ``is_over`` says that all that were
+    asked have answered or failed.
+    """
+
+    controls: int
+    entries: int
+    needed: int
+    asked: int
+    is_over: bool
+
+    @property
+    def are_enough(self) -> bool:
+        """Say whether it may be acknowledged."""
+        if self.entries and self.controls >= self.needed:
+            return True
+        return self.is_over and 0 < min(LEAST_TOLD, self.asked) <= self.entries
+
+
 class TargetRelay:
     """Hold what targets announced to this control host, and tell the entry hosts."""
 
     def __init__(
         self,
-        entries: Callable[[], Sequence[str]],
+        entries: Callable[[], Sequence[EntryRun]],
         caller: Caller,
         clock: Clock,
         kind_by_name: KindByName = lambda: None,
+        others: Callable[[], Sequence[str]] = lambda: (),
+        tells: Callable[[str], bool] = lambda links: True,
     ) -> None:
-        """``entries`` gives the stream addresses of the entry hosts known."""
+        """``entries`` gives the entry hosts known, ``others`` other control hosts' addresses.
+
+        Those entry hosts fall to this one for whose address ``tells`` says so.
+        """
         self._kind_by_name = kind_by_name
         self._targets = Targets()
         self._entries = entries
+        self._others = others
+        self._tells = tells
         self._caller = caller
         self._clock = clock
         self._turn = 0
-        self._untold_by_id: dict[str, Announcement] = {}
+        self._acknowledged: dict[TargetStart, float] = {}
+        self._tells_all_until = float("-inf")
+        self._news = LeavingNews(self._runs, caller, clock)
         self._tasks: set[asyncio.Task[bool]] = set()
 
+    def register(self, server: Server) -> None:
+        """Take in at ``server`` what other control hosts were told by targets that leave."""
+        server.register(SHARE_LEAVING, self._take_share)
+
+    def untold(self) -> list[str]:
+        """Return the addresses of the entry hosts that are still to hear that a target leaves."""
+        return self._news.untold()
+
     def check(self, announcement: Announcement) -> Refusal | None:
         """Return why an announcement names no target to use; ``None`` where it does.
 
@@ -99,21 +141,56 @@
     async def announce(self, announcement: Announcement) -> bool:
         """Take in an announcement, and return whether it may be acknowledged.
 
-        That a target leaves is acknowledged only once an entry host knows it: the target
-        goes away some time after the acknowledgement, and requests that were still sent to
-        it would be lost. A renewal asks for no such care.
+        That a target leaves is acknowledged only once it is held by more hosts than may be lost
+        at once: the target goes away some time after the acknowledgement, and requests that were
+        still sent to it would be lost. A renewal asks for no such care.
         """
         now = self._clock.now()
-        for gone in self._targets.expire(now):
-            self._untold_by_id.pop(gone, None)
+        self._targets.expire(now)
         before = self._targets.by_id.get(announcement.target)
         change = self._targets.apply(announcement, now)
+        if announcement.leaving and change is not Change.FULL:
+            return await self._take_leaving(announcement, change)
         if change is Change.STALE:
-            untold = self._untold_by_id.get(announcement.target)
-            return untold is None or await self._tell_leaving(untold)
+            return True
         if change is Change.RENEWED:
             self._start(self._tell_one(announcement))
             return True
+        self._note(announcement, change, before is not None)
+        await self._tell_some(announcement)
+        return True
+
+    async def _take_leaving(self, announcement: Announcement, change: Change) -> bool:
+        # A target that got no acknowledgement says it again, as one that is acknowledged does
+        # with each of its renewals. Neither is news by its order, and only the first is to be told.
+        start = TargetStart(announcement.target, announcement.incarnation)
+        if start in self._acknowledged:
+            return True
+        if change is not Change.STALE:
+            self._note(announcement, change, was_known=True)
+        began_at = self._clock.now()
+        self._news.add(announcement, began_at)
+        holders = await self._hand_to_holders(announcement)
+        log_event(
+            "INFO",
+            "leaving_told",
+            target=announcement.target,
+            counter=announcement.counter,
+            acknowledged=holders.are_enough,
+            controls=holders.controls,
+            hosts=holders.entries,
+            seconds=self._clock.now() - began_at,
+        )
+        if holders.are_enough:
+            self._acknowledge(start, self._clock.now())
+        return holders.are_enough
+
+    def _acknowledge(self, start: TargetStart, now: float) -> None:
+        self._acknowledged[start] = now
+        while next(iter(self._acknowledged.values())) < now - LEAVING_KEPT_S:
+            del self._acknowledged[next(iter(self._acknowledged))]
+
+    def _note(self, announcement: Announcement, change: Change, was_known: bool) -> None:
         log_event(
             "INFO",
             "target_announced",
@@ -121,60 +198,72 @@
             service=announcement.name,
             change=change,
             counter=announcement.counter,
-            was_known=before is not None,
+            was_known=was_known,
         )
-        if announcement.leaving:
-            return await self._tell_leaving(announcement)
-        await self._tell_all(announcement)
-        return True
 
     def find(self, target_id: str) -> Announcement | None:
         """Return what a target that is not leaving last said."""
         target = self._targets.by_id.get(target_id)
         return target.announcement if target is not None else None
 
-    async def _tell_leaving(self, announcement: Announcement) -> bool:
-        # A target that got no acknowledgement says it again. By its order that is no news
-        # here, but the entry hosts still have to hear it.
-        self._untold_by_id[announcement.target] = announcement
-        began_at = self._clock.now()
-        told = await self._tell_all(announcement)
-        log_event(
-            "INFO",
-            "leaving_told",
-            target=announcement.target,
-            counter=announcement.counter,
-            told=told,
-            hosts=len(self._entries()),
-            seconds=self._clock.now() - began_at,
-        )
-        if told:
-            self._untold_by_id.pop(announcement.target, None)
-        return told
+    async def _take_share(self, request: PassOnRequest, peer: Peer) -> Result[PassOnReply, Refusal]:
+        now = self._clock.now()
+        for announcement in request.announcements:
+            self._targets.apply(announcement, now)
+            self._news.add(announcement, now)
+        return Ok(PassOnReply())
+
+    def _runs(self) -> list[EntryRun]:
+        """Return the entry hosts that this one tells."""
+        tells_all = self._clock.now() < self._tells_all_until
+        return [run for run in self._entries() if tells_all or self._tells(run.links)]
+
+    async def _hand_to_holders(self, announcement: Announcement) -> _Holders:
+        """Let other control hosts hold it, and some entry hosts; return once enough do."""
+        request = PassOnRequest((announcement,))
+        others = self._others()
+        shares = {self._start(self._call(links, SHARE_LEAVING, request)) for links in others}
+        tellings = {self._start(self._call(links, PASS_ON, request)) for links in self._some()}
+        holders = _Holders(0, 0, min(HOLDERS, len(others)), len(tellings), False)
+        left = shares | tellings
+        while left and not holders.are_enough:
+            done, left = await asyncio.wait(left, return_when=asyncio.FIRST_COMPLETED)
+            holders = holders._replace(
+                controls=_count(shares), entries=_count(tellings), is_over=not left
+            )
+        if len(others) - holders.controls >= TELLERS and holders.is_over:
+            # The control hosts that would tell some entry hosts are all out of reach.
+            self._tells_all_until = self._clock.now() + LEAVING_KEPT_S
+        return holders
 
     async def _tell_one(self, announcement: Announcement) -> bool:
         entries = self._entries()
         if not entries:
             return False
         self._turn += 1
-        return await self._tell(entries[self._turn % len(entries)], announcement)
+        links = entries[self._turn % len(entries)].links
+        return await self._call(links, PASS_ON, PassOnRequest((announcement,)))
 
-    async def _tell_all(self, announcement: Announcement) -> bool:
-        """Tell many entry hosts, and return once one has it, or none answers."""
-        entries = self._entries()
-        self._turn += 1
-        start = self._turn % len(entries) if entries else 0
-        chosen = [*entries[start:], *entries[:start]][:MOST_TOLD]
-        left = {self._start(self._tell(links, announcement)) for links in chosen}
+    async def _tell_some(self, announcement: Announcement) -> bool:
+        """Tell some entry hosts, and return once one has it, or none answers."""
+        request = PassOnRequest((announcement,))
+        left = {self._start(self._call(links, PASS_ON, request)) for links in self._some()}
         while left:
             done, left = await asyncio.wait(left, return_when=asyncio.FIRST_COMPLETED)
             if any(task.result() for task in done):
                 return True
         return False
 
-    async def _tell(self, links: str, announcement: Announcement) -> bool:
-        request = PassOnRequest((announcement,))
-        answer = await self._caller.call(links, PASS_ON, request, PASS_ON_TIMEOUT_S)
+    def _some(self) -> list[str]:
+        entries = [run.links for run in self._entries()]
+        self._turn += 1
+        start = self._turn % len(entries) if entries else 0
+        return [*entries[start:], *entries[:start]][:MOST_TOLD]
+
+    async def _call(
+        self, links: str, method: Method[PassOnRequest, PassOnReply], request: PassOnRequest
+    ) -> bool:
+        answer = await self._caller.call(links, method, request, PASS_ON_TIMEOUT_S)
         return isinstance(answer, Ok)
 
     def _start(self, work: Coroutine[Any, Any, bool]) -> asyncio.Task[bool]:
@@ -182,3 +271,7 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
+
+
+def _count(tasks: set[asyncio.Task[bool]]) -> int:
+    return sum(task.done() and not task.cancelled() and task.result() for task in tasks)
--- a/cranberrywall/targets/messages.py
+++ b/cranberrywall/targets/messages.py
@@ -5,7 +5,7 @@
 
 from msgspec import Meta
 
-from cranberrywall.links import MessageCodec
+from cranberrywall.links import MessageCodec, Method
 
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
 Url = Annotated[str, Meta(pattern=r"^https?://[^\s/?#]+$", max_length=256)]
@@ -115,4 +115,17 @@
     incarnation: int
 
 
+class PassOnRequest(NamedTuple):
+    """Carry what targets said to a control host, each at first hand."""
+
+    announcements: tuple[Announcement, ...]
+
+
+class PassOnReply(NamedTuple):
+    """Say that the announcements hold at the host called now."""
+
+
+PASS_ON = Method("targets.pass_on", PassOnRequest, PassOnReply)
+SHARE_LEAVING = Method("targets.share_leaving", PassOnRequest, PassOnReply)
+
 TARGETS_CODEC = MessageCodec([Announcement])
--- a/measurements/_confirmed_fleet.py
+++ b/measurements/_confirmed_fleet.py
@@ -251,13 +251,18 @@
         for host in hosts:
             self.fabric.silence(host.ip)
 
-    async def announce(self, announcements: Sequence[Announcement]) -> list[float]:
-        """Let targets speak, each to another control host; return when each is acknowledged."""
-        return await asyncio.gather(*(self._announce(one) for one in announcements))
+    async def announce(
+        self, announcements: Sequence[Announcement], control: ControlHost | None = None
+    ) -> list[float]:
+        """Let targets speak, to control hosts at random, and return when each is acknowledged.
 
-    async def _announce(self, announcement: Announcement) -> float:
+        Where a ``control`` host is named, all speak to that one.
+        """
+        return await asyncio.gather(*(self._announce(one, control) for one in announcements))
+
+    async def _announce(self, announcement: Announcement, named: ControlHost | None) -> float:
         while True:
-            control = self.random.choice(self.controls)
+            control = named or self.random.choice(self.controls)
             if await control.relay.announce(announcement):
                 return self.clock.now()
             await self.clock.sleep(0.1)
--- a/measurements/confirmed_changes.py
+++ b/measurements/confirmed_changes.py
@@ -166,7 +166,7 @@
         fleet.silence([entry for entry in fleet.entries if entry not in well])
         acknowledged_at = max(await fleet.announce(leaving))
     else:
-        acknowledged_at = max(await fleet.announce(leaving))
+        acknowledged_at = max(await fleet.announce(leaving, fleet.random.choice(fleet.controls)))
         await fleet.clock.sleep(0.005)
         lost = [one for one in fleet.entries if not names <= one.targets.by_id.keys()]
         well = [one for one in fleet.entries if one not in lost]
--- a/tests/targets/test_relay.py
+++ b/tests/targets/test_relay.py
@@ -5,7 +5,8 @@
 from result import Err, Ok, Result
 
 from cranberrywall.errors import ErrorKind, Refusal
-from cranberrywall.targets import TargetRelay
+from cranberrywall.links import Peer
+from cranberrywall.targets import EntryRun, TargetRelay
 from tests.fakes.clock import VirtualClock, run_virtual
 from tests.targets.announcements import announce
 
@@ -26,8 +27,12 @@
         return Ok(None)
 
 
+def runs_at(*addresses: str) -> list[EntryRun]:
+    return [EntryRun(address, 1) for address in addresses]
+
+
 def make_relay(entries: Entries) -> TargetRelay:
-    return TargetRelay(lambda: ["a", "b"], entries, VirtualClock())
+    return TargetRelay(lambda: runs_at("a", "b"), entries, VirtualClock())
 
 
 def test_that_a_target_leaves_is_acknowledged_once_an_entry_host_knows() -> None:
@@ -81,7 +86,7 @@
 
     async def story() -> None:
         kinds = {"asistent": "engine", "vratar": "service"}
-        relay = TargetRelay(lambda: ["a"], Entries(), VirtualClock(), lambda: kinds)
+        relay = TargetRelay(lambda: runs_at("a"), Entries(), VirtualClock(), lambda: kinds)
         assert relay.check(announce()) is None
         assert await relay.announce(announce())
         for changes in ({"name": "unheard-of"}, {"name": "vratar"}, {"kind": "service"}):
@@ -133,7 +138,7 @@
     async def story() -> None:
         clock = VirtualClock()
         entries = SlowEntries(clock, 40)
-        relay = TargetRelay(lambda: entries.addresses, entries, clock)
+        relay = TargetRelay(lambda: runs_at(*entries.addresses), entries, clock)
         assert await relay.announce(announce(counter=2, leaving=True))
         await clock.sleep(KNOWN_S)
         assert entries.know_that_it_leaves() == set(entries.addresses)
@@ -150,7 +155,7 @@
     async def story() -> None:
         clock = VirtualClock()
         entries = SlowEntries(clock, 4)
-        relay = TargetRelay(lambda: entries.addresses, entries, clock)
+        relay = TargetRelay(lambda: runs_at(*entries.addresses), entries, clock)
         entries.silent = {"entry-03"}
         assert await relay.announce(announce(counter=2, leaving=True))
         await clock.sleep(10.0)
@@ -172,7 +177,7 @@
     async def story() -> None:
         clock = VirtualClock()
         entries = SlowEntries(clock, 4)
-        relay = TargetRelay(lambda: entries.addresses, entries, clock)
+        relay = TargetRelay(lambda: runs_at(*entries.addresses), entries, clock)
         assert await relay.announce(announce(counter=2, leaving=True))
         await clock.sleep(5.0)
         entries.addresses.append("entry-new")
@@ -180,3 +185,75 @@
         assert "entry-new" in entries.know_that_it_leaves()
 
     run_virtual(story())
+
+
+class Controls(SlowEntries):
+    """Let control hosts call each other, and the entry hosts."""
+
+    def __init__(self, clock: VirtualClock, hosts: int, controls: int) -> None:
+        super().__init__(clock, hosts)
+        self.relay_by_address: dict[str, TargetRelay] = {}
+        names = [f"control-{number}" for number in range(controls)]
+        for name in names:
+            others = [other for other in names if other != name]
+            self.relay_by_address[name] = TargetRelay(
+                lambda: runs_at(*self.addresses),
+                self,
+                clock,
+                others=lambda others=others: others,  # type: ignore[misc] # bound for each
+            )
+
+    async def call(
+        self, address: str, method: Any, request: Any, timeout: float
+    ) -> Result[Any, Refusal]:
+        relay = self.relay_by_address.get(address)
+        if relay is None or address in self.silent:
+            return await super().call(address, method, request, timeout)
+        await self.clock.sleep(0.002)
+        return await relay._take_share(request, Peer(address, "town-hall", 1))
+
+
+def test_what_a_control_host_acknowledged_is_told_by_others_when_it_is_lost() -> None:
+    """A target leaves, is acknowledged, and goes on getting requests until it ends.
+
+    The control host that acknowledged it lost its power just after, and with it the one entry host
+    that had heard it. Cause: the word of one host, in memory only, was taken for the fleet's.
+    """
+
+    async def story() -> None:
+        clock = VirtualClock()
+        controls = Controls(clock, 20, 5)
+        heard_first = controls.addresses[5]
+        controls.silent = set(controls.addresses) - {heard_first}
+        leaving = announce(counter=2, leaving=True)
+        first, *others = controls.relay_by_address.values()
+        assert await first.announce(leaving)
+        for task in [*first._news._tasks, *first._tasks]:
+            task.cancel()
+        controls.told.clear()
+        controls.silent = {heard_first}
+        await clock.sleep(KNOWN_S)
+        assert controls.know_that_it_leaves() >= set(controls.addresses) - {heard_first}
+        assert all(other.find(leaving.target) is None for other in others)
+
+    run_virtual(story())
+
+
+def test_the_word_of_one_control_host_is_not_enough() -> None:
+    """A control host is cut off from all others, with two entry hosts on its side.
+
+    It must not acknowledge that a target leaves: were the three lost, nobody would know.
+    """
+
+    async def story() -> None:
+        clock = VirtualClock()
+        controls = Controls(clock, 20, 5)
+        controls.silent = {*controls.addresses[2:], "control-1", "control-2", "control-3"}
+        controls.silent.add("control-4")
+        first = controls.relay_by_address["control-0"]
+        leaving = announce(counter=2, leaving=True)
+        assert not await first.announce(leaving)
+        controls.silent = set(controls.addresses[3:]) | {"control-1", "control-2"}
+        assert await first.announce(leaving._replace(counter=3))
+
+    run_virtual(story())
