--- a/measurements/confirmed_changes.py
+++ b/measurements/confirmed_changes.py
@@ -31,6 +31,9 @@
 LONGEST_S = 20.0
 SILENT_SHARE = 6
 SILENT_WITHIN_S = 0.08
+SPREADING_S = 0.02
+"""Hosts that fall silent as targets leave do so within this, in seconds."""
+
 LEAVING = 9
 ADDED_ROUTES = 1400
 STORM = 12
@@ -162,9 +165,9 @@
     knew = [entry for entry in fleet.entries if names <= entry.targets.by_id.keys()]
     assert len(knew) == len(fleet.entries), "not all hosts knew the targets"
     if silent_share:
-        well = _choose_well(fleet, silent_share)
-        fleet.silence([entry for entry in fleet.entries if entry not in well])
+        silenced = asyncio.create_task(_silence_some(fleet, silent_share, SPREADING_S))
         acknowledged_at = max(await fleet.announce(leaving))
+        well = await silenced
     else:
         acknowledged_at = max(await fleet.announce(leaving, fleet.random.choice(fleet.controls)))
         await fleet.clock.sleep(0.005)
--- a/standins/_platform.py
+++ b/standins/_platform.py
@@ -280,7 +280,10 @@
 
     async def publish(self, version: int, prepaid: int, routes: list[Any] | None = None) -> None:
         """Send a configuration until it is acknowledged."""
-        body = configuration(version, prepaid, routes)
+        await self.publish_body(configuration(version, prepaid, routes))
+
+    async def publish_body(self, body: dict[str, Any]) -> None:
+        """Send a configuration of one's own until it is acknowledged."""
         await self._call_control("POST", "/v1/config/replace", body)
 
     async def refused_status(self, body: Any) -> int:
