Hold requests after a standstill until the host has asked what changed

What callers saw: a host that was frozen for some seconds answered the requests that waited for its wake by the configuration of before (5 of 5 in the test), and sent them to targets that had left. Cause: what has arrived from callers is served before the news, which takes a round trip. It holds since a request is only decided after it has looked at the clocks itself, whatever ran first at the wake.

--- a/cranberrywall/commands/_caller_front.py
+++ b/cranberrywall/commands/_caller_front.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from aiohttp import web
+from aiohttp.typedefs import Handler, Middleware
 
 from cranberrywall.callers import BodyLimits, CallerLimits
 from cranberrywall.entry import CallerStack, FrontParts, StackLinks, make_caller_stack
@@ -39,6 +40,7 @@
     async def serve(self, parts: FrontParts) -> None:
         """Bind the address for callers and targets, and serve them."""
         stack = self._make_stack(parts)
+        stack.app.middlewares.append(self._make_settling(parts))
         stack.app.add_routes(
             make_announce_routes(parts.targets, self._target_key, self._clock, parts.publish)
         )
@@ -84,6 +86,14 @@
         if self._stack is not None:
             await self._stack.close()
 
+    def _make_settling(self, parts: FrontParts) -> Middleware:
+        @web.middleware
+        async def settle(request: web.Request, handler: Handler) -> web.StreamResponse:
+            await parts.settle(self._clock.now(), self._clock.wall())
+            return await handler(request)
+
+        return settle
+
     def _make_stack(self, parts: FrontParts) -> CallerStack:
         callers = self._settings["callers"]
         return make_caller_stack(
--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -17,7 +17,7 @@
 from cranberrywall.commands._entry_ties import HostTies, describe_target
 from cranberrywall.configuration import make_host_configuration
 from cranberrywall.control import make_control_client
-from cranberrywall.entry import ConfiguredPolicies, Front, FrontParts
+from cranberrywall.entry import ConfiguredPolicies, Front, FrontParts, Standstill
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.hosts import register_drain, register_dump
 from cranberrywall.observability import (
@@ -34,7 +34,7 @@
 from cranberrywall.routing import RetryLimits, make_router, make_target_spread
 from cranberrywall.runtime import Runtime, make_network
 from cranberrywall.settings import FleetKeys, Settings, seconds
-from cranberrywall.targets import Announcement, make_targets, register_relay
+from cranberrywall.targets import Announcement, ask_who_leaves, make_targets, register_relay
 
 HAND_BACK_S = 10.0
 """A host that ends tries for so long to commit its charges and return its money."""
@@ -50,6 +50,9 @@
 LOAD_EVERY_S = 1.0
 
 EXPIRE_EVERY_S = 1.0
+CONTROLS_ASKED = 4
+"""Control hosts that are asked which targets left; two of them may be lost."""
+
 BUSY_REQUESTS = 1000
 """Requests in progress at which a host says that it is fully loaded."""
 
@@ -98,6 +101,7 @@
         self._reporter = EngineReporter(
             self._caller, clock, controls, lambda: self._waiting_by_model()
         )
+        self._standstill = Standstill(clock, self._catch_up)
         self._follower.register(self._server)
         self.on_drain: Callable[[], None] = lambda: None
         register_drain(self._server, self._me.incarnation, lambda: self.on_drain())
@@ -245,11 +249,20 @@
             self._publish,
             self._is_current,
             self._quarantine,
+            self._standstill.settle,
         )
         await self._front.serve(parts)
+        self._tasks.append(asyncio.create_task(self._standstill.run()))
         self._is_serving = True
         self._tasks.append(asyncio.create_task(self._report_load()))
 
+    async def _catch_up(self) -> None:
+        """Ask what changed while this process did not run."""
+        controls = list(self._ties.controls())[:CONTROLS_ASKED]
+        await asyncio.gather(
+            self._follower.check(), ask_who_leaves(controls, self._caller, self._publish)
+        )
+
     def _is_current(self, now: float) -> bool:
         if not self._follower.has_newest_heard:
             return False
--- a/cranberrywall/configuration/_follower.py
+++ b/cranberrywall/configuration/_follower.py
@@ -28,6 +28,13 @@
 JOIN_RETRY_S = 0.25
 PEERS_ASKED = 8
 
+CONTROLS_ASKED = 4
+PEERS_ASKED_TO_CHECK = 2
+CHECKED_BY = 2
+"""A check asks so many control hosts and neighbours, and takes so many answers for enough.
+
+One alone may be a control host that is behind itself."""
+
 
 class SpreadTimes(NamedTuple):
     """Pace the spread, in seconds.
@@ -131,6 +138,22 @@
             tasks.create_task(self._exchange_with_neighbours(tasks))
             tasks.create_task(self._poll_control(tasks))
 
+    async def check(self) -> None:
+        """Ask some control hosts and neighbours what is newest, and bring it in force.
+
+        Return once ``CHECKED_BY`` have answered, or all that were asked have or failed to.
+        """
+        controls = list(self._controls())
+        start = self._random.randrange(0, len(controls)) if controls else 0
+        asked = [*controls[start:], *controls[:start]][:CONTROLS_ASKED]
+        asked += self._neighbours()[:PEERS_ASKED_TO_CHECK]
+        answered = 0
+        for answer in asyncio.as_completed([self._feed.notify(links) for links in asked]):
+            answered += await answer
+            if answered >= CHECKED_BY:
+                break
+        await self._catch_up()
+
     @property
     def has_newest_heard(self) -> bool:
         """Say whether the configuration in force is the newest that was heard of."""
--- a/cranberrywall/entry/_front.py
+++ b/cranberrywall/entry/_front.py
@@ -1,6 +1,6 @@
 """Define what serves callers on an entry host, and what it is given to do so."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple, Protocol
 
 from cranberrywall.budgets import HostAllotments, LedgerClient
@@ -19,7 +19,8 @@
 
     ``publish`` passes on what a target said at first hand. ``is_current`` says whether no
     newer configuration than the one in force is known, and control was heard of lately.
-    ``quarantine`` says which requests must not go to targets.
+    ``quarantine`` says which requests must not go to targets. ``settle`` is awaited with the
+    present times before a request is decided; see ``Standstill``.
     """
 
     me: Peer
@@ -36,6 +37,7 @@
     publish: Callable[[Announcement], None]
     is_current: Callable[[float], bool]
     quarantine: Quarantine
+    settle: Callable[[float, float], Awaitable[None]]
 
 
 class Front(Protocol):
--- a/cranberrywall/targets/__init__.py
+++ b/cranberrywall/targets/__init__.py
@@ -6,7 +6,7 @@
 from cranberrywall.targets._load import LoadEstimate, Usual
 from cranberrywall.targets._prefixes import PrefixIndex
 from cranberrywall.targets._probes import Probe, Prober, make_http_probe
-from cranberrywall.targets._relay import TargetRelay, register_relay
+from cranberrywall.targets._relay import TargetRelay, ask_who_leaves, register_relay
 from cranberrywall.targets._targets import (
     KEPT_S,
     TTL_S,
@@ -47,6 +47,7 @@
     "TargetStart",
     "Targets",
     "Usual",
+    "ask_who_leaves",
     "group_of",
     "make_announce_routes",
     "make_http_probe",
--- a/cranberrywall/targets/_leaving_news.py
+++ b/cranberrywall/targets/_leaving_news.py
@@ -82,6 +82,10 @@
             self._is_looking = True
             self._start(self._look_for_hosts())
 
+    def newest(self) -> tuple[Announcement, ...]:
+        """Return what was said last, as much as one message holds."""
+        return tuple(one.announcement for one in self._news)[-MOST_AT_ONCE:]
+
     def untold(self) -> list[str]:
         """Return the addresses of the hosts that are being told now."""
         return sorted(run.links for run in self._telling)
--- a/cranberrywall/targets/_relay.py
+++ b/cranberrywall/targets/_relay.py
@@ -17,9 +17,11 @@
 from cranberrywall.targets._leaving_news import LEAVING_KEPT_S, EntryRun, LeavingNews
 from cranberrywall.targets._targets import Change, Targets, group_of
 from cranberrywall.targets.messages import (
+    LEAVING,
     PASS_ON,
     SHARE_LEAVING,
     Announcement,
+    LeavingRequest,
     PassOnReply,
     PassOnRequest,
     TargetStart,
@@ -28,6 +30,8 @@
 PASS_ON_TIMEOUT_S = 0.4
 """An entry host has this long to take a change in, in seconds: targets wait a second."""
 
+ASK_TIMEOUT_S = 0.5
+
 MOST_TOLD = 12
 """Entry hosts that are told of a change directly; they push it on to all others."""
 
@@ -56,6 +60,19 @@
     server.register(PASS_ON, answer)
 
 
+async def ask_who_leaves(
+    controls: Sequence[str], caller: Caller, publish: Callable[[Announcement], None]
+) -> None:
+    """Ask control hosts which targets leave, all at once, and take in the first answer."""
+    calls = [caller.call(links, LEAVING, LeavingRequest(), ASK_TIMEOUT_S) for links in controls]
+    for call in asyncio.as_completed(calls):
+        answer = await call
+        if isinstance(answer, Ok):
+            for announcement in answer.ok_value.announcements:
+                publish(announcement)
+            return
+
+
 KindByName = Callable[[], Mapping[str, str] | None]
 """Return the kind of each model's or service's targets; ``None`` before any configuration."""
 
@@ -111,8 +128,9 @@
         self._tasks: set[asyncio.Task[bool]] = set()
 
     def register(self, server: Server) -> None:
-        """Take in at ``server`` what other control hosts were told by targets that leave."""
+        """Take in what other control hosts were told by targets that leave, and tell of it."""
         server.register(SHARE_LEAVING, self._take_share)
+        server.register(LEAVING, self._answer_leaving)
 
     def untold(self) -> list[str]:
         """Return the addresses of the entry hosts that are still to hear that a target leaves."""
@@ -213,6 +231,11 @@
             self._news.add(announcement, now)
         return Ok(PassOnReply())
 
+    async def _answer_leaving(
+        self, request: LeavingRequest, peer: Peer
+    ) -> Result[PassOnRequest, Refusal]:
+        return Ok(PassOnRequest(self._news.newest()))
+
     def _runs(self) -> list[EntryRun]:
         """Return the entry hosts that this one tells."""
         tells_all = self._clock.now() < self._tells_all_until
--- a/cranberrywall/targets/messages.py
+++ b/cranberrywall/targets/messages.py
@@ -125,7 +125,12 @@
     """Say that the announcements hold at the host called now."""
 
 
+class LeavingRequest(NamedTuple):
+    """Ask a control host for what it holds of targets that leave."""
+
+
 PASS_ON = Method("targets.pass_on", PassOnRequest, PassOnReply)
 SHARE_LEAVING = Method("targets.share_leaving", PassOnRequest, PassOnReply)
+LEAVING = Method("targets.leaving", LeavingRequest, PassOnRequest)
 
 TARGETS_CODEC = MessageCodec([Announcement])
