--- a/tests/forwarding/scripted.py
+++ b/tests/forwarding/scripted.py
@@ -97,11 +97,16 @@
 
 
 class _Slot:
-    def __init__(self, target_id: str, url: str, ended: list[Outcome]) -> None:
+    def __init__(self, target_id: str, url: str, ended: list[Outcome], left: set[str]) -> None:
         self.target_id = target_id
         self.url = url
         self.version = ""
         self._ended = ended
+        self._left = left
+
+    @property
+    def is_offered(self) -> bool:
+        return self.target_id not in self._left
 
     def first_token(self, now: float) -> None:
         pass
@@ -123,6 +128,7 @@
         self.url_by_id: dict[str, str] = {}
         self.demands: list[Demand] = []
         self.ended: list[Outcome] = []
+        self.left: set[str] = set()
 
     async def may_send_again(self, url: str, rank: int, workspace: str) -> bool:
         return True
@@ -131,7 +137,7 @@
         self.demands.append(demand)
         for target_id, url in sorted(self.url_by_id.items()):
             if target_id not in demand.exclude:
-                return Ok(_Slot(target_id, url, self.ended))
+                return Ok(_Slot(target_id, url, self.ended, self.left))
         return Err(Refusal(ErrorKind.NO_TARGET))
 
 
