Ask whether a target is still offered once its connection stands

What callers saw: a target that had said that it leaves got a request up to 0.6 s later, which had its place there and waited for the connection. Cause: the choice is made before the connection, and nothing asks again. The connectors to targets ask just before the first byte, at both interfaces; the request then goes to another target, as one that was not sent.

--- a/cranberrywall/entry/_stack.py
+++ b/cranberrywall/entry/_stack.py
@@ -41,6 +41,7 @@
 )
 from cranberrywall.routing import Router
 from cranberrywall.runtime import Clock, Random
+from cranberrywall.targets import TargetConnector
 
 CALLERS_PREFIXES = ("/v1/chat/", "/v1/services/")
 _SERVICE_ANSWER_S = 60.0
@@ -209,9 +210,7 @@
 
 def _make_session(fetch: SSLContext | None, reuse: bool) -> aiohttp.ClientSession:
     # Without a context the system's authorities are trusted.
-    connector = aiohttp.TCPConnector(
-        limit=_KEPT_CONNECTIONS, force_close=not reuse, ssl=fetch or True
-    )
+    connector = TargetConnector(limit=_KEPT_CONNECTIONS, force_close=not reuse, ssl=fetch or True)
     return aiohttp.ClientSession(
         connector=connector, cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False
     )
--- a/cranberrywall/forwarding/_client.py
+++ b/cranberrywall/forwarding/_client.py
@@ -12,6 +12,8 @@
 
 from cranberrywall.forwarding._endings import EndingResponse
 from cranberrywall.forwarding._interfaces import Attempt, Dialect, Headers, TargetHead
+from cranberrywall.routing import Slot
+from cranberrywall.targets import NoLongerOfferedError, TargetConnector, while_offered
 
 CONNECT_S = 0.6
 """A target that takes no connection within this is left alone, in seconds.
@@ -32,6 +34,14 @@
 _ADDED_BY_LIBRARY = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
+_UNSENT_ERRORS = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+    NoLongerOfferedError,
+)
+"""Errors that come before the first byte went out."""
+
+
 class FailureKind(StrEnum):
     """Say how an attempt came to no answer.
 
@@ -101,9 +111,9 @@
 def make_session(*, keeps_connections: bool) -> aiohttp.ClientSession:
     """Return a session for attempts; call it in a running event loop."""
     if keeps_connections:
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEPT_S)
+        connector = TargetConnector(limit=0, keepalive_timeout=KEPT_S)
     else:
-        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        connector = TargetConnector(limit=0, force_close=True)
     return aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
@@ -131,9 +141,11 @@
 
     @asynccontextmanager
     async def open(
-        self, url: str, attempt: Attempt, may_run_again: bool
+        self, slot: Slot, attempt: Attempt, may_run_again: bool
     ) -> AsyncIterator[TargetAnswer]:
-        """Send an attempt and give the head of its answer; raise ``AttemptFailedError``.
+        """Send an attempt to the slot's target and give the head of its answer.
+
+        Raise ``AttemptFailedError`` where there is none.
 
         Leaving the block before the body was read ends the connection, which frees the target.
         Errors of reading the body in the block become ``AttemptFailedError`` too.
@@ -141,16 +153,18 @@
         session = self._kept if may_run_again else self._fresh
         arrival = attempt.arrival
         try:
-            async with session.request(
-                arrival.method,
-                URL(url + arrival.path, encoded=True),
-                headers=CIMultiDict(self._dialect.request_headers(attempt)),
-                data=arrival.body or None,
-                allow_redirects=False,
-            ) as response:
+            with while_offered(lambda: slot.is_offered):
+                response = await session.request(
+                    arrival.method,
+                    URL(slot.url + arrival.path, encoded=True),
+                    headers=CIMultiDict(self._dialect.request_headers(attempt)),
+                    data=arrival.body or None,
+                    allow_redirects=False,
+                )
+            async with response:
                 assert isinstance(response, EndingResponse)
                 yield self._check(arrival.request_id, response)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        except _UNSENT_ERRORS as error:
             raise AttemptFailedError(FailureKind.UNSENT, str(error)) from error
         except (_ConnectionLostError, aiohttp.ClientError, ConnectionError) as error:
             message = f"{type(error).__name__}: {error}"
--- a/cranberrywall/forwarding/_streams.py
+++ b/cranberrywall/forwarding/_streams.py
@@ -76,7 +76,7 @@
         with concluding(slot, attempt, purse, self._watch, self._clock) as conclusion:
             async with (
                 conclusion.limit(attempt.left_s),
-                self._client.open(slot.url, attempt, may_run_again) as answer,
+                self._client.open(slot, attempt, may_run_again) as answer,
             ):
                 conclusion.answered(self._clock.now())
                 note_head(slot, answer.head, attempt.arrival.request_id, self._clock.now())
--- a/cranberrywall/requests/_attempts.py
+++ b/cranberrywall/requests/_attempts.py
@@ -35,6 +35,7 @@
 from cranberrywall.requests.messages import Attempted
 from cranberrywall.routing import Demand, Outcome, OutcomeKind, Router, Slot
 from cranberrywall.runtime import Clock, Random, Timers
+from cranberrywall.targets import while_offered
 
 MAX_ATTEMPTS = 4
 MAX_RESUMES = 3
@@ -267,7 +268,8 @@
             try:
                 async with stoppable(watched.run, None):
                     reader.watched = watched.run
-                    opened = await stream.open()
+                    with while_offered(lambda: slot.is_offered):
+                        opened = await stream.open()
                     fault = await self._read_with_resumes(request, reader, stream, opened)
             except TimeoutError:
                 if not watched.run.is_stopped:
--- a/cranberrywall/requests/_engine.py
+++ b/cranberrywall/requests/_engine.py
@@ -22,6 +22,7 @@
 )
 from cranberrywall.requests._metrics import RequestMetrics
 from cranberrywall.runtime import Clock, Timer, Timers
+from cranberrywall.targets import NoLongerOfferedError
 
 ATTEMPT_HEADER = "X-Attempt-Id"
 RATE_HEADER = "X-Rate-Limit"
@@ -203,8 +204,12 @@
         try:
             async with self._timers.limit(limit):
                 response = await request
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            # Only these two come before a connection stands, so no byte was sent.
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+            NoLongerOfferedError,
+        ) as error:
+            # Only these come before the first byte.
             return Fault(FaultKind.UNSENT, str(error))
         except TimeoutError:
             return Fault(FaultKind.SILENT, f"no answer within {limit:g} s")
--- a/cranberrywall/requests/_service_client.py
+++ b/cranberrywall/requests/_service_client.py
@@ -16,6 +16,7 @@
     rate_of,
 )
 from cranberrywall.requests._metrics import RequestMetrics
+from cranberrywall.targets import NoLongerOfferedError
 
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 _NO_BODY_STATUSES = frozenset({204, 304})
@@ -98,7 +99,11 @@
                     timeout=aiohttp.ClientTimeout(total=None, sock_connect=self._connect_s),
                 ) as response:
                     return await self._read(call, response, on_rate)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+            NoLongerOfferedError,
+        ) as error:
             return Fault(FaultKind.UNSENT, str(error))
         except TimeoutError:
             return Fault(FaultKind.SILENT, f"no answer within {timeout:g} s")
--- a/cranberrywall/requests/_service_runner.py
+++ b/cranberrywall/requests/_service_runner.py
@@ -22,6 +22,7 @@
 from cranberrywall.requests.messages import Attempted, RunKey
 from cranberrywall.routing import Demand, Outcome, OutcomeKind, Router, Slot
 from cranberrywall.runtime import Clock, Random
+from cranberrywall.targets import while_offered
 
 CallResult = Result[ServiceAnswer, Refusal]
 
@@ -260,12 +261,13 @@
             result: ServiceAnswer | Fault = STOPPED
             try:
                 async with stoppable(watched.run, None):
-                    result = await self._client.call(
-                        call,
-                        request.repeatable,
-                        self._limit(request),
-                        partial(self._note_rate, slot, request.name.request_id),
-                    )
+                    with while_offered(lambda: slot.is_offered):
+                        result = await self._client.call(
+                            call,
+                            request.repeatable,
+                            self._limit(request),
+                            partial(self._note_rate, slot, request.name.request_id),
+                        )
             except TimeoutError:
                 if not watched.run.is_stopped:
                     raise
--- a/cranberrywall/routing/_interfaces.py
+++ b/cranberrywall/routing/_interfaces.py
@@ -80,6 +80,11 @@
         """Return the target's base URL, without a slash at the end."""
         ...
 
+    @property
+    def is_offered(self) -> bool:
+        """Say whether the target may still be sent new work: it did not leave since the grant."""
+        ...
+
     @property
     def version(self) -> str:
         """Return the model version to ask for; empty where the target named none."""
--- a/cranberrywall/routing/_pool.py
+++ b/cranberrywall/routing/_pool.py
@@ -117,6 +117,11 @@
                 self._add(announcement, now)
         self.candidates = list(self.candidate_by_id.values())
 
+    def offers(self, candidate: Candidate) -> bool:
+        """Say whether this start of the target is still among those to choose from."""
+        known = self.candidate_by_id.get(candidate.target_id)
+        return known is not None and known.start == candidate.start
+
     def serves(self, demand: Demand) -> bool:
         """Say whether a target of the pool has what ``demand`` asks for."""
         return any(
@@ -355,6 +360,11 @@
         """Return the target's base URL."""
         return self._announcement.url
 
+    @property
+    def is_offered(self) -> bool:
+        """Say whether the target may still be sent new work: it did not leave since the grant."""
+        return self._pool.offers(self._chosen.candidate)
+
     @property
     def version(self) -> str:
         """Return the version to ask for: the demand's, or the target's first one."""
--- a/cranberrywall/targets/__init__.py
+++ b/cranberrywall/targets/__init__.py
@@ -1,5 +1,10 @@
 """Know the targets: announcements, health, load and cached prefixes."""
 
+from cranberrywall.targets._connections import (
+    NoLongerOfferedError,
+    TargetConnector,
+    while_offered,
+)
 from cranberrywall.targets._health import Health
 from cranberrywall.targets._http import ANNOUNCE_PATH, make_announce_routes
 from cranberrywall.targets._leaving_news import EntryRun
@@ -39,10 +44,12 @@
     "Health",
     "Load",
     "LoadEstimate",
+    "NoLongerOfferedError",
     "PrefixIndex",
     "Probe",
     "Prober",
     "Target",
+    "TargetConnector",
     "TargetRelay",
     "TargetStart",
     "Targets",
@@ -54,4 +61,5 @@
     "make_targets",
     "read_announcement",
     "register_relay",
+    "while_offered",
 ]
--- a/tests/naive/routers.py
+++ b/tests/naive/routers.py
@@ -21,6 +21,7 @@
 
 class NaiveSlot:
     version = ""
+    is_offered = True
 
     def __init__(self, announcement: Announcement) -> None:
         self.target_id = announcement.target
