--- a/cranberrywall/commands/_control_program.py
+++ b/cranberrywall/commands/_control_program.py
@@ -155,8 +155,11 @@
     sender = make_http_sender(tls.fetch if tls else None)
     orders = _make_orders(settings, runtime, me, machine, host, sender)
     state = _make_state(settings, runtime.clock, host, machine, orders, ledger_by_group)
+    state.register("untold", lambda: {"revision": feed.untold, "leaving": ties.relay.untold()})
     register_dump(server, state.dump_section_json)
     metrics = _make_metrics(host, counters, ledger_by_group)
+    feed.export(metrics)
+    ties.relay.export(metrics)
     health = _make_health(host, lambda: check_placement(settings, machine.configuration))
     admin = make_admin_server(settings["listen"]["admin"], metrics, state, health, keys.admin)
     loops = [raiser.run, *ties.loops()]
--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -110,6 +110,7 @@
         self._metrics = make_metrics()
         ties.counters.export(self._metrics)
         ties.membership.export(self._metrics)
+        self._follower.export(self._metrics)
         self._quarantine.export(self._metrics)
         self._rates.export(self._metrics)
         self.state = StateRegistry()
--- a/cranberrywall/configuration/_feed.py
+++ b/cranberrywall/configuration/_feed.py
@@ -25,7 +25,7 @@
 )
 from cranberrywall.errors import Refusal
 from cranberrywall.links import Caller, Peer, Server
-from cranberrywall.observability import EventLimiter
+from cranberrywall.observability import EventLimiter, Metrics
 from cranberrywall.runtime import Clock
 
 NOTICE_TIMEOUT_S = 0.5
@@ -119,9 +119,22 @@
         self._packs = Packs()
         self._late = EventLimiter(clock.now)
         self._revision_by_links: dict[str, int] = {}
+        self._observe_told: Callable[[float], None] = lambda seconds: None
         self.heard = 0
         source.watch(lambda revision: self._new.set())
 
+    def export(self, metrics: Metrics) -> None:
+        """Let ``metrics`` show how soon hosts are told, and how many are not yet."""
+        told = metrics.histogram(
+            "configuration_told_seconds", "Time until a host was told of a revision."
+        )
+        self._observe_told = told.labels().observe
+        metrics.gauge_of(
+            "configuration_untold_hosts",
+            "Entry hosts that are being told of a revision.",
+            lambda: len(self._telling),
+        )
+
     @property
     def untold(self) -> Sequence[str]:
         """Return the addresses of the hosts that are being told now."""
@@ -185,6 +198,7 @@
                 await self._clock.sleep(TELL_AGAIN_S)
         self._telling.discard(links)
         seconds = self._clock.now() - began_at
+        self._observe_told(seconds)
         if seconds > LATE_S:
             is_told = told >= 0 or not self._is_behind(links)
             self._late.log(
--- a/cranberrywall/configuration/_fetching.py
+++ b/cranberrywall/configuration/_fetching.py
@@ -43,12 +43,14 @@
 
     A peer that told of a revision may lose its power before it hands it on. Its call then takes
     ``FETCH_TIMEOUT_S``, which is most of the time that a change has; nobody is kept waiting for it.
+    ``asking`` lists the peers whose answers are waited for.
     """
 
     def __init__(self, caller: Caller, clock: Clock) -> None:
         self._caller = caller
         self._clock = clock
         self._failures = EventLimiter(clock.now)
+        self.asking: list[str] = []
 
     async def first_useful(self, sources: Sequence[str], fetch: Fetch) -> Fetched | None:
         """Return the first answer that has something newer, or ``None`` where none has."""
@@ -87,7 +89,11 @@
 
     async def _ask(self, links: str, fetch: Fetch) -> Fetched | None:
         began_at = self._clock.now()
-        answer = await self._caller.call(links, FETCH, fetch, FETCH_TIMEOUT_S)
+        self.asking.append(links)
+        try:
+            answer = await self._caller.call(links, FETCH, fetch, FETCH_TIMEOUT_S)
+        finally:
+            self.asking.remove(links)
         seconds = self._clock.now() - began_at
         if isinstance(answer, Err):
             self._note_failure(links, fetch, seconds, answer.err_value)
--- a/cranberrywall/configuration/_follower.py
+++ b/cranberrywall/configuration/_follower.py
@@ -12,7 +12,7 @@
 from cranberrywall.configuration._neighbours import Peers, SpreadHost, choose_neighbours
 from cranberrywall.configuration.messages import Fetch
 from cranberrywall.links import Caller, Server
-from cranberrywall.observability import log_event
+from cranberrywall.observability import Metrics, log_event
 from cranberrywall.runtime import Clock, Random
 
 MOST_SOURCES = 8
@@ -92,6 +92,7 @@
         self._times = times
         self._claim_by_links: dict[str, int] = {}
         self._behind_since: float | None = None
+        self._observe_in_force: Callable[[float], None] = lambda seconds: None
         self._fetching = Fetching(caller, clock)
         self._behind = asyncio.Event()
         self._turn = 0
@@ -159,11 +160,34 @@
         """Say whether the configuration in force is the newest that was heard of."""
         return 0 < self._configuration.revision >= self._feed.heard
 
+    def export(self, metrics: Metrics) -> None:
+        """Let ``metrics`` show the revision in force, and how late each came."""
+        metrics.gauge_of(
+            "configuration_revision",
+            "The revision of the configuration in force.",
+            lambda: self._configuration.revision,
+        )
+        metrics.gauge_of(
+            "configuration_behind_seconds",
+            "For how long a newer revision is known of that is not in force.",
+            self._behind_s,
+        )
+        in_force = metrics.histogram(
+            "configuration_in_force_seconds",
+            "Time from control's taking a change in until it is in force here, by two clocks.",
+        )
+        self._observe_in_force = in_force.labels().observe
+
+    def _behind_s(self) -> float:
+        return 0.0 if self._behind_since is None else self._clock.now() - self._behind_since
+
     def state(self) -> dict[str, Any]:
         """Return what a state dump shows."""
         return {
             "revision": self._configuration.revision,
             "heard": self._feed.heard,
+            "behind_s": self._behind_s(),
+            "asking": list(self._fetching.asking),
             "remembers": self._configuration.remembers,
             "neighbours": [host.host for host in choose_neighbours(self._me, self._peers.alive())],
         }
@@ -256,11 +280,12 @@
 
     def _note_in_force(self, fetched: Fetched) -> None:
         """Say when a revision came in force here, from whom, and what was waited for."""
-        now, content = self._clock.now(), fetched.content
-        behind_s = 0.0 if self._behind_since is None else now - self._behind_since
-        self._behind_since = now if self._is_behind() else None
+        content, behind_s = fetched.content, self._behind_s()
+        self._behind_since = self._clock.now() if self._is_behind() else None
         # By two machines' clocks: what the change's control host said of when it came.
         age_s = self._clock.wall() - content.deltas[-1].revision.at if content.deltas else None
+        if age_s is not None:
+            self._observe_in_force(max(0.0, age_s))
         log_event(
             "INFO",
             "configuration_in_force",
--- a/cranberrywall/targets/_leaving_news.py
+++ b/cranberrywall/targets/_leaving_news.py
@@ -8,7 +8,7 @@
 from result import Err
 
 from cranberrywall.links import Caller
-from cranberrywall.observability import EventLimiter
+from cranberrywall.observability import EventLimiter, Metrics
 from cranberrywall.runtime import Clock
 from cranberrywall.targets.messages import PASS_ON, Announcement, PassOnRequest, TargetStart
 
@@ -68,6 +68,19 @@
         self._telling: set[EntryRun] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_looking = False
+        self._observe_told: Callable[[float], None] = lambda seconds: None
+
+    def export(self, metrics: Metrics) -> None:
+        """Let ``metrics`` show how soon hosts know that a target leaves, and how many do not."""
+        told = metrics.histogram(
+            "leaving_told_seconds", "Time until an entry host was told that targets leave."
+        )
+        self._observe_told = told.labels().observe
+        metrics.gauge_of(
+            "leaving_untold_hosts",
+            "Entry hosts that are being told that targets leave.",
+            lambda: len(self._telling),
+        )
 
     def add(self, announcement: Announcement, now: float) -> None:
         """Begin to tell that a target leaves, once for each of its starts."""
@@ -132,6 +145,7 @@
         if isinstance(answer, Err):
             return False
         self._told_by_run[run] = batch[-1].number
+        self._observe_told(self._clock.now() - batch[0].at)
         return True
 
     def _note_late(self, run: EntryRun, seconds: float) -> None:
--- a/cranberrywall/targets/_relay.py
+++ b/cranberrywall/targets/_relay.py
@@ -12,7 +12,7 @@
 from cranberrywall.control import TELLERS
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller, Method, Peer, Server
-from cranberrywall.observability import log_event
+from cranberrywall.observability import Metrics, log_event
 from cranberrywall.runtime import Clock
 from cranberrywall.targets._leaving_news import LEAVING_KEPT_S, EntryRun, LeavingNews
 from cranberrywall.targets._targets import Change, Targets, group_of
@@ -132,6 +132,10 @@
         server.register(SHARE_LEAVING, self._take_share)
         server.register(LEAVING, self._answer_leaving)
 
+    def export(self, metrics: Metrics) -> None:
+        """Let ``metrics`` show how soon entry hosts know which targets leave."""
+        self._news.export(metrics)
+
     def untold(self) -> list[str]:
         """Return the addresses of the entry hosts that are still to hear that a target leaves."""
         return self._news.untold()
