--- a/tests/configuration/test_numbered.py
+++ b/tests/configuration/test_numbered.py
@@ -1,8 +1,12 @@
 """Put whole documents in force by the operators' own numbers."""
 
+import json
 from typing import Any
 
-from cranberrywall.configuration import make_configuration_machine
+from result import Ok
+
+from cranberrywall.configuration import ConfigurationClient, make_configuration_machine
+from cranberrywall.configuration._client import GROUP
 from cranberrywall.configuration.messages import (
     CONFIGURATION_CODEC,
     GetPublished,
@@ -10,7 +14,9 @@
     PublishedSource,
     PublishNumbered,
 )
+from measurements.confirmed_changes import with_routes
 from tests.configuration.documents import make_document
+from tests.fakes.groups import make_control_client
 
 
 def publish(machine: Any, number: int, region: str) -> Published:
@@ -71,3 +77,29 @@
 
 def test_nothing_is_held_before_the_first() -> None:
     assert held(make_configuration_machine()) == PublishedSource(0, b"")
+
+
+LEADER_BYTES_PER_S = 170e6 / 8
+FOLLOWERS = 8
+STORM_GAP_S = 0.33
+LINE_SHARE = 0.5
+"""Share of a leader's line that a storm of changes may fill: heartbeats and answers use it too."""
+
+
+async def test_a_storm_of_large_documents_leaves_room_on_the_leaders_line() -> None:
+    """Operators send a large document three times a second, each with a small change.
+
+    Control hosts get them later and later, and leaders are lost. Cause: each change goes to all
+    followers as the whole document, twice, as it was sent and as it was understood. Proved by the
+    bytes of the log's entries.
+    """
+    control = make_control_client({GROUP: make_configuration_machine})
+    client = ConfigurationClient(control, timeout=1.0)
+    for number in (1, 2):
+        document = with_routes(1400)
+        document["places"]["town-hall"]["region"] = f"region-{number}"
+        source = json.dumps(document).encode()
+        assert await client.publish(number, document, source, 1.0) == Ok(Published(number, number))
+    entry = control.group_by_name[GROUP].commands[-1]
+    assert len(entry) * FOLLOWERS <= LINE_SHARE * STORM_GAP_S * LEADER_BYTES_PER_S
+    assert (await client.published()).unwrap() == PublishedSource(2, source)
