--- a/tests/hosts/test_membership.py
+++ b/tests/hosts/test_membership.py
@@ -364,3 +364,41 @@
         assert f'cranberrywall_membership_events_total{{event="probes"}} {probes:.1f}' in text
 
     in_fleet(TODAY, test)
+
+
+def test_a_host_joins_past_a_seed_that_answers_nothing() -> None:
+    """A host starts while one of the hosts that it knows is cut off, and serves 2 s late.
+
+    It compares with a few of them and waits for all. Cause: a call to a host that is silent takes
+    its whole timeout, and the answers of the others are not used before it is over.
+    """
+
+    async def test(fleet: Fleet) -> None:
+        late, silent = fleet["domzale-3"], fleet["kranj-1"]
+        await fleet.crash(late)
+        fleet.fabric.silence(silent.ip)
+        fleet.seeds = [silent.links, fleet["kranj-2"].links]
+        began_at = fleet.clock.now()
+        await fleet.start(late)
+        assert fleet.clock.now() - began_at < 1.0
+        assert len(late.membership.all()) == 6
+
+    in_fleet({"kranj": 3, "domzale": 3}, test)
+
+
+def test_a_host_meets_others_past_one_that_answers_nothing() -> None:
+    """A host that starts is told of two others, tries one that is silent, and knows nobody."""
+
+    async def test(fleet: Fleet) -> None:
+        late, silent = fleet["domzale-3"], fleet["kranj-1"]
+        fleet.fabric.silence(silent.ip)
+        fleet.seeds = []
+        for _ in range(4):
+            await fleet.crash(late)
+            await fleet.start(late)
+            began_at = fleet.clock.now()
+            await late.membership.meet([silent.links, fleet["kranj-2"].links])
+            assert fleet.clock.now() - began_at < 1.0
+            assert len(late.membership.all()) == 6
+
+    in_fleet({"kranj": 3, "domzale": 3}, test)
