Let a host join past others that answer nothing

What callers saw: a host that started while another was cut off served 2 s late, and tried one stranger at a time for up to 5 s each. Cause: the answers of the others were waited for together, or asked for one after the other. It holds since the first answer counts, and the next stranger is asked after 0.4 s.

--- a/cranberrywall/hosts/_membership.py
+++ b/cranberrywall/hosts/_membership.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine, Sequence
-from typing import Any
+from typing import Any, TypeVar
 
 from result import Err, Ok, Result
 
@@ -46,6 +46,10 @@
 _LONGEST_ASK_S = 5.0
 _JITTER = 0.1
 _JOIN_BY = 3
+_MET_AT_MOST = 2
+_MEET_NEXT_AFTER_S = 0.4
+_LONGEST_SYNC_S = 5.0
+_T = TypeVar("_T")
 
 
 def make_membership(
@@ -164,15 +168,42 @@
         seeds = list(self._seeds)
         while seeds:
             some = [seeds.pop(self._random.randrange(0, len(seeds))) for _ in seeds[:_JOIN_BY]]
-            answered = await asyncio.gather(*map(self._syncing.sync_with, some))
-            if any(answered):
+            if await self._sync_with_any(some, next_after_s=0.0):
                 return
 
     async def meet(self, links: Sequence[str]) -> None:
         own = self._roster.own.record.links
         strangers = [address for address in self._out_of_touch(links) if address != own]
-        if strangers:
-            await self._syncing.sync_with(strangers[self._random.randrange(0, len(strangers))])
+        count = min(_MET_AT_MOST, len(strangers))
+        some = [strangers.pop(self._random.randrange(0, len(strangers))) for _ in range(count)]
+        await self._sync_with_any(some, _MEET_NEXT_AFTER_S)
+
+    async def _sync_with_any(self, links: Sequence[str], next_after_s: float) -> bool:
+        """Compare with one host after the other, and return whether one has answered.
+
+        The next is tried beside the one before once that took ``next_after_s``. A silent host takes
+        the whole timeout of the call, and must not keep this one from knowing the others.
+        """
+        left: set[asyncio.Task[bool]] = set()
+        for address in links:
+            left.add(self._start(self._syncing.sync_with(address)))
+            if next_after_s and await self._first_true(left, next_after_s):
+                return True
+        return await self._first_true(left, _LONGEST_SYNC_S)
+
+    async def _first_true(self, tasks: set[asyncio.Task[bool]], within_s: float) -> bool:
+        """Return whether one of the tasks ends with true in time; all go on."""
+        pause = asyncio.get_running_loop().create_task(self._clock.sleep(within_s))
+        left = set(tasks)
+        try:
+            while left and not pause.done():
+                done, _ = await asyncio.wait({*left, pause}, return_when=asyncio.FIRST_COMPLETED)
+                left -= done
+                if any(task.result() for task in done if task is not pause):
+                    return True
+            return False
+        finally:
+            pause.cancel()
 
     async def close(self) -> None:
         self._spreading.close()
@@ -250,7 +281,9 @@
             if former or len(self._roster) == 1:
                 wait = self._pace.rejoin_period
             if lost:
-                await self._syncing.sync_with(lost[self._random.randrange(0, len(lost))])
+                # It is not waited for: one that stays silent must not delay the next.
+                address = lost[self._random.randrange(0, len(lost))]
+                self._start(self._syncing.sync_with(address))
 
     def _lost_seeds(self) -> list[str]:
         return self._out_of_touch(self._seeds)
@@ -331,7 +364,8 @@
     def _jittered(self, seconds: float) -> float:
         return seconds * self._random.uniform(1.0 - _JITTER, 1.0 + _JITTER)
 
-    def _start(self, work: Coroutine[Any, Any, Any]) -> None:
+    def _start(self, work: Coroutine[Any, Any, _T]) -> asyncio.Task[_T]:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
