--- a/measurements/confirmed_changes.py
+++ b/measurements/confirmed_changes.py
@@ -14,6 +14,7 @@
 from loguru import logger
 
 from cranberrywall.targets import Announcement
+from measurements._configuration_fleet import Fleet
 from measurements._confirmed_fleet import (
     CONTROL_BYTES_PER_S,
     ENTRY_BYTES_PER_S,
@@ -23,7 +24,7 @@
     Shape,
 )
 from measurements._figures import report_figures
-from tests.configuration.documents import make_document
+from tests.configuration.documents import make_document, place_edit
 from tests.fakes.clock import run_virtual
 
 BOUND_S = 2.5
@@ -35,6 +36,8 @@
 """Hosts that fall silent as targets leave do so within this, in seconds."""
 
 LEAVING = 9
+HUNDREDS = 300
+LARGE_PLACES = 13
 ADDED_ROUTES = 1400
 STORM = 12
 STORM_GAP_S = 0.33
@@ -151,17 +154,24 @@
     return await _leave(fleet, silent_share=SILENT_SHARE, first_to_hear=False)
 
 
+async def hundreds_leave(fleet: ConfirmedFleet) -> Outcome:
+    """Let 300 targets leave at once, while a sixth of the entry hosts falls silent."""
+    return await _leave(fleet, SILENT_SHARE, first_to_hear=False, targets=HUNDREDS)
+
+
 async def leave_and_lose_the_first_to_hear(fleet: ConfirmedFleet) -> Outcome:
     """Let nine targets leave; the hosts that know it 5 ms after the acknowledgement are lost."""
     return await _leave(fleet, silent_share=0, first_to_hear=True)
 
 
-async def _leave(fleet: ConfirmedFleet, silent_share: int, first_to_hear: bool) -> Outcome:
-    targets = [_target(number) for number in range(LEAVING)]
-    await fleet.announce(targets)
-    await fleet.clock.sleep(3.0)
-    leaving = [one._replace(counter=2, leaving=True) for one in targets]
-    names = {one.target for one in targets}
+async def _leave(
+    fleet: ConfirmedFleet, silent_share: int, first_to_hear: bool, targets: int = LEAVING
+) -> Outcome:
+    said = [_target(number) for number in range(targets)]
+    await fleet.announce(said)
+    await fleet.clock.sleep(3.0 if targets == LEAVING else 8.0)
+    leaving = [one._replace(counter=2, leaving=True) for one in said]
+    names = {one.target for one in said}
     knew = [entry for entry in fleet.entries if names <= entry.targets.by_id.keys()]
     assert len(knew) == len(fleet.entries), "not all hosts knew the targets"
     if silent_share:
@@ -191,7 +201,7 @@
         kind="service",
         name="ledger-api",
         place="sofia-a",
-        url=f"http://10.9.0.{number}:8080",
+        url=f"http://10.9.{number // 250}.{number % 250}:8080",
         capacity=8,
     )
 
@@ -242,6 +252,7 @@
     "routes_silent": (many_routes_while_silent, LINKS),
     "leave_half_silent": (leave_while_half_falls_silent, {}),
     "leave_sixth_silent": (leave_while_a_sixth_falls_silent, {}),
+    "leave_hundreds": (hundreds_leave, LINKS),
     "leave_first_lost": (leave_and_lose_the_first_to_hear, {}),
 }
 
@@ -257,14 +268,48 @@
     return outcome
 
 
+async def play_large(hosts: int, seed: int) -> Outcome:
+    """Confirm a change in a fleet of the largest size; a sixth falls silent within 80 ms.
+
+    Three control hosts tell everybody, and hosts are listed by the document: no membership runs.
+    """
+    fleet = Fleet(hosts, seed, places=LARGE_PLACES)
+    await fleet.start()
+    chance = fleet.random
+    silent = chance.sample(fleet.entries, hosts // SILENT_SHARE)
+    well = [entry for entry in fleet.entries if entry not in silent]
+    loop = asyncio.get_running_loop()
+    for entry in silent:
+        ip = entry.me.links.partition(":")[0]
+        loop.call_later(chance.uniform(0.0, SILENT_WITHIN_S), fleet.fabric.silence, ip)
+    before = dict(fleet.fabric.bytes_by_host)
+    revision = await fleet.commit(place_edit("new"))
+    confirmed_at = fleet.clock.now()
+    while any(entry.configuration.revision < revision for entry in well):
+        if fleet.clock.now() - confirmed_at > LONGEST_S:
+            break
+        await fleet.clock.sleep(0.01)
+    slowest_s = max(0.0, fleet.clock.now() - confirmed_at)
+    sent = {host: size - before.get(host, 0) for host, size in fleet.fabric.bytes_by_host.items()}
+    controls = [control.me.links.partition(":")[0] for control in fleet.controls]
+    busiest = max(size for host, size in sent.items() if host not in controls)
+    return Outcome(slowest_s, busiest, max(sent.get(host, 0) for host in controls))
+
+
 @click.command()
 @click.option("--hosts", default=24, help="Entry hosts.")
 @click.option("--controls", default=5, help="Control hosts.")
 @click.option("--seeds", default=2, help="Runs of each schedule.")
 @click.option("--only", default="", help="Play only schedules whose names begin so.")
-def main(hosts: int, controls: int, seeds: int, only: str) -> None:
+@click.option("--large", is_flag=True, help="Play a change in a fleet of HOSTS, and nothing else.")
+def main(hosts: int, controls: int, seeds: int, only: str, large: bool) -> None:
     """Print the slowest time of each schedule."""
     logger.remove()
+    if large:
+        outcomes = [run_virtual(play_large(hosts, seed)) for seed in range(seeds)]
+        slowest = max(outcomes)
+        report_figures("confirmed_changes_large", {"hosts": hosts, **slowest._asdict()})
+        return
     figures: dict[str, Any] = {"hosts": hosts, "controls": controls, "seeds": seeds}
     for name in SCHEDULES:
         if not name.startswith(only):
