--- a/tests/configuration/test_silent_peers.py
+++ b/tests/configuration/test_silent_peers.py
@@ -172,3 +172,43 @@
         running.cancel()
 
     run_virtual(story())
+
+
+def test_a_host_that_is_back_from_a_cut_waits_for_no_call_of_before() -> None:
+    """A host comes back from a cut and goes on by the older configuration for seconds.
+
+    It heard of a change as it was cut off, and asked everybody for it. All these calls wait for
+    their timeouts, or the host for its next try, when control tells it again. Cause: whoever was
+    asked once is not asked again before all that were asked have failed, and a pause after that.
+    """
+
+    async def story() -> None:
+        for cut_s in (0.3, 1.0, 1.9, 2.5, 3.3, 5.0, 9.0):
+            peers = Peers(9)
+            links = [host.links for host in peers.hosts]
+            peers.silent = set(links)
+            follower, configuration, running = await follow(peers)
+            follower.hear(1, links[0])
+            await peers.clock.sleep(cut_s)
+            peers.silent = set()
+            follower.hear(1, links[0])
+            await until(lambda held=configuration: held.revision == 1, peers.clock, IN_FORCE_S)
+            running.cancel()
+
+    run_virtual(story())
+
+
+def test_a_host_asks_on_where_several_in_a_row_are_silent() -> None:
+    """Four of those that told of a revision lost their power just after: a place is lost."""
+
+    async def story() -> None:
+        peers = Peers(9)
+        links = [host.links for host in peers.hosts]
+        peers.silent = set(links[:4])
+        follower, configuration, running = await follow(peers)
+        for one in links[:5]:
+            follower.hear(1, one)
+        await until(lambda: configuration.revision == 1, peers.clock, IN_FORCE_S)
+        running.cancel()
+
+    run_virtual(story())
