--- a/tests/targets/test_relay.py
+++ b/tests/targets/test_relay.py
@@ -4,6 +4,7 @@
 
 from result import Err, Ok, Result
 
+from cranberrywall.control import Tellers
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Peer
 from cranberrywall.targets import EntryRun, TargetRelay
@@ -190,7 +191,10 @@
 class Controls(SlowEntries):
     """Let control hosts call each other, and the entry hosts."""
 
-    def __init__(self, clock: VirtualClock, hosts: int, controls: int) -> None:
+    def __init__(
+        self, clock: VirtualClock, hosts: int, controls: int, shares: bool = False
+    ) -> None:
+        """With ``shares`` each tells the entry hosts that fall to it, else all."""
         super().__init__(clock, hosts)
         self.relay_by_address: dict[str, TargetRelay] = {}
         names = [f"control-{number}" for number in range(controls)]
@@ -201,6 +205,7 @@
                 self,
                 clock,
                 others=lambda others=others: others,  # type: ignore[misc] # bound for each
+                tells=Tellers(name, lambda: names).tells if shares else lambda links: True,
             )
 
     async def call(
@@ -257,3 +262,41 @@
         assert await first.announce(leaving._replace(counter=3))
 
     run_virtual(story())
+
+
+def test_hosts_whose_control_hosts_are_cut_off_are_told_by_the_one_that_acknowledged() -> None:
+    """Control is cut in two as targets leave, and some entry hosts go on sending to them.
+
+    Three control hosts hold it, and those that would tell some entry hosts are on the other side.
+    Cause: those entry hosts fall to control hosts that do not have it, and to nobody else.
+    """
+
+    async def story() -> None:
+        clock = VirtualClock()
+        controls = Controls(clock, 30, 9, shares=True)
+        names = list(controls.relay_by_address)
+        controls.silent = set(names[3:])
+        assert await controls.relay_by_address[names[0]].announce(announce(counter=2, leaving=True))
+        await clock.sleep(KNOWN_S)
+        assert controls.know_that_it_leaves() == set(controls.addresses)
+
+    run_virtual(story())
+
+
+def test_a_control_host_that_was_cut_off_hears_which_targets_left() -> None:
+    """A control host comes back from a cut. Hosts that enrol at it count on what it tells them."""
+
+    async def story() -> None:
+        clock = VirtualClock()
+        controls = Controls(clock, 10, 5)
+        names = list(controls.relay_by_address)
+        controls.silent = {names[4]}
+        leaving = announce(counter=2, leaving=True)
+        assert await controls.relay_by_address[names[0]].announce(leaving)
+        await clock.sleep(5.0)
+        assert not controls.relay_by_address[names[4]]._news.newest()
+        controls.silent = set()
+        await clock.sleep(KNOWN_S)
+        assert controls.relay_by_address[names[4]]._news.newest() == (leaving,)
+
+    run_virtual(story())
