Tell other control hosts until each has it, and all entry hosts while one of them has not

What callers saw: in a cut of control, requests from some entry hosts went on to a target that had left. Cause: that a target leaves was handed to each other control host once; entry hosts fall to three of them, which may all be on the other side, and those never heard it after the cut either. Now the one that was told goes on until all others have it, and tells every entry host meanwhile.

--- a/cranberrywall/commands/_control_ties.py
+++ b/cranberrywall/commands/_control_ties.py
@@ -25,7 +25,7 @@
 from cranberrywall.replication import Founders, GroupSettings, founders_of
 from cranberrywall.runtime import Runtime
 from cranberrywall.settings import Settings
-from cranberrywall.targets import EntryRun, TargetRelay
+from cranberrywall.targets import HostRun, TargetRelay
 
 GIVE_UP_S = 10.0
 """A voter that is silent for so long loses its seat, in seconds, where hosts enlist by themselves.
@@ -98,12 +98,18 @@
             return []
         return [self.contacts.run, self._enlistment.run]
 
-    def _entry_runs(self) -> list[EntryRun]:
-        return [EntryRun(one.links, one.incarnation) for one in self.enrolments.entries()]
+    def _entry_runs(self) -> list[HostRun]:
+        return [HostRun(one.links, one.incarnation) for one in self.enrolments.entries()]
 
-    def _others(self) -> list[str]:
+    def _others(self) -> list[HostRun]:
+        """Return the other control hosts; 0 stands for the incarnation of one not heard of."""
         own = self._settings["listen"]["links"]
-        return [links for links in self.controls() if links != own]
+        incarnation_by_links = self.enrolments.control_incarnations()
+        return [
+            HostRun(links, incarnation_by_links.get(links, 0), is_control=True)
+            for links in self.controls()
+            if links != own
+        ]
 
     def _make_contacts(self, runtime: Runtime, me: Peer) -> ControlContacts | None:
         seeds = self._settings.get("seeds")
--- a/cranberrywall/control/_enrolment.py
+++ b/cranberrywall/control/_enrolment.py
@@ -63,6 +63,11 @@
         enrolled = [host.links for host in self._host_by_name.values() if host.is_control]
         return tuple(dict.fromkeys(members + enrolled))
 
+    def control_incarnations(self) -> dict[str, int]:
+        """Return the incarnations of the control hosts heard of, by their streams' addresses."""
+        known = self._host_by_name.values()
+        return {host.links: host.incarnation for host in known if host.is_control}
+
     async def _enrol(self, request: EnrolRequest, peer: Peer) -> Result[EnrolReply, Refusal]:
         self._note(request.me)
         entries = self.entries()
--- a/cranberrywall/targets/__init__.py
+++ b/cranberrywall/targets/__init__.py
@@ -7,7 +7,7 @@
 )
 from cranberrywall.targets._health import Health
 from cranberrywall.targets._http import ANNOUNCE_PATH, make_announce_routes
-from cranberrywall.targets._leaving_news import EntryRun
+from cranberrywall.targets._leaving_news import HostRun
 from cranberrywall.targets._load import LoadEstimate, Usual
 from cranberrywall.targets._prefixes import PrefixIndex
 from cranberrywall.targets._probes import Probe, Prober, make_http_probe
@@ -39,7 +39,7 @@
     "Announcement",
     "CacheEvent",
     "Change",
-    "EntryRun",
+    "HostRun",
     "Group",
     "Health",
     "Load",
--- a/cranberrywall/targets/_leaving_news.py
+++ b/cranberrywall/targets/_leaving_news.py
@@ -1,4 +1,4 @@
-"""Tell entry hosts which targets leave, until each of them has it."""
+"""Tell hosts which targets leave, until each of them has it."""
 
 import asyncio
 from collections import deque
@@ -10,7 +10,13 @@
 from cranberrywall.links import Caller
 from cranberrywall.observability import EventLimiter, Metrics
 from cranberrywall.runtime import Clock
-from cranberrywall.targets.messages import PASS_ON, Announcement, PassOnRequest, TargetStart
+from cranberrywall.targets.messages import (
+    PASS_ON,
+    SHARE_LEAVING,
+    Announcement,
+    PassOnRequest,
+    TargetStart,
+)
 
 TELL_TIMEOUT_S = 0.5
 TELL_AGAIN_S = 0.25
@@ -31,11 +37,12 @@
 """A host that could be told only after this is logged, in seconds."""
 
 
-class EntryRun(NamedTuple):
-    """Name one run of an entry host by the address of its streams and its incarnation."""
+class HostRun(NamedTuple):
+    """Name one run of an entry or control host by its streams' address and its incarnation."""
 
     links: str
     incarnation: int
+    is_control: bool = False
 
 
 class _News(NamedTuple):
@@ -45,7 +52,7 @@
 
 
 class LeavingNews:
-    """Hold what targets said, numbered, and up to which number each entry host has it.
+    """Hold what targets said, numbered, and up to which number each host has it.
 
     What was acknowledged to a target must be known at every host that may send to it: the host
     that heard it first can be lost before it passes it on, and one that is cut off, or not there
@@ -53,19 +60,19 @@
     """
 
     def __init__(
-        self, entries: Callable[[], Sequence[EntryRun]], caller: Caller, clock: Clock
+        self, hosts: Callable[[], Sequence[HostRun]], caller: Caller, clock: Clock
     ) -> None:
-        """``entries`` gives the entry hosts that fall to this process."""
-        self._entries = entries
+        """``hosts`` gives the hosts to tell, as of now."""
+        self._hosts = hosts
         self._caller = caller
         self._clock = clock
         self._late = EventLimiter(clock.now)
         self._news: deque[_News] = deque()
         self._known_starts: set[TargetStart] = set()
         self._number = 0
-        self._told_by_run: dict[EntryRun, int] = {}
-        self._listed: set[EntryRun] = set()
-        self._telling: set[EntryRun] = set()
+        self._told_by_run: dict[HostRun, int] = {}
+        self._listed: set[HostRun] = set()
+        self._telling: set[HostRun] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_looking = False
         self._observe_told: Callable[[float], None] = lambda seconds: None
@@ -99,18 +106,18 @@
         """Return what was said last, as much as one message holds."""
         return tuple(one.announcement for one in self._news)[-MOST_AT_ONCE:]
 
-    def untold(self) -> list[str]:
-        """Return the addresses of the hosts that are being told now."""
-        return sorted(run.links for run in self._telling)
+    def untold(self) -> list[HostRun]:
+        """Return the hosts that are being told now."""
+        return sorted(self._telling)
 
     def _tell_all(self) -> None:
-        self._listed = set(self._entries())
+        self._listed = set(self._hosts())
         for run in self._listed:
             if run not in self._telling and self._missing(run):
                 self._telling.add(run)
                 self._start(self._tell(run))
 
-    def _missing(self, run: EntryRun) -> bool:
+    def _missing(self, run: HostRun) -> bool:
         return bool(self._news) and self._told_by_run.get(run, 0) < self._news[-1].number
 
     async def _look_for_hosts(self) -> None:
@@ -127,7 +134,7 @@
             run: number for run, number in self._told_by_run.items() if run in self._listed
         }
 
-    async def _tell(self, run: EntryRun) -> None:
+    async def _tell(self, run: HostRun) -> None:
         began_at = self._clock.now()
         try:
             while self._missing(run) and run in self._listed:
@@ -137,18 +144,19 @@
             self._telling.discard(run)
         self._note_late(run, self._clock.now() - began_at)
 
-    async def _tell_next(self, run: EntryRun) -> bool:
+    async def _tell_next(self, run: HostRun) -> bool:
         told = self._told_by_run.get(run, 0)
         batch = [one for one in self._news if one.number > told][:MOST_AT_ONCE]
         request = PassOnRequest(tuple(one.announcement for one in batch))
-        answer = await self._caller.call(run.links, PASS_ON, request, TELL_TIMEOUT_S)
+        method = SHARE_LEAVING if run.is_control else PASS_ON
+        answer = await self._caller.call(run.links, method, request, TELL_TIMEOUT_S)
         if isinstance(answer, Err):
             return False
         self._told_by_run[run] = batch[-1].number
         self._observe_told(self._clock.now() - batch[0].at)
         return True
 
-    def _note_late(self, run: EntryRun, seconds: float) -> None:
+    def _note_late(self, run: HostRun, seconds: float) -> None:
         if seconds <= LATE_S:
             return
         outcome = "gave_up" if self._missing(run) else "told"
--- a/cranberrywall/targets/_relay.py
+++ b/cranberrywall/targets/_relay.py
@@ -9,12 +9,11 @@
 
 from result import Ok, Result
 
-from cranberrywall.control import TELLERS
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller, Method, Peer, Server
 from cranberrywall.observability import Metrics, log_event
 from cranberrywall.runtime import Clock
-from cranberrywall.targets._leaving_news import LEAVING_KEPT_S, EntryRun, LeavingNews
+from cranberrywall.targets._leaving_news import LEAVING_KEPT_S, HostRun, LeavingNews
 from cranberrywall.targets._targets import Change, Targets, group_of
 from cranberrywall.targets.messages import (
     LEAVING,
@@ -103,14 +102,14 @@
 
     def __init__(
         self,
-        entries: Callable[[], Sequence[EntryRun]],
+        entries: Callable[[], Sequence[HostRun]],
         caller: Caller,
         clock: Clock,
         kind_by_name: KindByName = lambda: None,
-        others: Callable[[], Sequence[str]] = lambda: (),
+        others: Callable[[], Sequence[HostRun]] = lambda: (),
         tells: Callable[[str], bool] = lambda links: True,
     ) -> None:
-        """``entries`` gives the entry hosts known, ``others`` other control hosts' addresses.
+        """``entries`` gives the entry hosts known, ``others`` the other control hosts.
 
         Those entry hosts fall to this one for whose address ``tells`` says so.
         """
@@ -123,8 +122,10 @@
         self._clock = clock
         self._turn = 0
         self._acknowledged: dict[TargetStart, float] = {}
-        self._tells_all_until = float("-inf")
-        self._news = LeavingNews(self._runs, caller, clock)
+        # All that is known here goes to the entry hosts that fall to this one; what targets said
+        # to this one goes to the other control hosts.
+        self._news = LeavingNews(self._entries_of_mine, caller, clock)
+        self._own_news = LeavingNews(self._holders_to_be, caller, clock)
         self._tasks: set[asyncio.Task[bool]] = set()
 
     def register(self, server: Server) -> None:
@@ -138,7 +139,8 @@
 
     def untold(self) -> list[str]:
         """Return the addresses of the entry hosts that are still to hear that a target leaves."""
-        return self._news.untold()
+        hosts = {*self._news.untold(), *self._own_news.untold()}
+        return sorted({run.links for run in hosts if not run.is_control})
 
     def check(self, announcement: Announcement) -> Refusal | None:
         """Return why an announcement names no target to use; ``None`` where it does.
@@ -192,6 +194,7 @@
             self._note(announcement, change, was_known=True)
         began_at = self._clock.now()
         self._news.add(announcement, began_at)
+        self._own_news.add(announcement, began_at)
         holders = await self._hand_to_holders(announcement)
         log_event(
             "INFO",
@@ -240,16 +243,25 @@
     ) -> Result[PassOnRequest, Refusal]:
         return Ok(PassOnRequest(self._news.newest()))
 
-    def _runs(self) -> list[EntryRun]:
-        """Return the entry hosts that this one tells."""
-        tells_all = self._clock.now() < self._tells_all_until
-        return [run for run in self._entries() if tells_all or self._tells(run.links)]
+    def _entries_of_mine(self) -> list[HostRun]:
+        return [run for run in self._entries() if self._tells(run.links)]
+
+    def _holders_to_be(self) -> list[HostRun]:
+        """Return the other control hosts, and all entry hosts while one of these is not told.
+
+        The control hosts that would tell an entry host may all be cut off from this one, and not
+        from the entry host.
+        """
+        controls = list(self._others())
+        if any(run.is_control for run in self._own_news.untold()):
+            return [*controls, *self._entries()]
+        return controls
 
     async def _hand_to_holders(self, announcement: Announcement) -> _Holders:
         """Let other control hosts hold it, and some entry hosts; return once enough do."""
         request = PassOnRequest((announcement,))
         others = self._others()
-        shares = {self._start(self._call(links, SHARE_LEAVING, request)) for links in others}
+        shares = {self._start(self._call(one.links, SHARE_LEAVING, request)) for one in others}
         tellings = {self._start(self._call(links, PASS_ON, request)) for links in self._some()}
         holders = _Holders(0, 0, min(HOLDERS, len(others)), len(tellings), False)
         left = shares | tellings
@@ -258,9 +270,6 @@
             holders = holders._replace(
                 controls=_count(shares), entries=_count(tellings), is_over=not left
             )
-        if len(others) - holders.controls >= TELLERS and holders.is_over:
-            # The control hosts that would tell some entry hosts are all out of reach.
-            self._tells_all_until = self._clock.now() + LEAVING_KEPT_S
         return holders
 
     async def _tell_one(self, announcement: Announcement) -> bool:
--- a/tests/targets/test_relay.py
+++ b/tests/targets/test_relay.py
@@ -7,7 +7,7 @@
 from cranberrywall.control import Tellers
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Peer
-from cranberrywall.targets import EntryRun, TargetRelay
+from cranberrywall.targets import HostRun, TargetRelay
 from tests.fakes.clock import VirtualClock, run_virtual
 from tests.targets.announcements import announce
 
@@ -28,8 +28,8 @@
         return Ok(None)
 
 
-def runs_at(*addresses: str) -> list[EntryRun]:
-    return [EntryRun(address, 1) for address in addresses]
+def runs_at(*addresses: str) -> list[HostRun]:
+    return [HostRun(address, 1) for address in addresses]
 
 
 def make_relay(entries: Entries) -> TargetRelay:
@@ -199,7 +199,7 @@
         self.relay_by_address: dict[str, TargetRelay] = {}
         names = [f"control-{number}" for number in range(controls)]
         for name in names:
-            others = [other for other in names if other != name]
+            others = [HostRun(other, 1, is_control=True) for other in names if other != name]
             self.relay_by_address[name] = TargetRelay(
                 lambda: runs_at(*self.addresses),
                 self,
