--- a/measurements/_confirmed_fleet.py
+++ b/measurements/_confirmed_fleet.py
@@ -24,7 +24,7 @@
 from cranberrywall.routing import make_target_spread
 from cranberrywall.runtime import Runtime
 from cranberrywall.settings import FleetKeys, Settings, with_defaults
-from cranberrywall.targets import Announcement, make_targets, register_relay
+from cranberrywall.targets import Announcement, Change, make_targets, register_relay
 from tests.configuration.documents import make_document
 from tests.fakes.clock import VirtualClock
 from tests.fakes.network import FakeFabric, MachineLink, Rule
@@ -110,7 +110,8 @@
 class EntryHost:
     """Hold one entry host's configuration and targets; it can be started anew.
 
-    ``in_force_at`` gives, by revision, when it or a later one came in force here.
+    ``in_force_at`` gives, by revision, when it or a later one came in force here, and ``left_at``
+    when a target was first known to leave.
     """
 
     def __init__(self, fleet: "ConfirmedFleet", me: SpreadHost) -> None:
@@ -119,6 +120,7 @@
         self.starts = 0
         self.revisions: list[int] = []
         self.in_force_at: dict[int, float] = {}
+        self.left_at: dict[str, float] = {}
         self._fleet = fleet
 
     async def start(self) -> None:
@@ -131,6 +133,7 @@
         keys = FleetKeys(KEY, "", "")
         self.ties = HostTies(fleet.settings_of(me, "entry"), runtime, keys, self.configuration)
         self.targets = make_targets()
+        self.targets.subscribe(self._note_target)
         self.spread = make_target_spread(self.targets, self.ties.membership.spread, fleet.clock)
         self.ties.follower.register(self.ties.server)
         register_relay(self.ties.server, self.spread.publish)
@@ -153,6 +156,10 @@
             await clock.sleep(EXPIRE_EVERY_S)
             self.spread.expire(clock.now())
 
+    def _note_target(self, announcement: Announcement, change: Change, now: float) -> None:
+        if change is Change.LEFT:
+            self.left_at.setdefault(announcement.target, now)
+
     def _note(self, revision: int) -> None:
         now = self._fleet.clock.now()
         first = self.revisions[-1] + 1 if self.revisions else 1
--- a/measurements/confirmed_changes.py
+++ b/measurements/confirmed_changes.py
@@ -39,6 +39,7 @@
 HUNDREDS = 300
 LARGE_PLACES = 13
 ADDED_ROUTES = 1400
+LARGEST_ROUTES = 8200
 STORM = 12
 STORM_GAP_S = 0.33
 
@@ -129,6 +130,11 @@
     )
 
 
+async def largest_document(fleet: ConfirmedFleet) -> Outcome:
+    """Confirm a document of 2 MB at once while a sixth of the entry hosts falls silent."""
+    return await _publish_while_silent(fleet, with_routes(LARGEST_ROUTES))
+
+
 async def many_routes_while_silent(fleet: ConfirmedFleet) -> Outcome:
     """Confirm 1,400 routes at once while a sixth of the entry hosts falls silent."""
     return await _publish_while_silent(fleet, with_routes(ADDED_ROUTES))
@@ -164,8 +170,17 @@
     return await _leave(fleet, silent_share=0, first_to_hear=True)
 
 
+async def leave_and_lose_all_that_heard(fleet: ConfirmedFleet) -> Outcome:
+    """As ``leave_and_lose_the_first_to_hear``; the control host that acknowledged is lost too."""
+    return await _leave(fleet, silent_share=0, first_to_hear=True, loses_control=True)
+
+
 async def _leave(
-    fleet: ConfirmedFleet, silent_share: int, first_to_hear: bool, targets: int = LEAVING
+    fleet: ConfirmedFleet,
+    silent_share: int,
+    first_to_hear: bool,
+    targets: int = LEAVING,
+    loses_control: bool = False,
 ) -> Outcome:
     said = [_target(number) for number in range(targets)]
     await fleet.announce(said)
@@ -176,21 +191,24 @@
     assert len(knew) == len(fleet.entries), "not all hosts knew the targets"
     if silent_share:
         silenced = asyncio.create_task(_silence_some(fleet, silent_share, SPREADING_S))
-        acknowledged_at = max(await fleet.announce(leaving))
+        acknowledged_at = await fleet.announce(leaving)
         well = await silenced
     else:
-        acknowledged_at = max(await fleet.announce(leaving, fleet.random.choice(fleet.controls)))
+        control = fleet.random.choice(fleet.controls)
+        acknowledged_at = await fleet.announce(leaving, control)
         await fleet.clock.sleep(0.005)
-        lost = [one for one in fleet.entries if not names <= one.targets.by_id.keys()]
-        well = [one for one in fleet.entries if one not in lost]
-        if not well:
-            return Outcome(0.0)
-        fleet.silence(lost)
-    while any(names & entry.targets.by_id.keys() for entry in well):
-        if fleet.clock.now() - acknowledged_at > LONGEST_S:
-            break
+        well = [one for one in fleet.entries if names <= one.targets.by_id.keys()]
+        fleet.silence([one for one in fleet.entries if one not in well])
+        if loses_control:
+            fleet.silence([control])
+    last_at = max(acknowledged_at)
+    while any(names - entry.left_at.keys() for entry in well):
+        if fleet.clock.now() - last_at > LONGEST_S:
+            return Outcome(LONGEST_S)
         await fleet.clock.sleep(0.01)
-    return Outcome(max(0.0, fleet.clock.now() - acknowledged_at))
+    acknowledged = dict(zip((one.target for one in leaving), acknowledged_at, strict=True))
+    late = [entry.left_at[name] - acknowledged[name] for entry in well for name in names]
+    return Outcome(max(0.0, *late))
 
 
 def _target(number: int) -> Announcement:
@@ -250,10 +268,12 @@
     "storm_silent": (storm_while_silent, {}),
     "routes": (many_routes, LINKS),
     "routes_silent": (many_routes_while_silent, LINKS),
+    "largest_silent": (largest_document, LINKS),
     "leave_half_silent": (leave_while_half_falls_silent, {}),
     "leave_sixth_silent": (leave_while_a_sixth_falls_silent, {}),
     "leave_hundreds": (hundreds_leave, LINKS),
     "leave_first_lost": (leave_and_lose_the_first_to_hear, {}),
+    "leave_heard_lost": (leave_and_lose_all_that_heard, {}),
 }
 
 
