--- a/tests/fakes/test_fakes.py
+++ b/tests/fakes/test_fakes.py
@@ -8,7 +8,7 @@
 
 from cranberrywall.runtime import Reader, Writer
 from tests.fakes.clock import ManualClock, VirtualClock, run_virtual
-from tests.fakes.network import FakeFabric, Rule
+from tests.fakes.network import FakeFabric, MachineLink, Rule
 from tests.fakes.storage import DISK_FULL, CrashError, FakeStorage
 
 ONE, TWO = "10.0.0.1", "10.0.0.2"
@@ -124,6 +124,54 @@
     in_fabric(test)
 
 
+def test_a_machines_link_takes_time_for_bytes_in_each_direction():
+    async def test(fabric: FakeFabric):
+        fabric.set_link(ONE, MachineLink(100_000.0))
+        fabric.set_link(TWO, MachineLink(200_000.0, seconds_per_byte=5e-6))
+        reader, writer, far_reader, far_writer = await connect(fabric)
+        began_at = fabric.clock.now()
+        writer.write(bytes(100_000))
+        await far_reader.readexactly(100_000)
+        there_s = fabric.clock.now() - began_at
+        assert 1.0 <= there_s < 1.2
+        far_writer.write(bytes(100_000))
+        await reader.readexactly(100_000)
+        assert 1.0 <= fabric.clock.now() - began_at - there_s < 1.2
+
+    in_fabric(test)
+
+
+def test_connections_of_one_machine_share_its_link():
+    """A short message waits behind what other connections have under way, not behind all of it."""
+
+    async def test(fabric: FakeFabric):
+        fabric.set_link(ONE, MachineLink(100_000.0))
+        _, writer, far_reader, _ = await connect(fabric)
+        _, other_writer, other_far_reader, _ = await connect(fabric)
+        writer.write(bytes(1_000_000))
+        other_writer.write(b"short")
+        await other_far_reader.readexactly(5)
+        assert 0.5 < fabric.clock.now() < 1.0
+        await far_reader.readexactly(1_000_000)
+        assert fabric.clock.now() >= 10.0
+
+    in_fabric(test)
+
+
+def test_a_silence_ends():
+    async def test(fabric: FakeFabric):
+        _, writer, far_reader, _ = await connect(fabric)
+        fabric.silence(TWO)
+        writer.write(b"held")
+        arriving = asyncio.ensure_future(far_reader.readexactly(4))
+        await asyncio.sleep(10)
+        assert not arriving.done()
+        fabric.unsilence(TWO)
+        assert await arriving == b"held"
+
+    in_fabric(test)
+
+
 def test_chunks_may_come_twice():
     async def test(fabric: FakeFabric):
         _, writer, far_reader, _ = await connect(fabric)
