--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -101,7 +101,6 @@
         self._reporter = EngineReporter(
             self._caller, clock, controls, lambda: self._waiting_by_model()
         )
-        self._standstill = Standstill(clock, self._catch_up)
         self._follower.register(self._server)
         self.on_drain: Callable[[], None] = lambda: None
         register_drain(self._server, self._me.incarnation, lambda: self.on_drain())
@@ -235,6 +234,7 @@
             rates=self._rates,
         )
         self._waiting_by_model = router.waiting_by_model
+        standstill = Standstill(runtime.clock, self._catch_up)
         parts = FrontParts(
             self._me,
             self._configuration,
@@ -250,10 +250,10 @@
             self._publish,
             self._is_current,
             self._quarantine,
-            self._standstill.settle,
+            standstill.settle,
         )
         await self._front.serve(parts)
-        self._tasks.append(asyncio.create_task(self._standstill.run()))
+        self._tasks.append(asyncio.create_task(standstill.run()))
         self._is_serving = True
         self._tasks.append(asyncio.create_task(self._report_load()))
 
