Let a host with a disk ask what was confirmed while it was down

What callers saw: a host that was restarted answered by the configuration of before its stop. Cause: what its disk remembers was served without asking. It asks a few others once, 0.3 s at most, and serves by what it remembers where nobody answers, as before.

--- a/cranberrywall/configuration/_feed.py
+++ b/cranberrywall/configuration/_feed.py
@@ -162,10 +162,13 @@
         self._revision_by_links[heard.links] = heard.revision
         self._on_heard(heard)
 
-    async def notify(self, links: str) -> bool:
-        """Tell one peer which revision this host has, and learn which it has."""
+    async def notify(self, links: str, timeout: float = NOTICE_TIMEOUT_S) -> bool:
+        """Tell one peer which revision this host has, and learn which it has.
+
+        ``timeout`` is in seconds.
+        """
         notice = Notice(self._source.revision, self._me.links)
-        result = await self._caller.call(links, NOTICE, notice, NOTICE_TIMEOUT_S)
+        result = await self._caller.call(links, NOTICE, notice, timeout)
         if not isinstance(result, Ok):
             return False
         reply = result.ok_value
--- a/cranberrywall/configuration/_follower.py
+++ b/cranberrywall/configuration/_follower.py
@@ -32,6 +32,9 @@
 
 One alone may be a control host that is behind itself."""
 
+CHECK_TIMEOUT_S = 0.3
+"""Those that are asked in a check have this long, in seconds: requests wait for it."""
+
 
 class SpreadTimes(NamedTuple):
     """Pace the spread, in seconds.
@@ -121,14 +124,17 @@
     async def join(self) -> int:
         """Find the newest configuration, and return its revision once it may be served.
 
-        A host whose disk remembers one may serve at once. Any other asks the control hosts
-        and peers and takes the highest: what it had in force before a restart, some of
-        them have heard of. Call it once, before ``run``.
+        A host whose disk remembers one asks once, and serves by that where nobody answers. Any
+        other asks the control hosts and peers until a majority has answered, and takes the
+        highest: what it had in force before a restart, some of them have heard of. Call it once,
+        before ``run``.
         """
         recalled = await self._configuration.recall()
         if isinstance(recalled, Err):
             log_event("ERROR", "configuration_not_recalled", refusal=recalled.err_value)
         if self._configuration.remembers and self._configuration.revision > 0:
+            # A newer one may have been confirmed while this host was down.
+            await self.check()
             return self._configuration.revision
         started_at = self._clock.now()
         while not await self._has_newest(self._clock.now() - started_at):
@@ -153,7 +159,8 @@
         asked = [*controls[start:], *controls[:start]][:CONTROLS_ASKED]
         asked += self._neighbours()[:PEERS_ASKED_TO_CHECK]
         answered = 0
-        for answer in asyncio.as_completed([self._feed.notify(links) for links in asked]):
+        calls = [self._feed.notify(links, CHECK_TIMEOUT_S) for links in asked]
+        for answer in asyncio.as_completed(calls):
             answered += await answer
             if answered >= CHECKED_BY:
                 break
--- a/cranberrywall/targets/_relay.py
+++ b/cranberrywall/targets/_relay.py
@@ -29,7 +29,8 @@
 PASS_ON_TIMEOUT_S = 0.4
 """An entry host has this long to take a change in, in seconds: targets wait a second."""
 
-ASK_TIMEOUT_S = 0.5
+ASK_TIMEOUT_S = 0.3
+"""A control host has this long to say which targets leave, in seconds: requests wait for it."""
 
 MOST_TOLD = 12
 """Entry hosts that are told of a change directly; they push it on to all others."""
