Look at both clocks at the same moment

Cause: a caller that sent its body slowly made its host notice a standstill: the times compared were of the request's beginning and of its end.

--- a/cranberrywall/platform/_front.py
+++ b/cranberrywall/platform/_front.py
@@ -163,7 +163,7 @@
         decoded = decode_arrival(request.method, request.raw_path, request.raw_headers, body, now)
         if isinstance(decoded, Err):
             return refuse(decoded.err_value)
-        await parts.settle(now, self._clock.wall())
+        await parts.settle(self._clock.now(), self._clock.wall())
         reply = HttpReply(request, closes=self._draining_since is not None)
         served = await forwarder.serve(decoded.ok_value, reply, parts.is_current(now))
         if reply.response is not None:
