--- a/cranberrywall/configuration/_fetching.py
+++ b/cranberrywall/configuration/_fetching.py
@@ -45,7 +45,7 @@
     size: int
 
 
-_Attempts = dict[asyncio.Task[Fetched | None], Source]
+_Attempts = list[asyncio.Task[Fetched | None]]
 """The attempts under way, the oldest first."""
 
 
@@ -64,14 +64,14 @@
         self.asking: list[str] = []
 
     async def first_useful(
-        self, sources: Callable[[], Sequence[Source]], fetch: Fetch, pause_s: float
+        self, sources: Callable[[], Sequence[Source]], fetch: Fetch
     ) -> Fetched | None:
         """Return the first answer that has something newer, or ``None`` where none has.
 
         ``sources`` gives the peers to ask as of now, the best first. Each is asked once; the next
-        is asked after ``pause_s``, in place of the oldest where many are being asked.
+        is asked after ``NEXT_AFTER_S``, in place of the oldest where many are being asked.
         """
-        attempts: _Attempts = {}
+        attempts: _Attempts = []
         asked: set[Source] = set()
         try:
             while True:
@@ -81,7 +81,7 @@
                 if source is not None:
                     asked.add(source)
                     self._begin(attempts, source, fetch)
-                found = await self._next_answer(attempts, pause_s)
+                found = await self._next_answer(attempts)
                 if found is not None:
                     return found
         finally:
@@ -90,21 +90,19 @@
 
     def _begin(self, attempts: _Attempts, source: Source, fetch: Fetch) -> None:
         if len(attempts) >= MOST_AT_ONCE:
-            oldest = next(iter(attempts))
-            oldest.cancel()
-            del attempts[oldest]
+            attempts.pop(0).cancel()
         work = self._ask(source.links, fetch)
-        attempts[asyncio.get_running_loop().create_task(work)] = source
+        attempts.append(asyncio.get_running_loop().create_task(work))
 
-    async def _next_answer(self, attempts: _Attempts, pause_s: float) -> Fetched | None:
+    async def _next_answer(self, attempts: _Attempts) -> Fetched | None:
         """Return a useful answer; ``None`` once an attempt ended without one, or the pause did."""
-        pause = asyncio.get_running_loop().create_task(self._clock.sleep(pause_s))
+        pause = asyncio.get_running_loop().create_task(self._clock.sleep(NEXT_AFTER_S))
         try:
             await asyncio.wait([*attempts, pause], return_when=asyncio.FIRST_COMPLETED)
         finally:
             pause.cancel()
         for attempt in [one for one in attempts if one.done()]:
-            del attempts[attempt]
+            attempts.remove(attempt)
             fetched = attempt.result()
             if fetched is not None:
                 return fetched
--- a/cranberrywall/configuration/_follower.py
+++ b/cranberrywall/configuration/_follower.py
@@ -7,7 +7,7 @@
 from result import Err
 
 from cranberrywall.configuration._feed import Feed, Heard
-from cranberrywall.configuration._fetching import NEXT_AFTER_S, Fetched, Fetching, Source
+from cranberrywall.configuration._fetching import Fetched, Fetching, Source
 from cranberrywall.configuration._host import Applied, HostConfiguration
 from cranberrywall.configuration._neighbours import Peers, SpreadHost, choose_neighbours
 from cranberrywall.configuration.messages import Fetch
@@ -164,7 +164,7 @@
             answered += await answer
             if answered >= CHECKED_BY:
                 break
-        await self._catch_up(NEXT_AFTER_S)
+        await self._catch_up()
 
     @property
     def has_newest_heard(self) -> bool:
@@ -210,7 +210,7 @@
         answers = await asyncio.gather(*(self._feed.notify(links) for links in asked))
         from_controls = sum(answers[: len(controls)])
         from_peers = sum(answers[len(controls) :])
-        await self._catch_up(NEXT_AFTER_S)
+        await self._catch_up()
         if self._configuration.revision == 0 or self._configuration.revision < self._feed.heard:
             return False
         # One answer alone may come from a host that is cut off and behind: taking it
@@ -246,7 +246,7 @@
         while True:
             await self._behind.wait()
             self._behind.clear()
-            await self._catch_up(NEXT_AFTER_S)
+            await self._catch_up()
             if not self._is_behind():
                 pause_s = FIRST_RETRY_S
                 continue
@@ -268,19 +268,14 @@
     def _is_behind(self) -> bool:
         return self._feed.heard > self._configuration.revision
 
-    async def _catch_up(self, pause_s: float) -> None:
-        """Fetch until the newest revision that was heard of is in force, or nobody hands it on.
-
-        Each peer has ``pause_s`` before the next is asked beside it.
-        """
+    async def _catch_up(self) -> None:
+        """Fetch until the newest revision that was heard of is in force, or nobody hands it on."""
         whole = False
         passed_over: set[str] = set()
         while self._is_behind():
             fetch = Fetch(self._configuration.revision, whole)
             fetched = await self._fetching.first_useful(
-                lambda: [one for one in self._sources() if one.links not in passed_over],
-                fetch,
-                pause_s,
+                lambda: [one for one in self._sources() if one.links not in passed_over], fetch
             )
             if fetched is None:
                 return
--- a/tests/naive/spread.py
+++ b/tests/naive/spread.py
@@ -11,6 +11,6 @@
         self._random.shuffle(asked)  # type: ignore[attr-defined] # tests use random.Random
         for links in asked:
             if await self._feed.notify(links):
-                await self._catch_up(0.2)
+                await self._catch_up()
                 return self._configuration.revision > 0
         return False
--- a/tests/platform/test_confirmed_changes.py
+++ b/tests/platform/test_confirmed_changes.py
@@ -34,7 +34,7 @@
     await platform.publish_body(body)
 
 
-async def thaw_before_requests(platform: Platform, frozen: Machine) -> list[Answer]:
+async def ask_and_thaw(platform: Platform, frozen: Machine) -> list[Answer]:
     """Let requests wait at a frozen host, and return what it answers once it goes on."""
     asked = [asyncio.create_task(platform.ask(frozen, "/checks/1")) for _ in range(REQUESTS)]
     await asyncio.sleep(0.2)
@@ -58,7 +58,7 @@
         await publish(platform, 2, "ledger-next")
         await asyncio.sleep(FROZEN_S - 1.0)
         ran_before = len(old.ran)
-        answers = await thaw_before_requests(platform, frozen)
+        answers = await ask_and_thaw(platform, frozen)
         assert len(old.ran) == ran_before
         assert {answer.status for answer in answers} <= {200, 503}
 
@@ -91,6 +91,6 @@
         await platform.withdraw_worker(leaving)
         await asyncio.sleep(FROZEN_S - 1.0)
         ran_before = len(leaving.ran)
-        answers = await thaw_before_requests(platform, frozen)
+        answers = await ask_and_thaw(platform, frozen)
         assert len(leaving.ran) == ran_before
         assert {answer.status for answer in answers} <= {200, 503}
