Don't suspect a host for a probe that was never sent

Cause: after refused connections calls to a host fail for up to a second without a try, and the probes of all its neighbours did so.

--- a/cranberrywall/hosts/_prober.py
+++ b/cranberrywall/hosts/_prober.py
@@ -3,8 +3,9 @@
 import asyncio
 from collections.abc import Callable, Sequence
 
-from result import Ok
+from result import Err, Ok, Result
 
+from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.hosts._entries import SUSPECT, Entry
 from cranberrywall.hosts._interfaces import HostState
 from cranberrywall.hosts._pace import Pace
@@ -78,23 +79,34 @@
 
     async def ask(self, host: str, links: str, timeout: float) -> ProbeReply | None:
         """Probe once, and return the answer where ``host`` itself gave it."""
+        answered = await self._call(host, links, timeout)
+        return answered.ok_value if isinstance(answered, Ok) else None
+
+    async def _call(self, host: str, links: str, timeout: float) -> Result[ProbeReply, Refusal]:
         place = self._place_of(host)
         request = ProbeRequest(
             self._spreading.take(place), self._table.fleet_digest, self._table.place_digest
         )
         result = await self._caller.call(links, PROBE, request, timeout)
-        if not isinstance(result, Ok) or result.ok_value.host != host:
-            return None
-        self._spreading.absorb(result.ok_value.items, host)
-        return result.ok_value
+        if isinstance(result, Ok) and result.ok_value.host != host:
+            return Err(Refusal(ErrorKind.UNREACHABLE, f"{links} is of {result.ok_value.host} now"))
+        if isinstance(result, Ok):
+            self._spreading.absorb(result.ok_value.items, host)
+        return result
 
     async def _probe(self, entry: Entry) -> None:
         self.probes += 1
         timeout = self._pace.probe_timeout
         began = self._clock.now()
-        reply = await self.ask(entry.host, entry.record.links, timeout)
-        if reply is not None:
-            self._on_answer(entry, reply)
+        answered = await self._call(entry.host, entry.record.links, timeout)
+        if isinstance(answered, Err) and answered.err_value.retry_after:
+            # After connections that were refused the next is not tried at once, and calls fail
+            # without a try meanwhile. That says nothing of a host that has just come back.
+            await self._clock.sleep(answered.err_value.retry_after)
+            began = self._clock.now()
+            answered = await self._call(entry.host, entry.record.links, timeout)
+        if isinstance(answered, Ok):
+            self._on_answer(entry, answered.ok_value)
             return
         self.failures += 1
         if await self._ask_through_others(entry, timeout):
