Log what a target's 503 asks for

The logs could not tell a host that ignores Retry-After from one that reads it and lets some path send all the same. attempt_failed now has the seconds that the answer named, and whether it said that the target leaves. Nothing is decided by them yet. Reading a decimal header field is shared with rates.

--- a/cranberrywall/forwarding/_attempts.py
+++ b/cranberrywall/forwarding/_attempts.py
@@ -125,6 +125,8 @@
             fingerprint=self.plan.fingerprint.hex(),
             fault=failure.kind,
             answered_s="" if failure.answered_s is None else failure.answered_s,
+            backoff="" if failure.head is None else failure.head.backoff,
+            leaving="" if failure.head is None else failure.head.is_leaving,
             reason=failure.message,
         )
 
--- a/cranberrywall/forwarding/_interfaces.py
+++ b/cranberrywall/forwarding/_interfaces.py
@@ -7,6 +7,7 @@
 
 from cranberrywall.quarantine import Fingerprint
 from cranberrywall.rates import RateNotice
+from cranberrywall.targets import DecimalField
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -80,11 +81,12 @@
 
 
 class TargetHead(NamedTuple):
-    """Say what the head of a target's answer tells.
+    """Hold what the head of a target's answer says.
 
     ``request_id`` is the request that the target says it answers. ``not_run`` says that it
     did not and will not run the request, ``is_other`` that another target has the address.
-    ``rate`` is what it says of the requests that it takes.
+    ``rate`` is what it says of the requests that it takes. ``backoff`` is for how many seconds
+    it wants no request from this host. ``is_leaving`` says that it takes no new work.
     """
 
     request_id: str
@@ -92,6 +94,8 @@
     is_other: bool
     load: TargetLoad | None
     rate: RateNotice
+    backoff: DecimalField
+    is_leaving: bool
 
 
 class Dialect(Protocol):
@@ -102,7 +106,7 @@
         ...
 
     def read_head(self, status: int, headers: Headers) -> TargetHead:
-        """Return what the head of a target's answer tells."""
+        """Return what the head of a target's answer says."""
         ...
 
 
--- a/cranberrywall/platform/_dialect.py
+++ b/cranberrywall/platform/_dialect.py
@@ -3,10 +3,12 @@
 from cranberrywall.forwarding import Attempt, Headers, TargetHead, TargetLoad
 from cranberrywall.platform import _headers as names
 from cranberrywall.rates import read_rate
+from cranberrywall.targets import ABSENT, read_decimal_field
 
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
 _LOAD_FIELDS = 3
-_LIMIT = names.SERVER_LIMIT.lower()
+_LEAVES = "1"
 
 
 class TargetDialect:
@@ -26,15 +28,24 @@
     def read_head(self, status: int, headers: Headers) -> TargetHead:
         """Return what the head of a target's answer tells."""
         value_by_name = {name.lower(): value for name, value in headers}
+        asks_backoff = status == _UNAVAILABLE
         return TargetHead(
             request_id=value_by_name.get(names.REQUEST_ID.lower(), ""),
             not_run=names.NOT_RUN.lower() in value_by_name,
             is_other=status == _MISDIRECTED,
             load=_read_load(value_by_name.get(names.SERVER_LOAD.lower(), "")),
-            rate=read_rate([value for name, value in headers if name.lower() == _LIMIT]),
+            rate=read_rate(_values(headers, names.SERVER_LIMIT)),
+            backoff=(
+                read_decimal_field(_values(headers, names.RETRY_AFTER)) if asks_backoff else ABSENT
+            ),
+            is_leaving=value_by_name.get(names.SERVER_LEAVING.lower(), "").strip() == _LEAVES,
         )
 
 
+def _values(headers: Headers, wanted: str) -> list[str]:
+    return [value for name, value in headers if name.lower() == wanted.lower()]
+
+
 def _read_load(text: str) -> TargetLoad | None:
     parts = text.split(",")
     if len(parts) != _LOAD_FIELDS or not all(part.strip().isdigit() for part in parts):
--- a/cranberrywall/rates/_reading.py
+++ b/cranberrywall/rates/_reading.py
@@ -1,13 +1,9 @@
 """Read the rate that a target names in an answer: the requests a second that it takes."""
 
-import re
 from collections.abc import Sequence
 from typing import NamedTuple
 
-SHOWN_CHARACTERS = 32
-"""An unreadable value is shown up to this length."""
-
-_DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?|\.\d{1,9}")
+from cranberrywall.targets import DecimalField, read_decimal_field
 
 
 class RateNotice(NamedTuple):
@@ -26,9 +22,7 @@
         >>> [str(notice) for notice in (NO_RATE, RateNotice(0.5), RateNotice(None, "a lot"))]
         ['none', '0.5', "unreadable 'a lot'"]
         """
-        if self.unreadable:
-            return f"unreadable {self.unreadable!r}"
-        return "none" if self.per_s is None else f"{self.per_s:g}"
+        return str(DecimalField(self.per_s, self.unreadable))
 
 
 NO_RATE = RateNotice()
@@ -42,15 +36,4 @@
     >>> read_rate(["1,5"]).unreadable
     '1,5'
     """
-    if not values:
-        return NO_RATE
-    if len(values) > 1:
-        return _unreadable(" and ".join(values))
-    text = values[0].strip(" \t")
-    if _DECIMAL.fullmatch(text) is None or not text.isascii():
-        return _unreadable(values[0])
-    return RateNotice(float(text))
-
-
-def _unreadable(text: str) -> RateNotice:
-    return RateNotice(None, text[:SHOWN_CHARACTERS] or "nothing")
+    return RateNotice(*read_decimal_field(values))
--- a/cranberrywall/targets/__init__.py
+++ b/cranberrywall/targets/__init__.py
@@ -5,6 +5,7 @@
     TargetConnector,
     while_offered,
 )
+from cranberrywall.targets._decimal_field import ABSENT, DecimalField, read_decimal_field
 from cranberrywall.targets._health import Health
 from cranberrywall.targets._http import ANNOUNCE_PATH, make_announce_routes
 from cranberrywall.targets._leaving_news import HostRun
@@ -32,6 +33,7 @@
 )
 
 __all__ = [
+    "ABSENT",
     "ANNOUNCE_PATH",
     "TARGETS_CODEC",
     "KEPT_S",
@@ -39,6 +41,7 @@
     "Announcement",
     "CacheEvent",
     "Change",
+    "DecimalField",
     "HostRun",
     "Group",
     "Health",
@@ -60,6 +63,7 @@
     "make_http_probe",
     "make_targets",
     "read_announcement",
+    "read_decimal_field",
     "register_relay",
     "while_offered",
 ]
--- a/tests/platform/test_arrivals.py
+++ b/tests/platform/test_arrivals.py
@@ -97,6 +97,11 @@
     assert read(503, (("X-Not-Run", "1"),)).not_run
     assert read(421, ()).is_other
     assert read(200, (("X-Server-Load", "many"),)).load is None
+    assert read(503, (("Retry-After", "2.5"),)).backoff.number == 2.5
+    assert read(503, (("Retry-After", "3"), ("Retry-After", "9"))).backoff.unreadable == "3 and 9"
+    assert read(429, (("Retry-After", "3"),)).backoff.number is None
+    assert read(200, (("Server-Leaving", "1"),)).is_leaving
+    assert not read(200, (("Server-Leaving", "0"),)).is_leaving
 
 
 def test_heartbeats_become_announcements_and_leaving_overtakes_them() -> None:
