Reproduce: requests during a requested backoff, and to targets that leave (listed red)

Three failing tests with both programs as processes, on unchanged logic: - Four targets of one service turn everything away with 503 and Retry-After: 3.

The stand-in target can turn requests away and can say that it leaves.

--- a/standins/_platform.py
+++ b/standins/_platform.py
@@ -50,6 +50,19 @@
     is_whole: bool
 
 
+class Arrived(NamedTuple):
+    """Hold a request that reached a worker, and when, in monotonic seconds.
+
+    ``backoff_s`` is for how long the worker asked its sender for no further request, and
+    ``has_said_leaving`` whether its answer said that the worker leaves.
+    """
+
+    at: float
+    request_id: str
+    backoff_s: float = 0.0
+    has_said_leaving: bool = False
+
+
 ENDS_WORKERS = b"ends-workers"
 """A request whose body holds this ends each worker that begins to run it."""
 
@@ -63,7 +76,11 @@
     One that ended is back after ``back_after_s`` under a new name, at the same address. One in
     need names in its answers ``limit``, the requests a second that it takes, as text; with
     ``needs`` above 0 only in that share of spans of some seconds, drawn by chance.
-    ``arrived_at`` has the monotonic time of each request that reached it, whatever became of it.
+
+    One that ``sheds`` turns all requests away with 503, and one with ``most_running`` above 0 those
+    that come while it works on so many. Both ask for ``backoff_s`` seconds without another request
+    of the same host. One that ``says_leaving`` says so in each answer, and in no heartbeat.
+    ``arrivals`` has each request that reached it, whatever became of it.
     """
 
     back_after_s = 1.0
@@ -78,7 +95,13 @@
         self.events = 6
         self.limit: str | None = None
         self.needs = 0.0
-        self.arrived_at: list[float] = []
+        self.sheds = False
+        self.most_running = 0
+        self.backoff_s = 3.0
+        self.work_s = 0.0
+        self.says_leaving = False
+        self.arrivals: list[Arrived] = []
+        self._running = 0
         self._event_s = event_s
         self._runner: web.AppRunner | None = None
         self._transports: set[asyncio.Transport] = set()
@@ -96,9 +119,14 @@
         host, bound = self._runner.addresses[0][:2]
         self.address = f"{host}:{bound}"
 
+    @property
+    def arrived_at(self) -> list[float]:
+        """Return when each request reached the worker, in monotonic seconds."""
+        return [arrived.at for arrived in self.arrivals]
+
     @property
     def is_up(self) -> bool:
-        """Say whether the worker runs now."""
+        """Return whether the worker runs now."""
         return self._runner is not None
 
     async def _end_and_return(self) -> None:
@@ -140,20 +168,30 @@
         return body
 
     async def _answer(self, request: web.Request) -> web.StreamResponse:
-        self.arrived_at.append(time.monotonic())
         request_id = request.headers.get("X-Request-Id", "")
+        arrived = Arrived(time.monotonic(), request_id, 0.0, self.says_leaving)
         headers = {"X-Request-Id": request_id, "X-Server-Stamp": f"{self.name}.{request_id}"}
         need = Faults(limit_per_s=0.0, needs=self.needs)
         if self.limit is not None and is_in_need(need, len(self.name), time.monotonic()):
             headers["Server-Limit"] = self.limit
+        if self.says_leaving:
+            headers["Server-Leaving"] = "1"
+        is_full = 0 < self.most_running <= self._running
+        if self.sheds or is_full:
+            self.arrivals.append(arrived._replace(backoff_s=self.backoff_s))
+            asked = {"X-Not-Run": "1", "Retry-After": f"{self.backoff_s:g}"}
+            return web.Response(status=503, headers={**headers, **asked})
+        self.arrivals.append(arrived)
         if request.headers.get("X-Expect-Instance") not in (None, self.name):
             return web.Response(status=421, headers=headers)
         transport = request.transport
         assert isinstance(transport, asyncio.Transport)
         self._transports.add(transport)
+        self._running += 1
         try:
             return await self._run(request, headers, request_id)
         finally:
+            self._running -= 1
             self._transports.discard(transport)
 
     async def _run(
@@ -165,6 +203,7 @@
             return await self._begin_fatal(request, headers)
         if self.is_engine:
             return await self._stream(request, headers)
+        await asyncio.sleep(self.work_s)
         told = {"by": self.name, "tenant": request.headers.get("X-Tenant", "")}
         return web.Response(body=json.dumps(told).encode(), headers=headers)
 
--- /dev/null
+++ b/tests/platform/test_requested_backoff.py
@@ -0,0 +1,132 @@
+"""Meet targets that turn requests away and ask for a pause, with both programs as processes."""
+
+import asyncio
+import time
+from collections.abc import Sequence
+from pathlib import Path
+
+import aiohttp
+
+from standins._platform import Answer, Machine, Platform, Worker
+
+PREPAID = 100_000_000
+ANSWERED_S = 0.5
+"""What reaches a target so long after its 503 may have been on its way, in seconds."""
+
+MOST_IN_BACKOFF = 2
+"""Requests of one host that may reach a target between then and the end of the pause."""
+
+REFUSED_WITHIN_S = 0.5
+LONG_BACKOFF_S = 20.0
+LEAVING_KNOWN_S = 1.0
+"""All hosts know so long after its first answer that a target leaves, in seconds."""
+
+ASKED_EVERY_S = 0.04
+ASKED_FOR_S = 8.0
+NO_ANSWER = Answer(0, {}, b"", False)
+
+
+class Asked:
+    """Hold one call, and how long its answer took, in seconds."""
+
+    def __init__(self, answer: Answer, seconds: float) -> None:
+        self.answer = answer
+        self.seconds = seconds
+
+
+async def ask(platform: Platform, front: Machine, number: int, path: str) -> Asked:
+    began_at = time.monotonic()
+    request_id = f"{front.name}/{number}"
+    try:
+        answer = await platform.ask(front, path, X_Request_Id=request_id)
+    except (aiohttp.ClientError, TimeoutError):
+        answer = NO_ANSWER
+    return Asked(answer, time.monotonic() - began_at)
+
+
+async def ask_for_a_while(platform: Platform, seconds: float, path: str) -> list[Asked]:
+    """Ask one host after the other, twenty-five times a second in all."""
+    asked: list[asyncio.Task[Asked]] = []
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        number = len(asked)
+        front = platform.fronts[number % len(platform.fronts)]
+        asked.append(asyncio.create_task(ask(platform, front, number, path)))
+        await asyncio.sleep(ASKED_EVERY_S)
+    return list(await asyncio.gather(*asked))
+
+
+async def start_ledgers(platform: Platform, number: int) -> list[Worker]:
+    await platform.start()
+    await platform.publish(1, PREPAID)
+    workers = [Worker(f"i-ledger-{n}", "ledger", is_engine=False) for n in range(number)]
+    for worker in workers:
+        await platform.add_worker(worker)
+    await platform.until_ready()
+    for front in platform.fronts:
+        await platform.until_answered(front, "/checks/1")
+    return workers
+
+
+def most_in_backoff(workers: Sequence[Worker]) -> int:
+    """Return the most requests of one host that reached a target in a pause it asked for."""
+    most = 0
+    for worker in workers:
+        for turned_away in worker.arrivals:
+            host = turned_away.request_id.partition("/")[0]
+            since = turned_away.at + ANSWERED_S
+            until = turned_away.at + turned_away.backoff_s
+            inside = [
+                arrived
+                for arrived in worker.arrivals
+                if since < arrived.at < until and arrived.request_id.partition("/")[0] == host
+            ]
+            most = max(most, len(inside))
+    return most
+
+
+async def test_targets_that_all_turn_requests_away_get_no_more_during_the_backoff(
+    tmp_path: Path,
+) -> None:
+    """A host goes on to send to targets during the pause that they asked for in a 503."""
+    platform = Platform(tmp_path, fronts=3)
+    try:
+        workers = await start_ledgers(platform, 4)
+        for worker in workers:
+            worker.sheds = True
+        await ask_for_a_while(platform, ASKED_FOR_S, "/checks/1")
+        assert most_in_backoff(workers) <= MOST_IN_BACKOFF
+    finally:
+        await platform.stop()
+
+
+async def test_a_request_that_every_target_turned_away_is_refused_at_once(tmp_path: Path) -> None:
+    """A request for which no other target is left is held until its caller gives up."""
+    platform = Platform(tmp_path, fronts=1)
+    try:
+        workers = await start_ledgers(platform, 1)
+        workers[0].sheds = True
+        workers[0].backoff_s = LONG_BACKOFF_S
+        asked = await ask_for_a_while(platform, 1.0, "/checks/1")
+        assert {one.answer.status for one in asked} == {503}
+        assert all("Retry-After" in one.answer.headers for one in asked)
+        assert max(one.seconds for one in asked) <= REFUSED_WITHIN_S
+    finally:
+        await platform.stop()
+
+
+async def test_a_target_that_says_in_answers_that_it_leaves_gets_no_new_requests(
+    tmp_path: Path,
+) -> None:
+    """Hosts go on to send to a target that said only in its answers that it leaves."""
+    platform = Platform(tmp_path, fronts=3)
+    try:
+        workers = await start_ledgers(platform, 3)
+        leaving = workers[0]
+        leaving.says_leaving = True
+        asked = await ask_for_a_while(platform, ASKED_FOR_S, "/checks/1")
+        assert {one.answer.status for one in asked} == {200}
+        said_at = min(one.at for one in leaving.arrivals if one.has_said_leaving)
+        assert [one for one in leaving.arrivals if one.at > said_at + LEAVING_KNOWN_S] == []
+    finally:
+        await platform.stop()
