--- a/cranberrywall/commands/_caller_front.py
+++ b/cranberrywall/commands/_caller_front.py
@@ -55,7 +55,8 @@
         self._stack = stack
         self._runner = runner
         router = parts.router
-        prober = Prober(make_http_probe(stack.session), router.doubtful, router.probed, self._clock)
+        probe = make_http_probe(stack.session, parts.backoffs, self._clock)
+        prober = Prober(probe, router.doubtful, router.probed, self._clock)
         self._prober = asyncio.create_task(prober.run())
 
     def start_draining(self) -> None:
--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -34,7 +34,13 @@
 from cranberrywall.routing import RetryLimits, make_router, make_target_spread
 from cranberrywall.runtime import Runtime, make_network
 from cranberrywall.settings import FleetKeys, Settings, seconds
-from cranberrywall.targets import Announcement, ask_who_leaves, make_targets, register_relay
+from cranberrywall.targets import (
+    Announcement,
+    Backoffs,
+    ask_who_leaves,
+    make_targets,
+    register_relay,
+)
 
 HAND_BACK_S = 10.0
 """A host that ends tries for so long to commit its charges and return its money."""
@@ -98,6 +104,7 @@
             clock,
             runtime.random,
         )
+        self._backoffs = Backoffs(clock, runtime.random)
         self._reporter = EngineReporter(
             self._caller, clock, controls, lambda: self._waiting_by_model()
         )
@@ -112,6 +119,7 @@
         self._follower.export(self._metrics)
         self._quarantine.export(self._metrics)
         self._rates.export(self._metrics)
+        self._backoffs.export(self._metrics)
         self.state = StateRegistry()
         self._health = HealthChecks()
         self._admin = self._make_admin(keys)
@@ -232,6 +240,7 @@
             lambda: max(1, len(self._membership.alive())),
             retry_limits=self._retry_limits,
             rates=self._rates,
+            backoffs=self._backoffs,
         )
         self._waiting_by_model = router.waiting_by_model
         standstill = Standstill(runtime.clock, self._catch_up)
@@ -250,6 +259,7 @@
             self._publish,
             self._is_current,
             self._quarantine,
+            self._backoffs,
             standstill.settle,
         )
         await self._front.serve(parts)
@@ -276,6 +286,7 @@
             await clock.sleep(EXPIRE_EVERY_S)
             self._quarantine.expire(clock.now())
             self._rates.expire(clock.now())
+            self._backoffs.expire(clock.now())
             contacts = self._ties.contacts
             # Where control takes the targets' renewals in, a host that is cut off from it
             # hears none. That says nothing of the targets: they are used as long as they
--- a/cranberrywall/commands/ctl/_story.py
+++ b/cranberrywall/commands/ctl/_story.py
@@ -8,7 +8,9 @@
 
 _RATE_NAMED = "target_rate_named"
 _WORD = re.compile(r"[^\s,]+")
-_ABOUT_TARGETS = frozenset({"target_ended", "target_announced", "target_out_of_reach", _RATE_NAMED})
+_BACKOFFS = frozenset({"target_backoff_began", "target_backoff_ended"})
+_ABOUT_REFUSALS = _BACKOFFS | {_RATE_NAMED}
+_ABOUT_TARGETS = _ABOUT_REFUSALS | {"target_ended", "target_announced", "target_out_of_reach"}
 _ABOUT_FINGERPRINTS = frozenset({"quarantine_decided", "request_doubted", "held_runs_stopped"})
 _ANSWERED = "answered"
 
@@ -63,7 +65,7 @@
         line
         for line in lines
         if (line.event in _ABOUT_TARGETS and line.pairs.get("target") in targets)
-        or (line.event == _RATE_NAMED and line.pairs.get("target") in refusals)
+        or (line.event in _ABOUT_REFUSALS and line.pairs.get("target") in refusals)
         or (line.event in _ABOUT_FINGERPRINTS and line.pairs.get("fingerprint") in fingerprints)
     ]
     by_source = {line.source: line for line in (*own, *met)}
--- a/cranberrywall/entry/_front.py
+++ b/cranberrywall/entry/_front.py
@@ -11,7 +11,7 @@
 from cranberrywall.quarantine import Quarantine
 from cranberrywall.routing import TargetRouter
 from cranberrywall.runtime import Runtime
-from cranberrywall.targets import Announcement, Targets
+from cranberrywall.targets import Announcement, Backoffs, Targets
 
 
 class FrontParts(NamedTuple):
@@ -19,7 +19,8 @@
 
     ``publish`` passes on what a target said at first hand. ``is_current`` says whether no
     newer configuration than the one in force is known, and control was heard of lately.
-    ``quarantine`` says which requests must not go to targets. ``settle`` is awaited with the
+    ``quarantine`` says which requests must not go to targets, ``backoffs`` which
+    targets asked this host for none. ``settle`` is awaited with the
     present times before a request is decided; see ``Standstill``.
     """
 
@@ -37,6 +38,7 @@
     publish: Callable[[Announcement], None]
     is_current: Callable[[float], bool]
     quarantine: Quarantine
+    backoffs: Backoffs
     settle: Callable[[float, float], Awaitable[None]]
 
 
--- a/cranberrywall/forwarding/_attempts.py
+++ b/cranberrywall/forwarding/_attempts.py
@@ -144,11 +144,12 @@
 
 
 def note_head(slot: Slot, head: TargetHead, request_id: str, now: float) -> None:
-    """Pass on what an answer's head tells of its target."""
+    """Pass on what an answer's head says of its target."""
     load = head.load
     if load is not None:
         slot.loaded(load.running, load.waiting, now)
     slot.rate_named(head.rate, not head.not_run, request_id, now)
+    slot.backoff_asked(head.backoff, request_id, now)
 
 
 def outcome_of(failure: AttemptFailedError) -> Outcome:
--- a/cranberrywall/requests/_attempts.py
+++ b/cranberrywall/requests/_attempts.py
@@ -16,7 +16,6 @@
 from cranberrywall.observability import log_event
 from cranberrywall.quarantine import Quarantine, stoppable
 from cranberrywall.quarantine import Run as WatchedRun
-from cranberrywall.rates import RateNotice
 from cranberrywall.requests._background import Background
 from cranberrywall.requests._engine import (
     EngineCall,
@@ -31,7 +30,12 @@
 from cranberrywall.requests._metrics import RequestMetrics
 from cranberrywall.requests._registry import NOTHING_ATTEMPTED
 from cranberrywall.requests._run import Run
-from cranberrywall.requests._watching import STOPPED, fingerprint_of_request, watching
+from cranberrywall.requests._watching import (
+    STOPPED,
+    fingerprint_of_request,
+    note_answer,
+    watching,
+)
 from cranberrywall.requests.messages import Attempted
 from cranberrywall.routing import Demand, Outcome, OutcomeKind, Router, Slot
 from cranberrywall.runtime import Clock, Random, Timers
@@ -181,7 +185,9 @@
         if not tried:
             return await self._router.acquire(demand, now)
         soon = min(demand.deadline, now + self._limits.elsewhere_s)
-        elsewhere = demand._replace(exclude=tried, deadline=soon, retry=True)
+        elsewhere = demand._replace(
+            exclude=tried, deadline=soon, retry=True, excluded_may_serve=True
+        )
         acquired = await self._router.acquire(elsewhere, now)
         if isinstance(acquired, Ok) or run.frames:
             # A caller in mid answer is not kept waiting in a queue once more.
@@ -233,7 +239,7 @@
             body,
         )
         stream = self._make_stream(call, self._limits_until(request.start_by))
-        stream.on_rate = partial(self._note_rate, slot, request.name.request_id)
+        stream.on_notice = partial(note_answer, slot, request.name.request_id, self._clock)
         reader = _AttemptReader(run, request, stream, self._clock, slot)
         sent_before, run.sent = run.sent, True
         on_attempt(Attempted(call.url, call.attempt_id))
@@ -300,7 +306,7 @@
         return fault
 
     async def _may_send_again(self, request: AttemptRequest, url: str) -> bool:
-        """Say whether an engine may be asked for the rest of an answer: one in need counts that."""
+        """Return whether an engine may be asked for the rest of an answer: that is a call, too."""
         name = request.name
         if await self._router.may_send_again(url, request.rank, name.workspace):
             return True
@@ -308,7 +314,7 @@
         return False
 
     async def _cancel(self, request: AttemptRequest, call: EngineCall) -> None:
-        """Tell an engine to stop an attempt, unless it is in need and has no request to spare.
+        """Ask an engine to stop an attempt, unless it takes no further call now.
 
         It ends an attempt that nobody reads by itself, some seconds later.
         """
@@ -316,9 +322,6 @@
         if await self._router.may_send_again(call.url, request.rank, name.workspace):
             await cancel_attempt(self._session, call)
 
-    def _note_rate(self, slot: Slot, request_id: str, notice: RateNotice, is_served: bool) -> None:
-        slot.rate_named(notice, is_served, request_id, self._clock.now())
-
     def _make_stream(self, call: EngineCall, limits: EngineLimits) -> EngineStream:
         return EngineStream(self._session, call, limits, self._metrics, self._clock, self._timers)
 
--- a/cranberrywall/requests/_engine.py
+++ b/cranberrywall/requests/_engine.py
@@ -22,17 +22,29 @@
 )
 from cranberrywall.requests._metrics import RequestMetrics
 from cranberrywall.runtime import Clock, Timer, Timers
-from cranberrywall.targets import NoLongerOfferedError
+from cranberrywall.targets import ABSENT, DecimalField, NoLongerOfferedError, read_decimal_field
 
 ATTEMPT_HEADER = "X-Attempt-Id"
 RATE_HEADER = "X-Rate-Limit"
 """Where a target in need names the requests a second that it takes, from all hosts together."""
 
-OnRate = Callable[[RateNotice, bool], None]
-"""Take in what an answer says of its target's rate, and whether the call was served."""
+BACKOFF_HEADER = "Retry-After"
+"""Where a target's 503 names the seconds for which it wants no call from this host."""
+
+
+class TargetNotice(NamedTuple):
+    """Hold what the head of an answer says of its target."""
+
+    rate: RateNotice
+    backoff: DecimalField
+
+
+OnNotice = Callable[[TargetNotice, bool], None]
+"""Take in what an answer says of its target, and whether the call was served."""
 
 # 404: the model or the version was unloaded after the target was chosen.
 _BUSY_STATUSES = frozenset({404, 408, 409, 425, 429, 500, 502, 503, 504})
+_UNAVAILABLE = 503
 _CANCEL_TIMEOUT_S = 2.0
 _END_OF_BODY_S = 0.5
 
@@ -112,7 +124,7 @@
         self._metrics = metrics
         self._timers = timers
         self._clock = clock
-        self.on_rate: OnRate = _ignore_rate
+        self.on_notice: OnNotice = _ignore_notice
         self._timer: Timer | None = None
         self._silent_at = 0.0
         self._response: aiohttp.ClientResponse | None = None
@@ -226,13 +238,13 @@
         if response.status == 200:
             echoed = response.headers.get(ATTEMPT_HEADER)
             if echoed == self._call.attempt_id:
-                self.on_rate(rate_of(response), True)
+                self.on_notice(notice_of(response), True)
                 return None
             self._drop("head", echoed or "")
             self.close()
             return Fault(FaultKind.CROSSED, "the reply is another attempt's")
         message = f"the target answered {response.status}"
-        self.on_rate(rate_of(response), False)
+        self.on_notice(notice_of(response), False)
         self.close()
         if response.status == 404 and response.method == "GET":
             return Fault(FaultKind.UNKNOWN_ATTEMPT, message)
@@ -299,12 +311,17 @@
         return aiohttp.ClientTimeout(total=None, sock_connect=self._limits.connect_s)
 
 
-def rate_of(response: aiohttp.ClientResponse) -> RateNotice:
-    """Return what an answer says of its target's rate."""
-    return read_rate(response.headers.getall(RATE_HEADER, []))
+def notice_of(response: aiohttp.ClientResponse) -> TargetNotice:
+    """Return what the head of an answer says of its target."""
+    headers = response.headers
+    asks_backoff = response.status == _UNAVAILABLE
+    return TargetNotice(
+        read_rate(headers.getall(RATE_HEADER, [])),
+        read_decimal_field(headers.getall(BACKOFF_HEADER, [])) if asks_backoff else ABSENT,
+    )
 
 
-def _ignore_rate(notice: RateNotice, is_served: bool) -> None:
+def _ignore_notice(notice: TargetNotice, is_served: bool) -> None:
     """Take nothing in: the target of an attempt that was taken over may be another by now."""
 
 
--- a/cranberrywall/requests/_service_client.py
+++ b/cranberrywall/requests/_service_client.py
@@ -12,8 +12,8 @@
     ATTEMPT_HEADER,
     Fault,
     FaultKind,
-    OnRate,
-    rate_of,
+    OnNotice,
+    notice_of,
 )
 from cranberrywall.requests._metrics import RequestMetrics
 from cranberrywall.targets import NoLongerOfferedError
@@ -81,11 +81,11 @@
         self._connect_s = connect_s
 
     async def call(
-        self, call: ServiceCall, repeatable: bool, timeout: float, on_rate: OnRate
+        self, call: ServiceCall, repeatable: bool, timeout: float, on_notice: OnNotice
     ) -> ServiceAnswer | Fault:
         """Return the service's whole answer, or why there is none.
 
-        ``on_rate`` is called with what the answer says of the target's rate.
+        ``on_notice`` is called with what the answer says of the target.
         """
         session = self._session if repeatable else self._once_session
         try:
@@ -98,7 +98,7 @@
                     allow_redirects=False,
                     timeout=aiohttp.ClientTimeout(total=None, sock_connect=self._connect_s),
                 ) as response:
-                    return await self._read(call, response, on_rate)
+                    return await self._read(call, response, on_notice)
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
@@ -111,15 +111,15 @@
             return Fault(FaultKind.CUT, f"{type(error).__name__}: {error}")
 
     async def _read(
-        self, call: ServiceCall, response: aiohttp.ClientResponse, on_rate: OnRate
+        self, call: ServiceCall, response: aiohttp.ClientResponse, on_notice: OnNotice
     ) -> ServiceAnswer | Fault:
         echoed = response.headers.get(ATTEMPT_HEADER)
         if echoed is None and response.status in _UNSERVED_STATUSES:
-            on_rate(rate_of(response), False)
+            on_notice(notice_of(response), False)
             return Fault(FaultKind.BUSY, f"the target answered {response.status}")
         said_unrun = response.headers.get("X-Ran") == "no"
         if echoed == call.attempt_id and response.status in _UNSERVED_STATUSES and said_unrun:
-            on_rate(rate_of(response), False)
+            on_notice(notice_of(response), False)
             return Fault(FaultKind.UNRUN, f"the target answered {response.status}")
         if echoed != call.attempt_id:
             self._metrics.dropped_replies.labels("crossed").inc()
@@ -127,7 +127,7 @@
                 "WARNING", "crossed_reply", part="service", attempt=call.attempt_id, got=echoed
             )
             return Fault(FaultKind.CROSSED, "the reply is another attempt's")
-        on_rate(rate_of(response), True)
+        on_notice(notice_of(response), True)
         if not _has_end(call.method, response):
             return Fault(FaultKind.CUT, "the reply does not say where it ends")
         body = await response.content.read(MAX_ANSWER_BYTES + 1)
--- a/cranberrywall/requests/_service_runner.py
+++ b/cranberrywall/requests/_service_runner.py
@@ -10,14 +10,18 @@
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.observability import log_event
 from cranberrywall.quarantine import Quarantine, stoppable
-from cranberrywall.rates import RateNotice
 from cranberrywall.requests._attempts import BACKOFF_S, MAX_ATTEMPTS
 from cranberrywall.requests._engine import Fault, FaultKind
 from cranberrywall.requests._identity import RequestName, make_attempt_id
 from cranberrywall.requests._intents import Intent, Intents
 from cranberrywall.requests._metrics import RequestMetrics
 from cranberrywall.requests._service_client import ServiceAnswer, ServiceCall, ServiceClient
-from cranberrywall.requests._watching import STOPPED, fingerprint_of_request, watching
+from cranberrywall.requests._watching import (
+    STOPPED,
+    fingerprint_of_request,
+    note_answer,
+    watching,
+)
 from cranberrywall.requests._witnesses import Witnesses
 from cranberrywall.requests.messages import Attempted, RunKey
 from cranberrywall.routing import Demand, Outcome, OutcomeKind, Router, Slot
@@ -266,7 +270,7 @@
                             call,
                             request.repeatable,
                             self._limit(request),
-                            partial(self._note_rate, slot, request.name.request_id),
+                            partial(note_answer, slot, request.name.request_id, self._clock),
                         )
             except TimeoutError:
                 if not watched.run.is_stopped:
@@ -274,9 +278,6 @@
             watched.ended(result if isinstance(result, Fault) else None)
             return result
 
-    def _note_rate(self, slot: Slot, request_id: str, notice: RateNotice, is_served: bool) -> None:
-        slot.rate_named(notice, is_served, request_id, self._clock.now())
-
     def _limit(self, request: ServiceRequest) -> float:
         # A call that runs at most once cannot be tried again, so its answer is worth
         # waiting for beyond the caller's deadline: the caller's retry gets it.
--- a/cranberrywall/requests/_watching.py
+++ b/cranberrywall/requests/_watching.py
@@ -1,10 +1,10 @@
-"""Tell the quarantine of attempts at engines and services."""
+"""Pass on what attempts at engines and services show of requests and of targets."""
 
 from collections.abc import Iterator
 from contextlib import contextmanager
 
 from cranberrywall.quarantine import Fingerprint, Quarantine, Run, RunEnd, fingerprint_of
-from cranberrywall.requests._engine import Fault, FaultKind
+from cranberrywall.requests._engine import Fault, FaultKind, TargetNotice
 from cranberrywall.requests._identity import RequestName
 from cranberrywall.routing import Slot
 from cranberrywall.runtime import Clock
@@ -48,6 +48,15 @@
         watch.finish(run, watched.end, slot.url, clock.now())
 
 
+def note_answer(
+    slot: Slot, request_id: str, clock: Clock, notice: TargetNotice, is_served: bool
+) -> None:
+    """Pass on what an answer's head says of the slot's target."""
+    now = clock.now()
+    slot.rate_named(notice.rate, is_served, request_id, now)
+    slot.backoff_asked(notice.backoff, request_id, now)
+
+
 def fingerprint_of_request(name: RequestName, content: str) -> Fingerprint:
     """Return what is the same for a request of a workspace under any id.
 
--- a/cranberrywall/routing/_candidates.py
+++ b/cranberrywall/routing/_candidates.py
@@ -1,5 +1,6 @@
 """Hold what this host knows of each target that it may choose."""
 
+from collections.abc import Sequence
 from enum import Enum
 from math import ceil, exp, log1p
 from typing import NamedTuple
@@ -33,6 +34,9 @@
 LATE_COST = 4.0
 """A target whose renewal is overdue seems this many times as long."""
 
+MOST_LISTED = 4
+"""Targets that a refusal names."""
+
 FAILURE_COST = 20.0
 """A target that fails each request seems this many times as long, plus one."""
 
@@ -122,7 +126,7 @@
         if bounded is not None:
             wanted = self.announcement.capacity - shared.reserved
             own = Own(bounded, shared.unbounded_share)
-            self.limit.report(load, wanted, own, shared.hosts)
+            self.limit.report(load, wanted, own, shared.hosts, now)
 
     def has_room(self, claim: Claim, now: float) -> bool:
         """Say whether one more request with this claim may go to the target."""
@@ -167,6 +171,13 @@
         self._slowness_at = now
 
 
+def listed(candidates: Sequence[Candidate]) -> str:
+    """Return the targets' names, of many the first few, for a refusal."""
+    names = sorted(candidate.target_id for candidate in candidates)
+    more = f" and {len(names) - MOST_LISTED} more" if len(names) > MOST_LISTED else ""
+    return ", ".join(names[:MOST_LISTED]) + more
+
+
 def _expected_excess(excess: float, capacity: int) -> float:
     """Return the mean of the positive part of a number known only about.
 
--- a/cranberrywall/routing/_choice.py
+++ b/cranberrywall/routing/_choice.py
@@ -8,7 +8,7 @@
 from cranberrywall.routing._interfaces import Demand
 from cranberrywall.routing._waits import WaitModel, Work
 from cranberrywall.runtime import Random
-from cranberrywall.targets import PrefixIndex, Usual
+from cranberrywall.targets import Backoffs, PrefixIndex, Usual
 
 CHOICES = 2
 """Candidates that are drawn by chance; holders of the prompt's prefix come on top."""
@@ -43,7 +43,10 @@
 class Choice:
     """Choose among candidates; one for each model or service."""
 
-    def __init__(self, random: Random, waits: WaitModel, prefixes: PrefixIndex) -> None:
+    def __init__(
+        self, random: Random, waits: WaitModel, prefixes: PrefixIndex, backoffs: Backoffs
+    ) -> None:
+        self._backoffs = backoffs
         self._random = random
         self._waits = waits
         self._prefixes = prefixes
@@ -63,7 +66,7 @@
         ``claim`` says which of the targets' limits hold for the demand; ``barred`` targets must
         not be chosen.
         """
-        fits = _Fit(demand, claim, usual, barred, now)
+        fits = _Fit(demand, claim, usual, barred, self._backoffs, now)
         matches = self._prefixes.matches(demand.prefix_hashes, now)
         drawn = self._draw(candidates, fits)
         if not drawn:
@@ -139,11 +142,18 @@
 
 
 class _Fit:
-    """Say which candidates may take one demand, and how busy they are."""
+    """Find which candidates may take one demand, and how busy they are."""
 
     def __init__(
-        self, demand: Demand, claim: Claim, usual: Usual, barred: Container[str], now: float
+        self,
+        demand: Demand,
+        claim: Claim,
+        usual: Usual,
+        barred: Container[str],
+        backoffs: Backoffs,
+        now: float,
     ) -> None:
+        self._backoffs = backoffs
         self._demand = demand
         self._claim = claim
         self._usual = usual
@@ -155,6 +165,8 @@
         demand = self._demand
         if candidate.target_id in demand.exclude or candidate.target_id in self._barred:
             return
+        if self._backoffs.bars(candidate.start, self._now):
+            return
         if not candidate.serves(demand.version, demand.adapter):
             return
         if not candidate.has_room(self._claim, self._now):
--- a/cranberrywall/routing/_dispatcher.py
+++ b/cranberrywall/routing/_dispatcher.py
@@ -8,7 +8,7 @@
 
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.routing._admission import Admission
-from cranberrywall.routing._candidates import Candidate
+from cranberrywall.routing._candidates import Candidate, listed
 from cranberrywall.routing._choice import Chosen
 from cranberrywall.routing._interfaces import Demand, Outcome, OutcomeKind
 from cranberrywall.routing._pool import Pool, PoolSlot
@@ -27,6 +27,11 @@
 WELL_CACHED = 0.8
 """A prompt of which this share is cached is not compared with others."""
 
+WAITING_SHARE = 0.8
+"""Share of a caller's time that a request may wait for a target to take requests again.
+
+The rest is for the target: an answer that begins at the deadline is none."""
+
 FirstRank = Callable[[], int]
 
 
@@ -83,9 +88,10 @@
             self.pool.note_crowd(now)
 
     def expire(self, now: float) -> None:
-        """Refuse the waiters whose deadline has passed."""
+        """Refuse the waiters whose deadline has passed, or will before they can be served."""
         for waiter in self.queue.pop_expired(now):
             waiter.answer(Err(_DEADLINE_PASSED))
+        self.refuse_hopeless(now)
 
     def give_back(self, waiter: Waiter, now: float) -> None:
         """Free what a cancelled waiter has: its place in the queue, or its slot."""
@@ -151,6 +157,20 @@
         ahead = self.queue.count_ahead(rank)
         return self._admission.expected_wait(rank, ahead, self._places_per_s(), now)
 
+    def refuse_hopeless(self, now: float) -> None:
+        """Refuse at once the waiters for whom no target ends its backoff in time."""
+        if not self.pool.backoffs.are_any():
+            return
+        refusal_by_wants: dict[tuple[str, str, frozenset[str]], float | None] = {}
+        for waiter in self.queue.all():
+            demand = waiter.demand
+            wants = (demand.version, demand.adapter, demand.exclude)
+            if wants not in refusal_by_wants:
+                refusal_by_wants[wants] = self.pool.opens_at(demand, now)
+            opens_at = refusal_by_wants[wants]
+            if opens_at is not None and opens_at > start_by(demand, waiter.since):
+                self.refuse_waiters([waiter], self._backing_off(demand, opens_at - now, now))
+
     def _dispatch_one(self, now: float) -> bool:
         found = self._find(now)
         if found is None:
@@ -206,11 +226,29 @@
     def refuse(self, demand: Demand, now: float) -> "Answer | None":
         """Refuse a demand that would wait too long, or return ``None`` where it may wait."""
         wait_s = self.expected_wait(demand.rank, now)
+        opens_at = self.pool.opens_at(demand, now)
+        if opens_at is not None and opens_at > now:
+            wait_s += opens_at - now
+            if now + wait_s > start_by(demand, now):
+                return Err(self._backing_off(demand, wait_s, now))
         refusal = self._admission.too_late(demand, wait_s, now)
         if refusal is not None:
             return Err(refusal)
         return self.make_room(demand, wait_s, now)
 
+    def _backing_off(self, demand: Demand, wait_s: float, now: float) -> Refusal:
+        """Return the refusal of a demand whose targets all asked for a backoff."""
+        self.pool.backoffs.refused += 1
+        serving = [
+            one for one in self.pool.candidates if one.serves(demand.version, demand.adapter)
+        ]
+        return Refusal(
+            ErrorKind.OVERLOADED,
+            f"{listed(serving)} of {demand.name} asked for a backoff or were tried; one takes a "
+            f"request in {wait_s:.1f} s, too late for this one",
+            retry_after=max(wait_s, self.retry_after(wait_s, now)),
+        )
+
     def make_room(self, demand: Demand, wait_s: float, now: float) -> "Answer | None":
         """Refuse one of a full queue, this demand or a waiter of a worse rank."""
         if self.queue.is_full:
@@ -229,6 +267,11 @@
         return in_flight / self.pool.waits.hold_s
 
 
+def start_by(demand: Demand, since: float) -> float:
+    """Return until when a demand that came at ``since`` may wait for targets to take requests."""
+    return since + WAITING_SHARE * (demand.deadline - since)
+
+
 _DEADLINE_PASSED = Refusal(
     ErrorKind.DEADLINE_PASSED, "no target had a place before the request's deadline"
 )
--- a/cranberrywall/routing/_interfaces.py
+++ b/cranberrywall/routing/_interfaces.py
@@ -11,6 +11,7 @@
 
 from cranberrywall.errors import Refusal
 from cranberrywall.rates import RateNotice
+from cranberrywall.targets import DecimalField
 
 
 class Demand(NamedTuple):
@@ -26,7 +27,9 @@
     target, as long as it keeps up. ``exclude`` names the
     targets already tried for this request; ``retry`` is true for each attempt but the
     first, and draws on the retry budget. ``again`` is true where an attempt before it reached no
-    target: it neither draws on that budget nor adds to it once more.
+    target: it neither draws on that budget nor adds to it once more. ``excluded_may_serve`` is
+    true where another demand for the same request may go to an excluded target later: with no
+    other target it waits for one until its deadline, in place of being refused at once.
     """
 
     workspace: str
@@ -43,6 +46,7 @@
     retry: bool = False
     again: bool = False
     caller: str = ""
+    excluded_may_serve: bool = False
 
 
 class OutcomeKind(StrEnum):
@@ -82,7 +86,10 @@
 
     @property
     def is_offered(self) -> bool:
-        """Say whether the target may still be sent new work: it did not leave since the grant."""
+        """Return whether the request may still be sent.
+
+        Since the grant, the target may have left or asked this host for a backoff.
+        """
         ...
 
     @property
@@ -105,6 +112,10 @@
         """
         ...
 
+    def backoff_asked(self, field: DecimalField, request_id: str, now: float) -> None:
+        """Note for how many seconds a 503 of the target asks for no further request."""
+        ...
+
     def finish(self, outcome: Outcome, now: float) -> None:
         """Free the place and report the outcome; a second call does nothing."""
         ...
@@ -125,9 +136,9 @@
         ...
 
     async def may_send_again(self, url: str, rank: int, workspace: str) -> bool:
-        """Say whether one more call may go to a target where this request has a run.
+        """Return whether one more call may go to a target where this request has a run.
 
-        A target in need counts each call that reaches it, also one that only asks for the rest of
-        an answer.
+        A target in need, or one that asked for a backoff, counts each call that reaches it, also
+        one that only asks for the rest of an answer.
         """
         ...
--- a/cranberrywall/routing/_limits.py
+++ b/cranberrywall/routing/_limits.py
@@ -69,8 +69,10 @@
         self._is_reported = False
         self._best = 1.0
         self._shrunk_until = 0.0
+        self._ceiling = float(capacity)
+        self._ceiling_until = 0.0
         self.value = 0.0
-        self._set(START_SHARES * capacity / hosts)
+        self._set(START_SHARES * capacity / hosts, 0.0)
 
     def places(self, share: float) -> int:
         """Return the limit as a whole number; ``share`` of it is in use for now.
@@ -86,7 +88,7 @@
             self.value *= capacity / self._capacity
             self._capacity = capacity
 
-    def report(self, load: Load, wanted: float, own: Own, hosts: int) -> None:
+    def report(self, load: Load, wanted: float, own: Own, hosts: int, now: float) -> None:
         """Take in a report of a target that should have ``wanted`` requests.
 
         ``own`` were this host's at the time of the report.
@@ -98,14 +100,14 @@
         factor = max(0.0, (wanted / total - own.unbounded_share) / (1.0 - own.unbounded_share))
         if factor < 1.0:
             share = (1.0 - EVENING) * own.bounded * factor + EVENING * wanted * factor / hosts
-            self._approach(min(self.value, share))
+            self._approach(min(self.value, share), now)
         elif own.bounded >= self.value * USED_SHARE or self.value < 1.0:
-            self._approach(self.value * min(MOST_GROWTH, factor) + GROWTH)
+            self._approach(self.value * min(MOST_GROWTH, factor) + GROWTH, now)
 
-    def _approach(self, value: float) -> None:
-        self._set(self.value + SMOOTHING * (value - self.value))
+    def _approach(self, value: float, now: float) -> None:
+        self._set(self.value + SMOOTHING * (value - self.value), now)
 
-    def answered(self, predicted_s: float, seconds: float, in_flight: int) -> bool:
+    def answered(self, predicted_s: float, seconds: float, in_flight: int, now: float) -> bool:
         """Take in a time to first token; return whether it shows a queue.
 
         ``predicted_s`` is without any queue.
@@ -115,7 +117,7 @@
         late_s = seconds - predicted_s * self._best
         if ratio <= CONGESTED_RATIO * self._best or late_s <= CONGESTED_S:
             if not self._is_reported and in_flight + 1 >= self.places(1.0):
-                self._set(self.value + GROWTH / max(1.0, self.value))
+                self._set(self.value + GROWTH / max(1.0, self.value), now)
             return False
         # A queue that others made is no reason to bound what this host doesn't use.
         return in_flight + 1 >= self.value * USED_SHARE
@@ -125,7 +127,18 @@
         if now < self._shrunk_until:
             return
         self._shrunk_until = now + hold_s
-        self._set(self.value * (FAILURE_DECREASE if failed else CONGESTION_DECREASE))
+        self._set(self.value * (FAILURE_DECREASE if failed else CONGESTION_DECREASE), now)
 
-    def _set(self, value: float) -> None:
-        self.value = min(float(self._capacity), max(self._least, value))
+    def filled(self, in_flight: int, until: float, now: float) -> None:
+        """Take in that the target turned a request away while this host had others there.
+
+        ``in_flight`` are those others, as far as the limit holds for them. The limit does not grow
+        past that ``until`` then, in monotonic seconds.
+        """
+        self._ceiling = float(in_flight)
+        self._ceiling_until = until
+        self._set(self.value, now)
+
+    def _set(self, value: float, now: float) -> None:
+        highest = self._ceiling if now < self._ceiling_until else float(self._capacity)
+        self.value = max(self._least, min(highest, value))
--- a/cranberrywall/routing/_pool.py
+++ b/cranberrywall/routing/_pool.py
@@ -11,7 +11,14 @@
 from cranberrywall.routing._retries import RetryBudget, RetryLimits
 from cranberrywall.routing._waits import WaitModel
 from cranberrywall.runtime import Clock, Random
-from cranberrywall.targets import Announcement, Load, PrefixIndex, Usual
+from cranberrywall.targets import (
+    Announcement,
+    Backoffs,
+    DecimalField,
+    Load,
+    PrefixIndex,
+    Usual,
+)
 
 USUAL_EVERY_S = 0.5
 """The mean of what other hosts have at targets is computed this often, in seconds."""
@@ -37,6 +44,9 @@
 SHARE_LEARNING = 0.1
 """Weight of each look in the smoothed share of requests without a limit."""
 
+FILLED_FOR_BACKOFFS = 10.0
+"""A target that was full is tried beyond what it took then after so many backoffs."""
+
 RESERVED_FOR_S = 60.0
 """Places are kept free this long after a demand of the first rank, in seconds."""
 
@@ -52,22 +62,24 @@
         count_hosts: Callable[[], int],
         now: float,
         rates: TargetRates,
+        backoffs: Backoffs,
         retry_limits: RetryLimits | None = None,
     ) -> None:
         self.rates = rates
+        self.backoffs = backoffs
         self.candidate_by_id: dict[str, Candidate] = {}
         self.candidates: list[Candidate] = []
         self.prefixes = PrefixIndex()
         self.waits = WaitModel()
         self.retries = RetryBudget(now, retry_limits, count_hosts)
         self._retry_limits = retry_limits
-        self._clock = clock
+        self.clock = clock
         self._random = random
         self._distances = distances
         self._count_hosts = count_hosts
         self._used_share = 1.0
         self._started_at = now
-        self._choice = Choice(random, self.waits, self.prefixes)
+        self._choice = Choice(random, self.waits, self.prefixes, backoffs)
         self._usual = Usual(0.0, 0.0, 0.0, self.waits.hold_s)
         self._usual_until = 0.0
         self._first_rank_until = 0.0
@@ -82,13 +94,13 @@
         candidate.renew(announcement, now)
         if announcement.load is not None:
             shared = self._shared(announcement, now)
-            candidate.report(announcement.load, shared, self._clock.wall(), now)
+            candidate.report(announcement.load, shared, self.clock.wall(), now)
         late_s = candidate.load.late_s
         self.prefixes.apply(announcement.target, announcement.cache_events, late_s, now)
 
     def note_load(self, chosen: Chosen, running: int, waiting: int, now: float) -> None:
         """Take in what an answer of a target said of its load."""
-        load = Load(running, waiting, self._clock.wall())
+        load = Load(running, waiting, self.clock.wall())
         chosen.candidate.report(
             load, self._shared(chosen.candidate.announcement, now), load.at, now
         )
@@ -117,10 +129,23 @@
                 self._add(announcement, now)
         self.candidates = list(self.candidate_by_id.values())
 
-    def offers(self, candidate: Candidate) -> bool:
-        """Say whether this start of the target is still among those to choose from."""
+    def offers(self, candidate: Candidate, now: float) -> bool:
+        """Return whether this start of the target may still be sent what was granted."""
         known = self.candidate_by_id.get(candidate.target_id)
-        return known is not None and known.start == candidate.start
+        if known is None or known.start != candidate.start:
+            return False
+        return now >= self.backoffs.until(candidate.start, now)
+
+    def opens_at(self, demand: Demand, now: float) -> float | None:
+        """Return when a target that may take ``demand`` is out of its backoff.
+
+        ``None`` where targets serve such demands, and the demand may go to none of them.
+        """
+        serving = [one for one in self.candidates if one.serves(demand.version, demand.adapter)]
+        if not serving:
+            return now
+        starts = [one.start for one in serving if one.target_id not in demand.exclude]
+        return min((self.backoffs.until(start, now) for start in starts), default=None)
 
     def serves(self, demand: Demand) -> bool:
         """Say whether a target of the pool has what ``demand`` asks for."""
@@ -139,6 +164,11 @@
             return {}
         return {known.target_id: known for known in self.candidates if known.start in rates}
 
+    def open_limited(self, now: float) -> list[Candidate]:
+        """Return the targets that named a rate and are in no backoff."""
+        limited = self.limited().values()
+        return [known for known in limited if not self.backoffs.bars(known.start, now)]
+
     def propose(
         self,
         demand: Demand,
@@ -178,17 +208,28 @@
         self._start(chosen, demand, now)
         return PoolSlot(self, chosen, demand, on_end, now)
 
-    def hear(self, chosen: Chosen, owed: bool, now: float) -> None:
+    def hear(self, chosen: Chosen, owed: bool, since: float, now: float) -> None:
         """Note that a target began to answer."""
         self.hears_first_tokens = True
+        self.backoffs.served(chosen.candidate.start, since)
         if owed:
             chosen.candidate.health.heard(now)
             chosen.candidate.pending_blocks -= chosen.missed_blocks
 
     def finish(
-        self, chosen: Chosen, outcome: Outcome, owed: bool, since: float, now: float
+        self,
+        chosen: Chosen,
+        outcome: Outcome,
+        owed: bool,
+        is_turned_away: bool,
+        since: float,
+        now: float,
     ) -> None:
-        """Free a place and learn from the outcome; ``owed`` says that none began before."""
+        """Free a place and learn from the outcome.
+
+        ``owed`` is whether no answer began before. A target that turned the request away and
+        asked for a backoff is full: that is no failure.
+        """
         candidate = chosen.candidate
         candidate.load.end(chosen.bounded, now)
         answered = outcome.kind is OutcomeKind.ANSWERED
@@ -198,8 +239,11 @@
                 candidate.health.heard(now)
             else:
                 candidate.health.gave_up()
-        if answered:
+        if is_turned_away:
+            self._fill(candidate, now)
+        elif answered:
             candidate.health.answered(now)
+            self.backoffs.served(candidate.start, since)
             self._learn(chosen, outcome, since, now)
         elif outcome.kind is not OutcomeKind.CANCELLED:
             self._fail(candidate, now)
@@ -211,7 +255,7 @@
             candidate.health.probed(well, now)
 
     def doubtful(self, now: float) -> list[Announcement]:
-        """Return the targets that are worth a probe: ejected or silent ones.
+        """Return the targets that are worth a probe: ejected or unresponsive ones.
 
         A target in need counts a probe as it counts a request, so it is tried by requests only.
         """
@@ -219,6 +263,7 @@
             candidate.announcement
             for candidate in self.candidates
             if candidate.health.is_ejected(now) or candidate.health.is_silent(now)
+            if not self.backoffs.bars(candidate.start, now)
             if candidate.start not in self.rates.known.rate_by_start
         ]
 
@@ -276,6 +321,9 @@
         rates = self.rates.known.rate_by_start
         if rates and candidate.start in rates:
             self.rates.sent_by_target[candidate.target_id] += 1
+        self.backoffs.sent(candidate.start, now)
+        if demand.exclude and self._avoids_backoff(demand, now):
+            self.backoffs.went_elsewhere += 1
         candidate.load.start(chosen.bounded, now)
         budgets = (self.retries, candidate.retries)
         for budget in budgets:
@@ -288,6 +336,11 @@
             candidate.health.sent(now)
         self.prefixes.use(candidate.target_id, demand.prefix_hashes, now)
 
+    def _avoids_backoff(self, demand: Demand, now: float) -> bool:
+        """Return whether a target that the demand was tried at asked for a backoff since."""
+        tried = (self.candidate_by_id.get(target_id) for target_id in demand.exclude)
+        return any(one is not None and self.backoffs.bars(one.start, now) for one in tried)
+
     def _learn(self, chosen: Chosen, outcome: Outcome, since: float, now: float) -> None:
         candidate = chosen.candidate
         self.waits.learn_hold(now - since)
@@ -295,12 +348,19 @@
         if seconds is None:
             return
         unqueued_s = self.waits.predict(chosen.work._replace(excess_share=0.0))
-        if candidate.limit.answered(unqueued_s, seconds, candidate.load.in_flight):
+        if candidate.limit.answered(unqueued_s, seconds, candidate.load.in_flight, now):
             candidate.limit.shrink(self.waits.hold_s, now)
         # Slow targets must not make the model predict that all are slow.
         self.waits.learn(chosen.work, seconds / candidate.slowness(now))
         candidate.observe(chosen.predicted_s, seconds, now)
 
+    def _fill(self, candidate: Candidate, now: float) -> None:
+        in_flight = candidate.load.bounded
+        if in_flight:
+            left_s = self.backoffs.until(candidate.start, now) - now
+            until = now + FILLED_FOR_BACKOFFS * left_s
+            candidate.limit.filled(in_flight, until, now)
+
     def _fail(self, candidate: Candidate, now: float) -> None:
         candidate.limit.shrink(self.waits.hold_s, now, failed=True)
         ejected = sum(known.health.is_ejected(now) for known in self.candidates)
@@ -349,6 +409,7 @@
         self._owed = pool.hears_first_tokens
         self._heard = False
         self._open = True
+        self._is_turned_away = False
 
     @property
     def target_id(self) -> str:
@@ -362,8 +423,8 @@
 
     @property
     def is_offered(self) -> bool:
-        """Say whether the target may still be sent new work: it did not leave since the grant."""
-        return self._pool.offers(self._chosen.candidate)
+        """Return whether the request may still be sent; see ``Slot``."""
+        return self._pool.offers(self._chosen.candidate, self._pool.clock.now())
 
     @property
     def version(self) -> str:
@@ -376,7 +437,7 @@
         """Note that the target began to answer; a second call does nothing."""
         if self._open and not self._heard:
             self._heard = True
-            self._pool.hear(self._chosen, self._owed, now)
+            self._pool.hear(self._chosen, self._owed, self._since, now)
             self._owed = False
 
     def loaded(self, running: int, waiting: int, now: float) -> None:
@@ -389,9 +450,16 @@
         known = self._pool.rates.known
         known.heard(start, notice, self._rate_number, is_served, request_id, now)
 
+    def backoff_asked(self, field: DecimalField, request_id: str, now: float) -> None:
+        """Note for how many seconds a 503 of the target asks for no further request."""
+        start = self._chosen.candidate.start
+        if self._pool.backoffs.asked(start, field, request_id, now):
+            self._is_turned_away = True
+
     def finish(self, outcome: Outcome, now: float) -> None:
         """Free the place; a second call does nothing."""
         if self._open:
             self._open = False
-            self._pool.finish(self._chosen, outcome, self._owed, self._since, now)
+            turned_away = self._is_turned_away
+            self._pool.finish(self._chosen, outcome, self._owed, turned_away, self._since, now)
             self._on_end(now)
--- a/cranberrywall/routing/_queue.py
+++ b/cranberrywall/routing/_queue.py
@@ -128,6 +128,10 @@
                 found.setdefault((rank, waiter.demand.caller), []).append(waiter)
         return found
 
+    def all(self) -> list[Waiter]:
+        """Return all waiters."""
+        return [waiter for lane in self._lane_by_rank.values() for waiter in lane.waiters]
+
     def last_below(self, rank: int) -> Waiter | None:
         """Return the waiter to give up for one of ``rank``: the newest of the last rank."""
         last = max(self._lane_by_rank, default=rank)
--- a/cranberrywall/routing/_rated.py
+++ b/cranberrywall/routing/_rated.py
@@ -20,9 +20,9 @@
     TargetRates,
     Want,
 )
-from cranberrywall.routing._candidates import Candidate
+from cranberrywall.routing._candidates import Candidate, listed
 from cranberrywall.routing._choice import Chosen
-from cranberrywall.routing._dispatcher import Dispatcher
+from cranberrywall.routing._dispatcher import Dispatcher, start_by
 from cranberrywall.routing._interfaces import Demand
 from cranberrywall.routing._pool import PoolSlot
 from cranberrywall.routing._queue import Answer, Waiter
@@ -59,13 +59,6 @@
 With 30 requests a second for a target that takes one, 3 hosts send 28 messages a second in place
 of 44, and 8 hosts 49 in place of 58 (`measurements.named_rates`)."""
 
-WAITING_SHARE = 0.8
-"""Share of a caller's time that a request may wait for a permit. The rest is for the target, which
-is slow as it is in need: an answer that begins at the deadline is none."""
-
-MOST_LISTED = 4
-"""Targets that a refusal names."""
-
 OnEnd = Callable[[float], None]
 
 
@@ -125,7 +118,7 @@
             return
         for waiters in self._dispatcher.queue.by_want().values():
             for waiter in waiters:
-                if now >= _start_by(waiter.demand, waiter.since):
+                if now >= start_by(waiter.demand, waiter.since):
                     self._refuse_waiter(waiter, LOST_WAIT_S, now)
 
     async def _grant(self, demand: Demand, on_end: OnEnd) -> PoolSlot | None:
@@ -179,12 +172,12 @@
         usable = self._usable(demand, now)
         if not usable:
             return self._dispatcher.refuse(demand, now)
-        start_by = _start_by(demand, now)
+        latest = start_by(demand, now)
         wait_s = self._known_wait(demand, now)
-        if now + wait_s > start_by and not self._has_others(demand):
+        if now + wait_s > latest and not self._has_others(demand):
             return Err(self._refusal(demand, usable, wait_s, now))
         want = Want(demand.rank, demand.caller, 1)
-        reply = await self._ask(self._best_first(usable, demand, now), [want], 0.0, start_by - now)
+        reply = await self._ask(self._best_first(usable, demand, now), [want], 0.0, latest - now)
         now = self._clock.now()
         if reply is not None and reply.permits:
             slot = self._use_first(reply, demand, on_end, now)
@@ -194,7 +187,7 @@
         self._note_expected(demand, wait_s, now)
         if self._has_others(demand):
             wait_s = min(wait_s, self._dispatcher.expected_wait(demand.rank, now))
-        if now + wait_s > start_by:
+        if now + wait_s > latest:
             return Err(self._refusal(demand, usable, wait_s, now))
         return self._dispatcher.make_room(demand, wait_s, now)
 
@@ -263,7 +256,7 @@
         per_s = self._per_s(usable)
         return Refusal(
             ErrorKind.RATE_LIMITED,
-            f"{_listed(usable)} of {demand.name} are in need and take {per_s:g} requests a second "
+            f"{listed(usable)} of {demand.name} are in need and take {per_s:g} requests a second "
             f"together; one more would wait {wait_s:.1f} s, past its deadline",
             retry_after=self._dispatcher.retry_after(wait_s, now),
         )
@@ -276,7 +269,11 @@
                 Want(rank, caller, len(waiters))
                 for (rank, caller), waiters in list(waiters_by_want.items())[:MOST_WANTS]
             ]
-            reply = await self._ask(list(self._pool.limited().values()), wants, POLL_S)
+            candidates = self._pool.open_limited(self._clock.now())
+            if not candidates:
+                await self._clock.sleep(POLL_S)
+                continue
+            reply = await self._ask(candidates, wants, POLL_S)
             pause_s = LOST_POLL_S
             if reply is not None:
                 pause_s = reply.pause_s
@@ -309,13 +306,13 @@
             waiters = waiters_by_want.get((want.rank, want.workspace), [])
             for number, waiter in enumerate(waiters, start=1):
                 expected_s = wait_s * number / (want.requests + 1)
-                if now + expected_s > _start_by(waiter.demand, waiter.since):
+                if now + expected_s > start_by(waiter.demand, waiter.since):
                     self._refuse_waiter(waiter, expected_s, now)
 
     def _refuse_waiter(self, waiter: Waiter, wait_s: float, now: float) -> None:
         if self._has_others(waiter.demand):
             return
-        usable = list(self._pool.limited().values())
+        usable = self._pool.open_limited(now) or list(self._pool.limited().values())
         refusal = self._refusal(waiter.demand, usable, wait_s, now)
         self._dispatcher.refuse_waiters([waiter], refusal)
 
@@ -357,15 +354,3 @@
                 waiting=len(self._dispatcher.queue),
             )
         return reply
-
-
-def _listed(candidates: Sequence[Candidate]) -> str:
-    """Return the targets' names, of many the first few."""
-    names = sorted(candidate.target_id for candidate in candidates)
-    more = f" and {len(names) - MOST_LISTED} more" if len(names) > MOST_LISTED else ""
-    return ", ".join(names[:MOST_LISTED]) + more
-
-
-def _start_by(demand: Demand, since: float) -> float:
-    """Return until when a demand that came at ``since`` may wait."""
-    return since + WAITING_SHARE * (demand.deadline - since)
--- a/cranberrywall/routing/_router.py
+++ b/cranberrywall/routing/_router.py
@@ -24,7 +24,15 @@
 from cranberrywall.routing._retries import RetryLimits
 from cranberrywall.routing._subset import subset_of
 from cranberrywall.runtime import Clock, Random
-from cranberrywall.targets import Announcement, Change, Group, Targets, TargetStart, group_of
+from cranberrywall.targets import (
+    Announcement,
+    Backoffs,
+    Change,
+    Group,
+    Targets,
+    TargetStart,
+    group_of,
+)
 
 TICK_S = 0.05
 """Deadlines in the queues are looked at this often, in seconds, while anything waits."""
@@ -43,12 +51,13 @@
     max_waiting: int = MAX_WAITING,
     retry_limits: RetryLimits | None = None,
     rates: TargetRates | None = None,
+    backoffs: Backoffs | None = None,
 ) -> "TargetRouter":
     """Return the router of ``host`` in ``place``; it follows the changes of ``targets``.
 
     ``count_hosts`` returns how many entry hosts are alive: they share the targets.
     ``max_waiting`` demands wait for one model or service at most. Without ``rates`` the host stands
-    alone: what targets in need take is all its own.
+    alone: what targets in need take is all its own. ``backoffs`` are this host's own.
     """
     return TargetRouter(
         targets,
@@ -60,6 +69,7 @@
         count_hosts,
         max_waiting,
         rates or make_lone_rates(targets, clock, random),
+        backoffs or Backoffs(clock, random),
         retry_limits,
     )
 
@@ -78,9 +88,11 @@
         count_hosts: Callable[[], int],
         max_waiting: int,
         rates: TargetRates,
+        backoffs: Backoffs,
         retry_limits: RetryLimits | None = None,
     ) -> None:
         self._rates = rates
+        self._backoffs = backoffs
         self._rated_by_group: dict[Group, RatedAdmission] = {}
         self._retry_limits = retry_limits
         self._max_waiting = max_waiting
@@ -100,6 +112,7 @@
             self._choose_subset(group, clock.now())
         targets.subscribe(self._on_change)
         rates.known.subscribe(self._on_rate)
+        backoffs.subscribe(self._on_backoff)
 
     async def acquire(self, demand: Demand, now: float) -> Result[Slot, Refusal]:
         """Wait until a target has a place, or refuse; see ``Router.acquire``."""
@@ -119,12 +132,14 @@
         return answer
 
     async def may_send_again(self, url: str, rank: int, workspace: str) -> bool:
-        """Say whether one more call may go to a target in need; see ``Router``."""
+        """Return whether one more call may go to a target; see ``Router``."""
         target = self._targets.by_url(url)
         if target is None:
             return True
         announcement = target.announcement
         start = TargetStart(announcement.target, announcement.incarnation)
+        if self._backoffs.bars(start, self._clock.now()):
+            return False
         known = self._rates.known.known(start)
         if known.per_s is None:
             return True
@@ -281,6 +296,13 @@
             if len(dispatcher.queue) and dispatcher.pool.limited():
                 rated.seek()
 
+    def _on_backoff(self, start: TargetStart) -> None:
+        """Refuse at once those that wait for this target alone, and for too long."""
+        now = self._clock.now()
+        for dispatcher in self._dispatcher_by_group.values():
+            if len(dispatcher.queue) and start.target in dispatcher.pool.candidate_by_id:
+                dispatcher.refuse_hopeless(now)
+
     def _leave_other_groups(self, target_id: str, group: Group, now: float) -> None:
         # An engine that was ordered to load another model announces itself under that
         # name. Left in the old model's pool it would get that model's requests, and
@@ -304,6 +326,7 @@
                 self._count_hosts,
                 self._clock.now(),
                 self._rates,
+                self._backoffs,
                 self._retry_limits,
             )
             dispatcher = Dispatcher(pool, self._random, self._first_rank, self._max_waiting)
--- a/cranberrywall/targets/__init__.py
+++ b/cranberrywall/targets/__init__.py
@@ -1,5 +1,6 @@
 """Know the targets: announcements, health, load and cached prefixes."""
 
+from cranberrywall.targets._backoffs import Backoffs
 from cranberrywall.targets._connections import (
     NoLongerOfferedError,
     TargetConnector,
@@ -39,6 +40,7 @@
     "KEPT_S",
     "TTL_S",
     "Announcement",
+    "Backoffs",
     "CacheEvent",
     "Change",
     "DecimalField",
--- a/cranberrywall/targets/_probes.py
+++ b/cranberrywall/targets/_probes.py
@@ -6,7 +6,9 @@
 import aiohttp
 
 from cranberrywall.runtime import Clock
-from cranberrywall.targets.messages import Announcement
+from cranberrywall.targets._backoffs import Backoffs
+from cranberrywall.targets._decimal_field import read_decimal_field
+from cranberrywall.targets.messages import Announcement, TargetStart
 
 PROBE_EVERY_S = 1.0
 PROBE_TIMEOUT_S = 2.0
@@ -15,6 +17,11 @@
 
 ENGINE_PROBE_PATH = "/v1/attempts/probe"
 SERVICE_PROBE_PATH = "/"
+BACKOFF_HEADER = "Retry-After"
+PROBE_REQUEST_ID = "probe"
+"""What logs name where a probe's answer asked for a backoff."""
+
+_UNAVAILABLE = 503
 
 
 class Probe(Protocol):
@@ -25,12 +32,19 @@
         ...
 
 
-def make_http_probe(session: aiohttp.ClientSession) -> Probe:
+def make_http_probe(session: aiohttp.ClientSession, backoffs: Backoffs, clock: Clock) -> Probe:
     """Return a probe over HTTP that runs nothing at the target.
 
-    An engine is asked for an attempt that it doesn't know; a service for its options.
+    An engine is asked for an attempt that it doesn't know; a service for its options. A target
+    may ask for a backoff in its answer to a probe, too.
     """
 
+    def note(announcement: Announcement, answer: aiohttp.ClientResponse) -> None:
+        if answer.status == _UNAVAILABLE:
+            start = TargetStart(announcement.target, announcement.incarnation)
+            field = read_decimal_field(answer.headers.getall(BACKOFF_HEADER, []))
+            backoffs.asked(start, field, PROBE_REQUEST_ID, clock.now())
+
     async def probe(announcement: Announcement) -> bool:
         engine = announcement.kind == "engine"
         url = announcement.url + (ENGINE_PROBE_PATH if engine else SERVICE_PROBE_PATH)
@@ -38,6 +52,7 @@
         try:
             method = "GET" if engine else "OPTIONS"
             async with session.request(method, url, timeout=timeout) as answer:
+                note(announcement, answer)
                 return answer.status < 500
         except (aiohttp.ClientError, TimeoutError, OSError):
             return False
--- a/standins/_common.py
+++ b/standins/_common.py
@@ -15,6 +15,7 @@
 ATTEMPT_HEADER = "X-Attempt-Id"
 REQUEST_HEADER = "X-Request-Id"
 RATE_HEADER = "X-Rate-Limit"
+BACKOFF_HEADER = "Retry-After"
 MOST_ARRIVALS = 100_000
 _NO_WORK = frozenset({"/counts", "/faults", "/v1/orders"})
 UNNAMED_REQUEST = "unnamed"
@@ -48,12 +49,14 @@
 
 
 def add_common_routes(app: web.Application, counts: Counts, switch: FaultSwitch, seed: int) -> None:
-    """Serve ``GET /counts``, ``GET /faults`` and ``PUT /faults``; name a limit in all answers."""
+    """Serve ``GET /counts``, ``GET /faults`` and ``PUT /faults``; let all answers say how it is."""
 
-    async def name_limit(request: web.Request, response: web.StreamResponse) -> None:
+    async def add_notices(request: web.Request, response: web.StreamResponse) -> None:
         faults = switch.faults
         if is_in_need(faults, seed, time.monotonic()):
             response.headers[RATE_HEADER] = f"{faults.limit_per_s:g}"
+        if response.status == 503 and faults.backoff_s > 0:
+            response.headers[BACKOFF_HEADER] = f"{faults.backoff_s:g}"
 
     @web.middleware
     async def count_arrivals(request: web.Request, handler: Handler) -> web.StreamResponse:
@@ -61,7 +64,7 @@
             switch.arrived_at.append(time.monotonic())
         return await handler(request)
 
-    app.on_response_prepare.append(name_limit)
+    app.on_response_prepare.append(add_notices)
     app.middlewares.append(count_arrivals)
 
     async def get_counts(request: web.Request) -> web.Response:
--- a/standins/_faults.py
+++ b/standins/_faults.py
@@ -20,6 +20,8 @@
     One with ``limit_per_s`` of 0 or more is in need: its answers name that many requests a second,
     which it takes from all hosts together. With ``needs`` above 0 it is so only in that share of
     spans of ``NEED_SPAN_S`` seconds, drawn by chance.
+
+    With ``backoff_s`` above 0 each 503 asks the host for that many seconds without a call.
     """
 
     slow: float = 1.0
@@ -32,6 +34,7 @@
     dies: float = 0.0
     limit_per_s: float = -1.0
     needs: float = 0.0
+    backoff_s: float = 0.0
 
 
 class FaultChange(TypedDict, total=False):
@@ -47,6 +50,7 @@
     dies: float
     limit_per_s: float
     needs: float
+    backoff_s: float
 
 
 class Draw(NamedTuple):
--- a/tests/forwarding/scripted.py
+++ b/tests/forwarding/scripted.py
@@ -19,7 +19,7 @@
 from cranberrywall.rates import RateNotice
 from cranberrywall.routing import Demand, Outcome
 from cranberrywall.runtime import make_clock, make_network
-from cranberrywall.targets import make_targets
+from cranberrywall.targets import DecimalField, make_targets
 from tests.configuration.documents import KEY, make_document
 from tests.fakes.allotments import MemoryAllotments, MemoryLedger
 from tests.fakes.spread import MemorySpread
@@ -117,6 +117,9 @@
     def rate_named(self, notice: RateNotice, is_served: bool, request_id: str, now: float) -> None:
         pass
 
+    def backoff_asked(self, field: DecimalField, request_id: str, now: float) -> None:
+        pass
+
     def finish(self, outcome: Outcome, now: float) -> None:
         self._ended.append(outcome)
 
--- a/tests/naive/routers.py
+++ b/tests/naive/routers.py
@@ -12,7 +12,7 @@
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.rates import RateNotice
 from cranberrywall.routing import Demand, Outcome, Slot
-from cranberrywall.targets import Announcement, Group, Targets
+from cranberrywall.targets import Announcement, DecimalField, Group, Targets
 
 Choose = Callable[[Sequence[Announcement], Demand], Announcement]
 
@@ -36,6 +36,9 @@
     def rate_named(self, notice: RateNotice, is_served: bool, request_id: str, now: float) -> None:
         pass
 
+    def backoff_asked(self, field: DecimalField, request_id: str, now: float) -> None:
+        pass
+
     def finish(self, outcome: Outcome, now: float) -> None:
         pass
 
--- a/tests/routing/test_rated.py
+++ b/tests/routing/test_rated.py
@@ -8,7 +8,7 @@
 
 from cranberrywall.rates import NO_RATE, RateNotice, make_lone_rates
 from cranberrywall.routing import Outcome, OutcomeKind, Slot, TargetRouter, make_router
-from cranberrywall.targets import Announcement, make_targets
+from cranberrywall.targets import Announcement, DecimalField, make_targets
 from tests.fakes.clock import VirtualClock, run_virtual
 from tests.routing.configurations import FixedConfiguration
 from tests.routing.demands import demand
@@ -157,3 +157,21 @@
         assert all(chosen.count(f"vratar-{number}") >= 10 for number in range(4))
 
     run_virtual(story())
+
+
+def test_a_permit_does_not_end_the_backoff_of_its_target():
+    """A target that named a rate gets requests by permits during its backoff."""
+
+    async def story() -> None:
+        world = World(2)
+        while len(world.rates.known.rate_by_start) < 2:
+            await world.answer(RateNotice(200.0), workspace="")
+            await asyncio.sleep(0.05)
+        slot = (await world.acquire(workspace="")).unwrap()
+        slot.backoff_asked(DecimalField(3.0), "id", world.clock.now())
+        slot.finish(Outcome(OutcomeKind.FAILED_AFTER), world.clock.now())
+        chosen = {await _target(world) for _ in range(100)}
+        assert len(chosen) == 1
+        assert slot.target_id not in chosen
+
+    run_virtual(story())
