Refuse a retry at once for which no target is left

Callers whose request was turned away by the only target got no answer within 2 s. The retry, which may not return to a target that it was tried at, waited in the queue for another one until the caller's deadline.

Cause: admission predicts the wait from how fast places become free, and never asks whether any of them may be given to this request. Class: a wait that is predicted without its own constraints.

Evidence: the test of the platform failed before (callers without an answer), and so does the new one of the router. Fix: a demand that may go to none of the targets that serve it is refused, with the first backoff's end as Retry-After. The chat path of the product's own interface may return to a target that it tried, and still waits a while for another one first.

--- a/cranberrywall/routing/_dispatcher.py
+++ b/cranberrywall/routing/_dispatcher.py
@@ -227,6 +227,8 @@
         """Refuse a demand that would wait too long, or return ``None`` where it may wait."""
         wait_s = self.expected_wait(demand.rank, now)
         opens_at = self.pool.opens_at(demand, now)
+        if opens_at is None and not demand.excluded_may_serve:
+            return Err(self._none_left(demand, now))
         if opens_at is not None and opens_at > now:
             wait_s += opens_at - now
             if now + wait_s > start_by(demand, now):
@@ -249,6 +251,18 @@
             retry_after=max(wait_s, self.retry_after(wait_s, now)),
         )
 
+    def _none_left(self, demand: Demand, now: float) -> Refusal:
+        """Return the refusal of a demand that was tried at each target there is."""
+        untried = demand._replace(exclude=frozenset())
+        opens_at = self.pool.opens_at(untried, now)
+        wait_s = 0.0 if opens_at is None else opens_at - now
+        self.pool.backoffs.refused += wait_s > 0.0
+        return Refusal(
+            ErrorKind.OVERLOADED,
+            f"no target of {demand.name} is left to try this request at",
+            retry_after=max(wait_s, self.retry_after(wait_s, now)),
+        )
+
     def make_room(self, demand: Demand, wait_s: float, now: float) -> "Answer | None":
         """Refuse one of a full queue, this demand or a waiter of a worse rank."""
         if self.queue.is_full:
--- a/tests/routing/test_backoffs.py
+++ b/tests/routing/test_backoffs.py
@@ -166,3 +166,22 @@
     granted[0].result().unwrap().finish(ANSWERED, clock.time + 0.01)
     await settle()
     assert all(one.done() for one in waiting)
+
+
+async def test_a_retry_for_which_no_target_is_left_is_refused_at_once():
+    """A retry that was tried at every target waits for another one until its deadline."""
+    router, _, _ = make(announce("a", capacity=9), announce("b", capacity=9))
+    retry = demand(deadline=LONG, exclude=frozenset("ab"), retry=True)
+    answer = await asyncio.wait_for(router.acquire(retry, 0.0), 0.05)
+    assert answer.is_err()
+
+
+async def test_a_retry_that_may_return_to_its_target_waits_for_another_one():
+    router, targets, _ = make(announce("a", capacity=9))
+    retry = demand(deadline=LONG, exclude=frozenset("a"), retry=True, excluded_may_serve=True)
+    waiting = asyncio.create_task(router.acquire(retry, 0.0))
+    await settle()
+    assert not waiting.done()
+    targets.apply(announce("b", capacity=9), 0.1)
+    await settle()
+    assert waiting.result().unwrap().target_id == "b"
