Fix new work for targets that say in an answer that they leave

Class: what a target says about itself is not read.

Fix: the host that gets such an answer treats that start of the target as one that left, which is final for it, and notifies the entry hosts by membership and all control hosts by the messages that these use among each other.

--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -37,6 +37,9 @@
 from cranberrywall.targets import (
     Announcement,
     Backoffs,
+    Change,
+    HostRun,
+    LeavingNews,
     ask_who_leaves,
     make_targets,
     register_relay,
@@ -105,6 +108,7 @@
             runtime.random,
         )
         self._backoffs = Backoffs(clock, runtime.random)
+        self._leaving = LeavingNews(self._control_runs, self._caller, clock)
         self._reporter = EngineReporter(
             self._caller, clock, controls, lambda: self._waiting_by_model()
         )
@@ -241,6 +245,7 @@
             retry_limits=self._retry_limits,
             rates=self._rates,
             backoffs=self._backoffs,
+            on_leaving=self._note_leaving,
         )
         self._waiting_by_model = router.waiting_by_model
         standstill = Standstill(runtime.clock, self._catch_up)
@@ -303,6 +308,25 @@
         self._spread.publish(announcement)
         self._reporter.note(announcement)
 
+    def _note_leaving(self, announcement: Announcement, request_id: str, now: float) -> None:
+        """Let all hosts know that a target said in an answer that it leaves."""
+        leaving = announcement._replace(leaving=True, load=None, cache_events=())
+        if self._targets.apply(leaving, now) is not Change.LEFT:
+            return
+        log_event(
+            "INFO",
+            "target_leaves_by_answer",
+            request=request_id,
+            target=leaving.target,
+            incarnation=leaving.incarnation,
+        )
+        self._publish(leaving)
+        # Control passes it on to entry hosts that the others cannot reach.
+        self._leaving.add(leaving, now)
+
+    def _control_runs(self) -> list[HostRun]:
+        return [HostRun(links, 0, is_control=True) for links in self._ties.controls()]
+
     def _make_allotments(self, ledger: LedgerClient) -> HostAllotments:
         return make_allotments(
             Holder(self._me.host, self._me.incarnation),
--- a/cranberrywall/commands/ctl/_story.py
+++ b/cranberrywall/commands/ctl/_story.py
@@ -8,9 +8,15 @@
 
 _RATE_NAMED = "target_rate_named"
 _WORD = re.compile(r"[^\s,]+")
+_LEAVES = "target_leaves_by_answer"
 _BACKOFFS = frozenset({"target_backoff_began", "target_backoff_ended"})
 _ABOUT_REFUSALS = _BACKOFFS | {_RATE_NAMED}
-_ABOUT_TARGETS = _ABOUT_REFUSALS | {"target_ended", "target_announced", "target_out_of_reach"}
+_ABOUT_TARGETS = _ABOUT_REFUSALS | {
+    "target_ended",
+    "target_announced",
+    "target_out_of_reach",
+    _LEAVES,
+}
 _ABOUT_FINGERPRINTS = frozenset({"quarantine_decided", "request_doubted", "held_runs_stopped"})
 _ANSWERED = "answered"
 
--- a/cranberrywall/forwarding/_attempts.py
+++ b/cranberrywall/forwarding/_attempts.py
@@ -150,6 +150,8 @@
         slot.loaded(load.running, load.waiting, now)
     slot.rate_named(head.rate, not head.not_run, request_id, now)
     slot.backoff_asked(head.backoff, request_id, now)
+    if head.is_leaving:
+        slot.said_leaving(request_id, now)
 
 
 def outcome_of(failure: AttemptFailedError) -> Outcome:
--- a/cranberrywall/requests/_engine.py
+++ b/cranberrywall/requests/_engine.py
@@ -32,11 +32,16 @@
 """Where a target's 503 names the seconds for which it wants no call from this host."""
 
 
+LEAVING_HEADER = "X-Leaving"
+"""Where a target says, by 1, that it takes no new work."""
+
+
 class TargetNotice(NamedTuple):
     """Hold what the head of an answer says of its target."""
 
     rate: RateNotice
     backoff: DecimalField
+    is_leaving: bool
 
 
 OnNotice = Callable[[TargetNotice, bool], None]
@@ -318,6 +323,7 @@
     return TargetNotice(
         read_rate(headers.getall(RATE_HEADER, [])),
         read_decimal_field(headers.getall(BACKOFF_HEADER, [])) if asks_backoff else ABSENT,
+        headers.get(LEAVING_HEADER) == "1",
     )
 
 
--- a/cranberrywall/requests/_service_client.py
+++ b/cranberrywall/requests/_service_client.py
@@ -33,6 +33,7 @@
         "upgrade",
         "x-attempt-id",
         "x-ran",
+        "x-leaving",
         "x-rate-limit",
         "x-request-id",
     }
--- a/cranberrywall/requests/_watching.py
+++ b/cranberrywall/requests/_watching.py
@@ -55,6 +55,8 @@
     now = clock.now()
     slot.rate_named(notice.rate, is_served, request_id, now)
     slot.backoff_asked(notice.backoff, request_id, now)
+    if notice.is_leaving:
+        slot.said_leaving(request_id, now)
 
 
 def fingerprint_of_request(name: RequestName, content: str) -> Fingerprint:
--- a/cranberrywall/routing/_interfaces.py
+++ b/cranberrywall/routing/_interfaces.py
@@ -116,6 +116,10 @@
         """Note for how many seconds a 503 of the target asks for no further request."""
         ...
 
+    def said_leaving(self, request_id: str, now: float) -> None:
+        """Note that the target says in an answer that it takes no new work."""
+        ...
+
     def finish(self, outcome: Outcome, now: float) -> None:
         """Free the place and report the outcome; a second call does nothing."""
         ...
--- a/cranberrywall/routing/_pool.py
+++ b/cranberrywall/routing/_pool.py
@@ -51,6 +51,10 @@
 """Places are kept free this long after a demand of the first rank, in seconds."""
 
 
+OnLeaving = Callable[[Announcement, str, float], None]
+"""Take in that a target said in the answer to a request, at a time, that it leaves."""
+
+
 class Pool:
     """Grant places at the targets of one group."""
 
@@ -63,10 +67,12 @@
         now: float,
         rates: TargetRates,
         backoffs: Backoffs,
+        on_leaving: OnLeaving,
         retry_limits: RetryLimits | None = None,
     ) -> None:
         self.rates = rates
         self.backoffs = backoffs
+        self.on_leaving = on_leaving
         self.candidate_by_id: dict[str, Candidate] = {}
         self.candidates: list[Candidate] = []
         self.prefixes = PrefixIndex()
@@ -456,6 +462,10 @@
         if self._pool.backoffs.asked(start, field, request_id, now):
             self._is_turned_away = True
 
+    def said_leaving(self, request_id: str, now: float) -> None:
+        """Note that the target says in an answer that it takes no new work."""
+        self._pool.on_leaving(self._announcement, request_id, now)
+
     def finish(self, outcome: Outcome, now: float) -> None:
         """Free the place; a second call does nothing."""
         if self._open:
--- a/cranberrywall/routing/_router.py
+++ b/cranberrywall/routing/_router.py
@@ -18,7 +18,7 @@
 from cranberrywall.routing._dispatcher import MAX_WAITING, Dispatcher
 from cranberrywall.routing._distances import Distances
 from cranberrywall.routing._interfaces import Demand, Slot
-from cranberrywall.routing._pool import Pool
+from cranberrywall.routing._pool import OnLeaving, Pool
 from cranberrywall.routing._queue import Answer, Waiter
 from cranberrywall.routing._rated import RatedAdmission
 from cranberrywall.routing._retries import RetryLimits
@@ -52,12 +52,14 @@
     retry_limits: RetryLimits | None = None,
     rates: TargetRates | None = None,
     backoffs: Backoffs | None = None,
+    on_leaving: OnLeaving | None = None,
 ) -> "TargetRouter":
     """Return the router of ``host`` in ``place``; it follows the changes of ``targets``.
 
     ``count_hosts`` returns how many entry hosts are alive: they share the targets.
     ``max_waiting`` demands wait for one model or service at most. Without ``rates`` the host stands
     alone: what targets in need take is all its own. ``backoffs`` are this host's own.
+    ``on_leaving`` takes in which targets say in an answer that they leave.
     """
     return TargetRouter(
         targets,
@@ -70,6 +72,7 @@
         max_waiting,
         rates or make_lone_rates(targets, clock, random),
         backoffs or Backoffs(clock, random),
+        on_leaving or partial(_apply_leaving, targets),
         retry_limits,
     )
 
@@ -89,8 +92,10 @@
         max_waiting: int,
         rates: TargetRates,
         backoffs: Backoffs,
+        on_leaving: OnLeaving,
         retry_limits: RetryLimits | None = None,
     ) -> None:
+        self._on_leaving = on_leaving
         self._rates = rates
         self._backoffs = backoffs
         self._rated_by_group: dict[Group, RatedAdmission] = {}
@@ -327,6 +332,7 @@
                 self._clock.now(),
                 self._rates,
                 self._backoffs,
+                self._on_leaving,
                 self._retry_limits,
             )
             dispatcher = Dispatcher(pool, self._random, self._first_rank, self._max_waiting)
@@ -337,6 +343,12 @@
         return self._dispatcher_by_group[group]
 
 
+def _apply_leaving(
+    targets: Targets, announcement: Announcement, request_id: str, now: float
+) -> None:
+    targets.apply(announcement._replace(leaving=True), now)
+
+
 def _granted(waiter: Waiter) -> bool:
     future = waiter.future
     return future.done() and not future.cancelled() and future.result().is_ok()
--- a/cranberrywall/targets/__init__.py
+++ b/cranberrywall/targets/__init__.py
@@ -9,7 +9,7 @@
 from cranberrywall.targets._decimal_field import ABSENT, DecimalField, read_decimal_field
 from cranberrywall.targets._health import Health
 from cranberrywall.targets._http import ANNOUNCE_PATH, make_announce_routes
-from cranberrywall.targets._leaving_news import HostRun
+from cranberrywall.targets._leaving_news import HostRun, LeavingNews
 from cranberrywall.targets._load import LoadEstimate, Usual
 from cranberrywall.targets._prefixes import PrefixIndex
 from cranberrywall.targets._probes import Probe, Prober, make_http_probe
@@ -47,6 +47,7 @@
     "HostRun",
     "Group",
     "Health",
+    "LeavingNews",
     "Load",
     "LoadEstimate",
     "NoLongerOfferedError",
--- a/standins/_common.py
+++ b/standins/_common.py
@@ -16,6 +16,7 @@
 REQUEST_HEADER = "X-Request-Id"
 RATE_HEADER = "X-Rate-Limit"
 BACKOFF_HEADER = "Retry-After"
+LEAVING_HEADER = "X-Leaving"
 MOST_ARRIVALS = 100_000
 _NO_WORK = frozenset({"/counts", "/faults", "/v1/orders"})
 UNNAMED_REQUEST = "unnamed"
@@ -57,6 +58,8 @@
             response.headers[RATE_HEADER] = f"{faults.limit_per_s:g}"
         if response.status == 503 and faults.backoff_s > 0:
             response.headers[BACKOFF_HEADER] = f"{faults.backoff_s:g}"
+        if faults.says_leaving:
+            response.headers[LEAVING_HEADER] = "1"
 
     @web.middleware
     async def count_arrivals(request: web.Request, handler: Handler) -> web.StreamResponse:
--- a/standins/_faults.py
+++ b/standins/_faults.py
@@ -21,7 +21,8 @@
     which it takes from all hosts together. With ``needs`` above 0 it is so only in that share of
     spans of ``NEED_SPAN_S`` seconds, drawn by chance.
 
-    With ``backoff_s`` above 0 each 503 asks the host for that many seconds without a call.
+    With ``backoff_s`` above 0 each 503 asks the host for that many seconds without a call. One that
+    ``says_leaving``, with 1, says in each answer that it takes no new work.
     """
 
     slow: float = 1.0
@@ -35,6 +36,7 @@
     limit_per_s: float = -1.0
     needs: float = 0.0
     backoff_s: float = 0.0
+    says_leaving: float = 0.0
 
 
 class FaultChange(TypedDict, total=False):
@@ -51,6 +53,7 @@
     limit_per_s: float
     needs: float
     backoff_s: float
+    says_leaving: float
 
 
 class Draw(NamedTuple):
--- a/tests/forwarding/scripted.py
+++ b/tests/forwarding/scripted.py
@@ -97,16 +97,15 @@
 
 
 class _Slot:
-    def __init__(self, target_id: str, url: str, ended: list[Outcome], left: set[str]) -> None:
+    def __init__(self, target_id: str, url: str, router: "InOrder") -> None:
         self.target_id = target_id
         self.url = url
         self.version = ""
-        self._ended = ended
-        self._left = left
+        self._router = router
 
     @property
     def is_offered(self) -> bool:
-        return self.target_id not in self._left
+        return self.target_id not in self._router.left
 
     def first_token(self, now: float) -> None:
         pass
@@ -118,10 +117,14 @@
         pass
 
     def backoff_asked(self, field: DecimalField, request_id: str, now: float) -> None:
-        pass
+        if field.number is not None:
+            self._router.backoffs.append((self.target_id, field.number))
+
+    def said_leaving(self, request_id: str, now: float) -> None:
+        self._router.said_leaving.add(self.target_id)
 
     def finish(self, outcome: Outcome, now: float) -> None:
-        self._ended.append(outcome)
+        self._router.ended.append(outcome)
 
 
 class InOrder:
@@ -132,6 +135,8 @@
         self.demands: list[Demand] = []
         self.ended: list[Outcome] = []
         self.left: set[str] = set()
+        self.backoffs: list[tuple[str, float]] = []
+        self.said_leaving: set[str] = set()
 
     async def may_send_again(self, url: str, rank: int, workspace: str) -> bool:
         return True
@@ -140,7 +145,7 @@
         self.demands.append(demand)
         for target_id, url in sorted(self.url_by_id.items()):
             if target_id not in demand.exclude:
-                return Ok(_Slot(target_id, url, self.ended, self.left))
+                return Ok(_Slot(target_id, url, self))
         return Err(Refusal(ErrorKind.NO_TARGET))
 
 
--- a/tests/naive/routers.py
+++ b/tests/naive/routers.py
@@ -39,6 +39,9 @@
     def backoff_asked(self, field: DecimalField, request_id: str, now: float) -> None:
         pass
 
+    def said_leaving(self, request_id: str, now: float) -> None:
+        pass
+
     def finish(self, outcome: Outcome, now: float) -> None:
         pass
 
--- a/tests/platform/test_requested_backoff.py
+++ b/tests/platform/test_requested_backoff.py
@@ -23,6 +23,7 @@
 
 ASKED_EVERY_S = 0.04
 ASKED_FOR_S = 8.0
+SHORT_WHILE_S = 3.0
 NO_ANSWER = Answer(0, {}, b"", False)
 
 
@@ -85,6 +86,12 @@
     return most
 
 
+def assert_no_new_requests(leaving: Worker) -> None:
+    """Fail if a request reached a target after all hosts must know that it leaves."""
+    said_at = min(one.at for one in leaving.arrivals if one.has_said_leaving)
+    assert [one for one in leaving.arrivals if one.at > said_at + LEAVING_KNOWN_S] == []
+
+
 async def test_targets_that_all_turn_requests_away_get_no_more_during_the_backoff(
     tmp_path: Path,
 ) -> None:
@@ -126,7 +133,45 @@
         leaving.says_leaving = True
         asked = await ask_for_a_while(platform, ASKED_FOR_S, "/checks/1")
         assert {one.answer.status for one in asked} == {200}
-        said_at = min(one.at for one in leaving.arrivals if one.has_said_leaving)
-        assert [one for one in leaving.arrivals if one.at > said_at + LEAVING_KNOWN_S] == []
+        assert_no_new_requests(leaving)
+    finally:
+        await platform.stop()
+
+
+async def test_hosts_know_a_target_that_leaves_by_its_answers_without_control(
+    tmp_path: Path,
+) -> None:
+    """With all control hosts down, hosts go on to send to a target that said that it leaves."""
+    platform = Platform(tmp_path, fronts=3)
+    try:
+        workers = await start_ledgers(platform, 3)
+        for core in platform.cores:
+            await platform.kill(core)
+        leaving = workers[0]
+        leaving.says_leaving = True
+        asked = await ask_for_a_while(platform, SHORT_WHILE_S, "/checks/1")
+        assert {one.answer.status for one in asked} == {200}
+        assert_no_new_requests(leaving)
+    finally:
+        await platform.stop()
+
+
+async def test_work_that_a_target_has_goes_on_after_it_said_that_it_leaves(
+    tmp_path: Path,
+) -> None:
+    """Calls in progress at a target are broken off once it says that it leaves."""
+    platform = Platform(tmp_path, fronts=1)
+    try:
+        workers = await start_ledgers(platform, 2)
+        for worker in workers:
+            worker.work_s = 0.8
+        asking = asyncio.create_task(ask_for_a_while(platform, 0.4, "/checks/1"))
+        await asyncio.sleep(0.5)
+        workers[0].says_leaving = True
+        workers[0].work_s = 0.0
+        front = platform.fronts[0]
+        while not any(one.has_said_leaving for one in workers[0].arrivals):
+            await ask(platform, front, 0, "/checks/1")
+        assert {one.answer.status for one in await asking} == {200}
     finally:
         await platform.stop()
