Refuse what would get its place too late to be answered

Callers of a crowded service got no answer: a request waited for a place up to its very deadline, and the target's answer came after it.

Fix: a request waits for 0.8 of its time at most, as it does for a permit, and is refused with a time to return while its caller can still ask elsewhere.

--- a/cranberrywall/routing/_dispatcher.py
+++ b/cranberrywall/routing/_dispatcher.py
@@ -12,7 +12,7 @@
 from cranberrywall.routing._choice import Chosen
 from cranberrywall.routing._interfaces import Demand, Outcome, OutcomeKind
 from cranberrywall.routing._pool import Pool, PoolSlot
-from cranberrywall.routing._queue import Answer, Waiter, WaitingQueue
+from cranberrywall.routing._queue import Answer, Waiter, WaitingQueue, latest_start
 from cranberrywall.runtime import Random
 
 MAX_WAITING = 1024
@@ -27,11 +27,6 @@
 WELL_CACHED = 0.8
 """A prompt of which this share is cached is not compared with others."""
 
-WAITING_SHARE = 0.8
-"""Share of a caller's time that a request may wait for a target to take requests again.
-
-The rest is for the target: an answer that begins at the deadline is none."""
-
 FirstRank = Callable[[], int]
 
 
@@ -88,9 +83,10 @@
             self.pool.note_crowd(now)
 
     def expire(self, now: float) -> None:
-        """Refuse the waiters whose deadline has passed, or will before they can be served."""
+        """Refuse the waiters for which a place would come too late to be answered."""
         for waiter in self.queue.pop_expired(now):
-            waiter.answer(Err(_DEADLINE_PASSED))
+            wait_s = self.expected_wait(waiter.demand.rank, now)
+            waiter.answer(Err(_DEADLINE_PASSED._replace(retry_after=self.retry_after(wait_s, now))))
         self.refuse_hopeless(now)
 
     def give_back(self, waiter: Waiter, now: float) -> None:
@@ -168,7 +164,7 @@
             if wants not in refusal_by_wants:
                 refusal_by_wants[wants] = self.pool.opens_at(demand, now)
             opens_at = refusal_by_wants[wants]
-            if opens_at is not None and opens_at > start_by(demand, waiter.since):
+            if opens_at is not None and opens_at > waiter.latest:
                 self.refuse_waiters([waiter], self._backing_off(demand, opens_at - now, now))
 
     def _dispatch_one(self, now: float) -> bool:
@@ -231,7 +227,7 @@
             return Err(self._none_left(demand, now))
         if opens_at is not None and opens_at > now:
             wait_s += opens_at - now
-            if now + wait_s > start_by(demand, now):
+            if now + wait_s > latest_start(demand, now):
                 return Err(self._backing_off(demand, wait_s, now))
         refusal = self._admission.too_late(demand, wait_s, now)
         if refusal is not None:
@@ -281,13 +277,8 @@
         return in_flight / self.pool.waits.hold_s
 
 
-def start_by(demand: Demand, since: float) -> float:
-    """Return until when a demand that came at ``since`` may wait for targets to take requests."""
-    return since + WAITING_SHARE * (demand.deadline - since)
-
-
 _DEADLINE_PASSED = Refusal(
-    ErrorKind.DEADLINE_PASSED, "no target had a place before the request's deadline"
+    ErrorKind.DEADLINE_PASSED, "no target had a place in time for the request's deadline"
 )
 _QUEUE_FULL = Refusal(ErrorKind.OVERLOADED, "the queue for this model or service is full")
 _RETRIES_SPENT = Refusal(
--- a/cranberrywall/routing/_interfaces.py
+++ b/cranberrywall/routing/_interfaces.py
@@ -134,8 +134,8 @@
         It refuses at once where the demand cannot be served before its deadline
         (``OVERLOADED`` with a time to come back, ``RATE_LIMITED`` where targets take fewer
         requests than ask for them, ``TOO_MANY_REQUESTS`` for a workspace over its number,
-        ``NO_TARGET``) and with ``DEADLINE_PASSED`` at the deadline. When the waiting task is
-        cancelled its place in the queue is freed.
+        ``NO_TARGET``) and with ``DEADLINE_PASSED`` once a place would come too late for an answer.
+        When the waiting task is cancelled its place in the queue is freed.
         """
         ...
 
--- a/cranberrywall/routing/_queue.py
+++ b/cranberrywall/routing/_queue.py
@@ -12,6 +12,11 @@
 
 Answer = Result[Slot, Refusal]
 
+WAITING_SHARE = 0.8
+"""Share of a caller's time that a request may wait for a place.
+
+The rest is for the target: an answer that begins at the deadline is none."""
+
 AGED_SHARE = 0.5
 """A waiter is aged when less than this share of its time is left."""
 
@@ -39,6 +44,7 @@
         self.future = future
         self.on_end = on_end
         self.since = since
+        self.latest = latest_start(demand, since)
         self.passed_over = 0
         self.aged_at = demand.deadline - AGED_SHARE * (demand.deadline - since)
 
@@ -49,16 +55,16 @@
 
 
 class _Lane:
-    """Hold the waiters of one rank, by arrival and by deadline."""
+    """Hold the waiters of one rank, by arrival and by when they must have a place."""
 
     def __init__(self) -> None:
         self.waiters: dict[Waiter, None] = {}
-        self._by_deadline: list[tuple[float, int, Waiter]] = []
+        self._by_latest: list[tuple[float, int, Waiter]] = []
         self._numbers = count()
 
     def add(self, waiter: Waiter) -> None:
         self.waiters[waiter] = None
-        heapq.heappush(self._by_deadline, (waiter.demand.deadline, next(self._numbers), waiter))
+        heapq.heappush(self._by_latest, (waiter.latest, next(self._numbers), waiter))
 
     def discard(self, waiter: Waiter) -> bool:
         if waiter not in self.waiters:
@@ -66,16 +72,16 @@
         del self.waiters[waiter]
         # Those that left stay in the heap until they come up; a queue whose callers give
         # up quickly would grow without bound.
-        if len(self._by_deadline) > 2 * len(self.waiters) + MAX_SCANNED:
-            self._by_deadline = [entry for entry in self._by_deadline if entry[2] in self.waiters]
-            heapq.heapify(self._by_deadline)
+        if len(self._by_latest) > 2 * len(self.waiters) + MAX_SCANNED:
+            self._by_latest = [entry for entry in self._by_latest if entry[2] in self.waiters]
+            heapq.heapify(self._by_latest)
         return True
 
     def first_due(self) -> Waiter | None:
-        """Return the waiter with the earliest deadline."""
-        while self._by_deadline and self._by_deadline[0][2] not in self.waiters:
-            heapq.heappop(self._by_deadline)
-        return self._by_deadline[0][2] if self._by_deadline else None
+        """Return the waiter that must have a place first."""
+        while self._by_latest and self._by_latest[0][2] not in self.waiters:
+            heapq.heappop(self._by_latest)
+        return self._by_latest[0][2] if self._by_latest else None
 
 
 class WaitingQueue:
@@ -138,10 +144,10 @@
         return next(reversed(self._lane_by_rank[last].waiters)) if last > rank else None
 
     def pop_expired(self, now: float) -> Iterator[Waiter]:
-        """Take out the waiters whose deadline has passed, and return them."""
+        """Take out the waiters for which a place would come too late, and return them."""
         for lane in list(self._lane_by_rank.values()):
             waiter = lane.first_due()
-            while waiter is not None and waiter.demand.deadline <= now:
+            while waiter is not None and waiter.latest <= now:
                 self.discard(waiter)
                 yield waiter
                 waiter = lane.first_due()
@@ -167,3 +173,8 @@
         due = [self._lane_by_rank[rank].first_due() for rank in ranks]
         aged = [waiter for waiter in due if waiter is not None and waiter.aged_at <= now]
         return sorted(aged, key=lambda waiter: waiter.demand.deadline)[:1]
+
+
+def latest_start(demand: Demand, since: float) -> float:
+    """Return until when a demand that came at ``since`` may wait for a place."""
+    return since + WAITING_SHARE * (demand.deadline - since)
--- a/cranberrywall/routing/_rated.py
+++ b/cranberrywall/routing/_rated.py
@@ -22,10 +22,10 @@
 )
 from cranberrywall.routing._candidates import Candidate, listed
 from cranberrywall.routing._choice import Chosen
-from cranberrywall.routing._dispatcher import Dispatcher, start_by
+from cranberrywall.routing._dispatcher import Dispatcher
 from cranberrywall.routing._interfaces import Demand
 from cranberrywall.routing._pool import PoolSlot
-from cranberrywall.routing._queue import Answer, Waiter
+from cranberrywall.routing._queue import Answer, Waiter, latest_start
 from cranberrywall.runtime import Clock
 from cranberrywall.targets import Group, TargetStart
 
@@ -118,7 +118,7 @@
             return
         for waiters in self._dispatcher.queue.by_want().values():
             for waiter in waiters:
-                if now >= start_by(waiter.demand, waiter.since):
+                if now >= waiter.latest:
                     self._refuse_waiter(waiter, LOST_WAIT_S, now)
 
     async def _grant(self, demand: Demand, on_end: OnEnd) -> PoolSlot | None:
@@ -172,7 +172,7 @@
         usable = self._usable(demand, now)
         if not usable:
             return self._dispatcher.refuse(demand, now)
-        latest = start_by(demand, now)
+        latest = latest_start(demand, now)
         wait_s = self._known_wait(demand, now)
         if now + wait_s > latest and not self._has_others(demand):
             return Err(self._refusal(demand, usable, wait_s, now))
@@ -306,7 +306,7 @@
             waiters = waiters_by_want.get((want.rank, want.workspace), [])
             for number, waiter in enumerate(waiters, start=1):
                 expected_s = wait_s * number / (want.requests + 1)
-                if now + expected_s > start_by(waiter.demand, waiter.since):
+                if now + expected_s > waiter.latest:
                     self._refuse_waiter(waiter, expected_s, now)
 
     def _refuse_waiter(self, waiter: Waiter, wait_s: float, now: float) -> None:
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -88,3 +88,27 @@
         )
     ]
     assert kinds == [ErrorKind.NO_TARGET] * 2 + [ErrorKind.FORBIDDEN] * 2
+
+
+async def test_a_waiter_is_refused_while_its_caller_can_still_ask_elsewhere():
+    """A request gets its place at its deadline, and its answer comes after that."""
+    router, _, _ = make(announce("a", capacity=1))
+    await router.acquire(demand(), 0.0)
+    waiting = asyncio.create_task(router.acquire(demand(deadline=10.0), 0.0))
+    await settle()
+    router.tick(7.9)
+    await settle()
+    assert not waiting.done()
+    router.tick(8.1)
+    await settle()
+    refusal = waiting.result().unwrap_err()
+    assert refusal.kind is ErrorKind.DEADLINE_PASSED
+    assert refusal.retry_after
+
+
+async def test_a_demand_whose_place_would_come_at_its_deadline_is_refused_at_once():
+    """Requests wait for places in which they can't be answered any more."""
+    router, _, _ = make(announce("a", capacity=1))
+    await router.acquire(demand(), 0.0)
+    answer = await asyncio.wait_for(router.acquire(demand(deadline=2.1), 0.0), 0.05)
+    assert answer.unwrap_err().kind is ErrorKind.OVERLOADED
