--- a/cranberrywall/routing/_dispatcher.py
+++ b/cranberrywall/routing/_dispatcher.py
@@ -157,13 +157,13 @@
         """Refuse at once the waiters for whom no target ends its backoff in time."""
         if not self.pool.backoffs.are_any():
             return
-        refusal_by_wants: dict[tuple[str, str, frozenset[str]], float | None] = {}
+        opens_at_by_wants: dict[tuple[str, str, frozenset[str]], float | None] = {}
         for waiter in self.queue.all():
             demand = waiter.demand
             wants = (demand.version, demand.adapter, demand.exclude)
-            if wants not in refusal_by_wants:
-                refusal_by_wants[wants] = self.pool.opens_at(demand, now)
-            opens_at = refusal_by_wants[wants]
+            if wants not in opens_at_by_wants:
+                opens_at_by_wants[wants] = self.pool.opens_at(demand, now)
+            opens_at = opens_at_by_wants[wants]
             if opens_at is not None and opens_at > waiter.latest:
                 self.refuse_waiters([waiter], self._backing_off(demand, opens_at - now, now))
 
--- a/cranberrywall/routing/_pool.py
+++ b/cranberrywall/routing/_pool.py
@@ -147,6 +147,8 @@
 
         ``None`` where targets serve such demands, and the demand may go to none of them.
         """
+        if not demand.exclude and not self.backoffs.are_any():
+            return now
         serving = [one for one in self.candidates if one.serves(demand.version, demand.adapter)]
         if not serving:
             return now
--- a/tests/commands/test_ctl_explain.py
+++ b/tests/commands/test_ctl_explain.py
@@ -67,3 +67,19 @@
     no_log.write_text("Traceback (most recent call last):\n" + ONE, encoding="utf-8")
     mixed = CtlFleet().run("explain", "r-1", str(no_log))
     assert (mixed.exit_code, "notes.txt:1: left out" in mixed.stderr) == (Exit.DONE, True)
+
+
+BACKOFF = """\
+time=2026-12-03T02:20:55.0+0000 level=INFO event=target_backoff_began process=entry host=entry-1 \
+place=annex request=r-0 target=t-5 incarnation=1 seconds=3
+time=2026-12-03T02:20:56.0+0000 level=INFO event=request_refused process=entry host=entry-1 \
+place=annex request=r-5 refusal="overloaded: t-5 of ledger asked for a backoff or were tried"
+"""
+
+
+def test_a_request_refused_for_a_backoff_is_explained_by_who_asked_for_it(tmp_path: Path) -> None:
+    path = tmp_path / "backoff.log"
+    path.write_text(BACKOFF, encoding="utf-8")
+    lines = CtlFleet().run("explain", "r-5", str(path)).stdout
+    assert "event=target_backoff_began" in lines
+    assert "was refused by entry-1" in lines
