Keep hosts to their share of the neighbours of a full target

Callers were refused though targets had room in sum: a host that one target turned away sent its work to the next one, filled that too, and after some 503s had all targets in a backoff.

Cause: each limit starts at two even shares and grows by itself; nothing bounds what moves over from a target that is full. Hypothesis: with even shares of the neighbours, while the backoff is recent, the sum over hosts fits.

--- a/cranberrywall/routing/_limits.py
+++ b/cranberrywall/routing/_limits.py
@@ -62,6 +62,7 @@
 
     def __init__(self, capacity: int, hosts: int, draw: float) -> None:
         self._capacity = capacity
+        self._hosts = hosts
         self._draw = draw
         # A target that reports nothing must not end without any work because it looked
         # slow to all: nothing would show that it is well again.
@@ -139,6 +140,18 @@
         self._ceiling_until = until
         self._set(self.value, now)
 
+    def keep_to_share(self, in_flight: int, until: float, now: float) -> None:
+        """Keep to this host's even share of the target ``until`` then, in monotonic seconds.
+
+        Where there are more requests ``in_flight``, that many stay allowed. What is known of a
+        full target goes before.
+        """
+        if now < self._ceiling_until:
+            return
+        self._ceiling = max(float(in_flight), self._capacity / self._hosts)
+        self._ceiling_until = until
+        self._set(self.value, now)
+
     def _set(self, value: float, now: float) -> None:
         highest = self._ceiling if now < self._ceiling_until else float(self._capacity)
         self.value = max(self._least, min(highest, value))
--- a/cranberrywall/routing/_pool.py
+++ b/cranberrywall/routing/_pool.py
@@ -363,11 +363,19 @@
         candidate.observe(chosen.predicted_s, seconds, now)
 
     def _fill(self, candidate: Candidate, now: float) -> None:
-        in_flight = candidate.load.bounded
-        if in_flight:
-            left_s = self.backoffs.until(candidate.start, now) - now
-            until = now + FILLED_FOR_BACKOFFS * left_s
-            candidate.limit.filled(in_flight, until, now)
+        """Take in that a target is full while this host has requests there.
+
+        Its work goes to the neighbours now, as that of other hosts does. They would be filled one
+        after the other, were it not for even shares.
+        """
+        if not candidate.load.bounded:
+            return
+        left_s = self.backoffs.until(candidate.start, now) - now
+        until = now + FILLED_FOR_BACKOFFS * left_s
+        candidate.limit.filled(candidate.load.bounded, until, now)
+        for other in self.candidates:
+            if other is not candidate:
+                other.limit.keep_to_share(other.load.bounded, until, now)
 
     def _fail(self, candidate: Candidate, now: float) -> None:
         candidate.limit.shrink(self.waits.hold_s, now, failed=True)
--- a/tests/routing/test_backoffs.py
+++ b/tests/routing/test_backoffs.py
@@ -1,12 +1,15 @@
 """Send nothing to a target during the backoff that it asked for, by any path."""
 
 import asyncio
+import random
 
 from result import Err, Ok
 
 from cranberrywall.errors import ErrorKind, answer_for
-from cranberrywall.routing import Slot, TargetRouter
-from cranberrywall.targets import DecimalField
+from cranberrywall.routing import Slot, TargetRouter, make_router
+from cranberrywall.targets import DecimalField, make_targets
+from tests.routing.clocks import ManualClock
+from tests.routing.configurations import FixedConfiguration
 from tests.routing.demands import demand
 from tests.routing.routers import ANSWERED, FAILED, make, settle
 from tests.targets.announcements import announce
@@ -153,6 +156,25 @@
     assert "a" in await targets_of(router, clock.time)
 
 
+async def test_the_work_of_a_full_target_does_not_fill_its_neighbours_too():
+    """Hosts that were turned away by one target overload the next one, until all turn them away."""
+    targets = make_targets()
+    for name in "ab":
+        targets.apply(announce(name, capacity=4), 0.0)
+    numbers = random.Random(1)
+    router = make_router(
+        targets, FixedConfiguration(100), ManualClock(), numbers, count_hosts=lambda: 2
+    )
+    first = [await take(router, 0.0, exclude=frozenset("b")) for _ in range(2)]
+    turn_away(first[0], 0.0)
+    waiting = [asyncio.create_task(router.acquire(demand(), 0.0)) for _ in range(4)]
+    await settle()
+    granted = [one.result().unwrap().target_id for one in waiting if one.done()]
+    assert 2 <= granted.count("b") <= 3
+    for one in waiting:
+        one.cancel()
+
+
 async def test_one_request_is_sent_as_a_backoff_ends_and_the_others_follow_its_answer():
     router, _, clock = make(announce("a", capacity=9))
     await turn_away_at(router, "a", 0.0)
