Keep uneven shares where prompts are cached, and leave targets the time they take

Cause: requests go to the engine that has their prompt cached, so shares are uneven on purpose; even ones read prompts again.

A request may wait until twice the usual time at the target is left, at most a fifth of its own: a fifth of two seconds was far more than a quick service takes.

--- a/cranberrywall/routing/_admission.py
+++ b/cranberrywall/routing/_admission.py
@@ -3,8 +3,6 @@
 from math import exp
 
 from cranberrywall.errors import ErrorKind, Refusal
-from cranberrywall.routing._interfaces import Demand
-from cranberrywall.routing._queue import latest_start
 from cranberrywall.runtime import Random
 
 SHARE_FADE_S = 10.0
@@ -43,9 +41,9 @@
         left = max(ALWAYS_LEFT, 1.0 - better / total) if total else 1.0
         return (ahead + 1) / max(places_per_s * left, 1e-3)
 
-    def too_late(self, demand: Demand, wait_s: float, now: float) -> Refusal | None:
-        """Return a refusal where ``demand`` would get its place too late to be answered."""
-        if now + wait_s <= latest_start(demand, now):
+    def too_late(self, latest: float, wait_s: float, now: float) -> Refusal | None:
+        """Return a refusal of a demand that would get its place after ``latest``."""
+        if now + wait_s <= latest:
             return None
         message = f"a place is expected in {wait_s:.1f} s, too late for an answer"
         return Refusal(ErrorKind.OVERLOADED, message, retry_after=self.retry_after(wait_s, now))
--- a/cranberrywall/routing/_dispatcher.py
+++ b/cranberrywall/routing/_dispatcher.py
@@ -27,6 +27,9 @@
 WELL_CACHED = 0.8
 """A prompt of which this share is cached is not compared with others."""
 
+WORK_HOLDS = 2.0
+"""A request is taken to need its place for up to so many times as long as they do at the mean."""
+
 FirstRank = Callable[[], int]
 
 
@@ -70,7 +73,7 @@
     def wait(self, demand: Demand, on_end: Callable[[float], None], now: float) -> Waiter:
         """Put ``demand`` into the queue."""
         future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
-        waiter = Waiter(demand, future, on_end, now)
+        waiter = Waiter(demand, future, on_end, now, self._latest(demand, now))
         self.queue.add(waiter)
         self.pool.note_crowd(now)
         return waiter
@@ -227,9 +230,9 @@
             return Err(self._none_left(demand, now))
         if opens_at is not None and opens_at > now:
             wait_s += opens_at - now
-            if now + wait_s > latest_start(demand, now):
+            if now + wait_s > self._latest(demand, now):
                 return Err(self._backing_off(demand, wait_s, now))
-        refusal = self._admission.too_late(demand, wait_s, now)
+        refusal = self._admission.too_late(self._latest(demand, now), wait_s, now)
         if refusal is not None:
             return Err(refusal)
         return self.make_room(demand, wait_s, now)
@@ -270,6 +273,10 @@
             loser.answer(Err(full))
         return None
 
+    def _latest(self, demand: Demand, now: float) -> float:
+        """Return until when a demand that comes now may wait for a place."""
+        return latest_start(demand, now, WORK_HOLDS * self.pool.waits.hold_s)
+
     def _places_per_s(self) -> float:
         # By Little's law places become free at the rate of requests in flight by their
         # time in flight; with none in flight a place is free or about to be.
--- a/cranberrywall/routing/_pool.py
+++ b/cranberrywall/routing/_pool.py
@@ -91,6 +91,7 @@
         self._first_rank_until = 0.0
         self._crowded_until = 0.0
         self.hears_first_tokens = False
+        self._has_prompts = False
 
     def put(self, announcement: Announcement, now: float) -> None:
         """Take in the renewal of a target; one outside this host's subset is left out."""
@@ -343,6 +344,7 @@
             candidate.pending_blocks += chosen.missed_blocks
             candidate.health.sent(now)
         self.prefixes.use(candidate.target_id, demand.prefix_hashes, now)
+        self._has_prompts = self._has_prompts or bool(demand.prefix_hashes)
 
     def _avoids_backoff(self, demand: Demand, now: float) -> bool:
         """Return whether a target that the demand was tried at asked for a backoff since."""
@@ -366,14 +368,15 @@
         """Take in that a target is full while this host has requests there.
 
         Its work goes to the neighbours now, as that of other hosts does. They would be filled one
-        after the other, were it not for even shares.
+        after the other, were it not for even shares. Where prompts are cached, shares are uneven on
+        purpose, and stay as they are.
         """
         if not candidate.load.bounded:
             return
         left_s = self.backoffs.until(candidate.start, now) - now
         until = now + FILLED_FOR_BACKOFFS * left_s
         candidate.limit.filled(candidate.load.bounded, until, now)
-        for other in self.candidates:
+        for other in self.candidates if not self._has_prompts else ():
             if other is not candidate:
                 other.limit.keep_to_share(other.load.bounded, until, now)
 
--- a/cranberrywall/routing/_queue.py
+++ b/cranberrywall/routing/_queue.py
@@ -4,6 +4,7 @@
 import heapq
 from collections.abc import Callable, Iterator
 from itertools import count, islice
+from math import inf
 
 from result import Result
 
@@ -30,7 +31,7 @@
 class Waiter:
     """Hold one demand that waits, and the future that its task awaits.
 
-    ``on_end`` is for the slot that it may get.
+    ``on_end`` is for the slot that it may get. A place after ``latest`` is of no use to it.
     """
 
     def __init__(
@@ -39,12 +40,13 @@
         future: asyncio.Future[Answer],
         on_end: Callable[[float], None],
         since: float,
+        latest: float,
     ) -> None:
         self.demand = demand
         self.future = future
         self.on_end = on_end
         self.since = since
-        self.latest = latest_start(demand, since)
+        self.latest = latest
         self.passed_over = 0
         self.aged_at = demand.deadline - AGED_SHARE * (demand.deadline - since)
 
@@ -175,6 +177,10 @@
         return sorted(aged, key=lambda waiter: waiter.demand.deadline)[:1]
 
 
-def latest_start(demand: Demand, since: float) -> float:
-    """Return until when a demand that came at ``since`` may wait for a place."""
-    return since + WAITING_SHARE * (demand.deadline - since)
+def latest_start(demand: Demand, since: float, work_s: float = inf) -> float:
+    """Return until when a demand that came at ``since`` may wait for a place.
+
+    What is left then is for the target: ``work_s`` where that is less than the usual share.
+    """
+    span_s = demand.deadline - since
+    return demand.deadline - min((1.0 - WAITING_SHARE) * span_s, work_s)
--- a/tests/routing/test_differential.py
+++ b/tests/routing/test_differential.py
@@ -27,7 +27,8 @@
 
 def waiter(rank: int, deadline: float = FAR, since: float = 0.0) -> Waiter:
     future: asyncio.Future[Any] = asyncio.Future(loop=LOOP)
-    return Waiter(demand(rank=rank, deadline=deadline), future, lambda now: None, since)
+    wanted = demand(rank=rank, deadline=deadline)
+    return Waiter(wanted, future, lambda now: None, since, deadline)
 
 
 LOOP = asyncio.new_event_loop()
