--- a/cranberrywall/routing/_pool.py
+++ b/cranberrywall/routing/_pool.py
@@ -367,9 +367,9 @@
     def _fill(self, candidate: Candidate, now: float) -> None:
         """Take in that a target is full while this host has requests there.
 
-        Its work goes to the neighbours now, as that of other hosts does. They would be filled one
-        after the other, were it not for even shares. Where prompts are cached, shares are uneven on
-        purpose, and stay as they are.
+        Its work goes to the neighbours for the length of the backoff, as that of other hosts does.
+        They would be filled one after the other, were it not for even shares. Where prompts are
+        cached, shares are uneven on purpose, and stay as they are.
         """
         if not candidate.load.bounded:
             return
@@ -378,7 +378,7 @@
         candidate.limit.filled(candidate.load.bounded, until, now)
         for other in self.candidates if not self._has_prompts else ():
             if other is not candidate:
-                other.limit.keep_to_share(other.load.bounded, until, now)
+                other.limit.keep_to_share(other.load.bounded, now + left_s, now)
 
     def _fail(self, candidate: Candidate, now: float) -> None:
         candidate.limit.shrink(self.waits.hold_s, now, failed=True)
