--- a/tests/platform/test_requested_backoff.py
+++ b/tests/platform/test_requested_backoff.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Sequence
 from pathlib import Path
+from typing import NamedTuple
 
 import aiohttp
 
@@ -27,12 +28,11 @@
 NO_ANSWER = Answer(0, {}, b"", False)
 
 
-class Asked:
+class Asked(NamedTuple):
     """Hold one call, and how long its answer took, in seconds."""
 
-    def __init__(self, answer: Answer, seconds: float) -> None:
-        self.answer = answer
-        self.seconds = seconds
+    answer: Answer
+    seconds: float
 
 
 async def ask(platform: Platform, front: Machine, number: int, path: str) -> Asked:
