Free the money of restarted hosts whose records another peer had as well

Cause of the listed fault: a host without a disk that restarts proves that no peer stores records of its earlier run by the answers of the runs that it had named. A named peer that restarted too proves nothing, so two hosts that name each other and both restart left their part booked for good, though two further peers had been named and answered that they store nothing.

A record is on one disk or in the memory of two peers before anything is sent. So if fewer than two replica holders of a run lost their memory, each record was also at one of the others, which have delivered theirs. The host asks the ledger which runs were named (a new query; a control host of an older build rejects it, which is logged, and nothing changes), and lists those as empty. The state machine is unchanged: replicas of two builds agree.

Refusals for budget log what was credited, charged, held by whom and how old that is (budget_refused).

--- a/cranberrywall/budgets/_client.py
+++ b/cranberrywall/budgets/_client.py
@@ -118,6 +118,12 @@
         """Register a holder at one group; send it to each of ``groups()``."""
         return await self._propose_to(group, command, messages.RegisterResult, timeout)
 
+    async def replica_holders(
+        self, group: str, query: messages.ReplicaHoldersQuery, timeout: float
+    ) -> Result[messages.ReplicaHoldersResult, Refusal]:
+        """Return which peers a host's older incarnations named as replica holders."""
+        return await self._query(group, query, messages.ReplicaHoldersResult, timeout)
+
     async def confirm_dead(
         self, group: str, command: messages.ConfirmDead, timeout: float
     ) -> Result[messages.ConfirmDeadResult, Refusal]:
--- a/cranberrywall/budgets/_ledger_holders.py
+++ b/cranberrywall/budgets/_ledger_holders.py
@@ -169,10 +169,10 @@
     def is_proven_empty(self, older: Holder, evidence: Evidence) -> bool:
         """Return whether ``evidence`` shows that no peer stores data of ``older`` any more.
 
-        Each incarnation that was named as replica holder must have nothing left. A later
-        incarnation of the same peer proves nothing, because what the earlier one stored in memory
-        is lost. If the holder has named no replica holders yet, the result is false: any peer that
-        it received money from may store its data.
+        Each incarnation that was named as replica holder must be listed as empty. A later
+        incarnation of the same peer proves nothing by itself, because what the earlier one stored
+        in memory is lost. If the holder has named no replica holders yet, the result is false: any
+        peer that it received money from may store its data.
         """
         replica_holders = self._contact_by_holder.get(older, _NO_CONTACT).replica_holders
         if replica_holders is None or not evidence.has_asked:
@@ -182,6 +182,10 @@
             for peer in replica_holders
         )
 
+    def replica_holders(self, holder: Holder) -> tuple[Holder, ...] | None:
+        """Return the replica holders that the holder named last; ``None`` if it named none."""
+        return self._contact_by_holder.get(holder, _NO_CONTACT).replica_holders
+
     def replica_hosts(self, holders: Iterable[Holder]) -> tuple[str, ...]:
         """Return the hosts that may store data of ``holders``, sorted."""
         contacts = [self._contact_by_holder.get(holder, _NO_CONTACT) for holder in holders]
--- a/cranberrywall/budgets/_ledger_machine.py
+++ b/cranberrywall/budgets/_ledger_machine.py
@@ -79,6 +79,7 @@
             messages.BudgetQuery: _budget,
             messages.CreditsQuery: _credits,
             messages.HoldersQuery: _holders,
+            messages.ReplicaHoldersQuery: movements.replica_holders,
             messages.RecallsQuery: movements.recalls,
             messages.IntentQuery: lambda state, query: state.intents.find(query),
             messages.ClosePeriod: closing.check_closing,
--- a/cranberrywall/budgets/_ledger_movements.py
+++ b/cranberrywall/budgets/_ledger_movements.py
@@ -19,6 +19,7 @@
     ExceptionKind,
     HeldAmount,
     Holder,
+    NamedReplicaHolders,
     Recall,
     RecalledAmount,
     RecallResult,
@@ -27,6 +28,8 @@
     RegisterHolder,
     RegisterResult,
     Rejected,
+    ReplicaHoldersQuery,
+    ReplicaHoldersResult,
     Return,
     Transfer,
     TransferBatch,
@@ -343,6 +346,17 @@
     )
 
 
+def replica_holders(state: LedgerState, query: ReplicaHoldersQuery) -> ReplicaHoldersResult:
+    """Return the replica holders that a host's older incarnations named last."""
+    remaining = sorted(_older_incarnations(state, query.successor))
+    return ReplicaHoldersResult(
+        tuple(
+            NamedReplicaHolders(holder, state.holders.replica_holders(holder))
+            for holder in remaining
+        )
+    )
+
+
 def confirm_dead(state: LedgerState, command: ConfirmDead) -> ConfirmDeadResult | Rejected:
     """Free what an incarnation held, on the confirmation of two people."""
     refusal = check_two_people(command.operator, command.approver)
--- a/cranberrywall/budgets/_messages_holders.py
+++ b/cranberrywall/budgets/_messages_holders.py
@@ -63,8 +63,9 @@
 
     ``started_clock`` is the machine's monotonic clock at the start of the successor. ``has_asked``
     is true if all peers were asked that the ledger named as replica holders, and if nothing was
-    spent without a replica. ``empty`` are incarnations of peers that store nothing any more.
-    ``empty_on_disk`` are hosts whose disks store nothing, whichever of their incarnations wrote it.
+    spent without a replica. ``empty`` are incarnations of peers that store nothing any more, or
+    whose records another peer had as well. ``empty_on_disk`` are hosts whose disks store nothing,
+    whichever of their incarnations wrote it.
     """
 
     started_clock: float
@@ -110,6 +111,25 @@
     keepers: tuple[str, ...] = ()
 
 
+class ReplicaHoldersQuery(NamedTuple):
+    """Query for the peers that ``successor``'s older incarnations named as replica holders."""
+
+    successor: Holder
+
+
+class NamedReplicaHolders(NamedTuple):
+    """Peers, with their incarnations, that ``holder`` named last; ``None`` if it named none."""
+
+    holder: Holder
+    replica_holders: tuple[Holder, ...] | None
+
+
+class ReplicaHoldersResult(NamedTuple):
+    """One row for each older incarnation that is not released yet."""
+
+    rows: tuple[NamedReplicaHolders, ...]
+
+
 class ConfirmDead(NamedTuple):
     """Command that confirms that an incarnation can no longer spend; frees its remainder.
 
--- a/cranberrywall/budgets/_peer_replication.py
+++ b/cranberrywall/budgets/_peer_replication.py
@@ -21,7 +21,7 @@
     ForgetRequest,
     KeepRequest,
 )
-from cranberrywall.budgets.messages import Holder
+from cranberrywall.budgets.messages import Holder, NamedReplicaHolders
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller
 from cranberrywall.observability import log_event
@@ -213,3 +213,35 @@
         tuple(one.holder for one in answers if not one.on_disk),
         tuple(one.holder.host for one in answers if one.on_disk),
     )
+
+
+def replaceable_replica_holders(
+    rows: Sequence[NamedReplicaHolders], emptied: EmptiedHolders
+) -> Sequence[Holder]:
+    """Return the replica holders that lost their records with their memory, if others had these.
+
+    Each record is on the disk of one peer or in the memory of ``REQUIRED_COPIES`` peers. If fewer
+    replica holders of an incarnation have restarted without a disk since they were named, each of
+    its records was also stored at one of the others, and these have nothing left. ``emptied`` are
+    the answers of all hosts in ``rows``.
+
+    >>> a, b, c = Holder("a", 1), Holder("b", 1), Holder("c", 1)
+    >>> emptied = EmptiedHolders((a, Holder("b", 2), Holder("c", 2)), ())
+    >>> replaceable_replica_holders([NamedReplicaHolders(Holder("d", 1), (a, b))], emptied)
+    [Holder(host='b', incarnation=1)]
+    >>> replaceable_replica_holders([NamedReplicaHolders(Holder("d", 1), (a, b, c))], emptied)
+    []
+    """
+    lost_by_row = [
+        {
+            peer
+            for peer in row.replica_holders or ()
+            if peer not in emptied.holders and peer.host not in emptied.hosts_on_disk
+        }
+        for row in rows
+    ]
+    replaceable: set[Holder] = set()
+    irreplaceable: set[Holder] = set()
+    for lost in lost_by_row:
+        (replaceable if len(lost) < REQUIRED_COPIES else irreplaceable).update(lost)
+    return sorted(replaceable - irreplaceable)
--- a/cranberrywall/budgets/_registration.py
+++ b/cranberrywall/budgets/_registration.py
@@ -7,7 +7,10 @@
 from cranberrywall.budgets._charge_replication import ChargeReplicator, Kept, out_of_reach
 from cranberrywall.budgets._charges import ChargeQueue
 from cranberrywall.budgets._client import LedgerClient
-from cranberrywall.budgets._peer_replication import EmptiedHolders
+from cranberrywall.budgets._peer_replication import (
+    EmptiedHolders,
+    replaceable_replica_holders,
+)
 from cranberrywall.budgets.messages import (
     MAX_CHARGES_IN_BATCH,
     ChargeBatch,
@@ -15,6 +18,7 @@
     Holder,
     RegisterHolder,
     RegisterResult,
+    ReplicaHoldersQuery,
     Transfer,
 )
 from cranberrywall.errors import ErrorKind, Refusal
@@ -77,7 +81,25 @@
             return _is_released(first)
         evidence = Evidence(self._started_clock, True, *emptied)
         second = await self._register(queue, holder, evidence)
-        return second is not None and _is_released(second)
+        if second is None or _is_released(second):
+            return second is not None
+        replaceable = await self._find_replaceable(queue.group, holder, emptied)
+        if not replaceable:
+            return False
+        evidence = evidence._replace(empty=(*emptied.holders, *replaceable))
+        third = await self._register(queue, holder, evidence)
+        return third is not None and _is_released(third)
+
+    async def _find_replaceable(
+        self, group: str, holder: Holder, emptied: EmptiedHolders
+    ) -> Sequence[Holder]:
+        """Return the restarted peers whose lost records other peers certainly had as well."""
+        query = ReplicaHoldersQuery(holder)
+        answer = await self._ledger.replica_holders(group, query, COMMAND_TIMEOUT_S)
+        if isinstance(answer, Err):
+            log_event("INFO", "replica_holders_unknown", group=group, kind=answer.err_value.kind)
+            return ()
+        return replaceable_replica_holders(answer.ok_value.rows, emptied)
 
     async def _register(
         self, queue: ChargeQueue, holder: Holder, evidence: Evidence | None
--- a/cranberrywall/budgets/_shortfalls.py
+++ b/cranberrywall/budgets/_shortfalls.py
@@ -18,6 +18,7 @@
 from cranberrywall.budgets._interfaces import PeerHost, Peers, ReserveRequest
 from cranberrywall.budgets._ledger_commands import COMMAND_TIMEOUT_S, LedgerCommands
 from cranberrywall.budgets._peer_messages import TakeReply
+from cranberrywall.budgets._refusals import SearchResult, log_refusal, make_refusal
 from cranberrywall.budgets._reservation import HeldReservation
 from cranberrywall.budgets._sizing import preferred_holders, view_of
 from cranberrywall.budgets._transfers import TransferRecipient
@@ -71,16 +72,6 @@
         )
 
 
-class _SearchResult(NamedTuple):
-    """Result of a round: the ledger's free sum, and what unreachable holders hold.
-
-    ``free`` is ``None`` if the ledger could not be asked.
-    """
-
-    free: int | None
-    unreached: int
-
-
 class ShortfallQueue:
     """Serve the queued reservations of one allotment, in rounds that one task runs.
 
@@ -186,7 +177,7 @@
             # While the ledger is unreachable, the bound on unreported spend rises with time.
             self.serve()
 
-    async def _search(self) -> _SearchResult:
+    async def _search(self) -> SearchResult:
         if not self._allotment.queue.in_reach:
             return await self._take_from_peers()
         if self._should_read_first():
@@ -200,18 +191,18 @@
             # Only the first answer has the total. This host should hold a share of it.
             await self._draw_share()
         if not self._waiters:
-            return _SearchResult(free, 0)
+            return SearchResult(free, 0)
         await self._funding_sources.recipient.repeat_unanswered(
             self._funding_sources.peers.alive(), self._allotment
         )
         self.serve()
         if not self._waiters:
-            return _SearchResult(free, 0)
+            return SearchResult(free, 0)
         if free is None:
             return await self._take_from_peers()
         return await self._take_from_holders(free)
 
-    async def _take_from_peers(self) -> _SearchResult:
+    async def _take_from_peers(self) -> SearchResult:
         """Take only from peers, because the ledger is unreachable.
 
         A draw would wait for an answer for as long as callers wait for theirs. Other tasks detect
@@ -232,7 +223,7 @@
             await asyncio.gather(*(self._take(peer, count == 1) for peer in asked))
             start += count
             count *= 2
-        return _SearchResult(None, 0)
+        return SearchResult(None, 0)
 
     async def _draw(self) -> int | None:
         """Draw for the queued requests; return what is still free, ``None`` if out of reach."""
@@ -266,21 +257,21 @@
         is_short = view is not None and view.free < self.shortfall()
         return allotment.queue.in_reach and (self._pause_s > 0.0 or is_short)
 
-    async def _read_and_take(self) -> _SearchResult | None:
+    async def _read_and_take(self) -> SearchResult | None:
         """Read the ledger's sums and act on them; return ``None`` if a draw should be tried."""
         await self._funding_sources.recipient.repeat_unanswered(
             self._funding_sources.peers.alive(), self._allotment
         )
         self.serve()
         if not self._waiters:
-            return _SearchResult(0, 0)
+            return SearchResult(0, 0)
         claim = Claim(self._allotment)
         answer = await self._read()
         if isinstance(answer, Err):
             return None
         sums = answer.ok_value
         if self.shortfall() > self._available_elsewhere(sums):
-            return _SearchResult(0, 0)
+            return SearchResult(0, 0)
         if sums.free >= self.shortfall():
             return None
         return await self._take_from_listed(sums, claim)
@@ -309,17 +300,17 @@
         least = min(waiter.request.bound for waiter in self._waiters)
         return max(1, least - self._allotment.usable)
 
-    async def _take_from_holders(self, free: int) -> _SearchResult:
+    async def _take_from_holders(self, free: int) -> SearchResult:
         """Take from the holders that the ledger lists, the largest first."""
         claim = Claim(self._allotment)
         answer = await self._read()
         if isinstance(answer, Err):
             if out_of_reach(answer.err_value):
-                return _SearchResult(None, 0)
-            return _SearchResult(free, 0)
+                return SearchResult(None, 0)
+            return SearchResult(free, 0)
         return await self._take_from_listed(answer.ok_value, claim)
 
-    async def _take_from_listed(self, sums: BudgetResult, claim: Claim) -> _SearchResult:
+    async def _take_from_listed(self, sums: BudgetResult, claim: Claim) -> SearchResult:
         """Take from the holders in ``sums``, which were read after ``claim`` was made."""
         sources = self._funding_sources
         peer_by_host = {peer.host: peer for peer in sources.peers.alive()}
@@ -330,46 +321,47 @@
         free = sums.free
         others = [held for held in sums.held if held.holder != self._allotment.queue.holder]
         if self.shortfall() > self._available_elsewhere(sums):
-            return _SearchResult(free, 0)
+            return SearchResult(free, 0)
         if 0 < free < self.shortfall():
             await self._funding_sources.steps.draw(self._allotment, free, 1)
             free = 0
         others.sort(key=lambda held: -held.outstanding)
-        return _SearchResult(free, await self._take_from_each(others, peer_by_host))
+        return await self._take_from_each(free, others, peer_by_host)
 
     async def _take_from_each(
-        self, others: Sequence[HeldAmount], peer_by_host: Mapping[str, PeerHost]
-    ) -> int:
-        """Ask one holder, then two at a time, then four; return what unreachable ones hold.
+        self, free: int, others: Sequence[HeldAmount], peer_by_host: Mapping[str, PeerHost]
+    ) -> SearchResult:
+        """Ask one holder, then two at a time, then four.
 
         Asking many holders one after the other takes so long that other hosts' searches move the
         money meanwhile: each search finds nothing, although there is enough. Asking all at the
         same time would collect far more than is needed.
         """
-        unreached = 0
+        unreached = in_use = 0
         start, count = 0, 1
         while start < len(others) and self._waiters:
             asked = others[start : start + count]
-            answered = await asyncio.gather(
+            replies = await asyncio.gather(
                 *(self._take_from_holder(held, peer_by_host, count == 1) for held in asked)
             )
-            unreached += sum(
-                held.outstanding
-                for held, is_answer in zip(asked, answered, strict=True)
-                if not is_answer
-            )
+            for held, reply in zip(asked, replies, strict=True):
+                if reply is None:
+                    unreached += held.outstanding
+                else:
+                    in_use += reply.booked - reply.spendable
             start += count
             count *= 2
-        return unreached
+        return SearchResult(free, unreached, in_use)
 
     async def _take_from_holder(
         self, held: HeldAmount, peer_by_host: Mapping[str, PeerHost], is_alone: bool
-    ) -> bool:
+    ) -> TakeReply | None:
+        """Return the holder's own answer; ``None`` if it gave none, or has ended."""
         peer = peer_by_host.get(held.holder.host)
         if peer is None:
-            return False
+            return None
         reply = await self._take(peer, is_alone)
-        return reply is not None and reply.giver == held.holder
+        return reply if reply is not None and reply.giver == held.holder else None
 
     async def _take(self, peer: PeerHost, is_alone: bool) -> TakeReply | None:
         """Take from one peer; return ``None`` if it did not answer.
@@ -386,18 +378,19 @@
         self.serve()
         return reply
 
-    def _refuse_uncoverable(self, present: Sequence[_Waiter], found: _SearchResult) -> None:
+    def _refuse_uncoverable(self, present: Sequence[_Waiter], found: SearchResult) -> None:
         """Refuse the requests of this round that no amount freed by their deadline can cover."""
         now = self._funding_sources.clock.now()
         promised = 0
         for waiter in present:
             if waiter.answer.done():
                 continue
-            waiter.refusal = _refusal(waiter.request, found)
+            waiter.refusal = make_refusal(waiter.request, found)
             expected = self._allotment.usable_within(waiter.request.deadline - now) - promised
             if waiter.request.bound <= expected:
                 promised += waiter.request.bound
                 continue
+            log_refusal(waiter.request, waiter.refusal, found, self._allotment, now)
             waiter.answer.set_result(Err(waiter.refusal))
         self._waiters = [waiter for waiter in self._waiters if not waiter.answer.done()]
 
@@ -405,26 +398,3 @@
 def _was_served(waiter: _Waiter) -> bool:
     answer = waiter.answer
     return answer.done() and not answer.cancelled() and isinstance(answer.result(), Ok)
-
-
-def _refusal(request: ReserveRequest, found: _SearchResult) -> Refusal:
-    if found.free is None:
-        return Refusal(
-            ErrorKind.BUDGET_UNREACHABLE,
-            "this host's part is spent and the ledger is out of reach",
-            "budget",
-            "send the request again, or to a host of another place",
-        )
-    if found.free + found.unreached >= request.bound:
-        return Refusal(
-            ErrorKind.BUDGET_UNREACHABLE,
-            f"{found.unreached} are left, held by hosts that are out of reach",
-            "budget",
-            "send the request again later",
-        )
-    return Refusal(
-        ErrorKind.BUDGET_EXHAUSTED,
-        f"fewer than {request.bound} are left in the budget",
-        "budget",
-        "top up the budget, or ask for a shorter answer",
-    )
