Push a target to all hosts when it changes, not at each host's first renewal

Cause: targets send each heartbeat to another control host, which passes it on to the next entry host. A control host that first receives a target tells twelve hosts, which did the same.

The state that a host received by gossip counts too now.

--- a/cranberrywall/routing/_gossip.py
+++ b/cranberrywall/routing/_gossip.py
@@ -29,14 +29,12 @@
         self._gossip = gossip
         self._clock = clock
         self._state_by_id: dict[str, Announcement] = {}
-        gossip.subscribe(STATE_TOPIC, self._receive)
+        gossip.subscribe(STATE_TOPIC, self._receive_state)
         gossip.subscribe(RENEWAL_TOPIC, self._receive)
 
     def publish(self, announcement: Announcement) -> None:
         """Publish an announcement that a target sent to this host directly."""
-        state = announcement._replace(counter=0, load=None, cache_events=())
-        if self._state_by_id.get(announcement.target) != state:
-            self._state_by_id[announcement.target] = state
+        if self._state_by_id.get(announcement.target) != _state_of(announcement):
             self._gossip.publish(_item(STATE_TOPIC, announcement, Urgency.URGENT))
         elif not announcement.leaving:
             self._gossip.publish(_item(RENEWAL_TOPIC, announcement, Urgency.VOLATILE))
@@ -48,13 +46,29 @@
             del self._state_by_id[target_id]
 
     def _receive(self, item: Item) -> None:
+        self._apply(item)
+
+    def _receive_state(self, item: Item) -> None:
+        announcement = self._apply(item)
+        if announcement is not None:
+            # A target announces itself to a different host each time. Without this, each host
+            # would publish its first announcement of a target as a change.
+            self._state_by_id[announcement.target] = _state_of(announcement)
+
+    def _apply(self, item: Item) -> Announcement | None:
         try:
-            announcement = TARGETS_CODEC.decode(item.payload)
+            announcement: Announcement = TARGETS_CODEC.decode(item.payload)
         except MalformedMessageError:
             # A host of a later version may send fields that this version cannot decode. Its targets
             # are received from other hosts, or after this host's own upgrade.
-            return
+            return None
         self._targets.apply(announcement, self._clock.now())
+        return announcement
+
+
+def _state_of(announcement: Announcement) -> Announcement:
+    """Return the announcement without what differs from one renewal to the next."""
+    return announcement._replace(counter=0, load=None, cache_events=())
 
 
 def _item(topic: str, announcement: Announcement, urgency: Urgency) -> Item:
