--- a/cranberrywall/budgets/__init__.py
+++ b/cranberrywall/budgets/__init__.py
@@ -1,4 +1,4 @@
-"""Prepaid budgets: the ledger on control hosts and allotments on entry hosts."""
+"""Prepaid budgets: allotments on entry hosts; the ledger of control hosts is in ``ledger``."""
 
 from cranberrywall.budgets._allotments import make_allotments
 from cranberrywall.budgets._bounds import (
@@ -20,9 +20,6 @@
     ReserveRequest,
     SpendPolicy,
 )
-from cranberrywall.budgets._ledger_ids import IdLimits
-from cranberrywall.budgets._ledger_machine import LedgerMachine, LedgerSummary, make_ledger_machine
-from cranberrywall.budgets._totals import CreditUpdater
 from cranberrywall.budgets.messages import LEDGER_CODEC, BudgetTotal
 
 __all__ = [
@@ -30,16 +27,12 @@
     "Allotments",
     "BoundFigures",
     "BudgetTotal",
-    "CreditUpdater",
     "EntryHost",
     "HostAllotments",
     "BudgetAssignment",
-    "IdLimits",
     "InputBounds",
     "InputSize",
     "LedgerClient",
-    "LedgerMachine",
-    "LedgerSummary",
     "PeerHost",
     "Peers",
     "Policies",
@@ -49,5 +42,4 @@
     "make_allotments",
     "make_input_bounds",
     "make_ledger_client",
-    "make_ledger_machine",
 ]
--- a/cranberrywall/commands/_caller_front.py
+++ b/cranberrywall/commands/_caller_front.py
@@ -6,7 +6,8 @@
 from aiohttp.typedefs import Handler, Middleware
 
 from cranberrywall.callers import BodyLimits, CallerLimits
-from cranberrywall.entry import CallerStack, FrontendContext, StackLinks, make_caller_stack
+from cranberrywall.entry import FrontendContext
+from cranberrywall.entry.stack import CallerStack, StackLinks, make_caller_stack
 from cranberrywall.runtime import Clock, split_address
 from cranberrywall.settings import Settings, seconds, size_in_bytes
 from cranberrywall.targets import Prober, make_announce_routes, make_http_probe
--- a/cranberrywall/commands/_control_program.py
+++ b/cranberrywall/commands/_control_program.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from functools import partial
 
-from cranberrywall.budgets import LedgerMachine, LedgerSummary, make_ledger_machine
+from cranberrywall.budgets.ledger import LedgerMachine, LedgerSummary, make_ledger_machine
 from cranberrywall.commands._control_ties import (
     ControlConnections,
     Loop,
--- a/cranberrywall/commands/_control_ties.py
+++ b/cranberrywall/commands/_control_ties.py
@@ -6,7 +6,8 @@
 
 from result import Result
 
-from cranberrywall.budgets import BudgetTotal, CreditUpdater
+from cranberrywall.budgets import BudgetTotal
+from cranberrywall.budgets.ledger import CreditUpdater
 from cranberrywall.configuration import ConfigurationMachine, SpreadHost
 from cranberrywall.control import (
     ChangeMemberReply,
--- a/measurements/_budget_runs.py
+++ b/measurements/_budget_runs.py
@@ -15,7 +15,8 @@
 
 from result import Err
 
-from cranberrywall.budgets import Reservation, ReserveRequest, SpendPolicy, make_ledger_machine
+from cranberrywall.budgets import Reservation, ReserveRequest, SpendPolicy
+from cranberrywall.budgets.ledger import make_ledger_machine
 from cranberrywall.budgets.messages import LEDGER_CODEC, BudgetQuery
 from cranberrywall.errors import ErrorKind
 from cranberrywall.runtime import Storage
--- a/measurements/_capacity_events.py
+++ b/measurements/_capacity_events.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from cranberrywall.budgets import IdLimits
+from cranberrywall.budgets.ledger import IdLimits
 from measurements._capacity_parts import DAY_S, Figures, Sizes
 from measurements._capacity_roles import LEDGER_GROUPS
 from measurements._capacity_slopes import MICROSECONDS_TO_PERCENT
--- a/measurements/_capacity_roles.py
+++ b/measurements/_capacity_roles.py
@@ -1,6 +1,6 @@
 """Work out each role's cost at the users' size from measured slopes."""
 
-from cranberrywall.budgets import IdLimits
+from cranberrywall.budgets.ledger import IdLimits
 from measurements._capacity_entry import NODE_LIMITS, entry_host
 from measurements._capacity_parts import DAY_S, Figures, Limit, Part, Role, Sizes, Unit
 from measurements._capacity_slopes import (
--- a/measurements/admission.py
+++ b/measurements/admission.py
@@ -18,8 +18,8 @@
     SpendPolicy,
     make_allotments,
     make_ledger_client,
-    make_ledger_machine,
 )
+from cranberrywall.budgets.ledger import make_ledger_machine
 from cranberrywall.budgets.messages import (
     LEDGER_CODEC,
     ChargeBatch,
--- a/measurements/hot_budget.py
+++ b/measurements/hot_budget.py
@@ -7,7 +7,8 @@
 from loguru import logger
 from result import Err
 
-from cranberrywall.budgets import ReserveRequest, make_ledger_machine
+from cranberrywall.budgets import ReserveRequest
+from cranberrywall.budgets.ledger import make_ledger_machine
 from measurements._figures import report_figures
 from tests.fakes.clock import VirtualClock, run_virtual
 from tests.fakes.money import MoneyFleet
--- a/measurements/ledger_size.py
+++ b/measurements/ledger_size.py
@@ -11,7 +11,7 @@
 from itertools import islice
 from typing import NamedTuple
 
-from cranberrywall.budgets import IdLimits, make_ledger_machine
+from cranberrywall.budgets.ledger import IdLimits, make_ledger_machine
 from cranberrywall.budgets.messages import (
     LEDGER_CODEC,
     Charge,
--- a/tests/budgets/first_schedules.py
+++ b/tests/budgets/first_schedules.py
@@ -15,7 +15,8 @@
 
 from result import Err
 
-from cranberrywall.budgets import ReserveRequest, SpendPolicy, make_ledger_machine
+from cranberrywall.budgets import ReserveRequest, SpendPolicy
+from cranberrywall.budgets.ledger import make_ledger_machine
 from tests.fakes.clock import VirtualClock, run_virtual
 from tests.fakes.money import MoneyFleet
 
--- a/tests/budgets/ledgers.py
+++ b/tests/budgets/ledgers.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from cranberrywall.budgets import IdLimits, make_ledger_machine
+from cranberrywall.budgets.ledger import IdLimits, make_ledger_machine
 from cranberrywall.budgets.messages import (
     LEDGER_CODEC,
     BudgetQuery,
--- a/tests/budgets/money_stories.py
+++ b/tests/budgets/money_stories.py
@@ -6,7 +6,8 @@
 
 from result import Err, Ok
 
-from cranberrywall.budgets import Reservation, ReserveRequest, SpendPolicy, make_ledger_machine
+from cranberrywall.budgets import Reservation, ReserveRequest, SpendPolicy
+from cranberrywall.budgets.ledger import make_ledger_machine
 from cranberrywall.errors import ErrorKind
 from tests.fakes.clock import VirtualClock, run_virtual
 from tests.fakes.money import MoneyFleet
--- a/tests/budgets/test_ledger_failures.py
+++ b/tests/budgets/test_ledger_failures.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cranberrywall.budgets import IdLimits
+from cranberrywall.budgets.ledger import IdLimits
 from cranberrywall.budgets.messages import (
     Accepted,
     ChargeOutcome,
--- a/tests/budgets/test_ledger_ids.py
+++ b/tests/budgets/test_ledger_ids.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from cranberrywall.budgets import IdLimits
 from cranberrywall.budgets._ledger_ids import ChargeIds
+from cranberrywall.budgets.ledger import IdLimits
 
 
 def reload(ids: ChargeIds, limits: IdLimits) -> ChargeIds:
--- a/tests/budgets/test_many_hosts.py
+++ b/tests/budgets/test_many_hosts.py
@@ -6,12 +6,8 @@
 
 from result import Ok
 
-from cranberrywall.budgets import (
-    BudgetAssignment,
-    ReserveRequest,
-    SpendPolicy,
-    make_ledger_machine,
-)
+from cranberrywall.budgets import BudgetAssignment, ReserveRequest, SpendPolicy
+from cranberrywall.budgets.ledger import make_ledger_machine
 from tests.fakes.clock import VirtualClock, run_virtual
 from tests.fakes.money import MoneyFleet
 
--- a/tests/budgets/test_searches.py
+++ b/tests/budgets/test_searches.py
@@ -5,8 +5,8 @@
 
 from result import Ok
 
-from cranberrywall.budgets import make_ledger_machine
 from cranberrywall.budgets._peer_messages import TakeRequest
+from cranberrywall.budgets.ledger import make_ledger_machine
 from cranberrywall.errors import ErrorKind
 from tests.budgets.money_stories import make_request, refused, reserved
 from tests.fakes.clock import VirtualClock, run_virtual
--- a/tests/budgets/test_totals.py
+++ b/tests/budgets/test_totals.py
@@ -1,6 +1,7 @@
 """Credits budgets up to the totals of the configuration."""
 
-from cranberrywall.budgets import BudgetTotal, CreditUpdater, make_ledger_machine
+from cranberrywall.budgets import BudgetTotal
+from cranberrywall.budgets.ledger import CreditUpdater, make_ledger_machine
 from cranberrywall.budgets.messages import (
     LEDGER_CODEC,
     BudgetQuery,
--- a/tests/commands/fleets.py
+++ b/tests/commands/fleets.py
@@ -9,7 +9,7 @@
 from click.testing import CliRunner, Result
 from result import Err, Ok
 
-from cranberrywall.budgets import make_ledger_machine
+from cranberrywall.budgets.ledger import make_ledger_machine
 from cranberrywall.budgets.messages import LEDGER_CODEC
 from cranberrywall.commands.ctl import main
 from cranberrywall.commands.ctl._session import Options, Session
--- a/tests/console/conftest.py
+++ b/tests/console/conftest.py
@@ -7,7 +7,7 @@
 import pytest
 from result import Err
 
-from cranberrywall.budgets import make_ledger_machine
+from cranberrywall.budgets.ledger import make_ledger_machine
 from cranberrywall.configuration import ConfigurationClient, make_configuration_machine
 from cranberrywall.console import ConsoleParts, Role, make_accounts, make_console_server
 from cranberrywall.errors import ErrorKind, Refusal
--- a/tests/control/hosts.py
+++ b/tests/control/hosts.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from cranberrywall.budgets import LedgerClient, make_ledger_client, make_ledger_machine
+from cranberrywall.budgets import LedgerClient, make_ledger_client
+from cranberrywall.budgets.ledger import make_ledger_machine
 from cranberrywall.control import ControlHost, make_control_client, make_control_host
 from cranberrywall.links import LinkCaller, Peer, make_caller, make_link_server
 from cranberrywall.replication import GroupSettings, initial_members_of
--- a/tests/requests/fleet.py
+++ b/tests/requests/fleet.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from cranberrywall.configuration import make_fixed_configuration
-from cranberrywall.entry import CallerStack, StackLinks, make_caller_stack
+from cranberrywall.entry.stack import CallerStack, StackLinks, make_caller_stack
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.quarantine import Quarantine, RunTracker
 from cranberrywall.rates import Permits, RateTable, TargetRates
