Make the lists of hosts once for each change or fifth of a second

Each look at a budget, choice of peers and contact made views of all hosts anew: at 191 hosts and 40 budgets some 20 lists of 191 a second.

--- a/cranberrywall/commands/_entry_ties.py
+++ b/cranberrywall/commands/_entry_ties.py
@@ -58,6 +58,7 @@
         self.contacts = self._make_contacts()
         self._configured = ConfiguredHosts(self._view(), configuration, self._peers())
         self.membership = self._make_membership()
+        self._discovered = DiscoveredHosts(self.membership)
         self.follower = self._make_follower(configuration)
         self._meeting: asyncio.Task[None] | None = None
 
@@ -70,7 +71,7 @@
     def entry_hosts(self) -> Sequence[EntryHost]:
         """Return the entry hosts known, those that are down too."""
         if self.contacts is not None:
-            return DiscoveredHosts(self.membership).entry_hosts()
+            return self._discovered.entry_hosts()
         return self._configured.entry_hosts()
 
     def _make_contacts(self) -> ControlContacts | None:
--- a/cranberrywall/entry/_discovered.py
+++ b/cranberrywall/entry/_discovered.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 
 from cranberrywall.budgets import EntryHost
-from cranberrywall.hosts import LiveMembership
+from cranberrywall.hosts import HostView, LiveMembership
 
 
 class DiscoveredHosts:
@@ -16,7 +16,14 @@
 
     def __init__(self, membership: LiveMembership) -> None:
         self._membership = membership
+        self._views: Sequence[HostView] = ()
+        self._entry_hosts: Sequence[EntryHost] = ()
 
     def entry_hosts(self) -> Sequence[EntryHost]:
         """Return all entry hosts that membership tracks."""
-        return [EntryHost(view.host, view.place, False) for view in self._membership.all()]
+        views = self._membership.all()
+        # Membership returns the same list until it changes.
+        if views is not self._views:
+            self._views = views
+            self._entry_hosts = [EntryHost(view.host, view.place, False) for view in views]
+        return self._entry_hosts
--- a/cranberrywall/hosts/_membership.py
+++ b/cranberrywall/hosts/_membership.py
@@ -118,8 +118,9 @@
         self._load_number = 0
         self._load_published_at = float("-inf")
         self._place_load_published_at = float("-inf")
-        self._alive_views: list[HostView] | None = None
-        self._alive_views_at = float("-inf")
+        self._views: list[HostView] | None = None
+        self._alive_views: list[HostView] = []
+        self._views_at = float("-inf")
 
     @property
     def gossip(self) -> Gossip:
@@ -137,24 +138,20 @@
         server.register(SYNC, self._anti_entropy.answer)
 
     def alive(self) -> Sequence[HostView]:
-        now = self._clock.now()
-        if self._alive_views is None or now - self._alive_views_at > _VIEWS_TTL_S:
-            views = self._roster.views(now)
-            self._alive_views = [view for view in views if view.state is HostState.ALIVE]
-            self._alive_views_at = now
+        self._current_views()
         return self._alive_views
 
     def by_host(self, host: str) -> HostView | None:
         return self._roster.view(host, self._clock.now())
 
     def all(self) -> Sequence[HostView]:
-        return self._roster.views(self._clock.now())
+        return self._current_views()
 
     def set_load(self, load: float) -> None:
         self._load = load
 
     def leave(self) -> None:
-        self._alive_views = None
+        self._views = None
         self._gossip.publish(self._roster.update_own(leaving=True).to_item())
 
     async def start(self) -> None:
@@ -247,6 +244,15 @@
         states = [view.state for view in self.all()]
         return {str(state): states.count(state) for state in HostState}
 
+    def _current_views(self) -> list[HostView]:
+        """Return the views of all hosts, computed at most once in ``_VIEWS_TTL_S`` or a change."""
+        now = self._clock.now()
+        if self._views is None or now - self._views_at > _VIEWS_TTL_S:
+            self._views = self._roster.views(now)
+            self._alive_views = [view for view in self._views if view.state is HostState.ALIVE]
+            self._views_at = now
+        return self._views
+
     def _counts(self) -> dict[str, float]:
         return {
             "probes": self._prober.probes,
@@ -346,7 +352,7 @@
         before = self._roster.entry(item.key)
         was_superseded = self._roster.is_superseded
         answer = self._roster.apply(item, now)
-        self._alive_views = None
+        self._views = None
         if answer is not None:
             self._gossip.publish(answer.to_item())
         after = self._roster.entry(item.key)
