Draw the hosts of an enrolment's answer, not those to leave out

Each entry host enrols each second at one of the control hosts; the answer names 16 of them. It was made by sorting all hosts, looking at the age of all, and drawing those to leave out one by one.

--- a/cranberrywall/control/_enrolment.py
+++ b/cranberrywall/control/_enrolment.py
@@ -24,6 +24,9 @@
 MAX_ENTRIES_PER_REPLY = 16
 """Maximum number of entry hosts in one answer; entry hosts find the others by gossip."""
 
+EXPIRY_INTERVAL_S = 1.0
+"""Interval in seconds between two checks for hosts to remove."""
+
 
 class Enrolments:
     """Hosts that enrolled at this control host recently."""
@@ -47,6 +50,7 @@
         self._random = random
         self._host_by_name: dict[str, EnrolledHost] = {}
         self._last_seen_by_name: dict[str, float] = {}
+        self._expired_at = float("-inf")
 
     def register(self, server: Server) -> None:
         """Register the handler of enrolments at ``server``."""
@@ -54,9 +58,7 @@
 
     def entries(self) -> list[EnrolledHost]:
         """Return the entry hosts on record, sorted by name."""
-        self._remove_expired(self._clock.now())
-        entries = [host for host in self._host_by_name.values() if not host.is_control]
-        return sorted(entries, key=lambda host: host.host)
+        return sorted(self._entries(), key=lambda host: host.host)
 
     def controls(self) -> tuple[str, ...]:
         """Return the stream addresses of the control hosts, the members of the groups first."""
@@ -71,10 +73,26 @@
 
     async def _enrol(self, request: EnrolRequest, peer: Peer) -> Result[EnrolReply, Refusal]:
         self._record(request.me)
-        entries = self.entries()
-        while len(entries) > MAX_ENTRIES_PER_REPLY:
-            entries.pop(self._random.randrange(0, len(entries)))
-        return Ok(EnrolReply(self.controls(), tuple(entries), self._revision()))
+        return Ok(EnrolReply(self.controls(), self._some_entries(), self._revision()))
+
+    def _entries(self) -> list[EnrolledHost]:
+        now = self._clock.now()
+        if now - self._expired_at >= EXPIRY_INTERVAL_S:
+            self._expired_at = now
+            self._remove_expired(now)
+        return [host for host in self._host_by_name.values() if not host.is_control]
+
+    def _some_entries(self) -> tuple[EnrolledHost, ...]:
+        """Return a few random entry hosts, with as many draws as hosts are returned.
+
+        Every host of the fleet enrols each second.
+        """
+        entries = self._entries()
+        count = min(MAX_ENTRIES_PER_REPLY, len(entries))
+        for index in range(count):
+            other = self._random.randrange(index, len(entries))
+            entries[index], entries[other] = entries[other], entries[index]
+        return tuple(entries[:count])
 
     def _record(self, host: EnrolledHost) -> None:
         recorded = self._host_by_name.get(host.host)
--- a/tests/control/test_enrolment.py
+++ b/tests/control/test_enrolment.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from cranberrywall.control import ControlContacts, EnrolledHost, Enrolments
+from cranberrywall.control._enrolment import MAX_ENTRIES_PER_REPLY
 from cranberrywall.control.messages import EnrolReply, EnrolRequest
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Peer
@@ -47,6 +48,33 @@
     run_virtual(scenario())
 
 
+def test_a_reply_takes_as_many_draws_as_it_names_hosts() -> None:
+    """Each of hundreds of hosts enrols each second, and a reply took a draw for each of them."""
+
+    class CountingRandom(random.Random):
+        draws = 0
+
+        def randrange(self, *args: Any, **options: Any) -> int:
+            self.draws += 1
+            return super().randrange(*args, **options)
+
+    async def scenario() -> None:
+        draws = CountingRandom(1)
+        enrolments = Enrolments(list, lambda: 7, VirtualClock(), draws)
+        hosts = [ENTRY._replace(host=f"entry-{number:03}") for number in range(200)]
+        named = set()
+        for host in hosts:
+            draws.draws = 0
+            reply = (await enrolments._enrol(EnrolRequest(host), PEER)).unwrap()
+            assert len(set(reply.entries)) == len(reply.entries) <= MAX_ENTRIES_PER_REPLY
+            assert draws.draws <= MAX_ENTRIES_PER_REPLY
+            named |= set(reply.entries)
+        assert len(named) > 100
+        assert enrolments.entries() == hosts
+
+    run_virtual(scenario())
+
+
 def test_a_late_message_of_an_earlier_incarnation_does_not_restore_its_address() -> None:
     async def scenario() -> None:
         enrolments = make_enrolments(VirtualClock())
