--- a/cranberrywall/commands/ctl/_story.py
+++ b/cranberrywall/commands/ctl/_story.py
@@ -93,7 +93,7 @@
     if refused is not None:
         return (
             f"The request {request_id} was refused by {refused.host} before anything was sent: "
-            f"{refused.pairs.get('refusal', '')}."
+            f"{refused.pairs.get('refusal', '')}{_describe_budget(own)}."
         )
     return (
         f"The request {request_id} has no end in these logs; the last line is {own[-1].event} of "
@@ -118,6 +118,22 @@
     )
 
 
+def _describe_budget(own: Sequence[LogLine]) -> str:
+    """Return what the ledger had of the budget that a request was refused for; else nothing."""
+    line = next((one for one in reversed(own) if one.event == "budget_refused"), None)
+    if line is None:
+        return ""
+    pairs = line.pairs
+    here = f"{pairs.get('usable')} could be used on this host"
+    if not pairs.get("credited"):
+        return f"; {here}, and the ledger had not answered it yet"
+    return (
+        f"; of {pairs['credited']} credited {pairs.get('charged')} were charged,"
+        f" {pairs.get('outstanding')} were held by hosts and {pairs.get('in_doubt')} in doubt,"
+        f" as the ledger said {float(pairs.get('ledger_age_s') or 0):.1f} s before; {here}"
+    )
+
+
 def _tries(own: Sequence[LogLine]) -> str:
     failed = [line.pairs for line in own if line.event == "attempt_failed"]
     if not failed:
--- a/tests/commands/test_ctl_explain.py
+++ b/tests/commands/test_ctl_explain.py
@@ -69,6 +69,27 @@
     assert (mixed.exit_code, "notes.txt:1: left out" in mixed.stderr) == (Exit.DONE, True)
 
 
+BUDGET = """\
+time=2026-12-03T02:21:00.0+0000 level=INFO event=budget_refused process=entry host=entry-1 \
+place=annex request=r-6 budget=desk kind=budget_exhausted bound=900 usable=40 reserved=0 \
+charging=0 free=0 unreached=0 withheld=0 in_use=0 credited=5000 charged=4900 outstanding=60 \
+in_doubt=40 ledger_age_s=0.21 out_of_reach_s=0
+time=2026-12-03T02:21:00.1+0000 level=INFO event=request_refused process=entry host=entry-1 \
+place=annex request=r-6 refusal="budget_exhausted: fewer than 900 are left"
+"""
+
+
+def test_a_request_refused_for_its_budget_is_explained_by_the_ledgers_sums(tmp_path: Path) -> None:
+    """A refusal named only the amount asked for: nobody could say who held the rest."""
+    path = tmp_path / "budget.log"
+    path.write_text(BUDGET, encoding="utf-8")
+    sentence = CtlFleet().run("explain", "r-6", str(path)).stdout.splitlines()[0]
+    assert sentence.endswith(
+        "fewer than 900 are left; of 5000 credited 4900 were charged, 60 were held by hosts and "
+        "40 in doubt, as the ledger said 0.2 s before; 40 could be used on this host."
+    )
+
+
 BACKOFF = """\
 time=2026-12-03T02:20:55.0+0000 level=INFO event=target_backoff_began process=entry host=entry-1 \
 place=annex request=r-0 target=t-5 incarnation=1 seconds=3
