--- a/cranberrywall/budgets/_peer_replication.py
+++ b/cranberrywall/budgets/_peer_replication.py
@@ -222,8 +222,8 @@
 
     Each record is on the disk of one peer or in the memory of ``REQUIRED_COPIES`` peers. If fewer
     replica holders of an incarnation have restarted without a disk since they were named, each of
-    its records was also stored at one of the others, and these have nothing left. ``emptied`` are
-    the answers of all hosts in ``rows``.
+    its records was also stored at one of the others, and these have nothing left. A host that is
+    not in ``emptied`` was not asked, and may have the only copy on its disk.
 
     >>> a, b, c = Holder("a", 1), Holder("b", 1), Holder("c", 1)
     >>> emptied = EmptiedHolders((a, Holder("b", 2), Holder("c", 2)), ())
@@ -231,7 +231,11 @@
     [Holder(host='b', incarnation=1)]
     >>> replaceable_replica_holders([NamedReplicaHolders(Holder("d", 1), (a, b, c))], emptied)
     []
+    >>> not_asked = Holder("e", 1)
+    >>> replaceable_replica_holders([NamedReplicaHolders(Holder("d", 1), (a, not_asked))], emptied)
+    []
     """
+    answered_hosts = {holder.host for holder in emptied.holders}
     lost_by_row = [
         {
             peer
@@ -243,5 +247,7 @@
     replaceable: set[Holder] = set()
     irreplaceable: set[Holder] = set()
     for lost in lost_by_row:
-        (replaceable if len(lost) < REQUIRED_COPIES else irreplaceable).update(lost)
+        was_asked = all(peer.host in answered_hosts for peer in lost)
+        is_replaceable = was_asked and len(lost) < REQUIRED_COPIES
+        (replaceable if is_replaceable else irreplaceable).update(lost)
     return sorted(replaceable - irreplaceable)
