Bound what a host spends out of the ledger's reach by a rate that it declares

Cause: what a lost host may have spent unreported follows from its time without contact alone and reaches all that it held after 8 s.

Ruled out: elections (stable from 41.4 s on, refusals went on), peers that did not answer, budgets that were spent (`budget_exhausted` is not among them), transfers on their way.

Fix: a host declares for each budget in use the rate that it will not exceed without contact: twice its mean rate, converted to bounds of requests, and at least a fortieth of its holding per second. It observes the lower of the old bound and 5 % plus rate times silence, and the ledger withholds the same. A declaration carries a contact, so a lower rate never applies to what was spent before it; of several declarations in flight the lowest rate counts; a late one is ignored.

Changed tests: the wait in test_both_sides_of_a_partition_of_hours... is the time in which all may be spent, now 40 s for 8 s; its checks are unchanged. Timers of searches, transfers and reports that started at 0 start in the past: a machine whose clock is below zero, as the model draws them, waited until the clock reached zero. Names that moved to another module are imported from there.

--- a/cranberrywall/budgets/_allotment.py
+++ b/cranberrywall/budgets/_allotment.py
@@ -67,6 +67,7 @@
         "queue",
         "reserved",
         "reservation_queue",
+        "settled_amount",
         "settled_bounds",
         "settled_count",
         "settled_since_review",
@@ -103,6 +104,7 @@
         self.demand = Demand(now)
         self.total_demand = Demand(now)
         self.settled_since_review = 0
+        self.settled_amount = 0
         self.settled_bounds = 0
         self.settled_count = 0
         self.reservation_queue: ReservationQueue | None = None
@@ -142,9 +144,8 @@
         if queue.in_reach:
             return self.spendable + freed
         self.unreported_spend.reset_outdated(queue.reach)
-        remaining = self.unreported_spend.remaining(
-            self._held, queue.reach.unreported_share(later_s)
-        )
+        bound = queue.reach.unreported_bound(self.budget, later_s)
+        remaining = self.unreported_spend.remaining(self._held, bound)
         # Charges that wait to be replicated, and reserved amounts, will need their part of the
         # bound.
         return remaining - (self.charging - self.unreported_spend.kept) - self.reserved + freed
@@ -173,9 +174,8 @@
         reach = self.queue.reach
         self.unreported_spend.reset_outdated(reach)
         # The amount has been charged or taken out already; until then it was part of the holding.
-        return amount <= self.unreported_spend.remaining(
-            self._held + amount, reach.unreported_share()
-        )
+        bound = reach.unreported_bound(self.budget)
+        return amount <= self.unreported_spend.remaining(self._held + amount, bound)
 
     def add_unreported_receipt(self, amount: int, asked_clock: float) -> None:
         """Count an amount that a peer gave and that the ledger does not have yet.
@@ -193,6 +193,11 @@
         """Return the mean bound of the requests settled here; 0 before the first one."""
         return self.settled_bounds / self.settled_count if self.settled_count else 0.0
 
+    @property
+    def bound_ratio(self) -> float:
+        """Return the bounds of the requests settled here in relation to their costs; at least 1."""
+        return self.settled_bounds / self.settled_amount if self.settled_amount else 1.0
+
     def numbers(self) -> StepNumbers:
         """Return the next sequence numbers, for a later allotment of the same budget."""
         return StepNumbers(
@@ -223,6 +228,7 @@
             "reserved": self.reserved,
             "charging": self.charging,
             "usable": self.usable,
+            "rate": self.queue.reach.declared_rates.rate(self.budget),
             "ledger": self.view,
         }
 
@@ -252,10 +258,7 @@
         """Move a reservation of ``bound`` to charging and return the charge's number."""
         self.reserved -= bound
         self.charging += actual
-        self.settled_since_review += actual
-        self.settled_bounds += bound
-        self.settled_count += 1
-        self.used_since_view = True
+        self._count_settled(bound, actual)
         number = self.take_charge_number()
         if actual < bound:
             self.spendable += bound - actual
@@ -270,7 +273,11 @@
 
     def record_cost(self, bound: int, actual: int) -> None:
         """Record the cost of a request whose open charge was ``bound``."""
+        self._count_settled(bound, actual)
+
+    def _count_settled(self, bound: int, actual: int) -> None:
         self.settled_since_review += actual
+        self.settled_amount += actual
         self.settled_bounds += bound
         self.settled_count += 1
         self.used_since_view = True
--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -44,6 +44,7 @@
 from cranberrywall.budgets._reservation import HeldReservation
 from cranberrywall.budgets._review import REVIEW_INTERVAL_S, Reviewer
 from cranberrywall.budgets._shortfalls import FundingSources, ShortfallQueue
+from cranberrywall.budgets._spend_rates import RateDeclarations
 from cranberrywall.budgets._transfers import TransferDonor, TransferRecipient
 from cranberrywall.budgets.messages import Holder, Transfer
 from cranberrywall.errors import ErrorKind, Refusal
@@ -61,6 +62,10 @@
 # The configured totals are compared with the credits that the ledger reported at this interval, in
 # seconds. A host draws from a raised total within one interval.
 TOTALS_CHECK_INTERVAL_S = 1.0
+# Changed rates of spending are declared to the ledger at this interval, in seconds.
+DECLARATION_INTERVAL_S = 2.0
+# All hosts together send the ledger's leader this many declarations a second.
+MAX_DECLARATIONS_PER_S = 8.0
 # A host that stops waits this long for the ledger to commit its charges.
 HAND_BACK_TIMEOUT_S = 10.0
 # The state dump lists this many budgets, those with the largest amounts.
@@ -170,6 +175,9 @@
             self._reviewer.missing_amount,
             self._reviewer.recheck_surplus,
         )
+        self._rate_declarations = [
+            RateDeclarations(queue, self._count_hosts) for queue in self._queue_by_group.values()
+        ]
         self._tasks: list[asyncio.Task[None]] = []
         server.register(TAKE, self._handle_take)
         server.register(KEEP, self._store.store)
@@ -235,6 +243,7 @@
         self._tasks.append(asyncio.create_task(self._review_loop()))
         self._tasks.append(asyncio.create_task(self._contact_loop()))
         self._tasks.append(asyncio.create_task(self._totals_loop()))
+        self._tasks.append(asyncio.create_task(self._declare_loop()))
         return Ok(None)
 
     async def stop(self) -> None:
@@ -424,6 +433,17 @@
             for queue in self._queues_with_money():
                 await queue.maintain_contact(interval_s)
 
+    async def _declare_loop(self) -> None:
+        while True:
+            await self._clock.sleep(
+                max(DECLARATION_INTERVAL_S, len(self._entry_hosts()) / MAX_DECLARATIONS_PER_S)
+            )
+            for declarations in self._rate_declarations:
+                await declarations.update(list(self._by_budget.values()), self._clock.now())
+
+    def _count_hosts(self) -> int:
+        return len(self._peers.alive())
+
     async def _review_loop(self) -> None:
         while True:
             await self._clock.sleep(REVIEW_INTERVAL_S)
--- a/cranberrywall/budgets/_charges.py
+++ b/cranberrywall/budgets/_charges.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Any
 
 from result import Err, Ok, Result
@@ -23,6 +23,7 @@
     Contact,
     Correction,
     Corrections,
+    DeclareSpendRates,
     Holder,
     RecallsQuery,
     Transfer,
@@ -287,6 +288,22 @@
                 # would first try to commit its transfers, and the peers' calls would time out.
                 await self.mark_out_of_reach(answer.err_value)
 
+    async def supports_declared_rates(self) -> bool:
+        """Return whether all members of the ledger group store declared rates."""
+        return await self._ledger.supports_declared_rates(self.group, self._commit_timeout_s)
+
+    async def declare_rates(self, rate_by_budget: Mapping[str, int]) -> Result[Any, Refusal]:
+        """Declare maximum rates of unreported spend; they are observed from now on."""
+        declared, contact = self.reach.declared_rates, self.contact()
+        rates = tuple(sorted(rate_by_budget.items()))
+        declared.record_sent(rate_by_budget)
+        command = DeclareSpendRates(self.holder, rates, contact)
+        answer = await self._ledger.declare_rates(self.group, command, self._commit_timeout_s)
+        if isinstance(answer, Ok):
+            self.reach.record_answer(contact)
+            declared.record_answer(rate_by_budget)
+        return answer
+
     def contact(self) -> Contact:
         """Return the contact data of a command that is sent now."""
         return self.reach.contact(self._unreported_by_budget())
--- a/cranberrywall/budgets/_client.py
+++ b/cranberrywall/budgets/_client.py
@@ -5,6 +5,7 @@
 from result import Err, Ok, Result
 
 from cranberrywall.budgets import messages
+from cranberrywall.budgets._messages_holders import DECLARED_RATES
 from cranberrywall.budgets.messages import LEDGER_CODEC
 from cranberrywall.control import ControlClient, ledger_group, ledger_groups
 from cranberrywall.errors import ErrorKind, Refusal
@@ -118,6 +119,17 @@
         """Register a holder at one group; send it to each of ``groups()``."""
         return await self._propose_to(group, command, messages.RegisterResult, timeout)
 
+    async def declare_rates(
+        self, group: str, command: messages.DeclareSpendRates, timeout: float
+    ) -> Result[messages.Accepted, Refusal]:
+        """Declare a holder's maximum rates of unreported spend to one group."""
+        return await self._propose_to(group, command, messages.Accepted, timeout)
+
+    async def supports_declared_rates(self, group: str, timeout: float) -> bool:
+        """Return whether all members of one group store declared rates."""
+        supported = await self._control.supports(group, DECLARED_RATES, timeout)
+        return isinstance(supported, Ok) and supported.ok_value
+
     async def replica_holders(
         self, group: str, query: messages.ReplicaHoldersQuery, timeout: float
     ) -> Result[messages.ReplicaHoldersResult, Refusal]:
--- a/cranberrywall/budgets/_ledger_accounts.py
+++ b/cranberrywall/budgets/_ledger_accounts.py
@@ -10,6 +10,7 @@
 from typing import Any, NamedTuple
 
 from cranberrywall.budgets._ledger_numbers import NumberSet
+from cranberrywall.budgets._unreported_bound import UnreportedBound
 from cranberrywall.budgets.messages import Holder, WorkspaceCharge
 
 
@@ -264,21 +265,22 @@
         self._check_sums()
         return allotment.outstanding
 
-    def release_except_share(
-        self, holder: Holder, share: float, last_contact_clock: float, unreported: int
+    def release_unspent(
+        self, holder: Holder, bound: UnreportedBound, last_contact_clock: float, unreported: int
     ) -> int:
         """Free the part of a lost holder's allotment that it cannot have spent; return the amount.
 
-        ``share`` of what the holder had at its last contact stays outstanding, and so does
-        everything that it received since then. ``unreported`` also stays: at the last contact,
-        other hosts stored replicas of charges over this amount that the ledger did not have yet.
+        What ``bound`` allows of the amount at the last contact stays outstanding, and so does
+        everything that the holder received since then. ``unreported`` also stays: at the last
+        contact, other hosts stored replicas of charges over this amount that the ledger did not
+        have yet.
         """
         allotment = self.allotment_by_holder.get(holder)
         if allotment is None:
             return 0
         received = allotment.received_since(last_contact_clock)
         own = max(0, allotment.outstanding - received)
-        freed = max(0, own - ceil(own * share) - unreported)
+        freed = max(0, own - ceil(bound.amount(own)) - unreported)
         self._adjust_outstanding(allotment, -freed)
         return freed
 
--- a/cranberrywall/budgets/_ledger_holders.py
+++ b/cranberrywall/budgets/_ledger_holders.py
@@ -1,10 +1,11 @@
 """Latest incarnation of each host, and last contact of each holder with the ledger."""
 
-from collections.abc import Iterable
+import sys
+from collections.abc import Iterable, Mapping
 from typing import Any, NamedTuple
 
 from cranberrywall.budgets._ledger_contact_gaps import ContactGaps, LastContact
-from cranberrywall.budgets._messages_holders import unreported_share
+from cranberrywall.budgets._unreported_bound import unreported_share
 from cranberrywall.budgets.messages import Contact, Evidence, Holder
 from cranberrywall.observability import log_event
 
@@ -41,15 +42,27 @@
     is_reduced: bool = False
 
 
+class DeclaredRates(NamedTuple):
+    """Maximum rates of unreported spend that a holder declared, in units per second.
+
+    ``clock`` is the time of the latest declaration by the monotonic clock of the holder's machine.
+    """
+
+    clock: float
+    rate_by_budget: dict[str, int]
+
+
 _NO_CONTACT = ContactRecord(LastContact(float("-inf"), 0.0), replica_holders=None)
+_NO_RATES = DeclaredRates(float("-inf"), {})
 
 
 class Holders:
-    """One record for each host, and the last contact of each holder."""
+    """One record for each host, and the last contact and declared rates of each holder."""
 
     def __init__(self) -> None:
         self.record_by_host: dict[str, HostRecord] = {}
         self._contact_by_holder: dict[Holder, ContactRecord] = {}
+        self._rates_by_holder: dict[Holder, DeclaredRates] = {}
         self._gaps = ContactGaps()
         self._shared: dict[Holder, Holder] = {}
 
@@ -107,9 +120,37 @@
         last = self._gaps.last_contact(contact)
         self._contact_by_holder[holder] = ContactRecord(last, replica_holders, contact.unseen)
 
+    @property
+    def has_declared_rates(self) -> bool:
+        """Return whether any holder has declared rates; older builds cannot load them."""
+        return bool(self._rates_by_holder)
+
+    def record_rates(self, holder: Holder, contact: Contact, rates: Mapping[str, int]) -> None:
+        """Record declared rates and the contact that they came with.
+
+        A declaration that arrives after a later one is out of date and is ignored.
+        """
+        self.record_contact(holder, contact)
+        previous = self._declared(holder)
+        if contact.clock <= previous.clock:
+            return
+        rate_by_budget = {
+            **previous.rate_by_budget,
+            **{sys.intern(budget): rate for budget, rate in rates.items()},
+        }
+        self._rates_by_holder[holder] = DeclaredRates(contact.clock, rate_by_budget)
+
+    def declared_rate(self, holder: Holder, budget: str) -> int | None:
+        """Return the maximum rate that the holder declared for the budget."""
+        return self._declared(holder).rate_by_budget.get(budget)
+
+    def _declared(self, holder: Holder) -> DeclaredRates:
+        return self._rates_by_holder.get(holder, _NO_RATES)
+
     def remove_contact(self, holder: Holder) -> None:
-        """Remove the contact record of a released holder."""
+        """Remove the contact record and the declared rates of a released holder."""
         self._contact_by_holder.pop(holder, None)
+        self._rates_by_holder.pop(holder, None)
 
     def last_contact_clock(self, holder: Holder) -> float:
         """Return the time of the holder's last contact by its machine's monotonic clock."""
@@ -140,13 +181,13 @@
         """Stop recording other hosts' wall clocks: the older incarnations are released."""
         self._gaps.stop_recording(host)
 
-    def bound_unreported_share(
+    def bound_unreported_gap(
         self, older: Holder, successor: Holder, evidence: Evidence, contact: Contact | None
     ) -> float | None:
-        """Return the share that a lost incarnation may have spent unreported; ``None`` if unknown.
+        """Return for how long a lost incarnation may have spent unreported; ``None`` if unknown.
 
-        The share is returned only once for each lost incarnation: a second reduction would apply
-        the share to the remainder of the first.
+        The time is returned only once for each lost incarnation: a second reduction would apply
+        the bound to the remainder of the first.
         """
         record = self._contact_by_holder.get(older)
         if record is None or record.is_reduced or contact is None:
@@ -155,16 +196,16 @@
         if gap_s is None:
             return None
         self._contact_by_holder[older] = record._replace(is_reduced=True)
-        share = unreported_share(gap_s)
         log_event(
             "INFO",
             "lost_run_bounded",
             lost=older.host,
             incarnation=older.incarnation,
             silent_s=gap_s,
-            share=share,
+            share=unreported_share(gap_s),
+            declared_rates=len(self._declared(older).rate_by_budget),
         )
-        return share
+        return gap_s
 
     def is_proven_empty(self, older: Holder, evidence: Evidence) -> bool:
         """Return whether ``evidence`` shows that no peer stores data of ``older`` any more.
@@ -198,7 +239,7 @@
 
     def dump(self) -> list[Any]:
         """Return the state, for a snapshot."""
-        return [
+        plain = [
             [[host, *record] for host, record in self.record_by_host.items()],
             [
                 [
@@ -212,10 +253,13 @@
             ],
             self._gaps.dump(),
         ]
+        if self.has_declared_rates:
+            plain.append([[*holder, *rates] for holder, rates in self._rates_by_holder.items()])
+        return plain
 
     def load(self, plain: list[Any]) -> None:
         """Replace the state with one that ``dump`` returned."""
-        records, contacts, gaps = plain
+        records, contacts, gaps, *rates = plain
         self.record_by_host = {host: HostRecord(*record) for host, *record in records}
         self._contact_by_holder = {
             Holder(host, incarnation): ContactRecord(
@@ -227,6 +271,10 @@
             for host, incarnation, clock, wall, walls, peers, unreported, is_reduced in contacts
         }
         self._gaps.load(gaps)
+        self._rates_by_holder = {
+            Holder(host, incarnation): DeclaredRates(clock, rate_by_budget)
+            for host, incarnation, clock, rate_by_budget in (rates[0] if rates else ())
+        }
         self._shared = {}
 
 
--- a/cranberrywall/budgets/_ledger_machine.py
+++ b/cranberrywall/budgets/_ledger_machine.py
@@ -65,6 +65,7 @@
             messages.ChargeBatch: charges.apply_batch,
             messages.Corrections: charges.apply_corrections,
             messages.RegisterHolder: movements.register,
+            messages.DeclareSpendRates: movements.declare_rates,
             messages.ConfirmDead: movements.confirm_dead,
             messages.Recall: movements.recall,
             messages.Transfer: movements.transfer,
--- a/cranberrywall/budgets/_ledger_movements.py
+++ b/cranberrywall/budgets/_ledger_movements.py
@@ -9,11 +9,13 @@
 from cranberrywall.budgets._ledger_exceptions import Entry
 from cranberrywall.budgets._ledger_numbers import MAX_AHEAD, NumberSet
 from cranberrywall.budgets._ledger_state import LedgerState
+from cranberrywall.budgets._unreported_bound import UnreportedBound
 from cranberrywall.budgets.messages import (
     MAX_TRANSFERS_IN_BATCH,
     Accepted,
     ConfirmDead,
     ConfirmDeadResult,
+    DeclareSpendRates,
     Draw,
     DrawResult,
     ExceptionKind,
@@ -313,6 +315,23 @@
     return RegisterResult(record.released, held, state.holders.replica_hosts(remaining))
 
 
+def declare_rates(state: LedgerState, command: DeclareSpendRates) -> Accepted | Rejected:
+    """Record the maximum rates at which a holder spends while it cannot report to the ledger."""
+    if not state.holders.is_current(command.holder):
+        return _reject_superseded(command.holder)
+    if command.contact.is_detached:
+        message = "the contact does not report the unreported amounts"
+        remedy = "declare rates while the ledger is in reach"
+        return Rejected(ErrorKind.BAD_REQUEST, message, "contact", remedy)
+    if any(rate < 0 for _, rate in command.rates):
+        return Rejected(
+            ErrorKind.BAD_REQUEST, "a rate must not be negative", "rates", "declare at least 0"
+        )
+    state.holders.record_incarnation(command.holder)
+    state.holders.record_rates(command.holder, command.contact, dict(command.rates))
+    return Accepted()
+
+
 def _update_clock_recording(state: LedgerState, command: RegisterHolder, is_complete: bool) -> None:
     """Record other hosts' clocks as long as an older incarnation of the host is not released."""
     if is_complete:
@@ -333,15 +352,19 @@
     """
     if command.evidence is None:
         return 0
-    share = state.holders.bound_unreported_share(
-        older, command.holder, command.evidence, command.contact
-    )
-    if share is None:
+    holders = state.holders
+    gap_s = holders.bound_unreported_gap(older, command.holder, command.evidence, command.contact)
+    if gap_s is None:
         return 0
-    last_contact_clock = state.holders.last_contact_clock(older)
-    unreported = state.holders.unreported(older)
+    last_contact_clock = holders.last_contact_clock(older)
+    unreported = holders.unreported(older)
     return sum(
-        account.release_except_share(older, share, last_contact_clock, unreported.get(budget, 0))
+        account.release_unspent(
+            older,
+            UnreportedBound(gap_s, holders.declared_rate(older, budget)),
+            last_contact_clock,
+            unreported.get(budget, 0),
+        )
         for budget, account in state.account_by_budget.items()
     )
 
--- a/cranberrywall/budgets/_ledger_reach.py
+++ b/cranberrywall/budgets/_ledger_reach.py
@@ -4,7 +4,8 @@
 
 from cranberrywall.budgets._announced_replicas import AnnouncedReplicaHolders
 from cranberrywall.budgets._charge_replication import ChargeReplicator
-from cranberrywall.budgets._messages_holders import unreported_share
+from cranberrywall.budgets._declared_rates import DeclaredRates
+from cranberrywall.budgets._unreported_bound import UnreportedBound
 from cranberrywall.budgets.messages import Contact
 from cranberrywall.observability import log_event
 from cranberrywall.runtime import Clock
@@ -33,12 +34,19 @@
         self._announced = AnnouncedReplicaHolders()
         self._replicator = replicator
         self._clock = clock
+        self.declared_rates = DeclaredRates()
 
-    def unreported_share(self, later_s: float = 0.0) -> float:
-        """Return the share of its holding that the host may spend unreported in ``later_s``."""
+    @property
+    def is_bounded(self) -> bool:
+        """Return whether the host's unreported spend is bounded."""
+        return self._is_bounded
+
+    def unreported_bound(self, budget: str, later_s: float = 0.0) -> UnreportedBound | None:
+        """Return the bound on the host's unreported spend in ``later_s``; ``None`` if unbounded."""
         if not self._is_bounded:
-            return 1.0
-        return unreported_share(self._clock.now() + later_s - self.last_sent_at)
+            return None
+        gap_s = self._clock.now() + later_s - self.last_sent_at
+        return UnreportedBound(gap_s, self.declared_rates.rate(budget))
 
     def record_unreported(self) -> None:
         """Record that money is spent or given now without a report to the ledger."""
--- a/cranberrywall/budgets/_ledger_state.py
+++ b/cranberrywall/budgets/_ledger_state.py
@@ -19,9 +19,12 @@
 from cranberrywall.budgets._ledger_intents import Intents
 from cranberrywall.budgets.messages import Holder
 
-_VERSION = 3
+_VERSION = 4
 """Version number of the format of ledger snapshots."""
 
+_VERSION_WITHOUT_RATES = 3
+"""Version of the format as long as no holder has declared rates; older builds can load it."""
+
 _VERSIONS_WITHOUT_CLOCKS = (1, 2)
 """Versions of the format in which contacts lack clocks; they can still be loaded."""
 
@@ -93,7 +96,8 @@
         with _garbage_collection_suspended():
             parts = [part.dump() for part in self._parts()]
             accounts = [[name, account.dump()] for name, account in self.account_by_budget.items()]
-            return msgspec.msgpack.encode([_VERSION, parts, accounts])
+            version = _VERSION if self.holders.has_declared_rates else _VERSION_WITHOUT_RATES
+            return msgspec.msgpack.encode([version, parts, accounts])
 
     def load(self, data: bytes) -> None:
         """Replace the state with one that ``dump`` returned; raise ``ValueError`` on others."""
@@ -104,7 +108,7 @@
                 # without contact, so they are discarded; nothing is freed because of them.
                 records = parts[0][0] if version > 1 else parts[0]
                 parts[0] = [records, [], [[], []]]
-            elif version != _VERSION:
+            elif version not in (_VERSION, _VERSION_WITHOUT_RATES):
                 raise ValueError(f"unsupported version {version} of a ledger snapshot")
             for part, plain in zip(self._parts(), parts, strict=True):
                 part.load(plain)
--- a/cranberrywall/budgets/_messages_holders.py
+++ b/cranberrywall/budgets/_messages_holders.py
@@ -10,36 +10,6 @@
     incarnation: int
 
 
-MIN_UNREPORTED_SHARE = 0.05
-"""Share of its allotment that a holder may spend as soon as the ledger is unreachable.
-
-Without it, all requests of a partition's first moments would wait. If all hosts are lost together,
-at least this share of their allotments stays outstanding.
-"""
-
-FULL_UNREPORTED_DELAY_S = 8.0
-"""Time in seconds without contact after which a holder may have spent its full allotment.
-
-With this value, requests are served at an even rate during a partition of some seconds: in
-partitions of 7 to 9 s, workspaces used 25 to 35 % of their totals. A host whose machine had no
-power for a second gets back four fifths immediately. A bound that rises at half this rate for the
-first three seconds, and faster after that, serves no better.
-"""
-
-
-def unreported_share(gap_s: float) -> float:
-    """Return the share of its allotment that a holder may have spent unreported.
-
-    ``gap_s`` is the time in seconds since the holder last reported its unreported spend. Both
-    sides use this function: the holder spends no more than this share, and the ledger frees no more
-    than the rest of it when the holder is lost.
-
-    >>> unreported_share(0.0), unreported_share(2.0), unreported_share(60.0)
-    (0.05, 0.3, 1.0)
-    """
-    return min(1.0, MIN_UNREPORTED_SHARE + max(0.0, gap_s) / FULL_UNREPORTED_DELAY_S)
-
-
 class Contact(NamedTuple):
     """Clocks and state of a holder when it contacted the ledger, in seconds.
 
@@ -58,6 +28,22 @@
     unseen: tuple[tuple[str, int], ...] = ()
 
 
+DECLARED_RATES = "declared_spend_rates"
+"""Name of the feature of ledger groups whose members apply ``DeclareSpendRates``."""
+
+
+class DeclareSpendRates(NamedTuple):
+    """Command that declares the holder's maximum rates of unreported spend, in units per second.
+
+    The holder spends no faster from this contact on, and the ledger withholds no more of what a
+    lost holder had. Budgets that are not in ``rates`` keep the rates that they have.
+    """
+
+    holder: Holder
+    rates: tuple[tuple[str, int], ...]
+    contact: Contact
+
+
 class Evidence(NamedTuple):
     """Evidence on what older incarnations of a host without a disk may have spent unreported.
 
--- a/cranberrywall/budgets/_review.py
+++ b/cranberrywall/budgets/_review.py
@@ -142,7 +142,7 @@
         """Start a draw in the background, unless one is in flight or started a moment ago."""
         now = self._clock.now()
         budget = allotment.budget
-        if budget in self._task_by_budget or now < self._next_draw_at.get(budget, 0.0):
+        if budget in self._task_by_budget or now < self._next_draw_at.get(budget, now):
             return
         self._next_draw_at[budget] = now + MIN_DRAW_AHEAD_INTERVAL_S
         task = asyncio.create_task(self._draw(allotment))
--- a/cranberrywall/budgets/_shortfalls.py
+++ b/cranberrywall/budgets/_shortfalls.py
@@ -88,7 +88,7 @@
         self._waiters: list[_Waiter] = []
         self._task: asyncio.Task[None] | None = None
         self._pause_s = 0.0
-        self._next_round_at = 0.0
+        self._next_round_at = float("-inf")
 
     async def reserve(self, request: ReserveRequest, now: float) -> Reserved:
         """Wait in the queue until the request is served, refused, or past its deadline."""
--- a/cranberrywall/budgets/_transfer_reports.py
+++ b/cranberrywall/budgets/_transfer_reports.py
@@ -52,7 +52,7 @@
         self._timeout_s = timeout_s
         self._waiting: deque[_Report] = deque()
         self._pause_s = 0.0
-        self._due_at = 0.0
+        self._due_at = float("-inf")
 
     def __len__(self) -> int:
         """Return the number of queued transfers."""
@@ -78,7 +78,7 @@
     def add(self, transfer: Transfer, recipient: ChargedAllotment | None) -> None:
         """Queue a transfer that is to be reported immediately."""
         self._waiting.append((transfer, recipient))
-        self._due_at = 0.0
+        self._due_at = float("-inf")
 
     def extend(self, more: Iterable[tuple[Transfer, ChargedAllotment | None]]) -> None:
         """Queue transfers behind those that wait."""
--- a/cranberrywall/budgets/_transfers.py
+++ b/cranberrywall/budgets/_transfers.py
@@ -239,7 +239,7 @@
         A peer that did not answer is not asked again for some time: during a network partition each
         call would cost a request most of its time.
         """
-        if self._clock.now() < self._retry_at_by_host.get(peer.host, 0.0):
+        if self._clock.now() < self._retry_at_by_host.get(peer.host, float("-inf")):
             return None
         holder = allotment.queue.holder
         # The number is random and not a counter: after a restart a counter could repeat the number
@@ -273,7 +273,7 @@
             key = _PeerBudget(peer.host, allotment.budget)
             request = self._unanswered.get(key)
             if request is not None and self._clock.now() >= self._retry_at_by_host.get(
-                peer.host, 0.0
+                peer.host, float("-inf")
             ):
                 del self._unanswered[key]
                 await self._ask(peer, key, request, allotment)
--- a/cranberrywall/budgets/_unreported_spend.py
+++ b/cranberrywall/budgets/_unreported_spend.py
@@ -1,11 +1,13 @@
 """Bound what a host spends of one budget without a report to the ledger.
 
 The ledger frees the money that a lost host cannot have spent, based on the time since its last
-contact. The host therefore observes the same bound: a share of what it holds, which rises with the
-time since the last contact, plus everything that other hosts gave it meanwhile.
+contact and on the rates that the host declared. The host therefore observes the same bound: a part
+of what it holds, which rises with the time since the last contact, plus everything that other hosts
+gave it meanwhile.
 """
 
 from cranberrywall.budgets._ledger_reach import LedgerReach
+from cranberrywall.budgets._unreported_bound import UnreportedBound
 
 
 class UnreportedSpend:
@@ -39,6 +41,11 @@
         """Return what the host held when it lost the ledger; it has ``held`` left of that."""
         return held + self.kept + self.given - self.received
 
-    def remaining(self, held: int, share: float) -> int:
-        """Return what may still be spent: ``share`` of the host's own, plus what peers gave."""
-        return int(share * self.initial_amount(held)) + self.received - self.kept - self.given
+    def remaining(self, held: int, bound: UnreportedBound | None) -> int:
+        """Return what may still be spent: ``bound`` of the host's own, plus what peers gave.
+
+        ``None`` allows everything.
+        """
+        own = self.initial_amount(held)
+        allowed = own if bound is None else int(bound.amount(own))
+        return allowed + self.received - self.kept - self.given
--- a/cranberrywall/commands/_control_program.py
+++ b/cranberrywall/commands/_control_program.py
@@ -5,7 +5,12 @@
 from collections.abc import Callable, Mapping, Sequence
 from functools import partial
 
-from cranberrywall.budgets.ledger import LedgerMachine, LedgerSummary, make_ledger_machine
+from cranberrywall.budgets.ledger import (
+    LEDGER_FEATURES,
+    LedgerMachine,
+    LedgerSummary,
+    make_ledger_machine,
+)
 from cranberrywall.commands._control_ties import (
     ControlConnections,
     Loop,
@@ -229,6 +234,7 @@
         caller,
         server,
         make_group_settings(settings),
+        LEDGER_FEATURES,
     )
 
 
--- a/cranberrywall/control/_client.py
+++ b/cranberrywall/control/_client.py
@@ -10,12 +10,14 @@
     MEMBERS,
     PROPOSE,
     QUERY,
+    SUPPORT,
     ChangeMemberReply,
     ChangeMemberRequest,
     MembersReply,
     MembersRequest,
     ProposeRequest,
     QueryRequest,
+    SupportRequest,
 )
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller, Method
@@ -61,6 +63,14 @@
         """Read from the leader of ``group``; the answer reflects every earlier commit."""
         ...
 
+    async def supports(self, group: str, feature: str, timeout: float) -> Result[bool, Refusal]:
+        """Return whether the builds of all members of ``group`` have a feature.
+
+        Replicas that apply a command differently must never be members of the same group. A leader
+        of a build without this call refuses it with ``MALFORMED``.
+        """
+        ...
+
 
 class MembersClient(ControlClient, Protocol):
     """Client that can also list and change the members of groups."""
@@ -121,6 +131,11 @@
         reply = await self._call_leader(group, QUERY, QueryRequest(group, query), timeout)
         return reply.map(lambda message: message.result)
 
+    async def supports(self, group: str, feature: str, timeout: float) -> Result[bool, Refusal]:
+        request = SupportRequest(group, feature)
+        reply = await self._call_leader(group, SUPPORT, request, timeout)
+        return reply.map(lambda message: message.is_supported)
+
     async def members(self, group: str, timeout: float) -> Result[MembersReply, Refusal]:
         return await self._call_leader(group, MEMBERS, MembersRequest(group), timeout)
 
--- a/cranberrywall/control/_program.py
+++ b/cranberrywall/control/_program.py
@@ -4,31 +4,38 @@
 """
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from typing import Any
 
 from result import Err, Ok, Result
 
 from cranberrywall.control.messages import (
     CHANGE_MEMBER,
+    FEATURES,
     MEMBERS,
     PROPOSE,
     QUERY,
+    SUPPORT,
     ChangeMemberReply,
     ChangeMemberRequest,
+    FeaturesReply,
+    FeaturesRequest,
     MembersReply,
     MembersRequest,
     ProposeReply,
     ProposeRequest,
     QueryReply,
     QueryRequest,
+    SupportReply,
+    SupportRequest,
 )
 from cranberrywall.errors import ErrorKind, Refusal
-from cranberrywall.links import LinkCaller, LinkServer, Peer, Server
+from cranberrywall.links import Caller, LinkCaller, LinkServer, Peer, Server
 from cranberrywall.observability import log_event
 from cranberrywall.replication import (
     GroupSettings,
     InitialMembers,
+    MemberView,
     Replica,
     StateMachine,
     make_group,
@@ -39,11 +46,22 @@
 """Time limit for a command or a query in a group, in seconds; callers time out earlier."""
 
 
+FEATURES_CALL_TIMEOUT_S = 0.5
+"""Time limit of a call to another member for the features of its build, in seconds."""
+
+
 class GroupServer:
-    """Answers the calls for the groups that this host is a member of."""
+    """Answers the calls for the groups that this host is a member of.
+
+    ``features`` are the features of this host's build.
+    """
 
-    def __init__(self, group_by_name: Mapping[str, Replica]) -> None:
+    def __init__(
+        self, group_by_name: Mapping[str, Replica], features: Collection[str], caller: Caller
+    ) -> None:
         self.group_by_name = group_by_name
+        self._features = features
+        self._caller = caller
 
     def register(self, server: Server) -> None:
         """Register the handlers of these calls at ``server``."""
@@ -51,6 +69,8 @@
         server.register(QUERY, self._query)
         server.register(MEMBERS, self._members)
         server.register(CHANGE_MEMBER, self._change_member)
+        server.register(SUPPORT, self._check_support)
+        server.register(FEATURES, self._list_features)
 
     async def _propose(self, request: ProposeRequest, peer: Peer) -> Result[ProposeReply, Refusal]:
         group = self._group(request.group)
@@ -94,6 +114,33 @@
         changed = await _change(group.ok_value, request)
         return changed.map(lambda _: ChangeMemberReply())
 
+    async def _check_support(
+        self, request: SupportRequest, peer: Peer
+    ) -> Result[SupportReply, Refusal]:
+        group = self._group(request.group)
+        if isinstance(group, Err):
+            return Err(group.err_value)
+        members = group.ok_value.members()
+        if isinstance(members, Err):
+            return Err(members.err_value)
+        answers = await asyncio.gather(
+            *(self._has_feature(member, request.feature) for member in members.ok_value)
+        )
+        return Ok(SupportReply(all(answers)))
+
+    async def _has_feature(self, member: MemberView, feature: str) -> bool:
+        if member.is_leader:
+            return feature in self._features
+        reply = await self._caller.call(
+            member.address, FEATURES, FeaturesRequest(), FEATURES_CALL_TIMEOUT_S
+        )
+        return isinstance(reply, Ok) and feature in reply.ok_value.features
+
+    async def _list_features(
+        self, request: FeaturesRequest, peer: Peer
+    ) -> Result[FeaturesReply, Refusal]:
+        return Ok(FeaturesReply(tuple(sorted(self._features))))
+
     def _group(self, name: str) -> Result[Replica, Refusal]:
         group = self.group_by_name.get(name)
         if group is not None:
@@ -197,15 +244,17 @@
     caller: LinkCaller,
     server: LinkServer,
     settings: GroupSettings | None = None,
+    features: Collection[str] = (),
 ) -> ControlHost:
     """Return a control host that runs one group for each state machine.
 
-    ``initial_members`` form the groups if these do not exist yet. Raise ``ValueError`` for a
-    host without a disk.
+    ``initial_members`` form the groups if these do not exist yet. ``features`` are those of the
+    state machines that members of older builds may lack. Raise ``ValueError`` for a host without
+    a disk.
     """
     group_by_name = {
         name: make_group(name, initial_members, host, machine, runtime, caller, server, settings)
         for name, machine in machine_by_group.items()
     }
-    GroupServer(group_by_name).register(server)
+    GroupServer(group_by_name, features, caller).register(server)
     return ControlHost(group_by_name, server, caller)
--- a/cranberrywall/control/messages.py
+++ b/cranberrywall/control/messages.py
@@ -65,6 +65,29 @@
     """Confirmation that the change is committed; a new host catches up afterwards."""
 
 
+class SupportRequest(NamedTuple):
+    """Request to the leader of ``group``: do the builds of all its members have ``feature``?"""
+
+    group: str
+    feature: str
+
+
+class SupportReply(NamedTuple):
+    """``is_supported`` is false as well if a member did not answer."""
+
+    is_supported: bool
+
+
+class FeaturesRequest(NamedTuple):
+    """Request to a control host for the features of its build."""
+
+
+class FeaturesReply(NamedTuple):
+    """Names of the features, sorted."""
+
+    features: tuple[str, ...]
+
+
 class EnrolledHost(NamedTuple):
     """Host as it announced itself.
 
@@ -100,4 +123,6 @@
 PROPOSE = Method("control.propose", ProposeRequest, ProposeReply)
 QUERY = Method("control.query", QueryRequest, QueryReply)
 MEMBERS = Method("control.members", MembersRequest, MembersReply)
+SUPPORT = Method("control.support", SupportRequest, SupportReply)
+FEATURES = Method("control.features", FeaturesRequest, FeaturesReply)
 CHANGE_MEMBER = Method("control.change_member", ChangeMemberRequest, ChangeMemberReply)
--- a/measurements/admission.py
+++ b/measurements/admission.py
@@ -70,6 +70,9 @@
         await asyncio.sleep(COMMIT_S)
         return Ok(self.machine.query(query))
 
+    async def supports(self, group: str, feature: str, timeout: float) -> Result[bool, Refusal]:
+        return Ok(True)
+
 
 class _Alone:
     """Be the only host of the fleet; nobody calls."""
--- a/tests/budgets/schedules.py
+++ b/tests/budgets/schedules.py
@@ -133,13 +133,16 @@
         await fleet.clock.sleep(self._random.uniform(0.02, 1.0))
         if self._incarnation_by_host[host] != incarnation:
             return
-        used = self._random.choice((bound, bound * 3 // 4, 0))
+        used = self._draw_used(bound)
         self._deliver(used - bound)
         await reservation.settle(used, clock.now())
 
     def _draw_bound(self) -> int:
         return self._random.choice(BOUNDS) + self._random.randrange(50)
 
+    def _draw_used(self, bound: int) -> int:
+        return self._random.choice((bound, bound * 3 // 4, 0))
+
     def _deliver(self, amount: int) -> None:
         self._delivered += amount
         self._max_overspend = max(self._max_overspend, self._delivered - self._credited)
@@ -302,6 +305,36 @@
     return run_virtual(Blackout(seed, hosts, 0.0).play())
 
 
+class LossAfterDeclarations(Blackout):
+    """Lose hosts in a partition, or just after it, that have declared their rates of spending.
+
+    Each request costs its bound, so that the hosts use up what they declared.
+    """
+
+    async def _cause_failures(self) -> None:
+        fleet, hosts = self._fleet, list(self._fleet.host_by_name)
+        await fleet.clock.sleep(self._random.uniform(6.0, 14.0))
+        for _ in range(self._random.randrange(1, 3)):
+            self._isolate_all()
+            self._is_under_pressure = True
+            await fleet.clock.sleep(self._random.uniform(0.3, 9.0))
+            if self._random.random() < 0.5:
+                self._reconnect()
+                await fleet.clock.sleep(self._random.uniform(0.0, 3.0))
+        await self._kill(hosts if self._random.random() < 0.7 else self._some())
+        self._reconnect()
+        self._is_under_pressure = True
+        await fleet.clock.sleep(25.0)
+
+    def _draw_used(self, bound: int) -> int:
+        return bound
+
+
+def play_loss_after_declarations(seed: int, hosts: int = 5) -> ScheduleResult:
+    """Run one schedule in which hosts declare rates before they are lost."""
+    return run_virtual(LossAfterDeclarations(seed, hosts, 0.0).play())
+
+
 def play(seed: int, hosts: int = 5, length_s: float = 60.0) -> ScheduleResult:
     """Run one schedule."""
     return run_virtual(Schedule(seed, hosts, length_s).play())
--- a/tests/budgets/test_partitions.py
+++ b/tests/budgets/test_partitions.py
@@ -9,7 +9,8 @@
 
 from cranberrywall.budgets import BudgetAssignment, SpendPolicy
 from cranberrywall.budgets._allotments import CONTACT_INTERVAL_S
-from cranberrywall.budgets._messages_holders import FULL_UNREPORTED_DELAY_S, unreported_share
+from cranberrywall.budgets._spend_rates import MAX_SPEND_TIME_S
+from cranberrywall.budgets._unreported_bound import FULL_UNREPORTED_DELAY_S, unreported_share
 from cranberrywall.budgets.messages import LEDGER_CODEC, ConfirmDead, Holder
 from cranberrywall.errors import ErrorKind
 from tests.budgets.money_stories import (
@@ -45,7 +46,7 @@
         await warm_up(fleet)
         fleet.net.cut(SOUTH_PARTITIONED)
         # Until then, hosts without disks may spend and give only a part of what they hold.
-        await fleet.clock.sleep(FULL_UNREPORTED_DELAY_S)
+        await fleet.clock.sleep(MAX_SPEND_TIME_S)
         south = await spend_all(fleet, "b1", "south", 20)
         await fleet.clock.sleep(7200.0)
         north = await spend_all(fleet, "a1", "north", 20)
--- a/tests/budgets/test_schedules.py
+++ b/tests/budgets/test_schedules.py
@@ -3,7 +3,12 @@
 import pytest
 
 from tests.budgets import first_schedules
-from tests.budgets.schedules import play, play_blackout, play_with_stalls
+from tests.budgets.schedules import (
+    play,
+    play_blackout,
+    play_loss_after_declarations,
+    play_with_stalls,
+)
 
 # Seeds of schedules that once delivered more than was paid for, named after the cause.
 CLAIMED_DURING_TRANSFER = (2, 6, 24, 72, 88, 93, 95)
@@ -54,6 +59,17 @@
     assert found.served > 500
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_what_the_ledger_frees_by_declared_rates_was_not_spent(seed: int) -> None:
+    """Hosts that declared their rates use them up in a partition and are lost.
+
+    Any amount that was freed wrongly would be spent twice.
+    """
+    found = play_loss_after_declarations(seed)
+    assert found.max_overspend <= 0
+    assert found.served > 500
+
+
 @pytest.mark.parametrize("seed", range(24, 32))
 def test_commands_that_are_applied_late_overspend_nothing(seed: int) -> None:
     """A leader pauses for some seconds, and then applies commands whose senders have timed out.
--- a/tests/budgets/test_unseen.py
+++ b/tests/budgets/test_unseen.py
@@ -9,7 +9,7 @@
 from cranberrywall.budgets import SpendPolicy
 from cranberrywall.budgets._allotment import Allotment
 from cranberrywall.budgets._charges import ChargeQueue
-from cranberrywall.budgets._messages_holders import FULL_UNREPORTED_DELAY_S, unreported_share
+from cranberrywall.budgets._unreported_bound import FULL_UNREPORTED_DELAY_S, unreported_share
 from cranberrywall.budgets.messages import (
     Charge,
     ChargeBatch,
--- a/tests/control/hosts.py
+++ b/tests/control/hosts.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from cranberrywall.budgets import LedgerClient, make_ledger_client
-from cranberrywall.budgets.ledger import make_ledger_machine
+from cranberrywall.budgets.ledger import LEDGER_FEATURES, make_ledger_machine
 from cranberrywall.control import ControlHost, make_control_client, make_control_host
 from cranberrywall.links import LinkCaller, Peer, make_caller, make_link_server
 from cranberrywall.replication import GroupSettings, initial_members_of
@@ -32,6 +32,7 @@
         self.address_by_host = {host: f"{ip}:{PORT}" for host, ip in self.ip_by_host.items()}
         self.storage_by_host = {host: FakeStorage(self.random) for host in self.ip_by_host}
         self.host_by_name: dict[str, ControlHost] = {}
+        self.features_by_host: dict[str, tuple[str, ...]] = {}
         self.caller = self._make_caller("entry-a", CLIENT_IP)
         self.client = make_control_client(
             self.caller, self.clock, list(self.address_by_host.values()), self.random
@@ -56,6 +57,7 @@
             self._make_caller(host, ip),
             server,
             SETTINGS,
+            self.features_by_host.get(host, LEDGER_FEATURES),
         )
         await control.start()
         self.host_by_name[host] = control
--- a/tests/fakes/groups.py
+++ b/tests/fakes/groups.py
@@ -77,6 +77,10 @@
         """Read from the named group."""
         return await self.group_by_name[group].query(query, timeout)
 
+    async def supports(self, group: str, feature: str, timeout: float) -> Result[bool, Refusal]:
+        """All members run one build."""
+        return Ok(True)
+
 
 def make_control_client(make_machine_by_group: Mapping[str, Callable[[], StateMachine]]):
     """Return a client with one fake group for each name.
--- a/tests/fakes/money.py
+++ b/tests/fakes/money.py
@@ -65,6 +65,7 @@
         self.extra_delay_s: Callable[[], float] = lambda: 0.0
         self.applies_late = False
         self.is_frozen = False
+        self.has_features = True
         self._late: set[asyncio.Task[Any]] = set()
         self.calls = 0
         self.ledger_calls = 0
@@ -164,6 +165,12 @@
             self._host, LEDGER, query, timeout, lambda: Ok(self._net.machine.query(query))
         )
 
+    async def supports(self, group: str, feature: str, timeout: float) -> Result[bool, Refusal]:
+        """Return whether the ledger's build has every feature."""
+        return await self._net.call_node(
+            self._host, LEDGER, feature, timeout, lambda: Ok(self._net.has_features)
+        )
+
 
 class FakeLinks:
     """Call other hosts, whose names are their addresses, and answer them."""
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -6,7 +6,7 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
-from cranberrywall.budgets._messages_holders import FULL_UNREPORTED_DELAY_S
+from cranberrywall.budgets._unreported_bound import FULL_UNREPORTED_DELAY_S
 from standins._platform import Platform, Worker, configuration, route
 
 PREPAID = 100_000
