Refuse writes of a replicated group while its member stops

Cause: stop ends the tasks that it knows and closes the files; an append of the leader that arrives then starts a task of its own and writes to a closed file.

Fix: writes are refused once the stop has begun. The new test fails without that (the group reports a failure) and passes with it; the thirteen tests of disk failures pass.

--- a/cranberrywall/replication/_core.py
+++ b/cranberrywall/replication/_core.py
@@ -69,6 +69,7 @@
         self.failure: Refusal | None = None
         self._writes = 0
         self._write_began_at = 0.0
+        self._is_stopped = False
         self.on_step_down: Callable[[str], None] = lambda reason: None
         self._storage = storage
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -146,6 +147,8 @@
         """
         if self.failure is not None:
             return Err(self.failure)
+        if self._is_stopped:
+            return Err(Refusal(ErrorKind.DRAINING, "this host stops"))
         if self._writes == 0:
             self._write_began_at = self.clock.now()
         self._writes += 1
@@ -239,7 +242,11 @@
         return task
 
     async def stop(self) -> None:
-        """End all tasks and close the files."""
+        """End all tasks and close the files.
+
+        Calls of other members may still arrive and start tasks. Nothing is written for them.
+        """
+        self._is_stopped = True
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
--- a/tests/replication/test_disk_failures.py
+++ b/tests/replication/test_disk_failures.py
@@ -247,3 +247,17 @@
         assert isinstance(await fleet["a"].group.propose(b"lost", 2.0), Err)
 
     run_fleet(test)
+
+
+def test_an_append_that_arrives_while_a_member_stops_is_refused():
+    """A control host logs an error and reports a failed group: its files were closed already."""
+
+    async def scenario(fleet: Fleet) -> None:
+        leader = await fleet.leader()
+        follower = next(fleet[name] for name in "abc" if fleet[name] is not leader)
+        await follower.group.stop()
+        assert isinstance(await leader.group.propose(b"word", 2.0), Ok)
+        await fleet.clock.sleep(1.0)
+        assert follower.group.failure is None
+
+    run_fleet(scenario)
