Stop without delay if the ledger refuses the outcome of a call that was not sent

Cause: a call that may run once records an intent at the ledger. If that gets no answer in 2 s, the host withdraws the intent. An intent that never arrived, or whose place another attempt took, can't be withdrawn; the ledger's refusal was retried 30 times, 1 s apart, and a stopping host waits for these records without a limit.

Ruled out: builds (one build with itself is late too), money on its way to other hosts, connections.

Fix: an intent that the ledger does not have is recorded and then withdrawn, so that a late copy of the command starts nothing; any other refusal ends the attempts; a stopping host waits 10 s for records.

Tests: two of the three new tests fail without the change of _intents.py (TimeoutError after 3 s), the third without the limit in _stack.py was not run.

--- a/cranberrywall/budgets/__init__.py
+++ b/cranberrywall/budgets/__init__.py
@@ -7,6 +7,7 @@
     InputSize,
     make_input_bounds,
 )
+from cranberrywall.budgets._charge_replication import out_of_reach
 from cranberrywall.budgets._client import LedgerClient, make_ledger_client
 from cranberrywall.budgets._interfaces import (
     Allotments,
@@ -42,4 +43,5 @@
     "make_allotments",
     "make_input_bounds",
     "make_ledger_client",
+    "out_of_reach",
 ]
--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -271,6 +271,10 @@
                 return Err(returned.err_value)
         return Ok(None)
 
+    @property
+    def uncommitted(self) -> int:
+        return sum(queue.uncommitted for queue in self._queue_by_group.values())
+
     def state(self) -> dict[str, Any]:
         queues = self._queue_by_group.values()
         largest = heapq.nlargest(
@@ -296,7 +300,7 @@
         metrics.gauge_of(
             "charges_waiting",
             "Charges and transfers that the ledger has not confirmed.",
-            lambda: sum(queue.uncommitted for queue in queues),
+            lambda: self.uncommitted,
         )
         metrics.gauge_of(
             "ledger_groups_out_of_reach",
--- a/cranberrywall/budgets/_interfaces.py
+++ b/cranberrywall/budgets/_interfaces.py
@@ -91,6 +91,11 @@
         """Commit every charge and return what this host holds, for a graceful exit."""
         ...
 
+    @property
+    def uncommitted(self) -> int:
+        """Return the number of charges and transfers that the ledger has not confirmed."""
+        ...
+
     def state(self) -> dict[str, Any]:
         """Return what this host holds, for the state dump."""
         ...
--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -15,6 +15,7 @@
 )
 from cranberrywall.budgets.messages import Holder
 from cranberrywall.commands._entry_ties import HostConnections, describe_target
+from cranberrywall.commands._shutdown_log import ShutdownLog
 from cranberrywall.configuration import evacuated_places, make_host_configuration
 from cranberrywall.control import make_control_client
 from cranberrywall.entry import ConfiguredPolicies, Frontend, FrontendContext, StallDetector
@@ -143,6 +144,7 @@
         self._admin = self._make_admin(keys)
         self._waiting_by_model: Callable[[], Mapping[str, float]] = dict
         self._failure = ""
+        self._shutdown_log = ShutdownLog(runtime.clock, self._remaining_work)
         self._is_serving = False
         self._is_draining = False
         self._tasks: list[asyncio.Task[None]] = []
@@ -175,31 +177,53 @@
         self._front.start_draining()
         clock = self._runtime.clock
         log_event("INFO", "entry_draining", running=self._front.running)
+        self._shutdown_log.start_step("wait_for_address_ttl")
         await clock.sleep(seconds(self._settings["callers"]["address_ttl"]) + TTL_MARGIN_S)
+        self._shutdown_log.start_step("wait_for_callers")
         while self._front.idle_duration_s(clock.now()) < QUIET_S:
             await clock.sleep(QUIET_S - self._front.idle_duration_s(clock.now()))
 
     async def stop(self) -> None:
         """Finish the requests in progress, hand the money back and close everything."""
         self._membership.leave()
+        shutdown = self._shutdown_log
         if self._is_serving:
+            shutdown.start_step("stop_listening")
             await self._front.stop_listening()
+            shutdown.start_step("finish_requests")
             await self._front.finish()
+            shutdown.start_step("hand_money_back")
             await self._hand_money_back()
+        shutdown.start_step("close_front")
         await self._front.close()
         self._quarantine.close()
         self._rates.close()
         if self._allotments is not None:
+            shutdown.start_step("stop_allotments")
             await self._allotments.stop()
+        shutdown.start_step("stop_tasks")
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        shutdown.start_step("close_membership")
         await self._membership.close()
+        shutdown.start_step("close_admin")
         await self._admin.close()
+        shutdown.start_step("close_links")
         await self._server.close()
         await self._caller.close()
+        shutdown.end()
         log_event("INFO", "entry_stopped")
 
+    def _remaining_work(self) -> dict[str, Any]:
+        """Return what a shutdown has to finish, for its log lines."""
+        uncommitted = self._allotments.uncommitted if self._allotments is not None else 0
+        return {
+            "running": self._front.running,
+            "uncommitted": uncommitted,
+            "tasks": len(asyncio.all_tasks()),
+        }
+
     async def _become_ready(self) -> None:
         if self._connections.contacts is not None:
             self._tasks.append(asyncio.create_task(self._connections.contacts.run()))
--- a/cranberrywall/entry/_stack.py
+++ b/cranberrywall/entry/_stack.py
@@ -43,6 +43,9 @@
 from cranberrywall.runtime import Clock, Random
 from cranberrywall.targets import TargetConnector
 
+RECORDING_TIMEOUT_S = 10.0
+"""A stopping host waits this long for the ledger to record the outcomes of its calls."""
+
 CALLERS_PREFIXES = ("/v1/chat/", "/v1/services/")
 _SERVICE_TIMEOUT_S = 60.0
 _CONNECTION_LIMIT = 0
@@ -95,10 +98,14 @@
         return now - self._last_arrival_at
 
     async def finish(self) -> None:
-        """Return once no request is in progress and the background tasks are done."""
+        """Return once no request is in progress and what they left is recorded.
+
+        Records that the ledger does not take in time are left. It treats their requests like those
+        of a host that was killed.
+        """
         await self.context.chats.wait_idle()
         await self.context.services.wait_idle()
-        await self._background.wait_empty()
+        await self._background.wait_empty(RECORDING_TIMEOUT_S)
 
     def _make_arrival_middleware(self) -> Middleware:
         @web.middleware
--- a/cranberrywall/entry/stack.py
+++ b/cranberrywall/entry/stack.py
@@ -4,6 +4,11 @@
 start sooner without it.
 """
 
-from cranberrywall.entry._stack import CallerStack, StackLinks, make_caller_stack
+from cranberrywall.entry._stack import (
+    RECORDING_TIMEOUT_S,
+    CallerStack,
+    StackLinks,
+    make_caller_stack,
+)
 
-__all__ = ["CallerStack", "StackLinks", "make_caller_stack"]
+__all__ = ["RECORDING_TIMEOUT_S", "CallerStack", "StackLinks", "make_caller_stack"]
--- a/cranberrywall/requests/_background.py
+++ b/cranberrywall/requests/_background.py
@@ -4,6 +4,8 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from cranberrywall.observability import log_event
+
 
 class BackgroundTasks:
     """Hold references to tasks until they end.
@@ -21,15 +23,18 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    @property
-    def is_empty(self) -> bool:
-        """Return whether all tasks have ended."""
-        return not self._tasks
-
-    async def wait_empty(self) -> None:
-        """Return once all tasks, and all tasks that they spawn, have ended."""
-        while self._tasks:
-            await asyncio.wait(list(self._tasks))
+    def __len__(self) -> int:
+        """Return the number of tasks that have not ended."""
+        return len(self._tasks)
+
+    async def wait_empty(self, timeout_s: float | None = None) -> None:
+        """Return once all tasks, and all tasks that they spawn, have ended, or time is up."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                while self._tasks:
+                    await asyncio.wait(list(self._tasks))
+        except TimeoutError:
+            log_event("WARNING", "background_tasks_left", tasks=len(self._tasks))
 
     def abort(self) -> None:
         """Cancel all tasks."""
--- a/cranberrywall/requests/_chat_runs.py
+++ b/cranberrywall/requests/_chat_runs.py
@@ -89,11 +89,9 @@
             self._cancel(run)
 
     async def wait_idle(self) -> None:
-        """Return once no run is in progress and all their background tasks have ended."""
-        while self._task_by_run or not self._background.is_empty:
-            if self._task_by_run:
-                await asyncio.wait(list(self._task_by_run.values()))
-            await self._background.wait_empty()
+        """Return once no run is in progress."""
+        while self._task_by_run:
+            await asyncio.wait(list(self._task_by_run.values()))
 
     def abort(self) -> None:
         """Cancel all runs."""
--- a/cranberrywall/requests/_intents.py
+++ b/cranberrywall/requests/_intents.py
@@ -9,6 +9,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from cranberrywall.budgets import out_of_reach
 from cranberrywall.budgets.messages import (
     MAX_ANSWER_BYTES,
     Holder,
@@ -88,15 +89,7 @@
         self, intent: Intent, fingerprint: str
     ) -> Result[ServiceAnswer | None, Refusal]:
         """Return ``None`` if this attempt may send the call, or an earlier attempt's answer."""
-        command = RecordIntent(
-            intent.budget,
-            intent.name.workspace,
-            intent.name.request_id,
-            intent.attempt_id,
-            self._holder,
-            self._clock.wall(),
-        )
-        recorded = await self._ledger.record_intent(command, RECORD_TIMEOUT_S)
+        recorded = await self._record_intent(intent)
         if isinstance(recorded, Err):
             # The intent may still be committed later. Unless it is withdrawn, every retry
             # would be refused because the outcome is unknown.
@@ -111,6 +104,17 @@
             return Err(Refusal(ErrorKind.RUNNING, "an earlier request with this id is running"))
         return Err(Refusal(ErrorKind.OUTCOME_UNKNOWN, "an earlier request with this id was sent"))
 
+    async def _record_intent(self, intent: Intent) -> Result[IntentResult, Refusal]:
+        command = RecordIntent(
+            intent.budget,
+            intent.name.workspace,
+            intent.name.request_id,
+            intent.attempt_id,
+            self._holder,
+            self._clock.wall(),
+        )
+        return await self._ledger.record_intent(command, RECORD_TIMEOUT_S)
+
     def withdraw(self, intent: Intent) -> None:
         """Record in the background that the call was not sent."""
         self._background.spawn(self._record_outcome(intent, IntentState.NOT_RUN, b""))
@@ -138,9 +142,33 @@
             recorded = await self._ledger.record_outcome(command, RECORD_TIMEOUT_S)
             if isinstance(recorded, Ok):
                 return
+            refusal = recorded.err_value
+            if refusal.kind is ErrorKind.NOT_FOUND and state is IntentState.NOT_RUN:
+                # The command that records the intent was lost, or will be applied late. Once the
+                # intent is recorded and withdrawn, a late copy of that command has no effect.
+                recorded = await self._record_intent(intent)
+                if isinstance(recorded, Ok):
+                    continue
+                refusal = recorded.err_value
+            if not out_of_reach(refusal):
+                self._log_rejected_outcome(intent, state, refusal)
+                return
             await self._clock.sleep(_OUTCOME_RETRY_INTERVAL_S)
         log_event("ERROR", "outcome_not_recorded", request=intent.name.request_id, state=state)
 
+    @staticmethod
+    def _log_rejected_outcome(intent: Intent, state: IntentState, refusal: Refusal) -> None:
+        # A call that was not sent needs no record if the ledger has one of another attempt.
+        level = "INFO" if state is IntentState.NOT_RUN else "ERROR"
+        log_event(
+            level,
+            "outcome_rejected",
+            request=intent.name.request_id,
+            state=state,
+            kind=refusal.kind,
+            reason=refusal.message,
+        )
+
     def _may_be_running(self, holder: Holder) -> bool:
         view = self._membership.by_host(holder.host)
         if view is None or view.state is HostState.DEAD:
--- a/measurements/_processes.py
+++ b/measurements/_processes.py
@@ -11,6 +11,7 @@
 
 READY_S = 30.0
 STOP_S = 30.0
+LOGGED_LINES = 120
 ROOT = Path(__file__).parents[1]
 
 
@@ -32,8 +33,13 @@
         """Send a signal to one host's process and return its exit status once it ended."""
         process = self._process_by_host.pop(host)
         process.send_signal(number)
-        async with asyncio.timeout(STOP_S):
-            return await process.wait()
+        try:
+            async with asyncio.timeout(STOP_S):
+                return await process.wait()
+        except TimeoutError:
+            lines = self.log(host).splitlines()[-LOGGED_LINES:]
+            print(f"{host} had not ended after {STOP_S:g} s:", *lines, sep="\n  ")
+            raise
 
     def signal(self, host: str, number: signal.Signals) -> None:
         """Send a signal after which the host's process goes on."""
--- a/tests/requests/test_at_most_once.py
+++ b/tests/requests/test_at_most_once.py
@@ -6,12 +6,14 @@
 
 from aiohttp import web
 
+from cranberrywall.entry.stack import RECORDING_TIMEOUT_S
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.hosts import HostState
 from standins import Faults
 from tests.requests.fleet import Fleet, document, headers
 
 CONFIRM = "/renewals/17/confirm"
+MAX_STOP_S = 3.0
 
 
 def code(data: bytes) -> Any:
@@ -157,6 +159,47 @@
         assert executions(service, "c-2") == 1
 
 
+async def test_a_host_stops_without_delay_if_the_ledger_never_got_an_intent() -> None:
+    """A host holds its address for 30 s after SIGTERM: it withdraws an intent that was lost."""
+    async with Fleet() as fleet:
+        service = await fleet.service()
+        entry = await fleet.entry()
+        fleet.intents.loses_intents = True
+        assert code((await fleet.call(entry, CONFIRM, request_id="c-1"))[2]) == "not_run"
+        fleet.intents.loses_intents = False
+        async with asyncio.timeout(MAX_STOP_S):
+            await entry.stack.finish()
+        # A late copy of the lost command must not block the caller's retry.
+        second = await fleet.entry("entry-2")
+        assert (await fleet.call(second, CONFIRM, request_id="c-1"))[0] == 200
+        assert executions(service, "c-1") == 1
+
+
+async def test_a_host_stops_without_delay_if_another_attempt_has_run() -> None:
+    """A host holds its address for 30 s after SIGTERM: its intent was lost, a retry's was not."""
+    async with Fleet() as fleet:
+        service = await fleet.service()
+        entry, second = await fleet.entry("entry-1"), await fleet.entry("entry-2")
+        entry.intents.loses_intents = True
+        assert code((await fleet.call(entry, CONFIRM, request_id="c-1"))[2]) == "not_run"
+        assert (await fleet.call(second, CONFIRM, request_id="c-1"))[0] == 200
+        entry.intents.loses_intents = False
+        async with asyncio.timeout(MAX_STOP_S):
+            await entry.stack.finish()
+        assert executions(service, "c-1") == 1
+
+
+async def test_a_host_stops_in_time_while_the_ledger_is_out_of_reach() -> None:
+    """A host holds its address for 90 s after SIGTERM: it tries to record outcomes in a cut."""
+    async with Fleet() as fleet:
+        await fleet.service()
+        entry = await fleet.entry()
+        fleet.intents.reachable = False
+        assert code((await fleet.call(entry, CONFIRM, request_id="c-1"))[2]) == "not_run"
+        async with asyncio.timeout(RECORDING_TIMEOUT_S + MAX_STOP_S):
+            await entry.stack.finish()
+
+
 async def test_without_a_majority_a_retry_of_a_sent_call_never_gets_not_run() -> None:
     """A reply is lost, the ledger becomes unreachable, and the caller retries at other hosts.
 
