Ask the ledger again before a call that may run once gets an unknown outcome

An unknown outcome is final, and none of these calls had been sent.

Cause: a host that gets no answer from the ledger asks two witnesses if the call was claimed before. If two hosts get one call at once, or a caller retries while its first host still waits, each host finds the other's claim and answers outcome_unknown.

Fix: a host that is not the first to claim a call asks the ledger again, six times at most and until the deadline, instead of answering after the first time.

--- a/cranberrywall/requests/_service_runner.py
+++ b/cranberrywall/requests/_service_runner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from functools import partial
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from result import Err, Ok, Result
 
@@ -30,6 +30,11 @@
 
 CallResult = Result[ServiceAnswer, Refusal]
 
+MAX_DOUBTFUL_ATTEMPTS = 6
+"""Number of times that the ledger is asked about a call that another host may have sent."""
+
+DOUBTFUL_RETRY_DELAY_S = 0.3
+
 _MIN_UNCHARGED_STATUS = 500
 
 
@@ -103,8 +108,7 @@
         return await self._run_once(request, send_state)
 
     async def _run_once(self, request: ServiceRequest, send_state: SendState) -> CallResult:
-        attempt_id = make_attempt_id(request.name.request_id, 0, self._random)
-        intent = Intent(request.name, request.budget, attempt_id)
+        intent = self._make_intent(request, 0)
         key = RunKey(*request.name.key)
         # The intent is recorded before anything can refuse the call. Otherwise a second
         # request could get "not run" although the first one with the same id ran.
@@ -113,6 +117,12 @@
                 self._intents.acquire(intent, request.fingerprint),
                 self._witnesses.claim(key, request.fingerprint),
             )
+            for number in range(1, MAX_DOUBTFUL_ATTEMPTS):
+                if not self._is_doubtful(request, acquired, is_first):
+                    break
+                await self._clock.sleep(DOUBTFUL_RETRY_DELAY_S)
+                intent = self._make_intent(request, number)
+                acquired = await self._intents.acquire(intent, request.fingerprint)
             if isinstance(acquired, Err):
                 return Err(self._no_quorum_refusal(request, acquired.err_value, is_first))
             if acquired.ok_value is not None:
@@ -129,6 +139,24 @@
             self._record_no_answer(intent, send_state)
         return result
 
+    def _make_intent(self, request: ServiceRequest, number: int) -> Intent:
+        attempt_id = make_attempt_id(request.name.request_id, number, self._random)
+        return Intent(request.name, request.budget, attempt_id)
+
+    def _is_doubtful(
+        self, request: ServiceRequest, acquired: Result[Any, Refusal], is_first: bool
+    ) -> bool:
+        """Return whether only the ledger can tell if another host has sent this call.
+
+        It may be electing a leader. An unknown outcome is final for the caller, so it is asked
+        again for a short time.
+        """
+        if isinstance(acquired, Ok) or is_first or not request.name.named_by_caller:
+            return False
+        if acquired.err_value.kind is not ErrorKind.NOT_RUN:
+            return False
+        return self._clock.now() + DOUBTFUL_RETRY_DELAY_S < request.deadline
+
     def _no_quorum_refusal(
         self, request: ServiceRequest, refusal: Refusal, is_first: bool
     ) -> Refusal:
--- a/tests/requests/test_at_most_once.py
+++ b/tests/requests/test_at_most_once.py
@@ -200,6 +200,27 @@
             await entry.stack.finish()
 
 
+async def test_a_call_at_two_hosts_at_once_is_served_if_the_ledger_is_back_soon() -> None:
+    """Both callers get an unknown outcome for a call that neither host had sent.
+
+    The ledger has no leader for a moment. Each host finds the other's claim, which it can't tell
+    from one of a call that was sent.
+    """
+    async with Fleet() as fleet:
+        service = await fleet.service()
+        hosts = [await fleet.entry(f"entry-{number}") for number in (1, 2, 3)]
+        fleet.intents.reachable = False
+        calls = [asyncio.create_task(fleet.call(host, CONFIRM, request_id="c-1")) for host in hosts]
+        await asyncio.sleep(0.7)
+        fleet.intents.reachable = True
+        codes = [code(data) for status, _, data in await asyncio.gather(*calls) if status != 200]
+        assert set(codes) <= {"not_run", "running"}
+        await asyncio.gather(*(host.stack.finish() for host in hosts))
+        answer = await fleet.call(hosts[0], CONFIRM, request_id="c-1")
+        assert answer[0] == 200
+        assert executions(service, "c-1") == 1
+
+
 async def test_without_a_majority_a_retry_of_a_sent_call_never_gets_not_run() -> None:
     """A reply is lost, the ledger becomes unreachable, and the caller retries at other hosts.
 
