Let the host that issued a rate's permits go on with all of it after a loss

Fix: the issuing host is the first by a hash of group and host. If it ranks before all recently lost hosts, it issued before the loss, and none of them issues the whole rate: the smaller side keeps to its share. A host that started or was frozen within the last 5 s keeps to the share of the reachable hosts, as before. Nothing needs to be remembered over a freeze or a hand-over.

Changed tests: the three tests of the share name a group and its issuing host; their checks are the same, but for one that asked twice in a second what it now asks after ten seconds. Three tests are new.

--- a/cranberrywall/rates/_permits.py
+++ b/cranberrywall/rates/_permits.py
@@ -1,6 +1,7 @@
 """Request permits from the host that issues them for a group, and issue them for some groups."""
 
 from collections.abc import Sequence
+from functools import partial
 from typing import Any, Protocol
 
 from result import Err, Ok, Result
@@ -58,7 +59,7 @@
         self._caller = caller
         self._clock = clock
         self._random = random
-        self._reachable_share = ReachableShare(hosts.all)
+        self._reachable_share = ReachableShare(host, hosts.all)
         self._coordinator_by_group: dict[Group, Coordinator] = {}
         self._alive: Sequence[HostView] = ()
         self._coordinator_host_by_group: dict[Group, HostView | None] = {}
@@ -92,7 +93,7 @@
         """Remove idle state; call it once a second."""
         # Check also while there are no requests, so that the time since a host is unresponsive is
         # recorded.
-        self._reachable_share.share(now)
+        self._reachable_share.check(now)
         for group, coordinator in list(self._coordinator_by_group.items()):
             coordinator.expire(now)
             if coordinator.is_idle():
@@ -106,9 +107,12 @@
     def state(self) -> dict[str, Any]:
         """Return the state of the groups that this host coordinates, for the state dump."""
         return {
-            "share": round(self._reachable_share.share(self._clock.now()), 3),
             "groups": {
-                group.name: {"waiting": coordinator.waiting(), "given": coordinator.issued}
+                group.name: {
+                    "waiting": coordinator.waiting(),
+                    "given": coordinator.issued,
+                    "share": round(self._reachable_share.share(group, self._clock.now()), 3),
+                }
                 for group, coordinator in self._coordinator_by_group.items()
             },
             **self.counts,
@@ -147,6 +151,7 @@
     def _coordinator(self, group: Group) -> Coordinator:
         found = self._coordinator_by_group.get(group)
         if found is None:
-            found = Coordinator(self._rates, self._reachable_share.share, self._clock, self._random)
+            share = partial(self._reachable_share.share, group)
+            found = Coordinator(self._rates, share, self._clock, self._random)
             self._coordinator_by_group[group] = found
         return found
--- a/tests/rates/test_coordinator.py
+++ b/tests/rates/test_coordinator.py
@@ -1,13 +1,19 @@
 """Test that permits are issued to hosts within a rate, by rank and evenly."""
 
 import asyncio
+import itertools
 import random
 
 from cranberrywall.hosts import HostState, HostView
 from cranberrywall.rates import PermitDemand, PermitReply, PermitRequest, RateTable, RequestedTarget
 from cranberrywall.rates._coordinator import Coordinator
-from cranberrywall.rates._reachable_share import LOST_HOST_TTL_S, ReachableShare
-from cranberrywall.targets import TargetIncarnation, make_targets
+from cranberrywall.rates._ranking import coordinator_of
+from cranberrywall.rates._reachable_share import (
+    LOST_HOST_TTL_S,
+    MAX_CHECK_GAP_S,
+    ReachableShare,
+)
+from cranberrywall.targets import Group, TargetIncarnation, make_targets
 from tests.fakes.clock import VirtualClock, run_virtual
 from tests.fakes.spread import MemorySpread
 
@@ -171,33 +177,75 @@
         ]
 
 
+def group_issued_by(host: str, views: Views) -> Group:
+    """Return a group whose permits are issued by ``host`` while all hosts are alive."""
+    by_host = {view.host: view for view in views()}
+    groups = (Group("service", f"service-{number}") for number in itertools.count())
+    hosts = by_host.values()
+    return next(group for group in groups if coordinator_of(group, hosts) is by_host[host])
+
+
 def test_each_side_of_a_partition_keeps_to_its_share_until_the_larger_one_uses_all():
     views = Views(7)
-    reachable = ReachableShare(views)
-    assert reachable.share(0.0) == 1.0
+    reachable, group = ReachableShare("entry-1", views), group_issued_by("entry-0", views)
+    assert reachable.share(group, 0.0) == 1.0
     views.state_by_host["entry-0"] = HostState.SUSPECT
-    assert reachable.share(1.0) == 6 / 7
+    assert reachable.share(group, 1.0) == 6 / 7
     views.state_by_host["entry-0"] = HostState.DEAD
-    assert reachable.share(1.0 + LOST_HOST_TTL_S) == 1.0
+    assert reachable.share(group, 1.0 + LOST_HOST_TTL_S) == 1.0
     views.state_by_host["entry-0"] = HostState.ALIVE
-    assert reachable.share(30.0) == 1.0
+    assert reachable.share(group, 30.0) == 1.0
+
+
+def run_for(reachable: ReachableShare, seconds: int) -> None:
+    for second in range(seconds + 1):
+        reachable.check(float(second))
+
+
+def test_a_host_that_issued_before_a_loss_goes_on_with_the_whole_rate():
+    """A quarter of a rate is not used for 5 s after each loss of a host that issues nothing."""
+    views = Views(4)
+    reachable, group = ReachableShare("entry-1", views), group_issued_by("entry-1", views)
+    run_for(reachable, 10)
+    views.state_by_host["entry-0"] = HostState.SUSPECT
+    assert reachable.share(group, 11.0) == 1.0
+    views.state_by_host["entry-2"] = HostState.DEAD
+    assert reachable.share(group, 12.0) == 1 / 2
+
+
+def test_a_host_that_was_frozen_while_it_issued_does_not_go_on_with_the_whole_rate():
+    """Two hosts issue the whole rate: the one that wakes, and the one that took its place."""
+    views = Views(4)
+    reachable, group = ReachableShare("entry-1", views), group_issued_by("entry-1", views)
+    run_for(reachable, 10)
+    views.state_by_host["entry-0"] = HostState.SUSPECT
+    assert reachable.share(group, 10.0 + MAX_CHECK_GAP_S + 1.0) == 3 / 4
+
+
+def test_a_host_that_has_just_started_counts_each_lost_host():
+    """Two hosts issue the whole rate: the new one, and the one that issued before it was there."""
+    views = Views(4)
+    reachable, group = ReachableShare("entry-1", views), group_issued_by("entry-1", views)
+    run_for(reachable, 3)
+    views.state_by_host["entry-0"] = HostState.SUSPECT
+    assert reachable.share(group, 4.0) == 3 / 4
 
 
 def test_the_smaller_side_keeps_to_its_share_for_as_long_as_the_partition_lasts():
     views = Views(7)
-    reachable = ReachableShare(views)
-    reachable.share(0.0)
+    reachable, group = ReachableShare("entry-6", views), group_issued_by("entry-6", views)
+    run_for(reachable, 10)
     for number in range(6):
         views.state_by_host[f"entry-{number}"] = HostState.DEAD
-    assert reachable.share(1.0) == 1 / 7
-    assert reachable.share(600.0) == 1 / 7
+    assert reachable.share(group, 11.0) == 1 / 7
+    assert reachable.share(group, 600.0) == 1 / 7
 
 
 def test_a_host_that_announced_that_it_leaves_keeps_no_share():
     views = Views(3)
-    reachable = ReachableShare(views)
-    reachable.share(0.0)
+    reachable, group = ReachableShare("entry-1", views), group_issued_by("entry-0", views)
+    reachable.share(group, 0.0)
     views.state_by_host["entry-0"] = HostState.LEAVING
-    assert reachable.share(1.0) == 1.0
+    assert reachable.share(group, 1.0) == 1.0
     views.state_by_host["entry-0"] = HostState.DEAD
-    assert reachable.share(2.0) == 1.0
+    assert reachable.share(group, 2.0) == 1.0
