--- a/cranberrywall/budgets/_ledger_holders.py
+++ b/cranberrywall/budgets/_ledger_holders.py
@@ -42,7 +42,7 @@
     is_reduced: bool = False
 
 
-class DeclaredRates(NamedTuple):
+class HolderRates(NamedTuple):
     """Maximum rates of unreported spend that a holder declared, in units per second.
 
     ``clock`` is the time of the latest declaration by the monotonic clock of the holder's machine.
@@ -53,7 +53,7 @@
 
 
 _NO_CONTACT = ContactRecord(LastContact(float("-inf"), 0.0), replica_holders=None)
-_NO_RATES = DeclaredRates(float("-inf"), {})
+_NO_RATES = HolderRates(float("-inf"), {})
 
 
 class Holders:
@@ -62,7 +62,7 @@
     def __init__(self) -> None:
         self.record_by_host: dict[str, HostRecord] = {}
         self._contact_by_holder: dict[Holder, ContactRecord] = {}
-        self._rates_by_holder: dict[Holder, DeclaredRates] = {}
+        self._rates_by_holder: dict[Holder, HolderRates] = {}
         self._gaps = ContactGaps()
         self._shared: dict[Holder, Holder] = {}
 
@@ -138,13 +138,13 @@
             **previous.rate_by_budget,
             **{sys.intern(budget): rate for budget, rate in rates.items()},
         }
-        self._rates_by_holder[holder] = DeclaredRates(contact.clock, rate_by_budget)
+        self._rates_by_holder[holder] = HolderRates(contact.clock, rate_by_budget)
 
     def declared_rate(self, holder: Holder, budget: str) -> int | None:
         """Return the maximum rate that the holder declared for the budget."""
         return self._declared(holder).rate_by_budget.get(budget)
 
-    def _declared(self, holder: Holder) -> DeclaredRates:
+    def _declared(self, holder: Holder) -> HolderRates:
         return self._rates_by_holder.get(holder, _NO_RATES)
 
     def remove_contact(self, holder: Holder) -> None:
@@ -272,7 +272,7 @@
         }
         self._gaps.load(gaps)
         self._rates_by_holder = {
-            Holder(host, incarnation): DeclaredRates(clock, rate_by_budget)
+            Holder(host, incarnation): HolderRates(clock, rate_by_budget)
             for host, incarnation, clock, rate_by_budget in (rates[0] if rates else ())
         }
         self._shared = {}
--- a/cranberrywall/budgets/_ledger_reach.py
+++ b/cranberrywall/budgets/_ledger_reach.py
@@ -29,21 +29,16 @@
         self.last_sent_at = clock.now()
         self.last_confirmed_at = self.last_sent_at
         self._last_unreported_at = float("-inf")
-        self._is_bounded = is_bounded
+        self.is_bounded = is_bounded
         self._lost_at = float("-inf")
         self._announced = AnnouncedReplicaHolders()
         self._replicator = replicator
         self._clock = clock
         self.declared_rates = DeclaredRates()
 
-    @property
-    def is_bounded(self) -> bool:
-        """Return whether the host's unreported spend is bounded."""
-        return self._is_bounded
-
     def unreported_bound(self, budget: str, later_s: float = 0.0) -> UnreportedBound | None:
         """Return the bound on the host's unreported spend in ``later_s``; ``None`` if unbounded."""
-        if not self._is_bounded:
+        if not self.is_bounded:
             return None
         gap_s = self._clock.now() + later_s - self.last_sent_at
         return UnreportedBound(gap_s, self.declared_rates.rate(budget))
--- a/cranberrywall/budgets/_spend_rates.py
+++ b/cranberrywall/budgets/_spend_rates.py
@@ -1,8 +1,7 @@
 """Declare to the ledger how fast this host spends while it cannot report what it spends."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from math import ceil
-from typing import Protocol
 
 from result import Err
 
@@ -25,12 +24,6 @@
 """Delay in seconds until the ledger group is asked again whether it supports declarations."""
 
 
-class FleetSize(Protocol):
-    """Number of entry hosts that are alive."""
-
-    def __call__(self) -> int: ...
-
-
 def unreported_rate(allotment: Allotment, host_count: int) -> int | None:
     """Return the maximum rate to declare, in units per second; ``None`` if demand is unknown.
 
@@ -49,7 +42,8 @@
 class RateDeclarations:
     """Keep the declared rates of one ledger group up to date."""
 
-    def __init__(self, queue: ChargeQueue, host_count: FleetSize) -> None:
+    def __init__(self, queue: ChargeQueue, host_count: Callable[[], int]) -> None:
+        """Create the declarations; ``host_count`` returns the number of hosts that are alive."""
         self._queue = queue
         self._host_count = host_count
         self._is_supported = False
