--- a/tests/budgets/test_declared_rates.py
+++ b/tests/budgets/test_declared_rates.py
@@ -122,6 +122,8 @@
 CUT_S = 7.6
 DOWN_S = 1.4
 SERVED_AFTER_S = 6.0
+RECONNECTED_S = 2.0
+NEARLY_SPENT_S = 58.0
 
 
 class Callers:
@@ -203,6 +205,50 @@
     run_virtual(main())
 
 
+def test_a_partition_that_ends_before_the_loss_withholds_little() -> None:
+    """The ledger has all that was spent in the partition when all hosts lose their power."""
+
+    async def main() -> None:
+        fleet = make_fleet()
+        await fleet.start()
+        fleet.credit("main", CREDIT)
+        callers = Callers(fleet)
+        await callers.send(BUSY_S)
+        fleet.net.cut(sides(list(HOSTS)))
+        await callers.send(CUT_S)
+        fleet.net.heal()
+        await callers.send(RECONNECTED_S)
+        await lose_all(fleet)
+        await fleet.clock.sleep(3.0)
+        sums = fleet.sums("main")
+        assert sums.outstanding <= 0.25 * (sums.credited - sums.charged)
+        after = await callers.send(SERVED_AFTER_S)
+        assert after[1] >= 0.9 * after[0]
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_a_budget_that_is_nearly_spent_is_not_overspent_after_a_loss() -> None:
+    """What may have been spent in the partition stays withheld, though it is all that is left."""
+
+    async def main() -> None:
+        fleet = make_fleet()
+        await fleet.start()
+        fleet.credit("main", CREDIT)
+        callers = Callers(fleet)
+        served = (await callers.send(NEARLY_SPENT_S))[1]
+        fleet.net.cut(sides(list(HOSTS)))
+        served += (await callers.send(CUT_S))[1]
+        await lose_all(fleet)
+        await fleet.clock.sleep(3.0)
+        served += (await callers.send(NEARLY_SPENT_S))[1]
+        assert served * REQUEST_COST <= CREDIT
+        await fleet.stop()
+
+    run_virtual(main())
+
+
 def test_a_lost_half_of_the_hosts_does_not_withhold_what_the_others_need() -> None:
     """Half of the hosts are isolated and then lose their power, while the others serve."""
 
