--- a/cranberrywall/control/messages.py
+++ b/cranberrywall/control/messages.py
@@ -66,7 +66,7 @@
 
 
 class SupportRequest(NamedTuple):
-    """Request to the leader of ``group``: do the builds of all its members have ``feature``?"""
+    """Request to the leader of ``group`` whether the builds of all members have ``feature``."""
 
     group: str
     feature: str
--- a/cranberrywall/rates/_reachable_share.py
+++ b/cranberrywall/rates/_reachable_share.py
@@ -77,10 +77,10 @@
     def _compute(self, group: Group, now: float) -> float:
         lost = len(self._unresponsive_since_by_host)
         if self._reachable > lost:
-            lost = len(self._recently_lost) if self._may_not_be_alone(group, now) else 0
+            lost = len(self._recently_lost) if self._may_another_issue(group, now) else 0
         return self._reachable / (self._reachable + lost)
 
-    def _may_not_be_alone(self, group: Group, now: float) -> bool:
+    def _may_another_issue(self, group: Group, now: float) -> bool:
         """Return whether a lost host may still issue the whole rate.
 
         That is a host that issued the permits before. It may be any host if this one was not
--- a/tests/control/test_client.py
+++ b/tests/control/test_client.py
@@ -3,6 +3,7 @@
 import pytest
 from result import Err, Ok
 
+from cranberrywall.budgets.ledger import LEDGER_FEATURES
 from cranberrywall.budgets.messages import Accepted, BudgetQuery, Credit, Draw, DrawResult, Holder
 from cranberrywall.control import make_control_client
 from cranberrywall.errors import ErrorKind
@@ -50,6 +51,24 @@
     run_controls(test, seed)
 
 
+def test_a_feature_is_supported_only_if_all_members_have_it():
+    """Replicas would free different amounts of a lost host if one of them is of an older build."""
+
+    async def test(cluster: ControlCluster) -> None:
+        leader = await cluster.wait_for_leader()
+        feature = LEDGER_FEATURES[0]
+        assert await cluster.client.supports("ledger-0", feature, 10.0) == Ok(True)
+        assert await cluster.client.supports("ledger-0", "unknown", 10.0) == Ok(False)
+        other = next(host for host in cluster.address_by_host if host != leader)
+        await cluster.kill(other)
+        assert await cluster.client.supports("ledger-0", feature, 10.0) == Ok(False)
+        cluster.features_by_host[other] = ()
+        await cluster.start(other)
+        assert await cluster.client.supports("ledger-0", feature, 10.0) == Ok(False)
+
+    run_controls(test)
+
+
 def test_an_isolated_leader_answers_neither_reads_nor_draws():
     """The leader is partitioned from the other control hosts, but not from a client.
 
