Print the log of a machine that does not get ready; a program that ended is not killed again

A run of measurements.upgrade failed in its phase platform, as front-1 of the old build was not ready after 20 s; its log was in a temporary folder and is lost. The error now has its last lines.

--- a/standins/_platform.py
+++ b/standins/_platform.py
@@ -27,6 +27,7 @@
 BEAT_S = 0.3
 CALL_S = 2.0
 RETRY_S = 0.1
+LOGGED_LINES = 40
 ZONES = ("town-hall", "annex")
 HOST = "letters.example"
 KEY = "stand-in-key-1"
@@ -325,7 +326,8 @@
         for task in self._beating.values():
             task.cancel()
         for process in self._process_by_name.values():
-            process.kill()
+            if process.returncode is None:
+                process.kill()
             await process.wait()
         for worker in self.workers:
             await worker.stop()
@@ -397,9 +399,16 @@
         for machine in self.fronts:
             while not await self.is_ready(machine):
                 if time.monotonic() > end:
-                    raise TimeoutError(f"{machine.name} is not ready; see {self._folder}")
+                    raise TimeoutError(f"{machine.name} is not ready: {self._last_lines(machine)}")
                 await asyncio.sleep(RETRY_S)
 
+    def _last_lines(self, machine: Machine) -> str:
+        """Return the end of a machine's log: its folder may be removed with the error."""
+        process = self._process_by_name[machine.name]
+        text = (self._folder / f"{machine.name}.log").read_text("utf-8", errors="replace")
+        lines = text.splitlines()[-LOGGED_LINES:]
+        return "\n  ".join([f"exit status {process.returncode}", *lines])
+
     async def ask(
         self, front: Machine, path: str, body: bytes = b"{}", /, **headers: str
     ) -> Answer:
