Correct the declared rate for the time before a budget was used; all of a part in 20 s at the slowest

The mean rate of spending counts from when a host knows the budget, twelve seconds before its first request, and so was a third of the true one.

One change: the mean is corrected for the time before the first use, for two minutes; the lowest rate spends a part in 20 s in place of 40 s.

--- a/cranberrywall/budgets/_allotment.py
+++ b/cranberrywall/budgets/_allotment.py
@@ -51,8 +51,10 @@
     __slots__ = (
         "budget",
         "charging",
+        "created_at",
         "demand",
         "checked_until",
+        "first_settled_at",
         "low_watermark",
         "next_accept",
         "next_charge",
@@ -104,6 +106,8 @@
         self.demand = Demand(now)
         self.total_demand = Demand(now)
         self.settled_since_review = 0
+        self.created_at = now
+        self.first_settled_at: float | None = None
         self.settled_amount = 0
         self.settled_bounds = 0
         self.settled_count = 0
--- a/cranberrywall/budgets/_review.py
+++ b/cranberrywall/budgets/_review.py
@@ -152,6 +152,8 @@
     async def review(self, allotment: Allotment) -> None:
         """Bring one allotment near its target amount."""
         now = self._clock.now()
+        if allotment.settled_since_review and allotment.first_settled_at is None:
+            allotment.first_settled_at = allotment.demand.updated_at
         allotment.demand.add(allotment.settled_since_review, now)
         allotment.settled_since_review = 0
         if not allotment.queue.in_reach or allotment.reservation_queue is not None:
--- a/cranberrywall/budgets/_spend_rates.py
+++ b/cranberrywall/budgets/_spend_rates.py
@@ -8,23 +8,27 @@
 from cranberrywall.budgets._allotment import Allotment
 from cranberrywall.budgets._charge_replication import out_of_reach
 from cranberrywall.budgets._charges import ChargeQueue
+from cranberrywall.budgets._demand import SHORT_SCALE_S
 from cranberrywall.errors import Refusal
 from cranberrywall.observability import log_event
 
 DEMAND_FACTOR = 2.0
 """Ratio of the declared rate to the mean rate of spending, for demand that rises in a partition."""
 
-MAX_SPEND_TIME_S = 40.0
+MAX_SPEND_TIME_S = 20.0
 """Time in seconds in which the lowest declared rate spends a holding.
 
 A budget that was used little before a partition can be used in it.
 """
 
+MIN_USED_S = 5.0
+"""Minimum time in seconds over which a rate is averaged: one request is no rate."""
+
 SUPPORT_RETRY_DELAY_S = 5.0
 """Delay in seconds until the ledger group is asked again whether it supports declarations."""
 
 
-def unreported_rate(allotment: Allotment, host_count: int) -> int | None:
+def unreported_rate(allotment: Allotment, host_count: int, now: float) -> int | None:
     """Return the maximum rate to declare, in units per second; ``None`` if demand is unknown.
 
     Half of it follows this host's own spending, and half an even part of what all hosts spend: a
@@ -36,9 +40,20 @@
     if own <= 0.0 and total <= 0.0:
         return None
     demand = (own + total / max(1, host_count)) / 2.0 * allotment.bound_ratio
+    demand *= _idle_correction(allotment, now)
     return ceil(max(DEMAND_FACTOR * demand, allotment.booked / MAX_SPEND_TIME_S))
 
 
+def _idle_correction(allotment: Allotment, now: float) -> float:
+    """Return by how much the mean rate is too low because the budget was not used at first."""
+    if allotment.first_settled_at is None:
+        return 1.0
+    used_s = now - allotment.first_settled_at
+    if used_s >= SHORT_SCALE_S:
+        return 1.0
+    return max(1.0, (now - allotment.created_at) / max(MIN_USED_S, used_s))
+
+
 class RateDeclarations:
     """Keep the declared rates of one ledger group up to date."""
 
@@ -54,7 +69,7 @@
         queue = self._queue
         if not queue.reach.is_bounded or not queue.in_reach:
             return
-        rate_by_budget = self._rates(allotments)
+        rate_by_budget = self._rates(allotments, now)
         if not rate_by_budget or not await self._check_support(now):
             return
         answer = await queue.declare_rates(rate_by_budget)
@@ -63,11 +78,11 @@
             return
         log_event("INFO", "spend_rates_declared", group=queue.group, budgets=len(rate_by_budget))
 
-    def _rates(self, allotments: Sequence[Allotment]) -> dict[str, int]:
+    def _rates(self, allotments: Sequence[Allotment], now: float) -> dict[str, int]:
         host_count = self._host_count()
         wanted = {}
         for allotment in allotments:
-            rate = unreported_rate(allotment, host_count)
+            rate = unreported_rate(allotment, host_count, now)
             if rate is not None and allotment.queue is self._queue and allotment.booked > 0:
                 wanted[allotment.budget] = rate
         return self._queue.reach.declared_rates.outdated(wanted)
