--- a/tests/budgets/test_declared_rates.py
+++ b/tests/budgets/test_declared_rates.py
@@ -8,7 +8,9 @@
 from result import Ok
 
 from cranberrywall.budgets import ReserveRequest, SpendPolicy
+from cranberrywall.budgets._allotment import Allotment
 from cranberrywall.budgets._declared_rates import DeclaredRates
+from cranberrywall.budgets._spend_rates import unreported_rate
 from cranberrywall.budgets.ledger import make_ledger_machine
 from cranberrywall.budgets.messages import Contact, DeclareSpendRates, Evidence, RegisterHolder
 from tests.budgets.ledgers import A1, A2, NOW, Ledger
@@ -292,3 +294,15 @@
         await fleet.stop()
 
     run_virtual(main())
+
+
+def test_the_declared_rate_does_not_count_the_time_before_a_budget_was_used() -> None:
+    """Requests wait in a partition soon after the first request: the rate was a third of it."""
+    queue: Any = None
+    allotment = Allotment("main", "clerks", SpendPolicy(), queue, 0.0)
+    allotment.demand.add(0, 12.0)
+    allotment.first_settled_at = 12.0
+    allotment.demand.add(600, 18.0)
+    rate = unreported_rate(allotment, 1, 18.0)
+    assert rate is not None
+    assert rate >= 0.9 * 600 / 6.0
