Serve callers of hosts without paths to targets through neighbours

A host had one way to a target, its own connection.

A neighbour now opens the connection and forwards its bytes in calls over the authenticated links; the host of the request goes on admitting, billing, choosing and counting attempts. A refused connection asks a neighbour at once, one without an answer after 60 ms; the evidence is kept by target. Idle connections are reused only while targets send something. Where new connections hang, open ones without data for 0.4 s are ended, for requests that may run again. Failures from just before are not held against the targets. A target counts as ended only if no neighbour connects to it either: hosts that were cut off took all targets for ended. A deadline that passes before the connection is established is a true refusal (503) and no unknown outcome.

--- a/cranberrywall/commands/_caller_front.py
+++ b/cranberrywall/commands/_caller_front.py
@@ -117,4 +117,5 @@
                 ttl_s=seconds(callers["address_ttl"]),
             ),
             fetch=self._tls.fetch if self._tls else None,
+            paths=parts.paths,
         )
--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -45,6 +45,7 @@
     make_targets,
     register_relay,
 )
+from cranberrywall.tunnels import DirectPaths, Neighbours, Paths, TunnelClient, TunnelServer
 
 HAND_BACK_S = 10.0
 """A host that ends tries for so long to commit its charges and return its money."""
@@ -57,6 +58,11 @@
 QUIET_S = 1.0
 """A draining host without an arrival for so long is no longer used by any caller."""
 
+FINISH_TUNNELS_S = 2.0
+"""A stopping host carries requests of its neighbours for this time, in seconds."""
+
+TUNNELS_POLL_S = 0.05
+
 LOAD_EVERY_S = 1.0
 
 EXPIRE_EVERY_S = 1.0
@@ -99,8 +105,17 @@
         self._allotments: HostAllotments | None = None
         self._targets = make_targets()
         self._spread = make_announcement_gossip(self._targets, self._membership.gossip, clock)
+        direct_paths = DirectPaths()
+        self._neighbours = Neighbours(
+            self._me.host, self._me.place, self._membership.alive, runtime.random
+        )
+        tunnels = TunnelClient(self._caller, self._neighbours, clock)
+        self._paths = Paths(direct_paths, tunnels, clock)
+        self._tunnel_server = TunnelServer(self._targets, direct_paths, clock)
         # Targets' own listeners are asked only whether they take connections, without a word.
-        tracker = RunTracker(self._targets, make_network(), clock)
+        tracker = RunTracker(
+            self._targets, make_network(), clock, self._paths.is_reached_by_neighbour
+        )
         gossip = connections.membership.gossip
         self._quarantine = Quarantine(self._me.host, tracker, gossip, clock)
         self._rates = make_rates(
@@ -127,6 +142,7 @@
         register_drain(self._server, self._me.incarnation, lambda: self.on_drain())
         register_relay(self._server, self._publish)
         register_quarantine(self._server, self._quarantine)
+        self._tunnel_server.register(self._server)
         self._metrics = make_metrics()
         connections.counters.export(self._metrics)
         connections.membership.export(self._metrics)
@@ -134,6 +150,8 @@
         self._quarantine.export(self._metrics)
         self._rates.export(self._metrics)
         self._backoffs.export(self._metrics)
+        self._paths.export(self._metrics)
+        self._tunnel_server.export(self._metrics)
         self._metrics.gauge_of(
             "places_evacuated",
             "Places whose targets get no requests because of an operator's order.",
@@ -191,13 +209,14 @@
             shutdown.start_step("stop_listening")
             await self._front.stop_listening()
             shutdown.start_step("finish_requests")
-            await self._front.finish()
+            await asyncio.gather(self._front.finish(), self._finish_tunnels())
             shutdown.start_step("hand_money_back")
             await self._hand_money_back()
         shutdown.start_step("close_front")
         await self._front.close()
         self._quarantine.close()
         self._rates.close()
+        self._paths.close()
         if self._allotments is not None:
             shutdown.start_step("stop_allotments")
             await self._allotments.stop()
@@ -215,11 +234,21 @@
         shutdown.end()
         log_event("INFO", "entry_stopped")
 
+    async def _finish_tunnels(self) -> None:
+        """Wait until neighbours have ended the requests that this host carries for them."""
+        try:
+            async with asyncio.timeout(FINISH_TUNNELS_S):
+                await self._tunnel_server.wait_idle(TUNNELS_POLL_S)
+        except TimeoutError:
+            log_event("WARNING", "tunnels_cut_by_stop", running=self._tunnel_server.running)
+        self._tunnel_server.close()
+
     def _remaining_work(self) -> dict[str, Any]:
         """Return what a shutdown has to finish, for its log lines."""
         uncommitted = self._allotments.uncommitted if self._allotments is not None else 0
         return {
             "running": self._front.running,
+            "tunnels": self._tunnel_server.running,
             "uncommitted": uncommitted,
             "tasks": len(asyncio.all_tasks()),
         }
@@ -285,6 +314,7 @@
             backoffs=self._backoffs,
             on_leaving=self._note_leaving,
         )
+        self._paths.watch_start(router.forgive_failures)
         self._waiting_by_model = router.waiting_by_model
         router.apply_evacuations(runtime.clock.now())
         self._configuration.watch(lambda revision: router.apply_evacuations(runtime.clock.now()))
@@ -306,6 +336,7 @@
             self._quarantine,
             self._backoffs,
             standstill.settle,
+            self._paths,
         )
         await self._front.serve(parts)
         self._tasks.append(asyncio.create_task(standstill.run()))
@@ -332,6 +363,8 @@
             self._quarantine.expire(clock.now())
             self._rates.expire(clock.now())
             self._backoffs.expire(clock.now())
+            self._tunnel_server.expire(clock.now())
+            self._neighbours.expire(clock.now())
             contacts = self._connections.contacts
             # Where control takes the targets' renewals in, a host that is cut off from it
             # hears none. That says nothing of the targets: they are used as long as they
@@ -409,6 +442,8 @@
         self.state.register("evacuations", self._evacuations_state)
         self.state.register("rates", self._rates.state)
         self.state.register("links", self._caller.state)
+        self.state.register("paths", self._paths.state)
+        self.state.register("tunnels", self._tunnel_server.state)
         self.state.register("budgets", self._budgets_state)
 
     def _budgets_state(self) -> dict[str, Any]:
--- a/cranberrywall/entry/_frontend.py
+++ b/cranberrywall/entry/_frontend.py
@@ -12,6 +12,7 @@
 from cranberrywall.routing import TargetRouter
 from cranberrywall.runtime import Runtime
 from cranberrywall.targets import Announcement, Backoffs, Targets
+from cranberrywall.tunnels import Paths
 
 
 class FrontendContext(NamedTuple):
@@ -22,7 +23,8 @@
     the active one, and had contact with a control host recently. ``quarantine`` determines which
     requests must not be sent to targets. ``backoffs`` tracks the targets that requested that this
     host send nothing. ``settle`` is awaited with the current monotonic and wall-clock times before
-    a request is decided; see ``StallDetector``.
+    a request is decided; see ``StallDetector``. ``paths`` are those to the targets, directly and
+    through neighbours.
     """
 
     me: Peer
@@ -41,6 +43,7 @@
     quarantine: Quarantine
     backoffs: Backoffs
     settle: Callable[[float, float], Awaitable[None]]
+    paths: Paths
 
 
 class Frontend(Protocol):
--- a/cranberrywall/entry/_stack.py
+++ b/cranberrywall/entry/_stack.py
@@ -42,6 +42,7 @@
 from cranberrywall.routing import Router
 from cranberrywall.runtime import Clock, Random
 from cranberrywall.targets import TargetConnector
+from cranberrywall.tunnels import Paths
 
 RECORDING_TIMEOUT_S = 10.0
 """A stopping host waits this long for the ledger to record the outcomes of its calls."""
@@ -155,17 +156,22 @@
     run_limits: RunLimits | None = None,
     service_limits: ServiceLimits | None = None,
     fetch: SSLContext | None = None,
+    paths: Paths | None = None,
 ) -> CallerStack:
     """Return the stack of one entry host; call this in a running event loop.
 
-    ``fetch`` is the TLS context that verifies the certificates of targets with HTTPS. Without
+    ``fetch`` is the TLS context that verifies the certificates of targets with HTTPS; ``paths`` are
+    the paths to those without TLS. Without
     ``links``, the host does not coordinate with others: if a caller retries a request at another
     host, it runs again.
     """
     request_metrics = RequestMetrics(metrics or make_metrics())
     background = BackgroundTasks()
-    session = _make_session(fetch, reuse=True)
-    unpooled_session = _make_session(fetch, reuse=False)
+    connector = _make_connector(fetch, paths, clock, reuse=True)
+    if paths is not None:
+        paths.watch_hung(connector.abort_unresponsive)
+    session = _make_session(connector)
+    unpooled_session = _make_session(_make_connector(fetch, paths, clock, reuse=False))
     engine_limits = engine_limits or EngineLimits()
     attempts = Attempts(
         router, session, clock, random, request_metrics, engine_limits, background, quarantine
@@ -218,9 +224,20 @@
     return CallerStack(context, (session, unpooled_session), background)
 
 
-def _make_session(fetch: SSLContext | None, reuse: bool) -> aiohttp.ClientSession:
+def _make_connector(
+    fetch: SSLContext | None, paths: Paths | None, clock: Clock, *, reuse: bool
+) -> TargetConnector:
     # Without a TLS context, the certificate authorities of the system are trusted.
-    connector = TargetConnector(limit=_CONNECTION_LIMIT, force_close=not reuse, ssl=fetch or True)
+    return TargetConnector(
+        paths=paths,
+        clock=clock,
+        limit=_CONNECTION_LIMIT,
+        force_close=not reuse,
+        ssl=fetch or True,
+    )
+
+
+def _make_session(connector: TargetConnector) -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
         connector=connector, cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False
     )
--- a/cranberrywall/forwarding/_attempt_record.py
+++ b/cranberrywall/forwarding/_attempt_record.py
@@ -11,6 +11,7 @@
 from cranberrywall.quarantine import Run, RunEnd, RunTracker, stoppable
 from cranberrywall.routing import Outcome, OutcomeKind, Slot
 from cranberrywall.runtime import Clock
+from cranberrywall.targets import ConnectionRequest
 
 
 class AttemptRecord:
@@ -19,8 +20,9 @@
     Until an end is recorded, the attempt counts as cancelled and abandoned.
     """
 
-    def __init__(self, run: Run) -> None:
+    def __init__(self, run: Run, connection: ConnectionRequest) -> None:
         self.run = run
+        self.connection = connection
         self.outcome = Outcome(OutcomeKind.CANCELLED)
         self.end = RunEnd.GIVEN_UP
 
@@ -61,12 +63,17 @@
     run = tracker.begin(
         arrival.request_id, slot.target_id, attempt.fingerprint, attempt.is_streamed
     )
-    record = AttemptRecord(run)
+    connection = ConnectionRequest(
+        slot.target_incarnation, arrival.request_id, lambda: slot.is_offered
+    )
+    record = AttemptRecord(run, connection)
     funds.record_sent()
     try:
         yield record
     except TimeoutError as error:
-        failure = _timed_out(run, attempt)
+        failure = _timed_out(record, attempt)
+        if failure.kind in DID_NOT_RUN:
+            funds.record_not_run()
         record.record_failure(failure, clock.now())
         raise failure from error
     except AttemptFailedError as failure:
@@ -82,8 +89,10 @@
         slot.finish(record.outcome, now)
 
 
-def _timed_out(run: Run, attempt: Attempt) -> AttemptFailedError:
-    if run.is_stopped:
+def _timed_out(record: AttemptRecord, attempt: Attempt) -> AttemptFailedError:
+    if not record.connection.may_be_sent:
+        return AttemptFailedError(FailureKind.UNSENT, "no connection before the deadline")
+    if record.run.is_stopped:
         return AttemptFailedError(FailureKind.STOPPED, "the request is quarantined")
     return AttemptFailedError(
         FailureKind.LATE, f"no complete answer within {attempt.remaining_s:.3f} s"
--- a/cranberrywall/forwarding/_client.py
+++ b/cranberrywall/forwarding/_client.py
@@ -13,7 +13,14 @@
 from cranberrywall.forwarding._interfaces import Attempt, Dialect, Headers, TargetHead
 from cranberrywall.forwarding._responses import ResetAwareResponse
 from cranberrywall.routing import Slot
-from cranberrywall.targets import TargetConnector, TargetWithdrawnError, while_offered
+from cranberrywall.runtime import Clock
+from cranberrywall.targets import (
+    ConnectionRequest,
+    TargetConnector,
+    TargetPaths,
+    TargetWithdrawnError,
+    connecting_for,
+)
 
 CONNECT_TIMEOUT_S = 0.6
 """Timeout for connecting to a target, in seconds.
@@ -111,12 +118,19 @@
         raise _ConnectionLostError(f"{type(error).__name__}: {error}") from error
 
 
-def make_session(*, reuses_connections: bool) -> aiohttp.ClientSession:
-    """Return a session for attempts; call it in a running event loop."""
+def make_connector(
+    *, reuses_connections: bool, paths: TargetPaths | None, clock: Clock
+) -> TargetConnector:
+    """Return a connector for attempts; call it in a running event loop."""
     if reuses_connections:
-        connector = TargetConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_TTL_S)
-    else:
-        connector = TargetConnector(limit=0, force_close=True)
+        return TargetConnector(
+            paths=paths, clock=clock, limit=0, keepalive_timeout=IDLE_CONNECTION_TTL_S
+        )
+    return TargetConnector(paths=paths, clock=clock, limit=0, force_close=True)
+
+
+def make_session(connector: TargetConnector) -> aiohttp.ClientSession:
+    """Return a session for attempts; call it in a running event loop."""
     return aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
@@ -147,7 +161,7 @@
 
     @asynccontextmanager
     async def open(
-        self, slot: Slot, attempt: Attempt, may_run_again: bool
+        self, slot: Slot, attempt: Attempt, connection: ConnectionRequest, may_run_again: bool
     ) -> AsyncIterator[TargetAnswer]:
         """Send an attempt to the slot's target and yield the head of its answer.
 
@@ -159,7 +173,7 @@
         session = self._pooled_session if may_run_again else self._unpooled_session
         arrival = attempt.arrival
         try:
-            with while_offered(lambda: slot.is_offered):
+            with connecting_for(connection):
                 response = await session.request(
                     arrival.method,
                     URL(slot.url + arrival.path, encoded=True),
--- a/cranberrywall/forwarding/_forwarder.py
+++ b/cranberrywall/forwarding/_forwarder.py
@@ -10,7 +10,7 @@
 from cranberrywall.forwarding._attempts import Attempts
 from cranberrywall.forwarding._billing import RequestBilling, RequestFunds
 from cranberrywall.forwarding._calls import CallForwarder, CompleteAnswer
-from cranberrywall.forwarding._client import TargetClient, make_session
+from cranberrywall.forwarding._client import TargetClient, make_connector, make_session
 from cranberrywall.forwarding._interfaces import Arrival, CallerReply, Dialect
 from cranberrywall.forwarding._plan import Plan, Planner
 from cranberrywall.forwarding._streams import StreamForwarder
@@ -18,6 +18,7 @@
 from cranberrywall.quarantine import Quarantine
 from cranberrywall.routing import Router
 from cranberrywall.runtime import Clock, Random
+from cranberrywall.tunnels import Paths
 
 
 class Forwarder:
@@ -33,9 +34,15 @@
         random: Random,
         metrics: Metrics,
         quarantine: Quarantine,
+        paths: Paths | None = None,
     ) -> None:
-        self._pooled_session = make_session(reuses_connections=True)
-        self._unpooled_session = make_session(reuses_connections=False)
+        pooled = make_connector(reuses_connections=True, paths=paths, clock=clock)
+        unpooled = make_connector(reuses_connections=False, paths=paths, clock=clock)
+        if paths is not None:
+            # Only requests that may run again profit from the early end of their connection.
+            paths.watch_hung(pooled.abort_unresponsive)
+        self._pooled_session = make_session(pooled)
+        self._unpooled_session = make_session(unpooled)
         client = TargetClient(self._pooled_session, self._unpooled_session, dialect)
         self._planner = Planner(configuration, random)
         self._billing = RequestBilling(allotments, configuration, clock)
--- a/cranberrywall/forwarding/_streams.py
+++ b/cranberrywall/forwarding/_streams.py
@@ -77,7 +77,7 @@
         with recorded_attempt(slot, attempt, funds, self._tracker, self._clock) as record:
             async with (
                 record.time_limit(attempt.remaining_s),
-                self._client.open(slot, attempt, may_run_again) as answer,
+                self._client.open(slot, attempt, record.connection, may_run_again) as answer,
             ):
                 record.record_answer_started(self._clock.now())
                 record_head(slot, answer.head, attempt.arrival.request_id, self._clock.now())
--- a/cranberrywall/platform/_front.py
+++ b/cranberrywall/platform/_front.py
@@ -79,6 +79,7 @@
             parts.runtime.random,
             parts.metrics,
             parts.quarantine,
+            parts.paths,
         )
         self._parts = parts
 
--- a/cranberrywall/quarantine/_endings.py
+++ b/cranberrywall/quarantine/_endings.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from enum import StrEnum
 from typing import Any, NamedTuple
 from urllib.parse import urlsplit
@@ -55,6 +55,14 @@
 
 OnEnding = Callable[[Ending, float], None]
 
+IsReachedElsewhere = Callable[[TargetIncarnation], Awaitable[bool]]
+"""Return whether another host can connect to a target that refuses connections of this host."""
+
+
+async def never_reached(incarnation: TargetIncarnation) -> bool:
+    """Return false: no other host is asked."""
+    return False
+
 
 class EndingDetector:
     """Check the targets that lost connections, and report those that ended."""
@@ -66,8 +74,10 @@
         clock: Clock,
         has_open_runs: Callable[[TargetIncarnation], bool],
         on_ending: OnEnding,
+        is_reached_elsewhere: IsReachedElsewhere,
     ) -> None:
         """``has_open_runs`` returns whether a run of this host is open at a target."""
+        self._is_reached_elsewhere = is_reached_elsewhere
         self._has_open_runs = has_open_runs
         self._targets = targets
         self._network = network
@@ -103,9 +113,14 @@
                 # A target with too many connections may refuse one and serve the others. If a
                 # target ended, no run is open there, or only runs whose lost connection is not
                 # detected yet.
-                if is_refused and not self._has_open_runs(incarnation):
-                    self._report(incarnation, EndingSignal.REFUSED)
+                if not is_refused or self._has_open_runs(incarnation):
+                    continue
+                if await self._is_reached_elsewhere(incarnation):
+                    log_event("INFO", "target_reached_by_neighbour", url=url)
                     return
+                if incarnation in self._lost_by_incarnation:
+                    self._report(incarnation, EndingSignal.REFUSED)
+                return
         finally:
             self._checking.discard(incarnation)
 
--- a/cranberrywall/quarantine/_tracker.py
+++ b/cranberrywall/quarantine/_tracker.py
@@ -3,7 +3,12 @@
 from collections.abc import Callable, Sequence
 
 from cranberrywall.observability import log_event
-from cranberrywall.quarantine._endings import Ending, EndingDetector
+from cranberrywall.quarantine._endings import (
+    Ending,
+    EndingDetector,
+    IsReachedElsewhere,
+    never_reached,
+)
 from cranberrywall.quarantine._fingerprint import Fingerprint
 from cranberrywall.quarantine._runs import Run, RunEnd, Runs
 from cranberrywall.runtime import Clock, Network
@@ -16,13 +21,24 @@
 class RunTracker:
     """Track this host's runs at targets, from the time they are sent until they end."""
 
-    def __init__(self, targets: Targets, network: Network, clock: Clock) -> None:
+    def __init__(
+        self,
+        targets: Targets,
+        network: Network,
+        clock: Clock,
+        is_reached_elsewhere: IsReachedElsewhere = never_reached,
+    ) -> None:
         self.runs = Runs()
         self.on_ended: OnEnded | None = None
         self.on_complete: Callable[[Run], None] | None = None
         self._targets = targets
         self._endings = EndingDetector(
-            targets, network, clock, self.runs.has_open, self._handle_ending
+            targets,
+            network,
+            clock,
+            self.runs.has_open,
+            self._handle_ending,
+            is_reached_elsewhere,
         )
 
     def begin(
--- a/cranberrywall/requests/_attempts.py
+++ b/cranberrywall/requests/_attempts.py
@@ -39,7 +39,7 @@
 from cranberrywall.requests.messages import AttemptLocation
 from cranberrywall.routing import Demand, Outcome, OutcomeKind, Router, Slot
 from cranberrywall.runtime import Clock, Random, Timers
-from cranberrywall.targets import while_offered
+from cranberrywall.targets import ConnectionRequest, connecting_for
 
 MAX_ATTEMPTS = 4
 MAX_RESUMES = 3
@@ -284,7 +284,10 @@
             try:
                 async with stoppable(watched.run, None):
                     reader.watched = watched.run
-                    with while_offered(lambda: slot.is_offered):
+                    connection = ConnectionRequest(
+                        slot.target_incarnation, request.name.request_id, lambda: slot.is_offered
+                    )
+                    with connecting_for(connection):
                         open_fault = await stream.open()
                     fault = await self._read_with_resumes(request, reader, stream, open_fault)
             except TimeoutError:
--- a/cranberrywall/requests/_service_runner.py
+++ b/cranberrywall/requests/_service_runner.py
@@ -26,7 +26,7 @@
 from cranberrywall.requests.messages import AttemptLocation, RunKey
 from cranberrywall.routing import Demand, Outcome, OutcomeKind, Router, Slot
 from cranberrywall.runtime import Clock, Random
-from cranberrywall.targets import while_offered
+from cranberrywall.targets import ConnectionRequest, connecting_for
 
 CallResult = Result[ServiceAnswer, Refusal]
 
@@ -297,9 +297,12 @@
             self._quarantine, request.name, slot, fingerprint, False, self._clock
         ) as watched:
             result: ServiceAnswer | Fault = STOPPED
+            connection = ConnectionRequest(
+                slot.target_incarnation, request.name.request_id, lambda: slot.is_offered
+            )
             try:
                 async with stoppable(watched.run, None):
-                    with while_offered(lambda: slot.is_offered):
+                    with connecting_for(connection):
                         result = await self._client.call(
                             call,
                             request.repeatable,
@@ -309,6 +312,8 @@
             except TimeoutError:
                 if not watched.run.is_stopped:
                     raise
+            if isinstance(result, Fault) and not connection.may_be_sent:
+                result = Fault(FaultKind.UNSENT, result.message)
             watched.record_end(result if isinstance(result, Fault) else None)
             return result
 
--- a/cranberrywall/routing/_interfaces.py
+++ b/cranberrywall/routing/_interfaces.py
@@ -11,7 +11,7 @@
 
 from cranberrywall.errors import Refusal
 from cranberrywall.rates import RateNotice
-from cranberrywall.targets import DecimalField
+from cranberrywall.targets import DecimalField, TargetIncarnation
 
 
 class Demand(NamedTuple):
@@ -81,6 +81,11 @@
         """Return the target's id."""
         ...
 
+    @property
+    def target_incarnation(self) -> TargetIncarnation:
+        """Return the target's id and the incarnation that the slot is at."""
+        ...
+
     @property
     def url(self) -> str:
         """Return the target's base URL, without a trailing slash."""
--- a/cranberrywall/routing/_pool.py
+++ b/cranberrywall/routing/_pool.py
@@ -309,6 +309,11 @@
         if candidate is not None:
             candidate.health.record_probe(is_healthy, now)
 
+    def forgive_failures(self, since: float) -> None:
+        """Discard the failures of all targets since a time."""
+        for candidate in self.candidates:
+            candidate.health.forgive_failures(since)
+
     def targets_to_probe(self, now: float) -> list[Announcement]:
         """Return the ejected and unresponsive targets that should be probed.
 
--- a/cranberrywall/routing/_router.py
+++ b/cranberrywall/routing/_router.py
@@ -38,6 +38,9 @@
 TICK_INTERVAL_S = 0.05
 """Interval at which the deadlines of queued demands are checked, in seconds."""
 
+FORGIVEN_FAILURES_S = 2.0
+"""Time before the detection of a partition in which failures are attributed to it, in seconds."""
+
 NO_FIRST_RANK = -1
 
 
@@ -193,6 +196,12 @@
             dispatcher.refuse_unserved(partial(self._no_target_refusal, group), now)
             dispatcher.dispatch(now)
 
+    def forgive_failures(self, now: float) -> None:
+        """Discard the recent failures of targets: this host lost its paths to them."""
+        for dispatcher in self._dispatcher_by_group.values():
+            dispatcher.pool.forgive_failures(now - FORGIVEN_FAILURES_S)
+            dispatcher.dispatch(now)
+
     def targets_to_probe(self, now: float) -> list[Announcement]:
         """Return the ejected and unresponsive targets that should be probed."""
         dispatchers = self._dispatcher_by_group.values()
--- a/cranberrywall/routing/_slot.py
+++ b/cranberrywall/routing/_slot.py
@@ -6,7 +6,7 @@
 from cranberrywall.rates import RateNotice
 from cranberrywall.routing._choice import Chosen
 from cranberrywall.routing._interfaces import Demand, Outcome
-from cranberrywall.targets import DecimalField
+from cranberrywall.targets import DecimalField, TargetIncarnation
 
 if TYPE_CHECKING:
     from cranberrywall.routing._pool import Pool
@@ -40,6 +40,11 @@
         """Return the target's id."""
         return self._announcement.target
 
+    @property
+    def target_incarnation(self) -> TargetIncarnation:
+        """Return the target's id and the incarnation that the slot is at."""
+        return self._chosen.candidate.target_incarnation
+
     @property
     def url(self) -> str:
         """Return the target's base URL."""
--- a/cranberrywall/targets/__init__.py
+++ b/cranberrywall/targets/__init__.py
@@ -2,9 +2,13 @@
 
 from cranberrywall.targets._backoffs import Backoffs
 from cranberrywall.targets._connections import (
+    ConnectDirectly,
+    ConnectionRequest,
+    MakeProtocol,
     TargetConnector,
+    TargetPaths,
     TargetWithdrawnError,
-    while_offered,
+    connecting_for,
 )
 from cranberrywall.targets._decimal_field import ABSENT, DecimalField, read_decimal_field
 from cranberrywall.targets._health import Health
@@ -50,6 +54,8 @@
     "CacheEvent",
     "Change",
     "ColdNotice",
+    "ConnectDirectly",
+    "ConnectionRequest",
     "DecimalField",
     "HostIncarnation",
     "Group",
@@ -57,16 +63,19 @@
     "LeavingUpdates",
     "Load",
     "LoadEstimate",
+    "MakeProtocol",
     "TargetWithdrawnError",
     "PrefixIndex",
     "Probe",
     "Prober",
     "Target",
     "TargetConnector",
+    "TargetPaths",
     "TargetRelay",
     "TargetIncarnation",
     "Targets",
     "GroupMeans",
+    "connecting_for",
     "fetch_leaving_targets",
     "group_of",
     "make_announce_routes",
@@ -76,5 +85,4 @@
     "read_decimal_field",
     "register_cold_notices",
     "register_relay",
-    "while_offered",
 ]
--- a/cranberrywall/targets/_health.py
+++ b/cranberrywall/targets/_health.py
@@ -45,6 +45,8 @@
         self._failure_share_at = since
         self._ejected_until = 0.0
         self._ejections = 0
+        self._failed_at = float("-inf")
+        self._ejected_at = float("-inf")
         self._on_trial = False
         self._owed_tokens = 0
         self._last_response_at = since
@@ -109,6 +111,7 @@
 
         ``may_eject`` is false if too many targets are ejected already.
         """
+        self._failed_at = now
         self._consecutive_failures += 1
         share = self.failure_share(now)
         self._failure_share = share + FAILURE_SHARE_SMOOTHING * (1.0 - share)
@@ -128,11 +131,23 @@
         if is_healthy and self.is_ejected(now):
             self._ejected_until = now
 
+    def forgive_failures(self, since: float) -> None:
+        """Discard the failures since a time: their cause was not the target."""
+        if self._failed_at < since:
+            return
+        self._consecutive_failures = 0
+        self._failure_share = 0.0
+        if self._ejected_at >= since:
+            self._ejected_until = 0.0
+            self._ejections -= 1
+            self._on_trial = False
+
     def _eject(self, now: float, random: Random) -> None:
         seconds = min(MAX_EJECTION_S, MIN_EJECTION_S * 2**self._ejections)
         # Jitter: hosts that ejected a target at the same time must not all return to it at the same
         # time.
         self._ejected_until = now + seconds * random.uniform(0.75, 1.25)
+        self._ejected_at = now
         self._ejections += 1
         self._consecutive_failures = 0
         self._failure_share = 0.0
--- a/tests/forwarding/partitioned.py
+++ b/tests/forwarding/partitioned.py
@@ -1,9 +1,14 @@
 """Two entry hosts and their targets, of which the first host may lose every path to targets."""
 
+import random
 import socket
 from collections.abc import Mapping
 from typing import Any
 
+from cranberrywall.runtime import make_clock
+from cranberrywall.tunnels import DirectPaths, Neighbours, Paths, TunnelClient, TunnelServer
+from tests.fakes.links import Switchboard
+from tests.fakes.membership import FixedMembership
 from tests.forwarding.scripted import ForwardingHarness, Script, answers
 from tests.targets.announcements import announce
 
@@ -25,8 +30,17 @@
     """
 
     def __init__(self, **route_fields: Any) -> None:
-        self.partitioned = ForwardingHarness(**route_fields)
+        clock, hosts = make_clock(), FixedMembership()
+        hosts.add("neighbour", links="neighbour")
+        self.switchboard = Switchboard()
+        neighbours = Neighbours("partitioned", "town-hall", hosts.alive, random.Random(1))
+        caller = self.switchboard.caller("partitioned")
+        self.direct_paths = DirectPaths()
+        self.paths = Paths(self.direct_paths, TunnelClient(caller, neighbours, clock), clock)
+        self.partitioned = ForwardingHarness(self.paths, **route_fields)
         self.neighbour = ForwardingHarness(**route_fields)
+        self.tunnels = TunnelServer(self.neighbour.targets, DirectPaths(), clock)
+        self.tunnels.register(self.switchboard.server("neighbour"))
 
     async def __aenter__(self) -> "PartitionedPair":
         await self.partitioned.__aenter__()
@@ -35,6 +49,8 @@
 
     async def __aexit__(self, *details: object) -> None:
         await self.partitioned.__aexit__(*details)
+        self.paths.close()
+        self.tunnels.close()
         await self.neighbour.__aexit__(*details)
 
     async def start_targets(self, script: Script | None = None) -> None:
--- a/tests/forwarding/scripted.py
+++ b/tests/forwarding/scripted.py
@@ -19,7 +19,8 @@
 from cranberrywall.rates import RateNotice
 from cranberrywall.routing import Demand, Outcome
 from cranberrywall.runtime import make_clock, make_network
-from cranberrywall.targets import DecimalField, make_targets
+from cranberrywall.targets import DecimalField, TargetIncarnation, make_targets
+from cranberrywall.tunnels import Paths
 from tests.configuration.documents import KEY, make_document
 from tests.fakes.allotments import MemoryAllotments, MemoryLedger
 from tests.fakes.spread import MemorySpread
@@ -101,6 +102,7 @@
         self.target_id = target_id
         self.url = url
         self.version = ""
+        self.target_incarnation = TargetIncarnation(target_id, 1)
         self._router = router
 
     @property
@@ -152,7 +154,7 @@
 class ForwardingHarness:
     """A forwarder with its targets and its allotments."""
 
-    def __init__(self, **route_fields: Any) -> None:
+    def __init__(self, paths: Paths | None = None, **route_fields: Any) -> None:
         document = make_document()
         document["routes"] = {"a.example/x/": route(**route_fields)}
         document["budgets"]["desk"]["total"] = BUDGET
@@ -169,6 +171,7 @@
         self.received: list[tuple[str, Mapping[str, str]]] = []
         self._runners: list[web.AppRunner] = []
         self._document = document
+        self._paths = paths
         self.forwarder: Forwarder
 
     async def __aenter__(self) -> "ForwardingHarness":
@@ -182,6 +185,7 @@
             random.Random(1),
             make_metrics(),
             self.quarantine,
+            self._paths,
         )
         return self
 
--- a/tests/naive/routers.py
+++ b/tests/naive/routers.py
@@ -12,7 +12,7 @@
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.rates import RateNotice
 from cranberrywall.routing import Demand, Outcome, Slot
-from cranberrywall.targets import Announcement, DecimalField, Group, Targets
+from cranberrywall.targets import Announcement, DecimalField, Group, TargetIncarnation, Targets
 
 Choose = Callable[[Sequence[Announcement], Demand], Announcement]
 
@@ -26,6 +26,7 @@
     def __init__(self, announcement: Announcement) -> None:
         self.target_id = announcement.target
         self.url = announcement.url
+        self.target_incarnation = TargetIncarnation(announcement.target, announcement.incarnation)
 
     def record_first_token(self, now: float) -> None:
         pass
