--- a/cranberrywall/forwarding/_attempt_record.py
+++ b/cranberrywall/forwarding/_attempt_record.py
@@ -52,7 +52,12 @@
 
 @contextmanager
 def recorded_attempt(
-    slot: Slot, attempt: Attempt, funds: RequestFunds, tracker: RunTracker, clock: Clock
+    slot: Slot,
+    attempt: Attempt,
+    funds: RequestFunds,
+    tracker: RunTracker,
+    clock: Clock,
+    may_repeat: bool,
 ) -> Iterator[AttemptRecord]:
     """Charge the request's input from now on; free the slot with the outcome at the end.
 
@@ -64,7 +69,7 @@
         arrival.request_id, slot.target_id, attempt.fingerprint, attempt.is_streamed
     )
     connection = ConnectionRequest(
-        slot.target_incarnation, arrival.request_id, lambda: slot.is_offered
+        slot.target_incarnation, arrival.request_id, lambda: slot.is_offered, may_repeat
     )
     record = AttemptRecord(run, connection)
     funds.record_sent()
--- a/cranberrywall/forwarding/_streams.py
+++ b/cranberrywall/forwarding/_streams.py
@@ -74,7 +74,9 @@
         attempt = attempts.begin(slot, progress.last_event)
         started_at = self._clock.now()
         may_run_again = attempts.plan.repeat_rules.may_run_again
-        with recorded_attempt(slot, attempt, funds, self._tracker, self._clock) as record:
+        with recorded_attempt(
+            slot, attempt, funds, self._tracker, self._clock, may_run_again
+        ) as record:
             async with (
                 record.time_limit(attempt.remaining_s),
                 self._client.open(slot, attempt, record.connection, may_run_again) as answer,
--- a/cranberrywall/requests/_attempts.py
+++ b/cranberrywall/requests/_attempts.py
@@ -285,7 +285,10 @@
                 async with stoppable(watched.run, None):
                     reader.watched = watched.run
                     connection = ConnectionRequest(
-                        slot.target_incarnation, request.name.request_id, lambda: slot.is_offered
+                        slot.target_incarnation,
+                        request.name.request_id,
+                        lambda: slot.is_offered,
+                        may_repeat=True,
                     )
                     with connecting_for(connection):
                         open_fault = await stream.open()
--- a/cranberrywall/requests/_service_runner.py
+++ b/cranberrywall/requests/_service_runner.py
@@ -298,7 +298,10 @@
         ) as watched:
             result: ServiceAnswer | Fault = STOPPED
             connection = ConnectionRequest(
-                slot.target_incarnation, request.name.request_id, lambda: slot.is_offered
+                slot.target_incarnation,
+                request.name.request_id,
+                lambda: slot.is_offered,
+                request.repeatable,
             )
             try:
                 async with stoppable(watched.run, None):
--- a/cranberrywall/targets/_connections.py
+++ b/cranberrywall/targets/_connections.py
@@ -24,11 +24,17 @@
 
     ``is_offered`` is called once the connection is established, just before the first byte is sent.
     If it returns false, the connection is closed. ``may_be_sent`` is false until then.
+    ``may_repeat`` is true if the request may be sent again after its connection broke.
     """
 
     def __init__(
-        self, target_incarnation: TargetIncarnation, request_id: str, is_offered: IsOffered
+        self,
+        target_incarnation: TargetIncarnation,
+        request_id: str,
+        is_offered: IsOffered,
+        may_repeat: bool = False,
     ) -> None:
+        self.may_repeat = may_repeat
         self.target_incarnation = target_incarnation
         self.request_id = request_id
         self.is_offered = is_offered
@@ -58,6 +64,10 @@
         """Record that a target sent something on a direct connection."""
         ...
 
+    def record_unanswered(self, now: float) -> None:
+        """Record that a direct connection with a request broke before the target sent anything."""
+        ...
+
     def is_unresponsive(self, target: str, received_at: float, now: float) -> bool:
         """Return whether a direct connection is lost on which nothing arrived since a time."""
         ...
@@ -93,12 +103,27 @@
         self.received_at = clock.now()
         request = _request.get()
         self.target = request.target_incarnation.target if request is not None else ""
+        self._request = request
+        self._has_received = False
+        self._has_ended = False
 
     def data_received(self, data: bytes) -> None:
+        self._has_received = True
         self.received_at = self._clock.now()
         self._paths.record_received(self.received_at)
         super().data_received(data)
 
+    def eof_received(self) -> None:
+        self._has_ended = True
+        super().eof_received()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        is_broken = exc is not None or self._has_ended
+        was_sent = self._request is not None and self._request.may_be_sent
+        if is_broken and was_sent and not self._has_received:
+            self._paths.record_unanswered(self._clock.now())
+        super().connection_lost(exc)
+
 
 class TargetConnector(aiohttp.TCPConnector):
     """Connector that returns connections only to targets that are still offered.
--- a/cranberrywall/tunnels/_neighbours.py
+++ b/cranberrywall/tunnels/_neighbours.py
@@ -2,14 +2,18 @@
 
 from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
+from heapq import nsmallest
 from typing import NamedTuple
 
+from cranberrywall.errors import ErrorKind
 from cranberrywall.hosts import HostView
 from cranberrywall.runtime import Random
 
 RESULT_RETENTION_S = 2.0
 """Time for which it counts whether a neighbour could connect to a target, in seconds."""
 
+ANY_TARGET = ""
+
 
 class _Pair(NamedTuple):
     host: str
@@ -38,28 +42,24 @@
     def ranked(self, target: str, count: int, now: float) -> list[HostView]:
         """Return at most ``count`` neighbours for a connection to ``target``."""
         views = [view for view in self._alive() if view.host != self._host and view.links]
-        views.sort(
-            key=lambda view: (
-                _is_recent(self._failed_at, _Pair(view.host, target), now),
-                not _is_recent(self._connected_at, _Pair(view.host, target), now),
-                self._used_by_host[view.host],
-                view.place != self._place,
-                self._random.random(),
-            )
-        )
-        return views[:count]
+        best = nsmallest(count, views, key=lambda view: self._rank(view, target, now))
+        # The hosts of a place may lose their paths together.
+        first_place = best[0].place if best else ""
+        return best[:1] + sorted(best[1:], key=lambda view: view.place == first_place)
 
-    def record_failed(self, host: str, target: str, now: float) -> None:
-        """Record that a neighbour could not connect to a target."""
+    def record_failed(self, host: str, target: str, kind: ErrorKind, now: float) -> None:
+        """Record that a neighbour could not connect to a target, and why."""
         pair = _Pair(host, target)
         self._connected_at.pop(pair, None)
         self._failed_at[pair] = now
+        if kind is ErrorKind.UNREACHABLE:
+            self._failed_at[_Pair(host, ANY_TARGET)] = now
 
     def record_opened(self, host: str, target: str, now: float) -> None:
         """Record a connection to a target that a neighbour carries from now on."""
-        pair = _Pair(host, target)
-        self._failed_at.pop(pair, None)
-        self._connected_at[pair] = now
+        for pair in (_Pair(host, target), _Pair(host, ANY_TARGET)):
+            self._failed_at.pop(pair, None)
+            self._connected_at[pair] = now
         self._used_by_host[host] += 1
 
     def record_closed(self, host: str) -> None:
@@ -68,6 +68,18 @@
         if not self._used_by_host[host]:
             del self._used_by_host[host]
 
+    def _rank(self, view: HostView, target: str, now: float) -> tuple[object, ...]:
+        pair, any_target = _Pair(view.host, target), _Pair(view.host, ANY_TARGET)
+        return (
+            _is_recent(self._failed_at, pair, now),
+            _is_recent(self._failed_at, any_target, now),
+            not _is_recent(self._connected_at, pair, now),
+            not _is_recent(self._connected_at, any_target, now),
+            self._used_by_host[view.host],
+            view.place != self._place,
+            self._random.random(),
+        )
+
     def expire(self, now: float) -> None:
         """Forget the results that are too old to be used."""
         for times in (self._failed_at, self._connected_at):
--- a/cranberrywall/tunnels/_paths.py
+++ b/cranberrywall/tunnels/_paths.py
@@ -16,19 +16,22 @@
     MakeProtocol,
     TargetIncarnation,
 )
-from cranberrywall.tunnels._client import TunnelClient
+from cranberrywall.tunnels._client import TargetUnreachableError, TunnelClient
 from cranberrywall.tunnels._direct_paths import DirectPaths, Way
 
 DIRECT_TIMEOUT_S = 0.06
 """Time after which a neighbour is asked to connect as well, in seconds."""
 
-MAX_UNPROVEN = 2
-"""Maximum number of connections through neighbours at a time while no target is bypassed: if many
-connections are slow, the cause is more likely a busy host or target."""
+MAX_RACING = 2
+"""Maximum number of connections at a time for which neighbours are asked although their targets are
+not bypassed: if many connections are slow, the cause is more likely a busy host or target."""
 
 UNREACHABLE_RETENTION_S = 1.0
 """Neighbours that could not connect to a target are not asked again for this time, in seconds."""
 
+UNREACHED_RETENTION_S = 0.25
+"""The same if the neighbours did not try, because they connect to no target, in seconds."""
+
 HUNG_CHECK_INTERVAL_S = 0.1
 """Interval at which open connections are checked while new ones hang, in seconds."""
 
@@ -43,7 +46,7 @@
         self._direct = direct
         self._tunnels = tunnels
         self._clock = clock
-        self._unproven = 0
+        self._racing = 0
         self._unreachable_until_by_target: dict[str, float] = {}
         self._connections = {"direct": 0, "neighbour": 0, "failed": 0}
         self._on_start: list[OnPartition] = []
@@ -67,6 +70,12 @@
         """Record that a target sent something on a direct connection."""
         self._direct.record_received(now)
 
+    def record_unanswered(self, now: float) -> None:
+        """Record that a direct connection with a request broke before the target sent anything."""
+        was_partitioned = self._direct.is_partitioned(now)
+        self._direct.record_unanswered(now)
+        self._report_partition(was_partitioned, now)
+
     def is_unresponsive(self, target: str, received_at: float, now: float) -> bool:
         """Return whether a direct connection is lost on which nothing arrived since a time."""
         return self._direct.is_unresponsive(target, received_at, now)
@@ -81,7 +90,8 @@
 
         Raises ``OSError`` or ``aiohttp.ClientError`` if there is none on any path.
         """
-        way = self._direct.choose_way(request.target_incarnation.target, self._clock.now())
+        target = request.target_incarnation.target
+        way = self._direct.choose_way(target, request.may_repeat, self._clock.now())
         try:
             if way is Way.NEIGHBOUR:
                 return await self._connect_through_neighbour(request, make_protocol, "bypassed")
@@ -104,11 +114,17 @@
         contenders = [direct]
         try:
             await _wait_until_done(direct, delay_s)
+            if delay_s and not _has_connected(direct):
+                self._direct.record_failed(target, self._clock.now())
             if not _has_connected(direct) and self._may_ask_neighbours(target, self._clock.now()):
                 reason = _reason_for(direct)
                 tunnel = self._connect_through_neighbour(request, make_protocol, reason)
                 contenders.append(_start(tunnel))
-            winner = await _first_connected(contenders)
+                self._racing += 1
+            try:
+                winner = await _first_connected(contenders)
+            finally:
+                self._racing -= len(contenders) - 1
         except BaseException:
             for contender in contenders:
                 _discard(contender)
@@ -119,25 +135,24 @@
                 _discard(contender)
         else:
             # The late or failed direct connection shows whether the target can be reached.
-            self._probes.add(direct)
-            direct.add_done_callback(partial(self._record_probe, target))
-            if not direct.done():
-                self._record_bypassed(target, is_hung=True, now=self._clock.now())
+            is_hung = not direct.done()
+            self._record_bypassed(target, is_hung, self._clock.now())
+            if is_hung:
+                self._probes.add(direct)
+                direct.add_done_callback(partial(self._record_probe, target))
         return winner.result()
 
     async def _connect_through_neighbour(
         self, request: ConnectionRequest, make_protocol: MakeProtocol, reason: str
     ) -> ResponseHandler:
         target = request.target_incarnation.target
-        self._unproven += 1
         try:
             protocol = await self._tunnels.connect(request, make_protocol, reason)
-        except OSError:
-            until = self._clock.now() + UNREACHABLE_RETENTION_S
-            self._unreachable_until_by_target[target] = until
+        except OSError as error:
+            is_target = isinstance(error, TargetUnreachableError)
+            retention_s = UNREACHABLE_RETENTION_S if is_target else UNREACHED_RETENTION_S
+            self._unreachable_until_by_target[target] = self._clock.now() + retention_s
             raise
-        finally:
-            self._unproven -= 1
         self._unreachable_until_by_target.pop(target, None)
         self._connections["neighbour"] += 1
         return protocol
@@ -149,9 +164,8 @@
         if direct.exception() is None:
             self._record_connected(target, self._clock.now())
             direct.result().close()
-        else:
-            is_hung = isinstance(direct.exception(), TimeoutError)
-            self._record_bypassed(target, is_hung, self._clock.now())
+        elif not isinstance(direct.exception(), TimeoutError):
+            self._record_bypassed(target, is_hung=False, now=self._clock.now())
 
     async def is_reached_by_neighbour(self, incarnation: TargetIncarnation) -> bool:
         """Return whether a neighbour can connect to a target that this host cannot connect to."""
@@ -188,13 +202,13 @@
     def _may_ask_neighbours(self, target: str, now: float) -> bool:
         if now < self._unreachable_until_by_target.get(target, float("-inf")):
             return False
-        return self._direct.is_bypassed(target, now) or self._unproven < MAX_UNPROVEN
+        return self._direct.is_bypassed(target, now) or self._racing < MAX_RACING
 
     def _record_connected(self, target: str, now: float) -> None:
         was_partitioned = self._direct.is_partitioned(now)
         self._direct.record_connected(target, now)
         self._connections["direct"] += 1
-        if was_partitioned:
+        if was_partitioned and not self._direct.is_partitioned(now):
             log_event("INFO", "partition_from_targets_ended", target=target)
 
     def _record_bypassed(self, target: str, is_hung: bool, now: float) -> None:
@@ -203,13 +217,17 @@
         self._direct.record_bypassed(target, is_hung, now)
         if not was_bypassed:
             log_event("WARNING", "target_bypassed", target=target, is_hung=is_hung)
-        if not was_partitioned and self._direct.is_partitioned(now):
-            log_event("WARNING", "partitioned_from_targets", evidence=self._direct.state(now))
-            for on_start in self._on_start:
-                on_start(now)
+        self._report_partition(was_partitioned, now)
         if is_hung and (self._hung_check is None or self._hung_check.done()):
             self._hung_check = asyncio.get_running_loop().create_task(self._check_hung())
 
+    def _report_partition(self, was_partitioned: bool, now: float) -> None:
+        if was_partitioned or not self._direct.is_partitioned(now):
+            return
+        log_event("WARNING", "partitioned_from_targets", evidence=self._direct.state(now))
+        for on_start in self._on_start:
+            on_start(now)
+
     async def _check_hung(self) -> None:
         while self._direct.has_hung(self._clock.now()):
             for on_hung in self._on_hung:
--- a/cranberrywall/tunnels/_server.py
+++ b/cranberrywall/tunnels/_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+from collections.abc import Awaitable, Callable
 from typing import Any
 from urllib.parse import urlsplit
 
@@ -47,6 +48,16 @@
 _HTTP_PORT = 80
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+Dial = Callable[[str], Awaitable[Streams]]
+"""Connect to a URL; raise ``OSError`` on failure."""
+
+
+async def dial_url(url: str) -> Streams:
+    """Connect to the host and port of a URL."""
+    return await asyncio.open_connection(*_address_of(url), limit=CHUNK_BYTES)
+
 
 class _Tunnel:
     def __init__(
@@ -81,7 +92,10 @@
     and never connects to a target through another host.
     """
 
-    def __init__(self, targets: Targets, paths: DirectPaths, clock: Clock) -> None:
+    def __init__(
+        self, targets: Targets, paths: DirectPaths, clock: Clock, dial: Dial = dial_url
+    ) -> None:
+        self._dial = dial
         self._targets = targets
         self._paths = paths
         self._clock = clock
@@ -169,20 +183,20 @@
         target = self._targets.by_id.get(call.target)
         if target is None or target.announcement.incarnation != call.incarnation:
             return Err(Refusal(ErrorKind.NOT_FOUND, "this host does not know the target", "target"))
-        if self._paths.is_bypassed(call.target, self._clock.now()):
-            return Err(Refusal(ErrorKind.UNREACHABLE, "this host cannot connect to it either"))
+        if not self._paths.can_connect(call.target, self._clock.now()):
+            return Err(Refusal(ErrorKind.UNREACHABLE, "this host cannot connect to the target"))
         if self.running >= MAX_TUNNELS:
             return Err(Refusal(ErrorKind.OVERLOADED, f"this host carries {MAX_TUNNELS} tunnels"))
         self._opening += 1
         try:
             async with asyncio.timeout(call.timeout):
-                streams = await asyncio.open_connection(
-                    *_address_of(target.announcement.url), limit=CHUNK_BYTES
-                )
+                streams = await self._dial(target.announcement.url)
         except TimeoutError:
+            self._paths.record_failed(call.target, self._clock.now())
             return Err(Refusal(ErrorKind.TIMEOUT, f"no connection in {call.timeout:g} s"))
         except OSError as error:
-            return Err(Refusal(ErrorKind.UNREACHABLE, str(error)))
+            self._paths.record_failed(call.target, self._clock.now())
+            return Err(Refusal(ErrorKind.TARGET_FAILED, str(error)))
         finally:
             self._opening -= 1
         now = self._clock.now()
--- a/cranberrywall/tunnels/messages.py
+++ b/cranberrywall/tunnels/messages.py
@@ -15,7 +15,11 @@
 
 
 class OpenTunnel(NamedTuple):
-    """Request to connect to a target within ``timeout`` seconds, for the request ``request_id``."""
+    """Request to connect to a target within ``timeout`` seconds, for the request ``request_id``.
+
+    The refusal is ``UNREACHABLE`` if the neighbour does not try, because it has no path to the
+    target or is not reached itself.
+    """
 
     target: str
     incarnation: int
@@ -63,7 +67,7 @@
     """Confirmation that the tunnel is closed, or was before."""
 
 
-OPEN_TUNNEL = Method("tunnels.open", OpenTunnel, TunnelOpened)
+OPEN_TUNNEL = Method("tunnels.open", OpenTunnel, TunnelOpened, is_cancellable=True)
 READ_TUNNEL = Method("tunnels.read", ReadTunnel, TunnelData, is_cancellable=True)
 WRITE_TUNNEL = Method("tunnels.write", WriteTunnel, TunnelWritten, is_cancellable=True)
 CLOSE_TUNNEL = Method("tunnels.close", CloseTunnel, TunnelClosed)
