Keep brittle targets from rejecting too much

A target may say that it falls over if it has to reject more than N requests a second for want of room (LIMIT). A host then uses about its even share of the slots, keeps below what it had after a rejection for the time in which its share of N is one rejection, and notifies the others, which add no request for a second. A rejection is no failure and ejects no target.

--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -32,7 +32,12 @@
 from cranberrywall.orders import EngineReporter
 from cranberrywall.quarantine import Quarantine, RunTracker, register_quarantine
 from cranberrywall.rates import make_rates
-from cranberrywall.routing import RetryLimits, make_announcement_gossip, make_router
+from cranberrywall.routing import (
+    RejectionSpread,
+    RetryLimits,
+    make_announcement_gossip,
+    make_router,
+)
 from cranberrywall.runtime import Runtime, make_network
 from cranberrywall.settings import FleetKeys, Settings, seconds
 from cranberrywall.targets import (
@@ -129,6 +134,7 @@
             self._configuration,
         )
         self._backoffs = Backoffs(clock, runtime.random)
+        self._rejections = RejectionSpread(self._me.host, self._membership.gossip, clock)
         self._leaving = LeavingUpdates(self._control_runs, self._caller, clock)
         self._reporter = EngineReporter(
             self._caller,
@@ -150,6 +156,7 @@
         self._quarantine.export(self._metrics)
         self._rates.export(self._metrics)
         self._backoffs.export(self._metrics)
+        self._rejections.export(self._metrics)
         self._paths.export(self._metrics)
         self._tunnel_server.export(self._metrics)
         self._metrics.gauge_of(
@@ -313,6 +320,7 @@
             rates=self._rates,
             backoffs=self._backoffs,
             on_leaving=self._note_leaving,
+            rejections=self._rejections,
         )
         self._paths.watch_start(router.forgive_failures)
         self._waiting_by_model = router.waiting_by_model
@@ -363,6 +371,7 @@
             self._quarantine.expire(clock.now())
             self._rates.expire(clock.now())
             self._backoffs.expire(clock.now())
+            self._rejections.expire(clock.now())
             self._tunnel_server.expire(clock.now())
             self._neighbours.expire(clock.now())
             contacts = self._connections.contacts
--- a/cranberrywall/forwarding/_attempts.py
+++ b/cranberrywall/forwarding/_attempts.py
@@ -159,6 +159,7 @@
         slot.record_load(load.running, load.waiting, now)
     slot.record_rate(head.rate, not head.not_run, request_id, now)
     slot.record_backoff(head.backoff, request_id, now)
+    slot.record_rejections(head.rejections, head.not_run, request_id, now)
     if head.is_leaving:
         slot.announced_leaving(request_id, now)
 
--- a/cranberrywall/forwarding/_interfaces.py
+++ b/cranberrywall/forwarding/_interfaces.py
@@ -87,7 +87,8 @@
     ``not_run`` is true if the target did not and will not run the request. ``is_wrong_target`` is
     true if another target has the address. ``rate`` is what the target announces about the rate
     of requests that it accepts. ``backoff`` is the time for which it requests that this host send
-    nothing, in seconds. ``is_leaving`` is true if it accepts no new requests.
+    nothing, in seconds. ``rejections`` is the number of requests a second that it can reject
+    without falling over, if it is brittle. ``is_leaving`` is true if it accepts no new requests.
     """
 
     request_id: str
@@ -96,6 +97,7 @@
     load: TargetLoad | None
     rate: RateNotice
     backoff: DecimalField
+    rejections: DecimalField
     is_leaving: bool
 
 
--- a/cranberrywall/platform/_dialect.py
+++ b/cranberrywall/platform/_dialect.py
@@ -38,6 +38,7 @@
             backoff=(
                 read_decimal_field(_values(headers, names.RETRY_AFTER)) if asks_backoff else ABSENT
             ),
+            rejections=read_decimal_field(_values(headers, names.SERVER_BRITTLE)),
             is_leaving=value_by_name.get(names.SERVER_LEAVING.lower(), "").strip() == _LEAVES,
         )
 
--- a/cranberrywall/platform/_headers.py
+++ b/cranberrywall/platform/_headers.py
@@ -12,6 +12,7 @@
 NOT_RUN = "X-Not-Run"
 SERVER_LOAD = "X-Server-Load"
 SERVER_LIMIT = "Server-Limit"
+SERVER_BRITTLE = "Server-Brittle"
 SERVER_LEAVING = "Server-Leaving"
 RETRY_AFTER = "Retry-After"
 
--- a/cranberrywall/requests/_engine.py
+++ b/cranberrywall/requests/_engine.py
@@ -31,6 +31,9 @@
 BACKOFF_HEADER = "Retry-After"
 """A target's 503 announces here how many seconds this host must send it no call."""
 
+REJECTIONS_HEADER = "X-Max-Rejections"
+"""A brittle target announces here how many requests a second it can reject without falling over."""
+
 LEAVING_HEADER = "X-Leaving"
 """A target announces with the value 1 that it accepts no new requests."""
 
@@ -40,6 +43,7 @@
 
     rate: RateNotice
     backoff: DecimalField
+    rejections: DecimalField
     is_leaving: bool
 
 
@@ -327,6 +331,7 @@
     return TargetNotice(
         read_rate(headers.getall(RATE_HEADER, [])),
         read_decimal_field(headers.getall(BACKOFF_HEADER, [])) if requests_backoff else ABSENT,
+        read_decimal_field(headers.getall(REJECTIONS_HEADER, [])),
         headers.get(LEAVING_HEADER) == "1",
     )
 
--- a/cranberrywall/requests/_watching.py
+++ b/cranberrywall/requests/_watching.py
@@ -55,6 +55,7 @@
     now = clock.now()
     slot.record_rate(notice.rate, is_served, request_id, now)
     slot.record_backoff(notice.backoff, request_id, now)
+    slot.record_rejections(notice.rejections, not is_served, request_id, now)
     if notice.is_leaving:
         slot.announced_leaving(request_id, now)
 
--- a/cranberrywall/routing/__init__.py
+++ b/cranberrywall/routing/__init__.py
@@ -2,6 +2,7 @@
 
 from cranberrywall.routing._gossip import AnnouncementGossip, make_announcement_gossip
 from cranberrywall.routing._interfaces import Demand, Outcome, OutcomeKind, Router, Slot
+from cranberrywall.routing._rejections import RejectionSpread
 from cranberrywall.routing._retries import RetryLimits
 from cranberrywall.routing._router import TargetRouter, make_router
 
@@ -9,6 +10,7 @@
     "Demand",
     "Outcome",
     "OutcomeKind",
+    "RejectionSpread",
     "RetryLimits",
     "Router",
     "Slot",
--- a/cranberrywall/routing/_candidates.py
+++ b/cranberrywall/routing/_candidates.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from cranberrywall.routing._limits import ConcurrencyLimit, OwnRequests
+from cranberrywall.routing._rejections import RejectionLimit
 from cranberrywall.routing._retries import RetryBudget
 from cranberrywall.routing._waits import Work
 from cranberrywall.targets import (
@@ -90,6 +91,7 @@
         self.load = LoadEstimate()
         self.limit = ConcurrencyLimit(announcement.capacity, hosts, rounding_offset)
         self.health = Health(now, is_slow_start)
+        self.rejections = RejectionLimit()
         self.retries = retries or RetryBudget(now)
         self.pending_blocks = 0
         self.next_permit_request_at = now
@@ -135,14 +137,21 @@
 
     def has_capacity(self, claim: Claim, now: float) -> bool:
         """Return whether one more request with this claim may go to the target."""
+        if not self.rejections.allows(self.load.in_flight, now):
+            return False
         health = self.health
         if health.is_ejected(now) or health.is_unresponsive(now):
             return False
         if health.is_on_trial(now) or claim is Claim.ONLY:
             return self.load.in_flight == 0
         slots = self.limit.slots(health.capacity_share(now))
+        if self.rejections.per_s is not None:
+            # The shares add up to little more than the capacity, whatever arrives at the hosts.
+            slots = min(slots, self.limit.even_slots())
         if claim is Claim.BOUNDED or not slots:
             return self.load.bounded < slots
+        if self.rejections.per_s is not None:
+            return self.load.in_flight < slots
         return self.load.in_flight < slots + self._first_rank_extra
 
     def work(self, missed_blocks: int, estimated_load: float) -> Work:
--- a/cranberrywall/routing/_interfaces.py
+++ b/cranberrywall/routing/_interfaces.py
@@ -123,6 +123,15 @@
         """Record the backoff, in seconds, that a 503 of the target asked for."""
         ...
 
+    def record_rejections(
+        self, field: DecimalField, is_rejected: bool, request_id: str, now: float
+    ) -> None:
+        """Record the rejections a second that an answer said the target can take.
+
+        ``is_rejected`` is true for an answer that rejected the request for want of room.
+        """
+        ...
+
     def announced_leaving(self, request_id: str, now: float) -> None:
         """Record that the target announced in an answer that it accepts no new work."""
         ...
--- a/cranberrywall/routing/_limits.py
+++ b/cranberrywall/routing/_limits.py
@@ -22,6 +22,9 @@
 MIN_USED_SHARE = 0.5
 """A limit of which less than this share is in use does not grow, and is not shrunk for a queue."""
 
+EVEN_SHARE_FACTOR = 1.2
+"""Factor by which a host may exceed its even share of a target that must not be overfilled."""
+
 INITIAL_SHARES = 2.0
 """Initial limit, in even shares of the capacity."""
 
@@ -86,6 +89,10 @@
         """
         return int(self.value * share + self._rounding_offset)
 
+    def even_slots(self) -> int:
+        """Return about this host's even share of the capacity, rounded as in ``slots``."""
+        return int(EVEN_SHARE_FACTOR * self._capacity / self._hosts + self._rounding_offset)
+
     def resize(self, capacity: int) -> None:
         """Apply a changed capacity."""
         if capacity != self._capacity:
--- a/cranberrywall/routing/_pool.py
+++ b/cranberrywall/routing/_pool.py
@@ -8,6 +8,7 @@
 from cranberrywall.routing._choice import Choice, Chosen
 from cranberrywall.routing._distances import Distances
 from cranberrywall.routing._interfaces import Demand, Outcome, OutcomeKind
+from cranberrywall.routing._rejections import SHARE_OF_CAPACITY, RejectionSpread
 from cranberrywall.routing._retries import RetryBudget, RetryLimits
 from cranberrywall.routing._slot import OnEnd, PoolSlot
 from cranberrywall.routing._waits import WaitModel
@@ -15,9 +16,11 @@
 from cranberrywall.targets import (
     Announcement,
     Backoffs,
+    DecimalField,
     GroupMeans,
     Load,
     PrefixIndex,
+    TargetIncarnation,
 )
 
 GROUP_MEANS_INTERVAL_S = 0.5
@@ -70,8 +73,10 @@
         rates: TargetRates,
         backoffs: Backoffs,
         on_leaving: OnLeaving,
+        rejections: RejectionSpread,
         retry_limits: RetryLimits | None = None,
     ) -> None:
+        self._rejections = rejections
         self.rates = rates
         self.backoffs = backoffs
         self.on_leaving = on_leaving
@@ -115,10 +120,42 @@
             load, self._sharing(chosen.candidate.announcement, now), load.at, now
         )
 
+    def record_rejections(
+        self,
+        chosen: Chosen,
+        field: DecimalField,
+        is_rejected: bool,
+        request_id: str,
+        now: float,
+    ) -> bool:
+        """Record the rejections a second that an answer stated; return whether one was counted."""
+        candidate = chosen.candidate
+        if field.unreadable:
+            self._rejections.record_unreadable(candidate.target_incarnation, field)
+        elif field.number is not None or not is_rejected:
+            candidate.rejections.per_s = field.number
+        if not is_rejected or candidate.rejections.per_s is None:
+            return False
+        others = candidate.load.in_flight - 1
+        candidate.rejections.record_rejected(others, self._sharing_hosts(), self._random, now)
+        self._rejections.publish(candidate.target_incarnation, request_id, now)
+        return True
+
+    def record_rejected_elsewhere(self, incarnation: TargetIncarnation, now: float) -> None:
+        """Record that a brittle target rejected a request of another host."""
+        candidate = self.candidate_by_id.get(incarnation.target)
+        if candidate is not None and candidate.target_incarnation == incarnation:
+            in_flight = candidate.load.in_flight
+            candidate.rejections.record_rejected_elsewhere(in_flight, self._random, now)
+
     def _sharing(self, announcement: Announcement, now: float) -> Sharing:
+        reserved = self._reserved_slots(announcement.capacity, now)
+        candidate = self.candidate_by_id.get(announcement.target)
+        if candidate is not None and candidate.rejections.per_s is not None:
+            reserved = max(reserved, (1.0 - SHARE_OF_CAPACITY) * announcement.capacity)
         return Sharing(
             self._sharing_hosts(),
-            self._reserved_slots(announcement.capacity, now),
+            reserved,
             self._current_group_means(now).unbounded_share,
         )
 
--- a/cranberrywall/routing/_router.py
+++ b/cranberrywall/routing/_router.py
@@ -21,6 +21,7 @@
 from cranberrywall.routing._interfaces import Demand, Slot
 from cranberrywall.routing._pool import OnLeaving, Pool
 from cranberrywall.routing._queue import AcquireResult, Waiter
+from cranberrywall.routing._rejections import RejectionSpread
 from cranberrywall.routing._retries import RetryLimits
 from cranberrywall.routing._subset import subset_of
 from cranberrywall.routing._throttled import ThrottledAdmission
@@ -57,6 +58,7 @@
     rates: TargetRates | None = None,
     backoffs: Backoffs | None = None,
     on_leaving: OnLeaving | None = None,
+    rejections: RejectionSpread | None = None,
 ) -> "TargetRouter":
     """Return the router of ``host`` in ``place``; it follows the changes of ``targets``.
 
@@ -64,7 +66,7 @@
     ``max_waiting`` demands are queued for one model or service. Without ``rates`` the host is
     standalone: it uses the full rate limit of each throttled target. ``backoffs`` are the backoffs
     that targets asked this host for. ``on_leaving`` is called with each target that announces in an
-    answer that it leaves.
+    answer that it leaves. ``rejections`` exchanges rejections of brittle targets with other hosts.
     """
     return TargetRouter(
         targets,
@@ -78,6 +80,7 @@
         rates or make_standalone_rates(targets, clock, random, configuration),
         backoffs or Backoffs(clock, random),
         on_leaving or partial(_apply_leaving, targets),
+        rejections or RejectionSpread(host, None, clock),
         retry_limits,
     )
 
@@ -98,8 +101,10 @@
         rates: TargetRates,
         backoffs: Backoffs,
         on_leaving: OnLeaving,
+        rejections: RejectionSpread,
         retry_limits: RetryLimits | None = None,
     ) -> None:
+        self._rejections = rejections
         self._on_leaving = on_leaving
         self._rates = rates
         self._backoffs = backoffs
@@ -123,6 +128,7 @@
             self._choose_subset(group, clock.now())
         targets.subscribe(self._on_change)
         rates.table.subscribe(self._on_rate)
+        rejections.subscribe(self._on_rejected_elsewhere)
         backoffs.subscribe(self._on_backoff)
 
     async def acquire(self, demand: Demand, now: float) -> Result[Slot, Refusal]:
@@ -343,6 +349,11 @@
             if len(dispatcher.queue) and dispatcher.pool.throttled_by_id():
                 throttled_admission.start_requesting()
 
+    def _on_rejected_elsewhere(self, incarnation: TargetIncarnation) -> None:
+        now = self._clock.now()
+        for dispatcher in self._dispatcher_by_group.values():
+            dispatcher.pool.record_rejected_elsewhere(incarnation, now)
+
     def _on_backoff(self, incarnation: TargetIncarnation) -> None:
         """Refuse queued demands that no target can serve in time any more."""
         now = self._clock.now()
@@ -379,6 +390,7 @@
                 self._rates,
                 self._backoffs,
                 self._on_leaving,
+                self._rejections,
                 self._retry_limits,
             )
             dispatcher = Dispatcher(pool, self._random, self._first_rank, self._max_waiting)
--- a/cranberrywall/routing/_slot.py
+++ b/cranberrywall/routing/_slot.py
@@ -85,6 +85,13 @@
         if self._pool.backoffs.record_requested(incarnation, field, request_id, now):
             self._is_rejected = True
 
+    def record_rejections(
+        self, field: DecimalField, is_rejected: bool, request_id: str, now: float
+    ) -> None:
+        """Record the rejections a second that an answer said the target can take."""
+        if self._pool.record_rejections(self._chosen, field, is_rejected, request_id, now):
+            self._is_rejected = True
+
     def announced_leaving(self, request_id: str, now: float) -> None:
         """Record that the target announced in an answer that it accepts no new work."""
         self._pool.on_leaving(self._announcement, request_id, now)
--- a/cranberrywall/tunnels/_paths.py
+++ b/cranberrywall/tunnels/_paths.py
@@ -19,7 +19,7 @@
 from cranberrywall.tunnels._client import TargetUnreachableError, TunnelClient
 from cranberrywall.tunnels._direct_paths import DirectPaths, Way
 
-DIRECT_TIMEOUT_S = 0.06
+DIRECT_TIMEOUT_S = 0.04
 """Time after which a neighbour is asked to connect as well, in seconds."""
 
 MAX_RACING = 2
--- a/cranberrywall/tunnels/_server.py
+++ b/cranberrywall/tunnels/_server.py
@@ -64,9 +64,11 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        owner: Peer,
         request_id: str,
         now: float,
     ) -> None:
+        self.owner = owner
         self.reader = reader
         self.writer = writer
         self.request_id = request_id
@@ -154,7 +156,7 @@
         }
 
     async def _open(self, call: OpenTunnel, peer: Peer) -> Result[TunnelOpened, Refusal]:
-        opened = await self._connect(call)
+        opened = await self._connect(call, peer)
         if isinstance(opened, Err):
             self._refused += 1
             log_event(
@@ -179,7 +181,7 @@
         )
         return Ok(TunnelOpened(self._last_number))
 
-    async def _connect(self, call: OpenTunnel) -> Result[_Tunnel, Refusal]:
+    async def _connect(self, call: OpenTunnel, peer: Peer) -> Result[_Tunnel, Refusal]:
         target = self._targets.by_id.get(call.target)
         if target is None or target.announcement.incarnation != call.incarnation:
             return Err(Refusal(ErrorKind.NOT_FOUND, "this host does not know the target", "target"))
@@ -201,10 +203,10 @@
             self._opening -= 1
         now = self._clock.now()
         self._paths.record_connected(call.target, now)
-        return Ok(_Tunnel(*streams, call.request_id, now))
+        return Ok(_Tunnel(*streams, peer, call.request_id, now))
 
     async def _read(self, call: ReadTunnel, peer: Peer) -> Result[TunnelData, Refusal]:
-        tunnel = self._find(call.number)
+        tunnel = self._find(call.number, peer)
         if tunnel is None:
             return Err(_NO_TUNNEL)
         tunnel.is_reading = True
@@ -231,7 +233,7 @@
         return Ok(TunnelData(data))
 
     async def _write(self, call: WriteTunnel, peer: Peer) -> Result[TunnelWritten, Refusal]:
-        tunnel = self._find(call.number)
+        tunnel = self._find(call.number, peer)
         if tunnel is None:
             return Err(_NO_TUNNEL)
         try:
@@ -243,13 +245,15 @@
         return Ok(TunnelWritten())
 
     async def _close(self, call: CloseTunnel, peer: Peer) -> Result[TunnelClosed, Refusal]:
-        self._discard(call.number, "closed", is_reset=False)
+        if self._find(call.number, peer) is not None:
+            self._discard(call.number, "closed", is_reset=False)
         return Ok(TunnelClosed())
 
-    def _find(self, number: int) -> _Tunnel | None:
+    def _find(self, number: int, peer: Peer) -> _Tunnel | None:
         tunnel = self._tunnel_by_number.get(number)
-        if tunnel is not None:
-            tunnel.called_at = self._clock.now()
+        if tunnel is None or tunnel.owner != peer:
+            return None
+        tunnel.called_at = self._clock.now()
         return tunnel
 
     def _discard(self, number: int, reason: str, *, is_reset: bool) -> None:
--- a/standins/_common.py
+++ b/standins/_common.py
@@ -16,6 +16,7 @@
 REQUEST_HEADER = "X-Request-Id"
 RATE_HEADER = "X-Rate-Limit"
 BACKOFF_HEADER = "Retry-After"
+REJECTIONS_HEADER = "X-Max-Rejections"
 LEAVING_HEADER = "X-Leaving"
 MOST_ARRIVALS = 100_000
 _NO_WORK = frozenset({"/counts", "/faults", "/v1/orders"})
@@ -32,6 +33,7 @@
     def __init__(self, faults: Faults) -> None:
         self.faults = faults
         self.arrived_at: deque[float] = deque(maxlen=MOST_ARRIVALS)
+        self._rejected_at: deque[float] = deque()
         self.on_death: Callable[[], Awaitable[None]] | None = None
         # The event loop refers to tasks weakly, so a death is kept here until it is over.
         self._deaths: set[asyncio.Future[None]] = set()
@@ -40,6 +42,15 @@
         """Change the named faults; raise ``TypeError`` for an unknown one."""
         self.faults = Faults(**{**self.faults._asdict(), **change})
 
+    def record_rejection(self, request: web.Request, now: float) -> None:
+        """Count a rejection; end the target if it had to reject too many in a second."""
+        self._rejected_at.append(now)
+        while self._rejected_at[0] <= now - 1.0:
+            self._rejected_at.popleft()
+        if len(self._rejected_at) > self.faults.max_rejections and self.on_death is not None:
+            abort(request)
+            self._deaths.add(asyncio.ensure_future(self.on_death()))
+
     def break_connection(self, request: web.Request, draw: Draw) -> None:
         """Cut the connection where ``draw`` says so; a death ends the others as well."""
         if draw.dies and self.on_death is not None:
@@ -58,6 +69,10 @@
             response.headers[RATE_HEADER] = f"{faults.limit_per_s:g}"
         if response.status == 503 and faults.backoff_s > 0:
             response.headers[BACKOFF_HEADER] = f"{faults.backoff_s:g}"
+        if faults.max_rejections >= 0:
+            response.headers[REJECTIONS_HEADER] = f"{faults.max_rejections:g}"
+            if response.status == 503:
+                switch.record_rejection(request, time.monotonic())
         if faults.says_leaving:
             response.headers[LEAVING_HEADER] = "1"
 
--- a/standins/_faults.py
+++ b/standins/_faults.py
@@ -21,8 +21,9 @@
     which it takes from all hosts together. With ``needs`` above 0 it is so only in that share of
     spans of ``NEED_SPAN_S`` seconds, drawn by chance.
 
-    With ``backoff_s`` above 0 each 503 asks the host for that many seconds without a call. One that
-    ``says_leaving``, with 1, says in each answer that it takes no new work.
+    With ``backoff_s`` above 0 each 503 asks the host for that many seconds without a call.
+    ``max_rejections``, 0 or more, is stated in each answer; more 503s in a second end the target.
+    One that ``says_leaving``, with 1, says in each answer that it takes no new work.
     """
 
     slow: float = 1.0
@@ -36,6 +37,7 @@
     limit_per_s: float = -1.0
     needs: float = 0.0
     backoff_s: float = 0.0
+    max_rejections: float = -1.0
     says_leaving: float = 0.0
 
 
@@ -53,6 +55,7 @@
     limit_per_s: float
     needs: float
     backoff_s: float
+    max_rejections: float
     says_leaving: float
 
 
--- a/tests/forwarding/partitioned.py
+++ b/tests/forwarding/partitioned.py
@@ -56,6 +56,47 @@
         yield f"http://{host}:{port}"
 
 
+class FreezableLink:
+    """Listener that forwards connections to a URL until it is frozen; they stay open then."""
+
+    def __init__(self, url: str) -> None:
+        self._address = url.removeprefix("http://").split(":")
+        self._may_forward = asyncio.Event()
+        self._may_forward.set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> str:
+        """Return the URL of the listener."""
+        self._server = await asyncio.start_server(self._forward, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        return f"http://{host}:{port}"
+
+    def freeze(self) -> None:
+        """Forward no byte any more."""
+        self._may_forward.clear()
+
+    def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for task in self._tasks:
+            task.cancel()
+
+    async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        host, port = self._address
+        far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        for source, sink in ((reader, far_writer), (far_reader, writer)):
+            task = asyncio.create_task(self._copy(source, sink))
+            self._tasks.add(task)
+
+    async def _copy(self, source: asyncio.StreamReader, sink: asyncio.StreamWriter) -> None:
+        while data := await source.read(4096):
+            await self._may_forward.wait()
+            sink.write(data)
+        await self._may_forward.wait()
+        sink.close()
+
+
 class PartitionedPair:
     """A host that can lose its paths to targets, and two neighbours that keep theirs.
 
--- a/tests/forwarding/scripted.py
+++ b/tests/forwarding/scripted.py
@@ -122,6 +122,11 @@
         if field.number is not None:
             self._router.backoffs.append((self.target_id, field.number))
 
+    def record_rejections(
+        self, field: DecimalField, is_rejected: bool, request_id: str, now: float
+    ) -> None:
+        self._router.rejections.append((self.target_id, field.number, is_rejected))
+
     def announced_leaving(self, request_id: str, now: float) -> None:
         self._router.announced_leaving.add(self.target_id)
 
@@ -138,6 +143,7 @@
         self.outcomes: list[Outcome] = []
         self.withdrawn: set[str] = set()
         self.backoffs: list[tuple[str, float]] = []
+        self.rejections: list[tuple[str, float | None, bool]] = []
         self.announced_leaving: set[str] = set()
 
     async def may_send_again(self, url: str, rank: int, workspace: str) -> bool:
--- a/tests/forwarding/test_notices.py
+++ b/tests/forwarding/test_notices.py
@@ -58,3 +58,13 @@
         await harness.target("b", answers())
         await harness.serve()
         assert harness.router.backoffs == []
+
+
+@pytest.mark.parametrize("kind", ["idempotent", "non_idempotent", "stream"])
+async def test_a_rejection_by_a_brittle_target_is_read_from_its_answer(kind: str) -> None:
+    """Guards against rejections that are not counted because of the status or kind of an answer."""
+    async with ForwardingHarness(kind=kind) as harness:
+        await harness.target("a", answers(503, Server_Brittle="4", X_Not_Run="1"))
+        await harness.target("b", answers(200, Server_Brittle="4"))
+        await harness.serve()
+        assert harness.router.rejections == [("a", 4.0, True), ("b", 4.0, False)]
--- a/tests/forwarding/test_partitioned_host.py
+++ b/tests/forwarding/test_partitioned_host.py
@@ -10,6 +10,7 @@
 from cranberrywall.forwarding import Generation
 from tests.forwarding.partitioned import (
     TARGETS,
+    FreezableLink,
     PartitionedPair,
     hanging_url,
     resetting_url,
@@ -95,6 +96,37 @@
         assert pair.tunnels_by_host and not pair.carried
 
 
+async def test_a_request_on_a_connection_that_hangs_goes_on_elsewhere() -> None:
+    """Guards against requests in progress that wait on a lost connection for their deadline."""
+    held = asyncio.Event()
+
+    async def slow_once(request: web.Request) -> web.StreamResponse:
+        await request.read()
+        if request.headers["X-Request-Id"] == "id-held" and not held.is_set():
+            held.set()
+            await asyncio.sleep(0.1)
+        return web.Response(headers={"X-Request-Id": request.headers["X-Request-Id"]})
+
+    with hanging_url() as url:
+        async with PartitionedPair(timeout_s=8.0, attempts=3) as pair:
+            await pair.start_targets(slow_once)
+            link = FreezableLink(pair.partitioned.router.url_by_id[TARGETS[0]])
+            pair.use_urls({TARGETS[0]: await link.start()})
+            request = arrival(request_id="id-held", max_wait_s=8.0)
+            serving = asyncio.create_task(pair.partitioned.serve(request))
+            await held.wait()
+            link.freeze()
+            pair.partition(url)
+            for number in range(4):
+                await pair.partitioned.serve(arrival(request_id=f"id-{number}"))
+                await asyncio.sleep(0.3)
+            async with asyncio.timeout(1.0):
+                reply, result = await serving
+            link.close()
+            assert result.is_ok()
+            assert reply.status == 200
+
+
 async def test_a_host_connects_directly_again_once_it_can() -> None:
     """Guards against requests that take the way through a neighbour for ever."""
     async with PartitionedPair(kind="non_idempotent") as pair:
--- a/tests/naive/routers.py
+++ b/tests/naive/routers.py
@@ -40,6 +40,11 @@
     def record_backoff(self, field: DecimalField, request_id: str, now: float) -> None:
         pass
 
+    def record_rejections(
+        self, field: DecimalField, is_rejected: bool, request_id: str, now: float
+    ) -> None:
+        pass
+
     def announced_leaving(self, request_id: str, now: float) -> None:
         pass
 
--- a/tests/platform/test_arrivals.py
+++ b/tests/platform/test_arrivals.py
@@ -102,6 +102,9 @@
     assert read(429, (("Retry-After", "3"),)).backoff.number is None
     assert read(200, (("Server-Leaving", "1"),)).is_leaving
     assert not read(200, (("Server-Leaving", "0"),)).is_leaving
+    assert read(503, (("Server-Brittle", "4"),)).rejections.number == 4.0
+    assert read(200, (("Server-Brittle", "few"),)).rejections.unreadable == "few"
+    assert read(200, ()).rejections.number is None
 
 
 def test_heartbeats_become_announcements_and_leaving_overtakes_them() -> None:
