Close the connections that callers keep open as a host stops listening

A host that stops listening closed its listeners only, and told callers to close their connections only in answers.

Both frontends now close each open connection that has no request, from then until their end; a request that crosses this was not read, so that its caller may send it again.

Ruled out: aiohttp's pre_shutdown, which ends the tasks of idle connections and leaves them open.

--- a/cranberrywall/commands/_caller_front.py
+++ b/cranberrywall/commands/_caller_front.py
@@ -6,7 +6,7 @@
 from aiohttp.typedefs import Handler, Middleware
 
 from cranberrywall.callers import BodyLimits, CallerLimits
-from cranberrywall.entry import FrontendContext
+from cranberrywall.entry import FrontendContext, IdleConnections
 from cranberrywall.entry.stack import CallerStack, StackLinks, make_caller_stack
 from cranberrywall.runtime import Clock, split_address
 from cranberrywall.settings import Settings, seconds, size_in_bytes
@@ -29,6 +29,8 @@
         self._stack: CallerStack | None = None
         self._runner: web.AppRunner | None = None
         self._prober: asyncio.Task[None] | None = None
+        self._connections = IdleConnections(clock)
+        self._closing: asyncio.Task[None] | None = None
 
     @property
     def running(self) -> int:
@@ -70,9 +72,12 @@
         return self._stack.idle_duration_s(now) if self._stack is not None else float("inf")
 
     async def stop_listening(self) -> None:
-        """Accept no new connection."""
-        for site in list(self._runner.sites) if self._runner is not None else ():
+        """Accept no new connection, and close each open one once it has no request."""
+        if self._runner is None:
+            return
+        for site in list(self._runner.sites):
             await site.stop()
+        self._closing = asyncio.create_task(self._connections.close(self._runner.server))
 
     async def finish(self) -> None:
         """Return once no request is in progress and what they left is recorded."""
@@ -81,8 +86,9 @@
 
     async def close(self) -> None:
         """Close the connections of callers and to targets."""
-        if self._prober is not None:
-            self._prober.cancel()
+        for task in (self._prober, self._closing):
+            if task is not None:
+                task.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
         if self._stack is not None:
@@ -91,8 +97,12 @@
     def _make_settling(self, parts: FrontendContext) -> Middleware:
         @web.middleware
         async def settle(request: web.Request, handler: Handler) -> web.StreamResponse:
-            await parts.settle(self._clock.now(), self._clock.wall())
-            return await handler(request)
+            self._connections.begin_request(request.protocol)
+            try:
+                await parts.settle(self._clock.now(), self._clock.wall())
+                return await handler(request)
+            finally:
+                self._connections.end_request(request.protocol)
 
         return settle
 
--- a/cranberrywall/platform/_front.py
+++ b/cranberrywall/platform/_front.py
@@ -7,7 +7,7 @@
 from aiohttp.http import RawRequestMessage
 from result import Err
 
-from cranberrywall.entry import FrontendContext
+from cranberrywall.entry import FrontendContext, IdleConnections
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.forwarding import Forwarder
 from cranberrywall.observability import log_event
@@ -46,6 +46,8 @@
         self._last_arrival_at = float("-inf")
         self._runners: list[Any] = []
         self._front_runner: web.ServerRunner | None = None
+        self._closing: asyncio.Task[None] | None = None
+        self._connections = IdleConnections(clock)
         self.running = 0
 
     async def listen(self) -> None:
@@ -92,10 +94,13 @@
         return now - self._last_arrival_at
 
     async def stop_listening(self) -> None:
-        """Accept no new connection; requests on open ones are still served."""
-        if self._front_runner is not None:
-            for site in list(self._front_runner.sites):
-                await site.stop()
+        """Accept no new connection, and close each open one once it has no request."""
+        if self._front_runner is None:
+            return
+        for site in list(self._front_runner.sites):
+            await site.stop()
+        closing = self._connections.close(self._front_runner.server)
+        self._closing = asyncio.create_task(closing)
 
     async def finish(self) -> None:
         """Return once no request is in progress, or the time to stop is nearly over."""
@@ -110,6 +115,8 @@
 
     async def close(self) -> None:
         """Close every connection."""
+        if self._closing is not None:
+            self._closing.cancel()
         for runner in self._runners:
             await runner.cleanup()
         if self._forwarder is not None:
@@ -131,6 +138,7 @@
     ) -> web.BaseRequest:
         loop = asyncio.get_running_loop()
         limit = self._body_limit()
+        self._connections.begin_request(protocol)
         return web.BaseRequest(
             message, payload, protocol, writer, task, loop, client_max_size=limit
         )
@@ -142,6 +150,12 @@
         return limits["body_bytes"] if limits else DEFAULT_BODY_BYTES
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        try:
+            return await self._serve_request(request)
+        finally:
+            self._connections.end_request(request.protocol)
+
+    async def _serve_request(self, request: web.BaseRequest) -> web.StreamResponse:
         now = self._clock.now()
         self._last_arrival_at = now
         parts, forwarder = self._parts, self._forwarder
