--- a/cranberrywall/tunnels/_client.py
+++ b/cranberrywall/tunnels/_client.py
@@ -25,7 +25,7 @@
     TunnelOpened,
 )
 
-MAX_ASKED = 8
+MAX_ASKED = 12
 """Maximum number of neighbours that are asked for one connection."""
 
 STAGGER_S = 0.03
