Make two tests of partitioned hosts test what their names say

The test of open connections while new ones are refused refused nothing, and the test of a neighbour that is lost let the target break the stream. The listeners of the target are now closed while its connections stay open, and the tunnels are closed in the middle of the stream. Both pass on the code as it is; no bound changed.

--- a/tests/forwarding/scripted.py
+++ b/tests/forwarding/scripted.py
@@ -176,6 +176,7 @@
         self.quarantine = Quarantine("entry-1", tracker, MemorySpread(), make_clock())
         self.received: list[tuple[str, Mapping[str, str]]] = []
         self._runners: list[web.AppRunner] = []
+        self._runner_by_target: dict[str, web.AppRunner] = {}
         self._document = document
         self._paths = paths
         self.forwarder: Forwarder
@@ -214,9 +215,16 @@
         await runner.setup()
         await web.TCPSite(runner, "127.0.0.1", 0).start()
         self._runners.append(runner)
+        self._runner_by_target[name] = runner
         host, port = runner.addresses[0][:2]
         self.router.url_by_id[name] = f"http://{host}:{port}"
 
+    async def stop_listening(self, name: str) -> None:
+        """Refuse new connections to a target; its open ones go on."""
+        runner = self._runner_by_target[name]
+        for site in list(runner.sites):
+            await site.stop()
+
     async def serve(self, request: Arrival | None = None) -> tuple[RecordingReply, Any]:
         reply = RecordingReply()
         result = await self.forwarder.serve(request or arrival(), reply, is_current=True)
@@ -269,8 +277,10 @@
     return f"id: {number}\ndata: piece {number}\n\n".encode()
 
 
-def streams(first: int, last: int, trailing: bytes = b"", drops: bool = False) -> Script:
-    """Send events ``first`` to ``last``, then ``trailing``; end or drop the connection."""
+def streams(
+    first: int, last: int, trailing: bytes = b"", drops: bool = False, holds: bool = False
+) -> Script:
+    """Send events ``first`` to ``last``, then ``trailing``; end, drop or hold the connection."""
 
     async def script(request: web.Request) -> web.StreamResponse:
         await request.read()
@@ -285,6 +295,8 @@
             await response.write(event(number))
         if trailing:
             await response.write(trailing)
+        if holds:
+            await asyncio.sleep(5.0)
         if drops:
             await asyncio.sleep(0.02)
             assert request.transport is not None
--- a/tests/forwarding/test_partitioned_host.py
+++ b/tests/forwarding/test_partitioned_host.py
@@ -91,9 +91,10 @@
     async with PartitionedPair() as pair:
         await pair.start_targets()
         assert await serve_many(pair, 1) == 1
-        pair.neighbour.router.url_by_id.pop(TARGETS[0])
+        await pair.neighbour.stop_listening(TARGETS[0])
         assert await serve_many(pair) == REQUESTS
-        assert pair.tunnels_by_host and not pair.carried
+        served_by = [name for name, _ in pair.neighbour.received]
+        assert served_by == [TARGETS[0]] * (REQUESTS + 1)
 
 
 async def test_a_request_on_a_connection_that_hangs_goes_on_elsewhere() -> None:
@@ -156,9 +157,14 @@
 async def test_a_stream_goes_on_elsewhere_when_the_neighbour_that_carries_it_is_lost() -> None:
     """Guards against streams that end with the neighbour that carries them."""
     async with PartitionedPair(kind="stream", is_resumable=True) as pair:
-        await pair.start_targets(streams(1, 3, drops=True), streams(4, 6))
+        await pair.start_targets(streams(1, 3, holds=True), streams(4, 6))
         pair.partition()
-        reply, result = await pair.partitioned.serve()
+        serving = asyncio.create_task(pair.partitioned.serve())
+        await asyncio.sleep(0.2)
+        assert pair.carried == 1
+        for tunnels in pair.tunnels_by_host.values():
+            tunnels.close()
+        reply, result = await serving
         assert result.is_ok()
         assert reply.data == b"".join(event(number) for number in range(1, 7))
 
