Close callers' connections by what was read on them, and answer all of it, as a host stops

Why it works: whether to close is decided as the answer is written, a connection is idle exactly while aiohttp's handler waits for a request, requests that were read are answered before the last answer says close, and a host waits for its written answers up to its limit, not for callers.

--- a/cranberrywall/commands/_caller_front.py
+++ b/cranberrywall/commands/_caller_front.py
@@ -6,7 +6,7 @@
 from aiohttp.typedefs import Handler, Middleware
 
 from cranberrywall.callers import BodyLimits, CallerLimits
-from cranberrywall.entry import FrontendContext, IdleConnections
+from cranberrywall.entry import FrontendContext, close_idle_connections
 from cranberrywall.entry.stack import CallerStack, StackLinks, make_caller_stack
 from cranberrywall.runtime import Clock, split_address
 from cranberrywall.settings import Settings, seconds, size_in_bytes
@@ -29,7 +29,6 @@
         self._stack: CallerStack | None = None
         self._runner: web.AppRunner | None = None
         self._prober: asyncio.Task[None] | None = None
-        self._connections = IdleConnections(clock)
         self._closing: asyncio.Task[None] | None = None
 
     @property
@@ -73,11 +72,12 @@
 
     async def stop_listening(self) -> None:
         """Accept no new connection, and close each open one once it has no request."""
-        if self._runner is None:
+        if self._runner is None or self._runner.server is None:
             return
         for site in list(self._runner.sites):
             await site.stop()
-        self._closing = asyncio.create_task(self._connections.close(self._runner.server))
+        closing = close_idle_connections(self._runner.server, self._clock)
+        self._closing = asyncio.create_task(closing)
 
     async def finish(self) -> None:
         """Return once no request is in progress and what they left is recorded."""
@@ -97,12 +97,8 @@
     def _make_settling(self, parts: FrontendContext) -> Middleware:
         @web.middleware
         async def settle(request: web.Request, handler: Handler) -> web.StreamResponse:
-            self._connections.begin_request(request.protocol)
-            try:
-                await parts.settle(self._clock.now(), self._clock.wall())
-                return await handler(request)
-            finally:
-                self._connections.end_request(request.protocol)
+            await parts.settle(self._clock.now(), self._clock.wall())
+            return await handler(request)
 
         return settle
 
--- a/cranberrywall/platform/_front.py
+++ b/cranberrywall/platform/_front.py
@@ -7,7 +7,12 @@
 from aiohttp.http import RawRequestMessage
 from result import Err
 
-from cranberrywall.entry import FrontendContext, IdleConnections
+from cranberrywall.entry import (
+    FrontendContext,
+    close_idle_connections,
+    has_unread_request,
+    wait_for_answers,
+)
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.forwarding import Forwarder
 from cranberrywall.observability import log_event
@@ -29,7 +34,11 @@
 
 What follows is to hand the money back, which takes a few round trips to control."""
 
-POLL_S = 0.05
+CLOSE_S = 0.1
+"""Connections that are still open as a host closes them have so long to end, in seconds."""
+
+MIN_SETTLE_S = 0.1
+"""Minimum time in which the charges of ended requests are settled, in seconds."""
 
 _NOT_READY = Refusal(ErrorKind.NOT_READY, "this host has no configuration yet", retry_after=0.5)
 
@@ -47,7 +56,6 @@
         self._runners: list[Any] = []
         self._front_runner: web.ServerRunner | None = None
         self._closing: asyncio.Task[None] | None = None
-        self._connections = IdleConnections(clock)
         self.running = 0
 
     async def listen(self) -> None:
@@ -61,14 +69,16 @@
             max_line_size=LONGEST_HEAD_BYTES,
             max_field_size=LONGEST_HEAD_BYTES,
         )
-        self._front_runner = web.ServerRunner(server)
+        self._front_runner = web.ServerRunner(server, shutdown_timeout=CLOSE_S)
         await self._bind(self._front_runner, self._boot.front)
         app = web.Application()
         app.router.add_get("/v1/ready", self._answer_ready)
         app.router.add_get("/v1/resolve", self._answer_resolve)
         for address in dict.fromkeys((self._boot.ready, self._boot.directory)):
             if address:
-                await self._bind(web.AppRunner(app, access_log=None), address)
+                await self._bind(
+                    web.AppRunner(app, access_log=None, shutdown_timeout=CLOSE_S), address
+                )
 
     async def serve(self, parts: FrontendContext) -> None:
         """Begin to forward."""
@@ -95,23 +105,23 @@
 
     async def stop_listening(self) -> None:
         """Accept no new connection, and close each open one once it has no request."""
-        if self._front_runner is None:
+        if self._front_runner is None or self._front_runner.server is None:
             return
         for site in list(self._front_runner.sites):
             await site.stop()
-        closing = self._connections.close(self._front_runner.server)
+        closing = close_idle_connections(self._front_runner.server, self._clock)
         self._closing = asyncio.create_task(closing)
 
     async def finish(self) -> None:
-        """Return once no request is in progress, or the time to stop is nearly over."""
+        """Return once all answers are written, or the time for that is over."""
         started_at = self._draining_since or self._clock.now()
         until = started_at + FINISH_SHARE * self._boot.grace_s
-        while self.running and self._clock.now() < until:
-            await self._clock.sleep(POLL_S)
+        if self._front_runner is not None and self._front_runner.server is not None:
+            await wait_for_answers(self._front_runner.server, self._clock, until)
         if self.running:
             log_event("WARNING", "requests_cut_by_stop", running=self.running)
         if self._forwarder is not None:
-            await self._forwarder.wait_idle()
+            await self._settle_charges(self._forwarder, until)
 
     async def close(self) -> None:
         """Close every connection."""
@@ -122,6 +132,13 @@
         if self._forwarder is not None:
             await self._forwarder.close()
 
+    async def _settle_charges(self, forwarder: Forwarder, until: float) -> None:
+        try:
+            async with asyncio.timeout(max(MIN_SETTLE_S, until - self._clock.now())):
+                await forwarder.wait_idle()
+        except TimeoutError:
+            log_event("WARNING", "charges_not_settled_before_stop")
+
     async def _bind(self, runner: Any, address: str) -> None:
         await runner.setup()
         self._runners.append(runner)
@@ -138,7 +155,6 @@
     ) -> web.BaseRequest:
         loop = asyncio.get_running_loop()
         limit = self._body_limit()
-        self._connections.begin_request(protocol)
         return web.BaseRequest(
             message, payload, protocol, writer, task, loop, client_max_size=limit
         )
@@ -150,12 +166,6 @@
         return limits["body_bytes"] if limits else DEFAULT_BODY_BYTES
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        try:
-            return await self._serve_request(request)
-        finally:
-            self._connections.end_request(request.protocol)
-
-    async def _serve_request(self, request: web.BaseRequest) -> web.StreamResponse:
         now = self._clock.now()
         self._last_arrival_at = now
         parts, forwarder = self._parts, self._forwarder
@@ -179,15 +189,19 @@
         if isinstance(decoded, Err):
             return refuse(decoded.err_value)
         await parts.settle(self._clock.now(), self._clock.wall())
-        reply = HttpReply(request, closes=self._draining_since is not None)
+        reply = HttpReply(request, lambda: self._closes_after(request))
         served = await forwarder.serve(decoded.ok_value, reply, parts.is_current(now))
         if reply.response is not None:
             return reply.response
         response = refuse(served.err() or _NOT_READY)
-        if self._draining_since is not None:
+        if self._closes_after(request):
             response.force_close()
         return response
 
+    def _closes_after(self, request: web.BaseRequest) -> bool:
+        """Return whether to close a caller's connection after the answer to ``request``."""
+        return self._draining_since is not None and not has_unread_request(request.protocol)
+
     async def _answer_ready(self, request: web.Request) -> web.Response:
         is_ready = self._parts is not None and self._draining_since is None
         return web.Response(status=200 if is_ready else 503)
--- a/cranberrywall/platform/_replies.py
+++ b/cranberrywall/platform/_replies.py
@@ -1,5 +1,7 @@
 """Answer a caller through the HTTP library."""
 
+from collections.abc import Callable
+
 from aiohttp import web
 from multidict import CIMultiDict
 
@@ -11,8 +13,8 @@
 class HttpReply:
     """Hold one caller's request until its answer has gone out."""
 
-    def __init__(self, request: web.BaseRequest, closes: bool) -> None:
-        """``closes`` asks the caller to close its connection after the answer."""
+    def __init__(self, request: web.BaseRequest, closes: Callable[[], bool]) -> None:
+        """``closes`` returns whether to close the caller's connection after the answer."""
         self._request = request
         self._closes = closes
         self._response: web.StreamResponse | None = None
@@ -47,6 +49,8 @@
     async def finish(self) -> None:
         """Send the end of the body."""
         assert self._response is not None
+        if self._closes():
+            self._response.force_close()
         await self._response.write_eof()
 
     def abort(self) -> None:
@@ -55,7 +59,7 @@
             self._request.transport.close()
 
     async def _prepare(self, response: web.StreamResponse) -> None:
-        if self._closes:
+        if self._closes():
             response.force_close()
             response.headers["Connection"] = "close"
         self._response = response
--- a/standins/_platform.py
+++ b/standins/_platform.py
@@ -108,7 +108,7 @@
         self.most_cold_per_s = 0.0
         self.arrivals: list[Arrived] = []
         self._running = 0
-        self._event_s = event_s
+        self.event_s = event_s
         self._runner: web.AppRunner | None = None
         self._transports: set[asyncio.Transport] = set()
         self._crash: asyncio.Task[None] | None = None
@@ -249,7 +249,7 @@
         await response.prepare(request)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         for number in range(first, self.events + 1):
-            await asyncio.sleep(self._event_s)
+            await asyncio.sleep(self.event_s)
             await response.write(f"id: {number}\ndata: piece {number}\n\n".encode())
         return response
 
@@ -313,6 +313,10 @@
         await process.wait()
         return time.monotonic() - started_at
 
+    def process(self, machine: Machine) -> asyncio.subprocess.Process:
+        """Return a machine's process."""
+        return self._process_by_name[machine.name]
+
     def freeze(self, machine: Machine) -> None:
         """Stop a machine's process for a while."""
         self._process_by_name[machine.name].send_signal(signal.SIGSTOP)
@@ -360,7 +364,7 @@
 
     async def evacuation_status(self, zone: str) -> int:
         """Order an evacuation of one control host, and return its status."""
-        address = self._address(self.cores[0], CONTROL_PORT_OFFSET)
+        address = self.address(self.cores[0], CONTROL_PORT_OFFSET)
         url = f"http://{address}/v1/evacuate/{zone}/{_order(True)}"
         status, _ = await self._call("POST", url, None)
         return status
@@ -369,7 +373,7 @@
         """Send one configuration to one control host, and return its status."""
         status, _ = await self._call(
             "POST",
-            f"http://{self._address(self.cores[0], CONTROL_PORT_OFFSET)}/v1/config/replace",
+            f"http://{self.address(self.cores[0], CONTROL_PORT_OFFSET)}/v1/config/replace",
             body,
         )
         return status
@@ -382,14 +386,14 @@
 
     async def resolve(self, asked: Machine) -> list[str]:
         """Return the addresses that one host names to callers; none where it does not answer."""
-        address = self._address(asked, DIRECTORY_PORT_OFFSET)
+        address = self.address(asked, DIRECTORY_PORT_OFFSET)
         url = f"http://{address}/v1/resolve?name={HOST}&region=r&zone={asked.zone}"
         status, data = await self._call("GET", url, None)
         return list(json.loads(data)["addrs"]) if status == 200 else []
 
     async def is_ready(self, machine: Machine) -> bool:
         """Say whether a host says that it is ready."""
-        address = self._address(machine, READY_PORT_OFFSET)
+        address = self.address(machine, READY_PORT_OFFSET)
         status, _ = await self._call("GET", f"http://{address}/v1/ready", None)
         return status == 200
 
@@ -422,7 +426,7 @@
             "Authorization": f"Bearer {KEY}",
             **{name.replace("_", "-"): value for name, value in headers.items()},
         }
-        url = f"http://{self._address(front, FRONT_PORT_OFFSET)}{path}"
+        url = f"http://{self.address(front, FRONT_PORT_OFFSET)}{path}"
         got = b""
         async with self._session.post(url, headers=sent, data=body) as response:
             try:
@@ -460,7 +464,7 @@
         turn = 0
         while True:
             core = self.cores[turn % len(self.cores)]
-            url = f"http://{self._address(core, CONTROL_PORT_OFFSET)}{path}"
+            url = f"http://{self.address(core, CONTROL_PORT_OFFSET)}{path}"
             status, data = await self._call(method, url, body)
             if 200 <= status < 300:
                 return data
@@ -478,11 +482,12 @@
         except (aiohttp.ClientError, TimeoutError, OSError):
             return 0, b""
 
-    def _address(self, machine: Machine, offset: int) -> str:
+    def address(self, machine: Machine, offset: int) -> str:
+        """Return where a machine listens for one of its uses."""
         return f"{machine.ip}:{self._port + offset}"
 
     def _write_boot(self, machine: Machine, first_start: bool) -> Path:
-        seeds = [self._address(core, CONTROL_PORT_OFFSET) for core in self.cores[:3]]
+        seeds = [self.address(core, CONTROL_PORT_OFFSET) for core in self.cores[:3]]
         lines = [
             f'node = "{machine.name}"',
             f'ip = "{machine.ip}"',
@@ -497,7 +502,7 @@
             lines.append(f'data_dir = "{data}"')
         lines += ["[zones]", *(f'{zone} = "r"' for zone in ZONES), "[listen]"]
         for name, offset in self._listen(machine):
-            lines.append(f'{name} = "{self._address(machine, offset)}"')
+            lines.append(f'{name} = "{self.address(machine, offset)}"')
         path = self._folder / f"{machine.name}.toml"
         path.write_text("\n".join(lines) + "\n", encoding="utf-8")
         return path
--- /dev/null
+++ b/tests/platform/test_stopping_hosts.py
@@ -0,0 +1,75 @@
+"""Requests that reach an entry host around and after the signal to stop."""
+
+import asyncio
+from pathlib import Path
+from signal import SIGTERM
+
+import pytest
+
+from tests.platform.stopping import (
+    GRACE_S,
+    PATH,
+    StoppingHost,
+    stopping_host,
+)
+
+ONCE = ((0.0, SIGTERM),)
+CONNECTIONS = 80
+
+
+def check(host: StoppingHost, exit_status: int | None) -> None:
+    assert host.lost() == []
+    assert host.refused_though_run() == []
+    assert exit_status == 0
+
+
+@pytest.mark.parametrize("work_s", [0.05, 2.5])
+async def test_kept_connections_that_are_used_late(tmp_path: Path, work_s: float) -> None:
+    """Guards against requests on kept connections that the end of their host cuts."""
+    async with stopping_host(tmp_path) as host:
+        connections = await host.open_used(CONNECTIONS, PATH)
+        host.set_work_time(work_s)
+        stopped, _ = await asyncio.gather(
+            host.stop(ONCE), host.use_again(connections, GRACE_S, PATH)
+        )
+        check(host, stopped.exit_status)
+
+
+@pytest.mark.parametrize("work_s", [0.05, 2.0])
+async def test_new_connections_until_the_host_refuses_them(tmp_path: Path, work_s: float) -> None:
+    """Guards against requests that are accepted though they cannot end before their host."""
+    async with stopping_host(tmp_path) as host:
+        host.set_work_time(work_s)
+        stopped, _ = await asyncio.gather(host.stop(ONCE), host.connect_all_the_time(0.1, PATH))
+        check(host, stopped.exit_status)
+
+
+async def test_requests_that_are_sent_at_once_on_one_connection(tmp_path: Path) -> None:
+    """Guards against a second request that was read with the first and is dropped."""
+    async with stopping_host(tmp_path) as host:
+        connections = await host.open_used(20, PATH)
+        host.set_work_time(1.5)
+
+        async def ask() -> None:
+            await asyncio.sleep(0.5)
+            pairs = [(f"{number}-a", f"{number}-b") for number in range(len(connections))]
+            asked = map(host.ask_pipelined, connections, pairs)
+            await asyncio.gather(*asked)
+
+        stopped, _ = await asyncio.gather(host.stop(ONCE), ask())
+        check(host, stopped.exit_status)
+        assert {sent.status for sent in host.sent} == {200}
+
+
+async def test_requests_that_arrive_in_pieces(tmp_path: Path) -> None:
+    """Guards against requests that are cut since their bytes arrive slowly."""
+    async with stopping_host(tmp_path) as host:
+        connections = await host.open_used(CONNECTIONS, PATH)
+
+        async def ask(number: int) -> None:
+            await asyncio.sleep(4.0 * number / CONNECTIONS)
+            await host.ask_in_pieces(connections[number], f"pieces-{number}", 1.5)
+
+        asked = asyncio.gather(*map(ask, range(CONNECTIONS)))
+        stopped, _ = await asyncio.gather(host.stop(ONCE), asked)
+        check(host, stopped.exit_status)
