Serve only requests that can end before the end of a stopping host, and answer the others

What callers saw: a host accepted connections and requests for 0.4 of grace_s after SIGTERM, whatever time they need, cut what was left at 0.8 of it without an answer, and was still there when the platform killed it: aiohttp waits 60 s for a handler, and requests that waited for a place at a target went on waiting.

Cause: no step of the stop had a deadline of its own request by request; the only limits were those of the steps.

Why it works: the stop has one deadline from which all steps follow (platform/_stop_times.py). A request that is not at a target is refused with 503 "draining" and Retry-After 0, at once, as soon as the usual time of its route (the 0.9 quantile of its last 32 requests, its goal until there are any) does not fit any more; it did not run, so its caller goes to another host. Those at a target may run to 0.9 of grace_s; then a call gets 502 (may have run; not to be repeated on routes that run at most once), and a stream that began is cut visibly.

--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -88,10 +88,10 @@
         keys: FleetKeys,
         front: Frontend,
         retry_limits: RetryLimits | None = None,
-        hand_back_s: float | None = None,
+        max_hand_back_s: Callable[[], float] | None = None,
     ) -> None:
-        """``hand_back_s`` bounds the time to hand money back; else it depends on the disk."""
-        self._hand_back_s = hand_back_s
+        """``max_hand_back_s`` returns the time to hand money back; else it depends on the disk."""
+        self._max_hand_back_s = max_hand_back_s
         self._settings = settings
         self._runtime = runtime
         self._front = front
@@ -286,8 +286,8 @@
         log_event("INFO", "entry_ready", revision=revision, targets=targets)
 
     def _longest_hand_back_s(self) -> float:
-        if self._hand_back_s is not None:
-            return self._hand_back_s
+        if self._max_hand_back_s is not None:
+            return self._max_hand_back_s()
         return HAND_BACK_WITHOUT_DISK_S if self._runtime.storage is None else HAND_BACK_S
 
     async def _hand_money_back(self) -> None:
--- a/cranberrywall/forwarding/_attempts.py
+++ b/cranberrywall/forwarding/_attempts.py
@@ -11,6 +11,7 @@
 )
 from cranberrywall.forwarding._interfaces import Arrival, Attempt, TargetHead
 from cranberrywall.forwarding._plan import Plan
+from cranberrywall.forwarding._shutdown import STOPPING, RequestLimit
 from cranberrywall.observability import log_event
 from cranberrywall.quarantine import Quarantine
 from cranberrywall.routing import Demand, Outcome, OutcomeKind, Router, Slot
@@ -35,11 +36,18 @@
 
     ``may_have_run`` is true if any target may have run the request. A refusal must then not
     promise that the request did not run. ``sent_count`` is the number of targets that may have
-    received a byte of the request; ``targets`` lists all targets that were tried.
+    received a byte of the request; ``targets`` lists all targets that were tried. ``started_at``
+    is when the first attempt began, in monotonic seconds. ``limit`` applies if this host stops.
     """
 
     def __init__(
-        self, arrival: Arrival, plan: Plan, router: Router, quarantine: Quarantine, clock: Clock
+        self,
+        arrival: Arrival,
+        plan: Plan,
+        router: Router,
+        quarantine: Quarantine,
+        clock: Clock,
+        limit: RequestLimit,
     ) -> None:
         self.arrival = arrival
         self.plan = plan
@@ -47,6 +55,8 @@
         self.sent_count = 0
         self.targets: list[str] = []
         self.last_failure: AttemptFailedError | None = None
+        self.started_at: float | None = None
+        self.limit = limit
         self._router = router
         self._quarantine = quarantine
         self._clock = clock
@@ -69,6 +79,9 @@
 
     async def acquire(self) -> Result[Slot, Refusal]:
         """Wait for a slot at a target that was not tried yet; refuse a quarantined request."""
+        stop_refusal = self.limit.begin_wait(self._clock.now())
+        if stop_refusal is not None:
+            return Err(stop_refusal)
         plan, generation = self.plan, self.arrival.generation
         demand = Demand(
             workspace="",
@@ -100,6 +113,9 @@
         """Record that the request is now sent to the slot's target, and return the attempt."""
         self.sent_count += 1
         self.targets.append(slot.target_id)
+        self.limit.begin_attempt()
+        if self.started_at is None:
+            self.started_at = self._clock.now()
         remaining_s = max(0.0, self.remaining_s() - DEADLINE_MARGIN_S)
         plan = self.plan
         return Attempt(
@@ -136,6 +152,13 @@
             reason=failure.message,
         )
 
+    def end_by_stop(self) -> Refusal:
+        """Record that the stop of this host ends the request, and return the refusal."""
+        if self.limit.is_sent:
+            message = "this host stopped before the answer was complete"
+            self.record_failure(AttemptFailedError(FailureKind.HOST_STOPPED, message))
+        return self.refusal(STOPPING)
+
     def refusal(self, refused: Refusal | None = None) -> Refusal:
         """Return the refusal for a request that no attempt answered.
 
@@ -144,6 +167,8 @@
         message = str(self.last_failure or "")
         if self.may_have_run and not self.plan.repeat_rules.may_run_again:
             return Refusal(ErrorKind.OUTCOME_UNKNOWN, message)
+        if self.last_failure is not None and self.last_failure.kind is FailureKind.HOST_STOPPED:
+            return Refusal(ErrorKind.ANSWER_CUT, message, retry_after=0.0)
         if self.may_have_run:
             late = self.last_failure is not None and self.last_failure.kind is FailureKind.LATE
             return Refusal(ErrorKind.TIMEOUT if late else ErrorKind.TARGET_FAILED, message)
--- a/cranberrywall/forwarding/_client.py
+++ b/cranberrywall/forwarding/_client.py
@@ -60,6 +60,7 @@
     With the other kinds, the request may have run. ``BROKEN``: the connection broke.
     ``CROSSED``: the answer belongs to another request. ``LATE``: no complete answer arrived in
     time. ``STOPPED``: this host stopped the attempt because the request is now quarantined.
+    ``HOST_STOPPED``: this host ended its requests because it stops.
     """
 
     UNSENT = "unsent"
@@ -69,6 +70,7 @@
     CROSSED = "crossed"
     LATE = "late"
     STOPPED = "stopped"
+    HOST_STOPPED = "host_stopped"
 
 
 DID_NOT_RUN = frozenset({FailureKind.UNSENT, FailureKind.NOT_RUN, FailureKind.WRONG_TARGET})
--- a/cranberrywall/forwarding/_forwarder.py
+++ b/cranberrywall/forwarding/_forwarder.py
@@ -13,6 +13,7 @@
 from cranberrywall.forwarding._client import TargetClient, make_connector, make_session
 from cranberrywall.forwarding._interfaces import Arrival, CallerReply, Dialect
 from cranberrywall.forwarding._plan import Plan, Planner
+from cranberrywall.forwarding._shutdown import STOPPING, HostStopsError, RequestLimit, Shutdown
 from cranberrywall.forwarding._streams import StreamForwarder
 from cranberrywall.observability import Metrics, log_event
 from cranberrywall.quarantine import Quarantine
@@ -20,6 +21,8 @@
 from cranberrywall.runtime import Clock, Random
 from cranberrywall.tunnels import Paths
 
+_ANSWERED = "answered"
+
 
 class Forwarder:
     """Plan, reserve, forward and settle each request of one entry host."""
@@ -51,6 +54,7 @@
         self._router = router
         self._quarantine = quarantine
         self._clock = clock
+        self._shutdown = Shutdown(clock)
         self._requests = metrics.counter(
             "forwarded_requests", "Forwarded requests by outcome.", ["outcome"]
         )
@@ -73,11 +77,16 @@
         if quarantine_refusal is not None:
             self._record_refusal(arrival, quarantine_refusal, plan)
             return Err(quarantine_refusal)
-        reserved = await self._billing.reserve(arrival, plan.workspace, plan.deadline)
+        limit = self._shutdown.make_limit(plan.route["name"], plan.route["goal_s"])
+        reserved = await self._reserve(arrival, plan, limit)
         if isinstance(reserved, Err):
             self._record_refusal(arrival, reserved.err_value, plan)
             return Err(reserved.err_value)
-        return await self._serve_reserved(arrival, plan, reserved.ok_value, reply)
+        return await self._serve_reserved(arrival, plan, reserved.ok_value, reply, limit)
+
+    def start_shutdown(self, ends_at: float) -> None:
+        """Serve only requests that can end until ``ends_at``, in monotonic seconds."""
+        self._shutdown.start(ends_at)
 
     async def wait_idle(self) -> None:
         """Return once the reservations of all ended requests are settled."""
@@ -88,10 +97,27 @@
         await self._pooled_session.close()
         await self._unpooled_session.close()
 
+    async def _reserve(
+        self, arrival: Arrival, plan: Plan, limit: RequestLimit
+    ) -> Result[RequestFunds, Refusal]:
+        refusal = limit.check(self._clock.now())
+        if refusal is not None:
+            return Err(refusal)
+        try:
+            async with limit.applied():
+                return await self._billing.reserve(arrival, plan.workspace, plan.deadline)
+        except HostStopsError:
+            return Err(STOPPING)
+
     async def _serve_reserved(
-        self, arrival: Arrival, plan: Plan, funds: RequestFunds, reply: CallerReply
+        self,
+        arrival: Arrival,
+        plan: Plan,
+        funds: RequestFunds,
+        reply: CallerReply,
+        limit: RequestLimit,
     ) -> Result[None, Refusal]:
-        attempts = Attempts(arrival, plan, self._router, self._quarantine, self._clock)
+        attempts = Attempts(arrival, plan, self._router, self._quarantine, self._clock, limit)
         try:
             result = await self._forward(attempts, funds, reply)
             # The charge is durable before the caller receives the end of the answer. The request
@@ -107,9 +133,13 @@
     async def _forward(
         self, attempts: Attempts, funds: RequestFunds, reply: CallerReply
     ) -> Result[CompleteAnswer | None, Refusal]:
-        if attempts.plan.repeat_rules.is_stream:
-            return await self._streams.run(attempts, funds, reply)
-        return await self._calls.run(attempts, funds)
+        try:
+            async with attempts.limit.applied():
+                if attempts.plan.repeat_rules.is_stream:
+                    return await self._streams.run(attempts, funds, reply)
+                return await self._calls.run(attempts, funds)
+        except HostStopsError:
+            return Err(attempts.end_by_stop())
 
     async def _finish(
         self,
@@ -128,7 +158,7 @@
             await reply.finish()
         else:
             await reply.answer(*answer)
-        self._record_end(attempts, funds, "answered", answer.status if answer else 200)
+        self._record_end(attempts, funds, _ANSWERED, answer.status if answer else 200)
         return result.map(lambda _: None)
 
     def _record_refusal(self, arrival: Arrival, refusal: Refusal, plan: Plan | None) -> None:
@@ -153,7 +183,10 @@
         refusal: Refusal | None = None,
     ) -> None:
         plan, arrival = attempts.plan, attempts.arrival
-        seconds = self._clock.now() - arrival.at
+        now = self._clock.now()
+        seconds = now - arrival.at
+        if outcome == _ANSWERED and attempts.started_at is not None:
+            self._shutdown.record(plan.route["name"], now - attempts.started_at)
         self._requests.labels(outcome).inc()
         self._seconds.labels(plan.route["kind"]).observe(seconds)
         log_event(
--- a/cranberrywall/forwarding/_streams.py
+++ b/cranberrywall/forwarding/_streams.py
@@ -91,6 +91,7 @@
                     record.record_complete(Outcome(OutcomeKind.FAILED_AFTER))
                     return failed
                 await progress.begin(answer)
+                attempts.limit.begin_answer()
                 first_s = await self._forward_events(answer, slot, progress, started_at)
             record.record_complete(Outcome(OutcomeKind.ANSWERED, first_s, progress.events))
             return None
--- a/cranberrywall/platform/_front.py
+++ b/cranberrywall/platform/_front.py
@@ -21,6 +21,7 @@
 from cranberrywall.platform._dialect import TargetDialect
 from cranberrywall.platform._directory import choose_addresses
 from cranberrywall.platform._replies import HttpReply
+from cranberrywall.platform._stop_times import stop_times
 from cranberrywall.runtime import Clock, split_address
 
 IDLE_CALLERS_S = 120.0
@@ -29,11 +30,6 @@
 LONGEST_HEAD_BYTES = 65_536
 DEFAULT_BODY_BYTES = 4_194_304
 
-FINISH_SHARE = 0.8
-"""Share of the time to stop after which requests that still run are cut.
-
-What follows is to hand the money back, which takes a few round trips to control."""
-
 CLOSE_S = 0.1
 """Connections that are still open as a host closes them have so long to end, in seconds."""
 
@@ -48,6 +44,7 @@
 
     def __init__(self, boot: Boot, clock: Clock) -> None:
         self._boot = boot
+        self._stop_times = stop_times(boot.grace_s)
         self._clock = clock
         self._parts: FrontendContext | None = None
         self._forwarder: Forwarder | None = None
@@ -96,8 +93,10 @@
         self._parts = parts
 
     def start_draining(self) -> None:
-        """Be ready and named no more, and ask callers to close their connections."""
-        self._draining_since = self._clock.now()
+        """Be ready and named no more, and serve only requests that can end in time."""
+        now = self._draining_since = self._clock.now()
+        if self._forwarder is not None:
+            self._forwarder.start_shutdown(now + self._stop_times.serve_s)
 
     def idle_duration_s(self, now: float) -> float:
         """Return for how long no request has arrived, in seconds."""
@@ -115,7 +114,7 @@
     async def finish(self) -> None:
         """Return once all answers are written, or the time for that is over."""
         started_at = self._draining_since or self._clock.now()
-        until = started_at + FINISH_SHARE * self._boot.grace_s
+        until = started_at + self._stop_times.answer_s
         if self._front_runner is not None and self._front_runner.server is not None:
             await wait_for_answers(self._front_runner.server, self._clock, until)
         if self.running:
--- a/cranberrywall/platform/_front_program.py
+++ b/cranberrywall/platform/_front_program.py
@@ -7,12 +7,10 @@
 from cranberrywall.platform._boot import Boot, fleet_keys, settings_of
 from cranberrywall.platform._front import PlatformFront
 from cranberrywall.platform._running import run_program
+from cranberrywall.platform._stop_times import stop_times
 from cranberrywall.routing import RetryLimits
 from cranberrywall.runtime import make_runtime
 
-DRAIN_SHARE = 0.4
-"""Share of the time to stop in which callers may come that have not heard of it."""
-
 HAND_BACK_SHARE = 0.1
 """Share of the time to stop in which money is handed back: some round trips to control.
 
@@ -33,13 +31,16 @@
     def __init__(self, boot: Boot) -> None:
         runtime = make_runtime(boot.data or None)
         self._boot = boot
+        self._clock = runtime.clock
+        self._stop_times = stop_times(boot.grace_s)
+        self._stopping_since: float | None = None
         self._program = EntryProgram(
             settings_of(boot, "entry"),
             runtime,
             fleet_keys(),
             PlatformFront(boot, runtime.clock),
             _retry_limits(boot),
-            HAND_BACK_SHARE * boot.grace_s,
+            self._hand_back_s,
         )
 
     @property
@@ -50,13 +51,20 @@
         await self._program.start()
 
     async def stop(self) -> None:
+        self._stopping_since = self._clock.now()
         try:
-            async with asyncio.timeout(DRAIN_SHARE * self._boot.grace_s):
+            async with asyncio.timeout(self._stop_times.listen_s):
                 await self._program.drain()
         except TimeoutError:
             log_event("INFO", "callers_still_come")
         await self._program.stop()
 
+    def _hand_back_s(self) -> float:
+        now = self._clock.now()
+        since = now if self._stopping_since is None else self._stopping_since
+        remaining_s = since + self._stop_times.hand_back_s - now
+        return max(0.0, min(HAND_BACK_SHARE * self._boot.grace_s, remaining_s))
+
 
 def _retry_limits(boot: Boot) -> RetryLimits:
     # Each host keeps to its own part, so that the parts add up to the bound however the
--- a/tests/forwarding/scripted.py
+++ b/tests/forwarding/scripted.py
@@ -278,7 +278,12 @@
 
 
 def streams(
-    first: int, last: int, trailing: bytes = b"", drops: bool = False, holds: bool = False
+    first: int,
+    last: int,
+    trailing: bytes = b"",
+    drops: bool = False,
+    holds: bool = False,
+    drops_after_s: float = 0.02,
 ) -> Script:
     """Send events ``first`` to ``last``, then ``trailing``; end, drop or hold the connection."""
 
@@ -298,7 +303,7 @@
         if holds:
             await asyncio.sleep(5.0)
         if drops:
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(drops_after_s)
             assert request.transport is not None
             request.transport.abort()
         return response
--- a/tests/platform/test_stopping_hosts.py
+++ b/tests/platform/test_stopping_hosts.py
@@ -9,12 +9,15 @@
 from tests.platform.stopping import (
     GRACE_S,
     PATH,
+    STREAM_PATH,
+    Sent,
     StoppingHost,
     stopping_host,
 )
 
 ONCE = ((0.0, SIGTERM),)
 CONNECTIONS = 80
+AT_ONCE_S = 0.5
 
 
 def check(host: StoppingHost, exit_status: int | None) -> None:
@@ -23,7 +26,11 @@
     assert exit_status == 0
 
 
-@pytest.mark.parametrize("work_s", [0.05, 2.5])
+def is_refused_late(sent: Sent) -> bool:
+    return sent.status == 503 and sent.ended_at - sent.sent_at > AT_ONCE_S
+
+
+@pytest.mark.parametrize("work_s", [0.05, 2.5, 5.5])
 async def test_kept_connections_that_are_used_late(tmp_path: Path, work_s: float) -> None:
     """Guards against requests on kept connections that the end of their host cuts."""
     async with stopping_host(tmp_path) as host:
@@ -35,7 +42,7 @@
         check(host, stopped.exit_status)
 
 
-@pytest.mark.parametrize("work_s", [0.05, 2.0])
+@pytest.mark.parametrize("work_s", [0.05, 2.0, 5.5, 7.0])
 async def test_new_connections_until_the_host_refuses_them(tmp_path: Path, work_s: float) -> None:
     """Guards against requests that are accepted though they cannot end before their host."""
     async with stopping_host(tmp_path) as host:
@@ -44,6 +51,29 @@
         check(host, stopped.exit_status)
 
 
+async def test_requests_that_cannot_end_in_time_are_refused_at_once(tmp_path: Path) -> None:
+    """Guards against callers that wait at a stopping host for an answer that cannot come."""
+    async with stopping_host(tmp_path) as host:
+        host.set_work_time(5.5)
+        await host.open_used(1, PATH)
+        stopped, _ = await asyncio.gather(host.stop(ONCE), host.connect_all_the_time(0.1, PATH))
+        check(host, stopped.exit_status)
+        late = [sent for sent in host.sent if sent.sent_at > 2.0]
+        assert late
+        assert [sent for sent in late if sent.status != 503 or is_refused_late(sent)] == []
+
+
+async def test_streams_on_kept_connections(tmp_path: Path) -> None:
+    """Guards against streams that the end of their host cuts."""
+    async with stopping_host(tmp_path) as host:
+        connections = await host.open_used(24, STREAM_PATH)
+        host.set_work_time(4.0)
+        stopped, _ = await asyncio.gather(
+            host.stop(ONCE), host.use_again(connections, GRACE_S, STREAM_PATH)
+        )
+        check(host, stopped.exit_status)
+
+
 async def test_requests_that_are_sent_at_once_on_one_connection(tmp_path: Path) -> None:
     """Guards against a second request that was read with the first and is dropped."""
     async with stopping_host(tmp_path) as host:
