Ignore signals to a process that already stops

Cause: aiomisc installs its handlers after the start of a service, and restores the default ones with the first signal.

Why it works: one function of both kinds of programs installs the handlers before the start. The first signal stops the process, also one that comes in mid start; later ones are logged (signal_ignored). SIGHUP ends nothing.

--- a/cranberrywall/commands/_running.py
+++ b/cranberrywall/commands/_running.py
@@ -7,10 +7,15 @@
 
 import aiomisc
 import click
-import uvloop
 
 from cranberrywall.commands._secured import make_secured
-from cranberrywall.observability import StateRegistry, configure_log, dump_state_on_signal
+from cranberrywall.commands._signals import run_until_stop_signal, stop_within
+from cranberrywall.observability import (
+    StateRegistry,
+    configure_log,
+    dump_state_on_signal,
+    log_event,
+)
 from cranberrywall.runtime import Runtime
 from cranberrywall.settings import Settings
 from cranberrywall.tls import TlsKeeper
@@ -41,10 +46,11 @@
 class _ProgramService(aiomisc.Service):
     """Start and stop a program with the process."""
 
-    def __init__(self, settings: Settings, make: Make) -> None:
+    def __init__(self, settings: Settings, make: Make, shutdown_timeout: float) -> None:
         super().__init__()
         self._settings = settings
         self._make = make
+        self._shutdown_timeout = shutdown_timeout
         self._program: Program | None = None
         self._watch: asyncio.Task[None] | None = None
 
@@ -61,7 +67,7 @@
         if self._watch is not None:
             self._watch.cancel()
         if self._program is not None:
-            await self._program.stop()
+            await stop_within(self._shutdown_timeout, self._program.stop())
 
 
 def run_until_signal(
@@ -76,16 +82,15 @@
     ``shutdown_timeout`` is how long it may take to stop, in seconds.
     """
     configure_log(kind, settings["host"], settings["place"], settings["log"]["level"])
-    entrypoint = aiomisc.entrypoint(
-        _ProgramService(settings, make),
-        log_config=False,
-        loop_factory=uvloop.new_event_loop,
-        shutdown_timeout=shutdown_timeout,
-    )
+    service = _ProgramService(settings, make, shutdown_timeout)
     try:
-        with entrypoint as loop:
-            loop.run_forever()
+        run_until_stop_signal(service, _log_ignored_reload)
     except OSError as error:
         remedy = "end the process that has it, or give another address under `listen`"
         click.echo(f"not started: {error} (remedy: {remedy})", err=True)
         sys.exit(EXIT_NOT_STARTED)
+
+
+def _log_ignored_reload() -> None:
+    reason = "settings are read at the start; the configuration is changed with cranberrywallctl"
+    log_event("WARNING", "reload_ignored", reason=reason)
--- a/cranberrywall/platform/_running.py
+++ b/cranberrywall/platform/_running.py
@@ -1,17 +1,16 @@
 """Run a program on the users' platform until it is told to stop."""
 
-import asyncio
-import signal
 import sys
 import time
 from collections.abc import Callable
+from functools import partial
 
 import aiomisc
-import uvloop
 from result import Err
 
 from cranberrywall import STARTED_PROCESSOR_S
 from cranberrywall.commands._running import Program
+from cranberrywall.commands._signals import run_until_stop_signal, stop_within
 from cranberrywall.observability import configure_log, log_event
 from cranberrywall.platform._boot import Boot, path_from_environment, read_boot
 
@@ -30,10 +29,7 @@
         self._program: Program | None = None
 
     async def start(self) -> None:
-        """Start the program, and stay alive when the settings file changes."""
-        loop = asyncio.get_running_loop()
-        # Unhandled, the signal would end the process.
-        loop.add_signal_handler(signal.SIGHUP, _note_reload, self._boot)
+        """Start the program."""
         self._program = self._make(self._boot)
         await self._program.start()
         log_event(
@@ -48,7 +44,7 @@
         """Stop the program."""
         log_event("INFO", "process_stopping", processor_s=_processor_s())
         if self._program is not None:
-            await self._program.stop()
+            await stop_within(self._boot.grace_s, self._program.stop())
 
 
 def _processor_s() -> float:
@@ -85,15 +81,8 @@
         sys.exit(EXIT_NOT_STARTED)
     boot = read.ok_value
     configure_log(process, boot.host, boot.place, "INFO", sys.stdout)
-    entrypoint = aiomisc.entrypoint(
-        _ProgramService(boot, make),
-        log_config=False,
-        loop_factory=uvloop.new_event_loop,
-        shutdown_timeout=boot.grace_s,
-    )
     try:
-        with entrypoint as loop:
-            loop.run_forever()
+        run_until_stop_signal(_ProgramService(boot, make), partial(_note_reload, boot))
     except OSError as error:
         log_event("ERROR", "not_started", error)
         sys.exit(EXIT_NOT_STARTED)
--- a/tests/platform/test_stopping_hosts.py
+++ b/tests/platform/test_stopping_hosts.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from pathlib import Path
-from signal import SIGTERM
+from signal import SIGHUP, SIGINT, SIGTERM
 
 import pytest
 
@@ -63,6 +63,27 @@
         assert [sent for sent in late if sent.status != 503 or is_refused_late(sent)] == []
 
 
+@pytest.mark.parametrize(
+    "signals",
+    [
+        ((0.0, SIGTERM), (0.5, SIGTERM)),
+        ((0.0, SIGTERM), (0.5, SIGINT), (1.0, SIGTERM)),
+        ((0.0, SIGTERM), (0.5, SIGHUP)),
+    ],
+)
+async def test_signals_to_a_host_that_stops(
+    tmp_path: Path, signals: tuple[tuple[float, int], ...]
+) -> None:
+    """Guards against a further signal that ends a host before its requests."""
+    async with stopping_host(tmp_path) as host:
+        connections = await host.open_used(CONNECTIONS, PATH)
+        host.set_work_time(1.5)
+        stopped, _ = await asyncio.gather(
+            host.stop(signals), host.use_all_the_time(connections, PATH)
+        )
+        check(host, stopped.exit_status)
+
+
 async def test_streams_on_kept_connections(tmp_path: Path) -> None:
     """Guards against streams that the end of their host cuts."""
     async with stopping_host(tmp_path) as host:
