Answer orders in progress as a control host stops

Cause: the time that its listener waits for requests was set for heartbeats. It is now that of an order, and 0.5 s.

--- a/cranberrywall/platform/_control.py
+++ b/cranberrywall/platform/_control.py
@@ -17,7 +17,8 @@
 """A change has this long to be committed, in seconds; the operator then sends it again."""
 
 MOST_BODY_BYTES = 8 * 1024 * 1024
-SHUTDOWN_S = 0.5
+SHUTDOWN_S = PUBLISH_TIMEOUT_S + 0.5
+"""Orders in progress as a host stops have so long to be answered, in seconds."""
 
 OPERATOR = "operator"
 """Author of orders: the platform does not name its operators."""
--- a/standins/_platform.py
+++ b/standins/_platform.py
@@ -26,6 +26,7 @@
 PORTS_PER_MACHINE = 20
 BEAT_S = 0.3
 CALL_S = 2.0
+ORDER_S = 6.0
 RETRY_S = 0.1
 LOGGED_LINES = 40
 ZONES = ("town-hall", "annex")
@@ -371,11 +372,12 @@
 
     async def refused_status(self, body: Any) -> int:
         """Send one configuration to one control host, and return its status."""
-        status, _ = await self._call(
-            "POST",
-            f"http://{self.address(self.cores[0], CONTROL_PORT_OFFSET)}/v1/config/replace",
-            body,
-        )
+        return await self.order_status(self.cores[0], body)
+
+    async def order_status(self, core: Machine, body: Any) -> int:
+        """Send a configuration to a control host; return its status, 0 without an answer."""
+        url = f"http://{self.address(core, CONTROL_PORT_OFFSET)}/v1/config/replace"
+        status, _ = await self._call("POST", url, body, ORDER_S)
         return status
 
     async def read_configuration(self) -> dict[str, Any]:
@@ -473,11 +475,14 @@
             turn += 1
             await asyncio.sleep(RETRY_S)
 
-    async def _call(self, method: str, url: str, body: Any) -> tuple[int, bytes]:
+    async def _call(
+        self, method: str, url: str, body: Any, seconds: float = CALL_S
+    ) -> tuple[int, bytes]:
         assert self._session is not None
         data = json.dumps(body).encode() if body is not None else None
         try:
-            async with self._session.request(method, url, data=data) as response:
+            timeout = aiohttp.ClientTimeout(total=seconds)
+            async with self._session.request(method, url, data=data, timeout=timeout) as response:
                 return response.status, await response.read()
         except (aiohttp.ClientError, TimeoutError, OSError):
             return 0, b""
--- a/tests/platform/test_stopping_hosts.py
+++ b/tests/platform/test_stopping_hosts.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from standins._platform import Platform, configuration
 from tests.platform.stopping import (
     GRACE_S,
     PATH,
@@ -124,3 +125,22 @@
         asked = asyncio.gather(*map(ask, range(CONNECTIONS)))
         stopped, _ = await asyncio.gather(host.stop(ONCE), asked)
         check(host, stopped.exit_status)
+
+
+async def test_an_order_in_progress_at_a_control_host_is_answered(tmp_path: Path) -> None:
+    """Guards against an operator's order that the stop of its control host cuts."""
+    platform = Platform(tmp_path)
+    try:
+        await platform.start()
+        await platform.publish(1, prepaid=1000)
+        ordered_at, *others = platform.cores
+        for core in others:
+            platform.freeze(core)
+        ordering = asyncio.ensure_future(platform.order_status(ordered_at, configuration(2, 1000)))
+        await asyncio.sleep(0.3)
+        stopping = asyncio.ensure_future(platform.terminate(ordered_at))
+        # The others stay frozen, so that the outcome is unknown.
+        assert await ordering == 503
+        assert await stopping < GRACE_S
+    finally:
+        await platform.stop()
