Answer requests that were read together at a draining host of the product's own interface

What callers saw: of two requests sent at once on a connection the second was dropped, since the answer to the first one closes the connection (tests/commands/test_shutdown.py times out before and passes now). A draining host also waits up to 10 s until slow callers have read their answers.

--- a/cranberrywall/commands/_caller_front.py
+++ b/cranberrywall/commands/_caller_front.py
@@ -6,7 +6,7 @@
 from aiohttp.typedefs import Handler, Middleware
 
 from cranberrywall.callers import BodyLimits, CallerLimits
-from cranberrywall.entry import FrontendContext, close_idle_connections
+from cranberrywall.entry import FrontendContext, close_idle_connections, wait_for_answers
 from cranberrywall.entry.stack import CallerStack, StackLinks, make_caller_stack
 from cranberrywall.runtime import Clock, split_address
 from cranberrywall.settings import Settings, seconds, size_in_bytes
@@ -15,6 +15,9 @@
 
 SHUTDOWN_S = 1.0
 
+ANSWERS_S = 10.0
+"""Answers that slow callers have not read yet have so long to be written, in seconds."""
+
 
 class CallerFront:
     """Hold the listener for callers and targets, and the stack behind it."""
@@ -83,6 +86,9 @@
         """Return once no request is in progress and what they left is recorded."""
         if self._stack is not None:
             await self._stack.finish()
+        if self._runner is not None and self._runner.server is not None:
+            until = self._clock.now() + ANSWERS_S
+            await wait_for_answers(self._runner.server, self._clock, until)
 
     async def close(self) -> None:
         """Close the connections of callers and to targets."""
--- a/cranberrywall/entry/_stack.py
+++ b/cranberrywall/entry/_stack.py
@@ -16,6 +16,7 @@
     make_error_middleware,
 )
 from cranberrywall.configuration import Configuration
+from cranberrywall.entry._connections import has_unread_request
 from cranberrywall.hosts import Membership
 from cranberrywall.links import Caller, Server
 from cranberrywall.observability import Metrics, make_metrics
@@ -119,8 +120,8 @@
 
     async def _close_connection(self, request: web.Request, response: web.StreamResponse) -> None:
         # If the connection stayed open, a request could arrive on it at the moment when this host
-        # closes it.
-        if self._is_draining:
+        # closes it. A request that was already read on it is answered first.
+        if self._is_draining and not has_unread_request(request.protocol):
             response.force_close()
             response.headers["Connection"] = "close"
 
--- a/tests/commands/test_shutdown.py
+++ b/tests/commands/test_shutdown.py
@@ -8,6 +8,7 @@
 
 from cranberrywall.commands import _entry_program
 from cranberrywall.commands._demo_fleet import DemoFleet
+from cranberrywall.commands._entry_program import EntryProgram
 from cranberrywall.demo import (
     SAVINGS_BOARD,
     FleetSize,
@@ -46,6 +47,29 @@
     assert b"savings-board-2" in journal.read_bytes()
 
 
+async def test_requests_that_were_read_together_are_all_answered(tmp_path: Path) -> None:
+    """Guards against a request that a draining host drops since it was read behind another one."""
+    deployment = read_deployment(SAVINGS_BOARD)
+    files = write_fleet(tmp_path / "fleet", deployment, FleetSize(1, 1, 0), NET)
+    fleet = DemoFleet(deployment, files)
+    await fleet.start()
+    try:
+        host, port = files.of_role("entry")[0].listen["http"].rsplit(":", 1)
+        reader, writer = await asyncio.open_connection(host, int(port))
+        (entry,) = fleet.programs_by_role.pop("entry")
+        assert isinstance(entry, EntryProgram)
+        draining = asyncio.ensure_future(entry.drain())
+        await asyncio.sleep(0.1)
+        writer.write(2 * f"GET /v1/addresses HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
+        async with asyncio.timeout(STOP_S):
+            assert (await reader.read()).count(b"HTTP/1.1 ") == 2
+        writer.close()
+        draining.cancel()
+        await entry.stop()
+    finally:
+        await fleet.stop()
+
+
 async def post(url: str, planned) -> None:
     headers = {
         "Authorization": f"Bearer {planned.key}",
