--- a/cranberrywall/platform/_stop_times.py
+++ b/cranberrywall/platform/_stop_times.py
@@ -8,7 +8,7 @@
 class StopTimes(NamedTuple):
     """When the steps of a stop end, in seconds since SIGTERM.
 
-    ``listen_s``: callers that have not heard of the stop are accepted. ``serve_s``: requests run.
+    ``listen_s``: new connections are accepted. ``serve_s``: requests run.
     ``answer_s``: answers are written. ``hand_back_s``: money is handed back.
     """
 
--- a/tests/platform/test_kept_connections.py
+++ b/tests/platform/test_kept_connections.py
@@ -83,6 +83,7 @@
     front = PlatformFront(boot, make_clock())
     await front.listen()
     if answer is not None:
+        # The stubs have only what a request uses.
         front._forwarder = StubForwarder(answer)  # type: ignore[assignment]
         front._parts = StubContext()  # type: ignore[assignment]
     try:
