Carry connections of neighbours for as long as a stopping host's own requests run

Callers of a host that is partitioned from its targets are served through a neighbour. When that neighbour got SIGTERM, it cut their connections 2 s after it had stopped listening, whatever they carried: a call of 2.5 s got 502 (outcome unknown). It also went on opening new ones while it drained.

Cause: the limit was a constant of its own (FINISH_TUNNELS_S) beside the deadline from which all other steps of a stop follow.

Now the frontend states how long requests may still run (`Frontend.remaining_s`), the tunnels have the same limit, and a host that drains refuses to open tunnels (UNREACHABLE, "not tried"), so that neighbours ask another host. A tunnel carries one request, so the stop is not longer than the requests.

Ruled out: waiting without a limit; the host would be killed with the money it should hand back (test_a_host_that_stops_cuts_a_call_of_its_neighbour_at_the_limit).

`open_used` of the stop tests now shows the statuses that it got; the check is the same.

--- a/cranberrywall/commands/_caller_front.py
+++ b/cranberrywall/commands/_caller_front.py
@@ -82,6 +82,10 @@
         closing = close_idle_connections(self._runner.server, self._clock)
         self._closing = asyncio.create_task(closing)
 
+    def remaining_s(self, now: float) -> float | None:
+        """Return ``None``: requests run until their deadlines."""
+        return None
+
     async def finish(self) -> None:
         """Return once no request is in progress and what they left is recorded."""
         if self._stack is not None:
--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -63,11 +63,6 @@
 QUIET_S = 1.0
 """A draining host without an arrival for so long is no longer used by any caller."""
 
-FINISH_TUNNELS_S = 2.0
-"""A stopping host carries requests of its neighbours for this time, in seconds."""
-
-TUNNELS_POLL_S = 0.05
-
 LOAD_EVERY_S = 1.0
 
 EXPIRE_EVERY_S = 1.0
@@ -200,6 +195,7 @@
             return
         self._is_draining = True
         self._front.start_draining()
+        self._tunnel_server.start_draining()
         clock = self._runtime.clock
         log_event("INFO", "entry_draining", running=self._front.running)
         self._shutdown_log.start_step("wait_for_address_ttl")
@@ -216,7 +212,8 @@
             shutdown.start_step("stop_listening")
             await self._front.stop_listening()
             shutdown.start_step("finish_requests")
-            await asyncio.gather(self._front.finish(), self._finish_tunnels())
+            remaining_s = self._front.remaining_s(self._runtime.clock.now())
+            await asyncio.gather(self._front.finish(), self._tunnel_server.finish(remaining_s))
             shutdown.start_step("hand_money_back")
             await self._hand_money_back()
         shutdown.start_step("close_front")
@@ -241,15 +238,6 @@
         shutdown.end()
         log_event("INFO", "entry_stopped")
 
-    async def _finish_tunnels(self) -> None:
-        """Wait until neighbours have ended the requests that this host carries for them."""
-        try:
-            async with asyncio.timeout(FINISH_TUNNELS_S):
-                await self._tunnel_server.wait_idle(TUNNELS_POLL_S)
-        except TimeoutError:
-            log_event("WARNING", "tunnels_cut_by_stop", running=self._tunnel_server.running)
-        self._tunnel_server.close()
-
     def _remaining_work(self) -> dict[str, Any]:
         """Return what a shutdown has to finish, for its log lines."""
         uncommitted = self._allotments.uncommitted if self._allotments is not None else 0
--- a/cranberrywall/entry/_frontend.py
+++ b/cranberrywall/entry/_frontend.py
@@ -74,6 +74,13 @@
         """Stop accepting new connections."""
         ...
 
+    def remaining_s(self, now: float) -> float | None:
+        """Return how long requests may still run on a host that drains, in seconds.
+
+        ``None`` if nothing limits them but their deadlines.
+        """
+        ...
+
     async def finish(self) -> None:
         """Return once no request is in progress."""
         ...
--- a/cranberrywall/platform/_front.py
+++ b/cranberrywall/platform/_front.py
@@ -111,10 +111,13 @@
         closing = close_idle_connections(self._front_runner.server, self._clock)
         self._closing = asyncio.create_task(closing)
 
+    def remaining_s(self, now: float) -> float | None:
+        """Return how long answers may still be written, in seconds."""
+        return max(0.0, self._answers_until(now) - now)
+
     async def finish(self) -> None:
         """Return once all answers are written, or the time for that is over."""
-        started_at = self._draining_since or self._clock.now()
-        until = started_at + self._stop_times.answer_s
+        until = self._answers_until(self._clock.now())
         if self._front_runner is not None and self._front_runner.server is not None:
             await wait_for_answers(self._front_runner.server, self._clock, until)
         if self.running:
@@ -131,6 +134,10 @@
         if self._forwarder is not None:
             await self._forwarder.close()
 
+    def _answers_until(self, now: float) -> float:
+        started_at = now if self._draining_since is None else self._draining_since
+        return started_at + self._stop_times.answer_s
+
     async def _settle_charges(self, forwarder: Forwarder, until: float) -> None:
         try:
             async with asyncio.timeout(max(MIN_SETTLE_S, until - self._clock.now())):
--- a/cranberrywall/tunnels/_server.py
+++ b/cranberrywall/tunnels/_server.py
@@ -44,6 +44,9 @@
 LEASE_S = 3.0
 """A tunnel whose user has sent no call for this time is closed, in seconds."""
 
+IDLE_POLL_S = 0.05
+"""Interval at which a stopping host checks whether tunnels are open, in seconds."""
+
 _HTTPS_PORT = 443
 _HTTP_PORT = 80
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -106,6 +109,7 @@
         self._opening = 0
         self._opened = 0
         self._refused = 0
+        self._is_stopping = False
 
     @property
     def running(self) -> int:
@@ -125,10 +129,20 @@
             if not tunnel.is_reading and now - tunnel.called_at > LEASE_S:
                 self._discard(number, "unused", is_reset=True)
 
-    async def wait_idle(self, interval_s: float) -> None:
-        """Return once no tunnel is open; check this every ``interval_s`` seconds."""
-        while self.running:
-            await self._clock.sleep(interval_s)
+    def start_draining(self) -> None:
+        """Refuse new tunnels, so that neighbours open them at other hosts."""
+        self._is_stopping = True
+
+    async def finish(self, timeout_s: float | None) -> None:
+        """Return once neighbours have closed all tunnels; cut those left after ``timeout_s``."""
+        self.start_draining()
+        try:
+            async with asyncio.timeout(timeout_s):
+                while self.running:
+                    await self._clock.sleep(IDLE_POLL_S)
+        except TimeoutError:
+            log_event("WARNING", "tunnels_cut_by_stop", running=self.running)
+        self.close()
 
     def close(self) -> None:
         """Close all tunnels."""
@@ -182,6 +196,8 @@
         return Ok(TunnelOpened(self._last_number))
 
     async def _connect(self, call: OpenTunnel, peer: Peer) -> Result[_Tunnel, Refusal]:
+        if self._is_stopping:
+            return Err(Refusal(ErrorKind.UNREACHABLE, "this host stops"))
         target = self._targets.by_id.get(call.target)
         if target is None or target.announcement.incarnation != call.incarnation:
             return Err(Refusal(ErrorKind.NOT_FOUND, "this host does not know the target", "target"))
--- a/standins/_platform.py
+++ b/standins/_platform.py
@@ -394,7 +394,7 @@
         return list(json.loads(data)["addrs"]) if status == 200 else []
 
     async def is_ready(self, machine: Machine) -> bool:
-        """Say whether a host says that it is ready."""
+        """Return whether a host says that it is ready."""
         address = self.address(machine, READY_PORT_OFFSET)
         status, _ = await self._call("GET", f"http://{address}/v1/ready", None)
         return status == 200
--- a/tests/forwarding/test_partitioned_host.py
+++ b/tests/forwarding/test_partitioned_host.py
@@ -190,6 +190,51 @@
         assert len(pair.received) == 1
 
 
+async def test_a_call_through_a_neighbour_that_stops_is_answered() -> None:
+    """Guards against calls of other hosts that a stopping host cuts before its own."""
+    started = asyncio.Event()
+
+    async def slow_once(request: web.Request) -> web.StreamResponse:
+        if not started.is_set():
+            started.set()
+            await asyncio.sleep(2.5)
+        return web.Response(headers={"X-Request-Id": request.headers["X-Request-Id"]})
+
+    async with PartitionedPair(kind="non_idempotent", timeout_s=4.0) as pair:
+        await pair.start_targets(slow_once)
+        pair.partition()
+        serving = asyncio.create_task(pair.partitioned.serve(arrival(max_wait_s=4.0)))
+        await started.wait()
+        (stopping,) = (tunnels for tunnels in pair.tunnels_by_host.values() if tunnels.running)
+        finishing = asyncio.create_task(stopping.finish(3.0))
+        await asyncio.sleep(0.1)
+        assert await serve_many(pair) == REQUESTS
+        assert stopping.state()["opened"] == 1
+        _, result = await serving
+        assert result.is_ok()
+        await finishing
+
+
+async def test_a_host_that_stops_cuts_a_call_of_its_neighbour_at_the_limit() -> None:
+    """Guards against a host that is killed since it waits for a call of another host."""
+    started = asyncio.Event()
+
+    async def endless(request: web.Request) -> web.StreamResponse:
+        started.set()
+        await asyncio.Event().wait()
+        return web.Response()
+
+    async with PartitionedPair(kind="non_idempotent", timeout_s=4.0) as pair:
+        await pair.start_targets(endless)
+        pair.partition()
+        serving = asyncio.create_task(pair.partitioned.serve(arrival(max_wait_s=4.0)))
+        await started.wait()
+        for tunnels in pair.tunnels_by_host.values():
+            await tunnels.finish(0.2)
+        _, result = await serving
+        assert result.unwrap_err().kind is ErrorKind.OUTCOME_UNKNOWN
+
+
 async def test_an_answer_that_the_target_breaks_off_is_not_complete_through_a_neighbour() -> None:
     """Guards against an answer without a length that looks complete though it was reset."""
     async with PartitionedPair(kind="non_idempotent") as pair:
--- a/tests/platform/stopping.py
+++ b/tests/platform/stopping.py
@@ -87,7 +87,7 @@
         """Return connections that each had an answer."""
         connections = [await self.connect() for _ in range(count)]
         asked = [self.ask(pair, f"first-{n}", path) for n, pair in enumerate(connections)]
-        assert all(sent.status == 200 for sent in await asyncio.gather(*asked))
+        assert {sent.status for sent in await asyncio.gather(*asked)} == {200}
         self.sent.clear()
         return connections
 
--- a/tests/platform/test_kept_connections.py
+++ b/tests/platform/test_kept_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from typing import Any, NamedTuple
@@ -12,6 +13,7 @@
 from cranberrywall.platform._boot import Boot, decode_boot
 from cranberrywall.platform._front import PlatformFront
 from cranberrywall.platform._replies import HttpReply
+from cranberrywall.platform._stop_times import stop_times
 from cranberrywall.runtime import make_clock
 
 REQUEST = b"GET /x/ HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: 1\r\n\r\n"
@@ -207,3 +209,15 @@
         async with asyncio.timeout(GRACE_S):
             await stop(front)
         writer.close()
+
+
+async def test_a_stopping_host_has_the_same_time_for_its_neighbours_as_for_its_callers() -> None:
+    """Guards against connections of neighbours that end before the requests of callers."""
+    async with running_front() as (front, boot):
+        before = time.monotonic()
+        front.start_draining()
+        remaining_s = front.remaining_s(before)
+        assert remaining_s is not None
+        answer_s = stop_times(boot.grace_s).answer_s
+        assert answer_s <= remaining_s < answer_s + 0.1
+        assert front.remaining_s(before + 2 * boot.grace_s) == 0.0
