Wait for a configured credit before a budget counts as exhausted

The first request after a new configuration could get 402 ("fewer than 580 are left in the budget", Retry-After 60) although its budget was prepaid.

Cause: entry hosts learn the totals of a configuration as soon as the ledger's leader does, and the leader credits them afterwards. A draw in between was refused, and that was taken for the ledger's last word. A raised total had the same gap.

Now the part of the configured total that the ledger has not credited counts as money that may still come: a request that it would cover waits up to 1.5 s, then gets BUDGET_UNREACHABLE. One that the whole total would not cover is refused as exhausted at once.

--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -172,6 +172,7 @@
             recipient,
             peers,
             self._clock,
+            policies.configured_total,
             self._reviewer.missing_amount,
             self._reviewer.recheck_surplus,
         )
--- a/cranberrywall/budgets/_interfaces.py
+++ b/cranberrywall/budgets/_interfaces.py
@@ -134,6 +134,10 @@
         """Return the workspace's policy; the default policy if it names none."""
         ...
 
+    def configured_total(self, budget: str) -> int:
+        """Return the total up to which the configuration credits a budget; 0 if it sets none."""
+        ...
+
     def budget_assignments(self) -> Sequence[BudgetAssignment]:
         """Return the budgets of which each host should hold a share before the first request."""
         ...
--- a/cranberrywall/budgets/_refusals.py
+++ b/cranberrywall/budgets/_refusals.py
@@ -13,13 +13,15 @@
 
     ``free`` is ``None`` if the ledger could not be asked. ``unreached`` is held by holders that did
     not answer. Of those that did, ``withheld`` is spendable but was not given, because they search
-    as well, and ``in_use`` is reserved or not yet committed.
+    as well, and ``in_use`` is reserved or not yet committed. ``uncredited`` is what the ledger has
+    not yet credited of the total that the configuration sets.
     """
 
     free: int | None
     unreached: int
     withheld: int = 0
     in_use: int = 0
+    uncredited: int = 0
 
 
 def make_refusal(request: ReserveRequest, found: SearchResult) -> Refusal:
@@ -38,6 +40,13 @@
             "budget",
             "send the request again later",
         )
+    if found.free + found.unreached + found.uncredited >= request.bound:
+        return Refusal(
+            ErrorKind.BUDGET_UNREACHABLE,
+            f"the ledger has not credited {found.uncredited} of the configured total yet",
+            "budget",
+            "send the request again later",
+        )
     return Refusal(
         ErrorKind.BUDGET_EXHAUSTED,
         f"fewer than {request.bound} are left in the budget",
@@ -69,6 +78,7 @@
         unreached=found.unreached,
         withheld=found.withheld,
         in_use=found.in_use,
+        uncredited=found.uncredited,
         credited=view.credited if view else "",
         charged=view.charged if view else "",
         outstanding=view.outstanding if view else "",
--- a/cranberrywall/budgets/_shortfalls.py
+++ b/cranberrywall/budgets/_shortfalls.py
@@ -32,6 +32,9 @@
 # No request is refused because of an unreachable ledger before it was unreachable for this long,
 # in seconds: the ledger may only have changed its leader, which takes about a second.
 LEADER_CHANGE_TIMEOUT_S = 1.5
+# A request waits this long for the credit of a new or raised total, in seconds. The ledger's leader
+# looks for missing credits once a second.
+CREDIT_TIMEOUT_S = 1.5
 # Pauses between rounds that found nothing, in seconds; they grow from the first value to the
 # second. So an exhausted budget under load costs the ledger little, and each refusal is still
 # based on recent figures.
@@ -55,17 +58,22 @@
     recipient: TransferRecipient
     peers: Peers
     clock: Clock
+    configured_total: Callable[[str], int]
     missing_amount: Callable[[Allotment], int]
     on_shortfall: Callable[[Allotment], None]
 
 
 class _Waiter:
-    """Queued request; ``refusal`` is its answer if the search fails."""
+    """Queued request; ``refusal`` is its answer if the search fails.
 
-    __slots__ = ("answer", "refusal", "request")
+    ``queued_at`` is in monotonic seconds.
+    """
+
+    __slots__ = ("answer", "queued_at", "refusal", "request")
 
-    def __init__(self, request: ReserveRequest) -> None:
+    def __init__(self, request: ReserveRequest, queued_at: float) -> None:
         self.request = request
+        self.queued_at = queued_at
         self.answer: asyncio.Future[Reserved] = asyncio.get_running_loop().create_future()
         self.refusal = Refusal(
             ErrorKind.BUDGET_UNREACHABLE, "the search for money did not finish before the deadline"
@@ -92,7 +100,7 @@
 
     async def reserve(self, request: ReserveRequest, now: float) -> Reserved:
         """Wait in the queue until the request is served, refused, or past its deadline."""
-        waiter = _Waiter(request)
+        waiter = _Waiter(request, now)
         self._waiters.append(waiter)
         self._start()
         try:
@@ -161,6 +169,7 @@
     async def _round(self) -> None:
         present = list(self._waiters)
         found = await self._search()
+        found = found._replace(uncredited=self._uncredited())
         self.serve()
         queue, now = self._allotment.queue, self._funding_sources.clock.now()
         if found.free is not None or queue.reach.out_of_reach_s(now) >= LEADER_CHANGE_TIMEOUT_S:
@@ -293,6 +302,12 @@
             await self._funding_sources.steps.draw(self._allotment, missing_amount, 1)
             self.serve()
 
+    def _uncredited(self) -> int:
+        """Return what the ledger had not credited of the configured total at the last contact."""
+        view = self._allotment.view
+        total = self._funding_sources.configured_total(self._allotment.budget)
+        return max(0, total - (view.credited if view is not None else 0))
+
     def shortfall(self) -> int:
         """Return the smallest amount that would serve one more queued request; 0 if none waits."""
         if not self._waiters:
@@ -392,13 +407,19 @@
                 continue
             waiter.refusal = make_refusal(waiter.request, found)
             expected = self._allotment.usable_within(waiter.request.deadline - now) - promised
-            if waiter.request.bound <= expected:
+            if waiter.request.bound <= expected or self._awaits_credit(waiter, found, now):
                 promised += waiter.request.bound
                 continue
             log_refusal(waiter.request, waiter.refusal, found, self._allotment, now)
             waiter.answer.set_result(Err(waiter.refusal))
         self._waiters = [waiter for waiter in self._waiters if not waiter.answer.done()]
 
+    def _awaits_credit(self, waiter: _Waiter, found: SearchResult, now: float) -> bool:
+        """Return whether the missing credit would cover the request and may still come."""
+        if found.free is None or now - waiter.queued_at >= CREDIT_TIMEOUT_S:
+            return False
+        return found.uncredited > 0 and found.free + found.uncredited >= waiter.request.bound
+
 
 def _was_served(waiter: _Waiter) -> bool:
     answer = waiter.answer
--- a/cranberrywall/entry/_configured.py
+++ b/cranberrywall/entry/_configured.py
@@ -86,6 +86,11 @@
             return SpendPolicy()
         return SpendPolicy(policy["held_back"], policy["isolated"])
 
+    def configured_total(self, budget: str) -> int:
+        """Return the total up to which the configuration credits a budget; 0 if it sets none."""
+        settings = self._configuration.document["budgets"].get(budget)
+        return settings.get("total", 0) if settings else 0
+
     def budget_assignments(self) -> Sequence[BudgetAssignment]:
         """Return the budgets of the configuration, or none if it has too many."""
         document = self._configuration.document
--- a/tests/budgets/test_searches.py
+++ b/tests/budgets/test_searches.py
@@ -1,10 +1,12 @@
 """Test how a host finds the last of a budget that many hosts hold parts of."""
 
+import asyncio
 import random
 from collections.abc import Awaitable, Callable
 
-from result import Ok
+from result import Err, Ok
 
+from cranberrywall.budgets import BudgetAssignment
 from cranberrywall.budgets._peer_messages import TakeRequest
 from cranberrywall.budgets.ledger import make_ledger_machine
 from cranberrywall.errors import ErrorKind
@@ -163,3 +165,41 @@
         assert fleet.net.ledger_calls - fleet.net.charge_calls - before < len(HOSTS)
 
     _on_many_hosts(scenario)
+
+
+def test_a_request_waits_for_the_credit_that_its_configuration_sets() -> None:
+    """Guards against the answer that a budget is spent before its total is credited."""
+
+    async def scenario(fleet: MoneyFleet) -> None:
+        fleet.budget_assignments.append(BudgetAssignment("main", "clerks", 1_000))
+        first = asyncio.create_task(reserved(fleet, "h0", "first", 580))
+        await fleet.clock.sleep(0.5)
+        fleet.credit("main", 1_000)
+        await first
+        fleet.budget_assignments[:] = [BudgetAssignment("main", "clerks", 2_000)]
+        raised = asyncio.create_task(reserved(fleet, "h0", "raised", 580))
+        await fleet.clock.sleep(0.5)
+        fleet.credit("main", 1_000)
+        await raised
+
+    _on_many_hosts(scenario)
+
+
+def test_a_request_does_not_wait_long_for_a_credit_that_does_not_come() -> None:
+    """Guards against callers that wait for a credit until their deadline."""
+
+    async def scenario(fleet: MoneyFleet) -> None:
+        fleet.budget_assignments.append(BudgetAssignment("main", "clerks", 1_000))
+        allotments = fleet.host_by_name["h0"].allotments
+        for bound, kind, longest_s in (
+            (1_001, ErrorKind.BUDGET_EXHAUSTED, 0.5),
+            (580, ErrorKind.BUDGET_UNREACHABLE, 2.5),
+        ):
+            now = fleet.clock.now()
+            request = make_request(fleet, f"bound {bound}", bound, max_wait_s=20.0)
+            answer = await allotments.reserve(request, now)
+            assert isinstance(answer, Err)
+            assert answer.err_value.kind is kind
+            assert fleet.clock.now() - now < longest_s
+
+    _on_many_hosts(scenario)
--- a/tests/fakes/money.py
+++ b/tests/fakes/money.py
@@ -230,6 +230,10 @@
         """Return the budgets that the fleet's configuration names."""
         return self._budgets
 
+    def configured_total(self, budget: str) -> int:
+        """Return the total that the fleet's configuration sets."""
+        return sum(one.total for one in self._budgets if one.budget == budget)
+
     def spend_policy(self, workspace: str) -> SpendPolicy:
         """Return the one policy."""
         return self.policy
