Estimate waits from observed request times only

Callers of a host that had just started got 503 ("a free slot is expected in 7.3 s", Retry-After 3 to 5 s) in a burst of 80 requests, all of which could be answered within 0.4 s.

Cause: a request was assumed to take 2 s at a target, and each observation moved that by 2%.

--- a/cranberrywall/routing/_waits.py
+++ b/cranberrywall/routing/_waits.py
@@ -15,6 +15,12 @@
 HOLD_SMOOTHING = 0.02
 """Weight of one observation in the mean time that a request occupies its slot."""
 
+MIN_HOLD_S = 0.001
+"""Minimum of the observed mean of that time, in seconds: rates are divided by it."""
+
+MAX_EQUAL_WEIGHTS = 50
+"""Number of first observations that have equal weights in the observed mean."""
+
 INITIAL_HOLD_S = 2.0
 """Time that a request is assumed to occupy its slot before any was observed, in seconds."""
 
@@ -37,10 +43,15 @@
     The costs of a request, of a block and of a full batch are fitted to a low quantile of the
     observed times. An unforeseen queue makes some observations long. A mean would attribute that
     time to the blocks, so that a cached prefix would seem worth any queue.
+
+    ``hold_s`` is the mean time that a request occupies its slot, beginning with an assumed time.
+    ``observed_hold_s`` is the mean of the observed times alone, once there are any.
     """
 
     def __init__(self) -> None:
         self.hold_s = INITIAL_HOLD_S
+        self.observed_hold_s = INITIAL_HOLD_S
+        self._observations = 0
         self._base_s = 0.03
         self._block_s = 0.004
         self._full_s = 0.03
@@ -66,3 +77,6 @@
     def update_hold(self, seconds: float) -> None:
         """Update the mean time that a request occupies its slot."""
         self.hold_s += HOLD_SMOOTHING * (seconds - self.hold_s)
+        self._observations = min(self._observations + 1, MAX_EQUAL_WEIGHTS)
+        change_s = (seconds - self.observed_hold_s) / self._observations
+        self.observed_hold_s = max(MIN_HOLD_S, self.observed_hold_s + change_s)
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -112,3 +112,17 @@
     await router.acquire(demand(), 0.0)
     answer = await asyncio.wait_for(router.acquire(demand(deadline=2.1), 0.0), 0.05)
     assert answer.unwrap_err().kind is ErrorKind.OVERLOADED
+
+
+async def test_a_burst_at_a_host_that_has_served_few_requests():
+    """Guards against refusals from an assumed time of requests that the first answers refute."""
+    router, _, _ = make(announce("a", capacity=4))
+    slot = (await router.acquire(demand(), 0.0)).unwrap()
+    slot.finish(ANSWERED, 0.05)
+    burst = [asyncio.create_task(router.acquire(demand(deadline=9.0), 0.05)) for _ in range(80)]
+    await settle()
+    refused = [one for one in burst if one.done() and one.result().is_err()]
+    for waiting in burst:
+        waiting.cancel()
+    await settle()
+    assert refused == []
