--- a/cranberrywall/routing/_dispatcher.py
+++ b/cranberrywall/routing/_dispatcher.py
@@ -301,8 +301,8 @@
 
     def _slots_per_s(self) -> float:
         # By Little's law, slots become free at the rate of requests in flight divided by their mean
-        # time in flight. If none is in flight, a slot is free or about to be. The assumed time is
-        # far too long for most services, and would refuse callers although there are free slots.
+        # time in flight. If none is in flight, a slot is free or about to be. The time that
+        # is assumed at first is too long for most services: it would refuse callers without need.
         in_flight = max(self.pool.in_flight(), len(self.pool.candidates))
         return in_flight / self.pool.waits.observed_hold_s
 
--- a/tests/commands/test_shutdown.py
+++ b/tests/commands/test_shutdown.py
@@ -16,6 +16,8 @@
     read_deployment,
     write_fleet,
 )
+from cranberrywall.errors import ErrorKind
+from cranberrywall.tunnels.messages import OPEN_TUNNEL, OpenTunnel
 
 NET = 8
 STOP_S = 15.0
@@ -70,6 +72,28 @@
         await fleet.stop()
 
 
+async def test_a_draining_host_opens_no_connection_for_neighbours(tmp_path: Path) -> None:
+    """Guards against connections that a stopping host opens for others and then cuts."""
+    deployment = read_deployment(SAVINGS_BOARD)
+    files = write_fleet(tmp_path / "fleet", deployment, FleetSize(1, 2, 0), NET)
+    fleet = DemoFleet(deployment, files)
+    await fleet.start()
+    try:
+        neighbour, stopping = fleet.programs_by_role["entry"]
+        assert isinstance(neighbour, EntryProgram) and isinstance(stopping, EntryProgram)
+        address = files.of_role("entry")[1].listen["links"]
+        call = OpenTunnel("unknown", 1, "id-1", 0.1)
+        before = await neighbour._caller.call(address, OPEN_TUNNEL, call, STOP_S)
+        assert before.unwrap_err().kind is ErrorKind.NOT_FOUND
+        draining = asyncio.ensure_future(stopping.drain())
+        await asyncio.sleep(0.1)
+        after = await neighbour._caller.call(address, OPEN_TUNNEL, call, STOP_S)
+        assert after.unwrap_err().kind is ErrorKind.UNREACHABLE
+        draining.cancel()
+    finally:
+        await fleet.stop()
+
+
 async def post(url: str, planned) -> None:
     headers = {
         "Authorization": f"Bearer {planned.key}",
