--- a/tests/platform/test_kept_connections.py
+++ b/tests/platform/test_kept_connections.py
@@ -86,8 +86,8 @@
     await front.listen()
     if answer is not None:
         # The stubs have only what a request uses.
-        front._forwarder = StubForwarder(answer)  # type: ignore[assignment]
-        front._parts = StubContext()  # type: ignore[assignment]
+        front._forwarder = StubForwarder(answer)  # type: ignore[assignment]  # a stub
+        front._parts = StubContext()  # type: ignore[assignment]  # a stub
     try:
         yield front, boot
     finally:
--- a/tests/routing/test_evacuations.py
+++ b/tests/routing/test_evacuations.py
@@ -34,6 +34,7 @@
             "at": 0.0,
             "revision": self.revision,
         }
+        # The orders here have only some of the fields.
         self.document = {**document, "evacuations": orders}  # type: ignore[typeddict-item]
 
 
