Let the target that gets most requests leave in the tests of leaving targets

Cause: the tests took the first target, and assumed that it is used. At 25 requests a second all targets are idle, and a host prefers those that it has observed to answer fast. No caller waits for it: all requests were answered.

Now the target leaves that got most of 30 requests.

--- a/tests/platform/test_requested_backoff.py
+++ b/tests/platform/test_requested_backoff.py
@@ -25,6 +25,7 @@
 ASKED_EVERY_S = 0.04
 ASKED_FOR_S = 8.0
 SHORT_WHILE_S = 3.0
+REQUESTS_TO_RANK_WORKERS = 30
 NO_ANSWER = Answer(0, {}, b"", False)
 
 
@@ -86,6 +87,13 @@
     return most
 
 
+async def most_used(platform: Platform, workers: Sequence[Worker]) -> Worker:
+    """Return the worker that gets most requests; at a low load others may get none."""
+    for number in range(REQUESTS_TO_RANK_WORKERS):
+        await platform.ask(platform.fronts[number % len(platform.fronts)], "/checks/1")
+    return max(workers, key=lambda worker: len(worker.arrivals))
+
+
 def assert_no_new_requests(leaving: Worker) -> None:
     """Fail if a request reached a target after all hosts must know that it leaves."""
     said_at = min(one.at for one in leaving.arrivals if one.has_said_leaving)
@@ -129,7 +137,7 @@
     platform = Platform(tmp_path, fronts=3)
     try:
         workers = await start_ledgers(platform, 3)
-        leaving = workers[0]
+        leaving = await most_used(platform, workers)
         leaving.says_leaving = True
         asked = await ask_for_a_while(platform, ASKED_FOR_S, "/checks/1")
         assert {one.answer.status for one in asked} == {200}
@@ -147,7 +155,7 @@
         workers = await start_ledgers(platform, 3)
         for core in platform.cores:
             await platform.kill(core)
-        leaving = workers[0]
+        leaving = await most_used(platform, workers)
         leaving.says_leaving = True
         asked = await ask_for_a_while(platform, SHORT_WHILE_S, "/checks/1")
         assert {one.answer.status for one in asked} == {200}
