One base for the fleets of real routers in measurements

_brittle_fleet repeated hosts, traffic and upkeep of _backoff_fleet, and three modules had the same configuration. They are in _router_fleet now.

--- a/measurements/_backoff_fleet.py
+++ b/measurements/_backoff_fleet.py
@@ -7,34 +7,16 @@
 import asyncio
 import bisect
 from collections import defaultdict
-from random import Random
-from typing import Any, NamedTuple, cast
+from typing import NamedTuple
 
-from result import Err
+from cranberrywall.routing import Outcome, OutcomeKind, Slot
+from cranberrywall.targets import Announcement, DecimalField
+from measurements._router_fleet import ATTEMPTS, KIND, LINK_S, SERVICE, RouterFleet, Traffic
 
-from cranberrywall.configuration import Document
-from cranberrywall.rates import make_standalone_rates
-from cranberrywall.routing import (
-    Demand,
-    Outcome,
-    OutcomeKind,
-    RetryLimits,
-    Slot,
-    TargetRouter,
-    make_router,
-)
-from cranberrywall.targets import Announcement, Backoffs, DecimalField, make_targets
-from measurements._virtual_time import VirtualClock
-
-KIND, SERVICE = "service", "ledger"
 ON_ITS_WAY_S = 0.1
 """What reaches a target so long after its 503 was on its way, in seconds."""
 
-LINK_S = (0.001, 0.004)
-ATTEMPTS = 2
 LATE_REFUSAL_S = 0.05
-EXPIRE_S = 1.0
-RETRIES = RetryLimits(share=0.2, max_saved=30.0, min_hosts=1)
 
 
 class BackoffSchedule(NamedTuple):
@@ -94,17 +76,6 @@
         return self.turned_away / max(1, self.arrived)
 
 
-class _Configuration:
-    revision = 1
-    document = cast(Document, {"workspaces": {}, "places": {}, "priorities": {}})
-
-    def workspace_by_key(self, key: str) -> None:
-        return None
-
-    def ledger_group(self, budget: str) -> str:
-        return "ledger-0"
-
-
 class _Target:
     def __init__(self, number: int, schedule: BackoffSchedule) -> None:
         self._number = number
@@ -142,85 +113,39 @@
         )
 
 
-class BackoffFleet:
-    """Hold hosts, targets and callers of one schedule."""
+class BackoffFleet(RouterFleet):
+    """Hosts, targets and callers of one schedule."""
 
     def __init__(self, schedule: BackoffSchedule) -> None:
         self.schedule = schedule
-        self.random = Random(schedule.seed)
         self.targets = [_Target(number, schedule) for number in range(schedule.targets)]
-        self._target_by_id = {one.announcement().target: one for one in self.targets}
-        self._backoffs: list[Backoffs] = []
-        self.routers = [self._make_router(number) for number in range(schedule.hosts)]
-        self.asked = self.served = self.refused = self.unanswered = self.late_refusals = 0
-        self._tasks: set[asyncio.Task[Any]] = set()
+        announcements = [target.announcement() for target in self.targets]
+        self._target_by_id = {target.announcement().target: target for target in self.targets}
+        super().__init__(schedule.seed, schedule.hosts, announcements)
+        self.served = self.refused = self.unanswered = self.late_refusals = 0
 
     async def play(self) -> BackoffOutcome:
         """Play the schedule to its end."""
-        loop = asyncio.get_running_loop()
-        expiry = loop.create_task(self._expire())
-        await self._ask()
-        await asyncio.sleep(self.schedule.deadline_s + 1.0)
-        expiry.cancel()
-        return self._outcome()
-
-    def _make_router(self, host: int) -> TargetRouter:
-        clock = VirtualClock()
-        targets = make_targets()
-        backoffs = Backoffs(clock, self.random)
-        self._backoffs.append(backoffs)
-        for target in self.targets:
-            targets.apply(target.announcement(), clock.now())
-        return make_router(
-            targets,
-            _Configuration(),
-            clock,
-            self.random,
-            f"entry-{host}",
-            "p",
-            lambda: self.schedule.hosts,
-            retry_limits=RETRIES,
-            rates=make_standalone_rates(targets, clock, self.random),
-            backoffs=backoffs,
-        )
-
-    async def _expire(self) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            await asyncio.sleep(EXPIRE_S)
-            for backoffs in self._backoffs:
-                backoffs.expire(loop.time())
-
-    async def _ask(self) -> None:
-        loop = asyncio.get_running_loop()
         schedule = self.schedule
         per_s = schedule.load * schedule.targets * schedule.places / schedule.work_s
-        until = loop.time() + schedule.seconds
-        while loop.time() < until:
-            if schedule.bursts:
-                await asyncio.sleep(1.0)
-                hosts = [number % schedule.hosts for number in range(round(per_s))]
-            else:
-                await asyncio.sleep(self.random.expovariate(per_s))
-                hosts = [self.random.randrange(schedule.hosts)]
-            for host in hosts:
-                task = loop.create_task(self._call(host))
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
+        await self.play_traffic(
+            Traffic(per_s, schedule.seconds, schedule.deadline_s, schedule.bursts)
+        )
+        return self._outcome()
+
+    def burst(self, count: int) -> list[int]:
+        """Return the hosts of the requests of one burst, as many for each host."""
+        return [number % self.schedule.hosts for number in range(count)]
 
-    async def _call(self, host: int) -> None:
+    async def call(self, host: int, deadline: float) -> None:
+        """Send one request to a host."""
         loop = asyncio.get_running_loop()
-        self.asked += 1
-        arrived_at = known_at = loop.time()
-        deadline = arrived_at + self.schedule.deadline_s
+        known_at = loop.time()
         tried: set[str] = set()
-        for attempt in range(ATTEMPTS):
-            demand = Demand("", KIND, SERVICE, "", "", 0, deadline, 1, caller="w")
-            demand = demand._replace(exclude=frozenset(tried), retry=attempt > 0)
-            acquired = await self.routers[host].acquire(demand, loop.time())
-            if isinstance(acquired, Err):
+        for _ in range(ATTEMPTS):
+            slot = await self.acquire(host, 0, frozenset(tried), deadline)
+            if slot is None:
                 break
-            slot = acquired.ok_value
             tried.add(slot.target_id)
             if await self._attempt(host, slot):
                 self.served += loop.time() <= deadline
--- a/measurements/_brittle_fleet.py
+++ b/measurements/_brittle_fleet.py
@@ -7,34 +7,18 @@
 from collections import deque
 from collections.abc import Callable
 from random import Random
-from typing import Any, NamedTuple, cast
-
-from result import Err
-
-from cranberrywall.configuration import Document
-from cranberrywall.rates import make_standalone_rates
-from cranberrywall.routing import (
-    Demand,
-    Outcome,
-    OutcomeKind,
-    RejectionSpread,
-    RetryLimits,
-    Slot,
-    TargetRouter,
-    make_router,
-)
-from cranberrywall.targets import Announcement, Backoffs, DecimalField, make_targets
+from typing import Any, NamedTuple
+
+from cranberrywall.routing import Outcome, OutcomeKind, RejectionSpread, Slot
+from cranberrywall.targets import Announcement, DecimalField
+from measurements._router_fleet import ATTEMPTS, KIND, LINK_S, SERVICE, RouterFleet, Traffic
 from measurements._virtual_time import VirtualClock
 
-KIND, SERVICE = "service", "ledger"
-LINK_S = (0.001, 0.004)
 SPREAD_S = (0.005, 0.06)
 """Time until another host receives a rejection, in seconds."""
 
-ATTEMPTS = 2
 DOWN_S = 4.0
 FIRST_RANK_SHARE = 0.2
-EXPIRE_S = 1.0
 
 
 class BrittleSchedule(NamedTuple):
@@ -77,17 +61,6 @@
         return self.served / max(1, self.asked)
 
 
-class _Configuration:
-    revision = 1
-    document = cast(Document, {"workspaces": {}, "places": {}, "priorities": {}})
-
-    def workspace_by_key(self, key: str) -> None:
-        return None
-
-    def ledger_group(self, budget: str) -> str:
-        return "ledger-0"
-
-
 class _Target:
     def __init__(self, number: int, schedule: BrittleSchedule) -> None:
         self._number = number
@@ -157,28 +130,25 @@
         return []
 
 
-class BrittleFleet:
+class BrittleFleet(RouterFleet):
     """Hosts, targets and callers of one schedule."""
 
     def __init__(self, schedule: BrittleSchedule) -> None:
         self.schedule = schedule
-        self.random = Random(schedule.seed)
         self.targets = [_Target(number, schedule) for number in range(schedule.targets)]
+        announcements = [target.announcement() for target in self.targets]
         self._target_by_id = {target.announcement().target: target for target in self.targets}
-        self._spread = _Spread(self.random)
-        self._known = [make_targets() for _ in range(schedule.hosts)]
-        self._backoffs: list[Backoffs] = []
-        self.routers = [self._make_router(number) for number in range(schedule.hosts)]
-        self.asked = self.served = 0
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._spread: Any = None
+        super().__init__(schedule.seed, schedule.hosts, announcements)
+        self.served = 0
 
     async def play(self) -> BrittleOutcome:
         """Play the schedule to its end."""
-        loop = asyncio.get_running_loop()
-        background = loop.create_task(self._maintain())
-        await self._ask()
-        await asyncio.sleep(self.schedule.deadline_s + 1.0)
-        background.cancel()
+        schedule = self.schedule
+        per_s = schedule.load * schedule.targets * schedule.slots / schedule.work_s
+        await self.play_traffic(
+            Traffic(per_s, schedule.seconds, schedule.deadline_s, schedule.has_bursts)
+        )
         return BrittleOutcome(
             sum(target.falls for target in self.targets),
             2 + 0.1 * len(self.targets),
@@ -187,71 +157,31 @@
             sum(target.rejected for target in self.targets),
         )
 
-    def _make_router(self, host: int) -> TargetRouter:
-        clock = VirtualClock()
-        targets = self._known[host]
-        backoffs = Backoffs(clock, self.random)
-        self._backoffs.append(backoffs)
-        for target in self.targets:
-            targets.apply(target.announcement(), clock.now())
-        spread: Any = self._spread
-        return make_router(
-            targets,
-            _Configuration(),
-            clock,
-            self.random,
-            f"entry-{host}",
-            "p",
-            lambda: self.schedule.hosts,
-            retry_limits=RetryLimits(share=0.2, max_saved=30.0, min_hosts=1),
-            rates=make_standalone_rates(targets, clock, self.random),
-            backoffs=backoffs,
-            rejections=RejectionSpread(f"entry-{host}", spread, clock),
-        )
-
-    async def _maintain(self) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            await asyncio.sleep(EXPIRE_S)
-            for targets, backoffs in zip(self._known, self._backoffs, strict=True):
-                backoffs.expire(loop.time())
-                for target in self.targets:
-                    if loop.time() >= target.down_until:
-                        targets.apply(target.announcement(), loop.time())
-
-    async def _ask(self) -> None:
-        loop = asyncio.get_running_loop()
-        schedule = self.schedule
-        per_s = schedule.load * schedule.targets * schedule.slots / schedule.work_s
-        until = loop.time() + schedule.seconds
-        while loop.time() < until:
-            if schedule.has_bursts:
-                await asyncio.sleep(1.0)
-                count = round(per_s)
-            else:
-                await asyncio.sleep(self.random.expovariate(per_s))
-                count = 1
-            for _ in range(count):
-                task = loop.create_task(self._call(self.random.randrange(schedule.hosts)))
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
-
-    async def _call(self, host: int) -> None:
-        loop = asyncio.get_running_loop()
-        self.asked += 1
-        deadline = loop.time() + self.schedule.deadline_s
+    def make_rejections(self, host: str, clock: VirtualClock) -> RejectionSpread:
+        """Return a host's exchange of rejections with the others."""
+        if self._spread is None:
+            self._spread = _Spread(self.random)
+        return RejectionSpread(host, self._spread, clock)
+
+    def maintain(self, now: float) -> None:
+        """Let the hosts forget what is over, and know the targets that are back."""
+        for host in self.hosts:
+            host.backoffs.expire(now)
+            for target in self.targets:
+                if now >= target.down_until:
+                    host.targets.apply(target.announcement(), now)
+
+    async def call(self, host: int, deadline: float) -> None:
+        """Send one request to a host."""
         rank = 0 if self.random.random() < FIRST_RANK_SHARE else 1
         tried: set[str] = set()
-        for attempt in range(ATTEMPTS):
-            demand = Demand("", KIND, SERVICE, "", "", rank, deadline, 1, caller="w")
-            demand = demand._replace(exclude=frozenset(tried), retry=attempt > 0)
-            acquired = await self.routers[host].acquire(demand, loop.time())
-            if isinstance(acquired, Err):
+        for _ in range(ATTEMPTS):
+            slot = await self.acquire(host, rank, frozenset(tried), deadline)
+            if slot is None:
                 return
-            slot = acquired.ok_value
             tried.add(slot.target_id)
             if await self._attempt(slot):
-                self.served += loop.time() <= deadline
+                self.served += asyncio.get_running_loop().time() <= deadline
                 return
 
     async def _attempt(self, slot: Slot) -> bool:
--- a/measurements/_rate_fleet.py
+++ b/measurements/_rate_fleet.py
@@ -13,16 +13,16 @@
 import msgspec
 from result import Err, Ok, Result
 
-from cranberrywall.configuration import ColdStart, Document
+from cranberrywall.configuration import ColdStart
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.hosts import HostState, HostView, Item
 from cranberrywall.links import Method, Peer
 from cranberrywall.rates import RateNotice, TargetRates, make_rates
 from cranberrywall.routing import Demand, Outcome, OutcomeKind, TargetRouter, make_router
 from cranberrywall.targets import Announcement, Targets, make_targets
+from measurements._router_fleet import EXPIRE_S, KIND, LINK_S, SERVICE, FleetConfiguration
 from measurements._virtual_time import VirtualClock
 
-KIND, SERVICE = "service", "ledger"
 WINDOW_S = 4.0
 USE_WINDOW_S = 20.0
 FULL_SHARE = 0.9
@@ -30,11 +30,9 @@
 """Hosts have heard of a rate so long after the first one did, in seconds."""
 
 BURST_SENDER = "w-0"
-LINK_S = (0.001, 0.004)
 SUSPECTED_S = (0.8, 1.6)
 DEAD_AFTER_S = 2.0
 BACK_S = 0.3
-EXPIRE_S = 1.0
 
 
 class Fault(NamedTuple):
@@ -256,25 +254,6 @@
             self.targets.apply(target.announcement, clock.now())
 
 
-class FleetConfiguration:
-    """Configuration of a fleet with one service; its targets may have a ``cold_start``."""
-
-    revision = 1
-
-    def __init__(self, cold_start: ColdStart | None = None) -> None:
-        service = {} if cold_start is None else {"cold_start": cold_start}
-        self.document = cast(
-            Document,
-            {"workspaces": {}, "places": {}, "priorities": {}, "services": {SERVICE: service}},
-        )
-
-    def workspace_by_key(self, key: str) -> None:
-        return None
-
-    def ledger_group(self, budget: str) -> str:
-        return "ledger-0"
-
-
 class _Target:
     def __init__(self, number: int) -> None:
         name = f"t-{number}"
