--- a/tests/budgets/test_declared_rates.py
+++ b/tests/budgets/test_declared_rates.py
@@ -1,7 +1,8 @@
 """Declared rates of spending bound what hosts spend without a report, and what the ledger frees."""
 
 import random
-from collections.abc import Sequence
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
 from typing import Any
 
 import pytest
@@ -125,6 +126,7 @@
 DOWN_S = 1.4
 SERVED_AFTER_S = 6.0
 RECONNECTED_S = 2.0
+SETTLED_S = 3.0
 NEARLY_SPENT_S = 58.0
 
 
@@ -159,15 +161,17 @@
         return True
 
 
-async def lose_all(fleet: MoneyFleet) -> None:
-    """Let all hosts lose their power, and start them again."""
-    for host in fleet.host_by_name.values():
+async def lose_power(fleet: MoneyFleet, names: Sequence[str] = tuple(HOSTS)) -> None:
+    """Let hosts lose their power as the partition ends, and start them again."""
+    hosts = [fleet.host_by_name[name] for name in names]
+    for host in hosts:
         await host.kill()
         host.lose_power()
     fleet.net.heal()
     await fleet.clock.sleep(DOWN_S)
-    for host in fleet.host_by_name.values():
+    for host in hosts:
         await host.start()
+    await fleet.clock.sleep(SETTLED_S)
 
 
 def make_fleet() -> MoneyFleet:
@@ -176,8 +180,19 @@
     )
 
 
-def sides(cut_hosts: Sequence[str]) -> dict[str, int]:
-    return dict.fromkeys(cut_hosts, 1)
+@asynccontextmanager
+async def credited_fleet() -> AsyncIterator[tuple[MoneyFleet, Callers]]:
+    """Run a fleet whose one budget has a credit, and its callers."""
+    fleet = make_fleet()
+    await fleet.start()
+    fleet.credit("main", CREDIT)
+    yield fleet, Callers(fleet)
+    await fleet.stop()
+
+
+def cut(fleet: MoneyFleet, names: Sequence[str] = tuple(HOSTS)) -> None:
+    """Isolate hosts from the ledger."""
+    fleet.net.cut(dict.fromkeys(names, 1))
 
 
 @pytest.mark.parametrize("cut_s", [2.0, CUT_S])
@@ -190,19 +205,14 @@
     """
 
     async def main() -> None:
-        fleet = make_fleet()
-        await fleet.start()
-        fleet.credit("main", CREDIT)
-        callers = Callers(fleet)
-        await callers.send(BUSY_S)
-        fleet.net.cut(sides(list(HOSTS)))
-        in_cut = await callers.send(cut_s)
-        await lose_all(fleet)
-        await fleet.clock.sleep(3.0)
-        after = await callers.send(SERVED_AFTER_S)
-        assert in_cut[1] >= 0.9 * in_cut[0]
-        assert after[1] >= 0.9 * after[0]
-        await fleet.stop()
+        async with credited_fleet() as (fleet, callers):
+            await callers.send(BUSY_S)
+            cut(fleet)
+            in_cut = await callers.send(cut_s)
+            await lose_power(fleet)
+            after = await callers.send(SERVED_AFTER_S)
+            assert in_cut[1] >= 0.9 * in_cut[0]
+            assert after[1] >= 0.9 * after[0]
 
     run_virtual(main())
 
@@ -211,22 +221,17 @@
     """The ledger has all that was spent in the partition when all hosts lose their power."""
 
     async def main() -> None:
-        fleet = make_fleet()
-        await fleet.start()
-        fleet.credit("main", CREDIT)
-        callers = Callers(fleet)
-        await callers.send(BUSY_S)
-        fleet.net.cut(sides(list(HOSTS)))
-        await callers.send(CUT_S)
-        fleet.net.heal()
-        await callers.send(RECONNECTED_S)
-        await lose_all(fleet)
-        await fleet.clock.sleep(3.0)
-        sums = fleet.sums("main")
-        assert sums.outstanding <= 0.25 * (sums.credited - sums.charged)
-        after = await callers.send(SERVED_AFTER_S)
-        assert after[1] >= 0.9 * after[0]
-        await fleet.stop()
+        async with credited_fleet() as (fleet, callers):
+            await callers.send(BUSY_S)
+            cut(fleet)
+            await callers.send(CUT_S)
+            fleet.net.heal()
+            await callers.send(RECONNECTED_S)
+            await lose_power(fleet)
+            sums = fleet.sums("main")
+            assert sums.outstanding <= 0.25 * (sums.credited - sums.charged)
+            after = await callers.send(SERVED_AFTER_S)
+            assert after[1] >= 0.9 * after[0]
 
     run_virtual(main())
 
@@ -235,18 +240,13 @@
     """What may have been spent in the partition stays withheld, though it is all that is left."""
 
     async def main() -> None:
-        fleet = make_fleet()
-        await fleet.start()
-        fleet.credit("main", CREDIT)
-        callers = Callers(fleet)
-        served = (await callers.send(NEARLY_SPENT_S))[1]
-        fleet.net.cut(sides(list(HOSTS)))
-        served += (await callers.send(CUT_S))[1]
-        await lose_all(fleet)
-        await fleet.clock.sleep(3.0)
-        served += (await callers.send(NEARLY_SPENT_S))[1]
-        assert served * REQUEST_COST <= CREDIT
-        await fleet.stop()
+        async with credited_fleet() as (fleet, callers):
+            served = (await callers.send(NEARLY_SPENT_S))[1]
+            cut(fleet)
+            served += (await callers.send(CUT_S))[1]
+            await lose_power(fleet)
+            served += (await callers.send(NEARLY_SPENT_S))[1]
+            assert served * REQUEST_COST <= CREDIT
 
     run_virtual(main())
 
@@ -255,25 +255,14 @@
     """Half of the hosts are isolated and then lose their power, while the others serve."""
 
     async def main() -> None:
-        fleet = make_fleet()
-        await fleet.start()
-        fleet.credit("main", CREDIT)
-        callers = Callers(fleet)
-        await callers.send(BUSY_S)
-        lost = list(HOSTS)[:3]
-        fleet.net.cut(sides(lost))
-        await callers.send(CUT_S)
-        for name in lost:
-            await fleet.host_by_name[name].kill()
-            fleet.host_by_name[name].lose_power()
-        fleet.net.heal()
-        await fleet.clock.sleep(DOWN_S)
-        for name in lost:
-            await fleet.host_by_name[name].start()
-        await fleet.clock.sleep(3.0)
-        after = await callers.send(SERVED_AFTER_S)
-        assert after[1] >= 0.9 * after[0]
-        await fleet.stop()
+        async with credited_fleet() as (fleet, callers):
+            await callers.send(BUSY_S)
+            lost = list(HOSTS)[:3]
+            cut(fleet, lost)
+            await callers.send(CUT_S)
+            await lose_power(fleet, lost)
+            after = await callers.send(SERVED_AFTER_S)
+            assert after[1] >= 0.9 * after[0]
 
     run_virtual(main())
 
