--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -1,6 +1,7 @@
 """Assemble the entry program: configuration, money, targets, callers, operators' HTTP."""
 
 import asyncio
+import time
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -18,7 +19,13 @@
 from cranberrywall.commands._shutdown_log import ShutdownLog
 from cranberrywall.configuration import evacuated_places, make_host_configuration
 from cranberrywall.control import make_control_client
-from cranberrywall.entry import ConfiguredPolicies, Frontend, FrontendContext, StallDetector
+from cranberrywall.entry import (
+    ConfiguredPolicies,
+    Frontend,
+    FrontendContext,
+    LoadMeter,
+    StallDetector,
+)
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.hosts import register_drain, register_dump
 from cranberrywall.observability import (
@@ -159,6 +166,8 @@
             "Places whose targets get no requests because of an operator's order.",
             lambda: len(evacuated_places(self._configuration.document)),
         )
+        self._load_meter = LoadMeter(runtime.clock, time.process_time, lambda: self._front.running)
+        self._load_meter.export(self._metrics)
         self.state = StateRegistry()
         self._health = HealthChecks()
         self._admin = self._make_admin(keys)
@@ -337,6 +346,7 @@
         await self._front.serve(parts)
         self._tasks.append(asyncio.create_task(standstill.run()))
         self._is_serving = True
+        self._tasks.append(asyncio.create_task(self._load_meter.run()))
         self._tasks.append(asyncio.create_task(self._report_load()))
 
     async def _catch_up(self) -> None:
--- a/cranberrywall/entry/__init__.py
+++ b/cranberrywall/entry/__init__.py
@@ -8,6 +8,7 @@
 )
 from cranberrywall.entry._discovered import DiscoveredHosts
 from cranberrywall.entry._frontend import Frontend, FrontendContext
+from cranberrywall.entry._load_meter import LoadMeter
 from cranberrywall.entry._revisions import LivePeers, gossip_revisions
 from cranberrywall.entry._stall_detector import StallDetector
 
@@ -18,6 +19,7 @@
     "Frontend",
     "FrontendContext",
     "LivePeers",
+    "LoadMeter",
     "StallDetector",
     "close_idle_connections",
     "gossip_revisions",
