--- a/tests/fakes/money.py
+++ b/tests/fakes/money.py
@@ -51,7 +51,8 @@
     Where it ``applies_late``, calls are delivered also after their callers have given up, and the
     ledger answers none while it ``is_frozen``.
     ``lose_reply`` and ``lose_request`` are asked with the caller, the node called and the
-    request. Each way of a call takes ``delay_s`` and what ``extra_delay_s`` returns, in seconds.
+    request. Each way of a call takes ``delay_s``, what ``extra_delay_s`` returns, and what
+    ``queue_s_by_node`` has for the queues at the links of both nodes, in seconds.
     """
 
     def __init__(self, machine: StateMachine, clock: Clock, delay_s: float = 0.0015) -> None:
@@ -63,6 +64,7 @@
         self.lose_request: Callable[[str, str, Any], bool] = lambda *_: False
         self.lose_reply: Callable[[str, str, Any], bool] = lambda *_: False
         self.extra_delay_s: Callable[[], float] = lambda: 0.0
+        self.queue_s_by_node: dict[str, float] = {}
         self.applies_late = False
         self.is_frozen = False
         self.has_features = True
@@ -96,25 +98,30 @@
         if self.applies_late:
             return await self._call_late(source, sink, request, timeout, answer)
         started_at = self.clock.now()
-        await self.clock.sleep(self.delay_s + self.extra_delay_s())
+        await self._travel(source, sink)
         if not self.reaches(source, sink) or self.lose_request(source, sink, request):
             return await self._timed_out(started_at, timeout)
         reply: Any = answer()
         if asyncio.iscoroutine(reply):
             reply = await reply
-        await self.clock.sleep(self.delay_s + self.extra_delay_s())
-        if not self.reaches(source, sink) or self.lose_reply(source, sink, request):
+        await self._travel(source, sink)
+        is_late = self.clock.now() > started_at + timeout
+        if is_late or not self.reaches(source, sink) or self.lose_reply(source, sink, request):
             return await self._timed_out(started_at, timeout)
         result: Result[Any, Refusal] = reply
         return result
 
+    async def _travel(self, source: str, sink: str) -> None:
+        queue_s = self.queue_s_by_node.get(source, 0.0) + self.queue_s_by_node.get(sink, 0.0)
+        await self.clock.sleep(self.delay_s + self.extra_delay_s() + queue_s)
+
     async def _call_late(
         self, source: str, sink: str, request: Any, timeout: float, answer: Callable[[], Any]
     ) -> Result[Any, Refusal]:
         """Answer in time, or deliver the call all the same once its caller has given up."""
 
         async def deliver() -> Any:
-            await self.clock.sleep(self.delay_s + self.extra_delay_s())
+            await self._travel(source, sink)
             while sink == LEDGER and self.is_frozen:
                 await self.clock.sleep(FROZEN_POLL_S)
             if not self.reaches(source, sink) or self.lose_request(source, sink, request):
@@ -122,7 +129,7 @@
             reply: Any = answer()
             if asyncio.iscoroutine(reply):
                 reply = await reply
-            await self.clock.sleep(self.delay_s + self.extra_delay_s())
+            await self._travel(source, sink)
             is_lost = not self.reaches(source, sink) or self.lose_reply(source, sink, request)
             return None if is_lost else reply
 
