Adapt the time limit of commits to the ledger's answer times

An entry host without a disk took the ledger for lost after 0.25 s, however long its answers took just before.

The limit now follows the answers as a retransmission timeout does (RFC 6298), between 0.25 and 1 s.

--- a/cranberrywall/budgets/_charges.py
+++ b/cranberrywall/budgets/_charges.py
@@ -3,10 +3,12 @@
 import asyncio
 from collections import deque
 from collections.abc import Awaitable, Callable, Mapping, Sequence
+from functools import partial
 from typing import Any
 
 from result import Err, Ok, Result
 
+from cranberrywall.budgets._answer_times import AnswerTimes
 from cranberrywall.budgets._charge_replication import ChargeReplicator, Kept, out_of_reach
 from cranberrywall.budgets._client import LedgerClient
 from cranberrywall.budgets._corrections import CorrectionQueue
@@ -38,7 +40,7 @@
 COMMIT_TIMEOUT_S = 1.0
 # A commit takes some milliseconds. If charges can be replicated to peers only, requests wait for
 # their charges before they are sent: the ledger then counts as out of reach after this time, in
-# seconds.
+# seconds, or later if its answers take longer than usual.
 QUICK_COMMIT_TIMEOUT_S = 0.25
 # Charges that may not be replicated yet are checked at this interval, in seconds, because their
 # bounds rise with time.
@@ -70,7 +72,8 @@
 
         Such copies may be lost together with the host; a journal outlives the process.
         """
-        self._commit_timeout_s = QUICK_COMMIT_TIMEOUT_S if is_bounded else COMMIT_TIMEOUT_S
+        min_timeout_s = QUICK_COMMIT_TIMEOUT_S if is_bounded else COMMIT_TIMEOUT_S
+        self._answer_times = AnswerTimes(min_timeout_s, COMMIT_TIMEOUT_S)
         self.reach = LedgerReach(group, replicator, clock, is_bounded)
         self._open_charges = CorrectionQueue()
         self.group = group
@@ -86,7 +89,7 @@
         self._in_flight: list[PendingCharge] = []
         self._is_sending_kept = False
         self._kept: deque[PendingCharge] = deque()
-        self._transfers = TransferReports(group, ledger, replicator, clock, self._commit_timeout_s)
+        self._transfers = TransferReports(group, ledger, replicator, clock, self._answer_times)
         self._to_commit = asyncio.Event()
         self._to_persist = asyncio.Event()
         self._idle = asyncio.Event()
@@ -121,6 +124,7 @@
             "holder": self.holder,
             "in_reach": self.in_reach,
             "durable": self.durable,
+            "answer_limit_s": self._answer_times.limit_s,
             "waiting": len(self._waiting) + len(self._in_flight),
             "kept": len(self._kept),
             "keepers": self.reach.replica_holders(),
@@ -258,7 +262,9 @@
     ) -> Result[Any, Refusal]:
         contact = self.contact()
         command = Corrections(holder, corrections, self._clock.wall(), contact)
-        answer = await self._ledger.correct(self.group, command, self._commit_timeout_s)
+        answer = await self._answer_times.call(
+            partial(self._ledger.correct, self.group, command), self._clock
+        )
         if isinstance(answer, Ok):
             self.reach.record_answer(contact)
         return answer
@@ -290,7 +296,7 @@
 
     async def supports_declared_rates(self) -> bool:
         """Return whether all members of the ledger group store declared rates."""
-        return await self._ledger.supports_declared_rates(self.group, self._commit_timeout_s)
+        return await self._ledger.supports_declared_rates(self.group, self._answer_times.limit_s)
 
     async def declare_rates(self, rate_by_budget: Mapping[str, int]) -> Result[Any, Refusal]:
         """Declare maximum rates of unreported spend; they are observed from now on."""
@@ -298,7 +304,9 @@
         rates = tuple(sorted(rate_by_budget.items()))
         declared.record_sent(rate_by_budget)
         command = DeclareSpendRates(self.holder, rates, contact)
-        answer = await self._ledger.declare_rates(self.group, command, self._commit_timeout_s)
+        answer = await self._answer_times.call(
+            partial(self._ledger.declare_rates, self.group, command), self._clock
+        )
         if isinstance(answer, Ok):
             self.reach.record_answer(contact)
             declared.record_answer(rate_by_budget)
@@ -372,8 +380,9 @@
     async def _commit_or_ask(self, batch: Sequence[PendingCharge]) -> Result[Any, Refusal]:
         if batch:
             return await self._commit(batch)
-        return await self._ledger.recalls(
-            self.group, RecallsQuery(self.holder), self._commit_timeout_s
+        query = RecallsQuery(self.holder)
+        return await self._answer_times.call(
+            partial(self._ledger.recalls, self.group, query), self._clock
         )
 
     async def _commit(self, batch: Sequence[PendingCharge]) -> Result[Any, Refusal]:
@@ -382,7 +391,7 @@
         charges = tuple(pending.charge for pending in batch)
         contact = self.contact()
         command = ChargeBatch(self.holder, charges, self._clock.wall(), contact)
-        answer = await self._ledger.charge(command, self._commit_timeout_s)
+        answer = await self._answer_times.call(partial(self._ledger.charge, command), self._clock)
         if isinstance(answer, Ok):
             self.reach.record_answer(contact)
         return answer
--- a/cranberrywall/budgets/_transfer_reports.py
+++ b/cranberrywall/budgets/_transfer_reports.py
@@ -2,10 +2,12 @@
 
 from collections import deque
 from collections.abc import Iterable, Sequence
+from functools import partial
 from itertools import islice
 
 from result import Err, Ok, Result
 
+from cranberrywall.budgets._answer_times import AnswerTimes
 from cranberrywall.budgets._charge_replication import ChargeReplicator, Kept
 from cranberrywall.budgets._client import LedgerClient
 from cranberrywall.budgets._pending import ChargedAllotment
@@ -42,14 +44,14 @@
         ledger: LedgerClient,
         replicator: ChargeReplicator,
         clock: Clock,
-        timeout_s: float,
+        answer_times: AnswerTimes,
     ) -> None:
-        """Create a queue; ``timeout_s`` limits the ledger's time for a batch."""
+        """Create a queue; ``answer_times`` limits the ledger's time for a batch."""
         self._group = group
         self._ledger = ledger
         self._replicator = replicator
         self._clock = clock
-        self._timeout_s = timeout_s
+        self._answer_times = answer_times
         self._waiting: deque[_Report] = deque()
         self._pause_s = 0.0
         self._due_at = float("-inf")
@@ -93,7 +95,9 @@
             batch = list(islice(self._waiting, min(count, MAX_TRANSFERS_IN_BATCH)))
             count -= len(batch)
             command = TransferBatch(tuple(transfer for transfer, _ in batch))
-            answer = await self._ledger.transfer_batch(self._group, command, self._timeout_s)
+            answer = await self._answer_times.call(
+                partial(self._ledger.transfer_batch, self._group, command), self._clock
+            )
             if isinstance(answer, Err):
                 return Err(answer.err_value)
             # Until now they count as not received by the ledger. Meanwhile others can only have
