Declare a steeply rising rate of spending at once

In a partition a host spends at most 5 % of its part and the rate that it declared. With 70 hosts each declares every 8.75 s, so a host that had just got all callers of a workspace went into the partition with a rate of 2,700 tokens a second, of 280,000 that it spent.

A rate that at least doubled is declared within 2 s if the host spends eight times an even part of the budget or more. At most an eighth of the hosts can do that for one budget.

--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -64,7 +64,7 @@
 TOTALS_CHECK_INTERVAL_S = 1.0
 # Changed rates of spending are declared to the ledger at this interval, in seconds.
 DECLARATION_INTERVAL_S = 2.0
-# All hosts together send the ledger's leader this many declarations a second.
+# All hosts together send the ledger's leader this many declarations a second, besides urgent ones.
 MAX_DECLARATIONS_PER_S = 8.0
 # A host that stops waits this long for the ledger to commit its charges.
 HAND_BACK_TIMEOUT_S = 10.0
@@ -440,12 +440,18 @@
                 await queue.maintain_contact(interval_s)
 
     async def _declare_loop(self) -> None:
+        due_at = self._clock.now() + self._declaration_interval_s()
         while True:
-            await self._clock.sleep(
-                max(DECLARATION_INTERVAL_S, len(self._entry_hosts()) / MAX_DECLARATIONS_PER_S)
-            )
+            await self._clock.sleep(DECLARATION_INTERVAL_S)
+            now = self._clock.now()
+            is_due = now >= due_at
+            if is_due:
+                due_at = now + self._declaration_interval_s()
             for declarations in self._rate_declarations:
-                await declarations.update(list(self._by_budget.values()), self._clock.now())
+                await declarations.update(list(self._by_budget.values()), now, is_due)
+
+    def _declaration_interval_s(self) -> float:
+        return max(DECLARATION_INTERVAL_S, len(self._entry_hosts()) / MAX_DECLARATIONS_PER_S)
 
     def _count_hosts(self) -> int:
         return len(self._peers.alive())
--- a/cranberrywall/budgets/_spend_rates.py
+++ b/cranberrywall/budgets/_spend_rates.py
@@ -24,6 +24,12 @@
 MIN_USED_S = 5.0
 """Minimum time in seconds over which a rate is averaged: one request is no rate."""
 
+URGENT_RISE = 2.0
+"""Ratio of a new rate to the declared one from which on a declaration may be urgent."""
+
+CONCENTRATED_FACTOR = 8.0
+"""Ratio of this host's spending to an even part from which on a declaration may be urgent."""
+
 SUPPORT_RETRY_DELAY_S = 5.0
 """Delay in seconds until the ledger group is asked again whether it supports declarations."""
 
@@ -36,7 +42,7 @@
     they spend. Requests are charged with their full bounds in a partition, so costs are converted.
     """
     total = allotment.total_demand.rate()
-    own = allotment.demand.rate()
+    own = allotment.spend_rate(now)
     if own <= 0.0 and total <= 0.0:
         return None
     demand = (own + total / max(1, host_count)) / 2.0 * allotment.bound_ratio
@@ -54,6 +60,20 @@
     return max(1.0, (now - allotment.created_at) / max(MIN_USED_S, used_s))
 
 
+def is_urgent(allotment: Allotment, rate: int, host_count: int, now: float) -> bool:
+    """Return whether ``rate`` should be declared before other hosts' turns are over.
+
+    Only a budget that this host spends far faster than most others can be urgent. Few hosts have
+    one, so their declarations are few, however many hosts there are.
+    """
+    declared = allotment.queue.reach.declared_rates.rate(allotment.budget)
+    if declared is not None and rate < URGENT_RISE * declared:
+        return False
+    own = allotment.spend_rate(now)
+    total = max(allotment.total_demand.rate(), own)
+    return own > 0.0 and own * host_count >= CONCENTRATED_FACTOR * total
+
+
 class RateDeclarations:
     """Keep the declared rates of one ledger group up to date."""
 
@@ -64,12 +84,17 @@
         self._is_supported = False
         self._ask_at = float("-inf")
 
-    async def update(self, allotments: Sequence[Allotment], now: float) -> None:
-        """Declare the rates of ``allotments`` that changed, if the group supports that."""
+    async def update(
+        self, allotments: Sequence[Allotment], now: float, is_due: bool = True
+    ) -> None:
+        """Declare the rates of ``allotments`` that changed, if the group supports that.
+
+        Unless it ``is_due``, only urgent rates are declared.
+        """
         queue = self._queue
         if not queue.reach.is_bounded or not queue.in_reach:
             return
-        rate_by_budget = self._rates(allotments, now)
+        rate_by_budget = self._rates(allotments, now, is_due)
         if not rate_by_budget or not await self._check_support(now):
             return
         answer = await queue.declare_rates(rate_by_budget)
@@ -78,12 +103,14 @@
             return
         log_event("INFO", "spend_rates_declared", group=queue.group, budgets=len(rate_by_budget))
 
-    def _rates(self, allotments: Sequence[Allotment], now: float) -> dict[str, int]:
+    def _rates(self, allotments: Sequence[Allotment], now: float, is_due: bool) -> dict[str, int]:
         host_count = self._host_count()
         wanted = {}
         for allotment in allotments:
+            if allotment.queue is not self._queue or allotment.booked <= 0:
+                continue
             rate = unreported_rate(allotment, host_count, now)
-            if rate is not None and allotment.queue is self._queue and allotment.booked > 0:
+            if rate is not None and (is_due or is_urgent(allotment, rate, host_count, now)):
                 wanted[allotment.budget] = rate
         return self._queue.reach.declared_rates.outdated(wanted)
 
