--- a/cranberrywall/platform/_announcements.py
+++ b/cranberrywall/platform/_announcements.py
@@ -8,6 +8,9 @@
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.targets import Announcement
 
+UNKNOWN_VERSION = "unknown"
+"""Version of a target whose heartbeats name none: it goes on with streams of such targets only."""
+
 _READY = "ready"
 _LEAVING = "draining"
 _STATES = (_READY, _LEAVING)
@@ -17,6 +20,7 @@
 
 _Number = Annotated[int, msgspec.Meta(ge=0, le=_MOST)]
 _Text = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+_Label = Annotated[str, msgspec.Meta(max_length=256)]
 _Address = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 
 
@@ -30,6 +34,7 @@
     call_seq: _Number  # rises with each call of one start of a target
     born: _Number = 0  # wall milliseconds of that start; a target may start again under its id
     zone: str = ""
+    version: _Label = UNKNOWN_VERSION
     slots: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] = 1
     state: str = _READY
     models: list[_Model] = []  # there for model engines only
@@ -72,6 +77,7 @@
         place=heartbeat.zone,
         url=f"http://{heartbeat.addr}",
         capacity=heartbeat.slots,
+        versions=(heartbeat.version or UNKNOWN_VERSION,),
         leaving=heartbeat.state == _LEAVING,
     )
     return Ok(Heartbeat(announcement, max(0.0, heartbeat.cold_left_ms) / _MILLISECONDS))
--- a/cranberrywall/targets/_relay.py
+++ b/cranberrywall/targets/_relay.py
@@ -266,6 +266,7 @@
             "target_announced",
             target=announcement.target,
             service=announcement.name,
+            versions=",".join(announcement.versions),
             change=change,
             counter=announcement.counter,
             was_known=was_known,
--- a/cranberrywall/targets/messages.py
+++ b/cranberrywall/targets/messages.py
@@ -84,7 +84,9 @@
 class Announcement(NamedTuple):
     """State of a target as of its own ``incarnation`` and ``counter``.
 
-    ``capacity`` is the number of requests that it can run concurrently. ``models`` are those that
+    ``capacity`` is the number of requests that it can run concurrently. ``versions`` are those that
+    a request may demand: of the weights that an engine has loaded, or of a target's software where
+    the platform announces that. ``models`` are those that
     an engine can be ordered to load, one at a time; empty if it can load its ``name`` only. An
     engine with ``models`` and no ``versions`` serves nothing until the next load. ``slots`` is the
     number of versions that it can hold at the same time; 0 if the announcement has no such field.
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -100,3 +100,17 @@
     for body in (whole, noise, whole[: len(noise)], whole + noise):
         assert isinstance(decode_heartbeat("i-7", body), Ok | Err)
         assert isinstance(decode_leave("i-7", body, None), Ok | Err)
+
+
+def test_the_software_version_of_a_heartbeat_is_announced() -> None:
+    """No decision and no log line could tell apart targets of two versions."""
+    assert beat(version="v1.1").versions == ("v1.1",)
+
+
+@pytest.mark.parametrize("version", ["", None])
+def test_a_heartbeat_without_a_version_has_a_version_of_its_own(version: str | None) -> None:
+    """A missing version would otherwise match every other one."""
+    without = {name: value for name, value in BEAT.items() if name != "version"}
+    body = without if version is None else {**without, "version": version}
+    announced = decode_heartbeat("i-7", json.dumps(body).encode()).unwrap().announcement
+    assert announced.versions == ("unknown",)
