--- a/tests/forwarding/scripted.py
+++ b/tests/forwarding/scripted.py
@@ -101,7 +101,7 @@
     def __init__(self, target_id: str, url: str, router: "OrderedRouter") -> None:
         self.target_id = target_id
         self.url = url
-        self.version = ""
+        self.version = router.version_by_id.get(target_id, "v1")
         self.target_incarnation = TargetIncarnation(target_id, 1)
         self._router = router
 
@@ -139,6 +139,7 @@
 
     def __init__(self) -> None:
         self.url_by_id: dict[str, str] = {}
+        self.version_by_id: dict[str, str] = {}
         self.demands: list[Demand] = []
         self.outcomes: list[Outcome] = []
         self.withdrawn: set[str] = set()
@@ -152,7 +153,8 @@
     async def acquire(self, demand: Demand, now: float) -> Result[Any, Refusal]:
         self.demands.append(demand)
         for target_id, url in sorted(self.url_by_id.items()):
-            if target_id not in demand.exclude:
+            is_of_version = demand.version in ("", self.version_by_id.get(target_id, "v1"))
+            if target_id not in demand.exclude and is_of_version:
                 return Ok(_Slot(target_id, url, self))
         return Err(Refusal(ErrorKind.NO_TARGET))
 
@@ -202,7 +204,7 @@
         for runner in self._runners:
             await runner.cleanup()
 
-    async def target(self, name: str, script: Script) -> None:
+    async def target(self, name: str, script: Script, version: str = "v1") -> None:
         """Start a target; ``script`` answers each request."""
 
         async def handle(request: web.Request) -> web.StreamResponse:
@@ -217,8 +219,13 @@
         self._runners.append(runner)
         self._runner_by_target[name] = runner
         host, port = runner.addresses[0][:2]
+        self.router.version_by_id[name] = version
         self.router.url_by_id[name] = f"http://{host}:{port}"
 
+    def withdraw(self, name: str) -> None:
+        """Let the router return a target no more."""
+        del self.router.url_by_id[name]
+
     async def stop_listening(self, name: str) -> None:
         """Refuse new connections to a target; its open ones go on."""
         runner = self._runner_by_target[name]
