Let a stream go on within one answer only at the version that began it

A stream whose target broke off went on at any target of the service.

Once an event was sent, further attempts demand the version of the target that began, so that every check of a target's eligibility applies it, also for queued demands. If no target of that version serves, the answer is cut at once. A target that announced no version, as a control host of an older build relays it, is not taken to match any. Ruled out: a field of its own in announcements, which older builds cannot decode.

--- a/cranberrywall/forwarding/_attempts.py
+++ b/cranberrywall/forwarding/_attempts.py
@@ -38,6 +38,8 @@
     promise that the request did not run. ``sent_count`` is the number of targets that may have
     received a byte of the request; ``targets`` lists all targets that were tried. ``started_at``
     is when the first attempt began, in monotonic seconds. ``limit`` applies if this host stops.
+    ``stream_version`` is the version of the target that began the stream, once an event was sent:
+    what two versions write does not fit together. It is empty if that target announced none.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         self.last_failure: AttemptFailedError | None = None
         self.started_at: float | None = None
         self.limit = limit
+        self.stream_version: str | None = None
         self._router = router
         self._quarantine = quarantine
         self._clock = clock
@@ -71,6 +74,8 @@
             return False
         if len(self.targets) >= self.plan.route["attempts"] + MAX_UNSENT_ATTEMPTS:
             return False
+        if self.stream_version == "":
+            return False
         return self.plan.repeat_rules.may_run_again or not self.may_have_run
 
     def remaining_s(self) -> float:
@@ -87,7 +92,7 @@
             workspace="",
             kind=plan.kind,
             name=plan.service,
-            version="",
+            version=self.stream_version or "",
             adapter="",
             rank=plan.rank,
             deadline=plan.deadline,
@@ -129,6 +134,11 @@
             plan.repeat_rules.is_stream,
         )
 
+    def record_event(self, slot: Slot) -> None:
+        """Record that an event of the slot's target is sent to the caller."""
+        if self.stream_version is None:
+            self.stream_version = slot.version
+
     def record_failure(self, failure: AttemptFailedError) -> None:
         """Record and log how an attempt failed."""
         self.last_failure = failure
--- a/cranberrywall/forwarding/_streams.py
+++ b/cranberrywall/forwarding/_streams.py
@@ -65,6 +65,7 @@
                     "stream_resumes",
                     request=attempts.arrival.request_id,
                     last_event=progress.last_event,
+                    version=attempts.stream_version or "",
                 )
 
     async def _attempt(
@@ -92,12 +93,17 @@
                     return failed
                 await progress.begin(answer)
                 attempts.limit.begin_answer()
-                first_s = await self._forward_events(answer, slot, progress, started_at)
+                first_s = await self._forward_events(answer, slot, attempts, progress, started_at)
             record.record_complete(Outcome(OutcomeKind.ANSWERED, first_s, progress.events))
             return None
 
     async def _forward_events(
-        self, answer: TargetAnswer, slot: Slot, progress: "_StreamProgress", started_at: float
+        self,
+        answer: TargetAnswer,
+        slot: Slot,
+        attempts: Attempts,
+        progress: "_StreamProgress",
+        started_at: float,
     ) -> float | None:
         """Forward all events, and return the time to the first one in seconds."""
         splitter = EventSplitter()
@@ -112,6 +118,7 @@
                 first_s = now - started_at
                 slot.record_first_token(now)
             if events:
+                attempts.record_event(slot)
                 await progress.forward_new(events)
         if splitter.remainder:
             raise AttemptFailedError(FailureKind.BROKEN, "the stream ended within an event")
