Go on with a stream that a caller takes up at the version that began it

A caller that takes up a stream names the attempt that brought its first event.

The host that began a stream records attempt -> version as it sends the first event, here and at three other hosts by a hash over the hosts alive, without waiting. A host without the record asks the first twelve at once, for 0.3 s; if none knows, it refuses the request as not run, and does not guess. The record survives the loss of its host and of two of the three. Ruled out: records at all hosts (a message to each host for each stream), and a version derived from the id, which differs where hosts see other targets.

--- a/cranberrywall/forwarding/__init__.py
+++ b/cranberrywall/forwarding/__init__.py
@@ -12,6 +12,7 @@
     TargetHead,
     TargetLoad,
 )
+from cranberrywall.forwarding._origins import StreamOrigins
 
 __all__ = [
     "Arrival",
@@ -22,6 +23,7 @@
     "Generation",
     "Headers",
     "PromptPart",
+    "StreamOrigins",
     "TargetHead",
     "TargetLoad",
 ]
--- a/cranberrywall/forwarding/_attempts.py
+++ b/cranberrywall/forwarding/_attempts.py
@@ -10,6 +10,7 @@
     FailureKind,
 )
 from cranberrywall.forwarding._interfaces import Arrival, Attempt, TargetHead
+from cranberrywall.forwarding._origins import TAKE_UP_S, StreamOrigins
 from cranberrywall.forwarding._plan import Plan
 from cranberrywall.forwarding._shutdown import STOPPING, RequestLimit
 from cranberrywall.observability import log_event
@@ -31,6 +32,15 @@
 The answer needs this time to travel back to the caller."""
 
 
+_UNKNOWN_ORIGIN = Refusal(
+    ErrorKind.NOT_READY,
+    "no host that was asked knows which version began the stream",
+    "Resumes",
+    "send the request again, or start the stream anew",
+    retry_after=0.5,
+)
+
+
 class Attempts:
     """Track the attempts of one request at all targets.
 
@@ -50,6 +60,7 @@
         quarantine: Quarantine,
         clock: Clock,
         limit: RequestLimit,
+        origins: StreamOrigins,
     ) -> None:
         self.arrival = arrival
         self.plan = plan
@@ -63,6 +74,7 @@
         self._router = router
         self._quarantine = quarantine
         self._clock = clock
+        self._origins = origins
         self._blocks = blocks_of(arrival.generation.parts) if arrival.generation else ()
 
     def can_try_another_target(self) -> bool:
@@ -134,10 +146,28 @@
             plan.repeat_rules.is_stream,
         )
 
+    async def find_origin(self) -> Result[None, Refusal]:
+        """Find the version that began the stream that the caller takes up, or refuse."""
+        resumes = self.arrival.resumes
+        if not resumes or not self.plan.repeat_rules.is_stream:
+            return Ok(None)
+        version = await self._origins.find(resumes)
+        if version is None:
+            return Err(_UNKNOWN_ORIGIN)
+        self.stream_version = version
+        self._record_origin(resumes, version)
+        return Ok(None)
+
     def record_event(self, slot: Slot) -> None:
         """Record that an event of the slot's target is sent to the caller."""
-        if self.stream_version is None:
-            self.stream_version = slot.version
+        if self.stream_version is not None:
+            return
+        self.stream_version = slot.version
+        if slot.version and self.plan.repeat_rules.may_run_again:
+            self._record_origin(self.arrival.request_id, slot.version)
+
+    def _record_origin(self, request_id: str, version: str) -> None:
+        self._origins.record(request_id, version, max(0.0, self.remaining_s()) + TAKE_UP_S)
 
     def record_failure(self, failure: AttemptFailedError) -> None:
         """Record and log how an attempt failed."""
--- a/cranberrywall/forwarding/_forwarder.py
+++ b/cranberrywall/forwarding/_forwarder.py
@@ -12,6 +12,7 @@
 from cranberrywall.forwarding._calls import CallForwarder, CompleteAnswer
 from cranberrywall.forwarding._client import TargetClient, make_connector, make_session
 from cranberrywall.forwarding._interfaces import Arrival, CallerReply, Dialect
+from cranberrywall.forwarding._origins import StreamOrigins
 from cranberrywall.forwarding._plan import Plan, Planner
 from cranberrywall.forwarding._shutdown import STOPPING, HostStopsError, RequestLimit, Shutdown
 from cranberrywall.forwarding._streams import StreamForwarder
@@ -37,6 +38,7 @@
         random: Random,
         metrics: Metrics,
         quarantine: Quarantine,
+        origins: StreamOrigins,
         paths: Paths | None = None,
     ) -> None:
         pooled = make_connector(reuses_connections=True, paths=paths, clock=clock)
@@ -53,6 +55,7 @@
         self._streams = StreamForwarder(client, quarantine.tracker, clock)
         self._router = router
         self._quarantine = quarantine
+        self._origins = origins
         self._clock = clock
         self._shutdown = Shutdown(clock)
         self._requests = metrics.counter(
@@ -94,6 +97,7 @@
 
     async def close(self) -> None:
         """Close the connections to targets."""
+        self._origins.close()
         await self._pooled_session.close()
         await self._unpooled_session.close()
 
@@ -117,7 +121,9 @@
         reply: CallerReply,
         limit: RequestLimit,
     ) -> Result[None, Refusal]:
-        attempts = Attempts(arrival, plan, self._router, self._quarantine, self._clock, limit)
+        attempts = Attempts(
+            arrival, plan, self._router, self._quarantine, self._clock, limit, self._origins
+        )
         try:
             result = await self._forward(attempts, funds, reply)
             # The charge is durable before the caller receives the end of the answer. The request
--- a/cranberrywall/forwarding/_interfaces.py
+++ b/cranberrywall/forwarding/_interfaces.py
@@ -38,7 +38,8 @@
     ``path`` includes the query and is forwarded byte for byte, as are ``headers`` and ``body``.
     ``key`` is the bearer key, or ``None`` if there is none. ``at`` is when the request arrived.
     ``max_wait_s`` is the time that the caller announces to wait. ``last_event`` is the last event
-    that the caller has received of a stream that it resumes.
+    that the caller has received of a stream that it takes up, and ``resumes`` the id of its attempt
+    that brought the first event; empty if it names none.
     """
 
     request_id: str
@@ -52,6 +53,7 @@
     max_wait_s: float | None
     last_event: int | None = None
     generation: Generation | None = None
+    resumes: str = ""
 
 
 class Attempt(NamedTuple):
--- /dev/null
+++ b/cranberrywall/forwarding/_origins.py
@@ -0,0 +1,157 @@
+"""Versions that began streams, stored at a few hosts so that any host can go on with a stream."""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Sequence
+from typing import NamedTuple
+
+import xxhash
+from result import Ok, Result
+
+from cranberrywall.errors import Refusal
+from cranberrywall.forwarding.messages import (
+    FIND_ORIGIN,
+    RECORD_ORIGIN,
+    OriginQuery,
+    OriginRecorded,
+    OriginReply,
+    StreamOrigin,
+)
+from cranberrywall.hosts import HostView, Membership
+from cranberrywall.links import Caller, Peer, Server
+from cranberrywall.observability import Metrics, log_event
+from cranberrywall.runtime import Clock
+
+REPLICAS = 3
+"""Number of other hosts that store an origin: it survives the loss of its host and two more."""
+
+MAX_ASKED = 12
+"""Maximum number of hosts that are asked for an origin: the first in the order of its replicas.
+
+There are more of them than replicas, as hosts join and leave between a record and a question."""
+
+CALL_TIMEOUT_S = 0.3
+"""Time limit of a record and of a question, in seconds: a caller waits for the question."""
+
+MAX_ORIGINS = 20_000
+"""Maximum number of origins that a host stores; the oldest ones are removed first."""
+
+TAKE_UP_S = 10.0
+"""Time after a stream's deadline in which a caller may still take it up, in seconds."""
+
+
+class _Stored(NamedTuple):
+    version: str
+    expires_at: float
+
+
+class StreamOrigins:
+    """Table of the origins that this host knows, and the questions to others."""
+
+    def __init__(
+        self, host: str, membership: Membership, caller: Caller, server: Server, clock: Clock
+    ) -> None:
+        self._host = host
+        self._membership = membership
+        self._caller = caller
+        self._clock = clock
+        self._stored_by_id: OrderedDict[str, _Stored] = OrderedDict()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._unknown = 0
+        server.register(RECORD_ORIGIN, self._handle_record)
+        server.register(FIND_ORIGIN, self._handle_find)
+
+    def export(self, metrics: Metrics) -> None:
+        """Register the number of stored origins and of questions without an answer."""
+        metrics.gauge_of(
+            "stream_origins",
+            "Streams of which this host stores the version that began them.",
+            lambda: len(self._stored_by_id),
+        )
+        metrics.gauge_of(
+            "stream_origins_unknown",
+            "Streams that could not go on because no host that was asked knows their version.",
+            lambda: self._unknown,
+        )
+
+    def record(self, request_id: str, version: str, lifetime_s: float) -> None:
+        """Store an origin here, and at other hosts in the background."""
+        self.store(request_id, version, lifetime_s)
+        task = asyncio.create_task(self._replicate(StreamOrigin(request_id, version, lifetime_s)))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def find(self, request_id: str) -> str | None:
+        """Return the version that began a stream, or ``None`` if no host that was asked knows."""
+        version = self._find_here(request_id) or await self._ask(request_id)
+        if version is None:
+            self._unknown += 1
+            log_event("WARNING", "stream_origin_unknown", resumes=request_id)
+        return version
+
+    def close(self) -> None:
+        """Stop the records in the background."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def _ask(self, request_id: str) -> str | None:
+        """Ask the hosts that may know at the same time, and return the first version named."""
+        calls = [
+            self._caller.call(view.links, FIND_ORIGIN, OriginQuery(request_id), CALL_TIMEOUT_S)
+            for view in self._others(request_id)[:MAX_ASKED]
+        ]
+        tasks = [asyncio.ensure_future(call) for call in calls]
+        try:
+            for answer in asyncio.as_completed(tasks):
+                reply = await answer
+                if isinstance(reply, Ok) and reply.ok_value.version:
+                    return reply.ok_value.version
+        finally:
+            for task in tasks:
+                task.cancel()
+        return None
+
+    async def _replicate(self, origin: StreamOrigin) -> None:
+        await asyncio.gather(
+            *(
+                self._caller.call(view.links, RECORD_ORIGIN, origin, CALL_TIMEOUT_S)
+                for view in self._others(origin.request_id)[:REPLICAS]
+            )
+        )
+
+    def _others(self, request_id: str) -> Sequence[HostView]:
+        """Return the other hosts, in an order by a hash of host and id (rendezvous hashing)."""
+        others = [view for view in self._membership.alive() if view.host != self._host]
+        return sorted(
+            others, key=lambda view: xxhash.xxh64_intdigest(f"{view.host}\n{request_id}".encode())
+        )
+
+    def _find_here(self, request_id: str) -> str | None:
+        stored = self._stored_by_id.get(request_id)
+        if stored is None or stored.expires_at <= self._clock.now():
+            return None
+        return stored.version
+
+    def stores(self, request_id: str) -> bool:
+        """Return whether this host itself has the origin of a stream."""
+        return self._find_here(request_id) is not None
+
+    def store(self, request_id: str, version: str, lifetime_s: float) -> None:
+        """Store an origin at this host only."""
+        now = self._clock.now()
+        self._stored_by_id[request_id] = _Stored(version, now + lifetime_s)
+        self._stored_by_id.move_to_end(request_id)
+        while self._stored_by_id:
+            oldest_id, oldest = next(iter(self._stored_by_id.items()))
+            if len(self._stored_by_id) <= MAX_ORIGINS and oldest.expires_at > now:
+                return
+            del self._stored_by_id[oldest_id]
+
+    async def _handle_record(
+        self, origin: StreamOrigin, peer: Peer
+    ) -> Result[OriginRecorded, Refusal]:
+        self.store(origin.request_id, origin.version, origin.lifetime_s)
+        return Ok(OriginRecorded())
+
+    async def _handle_find(self, query: OriginQuery, peer: Peer) -> Result[OriginReply, Refusal]:
+        return Ok(OriginReply(self._find_here(query.request_id) or ""))
--- a/cranberrywall/forwarding/_streams.py
+++ b/cranberrywall/forwarding/_streams.py
@@ -41,6 +41,9 @@
         gave a complete answer. If part of an answer was already sent to the caller, the reply
         must be aborted then.
         """
+        found = await attempts.find_origin()
+        if isinstance(found, Err):
+            return Err(found.err_value)
         last_event = attempts.arrival.last_event
         progress = _StreamProgress(last_event, funds, attempts.plan.tokens_per_event, reply)
         while True:
--- a/cranberrywall/platform/_arrivals.py
+++ b/cranberrywall/platform/_arrivals.py
@@ -12,6 +12,7 @@
 from cranberrywall.platform import _headers as names
 
 _MOST_PARTS = 256
+_LONGEST_ID = 256
 _GATEWAY_TIMEOUT = 504
 _NOT_NOW = 503
 
@@ -33,6 +34,10 @@
     last_event = _read_number(value_by_name, names.LAST_EVENT_ID)
     if isinstance(last_event, Err):
         return last_event
+    resumes = value_by_name.get(names.RESUMES.lower(), "").strip()
+    if len(resumes) > _LONGEST_ID:
+        remedy = "send the request id of the attempt that brought the first event"
+        return Err(_bad(names.RESUMES, f"is over {_LONGEST_ID} characters", remedy))
     generation = _read_generation(value_by_name)
     if isinstance(generation, Err):
         return generation
@@ -50,6 +55,7 @@
             max_wait_s=None if deadline_ms is None else deadline_ms / 1000.0,
             last_event=last_event.ok_value,
             generation=generation.ok_value,
+            resumes=resumes,
         )
     )
 
--- a/cranberrywall/platform/_front.py
+++ b/cranberrywall/platform/_front.py
@@ -14,7 +14,7 @@
     wait_for_answers,
 )
 from cranberrywall.errors import ErrorKind, Refusal
-from cranberrywall.forwarding import Forwarder
+from cranberrywall.forwarding import Forwarder, StreamOrigins
 from cranberrywall.observability import log_event
 from cranberrywall.platform._arrivals import decode_arrival, refuse
 from cranberrywall.platform._boot import ADDRESS_TTL_S, Boot
@@ -79,6 +79,10 @@
 
     async def serve(self, parts: FrontendContext) -> None:
         """Begin to forward."""
+        origins = StreamOrigins(
+            parts.me.host, parts.membership, parts.caller, parts.server, self._clock
+        )
+        origins.export(parts.metrics)
         self._forwarder = Forwarder(
             parts.configuration,
             parts.allotments,
@@ -88,6 +92,7 @@
             parts.runtime.random,
             parts.metrics,
             parts.quarantine,
+            origins,
             parts.paths,
         )
         self._parts = parts
--- a/tests/forwarding/scripted.py
+++ b/tests/forwarding/scripted.py
@@ -12,7 +12,8 @@
 
 from cranberrywall.configuration import make_fixed_configuration
 from cranberrywall.errors import ErrorKind, Refusal
-from cranberrywall.forwarding import Arrival, Forwarder, Generation, Headers
+from cranberrywall.forwarding import Arrival, Forwarder, Generation, Headers, StreamOrigins
+from cranberrywall.hosts import HostState, HostView
 from cranberrywall.observability import make_metrics
 from cranberrywall.platform._dialect import TargetDialect
 from cranberrywall.quarantine import Quarantine, RunTracker
@@ -23,6 +24,7 @@
 from cranberrywall.tunnels import Paths
 from tests.configuration.documents import KEY, make_document
 from tests.fakes.allotments import MemoryAllotments, MemoryLedger
+from tests.fakes.links import Switchboard
 from tests.fakes.spread import MemorySpread
 
 Script = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -159,6 +161,21 @@
         return Err(Refusal(ErrorKind.NO_TARGET))
 
 
+class FixedMembership:
+    """Hosts that are alive; each one's address is its name."""
+
+    def __init__(self, names: list[str]) -> None:
+        self.names = names
+
+    def alive(self) -> list[HostView]:
+        return [
+            HostView(name, "town-hall", name, name, 1, HostState.ALIVE, 0.0) for name in self.names
+        ]
+
+    def by_host(self, host: str) -> HostView | None:
+        return next((view for view in self.alive() if view.host == host), None)
+
+
 class ForwardingHarness:
     """A forwarder with its targets and its allotments."""
 
@@ -181,6 +198,9 @@
         self._runner_by_target: dict[str, web.AppRunner] = {}
         self._document = document
         self._paths = paths
+        self.host = "entry-1"
+        self.membership = FixedMembership([self.host])
+        self.board = Switchboard()
         self.forwarder: Forwarder
 
     async def __aenter__(self) -> "ForwardingHarness":
@@ -194,6 +214,13 @@
             random.Random(1),
             make_metrics(),
             self.quarantine,
+            StreamOrigins(
+                self.host,
+                self.membership,
+                self.board.caller(self.host),
+                self.board.server(self.host),
+                make_clock(),
+            ),
             self._paths,
         )
         return self
--- a/tests/platform/test_arrivals.py
+++ b/tests/platform/test_arrivals.py
@@ -39,6 +39,19 @@
     assert made.generation.parts == (PromptPart("5c1e", 800), PromptPart("91bd", 410))
 
 
+def test_the_attempt_that_began_a_stream_is_read() -> None:
+    """No host could know which version of a target began a stream that is taken up."""
+    assert arrival([*HEADERS, (b"Resumes", b" 77ab ")]).resumes == "77ab"
+    assert arrival().resumes == ""
+
+
+def test_a_too_long_attempt_id_is_refused_with_a_remedy() -> None:
+    headers = [*HEADERS, (b"Resumes", b"x" * 257)]
+    refusal = decode_arrival("POST", "/", headers, b"", 5.0).unwrap_err()
+    assert (refusal.kind, refusal.field) == (ErrorKind.BAD_REQUEST, "Resumes")
+    assert refusal.remedy
+
+
 def test_keys_and_what_the_system_sets_do_not_go_on() -> None:
     """A caller that names a tenant, or a reservation of another's, must not be believed."""
     names = {name for name, _ in arrival().headers}
