Probe a ledger that does not answer with the usual time limit every other time

The limit doubled with each call that had no answer, so the end of a partition was found up to 0.7 s later. The limit now doubles for one call only: probes are 0.55 and 0.8 s apart, 0.55 s before.

--- a/cranberrywall/budgets/_answer_times.py
+++ b/cranberrywall/budgets/_answer_times.py
@@ -20,15 +20,15 @@
 """Number of mean deviations by which an answer may exceed the mean time (RFC 6298)."""
 
 BACKOFF_FACTOR = 2.0
-"""Factor by which the limit grows with each call that had no answer."""
+"""Factor by which the limit grows after a call that had no answer."""
 
 
 class AnswerTimes:
     """Retransmission timeout as in RFC 6298, between ``min_s`` and ``max_s`` seconds.
 
-    Calls without an answer raise the limit, since no answer that takes longer than the limit is
-    observed. After one with the highest limit it starts over: a peer that is really lost must be
-    found soon once it is back.
+    A call without an answer raises the limit of the next one, since no answer that takes longer than
+    the limit is observed. The call after that has the usual limit again: a peer that is really lost
+    must be found soon once it is back.
     """
 
     def __init__(self, min_s: float, max_s: float) -> None:
@@ -68,8 +68,7 @@
 
     def record_timeout(self) -> None:
         """Record that a call was not answered within the limit."""
-        is_highest = self.limit_s >= self._max_s
-        self._backoff = 1.0 if is_highest else self._backoff * BACKOFF_FACTOR
+        self._backoff = BACKOFF_FACTOR if self._backoff == 1.0 else 1.0
 
     @property
     def _base_s(self) -> float:
