--- a/cranberrywall/budgets/_answer_times.py
+++ b/cranberrywall/budgets/_answer_times.py
@@ -26,9 +26,9 @@
 class AnswerTimes:
     """Retransmission timeout as in RFC 6298, between ``min_s`` and ``max_s`` seconds.
 
-    A call without an answer raises the limit of the next one, since no answer that takes longer than
-    the limit is observed. The call after that has the usual limit again: a peer that is really lost
-    must be found soon once it is back.
+    A call without an answer raises the limit of the next one, since no answer that takes longer
+    than the limit is observed. The call after that has the usual limit again: a peer that is really
+    lost must be found soon once it is back.
     """
 
     def __init__(self, min_s: float, max_s: float) -> None:
