Take money ahead of need only at a host that spends far more than an even part

The changed sizes of transfers applied to every host that ran short beside others.

Own spending now decides the share, the takes ahead of need and the urgent declarations only at a host that spends eight times an even part of the budget or more.

--- a/cranberrywall/budgets/_allotment.py
+++ b/cranberrywall/budgets/_allotment.py
@@ -11,7 +11,7 @@
 from cranberrywall.budgets._charges import ChargeQueue
 from cranberrywall.budgets._demand import Demand
 from cranberrywall.budgets._interfaces import SpendPolicy
-from cranberrywall.budgets._sizing import LedgerView
+from cranberrywall.budgets._sizing import LedgerView, is_concentrated
 from cranberrywall.budgets._unreported_spend import UnreportedSpend
 from cranberrywall.budgets.messages import Draw, Return
 
@@ -205,15 +205,20 @@
         """Return the bounds of the requests settled here in relation to their costs; at least 1."""
         return self.settled_bounds / self.settled_amount if self.settled_amount else 1.0
 
-    def spend_rate(self, now: float) -> float:
+    def spend_rate(self, hosts: int, now: float) -> float:
         """Return this host's rate of spending, in units per second.
 
-        It is the mean rate, or the rate since the last review if that is higher: a rise counts as
-        soon as it is seen.
+        It is the mean rate. If this host spends far more than an even part, a rise since the last
+        review counts at once.
         """
         since_s = now - self.demand.updated_at
-        recent = self.settled_since_review / max(MIN_RATE_SPAN_S, since_s)
-        return max(self.demand.rate(), recent)
+        mean = self.demand.rate()
+        recent = max(mean, self.settled_since_review / max(MIN_RATE_SPAN_S, since_s))
+        return recent if is_concentrated(recent, self.total_demand.rate(), hosts) else mean
+
+    def is_concentrated(self, hosts: int, now: float) -> bool:
+        """Return whether this host spends far more of the budget than an even part."""
+        return is_concentrated(self.spend_rate(hosts, now), self.total_demand.rate(), hosts)
 
     def numbers(self) -> StepNumbers:
         """Return the next sequence numbers, for a later allotment of the same budget."""
--- a/cranberrywall/budgets/_review.py
+++ b/cranberrywall/budgets/_review.py
@@ -88,20 +88,20 @@
         """Return how much more this host should hold; never negative."""
         return max(0, self.target_amount(allotment) - allotment.booked)
 
-    def wanted_amount(self, allotment: Allotment) -> int:
-        """Return how much more this host should hold if it runs short now.
+    def wanted_amount(self, allotment: Allotment, asked_count: int) -> int:
+        """Return how much to take from each of ``asked_count`` hosts if this host runs short now.
 
-        Its rate of spending is measured late. A host that runs short therefore doubles what its
-        requests in progress use, unless the budget is too small for all hosts.
+        Hosts that ask for more than they are short of use up what the others may give in a
+        partition. Only a host that spends far more than an even part takes ahead of its need, and
+        at least as much as its requests in progress use.
         """
         missing = self.missing_amount(allotment)
-        if not self._is_shared_by_all(allotment):
-            return missing
-        return max(missing, allotment.reserved + allotment.charging)
+        if self._is_concentrated(allotment):
+            return max(missing, allotment.reserved + allotment.charging) // asked_count
+        return missing if asked_count == 1 else 0
 
-    def _is_shared_by_all(self, allotment: Allotment) -> bool:
-        """Return whether each host should hold a part of the budget."""
-        return self._parts(allotment, self._left(allotment)) >= len(self._hosts())
+    def _is_concentrated(self, allotment: Allotment) -> bool:
+        return allotment.is_concentrated(len(self._hosts()), self._clock.now())
 
     def _left(self, allotment: Allotment) -> float:
         """Return the estimated amount that is not charged yet."""
@@ -127,7 +127,8 @@
             # others ask them.
             is_preferred = self._is_preferred(allotment.budget, hosts, parts)
             return int(left * (1.0 - held_back) / parts) if is_preferred else 0
-        rates = self._rates(allotment.spend_rate(self._clock.now()), allotment.total_demand.rate())
+        own = allotment.spend_rate(len(hosts), self._clock.now())
+        rates = self._rates(own, allotment.total_demand.rate())
         return target_amount(left, rates, held_back)
 
     def _is_preferred(self, budget: str, hosts: list[str], parts: int) -> bool:
@@ -245,8 +246,11 @@
 
     def _holds_too_little(self, allotment: Allotment) -> bool:
         """Return whether this host holds so little that it should take from others."""
-        is_known = allotment.settled_count >= MIN_SETTLED_TO_COLLECT
-        return is_known and self.missing_amount(allotment) > allotment.booked
+        if allotment.settled_count < MIN_SETTLED_TO_COLLECT:
+            return False
+        return (
+            self._is_concentrated(allotment) and self.missing_amount(allotment) > allotment.booked
+        )
 
     async def _collect(self, allotment: Allotment) -> None:
         """Take from the other holders what this host should hold, as the ledger has nothing free.
--- a/cranberrywall/budgets/_shortfalls.py
+++ b/cranberrywall/budgets/_shortfalls.py
@@ -60,7 +60,7 @@
     clock: Clock
     configured_total: Callable[[str], int]
     missing_amount: Callable[[Allotment], int]
-    wanted_amount: Callable[[Allotment], int]
+    wanted_amount: Callable[[Allotment, int], int]
     on_shortfall: Callable[[Allotment], None]
 
 
@@ -383,12 +383,11 @@
     async def _take(self, peer: PeerHost, asked_count: int) -> TakeReply | None:
         """Take from one of ``asked_count`` peers; return ``None`` if it did not answer.
 
-        Each is asked for its part of what this host wants, and for the shortfall at least.
+        Each is asked for what this host wants of it, and for the shortfall at least.
         """
         allotment = self._allotment
         minimum = self.shortfall()
-        wanted = self._funding_sources.wanted_amount(allotment)
-        amount = max(minimum, wanted // asked_count)
+        amount = max(minimum, self._funding_sources.wanted_amount(allotment, asked_count))
         reply = await self._funding_sources.recipient.take(peer, allotment, amount, minimum)
         self.serve()
         return reply
--- a/cranberrywall/budgets/_sizing.py
+++ b/cranberrywall/budgets/_sizing.py
@@ -19,6 +19,9 @@
 HORIZON_S = 24 * 3600.0
 # Within its place, a host with a disk holds this many times what a host without one holds.
 DISK_WEIGHT = 8.0
+# A host that spends this many times an even part of a budget, or more, is one that most callers of
+# a workspace use. Noise in the rates of hosts that share the callers evenly stays below it.
+CONCENTRATED_FACTOR = 8.0
 # A part smaller than this many bounds of typical requests is too small to be worth holding.
 MIN_REQUESTS_PER_PART = 2.0
 # Number of parts that a budget is split into, at most, if no request was seen yet. Among more hosts
@@ -64,12 +67,21 @@
     part: float = 1.0
 
 
+def is_concentrated(own: float, total: float, hosts: int) -> bool:
+    """Return whether a host that spends ``own`` of ``total`` spends far more than an even part.
+
+    >>> is_concentrated(own=50.0, total=100.0, hosts=70), is_concentrated(3.0, 100.0, hosts=70)
+    (True, False)
+    """
+    return own > 0.0 and own * hosts >= CONCENTRATED_FACTOR * max(total, own)
+
+
 def share(rates: SpendRates) -> float:
     """Return this host's share of all money, between 0 and 1.
 
     A place's share follows its spending, because its hosts can transfer money to each other in most
-    network partitions. Its callers are assumed to use its hosts evenly, unless this host alone
-    spends more than all hosts would then: a workspace whose callers use one host only.
+    network partitions. Its callers are assumed to use its hosts evenly, unless this host spends far
+    more than that explains.
 
     >>> share(SpendRates(own=0.0, total=0.0, hosts=4))
     0.25
@@ -79,15 +91,17 @@
     0.4
     >>> round(share(SpendRates(own=4.0, total=4.0, hosts=20, in_place=4, part=0.25)), 3)
     0.62
+    >>> round(share(SpendRates(own=1.0, total=4.0, hosts=20, in_place=4, part=0.25)), 3)
+    0.17
     """
     even = rates.in_place / max(1, rates.hosts)
-    total = max(rates.total, rates.own)
+    own_place = rates.own * rates.in_place
+    total = max(rates.total, own_place)
     if total <= 0.0:
         return even * rates.part
-    own_place = rates.own * rates.in_place
-    is_concentrated = 0.0 < rates.total < own_place
-    own_part = max(rates.part, rates.own / total) if is_concentrated else rates.part
-    by_spending = min(1.0, own_place / total) * own_part
+    by_spending = own_place / total * rates.part
+    if rates.total > 0.0 and is_concentrated(rates.own, rates.total, rates.hosts):
+        by_spending = max(by_spending, min(1.0, rates.own / rates.total))
     return (1.0 - EVEN_SHARE) * by_spending + EVEN_SHARE * even * rates.part
 
 
--- a/cranberrywall/budgets/_spend_rates.py
+++ b/cranberrywall/budgets/_spend_rates.py
@@ -27,9 +27,6 @@
 URGENT_RISE = 2.0
 """Ratio of a new rate to the declared one from which on a declaration may be urgent."""
 
-CONCENTRATED_FACTOR = 8.0
-"""Ratio of this host's spending to an even part from which on a declaration may be urgent."""
-
 SUPPORT_RETRY_DELAY_S = 5.0
 """Delay in seconds until the ledger group is asked again whether it supports declarations."""
 
@@ -42,7 +39,7 @@
     they spend. Requests are charged with their full bounds in a partition, so costs are converted.
     """
     total = allotment.total_demand.rate()
-    own = allotment.spend_rate(now)
+    own = allotment.spend_rate(host_count, now)
     if own <= 0.0 and total <= 0.0:
         return None
     demand = (own + total / max(1, host_count)) / 2.0 * allotment.bound_ratio
@@ -69,9 +66,7 @@
     declared = allotment.queue.reach.declared_rates.rate(allotment.budget)
     if declared is not None and rate < URGENT_RISE * declared:
         return False
-    own = allotment.spend_rate(now)
-    total = max(allotment.total_demand.rate(), own)
-    return own > 0.0 and own * host_count >= CONCENTRATED_FACTOR * total
+    return allotment.is_concentrated(host_count, now)
 
 
 class RateDeclarations:
