--- a/review/stand.py
+++ b/review/stand.py
@@ -103,6 +103,8 @@
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = Path(self._folder.name)
         self.port = free_port()
+        self.piped = set()
+        self._pipe_by_name = {}
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text(encoding="utf-8"))
         self._roles = deploy["roles"]
         self.cores = [
@@ -131,14 +133,46 @@
         words = role["run"].split()
         if words[0] == "python3":
             words[0] = sys.executable
-        log = (self.folder / f"{machine.name}.log").open("ab")
+        log = self._open_log(machine)
         machine.process = await asyncio.create_subprocess_exec(
-            *words, cwd=ROOT, env=environment, stdin=asyncio.subprocess.DEVNULL, stdout=log,
+            *words,
+            cwd=ROOT,
+            env=environment,
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=log,
             stderr=log,
         )
         log.close()
         self.record.say("started", machine.name, "pid", machine.process.pid)
 
+    def _open_log(self, machine):
+        """Return what a machine's program writes to: a file, or a pipe that is copied to one."""
+        file = (self.folder / f"{machine.name}.log").open("ab")
+        if machine.name not in self.piped:
+            return file
+        reading, writing = os.pipe()
+        self._pipe_by_name[machine.name] = reading, file
+        self.read_log(machine)
+        return os.fdopen(writing, "wb")
+
+    def read_log(self, machine):
+        """Read a machine's log from its pipe, from now on."""
+        reading, file = self._pipe_by_name[machine.name]
+        loop = asyncio.get_running_loop()
+
+        def copy():
+            data = os.read(reading, 65536)
+            file.write(data)
+            file.flush()
+            if not data:
+                loop.remove_reader(reading)
+
+        loop.add_reader(reading, copy)
+
+    def stop_reading_log(self, machine):
+        """Read nothing more of a machine's log until ``read_log``."""
+        asyncio.get_running_loop().remove_reader(self._pipe_by_name[machine.name][0])
+
     async def kill(self, machine):
         """End a machine's process at once."""
         if machine.process is not None and machine.process.returncode is None:
@@ -168,14 +202,21 @@
         seeds = [f"{core.ip}:{self.port + 10}" for core in self.cores[:3]]
         is_core = machine.role == "control"
         lines = [
-            f'node = "{machine.name}"', f'role = "{machine.role}"',
+            f'node = "{machine.name}"',
+            f'role = "{machine.role}"',
             f'class = "{"core" if is_core else "front"}"',
             f'serves = {json.dumps(self._roles[machine.role]["serves"])}',
-            f'ip = "{machine.ip}"', f'zone = "{machine.zone}"', 'region = "colombo"',
-            f"port_range = [{self.port}, {self.port + 9}]", f"seeds = {json.dumps(seeds)}",
+            f'ip = "{machine.ip}"',
+            f'zone = "{machine.zone}"',
+            'region = "colombo"',
+            f"port_range = [{self.port}, {self.port + 9}]",
+            f"seeds = {json.dumps(seeds)}",
             f"first_start = {str(first_start).lower()}",
-            f"counts_as_loss = {str(is_core).lower()}", 'discovery = "registry"',
-            'entry = "directory"', "beat_ms = 1200", 'config_mode = "highest"',
+            f"counts_as_loss = {str(is_core).lower()}",
+            'discovery = "registry"',
+            'entry = "directory"',
+            "beat_ms = 1200",
+            'config_mode = "highest"',
             'contracts = ["base","drain","config","cost","retry","recover","engine","stream",'
             '"tenants"]',
         ]
@@ -191,9 +232,19 @@
             lines += [f'{n} = "{machine.ip}:{self.port + 11 + i}"' for i, n in enumerate(names)]
         memory = 296 if is_core else 150
         lines += [
-            "[limits]", "cpu_share = 0.537", "cores = 2", f"memory_mb = {memory}",
-            "max_fds = 4100", "link_mbps = 1000.0", f"disk_mb = {128 if is_core else 0}",
-            "[tolerate]", "machines = 1", "zones = 0", "regions = 0", "[bounds]", BOUNDS,
+            "[limits]",
+            "cpu_share = 0.537",
+            "cores = 2",
+            f"memory_mb = {memory}",
+            "max_fds = 4100",
+            "link_mbps = 1000.0",
+            f"disk_mb = {128 if is_core else 0}",
+            "[tolerate]",
+            "machines = 1",
+            "zones = 0",
+            "regions = 0",
+            "[bounds]",
+            BOUNDS,
         ]
         path = self.folder / f"{machine.name}.toml"
         path.write_text("\n".join(lines), encoding="utf-8")
@@ -250,8 +301,10 @@
 def caller_headers(request_id, deadline_ms):
     """Return the headers of a caller's request."""
     return {
-        "X-Request-Id": request_id, "X-Deadline-Ms": str(deadline_ms),
-        "Authorization": f"Bearer {KEY}", "Content-Type": "application/json",
+        "X-Request-Id": request_id,
+        "X-Deadline-Ms": str(deadline_ms),
+        "Authorization": f"Bearer {KEY}",
+        "Content-Type": "application/json",
     }
 
 
@@ -349,9 +402,14 @@
         """Return the body of the next heartbeat."""
         self.call_seq += 1
         body = {
-            "service": self.service, "addr": f"127.0.0.1:{self.port}", "zone": self.zone,
-            "version": self.version, "slots": self.slots, "state": self.state,
-            "cold_left_ms": 0, "call_seq": self.call_seq,
+            "service": self.service,
+            "addr": f"127.0.0.1:{self.port}",
+            "zone": self.zone,
+            "version": self.version,
+            "slots": self.slots,
+            "state": self.state,
+            "cold_left_ms": 0,
+            "call_seq": self.call_seq,
         }
         if self.is_engine:
             body |= {"stage": "both", "models": [{"name": "m", "version": 1, "adapters": []}]}
@@ -418,9 +476,19 @@
 def route(name, kind, service, **fields):
     """Return a route of ``HOST`` with the path ``/NAME/``."""
     made = {
-        "name": name, "host": HOST, "path_prefix": f"/{name}/", "kind": kind,
-        "timeout_ms": 10000, "goal_ms": 600, "priority": 1, "service": service, "attempts": 2,
-        "public": False, "sticky": False, "resumable": False, "gap_goal_ms": 500,
+        "name": name,
+        "host": HOST,
+        "path_prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 10000,
+        "goal_ms": 600,
+        "priority": 1,
+        "service": service,
+        "attempts": 2,
+        "public": False,
+        "sticky": False,
+        "resumable": False,
+        "gap_goal_ms": 500,
     }
     return {**made, **fields}
 
@@ -428,9 +496,13 @@
 def desired_state(version, routes, services, prepaid=100_000_000):
     """Return a desired state with one tenant."""
     return {
-        "version": version, "routes": routes, "services": services,
+        "version": version,
+        "routes": routes,
+        "services": services,
         "limits": {
-            "max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000,
+            "max_header_bytes": 16384,
+            "max_body_bytes": 4194304,
+            "header_timeout_ms": 3000,
             "idle_timeout_ms": 15000,
         },
         "tenants": [{"name": "desk", "api_keys": [KEY], "priority": 1, "prepaid": prepaid}],
@@ -438,10 +510,18 @@
 
 
 ENGINES = {
-    "name": "engines", "health_path": "/health", "max_conns": 360, "proto": "h1", "tls": False,
+    "name": "engines",
+    "health_path": "/health",
+    "max_conns": 360,
+    "proto": "h1",
+    "tls": False,
     "engine": {
-        "slots": 64, "kv_capacity": 344277, "kv_token_bytes": 18432, "link_mbps": 370000.0,
-        "stride": 4, "models": [{"name": "m"}],
+        "slots": 64,
+        "kv_capacity": 344277,
+        "kv_token_bytes": 18432,
+        "link_mbps": 370000.0,
+        "stride": 4,
+        "models": [{"name": "m"}],
     },
 }
 LEDGER = {"name": "ledger", "health_path": "/health", "max_conns": 100, "proto": "h1", "tls": False}
