Store facts of entry hosts as records on control hosts

Facts that entry hosts find out are in the memory of entry hosts only. The package `records` writes them to control hosts in the background, bounded in number, size and time, and reads them back. A control host writes durable records to its disk and copies those of the others as it starts. Nothing uses it yet, so no behaviour changes.

--- a/cranberrywall/commands/_control_program.py
+++ b/cranberrywall/commands/_control_program.py
@@ -66,6 +66,7 @@
     make_http_sender,
     make_order_controller,
 )
+from cranberrywall.records import RecordStore
 from cranberrywall.replication import StateMachine
 from cranberrywall.runtime import Clock, Runtime
 from cranberrywall.settings import (
@@ -172,6 +173,8 @@
     feed = _make_feed(settings, machine.configuration, caller, connections, runtime.clock)
     feed.register(server)
     register_known_orders(server)
+    records = _make_records(settings, connections, caller, runtime)
+    records.register(server)
     sender = make_http_sender(tls.fetch if tls else None)
     orders = _make_orders(settings, runtime, me, machine, host, sender)
     state = _make_state(settings, runtime.clock, host, machine, orders, ledger_by_group)
@@ -182,9 +185,10 @@
     metrics = _make_metrics(host, counters, ledger_by_group)
     feed.export(metrics)
     connections.relay.export(metrics)
+    records.export(metrics)
     health = _make_health(host, lambda: check_placement(settings, machine.configuration))
     admin = make_admin_server(settings["listen"]["admin"], metrics, state, health, keys.admin)
-    loops = [raiser.run, *connections.loops()]
+    loops = [raiser.run, records.run, *connections.loops()]
     if runtime.storage is not None:
         restart = partial(sys.exit, EXIT_RESTART)
         groups = list(host.group_by_name.values())
@@ -209,6 +213,18 @@
     return f"the configuration has {wanted} ledger groups, and the settings {run}"
 
 
+def _make_records(
+    settings: Settings, connections: ControlConnections, caller: Caller, runtime: Runtime
+) -> RecordStore:
+    own = settings["listen"]["links"]
+    return RecordStore(
+        lambda: [address for address in connections.controls() if address != own],
+        caller,
+        runtime.clock,
+        runtime.storage,
+    )
+
+
 def _make_server(
     settings: Settings, runtime: Runtime, keys: FleetKeys, me: Peer, counters: LinkCounters
 ) -> LinkServer:
--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -39,6 +39,7 @@
 from cranberrywall.orders import EngineReporter
 from cranberrywall.quarantine import Quarantine, RunTracker, register_quarantine
 from cranberrywall.rates import make_rates
+from cranberrywall.records import RecordClient
 from cranberrywall.routing import (
     RejectionSpread,
     RetryLimits,
@@ -109,6 +110,7 @@
         self._membership, self._follower = connections.membership, connections.follower
         clock, controls = runtime.clock, connections.controls
         self._control = make_control_client(self._caller, clock, controls, runtime.random)
+        self._records = RecordClient(controls, self._caller, clock)
         self._allotments: HostAllotments | None = None
         self._targets = make_targets()
         self._spread = make_announcement_gossip(self._targets, self._membership.gossip, clock)
@@ -159,6 +161,7 @@
         self._rates.export(self._metrics)
         self._backoffs.export(self._metrics)
         self._rejections.export(self._metrics)
+        self._records.export(self._metrics)
         self._paths.export(self._metrics)
         self._tunnel_server.export(self._metrics)
         self._metrics.gauge_of(
@@ -241,6 +244,7 @@
         await self._membership.close()
         shutdown.start_step("close_admin")
         await self._admin.close()
+        self._records.close()
         shutdown.start_step("close_links")
         await self._server.close()
         await self._caller.close()
@@ -342,6 +346,7 @@
             self._backoffs,
             standstill.settle,
             self._paths,
+            self._records,
         )
         await self._front.serve(parts)
         self._tasks.append(asyncio.create_task(standstill.run()))
--- a/cranberrywall/entry/_frontend.py
+++ b/cranberrywall/entry/_frontend.py
@@ -9,6 +9,7 @@
 from cranberrywall.links import LinkCaller, LinkServer, Peer
 from cranberrywall.observability import Metrics
 from cranberrywall.quarantine import Quarantine
+from cranberrywall.records import RecordClient
 from cranberrywall.routing import TargetRouter
 from cranberrywall.runtime import Runtime
 from cranberrywall.targets import Announcement, Backoffs, Targets
@@ -24,7 +25,7 @@
     requests must not be sent to targets. ``backoffs`` tracks the targets that requested that this
     host send nothing. ``settle`` is awaited with the current monotonic and wall-clock times before
     a request is decided; see ``StallDetector``. ``paths`` are those to the targets, directly and
-    through neighbours.
+    through neighbours. ``records`` are the facts that control hosts store for entry hosts.
     """
 
     me: Peer
@@ -44,6 +45,7 @@
     backoffs: Backoffs
     settle: Callable[[float, float], Awaitable[None]]
     paths: Paths
+    records: RecordClient
 
 
 class Frontend(Protocol):
--- /dev/null
+++ b/cranberrywall/records/_client.py
@@ -0,0 +1,223 @@
+"""Records of an entry host: written to control hosts in the background, and read back.
+
+No request waits for a write.
+"""
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+import xxhash
+from result import Err, Ok
+
+from cranberrywall.links import Caller
+from cranberrywall.observability import EventLimiter, Metrics
+from cranberrywall.records.messages import (
+    LIST_RECORDS,
+    READ_RECORD,
+    WRITE_RECORDS,
+    ListRequest,
+    ReadRequest,
+    Record,
+    WriteRequest,
+)
+from cranberrywall.runtime import Clock
+
+COPIES = 3
+"""Number of control hosts that store a record: it survives the loss of two of them."""
+
+DURABLE_COPIES = 5
+"""Number of control hosts that store a durable record; there are few of these."""
+
+MAX_ASKED = 5
+"""Maximum number of control hosts that are asked for a record.
+
+There are more of them than copies, as a host that has just started knows only some."""
+
+WRITE_DELAY_S = 0.01
+"""Time for which records are collected before they are written, in seconds."""
+
+WRITE_TIMEOUT_S = 1.0
+
+MIN_RETRY_DELAY_S = 0.2
+MAX_RETRY_DELAY_S = 5.0
+"""Bounds of the time before durable records are written again to a host that did not confirm them,
+in seconds."""
+
+MAX_BATCH = 200
+"""Maximum number of records in one call."""
+
+MAX_PENDING = 4096
+"""Maximum number of records that wait for one control host; the oldest are dropped first."""
+
+_Key = tuple[str, str]
+
+
+class RecordClient:
+    """Writer and reader of records. ``controls`` returns the control hosts' addresses."""
+
+    def __init__(self, controls: Callable[[], Sequence[str]], caller: Caller, clock: Clock) -> None:
+        self._controls = controls
+        self._caller = caller
+        self._clock = clock
+        self._writer_by_address: dict[str, _Writer] = {}
+        self._events = EventLimiter(clock.now)
+
+    def export(self, metrics: Metrics) -> None:
+        """Register the numbers of records that wait for control hosts, and were dropped."""
+        metrics.gauge_of(
+            "records_waiting",
+            "Records that wait to be written to control hosts.",
+            lambda: sum(len(writer) for writer in self._writer_by_address.values()),
+        )
+        metrics.gauge_of(
+            "records_dropped",
+            "Records that were not written because a control host did not confirm them.",
+            lambda: sum(writer.dropped for writer in self._writer_by_address.values()),
+        )
+
+    def write(self, record: Record) -> None:
+        """Write a record to control hosts in the background; the newest of a key wins."""
+        copies = DURABLE_COPIES if record.is_durable else COPIES
+        for address in self._ranked(record.topic, record.key)[:copies]:
+            writer = self._writer_by_address.get(address)
+            if writer is None:
+                writer = _Writer(address, self._caller, self._clock, self._events)
+                self._writer_by_address[address] = writer
+            writer.add(record)
+
+    async def read(self, topic: str, key: str, timeout_s: float) -> Record | None:
+        """Return a record; ``None`` if no control host that was asked knows it in time."""
+        calls = [
+            self._caller.call(address, READ_RECORD, ReadRequest(topic, key), timeout_s)
+            for address in self._ranked(topic, key)[:MAX_ASKED]
+        ]
+        tasks = [asyncio.ensure_future(call) for call in calls]
+        try:
+            for answer in asyncio.as_completed(tasks):
+                reply = await answer
+                if isinstance(reply, Ok) and reply.ok_value.records:
+                    return reply.ok_value.records[0]
+        finally:
+            for task in tasks:
+                task.cancel()
+        return None
+
+    async def fetch(
+        self, topics: Sequence[str], receive: Callable[[Sequence[Record]], None], timeout_s: float
+    ) -> bool:
+        """Pass on the records of topics that control hosts store, and return whether one answered.
+
+        All control hosts are asked at the same time, because each may lack records that others
+        have. ``receive`` is called with each page.
+        """
+        answers = await asyncio.gather(
+            *(self._fetch_from(address, topics, receive, timeout_s) for address in self._controls())
+        )
+        return any(answers)
+
+    def close(self) -> None:
+        """Stop writing."""
+        for writer in self._writer_by_address.values():
+            writer.close()
+
+    async def _fetch_from(
+        self,
+        address: str,
+        topics: Sequence[str],
+        receive: Callable[[Sequence[Record]], None],
+        timeout_s: float,
+    ) -> bool:
+        until = self._clock.now() + timeout_s
+        before = 0
+        while (remaining_s := until - self._clock.now()) > 0.0:
+            request = ListRequest(tuple(topics), before)
+            answer = await self._caller.call(address, LIST_RECORDS, request, remaining_s)
+            if isinstance(answer, Err):
+                return False
+            receive(answer.ok_value.records)
+            before = answer.ok_value.before
+            if not before:
+                return True
+        return False
+
+    def _ranked(self, topic: str, key: str) -> list[str]:
+        """Return the control hosts in an order by a hash of host and key (rendezvous hashing)."""
+        return sorted(
+            self._controls(),
+            key=lambda address: xxhash.xxh64_intdigest(f"{address}\n{topic}\n{key}".encode()),
+        )
+
+
+class _Writer:
+    """Records that wait for one control host."""
+
+    def __init__(self, address: str, caller: Caller, clock: Clock, events: EventLimiter) -> None:
+        self.dropped = 0
+        self._address = address
+        self._caller = caller
+        self._clock = clock
+        self._events = events
+        self._pending_by_key: dict[_Key, tuple[Record, float]] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    def __len__(self) -> int:
+        return len(self._pending_by_key)
+
+    def add(self, record: Record) -> None:
+        key = (record.topic, record.key)
+        pending = self._pending_by_key.pop(key, None)
+        if pending is not None and pending[0].version > record.version:
+            record = pending[0]
+        self._pending_by_key[key] = (record, self._clock.now())
+        if len(self._pending_by_key) > MAX_PENDING:
+            del self._pending_by_key[next(iter(self._pending_by_key))]
+            self.dropped += 1
+        if self._task is None or self._task.done():
+            self._task = asyncio.get_running_loop().create_task(self._write_all())
+
+    def close(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _write_all(self) -> None:
+        delay_s = MIN_RETRY_DELAY_S
+        await self._clock.sleep(WRITE_DELAY_S)
+        while self._pending_by_key:
+            if await self._write_batch():
+                delay_s = MIN_RETRY_DELAY_S
+                continue
+            if self._pending_by_key:
+                await self._clock.sleep(delay_s)
+                delay_s = min(2.0 * delay_s, MAX_RETRY_DELAY_S)
+
+    async def _write_batch(self) -> bool:
+        now = self._clock.now()
+        batch = list(self._pending_by_key.items())[:MAX_BATCH]
+        records = [_aged(record, now - added_at) for _, (record, added_at) in batch]
+        live = tuple(record for record in records if record.lifetime_s > 0.0)
+        answer = await self._caller.call(
+            self._address, WRITE_RECORDS, WriteRequest(live), WRITE_TIMEOUT_S
+        )
+        is_written = isinstance(answer, Ok)
+        for key, pending in batch:
+            record, added_at = pending
+            is_over = record.lifetime_s <= now - added_at
+            if self._pending_by_key.get(key) is not pending:
+                continue
+            if is_written or is_over or not record.is_durable:
+                del self._pending_by_key[key]
+                self.dropped += not is_written
+        if isinstance(answer, Err):
+            self._events.log(
+                "WARNING",
+                "records_not_confirmed",
+                answer.err_value.kind,
+                control=self._address,
+                records=len(batch),
+                refusal=answer.err_value,
+            )
+        return is_written
+
+
+def _aged(record: Record, seconds: float) -> Record:
+    return record._replace(lifetime_s=record.lifetime_s - seconds, age_s=record.age_s + seconds)
--- /dev/null
+++ b/cranberrywall/records/_journal.py
@@ -0,0 +1,75 @@
+"""File of the durable records of one control host.
+
+The file is a copy of what the entry hosts know. A host that cannot write it serves the records from
+memory.
+"""
+
+from collections.abc import Sequence
+
+from cranberrywall.links import MalformedMessageError
+from cranberrywall.observability import log_event
+from cranberrywall.records.messages import RECORDS_CODEC, StoredBatch, StoredRecord
+from cranberrywall.replication import encode_frame, scan_frames
+from cranberrywall.runtime import AppendFile, Storage
+
+FILE = "records/journal"
+
+MAX_FILE_BYTES = 4 * 1024 * 1024
+"""Size above which the file is rewritten without obsolete records, in bytes."""
+
+
+class RecordJournal:
+    """Durable records on disk. All methods block."""
+
+    def __init__(self, storage: Storage) -> None:
+        self._storage = storage
+        self._file: AppendFile | None = None
+        self._size = 0
+
+    def read(self) -> list[StoredRecord]:
+        """Return the records in the file, oldest first; none if it is missing or damaged."""
+        try:
+            data = self._storage.read(FILE) or b""
+        except OSError as error:
+            log_event("WARNING", "records_not_read", reason=str(error))
+            return []
+        scan = scan_frames(data)
+        records: list[StoredRecord] = []
+        for payload in scan.unwrap().payloads if scan.is_ok() else ():
+            try:
+                records += RECORDS_CODEC.decode(payload).records
+            except MalformedMessageError as error:
+                log_event("WARNING", "records_not_read", reason=str(error))
+        if scan.is_err():
+            log_event("WARNING", "records_not_read", reason="the file is damaged")
+        return records
+
+    @property
+    def should_rewrite(self) -> bool:
+        """Return whether the next write must be a ``rewrite``."""
+        return self._file is None or self._size > MAX_FILE_BYTES
+
+    def append(self, records: Sequence[StoredRecord]) -> None:
+        """Add records durably; raise ``OSError`` on failure, after which a rewrite is due."""
+        file, self._file = self._file, None
+        if file is None:
+            raise OSError("the file is not open")
+        frame = encode_frame(RECORDS_CODEC.encode(StoredBatch(tuple(records))))
+        file.append(frame)
+        file.sync()
+        self._file = file
+        self._size += len(frame)
+
+    def rewrite(self, records: Sequence[StoredRecord]) -> None:
+        """Replace the file by these records; raise ``OSError`` on failure."""
+        self.close()
+        frame = encode_frame(RECORDS_CODEC.encode(StoredBatch(tuple(records))))
+        self._storage.replace(FILE, frame)
+        self._file = self._storage.open_append(FILE)
+        self._size = len(frame)
+
+    def close(self) -> None:
+        """Close the file."""
+        file, self._file = self._file, None
+        if file is not None:
+            file.close()
