--- a/standins/_platform.py
+++ b/standins/_platform.py
@@ -7,11 +7,12 @@
 import asyncio
 import json
 import os
+import shutil
 import signal
 import socket
 import sys
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -89,6 +90,7 @@
     of the same host. One that ``says_leaving`` says so in each answer, and in no heartbeat.
     One that is cold says so in its heartbeats, and crashes if over ``most_cold_per_s`` requests
     reach it in a second.
+    ``version`` is that of its software.
     ``arrivals`` has each request that reached it, whatever became of it.
     """
 
@@ -111,6 +113,7 @@
         self.work_s = 0.0
         self.says_leaving = False
         self.zone = ZONES[0]
+        self.version = "v1"
         self._cold_since = self._cold_until = 0.0
         self.most_cold_per_s = 0.0
         self.arrivals: list[Arrived] = []
@@ -175,7 +178,7 @@
             "service": self.service,
             "addr": self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": 8,
             "state": state,
             "cold_left_ms": max(0, round(1000 * (self._cold_until - time.monotonic()))),
@@ -333,6 +336,17 @@
         """Return a machine's process."""
         return self._process_by_name[machine.name]
 
+    async def lose_power(
+        self, machines: Sequence[Machine], seconds: float, disks: bool = True
+    ) -> None:
+        """Kill machines at the same moment and start them again, with their disks or empty."""
+        await asyncio.gather(*(self.kill(machine) for machine in machines))
+        await asyncio.sleep(seconds)
+        for machine in machines:
+            if not disks:
+                shutil.rmtree(self._folder / f"{machine.name}.data", ignore_errors=True)
+            await self.start_machine(machine)
+
     def freeze(self, machine: Machine) -> None:
         """Stop a machine's process for a while."""
         self._process_by_name[machine.name].send_signal(signal.SIGSTOP)
