Restore ends of targets and decisions after all entry hosts were lost

Callers saw target after target end under one request, three times over: after each loss of power of all entry hosts it ended four more. Cause: ends, suspects and decisions were in the memory of entry hosts only; each knew them from the others, and nobody knew them once all had started anew.

Each host now writes the quarantine's items that it publishes to control hosts, in the background, and restores them as it starts, with their age: a hold ends when it would have ended, ends at different moments stay apart, and a trial that was due before is not granted again. Control hosts keep them on disk, so they also outlive the end of all machines. A host that no control host answers serves after 0.3 s.

--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -27,7 +27,7 @@
     StallDetector,
 )
 from cranberrywall.errors import ErrorKind, Refusal
-from cranberrywall.hosts import register_drain, register_dump
+from cranberrywall.hosts import RecordedGossip, register_drain, register_dump
 from cranberrywall.observability import (
     AdminServer,
     HealthChecks,
@@ -37,7 +37,12 @@
     make_metrics,
 )
 from cranberrywall.orders import EngineReporter
-from cranberrywall.quarantine import Quarantine, RunTracker, register_quarantine
+from cranberrywall.quarantine import (
+    RECORD_LIFETIME_BY_TOPIC,
+    Quarantine,
+    RunTracker,
+    register_quarantine,
+)
 from cranberrywall.rates import make_rates
 from cranberrywall.records import RecordClient
 from cranberrywall.routing import (
@@ -73,6 +78,11 @@
 
 LOAD_EVERY_S = 1.0
 
+RESTORE_TIMEOUT_S = 0.3
+"""Time for which a host that starts waits for the records of control hosts, in seconds."""
+
+RESTORE_RETRY_DELAY_S = 0.1
+
 EXPIRE_EVERY_S = 1.0
 CONTROLS_ASKED = 4
 """Control hosts that are asked which targets left; two of them may be lost."""
@@ -125,8 +135,10 @@
         tracker = RunTracker(
             self._targets, make_network(), clock, self._paths.is_reached_by_neighbour
         )
-        gossip = connections.membership.gossip
-        self._quarantine = Quarantine(self._me.host, tracker, gossip, clock)
+        self._gossip = RecordedGossip(
+            connections.membership.gossip, self._records, clock, RECORD_LIFETIME_BY_TOPIC
+        )
+        self._quarantine = Quarantine(self._me.host, tracker, self._gossip, self._gossip.clock)
         self._rates = make_rates(
             self._me.host,
             self._targets,
@@ -264,6 +276,8 @@
     async def _become_ready(self) -> None:
         if self._connections.contacts is not None:
             self._tasks.append(asyncio.create_task(self._connections.contacts.run()))
+        restoring = asyncio.create_task(self._restore())
+        self._tasks.append(restoring)
         await self._membership.start()
         revision = await self._follower.join()
         self._tasks.append(asyncio.create_task(self._follower.run()))
@@ -282,10 +296,16 @@
             return
         self._allotments = allotments
         allotments.export(self._metrics)
+        await asyncio.wait({restoring}, timeout=RESTORE_TIMEOUT_S)
         await self._serve(allotments, ledger)
         targets = len(self._targets.by_id)
         log_event("INFO", "entry_ready", revision=revision, targets=targets)
 
+    async def _restore(self) -> None:
+        """Restore what the fleet found out before, once a control host answers."""
+        while not await self._gossip.restore(RESTORE_TIMEOUT_S):
+            await self._runtime.clock.sleep(RESTORE_RETRY_DELAY_S)
+
     def _longest_hand_back_s(self) -> float:
         if self._max_hand_back_s is not None:
             return self._max_hand_back_s()
--- a/cranberrywall/hosts/__init__.py
+++ b/cranberrywall/hosts/__init__.py
@@ -10,6 +10,7 @@
     Membership,
 )
 from cranberrywall.hosts._membership import make_membership
+from cranberrywall.hosts._recorded_gossip import RecordedGossip
 from cranberrywall.hosts._static import make_static_membership
 from cranberrywall.hosts._timings import MembershipTimings, membership_timings
 from cranberrywall.hosts.messages import Item, Urgency
@@ -28,6 +29,7 @@
     "Membership",
     "MembershipTimings",
     "Gossip",
+    "RecordedGossip",
     "Urgency",
     "make_membership",
     "make_static_membership",
--- a/cranberrywall/hosts/_interfaces.py
+++ b/cranberrywall/hosts/_interfaces.py
@@ -66,11 +66,19 @@
         ...
 
 
+class RestorableGossip(Gossip, Protocol):
+    """Gossip to which items can be restored after all hosts were lost."""
+
+    def apply(self, item: Item) -> None:
+        """Apply ``item`` at this host like ``publish``, without sending it to other hosts."""
+        ...
+
+
 class LiveMembership(Membership, Protocol):
     """Membership with the tasks that one entry host runs for it."""
 
     @property
-    def gossip(self) -> Gossip:
+    def gossip(self) -> RestorableGossip:
         """Return the gossip over which other packages disseminate items."""
         ...
 
--- a/cranberrywall/hosts/_membership.py
+++ b/cranberrywall/hosts/_membership.py
@@ -17,7 +17,12 @@
     HostVersion,
     encode_load,
 )
-from cranberrywall.hosts._interfaces import Gossip, HostState, HostView, LiveMembership
+from cranberrywall.hosts._interfaces import (
+    HostState,
+    HostView,
+    LiveMembership,
+    RestorableGossip,
+)
 from cranberrywall.hosts._prober import Prober
 from cranberrywall.hosts._ring import Rings
 from cranberrywall.hosts._roster import Roster
@@ -123,7 +128,7 @@
         self._views_at = float("-inf")
 
     @property
-    def gossip(self) -> Gossip:
+    def gossip(self) -> RestorableGossip:
         return self._gossip
 
     @property
--- a/cranberrywall/hosts/_spread.py
+++ b/cranberrywall/hosts/_spread.py
@@ -84,6 +84,11 @@
         """Disseminate ``item``; an item that is not newer than the stored one is dropped."""
         self.merge([item])
 
+    def apply(self, item: Item) -> None:
+        """Store ``item`` without queueing it; hosts that miss it receive it by a comparison."""
+        if self._table.put(item, self._clock.now()):
+            self._receive(item)
+
     def items(self, topic: str) -> Sequence[Item]:
         """Return the newest items of ``topic``, without removed ones."""
         return self._table.items_of_topic(topic)
@@ -102,9 +107,12 @@
             if item.urgency is Urgency.URGENT:
                 self._urgent[key] = _Pending(item, {source})
                 self._schedule_push()
-            receive = self._receiver_by_topic.get(item.topic)
-            if receive is not None:
-                receive(item)
+            self._receive(item)
+
+    def _receive(self, item: Item) -> None:
+        receive = self._receiver_by_topic.get(item.topic)
+        if receive is not None:
+            receive(item)
 
     def select_items(self, place: str) -> tuple[Item, ...]:
         """Return the items for a message to a host in ``place``, urgent and newest first."""
--- a/cranberrywall/quarantine/__init__.py
+++ b/cranberrywall/quarantine/__init__.py
@@ -8,6 +8,7 @@
     register_quarantine,
 )
 from cranberrywall.quarantine._quarantine import Quarantine
+from cranberrywall.quarantine._recorded import RECORD_LIFETIME_BY_TOPIC
 from cranberrywall.quarantine._runs import Run, RunEnd
 from cranberrywall.quarantine._stoppable import stoppable
 from cranberrywall.quarantine._tracker import RunTracker
@@ -16,6 +17,7 @@
 __all__ = [
     "NO_TRAITS",
     "QUARANTINE",
+    "RECORD_LIFETIME_BY_TOPIC",
     "Fingerprint",
     "Quarantine",
     "QuarantineReply",
--- a/cranberrywall/quarantine/_prompt_quarantine.py
+++ b/cranberrywall/quarantine/_prompt_quarantine.py
@@ -81,7 +81,7 @@
         self._on_evidence = on_evidence
         self._evidence = PromptEvidence()
         self._patterns = Patterns(gossip, clock, self._handle_held, self._handle_released)
-        self._trials = Trials(host)
+        self._trials = Trials(host, clock.now())
         self._cleared = _Clearances()
         gossip.subscribe(PROMPTS_TOPIC, self._apply_report)
         gossip.subscribe(CLEARED_TOPIC, self._apply_cleared)
--- a/cranberrywall/quarantine/_trials.py
+++ b/cranberrywall/quarantine/_trials.py
@@ -24,15 +24,16 @@
 
 
 class Trials:
-    """Grant the trials that are this host's."""
+    """Grant the trials that are this host's, of those that are due after its start."""
 
-    def __init__(self, host: str) -> None:
+    def __init__(self, host: str, started_at: float) -> None:
         self._host = host
+        self._started_at = started_at
         self._planned_by_pattern: dict[Fingerprint, list[_Trial]] = {}
         self._granted_by_pattern: dict[Fingerprint, Fingerprint] = {}
 
     def plan(self, pattern: Fingerprint, reporters: Iterable[str], now: float) -> None:
-        """Plan the trials of a pattern that is held from now on.
+        """Plan the trials of a pattern that is held since ``now``.
 
         All hosts choose the same ones among the ``reporters`` of ended targets.
         """
@@ -44,7 +45,7 @@
         self._planned_by_pattern[pattern] = [
             _Trial(now + delay_s, ordered[number % len(ordered)])
             for number, delay_s in enumerate(TRIAL_DELAYS_S)
-            if ordered
+            if ordered and now + delay_s >= self._started_at
         ]
 
     def drop(self, pattern: Fingerprint) -> None:
--- a/cranberrywall/records/_store.py
+++ b/cranberrywall/records/_store.py
@@ -9,7 +9,7 @@
 
 from result import Err, Ok, Result
 
-from cranberrywall.errors import Refusal
+from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller, Peer, Server
 from cranberrywall.observability import Metrics, log_event
 from cranberrywall.records._journal import RecordJournal
@@ -45,6 +45,8 @@
 COPY_DURATION_S = 30.0
 """Time after its start in which a control host copies the records of the others, in seconds."""
 
+_NOT_READ = Refusal(ErrorKind.NOT_READY, "the file of records is being read")
+
 
 class RecordStore:
     """Records of one control host.
@@ -67,6 +69,7 @@
         self._journal = RecordJournal(storage) if storage is not None else None
         self._table = RecordTable()
         self._unwritten: list[Entry] = []
+        self._is_read = self._journal is None
         self._received = 0
         self._failures = 0
 
@@ -105,6 +108,8 @@
         return Ok(ReadReply((record,) if record is not None else ()))
 
     async def _handle_list(self, request: ListRequest, peer: Peer) -> Result[ListReply, Refusal]:
+        if not self._is_read:
+            return Err(_NOT_READ)
         records, before = self._table.page(
             request.topics, request.before, MAX_PAGE_BYTES, self._clock.now()
         )
@@ -124,6 +129,7 @@
         if self._storage is None or self._journal is None:
             return
         stored = await self._storage.run_blocking(self._journal.read)
+        self._is_read = True
         now, wall = self._clock.now(), self._clock.wall()
         for one in stored:
             record = one.record
--- a/tests/quarantine/fleet.py
+++ b/tests/quarantine/fleet.py
@@ -3,8 +3,10 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from cranberrywall.hosts import RecordedGossip
 from cranberrywall.quarantine import (
     NO_TRAITS,
+    RECORD_LIFETIME_BY_TOPIC,
     Fingerprint,
     Quarantine,
     Run,
@@ -14,8 +16,10 @@
     fingerprint_of,
     traits_of,
 )
+from cranberrywall.records import RecordClient, RecordStore
 from cranberrywall.targets import Targets, make_targets
 from tests.fakes.clock import VirtualClock, run_virtual
+from tests.fakes.links import Switchboard
 from tests.fakes.spread import MemorySpread
 from tests.quarantine.scene import ScriptedNetwork, announcement
 
@@ -43,7 +47,9 @@
         self.stopped: list[str] = []
         network: Any = fleet.network  # only ``dial`` is called
         tracker = RunTracker(self.targets, network, fleet.clock)
-        self.quarantine = Quarantine(name, tracker, self.gossip, fleet.clock)
+        records = RecordClient(lambda: fleet.controls, fleet.board.caller(name), fleet.clock)
+        self.recorded = RecordedGossip(self.gossip, records, fleet.clock, RECORD_LIFETIME_BY_TOPIC)
+        self.quarantine = Quarantine(name, tracker, self.recorded, self.recorded.clock)
         for port in fleet.ports:
             self.targets.apply(announcement(f"t{port}", port), fleet.clock.now())
 
@@ -81,10 +87,15 @@
 class Fleet:
     """Hosts that receive each other's items, and forty targets."""
 
-    def __init__(self, hosts: int) -> None:
+    def __init__(self, hosts: int, controls: int = 0) -> None:
         self.clock = VirtualClock()
         self.network = ScriptedNetwork()
         self.ports = range(1, 41)
+        self.board = Switchboard()
+        self.controls = [f"control-{number}" for number in range(controls)]
+        for name in self.controls:
+            store = RecordStore(lambda: (), self.board.caller(name), self.clock, None)
+            store.register(self.board.server(name))
         self.hosts = [Host(f"entry-{number}", self) for number in range(hosts)]
         self.connect()
         self._next = 0
@@ -101,6 +112,14 @@
         self.connect()
         return host
 
+    async def restart_all(self) -> None:
+        """Let all hosts lose power at the same moment and start again."""
+        await self.clock.sleep(0.1)
+        self.hosts = [Host(host.name, self) for host in self.hosts]
+        self.connect()
+        for host in self.hosts:
+            assert await host.recorded.restore(0.3)
+
     def next_target(self) -> int:
         self._next += 1
         return self._next
@@ -136,9 +155,11 @@
         await self.end(*runs)
 
 
-def run_fleet(scenario: Callable[[Fleet], Awaitable[None]], hosts: int = 3) -> None:
+def run_fleet(
+    scenario: Callable[[Fleet], Awaitable[None]], hosts: int = 3, controls: int = 0
+) -> None:
     async def main() -> None:
-        fleet = Fleet(hosts)
+        fleet = Fleet(hosts, controls)
         await scenario(fleet)
         for host in fleet.hosts:
             host.quarantine.close()
