Find the origin of a stream after all entry hosts were lost

Callers that took a broken stream up got 503 from each host: of 12 streams none went on. Cause: the version that began a stream was stored at four entry hosts, and all had lost power.

The host that begins a stream now also writes its version to three control hosts, in the background, and a host that looks it up asks these besides the other entry hosts. The origin is in memory there for as long as a caller may take the stream up.

--- a/cranberrywall/forwarding/_origins.py
+++ b/cranberrywall/forwarding/_origins.py
@@ -1,4 +1,7 @@
-"""Versions that began streams, stored at a few hosts so that any host can go on with a stream."""
+"""Versions that began streams, stored so that any host can go on with a stream.
+
+A few entry hosts store them, and control hosts, which outlive the loss of all entry hosts.
+"""
 
 import asyncio
 from collections import OrderedDict
@@ -20,6 +23,7 @@
 from cranberrywall.hosts import HostView, Membership
 from cranberrywall.links import Caller, Peer, Server
 from cranberrywall.observability import Metrics, log_event
+from cranberrywall.records import Record, RecordClient
 from cranberrywall.runtime import Clock
 
 REPLICAS = 3
@@ -36,6 +40,8 @@
 MAX_ORIGINS = 20_000
 """Maximum number of origins that a host stores; the oldest ones are removed first."""
 
+ORIGINS_TOPIC = "stream-origin"
+
 TAKE_UP_S = 10.0
 """Time after a stream's deadline in which a caller may still take it up, in seconds."""
 
@@ -49,12 +55,19 @@
     """Table of the origins that this host knows, and the questions to others."""
 
     def __init__(
-        self, host: str, membership: Membership, caller: Caller, server: Server, clock: Clock
+        self,
+        host: str,
+        membership: Membership,
+        caller: Caller,
+        server: Server,
+        clock: Clock,
+        records: RecordClient,
     ) -> None:
         self._host = host
         self._membership = membership
         self._caller = caller
         self._clock = clock
+        self._records = records
         self._stored_by_id: OrderedDict[str, _Stored] = OrderedDict()
         self._tasks: set[asyncio.Task[None]] = set()
         self._unknown = 0
@@ -77,6 +90,17 @@
     def record(self, request_id: str, version: str, lifetime_s: float) -> None:
         """Store an origin here, and at other hosts in the background."""
         self.store(request_id, version, lifetime_s)
+        expires_at_ms = round(1000.0 * (self._clock.wall() + lifetime_s))
+        self._records.write(
+            Record(
+                ORIGINS_TOPIC,
+                request_id,
+                (expires_at_ms,),
+                version.encode(),
+                lifetime_s,
+                is_durable=False,
+            )
+        )
         task = asyncio.create_task(self._replicate(StreamOrigin(request_id, version, lifetime_s)))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -96,21 +120,28 @@
 
     async def _ask(self, request_id: str) -> str | None:
         """Ask the hosts that may know at the same time, and return the first version named."""
-        calls = [
-            self._caller.call(view.links, FIND_ORIGIN, OriginQuery(request_id), CALL_TIMEOUT_S)
-            for view in self._others(request_id)[:MAX_ASKED]
-        ]
-        tasks = [asyncio.ensure_future(call) for call in calls]
+        views = self._others(request_id)[:MAX_ASKED]
+        tasks = [asyncio.create_task(self._ask_host(view, request_id)) for view in views]
+        tasks.append(asyncio.create_task(self._ask_controls(request_id)))
         try:
             for answer in asyncio.as_completed(tasks):
-                reply = await answer
-                if isinstance(reply, Ok) and reply.ok_value.version:
-                    return reply.ok_value.version
+                version = await answer
+                if version:
+                    return version
         finally:
             for task in tasks:
                 task.cancel()
         return None
 
+    async def _ask_host(self, view: HostView, request_id: str) -> str:
+        query = OriginQuery(request_id)
+        reply = await self._caller.call(view.links, FIND_ORIGIN, query, CALL_TIMEOUT_S)
+        return reply.ok_value.version if isinstance(reply, Ok) else ""
+
+    async def _ask_controls(self, request_id: str) -> str:
+        record = await self._records.read(ORIGINS_TOPIC, request_id, CALL_TIMEOUT_S)
+        return record.payload.decode() if record is not None else ""
+
     async def _replicate(self, origin: StreamOrigin) -> None:
         await asyncio.gather(
             *(
--- a/cranberrywall/platform/_front.py
+++ b/cranberrywall/platform/_front.py
@@ -80,7 +80,12 @@
     async def serve(self, parts: FrontendContext) -> None:
         """Begin to forward."""
         origins = StreamOrigins(
-            parts.me.host, parts.membership, parts.caller, parts.server, self._clock
+            parts.me.host,
+            parts.membership,
+            parts.caller,
+            parts.server,
+            self._clock,
+            parts.records,
         )
         origins.export(parts.metrics)
         self._forwarder = Forwarder(
--- a/tests/fakes/spread.py
+++ b/tests/fakes/spread.py
@@ -30,6 +30,11 @@
         self.published += 1
         self.take(item)
 
+    def apply(self, item: Item) -> None:
+        peers, self._peers = self._peers, []
+        self.take(item)
+        self._peers = peers
+
     def items(self, topic: str) -> Sequence[Item]:
         return [one for one in self.item_by_key.values() if one.topic == topic and one.payload]
 
--- a/tests/forwarding/scripted.py
+++ b/tests/forwarding/scripted.py
@@ -18,6 +18,7 @@
 from cranberrywall.platform._dialect import TargetDialect
 from cranberrywall.quarantine import Quarantine, RunTracker
 from cranberrywall.rates import RateNotice
+from cranberrywall.records import RecordClient
 from cranberrywall.routing import Demand, Outcome
 from cranberrywall.runtime import make_clock, make_network
 from cranberrywall.targets import DecimalField, TargetIncarnation, make_targets
@@ -220,6 +221,7 @@
                 self.board.caller(self.host),
                 self.board.server(self.host),
                 make_clock(),
+                RecordClient(lambda: (), self.board.caller(self.host), make_clock()),
             ),
             self._paths,
         )
--- a/tests/forwarding/test_origins.py
+++ b/tests/forwarding/test_origins.py
@@ -6,6 +6,7 @@
 from cranberrywall.forwarding import StreamOrigins
 from cranberrywall.forwarding import _origins as origins_module
 from cranberrywall.forwarding._origins import MAX_ASKED, REPLICAS
+from cranberrywall.records import RecordClient, RecordStore
 from tests.fakes.clock import ManualClock
 from tests.fakes.links import Switchboard
 from tests.forwarding.scripted import FixedMembership
@@ -16,17 +17,22 @@
 class Hosts:
     """Entry hosts that reach each other unless they are down."""
 
-    def __init__(self, count: int) -> None:
+    def __init__(self, count: int, controls: int = 0) -> None:
         self.names = [f"entry-{number}" for number in range(count)]
         self.board = Switchboard()
         self.clock = ManualClock()
         self.membership = FixedMembership(self.names)
-        self.origins_by_host = {name: self._start(name) for name in self.names}
+        self.controls = [f"control-{number}" for number in range(controls)]
+        for name in self.controls:
+            store = RecordStore(lambda: (), self.board.caller(name), self.clock, None)
+            store.register(self.board.server(name))
+        self.origins_by_host = {name: self.start(name) for name in self.names}
 
-    def _start(self, name: str) -> StreamOrigins:
+    def start(self, name: str) -> StreamOrigins:
         board = self.board
+        records = RecordClient(lambda: self.controls, board.caller(name), self.clock)
         return StreamOrigins(
-            name, self.membership, board.caller(name), board.server(name), self.clock
+            name, self.membership, board.caller(name), board.server(name), self.clock, records
         )
 
     async def record(self, host: str, request_id: str, version: str) -> None:
@@ -75,6 +81,17 @@
     assert await hosts.origins_by_host["entry-0"].find("id-1") is None
 
 
+async def test_an_origin_survives_the_loss_of_all_entry_hosts() -> None:
+    """All entry hosts lost power at once, and no stream could be taken up."""
+    hosts = Hosts(7, controls=3)
+    await hosts.record("entry-3", "id-1", "v1")
+    await hosts.clock.advance(0.1)
+    for name in hosts.names:
+        hosts.origins_by_host[name] = hosts.start(name)
+    hosts.board.down = {"control-1", "control-2"}
+    assert await hosts.find_at_each("id-1", hosts.names) == {"v1"}
+
+
 async def test_origins_are_removed_after_their_lifetime_and_above_the_limit() -> None:
     hosts = Hosts(1)
     origins = hosts.origins_by_host["entry-0"]
