--- a/cranberrywall/hosts/_recorded_gossip.py
+++ b/cranberrywall/hosts/_recorded_gossip.py
@@ -64,7 +64,8 @@
         is_answered = await self._records.fetch(topics, receive, timeout_s)
         for record in sorted(newest_by_key.values(), key=lambda one: -one.age_s):
             self._apply(record)
-        log_event("INFO", "records_restored", answered=is_answered, records=len(newest_by_key))
+        if is_answered:
+            log_event("INFO", "records_restored", records=len(newest_by_key))
         return is_answered
 
     def _apply(self, record: Record) -> None:
