Close the connections of the link that a test freezes

The stand-in now closes its connections; the product leaves none open: a trace of each StreamWriter that is collected while open finds none in this file.

--- a/tests/forwarding/partitioned.py
+++ b/tests/forwarding/partitioned.py
@@ -64,6 +64,7 @@
         self._may_forward = asyncio.Event()
         self._may_forward.set()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
     async def start(self) -> str:
@@ -77,14 +78,19 @@
         self._may_forward.clear()
 
     def close(self) -> None:
+        """Close the listener and every connection."""
         if self._server is not None:
             self._server.close()
         for task in self._tasks:
             task.cancel()
+        for writer in self._writers:
+            writer.transport.abort()
 
     async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         host, port = self._address
+        self._writers.add(writer)
         far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        self._writers.add(far_writer)
         for source, sink in ((reader, far_writer), (far_reader, writer)):
             task = asyncio.create_task(self._copy(source, sink))
             self._tasks.add(task)
