Ask for records less often while no control host has them

An entry host among control hosts of an older build asked ten times a second for as long as it ran. The time between two tries now rises to 5 s.

--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -81,7 +81,10 @@
 RESTORE_TIMEOUT_S = 0.3
 """Time for which a host that starts waits for the records of control hosts, in seconds."""
 
-RESTORE_RETRY_DELAY_S = 0.1
+MIN_RESTORE_RETRY_DELAY_S = 0.1
+MAX_RESTORE_RETRY_DELAY_S = 5.0
+"""Bounds of the time between two tries, in seconds. The control hosts of an older build have no
+records."""
 
 EXPIRE_EVERY_S = 1.0
 CONTROLS_ASKED = 4
@@ -303,8 +306,10 @@
 
     async def _restore(self) -> None:
         """Restore what the fleet found out before, once a control host answers."""
+        delay_s = MIN_RESTORE_RETRY_DELAY_S
         while not await self._gossip.restore(RESTORE_TIMEOUT_S):
-            await self._runtime.clock.sleep(RESTORE_RETRY_DELAY_S)
+            await self._runtime.clock.sleep(delay_s)
+            delay_s = min(2.0 * delay_s, MAX_RESTORE_RETRY_DELAY_S)
 
     def _longest_hand_back_s(self) -> float:
         if self._max_hand_back_s is not None:
