Record decisions for as long as the ends that they discarded

A request that an operator had released, or that a whole answer had cleared, was held again on all hosts when all of them lost power 600 s to 3600 s later: the record of the decision had expired, and those of the ends had not. Both tests failed before (any host refuses the request).

--- a/cranberrywall/quarantine/_recorded.py
+++ b/cranberrywall/quarantine/_recorded.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-from cranberrywall.quarantine._decisions import DECISIONS_TOPIC, HOLD_DURATION_S
+from cranberrywall.quarantine._decisions import DECISIONS_TOPIC
 from cranberrywall.quarantine._evidence import ENDING_RETENTION_S
 from cranberrywall.quarantine._patterns import PATTERNS_TOPIC
 from cranberrywall.quarantine._prompt_quarantine import (
@@ -14,9 +14,12 @@
 
 RECORD_LIFETIME_BY_TOPIC: Mapping[str, float] = {
     ENDINGS_TOPIC: ENDING_RETENTION_S,
-    DECISIONS_TOPIC: HOLD_DURATION_S,
+    DECISIONS_TOPIC: ENDING_RETENTION_S,
     PROMPTS_TOPIC: ENDING_RETENTION_S,
-    PATTERNS_TOPIC: HOLD_DURATION_S,
+    PATTERNS_TOPIC: ENDING_RETENTION_S,
     CLEARED_TOPIC: CLEARED_RETENTION_S,
 }
-"""Lifetimes of the records of each topic, in seconds."""
+"""Lifetimes of the records of each topic, in seconds.
+
+A decision is recorded for as long as the ends that it discarded: these would hold the request anew.
+"""
--- a/tests/quarantine/test_recorded.py
+++ b/tests/quarantine/test_recorded.py
@@ -3,7 +3,7 @@
 from cranberrywall.quarantine import RunEnd
 from cranberrywall.quarantine._decisions import HOLD_DURATION_S
 from cranberrywall.quarantine._trials import TRIAL_DELAYS_S
-from tests.quarantine.fleet import EVALUATION_S, Fleet, run_fleet, traits_for
+from tests.quarantine.fleet import EVALUATION_S, Fleet, fingerprint_for, run_fleet, traits_for
 
 
 def test_a_held_request_stays_held_until_its_time_is_over() -> None:
@@ -88,3 +88,34 @@
         assert not fleet.hosts[0].refuses("good")
 
     run_fleet(scenario, controls=3)
+
+
+def test_a_lifted_request_is_not_held_by_a_loss_of_power_long_after() -> None:
+    """Guards against ends on record that outlive the decision which discarded them."""
+
+    async def scenario(fleet: Fleet) -> None:
+        for _ in range(4):
+            await fleet.end_under(fleet.hosts[0], "innocent")
+        fleet.hosts[1].quarantine.lift(fingerprint_for("innocent"), "operator")
+        await fleet.clock.sleep(HOLD_DURATION_S + 1.0)
+        await fleet.restart_all()
+        await fleet.clock.sleep(EVALUATION_S)
+        assert not any(host.refuses("innocent") for host in fleet.hosts)
+
+    run_fleet(scenario, controls=3)
+
+
+def test_a_cleared_request_is_not_held_by_a_loss_of_power_long_after() -> None:
+    """Guards against innocent requests held by ends that a whole answer had explained."""
+
+    async def scenario(fleet: Fleet) -> None:
+        host = fleet.hosts[0]
+        for _ in range(4):
+            await fleet.end_under(host, "slow")
+        host.finish(host.send("slow", 40), RunEnd.WHOLE)
+        await fleet.clock.sleep(HOLD_DURATION_S + 1.0)
+        await fleet.restart_all()
+        await fleet.clock.sleep(EVALUATION_S)
+        assert not any(host.refuses("slow") for host in fleet.hosts)
+
+    run_fleet(scenario, controls=3)
