Let the file of records grow before it is rewritten

A control host whose live records exceeded MAX_FILE_BYTES rewrote the whole file, synced, every 50 ms while entry hosts wrote, in the only storage thread, which the replicated groups use too. The test saw 35 rewrites for 40 writes. The file now grows to twice its live size before a rewrite.

--- a/cranberrywall/records/_journal.py
+++ b/cranberrywall/records/_journal.py
@@ -17,6 +17,10 @@
 MAX_FILE_BYTES = 4 * 1024 * 1024
 """Size above which the file is rewritten without obsolete records, in bytes."""
 
+MAX_GROWTH_FACTOR = 2.0
+"""Size at which a file whose live records exceed half of ``MAX_FILE_BYTES`` is rewritten, as a
+multiple of its size after the last rewrite."""
+
 
 class RecordJournal:
     """Durable records on disk. All methods block."""
@@ -25,6 +29,7 @@
         self._storage = storage
         self._file: AppendFile | None = None
         self._size = 0
+        self._max_size = 0.0
 
     def read(self) -> list[StoredRecord]:
         """Return the records in the file, oldest first; none if it is missing or damaged."""
@@ -47,7 +52,7 @@
     @property
     def should_rewrite(self) -> bool:
         """Return whether the next write must be a ``rewrite``."""
-        return self._file is None or self._size > MAX_FILE_BYTES
+        return self._file is None or self._size > self._max_size
 
     def append(self, records: Sequence[StoredRecord]) -> None:
         """Add records durably; raise ``OSError`` on failure, after which a rewrite is due."""
@@ -67,6 +72,7 @@
         self._storage.replace(FILE, frame)
         self._file = self._storage.open_append(FILE)
         self._size = len(frame)
+        self._max_size = max(MAX_FILE_BYTES, MAX_GROWTH_FACTOR * self._size)
 
     def close(self) -> None:
         """Close the file."""
