--- a/cranberrywall/records/_journal.py
+++ b/cranberrywall/records/_journal.py
@@ -56,13 +56,15 @@
 
     def append(self, records: Sequence[StoredRecord]) -> None:
         """Add records durably; raise ``OSError`` on failure, after which a rewrite is due."""
-        file, self._file = self._file, None
-        if file is None:
+        if self._file is None:
             raise OSError("the file is not open")
         frame = encode_frame(RECORDS_CODEC.encode(StoredBatch(tuple(records))))
-        file.append(frame)
-        file.sync()
-        self._file = file
+        try:
+            self._file.append(frame)
+            self._file.sync()
+        except OSError:
+            self.close()
+            raise
         self._size += len(frame)
 
     def rewrite(self, records: Sequence[StoredRecord]) -> None:
--- a/tests/records/test_limits.py
+++ b/tests/records/test_limits.py
@@ -1,8 +1,13 @@
 """Limits of records under floods and failures."""
 
+from typing import Any
+
 import pytest
 
 from cranberrywall.records import _journal as journal_module
+from cranberrywall.records._journal import RecordJournal
+from cranberrywall.records.messages import StoredRecord
+from tests.fakes.storage import FakeStorage
 from tests.records.test_records import Controls, record
 
 
@@ -18,3 +23,17 @@
     log = controls.storage_by_host["control-0"].log
     rewrites = [line for line in log if line.startswith("rename")]
     assert len(rewrites) < 10
+
+
+def test_a_file_to_which_nothing_can_be_added_is_closed() -> None:
+    """Guards against a full disk that uses up the file descriptors."""
+    storage = FakeStorage()
+    journal = RecordJournal(storage)
+    journal.rewrite([])
+    closed: list[bool] = []
+    file: Any = journal._file
+    file.close = lambda: closed.append(True)
+    storage.error_by_operation = {storage.operations + 1: 28}
+    with pytest.raises(OSError):
+        journal.append([StoredRecord(record("a"), 0.0, 60.0)])
+    assert closed
