Read the records before the damage of a file

One damaged block in the middle made a control host that started read no record at all, and its next write replaced the file. The test read [] where the first frame was whole.

--- a/cranberrywall/records/_journal.py
+++ b/cranberrywall/records/_journal.py
@@ -6,6 +6,8 @@
 
 from collections.abc import Sequence
 
+from result import Err
+
 from cranberrywall.links import MalformedMessageError
 from cranberrywall.observability import log_event
 from cranberrywall.records.messages import RECORDS_CODEC, StoredBatch, StoredRecord
@@ -32,21 +34,22 @@
         self._max_size = 0.0
 
     def read(self) -> list[StoredRecord]:
-        """Return the records in the file, oldest first; none if it is missing or damaged."""
+        """Return the records in the file up to the first damage, oldest first."""
         try:
             data = self._storage.read(FILE) or b""
         except OSError as error:
             log_event("WARNING", "records_not_read", reason=str(error))
             return []
         scan = scan_frames(data)
+        if isinstance(scan, Err):
+            log_event("WARNING", "records_not_read", reason="the file is damaged")
+            scan = scan_frames(data[: scan.err_value])
         records: list[StoredRecord] = []
-        for payload in scan.unwrap().payloads if scan.is_ok() else ():
+        for payload in scan.unwrap().payloads:
             try:
                 records += RECORDS_CODEC.decode(payload).records
             except MalformedMessageError as error:
                 log_event("WARNING", "records_not_read", reason=str(error))
-        if scan.is_err():
-            log_event("WARNING", "records_not_read", reason="the file is damaged")
         return records
 
     @property
--- a/tests/records/test_limits.py
+++ b/tests/records/test_limits.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cranberrywall.records import _journal as journal_module
-from cranberrywall.records._journal import RecordJournal
+from cranberrywall.records._journal import FILE, RecordJournal
 from cranberrywall.records.messages import StoredRecord
 from tests.fakes.storage import FakeStorage
 from tests.records.test_records import Controls, record
@@ -37,3 +37,17 @@
     with pytest.raises(OSError):
         journal.append([StoredRecord(record("a"), 0.0, 60.0)])
     assert closed
+
+
+def test_records_before_the_damage_of_a_file_are_read() -> None:
+    """Guards against all verdicts that one damaged block erased."""
+    storage = FakeStorage()
+    journal = RecordJournal(storage)
+    journal.rewrite([StoredRecord(record("a"), 0.0, 60.0)])
+    before = len(storage.read(FILE) or b"")
+    journal.append([StoredRecord(record("b"), 0.0, 60.0)])
+    journal.append([StoredRecord(record("c"), 0.0, 60.0)])
+    data = bytearray(storage.read(FILE) or b"")
+    data[before + 30] ^= 0xFF
+    storage.replace(FILE, bytes(data))
+    assert [one.record.key for one in RecordJournal(storage).read()] == ["a"]
