Write records again after a failed write

After a failed write the records were in memory only, until an entry host happened to write another one; on a failing disk with many writes there were twenty attempts and log lines a second. A control host now tries again every 0.5 s. The test lost the record with the process.

--- a/cranberrywall/records/_store.py
+++ b/cranberrywall/records/_store.py
@@ -32,6 +32,9 @@
 WRITE_INTERVAL_S = 0.05
 """Time between two writes to the file, in seconds; a crash loses the records of this time here."""
 
+WRITE_RETRY_DELAY_S = 0.5
+"""Time after which the file is written again if that failed, in seconds."""
+
 EXPIRY_INTERVAL_S = 10.0
 """Interval at which expired records are removed, in seconds."""
 
@@ -166,15 +169,17 @@
                 return True
 
     async def _write_periodically(self) -> None:
+        is_complete = True
         while True:
-            await self._clock.sleep(WRITE_INTERVAL_S)
-            if self._unwritten:
-                await self._write()
+            await self._clock.sleep(WRITE_INTERVAL_S if is_complete else WRITE_RETRY_DELAY_S)
+            if self._unwritten or not is_complete:
+                is_complete = await self._write()
 
-    async def _write(self) -> None:
+    async def _write(self) -> bool:
+        """Write the new records, or all after a failure; return whether the file has them now."""
         storage, journal = self._storage, self._journal
         if storage is None or journal is None:
-            return
+            return True
         entries, self._unwritten = self._unwritten, []
         is_rewrite = journal.should_rewrite
         if is_rewrite:
@@ -187,6 +192,8 @@
         except OSError as error:
             self._failures += 1
             log_event("WARNING", "records_not_written", reason=str(error), records=len(stored))
+            return False
+        return True
 
     def _stored(self, entry: Entry) -> StoredRecord:
         offset = self._clock.wall() - self._clock.now()
--- a/tests/records/test_limits.py
+++ b/tests/records/test_limits.py
@@ -51,3 +51,20 @@
     data[before + 30] ^= 0xFF
     storage.replace(FILE, bytes(data))
     assert [one.record.key for one in RecordJournal(storage).read()] == ["a"]
+
+
+async def test_records_that_failed_to_reach_the_disk_do_so_once_it_works() -> None:
+    """Guards against verdicts that were in memory only after a disk had failed for a moment."""
+    controls = Controls(1)
+    storage = controls.storage_by_host["control-0"]
+    await controls.clock.advance(0.1)
+    storage.error_by_operation = dict.fromkeys(range(storage.operations, 10), 28)
+    controls.client.write(record("a"))
+    await controls.clock.advance(1.0)
+    storage.error_by_operation = {}
+    await controls.clock.advance(40.0)
+    controls.kill("control-0")
+    storage.restart()
+    controls.restart("control-0")
+    await controls.clock.advance(1.0)
+    assert set(await controls.fetch()) == {"a"}
