Keep durable records when too many records wait

While a control host was out of reach, the origins of new streams displaced the ends and decisions that waited for it, because those were the oldest.

--- a/cranberrywall/records/_client.py
+++ b/cranberrywall/records/_client.py
@@ -47,7 +47,9 @@
 """Maximum number of records in one call."""
 
 MAX_PENDING = 4096
-"""Maximum number of records that wait for one control host; the oldest are dropped first."""
+"""Maximum number of records that wait for one control host.
+
+The oldest are dropped first, and durable ones only if there are no others."""
 
 _Key = tuple[str, str]
 
@@ -170,8 +172,7 @@
             record = pending[0]
         self._pending_by_key[key] = (record, self._clock.now())
         if len(self._pending_by_key) > MAX_PENDING:
-            del self._pending_by_key[next(iter(self._pending_by_key))]
-            self.dropped += 1
+            self._drop_one()
         if self._task is None or self._task.done():
             self._task = asyncio.get_running_loop().create_task(self._write_all())
 
@@ -179,6 +180,11 @@
         if self._task is not None:
             self._task.cancel()
 
+    def _drop_one(self) -> None:
+        others = (key for key, (one, _) in self._pending_by_key.items() if not one.is_durable)
+        del self._pending_by_key[next(others, next(iter(self._pending_by_key)))]
+        self.dropped += 1
+
     async def _write_all(self) -> None:
         delay_s = MIN_RETRY_DELAY_S
         await self._clock.sleep(WRITE_DELAY_S)
--- a/tests/records/test_limits.py
+++ b/tests/records/test_limits.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from cranberrywall.records import _client as client_module
 from cranberrywall.records import _journal as journal_module
 from cranberrywall.records._journal import FILE, RecordJournal
 from cranberrywall.records.messages import StoredRecord
@@ -68,3 +69,20 @@
     controls.restart("control-0")
     await controls.clock.advance(1.0)
     assert set(await controls.fetch()) == {"a"}
+
+
+async def test_durable_records_wait_longer_than_others_when_too_many_wait(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against verdicts that origins of streams displaced while control was out of reach."""
+    monkeypatch.setattr(client_module, "MAX_PENDING", 10)
+    controls = Controls(1)
+    controls.board.down = set(controls.names)
+    controls.client.write(record("verdict"))
+    for number in range(20):
+        controls.client.write(record(f"origin-{number}", is_durable=False))
+    controls.board.down = set()
+    await controls.clock.advance(1.0)
+    found = await controls.fetch()
+    assert "verdict" in found
+    assert len(found) == 10
