Limit the size of the calls that write records

Two hundred records went into one call whatever their size: prompt reports of some 100 kB each made calls above the frame limit, which are refused, so that these records and all behind them waited for that control host until they expired.

--- a/cranberrywall/records/_client.py
+++ b/cranberrywall/records/_client.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import itertools
 from collections.abc import Callable, Sequence
 
 import xxhash
@@ -46,6 +47,9 @@
 MAX_BATCH = 200
 """Maximum number of records in one call."""
 
+MAX_BATCH_BYTES = 256 * 1024
+"""Maximum size of the payloads in one call, in bytes; a single record may be larger."""
+
 MAX_PENDING = 4096
 """Maximum number of records that wait for one control host.
 
@@ -196,9 +200,19 @@
                 await self._clock.sleep(delay_s)
                 delay_s = min(2.0 * delay_s, MAX_RETRY_DELAY_S)
 
+    def _next_batch(self) -> list[tuple[_Key, tuple[Record, float]]]:
+        batch: list[tuple[_Key, tuple[Record, float]]] = []
+        size = 0
+        for key, pending in itertools.islice(self._pending_by_key.items(), MAX_BATCH):
+            size += len(pending[0].payload)
+            if batch and size > MAX_BATCH_BYTES:
+                break
+            batch.append((key, pending))
+        return batch
+
     async def _write_batch(self) -> bool:
         now = self._clock.now()
-        batch = list(self._pending_by_key.items())[:MAX_BATCH]
+        batch = self._next_batch()
         records = [_aged(record, now - added_at) for _, (record, added_at) in batch]
         live = tuple(record for record in records if record.lifetime_s > 0.0)
         answer = await self._caller.call(
--- a/tests/records/test_limits.py
+++ b/tests/records/test_limits.py
@@ -3,11 +3,19 @@
 from typing import Any
 
 import pytest
+from result import Result
 
+from cranberrywall.errors import Refusal
+from cranberrywall.links import Limits, Peer
 from cranberrywall.records import _client as client_module
 from cranberrywall.records import _journal as journal_module
 from cranberrywall.records._journal import FILE, RecordJournal
-from cranberrywall.records.messages import StoredRecord
+from cranberrywall.records.messages import (
+    WRITE_RECORDS,
+    StoredRecord,
+    WriteReply,
+    WriteRequest,
+)
 from tests.fakes.storage import FakeStorage
 from tests.records.test_records import Controls, record
 
@@ -86,3 +94,23 @@
     found = await controls.fetch()
     assert "verdict" in found
     assert len(found) == 10
+
+
+async def test_large_records_are_written_in_several_calls() -> None:
+    """Guards against a call beyond the size of a frame, behind which all other records wait."""
+    controls = Controls(1)
+    store = controls.board.server_by_address["control-0"]
+    write = store.handler_by_name[WRITE_RECORDS.name]
+    sizes: list[int] = []
+
+    async def write_and_measure(request: WriteRequest, peer: Peer) -> Result[WriteReply, Refusal]:
+        sizes.append(sum(len(one.payload) for one in request.records))
+        result: Result[WriteReply, Refusal] = await write(request, peer)
+        return result
+
+    store.handler_by_name[WRITE_RECORDS.name] = write_and_measure
+    for number in range(60):
+        controls.client.write(record(f"report-{number}", payload=bytes(100_000)))
+    await controls.clock.advance(1.0)
+    assert max(sizes) <= Limits().frame_bytes // 16
+    assert len(await controls.fetch()) == 60
