--- a/cranberrywall/records/_client.py
+++ b/cranberrywall/records/_client.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import itertools
 from collections.abc import Callable, Sequence
 
 import xxhash
@@ -46,8 +47,13 @@
 MAX_BATCH = 200
 """Maximum number of records in one call."""
 
+MAX_BATCH_BYTES = 256 * 1024
+"""Maximum size of the payloads in one call, in bytes; a single record may be larger."""
+
 MAX_PENDING = 4096
-"""Maximum number of records that wait for one control host; the oldest are dropped first."""
+"""Maximum number of records that wait for one control host.
+
+The oldest are dropped first, and durable ones only if there are no others."""
 
 _Key = tuple[str, str]
 
@@ -170,8 +176,7 @@
             record = pending[0]
         self._pending_by_key[key] = (record, self._clock.now())
         if len(self._pending_by_key) > MAX_PENDING:
-            del self._pending_by_key[next(iter(self._pending_by_key))]
-            self.dropped += 1
+            self._drop_one()
         if self._task is None or self._task.done():
             self._task = asyncio.get_running_loop().create_task(self._write_all())
 
@@ -179,6 +184,11 @@
         if self._task is not None:
             self._task.cancel()
 
+    def _drop_one(self) -> None:
+        others = (key for key, (one, _) in self._pending_by_key.items() if not one.is_durable)
+        del self._pending_by_key[next(others, next(iter(self._pending_by_key)))]
+        self.dropped += 1
+
     async def _write_all(self) -> None:
         delay_s = MIN_RETRY_DELAY_S
         await self._clock.sleep(WRITE_DELAY_S)
@@ -190,9 +200,19 @@
                 await self._clock.sleep(delay_s)
                 delay_s = min(2.0 * delay_s, MAX_RETRY_DELAY_S)
 
+    def _next_batch(self) -> list[tuple[_Key, tuple[Record, float]]]:
+        batch: list[tuple[_Key, tuple[Record, float]]] = []
+        size = 0
+        for key, pending in itertools.islice(self._pending_by_key.items(), MAX_BATCH):
+            size += len(pending[0].payload)
+            if batch and size > MAX_BATCH_BYTES:
+                break
+            batch.append((key, pending))
+        return batch
+
     async def _write_batch(self) -> bool:
         now = self._clock.now()
-        batch = list(self._pending_by_key.items())[:MAX_BATCH]
+        batch = self._next_batch()
         records = [_aged(record, now - added_at) for _, (record, added_at) in batch]
         live = tuple(record for record in records if record.lifetime_s > 0.0)
         answer = await self._caller.call(
