--- a/cranberrywall/quarantine/_prompt_quarantine.py
+++ b/cranberrywall/quarantine/_prompt_quarantine.py
@@ -9,6 +9,7 @@
 from cranberrywall.hosts import Gossip, Item, Urgency
 from cranberrywall.observability import log_event
 from cranberrywall.quarantine._decisions import Held
+from cranberrywall.quarantine._evidence import ENDING_RETENTION_S
 from cranberrywall.quarantine._fingerprint import Fingerprint
 from cranberrywall.quarantine._items import decode_item
 from cranberrywall.quarantine._patterns import Patterns
@@ -46,8 +47,9 @@
 """Time for which an end is no evidence against a part after an answer proved it harmless, in
 seconds. A host that starts receives old reports and clearances in any order."""
 
-CLEARED_RETENTION_S = 60.0
-"""Time after which a host removes its clearances from those that hosts exchange, in seconds."""
+CLEARED_RETENTION_S = ENDING_RETENTION_S
+"""Time after which a host removes its clearances from those that hosts exchange, in seconds. A host
+that starts later than that finds no end that a clearance refers to."""
 
 MIN_CLEARED_ENDS = 2
 """Number of ends under a part from which other hosts are notified that it was cleared. Hosts that
@@ -230,11 +232,11 @@
             self._cleared.mark(key, now)
             self._cleared.count(key, self._evidence.clear(key))
             if self._cleared.ends_of(key) >= MIN_CLEARED_ENDS:
-                self._notify_cleared(key, now)
+                self._notify_cleared(key)
                 self._on_evidence()
 
-    def _notify_cleared(self, key: PartKey, now: float) -> None:
-        number = self._cleared.take_number(key, now)
+    def _notify_cleared(self, key: PartKey) -> None:
+        number = self._cleared.next_number(key)
         message = PartCleared(key.part, key.service, self._host)
         payload = QUARANTINE_CODEC.encode(message)
         self._publish(CLEARED_TOPIC, _cleared_key(key), number, payload)
@@ -246,8 +248,11 @@
         if cleared is None:
             return
         key = PartKey(cleared.part, cleared.service)
+        now = self._clock.now()
         self._cleared.reset_count(key)
-        self._cleared.mark(key, self._clock.now())
+        self._cleared.mark(key, now)
+        if cleared.host == self._host:
+            self._cleared.record_published(key, now)
         if self._evidence.clear(key):
             self._on_evidence()
 
@@ -308,11 +313,14 @@
         """Return whether other hosts may have evidence against a part that this host cleared."""
         return self._ends_by_key.get(key, 0) >= MIN_CLEARED_ENDS
 
-    def take_number(self, key: PartKey, now: float) -> int:
-        """Return the number of the next clearance of a part, which this host publishes."""
+    def next_number(self, key: PartKey) -> int:
+        """Return the number of the next clearance of a part."""
+        return self._number_by_item.get(_cleared_key(key), 0) + 1
+
+    def record_published(self, key: PartKey, now: float) -> None:
+        """Record that this host published a clearance of a part, and must remove it later."""
         self._published.pop(key, None)
         self._published[key] = now
-        return self._number_by_item.get(_cleared_key(key), 0) + 1
 
     def reset_count(self, key: PartKey) -> None:
         """Record that all hosts are notified of the clearance of a part."""
--- a/tests/quarantine/fleet.py
+++ b/tests/quarantine/fleet.py
@@ -120,6 +120,14 @@
         for host in self.hosts:
             assert await host.recorded.restore(0.3)
 
+    async def pass_time(self, seconds: float) -> None:
+        """Let time pass, and all hosts remove what is too old."""
+        until = self.clock.now() + seconds
+        while (remaining_s := until - self.clock.now()) > 0.0:
+            await self.clock.sleep(min(1.0, remaining_s))
+            for host in self.hosts:
+                host.quarantine.expire(self.clock.now())
+
     def next_target(self) -> int:
         self._next += 1
         return self._next
--- a/tests/quarantine/test_recorded.py
+++ b/tests/quarantine/test_recorded.py
@@ -1,7 +1,10 @@
 """What hosts found out about requests, after all of them lost power at the same moment."""
 
+import pytest
+
 from cranberrywall.quarantine import RunEnd
 from cranberrywall.quarantine._decisions import HOLD_DURATION_S
+from cranberrywall.quarantine._evidence import ENDING_RETENTION_S
 from cranberrywall.quarantine._trials import TRIAL_DELAYS_S
 from tests.quarantine.fleet import EVALUATION_S, Fleet, run_fleet, traits_for
 
@@ -77,6 +80,45 @@
     run_fleet(scenario, controls=3)
 
 
+@pytest.mark.parametrize("duration_s", [HOLD_DURATION_S, 0.5 * ENDING_RETENTION_S])
+def test_a_request_that_was_cleared_long_ago_is_not_held_after_a_loss_of_power(
+    duration_s: float,
+) -> None:
+    """Guards against records of ends that outlive the record of the clearance."""
+
+    async def scenario(fleet: Fleet) -> None:
+        host = fleet.hosts[0]
+        for _ in range(4):
+            await fleet.end_under(host, "slow")
+        host.finish(host.send("slow", 40), RunEnd.WHOLE)
+        await fleet.pass_time(duration_s + 1.0)
+        await fleet.restart_all()
+        await fleet.clock.sleep(EVALUATION_S)
+        assert not any(one.refuses("slow") for one in fleet.hosts)
+
+    run_fleet(scenario, controls=3)
+
+
+@pytest.mark.parametrize("duration_s", [60.0, HOLD_DURATION_S, 0.5 * ENDING_RETENTION_S])
+def test_a_part_that_was_cleared_long_ago_is_not_held_after_a_loss_of_power(
+    duration_s: float,
+) -> None:
+    """Guards against records of ends that outlive the record of the clearance."""
+
+    async def scenario(fleet: Fleet) -> None:
+        for number in range(6):
+            await fleet.end_under_prompts(fleet.hosts[0], f"intro ended-{number}")
+            await fleet.hosts[1].answer(f"intro whole-{number}")
+            await fleet.clock.sleep(EVALUATION_S)
+        await fleet.pass_time(duration_s + 1.0)
+        assert not any(host.refuses_prompt("intro") for host in fleet.hosts)
+        await fleet.restart_all()
+        await fleet.clock.sleep(EVALUATION_S)
+        assert not any(host.refuses_prompt("intro") for host in fleet.hosts)
+
+    run_fleet(scenario, controls=3)
+
+
 def test_hosts_that_reach_no_control_host_serve_and_learn_anew() -> None:
     async def scenario(fleet: Fleet) -> None:
         for _ in range(4):
