Discard the evidence against a released part also on hosts that start

An operator released a part of prompts that was held; after all entry hosts lost power it was held again, without a further end. Cause: a release discards the evidence through the pattern's traits, which a host knew from the decision that held it. A host that starts restores the newest decision only, the release, and kept the restored evidence.

A release carries the traits too, and hosts now use these.

--- a/cranberrywall/quarantine/_patterns.py
+++ b/cranberrywall/quarantine/_patterns.py
@@ -56,10 +56,9 @@
         message = decode_item(item, PatternDecision)
         if message is None or not message.traits:
             return None
-        decision, pattern = message.decision, frozenset(message.traits)
-        if decision.state is DecisionState.HELD:
-            self._pattern_by_fingerprint[decision.fingerprint] = pattern
-        return decision
+        # A host that starts receives releases of patterns of which it does not know.
+        self._pattern_by_fingerprint[message.decision.fingerprint] = frozenset(message.traits)
+        return message.decision
 
     def find(self, traits: Traits, now: float) -> Held | None:
         """Return the decision that holds requests with these traits; ``None`` if there is none."""
--- a/tests/quarantine/test_recorded.py
+++ b/tests/quarantine/test_recorded.py
@@ -119,6 +119,23 @@
     run_fleet(scenario, controls=3)
 
 
+def test_what_an_operator_released_is_not_held_after_a_loss_of_power() -> None:
+    """Guards against ends on record that hold a part anew although an operator released it."""
+
+    async def scenario(fleet: Fleet) -> None:
+        for _ in range(4):
+            await fleet.end_under(fleet.hosts[0], "bad")
+            await fleet.end_under_prompts(fleet.hosts[0], "worse")
+        for fingerprint in fleet.hosts[1].quarantine.held_fingerprints():
+            fleet.hosts[1].quarantine.lift(fingerprint, "asha")
+        await fleet.restart_all()
+        await fleet.clock.sleep(EVALUATION_S)
+        assert not any(host.refuses("bad") for host in fleet.hosts)
+        assert not any(host.refuses_prompt("worse") for host in fleet.hosts)
+
+    run_fleet(scenario, controls=3)
+
+
 def test_hosts_that_reach_no_control_host_serve_and_learn_anew() -> None:
     async def scenario(fleet: Fleet) -> None:
         for _ in range(4):
