Hold a request again after one end once its hold is over

A request that ends targets and still comes after ten minutes ended four more, each time that its hold was over: more than the three that may be sent once all hosts know. Cause: the end of a hold discarded all that was known of the request, so it took as many ends as at first, and each host sent it as often as it came.

After its hold, a request keeps a high prior for an hour: one end as it starts holds it again, and until then it runs at one target of each host at a time. A whole answer from any target clears it. The ends under it are discarded as a whole, as those that ran beside it would be left as their only explanations.

--- a/cranberrywall/quarantine/_evidence.py
+++ b/cranberrywall/quarantine/_evidence.py
@@ -73,6 +73,14 @@
         for incarnation in self._incarnations_by_fingerprint.pop(fingerprint, ()):
             self._by_incarnation[incarnation].weight_by_fingerprint.pop(fingerprint, None)
 
+    def clear_endings(self, fingerprint: Fingerprint) -> None:
+        """Remove the evidence of all ends under a request, which explains them."""
+        for incarnation in self.incarnations_of(fingerprint):
+            weight_by_fingerprint = self._by_incarnation[incarnation].weight_by_fingerprint
+            for beside in weight_by_fingerprint:
+                self._unlink(beside, incarnation)
+            weight_by_fingerprint.clear()
+
     def newest(self) -> Mapping[TargetIncarnation, Weights]:
         """Return the weights of the newest ends."""
         newest = list(self._by_incarnation.items())[-MAX_EVALUATED:]
@@ -94,8 +102,11 @@
             if record.is_reported_by_us:
                 reported.append(incarnation)
             for fingerprint in record.weight_by_fingerprint:
-                others = self._incarnations_by_fingerprint[fingerprint]
-                others.discard(incarnation)
-                if not others:
-                    del self._incarnations_by_fingerprint[fingerprint]
+                self._unlink(fingerprint, incarnation)
         return reported
+
+    def _unlink(self, fingerprint: Fingerprint, incarnation: TargetIncarnation) -> None:
+        incarnations = self._incarnations_by_fingerprint[fingerprint]
+        incarnations.discard(incarnation)
+        if not incarnations:
+            del self._incarnations_by_fingerprint[fingerprint]
--- a/cranberrywall/quarantine/_inference.py
+++ b/cranberrywall/quarantine/_inference.py
@@ -24,6 +24,10 @@
 """Prior probability while a request is held: if there is one such request, there are often more. A
 higher prior saves one target for each further request."""
 
+PRIOR_AFTER_HOLD = 0.9
+"""Prior probability of a request that was held until its time was over: one more end as it started
+holds it again."""
+
 UNRELATED_ENDING_PROBABILITY = 0.02
 """Probability that a target ends during a run for a reason unrelated to any request, such as a lost
 machine. It is set high: real values are well below one in a thousand, so a request that coincides
@@ -39,7 +43,8 @@
 """A request is in doubt at this probability of ending targets: it takes two such ends."""
 
 MIN_ENDINGS = 2
-"""Minimum number of ends for which a request is evaluated; with fewer it stays at its prior."""
+"""Minimum number of ends for which a request is evaluated; with fewer it stays at its prior. One is
+enough for a request that was held before."""
 
 _MAX_LOG_ODDS = 20.0
 _MAX_ROUNDS = 60
@@ -63,17 +68,20 @@
 
 
 def probabilities(
-    ends: Sequence[Weights], held: Collection[Fingerprint] = ()
+    ends: Sequence[Weights],
+    held: Collection[Fingerprint] = (),
+    held_before: Collection[Fingerprint] = (),
 ) -> dict[Fingerprint, float]:
     """Return the probability that each request with enough ends is one that ends targets.
 
-    Requests in ``held`` count as certain causes and are not evaluated.
+    Requests in ``held`` count as certain causes and are not evaluated. Those in ``held_before`` are
+    no longer held because their time was over.
     """
     counts = Counter(fingerprint for weights in ends for fingerprint in weights)
     candidates = {
         fingerprint
         for fingerprint, count in counts.items()
-        if count >= MIN_ENDINGS and fingerprint not in held
+        if (count >= MIN_ENDINGS or fingerprint in held_before) and fingerprint not in held
     }
     if not candidates:
         return {}
@@ -81,13 +89,18 @@
         _reduce(weights, candidates, held) for weights in ends if not candidates.isdisjoint(weights)
     ]
     prior = log_odds_of(PRIOR_WHILE_HELD if held else PRIOR)
+    prior_by_candidate = {
+        one: log_odds_of(PRIOR_AFTER_HOLD) if one in held_before else prior for one in candidates
+    }
     # With full steps, two requests that explain the same ends would push each other up and down by
     # turns. The more ends they share, the smaller the step has to be.
     step_size = 1.0 / (1.0 + max(counts[fingerprint] for fingerprint in candidates))
-    log_odds = dict.fromkeys(candidates, prior)
+    log_odds = dict(prior_by_candidate)
     for _ in range(_MAX_ROUNDS):
         updated = _updated_log_odds(
-            reduced, prior, {one: _probability(odds) for one, odds in log_odds.items()}
+            reduced,
+            prior_by_candidate,
+            {one: _probability(odds) for one, odds in log_odds.items()},
         )
         steps = {one: step_size * (updated[one] - odds) for one, odds in log_odds.items()}
         for one, step in steps.items():
@@ -114,10 +127,12 @@
 
 
 def _updated_log_odds(
-    ends: Sequence[_Reduced], prior: float, probability: Mapping[Fingerprint, float]
+    ends: Sequence[_Reduced],
+    prior_by_candidate: Mapping[Fingerprint, float],
+    probability: Mapping[Fingerprint, float],
 ) -> dict[Fingerprint, float]:
     """Return new log odds of the evaluated requests, given the current probabilities of all."""
-    updated = dict.fromkeys(probability, prior)
+    updated = dict(prior_by_candidate)
     for end in ends:
         not_caused = end.not_by_others
         for one, weight in end.weight_by_candidate.items():
--- a/cranberrywall/quarantine/_quarantine.py
+++ b/cranberrywall/quarantine/_quarantine.py
@@ -12,9 +12,9 @@
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.hosts import Gossip, Item, Urgency
 from cranberrywall.observability import Metrics, log_event
-from cranberrywall.quarantine._decisions import Decisions, Held, RequestFormat
+from cranberrywall.quarantine._decisions import MAX_HELD, Decisions, Held, RequestFormat
 from cranberrywall.quarantine._endings import Ending, EndingSignal
-from cranberrywall.quarantine._evidence import Evidence
+from cranberrywall.quarantine._evidence import ENDING_RETENTION_S, Evidence
 from cranberrywall.quarantine._fingerprint import Fingerprint
 from cranberrywall.quarantine._inference import (
     DOUBT_THRESHOLD,
@@ -70,6 +70,7 @@
             host, tracker.runs, gossip, clock, self._schedule_evaluation
         )
         self._doubted: frozenset[Fingerprint] = frozenset()
+        self._held_until_by_fingerprint: dict[Fingerprint, float] = {}
         self._evaluation: asyncio.Task[None] | None = None
         self._ended = {str(signal): 0 for signal in EndingSignal}
         self._refused = {"held": 0, "prompt": 0, "doubted": 0}
@@ -89,7 +90,8 @@
         if held is not None:
             self._refused["prompt"] += 1
             return _held_prompt_refusal(held, now)
-        if fingerprint in self._doubted and self.tracker.runs.count_open(fingerprint):
+        is_doubted = fingerprint in self._doubted or fingerprint in self._held_until_by_fingerprint
+        if is_doubted and self.tracker.runs.count_open(fingerprint):
             self._refused["doubted"] += 1
             return _doubted_refusal(fingerprint)
         return None
@@ -112,6 +114,7 @@
     def expire(self, now: float) -> None:
         """Remove old decisions and evidence; call it once a second."""
         self._decisions.expire(now)
+        self._forget_expired_holds(now)
         self._prompts.expire(now)
         self._retract_reports(self._evidence.remove_expired(now))
 
@@ -225,8 +228,11 @@
         if run.end is RunEnd.WHOLE:
             self._prompts.record_whole(run.traits)
         fingerprint = run.fingerprint
-        is_held = fingerprint in self._decisions.held_by_fingerprint
-        if is_held or len(self._evidence.incarnations_of(fingerprint)) >= MIN_ENDINGS:
+        is_suspect = (
+            fingerprint in self._decisions.held_by_fingerprint
+            or fingerprint in self._held_until_by_fingerprint
+        )
+        if is_suspect or len(self._evidence.incarnations_of(fingerprint)) >= MIN_ENDINGS:
             self._decide(fingerprint, DecisionState.CLEARED, self._host)
         else:
             self._evidence.clear(fingerprint)
@@ -249,6 +255,7 @@
                 for incarnation, weights in self._evidence.newest().items()
             ],
             held_requests | {name for names in explained.values() for name in names},
+            self._held_until_by_fingerprint.keys(),
         )
         doubted = frozenset(
             one
@@ -285,6 +292,7 @@
         This spares the targets at which the request is still queued.
         """
         self._doubted -= {fingerprint}
+        self._held_until_by_fingerprint.pop(fingerprint, None)
         stopped = self.tracker.runs.stop(fingerprint)
         if stopped:
             log_event("INFO", "held_runs_stopped", fingerprint=fingerprint.hex(), runs=stopped)
@@ -292,7 +300,20 @@
     def _discard_evidence(self, fingerprint: Fingerprint, state: DecisionState | None) -> None:
         """Discard the evidence against a request, whatever ended the decision."""
         self._doubted -= {fingerprint}
-        self._evidence.clear(fingerprint)
+        self._held_until_by_fingerprint.pop(fingerprint, None)
+        if state is not None:
+            self._evidence.clear(fingerprint)
+        else:
+            # Otherwise, the requests that ran beside it would be left as the only explanations.
+            self._evidence.clear_endings(fingerprint)
+            self._held_until_by_fingerprint[fingerprint] = self._clock.now()
+            if len(self._held_until_by_fingerprint) > MAX_HELD:
+                del self._held_until_by_fingerprint[next(iter(self._held_until_by_fingerprint))]
+
+    def _forget_expired_holds(self, now: float) -> None:
+        for fingerprint, until in list(self._held_until_by_fingerprint.items()):
+            if now - until > ENDING_RETENTION_S:
+                del self._held_until_by_fingerprint[fingerprint]
 
     def _retract_reports(self, incarnations: Sequence[TargetIncarnation]) -> None:
         """Retract this host's reports of old ends on all hosts; each host retracts its own."""
--- a/tests/quarantine/test_recorded.py
+++ b/tests/quarantine/test_recorded.py
@@ -136,6 +136,22 @@
     run_fleet(scenario, controls=3)
 
 
+def test_one_end_holds_a_request_again_also_after_a_loss_of_power() -> None:
+    """Guards against four more ended targets, as hosts that start know of no earlier hold."""
+
+    async def scenario(fleet: Fleet) -> None:
+        for _ in range(4):
+            await fleet.end_under(fleet.hosts[0], "bad")
+        await fleet.pass_time(2.0 * HOLD_DURATION_S)
+        await fleet.restart_all()
+        await fleet.pass_time(1.0)
+        assert not any(host.refuses("bad") for host in fleet.hosts)
+        await fleet.end_under(fleet.hosts[1], "bad")
+        assert all(host.refuses("bad") for host in fleet.hosts)
+
+    run_fleet(scenario, controls=3)
+
+
 def test_hosts_that_reach_no_control_host_serve_and_learn_anew() -> None:
     async def scenario(fleet: Fleet) -> None:
         for _ in range(4):
