Write the first record to a control host without a delay

Streams that began just before all entry hosts lost power were refused at each take-up, as no host knew the version that began them (event stream_origin_unknown). Records were collected for 10 ms before the first of them was sent, so a host that was killed in this time had told no control host. Now the first record is sent at once, and those that follow within 10 ms are collected: there are no more calls per second than before, also to a control host that is out of reach.

test_a_record_is_written_without_a_delay failed before: the control hosts had no record after the tasks had run. What remains is the time of a call.

--- a/cranberrywall/records/_client.py
+++ b/cranberrywall/records/_client.py
@@ -33,8 +33,8 @@
 
 There are more of them than copies, as a host that has just started knows only some."""
 
-WRITE_DELAY_S = 0.01
-"""Time for which records are collected before they are written, in seconds."""
+WRITE_INTERVAL_S = 0.01
+"""Minimum time between two calls to a control host, in seconds; records are collected meanwhile."""
 
 WRITE_TIMEOUT_S = 1.0
 
@@ -181,12 +181,12 @@
 
     async def _write_all(self) -> None:
         delay_s = MIN_RETRY_DELAY_S
-        await self._clock.sleep(WRITE_DELAY_S)
         while self._pending_by_key:
-            if await self._write_batch():
+            is_written = await self._write_batch()
+            if is_written or not self._pending_by_key:
                 delay_s = MIN_RETRY_DELAY_S
-                continue
-            if self._pending_by_key:
+                await self._clock.sleep(WRITE_INTERVAL_S)
+            else:
                 await self._clock.sleep(delay_s)
                 delay_s = min(2.0 * delay_s, MAX_RETRY_DELAY_S)
 
--- a/tests/fakes/links.py
+++ b/tests/fakes/links.py
@@ -9,11 +9,15 @@
 
 
 class Switchboard:
-    """Know every host's server by address; hosts in ``down`` neither call nor answer."""
+    """Know every host's server by address; hosts in ``down`` neither call nor answer.
+
+    ``called`` has the name of the method of each call.
+    """
 
     def __init__(self) -> None:
         self.server_by_address: dict[str, LocalServer] = {}
         self.down: set[str] = set()
+        self.called: list[str] = []
 
     def caller(self, address: str) -> "LocalCaller":
         return LocalCaller(self, address)
@@ -40,6 +44,7 @@
         self, address: str, method: Method[Any, Any], request: Any, timeout: float
     ) -> Result[Any, Refusal]:
         board = self._switchboard
+        board.called.append(method.name)
         if address in board.down or self._own in board.down:
             return Err(Refusal(ErrorKind.UNREACHABLE, address))
         handler = board.server_by_address[address].handler_by_name[method.name]
--- a/tests/records/test_records.py
+++ b/tests/records/test_records.py
@@ -7,8 +7,9 @@
 
 from cranberrywall.records import Record, RecordClient, RecordStore
 from cranberrywall.records import _table as table_module
-from cranberrywall.records._client import COPIES
+from cranberrywall.records._client import COPIES, WRITE_INTERVAL_S
 from cranberrywall.records._table import RecordTable
+from cranberrywall.records.messages import WRITE_RECORDS
 from tests.fakes.clock import ManualClock
 from tests.fakes.links import Switchboard
 from tests.fakes.storage import FakeStorage
@@ -82,6 +83,27 @@
     assert COPIES == 3
 
 
+async def test_a_record_is_written_without_a_delay() -> None:
+    """Hosts that lost power just after an event did not write the origin of its stream."""
+    controls = Controls(3)
+    controls.client.write(record("a", is_durable=False))
+    await asyncio.sleep(0.01)
+    assert await controls.entry_host("entry-2").read("topic", "a", LIMIT_S) is not None
+
+
+@pytest.mark.parametrize("is_down", [False, True])
+async def test_records_that_follow_each_other_are_written_together(is_down: bool) -> None:
+    """Guards against a call for each record, also to a control host that is out of reach."""
+    controls = Controls(1)
+    if is_down:
+        controls.board.down = {"control-0"}
+    for number in range(20):
+        controls.client.write(record(f"{number}", is_durable=False))
+        await controls.clock.advance(WRITE_INTERVAL_S / 40)
+    await controls.clock.advance(WRITE_INTERVAL_S)
+    assert controls.board.called.count(WRITE_RECORDS.name) == 2
+
+
 async def test_the_newest_version_wins_in_whichever_order_records_arrive() -> None:
     controls = Controls(3)
     controls.client.write(record("a", 2, b"newer"))
