Close the connections of two targets of a test when they are cancelled

It is the writer of the slow target in test_endless_bytes.py, the file before: that target still waits after its last piece when its test ends, is cancelled and never closes. The target now closes in any case, and so does the one of the next test.

--- a/tests/forwarding/test_endless_bytes.py
+++ b/tests/forwarding/test_endless_bytes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import resource
+from contextlib import closing
 
 import pytest
 from aiohttp import web
@@ -70,12 +71,12 @@
     """Guards against an unknown outcome for a call whose answer is slow, but on its way."""
 
     async def drip(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        head = await reader.readuntil(b"\r\n\r\n")
-        text = f"HTTP/1.1 204 No Content\r\nX-Request-Id: {request_id_of(head)}\r\n\r\n"
-        for start in range(0, len(text), 10):
-            writer.write(text[start : start + 10].encode())
-            await asyncio.sleep(DRIP_GAP_S)
-        writer.close()
+        with closing(writer):
+            head = await reader.readuntil(b"\r\n\r\n")
+            text = f"HTTP/1.1 204 No Content\r\nX-Request-Id: {request_id_of(head)}\r\n\r\n"
+            for start in range(0, len(text), 10):
+                writer.write(text[start : start + 10].encode())
+                await asyncio.sleep(DRIP_GAP_S)
 
     server = await asyncio.start_server(drip, "127.0.0.1", 0)
     async with (
@@ -92,12 +93,12 @@
     """Guards against an attempt that is given up while its target works after a 1xx status."""
 
     async def work(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        head = await reader.readuntil(b"\r\n\r\n")
-        writer.write(b"HTTP/1.1 102 Processing\r\n\r\n")
-        await asyncio.sleep(2 * HEAD_TIMEOUT_S)
-        text = f"HTTP/1.1 204 No Content\r\nX-Request-Id: {request_id_of(head)}\r\n\r\n"
-        writer.write(text.encode())
-        writer.close()
+        with closing(writer):
+            head = await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 102 Processing\r\n\r\n")
+            await asyncio.sleep(2 * HEAD_TIMEOUT_S)
+            text = f"HTTP/1.1 204 No Content\r\nX-Request-Id: {request_id_of(head)}\r\n\r\n"
+            writer.write(text.encode())
 
     server = await asyncio.start_server(work, "127.0.0.1", 0)
     async with server, ForwardingHarness(timeout_s=MAX_SECONDS) as harness:
