Tell callers of a stream whose origin is lost to come back later

A caller that takes up a stream whose version no host knows was told to come back after 0.5 s, and got the same refusal each time until its deadline. Where every host that was asked has answered that it does not know, and among them as many control hosts as store an origin, asking again soon does not help: the refusal now names 5 s, and to start the stream anew. Where one of them is silent, it stays at 0.5 s, as that host may know the version. RecordClient.read returns which of the two it is, and stream_origin_unknown logs it.

Before, the refusal had 0.5 s in each case, so the new test fails on it (its interface, StreamOrigins.find with a refusal, is new too).

--- a/cranberrywall/forwarding/_attempts.py
+++ b/cranberrywall/forwarding/_attempts.py
@@ -32,15 +32,6 @@
 The answer needs this time to travel back to the caller."""
 
 
-_UNKNOWN_ORIGIN = Refusal(
-    ErrorKind.NOT_READY,
-    "no host that was asked knows which version began the stream",
-    "Resumes",
-    "send the request again, or start the stream anew",
-    retry_after=0.5,
-)
-
-
 class Attempts:
     """Track the attempts of one request at all targets.
 
@@ -152,11 +143,11 @@
         resumes = self.arrival.resumes
         if not resumes or not self.plan.repeat_rules.is_stream:
             return Ok(None)
-        version = await self._origins.find(resumes)
-        if version is None:
-            return Err(_UNKNOWN_ORIGIN)
-        self.stream_version = version
-        self._record_origin(resumes, version)
+        found = await self._origins.find(resumes)
+        if isinstance(found, Err):
+            return found
+        self.stream_version = found.ok_value
+        self._record_origin(resumes, found.ok_value)
         return Ok(None)
 
     def record_event(self, slot: Slot) -> None:
--- a/cranberrywall/forwarding/_origins.py
+++ b/cranberrywall/forwarding/_origins.py
@@ -9,9 +9,9 @@
 from typing import NamedTuple
 
 import xxhash
-from result import Ok, Result
+from result import Err, Ok, Result
 
-from cranberrywall.errors import Refusal
+from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.forwarding.messages import (
     FIND_ORIGIN,
     RECORD_ORIGIN,
@@ -45,6 +45,22 @@
 TAKE_UP_S = 10.0
 """Time after a stream's deadline in which a caller may still take it up, in seconds."""
 
+_NOT_FOUND = Refusal(
+    ErrorKind.NOT_READY,
+    "no host that answered knows which version began the stream",
+    "Resumes",
+    "send the request again, or start the stream anew",
+    retry_after=0.5,
+)
+
+_LOST = Refusal(
+    ErrorKind.NOT_READY,
+    "no host knows which version began the stream",
+    "Resumes",
+    "start the stream anew",
+    retry_after=5.0,
+)
+
 
 class _Stored(NamedTuple):
     version: str
@@ -105,42 +121,49 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def find(self, request_id: str) -> str | None:
-        """Return the version that began a stream, or ``None`` if no host that was asked knows."""
-        version = self._find_here(request_id) or await self._ask(request_id)
-        if version is None:
+    async def find(self, request_id: str) -> Result[str, Refusal]:
+        """Return the version that began a stream, or a refusal if no host that was asked knows."""
+        version = self._find_here(request_id)
+        found = Ok(version) if version is not None else await self._ask(request_id)
+        if isinstance(found, Err):
             self._unknown += 1
-            log_event("WARNING", "stream_origin_unknown", resumes=request_id)
-        return version
+            is_lost = found.err_value is _LOST
+            log_event("WARNING", "stream_origin_unknown", resumes=request_id, is_lost=is_lost)
+        return found
 
     def close(self) -> None:
         """Stop the records in the background."""
         for task in self._tasks:
             task.cancel()
 
-    async def _ask(self, request_id: str) -> str | None:
+    async def _ask(self, request_id: str) -> Result[str, Refusal]:
         """Ask the hosts that may know at the same time, and return the first version named."""
         views = self._others(request_id)[:MAX_ASKED]
         tasks = [asyncio.create_task(self._ask_host(view, request_id)) for view in views]
         tasks.append(asyncio.create_task(self._ask_controls(request_id)))
+        have_all_answered = True
         try:
             for answer in asyncio.as_completed(tasks):
                 version = await answer
                 if version:
-                    return version
+                    return Ok(version)
+                have_all_answered &= version is not None
         finally:
             for task in tasks:
                 task.cancel()
-        return None
+        return Err(_LOST if have_all_answered else _NOT_FOUND)
 
-    async def _ask_host(self, view: HostView, request_id: str) -> str:
+    async def _ask_host(self, view: HostView, request_id: str) -> str | None:
+        """Return the version, empty if the host does not know it; ``None`` without an answer."""
         query = OriginQuery(request_id)
         reply = await self._caller.call(view.links, FIND_ORIGIN, query, CALL_TIMEOUT_S)
-        return reply.ok_value.version if isinstance(reply, Ok) else ""
+        return reply.ok_value.version if isinstance(reply, Ok) else None
 
-    async def _ask_controls(self, request_id: str) -> str:
-        record = await self._records.read(ORIGINS_TOPIC, request_id, CALL_TIMEOUT_S)
-        return record.payload.decode() if record is not None else ""
+    async def _ask_controls(self, request_id: str) -> str | None:
+        found = await self._records.read(ORIGINS_TOPIC, request_id, CALL_TIMEOUT_S)
+        if isinstance(found, Err):
+            return None
+        return found.ok_value.payload.decode() if found.ok_value is not None else ""
 
     async def _replicate(self, origin: StreamOrigin) -> None:
         await asyncio.gather(
--- a/cranberrywall/records/_client.py
+++ b/cranberrywall/records/_client.py
@@ -7,8 +7,9 @@
 from collections.abc import Callable, Sequence
 
 import xxhash
-from result import Err, Ok
+from result import Err, Ok, Result
 
+from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller
 from cranberrywall.observability import EventLimiter, Metrics
 from cranberrywall.records.messages import (
@@ -49,6 +50,8 @@
 MAX_PENDING = 4096
 """Maximum number of records that wait for one control host; the oldest are dropped first."""
 
+_TOO_FEW_ASKED = Refusal(ErrorKind.UNREACHABLE, "too few control hosts are known")
+
 _Key = tuple[str, str]
 
 
@@ -85,22 +88,29 @@
                 self._writer_by_address[address] = writer
             writer.add(record)
 
-    async def read(self, topic: str, key: str, timeout_s: float) -> Record | None:
-        """Return a record; ``None`` if no control host that was asked knows it in time."""
+    async def read(self, topic: str, key: str, timeout_s: float) -> Result[Record | None, Refusal]:
+        """Return a record, or ``None`` if control hosts that would have it do not know it.
+
+        ``Err`` if one that was asked did not answer in time, or fewer were asked than store a
+        record, and none of the others knows it.
+        """
         calls = [
             self._caller.call(address, READ_RECORD, ReadRequest(topic, key), timeout_s)
             for address in self._ranked(topic, key)[:MAX_ASKED]
         ]
         tasks = [asyncio.ensure_future(call) for call in calls]
+        refusal = _TOO_FEW_ASKED if len(tasks) < COPIES else None
         try:
             for answer in asyncio.as_completed(tasks):
                 reply = await answer
-                if isinstance(reply, Ok) and reply.ok_value.records:
-                    return reply.ok_value.records[0]
+                if isinstance(reply, Err):
+                    refusal = reply.err_value
+                elif reply.ok_value.records:
+                    return Ok(reply.ok_value.records[0])
         finally:
             for task in tasks:
                 task.cancel()
-        return None
+        return Ok(None) if refusal is None else Err(refusal)
 
     async def fetch(
         self, topics: Sequence[str], receive: Callable[[Sequence[Record]], None], timeout_s: float
--- a/tests/forwarding/test_origins.py
+++ b/tests/forwarding/test_origins.py
@@ -41,7 +41,7 @@
         await asyncio.sleep(0.01)
 
     async def find_at_each(self, request_id: str, hosts: Sequence[str]) -> set[str | None]:
-        return {await self.origins_by_host[host].find(request_id) for host in hosts}
+        return {(await self.origins_by_host[host].find(request_id)).ok() for host in hosts}
 
 
 async def test_each_host_finds_the_version_that_began_a_stream() -> None:
@@ -78,7 +78,7 @@
     hosts.board.down.update(name for name in hosts.names if name != "entry-0")
     if hosts.origins_by_host["entry-0"].stores("id-1"):
         hosts.clock.step(LIFETIME_S)
-    assert await hosts.origins_by_host["entry-0"].find("id-1") is None
+    assert (await hosts.origins_by_host["entry-0"].find("id-1")).is_err()
 
 
 async def test_an_origin_survives_the_loss_of_all_entry_hosts() -> None:
@@ -92,6 +92,22 @@
     assert await hosts.find_at_each("id-1", hosts.names) == {"v1"}
 
 
+async def test_callers_are_told_to_come_back_soon_only_if_that_may_help() -> None:
+    """Callers of streams whose origin was lost came back twice a second to the same refusal."""
+    hosts = Hosts(3, controls=3)
+    soon, late = 1.0, 4.0
+    assert await retry_after(hosts, "id-1") >= late
+    for silent in ("control-0", "entry-2"):
+        hosts.board.down = {silent}
+        assert await retry_after(hosts, "id-1") <= soon
+
+
+async def retry_after(hosts: Hosts, request_id: str) -> float:
+    refusal = (await hosts.origins_by_host["entry-0"].find(request_id)).unwrap_err()
+    assert refusal.retry_after is not None
+    return refusal.retry_after
+
+
 async def test_origins_are_removed_after_their_lifetime_and_above_the_limit() -> None:
     hosts = Hosts(1)
     origins = hosts.origins_by_host["entry-0"]
--- a/tests/records/test_records.py
+++ b/tests/records/test_records.py
@@ -79,7 +79,8 @@
     for first in range(5):
         for second in range(first):
             controls.board.down = {controls.names[first], controls.names[second]}
-            assert await controls.entry_host("entry-2").read("topic", "a", LIMIT_S) is not None
+            found = await controls.entry_host("entry-2").read("topic", "a", LIMIT_S)
+            assert found.unwrap() is not None
     assert COPIES == 3
 
 
@@ -88,7 +89,22 @@
     controls = Controls(3)
     controls.client.write(record("a", is_durable=False))
     await asyncio.sleep(0.01)
-    assert await controls.entry_host("entry-2").read("topic", "a", LIMIT_S) is not None
+    found = await controls.entry_host("entry-2").read("topic", "a", LIMIT_S)
+    assert found.unwrap() is not None
+
+
+@pytest.mark.parametrize(("count", "down"), [(3, {"control-1"}), (2, set[str]())])
+async def test_a_record_that_a_control_host_may_have_is_not_called_unknown(
+    count: int, down: set[str]
+) -> None:
+    """Guards against a record taken for lost while a host that may store it is out of reach."""
+    controls = Controls(count)
+    controls.board.down = down
+    assert (await controls.client.read("topic", "a", LIMIT_S)).is_err()
+
+
+async def test_a_record_that_no_control_host_has_is_unknown() -> None:
+    assert (await Controls(3).client.read("topic", "a", LIMIT_S)).unwrap() is None
 
 
 @pytest.mark.parametrize("is_down", [False, True])
