--- a/cranberrywall/records/_client.py
+++ b/cranberrywall/records/_client.py
@@ -8,8 +8,9 @@
 from collections.abc import Callable, Sequence
 
 import xxhash
-from result import Err, Ok
+from result import Err, Ok, Result
 
+from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller
 from cranberrywall.observability import EventLimiter, Metrics
 from cranberrywall.records.messages import (
@@ -34,8 +35,8 @@
 
 There are more of them than copies, as a host that has just started knows only some."""
 
-WRITE_DELAY_S = 0.01
-"""Time for which records are collected before they are written, in seconds."""
+WRITE_INTERVAL_S = 0.01
+"""Minimum time between two calls to a control host, in seconds; records are collected meanwhile."""
 
 WRITE_TIMEOUT_S = 1.0
 
@@ -55,6 +56,8 @@
 
 The oldest are dropped first, and durable ones only if there are no others."""
 
+_TOO_FEW_ASKED = Refusal(ErrorKind.UNREACHABLE, "too few control hosts are known")
+
 _Key = tuple[str, str]
 
 
@@ -91,22 +94,29 @@
                 self._writer_by_address[address] = writer
             writer.add(record)
 
-    async def read(self, topic: str, key: str, timeout_s: float) -> Record | None:
-        """Return a record; ``None`` if no control host that was asked knows it in time."""
+    async def read(self, topic: str, key: str, timeout_s: float) -> Result[Record | None, Refusal]:
+        """Return a record, or ``None`` if control hosts that would have it do not know it.
+
+        ``Err`` if one that was asked did not answer in time, or fewer were asked than store a
+        record, and none of the others knows it.
+        """
         calls = [
             self._caller.call(address, READ_RECORD, ReadRequest(topic, key), timeout_s)
             for address in self._ranked(topic, key)[:MAX_ASKED]
         ]
         tasks = [asyncio.ensure_future(call) for call in calls]
+        refusal = _TOO_FEW_ASKED if len(tasks) < COPIES else None
         try:
             for answer in asyncio.as_completed(tasks):
                 reply = await answer
-                if isinstance(reply, Ok) and reply.ok_value.records:
-                    return reply.ok_value.records[0]
+                if isinstance(reply, Err):
+                    refusal = reply.err_value
+                elif reply.ok_value.records:
+                    return Ok(reply.ok_value.records[0])
         finally:
             for task in tasks:
                 task.cancel()
-        return None
+        return Ok(None) if refusal is None else Err(refusal)
 
     async def fetch(
         self, topics: Sequence[str], receive: Callable[[Sequence[Record]], None], timeout_s: float
@@ -191,12 +201,12 @@
 
     async def _write_all(self) -> None:
         delay_s = MIN_RETRY_DELAY_S
-        await self._clock.sleep(WRITE_DELAY_S)
         while self._pending_by_key:
-            if await self._write_batch():
+            is_written = await self._write_batch()
+            if is_written or not self._pending_by_key:
                 delay_s = MIN_RETRY_DELAY_S
-                continue
-            if self._pending_by_key:
+                await self._clock.sleep(WRITE_INTERVAL_S)
+            else:
                 await self._clock.sleep(delay_s)
                 delay_s = min(2.0 * delay_s, MAX_RETRY_DELAY_S)
 
--- a/tests/records/test_records.py
+++ b/tests/records/test_records.py
@@ -7,8 +7,9 @@
 
 from cranberrywall.records import Record, RecordClient, RecordStore
 from cranberrywall.records import _table as table_module
-from cranberrywall.records._client import COPIES
+from cranberrywall.records._client import COPIES, WRITE_INTERVAL_S
 from cranberrywall.records._table import RecordTable
+from cranberrywall.records.messages import WRITE_RECORDS
 from tests.fakes.clock import ManualClock
 from tests.fakes.links import Switchboard
 from tests.fakes.storage import FakeStorage
@@ -78,10 +79,47 @@
     for first in range(5):
         for second in range(first):
             controls.board.down = {controls.names[first], controls.names[second]}
-            assert await controls.entry_host("entry-2").read("topic", "a", LIMIT_S) is not None
+            found = await controls.entry_host("entry-2").read("topic", "a", LIMIT_S)
+            assert found.unwrap() is not None
     assert COPIES == 3
 
 
+async def test_a_record_is_written_without_a_delay() -> None:
+    """Hosts that lost power just after an event did not write the origin of its stream."""
+    controls = Controls(3)
+    controls.client.write(record("a", is_durable=False))
+    await asyncio.sleep(0.01)
+    found = await controls.entry_host("entry-2").read("topic", "a", LIMIT_S)
+    assert found.unwrap() is not None
+
+
+@pytest.mark.parametrize(("count", "down"), [(3, {"control-1"}), (2, set[str]())])
+async def test_a_record_that_a_control_host_may_have_is_not_called_unknown(
+    count: int, down: set[str]
+) -> None:
+    """Guards against a record taken for lost while a host that may store it is out of reach."""
+    controls = Controls(count)
+    controls.board.down = down
+    assert (await controls.client.read("topic", "a", LIMIT_S)).is_err()
+
+
+async def test_a_record_that_no_control_host_has_is_unknown() -> None:
+    assert (await Controls(3).client.read("topic", "a", LIMIT_S)).unwrap() is None
+
+
+@pytest.mark.parametrize("is_down", [False, True])
+async def test_records_that_follow_each_other_are_written_together(is_down: bool) -> None:
+    """Guards against a call for each record, also to a control host that is out of reach."""
+    controls = Controls(1)
+    if is_down:
+        controls.board.down = {"control-0"}
+    for number in range(20):
+        controls.client.write(record(f"{number}", is_durable=False))
+        await controls.clock.advance(WRITE_INTERVAL_S / 40)
+    await controls.clock.advance(WRITE_INTERVAL_S)
+    assert controls.board.called.count(WRITE_RECORDS.name) == 2
+
+
 async def test_the_newest_version_wins_in_whichever_order_records_arrive() -> None:
     controls = Controls(3)
     controls.client.write(record("a", 2, b"newer"))
