Keep a hold that is newer than a restored release

A request that an operator had lifted ended targets anew while control hosts were out of reach, and was held; as they came back, the restored release with its higher number undid the hold, and the request ended four more. Cause: decisions are ordered by number, and hosts that started without the records begin at 1.

A hold that is newer than a restored decision is published again with the next number.

--- a/cranberrywall/quarantine/_decisions.py
+++ b/cranberrywall/quarantine/_decisions.py
@@ -130,6 +130,10 @@
             log_event("WARNING", "quarantine_item_malformed", topic=item.topic, reason=str(error))
             return
         self._record_number(fingerprint, item.version[0])
+        held = self.held_by_fingerprint.pop(fingerprint, None)
+        if held is not None and self._clock.now() < held.until - HOLD_DURATION_S:
+            self._repeat(fingerprint, held)
+            return
         decision = self._form.decode(item)
         if decision is None:
             self._release(fingerprint, None)
@@ -140,6 +144,14 @@
         else:
             self._release(fingerprint, decision.state)
 
+    def _repeat(self, fingerprint: Fingerprint, held: Held) -> None:
+        """Publish a decision again that is newer than a restored one with a higher number.
+
+        It was made by hosts that did not know the records.
+        """
+        self.decide(held.decision)
+        self.held_by_fingerprint[fingerprint] = held
+
     def _record_number(self, fingerprint: Fingerprint, number: int) -> None:
         self._number_by_fingerprint.pop(fingerprint, None)
         self._number_by_fingerprint[fingerprint] = number
@@ -147,14 +159,12 @@
             del self._number_by_fingerprint[next(iter(self._number_by_fingerprint))]
 
     def _hold(self, fingerprint: Fingerprint, decision: Decision) -> None:
-        self.held_by_fingerprint.pop(fingerprint, None)
         self.held_by_fingerprint[fingerprint] = Held(decision, self._clock.now() + HOLD_DURATION_S)
         if len(self.held_by_fingerprint) > MAX_HELD:
             self._withdraw(next(iter(self.held_by_fingerprint)), "too_many")
         self._on_held(fingerprint)
 
     def _release(self, fingerprint: Fingerprint, state: DecisionState | None) -> None:
-        self.held_by_fingerprint.pop(fingerprint, None)
         self._on_release(fingerprint, state)
 
     def _withdraw(self, fingerprint: Fingerprint, reason: str) -> None:
