Limit the records of a control host in all dimensions

120,000 records took a control host from 46 to 162 MB, where 128 MB are allowed; keys did not count, the number of topics had no limit, a page sorted all records (66 ms of the loop), and records that waited for a disk that hangs grew without limit.

Durable topics now hold 4,096 records, keys count, 16 topics are stored, pages are merged in order of arrival, and what waits for the disk is bounded by the table. Other control hosts' records are copied at the same time, so one that is off does not delay the others.

Measured: the tests of the limits, which failed or are new, pass.

--- a/cranberrywall/records/_store.py
+++ b/cranberrywall/records/_store.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 from collections.abc import Callable, Sequence
 
 from result import Err, Ok, Result
@@ -71,7 +72,7 @@
         self._storage = storage
         self._journal = RecordJournal(storage) if storage is not None else None
         self._table = RecordTable()
-        self._unwritten: list[Entry] = []
+        self._unwritten_by_key: dict[tuple[str, str], Entry] = {}
         self._is_read = self._journal is None
         self._received = 0
         self._failures = 0
@@ -126,7 +127,7 @@
                 continue
             self._received += 1
             if record.is_durable and self._journal is not None:
-                self._unwritten.append(entry)
+                self._unwritten_by_key[record.topic, record.key] = entry
 
     async def _read_file(self) -> None:
         if self._storage is None or self._journal is None:
@@ -148,9 +149,9 @@
         until = self._clock.now() + COPY_DURATION_S
         copied: set[str] = set()
         while self._clock.now() < until:
-            for address in self._others():
-                if address not in copied and await self._copy_from(address):
-                    copied.add(address)
+            addresses = [address for address in self._others() if address not in copied]
+            answers = await asyncio.gather(*(self._copy_from(address) for address in addresses))
+            copied.update(itertools.compress(addresses, answers))
             await self._clock.sleep(COPY_RETRY_DELAY_S)
 
     async def _copy_from(self, address: str) -> bool:
@@ -172,7 +173,7 @@
         is_complete = True
         while True:
             await self._clock.sleep(WRITE_INTERVAL_S if is_complete else WRITE_RETRY_DELAY_S)
-            if self._unwritten or not is_complete:
+            if self._unwritten_by_key or not is_complete:
                 is_complete = await self._write()
 
     async def _write(self) -> bool:
@@ -180,7 +181,7 @@
         storage, journal = self._storage, self._journal
         if storage is None or journal is None:
             return True
-        entries, self._unwritten = self._unwritten, []
+        entries, self._unwritten_by_key = list(self._unwritten_by_key.values()), {}
         is_rewrite = journal.should_rewrite
         if is_rewrite:
             live = self._table.entries(self._clock.now())
--- a/cranberrywall/records/_table.py
+++ b/cranberrywall/records/_table.py
@@ -3,17 +3,24 @@
 Times are monotonic seconds.
 """
 
+import heapq
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
 from cranberrywall.records.messages import Record
 
+MAX_TOPICS = 16
+"""Maximum number of topics; records of further ones are not stored."""
+
 MAX_TOPIC_RECORDS = 20_000
 """Maximum number of records of one topic; the oldest are evicted first."""
 
-MAX_TOPIC_BYTES = 8 * 1024 * 1024
-"""Maximum size of the payloads of one topic, in bytes; the oldest are evicted first."""
+MAX_DURABLE_RECORDS = 4_096
+"""Maximum number of records of a topic of durable records."""
+
+MAX_TOPIC_BYTES = 4 * 1024 * 1024
+"""Maximum size of the keys and payloads of one topic, in bytes; the oldest are evicted first."""
 
 RECORD_OVERHEAD_BYTES = 64
 """Approximate size of a record in a message beside its key and payload, in bytes."""
@@ -40,7 +47,11 @@
 
     def put(self, record: Record, now: float) -> Entry | None:
         """Store a record that is newer than the one in the table, and return its entry."""
-        topic = self._topic_by_name.setdefault(record.topic, _Topic())
+        topic = self._topic_by_name.get(record.topic)
+        if topic is None:
+            if len(self._topic_by_name) >= MAX_TOPICS:
+                return None
+            topic = self._topic_by_name[record.topic] = _Topic()
         stored = topic.entry_by_key.get(record.key)
         if stored is not None and record.version <= stored.record.version:
             return None
@@ -65,19 +76,20 @@
         ``topics``, the page has the records of all topics.
         """
         wanted = frozenset(topics)
-        entries = sorted(
-            (
-                entry
-                for entry in self.entries(now)
-                if (not wanted or entry.record.topic in wanted)
-                and (not before or entry.number < before)
+        entries = heapq.merge(
+            *(
+                reversed(topic.entry_by_key.values())
+                for name, topic in self._topic_by_name.items()
+                if not wanted or name in wanted
             ),
             key=lambda entry: -entry.number,
         )
         page: list[Record] = []
         size = 0
         for entry in entries:
-            size += len(entry.record.payload) + len(entry.record.key) + RECORD_OVERHEAD_BYTES
+            if entry.expires_at <= now or (before and entry.number >= before):
+                continue
+            size += _size_of(entry.record) + RECORD_OVERHEAD_BYTES
             if page and size > max_bytes:
                 return page, entry.number + 1
             page.append(record_of(entry, now))
@@ -105,10 +117,11 @@
     def put(self, entry: Entry, now: float) -> None:
         self.remove(entry.record.key)
         self.entry_by_key[entry.record.key] = entry
-        self.size += len(entry.record.payload)
+        self.size += _size_of(entry.record)
+        max_records = MAX_DURABLE_RECORDS if entry.record.is_durable else MAX_TOPIC_RECORDS
         while self.entry_by_key:
             key, oldest = next(iter(self.entry_by_key.items()))
-            is_full = len(self.entry_by_key) > MAX_TOPIC_RECORDS or self.size > MAX_TOPIC_BYTES
+            is_full = len(self.entry_by_key) > max_records or self.size > MAX_TOPIC_BYTES
             if not is_full and oldest.expires_at > now:
                 return
             self.remove(key)
@@ -116,7 +129,7 @@
     def remove(self, key: str) -> None:
         entry = self.entry_by_key.pop(key, None)
         if entry is not None:
-            self.size -= len(entry.record.payload)
+            self.size -= _size_of(entry.record)
 
 
 def record_of(entry: Entry, now: float) -> Record:
@@ -124,3 +137,7 @@
     return entry.record._replace(
         lifetime_s=entry.expires_at - now, age_s=max(0.0, now - entry.written_at)
     )
+
+
+def _size_of(record: Record) -> int:
+    return len(record.key) + len(record.payload)
