Write a record to another control host if one does not confirm it

With 5 of 10 addresses of control hosts gone, as seeds that were exchanged, 40 of 500 origins were found nowhere: their three copies were for hosts that are gone.

The host that comes next in the order takes a copy in place of each that does not confirm it, and writers to addresses that are no longer control hosts are removed.

Measured: test_records_go_to_other_control_hosts_in_place_of_those_that_are_gone, with 3 of 6 gone, fails without it and passes.

--- a/cranberrywall/records/_client.py
+++ b/cranberrywall/records/_client.py
@@ -29,10 +29,11 @@
 DURABLE_COPIES = 5
 """Number of control hosts that store a durable record; there are few of these."""
 
-MAX_ASKED = 5
+MAX_ASKED = 2 * COPIES
 """Maximum number of control hosts that are asked for a record.
 
-There are more of them than copies, as a host that has just started knows only some."""
+There are more of them than copies, as a host that has just started knows only some, and a record
+goes to another one in place of each that did not confirm it."""
 
 WRITE_INTERVAL_S = 0.01
 """Minimum time between two calls to a control host, in seconds; records are collected meanwhile."""
@@ -87,11 +88,7 @@
         """Write a record to control hosts in the background; the newest of a key wins."""
         copies = DURABLE_COPIES if record.is_durable else COPIES
         for address in self._ranked(record.topic, record.key)[:copies]:
-            writer = self._writer_by_address.get(address)
-            if writer is None:
-                writer = _Writer(address, self._caller, self._clock, self._events)
-                self._writer_by_address[address] = writer
-            writer.add(record)
+            self._writer(address).add(record)
 
     async def read(self, topic: str, key: str, timeout_s: float) -> Result[Record | None, Refusal]:
         """Return a record, or ``None`` if control hosts that would have it do not know it.
@@ -121,6 +118,35 @@
         """Return a fetch of the records of topics that control hosts store."""
         return RecordFetch(self._controls, self._caller, self._clock, topics)
 
+    def _writer(self, address: str) -> "_Writer":
+        writer = self._writer_by_address.get(address)
+        if writer is None:
+            self._remove_writers()
+            writer = _Writer(
+                address, self._caller, self._clock, self._events, self._write_elsewhere
+            )
+            self._writer_by_address[address] = writer
+        return writer
+
+    def _remove_writers(self) -> None:
+        """Remove the writers to hosts that are no longer control hosts."""
+        controls = set(self._controls())
+        for address in self._writer_by_address.keys() - controls:
+            self._writer_by_address.pop(address).close()
+
+    def _write_elsewhere(self, record: Record, address: str) -> bool:
+        """Write a record that a host did not confirm to another one; return whether there is one.
+
+        Of the hosts that come next in the order, each takes the place of one that should store it.
+        """
+        ranked = self._ranked(record.topic, record.key)
+        if address not in ranked[:COPIES]:
+            return False
+        others = ranked[ranked.index(address) + COPIES :][:1]
+        for other in others:
+            self._writer(other).add(record)
+        return bool(others)
+
     def close(self) -> None:
         """Stop writing."""
         for writer in self._writer_by_address.values():
@@ -137,8 +163,16 @@
 class _Writer:
     """Records that wait for one control host."""
 
-    def __init__(self, address: str, caller: Caller, clock: Clock, events: EventLimiter) -> None:
+    def __init__(
+        self,
+        address: str,
+        caller: Caller,
+        clock: Clock,
+        events: EventLimiter,
+        write_elsewhere: Callable[[Record, str], bool],
+    ) -> None:
         self.dropped = 0
+        self._write_elsewhere = write_elsewhere
         self._address = address
         self._caller = caller
         self._clock = clock
@@ -204,9 +238,11 @@
             is_over = record.lifetime_s <= now - added_at
             if self._pending_by_key.get(key) is not pending:
                 continue
-            if is_written or is_over or not record.is_durable:
-                del self._pending_by_key[key]
-                self.dropped += not is_written
+            if not is_written and not is_over and record.is_durable:
+                continue
+            del self._pending_by_key[key]
+            if not is_written and (is_over or not self._move(record, now - added_at)):
+                self.dropped += 1
         if isinstance(answer, Err):
             self._events.log(
                 "WARNING",
@@ -217,3 +253,6 @@
                 refusal=answer.err_value,
             )
         return is_written
+
+    def _move(self, record: Record, waited_s: float) -> bool:
+        return self._write_elsewhere(aged(record, waited_s), self._address)
--- a/tests/records/test_records.py
+++ b/tests/records/test_records.py
@@ -223,3 +223,15 @@
     for number in range(table_module.MAX_TOPICS + 5):
         table.put(record("a")._replace(topic=f"topic-{number}"), now=0.0)
     assert len(table) == table_module.MAX_TOPICS
+
+
+async def test_records_go_to_other_control_hosts_in_place_of_those_that_are_gone() -> None:
+    """Guards against origins that are found nowhere as their control hosts were exchanged."""
+    controls = Controls(6)
+    controls.board.down = set(controls.names[:3])
+    for number in range(50):
+        controls.client.write(record(f"key-{number}", is_durable=False))
+    await controls.clock.advance(0.2)
+    reader = controls.entry_host("entry-2")
+    found = [await reader.read("topic", f"key-{number}", LIMIT_S) for number in range(50)]
+    assert all(one.is_ok() and one.unwrap() is not None for one in found)
