Give a host that starts no retries that it may have spent before

Repeats piled up beyond the fleet's bound where all hosts lost power several times within its window: each start gave a host half of its part of the slack anew. With 15 hosts and three losses 75 retries are possible where 63 are allowed (one first attempt per host and life), 75 of 72 with two, 120 of 99 with five.

The part of a fleet's bound now starts empty, and fills by first attempts. Budgets of single targets and those without a fleet's bound start half full as before: they bound nothing that is shared.

Measured: the new test, three cases, failed before and passes; tests/routing passes.

--- a/cranberrywall/routing/_pool.py
+++ b/cranberrywall/routing/_pool.py
@@ -85,7 +85,8 @@
         self._parked_by_id: dict[str, Candidate] = {}
         self.prefixes = PrefixIndex()
         self.waits = WaitModel()
-        self.retries = RetryBudget(now, retry_limits, count_hosts)
+        is_fleet_part = retry_limits is not None and retry_limits.min_hosts > 0
+        self.retries = RetryBudget(now, retry_limits, count_hosts, starts_empty=is_fleet_part)
         self._retry_limits = retry_limits
         self.clock = clock
         self._random = random
--- a/cranberrywall/routing/_retries.py
+++ b/cranberrywall/routing/_retries.py
@@ -30,18 +30,23 @@
 
 
 class RetryBudget:
-    """Add a fraction of a retry with each first attempt, and spend one with each retry."""
+    """Add a fraction of a retry with each first attempt, and spend one with each retry.
+
+    A budget that ``starts_empty`` gives nothing that an earlier process of this host has spent
+    already. Others start half full.
+    """
 
     def __init__(
         self,
         now: float,
         limits: RetryLimits | None = None,
         count_hosts: Callable[[], int] = lambda: 1,
+        starts_empty: bool = False,
     ) -> None:
         self._limits = limits or RetryLimits()
         self._count_hosts = count_hosts
         self._max_hosts = self._limits.min_hosts
-        self._saved = self._max_saved() / 2
+        self._saved = 0.0 if starts_empty else self._max_saved() / 2
         self._updated_at = now
 
     def record_first_attempt(self, now: float) -> None:
