Run a request that ended three targets at one target of the fleet at a time

A request that had ended three targets came back later and ended four more, where three may be sent once all hosts know: tries reached targets long after it had ended its third, with no host restarted. Cause: three ends leave it in doubt, a fourth holds it, and each host limited its own runs only. Where it came to all hosts within the time in which a fourth end is found, decided and spread, each host sent it.

From three ends on, a host lets the others know as it sends the request and as the run ends, and a host that knows of an open run refuses the request.

Measured, both programs as processes, six entry hosts: the new test failed twice of two before (4 sent late) and passes twice.

--- a/cranberrywall/quarantine/_inference.py
+++ b/cranberrywall/quarantine/_inference.py
@@ -42,6 +42,10 @@
 DOUBT_THRESHOLD = 0.05
 """A request is in doubt at this probability of ending targets: it takes two such ends."""
 
+SUSPECT_THRESHOLD = 0.5
+"""From this probability of ending targets on, a request runs at one target of the whole fleet at a
+time: it takes three such ends."""
+
 MIN_ENDINGS = 2
 """Minimum number of ends for which a request is evaluated; with fewer it stays at its prior. One is
 enough for a request that was held before."""
--- a/cranberrywall/quarantine/_quarantine.py
+++ b/cranberrywall/quarantine/_quarantine.py
@@ -20,11 +20,13 @@
     DOUBT_THRESHOLD,
     HOLD_THRESHOLD,
     MIN_ENDINGS,
+    SUSPECT_THRESHOLD,
     probabilities,
 )
 from cranberrywall.quarantine._items import decode_item
 from cranberrywall.quarantine._prompt_quarantine import PromptQuarantine
 from cranberrywall.quarantine._runs import Run, RunEnd
+from cranberrywall.quarantine._suspect_runs import SuspectRuns
 from cranberrywall.quarantine._tracker import RunTracker
 from cranberrywall.quarantine._traits import NO_TRAITS, Traits
 from cranberrywall.quarantine._weights import weight_of
@@ -70,12 +72,16 @@
             host, tracker.runs, gossip, clock, self._schedule_evaluation
         )
         self._doubted: frozenset[Fingerprint] = frozenset()
+        self._suspects: frozenset[Fingerprint] = frozenset()
+        self._suspect_runs = SuspectRuns(host, gossip, clock)
         self._held_until_by_fingerprint: dict[Fingerprint, float] = {}
         self._evaluation: asyncio.Task[None] | None = None
         self._ended = {str(signal): 0 for signal in EndingSignal}
         self._refused = {"held": 0, "prompt": 0, "doubted": 0}
         tracker.on_ended = self._report
         tracker.on_complete = self._clear
+        tracker.on_begin = self._record_begin
+        tracker.on_finish = self._suspect_runs.finish
         gossip.subscribe(ENDINGS_TOPIC, self._apply_report)
 
     def check(
@@ -90,8 +96,11 @@
         if held is not None:
             self._refused["prompt"] += 1
             return _held_prompt_refusal(held, now)
-        is_doubted = fingerprint in self._doubted or fingerprint in self._held_until_by_fingerprint
-        if is_doubted and self.tracker.runs.count_open(fingerprint):
+        is_suspect = self._is_suspect(fingerprint)
+        if (
+            (is_suspect or fingerprint in self._doubted)
+            and self.tracker.runs.count_open(fingerprint)
+        ) or (is_suspect and self._suspect_runs.is_running(fingerprint, now)):
             self._refused["doubted"] += 1
             return _doubted_refusal(fingerprint)
         return None
@@ -115,6 +124,7 @@
         """Remove old decisions and evidence; call it once a second."""
         self._decisions.expire(now)
         self._forget_expired_holds(now)
+        self._suspect_runs.expire(now)
         self._prompts.expire(now)
         self._retract_reports(self._evidence.remove_expired(now))
 
@@ -223,6 +233,13 @@
         if runs and self._evidence.mark_reported(incarnation):
             self._publish_report(incarnation, runs, ended_at)
 
+    def _is_suspect(self, fingerprint: Fingerprint) -> bool:
+        return fingerprint in self._suspects or fingerprint in self._held_until_by_fingerprint
+
+    def _record_begin(self, run: Run) -> None:
+        if self._is_suspect(run.fingerprint):
+            self._suspect_runs.begin(run)
+
     def _clear(self, run: Run) -> None:
         """Treat a complete answer as proof that the request doesn't end targets."""
         if run.end is RunEnd.WHOLE:
@@ -262,6 +279,9 @@
             for one, probability in probability_by_fingerprint.items()
             if probability >= DOUBT_THRESHOLD
         )
+        self._suspects = frozenset(
+            one for one in doubted if probability_by_fingerprint[one] >= SUSPECT_THRESHOLD
+        )
         doubted_before, self._doubted = self._doubted, doubted
         for fingerprint in doubted - doubted_before:
             self._log_doubt(fingerprint, probability_by_fingerprint[fingerprint])
@@ -292,6 +312,7 @@
         This spares the targets at which the request is still queued.
         """
         self._doubted -= {fingerprint}
+        self._suspects -= {fingerprint}
         self._held_until_by_fingerprint.pop(fingerprint, None)
         stopped = self.tracker.runs.stop(fingerprint)
         if stopped:
@@ -300,6 +321,7 @@
     def _discard_evidence(self, fingerprint: Fingerprint, state: DecisionState | None) -> None:
         """Discard the evidence against a request, whatever ended the decision."""
         self._doubted -= {fingerprint}
+        self._suspects -= {fingerprint}
         self._held_until_by_fingerprint.pop(fingerprint, None)
         if state is not None:
             self._evidence.clear(fingerprint)
--- a/cranberrywall/quarantine/_tracker.py
+++ b/cranberrywall/quarantine/_tracker.py
@@ -36,6 +36,8 @@
         self.runs = Runs()
         self.on_ended: OnEnded | None = None
         self.on_complete: Callable[[Run], None] | None = None
+        self.on_begin: Callable[[Run], None] | None = None
+        self.on_finish: Callable[[Run], None] | None = None
         self._targets = targets
         self._endings = EndingDetector(
             targets,
@@ -61,12 +63,16 @@
             request_id, TargetIncarnation(target_id, incarnation), fingerprint, is_streamed, traits
         )
         self.runs.add(run)
+        if self.on_begin is not None:
+            self.on_begin(run)
         return run
 
     def finish(self, run: Run, end: RunEnd, url: str, now: float) -> None:
         """Record how a run ended; if its connection was lost, check its target."""
         self.runs.expire(now)
         self.runs.finish(run, end, now)
+        if self.on_finish is not None:
+            self.on_finish(run)
         if end is RunEnd.BROKEN:
             self._endings.record_lost_connection(run.target_incarnation, url, now)
         elif end in (RunEnd.WHOLE, RunEnd.REFUSED) and self.on_complete is not None:
--- a/tests/platform/test_fatal_requests.py
+++ b/tests/platform/test_fatal_requests.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 
-from standins._platform import ENDS_WORKERS, Answer, Machine, Platform, Worker
+from standins._platform import ENDS_WORKERS, Answer, Machine, Platform, Worker, route
 
 PREPAID = 10_000_000
 ENGINES = 6
@@ -79,6 +79,25 @@
         await platform.stop()
 
 
+async def test_a_suspect_request_that_comes_to_all_hosts_ends_few_targets(tmp_path: Path) -> None:
+    """A request that had ended three targets came back long after, and each host sent it once."""
+    platform = Platform(tmp_path, fronts=6)
+    try:
+        engines = await start_engines(platform)
+        letters = route("letters", "stream", "engines", attempts=1, resumable=True)
+        await platform.publish(2, PREPAID, [letters])
+        await asyncio.sleep(1.0)
+        for front in platform.fronts[:3]:
+            await ask_letter(platform, front, FATAL)
+            await asyncio.sleep(0.5)
+        assert sum(len(engine.ends) for engine in engines) == 3
+        await asyncio.sleep(KNOWN_AFTER_S + 0.5)
+        await repeat(platform, FATAL, seconds=1.5, gap_s=0.05)
+        assert sent_after_known(engines) <= MOST_SENT_AFTER
+    finally:
+        await platform.stop()
+
+
 async def test_a_host_that_starts_anew_knows_what_the_others_found_out(tmp_path: Path) -> None:
     """A host is killed after the request was found out, and is back with an empty memory.
 
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -4,6 +4,7 @@
 from cranberrywall.quarantine import RunEnd
 from cranberrywall.quarantine._decisions import HOLD_DURATION_S
 from cranberrywall.quarantine._evidence import ENDING_RETENTION_S, MAX_ENDINGS
+from cranberrywall.quarantine._suspect_runs import MAX_RUN_S, SETTLING_S
 from tests.quarantine.fleet import EVALUATION_S, Fleet, fingerprint_for, run_fleet
 from tests.quarantine.scene import announcement
 
@@ -280,6 +281,60 @@
     run_fleet(scenario, hosts=1)
 
 
+def test_a_suspect_request_runs_at_one_target_of_the_fleet_at_a_time() -> None:
+    """Guards against a request that had ended three targets, and ends one more at each host."""
+
+    async def scenario(fleet: Fleet) -> None:
+        for host in fleet.hosts[:3]:
+            await fleet.end_under(host, "bad")
+        sent = []
+        for host in fleet.hosts:
+            await fleet.clock.sleep(0.05)
+            if not host.refuses("bad"):
+                sent.append((host, host.send("bad", fleet.next_target())))
+        assert len(sent) == 1
+        await fleet.end(*sent)
+        assert all(host.refuses("bad") for host in fleet.hosts)
+
+    run_fleet(scenario, hosts=8)
+
+
+def test_a_suspect_request_is_not_sent_again_before_the_end_of_its_target_is_known() -> None:
+    """Guards against one more ended target for each arrival while the hosts decide."""
+
+    async def scenario(fleet: Fleet) -> None:
+        for host in fleet.hosts:
+            await fleet.end_under(host, "bad")
+        first, second, _ = fleet.hosts
+        run = first.send("bad", 39)
+        first.finish(run, RunEnd.BROKEN)
+        assert first.refuses("bad")
+        assert second.refuses("bad")
+        await fleet.clock.sleep(SETTLING_S)
+        assert not first.refuses("bad")
+        assert not second.refuses("bad")
+
+    run_fleet(scenario)
+
+
+def test_a_suspect_request_is_sent_again_after_its_host_was_lost() -> None:
+    """Guards against a request that nobody sends, as a lost host never ended its run."""
+
+    async def scenario(fleet: Fleet) -> None:
+        for host in fleet.hosts:
+            await fleet.end_under(host, "slow")
+        first, second, _ = fleet.hosts
+        first.send("slow", 39)
+        assert second.refuses("slow")
+        await fleet.pass_time(MAX_RUN_S)
+        assert not second.refuses("slow")
+        run = second.send("slow", 38)
+        second.finish(run, RunEnd.WHOLE)
+        assert not second.refuses("slow")
+
+    run_fleet(scenario)
+
+
 def test_a_whole_answer_clears_a_request_whose_time_was_over() -> None:
     """Guards against a request that one unrelated end holds after its targets were repaired."""
 
