Check a route's split also where the route names a service

What callers saw: a configuration with a route that names a service and a split of an unknown service, of weights that add up to 0 or of a negative weight was confirmed and in force. The operator's rules call each of them invalid.

Cause: only the shares that requests are sent by were checked, and a service goes before a split.

Evidence: the three new cases of test_a_split_beside_a_service_is_checked failed before (the document was accepted). The split is now checked by itself; an empty one beside a service stays valid, and the service still goes first.

--- a/cranberrywall/platform/_documents.py
+++ b/cranberrywall/platform/_documents.py
@@ -123,11 +123,12 @@
 
 
 def _check_route(route: _Route, field: str, services: set[str]) -> Refusal | None:
-    shares = _shares(route)
-    for name, _ in shares:
+    # A split is checked also where the route names a service, which goes before it.
+    for name, _ in (*_shares(route), *_split(route)):
         if name not in services:
             return _bad(f"{field}.service", f"there is no service {name!r}")
-    if any(weight < 0 for _, weight in shares) or sum(weight for _, weight in shares) <= 0:
+    weights = [weight for _, weight in _split(route) or _shares(route)]
+    if any(weight < 0 for weight in weights) or sum(weights) <= 0:
         return _bad(f"{field}.split", "the weights must add up to more than 0")
     if route.timeout_ms <= 0:
         return _bad(f"{field}.timeout_ms", "must be more than 0")
@@ -159,6 +160,10 @@
 def _shares(route: _Route) -> list[tuple[str, int]]:
     if route.service is not None:
         return [(route.service, 1)]
+    return _split(route)
+
+
+def _split(route: _Route) -> list[tuple[str, int]]:
     return [(share.service, share.weight) for share in route.split]
 
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -93,6 +93,9 @@
     return fields
 
 
+SHARE = {"service": "engines", "weight": 1}
+
+
 def with_two_routes() -> dict[str, Any]:
     fields = body()
     fields["routes"].append({**fields["routes"][0], "name": "r-2"})
@@ -111,6 +114,9 @@
         (with_route(split=[{"service": "none", "weight": 1}]), "routes[0].service"),
         (with_route(split=[{"service": "engines", "weight": 0}]), "routes[0].split"),
         (with_route(split=[]), "routes[0].split"),
+        (with_route(service="none"), "routes[0].service"),
+        (with_route(split=[SHARE, {"service": "none", "weight": 0}]), "routes[0].service"),
+        (with_route(split=[SHARE, {"service": "ledger", "weight": -1}]), "routes[0].split"),
         (with_route(timeout_ms=0), "routes[0].timeout_ms"),
         (with_route(attempts=0), "routes[0].attempts"),
         (with_two_routes(), "routes[1].path_prefix"),
@@ -127,6 +133,26 @@
     assert refusal.remedy
 
 
+@pytest.mark.parametrize(
+    ("split", "field"),
+    [
+        ([{"service": "none", "weight": 1}], "routes[0].service"),
+        ([SHARE, {"service": "ledger", "weight": -1}], "routes[0].split"),
+        ([{"service": "ledger", "weight": 0}], "routes[0].split"),
+    ],
+)
+def test_a_split_beside_a_service_is_checked(split: list[dict[str, Any]], field: str) -> None:
+    """An invalid split is confirmed where the route also names a service."""
+    refusal = decode(with_route(service="engines", split=split)).unwrap_err()
+    assert refusal.field == field
+
+
+@pytest.mark.parametrize("split", [[], [SHARE, {"service": "ledger", "weight": 9}]])
+def test_a_route_with_a_service_goes_there_whatever_its_split(split: list[dict[str, Any]]) -> None:
+    [route] = decode(with_route(service="ledger", split=split)).unwrap().document["routes"].values()
+    assert route["shares"] == [{"service": "ledger", "weight": 1}]
+
+
 @pytest.mark.parametrize("data", [b"", b"{", b"[]", b'{"version": 1, "routes": [', b"\xff\xfe"])
 def test_a_body_that_is_cut_or_no_json_is_refused(data: bytes) -> None:
     assert decode_document(data, REGIONS).unwrap_err().field == "body"
