Refuse configurations that are no text or nested too deeply

What callers saw: a configuration with bytes that are no UTF-8 in a field that this version doesn't know was confirmed, and given back byte for byte, so that no reader could decode it. One that is nested 100,000 deep got 500, which tells the operator to send it again, where an invalid one requires a 4xx.

Cause: the decoder passes over unknown fields without decoding their text, and raises RecursionError in place of its own error.

--- a/cranberrywall/platform/_documents.py
+++ b/cranberrywall/platform/_documents.py
@@ -97,8 +97,9 @@
 ) -> Result[NumberedDocument, Refusal]:
     """Return the document in a configuration's body, or a refusal that names the field."""
     try:
-        read = _decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        # The decoder passes over fields that it does not know without decoding their text.
+        read = _decoder.decode(body.decode("utf-8"))
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         return Err(Refusal(ErrorKind.BAD_REQUEST, str(error), "body", _REMEDY))
     refusal = _check(read)
     if refusal is not None:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -153,6 +153,21 @@
     assert route["shares"] == [{"service": "ledger", "weight": 1}]
 
 
+@pytest.mark.parametrize(
+    ("name", "value"), [(b"note", b"caf\xe9"), (b"\xff", b""), (b"note", b"\xed\xa0\x80")]
+)
+def test_a_field_that_is_not_known_must_be_text_too(name: bytes, value: bytes) -> None:
+    """A configuration that no reader can decode is confirmed, and given back as it was sent."""
+    data = json.dumps(body()).encode()[:-1] + b', "%s": "%s"}' % (name, value)
+    assert decode_document(data, REGIONS).unwrap_err().field == "body"
+
+
+def test_a_body_that_is_nested_too_deeply_is_refused() -> None:
+    """An operator gets 500 for an invalid configuration, and sends it without end."""
+    data = json.dumps(body()).encode()[:-1] + b', "deep": ' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+    assert decode_document(data, REGIONS).unwrap_err().field == "body"
+
+
 @pytest.mark.parametrize("data", [b"", b"{", b"[]", b'{"version": 1, "routes": [', b"\xff\xfe"])
 def test_a_body_that_is_cut_or_no_json_is_refused(data: bytes) -> None:
     assert decode_document(data, REGIONS).unwrap_err().field == "body"
