--- a/cranberrywall/replication/_peer.py
+++ b/cranberrywall/replication/_peer.py
@@ -47,6 +47,7 @@
         self.acked_round = 0
         self.acked_at = now
         self.sent_at = float("-inf")
+        self._transfer_failed_at = float("-inf")
         self.found_disk = ""
         self._core = core
         self._leader = leader
@@ -83,10 +84,15 @@
             self._work.clear()
             if self._closed or not self._leader.is_active:
                 return
-            if self._next_index <= self._core.log.base_index:
-                await self._install()
-            else:
+            if self._next_index > self._core.log.base_index:
                 self._send_appends()
+            elif self._may_transfer(self._core.clock.now()):
+                await self._install()
+
+    def _may_transfer(self, now: float) -> bool:
+        # Each read wakes this task, and a transfer reads the whole snapshot, behind which changes
+        # wait for the disk.
+        return not 0 <= now - self._transfer_failed_at < self._core.settings.heartbeat_s
 
     def _send_appends(self) -> None:
         """Send what there is, or one heartbeat, without waiting for the answers.
@@ -179,6 +185,7 @@
         timeout = 2 * core.settings.election_s
         reply = await core.caller.call(self.member.address, core.methods.install, request, timeout)
         if isinstance(reply, Err) or not await self._followed(reply.ok_value):
+            self._transfer_failed_at = core.clock.now()
             return None
         self._confirmed(sent_at, sent_round)
         wanted = reply.ok_value.offset
@@ -188,9 +195,12 @@
             self._leader.progressed()
             self.wake()
             return None
+        if wanted > offset:
+            return wanted
         # A peer that finds the whole damaged on its way wants it from the start. The next
         # heartbeat begins again, so that a fault cannot make this a busy loop.
-        return wanted if wanted > offset else None
+        self._transfer_failed_at = core.clock.now()
+        return None
 
     async def _followed(self, reply: "Reply") -> bool:
         """Say whether the peer followed this leader; act on it where it did not."""
--- a/tests/replication/test_failures.py
+++ b/tests/replication/test_failures.py
@@ -92,6 +92,37 @@
     run_fleet(test)
 
 
+def test_reads_start_no_transfer_to_a_host_that_is_down(monkeypatch: pytest.MonkeyPatch):
+    """The leader reads its whole snapshot for each read, as long as a host is down.
+
+    The host is behind the start of the leader's log. Changes wait for the disk meanwhile.
+    """
+
+    async def test(fleet: Fleet) -> None:
+        away = fleet.others(await fleet.leader())[0]
+        await away.kill()
+        await fleet.write(*(f"word-{number}" for number in range(300)))
+        leader = await fleet.leader()
+        read_names: list[str] = []
+        read = leader.storage.read
+
+        def note_and_read(name: str) -> bytes | None:
+            read_names.append(name)
+            return read(name)
+
+        monkeypatch.setattr(leader.storage, "read", note_and_read)
+        started_at = fleet.clock.now()
+        for _ in range(200):
+            assert isinstance(await leader.group.query(b"", 5.0), Ok)
+            await fleet.clock.sleep(0.01)
+        heartbeats = (fleet.clock.now() - started_at) / GroupSettings().heartbeat_s
+        assert 1 <= len(read_names) <= heartbeats + 1
+        assert isinstance(await away.start(), Ok)
+        await fleet.until(lambda: len(away.machine.words) == 300)
+
+    run_fleet(test)
+
+
 def test_wall_clocks_that_jump_change_nothing():
     """The wall clock of all hosts jumps a day ahead and then two days back."""
 
