Give away a silent voter's seat sooner where their number is even

What was seen: a control host of three was exchanged for an empty one at another address, which had caught up and answered. 3.5 to 5.3 s later another one's disk was lost.

Cause: the lost host keeps its seat for 10 s beside the newcomer's. Of the four voters a majority is three, so that the group bears no loss at all meanwhile.

It now loses its seat after 2.5 s, where at least three others answer, and asks for it anew when it is back. An odd number keeps the ten seconds, for which there is a test, too.

--- a/cranberrywall/replication/_changes.py
+++ b/cranberrywall/replication/_changes.py
@@ -235,6 +235,8 @@
         peer = leadership.peer_by_host.get(member.host)
         if give_up_s is None or peer is None or not member.voter:
             return None
+        if len(voters(core.log.roster)) % 2 == 0:
+            give_up_s = min(give_up_s, core.settings.give_up_even_s)
         if now - peer.acked_at < give_up_s:
             return None
         left = [view for view in self.view(leadership, now) if view.voter and view.answers]
--- a/cranberrywall/replication/_settings.py
+++ b/cranberrywall/replication/_settings.py
@@ -23,7 +23,9 @@
     that is a little late needs no transfer. A learner that lacks at most
     ``promotion_lag`` entries becomes a voter. A voter that has been silent for
     ``give_up_s`` loses its seat where at least three others answer, so that a host that is
-    gone for good doesn't count in majorities for ever; ``None`` leaves that to operators.
+    gone for good doesn't count in majorities for ever; ``None`` leaves that to operators. One of
+    an even number of voters loses it after ``give_up_even_s``: without it the group bears as many
+    further losses as with it, and one more than while it is silent.
     """
 
     heartbeat_s: float = 0.25
@@ -40,3 +42,4 @@
     retained_entries: int = 500
     promotion_lag: int = 50
     give_up_s: float | None = None
+    give_up_even_s: float = 2.5
--- a/tests/replication/test_enlisting.py
+++ b/tests/replication/test_enlisting.py
@@ -62,6 +62,49 @@
     run_fleet(test, settings=GIVES_UP)
 
 
+def test_a_host_is_exchanged_and_soon_after_another_loses_its_disk() -> None:
+    """The group has no majority any more, for good, and nothing is read back.
+
+    An empty host came in place of one that was gone, and had caught up. The seat of the lost host
+    was kept for ten seconds beside its own, so that two of four voters were left.
+    """
+
+    async def test(fleet: Fleet) -> None:
+        await fleet.write("one")
+        await (await other_than_leader(fleet)).kill()
+        leader = await fleet.leader()
+        added = fleet.add_host("d")
+        assert isinstance(await added.start(), Ok)
+        assert isinstance(await leader.group.enlist("d", added.address, 5.0), Ok)
+        await fleet.until(lambda: "d" in voters(fleet))
+        await fleet.clock.sleep(4.0)
+        await fleet.write("two")
+        wiped = await other_than_leader(fleet)
+        others = fleet.others(wiped)
+        await wiped.wipe()
+        for host in others:
+            assert isinstance(await host.restart(), Ok)
+        assert await fleet.read() == ["one", "two"]
+
+    run_fleet(test, settings=GIVES_UP)
+
+
+def test_one_of_an_odd_number_of_voters_keeps_its_seat_while_it_restarts() -> None:
+    """A host that is away for a few seconds has to catch up before it counts again."""
+
+    async def test(fleet: Fleet) -> None:
+        await fleet.write("one")
+        away = await other_than_leader(fleet)
+        await away.kill()
+        for _ in range(60):
+            await fleet.clock.sleep(0.1)
+            assert len(voters(fleet)) == 5
+        assert isinstance(await away.start(), Ok)
+        await fleet.until(lambda: away.machine.words == ["one"])
+
+    run_fleet(test, "abcde", settings=GIVES_UP)
+
+
 def test_a_host_that_lost_its_seat_while_cut_off_gets_it_back() -> None:
     """A host is cut off for a minute and loses its seat. It is back, and asks for it.
 
