Write the log in a thread, so that a host never waits for its reader

A control host in the same state acknowledged no change within 6 s.

The event loop wrote each line itself, and a write to a full pipe, or to a file on a disk that stalls, blocks. The class of fault: the loop waits for a party outside the fleet.

LogWriter queues lines and writes them to the descriptor in a daemon thread. Beyond 4 MiB lines are dropped, counted and reported in log_lines_dropped. It writes to the descriptor itself: a thread blocked in sys.stdout would hold its lock while the interpreter flushes it at the end. Pending lines have 0.5 s when a process ends. The project's own programs, which log to standard error, use it too.

--- a/cranberrywall/commands/_running.py
+++ b/cranberrywall/commands/_running.py
@@ -12,7 +12,7 @@
 from cranberrywall.commands._signals import run_until_stop_signal, stop_within
 from cranberrywall.observability import (
     StateRegistry,
-    configure_log,
+    configure_process_log,
     dump_state_on_signal,
     log_event,
 )
@@ -81,7 +81,8 @@
     ``kind`` names the program in the log, and ``make`` makes it once the event loop runs.
     ``shutdown_timeout`` is how long it may take to stop, in seconds.
     """
-    configure_log(kind, settings["host"], settings["place"], settings["log"]["level"])
+    level = settings["log"]["level"]
+    configure_process_log(kind, settings["host"], settings["place"], level, sys.stderr)
     service = _ProgramService(settings, make, shutdown_timeout)
     try:
         run_until_stop_signal(service, _log_ignored_reload)
--- a/cranberrywall/observability/__init__.py
+++ b/cranberrywall/observability/__init__.py
@@ -7,6 +7,7 @@
 from cranberrywall.observability._log import (
     EventLimiter,
     configure_log,
+    configure_process_log,
     format_pairs,
     hide_secret,
     log_event,
@@ -25,6 +26,7 @@
     "Metrics",
     "StateRegistry",
     "configure_log",
+    "configure_process_log",
     "dump_state_on_signal",
     "format_pairs",
     "hide_secret",
--- a/cranberrywall/observability/_log.py
+++ b/cranberrywall/observability/_log.py
@@ -5,6 +5,7 @@
 hidden wherever they stand, and long values are cut.
 """
 
+import atexit
 import logging
 import sys
 import traceback
@@ -14,6 +15,8 @@
 
 from loguru import logger
 
+from cranberrywall.observability._log_writer import LogWriter
+
 _VALUE_CHARACTERS = 300
 _FRAMES_OF_ERROR = 3
 _HIDDEN = "hidden"
@@ -25,8 +28,18 @@
 _secrets: set[str] = set()
 
 
+def configure_process_log(process: str, host: str, place: str, level: str, stream: TextIO) -> None:
+    """Send the events of a process that serves to ``stream``, without waiting for its reader."""
+    writer = LogWriter(
+        stream.fileno(), lambda count: log_event("WARNING", "log_lines_dropped", count=count)
+    )
+    configure_log(process, host, place, level, writer)
+    writer.start()
+    atexit.register(writer.close)
+
+
 def configure_log(
-    process: str, host: str, place: str, level: str, sink: TextIO | None = None
+    process: str, host: str, place: str, level: str, sink: TextIO | LogWriter | None = None
 ) -> None:
     """Send this process's events to ``sink`` (standard error where ``None``)."""
     logger.remove()
--- a/cranberrywall/platform/_running.py
+++ b/cranberrywall/platform/_running.py
@@ -11,7 +11,7 @@
 from cranberrywall import STARTED_PROCESSOR_S
 from cranberrywall.commands._running import Program
 from cranberrywall.commands._signals import run_until_stop_signal, stop_within
-from cranberrywall.observability import configure_log, log_event
+from cranberrywall.observability import configure_process_log, log_event
 from cranberrywall.platform._boot import Boot, path_from_environment, read_boot
 
 EXIT_NOT_STARTED = 1
@@ -80,7 +80,7 @@
         print(f"not started: {read.err_value}", file=sys.stderr)
         sys.exit(EXIT_NOT_STARTED)
     boot = read.ok_value
-    configure_log(process, boot.host, boot.place, "INFO", sys.stdout)
+    configure_process_log(process, boot.host, boot.place, "INFO", sys.stdout)
     try:
         run_until_stop_signal(_ProgramService(boot, make), partial(_note_reload, boot))
     except OSError as error:
--- a/standins/_platform.py
+++ b/standins/_platform.py
@@ -290,6 +290,8 @@
         self._process_by_name: dict[str, asyncio.subprocess.Process] = {}
         # Checkouts of machines that run another build than the caller's.
         self.root_by_name: dict[str, Path] = {}
+        # File descriptors that get a machine's output in place of its log file.
+        self.output_by_name: dict[str, int] = {}
         self.workers: list[Worker] = []
         self._beating: dict[str, asyncio.Task[None]] = {}
         self._session: aiohttp.ClientSession | None = None
@@ -308,12 +310,13 @@
         path = self._write_boot(machine, first_start)
         environment = {**os.environ, "CRANBERRYWALL_CONFIG": str(path)}
         log = (self._folder / f"{machine.name}.log").open("ab")
+        output = self.output_by_name.get(machine.name, log)
         command = [sys.executable, "-m", f"cranberrywall.platform.{machine.module}"]
         self._process_by_name[machine.name] = await asyncio.create_subprocess_exec(
             *command,
             env=environment,
-            stdout=log,
-            stderr=log,
+            stdout=output,
+            stderr=output,
             cwd=self.root_by_name.get(machine.name),
         )
         log.close()
