--- a/cranberrywall/records/_store.py
+++ b/cranberrywall/records/_store.py
@@ -31,7 +31,8 @@
 from cranberrywall.runtime import Clock, Storage
 
 WRITE_INTERVAL_S = 0.05
-"""Time between two writes to the file, in seconds; a crash loses the records of this time here."""
+"""Minimum time between two writes to the file, in seconds; a crash loses the records of this time
+here."""
 
 WRITE_RETRY_DELAY_S = 0.5
 """Time after which the file is written again if that failed, in seconds."""
@@ -73,6 +74,7 @@
         self._journal = RecordJournal(storage) if storage is not None else None
         self._table = RecordTable()
         self._unwritten_by_key: dict[tuple[str, str], Entry] = {}
+        self._is_changed = asyncio.Event()
         self._is_read = self._journal is None
         self._received = 0
         self._failures = 0
@@ -100,7 +102,7 @@
         await self._read_file()
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._copy_from_others())
-            tasks.create_task(self._write_periodically())
+            tasks.create_task(self._write_changes())
             tasks.create_task(self._expire_periodically())
 
     async def _handle_write(self, request: WriteRequest, peer: Peer) -> Result[WriteReply, Refusal]:
@@ -128,6 +130,7 @@
             self._received += 1
             if record.is_durable and self._journal is not None:
                 self._unwritten_by_key[record.topic, record.key] = entry
+                self._is_changed.set()
 
     async def _read_file(self) -> None:
         if self._storage is None or self._journal is None:
@@ -169,12 +172,13 @@
                 log_event("INFO", "records_copied", control=address, records=copied)
                 return True
 
-    async def _write_periodically(self) -> None:
-        is_complete = True
+    async def _write_changes(self) -> None:
         while True:
-            await self._clock.sleep(WRITE_INTERVAL_S if is_complete else WRITE_RETRY_DELAY_S)
-            if self._unwritten_by_key or not is_complete:
-                is_complete = await self._write()
+            await self._is_changed.wait()
+            self._is_changed.clear()
+            while not await self._write():
+                await self._clock.sleep(WRITE_RETRY_DELAY_S)
+            await self._clock.sleep(WRITE_INTERVAL_S)
 
     async def _write(self) -> bool:
         """Write the new records, or all after a failure; return whether the file has them now."""
