--- a/cranberrywall/observability/_log_writer.py
+++ b/cranberrywall/observability/_log_writer.py
@@ -2,11 +2,15 @@
 
 import os
 import threading
+import time
 from collections.abc import Callable
 
 MAX_PENDING_CHARACTERS = 4 * 1024 * 1024
 """Maximum size of the lines that wait to be written; further lines are dropped and counted."""
 
+COLLECT_S = 0.01
+"""Time for which lines are collected before they are written, in seconds."""
+
 CLOSE_TIMEOUT_S = 0.5
 """Time limit for writing the pending lines when the process ends, in seconds."""
 
@@ -47,9 +51,11 @@
             if self._pending + len(line) > self._max_pending and not is_own:
                 self._dropped += 1
                 return
+            is_first = not self._lines
             self._lines.append(line)
             self._pending += len(line)
-            self._condition.notify_all()
+            if is_first:
+                self._condition.notify_all()
 
     def close(self, timeout_s: float = CLOSE_TIMEOUT_S) -> None:
         """Return once all pending lines are written, or after ``timeout_s``."""
@@ -60,6 +66,9 @@
         while True:
             with self._condition:
                 self._condition.wait_for(lambda: self._lines)
+            # The lines of some milliseconds are written at once: each write wakes this thread.
+            time.sleep(COLLECT_S)
+            with self._condition:
                 lines, self._lines = self._lines, []
             is_written = self._write_all("".join(lines).encode(errors="backslashreplace"))
             # The lock is not held for the report: the log's own lock is taken before this one.
