Send renewals of targets to entry hosts in an order of each target's own

After all entry hosts lost power, the first one that was back refused streams that were taken up with "no target serves engines now" for up to 2 s, though three targets of their version served, while new streams began at targets of the other version. A control host sends each renewal to one entry host, by one counter for all targets. With 6 targets and 2 entry hosts, the renewals of every second target always went to the same host: the host that was back heard of three targets only, until another one was there to gossip. Renewals also went to hosts that had lost power, and were lost.

The first host now follows from a hash of target and renewal, and a renewal goes to the next host if one does not confirm it. The new test failed before: each host heard of every second target only.

--- a/cranberrywall/targets/_relay.py
+++ b/cranberrywall/targets/_relay.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Coroutine, Mapping, Sequence
 from typing import Any, NamedTuple
 
+import xxhash
 from result import Ok, Result
 
 from cranberrywall.errors import ErrorKind, Refusal
@@ -42,6 +43,9 @@
 MAX_DIRECT_NOTIFICATIONS = 12
 """Number of entry hosts that are notified of a change directly; they forward it to all others."""
 
+MAX_RENEWAL_CALLS = 4
+"""Maximum number of entry hosts to which a renewal is sent until one confirms it."""
+
 MAX_COLD_NOTIFICATIONS = 3
 """Number of entry hosts that are notified of a cold target; they gossip it to all others."""
 
@@ -327,12 +331,18 @@
         return confirmations
 
     async def _notify_one(self, announcement: Announcement) -> bool:
+        """Send a renewal to one entry host, or to the next ones until one confirms it.
+
+        The first one follows from a hash of target and renewal. With turns that all targets share,
+        a target would always get the same hosts where the numbers of both have a common divisor.
+        """
         entries = self._entries()
-        if not entries:
-            return False
-        self._rotation += 1
-        address = entries[self._rotation % len(entries)].links
-        return await self._send(address, PASS_ON, PassOnRequest((announcement,)))
+        request = PassOnRequest((announcement,))
+        first = xxhash.xxh64_intdigest(f"{announcement.target}\n{announcement.counter}".encode())
+        for index in range(first, first + min(MAX_RENEWAL_CALLS, len(entries))):
+            if await self._send(entries[index % len(entries)].links, PASS_ON, request):
+                return True
+        return False
 
     async def _notify_some(self, announcement: Announcement) -> bool:
         """Notify some entry hosts, and return once one has confirmed it, or all have failed."""
--- a/tests/targets/test_relay.py
+++ b/tests/targets/test_relay.py
@@ -1,5 +1,6 @@
 """Check that control hosts accept announcements and relay them to entry hosts."""
 
+import asyncio
 from typing import Any
 
 from result import Err, Ok, Result
@@ -311,3 +312,33 @@
         assert controls.relay_by_address[names[4]]._updates.newest() == (leaving,)
 
     run_virtual(scenario())
+
+
+def test_each_entry_host_hears_of_each_target_within_a_few_renewals() -> None:
+    """Hosts that had just started knew the targets of one version only, for seconds.
+
+    Guards against renewals of which some targets' all go to the same host, and against those that
+    go to hosts which have lost power only.
+    """
+
+    async def scenario() -> None:
+        entries = EntryCaller()
+        relay = make_relay(entries)
+        names = [f"engine-{number}" for number in range(6)]
+        for name in names:
+            await relay.announce(announce(target=name))
+        entries.received.clear()
+        for counter in range(2, 14):
+            for name in names:
+                await relay.announce(announce(target=name, counter=counter))
+        await asyncio.sleep(0.0)
+        heard = {(address, name) for address, name, _ in entries.received}
+        assert heard == {(address, name) for address in "ab" for name in names}
+        entries.reachable = {"b"}
+        entries.received.clear()
+        for name in names:
+            await relay.announce(announce(target=name, counter=14))
+        await asyncio.sleep(0.1)
+        assert {name for _, name, _ in entries.received} == set(names)
+
+    run_virtual(scenario())
