Fetch the targets from control hosts before a host is ready

After all entry hosts lost power each was ready without a target, and refused what it was sent with a time to come back of 5 s, until the targets renewed their announcements: for 0.6 to 2 s. Of the tries to take up a stream less than half as many were served as of new streams.

A host that starts asks all control hosts for the leaving targets and then for those that they know, for 0.1 s each at most and while it waits for the ledger, before it serves.

--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -59,6 +59,7 @@
     Change,
     HostIncarnation,
     LeavingUpdates,
+    fetch_known_targets,
     fetch_leaving_targets,
     make_targets,
     register_relay,
@@ -92,6 +93,12 @@
 """Bounds of the time between two tries, in seconds. The control hosts of an older build have no
 records."""
 
+FETCH_TARGETS_TIMEOUT_S = 0.1
+"""Time limit of each of two fetches of targets by a host that starts, in seconds."""
+
+MAX_CONTROLS_FETCHED = 9
+"""Maximum number of control hosts from which a host that starts fetches targets."""
+
 EXPIRE_EVERY_S = 1.0
 CONTROLS_ASKED = 4
 """Control hosts that are asked which targets left; two of them may be lost."""
@@ -300,6 +307,7 @@
         groups = self._configuration.document["ledger_groups"]
         ledger = make_ledger_client(self._control, groups)
         allotments = self._make_allotments(ledger)
+        fetching = asyncio.create_task(self._fetch_targets())
         started = await allotments.start()
         if isinstance(started, Err):
             self._failure = str(started.err_value)
@@ -307,10 +315,31 @@
             return
         self._allotments = allotments
         allotments.export(self._metrics)
+        await fetching
         await self._serve(allotments, ledger)
         targets = len(self._targets.by_id)
         log_event("INFO", "entry_ready", revision=revision, targets=targets)
 
+    async def _fetch_targets(self) -> None:
+        """Fetch the targets from control hosts, the leaving ones first, within a limit.
+
+        Other hosts that have just started know none either, and targets renew their announcements
+        only from time to time.
+        """
+        controls = list(self._connections.controls())[:MAX_CONTROLS_FETCHED]
+        clock = self._runtime.clock
+        try:
+            async with asyncio.timeout(FETCH_TARGETS_TIMEOUT_S):
+                await fetch_leaving_targets(controls, self._caller, self._publish)
+        except TimeoutError:
+            log_event("INFO", "leaving_targets_not_fetched", controls=len(controls))
+        await fetch_known_targets(
+            controls,
+            self._caller,
+            lambda announcement: self._targets.apply(announcement, clock.now()),
+            FETCH_TARGETS_TIMEOUT_S,
+        )
+
     async def _restore(self) -> None:
         """Restore what the fleet found out before, from all control hosts that answer."""
         clock = self._runtime.clock
--- a/cranberrywall/targets/__init__.py
+++ b/cranberrywall/targets/__init__.py
@@ -19,6 +19,7 @@
 from cranberrywall.targets._probes import Probe, Prober, make_http_probe
 from cranberrywall.targets._relay import (
     TargetRelay,
+    fetch_known_targets,
     fetch_leaving_targets,
     register_cold_notices,
     register_relay,
@@ -76,6 +77,7 @@
     "Targets",
     "GroupMeans",
     "connecting_for",
+    "fetch_known_targets",
     "fetch_leaving_targets",
     "group_of",
     "make_announce_routes",
--- a/cranberrywall/targets/_relay.py
+++ b/cranberrywall/targets/_relay.py
@@ -5,10 +5,11 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Mapping, Sequence
+from heapq import nsmallest
 from typing import Any, NamedTuple
 
 import xxhash
-from result import Ok, Result
+from result import Err, Ok, Result
 
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller, Method, Peer, Server
@@ -16,17 +17,20 @@
 from cranberrywall.runtime import Clock
 from cranberrywall.targets._leaving_updates import (
     LEAVING_RETENTION_S,
+    MAX_TARGETS_PER_MESSAGE,
     HostIncarnation,
     LeavingUpdates,
 )
-from cranberrywall.targets._targets import Change, Targets, group_of
+from cranberrywall.targets._targets import TTL_S, Change, Targets, group_of
 from cranberrywall.targets.messages import (
     COLD,
+    KNOWN,
     LEAVING,
     PASS_ON,
     SHARE_LEAVING,
     Announcement,
     ColdNotice,
+    KnownRequest,
     LeavingRequest,
     PassOnReply,
     PassOnRequest,
@@ -101,6 +105,37 @@
             return
 
 
+async def fetch_known_targets(
+    controls: Sequence[str],
+    caller: Caller,
+    apply: Callable[[Announcement], object],
+    timeout_s: float,
+) -> None:
+    """Request the targets that control hosts know from all of these, and apply the answers.
+
+    Each target renews its announcement at one control host, so each of them knows only some.
+    """
+
+    async def fetch_from(address: str) -> None:
+        after = ""
+        while True:
+            answer = await caller.call(address, KNOWN, KnownRequest(after), FETCH_TIMEOUT_S)
+            if isinstance(answer, Err):
+                return
+            for announcement in answer.ok_value.announcements:
+                apply(announcement)
+            if not answer.ok_value.announcements:
+                return
+            after = answer.ok_value.announcements[-1].target
+
+    tasks = [asyncio.create_task(fetch_from(address)) for address in controls]
+    if not tasks:
+        return
+    _, pending = await asyncio.wait(tasks, timeout=timeout_s)
+    for task in pending:
+        task.cancel()
+
+
 KindByName = Callable[[], Mapping[str, str] | None]
 """Return the kind of each model's or service's targets; ``None`` before the first configuration."""
 
@@ -161,6 +196,7 @@
         """Register the handlers by which control hosts exchange the leaving targets."""
         server.register(SHARE_LEAVING, self._handle_share)
         server.register(LEAVING, self._handle_leaving_request)
+        server.register(KNOWN, self._handle_known_request)
 
     def export(self, metrics: Metrics) -> None:
         """Register metrics of the time until entry hosts are notified of leaving targets."""
@@ -295,6 +331,18 @@
     ) -> Result[PassOnRequest, Refusal]:
         return Ok(PassOnRequest(self._updates.newest()))
 
+    async def _handle_known_request(
+        self, request: KnownRequest, peer: Peer
+    ) -> Result[PassOnRequest, Refusal]:
+        now = self._clock.now()
+        known = (
+            target.announcement
+            for name, target in self._targets.by_id.items()
+            if name > request.after and now - target.renewed_at <= TTL_S
+        )
+        page = nsmallest(MAX_TARGETS_PER_MESSAGE, known, key=lambda one: one.target)
+        return Ok(PassOnRequest(tuple(page)))
+
     def _assigned_entries(self) -> list[HostIncarnation]:
         return [host for host in self._entries() if self._is_assigned(host.links)]
 
--- a/cranberrywall/targets/messages.py
+++ b/cranberrywall/targets/messages.py
@@ -144,9 +144,19 @@
     """Request to a control host for the announcements of leaving targets."""
 
 
+class KnownRequest(NamedTuple):
+    """Request to a control host for targets that it knows, in the order of their names.
+
+    ``after`` is the last name of the page before, or empty. The answer to the last page is empty.
+    """
+
+    after: str
+
+
 PASS_ON = Method("targets.pass_on", PassOnRequest, PassOnReply)
 COLD = Method("targets.cold", ColdNotice, PassOnReply)
 SHARE_LEAVING = Method("targets.share_leaving", PassOnRequest, PassOnReply)
 LEAVING = Method("targets.leaving", LeavingRequest, PassOnRequest)
+KNOWN = Method("targets.known", KnownRequest, PassOnRequest)
 
 TARGETS_CODEC = MessageCodec([Announcement])
--- a/tests/platform/test_all_entry_hosts_lost.py
+++ b/tests/platform/test_all_entry_hosts_lost.py
@@ -87,6 +87,21 @@
         await platform.stop()
 
 
+async def test_hosts_that_lost_power_are_ready_with_their_targets(tmp_path: Path) -> None:
+    """Hosts were ready without targets and refused what they were sent, for up to 2 s."""
+    platform = Platform(tmp_path, fronts=3)
+    try:
+        engines = await start_engines(platform)
+        await platform.lose_power(platform.fronts, DARK_S)
+        await platform.until_ready()
+        for front in platform.fronts:
+            log = (tmp_path / f"{front.name}.log").read_text("utf-8")
+            ready = log.rpartition("event=entry_ready")[2]
+            assert f"targets={len(engines)}" in ready
+    finally:
+        await platform.stop()
+
+
 async def test_losses_of_power_permit_no_further_ends(tmp_path: Path) -> None:
     """A request went to targets long after its third end, as each loss erased the evidence."""
     platform = Platform(tmp_path, fronts=3)
--- a/tests/targets/test_relay.py
+++ b/tests/targets/test_relay.py
@@ -8,8 +8,9 @@
 from cranberrywall.control import NotifierAssignment
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Peer
-from cranberrywall.targets import HostIncarnation, TargetRelay
+from cranberrywall.targets import HostIncarnation, TargetRelay, fetch_known_targets
 from tests.fakes.clock import VirtualClock, run_virtual
+from tests.fakes.links import Switchboard
 from tests.targets.announcements import announce
 
 
@@ -342,3 +343,32 @@
         assert {name for _, name, _ in entries.received} == set(names)
 
     run_virtual(scenario())
+
+
+def test_a_host_that_starts_fetches_the_targets_from_all_control_hosts() -> None:
+    """Hosts that had lost power were ready without targets, and refused what they were sent.
+
+    Each control host knows the targets that renew their announcements at it, in several pages.
+    """
+
+    async def scenario() -> None:
+        board = Switchboard()
+        clock = VirtualClock()
+        for control in ("control-1", "control-2"):
+            relay = TargetRelay(list, EntryCaller(), clock)
+            relay.register(board.server(control))
+            for number in range(250):
+                await relay.announce(announce(target=f"{control}-engine-{number}"))
+            await relay.announce(announce(target=f"{control}-gone"))
+            await relay.announce(announce(target=f"{control}-gone", counter=2, leaving=True))
+        found: list[str] = []
+        await fetch_known_targets(
+            ["control-1", "control-2"],
+            board.caller("entry-1"),
+            lambda announcement: found.append(announcement.target),
+            1.0,
+        )
+        assert len(found) == len(set(found)) == 500
+        assert not any(name.endswith("gone") for name in found)
+
+    run_virtual(scenario())
