Refuse a body that outlasts its route's timeout

A request whose body came slowly had no answer until the body was whole, and none at all where it never was: with a timeout of 0.6 s, 12 of 12 requests whose body took 2.7 s were answered then, and 6 of 6 whose body never ended were unanswered for the 6 s that were looked at. Each of them held a connection and a task without a limit.

The deadline was set from the request's arrival, but applied only by what comes after the body: the read itself had no limit. The class of fault: a wait that the request's deadline doesn't cover.

The platform's front reads the body within the timeout of the route that its head names, and then answers 503, which is true: nothing was sent to a target. It closes the connection, whose rest may never arrive. A body that ends after that time was refused before as well, only later.

Both cases of the new test got no answer within 5 s before, and pass.

With processes: 0 late of 12 and of 6, each answered after 0.60 s.

--- a/cranberrywall/forwarding/_forwarder.py
+++ b/cranberrywall/forwarding/_forwarder.py
@@ -89,6 +89,10 @@
             return Err(reserved.err_value)
         return await self._serve_reserved(arrival, plan, reserved.ok_value, reply, limit)
 
+    def timeout_of(self, host: str, path: str) -> float | None:
+        """Return the timeout of a request's route, in seconds; ``None`` without a route."""
+        return self._planner.timeout_of(host, path)
+
     def start_shutdown(self, ends_at: float) -> None:
         """Serve only requests that can end until ``ends_at``, in monotonic seconds."""
         self._shutdown.start(ends_at)
--- a/cranberrywall/forwarding/_plan.py
+++ b/cranberrywall/forwarding/_plan.py
@@ -71,6 +71,11 @@
             return Err(_make_retryable_if_stale(refusal, is_current))
         return Ok(self._make_plan(arrival, route, workspace))
 
+    def timeout_of(self, host: str, path: str) -> float | None:
+        """Return the timeout of a request's route, in seconds; ``None`` without a route."""
+        route = self._routes.find(host, path)
+        return None if route is None else route["timeout_s"]
+
     def _workspace_of(self, route: Route, arrival: Arrival) -> str | None:
         """Return the key's workspace; empty if none is required, ``None`` if the key is unknown."""
         named = self._configuration.workspace_by_key(arrival.key) if arrival.key else None
--- a/cranberrywall/platform/_front.py
+++ b/cranberrywall/platform/_front.py
@@ -5,7 +5,7 @@
 
 from aiohttp import StreamReader, web
 from aiohttp.http import RawRequestMessage
-from result import Err
+from result import Err, Ok, Result
 
 from cranberrywall.entry import (
     FrontendContext,
@@ -196,12 +196,16 @@
     async def _forward(
         self, request: web.BaseRequest, parts: FrontendContext, forwarder: Forwarder, now: float
     ) -> web.StreamResponse:
-        try:
-            body = await request.read()
-        except web.HTTPRequestEntityTooLarge:
-            message = f"the body is over {self._body_limit()} bytes"
-            return refuse(Refusal(ErrorKind.TOO_LARGE, message, "body", "send a smaller one"))
-        decoded = decode_arrival(request.method, request.raw_path, request.raw_headers, body, now)
+        body = await self._read_body(request, forwarder)
+        if isinstance(body, Err):
+            response = refuse(body.err_value)
+            if body.err_value.kind is ErrorKind.DEADLINE_PASSED:
+                # The connection is of no further use: the rest of the body may never arrive.
+                response.force_close()
+            return response
+        decoded = decode_arrival(
+            request.method, request.raw_path, request.raw_headers, body.ok_value, now
+        )
         if isinstance(decoded, Err):
             return refuse(decoded.err_value)
         await parts.settle(self._clock.now(), self._clock.wall())
@@ -214,6 +218,21 @@
             response.force_close()
         return response
 
+    async def _read_body(
+        self, request: web.BaseRequest, forwarder: Forwarder
+    ) -> Result[bytes, Refusal]:
+        """Return the body, or refuse one that is too large or outlasts its route's timeout."""
+        timeout_s = forwarder.timeout_of(request.headers.get("Host", ""), request.raw_path)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return Ok(await request.read())
+        except web.HTTPRequestEntityTooLarge:
+            message = f"the body is over {self._body_limit()} bytes"
+            return Err(Refusal(ErrorKind.TOO_LARGE, message, "body", "send a smaller one"))
+        except TimeoutError:
+            message = f"the body did not arrive within the {timeout_s:g} s of its route"
+            return Err(Refusal(ErrorKind.DEADLINE_PASSED, message, "body", "send it sooner"))
+
     def _closes_after(self, request: web.BaseRequest) -> bool:
         """Return whether to close a caller's connection after the answer to ``request``."""
         return self._draining_since is not None and not has_unread_request(request.protocol)
--- a/tests/platform/test_kept_connections.py
+++ b/tests/platform/test_kept_connections.py
@@ -7,6 +7,7 @@
 from contextlib import asynccontextmanager
 from typing import Any, NamedTuple
 
+import pytest
 from result import Ok, Result
 
 from cranberrywall.errors import Refusal
@@ -18,6 +19,8 @@
 
 REQUEST = b"GET /x/ HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: 1\r\n\r\n"
 GRACE_S = 4.0
+ROUTE_TIMEOUT_S = 0.6
+UNANSWERED_S = 0.5
 LONG_ANSWER = b"x" * 8_000_000
 
 Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
@@ -52,6 +55,9 @@
         await self._answer(reply)
         return Ok(None)
 
+    def timeout_of(self, host: str, path: str) -> float | None:
+        return ROUTE_TIMEOUT_S
+
     def start_shutdown(self, ends_at: float) -> None:
         pass
 
@@ -221,3 +227,30 @@
         answer_s = stop_times(boot.grace_s).answer_s
         assert answer_s <= remaining_s < answer_s + 0.1
         assert front.remaining_s(before + 2 * boot.grace_s) == 0.0
+
+
+@pytest.mark.parametrize("bytes_apart_s", [0.1, None])
+async def test_a_body_that_comes_slowly_is_refused_at_the_timeout_of_its_route(
+    bytes_apart_s: float | None,
+) -> None:
+    """A request outlasts its route's timeout, as its body comes slowly or never whole."""
+    forwarded: list[HttpReply] = []
+
+    async def answer(reply: HttpReply) -> None:
+        forwarded.append(reply)
+
+    async with running_front(answer) as (_, boot):
+        reader, writer = await connect(boot)
+        began_at = time.monotonic()
+        writer.write(REQUEST.replace(b"GET", b"POST")[:-2] + b"Content-Length: 100\r\n\r\n{")
+        answered = asyncio.create_task(reader.readuntil(b"\r\n\r\n"))
+        while bytes_apart_s is not None and not answered.done():
+            writer.write(b" ")
+            await asyncio.sleep(bytes_apart_s)
+        async with asyncio.timeout(5.0):
+            head = await answered
+        assert time.monotonic() - began_at < ROUTE_TIMEOUT_S + UNANSWERED_S
+        assert head.startswith(b"HTTP/1.1 503 ")
+        assert b"Connection: close" in head
+        assert not forwarded
+        writer.close()
