Take no revision from control hosts that haven't caught up after a start

What callers saw: all machines lost power after a change was confirmed. Entry hosts came back, said that they were ready, and served by a revision that was overtaken long before: routes that had been added got 404, and requests were run by the old service.

Evidence: test_a_fleet_that_lost_its_power_serves_nothing_by_what_control_saved_last failed before: with two of five control hosts back, the old service answered 200.

Why it works: a control host says nothing of its revision until it has applied up to a commit index that a leader gave behind an entry of its own term, or up to its own first entry as a leader. All that was committed before is at or below that. After 30 s without it the host says what it has, as a host that starts does, so that a fleet whose groups are lost still serves.

--- a/cranberrywall/commands/_control_program.py
+++ b/cranberrywall/commands/_control_program.py
@@ -170,7 +170,7 @@
     host = _make_host(settings, runtime, machine_by_group, caller, server)
     connections = ControlConnections(settings, runtime, me, host, machine.configuration)
     raiser = make_credit_updater(host, ledger_by_group, machine.configuration, runtime)
-    feed = _make_feed(settings, machine.configuration, caller, connections, runtime.clock)
+    feed = _make_feed(settings, machine.configuration, caller, connections, runtime.clock, host)
     feed.register(server)
     register_known_orders(server)
     records = _make_records(settings, connections, caller, runtime)
@@ -260,11 +260,21 @@
     caller: LinkCaller,
     connections: ControlConnections,
     clock: Clock,
+    host: ControlHost,
 ) -> Feed:
     me = SpreadHost(settings["host"], settings["place"], settings["listen"]["links"])
     listed = make_document_peers(lambda: _document_of(machine))
     peers = connections if settings.get("seeds") else listed
-    return make_control_feed(me, machine, peers, caller, clock, connections.tellers.notifies)
+    group = host.group_by_name[CONFIGURATION_GROUP]
+    return make_control_feed(
+        me,
+        machine,
+        peers,
+        caller,
+        clock,
+        connections.tellers.notifies,
+        lambda: group.has_caught_up,
+    )
 
 
 def _document_of(machine: ConfigurationMachine) -> Document:
--- a/cranberrywall/configuration/_feed.py
+++ b/cranberrywall/configuration/_feed.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple, Protocol
 
-from result import Ok, Result
+from result import Err, Ok, Result
 
 from cranberrywall.configuration._neighbours import Peers, SpreadHost
 from cranberrywall.configuration._packing import Packs
@@ -23,7 +23,7 @@
     NoticeReply,
     Pack,
 )
-from cranberrywall.errors import Refusal
+from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Caller, Peer, Server
 from cranberrywall.observability import EventLimiter, Metrics
 from cranberrywall.runtime import Clock
@@ -39,6 +39,9 @@
 
 One that is in touch again later asks by itself."""
 
+CATCH_UP_S = 30.0
+"""A control host that hears no leader says what it has after this, in seconds."""
+
 WHOLE = -1
 """Stands for the revision that a whole document leads from: none."""
 
@@ -46,6 +49,11 @@
 """A host that could be told only after this is logged, in seconds."""
 
 
+_NOT_CURRENT = Refusal(
+    ErrorKind.NOT_CURRENT, "this host may lack the newest revision", remedy="ask another host"
+)
+
+
 class Source(Protocol):
     """Hold revisions to hand on; a host's holder and the group's machine both do."""
 
@@ -81,16 +89,22 @@
     caller: Caller,
     clock: Clock,
     notifies: Callable[[str], bool] = lambda links: True,
+    has_caught_up: Callable[[], bool] = lambda: True,
 ) -> "Feed":
     """Return the spread's part on a control host; ``source`` is its group's machine.
 
-    It tells those of ``peers`` for whose address ``notifies`` says so.
+    It tells those of ``peers`` for whose address ``notifies`` says so. Until the group's copy
+    ``has_caught_up`` after a start, it says nothing of what it has, for ``CATCH_UP_S`` at most.
     """
+    started_at = clock.now()
+
+    def is_current() -> bool:
+        return has_caught_up() or clock.now() - started_at >= CATCH_UP_S
 
     def fall_to_me() -> list[str]:
         return [host.links for host in peers.alive() if notifies(host.links)]
 
-    return Feed(me, source, caller, clock, fall_to_me, TELL_FOR_S)
+    return Feed(me, source, caller, clock, fall_to_me, TELL_FOR_S, is_current=is_current)
 
 
 class Feed:
@@ -105,8 +119,12 @@
         whom: Callable[[], Sequence[str]],
         tell_for_s: float,
         on_heard: Callable[[Heard], None] = lambda heard: None,
+        is_current: Callable[[], bool] = lambda: True,
     ) -> None:
-        """``whom`` gives the addresses to tell, each for ``tell_for_s`` until it answers."""
+        """``whom`` gives the addresses to tell, each for ``tell_for_s`` until it answers.
+
+        Unless ``is_current``, nothing is told and no call is answered.
+        """
         self._me = me
         self._source = source
         self._caller = caller
@@ -114,6 +132,7 @@
         self._whom = whom
         self._tell_for_s = tell_for_s
         self._on_heard = on_heard
+        self._is_current = is_current
         self._new = asyncio.Event()
         self._telling: set[str] = set()
         self._packs = Packs()
@@ -150,6 +169,8 @@
         async with asyncio.TaskGroup() as tasks:
             while True:
                 await self._new.wait()
+                while not self._is_current():
+                    await self._clock.sleep(TELL_AGAIN_S)
                 self._new.clear()
                 # Nobody is waited for here: a silent host would keep the others from the
                 # next revision until its call times out, and so at every hop.
@@ -215,9 +236,13 @@
 
     async def _answer_notice(self, notice: Notice, peer: Peer) -> Result[NoticeReply, Refusal]:
         self.note(Heard(notice.revision, notice.links))
+        if not self._is_current():
+            return Err(_NOT_CURRENT)
         return Ok(NoticeReply(self._source.revision, self._highest()))
 
     async def _answer_fetch(self, fetch: Fetch, peer: Peer) -> Result[FetchReply, Refusal]:
+        if not self._is_current():
+            return Err(_NOT_CURRENT)
         revision = self._source.revision
         if not fetch.whole and fetch.since >= revision:
             return Ok(FetchReply(revision, self._highest(), b""))
--- a/cranberrywall/replication/_core.py
+++ b/cranberrywall/replication/_core.py
@@ -64,6 +64,7 @@
         self.heard_at = float("-inf")
         self.campaign_at = 0.0
         self.commit_index = 0
+        self.caught_up_index: int | None = None
         self.durable_index = 0
         self.committed = asyncio.Event()
         self.failure: Refusal | None = None
--- a/cranberrywall/replication/_following.py
+++ b/cranberrywall/replication/_following.py
@@ -46,8 +46,18 @@
                 return Err(written.err_value)
             last = max(request.previous_index + len(request.entries), core.log.base_index)
             core.commit(min(request.commit_index, last))
+            self._note_commit_index(request.commit_index, last)
             return Ok(AppendReply(core.term, Outcome.DONE, last, core.vote.disk))
 
+    def _note_commit_index(self, index: int, last: int) -> None:
+        """Remember up to where this host must apply, to have all that was committed before.
+
+        Only behind an entry of its own term does a leader know what was committed.
+        """
+        core = self._core
+        if core.caught_up_index is None and index <= last and core.log.term_at(index) == core.term:
+            core.caught_up_index = index
+
     async def install(self, request: InstallRequest, peer: Peer) -> Result[InstallReply, Refusal]:
         """Collect a snapshot's parts; answer the last one once it is durable and restored."""
         core = self._core
--- a/cranberrywall/replication/_group.py
+++ b/cranberrywall/replication/_group.py
@@ -90,6 +90,14 @@
         core = self._core
         return bool(core.leader) and core.has_leader_contact(core.clock.now())
 
+    @property
+    def has_caught_up(self) -> bool:
+        core = self._core
+        if core.caught_up_index is None and self._leadership is not None:
+            core.caught_up_index = self._leadership.first_index
+        index = core.caught_up_index
+        return index is not None and self._applier.applied_index >= index
+
     @property
     def failure(self) -> Refusal | None:
         return self._core.failure
--- a/cranberrywall/replication/_interfaces.py
+++ b/cranberrywall/replication/_interfaces.py
@@ -95,6 +95,15 @@
         """Say whether this host leads, or heard the leader lately."""
         ...
 
+    @property
+    def has_caught_up(self) -> bool:
+        """Say whether this copy has all that was committed before it was opened.
+
+        A host that restarts knows what its snapshot holds. Which entries behind it are committed
+        it learns from a leader.
+        """
+        ...
+
     @property
     def failure(self) -> Refusal | None:
         """Return why this host takes part no more; ``None`` while it does."""
--- a/tests/configuration/test_silent_peers.py
+++ b/tests/configuration/test_silent_peers.py
@@ -15,17 +15,19 @@
     make_follower,
     make_host_configuration,
 )
+from cranberrywall.configuration._feed import CATCH_UP_S
 from cranberrywall.configuration._packing import pack
 from cranberrywall.configuration.messages import (
     FETCH,
     NOTICE,
+    Fetch,
     FetchReply,
     Notice,
     NoticeReply,
     Pack,
 )
 from cranberrywall.errors import ErrorKind, Refusal
-from cranberrywall.links import Method
+from cranberrywall.links import Method, Peer
 from tests.configuration.documents import encode_change, make_document, whole_document_edits
 from tests.fakes.clock import VirtualClock, run_virtual
 
@@ -149,6 +151,81 @@
     run_virtual(story())
 
 
+class Handlers:
+    """Keep the handlers that are registered, and call them."""
+
+    def __init__(self) -> None:
+        self._handler_by_name: dict[str, Any] = {}
+
+    def register(self, method: Method[Any, Any], handler: Any) -> None:
+        self._handler_by_name[method.name] = handler
+
+    async def call(self, method: Method[Any, Any], request: Any) -> Result[Any, Refusal]:
+        answer: Result[Any, Refusal] = await self._handler_by_name[method.name](
+            request, Peer("entry-1", "town-hall", 1)
+        )
+        return answer
+
+
+def test_a_control_host_that_may_lack_revisions_is_no_source_of_them() -> None:
+    """All hosts lose power, and entry hosts serve by the revision of control's snapshots.
+
+    Newer ones were confirmed. Cause: until a leader is elected, control hosts have what their
+    snapshots hold, and a majority of them says so to entry hosts that start.
+    """
+
+    async def story() -> None:
+        peers = Peers(2)
+        caught_up: list[bool] = []
+        me = SpreadHost("control-0", "town-hall", "10.0.0.1:7000")
+        handlers = Handlers()
+        feed = make_control_feed(
+            me,
+            peers.machine,
+            peers,
+            peers,
+            peers.clock,
+            has_caught_up=lambda: bool(caught_up),
+        )
+        feed.register(handlers)
+        running = asyncio.create_task(feed.run())
+        edits = whole_document_edits(make_document())
+        peers.machine.apply(encode_change(edits[:1], 1, "second"))
+        await peers.clock.sleep(5.0)
+        asked: list[tuple[Method[Any, Any], Any]] = [
+            (NOTICE, Notice(0, "10.1.0.1:7000")),
+            (FETCH, Fetch(0)),
+        ]
+        for method, request in asked:
+            refusal = (await handlers.call(method, request)).unwrap_err()
+            assert refusal.kind is ErrorKind.NOT_CURRENT
+        assert not peers.told_at
+        caught_up.append(True)
+        await until(lambda: len(peers.told_at) == len(peers.hosts), peers.clock, IN_FORCE_S)
+        for method, request in asked:
+            assert (await handlers.call(method, request)).is_ok()
+        running.cancel()
+
+    run_virtual(story())
+
+
+def test_control_that_hears_no_leader_for_long_says_what_it_has() -> None:
+    """The groups are lost for good, and entry hosts that start never serve anything."""
+
+    async def story() -> None:
+        peers = Peers(2)
+        me = SpreadHost("control-0", "town-hall", "10.0.0.1:7000")
+        handlers = Handlers()
+        feed = make_control_feed(
+            me, peers.machine, peers, peers, peers.clock, has_caught_up=lambda: False
+        )
+        feed.register(handlers)
+        await peers.clock.sleep(CATCH_UP_S)
+        assert (await handlers.call(NOTICE, Notice(0, "10.1.0.1:7000"))).is_ok()
+
+    run_virtual(story())
+
+
 def test_a_host_that_was_not_told_is_told_again() -> None:
     """A host comes back from a short cut, and goes on by the older configuration for long.
 
--- a/tests/platform/test_confirmed_changes.py
+++ b/tests/platform/test_confirmed_changes.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
+import aiohttp
+
 from standins._platform import Answer, Machine, Platform, Worker, configuration, route
 
 PREPAID = 100_000_000
@@ -13,9 +15,9 @@
 
 
 @asynccontextmanager
-async def served_by(folder: Path, *workers: Worker) -> AsyncIterator[Platform]:
+async def served_by(folder: Path, *workers: Worker, cores: int = 3) -> AsyncIterator[Platform]:
     """Start three hosts that serve a route by the service ``ledger``, with some targets."""
-    platform = Platform(folder, fronts=3)
+    platform = Platform(folder, cores, fronts=3)
     try:
         await platform.start()
         await publish(platform, 1, "ledger")
@@ -28,8 +30,9 @@
         await platform.stop()
 
 
-async def publish(platform: Platform, version: int, service: str) -> None:
-    body = configuration(version, PREPAID, [route("checks", "idempotent", service)])
+async def publish(platform: Platform, version: int, service: str, routes: int = 0) -> None:
+    others = [route(f"other-{version}-{n}", "idempotent", service) for n in range(routes)]
+    body = configuration(version, PREPAID, [route("checks", "idempotent", service), *others])
     body["services"].append({"name": "ledger-next", "health_path": "/health", "max_conns": 100})
     await platform.publish_body(body)
 
@@ -78,6 +81,46 @@
         assert new.ran
 
 
+async def test_a_fleet_that_lost_its_power_serves_nothing_by_what_control_saved_last(
+    tmp_path: Path,
+) -> None:
+    """All hosts lose power, and entry hosts serve by a revision that was overtaken long before.
+
+    Two of five control hosts are back, too few for a leader. Cause: until they hear one, they have
+    what their snapshots hold, and entry hosts that start took that for the newest.
+    """
+    old = Worker("i-old", "ledger", is_engine=False)
+    new = Worker("i-new", "ledger-next", is_engine=False)
+    async with served_by(tmp_path, old, new, cores=5) as platform:
+        version = 1
+        while not has_snapshots(tmp_path, platform):
+            version += 1
+            await publish(platform, version, "ledger", routes=300)
+        await publish(platform, version + 1, "ledger-next", routes=300)
+        await platform.until_answered(platform.fronts[0], "/checks/1")
+        ran_before = len(old.ran)
+        hosts = [*platform.cores, *platform.fronts]
+        await asyncio.gather(*(platform.kill(host) for host in hosts))
+        for host in (*platform.cores[:2], *platform.fronts):
+            await platform.start_machine(host)
+        await asyncio.sleep(FROZEN_S)
+        for front in platform.fronts:
+            with suppress(aiohttp.ClientError):
+                assert (await platform.ask(front, "/checks/1")).status == 503
+        assert len(old.ran) == ran_before
+        for host in platform.cores[2:]:
+            await platform.start_machine(host)
+        for front in platform.fronts:
+            await platform.until_answered(front, "/checks/1")
+        assert len(old.ran) == ran_before
+
+
+def has_snapshots(folder: Path, platform: Platform) -> bool:
+    """Return whether each control host has saved a snapshot of the configuration."""
+    path = "groups/configuration/snapshot-*"
+    return all(list((folder / f"{core.name}.data").glob(path)) for core in platform.cores)
+
+
 async def test_a_target_that_left_while_a_host_was_frozen_gets_nothing_from_it(
     tmp_path: Path,
 ) -> None:
--- a/tests/replication/test_groups.py
+++ b/tests/replication/test_groups.py
@@ -46,6 +46,28 @@
     run_fleet(test)
 
 
+def test_a_member_says_that_it_may_lack_commits_until_it_hears_a_leader():
+    """All hosts lose power, and what one has from its snapshot is taken for the newest."""
+
+    async def test(fleet: Fleet) -> None:
+        words = [f"word-{number}" for number in range(150)]
+        await fleet.write(*words)
+        await fleet.until(lambda: all(host.group.has_caught_up for host in fleet.up))
+        hosts = fleet.up
+        for host in hosts:
+            await host.kill()
+        assert isinstance(await hosts[0].start(), Ok)
+        await fleet.clock.sleep(5.0)
+        assert 0 < len(hosts[0].machine.words) < len(words)
+        assert not hosts[0].group.has_caught_up
+        for host in hosts[1:]:
+            assert isinstance(await host.start(), Ok)
+        await fleet.until(lambda: all(host.group.has_caught_up for host in hosts))
+        assert all(host.machine.words == words for host in hosts)
+
+    run_fleet(test)
+
+
 def test_the_log_stays_short_behind_snapshots_also_under_load():
     async def test(fleet: Fleet) -> None:
         leader = await fleet.leader()
