--- a/cranberrywall/quarantine/_inference.py
+++ b/cranberrywall/quarantine/_inference.py
@@ -42,7 +42,7 @@
 DOUBT_THRESHOLD = 0.05
 """A request is in doubt at this probability of ending targets: it takes two such ends."""
 
-SUSPECT_THRESHOLD = 0.5
+SUSPECT_THRESHOLD = 0.75
 """From this probability of ending targets on, a request runs at one target of the whole fleet at a
 time: it takes three such ends."""
 
