Let hosts that start at the same moment find each other at once

The directory named one address in place of two, and a charge was refused as fewer than two others stored it. Cause: a host enrols at one control host a second, in turn, so two hosts met where both had enrolled by chance, up to seconds later. That was hidden until hosts were ready with their targets. A host also met others before it had published itself, since the restore came between the two.

A host that starts enrols at three control hosts at once, after its restore.

--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -290,12 +290,13 @@
         }
 
     async def _become_ready(self) -> None:
-        if self._connections.contacts is not None:
-            self._tasks.append(asyncio.create_task(self._connections.contacts.run()))
         restoring = asyncio.create_task(self._restore())
         self._tasks.append(restoring)
-        # Other hosts know what is on record as well, but not how old it is.
+        # Other hosts know what is on record as well, but not how old it is. So this host meets them
+        # afterwards, at first through the control hosts.
         await asyncio.wait({restoring}, timeout=RESTORE_WAIT_S)
+        if self._connections.contacts is not None:
+            self._tasks.append(asyncio.create_task(self._connections.contacts.run()))
         await self._membership.start()
         revision = await self._follower.join()
         self._tasks.append(asyncio.create_task(self._follower.run()))
--- a/cranberrywall/control/_contacts.py
+++ b/cranberrywall/control/_contacts.py
@@ -1,5 +1,6 @@
 """Discovery of the control hosts from seed addresses, and requests to join groups again."""
 
+import asyncio
 from collections.abc import Awaitable, Callable, Sequence
 
 from result import Err, Ok, Result
@@ -19,6 +20,9 @@
 FIRST_ENROL_INTERVAL_S = 0.1
 """Interval between enrolments until a control host has answered for the first time, in seconds."""
 
+MAX_FIRST_ENROLMENTS = 3
+"""Maximum number of control hosts at which a host enrols at once when it starts."""
+
 ENROL_TIMEOUT_S = 0.5
 
 ENLIST_INTERVAL_S = 1.0
@@ -79,7 +83,10 @@
     async def run(self) -> None:
         """Enrol at regular intervals until cancelled."""
         while True:
-            await self.enrol_once()
+            if self._last_contact_at > float("-inf"):
+                await self.enrol_once()
+            else:
+                await self._enrol_first()
             has_contact = self._last_contact_at > float("-inf")
             pause_s = ENROL_INTERVAL_S if has_contact else FIRST_ENROL_INTERVAL_S
             await self._clock.sleep(pause_s * self._random.uniform(0.8, 1.2))
@@ -88,7 +95,18 @@
         """Enrol at the next control host in turn; return whether it answered."""
         addresses = self.addresses()
         self._index += 1
-        address = addresses[self._index % len(addresses)]
+        return await self._enrol_at(addresses[self._index % len(addresses)])
+
+    async def _enrol_first(self) -> None:
+        """Enrol at several control hosts at once.
+
+        Hosts that start at the same moment find each other only at a control host where both have
+        enrolled.
+        """
+        addresses = list(self.addresses())[:MAX_FIRST_ENROLMENTS]
+        await asyncio.gather(*(self._enrol_at(address) for address in addresses))
+
+    async def _enrol_at(self, address: str) -> bool:
         answer = await self._caller.call(address, ENROL, EnrolRequest(self._me), ENROL_TIMEOUT_S)
         if isinstance(answer, Err):
             return False
