--- a/cranberrywall/configuration/_feed.py
+++ b/cranberrywall/configuration/_feed.py
@@ -40,7 +40,7 @@
 One that is in touch again later asks by itself."""
 
 CATCH_UP_S = 30.0
-"""A control host that hears no leader says what it has after this, in seconds."""
+"""Time without a leader after which a control host announces its revision, in seconds."""
 
 WHOLE = -1
 """Stands for the revision that a whole document leads from: none."""
@@ -93,8 +93,8 @@
 ) -> "Feed":
     """Return the spread's part on a control host; ``source`` is its group's machine.
 
-    It tells those of ``peers`` for whose address ``notifies`` says so. Until the group's copy
-    ``has_caught_up`` after a start, it says nothing of what it has, for ``CATCH_UP_S`` at most.
+    It notifies those of ``peers`` for whose address ``notifies`` is true. After a start it waits
+    until the group's copy ``has_caught_up``, for ``CATCH_UP_S`` at most.
     """
     started_at = clock.now()
 
@@ -121,9 +121,9 @@
         on_heard: Callable[[Heard], None] = lambda heard: None,
         is_current: Callable[[], bool] = lambda: True,
     ) -> None:
-        """``whom`` gives the addresses to tell, each for ``tell_for_s`` until it answers.
+        """``whom`` returns the addresses to notify, each for ``tell_for_s`` until it answers.
 
-        Unless ``is_current``, nothing is told and no call is answered.
+        While ``is_current`` is false, no host is notified and calls are refused.
         """
         self._me = me
         self._source = source
--- a/cranberrywall/quarantine/_suspect_runs.py
+++ b/cranberrywall/quarantine/_suspect_runs.py
@@ -1,7 +1,7 @@
 """Runs of requests that probably end targets, of all hosts: each runs at one target at a time.
 
-Each host lets the others know as it sends such a request, and as the run ends. Nobody waits for
-that, so hosts that send the request within the same few milliseconds do not notice each other.
+Each host notifies the others when it sends such a request, and when the run ends. No request waits
+for that, so hosts that send the request within the same few milliseconds do not notice each other.
 Times are monotonic seconds of this host.
 """
 
--- a/cranberrywall/replication/_interfaces.py
+++ b/cranberrywall/replication/_interfaces.py
@@ -97,7 +97,7 @@
 
     @property
     def has_caught_up(self) -> bool:
-        """Say whether this copy has all that was committed before it was opened.
+        """Return whether this copy has all that was committed before it was opened.
 
         A host that restarts knows what its snapshot holds. Which entries behind it are committed
         it learns from a leader.
--- a/cranberrywall/replication/_settings.py
+++ b/cranberrywall/replication/_settings.py
@@ -25,7 +25,7 @@
     ``give_up_s`` loses its seat where at least three others answer, so that a host that is
     gone for good doesn't count in majorities for ever; ``None`` leaves that to operators. One of
     an even number of voters loses it after ``give_up_even_s``: without it the group bears as many
-    further losses as with it, and one more than while it is silent.
+    further losses as with it, and one more than while it is unresponsive.
     """
 
     heartbeat_s: float = 0.25
