--- a/cranberrywall/budgets/_ledger_holders.py
+++ b/cranberrywall/budgets/_ledger_holders.py
@@ -5,9 +5,7 @@
 from typing import Any, NamedTuple
 
 from cranberrywall.budgets._ledger_contact_gaps import ContactGaps, LastContact
-from cranberrywall.budgets._unreported_bound import unreported_share
 from cranberrywall.budgets.messages import Contact, Evidence, Holder
-from cranberrywall.observability import log_event
 
 
 class HostRecord(NamedTuple):
@@ -144,6 +142,10 @@
         """Return the maximum rate that the holder declared for the budget."""
         return self._declared(holder).rate_by_budget.get(budget)
 
+    def declared_count(self, holder: Holder) -> int:
+        """Return the number of budgets for which the holder declared a rate."""
+        return len(self._declared(holder).rate_by_budget)
+
     def _declared(self, holder: Holder) -> HolderRates:
         return self._rates_by_holder.get(holder, _NO_RATES)
 
@@ -196,15 +198,6 @@
         if gap_s is None:
             return None
         self._contact_by_holder[older] = record._replace(is_reduced=True)
-        log_event(
-            "INFO",
-            "lost_run_bounded",
-            lost=older.host,
-            incarnation=older.incarnation,
-            silent_s=gap_s,
-            share=unreported_share(gap_s),
-            declared_rates=len(self._declared(older).rate_by_budget),
-        )
         return gap_s
 
     def is_proven_empty(self, older: Holder, evidence: Evidence) -> bool:
--- a/cranberrywall/budgets/_ledger_movements.py
+++ b/cranberrywall/budgets/_ledger_movements.py
@@ -9,7 +9,7 @@
 from cranberrywall.budgets._ledger_exceptions import Entry
 from cranberrywall.budgets._ledger_numbers import MAX_AHEAD, NumberSet
 from cranberrywall.budgets._ledger_state import LedgerState
-from cranberrywall.budgets._unreported_bound import UnreportedBound
+from cranberrywall.budgets._unreported_bound import UnreportedBound, unreported_share
 from cranberrywall.budgets.messages import (
     MAX_TRANSFERS_IN_BATCH,
     Accepted,
@@ -40,6 +40,7 @@
     TransferResult,
 )
 from cranberrywall.errors import ErrorKind
+from cranberrywall.observability import log_event
 
 BUSY_WINDOW_S = 60.0
 """A holder counts as busy if it was active within this time before a recall, in seconds."""
@@ -358,7 +359,7 @@
         return 0
     last_contact_clock = holders.last_contact_clock(older)
     unreported = holders.unreported(older)
-    return sum(
+    freed = sum(
         account.release_unspent(
             older,
             UnreportedBound(gap_s, holders.declared_rate(older, budget)),
@@ -367,6 +368,18 @@
         )
         for budget, account in state.account_by_budget.items()
     )
+    log_event(
+        "INFO",
+        "lost_run_bounded",
+        lost=older.host,
+        incarnation=older.incarnation,
+        silent_s=gap_s,
+        share=unreported_share(gap_s),
+        declared_rates=holders.declared_count(older),
+        freed=freed,
+        withheld=_outstanding(state, older),
+    )
+    return freed
 
 
 def replica_holders(state: LedgerState, query: ReplicaHoldersQuery) -> ReplicaHoldersResult:
--- a/cranberrywall/forwarding/_attempts.py
+++ b/cranberrywall/forwarding/_attempts.py
@@ -37,8 +37,10 @@
 
     ``may_have_run`` is true if any target may have run the request. A refusal must then not
     promise that the request did not run. ``sent_count`` is the number of targets that may have
-    received a byte of the request; ``targets`` lists all targets that were tried. ``started_at``
-    is when the first attempt began, in monotonic seconds. ``limit`` applies if this host stops.
+    received a byte of the request; ``targets`` lists all targets that were tried. ``reserved_at``,
+    ``started_at`` and ``first_event_at`` are when the budget was reserved, when the first attempt
+    began, and when the first event of a stream was sent to the caller, in monotonic seconds.
+    ``limit`` applies if this host stops.
     ``stream_version`` is the version of the target that began the stream, once an event was sent:
     what two versions write does not fit together. It is empty if that target announced none.
     """
@@ -59,7 +61,9 @@
         self.sent_count = 0
         self.targets: list[str] = []
         self.last_failure: AttemptFailedError | None = None
+        self.reserved_at = clock.now()
         self.started_at: float | None = None
+        self.first_event_at: float | None = None
         self.limit = limit
         self.stream_version: str | None = None
         self._router = router
@@ -152,6 +156,8 @@
 
     def record_event(self, slot: Slot) -> None:
         """Record that an event of the slot's target is sent to the caller."""
+        if self.first_event_at is None:
+            self.first_event_at = self._clock.now()
         if self.stream_version is not None:
             return
         self.stream_version = slot.version
--- a/cranberrywall/forwarding/_forwarder.py
+++ b/cranberrywall/forwarding/_forwarder.py
@@ -215,5 +215,13 @@
             may_have_run=attempts.may_have_run,
             charged=funds.used,
             seconds=seconds,
+            reserve_s=attempts.reserved_at - arrival.at,
+            slot_s=_elapsed(attempts.reserved_at, attempts.started_at),
+            first_event_s=_elapsed(attempts.started_at, attempts.first_event_at),
             refusal=refusal or "",
         )
+
+
+def _elapsed(since: float | None, until: float | None) -> float | str:
+    """Return the seconds between two times; empty if one of them was not reached."""
+    return "" if since is None or until is None else until - since
