Contact the ledger once per interval, counted from the last command

What callers saw: requests refused for want of money that lost hosts had not spent. What a lost run may have spent is bounded by the time since its last contact. The loop that sends contacts woke once per interval, and skipped a queue whose last command was just short of an interval old, so that the next contact came almost two intervals after it.

The loop now sleeps until the first contact is due.

--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -57,6 +57,8 @@
 # A holder with nothing else to send contacts the ledger at this interval, in seconds. The shorter
 # the time since its last contact, the more of its money is freed immediately if it is lost.
 CONTACT_INTERVAL_S = 0.5
+# Contacts that are due within this time of each other, in seconds, share one wake-up.
+MIN_CONTACT_WAIT_S = 0.02
 # All idle hosts together send the ledger's leader this many contact commands a second.
 MAX_CONTACTS_PER_S = 16.0
 # The configured totals are compared with the credits that the ledger reported at this interval, in
@@ -433,10 +435,19 @@
                     self._reviewer.draw_ahead(allotment)
 
     async def _contact_loop(self) -> None:
+        """Contact each group of which this host holds money at the end of each interval.
+
+        The interval counts from the last command of any kind. Checked only once per interval, a
+        contact could come almost a whole interval late.
+        """
         while True:
             interval_s = max(CONTACT_INTERVAL_S, len(self._entry_hosts()) / MAX_CONTACTS_PER_S)
-            await self._clock.sleep(interval_s)
-            for queue in self._queues_with_money():
+            queues = [queue for queue in self._queues_with_money() if queue.in_reach]
+            due_in_s = min(
+                (queue.reach.contact_due_in_s(interval_s) for queue in queues), default=interval_s
+            )
+            await self._clock.sleep(max(MIN_CONTACT_WAIT_S, due_in_s))
+            for queue in queues:
                 await queue.maintain_contact(interval_s)
 
     async def _declare_loop(self) -> None:
--- a/cranberrywall/budgets/_charges.py
+++ b/cranberrywall/budgets/_charges.py
@@ -271,7 +271,7 @@
 
     async def maintain_contact(self, interval_s: float) -> None:
         """Send the ledger a contact command if none was sent to it for ``interval_s`` seconds."""
-        if self.reach.is_contact_due(interval_s):
+        if self.reach.contact_due_in_s(interval_s) == 0.0:
             await self._send_contact()
 
     async def announce_replica_holders(self) -> None:
--- a/cranberrywall/budgets/_ledger_reach.py
+++ b/cranberrywall/budgets/_ledger_reach.py
@@ -59,9 +59,9 @@
         """Return for how many seconds the ledger has been out of reach; 0 while it is in reach."""
         return 0.0 if self.in_reach else now - self._lost_at
 
-    def is_contact_due(self, seconds: float) -> bool:
-        """Return whether the last contact command was sent at least ``seconds`` ago."""
-        return self._clock.now() - self.last_sent_at >= seconds
+    def contact_due_in_s(self, interval_s: float) -> float:
+        """Return in how many seconds the last contact command will be ``interval_s`` old."""
+        return max(0.0, self.last_sent_at + interval_s - self._clock.now())
 
     def mark_out_of_reach(self) -> None:
         """Record that the ledger is out of reach."""
--- a/tests/budgets/test_booked_after_losses.py
+++ b/tests/budgets/test_booked_after_losses.py
@@ -3,14 +3,16 @@
 import random
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from itertools import pairwise
 
 import pytest
 from result import Ok
 
 from cranberrywall.budgets import BudgetAssignment, ReserveRequest, SpendPolicy
+from cranberrywall.budgets._allotments import CONTACT_INTERVAL_S, MAX_CONTACTS_PER_S
 from cranberrywall.budgets.ledger import make_ledger_machine
 from tests.fakes.clock import VirtualClock, run_virtual
-from tests.fakes.money import MoneyFleet, MoneyHost
+from tests.fakes.money import LEDGER, MoneyFleet, MoneyHost
 
 PLACES = ("p0", "p1", "p2", "p3", "p4")
 HOSTS = {f"h{number}": PLACES[number % len(PLACES)] for number in range(19)}
@@ -24,6 +26,8 @@
 DOWN_S = 1.1
 SETTLED_S = 5.0
 MAX_BOOKED_SHARE = 0.05
+TIMER_SLACK_S = 0.05
+RARE_REQUESTS = 12
 
 
 @asynccontextmanager
@@ -47,11 +51,10 @@
     while fleet.clock.now() < until:
         await fleet.clock.sleep(fleet.random.expovariate(REQUESTS_PER_S))
         count += 1
-        await send_request(fleet, f"r{fleet.clock.now()}")
+        await send_request(fleet, draw_host(fleet), f"r{count}")
 
 
-async def send_request(fleet: MoneyFleet, request_id: str) -> None:
-    host = draw_host(fleet)
+async def send_request(fleet: MoneyFleet, host: MoneyHost, request_id: str) -> None:
     now = host.clock.now()
     cost = round(fleet.random.uniform(0.2, 1.8) * MEAN_COST)
     request = ReserveRequest("clerks", "main", request_id, cost, now + 1.0)
@@ -105,3 +108,34 @@
             assert booked_to_lost_runs(fleet) <= MAX_BOOKED_SHARE * CREDIT
 
     run_virtual(main())
+
+
+def test_a_host_contacts_the_ledger_once_per_interval() -> None:
+    """A late contact: what the host held then is taken for spent if it is lost before the next."""
+
+    async def main() -> None:
+        async with make_fleet(seed=1) as fleet:
+            await fleet.clock.sleep(IDLE_S)
+            sent_at = record_commands(fleet, "h3")
+            interval_s = max(CONTACT_INTERVAL_S, len(HOSTS) / MAX_CONTACTS_PER_S)
+            for number in range(RARE_REQUESTS):
+                await fleet.clock.sleep(fleet.random.uniform(0.5, 2.5) * interval_s)
+                await send_request(fleet, fleet.host_by_name["h3"], f"r{number}")
+            gaps_s = [later - earlier for earlier, later in pairwise(sent_at)]
+            assert len(gaps_s) >= RARE_REQUESTS
+            assert max(gaps_s) <= interval_s + TIMER_SLACK_S
+
+    run_virtual(main())
+
+
+def record_commands(fleet: MoneyFleet, host: str) -> list[float]:
+    """Return a list that gets the time of each of the host's calls to the ledger."""
+    sent_at: list[float] = []
+
+    def record(source: str, sink: str, request: object) -> bool:
+        if (source, sink) == (host, LEDGER):
+            sent_at.append(fleet.clock.now())
+        return False
+
+    fleet.net.lose_request = record
+    return sent_at
