Ask other holders at each isolated host if a budget has many parts

What callers saw: refusals and late answers in a partition from the ledger, at fleets of hundreds of hosts, though most of the money was not spent. A host that lost the ledger asks at most 16 peers a round, the first ones in an order that all hosts share. Where a budget has a part at each of over a hundred hosts, all others asked the same 16, and the rest was out of their reach.

If a budget has more parts than a round asks hosts, each host begins with others of the holders now.

--- a/cranberrywall/budgets/_allotments.py
+++ b/cranberrywall/budgets/_allotments.py
@@ -178,6 +178,7 @@
             self._reviewer.missing_amount,
             self._reviewer.wanted_amount,
             self._reviewer.recheck_surplus,
+            self._reviewer.holder_count,
         )
         self._rate_declarations = [
             RateDeclarations(queue, self._count_hosts) for queue in self._queue_by_group.values()
--- a/cranberrywall/budgets/_review.py
+++ b/cranberrywall/budgets/_review.py
@@ -110,6 +110,10 @@
             return 0.0
         return max(0.0, view.left - allotment.total_demand.rate() * (self._clock.now() - view.at))
 
+    def holder_count(self, allotment: Allotment) -> int:
+        """Return how many hosts should hold a part of the budget."""
+        return min(len(self._hosts()), self._parts(allotment, self._left(allotment)))
+
     def _parts(self, allotment: Allotment, left: float) -> int:
         request = allotment.mean_bound or self._host_mean_bound()
         return max_parts(left, allotment.policy.held_back, request)
--- a/cranberrywall/budgets/_shortfalls.py
+++ b/cranberrywall/budgets/_shortfalls.py
@@ -6,10 +6,11 @@
 """
 
 import asyncio
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from functools import partial
 from typing import NamedTuple
 
+import xxhash
 from result import Err, Ok, Result
 
 from cranberrywall.budgets._allotment import Allotment
@@ -63,6 +64,7 @@
     missing_amount: Callable[[Allotment], int]
     wanted_amount: Callable[[Allotment, int], int]
     on_shortfall: Callable[[Allotment], None]
+    holder_count: Callable[[Allotment], int]
 
 
 class _Waiter:
@@ -225,17 +227,30 @@
         peer_by_host = {
             peer.host: peer for peer in sources.peers.alive() if peer.host != sources.host
         }
-        first = [
-            peer_by_host[host] for host in preferred_holders(self._allotment.budget, peer_by_host)
-        ]
+        holders = self._expected_holders(peer_by_host)
         start, count = 0, 1
-        while start < min(len(first), MAX_PEERS_PER_ROUND) and self._waiters:
-            asked = first[start : start + count]
-            await asyncio.gather(*(self._take(peer, len(asked)) for peer in asked))
+        while start < min(len(holders), MAX_PEERS_PER_ROUND) and self._waiters:
+            asked = holders[start : start + count]
+            await asyncio.gather(*(self._take(peer_by_host[host], len(asked)) for host in asked))
             start += count
             count *= 2
         return SearchResult(None, 0)
 
+    def _expected_holders(self, hosts: Collection[str]) -> list[str]:
+        """Return the hosts that probably hold money, in the order in which to ask them.
+
+        If only some hosts hold parts, and they are more than one round asks, each host begins with
+        others of them. Otherwise all hosts would ask the same few, and the rest of the parts would
+        be of no use until the ledger is in reach.
+        """
+        sources, budget = self._funding_sources, self._allotment.budget
+        order = preferred_holders(budget, hosts)
+        count = sources.holder_count(self._allotment)
+        if not MAX_PEERS_PER_ROUND < count < len(order):
+            return order
+        start = xxhash.xxh64_intdigest(f"{sources.host}\n{budget}".encode()) % count
+        return order[start:count] + order[:start]
+
     async def _draw(self) -> int | None:
         """Draw for the queued requests; return what is still free, ``None`` if out of reach."""
         allotment = self._allotment
--- a/tests/budgets/test_many_hosts.py
+++ b/tests/budgets/test_many_hosts.py
@@ -19,6 +19,14 @@
 SETTLE_S = 12.0
 """Time after a start in which hosts draw their parts, in seconds."""
 
+MEAN_BOUNDS = (17_000, 17_000, 9_000, 1_600, 1_600)
+MIXED_REQUESTS_PER_S = 5.9
+MIXED_MAX_WAIT_S = 4.0
+RUN_S = 1.0
+CONNECTED_S = 6.4
+CUT_S = 7.6
+MIN_SERVED_SHARE = 0.95
+
 
 class Herd(NamedTuple):
     """Result of requests that arrived together; ``calls`` are messages a request."""
@@ -93,3 +101,50 @@
     herd = send_herd(requests=20, credit=2_000_000, gap_s=0.001)
     assert herd.served == 20
     assert herd.calls < 10
+
+
+def test_isolated_hosts_find_the_money_that_others_hold() -> None:
+    """Half of the requests were refused in a partition, though most of the money was not spent.
+
+    A budget has a part at each of over a hundred hosts. All other hosts asked the same 16 of them.
+    """
+
+    async def main() -> float:
+        fleet = make_fleet(2_400_000)
+        draws = random.Random(3)
+        await fleet.start()
+        await fleet.clock.sleep(SETTLE_S)
+        await send_mixed_requests(fleet, draws, CONNECTED_S)
+        fleet.net.cut(dict.fromkeys(fleet.host_by_name, 1))
+        served_share = await send_mixed_requests(fleet, draws, CUT_S)
+        await fleet.stop()
+        return served_share
+
+    assert run_virtual(main()) >= MIN_SERVED_SHARE
+
+
+async def send_mixed_requests(fleet: MoneyFleet, draws: random.Random, seconds: float) -> float:
+    """Send requests of all sizes to random hosts, and return the share that is served."""
+    until = fleet.clock.now() + seconds
+    requests: list[asyncio.Future[bool]] = []
+    while fleet.clock.now() < until:
+        host = draws.choice(list(fleet.host_by_name))
+        bound = round(draws.choice(MEAN_BOUNDS) * draws.uniform(0.4, 1.6))
+        requests.append(asyncio.ensure_future(spend(fleet, host, f"{host} {until}", bound)))
+        await fleet.clock.sleep(draws.expovariate(MIXED_REQUESTS_PER_S))
+    served = sum(await asyncio.gather(*requests))
+    return served / len(requests)
+
+
+async def spend(fleet: MoneyFleet, host: str, request_id: str, bound: int) -> bool:
+    allotments, now = fleet.host_by_name[host].allotments, fleet.clock.now()
+    reserved = await allotments.reserve(
+        ReserveRequest("clerks", "main", f"{request_id} {now}", bound, now + MIXED_MAX_WAIT_S), now
+    )
+    if not isinstance(reserved, Ok):
+        return False
+    if not isinstance(await reserved.ok_value.begin(fleet.clock.now()), Ok):
+        return False
+    await fleet.clock.sleep(RUN_S)
+    await reserved.ok_value.settle(bound, fleet.clock.now())
+    return True
