--- a/standins/_platform.py
+++ b/standins/_platform.py
@@ -31,6 +31,7 @@
 ORDER_S = 6.0
 RETRY_S = 0.1
 LOGGED_LINES = 40
+LARGEST_BODY_BYTES = 16 * 1024 * 1024
 ZONES = ("town-hall", "annex")
 HOST = "letters.example"
 KEY = "stand-in-key-1"
@@ -127,7 +128,7 @@
 
     async def start(self, port: int = 0) -> None:
         """Listen at a port, or at a free one."""
-        app = web.Application()
+        app = web.Application(client_max_size=LARGEST_BODY_BYTES)
         app.router.add_route("*", "/{path:.*}", self._answer)
         self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await self._runner.setup()
@@ -292,6 +293,8 @@
         self.root_by_name: dict[str, Path] = {}
         # File descriptors that get a machine's output in place of its log file.
         self.output_by_name: dict[str, int] = {}
+        # The section ``limits`` of the settings files that are written from now on.
+        self.limits: dict[str, float] = {}
         self.workers: list[Worker] = []
         self._beating: dict[str, asyncio.Task[None]] = {}
         self._session: aiohttp.ClientSession | None = None
@@ -391,6 +394,17 @@
         """Send a configuration of one's own until it is acknowledged."""
         await self._call_control("POST", "/v1/config/replace", body)
 
+    async def reads_configuration(self, core: Machine, seconds: float) -> bool:
+        """Return whether one control host gives the configuration in force in time."""
+        end = time.monotonic() + seconds
+        url = f"http://{self.address(core, CONTROL_PORT_OFFSET)}/v1/config/get"
+        while time.monotonic() < end:
+            status, _ = await self._call("GET", url, None)
+            if status == 200:
+                return True
+            await asyncio.sleep(RETRY_S)
+        return False
+
     async def evacuate(self, zone: str, is_start: bool = True) -> None:
         """Order the start or the end of a zone's evacuation until it is acknowledged."""
         await self._call_control("POST", f"/v1/evacuate/{zone}/{_order(is_start)}", None)
@@ -540,6 +554,7 @@
         lines += ["[zones]", *(f'{zone} = "r"' for zone in ZONES), "[listen]"]
         for name, offset in self._listen(machine):
             lines.append(f'{name} = "{self.address(machine, offset)}"')
+        lines += ["[limits]", *(f"{name} = {value}" for name, value in self.limits.items())]
         path = self._folder / f"{machine.name}.toml"
         path.write_text("\n".join(lines) + "\n", encoding="utf-8")
         return path
