Log the bytes of callers and the time that bodies take

A host whose link is full could not be told from one whose processor or targets are slow: the logs had neither bytes nor the time until a body had arrived. Busy hosts log `caller_traffic` each second, `request_ended` has `body_s`, and a metric counts the bytes.

--- a/cranberrywall/forwarding/_forwarder.py
+++ b/cranberrywall/forwarding/_forwarder.py
@@ -215,6 +215,7 @@
             may_have_run=attempts.may_have_run,
             charged=funds.used,
             seconds=seconds,
+            body_s=arrival.body_s,
             reserve_s=attempts.reserved_at - arrival.at,
             slot_s=_elapsed(attempts.reserved_at, attempts.started_at),
             first_event_s=_elapsed(attempts.started_at, attempts.first_event_at),
--- a/cranberrywall/forwarding/_interfaces.py
+++ b/cranberrywall/forwarding/_interfaces.py
@@ -39,7 +39,8 @@
     ``key`` is the bearer key, or ``None`` if there is none. ``at`` is when the request arrived.
     ``max_wait_s`` is the time that the caller announces to wait. ``last_event`` is the last event
     that the caller has received of a stream that it takes up, and ``resumes`` the id of its attempt
-    that brought the first event; empty if it names none.
+    that brought the first event; empty if it names none. ``body_s`` is the time that the body took
+    to arrive, in seconds.
     """
 
     request_id: str
@@ -54,6 +55,7 @@
     last_event: int | None = None
     generation: Generation | None = None
     resumes: str = ""
+    body_s: float = 0.0
 
 
 class Attempt(NamedTuple):
--- a/cranberrywall/platform/_arrivals.py
+++ b/cranberrywall/platform/_arrivals.py
@@ -20,9 +20,17 @@
 
 
 def decode_arrival(
-    method: str, path: str, raw_headers: RawHeaders, body: bytes, now: float
+    method: str,
+    path: str,
+    raw_headers: RawHeaders,
+    body: bytes,
+    now: float,
+    body_s: float = 0.0,
 ) -> Result[Arrival, Refusal]:
-    """Return a caller's request, or a refusal that names the header at fault."""
+    """Return a caller's request, or a refusal that names the header at fault.
+
+    ``now`` is when its head arrived, and ``body_s`` the time that its body took, in seconds.
+    """
     headers = [(name.decode("latin-1"), value.decode("latin-1")) for name, value in raw_headers]
     value_by_name = {name.lower(): value for name, value in headers}
     request_id = value_by_name.get(names.REQUEST_ID.lower(), "")
@@ -56,6 +64,7 @@
             last_event=last_event.ok_value,
             generation=generation.ok_value,
             resumes=resumes,
+            body_s=body_s,
         )
     )
 
--- a/cranberrywall/platform/_front.py
+++ b/cranberrywall/platform/_front.py
@@ -15,6 +15,7 @@
 )
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.forwarding import Forwarder, StreamOrigins
+from cranberrywall.intake import CallerTraffic
 from cranberrywall.observability import log_event
 from cranberrywall.platform._arrivals import decode_arrival, refuse
 from cranberrywall.platform._boot import ADDRESS_TTL_S, Boot
@@ -54,6 +55,8 @@
         self._front_runner: web.ServerRunner | None = None
         self._closing: asyncio.Task[None] | None = None
         self.running = 0
+        self._traffic = CallerTraffic(clock)
+        self._traffic_task: asyncio.Task[None] | None = None
 
     async def listen(self) -> None:
         """Bind all addresses at once: a host without a configuration says so to callers."""
@@ -88,6 +91,7 @@
             parts.records,
         )
         origins.export(parts.metrics)
+        self._traffic.export(parts.metrics)
         self._forwarder = Forwarder(
             parts.configuration,
             parts.allotments,
@@ -101,6 +105,7 @@
             parts.paths,
         )
         self._parts = parts
+        self._traffic_task = asyncio.create_task(self._traffic.run(lambda: self.running))
 
     def start_draining(self) -> None:
         """Be ready and named no more, and serve only requests that can end in time."""
@@ -137,8 +142,9 @@
 
     async def close(self) -> None:
         """Close every connection."""
-        if self._closing is not None:
-            self._closing.cancel()
+        for task in (self._closing, self._traffic_task):
+            if task is not None:
+                task.cancel()
         for runner in self._runners:
             await runner.cleanup()
         if self._forwarder is not None:
@@ -203,13 +209,19 @@
                 # The connection is of no further use: the rest of the body may never arrive.
                 response.force_close()
             return response
+        self._traffic.record_received(len(body.ok_value))
         decoded = decode_arrival(
-            request.method, request.raw_path, request.raw_headers, body.ok_value, now
+            request.method,
+            request.raw_path,
+            request.raw_headers,
+            body.ok_value,
+            now,
+            body_s=self._clock.now() - now,
         )
         if isinstance(decoded, Err):
             return refuse(decoded.err_value)
         await parts.settle(self._clock.now(), self._clock.wall())
-        reply = HttpReply(request, lambda: self._closes_after(request))
+        reply = HttpReply(request, lambda: self._closes_after(request), self._traffic.record_sent)
         served = await forwarder.serve(decoded.ok_value, reply, parts.is_current(now))
         if reply.response is not None:
             return reply.response
--- a/cranberrywall/platform/_replies.py
+++ b/cranberrywall/platform/_replies.py
@@ -13,10 +13,19 @@
 class HttpReply:
     """Hold one caller's request until its answer has gone out."""
 
-    def __init__(self, request: web.BaseRequest, closes: Callable[[], bool]) -> None:
-        """``closes`` returns whether to close the caller's connection after the answer."""
+    def __init__(
+        self,
+        request: web.BaseRequest,
+        closes: Callable[[], bool],
+        record_sent: Callable[[int], None],
+    ) -> None:
+        """``closes`` returns whether to close the caller's connection after the answer.
+
+        ``record_sent`` is called with the size of each piece of the answer's body, in bytes.
+        """
         self._request = request
         self._closes = closes
+        self._record_sent = record_sent
         self._response: web.StreamResponse | None = None
 
     @property
@@ -32,6 +41,7 @@
     async def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a whole answer."""
         response = web.Response(status=status, headers=_without_length(headers), body=body)
+        self._record_sent(len(body))
         await self._prepare(response)
         await response.write_eof()
 
@@ -44,6 +54,7 @@
     async def write(self, data: bytes) -> None:
         """Send a piece of the body."""
         assert self._response is not None
+        self._record_sent(len(data))
         await self._response.write(data)
 
     async def finish(self) -> None:
