Accept callers' connections only while the link keeps up

Their bodies come in and go out on a link that both directions share. As soon as more comes than the link carries twice, its queue exceeds the time limits of calls to the ledger, to targets and to neighbours; the host then takes all of them for lost and forwards next to nothing (1 to 25 kB in half a second while it receives 290), and failed requests come again. The class of fault: what is admitted is bounded by nothing that the host has to spend on it.

A refusal costs nearly as much as serving, as the body has arrived then, so the host accepts no connection while its link needs more than 0.25 s for what was admitted. Processor time, tunnels and messages between hosts are not changed.

--- a/cranberrywall/platform/_boot.py
+++ b/cranberrywall/platform/_boot.py
@@ -39,6 +39,10 @@
     ttl_max_s: float = 5.0
 
 
+class _Limits(msgspec.Struct):
+    link_mbps: float = 0.0
+
+
 class _File(msgspec.Struct):
     node: str
     ip: str
@@ -50,6 +54,7 @@
     data_dir: str = ""
     zones: dict[str, str] = {}
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 class Boot(NamedTuple):
@@ -61,6 +66,7 @@
     does not serve them. ``may_form`` says that the whole system starts for the first time.
     ``grace_s`` is the time from the request to stop until the process is killed. The fleet's
     retries are bounded by ``retry_share`` of its requests and ``retry_slack`` more.
+    ``link_bytes_per_s`` is the rate of the machine's link, ``None`` if it is not told.
     """
 
     host: str
@@ -78,6 +84,7 @@
     grace_s: float
     retry_share: float
     retry_slack: float
+    link_bytes_per_s: float | None
 
 
 def read_boot(path: str) -> Result[Boot, Problem]:
@@ -132,6 +139,7 @@
         grace_s=file.bounds.grace_s,
         retry_share=file.bounds.retry_ratio,
         retry_slack=file.bounds.retry_slack,
+        link_bytes_per_s=file.limits.link_mbps * 1e6 / 8 if file.limits.link_mbps > 0 else None,
     )
 
 
--- a/cranberrywall/platform/_front.py
+++ b/cranberrywall/platform/_front.py
@@ -15,7 +15,7 @@
 )
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.forwarding import Forwarder, StreamOrigins
-from cranberrywall.intake import CallerTraffic
+from cranberrywall.intake import CallerListener, CallerTraffic, LinkLimit
 from cranberrywall.observability import log_event
 from cranberrywall.platform._arrivals import decode_arrival, refuse
 from cranberrywall.platform._boot import ADDRESS_TTL_S, Boot
@@ -53,6 +53,7 @@
         self._last_arrival_at = float("-inf")
         self._runners: list[Any] = []
         self._front_runner: web.ServerRunner | None = None
+        self._listener: CallerListener | None = None
         self._closing: asyncio.Task[None] | None = None
         self.running = 0
         self._traffic = CallerTraffic(clock)
@@ -70,7 +71,11 @@
             max_field_size=LONGEST_HEAD_BYTES,
         )
         self._front_runner = web.ServerRunner(server, shutdown_timeout=CLOSE_S)
-        await self._bind(self._front_runner, self._boot.front)
+        await self._front_runner.setup()
+        self._runners.append(self._front_runner)
+        limit = LinkLimit(self._boot.link_bytes_per_s)
+        self._listener = CallerListener(self._boot.front, server, limit, self._clock)
+        self._listener.start()
         app = web.Application()
         app.router.add_get("/v1/ready", self._answer_ready)
         app.router.add_get("/v1/resolve", self._answer_resolve)
@@ -92,6 +97,8 @@
         )
         origins.export(parts.metrics)
         self._traffic.export(parts.metrics)
+        if self._listener is not None:
+            self._listener.export(parts.metrics)
         self._forwarder = Forwarder(
             parts.configuration,
             parts.allotments,
@@ -110,6 +117,8 @@
     def start_draining(self) -> None:
         """Be ready and named no more, and serve only requests that can end in time."""
         now = self._draining_since = self._clock.now()
+        if self._listener is not None:
+            self._listener.accept_always()
         if self._forwarder is not None:
             self._forwarder.start_shutdown(now + self._stop_times.serve_s)
 
@@ -119,10 +128,10 @@
 
     async def stop_listening(self) -> None:
         """Accept no new connection, and close each open one once it has no request."""
+        if self._listener is not None:
+            self._listener.close()
         if self._front_runner is None or self._front_runner.server is None:
             return
-        for site in list(self._front_runner.sites):
-            await site.stop()
         closing = close_idle_connections(self._front_runner.server, self._clock)
         self._closing = asyncio.create_task(closing)
 
@@ -145,6 +154,8 @@
         for task in (self._closing, self._traffic_task):
             if task is not None:
                 task.cancel()
+        if self._listener is not None:
+            self._listener.close()
         for runner in self._runners:
             await runner.cleanup()
         if self._forwarder is not None:
@@ -190,6 +201,8 @@
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         now = self._clock.now()
         self._last_arrival_at = now
+        if self._listener is not None:
+            self._listener.record_request(request.content_length or 0, now)
         parts, forwarder = self._parts, self._forwarder
         if parts is None or forwarder is None:
             return refuse(_NOT_READY)
@@ -210,6 +223,8 @@
                 response.force_close()
             return response
         self._traffic.record_received(len(body.ok_value))
+        if request.content_length is None and self._listener is not None:
+            self._listener.record_request(len(body.ok_value), self._clock.now())
         decoded = decode_arrival(
             request.method,
             request.raw_path,
@@ -221,7 +236,7 @@
         if isinstance(decoded, Err):
             return refuse(decoded.err_value)
         await parts.settle(self._clock.now(), self._clock.wall())
-        reply = HttpReply(request, lambda: self._closes_after(request), self._traffic.record_sent)
+        reply = HttpReply(request, lambda: self._closes_after(request), self._record_sent)
         served = await forwarder.serve(decoded.ok_value, reply, parts.is_current(now))
         if reply.response is not None:
             return reply.response
@@ -245,9 +260,19 @@
             message = f"the body did not arrive within the {timeout_s:g} s of its route"
             return Err(Refusal(ErrorKind.DEADLINE_PASSED, message, "body", "send it sooner"))
 
+    def _record_sent(self, size: int) -> None:
+        self._traffic.record_sent(size)
+        if self._listener is not None:
+            self._listener.record_answer(size, self._clock.now())
+
     def _closes_after(self, request: web.BaseRequest) -> bool:
-        """Return whether to close a caller's connection after the answer to ``request``."""
-        return self._draining_since is not None and not has_unread_request(request.protocol)
+        """Return whether to close a caller's connection after the answer to ``request``.
+
+        While no connection is accepted, open ones would go on to bring requests.
+        """
+        is_paused = self._listener is not None and self._listener.is_paused
+        closes = self._draining_since is not None or is_paused
+        return closes and not has_unread_request(request.protocol)
 
     async def _answer_ready(self, request: web.Request) -> web.Response:
         is_ready = self._parts is not None and self._draining_since is None
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -38,6 +38,11 @@
     settings = settings_of(boot, "control")
     assert settings["founding"] is True
     assert settings["data"] == "/data/control"
+    assert boot.link_bytes_per_s is None
+
+
+def test_the_rate_of_the_link_is_read_in_bytes() -> None:
+    assert decode_boot({**FIELDS, "limits": {"link_mbps": 8.0}}).unwrap().link_bytes_per_s == 1e6
 
 
 FIELDS: dict[str, Any] = {
