Forward encoded bodies as they came

The HTTP library decompresses by default; the host has no use for that, so it is switched off.

Before: the new test gets 400 and other bytes for gzip, deflate and br. The stand-in's worker decompressed too; it keeps the bytes now, so that tests see them.

--- a/cranberrywall/platform/_front.py
+++ b/cranberrywall/platform/_front.py
@@ -69,6 +69,8 @@
             keepalive_timeout=IDLE_CALLERS_S,
             max_line_size=LONGEST_HEAD_BYTES,
             max_field_size=LONGEST_HEAD_BYTES,
+            # Targets get the bytes that the caller sent, under the same headers.
+            auto_decompress=False,
         )
         self._front_runner = web.ServerRunner(server, shutdown_timeout=CLOSE_S)
         await self._front_runner.setup()
--- a/standins/_platform.py
+++ b/standins/_platform.py
@@ -92,7 +92,8 @@
     One that is cold says so in its heartbeats, and crashes if over ``most_cold_per_s`` requests
     reach it in a second.
     ``version`` is that of its software.
-    ``arrivals`` has each request that reached it, whatever became of it.
+    ``arrivals`` has each request that reached it, whatever became of it, and ``last_body`` the
+    bytes of the last one that it ran.
     """
 
     back_after_s = 1.0
@@ -118,6 +119,7 @@
         self._cold_since = self._cold_until = 0.0
         self.most_cold_per_s = 0.0
         self.arrivals: list[Arrived] = []
+        self.last_body = b""
         self._running = 0
         self.event_s = event_s
         self._runner: web.AppRunner | None = None
@@ -130,7 +132,9 @@
         """Listen at a port, or at a free one."""
         app = web.Application(client_max_size=LARGEST_BODY_BYTES)
         app.router.add_route("*", "/{path:.*}", self._answer)
-        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=0.1, auto_decompress=False
+        )
         await self._runner.setup()
         await web.TCPSite(self._runner, "127.0.0.1", port, reuse_address=True).start()
         host, bound = self._runner.addresses[0][:2]
@@ -223,6 +227,7 @@
     ) -> web.StreamResponse:
         body = await request.read()
         self.ran.append(request_id)
+        self.last_body = body
         fatal_parts = _fatal_parts(request.headers)
         for part in fatal_parts:
             self.begun_by_part.setdefault(part, []).append(time.monotonic())
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -1,11 +1,14 @@
 """Run both programs as real processes before a stand-in of the platform, on loopback."""
 
 import asyncio
+import gzip
 import json
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
 
+import pytest
+
 from cranberrywall.budgets._unreported_bound import FULL_UNREPORTED_DELAY_S
 from standins._platform import Platform, Worker, configuration, route
 
@@ -171,3 +174,13 @@
         assert answer.is_whole
         assert answer.body.count(b"\n\n") == 120
         assert await stopping < 8.0
+
+
+@pytest.mark.parametrize("encoding", ["gzip", "deflate", "br", "identity"])
+async def test_an_encoded_body_reaches_its_target_unchanged(tmp_path: Path, encoding: str) -> None:
+    """Guards against bodies that are decompressed but keep the header of their encoding."""
+    body = gzip.compress(b"{}")
+    async with running(tmp_path) as platform:
+        front, worker = platform.fronts[0], platform.workers[1]
+        answer = await platform.ask(front, "/checks/1", body, Content_Encoding=encoding)
+        assert (answer.status, worker.last_body) == (200, body)
