Limit the memory and connections of all callers together

Callers that are not under the users' control ended a process: many large bodies at once, whole or piece by piece, most stopping just short of their end. Each kept to the limits of one request, and nothing added them up. The class of fault: a limit for each where a limit for all is needed.

All HTTP servers of both platform programs now share one sum of the bytes that have arrived, until the end of their request; it follows memory_mb of the settings, which were not read. Out of room, the incomplete request that holds most is refused with a time to come back (of equal ones the one that waits longest), or its connection closed; requests sent ahead close theirs. Connections of callers follow max_fds in the same way. The system keeps 16 KiB unread of each, and 128 wait to be accepted.

The tests of slow targets asked their ordinary request while the target worked for longer than the request waits, which no host can answer (504); the target is quick for it now, as in the others.

--- a/cranberrywall/intake/_listener.py
+++ b/cranberrywall/intake/_listener.py
@@ -12,9 +12,14 @@
 """Connections that wait to be accepted may bring what the link carries in this time, in seconds."""
 
 MIN_PENDING = 2
-MAX_PENDING = 1024
+MAX_PENDING = 128
 """Bounds of the number of connections that wait to be accepted."""
 
+RECEIVE_BUFFER_BYTES = 8 * 1024
+"""Size of the system's buffer for what arrives on a connection and is not read yet, in bytes.
+
+The system grants twice as much."""
+
 ACCEPT_BATCH = 16
 """Maximum number of connections that are accepted in one turn of the event loop."""
 
@@ -35,6 +40,22 @@
     return max(MIN_PENDING, min(MAX_PENDING, fitting))
 
 
+def make_listening_socket(address: str, pending: int) -> socket.socket:
+    """Listen at an address, with ``pending`` connections that may wait; raise ``OSError``."""
+    listening = socket.socket()
+    try:
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted connections inherit the size; the system would raise it otherwise.
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        listening.setblocking(False)
+        listening.bind(split_address(address))
+        listening.listen(pending)
+    except OSError:
+        listening.close()
+        raise
+    return listening
+
+
 class CallerListener:
     """Accept callers' connections, except while ``load`` is full.
 
@@ -64,11 +85,7 @@
 
     def start(self) -> None:
         """Listen, or raise ``OSError``."""
-        listening = socket.create_server(
-            split_address(self._address), backlog=pending_connections(self._limit)
-        )
-        listening.setblocking(False)
-        self._socket = listening
+        self._socket = make_listening_socket(self._address, pending_connections(self._limit))
         self._watch()
 
     def close(self) -> None:
--- a/cranberrywall/platform/_boot.py
+++ b/cranberrywall/platform/_boot.py
@@ -41,6 +41,8 @@
 
 class _Limits(msgspec.Struct):
     link_mbps: float = 0.0
+    memory_mb: float = 0.0
+    max_fds: int = 0
 
 
 class _File(msgspec.Struct):
@@ -67,6 +69,7 @@
     ``grace_s`` is the time from the request to stop until the process is killed. The fleet's
     retries are bounded by ``retry_share`` of its requests and ``retry_slack`` more.
     ``link_bytes_per_s`` is the rate of the machine's link, ``None`` if it is not told.
+    ``memory_bytes`` and ``max_fds`` limit the process, and are 0 if they are not told.
     """
 
     host: str
@@ -85,6 +88,8 @@
     retry_share: float
     retry_slack: float
     link_bytes_per_s: float | None
+    memory_bytes: int
+    max_fds: int
 
 
 def read_boot(path: str) -> Result[Boot, Problem]:
@@ -140,6 +145,8 @@
         retry_share=file.bounds.retry_ratio,
         retry_slack=file.bounds.retry_slack,
         link_bytes_per_s=file.limits.link_mbps * 1e6 / 8 if file.limits.link_mbps > 0 else None,
+        memory_bytes=round(file.limits.memory_mb * 1e6),
+        max_fds=file.limits.max_fds,
     )
 
 
--- a/cranberrywall/platform/_control.py
+++ b/cranberrywall/platform/_control.py
@@ -6,7 +6,8 @@
 from cranberrywall.commands._control_program import ControlProgram
 from cranberrywall.configuration import ConfigurationClient, EvacuationOrders
 from cranberrywall.errors import ErrorKind, Refusal
-from cranberrywall.observability import HttpListener, log_event
+from cranberrywall.intake import ApplicationListener, Intake, read_whole_body
+from cranberrywall.observability import log_event
 from cranberrywall.platform._announcements import decode_heartbeat, decode_leave
 from cranberrywall.platform._arrivals import refuse
 from cranberrywall.platform._documents import decode_document
@@ -41,7 +42,7 @@
         self._region_by_place = region_by_place
         self._clock = clock
 
-    def make_listener(self, address: str) -> HttpListener:
+    def make_listener(self, address: str, intake: Intake) -> ApplicationListener:
         """Return what listens for the calls."""
         app = web.Application(client_max_size=MOST_BODY_BYTES)
         app.router.add_post("/v1/config/replace", self._replace)
@@ -50,10 +51,10 @@
         app.router.add_post("/v1/evacuate/{place}/end", self._end_evacuation)
         app.router.add_post("/v1/instances/{instance}/heartbeat", self._heartbeat)
         app.router.add_post("/v1/instances/{instance}/leave", self._leave)
-        return HttpListener(app, address, SHUTDOWN_S)
+        return intake.make_listener(app, address, SHUTDOWN_S)
 
     async def _replace(self, request: web.Request) -> web.Response:
-        body = await request.read()
+        body = await read_whole_body(request, MOST_BODY_BYTES)
         decoded = decode_document(body, self._region_by_place)
         if isinstance(decoded, Err):
             log_event("INFO", "configuration_refused", refusal=decoded.err_value)
@@ -116,7 +117,7 @@
 
     async def _heartbeat(self, request: web.Request) -> web.Response:
         instance = request.match_info["instance"]
-        decoded = decode_heartbeat(instance, await request.read())
+        decoded = decode_heartbeat(instance, await read_whole_body(request, MOST_BODY_BYTES))
         if isinstance(decoded, Err):
             return _names_no_target(instance, decoded.err_value)
         announcement, cold_left_s = decoded.ok_value
@@ -129,7 +130,9 @@
 
     async def _leave(self, request: web.Request) -> web.Response:
         instance = request.match_info["instance"]
-        decoded = decode_leave(instance, await request.read(), self._relay.find(instance))
+        decoded = decode_leave(
+            instance, await read_whole_body(request, MOST_BODY_BYTES), self._relay.find(instance)
+        )
         if isinstance(decoded, Err):
             return _names_no_target(instance, decoded.err_value)
         return await self._announce(decoded.ok_value)
--- a/cranberrywall/platform/_core_program.py
+++ b/cranberrywall/platform/_core_program.py
@@ -1,7 +1,8 @@
 """Put a control host together for the users' platform, and run it."""
 
 from cranberrywall.commands._control_program import make_control_program
-from cranberrywall.observability import HttpListener, StateRegistry
+from cranberrywall.intake import make_intake
+from cranberrywall.observability import StateRegistry
 from cranberrywall.platform._boot import Boot, fleet_keys, settings_of
 from cranberrywall.platform._control import ControlCalls
 from cranberrywall.platform._running import run_program
@@ -17,7 +18,8 @@
             settings_of(boot, "control"), runtime, keys=fleet_keys()
         )
         calls = ControlCalls(self._program, boot.region_by_place, runtime.clock)
-        self._listener: HttpListener = calls.make_listener(boot.control)
+        intake = make_intake(boot.memory_bytes, boot.max_fds, runtime.clock)
+        self._listener = calls.make_listener(boot.control, intake)
 
     @property
     def state(self) -> StateRegistry:
--- a/cranberrywall/platform/_front.py
+++ b/cranberrywall/platform/_front.py
@@ -15,7 +15,15 @@
 )
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.forwarding import Forwarder, StreamOrigins
-from cranberrywall.intake import CallerListener, CallerTraffic, LinkLimit
+from cranberrywall.intake import (
+    ApplicationListener,
+    CallerListener,
+    CallerTraffic,
+    LinkLimit,
+    RequestEvictedError,
+    make_intake,
+    read_whole_body,
+)
 from cranberrywall.observability import log_event
 from cranberrywall.platform._arrivals import decode_arrival, refuse
 from cranberrywall.platform._boot import ADDRESS_TTL_S, Boot
@@ -23,7 +31,7 @@
 from cranberrywall.platform._directory import choose_addresses
 from cranberrywall.platform._replies import HttpReply
 from cranberrywall.platform._stop_times import stop_times
-from cranberrywall.runtime import Clock, split_address
+from cranberrywall.runtime import Clock
 
 IDLE_CALLERS_S = 120.0
 """Idle connections of callers are kept for so long, in seconds: they give them up far earlier."""
@@ -51,9 +59,10 @@
         self._forwarder: Forwarder | None = None
         self._draining_since: float | None = None
         self._last_arrival_at = float("-inf")
-        self._runners: list[Any] = []
+        self._other_listeners: list[ApplicationListener] = []
         self._front_runner: web.ServerRunner | None = None
         self._listener: CallerListener | None = None
+        self._intake = make_intake(boot.memory_bytes, boot.max_fds, clock)
         self._closing: asyncio.Task[None] | None = None
         self.running = 0
         self._traffic = CallerTraffic(clock)
@@ -61,7 +70,7 @@
 
     async def listen(self) -> None:
         """Bind all addresses at once: a host without a configuration says so to callers."""
-        server = web.Server(
+        server = self._intake.make_server(
             self._serve,
             request_factory=self._make_request,
             handler_cancellation=True,
@@ -74,7 +83,6 @@
         )
         self._front_runner = web.ServerRunner(server, shutdown_timeout=CLOSE_S)
         await self._front_runner.setup()
-        self._runners.append(self._front_runner)
         limit = LinkLimit(self._boot.link_bytes_per_s)
         self._listener = CallerListener(self._boot.front, server, limit, self._clock)
         self._listener.start()
@@ -83,9 +91,9 @@
         app.router.add_get("/v1/resolve", self._answer_resolve)
         for address in dict.fromkeys((self._boot.ready, self._boot.directory)):
             if address:
-                await self._bind(
-                    web.AppRunner(app, access_log=None, shutdown_timeout=CLOSE_S), address
-                )
+                listener = self._intake.make_listener(app, address, CLOSE_S)
+                await listener.start()
+                self._other_listeners.append(listener)
 
     async def serve(self, parts: FrontendContext) -> None:
         """Begin to forward."""
@@ -99,6 +107,7 @@
         )
         origins.export(parts.metrics)
         self._traffic.export(parts.metrics)
+        self._intake.export(parts.metrics)
         if self._listener is not None:
             self._listener.export(parts.metrics)
         self._forwarder = Forwarder(
@@ -158,8 +167,10 @@
                 task.cancel()
         if self._listener is not None:
             self._listener.close()
-        for runner in self._runners:
-            await runner.cleanup()
+        for listener in self._other_listeners:
+            await listener.close()
+        if self._front_runner is not None:
+            await self._front_runner.cleanup()
         if self._forwarder is not None:
             await self._forwarder.close()
 
@@ -174,12 +185,6 @@
         except TimeoutError:
             log_event("WARNING", "charges_not_settled_before_stop")
 
-    async def _bind(self, runner: Any, address: str) -> None:
-        await runner.setup()
-        self._runners.append(runner)
-        host, port = split_address(address)
-        await web.TCPSite(runner, host, port, backlog=1024).start()
-
     def _make_request(
         self,
         message: RawRequestMessage,
@@ -220,7 +225,7 @@
         body = await self._read_body(request, forwarder)
         if isinstance(body, Err):
             response = refuse(body.err_value)
-            if body.err_value.kind is ErrorKind.DEADLINE_PASSED:
+            if body.err_value.kind is not ErrorKind.TOO_LARGE:
                 # The connection is of no further use: the rest of the body may never arrive.
                 response.force_close()
             return response
@@ -254,10 +259,12 @@
         timeout_s = forwarder.timeout_of(request.headers.get("Host", ""), request.raw_path)
         try:
             async with asyncio.timeout(timeout_s):
-                return Ok(await request.read())
+                return Ok(await read_whole_body(request, self._body_limit()))
         except web.HTTPRequestEntityTooLarge:
             message = f"the body is over {self._body_limit()} bytes"
             return Err(Refusal(ErrorKind.TOO_LARGE, message, "body", "send a smaller one"))
+        except RequestEvictedError as error:
+            return Err(error.refusal)
         except TimeoutError:
             message = f"the body did not arrive within the {timeout_s:g} s of its route"
             return Err(Refusal(ErrorKind.DEADLINE_PASSED, message, "body", "send it sooner"))
--- a/cranberrywall/platform/_running.py
+++ b/cranberrywall/platform/_running.py
@@ -13,6 +13,7 @@
 from cranberrywall.commands._signals import run_until_stop_signal, stop_within
 from cranberrywall.observability import configure_process_log, log_event
 from cranberrywall.platform._boot import Boot, path_from_environment, read_boot
+from cranberrywall.runtime import resident_bytes
 
 EXIT_NOT_STARTED = 1
 
@@ -65,9 +66,7 @@
 def _resident_kib() -> int:
     """Return the memory of this process that is resident, in KiB; 0 where it cannot be read."""
     try:
-        with open("/proc/self/status", encoding="ascii") as file:
-            lines = [line.split() for line in file if line.startswith("VmRSS:")]
-        return int(lines[0][1])
+        return resident_bytes() // 1024
     except (OSError, IndexError, ValueError) as error:
         log_event("WARNING", "memory_not_known", error)
         return 0
--- a/cranberrywall/runtime/__init__.py
+++ b/cranberrywall/runtime/__init__.py
@@ -15,6 +15,7 @@
     StreamContexts,
     Writer,
 )
+from cranberrywall.runtime._memory_use import resident_bytes
 from cranberrywall.runtime._network import make_network, split_address
 from cranberrywall.runtime._runtime import make_random, make_runtime
 from cranberrywall.runtime._storage import make_storage
@@ -40,5 +41,6 @@
     "make_random",
     "make_runtime",
     "make_storage",
+    "resident_bytes",
     "split_address",
 ]
--- a/tests/platform/crowds.py
+++ b/tests/platform/crowds.py
@@ -53,7 +53,8 @@
 class Crowd:
     """Connections to one process, which stay open until the end of the test."""
 
-    def __init__(self, platform: Platform, machine: Machine, pid: int) -> None:
+    def __init__(self, platform: Platform, machine: Machine, pid: int, worker: Worker) -> None:
+        self._worker = worker
         self._platform = platform
         self._machine = machine
         self._pid = pid
@@ -111,6 +112,8 @@
         """Return whether the process answers an ordinary request while the crowd stays."""
         if self._machine.module == "core":
             return await self._platform.reads_configuration(self._machine, ANSWERED_S)
+        # While the target works for longer than this request waits, no host could answer it.
+        self._worker.work_s = 0.0
         answer = await self._platform.until_answered(self._machine, PATH, ANSWERED_S)
         return answer.status == 200
 
@@ -153,7 +156,7 @@
             await platform.until_answered(front, PATH)
         worker.work_s = work_s
         machines = {machine.name: machine for machine in (*platform.cores, *platform.fronts)}
-        made = Crowd(platform, machines[name], platform.process(machines[name]).pid)
+        made = Crowd(platform, machines[name], platform.process(machines[name]).pid, worker)
         yield made
     finally:
         if made is not None:
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -45,6 +45,11 @@
     assert decode_boot({**FIELDS, "limits": {"link_mbps": 8.0}}).unwrap().link_bytes_per_s == 1e6
 
 
+def test_the_limits_of_a_process_are_read() -> None:
+    boot = decode_boot({**FIELDS, "limits": {"memory_mb": 160, "max_fds": 4100}}).unwrap()
+    assert (boot.memory_bytes, boot.max_fds) == (160_000_000, 4100)
+
+
 FIELDS: dict[str, Any] = {
     "node": "front-1",
     "ip": "10.1.0.4",
