--- a/cranberrywall/intake/_listener.py
+++ b/cranberrywall/intake/_listener.py
@@ -63,15 +63,13 @@
     refused. Its caller connects again within a second, or gives up and tries another host.
     """
 
-    def __init__(
-        self, address: str, make_protocol: ProtocolFactory, limit: LinkLimit, clock: Clock
-    ) -> None:
+    def __init__(self, address: str, limit: LinkLimit, clock: Clock) -> None:
         self._address = address
-        self._make_protocol = make_protocol
         self._limit = limit
         self._clock = clock
         self.load = LinkLoad(limit, clock.now())
         self._socket: socket.socket | None = None
+        self._make_protocol: ProtocolFactory | None = None
         self._resuming: asyncio.Task[None] | None = None
         self._accepting: set[asyncio.Task[None]] = set()
         self._accepts_always = False
@@ -83,8 +81,9 @@
         """Return whether no connection is accepted now."""
         return self._resuming is not None
 
-    def start(self) -> None:
-        """Listen, or raise ``OSError``."""
+    def start(self, make_protocol: ProtocolFactory) -> None:
+        """Listen, or raise ``OSError``; ``make_protocol`` is called for each connection."""
+        self._make_protocol = make_protocol
         self._socket = make_listening_socket(self._address, pending_connections(self._limit))
         self._watch()
 
@@ -180,6 +179,7 @@
             task.add_done_callback(self._accepting.discard)
 
     async def _connect(self, connection: socket.socket) -> None:
+        assert self._make_protocol is not None
         try:
             loop = asyncio.get_running_loop()
             await loop.connect_accepted_socket(self._make_protocol, connection)
--- a/cranberrywall/platform/_front.py
+++ b/cranberrywall/platform/_front.py
@@ -61,7 +61,7 @@
         self._last_arrival_at = float("-inf")
         self._other_listeners: list[ApplicationListener] = []
         self._front_runner: web.ServerRunner | None = None
-        self._listener: CallerListener | None = None
+        self._listener = CallerListener(boot.front, LinkLimit(boot.link_bytes_per_s), clock)
         self._intake = make_intake(boot.memory_bytes, boot.max_fds, clock)
         self._closing: asyncio.Task[None] | None = None
         self.running = 0
@@ -83,9 +83,7 @@
         )
         self._front_runner = web.ServerRunner(server, shutdown_timeout=CLOSE_S)
         await self._front_runner.setup()
-        limit = LinkLimit(self._boot.link_bytes_per_s)
-        self._listener = CallerListener(self._boot.front, server, limit, self._clock)
-        self._listener.start()
+        self._listener.start(server)
         app = web.Application()
         app.router.add_get("/v1/ready", self._answer_ready)
         app.router.add_get("/v1/resolve", self._answer_resolve)
@@ -108,8 +106,7 @@
         origins.export(parts.metrics)
         self._traffic.export(parts.metrics)
         self._intake.export(parts.metrics)
-        if self._listener is not None:
-            self._listener.export(parts.metrics)
+        self._listener.export(parts.metrics)
         self._forwarder = Forwarder(
             parts.configuration,
             parts.allotments,
@@ -128,8 +125,7 @@
     def start_draining(self) -> None:
         """Be ready and named no more, and serve only requests that can end in time."""
         now = self._draining_since = self._clock.now()
-        if self._listener is not None:
-            self._listener.accept_always()
+        self._listener.accept_always()
         if self._forwarder is not None:
             self._forwarder.start_shutdown(now + self._stop_times.serve_s)
 
@@ -139,8 +135,7 @@
 
     async def stop_listening(self) -> None:
         """Accept no new connection, and close each open one once it has no request."""
-        if self._listener is not None:
-            self._listener.close()
+        self._listener.close()
         if self._front_runner is None or self._front_runner.server is None:
             return
         closing = close_idle_connections(self._front_runner.server, self._clock)
@@ -165,8 +160,7 @@
         for task in (self._closing, self._traffic_task):
             if task is not None:
                 task.cancel()
-        if self._listener is not None:
-            self._listener.close()
+        self._listener.close()
         for listener in self._other_listeners:
             await listener.close()
         if self._front_runner is not None:
@@ -208,8 +202,7 @@
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         now = self._clock.now()
         self._last_arrival_at = now
-        if self._listener is not None:
-            self._listener.record_request(request.content_length or 0, now)
+        self._listener.record_request(request.content_length or 0, now)
         parts, forwarder = self._parts, self._forwarder
         if parts is None or forwarder is None:
             return refuse(_NOT_READY)
@@ -230,7 +223,7 @@
                 response.force_close()
             return response
         self._traffic.record_received(len(body.ok_value))
-        if request.content_length is None and self._listener is not None:
+        if request.content_length is None:
             self._listener.record_request(len(body.ok_value), self._clock.now())
         decoded = decode_arrival(
             request.method,
@@ -271,16 +264,14 @@
 
     def _record_sent(self, size: int) -> None:
         self._traffic.record_sent(size)
-        if self._listener is not None:
-            self._listener.record_answer(size, self._clock.now())
+        self._listener.record_answer(size, self._clock.now())
 
     def _closes_after(self, request: web.BaseRequest) -> bool:
         """Return whether to close a caller's connection after the answer to ``request``.
 
         While no connection is accepted, open ones would go on to bring requests.
         """
-        is_paused = self._listener is not None and self._listener.is_paused
-        closes = self._draining_since is not None or is_paused
+        closes = self._draining_since is not None or self._listener.is_paused
         return closes and not has_unread_request(request.protocol)
 
     async def _answer_ready(self, request: web.Request) -> web.Response:
--- a/tests/intake/test_listener.py
+++ b/tests/intake/test_listener.py
@@ -28,7 +28,7 @@
         probe.bind((HOST, 0))
         port = probe.getsockname()[1]
     Protocol.made = 0
-    return CallerListener(f"{HOST}:{port}", Protocol, LinkLimit(RATE), make_clock())
+    return CallerListener(f"{HOST}:{port}", LinkLimit(RATE), make_clock())
 
 
 async def connect(listener: CallerListener) -> asyncio.StreamWriter:
@@ -47,7 +47,7 @@
 
 async def test_no_connection_is_accepted_while_the_link_is_full(listener: CallerListener) -> None:
     """Guards against callers that fill a link which is full already."""
-    listener.start()
+    listener.start(Protocol)
     now = make_clock().now()
     listener.record_request(round(RATE / 4), now)
     assert listener.is_paused
@@ -63,7 +63,7 @@
 async def test_a_host_that_stops_accepts_connections_on_a_full_link(
     listener: CallerListener,
 ) -> None:
-    listener.start()
+    listener.start(Protocol)
     listener.record_request(round(100 * RATE), make_clock().now())
     listener.accept_always()
     writer = await connect(listener)
@@ -73,7 +73,7 @@
 
 
 async def test_open_connections_outlive_the_listener(listener: CallerListener) -> None:
-    listener.start()
+    listener.start(Protocol)
     writer = await connect(listener)
     assert await until_made(1)
     listener.close()
