Count large bodies on the link as they arrive, and for a second at most

A caller that announced a body of 4 MiB and never sent it would keep a host on a link of 5 Mbit/s from accepting connections for 16 s (computed: twice 4 MiB at 0.8 of 625 kB a second), as the whole body counted when its head arrived. Of an announced body 64 KiB count now, the rest as it arrives, and more than a second is never counted.

--- a/cranberrywall/intake/_link_load.py
+++ b/cranberrywall/intake/_link_load.py
@@ -17,6 +17,12 @@
 HEAD_BYTES = 1000
 """Assumed size of a request's head and of its connection's packets, in bytes."""
 
+MAX_ANNOUNCED_BYTES = 64 * 1024
+"""Bytes of a body that count before they have arrived: its caller may never send it."""
+
+MAX_COUNTED_S = 1.0
+"""Longest time that is counted, in seconds: a few large bodies must not shut out all callers."""
+
 FIRST_REQUEST_BYTES = 16_000
 """Assumed size of the request that a new connection brings, until its head has arrived."""
 
@@ -34,8 +40,9 @@
     """Estimate how long the link needs for the requests that were admitted.
 
     Both directions share a link, and what a host receives it sends on: bytes of requests and of
-    answers count twice. They drain at the rate of the link (a leaky bucket). A body that is still
-    to be forwarded counts from when its head arrives, which a measured queue would miss.
+    answers count twice. They drain at the rate of the link (a leaky bucket). A body counts from
+    when its head arrives, which a measured queue would miss; the part of a large one that is beyond
+    ``MAX_ANNOUNCED_BYTES`` counts once it has arrived.
     """
 
     def __init__(self, limit: LinkLimit, now: float) -> None:
@@ -51,10 +58,15 @@
             self._accepted_at.append(now)
 
     def record_request(self, body_bytes: int, now: float) -> None:
-        """Record a request whose head arrived; ``body_bytes`` is the size of its body."""
+        """Record a request whose head arrived and announces a body of ``body_bytes``."""
         if self._accepted_at:
             self._accepted_at.popleft()
-        self._add(2 * (body_bytes + HEAD_BYTES), now)
+        self._add(2 * (min(body_bytes, MAX_ANNOUNCED_BYTES) + HEAD_BYTES), now)
+
+    def record_body(self, announced_bytes: int, body_bytes: int, now: float) -> None:
+        """Record that a body has arrived; ``announced_bytes`` is 0 if its head had no size."""
+        counted_bytes = min(announced_bytes, MAX_ANNOUNCED_BYTES)
+        self._add(2 * max(0, body_bytes - counted_bytes), now)
 
     def record_answer(self, size: int, now: float) -> None:
         """Record ``size`` bytes of an answer."""
@@ -80,7 +92,8 @@
     def _add(self, size: int, now: float) -> None:
         if self._bytes_per_s is None:
             return
-        self._bytes = self._admitted_s(now) * self._bytes_per_s + size
+        added_s = self._admitted_s(now) + size / self._bytes_per_s
+        self._bytes = min(MAX_COUNTED_S, added_s) * self._bytes_per_s
         self._drained_at = now
 
     def _admitted_s(self, now: float) -> float:
--- a/cranberrywall/intake/_listener.py
+++ b/cranberrywall/intake/_listener.py
@@ -105,10 +105,15 @@
             self._resume()
 
     def record_request(self, body_bytes: int, now: float) -> None:
-        """Record a request whose head arrived; ``body_bytes`` is the size of its body."""
+        """Record a request whose head arrived and announces a body of ``body_bytes``."""
         self.load.record_request(body_bytes, now)
         self._check(now)
 
+    def record_body(self, announced_bytes: int, body_bytes: int, now: float) -> None:
+        """Record that a body has arrived; ``announced_bytes`` is 0 if its head had no size."""
+        self.load.record_body(announced_bytes, body_bytes, now)
+        self._check(now)
+
     def record_answer(self, size: int, now: float) -> None:
         """Record ``size`` bytes of an answer."""
         self.load.record_answer(size, now)
--- a/cranberrywall/platform/_front.py
+++ b/cranberrywall/platform/_front.py
@@ -223,8 +223,8 @@
                 response.force_close()
             return response
         self._traffic.record_received(len(body.ok_value))
-        if request.content_length is None:
-            self._listener.record_request(len(body.ok_value), self._clock.now())
+        announced = request.content_length or 0
+        self._listener.record_body(announced, len(body.ok_value), self._clock.now())
         decoded = decode_arrival(
             request.method,
             request.raw_path,
--- a/tests/intake/test_link_load.py
+++ b/tests/intake/test_link_load.py
@@ -6,6 +6,8 @@
 from cranberrywall.intake._link_load import (
     FIRST_REQUEST_S,
     HEAD_BYTES,
+    MAX_ANNOUNCED_BYTES,
+    MAX_COUNTED_S,
     MAX_QUEUE_S,
     REQUEST_SHARE,
     RESUME_QUEUE_S,
@@ -72,6 +74,38 @@
     assert link.queue_s(FIRST_REQUEST_S + 0.01) == 0.0
 
 
+def test_a_large_body_counts_as_it_arrives() -> None:
+    """Guards against callers that announce large bodies and never send them."""
+    announced = LinkLoad(LinkLimit(200 * RATE), now=0.0)
+    announced.record_request(4_000_000, now=0.0)
+    expected_s = 2 * (MAX_ANNOUNCED_BYTES + HEAD_BYTES) / (200 * DRAINED)
+    assert announced.queue_s(0.0) == pytest.approx(expected_s)
+    announced.record_body(4_000_000, 4_000_000, now=0.0)
+    assert announced.queue_s(0.0) == pytest.approx(2 * (4_000_000 + HEAD_BYTES) / (200 * DRAINED))
+
+
+def test_a_body_counts_once() -> None:
+    link = load()
+    link.record_request(9_000, now=0.0)
+    before = link.queue_s(0.0)
+    link.record_body(9_000, 9_000, now=0.0)
+    assert link.queue_s(0.0) == before
+
+
+def test_a_body_without_an_announced_size_counts_as_it_arrives() -> None:
+    link = load()
+    link.record_body(0, 9_000, now=0.0)
+    assert link.queue_s(0.0) == pytest.approx(18_000 / DRAINED)
+
+
+def test_large_bodies_shut_out_other_callers_for_a_limited_time() -> None:
+    """Guards against a host that accepts nobody while it forwards a few large bodies."""
+    link = load()
+    for _ in range(3):
+        link.record_body(0, 4_000_000, now=0.0)
+    assert link.queue_s(0.0) == MAX_COUNTED_S
+
+
 def test_a_link_of_unknown_rate_is_never_full() -> None:
     link = load(None)
     link.record_accepted(0.0)
