Check the hosts of a schedule also if all have heard of a leaving target

The schedules lose the hosts that have heard 0.005 s after the acknowledgement and check the others. If all have heard by then, none was left, and the largest of no delays was asked for. All hosts are checked then instead, so no schedule ends without a check.

--- a/measurements/confirmed_changes.py
+++ b/measurements/confirmed_changes.py
@@ -237,6 +237,8 @@
         acknowledged_at = await fleet.announce(leaving, control)
         await fleet.clock.sleep(0.005)
         well = [one for one in fleet.entries if names <= one.targets.by_id.keys()]
+        # If all hosts have heard by now, none is lost, so that some are left to check.
+        well = well or list(fleet.entries)
         fleet.silence([one for one in fleet.entries if one not in well])
         if loses_control:
             fleet.silence([control])
