--- a/cranberrywall/platform/_boot.py
+++ b/cranberrywall/platform/_boot.py
@@ -68,8 +68,8 @@
     does not serve them. ``may_form`` says that the whole system starts for the first time.
     ``grace_s`` is the time from the request to stop until the process is killed. The fleet's
     retries are bounded by ``retry_share`` of its requests and ``retry_slack`` more.
-    ``link_bytes_per_s`` is the rate of the machine's link, ``None`` if it is not told.
-    ``memory_bytes`` and ``max_fds`` limit the process, and are 0 if they are not told.
+    ``link_bytes_per_s`` is the rate of the machine's link, ``None`` if it is not known.
+    ``memory_bytes`` and ``max_fds`` limit the process, and are 0 if they are not known.
     """
 
     host: str
--- a/measurements/confirmed_changes.py
+++ b/measurements/confirmed_changes.py
@@ -237,7 +237,7 @@
         acknowledged_at = await fleet.announce(leaving, control)
         await fleet.clock.sleep(0.005)
         well = [one for one in fleet.entries if names <= one.targets.by_id.keys()]
-        # If all hosts have heard by now, none is lost, so that some are left to check.
+        # If all hosts have received it by now, none is lost, so that some are left to check.
         well = well or list(fleet.entries)
         fleet.silence([one for one in fleet.entries if one not in well])
         if loses_control:
--- a/tests/intake/test_connection.py
+++ b/tests/intake/test_connection.py
@@ -64,7 +64,7 @@
 
 
 async def test_an_incomplete_request_is_refused_with_a_time_to_come_back(served: Served) -> None:
-    """Guards against an evicted request whose caller is not told that it did not run."""
+    """Guards against an evicted request whose caller receives no promise that it did not run."""
     first = await served.send(200_000, 190_000)
     await served.until_held(190_000)
     second = await served.send(200_000, 150_000)
--- a/tests/intake/test_link_load.py
+++ b/tests/intake/test_link_load.py
@@ -99,7 +99,7 @@
 
 
 def test_large_bodies_shut_out_other_callers_for_a_limited_time() -> None:
-    """Guards against a host that accepts nobody while it forwards a few large bodies."""
+    """Guards against a host that accepts no connection while it forwards a few large bodies."""
     link = load()
     for _ in range(3):
         link.record_body(0, 4_000_000, now=0.0)
