Load only what a program uses before its first request

Callers were served nothing for 9.2 to 10.6 s around a loss of power of all hosts, most of which was the start of the control programs: 0.4 to 0.55 s of processor time on a small share of a core.

Cause: a control program imported the YAML parser and the command line library of the settings, aiomisc with its profiler and terminal renderer, and all of forwarding, routing, quarantine, rates and tunnels, the last through one function in a module of the callers' requests.

Settings import YAML with the first text, options of commands are a module of their own, refusals of the platform too, and the event loop is run by asyncio's Runner with uvloop in place of aiomisc. test_signals keeps its checks; its service needs no base class any more.

tests/platform/test_imports.py named the outer modules, which import their program only later: it could not fail. It names the programs now, and the new names failed on (aiomisc, cProfile, click, rich, yaml for both, forwarding, routing and quarantine for control).

--- a/cranberrywall/commands/_running.py
+++ b/cranberrywall/commands/_running.py
@@ -3,15 +3,13 @@
 import asyncio
 import sys
 from collections.abc import Callable
-from typing import Protocol
 
-import aiomisc
 import click
 
+from cranberrywall.commands._program import Program
 from cranberrywall.commands._secured import make_secured
 from cranberrywall.commands._signals import run_until_stop_signal, stop_within
 from cranberrywall.observability import (
-    StateRegistry,
     configure_process_log,
     dump_state_on_signal,
     log_event,
@@ -20,34 +18,16 @@
 from cranberrywall.settings import Settings
 from cranberrywall.tls import TlsKeeper
 
-Make = Callable[[Settings, Runtime, TlsKeeper | None], "Program"]
+Make = Callable[[Settings, Runtime, TlsKeeper | None], Program]
 
 EXIT_NOT_STARTED = 1
 SHUTDOWN_S = 60.0
 
 
-class Program(Protocol):
-    """Define what a process does between its start and its end."""
-
-    @property
-    def state(self) -> StateRegistry:
-        """Return what SIGUSR1 and ``/state`` dump."""
-        ...
-
-    async def start(self) -> None:
-        """Start serving, or raise ``OSError`` where an address cannot be bound."""
-        ...
-
-    async def stop(self) -> None:
-        """End the work in good order."""
-        ...
-
-
-class _ProgramService(aiomisc.Service):
+class _ProgramService:
     """Start and stop a program with the process."""
 
     def __init__(self, settings: Settings, make: Make, shutdown_timeout: float) -> None:
-        super().__init__()
         self._settings = settings
         self._make = make
         self._shutdown_timeout = shutdown_timeout
@@ -62,7 +42,7 @@
         dump_state_on_signal(self._program.state)
         self._watch = secured.watch()
 
-    async def stop(self, exception: Exception | None = None) -> None:
+    async def stop(self) -> None:
         """Stop the program."""
         if self._watch is not None:
             self._watch.cancel()
--- a/cranberrywall/commands/_signals.py
+++ b/cranberrywall/commands/_signals.py
@@ -4,8 +4,8 @@
 import signal
 from collections.abc import Awaitable, Callable
 from functools import partial
+from typing import Protocol
 
-import aiomisc
 import uvloop
 
 from cranberrywall.observability import log_event
@@ -16,25 +16,38 @@
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
-def run_until_stop_signal(service: aiomisc.Service, on_reload: Callable[[], None]) -> None:
+class Service(Protocol):
+    """Define what runs in a process until a signal."""
+
+    async def start(self) -> None:
+        """Start the work; raise ``OSError`` where it cannot start."""
+        ...
+
+    async def stop(self) -> None:
+        """End the work."""
+        ...
+
+
+def run_until_stop_signal(service: Service, on_reload: Callable[[], None]) -> None:
     """Run ``service`` until SIGTERM or SIGINT, and stop it.
 
     Only the first of these signals has an effect: ending a process that already stops would cut
     its requests. ``on_reload`` is called on SIGHUP. Errors of the service's start are raised.
     """
-    entrypoint = aiomisc.entrypoint(
-        service,
-        log_config=False,
-        loop_factory=uvloop.new_event_loop,
-        # aiomisc restores the default handlers with the first signal.
-        catch_signals=(),
-    )
-    is_requested = asyncio.Event()
-    for number in _STOP_SIGNALS:
-        _call_on_signal(entrypoint.loop, number, partial(_request_stop, number, is_requested))
-    _call_on_signal(entrypoint.loop, signal.SIGHUP, on_reload)
-    with entrypoint as loop:
-        loop.run_until_complete(is_requested.wait())
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        is_requested = asyncio.Event()
+        for number in _STOP_SIGNALS:
+            _call_on_signal(runner.get_loop(), number, partial(_request_stop, number, is_requested))
+        _call_on_signal(runner.get_loop(), signal.SIGHUP, on_reload)
+        runner.run(service.start())
+        try:
+            runner.run(_wait(is_requested))
+        finally:
+            runner.run(service.stop())
+
+
+async def _wait(event: asyncio.Event) -> None:
+    await event.wait()
 
 
 async def stop_within(seconds: float, stop: Awaitable[None]) -> None:
--- a/cranberrywall/commands/accounts.py
+++ b/cranberrywall/commands/accounts.py
@@ -7,7 +7,7 @@
 
 from cranberrywall.console import Accounts, Role, make_accounts
 from cranberrywall.runtime import make_storage
-from cranberrywall.settings import load_or_exit
+from cranberrywall.settings.options import load_or_exit
 
 EXIT_BAD_INPUT = 2
 
--- a/cranberrywall/commands/console.py
+++ b/cranberrywall/commands/console.py
@@ -4,7 +4,8 @@
 
 from cranberrywall.commands._console_program import make_console_program
 from cranberrywall.commands._running import run_until_signal
-from cranberrywall.settings import Settings, settings_options
+from cranberrywall.settings import Settings
+from cranberrywall.settings.options import settings_options
 
 
 @click.command()
--- a/cranberrywall/commands/entry.py
+++ b/cranberrywall/commands/entry.py
@@ -10,7 +10,8 @@
 from cranberrywall.commands._running import run_until_signal
 from cranberrywall.observability import StateRegistry
 from cranberrywall.runtime import Runtime
-from cranberrywall.settings import Settings, settings_options
+from cranberrywall.settings import Settings
+from cranberrywall.settings.options import settings_options
 from cranberrywall.tls import TlsKeeper
 
 LONGEST_DRAIN_S = 3600.0
--- a/cranberrywall/configuration/_yaml.py
+++ b/cranberrywall/configuration/_yaml.py
@@ -2,7 +2,6 @@
 
 from typing import cast
 
-import yaml
 from result import Err, Ok, Result
 
 from cranberrywall.configuration._document import Document
@@ -25,4 +24,7 @@
 
 def dump_document(document: Document) -> str:
     """Return the document as YAML that ``load_document`` reads back unchanged."""
+    # Programs that write no YAML start without the library.
+    import yaml
+
     return yaml.safe_dump(document, sort_keys=False, allow_unicode=True)
--- a/cranberrywall/platform/_arrivals.py
+++ b/cranberrywall/platform/_arrivals.py
@@ -1,20 +1,15 @@
-"""Decode callers' requests, and encode what they are told."""
+"""Decode callers' requests."""
 
-import json
 from collections.abc import Sequence
 
-from aiohttp import web
-from multidict import CIMultiDict
 from result import Err, Ok, Result
 
-from cranberrywall.errors import ErrorKind, Ran, Refusal, answer_for
+from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.forwarding import Arrival, Generation, Headers, PromptPart
 from cranberrywall.platform import _headers as names
 
 _MOST_PARTS = 256
 _LONGEST_ID = 256
-_GATEWAY_TIMEOUT = 504
-_NOT_NOW = 503
 
 RawHeaders = Sequence[tuple[bytes, bytes]]
 
@@ -117,31 +112,3 @@
 
 def _bad(header: str, message: str, remedy: str) -> Refusal:
     return Refusal(ErrorKind.BAD_REQUEST, message, header, remedy)
-
-
-def encode_refusal(refusal: Refusal) -> tuple[int, CIMultiDict[str], bytes]:
-    """Return status, headers and body of a refusal.
-
-    Callers take 503 as a promise that the request did not run, and 504 as none. What the
-    project's table calls a timeout before anything was sent is therefore a 503 here.
-    """
-    answer = answer_for(refusal)
-    status = answer.status
-    if status == _GATEWAY_TIMEOUT and answer.ran is Ran.NO:
-        status = _NOT_NOW
-    headers = CIMultiDict({"Content-Type": "application/json"})
-    if answer.retry_after is not None:
-        headers["Retry-After"] = f"{answer.retry_after:.2f}"
-    error = {
-        "code": str(refusal.kind),
-        "message": refusal.message,
-        "field": refusal.field,
-        "remedy": refusal.remedy,
-    }
-    return status, headers, json.dumps({"error": error}).encode()
-
-
-def refuse(refusal: Refusal) -> web.Response:
-    """Return the HTTP response of a refusal."""
-    status, headers, body = encode_refusal(refusal)
-    return web.Response(status=status, headers=headers, body=body)
--- a/cranberrywall/platform/_control.py
+++ b/cranberrywall/platform/_control.py
@@ -9,8 +9,8 @@
 from cranberrywall.intake import ApplicationListener, Intake, read_whole_body
 from cranberrywall.observability import log_event
 from cranberrywall.platform._announcements import decode_heartbeat, decode_leave
-from cranberrywall.platform._arrivals import refuse
 from cranberrywall.platform._documents import decode_document
+from cranberrywall.platform._refusals import refuse
 from cranberrywall.runtime import Clock
 from cranberrywall.targets import Announcement
 
--- a/cranberrywall/platform/_front.py
+++ b/cranberrywall/platform/_front.py
@@ -25,10 +25,11 @@
     read_whole_body,
 )
 from cranberrywall.observability import log_event
-from cranberrywall.platform._arrivals import decode_arrival, refuse
+from cranberrywall.platform._arrivals import decode_arrival
 from cranberrywall.platform._boot import ADDRESS_TTL_S, Boot
 from cranberrywall.platform._dialect import TargetDialect
 from cranberrywall.platform._directory import choose_addresses
+from cranberrywall.platform._refusals import refuse
 from cranberrywall.platform._replies import HttpReply
 from cranberrywall.platform._stop_times import stop_times
 from cranberrywall.runtime import Clock
--- a/cranberrywall/platform/_running.py
+++ b/cranberrywall/platform/_running.py
@@ -5,11 +5,10 @@
 from collections.abc import Callable
 from functools import partial
 
-import aiomisc
 from result import Err
 
 from cranberrywall import STARTED_PROCESSOR_S
-from cranberrywall.commands._running import Program
+from cranberrywall.commands._program import Program
 from cranberrywall.commands._signals import run_until_stop_signal, stop_within
 from cranberrywall.observability import configure_process_log, log_event
 from cranberrywall.platform._boot import Boot, path_from_environment, read_boot
@@ -20,11 +19,10 @@
 Make = Callable[[Boot], Program]
 
 
-class _ProgramService(aiomisc.Service):
+class _ProgramService:
     """Start and stop a program with the process."""
 
     def __init__(self, boot: Boot, make: Make) -> None:
-        super().__init__()
         self._boot = boot
         self._make = make
         self._program: Program | None = None
@@ -41,7 +39,7 @@
             first_start=self._boot.may_form,
         )
 
-    async def stop(self, exception: Exception | None = None) -> None:
+    async def stop(self) -> None:
         """Stop the program."""
         log_event("INFO", "process_stopping", processor_s=_processor_s())
         if self._program is not None:
--- a/cranberrywall/settings/__init__.py
+++ b/cranberrywall/settings/__init__.py
@@ -1,9 +1,11 @@
-"""Read and check the one settings file of a process."""
+"""Read and check the one settings file of a process.
+
+``settings.options`` makes command lines; programs without one don't import it.
+"""
 
 from cranberrywall.settings._defaults import DEFAULTS, with_defaults
 from cranberrywall.settings._keys import FleetKeys, load_fleet_keys, make_keys_file
 from cranberrywall.settings._load import load_settings
-from cranberrywall.settings._options import load_or_exit, settings_options
 from cranberrywall.settings._problem import Problem
 from cranberrywall.settings._settings import (
     Callers,
@@ -47,13 +49,11 @@
     "check_tls",
     "expiry_of",
     "load_fleet_keys",
-    "load_or_exit",
     "load_settings",
     "make_keys_file",
     "parse_yaml",
     "resolve_tls_paths",
     "seconds",
-    "settings_options",
     "size_in_bytes",
     "tls_files_of",
     "with_defaults",
--- a/cranberrywall/settings/_keys.py
+++ b/cranberrywall/settings/_keys.py
@@ -5,7 +5,6 @@
 from pathlib import Path
 from typing import Annotated, NamedTuple, NotRequired, TypedDict
 
-import yaml
 from msgspec import Meta
 from result import Err, Ok, Result
 
@@ -64,6 +63,9 @@
     Raise ``FileExistsError`` rather than replace one.
     """
     keys = {name: secrets.token_urlsafe(_SECRET_CHARACTERS) for name in _KeyFile.__annotations__}
+    # Programs that get their keys from elsewhere start without the YAML library.
+    import yaml
+
     file = Path(path)
     file.touch(mode=0o600, exist_ok=False)
     file.write_text(yaml.safe_dump(keys, sort_keys=False), encoding="utf-8")
--- a/deploy/build.py
+++ b/deploy/build.py
@@ -17,8 +17,6 @@
 
 NEEDED = (
     "aiohttp",
-    "aiomisc",
-    "click",
     "cryptography",
     "hdrhistogram",
     "loguru",
@@ -26,9 +24,7 @@
     "msgspec",
     "numpy",
     "prometheus_client",
-    "PyYAML",
     "result",
-    "rich",
     "uvloop",
     "xxhash",
 )
--- a/tests/commands/test_signals.py
+++ b/tests/commands/test_signals.py
@@ -13,7 +13,6 @@
 
 PROGRAM = """
 import asyncio, sys
-import aiomisc
 from cranberrywall.commands._signals import run_until_stop_signal, stop_within
 
 start_s, stop_s, limit_s = map(float, sys.argv[1:])
@@ -21,13 +20,13 @@
 def say(line):
     print(line, flush=True)
 
-class Service(aiomisc.Service):
+class Service:
     async def start(self):
         say("starting")
         await asyncio.sleep(start_s)
         say("started")
 
-    async def stop(self, exception=None):
+    async def stop(self):
         say("stopping")
         await stop_within(limit_s, asyncio.sleep(stop_s))
         say("stopped")
--- a/tests/platform/test_arrivals.py
+++ b/tests/platform/test_arrivals.py
@@ -5,8 +5,9 @@
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.forwarding import Arrival, Attempt, PromptPart
 from cranberrywall.platform._announcements import decode_heartbeat, decode_leave
-from cranberrywall.platform._arrivals import decode_arrival, encode_refusal
+from cranberrywall.platform._arrivals import decode_arrival
 from cranberrywall.platform._dialect import TargetDialect
+from cranberrywall.platform._refusals import encode_refusal
 
 HEADERS = [
     (b"Host", b"a.example"),
--- a/tests/platform/test_imports.py
+++ b/tests/platform/test_imports.py
@@ -5,9 +5,21 @@
 
 import pytest
 
+PEOPLES_LIBRARIES = ("aiomisc", "cProfile", "click", "rich", "yaml")
+"""Read command lines and YAML, write to terminals, and profile: the platform asks for none."""
+
 NEEDLESS = {
-    "front": ("numpy", "cryptography", "hdrh", "jinja2", "matplotlib"),
-    "core": ("cryptography", "hdrh", "jinja2", "matplotlib"),
+    "front": ("numpy", "cryptography", "hdrh", "jinja2", "matplotlib", *PEOPLES_LIBRARIES),
+    "core": (
+        "cryptography",
+        "hdrh",
+        "jinja2",
+        "matplotlib",
+        *PEOPLES_LIBRARIES,
+        "cranberrywall.forwarding",
+        "cranberrywall.routing",
+        "cranberrywall.quarantine",
+    ),
 }
 
 
@@ -19,7 +31,7 @@
     host never uses. Cause: modules that name them are imported for something else.
     """
     code = (
-        f"import sys, cranberrywall.platform.{module}\n"
+        f"import sys, cranberrywall.platform._{module}_program\n"
         f"print(*[name for name in {NEEDLESS[module]!r} if name in sys.modules])"
     )
     ran = subprocess.run(
--- a/tests/settings/test_load.py
+++ b/tests/settings/test_load.py
@@ -19,9 +19,9 @@
     load_fleet_keys,
     load_settings,
     make_keys_file,
-    settings_options,
     with_defaults,
 )
+from cranberrywall.settings.options import settings_options
 
 Change = Callable[[dict[str, Any]], object]
 
