Charge no input for a stream that broke before its first event

Cause: a request's input was charged as soon as it was sent, unless the target said that it did not run it.

Such an attempt adds no input now. All else is charged as before, with the tests that hold it: calls whose answer is lost, targets without a response, callers that leave, a stream that broke within its first event. An empty read of the body is no progress of a run any more.

Tests: four cases of a stream that broke before its first event failed before (100 tokens charged).

--- a/cranberrywall/forwarding/_attempt_record.py
+++ b/cranberrywall/forwarding/_attempt_record.py
@@ -68,7 +68,7 @@
     """Charge the request's input from now on; free the slot with the outcome at the end.
 
     A timeout in the block is converted to an ``AttemptFailedError``. If the target did not run
-    the request, its input is not charged.
+    the request, or made no token of it, its input is not charged.
     """
     arrival = attempt.arrival
     run = tracker.begin(
@@ -88,12 +88,12 @@
     except TimeoutError as error:
         failure = _timed_out(record, attempt)
         if failure.kind in DID_NOT_RUN:
-            funds.record_not_run()
+            funds.record_no_output()
         record.record_failure(failure, clock.now())
         raise failure from error
     except AttemptFailedError as failure:
-        if failure.kind in DID_NOT_RUN:
-            funds.record_not_run()
+        if failure.kind in DID_NOT_RUN or _broke_before_output(failure, attempt, run):
+            funds.record_no_output()
         if failure.head is not None:
             record_head(slot, failure.head, arrival.request_id, clock.now())
         record.record_failure(failure, clock.now())
@@ -104,6 +104,15 @@
         slot.finish(record.outcome, now)
 
 
+def _broke_before_output(failure: AttemptFailedError, attempt: Attempt, run: Run) -> bool:
+    """Return whether the connection of a stream broke before any byte of its events.
+
+    A target sends an event as soon as it has the token. A call may have run to its end.
+    """
+    is_broken = failure.kind is FailureKind.BROKEN
+    return is_broken and attempt.is_streamed and run.progress_at is None
+
+
 def _timed_out(record: AttemptRecord, attempt: Attempt) -> AttemptFailedError:
     if not record.connection.may_be_sent:
         return AttemptFailedError(FailureKind.UNSENT, "no connection before the deadline")
--- a/cranberrywall/forwarding/_billing.py
+++ b/cranberrywall/forwarding/_billing.py
@@ -42,10 +42,10 @@
 class RequestFunds:
     """Reserved funds of one request, which are charged at most once.
 
-    The input is charged as soon as a target may have started to run the request. The output is
-    charged as it is sent to the caller. A request that no target started therefore costs nothing.
-    An unresponsive target may have started the request before it stopped responding, so the input
-    is charged then, too.
+    The input is charged as soon as a target may have made a token of the request. The output is
+    charged as it is sent to the caller. A request that no target started therefore costs nothing,
+    and neither does a stream whose connection broke before its first event. An unresponsive target
+    may have started the request before it stopped responding, so the input is charged then, too.
     """
 
     def __init__(
@@ -83,13 +83,13 @@
     def record_sent(self) -> None:
         """Record that the request is sent to a target, which may start to run it from now on.
 
-        The input is charged no matter how the attempt ends after that, even if the caller
-        disconnects.
+        Unless ``record_no_output`` is called, the input is charged however the attempt ends, even
+        if the caller disconnects.
         """
         self._possible_runs += 1
 
-    def record_not_run(self) -> None:
-        """Record that the target of the last attempt did not run the request."""
+    def record_no_output(self) -> None:
+        """Record that the target of the last attempt made no token of the request."""
         self._possible_runs -= 1
 
     def record_output(self, tokens: int) -> None:
--- a/cranberrywall/forwarding/_streams.py
+++ b/cranberrywall/forwarding/_streams.py
@@ -119,7 +119,8 @@
             except ValueError as error:
                 raise AttemptFailedError(FailureKind.BROKEN, str(error)) from error
             now = self._clock.now()
-            record.record_progress(now)
+            if chunk:
+                record.record_progress(now)
             if events and first_s is None:
                 first_s = now - started_at
                 slot.record_first_token(now)
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -283,6 +283,40 @@
         assert harness.spent == 150
 
 
+@pytest.mark.parametrize("is_resumable", [False, True])
+@pytest.mark.parametrize("body", [None, b""])
+async def test_a_stream_that_broke_before_its_first_event_costs_nothing(
+    is_resumable: bool, body: bytes | None
+) -> None:
+    """Guards against callers that are refused for tokens that nobody got."""
+    script = drops_connection() if body is None else without_length(body, is_reset=True)
+    async with ForwardingHarness(kind="stream", is_resumable=is_resumable) as harness:
+        await harness.target("a", script)
+        await harness.target("b", script)
+        reply, _ = await harness.serve()
+        assert reply.data == b""
+        assert not reply.is_complete
+        assert harness.spent == 0
+
+
+async def test_a_stream_that_broke_before_its_first_event_costs_its_input_once_it_goes_on() -> None:
+    """Guards against a workspace that spends more than its total."""
+    async with ForwardingHarness(kind="stream", is_resumable=True) as harness:
+        await harness.target("a", drops_connection())
+        await harness.target("b", streams(1, 3))
+        reply, _ = await harness.serve()
+        assert reply.is_complete
+        assert harness.spent == 100 + 3 * 4
+
+
+async def test_a_stream_that_broke_within_its_first_event_costs_its_input() -> None:
+    """Guards against a workspace that spends more than its total: a token was made."""
+    async with ForwardingHarness(kind="stream") as harness:
+        await harness.target("a", without_length(b"id: 1\nda", is_reset=True))
+        await harness.serve()
+        assert harness.spent == 100
+
+
 async def test_a_targets_own_failure_costs_the_input() -> None:
     async with ForwardingHarness(attempts=1) as harness:
         await harness.target("a", answers(500))
