Log why an archive of modules was not used

The line was printed before the log was set up, without the keys that each line has, and docs/reference/log-events.md named an event that no log call writes (test_reference failed). The reason is kept while the program is loaded, and logged as soon as the log is set up.

--- a/cranberrywall/platform/_loading.py
+++ b/cranberrywall/platform/_loading.py
@@ -17,6 +17,9 @@
 
 The build makes archives. A program that is run from changed sources must not name one."""
 
+archive_problems: list[str] = []
+"""Why an archive was not used. The log is not set up while a program is loaded."""
+
 
 def load(module: str) -> ModuleType:
     """Import a module with the collector paused; what is loaded then is never looked at again.
@@ -44,8 +47,7 @@
         with open(path, "rb") as file:
             archive = CodeArchive(file.read())
     except (OSError, ValueError) as error:
-        # The log is not set up yet.
-        print(f"level=WARNING event=code_archive_not_used path={path} error={str(error)!r}")
+        archive_problems.append(f"{path}: {error}")
         return None
     sys.meta_path.insert(0, archive)
     return archive
--- a/cranberrywall/platform/_running.py
+++ b/cranberrywall/platform/_running.py
@@ -12,6 +12,7 @@
 from cranberrywall.commands._signals import run_until_stop_signal, stop_within
 from cranberrywall.observability import configure_process_log, log_event
 from cranberrywall.platform._boot import Boot, path_from_environment, read_boot
+from cranberrywall.platform._loading import archive_problems
 from cranberrywall.runtime import resident_bytes
 
 EXIT_NOT_STARTED = 1
@@ -78,6 +79,8 @@
         sys.exit(EXIT_NOT_STARTED)
     boot = read.ok_value
     configure_process_log(process, boot.host, boot.place, "INFO", sys.stdout)
+    for problem in archive_problems:
+        log_event("WARNING", "code_archive_not_used", problem=problem)
     try:
         run_until_stop_signal(_ProgramService(boot, make), partial(_note_reload, boot))
     except OSError as error:
