Charge the input of a stream whose connection broke on the way

A neighbour that carries it may be lost with the event, a connection that hangs is aborted by this host while events are on their way, and a target whose head is no answer may have run the request.

The input is free only where the target ended a direct connection. Tests: a connection that hangs (failed before), one through a neighbour and a head with status 000 (both hold the present rule).

--- a/cranberrywall/forwarding/_attempt_record.py
+++ b/cranberrywall/forwarding/_attempt_record.py
@@ -92,7 +92,7 @@
         record.record_failure(failure, clock.now())
         raise failure from error
     except AttemptFailedError as failure:
-        if failure.kind in DID_NOT_RUN or _broke_before_output(failure, attempt, run):
+        if failure.kind in DID_NOT_RUN or _broke_before_output(failure, attempt, record):
             funds.record_no_output()
         if failure.head is not None:
             record_head(slot, failure.head, arrival.request_id, clock.now())
@@ -104,13 +104,16 @@
         slot.finish(record.outcome, now)
 
 
-def _broke_before_output(failure: AttemptFailedError, attempt: Attempt, run: Run) -> bool:
-    """Return whether the connection of a stream broke before any byte of its events.
+def _broke_before_output(
+    failure: AttemptFailedError, attempt: Attempt, record: AttemptRecord
+) -> bool:
+    """Return whether the target ended the connection of a stream before any byte of its events.
 
-    A target sends an event as soon as it has the token. A call may have run to its end.
+    A target sends an event as soon as it has the token. A call may have run to its end, and
+    events may be lost on a path that broke.
     """
-    is_broken = failure.kind is FailureKind.BROKEN
-    return is_broken and attempt.is_streamed and run.progress_at is None
+    is_ended_by_target = failure.is_connection_lost and record.connection.only_target_ends
+    return is_ended_by_target and attempt.is_streamed and record.run.progress_at is None
 
 
 def _timed_out(record: AttemptRecord, attempt: Attempt) -> AttemptFailedError:
--- a/cranberrywall/forwarding/_client.py
+++ b/cranberrywall/forwarding/_client.py
@@ -81,7 +81,8 @@
     """Raised when an attempt ends without an answer.
 
     ``answered_s`` is the time since the target started to answer, in seconds; ``None`` if it had
-    not started. ``head`` is the head of the target's answer, if it sent one.
+    not started. ``head`` is the head of the target's answer, if it sent one. ``is_connection_lost``
+    is true if the connection broke, and not if what the target sent is no answer.
     """
 
     def __init__(self, kind: FailureKind, message: str, head: TargetHead | None = None) -> None:
@@ -90,6 +91,7 @@
         self.message = message
         self.head = head
         self.answered_s: float | None = None
+        self.is_connection_lost = False
 
 
 class TargetAnswer(NamedTuple):
@@ -191,8 +193,9 @@
         except _UNSENT_ERRORS as error:
             raise AttemptFailedError(FailureKind.UNSENT, str(error)) from error
         except (_ConnectionLostError, aiohttp.ClientError, ConnectionError) as error:
-            message = f"{type(error).__name__}: {error}"
-            raise AttemptFailedError(FailureKind.BROKEN, message) from error
+            failure = AttemptFailedError(FailureKind.BROKEN, f"{type(error).__name__}: {error}")
+            failure.is_connection_lost = not isinstance(error, aiohttp.ClientResponseError)
+            raise failure from error
 
     async def read_full_body(self, answer: TargetAnswer) -> bytes:
         """Return the body of an answer, or raise ``AttemptFailedError`` if it is too large."""
--- a/cranberrywall/targets/_connections.py
+++ b/cranberrywall/targets/_connections.py
@@ -26,6 +26,8 @@
     ``is_offered`` is called once the connection is established, just before the first byte is sent.
     If it returns false, the connection is closed. ``may_be_sent`` is false until then.
     ``may_repeat`` is true if the request may be sent again after its connection broke.
+    ``only_target_ends`` is true if nothing else is known to end the connection early: it leads
+    through no neighbour, and this host has not aborted it.
     """
 
     def __init__(
@@ -40,6 +42,7 @@
         self.request_id = request_id
         self.is_offered = is_offered
         self.may_be_sent = False
+        self.only_target_ends = False
 
 
 class TargetPaths(Protocol):
@@ -114,6 +117,7 @@
         self.received_at = clock.now()
         self.target = request.target_incarnation.target if request is not None else ""
         self._request = request
+        self.current_request = request
         self._has_received = False
         self._has_ended = False
 
@@ -171,12 +175,20 @@
                 connection.close()
                 raise TargetWithdrawnError("the target was withdrawn during connection setup")
             request.may_be_sent = True
+            self._record_request(connection.protocol, request)
         return connection
 
+    def _record_request(self, protocol: ResponseHandler | None, request: ConnectionRequest) -> None:
+        if isinstance(protocol, _DirectProtocol):
+            protocol.current_request = request
+        request.only_target_ends = self._paths is None or isinstance(protocol, _DirectProtocol)
+
     def abort_unresponsive(self, now: float) -> None:
         """Abort the direct connections that are lost although nothing has closed them."""
         for protocol in list(self._used_protocols):
             if self._is_unresponsive(protocol, now):
+                if isinstance(protocol, _DirectProtocol) and protocol.current_request is not None:
+                    protocol.current_request.only_target_ends = False
                 protocol.abort()
 
     def _is_unresponsive(self, protocol: ResponseHandler, now: float) -> bool:
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -317,6 +317,14 @@
         assert harness.spent == 100
 
 
+async def test_a_stream_with_an_invalid_head_costs_its_input() -> None:
+    """Guards against a workspace that spends more than its total: the target may have run it."""
+    async with ForwardingHarness(kind="stream") as harness:
+        await harness.target("a", without_length(b"odd", is_reset=False, status="000"))
+        await harness.serve()
+        assert harness.spent == 100
+
+
 async def test_a_targets_own_failure_costs_the_input() -> None:
     async with ForwardingHarness(attempts=1) as harness:
         await harness.target("a", answers(500))
--- a/tests/forwarding/test_partitioned_host.py
+++ b/tests/forwarding/test_partitioned_host.py
@@ -245,6 +245,46 @@
         assert not reply.is_complete
 
 
+async def test_a_stream_that_breaks_at_a_neighbour_before_its_first_event_costs_its_input() -> None:
+    """Guards against a workspace that spends more than its total: an event may be lost there."""
+    async with PartitionedPair(kind="stream") as pair:
+        await pair.start_targets(without_length(b"", is_reset=True))
+        pair.partition()
+        reply, _ = await pair.partitioned.serve()
+        assert not reply.is_complete
+        assert pair.partitioned.spent == 100
+
+
+async def test_a_stream_on_a_connection_that_hangs_before_its_first_event_costs_its_input() -> None:
+    """Guards against a workspace that spends more than its total: an event may be on its way."""
+    held = asyncio.Event()
+
+    async def silent(request: web.Request) -> web.StreamResponse:
+        await request.read()
+        held.set()
+        await asyncio.sleep(0.1)
+        return await streams(1, 2)(request)
+
+    with hanging_url() as url:
+        fields = {"timeout_s": 8.0, "attempts": 1, "is_resumable": True}
+        async with PartitionedPair(kind="stream", **fields) as pair:
+            await pair.start_targets(silent)
+            link = FreezableLink(pair.partitioned.router.url_by_id[TARGETS[0]])
+            pair.use_urls({TARGETS[0]: await link.start()})
+            request = arrival(request_id="id-held", max_wait_s=8.0)
+            serving = asyncio.create_task(pair.partitioned.serve(request))
+            await held.wait()
+            link.freeze()
+            pair.partition(url)
+            for number in range(4):
+                await pair.partitioned.serve(arrival(request_id=f"id-{number}", generation=None))
+                await asyncio.sleep(0.3)
+            async with asyncio.timeout(1.0):
+                await serving
+            link.close()
+            assert pair.partitioned.spent == 100
+
+
 async def test_a_caller_that_leaves_ends_the_neighbours_connection_to_the_target() -> None:
     """Guards against targets that work for callers who have left, unnoticed by a neighbour."""
     started, ended = asyncio.Event(), asyncio.Event()
