--- a/tests/budgets/test_relayed_reports.py
+++ b/tests/budgets/test_relayed_reports.py
@@ -9,7 +9,11 @@
 from cranberrywall.budgets import BudgetAssignment, ReserveRequest, SpendPolicy
 from cranberrywall.budgets.ledger import make_ledger_machine
 from tests.budgets.schedules import play_loss_behind_relays
-from tests.budgets.test_booked_after_losses import booked_to_lost_runs, lose_power
+from tests.budgets.test_booked_after_losses import (
+    MAX_BOOKED_SHARE,
+    booked_to_lost_runs,
+    lose_power,
+)
 from tests.fakes.clock import VirtualClock, run_virtual
 from tests.fakes.money import LEDGER, MoneyFleet
 
@@ -103,6 +107,22 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("seed", range(2))
+def test_a_loss_of_power_after_a_partition_withholds_at_most_a_twentieth_of_a_budget(
+    seed: int,
+) -> None:
+    """Guards against a fleet that serves nobody who needs tokens after a loss of power.
+
+    All hosts are cut off from the ledger before it, so that none can relay.
+    """
+
+    async def main() -> None:
+        _, booked = await lose_power_after(seed, set(HOSTS))
+        assert booked <= MAX_BOOKED_SHARE * CREDIT
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_what_the_ledger_frees_of_hosts_that_reported_through_others_was_not_spent(
     seed: int,
