Ask entry hosts whether they relay before a call is sent to them

Cause, likely: sent each call to four hosts at once while it knew no relay.

A host asks four others whether they had an answer of a leader in the last two seconds, in the background, and sends its call directly meanwhile. Once one offers to, it relays, and a call is sent once, but for one each half a second that goes directly as well.

--- a/cranberrywall/control/_relaying.py
+++ b/cranberrywall/control/_relaying.py
@@ -4,12 +4,13 @@
 their help it can report nothing that it spends. It may spend only a part of what it holds, and if
 it is lost, the ledger has to take more and more of that for spent.
 
-Every command of this system is idempotent, so a call may go several ways at once.
+A leader that all hosts reach again after a partition has many calls to answer. A call is therefore
+not sent to several hosts to see which answers: hosts are asked first whether they reach a leader.
 """
 
 import asyncio
-from collections.abc import Callable, Sequence
-from typing import Literal, NamedTuple
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any, Literal, NamedTuple
 
 from result import Err, Ok, Result
 
@@ -20,9 +21,20 @@
 from cranberrywall.runtime import Clock, Random
 
 RELAYS_ASKED = 4
-"""Number of entry hosts that a call is sent to while none is known to reach the control hosts.
+"""Number of entry hosts that are asked at a time whether they reach the control hosts.
 
-Most calls in a partition are refused by hosts that are partitioned, too. Each costs a message."""
+In a partition most hosts that are asked do not."""
+
+SEARCH_INTERVAL_S = 0.5
+"""Minimum interval in seconds between two searches for a relay."""
+
+OFFER_TIMEOUT_S = 0.25
+"""Time limit of the question to one entry host, in seconds."""
+
+MAX_ANSWER_AGE_S = 2.0
+"""Age of the last answer of a leader up to which a host offers to relay, in seconds.
+
+A host that has not called for longer may be partitioned without knowing it."""
 
 DIRECT_INTERVAL_S = 0.5
 """Interval in seconds at which a call is sent to the control hosts as well, once one relays."""
@@ -53,7 +65,18 @@
     result: bytes
 
 
+class OfferRequest(NamedTuple):
+    """Question to an entry host whether it reaches the leaders and relays calls."""
+
+
+class OfferReply(NamedTuple):
+    """Whether the host relays calls now."""
+
+    is_offered: bool
+
+
 RELAY = Method("control.relay", RelayRequest, RelayReply, is_cancellable=True)
+OFFER = Method("control.relay_offer", OfferRequest, OfferReply)
 
 _Reply = Result[bytes, Refusal]
 
@@ -80,14 +103,17 @@
         self._clock = clock
         self._random = random
         self._is_direct = True
+        self._answered_at = float("-inf")
         self._relay: str | None = None
         self._direct_at = float("-inf")
+        self._searched_at = float("-inf")
         self._relayed_calls = 0
-        self._direct_calls: set[asyncio.Task[_Reply]] = set()
+        self._tasks: set[asyncio.Task[object]] = set()
 
     def register(self, server: Server) -> None:
         """Relay the calls of other hosts that come to ``server``."""
         server.register(RELAY, self._answer)
+        server.register(OFFER, self._offer)
 
     def export(self, metrics: Metrics) -> None:
         """Register the number of calls that this host relays now, and whether it needs a relay."""
@@ -113,32 +139,37 @@
         return reply.map(lambda result: result == b"\x01")
 
     async def _call(self, request: RelayRequest) -> _Reply:
+        now = self._clock.now()
         if self._is_direct:
             return await self._call_directly(request)
-        now = self._clock.now()
-        relayed = [
-            asyncio.ensure_future(self._call_relay(relay, request))
-            for relay in self._choose_relays()
-        ]
-        calls = list(relayed)
-        if self._relay is None or now >= self._direct_at + DIRECT_INTERVAL_S:
+        if self._relay is None:
+            if now >= self._searched_at + SEARCH_INTERVAL_S:
+                self._searched_at = now
+                self._start(self._search())
+            return await self._call_directly(request)
+        if now >= self._direct_at + DIRECT_INTERVAL_S:
             self._direct_at = now
-            calls.append(self._start_direct_call(request))
-        try:
-            return await _first_answer(calls)
-        finally:
-            for call in relayed:
-                call.cancel()
-
-    def _start_direct_call(self, request: RelayRequest) -> "asyncio.Task[_Reply]":
-        """Call the control hosts in a task that goes on if a relay answers first.
-
-        Its answer shows that they are in reach again.
-        """
-        call = asyncio.ensure_future(self._call_directly(request))
-        self._direct_calls.add(call)
-        call.add_done_callback(self._direct_calls.discard)
-        return call
+            # Its answer shows that the control hosts are in reach again. The command is idempotent.
+            self._start(self._call_directly(request))
+        return await self._call_relay(self._relay, request)
+
+    def _start(self, work: Coroutine[Any, Any, object]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _search(self) -> None:
+        """Ask some entry hosts whether they relay calls, and take one that does."""
+        asked = self._choose_peers()
+        offers = await asyncio.gather(*(self._ask(address) for address in asked))
+        offered = [address for address, is_offered in zip(asked, offers, strict=True) if is_offered]
+        if offered and self._relay is None and not self._is_direct:
+            self._relay = offered[0]
+            log_event("INFO", "control_called_by_relay", relay=self._relay)
+
+    async def _ask(self, address: str) -> bool:
+        reply = await self._caller.call(address, OFFER, OfferRequest(), OFFER_TIMEOUT_S)
+        return isinstance(reply, Ok) and reply.ok_value.is_offered
 
     async def _call_directly(self, request: RelayRequest) -> _Reply:
         reply = await self._send(request)
@@ -147,6 +178,8 @@
             log_event("INFO", "control_called_directly", relay=self._relay or "")
             self._relay = None
         self._is_direct = is_direct
+        if is_direct:
+            self._answered_at = self._clock.now()
         return reply
 
     async def _send(self, request: RelayRequest) -> _Reply:
@@ -158,9 +191,7 @@
             return await self._direct.query(group, payload, timeout_s)
         return await self._direct.propose(group, payload, timeout_s)
 
-    def _choose_relays(self) -> Sequence[str]:
-        if self._relay is not None:
-            return [self._relay]
+    def _choose_peers(self) -> list[str]:
         peers = list(self._peers())
         chosen: list[str] = []
         while peers and len(chosen) < RELAYS_ASKED:
@@ -173,11 +204,13 @@
             if self._relay == relay:
                 self._relay = None
             return Err(_as_out_of_reach(reply.err_value))
-        if self._relay is None and not self._is_direct:
-            self._relay = relay
-            log_event("INFO", "control_called_by_relay", relay=relay)
         return Ok(reply.ok_value.result)
 
+    async def _offer(self, request: OfferRequest, peer: Peer) -> Result[OfferReply, Refusal]:
+        age_s = self._clock.now() - self._answered_at
+        is_in_reach = self._is_direct and age_s <= MAX_ANSWER_AGE_S
+        return Ok(OfferReply(is_in_reach and self._relayed_calls < MAX_RELAYED_CALLS))
+
     async def _answer(self, request: RelayRequest, peer: Peer) -> Result[RelayReply, Refusal]:
         if not self._is_direct:
             message = "this host does not reach the control hosts either"
@@ -201,24 +234,3 @@
     if refusal.kind in _OUT_OF_REACH:
         return refusal
     return Refusal(ErrorKind.TIMEOUT, f"the relay refused: {refusal}")
-
-
-async def _first_answer(calls: Sequence["asyncio.Task[_Reply]"]) -> _Reply:
-    """Return the first answer of a group, or the last refusal that states no answer."""
-    refused: _Reply = Err(Refusal(ErrorKind.UNREACHABLE, "no relay is known"))
-    pending = set(calls)
-    while pending:
-        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-        for call in done:
-            reply = call.result()
-            if isinstance(reply, Ok) or reply.err_value.kind not in _OUT_OF_REACH:
-                return reply
-            # An outcome that is unknown stays unknown if another call was not sent at all.
-            if reply.err_value.kind is ErrorKind.TIMEOUT or not _is_unknown(refused):
-                refused = reply
-    return refused
-
-
-def _is_unknown(reply: _Reply) -> bool:
-    """Return whether the call may have been carried out though there is no answer."""
-    return isinstance(reply, Err) and reply.err_value.kind is ErrorKind.TIMEOUT
