--- a/tests/budgets/test_relayed_reports.py
+++ b/tests/budgets/test_relayed_reports.py
@@ -111,7 +111,7 @@
 def test_a_loss_of_power_after_a_partition_withholds_at_most_a_twentieth_of_a_budget(
     seed: int,
 ) -> None:
-    """Guards against a fleet that serves nobody who needs tokens after a loss of power.
+    """Guards against refusals of all requests for tokens after a loss of power.
 
     All hosts are cut off from the ledger before it, so that none can relay.
     """
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -288,7 +288,7 @@
 async def test_a_stream_that_broke_before_its_first_event_costs_nothing(
     is_resumable: bool, body: bytes | None
 ) -> None:
-    """Guards against callers that are refused for tokens that nobody got."""
+    """Guards against refusals because of tokens that were not delivered."""
     script = drops_connection() if body is None else without_length(body, is_reset=True)
     async with ForwardingHarness(kind="stream", is_resumable=is_resumable) as harness:
         await harness.target("a", script)
