--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -26,6 +26,8 @@
 _PASSED = 0
 _SOME_FAILED = 1
 _WORSE = ("passed", "skipped", "failed")
+_FAILURE_LINES = 25
+"""Number of lines that are repeated of an unlisted failure; only a run's end may be kept."""
 
 
 class KnownRed(NamedTuple):
@@ -38,10 +40,14 @@
 
 
 class Notes(NamedTuple):
-    """Hold what a run of pytest noted; ``exit_status`` is ``None`` where it did not end."""
+    """Hold what a run of pytest noted; ``exit_status`` is ``None`` where it did not end.
+
+    ``failure_by_test`` has the end of what pytest printed of each failure.
+    """
 
     outcome_by_test: dict[str, str]
     exit_status: int | None
+    failure_by_test: dict[str, str] = {}
 
 
 def read_list(text: str) -> tuple[list[KnownRed], list[str]]:
@@ -72,7 +78,9 @@
             complaints.append(f"{one.test} is listed in {LIST_FILE} but was {outcome}")
     listed = {one.test for one in known}
     failed = [test for test, outcome in notes.outcome_by_test.items() if outcome == "failed"]
-    complaints += [f"{test} failed" for test in failed if test not in listed]
+    for test in failed:
+        if test not in listed:
+            complaints.append(f"{test} failed\n{notes.failure_by_test.get(test, '')}".rstrip())
     if notes.exit_status not in (_PASSED, _SOME_FAILED):
         complaints.append(f"the tests did not run to their end (status {notes.exit_status})")
     if not failed and command_status != 0:
@@ -83,6 +91,7 @@
 def read_notes(path: Path) -> Notes:
     """Return what the plugin noted in the file."""
     outcome_by_test: dict[str, str] = {}
+    failure_by_test: dict[str, str] = {}
     exit_status = None
     for line in path.read_text(encoding="utf-8").splitlines():
         note = json.loads(line)
@@ -92,7 +101,9 @@
             # A test is noted for its setup, call and teardown: the worst of them decides.
             earlier = outcome_by_test.get(note["test"], "passed")
             outcome_by_test[note["test"]] = max(earlier, note["outcome"], key=_WORSE.index)
-    return Notes(outcome_by_test, exit_status)
+            if note["failure"]:
+                failure_by_test[note["test"]] = note["failure"]
+    return Notes(outcome_by_test, exit_status, failure_by_test)
 
 
 def run(command: list[str]) -> tuple[Notes, int]:
@@ -130,7 +141,9 @@
 
 def pytest_runtest_logreport(report: Any) -> None:
     """Note the outcome of one phase of one test."""
-    _note({"test": report.nodeid, "outcome": report.outcome})
+    failure = str(report.longrepr) if report.outcome == "failed" else ""
+    lines = failure.splitlines()[-_FAILURE_LINES:]
+    _note({"test": report.nodeid, "outcome": report.outcome, "failure": "\n".join(lines)})
 
 
 def pytest_sessionfinish(session: Any, exitstatus: int) -> None:
--- a/tests/ci/test_known_red.py
+++ b/tests/ci/test_known_red.py
@@ -72,6 +72,16 @@
     assert "CI fails: test_it.py::test_error failed" in output
 
 
+def test_the_cause_of_an_unlisted_failure_is_at_the_end_of_the_output(tmp_path: Path):
+    """Guards against a failure that cannot be traced, as only the end of the output is kept."""
+    listed = f"{RED} | pytest | cause | issue 7\n"
+    code, output = run_ci(tmp_path, listed, "-k", "red or error")
+    end = output[output.index("CI fails: test_it.py::test_error failed") :]
+    assert "RuntimeError" in end
+    assert "assert False" not in end
+    assert code == 1
+
+
 def test_a_file_that_does_not_import_fails_though_its_tests_are_listed(tmp_path: Path):
     code, output = run_ci(
         tmp_path, f"{RED} | pytest | gone | issue 7\n", tests="import nothing_such"
