Load no allotments of entry hosts in the control program

What callers saw: after a loss of power nobody is served until most control hosts have started.

Cause: the ledger is a module of the package of budgets, whose public names include what makes an entry host's allotments. So a control host loaded 27 modules that only entry hosts run. Class: an import for one name in a program where the start is an outage.

Change: what makes allotments has a public module of its own beside that of the ledger.

The test of imports fails without the change.

--- a/cranberrywall/budgets/__init__.py
+++ b/cranberrywall/budgets/__init__.py
@@ -1,6 +1,5 @@
-"""Prepaid budgets: allotments on entry hosts; the ledger of control hosts is in ``ledger``."""
+"""Prepaid budgets: ``allotments`` on entry hosts, and the ``ledger`` on control hosts."""
 
-from cranberrywall.budgets._allotments import make_allotments
 from cranberrywall.budgets._bounds import (
     BoundFigures,
     InputBounds,
@@ -40,7 +39,6 @@
     "Reservation",
     "ReserveRequest",
     "SpendPolicy",
-    "make_allotments",
     "make_input_bounds",
     "make_ledger_client",
     "out_of_reach",
--- a/cranberrywall/commands/_entry_program.py
+++ b/cranberrywall/commands/_entry_program.py
@@ -8,12 +8,8 @@
 from result import Err
 
 from cranberrywall import STARTED_CLOCK
-from cranberrywall.budgets import (
-    HostAllotments,
-    LedgerClient,
-    make_allotments,
-    make_ledger_client,
-)
+from cranberrywall.budgets import HostAllotments, LedgerClient, make_ledger_client
+from cranberrywall.budgets.allotments import make_allotments
 from cranberrywall.budgets.messages import Holder
 from cranberrywall.commands._entry_ties import HostConnections, describe_target
 from cranberrywall.commands._shutdown_log import ShutdownLog
--- a/measurements/admission.py
+++ b/measurements/admission.py
@@ -16,9 +16,9 @@
     HostAllotments,
     ReserveRequest,
     SpendPolicy,
-    make_allotments,
     make_ledger_client,
 )
+from cranberrywall.budgets.allotments import make_allotments
 from cranberrywall.budgets.ledger import make_ledger_machine
 from cranberrywall.budgets.messages import (
     LEDGER_CODEC,
--- a/tests/fakes/money.py
+++ b/tests/fakes/money.py
@@ -16,9 +16,9 @@
     EntryHost,
     HostAllotments,
     SpendPolicy,
-    make_allotments,
     make_ledger_client,
 )
+from cranberrywall.budgets.allotments import make_allotments
 from cranberrywall.budgets.messages import (
     LEDGER_CODEC,
     BudgetQuery,
--- a/tests/platform/test_imports.py
+++ b/tests/platform/test_imports.py
@@ -16,6 +16,7 @@
         "jinja2",
         "matplotlib",
         *PEOPLES_LIBRARIES,
+        "cranberrywall.budgets._allotments",
         "cranberrywall.forwarding",
         "cranberrywall.routing",
         "cranberrywall.quarantine",
