Ask the leader for an answer directly without a copy of the relayed call

What callers saw: after a partition of all hosts the ledger's leader leaves calls unanswered for some seconds, and whoever is not back in contact before a loss of power has all that it held withheld.

Cause: a host with a relay sent one call each 0.5 s both ways, directly and relayed, to see whether the leader is in reach. As all hosts reach it again, it got these calls twice, with all the charges that they carry.

Change: the direct call only asks which features the group supports; its leader answers that by itself. Any answer ends the relaying, as before.

Measured: the new test fails without the change.

--- a/cranberrywall/control/_relaying.py
+++ b/cranberrywall/control/_relaying.py
@@ -37,7 +37,7 @@
 A host that has not called for longer may be partitioned without knowing it."""
 
 DIRECT_INTERVAL_S = 0.5
-"""Interval in seconds at which a call is sent to the control hosts as well, once one relays."""
+"""Interval in seconds at which the leader is asked for an answer directly, once a host relays."""
 
 MAX_RELAYED_CALLS = 32
 """Maximum number of calls that a host relays at a time; it has its own requests to serve."""
@@ -149,8 +149,9 @@
             return await self._call_directly(request)
         if now >= self._direct_at + DIRECT_INTERVAL_S:
             self._direct_at = now
-            # Its answer shows that the control hosts are in reach again. The command is idempotent.
-            self._start(self._call_directly(request))
+            # Any answer shows that the control hosts are in reach again. A copy of the call itself
+            # would cost a leader as much as the call that is relayed.
+            self._start(self._call_directly(request._replace(kind="support", payload=b"")))
         return await self._call_relay(self._relay, request)
 
     def _start(self, work: Coroutine[Any, Any, object]) -> None:
--- a/tests/control/test_relaying.py
+++ b/tests/control/test_relaying.py
@@ -181,6 +181,20 @@
         assert fleet.leader.calls == [("h0", "propose", b"again")]
 
 
+async def test_a_call_is_sent_once_as_a_partition_ends() -> None:
+    """Guards against a leader that gets each call directly and relayed when all hosts are back."""
+    async with make_fleet() as fleet:
+        await fleet.cut_off("h0")
+        await fleet.propose_until_answered("h0")
+        await asyncio.sleep(0.01)
+        fleet.leader.out_of_reach.clear()
+        await fleet.clock.advance(DIRECT_INTERVAL_S)
+        fleet.leader.calls.clear()
+        assert await fleet.propose("h0", b"charge") == Ok(b"done charge")
+        await asyncio.sleep(0.01)
+        assert [call[2] for call in fleet.leader.calls].count(b"charge") == 1
+
+
 async def test_another_relay_is_found_when_one_is_lost() -> None:
     """Guards against calls that fail until a partition ends, as their relay was killed."""
     async with make_fleet() as fleet:
