Repeat an unanswered attempt to connect every quarter of a second

What callers saw: after a partition from the control hosts, entry hosts refuse requests for want of money for up to some seconds more; what a host holds that is not back in contact when power is lost is withheld.

Cause: a connection that is opened in a partition is waited for up to 2 s, while TCP repeats its first packet only after 1 s and 3 s. A partition that ends right after such a packet is noticed by the next attempt, after the timeout and a pause of up to 1 s. Class: an attempt that can no longer succeed is waited for.

Change: while no attempt has an answer, another one starts each 0.25 s, up to the same time limit. The first that is answered is used, before any handshake, so that a busy peer is not asked twice.

Measured: a test with a listener that drops the packets of new connections for 1.1 s is connected within 0.5 s of its end; without the change it is not.

--- a/cranberrywall/runtime/_network.py
+++ b/cranberrywall/runtime/_network.py
@@ -5,6 +5,7 @@
 import ssl
 from collections.abc import Awaitable, Callable
 
+from cranberrywall.runtime._connecting import connect
 from cranberrywall.runtime._interfaces import (
     Listener,
     Network,
@@ -46,10 +47,22 @@
     async def dial(self, address: str, timeout: float) -> tuple[Reader, Writer]:
         host, port = split_address(address)
         async with asyncio.timeout(timeout):
-            context = self._contexts.client() if self._contexts else None
-            reader, writer = await asyncio.open_connection(host, port, ssl=context)
+            connection = await connect(host, port)
+            try:
+                reader, writer = await self._open(connection, host)
+            except BaseException:
+                connection.close()
+                raise
         return reader, _TcpWriter(writer)
 
+    async def _open(
+        self, connection: socket.socket, host: str
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        if self._contexts is None:
+            return await asyncio.open_connection(sock=connection)
+        context = self._contexts.client()
+        return await asyncio.open_connection(sock=connection, ssl=context, server_hostname=host)
+
     async def listen(self, address: str, on_connect: OnConnect) -> Listener:
         host, port = split_address(address)
 
--- a/tests/runtime/test_real.py
+++ b/tests/runtime/test_real.py
@@ -2,14 +2,16 @@
 
 import asyncio
 import os
-from collections.abc import Awaitable, Callable
-from contextlib import suppress
+import socket
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager, suppress
 from pathlib import Path
 
 import pytest
 import uvloop
 
 from cranberrywall.runtime import Network, Reader, Writer, make_network, make_random, make_runtime
+from cranberrywall.runtime._connecting import REPEAT_INTERVAL_S
 
 
 def run_on_uvloop(test: Callable[[Network], Awaitable[None]]) -> None:
@@ -41,6 +43,59 @@
     run_on_uvloop(test)
 
 
+@contextmanager
+def unanswered_listener() -> Iterator[socket.socket]:
+    """Yield a listener whose queue is full: new connections get no answer until it accepts."""
+    with socket.socket() as listener, socket.socket() as first, socket.socket() as second:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        listener.setblocking(False)
+        for waiting in (first, second):
+            waiting.setblocking(False)
+            waiting.connect_ex(listener.getsockname())
+        yield listener
+
+
+def address_of(listener: socket.socket) -> str:
+    host, port = listener.getsockname()
+    return f"{host}:{port}"
+
+
+async def accept_all(listener: socket.socket) -> None:
+    while True:
+        connection, _ = await asyncio.get_running_loop().sock_accept(listener)
+        connection.close()
+
+
+def test_a_dial_in_a_partition_is_connected_as_soon_as_it_ends():
+    """Guards against hosts that stay out of contact for seconds after a partition."""
+
+    async def test(network: Network):
+        with unanswered_listener() as listener:
+            dial = asyncio.create_task(network.dial(address_of(listener), 5.0))
+            await asyncio.sleep(1.1)
+            assert not dial.done()
+            accepting = asyncio.create_task(accept_all(listener))
+            async with asyncio.timeout(2 * REPEAT_INTERVAL_S):
+                _, writer = await dial
+            writer.close()
+            accepting.cancel()
+
+    run_on_uvloop(test)
+
+
+def test_a_dial_without_an_answer_times_out_and_leaves_nothing_open():
+    async def test(network: Network):
+        with unanswered_listener() as listener:
+            open_files = len(os.listdir("/proc/self/fd"))
+            with pytest.raises(TimeoutError):
+                await network.dial(address_of(listener), 0.9)
+            await asyncio.sleep(0.05)
+            assert len(os.listdir("/proc/self/fd")) == open_files
+
+    run_on_uvloop(test)
+
+
 def test_a_closed_connection_ends_though_its_peer_does_not_read():
     """A connection is closed while megabytes are queued for a peer that has stopped reading.
 
