Drop the undelivered calls of a connection that is given up

What callers saw: after a loss of power some seconds after a partition, requests are refused for want of money though it is not spent.

Cause: a host gives a connection up after 3 s without an answer, but the kernel goes on to send what was written on it, at growing intervals: calls of the first second of a partition arrive 12.6 s later, after many later ones. The ledger takes the wall clock that such a command carries for the host's newest, and compares the clocks of nine hosts to learn how long a lost run was without contact. Three such clocks among them make that time 13 s too long. Class: a message of a connection that was given up overtakes those of the next one.

Change: such a connection is reset, so that what its peer has not received is dropped. The calls were refused to their callers as timed out by then. Replicas of the ledger apply commands as before, so that builds can be mixed.

Measured: a test with a partition in which a call is made fails without the change (the call arrives after the partition, behind a later one), and a test on loopback shows that an aborted connection delivers nothing more.

--- a/cranberrywall/links/_peer_connection.py
+++ b/cranberrywall/links/_peer_connection.py
@@ -236,7 +236,7 @@
     async def _run(self) -> None:
         """Connect, and read and write until the connection ends."""
         writer: Writer | None = None
-        is_idle = False
+        is_idle = is_given_up = False
         try:
             reader, writer = await self._network.dial(self._address, self._limits.dial_timeout)
             async with self._timers.limit(self._limits.handshake_timeout):
@@ -246,6 +246,7 @@
         except _IdleError:
             is_idle = True
         except BadFrameError as error:
+            is_given_up = True
             self._counters.drop(error.reason)
             self._drops.log("WARNING", "connection_dropped", error.reason, peer=self._address)
             self._last_error = f"{self._address}: {error.reason}"
@@ -263,7 +264,11 @@
         except OSError as error:
             self._last_error = f"{self._address}: {str(error) or type(error).__name__}"
         finally:
-            if writer is not None:
+            if writer is not None and is_given_up:
+                # TCP would deliver the calls of a partition long after its end, and after later
+                # ones of the next connection.
+                writer.abort()
+            elif writer is not None:
                 writer.close()
             if is_idle:
                 self._close_after_idle()
--- a/cranberrywall/runtime/_interfaces.py
+++ b/cranberrywall/runtime/_interfaces.py
@@ -49,7 +49,11 @@
         ...
 
     def close(self) -> None:
-        """Close both directions of the connection."""
+        """Close both directions of the connection, once the peer has what was written."""
+        ...
+
+    def abort(self) -> None:
+        """Close both directions at once; what the peer has not received yet is dropped."""
         ...
 
 
--- a/cranberrywall/runtime/_network.py
+++ b/cranberrywall/runtime/_network.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import ssl
+import struct
 from collections.abc import Awaitable, Callable
 
 from cranberrywall.runtime._connecting import connect
@@ -21,6 +22,7 @@
 _KEEPALIVE_PROBES = 3
 _CLOSE_FLUSH_TIMEOUT_S = 1.0
 _TLS_HANDSHAKE_TIMEOUT_S = 3.0
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 _Accept = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
@@ -116,6 +118,14 @@
         loop = asyncio.get_running_loop()
         loop.call_later(_CLOSE_FLUSH_TIMEOUT_S, self._writer.transport.abort)
 
+    def abort(self) -> None:
+        if self._writer.is_closing():
+            return
+        connection = self._writer.get_extra_info("socket")
+        # Without this option the kernel goes on to send what the process has written.
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self._writer.transport.abort()
+
 
 class _TcpListener:
     def __init__(self, server: asyncio.Server) -> None:
--- a/tests/fakes/network.py
+++ b/tests/fakes/network.py
@@ -331,6 +331,10 @@
         self._fabric.forget(self)
         self._changed.set()
 
+    def discard(self) -> None:
+        """Drop what has not left the source yet."""
+        self._held.clear()
+
     def refuse_writes(self) -> None:
         """Tell the source that the sink is closed."""
         self._fails_writer = True
@@ -376,3 +380,7 @@
     def close(self) -> None:
         self._pipe.send(None)
         self._pipe.back.abandon()
+
+    def abort(self) -> None:
+        self._pipe.discard()
+        self.close()
--- a/tests/links/test_failures.py
+++ b/tests/links/test_failures.py
@@ -98,6 +98,25 @@
     in_pair(test, rule=Rule(delay=0.001))
 
 
+def test_a_call_of_a_partition_does_not_arrive_long_after_it():
+    """Guards against commands that overtake later ones, and against a burst of them at a leader.
+
+    The connection was given up in the partition, and calls are made on the next one.
+    """
+
+    async def test(pair: Pair):
+        assert isinstance(await pair.work(Work("before")), Ok)
+        pair.fabric.cut(CALLER_IP, SERVER_IP)
+        assert kind_of(await pair.work(Work("cut"), 0.5)) is ErrorKind.TIMEOUT
+        await pair.clock.sleep(2 * pair.limits.ping_after + pair.limits.silence)
+        pair.fabric.heal(CALLER_IP, SERVER_IP)
+        assert await pair.work(Work("after"), 5.0) == Ok(Done("after"))
+        await pair.clock.sleep(20.0)
+        assert pair.started == ["before", "after"]
+
+    in_pair(test)
+
+
 def test_a_half_open_connection_is_closed():
     """A router drops the connection's state: sent data is lost, and no reset arrives."""
 
--- a/tests/runtime/test_real.py
+++ b/tests/runtime/test_real.py
@@ -13,6 +13,9 @@
 from cranberrywall.runtime import Network, Reader, Writer, make_network, make_random, make_runtime
 from cranberrywall.runtime._connecting import REPEAT_INTERVAL_S
 
+SENT_BYTES = 32_000_000
+"""More than the buffers of a connection hold."""
+
 
 def run_on_uvloop(test: Callable[[Network], Awaitable[None]]) -> None:
     async def main() -> None:
@@ -121,6 +124,32 @@
     run_on_uvloop(test)
 
 
+def test_an_aborted_connection_delivers_nothing_more():
+    """Guards against calls that the kernel goes on to send after their connection was given up."""
+
+    async def test(network: Network):
+        received = asyncio.get_running_loop().create_future()
+
+        async def on_connect(reader: Reader, writer: Writer) -> None:
+            await asyncio.sleep(0.1)
+            try:
+                received.set_result(await reader.readexactly(SENT_BYTES))
+            except (asyncio.IncompleteReadError, ConnectionError) as error:
+                received.set_result(error)
+            writer.close()
+
+        listener = await network.listen("127.0.0.1:0", on_connect)
+        _, writer = await network.dial(listener.address, 1.0)
+        writer.write(bytes(SENT_BYTES))
+        await asyncio.sleep(0.05)
+        writer.abort()
+        writer.abort()
+        assert isinstance(await asyncio.wait_for(received, 5.0), Exception)
+        await listener.close()
+
+    run_on_uvloop(test)
+
+
 def test_files_are_stored_listed_truncated_and_removed(tmp_path: Path):
     storage = make_runtime(str(tmp_path)).storage
     assert storage is not None
