Log what the wall clocks say of a lost run's time without contact

The line lost_run_bounded has the time that counts, and not whether the machine's own clock or those of other hosts gave it.

--- a/cranberrywall/budgets/_ledger_contact_gaps.py
+++ b/cranberrywall/budgets/_ledger_contact_gaps.py
@@ -8,6 +8,7 @@
 from typing import Any, NamedTuple
 
 from cranberrywall.budgets._messages_holders import Contact, Holder
+from cranberrywall.observability import log_event
 
 MAX_CLOCK_DIFFERENCE_S = 5.0
 """Maximum difference in seconds between a machine's monotonic clock and its wall clock.
@@ -109,7 +110,16 @@
         # A network partition may delay other hosts' commands until it ends. Their clocks are then
         # from before the loss and give too short a time. The machine's own wall clock is current,
         # and is wrong only if it was stepped, so the longer time counts.
-        max_gap_s = max(wall_gap_s, _upper_quartile(gaps_s))
+        others_gap_s = _upper_quartile(gaps_s)
+        max_gap_s = max(wall_gap_s, others_gap_s)
+        log_event(
+            "INFO",
+            "contact_gap_from_wall_clocks",
+            host=successor.host,
+            own_s=wall_gap_s,
+            others_s=others_gap_s,
+            clocks=len(gaps_s),
+        )
         return max_gap_s if max_gap_s >= 0.0 else None
 
     def dump(self) -> list[Any]:
