--- a/cranberrywall/commands/_running.py
+++ b/cranberrywall/commands/_running.py
@@ -6,7 +6,7 @@
 
 import click
 
-from cranberrywall.commands._program import Program
+from cranberrywall.commands._interfaces import Program
 from cranberrywall.commands._secured import make_secured
 from cranberrywall.commands._signals import run_until_stop_signal, stop_within
 from cranberrywall.observability import (
--- a/cranberrywall/platform/_running.py
+++ b/cranberrywall/platform/_running.py
@@ -8,7 +8,7 @@
 from result import Err
 
 from cranberrywall import STARTED_PROCESSOR_S
-from cranberrywall.commands._program import Program
+from cranberrywall.commands._interfaces import Program
 from cranberrywall.commands._signals import run_until_stop_signal, stop_within
 from cranberrywall.observability import configure_process_log, log_event
 from cranberrywall.platform._boot import Boot, path_from_environment, read_boot
