Observe how long the ledger's answers take while it is out of reach

Cause: the leader that all hosts reach again answers within 0.5 to 1 s for some seconds. A call to a ledger that is out of reach has 0.25 and 0.5 s by turns, and no answer that takes longer is observed, so the limit does not rise.

Change: one call with the longest limit (1 s) is under way beside the probes; its time is recorded as that of any answer, and the limit of the probes follows. A limit of 1 s for the probes themselves brings hosts back as soon, but holds them longer at a leader that is lost.

--- a/cranberrywall/budgets/_answer_times.py
+++ b/cranberrywall/budgets/_answer_times.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.runtime import Clock
@@ -55,6 +55,18 @@
             self.record_answer(clock.now() - sent_at)
         return answer
 
+    async def measure(
+        self, send: Callable[[float], Awaitable[Result[AnswerT, Refusal]]], clock: Clock
+    ) -> None:
+        """Record the time of a call that ``send`` makes within ``max_s``.
+
+        It shows how long answers take when they take longer than the limit.
+        """
+        sent_at = clock.now()
+        answer = await send(self._max_s)
+        if isinstance(answer, Ok):
+            self.record_answer(clock.now() - sent_at)
+
     def record_answer(self, seconds: float) -> None:
         """Record that a call was answered after ``seconds``."""
         self._backoff = 1.0
--- a/cranberrywall/budgets/_charges.py
+++ b/cranberrywall/budgets/_charges.py
@@ -96,6 +96,7 @@
         self._idle.set()
         self._tasks: list[asyncio.Task[None]] = []
         self._retry_s = MIN_RETRY_DELAY_S
+        self._measurement: asyncio.Task[None] | None = None
 
     def accepts(self, policy: SpendPolicy) -> bool:
         """Return whether a new request may be admitted because its charge can be made durable.
@@ -140,10 +141,12 @@
 
     async def stop(self) -> None:
         """Stop immediately; copies of uncommitted charges remain stored."""
-        for task in self._tasks:
+        tasks = [*self._tasks, *([] if self._measurement is None else [self._measurement])]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         self._tasks = []
+        self._measurement = None
 
     async def add(self, charge: Charge, allotment: ChargedAllotment) -> Result[None, Refusal]:
         """Queue a charge and return once it is durable."""
@@ -362,6 +365,7 @@
 
     async def _probe(self) -> None:
         """Try the ledger again with the replicated charges, at growing intervals."""
+        self._measure_answer_time()
         await self._clock.sleep(self._retry_s)
         self._retry_s = min(MAX_RETRY_DELAY_S, self._retry_s * 2.0)
         answer: Result[Any, Refusal] = await self._transfers.report_all(self.holder)
@@ -383,11 +387,23 @@
         if batch:
             await self._finish(batch, answer.ok_value)
 
+    def _measure_answer_time(self) -> None:
+        """Call the ledger with the longest time limit, unless such a call is under way.
+
+        A leader that all hosts reach again after a partition may answer none of them within the
+        limit of a probe. A probe with the longest limit would wait too long for a leader that is
+        lost, while another one is elected.
+        """
+        is_under_way = self._measurement is not None and not self._measurement.done()
+        if self.reach.is_bounded and not is_under_way:
+            work = self._answer_times.measure(self._ask, self._clock)
+            self._measurement = asyncio.create_task(work)
+
     async def _commit_or_ask(self, batch: Sequence[PendingCharge]) -> Result[Any, Refusal]:
-        if batch:
-            return await self._commit(batch)
-        query = RecallsQuery(self.holder)
-        return await self.call(partial(self._ledger.recalls, self.group, query))
+        return await (self._commit(batch) if batch else self.call(self._ask))
+
+    async def _ask(self, timeout_s: float) -> Result[Any, Refusal]:
+        return await self._ledger.recalls(self.group, RecallsQuery(self.holder), timeout_s)
 
     async def _commit(self, batch: Sequence[PendingCharge]) -> Result[Any, Refusal]:
         if not batch:
--- a/tests/budgets/test_answer_times.py
+++ b/tests/budgets/test_answer_times.py
@@ -1,6 +1,10 @@
 """Test the time limit of calls to the ledger."""
 
+from result import Err, Ok, Result
+
 from cranberrywall.budgets._answer_times import AnswerTimes
+from cranberrywall.errors import ErrorKind, Refusal
+from tests.fakes.clock import ManualClock
 
 MIN_S = 0.25
 MAX_S = 1.0
@@ -33,6 +37,27 @@
     assert limits == [0.25, 0.5, 0.25, 0.5]
 
 
+async def test_a_call_with_the_highest_limit_shows_how_long_answers_take() -> None:
+    """A ledger whose answers take longer than the limit of all calls stayed lost."""
+    clock = ManualClock()
+    times = AnswerTimes(MIN_S, MAX_S)
+    limits = []
+
+    async def answer_late(limit_s: float) -> Result[str, Refusal]:
+        limits.append(limit_s)
+        await clock.advance(0.6)
+        return Ok("answer")
+
+    async def time_out(limit_s: float) -> Result[str, Refusal]:
+        return Err(Refusal(ErrorKind.TIMEOUT, "no leader answered"))
+
+    await times.measure(time_out, clock)
+    assert times.limit_s == MIN_S
+    await times.measure(answer_late, clock)
+    assert limits == [MAX_S]
+    assert times.limit_s > 0.6
+
+
 def test_a_fixed_limit_does_not_move() -> None:
     times = AnswerTimes(MAX_S, MAX_S)
     times.record_timeout()
