Reset connections to targets that are given up

Cause: a direct connection that hangs, or whose answer has an invalid status or an endless head, is aborted, and its request may be sent to another target. The kernel goes on to send what the process has written, so a target that was out of reach may receive the request seconds later and run it for nobody.

Change: such a connection is reset, so that its target receives nothing more. Three copies of the socket option are one function now, runtime.reset_on_close; the sender of orders and the server of tunnels do what they did.

--- a/cranberrywall/orders/_sender.py
+++ b/cranberrywall/orders/_sender.py
@@ -1,17 +1,16 @@
 """Send orders to engines over HTTP, each committed number at most once."""
 
 import socket
-import struct
 from ssl import SSLContext
 from typing import Any, Protocol
 
 import aiohttp
 
 from cranberrywall.orders.messages import Action, Fate
+from cranberrywall.runtime import reset_on_close
 from cranberrywall.targets import is_valid_status
 
 DIAL_TIMEOUT_S = 3.0
-_NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class OrderSender(Protocol):
@@ -88,12 +87,10 @@
 
 
 def _make_socket(address: Any) -> socket.socket:
-    # The kernel goes on sending what a closed socket, or one of a killed process, still
-    # holds. An order could so arrive long after its sender was known to be gone. Without
-    # linger, the kernel drops it.
+    # An order must not arrive after its sender is known to be gone.
     family, kind, protocol = address[:3]
     made = socket.socket(family, kind, protocol)
-    made.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    reset_on_close(made)
     return made
 
 
--- a/cranberrywall/runtime/__init__.py
+++ b/cranberrywall/runtime/__init__.py
@@ -17,6 +17,7 @@
 )
 from cranberrywall.runtime._memory_use import resident_bytes
 from cranberrywall.runtime._network import make_network, split_address
+from cranberrywall.runtime._resetting import reset_on_close
 from cranberrywall.runtime._runtime import make_random, make_runtime
 from cranberrywall.runtime._storage import make_storage
 from cranberrywall.runtime._timers import Timer, Timers
@@ -41,6 +42,7 @@
     "make_random",
     "make_runtime",
     "make_storage",
+    "reset_on_close",
     "resident_bytes",
     "split_address",
 ]
--- a/cranberrywall/runtime/_network.py
+++ b/cranberrywall/runtime/_network.py
@@ -3,7 +3,6 @@
 import asyncio
 import socket
 import ssl
-import struct
 from collections.abc import Awaitable, Callable
 
 from cranberrywall.runtime._connecting import connect
@@ -15,6 +14,7 @@
     StreamContexts,
     Writer,
 )
+from cranberrywall.runtime._resetting import reset_on_close
 
 _KEEPALIVE_IDLE_S = 30
 _KEEPALIVE_INTERVAL_S = 10
@@ -22,7 +22,6 @@
 _KEEPALIVE_PROBES = 3
 _CLOSE_FLUSH_TIMEOUT_S = 1.0
 _TLS_HANDSHAKE_TIMEOUT_S = 3.0
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 _Accept = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
@@ -121,9 +120,7 @@
     def abort(self) -> None:
         if self._writer.is_closing():
             return
-        connection = self._writer.get_extra_info("socket")
-        # Without this option the kernel goes on to send what the process has written.
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        reset_on_close(self._writer.get_extra_info("socket"))
         self._writer.transport.abort()
 
 
--- a/cranberrywall/targets/_protocol.py
+++ b/cranberrywall/targets/_protocol.py
@@ -7,6 +7,8 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import BadStatusLine
 
+from cranberrywall.runtime import reset_on_close
+
 HEAD_TIMEOUT_S = 0.5
 """Maximum time from the first byte of an answer's head to its last one, in seconds."""
 
@@ -32,6 +34,9 @@
     ``HEAD_TIMEOUT_S`` after the first byte.
 
     A head whose status is not valid is no answer, and the connection is aborted.
+
+    A connection that is aborted is reset: a target that was out of reach must not receive the
+    request once it has been sent to another one.
     """
 
     def __init__(self, loop: Any, limits_head: bool) -> None:
@@ -73,6 +78,11 @@
         self._stop_head_timer()
         super().connection_lost(exc)
 
+    def abort(self) -> None:
+        """Reset the connection."""
+        self._reset_on_close()
+        super().abort()
+
     def _stop_head_timer(self) -> None:
         if self._head_timer is not None:
             self._head_timer.cancel()
@@ -90,4 +100,13 @@
     def _abort(self, error: Exception) -> None:
         self.set_exception(error)
         if self.transport is not None:
+            self._reset_on_close()
             self.transport.abort()
+
+    def _reset_on_close(self) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        # A connection through a neighbour has no socket here; the neighbour resets its own.
+        connection = self.transport.get_extra_info("socket")
+        if connection is not None:
+            reset_on_close(connection)
--- a/cranberrywall/tunnels/_server.py
+++ b/cranberrywall/tunnels/_server.py
@@ -1,8 +1,6 @@
 """Connections to targets that this host opens for its neighbours."""
 
 import asyncio
-import socket
-import struct
 from collections.abc import Awaitable, Callable
 from typing import Any
 from urllib.parse import urlsplit
@@ -12,7 +10,7 @@
 from cranberrywall.errors import ErrorKind, Refusal
 from cranberrywall.links import Peer, Server
 from cranberrywall.observability import Metrics, log_event
-from cranberrywall.runtime import Clock
+from cranberrywall.runtime import Clock, reset_on_close
 from cranberrywall.targets import Targets
 from cranberrywall.tunnels._direct_paths import DirectPaths
 from cranberrywall.tunnels.messages import (
@@ -49,7 +47,6 @@
 
 _HTTPS_PORT = 443
 _HTTP_PORT = 80
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
@@ -83,8 +80,7 @@
     def close(self, *, is_reset: bool) -> None:
         if is_reset:
             # The target must not take a request that was cut off for one that is complete.
-            connection = self.writer.get_extra_info("socket")
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            reset_on_close(self.writer.get_extra_info("socket"))
             self.writer.transport.abort()
         else:
             self.writer.close()
