Never pass on a target's 503 as a promise that the request has not run

What callers saw: an order that a target had run, and then failed with a 503 of its own, came back as 503.

Cause: an answer of a target that does not report that the request did not run (X-Not-Run) was returned with its status unchanged, also where the request must not run twice. The project's own refusals kept that promise, answers of targets did not.

Change: such a request ends as outcome_unknown (502, without the target's stamp); the log has attempt_failed with fault=ambiguous. Other statuses, and requests that may be repeated, are answered as before.

--- a/cranberrywall/forwarding/_attempts.py
+++ b/cranberrywall/forwarding/_attempts.py
@@ -31,6 +31,9 @@
 
 The answer needs this time to travel back to the caller."""
 
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses after which callers repeat any request, as if it had not run."""
+
 
 class Attempts:
     """Track the attempts of one request at all targets.
@@ -190,6 +193,18 @@
             reason=failure.message,
         )
 
+    def check_status(self, status: int) -> Refusal | None:
+        """Return the refusal that replaces a target's answer, ``None`` if the caller may have it.
+
+        The caller of a request that must not run twice would repeat it after some statuses. An
+        answer that reports that the request did not run is a failed attempt and never gets here.
+        """
+        if self.plan.repeat_rules.may_run_again or status not in NOT_RUN_STATUSES:
+            return None
+        message = f"answered {status} and did not report that the request did not run"
+        self.record_failure(AttemptFailedError(FailureKind.AMBIGUOUS, message))
+        return self.refusal()
+
     def end_by_stop(self) -> Refusal:
         """Record that the stop of this host ends the request, and return the refusal."""
         if self.limit.is_sent:
--- a/cranberrywall/forwarding/_calls.py
+++ b/cranberrywall/forwarding/_calls.py
@@ -42,7 +42,7 @@
 
         If a target answers with an error status and the call may be repeated, another target is
         tried. If no other target gives a better answer, the caller receives the error answer
-        unchanged.
+        unchanged, unless its status would state wrongly that the call did not run.
         """
         failed: CompleteAnswer | None = None
         while True:
@@ -57,6 +57,9 @@
             except AttemptFailedError as failure:
                 attempts.record_failure(failure)
             else:
+                refusal = attempts.check_status(answer.status)
+                if refusal is not None:
+                    return Err(refusal)
                 if answer.status < MIN_FAILURE_STATUS:
                     return Ok(answer)
                 failed = answer
--- a/cranberrywall/forwarding/_client.py
+++ b/cranberrywall/forwarding/_client.py
@@ -60,8 +60,9 @@
 
     With the other kinds, the request may have run. ``BROKEN``: the connection broke.
     ``CROSSED``: the answer belongs to another request. ``LATE``: no complete answer arrived in
-    time. ``STOPPED``: this host stopped the attempt because the request is now quarantined.
-    ``HOST_STOPPED``: this host ended its requests because it stops.
+    time. ``AMBIGUOUS``: the answer's status reads as if the request had not run, but the target
+    does not report that. ``STOPPED``: this host stopped the attempt because the request is now
+    quarantined. ``HOST_STOPPED``: this host ended its requests because it stops.
     """
 
     UNSENT = "unsent"
@@ -70,6 +71,7 @@
     BROKEN = "broken"
     CROSSED = "crossed"
     LATE = "late"
+    AMBIGUOUS = "ambiguous"
     STOPPED = "stopped"
     HOST_STOPPED = "host_stopped"
 
--- a/cranberrywall/forwarding/_streams.py
+++ b/cranberrywall/forwarding/_streams.py
@@ -36,7 +36,8 @@
     ) -> Result[CompleteAnswer | None, Refusal]:
         """Return ``None`` once all events were sent to the caller, without the end of the body.
 
-        A target's answer that is not a stream is returned unchanged. ``Err`` means that no target
+        A target's answer that is not a stream is returned unchanged, unless its status would state
+        wrongly that the request did not run. ``Err`` means that no target
         gave a complete answer. If part of an answer was already sent to the caller, the reply
         must be aborted then.
         """
@@ -58,7 +59,8 @@
                 attempts.record_failure(failure)
             else:
                 if failed is None or not (reply.has_started or attempts.can_try_another_target()):
-                    return Ok(failed)
+                    refusal = None if failed is None else attempts.check_status(failed.status)
+                    return Ok(failed) if refusal is None else Err(refusal)
             if not attempts.can_try_another_target():
                 return Err(attempts.refusal())
             if reply.has_started:
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -97,6 +97,28 @@
         assert (reply.status, reply.data) == (500, b"second")
 
 
+@pytest.mark.parametrize("kind", ["non_idempotent", "stream"])
+@pytest.mark.parametrize("status", [408, 429, 503])
+async def test_a_request_that_may_have_run_is_not_answered_as_if_it_had_not(
+    status: int, kind: str
+) -> None:
+    """Guards against orders that run twice: a target ran one, failed, and answered 503."""
+    async with ForwardingHarness(kind=kind) as harness:
+        await harness.target("a", answers(status))
+        await harness.target("b", answers())
+        reply, result = await harness.serve()
+        assert not reply.has_started
+        assert result.unwrap_err().kind is ErrorKind.OUTCOME_UNKNOWN
+        assert len(harness.received) == 1
+
+
+async def test_other_failures_of_a_request_that_may_have_run_are_not_changed() -> None:
+    async with ForwardingHarness(kind="non_idempotent") as harness:
+        await harness.target("a", answers(500, b"failed"))
+        reply, _ = await harness.serve()
+        assert (reply.status, reply.data) == (500, b"failed")
+
+
 async def test_an_answer_to_another_request_is_not_passed_on() -> None:
     """A target sends an answer twice, and the copy arrives in place of the next answer."""
     async with ForwardingHarness() as harness:
