Form the groups without a founder that is lost before

Cause: the first founder writes the first roster only when all founders answer in their first process. One that was killed comes back with first_start false, so it never does, and if it was the first founder, nobody asks.

Change: where hosts become members by themselves, the group is formed without a founder that is missing after 3 s, and the next founder takes the place of a first one that is missing, 3 s later. A majority of such a roster is a majority of the founders and a founder votes in one group only, so two founders that don't reach each other cannot both get a leader. What is missing is logged (founders_missing). Elsewhere all founders are waited for as before, with that line.

--- a/cranberrywall/commands/_control_ties.py
+++ b/cranberrywall/commands/_control_ties.py
@@ -44,7 +44,8 @@
     own = settings["listen"]["links"]
     seeds = settings.get("seeds")
     if seeds:
-        return InitialMembers(tuple(seeds), own, settings.get("founding", False))
+        may_form = settings.get("founding", False)
+        return InitialMembers(tuple(seeds), own, may_form, may_join_later=True)
     address_by_host = {remote["host"]: remote["links"] for remote in settings["controls"]}
     return initial_members_of(address_by_host, settings["host"])
 
--- a/cranberrywall/replication/_formation.py
+++ b/cranberrywall/replication/_formation.py
@@ -3,6 +3,11 @@
 The first of the founders by address asks all others. It writes the first roster only when
 every one of them answers, agrees on the list of founders, and holds nothing of this group. So
 hosts whose disks were wiped cannot form an empty group beside a host that still has its log.
+
+Where hosts become members by themselves, the group is formed without a founder that is lost
+before. The next founder takes the place of the first one. Two founders that do not reach each
+other may both write a roster, but only one of the two groups gets a leader: a founder votes in one
+group only, and a majority of each roster is a majority of the founders.
 """
 
 import asyncio
@@ -27,17 +32,23 @@
 _LINEAGE_BITS = 64
 _FIRST_TERM = 1
 
+TURN_S = 3.0
+"""Time in seconds for which all founders are waited for, and until the next founder's turn."""
+
 
 class InitialMembers(NamedTuple):
     """Name the hosts that form a new group by their stream addresses; ``own`` is this host's.
 
     ``may_form`` is false where the group is known to exist: a host with an empty disk then
     waits until a leader takes it in, however many of the founders have lost their disks.
+    ``may_join_later`` is true where hosts become members by themselves, so that the group does not
+    have to be formed by all founders.
     """
 
     addresses: tuple[str, ...]
     own: str
     may_form: bool = True
+    may_join_later: bool = False
 
 
 def initial_members_of(address_by_host: Mapping[str, str], this_host: str) -> InitialMembers:
@@ -57,10 +68,12 @@
         self._core = core
         self._own = founders.own
         self._founders = tuple(sorted(founders.addresses))
-        self._is_first = founders.may_form and self._founders[:1] == (founders.own,)
         self._may_form = founders.may_form
+        self._may_join_later = founders.may_join_later
+        self._started_at = core.clock.now()
         self._asking: asyncio.Task[None] | None = None
         self._ask_at = float("-inf")
+        self._is_reported = False
 
     @property
     def is_free(self) -> bool:
@@ -78,28 +91,48 @@
     def tick(self, now: float) -> None:
         """Try to form the group, where it is this host's turn."""
         core = self._core
-        if not self.is_free or core.failure or not self._is_first:
+        if not self.is_free or core.failure or not self._is_our_turn(now):
             return
         if now < self._ask_at or (self._asking and not self._asking.done()):
             return
         self._ask_at = now + core.settings.election_s
-        self._asking = core.spawn(self._run())
+        self._asking = core.spawn(self._run(now))
+
+    def _is_our_turn(self, now: float) -> bool:
+        if not self._may_form or self._own not in self._founders:
+            return False
+        rank = self._founders.index(self._own)
+        return rank == 0 or (self._may_join_later and now - self._started_at >= rank * TURN_S)
 
-    async def _run(self) -> None:
+    async def _run(self, now: float) -> None:
         core = self._core
-        members = [Member(core.host, self._own, core.vote.disk, True)]
         others = [address for address in self._founders if address != self._own]
         found = await asyncio.gather(*(self._identify(address) for address in others))
-        for member in found:
-            if member is None:
-                return
-            members.append(member)
+        others_free = [member for member in found if member is not None]
+        if any(member.address < self._own for member in others_free):
+            return
+        missing = len(others) - len(others_free)
+        if missing and not self._is_formed_without(missing, now):
+            return
+        members = [Member(core.host, self._own, core.vote.disk, True), *others_free]
         lineage = f"{core.random.getrandbits(_LINEAGE_BITS):016x}"
         roster = Roster(lineage, tuple(sorted(members)))
         async with core.lock:
             if self.is_free:
                 await self._write(roster)
 
+    def _is_formed_without(self, missing: int, now: float) -> bool:
+        """Return whether the group is formed now although some founders are missing."""
+        rank = self._founders.index(self._own)
+        if now - self._started_at < (rank + 1) * TURN_S:
+            return False
+        if not self._is_reported:
+            self._is_reported = True
+            self._core.event("founders_missing", "WARNING", missing=missing)
+        # A majority of the members has to be a majority of the founders.
+        members = len(self._founders) - missing
+        return self._may_join_later and members // 2 == len(self._founders) // 2
+
     async def _identify(self, address: str) -> Member | None:
         core = self._core
         timeout = core.settings.election_s
--- a/tests/replication/test_enlisting.py
+++ b/tests/replication/test_enlisting.py
@@ -1,8 +1,14 @@
 """Form groups by addresses, take in hosts that ask for themselves, give lost seats away."""
 
+import random
+
+import pytest
 from result import Ok
 
 from cranberrywall.replication import InitialMembers
+from cranberrywall.replication._formation import TURN_S
+from tests.fakes.clock import run_virtual
+from tests.naive.state_machine import NaiveJournal
 from tests.replication.fleet import SMALL, Fleet, FleetHost, run_fleet
 from tests.replication.test_members import voters
 
@@ -29,6 +35,107 @@
     run_fleet(test)
 
 
+@pytest.mark.parametrize("lost", ["a", "b", "c"])
+def test_a_group_is_formed_without_a_founder_that_is_lost_before(lost: str) -> None:
+    """Guards against a system that never serves: a founder was killed in its first second.
+
+    It comes back with the settings of a system that is not new, and becomes a member later.
+    """
+
+    async def test() -> None:
+        fleet = Fleet(("a", "b", "c"), 1, SMALL, NaiveJournal)
+        for host in fleet.by_name.values():
+            if host.name != lost:
+                assert isinstance(await host.start(founders=founders_of(fleet, host)), Ok)
+        await fleet.clock.sleep(2.0)
+        assert isinstance(await fleet[lost].start(founders=returning(fleet, fleet[lost])), Ok)
+        await fleet.write("one")
+        assert fleet.clock.now() < 3 * TURN_S
+        leader = await fleet.leader()
+        assert isinstance(await leader.group.enlist(lost, fleet[lost].address, 5.0), Ok)
+        await fleet.until(lambda: voters(fleet) == {"a", "b", "c"})
+        await fleet.stop()
+
+    run_virtual(test())
+
+
+@pytest.mark.parametrize("lost", ["a", "b", "c"])
+def test_a_founder_that_starts_late_forms_no_second_group(lost: str) -> None:
+    """Guards against a system with two groups: two founders formed one before the third started."""
+
+    async def test() -> None:
+        fleet = Fleet(("a", "b", "c"), 1, SMALL, NaiveJournal)
+        for host in fleet.by_name.values():
+            if host.name != lost:
+                assert isinstance(await host.start(founders=founders_of(fleet, host)), Ok)
+        await fleet.write("one")
+        assert isinstance(await fleet[lost].start(founders=founders_of(fleet, fleet[lost])), Ok)
+        await fleet.clock.sleep(5 * TURN_S)
+        assert [host.name for host in fleet.leaders()] != [lost]
+        assert len(fleet.leaders()) == 1
+        assert await fleet.read() == ["one"]
+        await fleet.stop()
+
+    run_virtual(test())
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_founders_that_are_cut_off_and_killed_form_one_group(seed: int) -> None:
+    """Guards against two groups that both acknowledge, and against none if one founder was lost."""
+
+    async def test() -> None:
+        rng = random.Random(seed)
+        fleet = Fleet(("a", "b", "c"), seed, SMALL, NaiveJournal)
+        for host in fleet.by_name.values():
+            assert isinstance(await host.start(founders=founders_of(fleet, host)), Ok)
+            await fleet.clock.sleep(rng.uniform(0.0, 0.2))
+            if rng.random() < 0.7:
+                fleet.cut_off(rng.choice("abc"))
+        lineages: set[str] = set()
+        lost: set[str] = set()
+        for _ in range(8):
+            await fleet.clock.sleep(rng.uniform(0.0, 2.0))
+            step = rng.choice(("cut", "heal", "kill", "heal"))
+            if step == "cut":
+                fleet.cut_off(rng.choice("abc"))
+            elif step == "heal":
+                fleet.heal()
+            elif len(fleet.up) == 3:
+                killed = rng.choice(fleet.up)
+                await killed.kill()
+                if not lineages:
+                    lost.add(killed.name)
+                await fleet.clock.sleep(rng.uniform(0.0, 1.0))
+                assert isinstance(await killed.start(founders=returning(fleet, killed)), Ok)
+            lineages |= await committing_lineages(fleet)
+        fleet.heal()
+        await fleet.clock.sleep(5 * TURN_S)
+        lineages |= await committing_lineages(fleet)
+        assert len(lineages) == 1 or (len(lost) > 1 and not lineages)
+        await fleet.stop()
+
+    run_virtual(test())
+
+
+async def committing_lineages(fleet: Fleet) -> set[str]:
+    """Return the lineages of the groups that commit a word now."""
+    lineages = set()
+    for host in fleet.leaders():
+        if isinstance(await host.group.propose(b"word", 0.3), Ok):
+            lineages.add(host.group.state()["lineage"])
+    return lineages
+
+
+def founders_of(fleet: Fleet, host: FleetHost) -> InitialMembers:
+    """Return the founders as a host knows them at the first start of all."""
+    return InitialMembers(tuple(fleet.addresses.values()), host.address, may_join_later=True)
+
+
+def returning(fleet: Fleet, host: FleetHost) -> InitialMembers:
+    """Return the founders as a host knows them at a later start."""
+    return founders_of(fleet, host)._replace(may_form=False)
+
+
 def test_a_host_that_enlists_becomes_a_voter_once() -> None:
     async def test(fleet: Fleet) -> None:
         await fleet.write("one", "two")
