--- a/cranberrywall/replication/_formation.py
+++ b/cranberrywall/replication/_formation.py
@@ -111,26 +111,31 @@
         others_free = [member for member in found if member is not None]
         if any(member.address < self._own for member in others_free):
             return
-        missing = len(others) - len(others_free)
-        if missing and not self._is_formed_without(missing, now):
-            return
         members = [Member(core.host, self._own, core.vote.disk, True), *others_free]
+        missing = len(self._founders) - len(members)
+        if missing and not self._has_waited(now):
+            return
+        if missing:
+            self._report_missing(missing)
+        if missing and not self._are_enough(len(members)):
+            return
         lineage = f"{core.random.getrandbits(_LINEAGE_BITS):016x}"
         roster = Roster(lineage, tuple(sorted(members)))
         async with core.lock:
             if self.is_free:
                 await self._write(roster)
 
-    def _is_formed_without(self, missing: int, now: float) -> bool:
-        """Return whether the group is formed now although some founders are missing."""
+    def _has_waited(self, now: float) -> bool:
         rank = self._founders.index(self._own)
-        if now - self._started_at < (rank + 1) * TURN_S:
-            return False
+        return now - self._started_at >= (rank + 1) * TURN_S
+
+    def _report_missing(self, missing: int) -> None:
         if not self._is_reported:
             self._is_reported = True
             self._core.event("founders_missing", "WARNING", missing=missing)
-        # A majority of the members has to be a majority of the founders.
-        members = len(self._founders) - missing
+
+    def _are_enough(self, members: int) -> bool:
+        """Return whether a majority of so many members is a majority of the founders."""
         return self._may_join_later and members // 2 == len(self._founders) // 2
 
     async def _identify(self, address: str) -> Member | None:
