Draw what is freed at the ledger between a draw and a read

Cause: a search draws and finds nothing, then reads the ledger's sums to see who holds the rest. If lost runs are bounded between the two, the read shows enough free money, which the search took for a part of what it had drawn already: it asked the holders and refused.

Change: what the read shows free is drawn if it covers a request; a smaller rest as before.

--- a/cranberrywall/budgets/_shortfalls.py
+++ b/cranberrywall/budgets/_shortfalls.py
@@ -355,7 +355,14 @@
         others = [held for held in sums.held if held.holder != self._allotment.queue.holder]
         if self.shortfall() > self._available_elsewhere(sums):
             return SearchResult(free, 0)
-        if 0 < free < self.shortfall():
+        if free >= self.shortfall():
+            # It was credited or freed after the draw.
+            left = await self._draw()
+            self.serve()
+            if left is None:
+                return SearchResult(None, 0)
+            free = left
+        elif free > 0:
             await self._funding_sources.steps.draw(self._allotment, free, 1)
             free = 0
         others.sort(key=lambda held: -held.outstanding)
--- a/tests/budgets/test_searches.py
+++ b/tests/budgets/test_searches.py
@@ -9,10 +9,11 @@
 from cranberrywall.budgets import BudgetAssignment
 from cranberrywall.budgets._peer_messages import TakeRequest
 from cranberrywall.budgets.ledger import make_ledger_machine
+from cranberrywall.budgets.messages import BudgetQuery
 from cranberrywall.errors import ErrorKind
 from tests.budgets.money_stories import make_request, refused, reserved
 from tests.fakes.clock import VirtualClock, run_virtual
-from tests.fakes.money import MoneyFleet
+from tests.fakes.money import LEDGER, MoneyFleet
 
 HOSTS = [f"h{number}" for number in range(30)]
 
@@ -203,3 +204,30 @@
             assert fleet.clock.now() - now < longest_s
 
     _on_many_hosts(scenario)
+
+
+def test_money_that_is_freed_after_a_draw_is_drawn() -> None:
+    """Guards against refusals for want of money while the ledger has enough of it.
+
+    A draw finds nothing. Lost runs are bounded just then, and the read that follows shows what
+    that frees.
+    """
+
+    async def scenario(fleet: MoneyFleet) -> None:
+        fleet.credit("main", 10_000)
+        await reserved(fleet, "h0", "small", 1)
+        await reserved(fleet, "h1", "rest", 9_900)
+        reads: list[str] = []
+
+        def free_at_first_read(source: str, sink: str, request: object) -> bool:
+            is_read = isinstance(request, bytes) and BudgetQuery.__name__.encode() in request
+            if sink == LEDGER and is_read and not reads:
+                reads.append(source)
+                fleet.credit("main", 5_000)
+            return False
+
+        fleet.net.lose_request = free_at_first_read
+        await reserved(fleet, "h0", "late", 4_000)
+        assert reads == ["h0"]
+
+    _on_many_hosts(scenario)
