--- a/tests/forwarding/test_partitioned_host.py
+++ b/tests/forwarding/test_partitioned_host.py
@@ -259,7 +259,7 @@
     """Guards against a workspace that spends more than its total: an event may be on its way."""
     held = asyncio.Event()
 
-    async def silent(request: web.Request) -> web.StreamResponse:
+    async def unresponsive(request: web.Request) -> web.StreamResponse:
         await request.read()
         held.set()
         await asyncio.sleep(0.1)
@@ -268,7 +268,7 @@
     with hanging_url() as url:
         fields = {"timeout_s": 8.0, "attempts": 1, "is_resumable": True}
         async with PartitionedPair(kind="stream", **fields) as pair:
-            await pair.start_targets(silent)
+            await pair.start_targets(unresponsive)
             link = FreezableLink(pair.partitioned.router.url_by_id[TARGETS[0]])
             pair.use_urls({TARGETS[0]: await link.start()})
             request = arrival(request_id="id-held", max_wait_s=8.0)
