--- a/review/stand2.py
+++ b/review/stand2.py
@@ -124,9 +124,7 @@
         return NOT_RUN
 
 
-def main(
-    play: Callable[[Record], Awaitable[int]], folder: Path, limit_s: float = 110.0
-) -> None:
+def main(play: Callable[[Record], Awaitable[int]], folder: Path, limit_s: float = 110.0) -> None:
     """Play a case, and exit with its result."""
     record = Record(folder)
     record.write(f"TROUBLE={int(has_trouble())}")
